--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Commands of the project; README.md says what each is for.
+
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BUF := go tool -modfile=tools/gen/go.mod buf
+
+.PHONY: all build demo test format lint generate check-generated unit short-replay
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+# Everything that CI checks.
+test: lint check-generated unit short-replay
+
+format:
+	$(LINT) fmt
+
+lint:
+	$(LINT) fmt --diff
+	$(LINT) run
+	go vet ./...
+
+generate:
+	$(BUF) generate
+
+check-generated: generate
+	git diff --exit-code -- snipeproto
+
+unit:
+	go test -race ./...
+
+short-replay: build
+	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
--- /dev/null
+++ b/cmd/snipestand/main.go
@@ -0,0 +1,87 @@
+// Command snipestand runs one stand-in for a system outside, for tests and the
+// demonstration.
+//
+// Usage:
+//
+//	snipestand platform -address IP:PORT [-rate N] [-concurrent N] [-load D]
+//	snipestand engine -address IP:PORT [-slots N] [-batch N] [-token D] [-checks-fence] [-weights IP:PORT]
+//	snipestand service -address IP:PORT [-name NAME] [-delay D]
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+	exitCrash  = 3
+
+	readHeaderTimeout = 10 * time.Second
+)
+
+func main() {
+	if len(os.Args) < 2 {
+		usage()
+	}
+	f := flag.NewFlagSet("snipestand "+os.Args[1], flag.ExitOnError)
+	address := f.String("address", "", "`IP:PORT` to listen on")
+	var handler func() http.Handler
+	switch os.Args[1] {
+	case "platform":
+		handler = platform(f)
+	case "engine":
+		handler = engine(f)
+	case "service":
+		handler = service(f)
+	default:
+		usage()
+	}
+	// ExitOnError: Parse does not return an error.
+	_ = f.Parse(os.Args[2:])
+	if _, err := netip.ParseAddrPort(*address); err != nil {
+		fmt.Fprintln(os.Stderr, "snipestand: -address:", err)
+		os.Exit(exitUsage)
+	}
+	server := &http.Server{Addr: *address, Handler: handler(), ReadHeaderTimeout: readHeaderTimeout}
+	fmt.Fprintln(os.Stderr, "snipestand:", server.ListenAndServe())
+	os.Exit(exitFailed)
+}
+
+func usage() {
+	fmt.Fprintln(os.Stderr, "usage: snipestand platform|engine|service -address IP:PORT [flags]")
+	os.Exit(exitUsage)
+}
+
+func platform(f *flag.FlagSet) func() http.Handler {
+	w := &snipestand.Weights{}
+	f.Float64Var(&w.PerSecond, "rate", 4.5, "loads per second of the weight store")
+	f.IntVar(&w.Concurrent, "concurrent", 3, "loads at full speed at once")
+	f.DurationVar(&w.Duration, "load", 200*time.Millisecond, "time of one load at full speed")
+	p := &snipestand.Platform{Table: snipestand.NewTable(), Weights: w}
+	return p.Handler
+}
+
+func engine(f *flag.FlagSet) func() http.Handler {
+	e := &snipestand.Engine{Crash: func() { os.Exit(exitCrash) }}
+	f.IntVar(&e.Slots, "slots", 8, "adapter slots")
+	f.IntVar(&e.Batch, "batch", 32, "answers produced at once")
+	f.DurationVar(&e.TokenTime, "token", 5*time.Millisecond, "time between tokens")
+	f.BoolVar(&e.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
+	f.TextVar(&e.Weights, "weights", netip.AddrPort{}, "`IP:PORT` of the weight store")
+	return e.Handler
+}
+
+func service(f *flag.FlagSet) func() http.Handler {
+	s := &snipestand.Service{}
+	f.StringVar(&s.Name, "name", "service", "name put into answers")
+	f.DurationVar(&s.Delay, "delay", 0, "time that an answer takes")
+	return s.Handler
+}
--- /dev/null
+++ b/snipecaller/reply.go
@@ -0,0 +1,89 @@
+package snipecaller
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipestream"
+)
+
+// errCallerGone is returned to whoever produces an answer that nobody reads.
+var errCallerGone = errors.New("caller has gone away")
+
+// reply sends the one answer of a call. It belongs to the call's goroutine.
+type reply struct {
+	response   http.ResponseWriter
+	controller *http.ResponseController
+	call       *snipecall.Call
+	firstChunk func()
+	sequence   uint64
+	ended      bool
+	buffer     []byte
+}
+
+// started reports that a part of the answer has gone out.
+func (o *reply) started() bool { return o.sequence > 0 }
+
+// chunk sends the next chunk. It refuses one out of order.
+func (o *reply) chunk(c snipecall.Chunk) error {
+	if o.ended || c.Sequence != o.sequence+1 {
+		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun,
+			"chunk "+strconv.FormatUint(c.Sequence, 10)+" after "+strconv.FormatUint(o.sequence, 10))
+	}
+	if !o.started() {
+		o.firstChunk()
+		o.header(c)
+	}
+	o.sequence = c.Sequence
+	o.ended = c.Last
+	o.buffer = o.buffer[:0]
+	if c.Status != 0 {
+		o.buffer = append(o.buffer, c.Data...)
+	} else {
+		o.buffer = snipestream.Append(o.buffer, snipestream.Event{ID: c.Sequence, Data: c.Data})
+	}
+	if _, err := o.response.Write(o.buffer); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	if err := o.controller.Flush(); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	return nil
+}
+
+func (o *reply) header(c snipecall.Chunk) {
+	h := o.response.Header()
+	if !o.call.Adapter.IsZero() {
+		h.Set(AdapterHeader, o.call.Adapter.Model())
+	}
+	if c.Status == 0 {
+		h.Set("Content-Type", "text/event-stream")
+		o.response.WriteHeader(http.StatusOK)
+		return
+	}
+	if c.ContentType != "" {
+		h.Set("Content-Type", c.ContentType)
+	}
+	o.response.WriteHeader(c.Status)
+}
+
+// fail sends the failure: as the whole answer, or as the last event of a
+// stream that has begun.
+func (o *reply) fail(f *snipeerror.CallError, id string) {
+	if o.ended {
+		return
+	}
+	o.ended = true
+	if !o.started() {
+		f.Write(o.response, id)
+		return
+	}
+	e := snipestream.Event{ID: o.sequence + 1, Name: "error", Data: f.Encode(id)}
+	// The caller may be gone; there is nobody to tell.
+	_, _ = o.response.Write(snipestream.Append(nil, e))
+	_ = o.controller.Flush()
+}
--- /dev/null
+++ b/snipecaller/snipecaller.go
@@ -0,0 +1,257 @@
+// Package snipecaller is the callers' side of an instance: it authenticates
+// the team, admits the call, chooses an upstream, retries where that is safe,
+// and gives the one final answer.
+//
+// Invariants: a caller gets at most one final answer; once a chunk has gone
+// out the call is never started again; a call that is not idempotent is
+// started again only after a failure whose outcome is NotRun; the final answer
+// of a call that has been given up on goes out at once.
+package snipecaller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tidwall/gjson"
+
+	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipetree"
+	"snipepitch.example/snipepitch/snipeupstream"
+)
+
+// Headers of a call, beside those that HTTP and the OpenAI API define.
+const (
+	ClassHeader      = "Snipe-Class"
+	TimeoutHeader    = "Snipe-Timeout"
+	IdempotentHeader = "Snipe-Idempotent"
+	KeyHeader        = "Idempotency-Key"
+	RequestIDHeader  = "X-Request-Id"
+	AdapterHeader    = "Snipe-Adapter"
+)
+
+const (
+	servicesPrefix = "/services/"
+	maxKey         = 256
+	// DefaultTimeout is the deadline of a call when neither the call nor the
+	// team's settings state one.
+	DefaultTimeout = 60 * time.Second
+	// MaxTimeout bounds the deadline that a call may state.
+	MaxTimeout = 30 * time.Minute
+)
+
+// Server is the callers' side. Exported fields are set before the first call.
+type Server struct {
+	// Tree returns the settings in force; nil before the first read.
+	Tree func() *snipetree.Tree
+	// Serve executes an admitted call with its retries.
+	Serve func(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error
+	// Admit counts a call against its team's limits; release ends it.
+	Admit func(c *snipecall.Call) (release func(), err error)
+	// NewID returns an identifier for a call.
+	NewID func() string
+	// MaxBody bounds the body of a call in bytes.
+	MaxBody int64
+	// Meter and Log take metrics and events.
+	Meter *snipemeter.Meter
+	Log   *snipelog.Logger
+
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// Stop makes the server refuse new calls.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// InFlight returns the number of calls that have no final answer yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Handler returns the routes of the callers' side.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+snipeupstream.CompletionsPath, s.handle)
+	mux.HandleFunc("POST "+snipeupstream.ChatPath, s.handle)
+	mux.HandleFunc(servicesPrefix, s.handle)
+	return mux
+}
+
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	start := time.Now()
+	id := s.NewID()
+	w.Header().Set(RequestIDHeader, id)
+	c, err := s.parse(w, r, id)
+	if err != nil {
+		s.refuse(w, id, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	release, err := s.Admit(c)
+	if err != nil {
+		s.refuse(w, id, err)
+		return
+	}
+	defer release()
+	out := &reply{response: w, controller: http.NewResponseController(w), call: c}
+	out.firstChunk = func() { s.observe(snipemeter.FirstChunk, c, start) }
+	err = s.Serve(ctx, c, out.chunk)
+	s.observe(snipemeter.CallDuration, c, start)
+	if err != nil {
+		f := snipeerror.From(err)
+		s.Log.Error(snipelog.CallFailed, f, snipelog.Fields{"Call": id, "Team": c.Team, "Class": c.Class.String()})
+		s.countFailure(f)
+		out.fail(f, id)
+	}
+}
+
+func (s *Server) observe(name string, c *snipecall.Call, start time.Time) {
+	s.Meter.Observe(name, c.Team, c.Class.String(), time.Since(start))
+}
+
+func (s *Server) refuse(w http.ResponseWriter, id string, err error) {
+	f := snipeerror.From(err)
+	s.countFailure(f)
+	f.Write(w, id)
+}
+
+func (s *Server) countFailure(f *snipeerror.CallError) {
+	s.Meter.Count(`snipepitch_call_failures_total{code="` + f.Code() + `",outcome="` + string(f.Outcome) + `"}`)
+}
+
+func refused(kind error, reason string) error {
+	return snipeerror.New(kind, snipeerror.NotRun, reason)
+}
+
+// stoppingRetry is what a caller is told to wait when the instance stops: the
+// balancer sends the repetition elsewhere.
+const stoppingRetry = time.Second
+
+// parse authenticates the caller and reads the call.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string) (*snipecall.Call, error) {
+	if s.stopping.Load() {
+		return nil, snipeerror.New(snipeerror.ErrStopping, snipeerror.NotRun, "use another instance").After(stoppingRetry)
+	}
+	tree := s.Tree()
+	if tree == nil {
+		return nil, snipeerror.New(snipeerror.ErrUnavailable, snipeerror.NotRun, "no settings yet").After(stoppingRetry)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, refused(snipeerror.ErrUnauthenticated, "no bearer key")
+	}
+	team, ok := tree.TeamOf(key)
+	if !ok {
+		return nil, refused(snipeerror.ErrUnauthenticated, "unknown key")
+	}
+	c := &snipecall.Call{ID: id, Team: team, Method: r.Method, Path: r.URL.Path, ContentType: r.Header.Get("Content-Type")}
+	if err := readHeaders(c, r, tree); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	c.Body = body
+	if strings.HasPrefix(c.Path, servicesPrefix) {
+		return c, readService(c, r, tree)
+	}
+	return c, readModel(c, tree)
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refused(snipeerror.ErrTooLarge, "body above "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	return refused(snipeerror.ErrBadRequest, "body: "+err.Error())
+}
+
+func readHeaders(c *snipecall.Call, r *http.Request, tree *snipetree.Tree) error {
+	c.Class = snipecall.Standard
+	if v := r.Header.Get(ClassHeader); v != "" {
+		if err := c.Class.UnmarshalText([]byte(v)); err != nil {
+			return refused(snipeerror.ErrBadRequest, ClassHeader+": "+err.Error())
+		}
+	}
+	wait := tree.Deadline(c.Team, c.Class, DefaultTimeout)
+	if v := r.Header.Get(TimeoutHeader); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 || d > MaxTimeout {
+			return refused(snipeerror.ErrBadRequest, TimeoutHeader+" must be a duration up to "+MaxTimeout.String())
+		}
+		wait = d
+	}
+	c.Deadline = time.Now().Add(wait)
+	c.Idempotent = defaultIdempotent(c)
+	if v := r.Header.Get(IdempotentHeader); v != "" {
+		b, err := strconv.ParseBool(v)
+		if err != nil {
+			return refused(snipeerror.ErrBadRequest, IdempotentHeader+" must be true or false")
+		}
+		c.Idempotent = b
+	}
+	c.Key = r.Header.Get(KeyHeader)
+	if len(c.Key) > maxKey {
+		return refused(snipeerror.ErrBadRequest, KeyHeader+" above "+strconv.Itoa(maxKey)+" bytes")
+	}
+	return nil
+}
+
+// defaultIdempotent is used for a call that does not say: model calls are
+// idempotent, service calls as HTTP defines their method.
+func defaultIdempotent(c *snipecall.Call) bool {
+	if !strings.HasPrefix(c.Path, servicesPrefix) {
+		return true
+	}
+	switch c.Method {
+	case http.MethodPost, http.MethodPatch:
+		return false
+	}
+	return true
+}
+
+func readService(c *snipecall.Call, r *http.Request, tree *snipetree.Tree) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix), "/")
+	for _, s := range tree.Teams[c.Team].Services {
+		if s != name {
+			continue
+		}
+		c.Service = name
+		c.Path = "/" + rest
+		if r.URL.RawQuery != "" {
+			c.Path += "?" + r.URL.RawQuery
+		}
+		return nil
+	}
+	return refused(snipeerror.ErrUnknownService, strconv.Quote(name))
+}
+
+func readModel(c *snipecall.Call, tree *snipetree.Tree) error {
+	if !gjson.ValidBytes(c.Body) {
+		return refused(snipeerror.ErrBadRequest, "body is not JSON")
+	}
+	a, err := snipecall.ParseModel(c.Team, gjson.GetBytes(c.Body, "model").String())
+	if err != nil {
+		return refused(snipeerror.ErrBadRequest, err.Error())
+	}
+	if n := gjson.GetBytes(c.Body, "n"); n.Exists() && n.Int() != 1 {
+		return refused(snipeerror.ErrBadRequest, "n must be 1")
+	}
+	base, path, ok := tree.Find(a)
+	if !ok {
+		return refused(snipeerror.ErrUnknownAdapter, a.Model())
+	}
+	c.Adapter, c.Base, c.WeightPath = a, base, path
+	c.Stream = gjson.GetBytes(c.Body, "stream").Bool()
+	return nil
+}
--- /dev/null
+++ b/snipeerror/body.go
@@ -0,0 +1,81 @@
+package snipeerror
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// maxRetryAfter bounds what a decoded body may ask a caller to wait.
+const maxRetryAfter = time.Hour
+
+// ErrBadBody is returned for a body that is no failure body.
+var ErrBadBody = errors.New("not a failure body")
+
+// Body is the JSON form of a CallError. The lower-case part follows the error
+// object of the OpenAI API, so that common clients understand it; the rest is
+// this project's own.
+type Body struct {
+	Error struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+		Code    string `json:"code"`
+	} `json:"error"`
+	Outcome                Outcome `json:"Outcome"`
+	RetryAfterMilliseconds int64   `json:"RetryAfterMilliseconds,omitempty"`
+	RequestID              string  `json:"RequestId,omitempty"`
+}
+
+// Encode returns the JSON body of f for the given request identifier.
+func (f *CallError) Encode(requestID string) []byte {
+	var b Body
+	b.Error.Message = f.Error()
+	b.Error.Type = string(f.Outcome)
+	b.Error.Code = f.Code()
+	b.Outcome = f.Outcome
+	b.RetryAfterMilliseconds = f.RetryAfter.Milliseconds()
+	b.RequestID = requestID
+	data, err := json.Marshal(b)
+	if err != nil {
+		// A struct of strings and numbers always encodes.
+		panic(err)
+	}
+	return data
+}
+
+// Decode reads a body written by Encode. It returns ErrBadBody for anything
+// else, and for an unknown code or outcome.
+func Decode(data []byte) (*CallError, error) {
+	var b Body
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, errors.Wrapf(ErrBadBody, "decode: %v", err)
+	}
+	if b.Outcome != NotRun && b.Outcome != MayHaveRun {
+		return nil, errors.Wrapf(ErrBadBody, "outcome %q", b.Outcome)
+	}
+	wait := time.Duration(b.RetryAfterMilliseconds) * time.Millisecond
+	if b.RetryAfterMilliseconds < 0 || wait < 0 || wait > maxRetryAfter {
+		return nil, errors.Wrapf(ErrBadBody, "retry after %d ms", b.RetryAfterMilliseconds)
+	}
+	for _, k := range kinds {
+		if k.code == b.Error.Code {
+			return New(k.sentinel, b.Outcome, b.Error.Message).After(wait), nil
+		}
+	}
+	return nil, errors.Wrapf(ErrBadBody, "code %q", b.Error.Code)
+}
+
+// Write sends f as the whole response, with Retry-After in full seconds.
+func (f *CallError) Write(w http.ResponseWriter, requestID string) {
+	w.Header().Set("Content-Type", "application/json")
+	if f.RetryAfter > 0 {
+		seconds := int64((f.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(f.Status())
+	// The caller may have gone away; there is nobody to tell.
+	_, _ = w.Write(f.Encode(requestID))
+}
--- /dev/null
+++ b/snipeerror/snipeerror.go
@@ -0,0 +1,142 @@
+// Package snipeerror holds the typed failures of a call.
+//
+// Every failure has a kind, which is one of the sentinel values below and is
+// tested with errors.Is, and an outcome, which says whether the call may have
+// been executed by an upstream. The invariant that callers rely on: a failure
+// whose outcome is NotRun is created only where it is certain that no upstream
+// has executed the call, nor will execute it later.
+package snipeerror
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Kinds of failures. Each is the sentinel that errors.Is finds in a CallError.
+var (
+	ErrBadRequest      = errors.New("bad request")
+	ErrUnauthenticated = errors.New("unauthenticated")
+	ErrForbidden       = errors.New("forbidden")
+	ErrUnknownAdapter  = errors.New("unknown adapter")
+	ErrUnknownService  = errors.New("unknown service")
+	ErrTooLarge        = errors.New("too large")
+	ErrLimited         = errors.New("refused by limit")
+	ErrOverloaded      = errors.New("overloaded")
+	ErrNoUpstream      = errors.New("no upstream")
+	ErrDeadline        = errors.New("deadline exceeded")
+	ErrLoadFailed      = errors.New("adapter load failed")
+	ErrUpstreamFailed  = errors.New("upstream failed")
+	ErrIncomplete      = errors.New("answer incomplete")
+	ErrMismatch        = errors.New("answer of another adapter")
+	ErrQuarantined     = errors.New("quarantined")
+	ErrDuplicate       = errors.New("duplicate request key")
+	ErrUnavailable     = errors.New("platform unavailable")
+	ErrStopping        = errors.New("instance stopping")
+	ErrNotOwner        = errors.New("not the owner")
+	ErrCanceled        = errors.New("canceled by the caller")
+)
+
+// Outcome tells whether the call may have been executed.
+type Outcome string
+
+// The outcomes of a failed call.
+const (
+	// NotRun: no upstream has executed the call or will do so.
+	NotRun Outcome = "NotRun"
+	// MayHaveRun: an upstream may have executed the call, wholly or in part.
+	MayHaveRun Outcome = "MayHaveRun"
+)
+
+// kind couples a sentinel with its wire code and HTTP status.
+type kind struct {
+	sentinel error
+	code     string
+	status   int
+}
+
+var kinds = []kind{
+	{ErrBadRequest, "BadRequest", http.StatusBadRequest},
+	{ErrUnauthenticated, "Unauthenticated", http.StatusUnauthorized},
+	{ErrForbidden, "Forbidden", http.StatusForbidden},
+	{ErrUnknownAdapter, "UnknownAdapter", http.StatusNotFound},
+	{ErrUnknownService, "UnknownService", http.StatusNotFound},
+	{ErrTooLarge, "TooLarge", http.StatusRequestEntityTooLarge},
+	{ErrLimited, "RefusedByLimit", http.StatusTooManyRequests},
+	{ErrOverloaded, "Overloaded", http.StatusServiceUnavailable},
+	{ErrNoUpstream, "NoUpstream", http.StatusServiceUnavailable},
+	{ErrDeadline, "DeadlineExceeded", http.StatusGatewayTimeout},
+	{ErrLoadFailed, "LoadFailed", http.StatusServiceUnavailable},
+	{ErrUpstreamFailed, "UpstreamFailed", http.StatusBadGateway},
+	{ErrIncomplete, "AnswerIncomplete", http.StatusBadGateway},
+	{ErrMismatch, "AnswerMismatch", http.StatusBadGateway},
+	{ErrQuarantined, "Quarantined", http.StatusServiceUnavailable},
+	{ErrDuplicate, "DuplicateRequestKey", http.StatusConflict},
+	{ErrUnavailable, "PlatformUnavailable", http.StatusServiceUnavailable},
+	{ErrStopping, "Stopping", http.StatusServiceUnavailable},
+	{ErrNotOwner, "NotOwner", http.StatusMisdirectedRequest},
+	{ErrCanceled, "Canceled", http.StatusRequestTimeout},
+}
+
+// CallError is the final error of a call: a failure.
+type CallError struct {
+	// Kind is one of the package's sentinel values.
+	Kind error
+	// Outcome tells whether the call may have been executed.
+	Outcome Outcome
+	// Reason is one line for a human reader; it holds no key and no prompt.
+	Reason string
+	// RetryAfter is when a repetition is worthwhile; zero when it is not known.
+	RetryAfter time.Duration
+}
+
+// New returns a failure of the given kind and outcome.
+func New(kind error, outcome Outcome, reason string) *CallError {
+	return &CallError{Kind: kind, Outcome: outcome, Reason: reason}
+}
+
+// After sets the time after which a repetition is worthwhile.
+func (f *CallError) After(d time.Duration) *CallError {
+	f.RetryAfter = d
+	return f
+}
+
+// Error implements error.
+func (f *CallError) Error() string {
+	return f.Kind.Error() + " (" + string(f.Outcome) + "): " + f.Reason
+}
+
+// Unwrap returns the kind, so that errors.Is finds the sentinel.
+func (f *CallError) Unwrap() error { return f.Kind }
+
+// From returns err as a CallError. An error of another type becomes
+// ErrUpstreamFailed with the outcome MayHaveRun, the careful reading.
+func From(err error) *CallError {
+	var f *CallError
+	if errors.As(err, &f) {
+		return f
+	}
+	return New(ErrUpstreamFailed, MayHaveRun, err.Error())
+}
+
+// Code returns the wire code of the failure's kind.
+func (f *CallError) Code() string {
+	k := lookup(f.Kind)
+	return k.code
+}
+
+// Status returns the HTTP status of the failure's kind.
+func (f *CallError) Status() int {
+	k := lookup(f.Kind)
+	return k.status
+}
+
+func lookup(sentinel error) kind {
+	for _, k := range kinds {
+		if errors.Is(sentinel, k.sentinel) {
+			return k
+		}
+	}
+	return kind{sentinel, "Internal", http.StatusInternalServerError}
+}
--- /dev/null
+++ b/snipeinstance/snipeinstance.go
@@ -0,0 +1,378 @@
+// Package snipeinstance puts the duties of one instance together and runs
+// them.
+//
+// Design. Each duty runs in its own goroutine of a run group: the settings
+// store, the lease holder, and three listeners (callers, operators, peers).
+// A planned stop goes through these steps: readiness off and no new calls;
+// calls in flight are finished; owned engines are given up as they become
+// idle; listeners close; exit. A second signal ends the process at once.
+package snipeinstance
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipecaller"
+	"snipepitch.example/snipepitch/snipeconfig"
+	"snipepitch.example/snipepitch/snipedispatch"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipelease"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipeoperator"
+	"snipepitch.example/snipepitch/snipepeer"
+	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipetree"
+	"snipepitch.example/snipepitch/snipeweight"
+)
+
+// ErrForced is returned by Run when a second signal ended the stop.
+var ErrForced = errors.New("stopped by a second signal")
+
+const (
+	leaseMargin       = 2 * time.Second
+	dialTimeout       = 2 * time.Second
+	readHeaderTimeout = 10 * time.Second
+	maxHeader         = 64 << 10
+	peerBeat          = time.Second
+	stopPoll          = 50 * time.Millisecond
+	idleConnections   = 1024
+)
+
+// Instance is one running instance. Exported fields are set before Run.
+type Instance struct {
+	// Config is the checked settings file.
+	Config snipeconfig.Config
+	// Log takes events.
+	Log *snipelog.Logger
+
+	meter    *snipemeter.Meter
+	settings *snipetree.Store
+	holder   *snipelease.Holder
+	dispatch *snipedispatch.Dispatcher
+	callers  *snipecaller.Server
+	forward  *snipepeer.Client
+	budget   *snipeweight.Budget
+
+	ready    atomic.Bool
+	stopping chan struct{}
+	signals  chan os.Signal
+}
+
+// Run serves until a signal or a drain order, then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	i.build()
+	i.signals = make(chan os.Signal, 2)
+	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(i.signals)
+	var g run.Group
+	i.addLoop(ctx, &g, i.settings.Run)
+	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.watchReady)
+	for _, l := range i.listeners() {
+		if err := i.addListener(ctx, &g, l); err != nil {
+			return err
+		}
+	}
+	i.addLoop(ctx, &g, i.waitStop)
+	i.Log.Log(snipelog.Started, snipelog.Fields{"Callers": i.Config.Callers.String()})
+	err := g.Run()
+	i.Log.Log(snipelog.Stopped, nil)
+	return err
+}
+
+func (i *Instance) build() {
+	c := i.Config
+	i.stopping = make(chan struct{}, 1)
+	i.meter = snipemeter.New()
+	table := snipeplatform.Dynamo{
+		Address: c.Platform.Table, Table: c.Platform.TableName,
+		AccessKey: c.Platform.AccessKey, SecretKey: c.Platform.SecretKey,
+		Timeout: c.Platform.Timeout.Value(),
+	}.Open()
+	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
+	i.buildDispatch()
+	i.buildHolder(table)
+	i.buildCallers()
+}
+
+func (i *Instance) buildDispatch() {
+	c := i.Config
+	client := &http.Client{Transport: transport()}
+	fresh := transport()
+	fresh.DisableKeepAlives = true
+	i.budget = &snipeweight.Budget{Limits: i.weightShare}
+	i.dispatch = &snipedispatch.Dispatcher{
+		Tree:   i.settings.Current,
+		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
+		Budget: i.budget.Acquire,
+		Client: client, Fresh: &http.Client{Transport: fresh},
+		Progress: c.Progress.Value(), LoadTimeout: c.LoadTimeout.Value(),
+		Meter: i.meter, Log: i.Log,
+	}
+	i.forward = &snipepeer.Client{HTTP: &http.Client{Transport: transport()}, Secret: c.PeerSecret, Progress: c.Progress.Value()}
+}
+
+func transport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConns:        idleConnections,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
+// weightShare splits the weight store's budget evenly among live instances.
+func (i *Instance) weightShare() (perSecond float64, concurrent int) {
+	t := i.settings.Current()
+	n := max(len(i.holder.View().Instances), 1)
+	if t == nil {
+		return 0, 0
+	}
+	w := t.Platform.WeightStore
+	return w.LoadsPerSecond / float64(n), max(w.Concurrent/n, 1)
+}
+
+func (i *Instance) buildHolder(table snipeplatform.Table) {
+	c := i.Config
+	i.holder = &snipelease.Holder{
+		Table: table,
+		Self: snipelease.Instance{
+			Name: c.Name, Incarnation: rand.Text(), PeerAddress: c.Peers,
+			OperatorAddress: c.Operators, Domain: c.Domain,
+		},
+		Duration: c.Lease.Value(), Renew: c.Renew.Value(), Margin: leaseMargin,
+		Engines: i.engineNames, Revision: i.revision, Busy: i.dispatch.Busy,
+		Operation: rand.Text, Log: i.Log,
+	}
+}
+
+func (i *Instance) engineNames() []string {
+	t := i.settings.Current()
+	if t == nil {
+		return nil
+	}
+	names := make([]string, 0, len(t.Platform.Engines))
+	for n := range t.Platform.Engines {
+		names = append(names, n)
+	}
+	return names
+}
+
+func (i *Instance) revision() uint64 {
+	if t := i.settings.Current(); t != nil {
+		return t.Revision
+	}
+	return 0
+}
+
+func (i *Instance) buildCallers() {
+	attempts := &snipecaller.Attempts{Choose: i.choose, Execute: i.execute, Log: i.Log}
+	i.callers = &snipecaller.Server{
+		Tree: i.settings.Current, Serve: attempts.Serve, Admit: i.admit, NewID: rand.Text,
+		MaxBody: i.Config.MaxBody, Meter: i.meter, Log: i.Log,
+	}
+}
+
+func (i *Instance) admit(*snipecall.Call) (func(), error) {
+	if i.callers.InFlight() > int64(i.Config.MaxCalls) {
+		return nil, snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "too many calls in flight").After(time.Second)
+	}
+	return func() {}, nil
+}
+
+// noUpstreamRetry is what a caller is told to wait when no upstream is usable.
+const noUpstreamRetry = 2 * time.Second
+
+func (i *Instance) choose(c *snipecall.Call, failed []string) (string, error) {
+	candidates := i.candidates(c, failed)
+	key := sniperoute.AdapterHash(c.Adapter)
+	if c.Service != "" {
+		key = sniperoute.Hash(c.ID)
+	}
+	n := sniperoute.Pick(key, candidates)
+	if n < 0 {
+		return "", snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no usable upstream").After(noUpstreamRetry)
+	}
+	return candidates[n].Name, nil
+}
+
+func (i *Instance) candidates(c *snipecall.Call, failed []string) []sniperoute.Candidate {
+	t := i.settings.Current()
+	var all []sniperoute.Candidate
+	add := func(name string, usable bool) {
+		k := sniperoute.Candidate{Name: name, Hash: sniperoute.Hash(name), Usable: usable}
+		for _, f := range failed {
+			k.Excluded = k.Excluded || f == name
+		}
+		all = append(all, k)
+	}
+	if c.Service != "" {
+		for name := range t.Platform.Services[c.Service].Upstreams {
+			add(name, true)
+		}
+		return all
+	}
+	view := i.holder.View()
+	for name, e := range t.Platform.Engines {
+		_, owned := view.Owners[name]
+		if e.Base == c.Base {
+			add(name, owned)
+		}
+	}
+	return all
+}
+
+// execute runs a call here or on the instance that owns its engine.
+func (i *Instance) execute(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
+	if c.Service != "" {
+		return i.dispatch.Run(ctx, c, sink)
+	}
+	o, ok := i.holder.View().Owners[c.Upstream]
+	if !ok {
+		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "engine "+c.Upstream+" has no owner")
+	}
+	if o.Instance.Name == i.Config.Name {
+		return i.dispatch.Run(ctx, c, sink)
+	}
+	return i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
+}
+
+// listener is one of the instance's listeners.
+type listener struct {
+	name    string
+	address netip.AddrPort
+	handler http.Handler
+}
+
+func (i *Instance) listeners() []listener {
+	operators := &snipeoperator.Server{
+		Settings: i.settings, BootstrapKeyHash: i.Config.BootstrapKeyHash,
+		View: i.holder.View, Resident: i.dispatch.Resident, Stop: i.Stop,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.meter.Write(w) })
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /ready", i.serveReady)
+	front := http.NewServeMux()
+	front.Handle("/", i.callers.Handler())
+	front.HandleFunc("GET /ready", i.serveReady)
+	peers := http.NewServeMux()
+	peers.Handle("POST "+snipepeer.Path, &snipepeer.Handler{
+		Execute: i.dispatch.Run, Secret: i.Config.PeerSecret, Beat: peerBeat, MaxBody: i.Config.MaxBody,
+	})
+	return []listener{
+		{"Callers", i.Config.Callers, front},
+		{"Operators", i.Config.Operators, mux},
+		{"Peers", i.Config.Peers, peers},
+	}
+}
+
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !i.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (i *Instance) addListener(ctx context.Context, g *run.Group, l listener) error {
+	var config net.ListenConfig
+	n, err := config.Listen(ctx, "tcp", l.address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", l.name)
+	}
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
+	g.Add(func() error {
+		err := server.Serve(n)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		i.Log.Error(snipelog.ListenerFailed, err, snipelog.Fields{"Listener": l.name})
+		return errors.Wrapf(err, "serve %s", l.name)
+	}, func(error) {
+		// The stop has waited for the calls already; what is left is cut.
+		_ = server.Close()
+	})
+	return nil
+}
+
+// addLoop adds a duty that ends with its context.
+func (i *Instance) addLoop(ctx context.Context, g *run.Group, f func(context.Context) error) {
+	inner, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return f(inner) }, func(error) { cancel() })
+}
+
+// watchReady turns readiness on once settings are in force and owners known.
+func (i *Instance) watchReady(ctx context.Context) error {
+	t := time.NewTicker(stopPoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		if i.settings.Current() != nil && len(i.holder.View().Instances) > 0 {
+			i.ready.Store(true)
+			i.Log.Log(snipelog.Ready, nil)
+			<-ctx.Done()
+			return nil
+		}
+	}
+}
+
+// Stop starts a graceful stop.
+func (i *Instance) Stop() {
+	select {
+	case i.stopping <- struct{}{}:
+	default:
+	}
+}
+
+// waitStop waits for a signal or a drain order and carries out the stop.
+func (i *Instance) waitStop(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-i.signals:
+	case <-i.stopping:
+	}
+	i.Log.Log(snipelog.Stopping, nil)
+	i.ready.Store(false)
+	i.callers.Stop()
+	i.holder.Leave()
+	limit := time.NewTimer(i.Config.StopTimeout.Value())
+	defer limit.Stop()
+	t := time.NewTicker(stopPoll)
+	defer t.Stop()
+	for {
+		if i.callers.InFlight() == 0 && len(i.holder.Owned()) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-i.signals:
+			i.Log.Log(snipelog.StopForced, nil)
+			return ErrForced
+		case <-limit.C:
+			i.Log.Log(snipelog.StopForced, nil)
+			return nil
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/snipelog/events.go
@@ -0,0 +1,49 @@
+package snipelog
+
+import "github.com/sirupsen/logrus"
+
+// Events of the daemon's life, 100 to 199.
+var (
+	Started        = define(100, "Started", logrus.InfoLevel)
+	Ready          = define(101, "Ready", logrus.InfoLevel)
+	Stopping       = define(102, "Stopping", logrus.InfoLevel)
+	Stopped        = define(103, "Stopped", logrus.InfoLevel)
+	StopForced     = define(104, "StopForced", logrus.WarnLevel)
+	ListenerFailed = define(105, "ListenerFailed", logrus.ErrorLevel)
+)
+
+// Events of calls, 200 to 299.
+var (
+	CallFailed   = define(200, "CallFailed", logrus.InfoLevel)
+	CallRetried  = define(201, "CallRetried", logrus.InfoLevel)
+	AnswerWrong  = define(202, "AnswerWrong", logrus.ErrorLevel)
+	CallResumed  = define(203, "CallResumed", logrus.InfoLevel)
+	CallCanceled = define(204, "CallCanceled", logrus.DebugLevel)
+)
+
+// Events of settings, 300 to 399.
+var (
+	SettingsInForce     = define(300, "SettingsInForce", logrus.InfoLevel)
+	SettingsReadFailed  = define(301, "SettingsReadFailed", logrus.WarnLevel)
+	SettingsBranchWrong = define(302, "SettingsBranchWrong", logrus.ErrorLevel)
+	SettingsAccepted    = define(303, "SettingsAccepted", logrus.InfoLevel)
+)
+
+// Events of leases and ownership, 400 to 499.
+var (
+	LeaseRenewFailed = define(400, "LeaseRenewFailed", logrus.WarnLevel)
+	LeaseLapsed      = define(401, "LeaseLapsed", logrus.ErrorLevel)
+	EngineTaken      = define(402, "EngineTaken", logrus.InfoLevel)
+	EngineGivenUp    = define(403, "EngineGivenUp", logrus.InfoLevel)
+	OwnersReadFailed = define(404, "OwnersReadFailed", logrus.WarnLevel)
+)
+
+// Events of adapters and engines, 500 to 599.
+var (
+	AdapterLoaded   = define(500, "AdapterLoaded", logrus.InfoLevel)
+	AdapterEvicted  = define(501, "AdapterEvicted", logrus.InfoLevel)
+	LoadFailed      = define(502, "LoadFailed", logrus.WarnLevel)
+	UpstreamDown    = define(503, "UpstreamDown", logrus.WarnLevel)
+	UpstreamUp      = define(504, "UpstreamUp", logrus.InfoLevel)
+	EngineRestarted = define(505, "EngineRestarted", logrus.WarnLevel)
+)
--- /dev/null
+++ b/snipemeter/snipemeter.go
@@ -0,0 +1,53 @@
+// Package snipemeter keeps the instance's metrics: counters, gauges and
+// histograms per team and class, written in the Prometheus text format.
+package snipemeter
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Meter holds the metrics of one instance; safe for concurrent use. The
+// zero value is not usable: call New.
+type Meter struct {
+	set   *metrics.Set
+	cache sync.Map // histogramKey to *metrics.Histogram
+}
+
+type histogramKey struct {
+	name, team, class string
+}
+
+// New returns an empty meter.
+func New() *Meter { return &Meter{set: metrics.NewSet()} }
+
+// Names of the histograms per team and class; all are in seconds.
+const (
+	CallDuration = "snipepitch_call_duration_seconds"
+	FirstChunk   = "snipepitch_first_chunk_seconds"
+	LoadStall    = "snipepitch_load_stall_seconds"
+)
+
+// Observe records a duration in the named histogram of a team and class.
+func (m *Meter) Observe(name, team, class string, d time.Duration) {
+	k := histogramKey{name, team, class}
+	h, ok := m.cache.Load(k)
+	if !ok {
+		label := fmt.Sprintf("%s{team=%q,class=%q}", name, team, class)
+		h, _ = m.cache.LoadOrStore(k, m.set.GetOrCreateHistogram(label))
+	}
+	h.(*metrics.Histogram).Update(d.Seconds())
+}
+
+// Count adds one to the named counter; name carries its own labels.
+func (m *Meter) Count(name string) { m.set.GetOrCreateCounter(name).Inc() }
+
+// Gauge registers a gauge whose value is read from f at each scrape.
+func (m *Meter) Gauge(name string, f func() float64) { m.set.GetOrCreateGauge(name, f) }
+
+// Write writes all metrics to w.
+func (m *Meter) Write(w io.Writer) { m.set.WritePrometheus(w) }
--- /dev/null
+++ b/snipeplatform/dynamo.go
@@ -0,0 +1,199 @@
+package snipeplatform
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/go-faster/errors"
+)
+
+// Names of the attributes of a row, and the conditions on them.
+const (
+	attributePartition = "Partition"
+	attributeSort      = "Sort"
+	attributeVersion   = "Version"
+	attributeOperation = "Operation"
+	attributeData      = "Data"
+
+	conditionAbsent  = "attribute_not_exists(Version)"
+	conditionVersion = "Version = :expected"
+	keyCondition     = "#partition = :partition"
+)
+
+// Dynamo is the settings of a table served over the DynamoDB protocol.
+type Dynamo struct {
+	// Address is where the service listens.
+	Address netip.AddrPort
+	// Table is the table's name.
+	Table string
+	// AccessKey and SecretKey sign the requests.
+	AccessKey string
+	SecretKey string
+	// Timeout bounds each request.
+	Timeout time.Duration
+}
+
+// Open returns the table. It makes no request.
+func (d Dynamo) Open() Table {
+	client := dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String("http://" + d.Address.String()),
+		Region:       "platform",
+		Credentials:  aws.CredentialsProviderFunc(d.credentials),
+		// Retries are decided by the duties: an unknown outcome must not be
+		// hidden by a library.
+		Retryer:    aws.NopRetryer{},
+		HTTPClient: &http.Client{Timeout: d.Timeout},
+	})
+	t := &dynamoTable{client: client, table: d.Table}
+	return Table{Get: t.get, List: t.list, Write: t.write}
+}
+
+func (d Dynamo) credentials(context.Context) (aws.Credentials, error) {
+	return aws.Credentials{AccessKeyID: d.AccessKey, SecretAccessKey: d.SecretKey}, nil
+}
+
+type dynamoTable struct {
+	client *dynamodb.Client
+	table  string
+}
+
+func (t *dynamoTable) get(ctx context.Context, key Key) (Row, error) {
+	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      aws.String(t.table),
+		Key:            keyAttributes(key),
+		ConsistentRead: aws.Bool(true),
+	})
+	if err != nil {
+		return Row{}, errors.Wrapf(ErrUnavailable, "get %s/%s: %v", key.Partition, key.Sort, err)
+	}
+	if len(out.Item) == 0 {
+		return Row{}, errors.Wrapf(ErrNotFound, "get %s/%s", key.Partition, key.Sort)
+	}
+	return rowOf(out.Item)
+}
+
+func (t *dynamoTable) list(ctx context.Context, partition string) ([]Row, error) {
+	var rows []Row
+	var start map[string]types.AttributeValue
+	for {
+		out, err := t.client.Query(ctx, &dynamodb.QueryInput{
+			TableName:                 aws.String(t.table),
+			ConsistentRead:            aws.Bool(true),
+			KeyConditionExpression:    aws.String(keyCondition),
+			ExpressionAttributeNames:  map[string]string{"#partition": attributePartition},
+			ExpressionAttributeValues: map[string]types.AttributeValue{":partition": text(partition)},
+			ExclusiveStartKey:         start,
+		})
+		if err != nil {
+			return nil, errors.Wrapf(ErrUnavailable, "list %s: %v", partition, err)
+		}
+		for _, item := range out.Items {
+			r, err := rowOf(item)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, r)
+		}
+		if len(out.LastEvaluatedKey) == 0 {
+			return rows, nil
+		}
+		start = out.LastEvaluatedKey
+	}
+}
+
+func (t *dynamoTable) write(ctx context.Context, operation string, changes []Change) error {
+	items := make([]types.TransactWriteItem, 0, len(changes))
+	for _, c := range changes {
+		items = append(items, t.item(operation, c))
+	}
+	_, err := t.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
+		ClientRequestToken: aws.String(operation),
+		TransactItems:      items,
+	})
+	if err == nil {
+		return nil
+	}
+	return writeError(err)
+}
+
+// writeError tells a write that was refused from one whose outcome is unknown.
+func writeError(err error) error {
+	var canceled *types.TransactionCanceledException
+	if errors.As(err, &canceled) {
+		return errors.Wrap(ErrConflict, canceled.ErrorMessage())
+	}
+	var throttled *types.ProvisionedThroughputExceededException
+	if errors.As(err, &throttled) {
+		return errors.Wrap(ErrUnavailable, throttled.ErrorMessage())
+	}
+	return errors.Wrapf(ErrUnknown, "write: %v", err)
+}
+
+func (t *dynamoTable) item(operation string, c Change) types.TransactWriteItem {
+	condition, values := expect(c.Expect)
+	switch {
+	case c.Delete:
+		return types.TransactWriteItem{Delete: &types.Delete{
+			TableName: aws.String(t.table), Key: keyAttributes(c.Key),
+			ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	case c.Data == nil:
+		return types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
+			TableName: aws.String(t.table), Key: keyAttributes(c.Key),
+			ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	}
+	item := keyAttributes(c.Key)
+	item[attributeVersion] = number(c.Expect + 1)
+	item[attributeOperation] = text(operation)
+	item[attributeData] = &types.AttributeValueMemberB{Value: c.Data}
+	return types.TransactWriteItem{Put: &types.Put{
+		TableName: aws.String(t.table), Item: item,
+		ConditionExpression: condition, ExpressionAttributeValues: values,
+	}}
+}
+
+func expect(version uint64) (*string, map[string]types.AttributeValue) {
+	if version == 0 {
+		return aws.String(conditionAbsent), nil
+	}
+	return aws.String(conditionVersion), map[string]types.AttributeValue{":expected": number(version)}
+}
+
+func keyAttributes(k Key) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{
+		attributePartition: text(k.Partition),
+		attributeSort:      text(k.Sort),
+	}
+}
+
+func text(s string) types.AttributeValue { return &types.AttributeValueMemberS{Value: s} }
+
+func number(n uint64) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(n, 10)}
+}
+
+func rowOf(item map[string]types.AttributeValue) (Row, error) {
+	partition, ok1 := item[attributePartition].(*types.AttributeValueMemberS)
+	sort, ok2 := item[attributeSort].(*types.AttributeValueMemberS)
+	version, ok3 := item[attributeVersion].(*types.AttributeValueMemberN)
+	operation, ok4 := item[attributeOperation].(*types.AttributeValueMemberS)
+	data, ok5 := item[attributeData].(*types.AttributeValueMemberB)
+	if !ok1 || !ok2 || !ok3 || !ok4 || !ok5 {
+		return Row{}, errors.Wrap(ErrUnavailable, "row lacks an attribute")
+	}
+	n, err := strconv.ParseUint(version.Value, 10, 64)
+	if err != nil {
+		return Row{}, errors.Wrapf(ErrUnavailable, "row version: %v", err)
+	}
+	return Row{
+		Key:     Key{Partition: partition.Value, Sort: sort.Value},
+		Version: n, Operation: operation.Value, Data: data.Value,
+	}, nil
+}
--- /dev/null
+++ b/snipestand/engine.go
@@ -0,0 +1,401 @@
+package snipestand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Engine is a model engine: adapter slots, batched answers in streams with
+// resume and cancel, and orders. Exported fields are set before the first
+// request.
+type Engine struct {
+	// Slots is the number of adapters held at once, Batch the number of
+	// answers produced at once.
+	Slots, Batch int
+	// TokenTime is the time between two tokens.
+	TokenTime time.Duration
+	// ChecksFence makes the engine refuse orders with an old fencing number.
+	ChecksFence bool
+	// Weights is the weight store that loads come from; invalid for none.
+	Weights netip.AddrPort
+	// Crash ends the process, for a prompt that contains CrashPrompt.
+	Crash func()
+
+	lock    sync.Mutex // guards the fields below
+	fence   uint64
+	loaded  map[string]string // path by alias
+	answers map[string]*generation
+	next    int
+	batch   chan struct{}
+	fault   EngineFault
+}
+
+// CrashPrompt is the text in a prompt that crashes the engine.
+const CrashPrompt = "CRASH-THE-ENGINE"
+
+// EngineFault are the faults of an engine.
+type EngineFault struct {
+	// SilentAfter makes each connection go silent after so many chunks; 0 is
+	// never. A resumed connection is not affected.
+	SilentAfter int
+	// BreakAfter closes each connection after so many chunks; 0 is never.
+	BreakAfter int
+	// FailLoads is how many of the next loads fail.
+	FailLoads int
+}
+
+// generation is one answer while it is produced and kept for resuming.
+type generation struct {
+	id, alias, path string
+	chat            bool
+	tokens          []string
+	cancel          context.CancelFunc
+
+	lock     sync.Mutex // guards the fields below
+	produced int
+	canceled bool
+	changed  chan struct{}
+}
+
+// defaultTokens is the length of an answer when the request states none.
+const defaultTokens = 16
+
+// Handler returns the engine's routes.
+func (e *Engine) Handler() http.Handler {
+	e.loaded = map[string]string{}
+	e.answers = map[string]*generation{}
+	e.batch = make(chan struct{}, e.Batch)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/load_lora_adapter", e.load)
+	mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
+	mux.HandleFunc("POST /v1/completions", e.generate)
+	mux.HandleFunc("POST /v1/chat/completions", e.generate)
+	mux.HandleFunc("GET /v1/responses/{id}", e.resume)
+	mux.HandleFunc("POST /v1/responses/{id}/cancel", e.cancelAnswer)
+	mux.HandleFunc("GET /v1/models", e.models)
+	mux.HandleFunc("POST /Fault", func(w http.ResponseWriter, r *http.Request) {
+		var f EngineFault
+		if readJSON(w, r, &f) {
+			e.SetFault(f)
+		}
+	})
+	return mux
+}
+
+// SetFault switches faults.
+func (e *Engine) SetFault(f EngineFault) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.fault = f
+}
+
+type orderBody struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path"`
+}
+
+// fenced reports whether an order carries a number that is too old.
+func (e *Engine) fenced(r *http.Request) bool {
+	n, err := strconv.ParseUint(r.Header.Get("Fencing-Number"), 10, 64)
+	if err != nil {
+		n = 0
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if n < e.fence {
+		return e.ChecksFence
+	}
+	e.fence = n
+	return false
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	var o orderBody
+	if !readJSON(w, r, &o) {
+		return
+	}
+	if e.fenced(r) {
+		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+		return
+	}
+	if e.failLoad() {
+		http.Error(w, "load failed", http.StatusInternalServerError)
+		return
+	}
+	if err := e.fetch(r.Context(), o.Path); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if len(e.loaded) >= e.Slots {
+		http.Error(w, "no free slot", http.StatusBadRequest)
+		return
+	}
+	e.loaded[o.Name] = o.Path
+}
+
+func (e *Engine) failLoad() bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.fault.FailLoads == 0 {
+		return false
+	}
+	e.fault.FailLoads--
+	return true
+}
+
+func (e *Engine) fetch(ctx context.Context, path string) error {
+	if !e.Weights.IsValid() {
+		return nil
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Weights.String()+"/weights/"+path, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Body.Close()
+}
+
+func (e *Engine) unload(w http.ResponseWriter, r *http.Request) {
+	var o orderBody
+	if !readJSON(w, r, &o) {
+		return
+	}
+	if e.fenced(r) {
+		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+		return
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	delete(e.loaded, o.Name)
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID string `json:"id"`
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	list := make([]model, 0, len(e.loaded))
+	for alias := range e.loaded {
+		list = append(list, model{alias})
+	}
+	writeJSON(w, map[string]any{"object": "list", "data": list})
+}
+
+type callBody struct {
+	Model     string          `json:"model"`
+	Prompt    string          `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+// Answer returns the tokens that the stand-in answers with: the path of the
+// adapter that produced them, then tokens that depend on path and prompt. The
+// replay computes the same to check an answer.
+func Answer(path, prompt string, count int) []string {
+	if count <= 0 {
+		count = defaultTokens
+	}
+	tokens := []string{path}
+	for n := 1; n < count; n++ {
+		h := fnv.New32a()
+		_, _ = fmt.Fprint(h, path, "\x00", prompt, "\x00", n)
+		tokens = append(tokens, fmt.Sprintf(" %08x", h.Sum32()))
+	}
+	return tokens
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var c callBody
+	if !readJSON(w, r, &c) {
+		return
+	}
+	prompt := c.Prompt
+	if len(c.Messages) > 0 {
+		prompt = string(c.Messages)
+	}
+	if strings.Contains(prompt, CrashPrompt) && e.Crash != nil {
+		e.Crash()
+	}
+	e.lock.Lock()
+	path, ok := e.loaded[c.Model]
+	if !ok {
+		e.lock.Unlock()
+		http.Error(w, "model not found", http.StatusNotFound)
+		return
+	}
+	e.next++
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &generation{
+		id: "cmpl-" + strconv.Itoa(e.next), alias: c.Model, path: path, chat: len(c.Messages) > 0,
+		tokens: Answer(path, prompt, c.MaxTokens), cancel: cancel, changed: make(chan struct{}),
+	}
+	e.answers[g.id] = g
+	fault := e.fault
+	e.lock.Unlock()
+	go e.produce(ctx, g)
+	e.send(w, r, g, 0, fault)
+}
+
+// produce makes the tokens of one answer in a place of the batch.
+func (e *Engine) produce(ctx context.Context, g *generation) {
+	select {
+	case e.batch <- struct{}{}:
+	case <-ctx.Done():
+		g.advance(true)
+		return
+	}
+	defer func() { <-e.batch }()
+	t := time.NewTicker(max(e.TokenTime, time.Microsecond))
+	defer t.Stop()
+	for range g.tokens {
+		select {
+		case <-ctx.Done():
+			g.advance(true)
+			return
+		case <-t.C:
+		}
+		if !e.has(g.alias) {
+			// Evicted under a call: the answer goes on as garbage, which the
+			// replay finds.
+			g.corrupt()
+		}
+		g.advance(false)
+	}
+	time.AfterFunc(keepAnswers, func() {
+		e.lock.Lock()
+		defer e.lock.Unlock()
+		delete(e.answers, g.id)
+	})
+}
+
+// keepAnswers is how long a finished answer can be resumed.
+const keepAnswers = 30 * time.Second
+
+func (e *Engine) has(alias string) bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	_, ok := e.loaded[alias]
+	return ok
+}
+
+func (g *generation) corrupt() {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for n := g.produced; n < len(g.tokens); n++ {
+		g.tokens[n] = " EVICTED"
+	}
+}
+
+func (g *generation) advance(canceled bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	if canceled {
+		g.canceled = true
+	} else {
+		g.produced++
+	}
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// state returns how many tokens there are and what to wait for.
+func (g *generation) state() (int, bool, <-chan struct{}) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	return g.produced, g.canceled, g.changed
+}
+
+func (g *generation) chunk(n int) []byte {
+	g.lock.Lock()
+	token := g.tokens[n]
+	g.lock.Unlock()
+	var reason any
+	if n == len(g.tokens)-1 {
+		reason = "stop"
+	}
+	choice := map[string]any{"index": 0, "finish_reason": reason}
+	object := "text_completion"
+	if g.chat {
+		object = "chat.completion.chunk"
+		choice["delta"] = map[string]string{"content": token}
+	} else {
+		choice["text"] = token
+	}
+	data, _ := json.Marshal(map[string]any{
+		"id": g.id, "object": object, "model": g.alias, "choices": []any{choice},
+	})
+	return data
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	e.lock.Lock()
+	g, ok := e.answers[r.PathValue("id")]
+	e.lock.Unlock()
+	after, err := strconv.Atoi(r.URL.Query().Get("starting_after"))
+	if !ok || err != nil {
+		http.Error(w, "no such response", http.StatusNotFound)
+		return
+	}
+	e.send(w, r, g, after, EngineFault{})
+}
+
+// send streams an answer's chunks from the one after sent.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, g *generation, sent int, fault EngineFault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	for sent < len(g.tokens) {
+		if fault.BreakAfter > 0 && sent >= fault.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if fault.SilentAfter > 0 && sent >= fault.SilentAfter {
+			<-r.Context().Done()
+			return
+		}
+		produced, canceled, changed := g.state()
+		if sent < produced {
+			sent++
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", sent, g.chunk(sent-1))
+			_ = flush.Flush()
+			continue
+		}
+		if canceled {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", sent+1)
+	_ = flush.Flush()
+}
+
+func (e *Engine) cancelAnswer(w http.ResponseWriter, r *http.Request) {
+	e.lock.Lock()
+	g, ok := e.answers[r.PathValue("id")]
+	delete(e.answers, r.PathValue("id"))
+	e.lock.Unlock()
+	if !ok {
+		http.Error(w, "no such response", http.StatusNotFound)
+		return
+	}
+	g.cancel()
+}
