Retries within a budget, in a package of their own

Cause: each call was started up to four times, also in an outage of all engines, also after a limit or quarantine had refused it. Ruled out: a count for each call (what stood before); a budget that every call earns, since it goes on being earned while no retry can succeed. Change: sniperetry (was snipecaller/attempts.go) with a budget that answered calls earn, in all and for each team; kinds that another upstream may not give; no pause beyond the deadline; Retry-After spread by the call's identifier. Seen failing first: with the former decisions put back, the rows 'quarantined is final', 'limit is final', 'no budget', 'no time for the pause' of TestServe and TestMeasureOutage fail.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := go tool -modfile=tools/gen/go.mod buf
 
-.PHONY: all build demo test format lint generate check-generated unit short-replay
+.PHONY: all build demo test format lint generate check-generated unit short-replay bench-limits
 
 all: build
 
@@ -35,3 +35,7 @@
 
 short-replay: build
 	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
+
+# Measures limits, retries, quarantine and health; writes docs/bench-limits.md.
+bench-limits:
+	./scripts/bench-limits.sh
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -184,7 +184,7 @@
 }
 
 func (i *Instance) buildCallers() {
-	attempts := &snipecaller.Attempts{Choose: i.choose, Execute: i.execute, Log: i.Log}
+	attempts := i.retries()
 	i.callers = &snipecaller.Server{
 		Tree: i.settings.Current, Serve: attempts.Serve, Admit: i.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, Meter: i.meter, Log: i.Log,
