Keep MayHaveRun across attempts

Cause: a call whose first attempt broke and whose second one was refused was answered with the second's outcome, NotRun, although the first may have run. Change: the outcome of an earlier attempt stays; an attempt that was directed to another upstream excludes that one. Seen failing first: TestServeKeepsMayHaveRun (both rows) without mayHaveRun.

--- a/sniperetry/sniperetry.go
+++ b/sniperetry/sniperetry.go
@@ -5,7 +5,8 @@
 // upstream, and the time left allows it) and paid for (Budget). An upstream
 // that has failed the call is not chosen again for it. A call that is given up
 // gets its own last failure at once, with the time after which a repetition
-// is worthwhile; it is never held back.
+// is worthwhile; it is never held back. Once an attempt may have run, so may
+// the call: a later attempt that was refused does not make it NotRun.
 //
 // Pauses and times to come back are spread by a hash of the call's identifier:
 // identifiers are random, so calls that failed together come back apart, and
@@ -41,7 +42,8 @@
 	// Choose returns the upstream for the next attempt, given those that
 	// failed.
 	Choose func(c *snipecall.Call, failed []string) (string, error)
-	// Execute executes a call at its upstream.
+	// Execute executes a call at its upstream. It may direct the attempt to
+	// another upstream by setting the attempt's Upstream.
 	Execute func(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error
 	// Budget pays for retries; nil is no bound.
 	Budget *Budget
@@ -64,6 +66,7 @@
 		if err != nil {
 			return giveUp(c, firstOf(last, err))
 		}
+		before := last
 		attempt := *c
 		attempt.Upstream = upstream
 		last = a.Execute(ctx, &attempt, counted)
@@ -71,14 +74,15 @@
 			a.Budget.Earn(c.Team)
 			return nil
 		}
+		last = mayHaveRun(before, last)
 		if sent || !repeatable(c, last) {
 			return snipeerror.From(last)
 		}
-		failed = append(failed, upstream)
+		failed = append(failed, attempt.Upstream)
 		if !a.again(ctx, c, n) {
 			return giveUp(c, last)
 		}
-		a.Log.Error(snipelog.CallRetried, last, snipelog.Fields{"Call": c.ID, "Upstream": upstream})
+		a.Log.Error(snipelog.CallRetried, last, snipelog.Fields{"Call": c.ID, "Upstream": attempt.Upstream})
 	}
 	return giveUp(c, last)
 }
@@ -92,6 +96,17 @@
 	return a.Budget.Spend(c.Team) && wait(ctx, pause)
 }
 
+// mayHaveRun returns the failure of an attempt, as MayHaveRun when an earlier
+// attempt's failure says so.
+func mayHaveRun(before, err error) error {
+	if before == nil || snipeerror.From(before).Outcome == snipeerror.NotRun {
+		return err
+	}
+	f := *snipeerror.From(err)
+	f.Outcome = snipeerror.MayHaveRun
+	return &f
+}
+
 // firstOf prefers the failure of an attempt to that of the choice after it.
 func firstOf(attempt, choice error) error {
 	if attempt != nil {
--- a/sniperetry/sniperetry_test.go
+++ b/sniperetry/sniperetry_test.go
@@ -133,6 +133,50 @@
 	must.Zero(t, shared.RetryAfter)
 }
 
+// TestServeKeepsMayHaveRun: a call whose first attempt may have run was
+// answered as not run when its second attempt was refused.
+func TestServeKeepsMayHaveRun(t *testing.T) {
+	for name, second := range map[string]error{
+		"final":    failure(snipeerror.ErrQuarantined, snipeerror.NotRun),
+		"given up": failure(snipeerror.ErrOverloaded, snipeerror.NotRun),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &script{upstream: []string{"a", "b"}}
+			s.failures = []error{failure(snipeerror.ErrIncomplete, snipeerror.MayHaveRun), second}
+			a := &Attempts{Choose: s.choose, Execute: s.execute, Log: snipelog.Discard()}
+			c := &snipecall.Call{ID: "call", Idempotent: true, Deadline: time.Now().Add(time.Minute)}
+			err := a.Serve(t.Context(), c, nil)
+			must.ErrorIs(t, err, snipeerror.From(second).Kind)
+			must.Eq(t, snipeerror.MayHaveRun, snipeerror.From(err).Outcome)
+		})
+	}
+}
+
+// TestServeExcludesDirected: an attempt that was directed to another upstream
+// excludes that one.
+func TestServeExcludesDirected(t *testing.T) {
+	var chosen [][]string
+	a := &Attempts{
+		Choose: func(_ *snipecall.Call, failed []string) (string, error) {
+			chosen = append(chosen, failed)
+			return "a", nil
+		},
+		Execute: func(_ context.Context, c *snipecall.Call, _ snipecall.Sink) error {
+			c.Upstream = "b"
+			return failure(snipeerror.ErrBadRequest, snipeerror.NotRun)
+		},
+		Log: snipelog.Discard(),
+	}
+	c := &snipecall.Call{ID: "call", Deadline: time.Now().Add(time.Minute)}
+	must.ErrorIs(t, a.Serve(t.Context(), c, nil), snipeerror.ErrBadRequest)
+	a.Execute = func(_ context.Context, c *snipecall.Call, _ snipecall.Sink) error {
+		c.Upstream = "b"
+		return failure(snipeerror.ErrOverloaded, snipeerror.NotRun)
+	}
+	must.Error(t, a.Serve(t.Context(), c, nil))
+	must.Eq(t, []string{"b"}, chosen[2])
+}
+
 func TestBudgetTeams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &Budget{Share: 0.5, Burst: 5, TeamBurst: 2, Trickle: 0.1}
