--- a/snipequarantine/guard.go
+++ b/snipequarantine/guard.go
@@ -22,6 +22,9 @@
 	step = 500 * time.Millisecond
 )
 
+// fingerprintField names fingerprints in log lines.
+const fingerprintField = "Fingerprint"
+
 // Guard executes attempts as their coordinators decide. Exported fields are set
 // before the first call.
 type Guard struct {
@@ -90,7 +93,7 @@
 		}
 		switch v.Decision {
 		case Quarantined:
-			g.Log.Log(snipelog.CallQuarantined, snipelog.Fields{"Call": c.ID, "Team": c.Team, "Fingerprint": a.Fingerprint.String()})
+			g.Log.Log(snipelog.CallQuarantined, snipelog.Fields{"Call": c.ID, "Team": c.Team, fingerprintField: a.Fingerprint.String()})
 			return refuse(v.Wait)
 		case Wait:
 			if err := pause(ctx, c.Deadline, v.Wait); err != nil {
@@ -99,12 +102,16 @@
 			continue
 		case RunAlone:
 			c.Alone, a.Alone = true, true
-			g.others(ctx, member, *a)
 		}
 		if v.Upstream != "" {
 			c.Upstream, a.Upstream = v.Upstream, v.Upstream
 			a.Mark = g.Mark(c)
 		}
+		// Another instance has to know of the attempt as well as this one.
+		a.Moved = !a.Alone && member == g.Registry.Self
+		if a.Alone || a.Moved {
+			g.others(ctx, member, *a)
+		}
 		g.keep(*a, c.Deadline, member)
 		return nil
 	}
@@ -145,8 +152,8 @@
 	return Verdict{}, "", snipeerror.New(snipeerror.ErrUnavailable, snipeerror.NotRun, "no coordinator answers").After(unreachableRetry)
 }
 
-// others tells the other coordinators of a suspect what one of them has been
-// told, so that the death of one does not make its run unknown.
+// others tells the other coordinators what one of them has been told, so that
+// the death of one instance does not make the attempt unknown.
 func (g *Guard) others(ctx context.Context, member string, a Attempt) {
 	for _, m := range Coordinators(a.Fingerprint, g.Members()) {
 		switch m.ID {
@@ -180,7 +187,7 @@
 	}
 	if e == Crashed {
 		g.Log.Error(snipelog.UpstreamBrokeOff, err, snipelog.Fields{
-			"Call": c.ID, "Team": c.Team, "Upstream": c.Upstream, "Fingerprint": a.Fingerprint.String(),
+			"Call": c.ID, "Team": c.Team, "Upstream": c.Upstream, fingerprintField: a.Fingerprint.String(),
 		})
 		g.tell(a, e)
 		return
@@ -278,8 +285,8 @@
 }
 
 // tell reports an end to the member that has let the attempt start, or to
-// whoever coordinates now when that one does not answer. Of a suspect's attempt
-// the others hear only that it is over: what they have to know is replicated.
+// whoever coordinates now when that one does not answer. Where the others know
+// of the attempt they hear only that it is over: the rest is replicated.
 func (g *Guard) tell(a Attempt, e End) {
 	g.lock.Lock()
 	kept := g.inFlight[a.ID]
@@ -291,7 +298,7 @@
 	members := []Member{{ID: kept.coordinator}}
 	members = append(members, Coordinators(a.Fingerprint, g.Members())...)
 	for _, m := range members {
-		if told[m.ID] || len(told) > 1 && !a.Alone {
+		if told[m.ID] || len(told) > 1 && !a.Alone && !a.Moved {
 			continue
 		}
 		if !g.tellOne(m.ID, a, e) {
@@ -331,7 +338,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		if err := g.Replicate(ctx, m.ID, f, record); err != nil {
-			g.Log.Error(snipelog.CrashNotReplicated, err, snipelog.Fields{"Fingerprint": f.String(), "Member": m.ID})
+			g.Log.Error(snipelog.CrashNotReplicated, err, snipelog.Fields{fingerprintField: f.String(), "Member": m.ID})
 		}
 		cancel()
 	}
@@ -342,7 +349,7 @@
 // it outlives both coordinators.
 func (g *Guard) keepTold(f Fingerprint, record []byte) {
 	if err := g.Keep(f, record); err != nil {
-		g.Log.Error(snipelog.CrashNotReplicated, err, snipelog.Fields{"Fingerprint": f.String(), "Member": g.Registry.Self})
+		g.Log.Error(snipelog.CrashNotReplicated, err, snipelog.Fields{fingerprintField: f.String(), "Member": g.Registry.Self})
 	}
 }
 
--- a/snipequarantine/interleaving_test.go
+++ b/snipequarantine/interleaving_test.go
@@ -47,7 +47,7 @@
 func TestBound(t *testing.T) {
 	for seed := range uint64(interleavings) {
 		run(t, seed, func(t *testing.T) {
-			w := newWorld(5, 8)
+			w := newWorld(5)
 			w.load(seed, 80, 20*time.Second)
 			w.check(t, seed)
 			w.stop()
@@ -58,8 +58,11 @@
 // replace kills two instances at the given times and adds others.
 func (w *world) replace(first, second time.Duration) {
 	for n, after := range []time.Duration{first, second} {
+		w.lock.Lock()
+		old := w.instances[n]
+		w.lock.Unlock()
 		time.AfterFunc(after, func() {
-			w.instances[n].die()
+			old.die()
 			w.add()
 		})
 	}
@@ -71,7 +74,7 @@
 func TestBoundWhileInstancesDie(t *testing.T) {
 	for seed := range uint64(interleavings) {
 		run(t, seed, func(t *testing.T) {
-			w := newWorld(6, 8)
+			w := newWorld(6)
 			random := rand.New(rand.NewPCG(seed, 0))
 			w.replace(time.Duration(random.Int64N(int64(20*time.Second))), time.Duration(random.Int64N(int64(20*time.Second))))
 			w.load(seed, 80, 20*time.Second)
@@ -86,7 +89,7 @@
 func TestInnocentWhileInstancesDie(t *testing.T) {
 	for seed := range uint64(interleavings) {
 		run(t, seed, func(t *testing.T) {
-			w := newWorld(6, 8)
+			w := newWorld(6)
 			random := rand.New(rand.NewPCG(seed, 0))
 			first := time.Duration(random.Int64N(int64(10 * time.Second)))
 			w.replace(first, first+8*time.Second)
@@ -101,7 +104,7 @@
 // same instant.
 func TestBoundEverywhereAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(5, 8)
+		w := newWorld(5)
 		var all sync.WaitGroup
 		for n := range 40 {
 			all.Go(func() {
@@ -115,3 +118,51 @@
 		w.stop()
 	})
 }
+
+// TestBoundWitnessDies: the caller's instance owns the upstream and coordinates
+// the fingerprint as well, and dies with the crash or soon after it. It sends
+// the same again and again through all others.
+func TestBoundWitnessDies(t *testing.T) {
+	for name, after := range map[string]time.Duration{
+		"at the crash":            0,
+		"before the news spreads": 50 * time.Millisecond,
+		"later":                   time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(5)
+				first := w.instances[0]
+				text, upstream := first.alone()
+				crashed := w.engines[upstream].crashed
+				go func() {
+					<-crashed
+					time.Sleep(after)
+					first.die()
+				}()
+				random := rand.New(rand.NewPCG(1, 1))
+				must.Error(t, w.callAt(first, "first", text, upstream))
+				for n := range 20 {
+					w.call(w.instances[1+n%4], strconv.Itoa(n), text, random, 3)
+				}
+				w.checkBound(t, 0)
+				must.Greater(t, 0, w.refused[text], must.Sprint("the caller has not been told"))
+				w.stop()
+			})
+		})
+	}
+}
+
+// alone returns a crasher whose first coordinator is i, and an engine of its.
+func (i *instance) alone() (text string, upstream int) {
+	for n := range engines {
+		if i.world.owner(strconv.Itoa(n)) == i {
+			upstream = n
+		}
+	}
+	for n := 0; ; n++ {
+		text = body("crash", n)
+		if Coordinators(FingerprintOf(newCall("", text)), i.members())[0].ID == i.id {
+			return text, upstream
+		}
+	}
+}
--- a/snipequarantine/registry.go
+++ b/snipequarantine/registry.go
@@ -176,17 +176,10 @@
 			known.started = false
 		}
 		return false
-	}
-	if e == Crashed && known != nil && !known.started {
-		// Others crashed the upstream while the suspect waited for its turn.
-		// The attempt is kept as counted, since there may be more reports.
-		known.counted, known.until = true, now.Add(r.Linger)
-		return false
-	}
-	r.remove(a.Fingerprint, a.ID)
-	if e == Crashed {
+	case Crashed:
 		return r.crash(a, known, now)
 	}
+	r.remove(a.Fingerprint, a.ID)
 	record := r.recordOf(a.Fingerprint, now)
 	if e != Answered || known == nil || !known.Alone || record == nil {
 		return false
@@ -213,6 +206,13 @@
 // crash counts a crash unless it has been counted, and reports whether it has
 // changed the record. The lock is held.
 func (r *Registry) crash(a Attempt, known *attempt, now time.Time) bool {
+	if known != nil && !known.started {
+		// Others crashed the upstream while the suspect waited for its turn.
+		// The attempt is kept as counted, since there may be more reports.
+		known.counted, known.until = true, now.Add(r.Linger)
+		return false
+	}
+	r.remove(a.Fingerprint, a.ID)
 	if known != nil && known.counted {
 		return false
 	}
--- a/snipequarantine/snipequarantine.go
+++ b/snipequarantine/snipequarantine.go
@@ -130,8 +130,7 @@
 	Alone bool
 	// Started tells that the turn of an attempt that runs alone has come.
 	Started bool
-	// Moved tells that the attempt has started already, under another
-	// coordinator.
+	// Moved tells that another coordinator has let the attempt start.
 	Moved bool
 }
 
--- a/snipequarantine/world_test.go
+++ b/snipequarantine/world_test.go
@@ -61,7 +61,10 @@
 	most       int
 }
 
-func newWorld(instances, engines int) *world {
+// engines is how many engines there are.
+const engines = 8
+
+func newWorld(instances int) *world {
 	w := &world{
 		delay: time.Millisecond, spread: 200 * time.Millisecond, lag: time.Second,
 		crashes: map[string]int{}, refused: map[string]int{}, answered: map[string]int{}, cut: map[[2]string]bool{},
@@ -77,7 +80,7 @@
 }
 
 // add starts an instance.
-func (w *world) add() *instance {
+func (w *world) add() {
 	w.lock.Lock()
 	i := &instance{world: w, id: "i" + strconv.Itoa(len(w.instances)), born: time.Now()}
 	i.ctx, i.kill = context.WithCancel(context.Background())
@@ -92,7 +95,6 @@
 	r.Announce = i.guard.Announce
 	go func() { _ = i.guard.Loop(i.ctx) }()
 	time.AfterFunc(w.spread, i.join)
-	return i
 }
 
 // join gives a new instance what has been announced before.
@@ -296,7 +298,7 @@
 	return err
 }
 
-// execute takes a second or two; a crasher crashes halfway.
+// execute takes some seconds; a crasher crashes halfway.
 func (e *fakeEngine) execute(ctx context.Context, c *snipecall.Call, generation int, sink snipecall.Sink) error {
 	e.lock.Lock()
 	if !e.up {
@@ -316,7 +318,7 @@
 		defer e.lock.Unlock()
 		e.running--
 	}()
-	work := time.Second + time.Duration(len(c.ID)%7)*100*time.Millisecond
+	work := time.Second + time.Duration(c.Body[len(c.Body)-1]%7)*time.Second
 	if strings.HasPrefix(string(c.Body), "crash") {
 		time.AfterFunc(work/2, func() { e.crash(ctx, crashed, string(c.Body)) })
 	}
@@ -352,28 +354,38 @@
 	})
 }
 
-// call sends one request through an instance and repeats it up to tries times.
+func newCall(id, body string) *snipecall.Call {
+	return &snipecall.Call{
+		ID: id, Team: "t", Adapter: snipecall.Adapter{Team: "t", Name: "a", Version: "1"},
+		Idempotent: true, Body: []byte(body), Deadline: time.Now().Add(30 * time.Second),
+	}
+}
+
+// call sends one request through an instance and repeats it up to tries times,
+// at random engines.
 func (w *world) call(i *instance, id, body string, random *rand.Rand, tries int) {
 	for n := range tries {
-		c := &snipecall.Call{
-			ID: id + "-" + strconv.Itoa(n), Team: "t", Adapter: snipecall.Adapter{Team: "t", Name: "a", Version: "1"},
-			Idempotent: true, Body: []byte(body), Deadline: time.Now().Add(30 * time.Second),
-			Upstream: strconv.Itoa(random.IntN(len(w.engines))),
-		}
-		ctx, cancel := context.WithDeadline(i.ctx, c.Deadline)
-		err := i.guard.Execute(ctx, c, func(snipecall.Chunk) error { return nil })
-		cancel()
-		if i.ctx.Err() != nil {
-			return
-		}
-		w.count(body, err)
-		if err == nil {
+		err := w.callAt(i, id+"-"+strconv.Itoa(n), body, random.IntN(engines))
+		if err == nil || i.ctx.Err() != nil {
 			return
 		}
 		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
 	}
 }
 
+// callAt sends one request once, with an engine chosen.
+func (w *world) callAt(i *instance, id, body string, engine int) error {
+	c := newCall(id, body)
+	c.Upstream = strconv.Itoa(engine)
+	ctx, cancel := context.WithDeadline(i.ctx, c.Deadline)
+	defer cancel()
+	err := i.guard.Execute(ctx, c, func(snipecall.Chunk) error { return nil })
+	if i.ctx.Err() == nil {
+		w.count(body, err)
+	}
+	return err
+}
+
 func (w *world) count(body string, err error) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
