--- a/snipequarantine/registry.go
+++ b/snipequarantine/registry.go
@@ -221,7 +221,7 @@
 		record = r.newRecord(a.Fingerprint)
 	}
 	upstream := sniperoute.Hash(a.Upstream)
-	if known == nil && !a.Alone && record.at(upstream, now.Add(-r.Linger)) {
+	if !a.Alone && record.at(upstream, now.Add(-r.Linger)) {
 		// Another attempt has told of the same crash.
 		return false
 	}
