Replay judges executions, repeats like a caller, and compares runs

Cause: the replay gave up on a refused connection (149 of 600 calls in the demonstration), had no word on what upstreams executed, and could not be compared from run to run.

Change: stand-ins record executions (bounded, in a file that outlives a kill); the judge compares them with every refusal and answer.

Ruled out: judging a key by the answer's own Runs field alone, which is blind to an execution at another upstream or before a restart.

Seen failing first: each breach of TestJudgeAnswers and TestAudit is a broken answer fed to the judge.

--- /dev/null
+++ b/cmd/snipereplay/run.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipereplay"
+	"snipepitch.example/snipepitch/snipetrace"
+)
+
+const (
+	idleConnections = 256
+	dialTimeout     = time.Second
+	auditTimeout    = 10 * time.Second
+)
+
+// errTwoFiles is returned for a bad argument of -compare.
+var errTwoFiles = errors.New("-compare needs two files")
+
+// runner is the settings of one run.
+type runner struct {
+	entries, keys, upstreams string
+	jsonFile, svgFile        string
+	minAnswered              float64
+	maxInFlight              int64
+	settle                   time.Duration
+	keyedRepeats, plot       bool
+}
+
+func (r *runner) flags() {
+	flag.StringVar(&r.entries, "entries", "", "callers' addresses of the instances, `IP:PORT,...`")
+	flag.StringVar(&r.keys, "keys", "", "keys of the teams, `TEAM=KEY,...`")
+	flag.StringVar(&r.upstreams, "upstreams", "", "engines and services whose executions are audited, `IP:PORT,...`")
+	flag.StringVar(&r.jsonFile, "json", "", "`file` for the results as JSON")
+	flag.StringVar(&r.svgFile, "svg", "", "`file` for a plot of the times")
+	flag.BoolVar(&r.plot, "plot", false, "print a plot of the times")
+	flag.BoolVar(&r.keyedRepeats, "keyed-repeats", false, "repeat non-idempotent calls that may have run, with their key")
+	flag.Float64Var(&r.minAnswered, "min-answered", 0, "least `share` of calls that must end as stated, 0 to 1")
+	flag.Int64Var(&r.maxInFlight, "max-in-flight", 4096, "most calls in flight; more are counted as Unsent")
+	flag.DurationVar(&r.settle, "settle", time.Second, "pause between the last answer and the audit")
+}
+
+// teams returns the teams that have a key.
+func (r *runner) teams() string {
+	var names []string
+	for _, s := range strings.Split(r.keys, ",") {
+		team, _, _ := strings.Cut(s, "=")
+		names = append(names, team)
+	}
+	return strings.Join(names, ",")
+}
+
+func addresses(text string) ([]netip.AddrPort, error) {
+	var all []netip.AddrPort
+	for _, s := range strings.Split(text, ",") {
+		if s == "" {
+			continue
+		}
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+// run replays records and returns the exit code.
+func (r *runner) run(records []snipetrace.Record) int {
+	p := &snipereplay.Replay{
+		Keys: map[string]string{}, KeyedRepeats: r.keyedRepeats, MaxInFlight: r.maxInFlight,
+		Client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: idleConnections,
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		}},
+	}
+	var err error
+	if p.Entries, err = addresses(r.entries); err != nil || len(p.Entries) == 0 {
+		return report(errors.Errorf("-entries %q: %v", r.entries, err))
+	}
+	upstreams, err := addresses(r.upstreams)
+	if err != nil {
+		return report(errors.Wrap(err, "-upstreams"))
+	}
+	for _, s := range strings.Split(r.keys, ",") {
+		team, key, _ := strings.Cut(s, "=")
+		p.Keys[team] = key
+	}
+	results := p.Run(context.Background(), records)
+	auditErr := r.audit(upstreams, results)
+	out := snipereplay.NewReport(results)
+	if err := r.write(out); err != nil {
+		return report(err)
+	}
+	return r.verdict(out, auditErr)
+}
+
+func (r *runner) audit(upstreams []netip.AddrPort, results []snipereplay.Result) error {
+	time.Sleep(r.settle)
+	ctx, cancel := context.WithTimeout(context.Background(), auditTimeout)
+	defer cancel()
+	a, err := snipereplay.ReadAudit(ctx, http.DefaultClient, upstreams)
+	if err != nil || len(upstreams) == 0 {
+		return err
+	}
+	a.Check(results)
+	return nil
+}
+
+func (r *runner) write(out *snipereplay.Report) error {
+	if err := out.Write(os.Stdout); err != nil {
+		return err
+	}
+	if r.plot {
+		if err := out.WritePlot(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if err := writeFile(r.svgFile, out.WriteSVG); err != nil {
+		return err
+	}
+	return writeFile(r.jsonFile, func(w io.Writer) error {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(out)
+	})
+}
+
+func writeFile(name string, write func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := write(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func (r *runner) verdict(out *snipereplay.Report, auditErr error) int {
+	switch {
+	case auditErr != nil:
+		fmt.Println("verdict: BROKEN,", auditErr)
+	case out.Breaches > 0:
+		fmt.Println("verdict: BROKEN")
+	case out.AnsweredShare() < r.minAnswered:
+		fmt.Printf("verdict: TOO FEW ANSWERS, %.3f of the calls ended as stated, not %.3f\n", out.AnsweredShare(), r.minAnswered)
+	default:
+		fmt.Println("verdict: kept")
+		return 0
+	}
+	return exitBreach
+}
+
+func writeComparison(names string) error {
+	first, second, ok := strings.Cut(names, ",")
+	if !ok {
+		return errTwoFiles
+	}
+	var reports [2]snipereplay.Report
+	for n, name := range []string{first, second} {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(data, &reports[n]); err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	return snipereplay.WriteComparison(os.Stdout, &reports[0], &reports[1])
+}
--- a/cmd/snipestand/main.go
+++ b/cmd/snipestand/main.go
@@ -4,8 +4,8 @@
 // Usage:
 //
 //	snipestand platform -address IP:PORT [-rate N] [-concurrent N] [-load D]
-//	snipestand engine -address IP:PORT [-slots N] [-batch N] [-token D] [-checks-fence] [-weights IP:PORT]
-//	snipestand service -address IP:PORT [-name NAME] [-delay D]
+//	snipestand engine -address IP:PORT [-slots N] [-batch N] [-token D] [-checks-fence] [-weights IP:PORT] [-record FILE]
+//	snipestand service -address IP:PORT [-name NAME] [-delay D] [-record FILE]
 package main
 
 import (
@@ -76,6 +76,7 @@
 	f.DurationVar(&e.TokenTime, "token", 5*time.Millisecond, "time between tokens")
 	f.BoolVar(&e.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
 	f.TextVar(&e.Weights, "weights", netip.AddrPort{}, "`IP:PORT` of the weight store")
+	f.Func("record", "`file` that keeps the executed calls across restarts", e.Executed.Open)
 	return e.Handler
 }
 
@@ -83,5 +84,6 @@
 	s := &snipestand.Service{}
 	f.StringVar(&s.Name, "name", "service", "name put into answers")
 	f.DurationVar(&s.Delay, "delay", 0, "time that an answer takes")
+	f.Func("record", "`file` that keeps the executed calls across restarts", s.Executed.Open)
 	return s.Handler
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,10 +31,11 @@
 start platform "$bin/snipestand" platform -address "$platform" -rate 20 -concurrent 3 -load 100ms
 for n in 1 2 3; do
 	start "engine$n" "$bin/snipestand" engine -address 127.0.0.1:$((base + 100 + n)) -slots 8 -token 2ms \
-		-weights "$platform" $([ "$n" = 3 ] || echo -checks-fence)
+		-weights "$platform" -record "$work/engine$n.record" $([ "$n" = 3 ] || echo -checks-fence)
 done
 for n in 1 2; do
-	start "service$n" "$bin/snipestand" service -address 127.0.0.1:$((base + 200 + n)) -name "orders-$n" -delay 20ms
+	start "service$n" "$bin/snipestand" service -address 127.0.0.1:$((base + 200 + n)) -name "orders-$n" -delay 20ms \
+		-record "$work/service$n.record"
 done
 
 export SNIPECTL_KEY=demo-operator
@@ -91,7 +92,8 @@
 
 "$bin/snipereplay" -generate -seed "$seed" -calls "$calls" -length "$length" -teams bottling,ash -adapters 40 \
 	-service orders >"$work/trace.jsonl"
-"$bin/snipereplay" -trace "$work/trace.jsonl" -keys bottling=bottling-key,ash=ash-key \
+upstreams=$(printf "127.0.0.1:%d," $((base + 101)) $((base + 102)) $((base + 103)) $((base + 201)) $((base + 202)))
+"$bin/snipereplay" -trace "$work/trace.jsonl" -upstreams "$upstreams" -keys bottling=bottling-key,ash=ash-key \
 	-entries "127.0.0.1:$((base + 301)),127.0.0.1:$((base + 302)),127.0.0.1:$((base + 303))" &
 replay=$!
 sleep 4
@@ -101,7 +103,8 @@
 echo "killing engine 1; it comes back empty"
 kill -9 "$pid_engine1"
 sleep 0.5
-start engine1 "$bin/snipestand" engine -address 127.0.0.1:$((base + 101)) -slots 8 -token 2ms -weights "$platform" -checks-fence
+start engine1 "$bin/snipestand" engine -address 127.0.0.1:$((base + 101)) -slots 8 -token 2ms -weights "$platform" -checks-fence \
+	-record "$work/engine1.record"
 verdict=0
 wait "$replay" || verdict=$?
 ctl engines
--- a/snipereplay/report.go
+++ b/snipereplay/report.go
@@ -1,87 +1,148 @@
 package snipereplay
 
 import (
+	"cmp"
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"time"
+
+	"snipepitch.example/snipepitch/snipejson"
 )
 
-// Report sums up the results of a replay.
+// Group is one team and class.
+type Group struct {
+	Team, Class string
+}
+
+// Summary is a histogram's summary of one group.
+type Summary struct {
+	Group
+	// Calls are those that were answered.
+	Calls int
+	// First are the times to the first bytes, Total those to the whole answer.
+	First, Total Quantiles
+}
+
+// Quantiles of durations.
+type Quantiles struct {
+	Median, P95, P99, Max snipejson.Duration
+}
+
+// Report sums up the results of a replay. It is written as JSON, so that runs
+// can be compared.
 type Report struct {
-	Calls, Answered, Refused, Breaches int
+	Calls, Answered, Stated, Refused, Breaches int
+	// Repeats is how many calls were sent more than once.
+	Repeats int
 	// Groups are the durations by team and class.
-	Groups map[Group][]time.Duration
+	Groups []Summary
 	// Codes count the final failures by code.
 	Codes map[string]int
-	// Broken are the results with a breach.
-	Broken []Result
+	// Broken are the breaches, at most maxBroken.
+	Broken []string `json:",omitempty"`
+
+	totals []time.Duration
 }
 
-// Group is one team and class.
-type Group struct {
-	Team, Class string
+// maxBroken bounds how many breaches are kept.
+const maxBroken = 20
+
+// durations are those of one group.
+type durations struct {
+	first, total []time.Duration
 }
 
 // NewReport sums up results.
 func NewReport(results []Result) *Report {
-	p := &Report{Groups: map[Group][]time.Duration{}, Codes: map[string]int{}}
+	p := &Report{Codes: map[string]int{}}
+	groups := map[Group]*durations{}
 	for _, r := range results {
-		p.Calls++
-		switch {
-		case r.Answered:
-			p.Answered++
-			g := Group{r.Record.Team, r.Record.Class.String()}
-			p.Groups[g] = append(p.Groups[g], r.Duration)
-		case r.Record.Code == "":
-			p.Refused++
-			p.Codes[r.Refused]++
+		p.count(r)
+		if !r.Answered {
+			continue
 		}
-		if r.Breach != "" {
-			p.Breaches++
-			p.Broken = append(p.Broken, r)
+		g := Group{r.Record.Team, r.Record.Class.String()}
+		if groups[g] == nil {
+			groups[g] = &durations{}
 		}
+		groups[g].first = append(groups[g].first, r.FirstChunk)
+		groups[g].total = append(groups[g].total, r.Duration)
+		p.totals = append(p.totals, r.Duration)
+	}
+	for g, d := range groups {
+		p.Groups = append(p.Groups, Summary{Group: g, Calls: len(d.total), First: quantiles(d.first), Total: quantiles(d.total)})
 	}
+	slices.SortFunc(p.Groups, func(a, b Summary) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Class, b.Class))
+	})
+	slices.Sort(p.totals)
 	return p
 }
 
-// maxBroken bounds how many breaches are printed.
-const maxBroken = 10
+func (p *Report) count(r Result) {
+	p.Calls++
+	switch {
+	case r.Answered:
+		p.Answered++
+	case r.Record.Code != "" && r.Record.Code == r.Refused:
+		p.Stated++
+	default:
+		p.Refused++
+		p.Codes[r.Refused]++
+	}
+	if len(r.Tries) > 1 {
+		p.Repeats++
+	}
+	for _, b := range r.Breaches {
+		p.Breaches++
+		if len(p.Broken) < maxBroken {
+			c := r.Record
+			p.Broken = append(p.Broken, fmt.Sprintf("team %s model %s service %s key %q prompt %q: %s; tries %v",
+				c.Team, c.Model, c.Service, c.Key, c.Prompt, b, r.Tries))
+		}
+	}
+}
+
+// quantiles sorts d and returns its quantiles.
+func quantiles(d []time.Duration) Quantiles {
+	slices.Sort(d)
+	at := func(q float64) snipejson.Duration {
+		n := min(int(q*float64(len(d))), len(d)-1)
+		return snipejson.Duration(d[n].Round(100 * time.Microsecond))
+	}
+	return Quantiles{Median: at(0.5), P95: at(0.95), P99: at(0.99), Max: at(1)}
+}
+
+// AnsweredShare returns the share of calls that ended as stated: answered, or
+// refused as the trace states.
+func (p *Report) AnsweredShare() float64 {
+	return float64(p.Answered+p.Stated) / float64(max(p.Calls, 1))
+}
 
 // Write prints the report.
 func (p *Report) Write(w io.Writer) error {
-	groups := make([]Group, 0, len(p.Groups))
-	for g := range p.Groups {
-		groups = append(groups, g)
-	}
-	sort.Slice(groups, func(i, j int) bool {
-		a, b := groups[i], groups[j]
-		return a.Team < b.Team || a.Team == b.Team && a.Class < b.Class
-	})
 	out := &printer{writer: w}
-	out.print("%-12s %-9s %6s %10s %10s %10s\n", "Team", "Class", "Calls", "Median", "P95", "P99")
-	for _, g := range groups {
-		d := p.Groups[g]
-		sort.Slice(d, func(i, j int) bool { return d[i] < d[j] })
-		out.print("%-12s %-9s %6d %10s %10s %10s\n", g.Team, g.Class, len(d), at(d, 0.5), at(d, 0.95), at(d, 0.99))
+	out.print("%-10s %-9s %6s | %-31s | %s\n", "", "", "", "First chunk", "Whole answer")
+	out.print("%-10s %-9s %6s | %9s %9s %9s   | %9s %9s %9s %9s\n",
+		"Team", "Class", "Calls", "Median", "P95", "P99", "Median", "P95", "P99", "Max")
+	for _, g := range p.Groups {
+		out.print("%-10s %-9s %6d | %9s %9s %9s   | %9s %9s %9s %9s\n", g.Team, g.Class, g.Calls,
+			g.First.Median.Value(), g.First.P95.Value(), g.First.P99.Value(),
+			g.Total.Median.Value(), g.Total.P95.Value(), g.Total.P99.Value(), g.Total.Max.Value())
 	}
-	for code, n := range p.Codes {
-		out.print("final failure %s: %d\n", code, n)
+	for _, code := range slices.Sorted(maps.Keys(p.Codes)) {
+		out.print("final failure %s: %d\n", code, p.Codes[code])
 	}
-	for _, r := range p.Broken[:min(len(p.Broken), maxBroken)] {
-		out.print("BREACH team %s model %s service %s key %s: %s\n",
-			r.Record.Team, r.Record.Model, r.Record.Service, r.Record.Key, r.Breach)
+	for _, b := range p.Broken {
+		out.print("BREACH %s\n", b)
 	}
-	out.print("calls %d, answered %d, refused %d, breaches %d\n", p.Calls, p.Answered, p.Refused, p.Breaches)
+	out.print("calls %d, answered %d, refused as stated %d, refused otherwise %d, sent again %d, breaches %d\n",
+		p.Calls, p.Answered, p.Stated, p.Refused, p.Repeats, p.Breaches)
 	return out.err
 }
 
-// at returns the value at a quantile of sorted durations.
-func at(sorted []time.Duration, quantile float64) time.Duration {
-	n := int(quantile * float64(len(sorted)))
-	return sorted[min(n, len(sorted)-1)].Round(100 * time.Microsecond)
-}
-
 // printer keeps the first error of a row of prints.
 type printer struct {
 	writer io.Writer
--- a/snipestand/engine.go
+++ b/snipestand/engine.go
@@ -29,6 +29,8 @@
 	Weights netip.AddrPort
 	// Crash ends the process, for a prompt that contains CrashPrompt.
 	Crash func()
+	// Executed records each call that the engine began to execute.
+	Executed Executed
 
 	lock    sync.Mutex // guards the fields below
 	fence   uint64
@@ -82,6 +84,7 @@
 	mux.HandleFunc("GET /v1/responses/{id}", e.resume)
 	mux.HandleFunc("POST /v1/responses/{id}/cancel", e.cancelAnswer)
 	mux.HandleFunc("GET /v1/models", e.models)
+	mux.Handle("GET /Executed", &e.Executed)
 	mux.HandleFunc("POST /Fault", func(w http.ResponseWriter, r *http.Request) {
 		var f EngineFault
 		if readJSON(w, r, &f) {
@@ -239,6 +242,11 @@
 		http.Error(w, "model not found", http.StatusNotFound)
 		return
 	}
+	if err := e.Executed.Add(Execution{Request: r.Header.Get("X-Request-Id")}); err != nil {
+		e.lock.Unlock()
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	e.next++
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &generation{
--- a/snipestand/service.go
+++ b/snipestand/service.go
@@ -13,6 +13,8 @@
 	Name string
 	// Delay is the time an answer takes.
 	Delay time.Duration
+	// Executed records each execution.
+	Executed Executed
 
 	lock sync.Mutex // guards runs
 	runs map[string]int
@@ -36,6 +38,7 @@
 		defer s.lock.Unlock()
 		writeJSON(w, s.runs)
 	})
+	mux.Handle("GET /Executed", &s.Executed)
 	mux.HandleFunc("/", s.serve)
 	return mux
 }
@@ -47,6 +50,11 @@
 		return
 	}
 	key := r.Header.Get("Idempotency-Key")
+	e := Execution{Request: r.Header.Get("X-Request-Id"), Key: key, Body: string(body)}
+	if err := s.Executed.Add(e); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	s.lock.Lock()
 	s.runs[key]++
 	n := s.runs[key]
--- a/snipetrace/snipetrace.go
+++ b/snipetrace/snipetrace.go
@@ -1,17 +1,15 @@
-// Package snipetrace is the recorded trace: its format, its generation from a
-// seed, and the check of one answer against the trace's stated outcome.
+// Package snipetrace is the recorded trace: its format and its generation from
+// a seed.
 //
-// A trace is a file of JSON documents, one a line, each a Record. The format
-// is documented in docs/trace.md.
+// A trace is a file of JSON documents, one a line, each a Record: one call
+// with its stated outcome. The format is documented in docs/trace.md. The same
+// Shape makes the same trace on every machine.
 package snipetrace
 
 import (
 	"bufio"
 	"encoding/json"
-	"fmt"
 	"io"
-	"math/rand/v2"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -37,19 +35,26 @@
 	Prompt    string `json:",omitempty"`
 	MaxTokens int    `json:",omitempty"`
 	Stream    bool   `json:",omitempty"`
-	// Service makes a call to a plain service, with Prompt as the body. Such
-	// calls are not idempotent and carry Key.
-	Service string `json:",omitempty"`
-	Key     string `json:",omitempty"`
+	// Service makes a call to a plain service, with Prompt as the body, which
+	// no other record may have. It may be executed at most once unless
+	// Idempotent is set.
+	Service    string `json:",omitempty"`
+	Idempotent bool   `json:",omitempty"`
+	// Key is the request key. Without one a call that is not idempotent is
+	// never repeated once it may have run.
+	Key string `json:",omitempty"`
 	// Timeout is the caller's deadline.
 	Timeout snipejson.Duration
 	// Path is the stated outcome of a model call: where the weight store keeps
 	// the adapter that must answer. Empty when Code is set.
 	Path string `json:",omitempty"`
-	// Code is the stated outcome of a call that must be refused.
+	// Code is the stated outcome of a call that must be refused, as not run.
 	Code string `json:",omitempty"`
 }
 
+// Repeatable reports whether executing the call twice does no harm.
+func (r Record) Repeatable() bool { return r.Service == "" || r.Idempotent }
+
 // Check returns ErrBadRecord and the reason unless r is valid.
 func (r Record) Check() error {
 	switch {
@@ -59,6 +64,8 @@
 		return errors.Wrap(ErrBadRecord, "needs either Model or Service")
 	case r.Model != "" && (r.Path == "") == (r.Code == ""):
 		return errors.Wrap(ErrBadRecord, "needs either Path or Code")
+	case r.Model != "" && (r.Key != "" || r.Idempotent):
+		return errors.Wrap(ErrBadRecord, "Key and Idempotent are of service calls")
 	case r.At < 0 || r.Timeout <= 0:
 		return errors.Wrap(ErrBadRecord, "At or Timeout out of range")
 	}
@@ -70,6 +77,7 @@
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLine)
 	var all []Record
+	bodies := map[string]bool{}
 	for n := 1; s.Scan(); n++ {
 		var record Record
 		if err := snipejson.Decode(s.Bytes(), &record); err != nil {
@@ -78,6 +86,10 @@
 		if err := record.Check(); err != nil {
 			return nil, errors.Wrapf(err, "line %d", n)
 		}
+		if record.Service != "" && bodies[record.Prompt] {
+			return nil, errors.Wrapf(ErrBadRecord, "line %d: same Prompt as an earlier service call", n)
+		}
+		bodies[record.Prompt] = bodies[record.Prompt] || record.Service != ""
 		all = append(all, record)
 	}
 	if err := s.Err(); err != nil {
@@ -96,65 +108,3 @@
 	}
 	return nil
 }
-
-// Shape says what trace to generate.
-type Shape struct {
-	// Seed makes the trace.
-	Seed uint64
-	// Calls is how many calls, over Length.
-	Calls  int
-	Length time.Duration
-	// Teams are the callers' teams; each has Adapters adapters named
-	// adapter-N with the version 1 at the path TEAM/adapter-N/1.
-	Teams    []string
-	Adapters int
-	// Service is a plain service that a part of the calls go to.
-	Service string
-	// Timeout is the deadline of each call.
-	Timeout time.Duration
-}
-
-const (
-	zipfExponent   = 1.2
-	serviceShare   = 0.15
-	unknownShare   = 0.02
-	streamShare    = 0.6
-	shortestAnswer = 4
-	longestAnswer  = 48
-)
-
-// Generate makes a trace with Zipf-like popularity.
-func Generate(s Shape) []Record {
-	// The seed makes the trace repeatable; nothing here is secret.
-	r := rand.New(rand.NewPCG(s.Seed, s.Seed)) //nolint:gosec // see above
-	z := rand.NewZipf(r, zipfExponent, 1, uint64(max(s.Adapters-1, 0)))
-	all := make([]Record, 0, s.Calls)
-	for n := range s.Calls {
-		at := time.Duration(int64(s.Length) / int64(s.Calls) * int64(n))
-		all = append(all, s.record(r, z, n, at))
-	}
-	return all
-}
-
-func (s Shape) record(r *rand.Rand, z *rand.Zipf, n int, at time.Duration) Record {
-	c := Record{
-		At: snipejson.Duration(at), Team: s.Teams[r.IntN(len(s.Teams))],
-		Class:   snipecall.Class(r.IntN(int(snipecall.Classes))), //nolint:gosec // below Classes
-		Prompt:  fmt.Sprintf("call %d of seed %d", n, s.Seed),
-		Timeout: snipejson.Duration(s.Timeout),
-	}
-	adapter := z.Uint64()
-	switch p := r.Float64(); {
-	case p < serviceShare && s.Service != "":
-		c.Service = s.Service
-		c.Key = fmt.Sprintf("key-%d-%d", s.Seed, n)
-	case p < serviceShare+unknownShare:
-		c.Model, c.Code = "no-such-adapter@1", "UnknownAdapter"
-	default:
-		c.Model = fmt.Sprintf("adapter-%d@1", adapter)
-		c.Path = fmt.Sprintf("%s/adapter-%d/1", c.Team, adapter)
-		c.MaxTokens = shortestAnswer + r.IntN(longestAnswer-shortestAnswer)
-		c.Stream = r.Float64() < streamShare
-	}
-	return c
-}
