--- /dev/null
+++ b/cmd/snipecapacity/main.go
@@ -0,0 +1,96 @@
+// Command snipecapacity measures what running instances cost and renders the
+// capacity page.
+//
+// Usage:
+//
+//	snipecapacity sample -instances IP:PORT,... [-interval D]
+//	snipecapacity render [-inputs FILE]
+//
+// Exit codes: 0 done, 1 failed, 2 bad arguments.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"snipepitch.example/snipepitch/snipecapacity"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+
+	scrapeTimeout = 10 * time.Second
+)
+
+func main() {
+	if len(os.Args) < 2 {
+		usage()
+	}
+	f := flag.NewFlagSet("snipecapacity "+os.Args[1], flag.ExitOnError)
+	instances := f.String("instances", "", "operators' addresses of the instances, `IP:PORT,...`")
+	interval := f.Duration("interval", 20*time.Second, "time between the two scrapes")
+	inputs := f.String("inputs", "docs/capacity.json", "inputs `file`")
+	// ExitOnError: Parse does not return an error.
+	_ = f.Parse(os.Args[2:])
+	var err error
+	switch os.Args[1] {
+	case "sample":
+		err = sample(*instances, *interval)
+	case "render":
+		err = render(*inputs)
+	default:
+		usage()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "snipecapacity:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func usage() {
+	fmt.Fprintln(os.Stderr, "usage: snipecapacity sample|render [flags]")
+	os.Exit(exitUsage)
+}
+
+func sample(list string, interval time.Duration) error {
+	var instances []netip.AddrPort
+	for _, s := range strings.Split(list, ",") {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return err
+		}
+		instances = append(instances, a)
+	}
+	s, err := snipecapacity.Observe(context.Background(), &http.Client{Timeout: scrapeTimeout}, instances, interval)
+	if err != nil {
+		return err
+	}
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(s)
+}
+
+func render(inputs string) error {
+	data, err := os.ReadFile(inputs)
+	if err != nil {
+		return err
+	}
+	in, err := snipecapacity.Decode(data)
+	if err != nil {
+		return err
+	}
+	page, err := in.Render()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Print(page)
+	return err
+}
