--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := go tool -modfile=tools/gen/go.mod buf
 
-.PHONY: all build demo test format lint generate check-generated unit short-replay
+.PHONY: faults short-faults all build demo test format lint generate check-generated unit short-replay
 
 all: build
 
@@ -35,3 +35,10 @@
 
 short-replay: build
 	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
+
+# A round of faults over real processes: SEED=n, or all kept seeds without it.
+faults: build
+	for seed in $(if $(SEED),$(SEED),$$(cat scripts/fault-seeds.txt)); do FAULT_SEED=$$seed ./scripts/faults.sh || exit 1; done
+
+short-faults: build
+	FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
--- a/cmd/snipestand/main.go
+++ b/cmd/snipestand/main.go
@@ -5,6 +5,10 @@
 //
 //	snipestand platform -address IP:PORT [-rate N] [-concurrent N] [-load D]
 //	snipestand engine -address IP:PORT [-slots N] [-batch N] [-token D] [-checks-fence] [-weights IP:PORT] [-record FILE]
+//	snipestand cutter -address IP:PORT -link LISTEN=TARGET...
+//	snipestand fault IP:PORT JSON
+//	snipestand cut IP:PORT LISTEN=MODE
+//	snipestand plan [-seed N] [-faults N] [-length D]
 //	snipestand service -address IP:PORT [-name NAME] [-delay D] [-record FILE]
 package main
 
@@ -31,6 +35,18 @@
 	if len(os.Args) < 2 {
 		usage()
 	}
+	commands := map[string]func([]string) error{
+		"plan":  plan,
+		"cut":   cut,
+		"fault": func(a []string) error { return order("/Fault", a) },
+	}
+	if c, ok := commands[os.Args[1]]; ok {
+		if err := c(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, "snipestand:", err)
+			os.Exit(exitFailed)
+		}
+		return
+	}
 	f := flag.NewFlagSet("snipestand "+os.Args[1], flag.ExitOnError)
 	address := f.String("address", "", "`IP:PORT` to listen on")
 	var handler func() http.Handler
@@ -41,6 +57,8 @@
 		handler = engine(f)
 	case "service":
 		handler = service(f)
+	case "cutter":
+		handler = cutter(f)
 	default:
 		usage()
 	}
@@ -56,7 +74,8 @@
 }
 
 func usage() {
-	fmt.Fprintln(os.Stderr, "usage: snipestand platform|engine|service -address IP:PORT [flags]")
+	fmt.Fprintln(os.Stderr, "usage: snipestand platform|engine|service|cutter -address IP:PORT [flags]")
+	fmt.Fprintln(os.Stderr, "       snipestand fault IP:PORT JSON | cut IP:PORT LISTEN=MODE | plan [flags]")
 	os.Exit(exitUsage)
 }
 
--- a/snipestand/executed_test.go
+++ b/snipestand/executed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"testing"
@@ -24,7 +25,7 @@
 	var x snipestand.Executed
 	must.NoError(t, x.Open(file))
 	w := httptest.NewRecorder()
-	x.ServeHTTP(w, httptest.NewRequest("GET", "/Executed", nil))
+	x.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/Executed", nil))
 	var list snipestand.ExecutedList
 	must.NoError(t, json.Unmarshal(w.Body.Bytes(), &list))
 	must.SliceLen(t, 2, list.Executions)
