Make the path resume on the hop, and never let net/http repeat a call

Cause: a hop to a peer that broke or went silent ended in ErrIncomplete; a caller that went away was noticed by the owner only through a closed connection; net/http keeps a POST with an Idempotency-Key and no body for repeatable even without GetBody, and followed redirects; streams never gave their connection back to the pool, as their end was not read; whole answers kept only the text of the first choice.

Ruled out: repeating the call at the owner (it may have run); a copy of the answer at the entry (it is the entry's connection that breaks); hedging over two connections (runs calls twice).

Change: the owner keeps the latest 64 KB of a hop's events and goes on for a window without a connection, the entry fetches what it misses on a new one; cancels are requests of their own. Calls that may not be repeated, orders, resumes and cancels go out on fresh connections. A silence closes the idle connections too. Chunks that come early are held back; a whole answer is merged from deltas by shape. NotRun on a failed send only when no connection was ever given to it. The entry checks the adapter of each chunk again.

Seen failing first: each mechanism was taken out in turn (resume, cancel, window, fresh connections, closing idle ones, reading the end, holding back, adapter check, redirects) and its test failed. TestNetHTTPRepeats shows net/http's own repetition: 3 executions of 2 calls on kept connections, 2 on fresh ones.

What is left are loads of adapters.

--- a/snipecaller/reply.go
+++ b/snipecaller/reply.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/go-faster/errors"
+	"github.com/tidwall/gjson"
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
@@ -34,6 +35,9 @@
 		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun,
 			"chunk "+strconv.FormatUint(c.Sequence, 10)+" after "+strconv.FormatUint(o.sequence, 10))
 	}
+	if err := o.checkAdapter(c); err != nil {
+		return err
+	}
 	if !o.started() {
 		o.firstChunk()
 		o.header(c)
@@ -55,6 +59,18 @@
 	return nil
 }
 
+// checkAdapter refuses a part of an answer by another adapter. Whoever talked to
+// the engine has checked it too; this check is behind the hop.
+func (o *reply) checkAdapter(c snipecall.Chunk) error {
+	if o.call.Adapter.IsZero() || c.Last && c.Status == 0 {
+		return nil
+	}
+	if got := gjson.GetBytes(c.Data, "model").String(); got != o.call.Adapter.Model() {
+		return snipeerror.New(snipeerror.ErrMismatch, snipeerror.MayHaveRun, "answer of "+strconv.Quote(got))
+	}
+	return nil
+}
+
 func (o *reply) header(c snipecall.Chunk) {
 	h := o.response.Header()
 	if !o.call.Adapter.IsZero() {
--- a/snipecaller/snipecaller.go
+++ b/snipecaller/snipecaller.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/tidwall/gjson"
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
@@ -39,6 +38,8 @@
 )
 
 const (
+	// writeGrace is how long after its deadline a call may still be written to.
+	writeGrace     = 5 * time.Second
 	servicesPrefix = "/services/"
 	maxKey         = 256
 	// DefaultTimeout is the deadline of a call when neither the call nor the
@@ -58,8 +59,11 @@
 	Admit func(c *snipecall.Call) (release func(), err error)
 	// NewID returns an identifier for a call.
 	NewID func() string
-	// MaxBody bounds the body of a call in bytes.
-	MaxBody int64
+	// MaxBody bounds the body of a call in bytes, MaxHeader its header.
+	MaxBody   int64
+	MaxHeader int
+	// BodyTimeout bounds the time in which the body must arrive.
+	BodyTimeout time.Duration
 	// Meter and Log take metrics and events.
 	Meter *snipemeter.Meter
 	Log   *snipelog.Logger
@@ -96,22 +100,39 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
+	controller := http.NewResponseController(w)
+	// A caller that takes nothing must not hold the call for ever. Connections
+	// without deadlines are those of tests.
+	_ = controller.SetWriteDeadline(c.Deadline.Add(writeGrace))
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	release, err := s.Admit(c)
 	if err != nil {
 		s.refuse(w, id, err)
 		return
 	}
 	defer release()
-	out := &reply{response: w, controller: http.NewResponseController(w), call: c}
+	out := &reply{response: w, controller: controller, call: c}
 	out.firstChunk = func() { s.observe(snipemeter.FirstChunk, c, start) }
 	err = s.Serve(ctx, c, out.chunk)
 	s.observe(snipemeter.CallDuration, c, start)
 	if err != nil {
 		f := snipeerror.From(err)
-		s.Log.Error(snipelog.CallFailed, f, snipelog.Fields{"Call": id, "Team": c.Team, "Class": c.Class.String()})
-		s.countFailure(f)
+		// The caller first: a failure goes out at once.
 		out.fail(f, id)
+		s.countFailure(f)
+		s.Log.Error(failureEvent(f), f, snipelog.Fields{"Call": id, "Team": c.Team, "Class": c.Class.String()})
+	}
+}
+
+// failureEvent returns the event that a failure is logged as.
+func failureEvent(f *snipeerror.CallError) snipelog.Event {
+	switch {
+	case errors.Is(f, snipeerror.ErrMismatch):
+		return snipelog.AnswerWrong
+	case errors.Is(f, snipeerror.ErrCanceled):
+		return snipelog.CallCanceled
 	}
+	return snipelog.CallFailed
 }
 
 func (s *Server) observe(name string, c *snipecall.Call, start time.Time) {
@@ -132,6 +153,17 @@
 	return snipeerror.New(kind, snipeerror.NotRun, reason)
 }
 
+// headerSize returns the bytes of a request's line and header.
+func headerSize(r *http.Request) int {
+	n := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // stoppingRetry is what a caller is told to wait when the instance stops: the
 // balancer sends the repetition elsewhere.
 const stoppingRetry = time.Second
@@ -141,6 +173,9 @@
 	if s.stopping.Load() {
 		return nil, snipeerror.New(snipeerror.ErrStopping, snipeerror.NotRun, "use another instance").After(stoppingRetry)
 	}
+	if headerSize(r) > s.MaxHeader {
+		return nil, refused(snipeerror.ErrHeaderTooLarge, "header above "+strconv.Itoa(s.MaxHeader)+" bytes")
+	}
 	tree := s.Tree()
 	if tree == nil {
 		return nil, snipeerror.New(snipeerror.ErrUnavailable, snipeerror.NotRun, "no settings yet").After(stoppingRetry)
@@ -154,20 +189,32 @@
 		return nil, refused(snipeerror.ErrUnauthenticated, "unknown key")
 	}
 	c := &snipecall.Call{ID: id, Team: team, Method: r.Method, Path: r.URL.Path, ContentType: r.Header.Get("Content-Type")}
-	if err := readHeaders(c, r, tree); err != nil {
+	var err error
+	if err = readHeaders(c, r, tree); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody))
-	if err != nil {
-		return nil, bodyError(err)
+	if c.Body, err = s.readBody(w, r); err != nil {
+		return nil, err
 	}
-	c.Body = body
 	if strings.HasPrefix(c.Path, servicesPrefix) {
 		return c, readService(c, r, tree)
 	}
 	return c, readModel(c, tree)
 }
 
+// readBody reads the body within its bounds of size and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(s.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody))
+	// From here on the connection is read only to see the caller go away.
+	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	return body, nil
+}
+
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -235,23 +282,3 @@
 	}
 	return refused(snipeerror.ErrUnknownService, strconv.Quote(name))
 }
-
-func readModel(c *snipecall.Call, tree *snipetree.Tree) error {
-	if !gjson.ValidBytes(c.Body) {
-		return refused(snipeerror.ErrBadRequest, "body is not JSON")
-	}
-	a, err := snipecall.ParseModel(c.Team, gjson.GetBytes(c.Body, "model").String())
-	if err != nil {
-		return refused(snipeerror.ErrBadRequest, err.Error())
-	}
-	if n := gjson.GetBytes(c.Body, "n"); n.Exists() && n.Int() != 1 {
-		return refused(snipeerror.ErrBadRequest, "n must be 1")
-	}
-	base, path, ok := tree.Find(a)
-	if !ok {
-		return refused(snipeerror.ErrUnknownAdapter, a.Model())
-	}
-	c.Adapter, c.Base, c.WeightPath = a, base, path
-	c.Stream = gjson.GetBytes(c.Body, "stream").Bool()
-	return nil
-}
--- a/snipeconfig/snipeconfig.go
+++ b/snipeconfig/snipeconfig.go
@@ -49,6 +49,9 @@
 	// Progress is the longest time between two chunks of an answer before its
 	// connection is given up.
 	Progress snipejson.Duration
+	// FirstChunk is the longest time that an engine may queue a call: from the
+	// header of its answer to the first chunk.
+	FirstChunk snipejson.Duration
 	// LoadTimeout bounds the load of an adapter.
 	LoadTimeout snipejson.Duration
 	// StopTimeout bounds a graceful stop.
@@ -76,7 +79,7 @@
 	seconds := func(n int) snipejson.Duration { return snipejson.Duration(time.Duration(n) * time.Second) }
 	return Config{
 		Lease: seconds(6), Renew: seconds(1), Poll: seconds(1),
-		Progress: seconds(5), LoadTimeout: seconds(60), StopTimeout: seconds(60),
+		Progress: seconds(5), FirstChunk: seconds(30), LoadTimeout: seconds(60), StopTimeout: seconds(60),
 		MaxBody: 4 << 20, MaxCalls: 10000, LogLevel: "info",
 		Platform: Platform{TableName: "snipepitch", Timeout: seconds(2)},
 	}
@@ -180,6 +183,7 @@
 		{"Renew", c.Renew},
 		{"Poll", c.Poll},
 		{"Progress", c.Progress},
+		{"FirstChunk", c.FirstChunk},
 		{"LoadTimeout", c.LoadTimeout},
 		{"StopTimeout", c.StopTimeout},
 		{"Platform.Timeout", c.Platform.Timeout},
--- a/snipedispatch/snipedispatch.go
+++ b/snipedispatch/snipedispatch.go
@@ -39,8 +39,9 @@
 	Budget func(ctx context.Context) (func(), error)
 	// Client and Fresh send requests; see snipeupstream.Service.
 	Client, Fresh *http.Client
-	// Progress is the longest time between two chunks, LoadTimeout bounds a load.
-	Progress, LoadTimeout time.Duration
+	// Progress is the longest time between two chunks, FirstChunk that before
+	// the first one; LoadTimeout bounds a load.
+	Progress, FirstChunk, LoadTimeout time.Duration
 	// Meter and Log take metrics and events.
 	Meter *snipemeter.Meter
 	Log   *snipelog.Logger
@@ -122,7 +123,10 @@
 }
 
 func (d *Dispatcher) newEngine(name string, fence uint64, settings snipetree.Engine) *engine {
-	client := &snipeupstream.Engine{Name: name, Address: settings.Address, Client: d.Client, Progress: d.Progress}
+	client := &snipeupstream.Engine{
+		Name: name, Address: settings.Address, Client: d.Client, Fresh: d.Fresh,
+		Progress: d.Progress, FirstChunk: d.FirstChunk, Log: d.Log,
+	}
 	return &engine{
 		fence:  fence,
 		client: client,
@@ -164,6 +168,6 @@
 	if !ok {
 		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "upstream "+c.Upstream)
 	}
-	s := &snipeupstream.Service{Name: c.Upstream, Address: u.Address, Client: d.Client, Fresh: d.Fresh}
+	s := &snipeupstream.Service{Name: c.Upstream, Address: u.Address, Client: d.Client, Fresh: d.Fresh, Progress: d.Progress}
 	return s.Call(ctx, c, sink)
 }
--- a/snipeerror/snipeerror.go
+++ b/snipeerror/snipeerror.go
@@ -22,6 +22,7 @@
 	ErrUnknownAdapter  = errors.New("unknown adapter")
 	ErrUnknownService  = errors.New("unknown service")
 	ErrTooLarge        = errors.New("too large")
+	ErrHeaderTooLarge  = errors.New("header too large")
 	ErrLimited         = errors.New("refused by limit")
 	ErrOverloaded      = errors.New("overloaded")
 	ErrNoUpstream      = errors.New("no upstream")
@@ -63,6 +64,7 @@
 	{ErrUnknownAdapter, "UnknownAdapter", http.StatusNotFound},
 	{ErrUnknownService, "UnknownService", http.StatusNotFound},
 	{ErrTooLarge, "TooLarge", http.StatusRequestEntityTooLarge},
+	{ErrHeaderTooLarge, "HeaderTooLarge", http.StatusRequestHeaderFieldsTooLarge},
 	{ErrLimited, "RefusedByLimit", http.StatusTooManyRequests},
 	{ErrOverloaded, "Overloaded", http.StatusServiceUnavailable},
 	{ErrNoUpstream, "NoUpstream", http.StatusServiceUnavailable},
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -36,6 +36,7 @@
 	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipetree"
+	"snipepitch.example/snipepitch/snipeupstream"
 	"snipepitch.example/snipepitch/snipeweight"
 )
 
@@ -44,12 +45,11 @@
 
 const (
 	leaseMargin       = 2 * time.Second
-	dialTimeout       = 2 * time.Second
 	readHeaderTimeout = 10 * time.Second
-	maxHeader         = 64 << 10
+	maxHeader         = 32 << 10
+	bodyTimeout       = 30 * time.Second
 	peerBeat          = time.Second
 	stopPoll          = 50 * time.Millisecond
-	idleConnections   = 1024
 )
 
 // Instance is one running instance. Exported fields are set before Run.
@@ -65,6 +65,7 @@
 	dispatch *snipedispatch.Dispatcher
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
+	peers    *snipepeer.Handler
 	budget   *snipeweight.Budget
 
 	ready    atomic.Bool
@@ -111,28 +112,23 @@
 
 func (i *Instance) buildDispatch() {
 	c := i.Config
-	client := &http.Client{Transport: transport()}
-	fresh := transport()
-	fresh.DisableKeepAlives = true
+	dial := snipeupstream.DialTCP()
 	i.budget = &snipeweight.Budget{Limits: i.weightShare}
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
 		Budget: i.budget.Acquire,
-		Client: client, Fresh: &http.Client{Transport: fresh},
-		Progress: c.Progress.Value(), LoadTimeout: c.LoadTimeout.Value(),
+		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
+		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	i.forward = &snipepeer.Client{HTTP: &http.Client{Transport: transport()}, Secret: c.PeerSecret, Progress: c.Progress.Value()}
-}
-
-func transport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:        idleConnections,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+	i.forward = &snipepeer.Client{
+		HTTP: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
+		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
+	}
+	i.peers = &snipepeer.Handler{
+		Execute: i.dispatch.Run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
+		WriteTimeout: c.Progress.Value(), MaxBody: c.MaxBody, MaxCalls: c.MaxCalls,
 	}
 }
 
@@ -184,7 +180,8 @@
 	attempts := &snipecaller.Attempts{Choose: i.choose, Execute: i.execute, Log: i.Log}
 	i.callers = &snipecaller.Server{
 		Tree: i.settings.Current, Serve: attempts.Serve, Admit: i.admit, NewID: rand.Text,
-		MaxBody: i.Config.MaxBody, Meter: i.meter, Log: i.Log,
+		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
+		Meter: i.meter, Log: i.Log,
 	}
 }
 
@@ -273,9 +270,7 @@
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
 	peers := http.NewServeMux()
-	peers.Handle("POST "+snipepeer.Path, &snipepeer.Handler{
-		Execute: i.dispatch.Run, Secret: i.Config.PeerSecret, Beat: peerBeat, MaxBody: i.Config.MaxBody,
-	})
+	peers.Handle(snipepeer.Path, i.peers)
 	return []listener{
 		{"Callers", i.Config.Callers, front},
 		{"Operators", i.Config.Operators, mux},
@@ -295,7 +290,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", l.name)
 	}
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeader}
 	g.Add(func() error {
 		err := server.Serve(n)
 		if errors.Is(err, http.ErrServerClosed) {
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -19,6 +19,7 @@
 	AnswerWrong  = define(202, "AnswerWrong", logrus.ErrorLevel)
 	CallResumed  = define(203, "CallResumed", logrus.InfoLevel)
 	CallCanceled = define(204, "CallCanceled", logrus.DebugLevel)
+	HopResumed   = define(205, "HopResumed", logrus.InfoLevel)
 )
 
 // Events of settings, 300 to 399.
--- a/snipepeer/server.go
+++ b/snipepeer/server.go
@@ -14,16 +14,21 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
-	"snipepitch.example/snipepitch/snipestream"
 )
 
-// eventBeat keeps a hop alive while the call waits for its first chunk.
-const eventBeat = "Beat"
-
-// maxWait bounds the time left that a hop may claim.
-const maxWait = 24 * time.Hour
+const (
+	// maxWait bounds the time left that a hop may claim.
+	maxWait = 24 * time.Hour
+	// maxHop bounds the length of a hop's identifier.
+	maxHop = 64
+	// keptShare is how many hops may be known for each call in flight: ended
+	// ones are kept for a while, so that their end can be fetched again.
+	keptShare = 2
+	// busyRetry is what a peer is told to wait when there are too many calls.
+	busyRetry = time.Second
+)
 
-// Handler serves the hop. Exported fields are set before the first request.
+// Handler serves hops. Exported fields are set before the first request.
 type Handler struct {
 	// Execute executes a call on this instance.
 	Execute func(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error
@@ -31,8 +36,25 @@
 	Secret string
 	// Beat is the time between two beats of a silent hop.
 	Beat time.Duration
-	// MaxBody bounds the body of a call in bytes.
-	MaxBody int64
+	// Window is how long a hop without a connection goes on, and how long an
+	// ended one can be resumed.
+	Window time.Duration
+	// WriteTimeout bounds one write to a connection that takes nothing.
+	WriteTimeout time.Duration
+	// MaxBody bounds the body of a call in bytes, MaxCalls the calls in flight.
+	MaxBody  int64
+	MaxCalls int
+
+	lock     sync.Mutex // guards the fields below
+	sessions map[string]*session
+	inFlight int
+}
+
+// InFlight returns the number of peers' calls that are executed here.
+func (h *Handler) InFlight() int {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.inFlight
 }
 
 // ServeHTTP implements http.Handler.
@@ -41,111 +63,146 @@
 		snipeerror.New(snipeerror.ErrUnauthenticated, snipeerror.NotRun, "peer secret").Write(w, "")
 		return
 	}
-	c, wait, err := DecodeCall(r.Header)
-	if err != nil {
-		snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, err.Error()).Write(w, "")
+	id := r.Header.Get(hopHeader)
+	if id == "" || len(id) > maxHop {
+		snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, "hop identifier").Write(w, "")
 		return
 	}
-	if c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody)); err != nil {
-		snipeerror.New(snipeerror.ErrTooLarge, snipeerror.NotRun, err.Error()).Write(w, c.ID)
+	switch r.Method {
+	case http.MethodPost:
+		h.begin(w, r, id)
+	case http.MethodGet:
+		h.resume(w, r, id)
+	case http.MethodDelete:
+		h.cancel(w, id)
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (h *Handler) begin(w http.ResponseWriter, r *http.Request, id string) {
+	c, err := h.readCall(w, r)
+	if err != nil {
+		snipeerror.From(err).Write(w, "")
 		return
 	}
-	c.Deadline = time.Now().Add(wait)
-	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	// The call goes on without its connection, for the window.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), c.Deadline)
 	defer cancel()
-	out := &writer{response: w, controller: http.NewResponseController(w)}
-	out.start()
-	stop := out.beat(h.Beat)
-	err = h.Execute(ctx, c, out.chunk)
-	stop()
-	if err != nil {
-		out.fail(snipeerror.From(err), c.ID)
+	s := &session{call: c, cancel: cancel, window: h.Window, done: make(chan struct{})}
+	if err := h.add(id, s); err != nil {
+		snipeerror.From(err).Write(w, c.ID)
+		return
+	}
+	defer h.end(id, s)
+	out := newConnection(w, h.WriteTimeout)
+	s.attach(out, 0)
+	stopWatch := context.AfterFunc(r.Context(), func() { s.detach(out) })
+	defer stopWatch()
+	stopBeat := s.beat(h.Beat)
+	defer stopBeat()
+	if err := h.Execute(ctx, c, s.chunk); err != nil {
+		s.fail(snipeerror.From(err))
 	}
 }
 
-// DecodeCall reads a call's fields and the time left from the hop's headers.
-func DecodeCall(header http.Header) (*snipecall.Call, time.Duration, error) {
-	c := &snipecall.Call{}
-	if err := json.Unmarshal([]byte(header.Get(callHeader)), c); err != nil {
-		return nil, 0, errors.Wrap(ErrBadCall, err.Error())
-	}
-	if c.Class >= snipecall.Classes || c.Upstream == "" {
-		return nil, 0, errors.Wrap(ErrBadCall, "class or upstream")
+func (h *Handler) readCall(w http.ResponseWriter, r *http.Request) (*snipecall.Call, error) {
+	c, wait, err := DecodeCall(r.Header)
+	if err != nil {
+		return nil, snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, err.Error())
 	}
-	milliseconds, err := strconv.ParseInt(header.Get(waitHeader), 10, 64)
-	if err != nil || milliseconds > maxWait.Milliseconds() {
-		return nil, 0, errors.Wrap(ErrBadCall, "time left")
+	if c.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody)); err != nil {
+		return nil, snipeerror.New(snipeerror.ErrTooLarge, snipeerror.NotRun, err.Error())
 	}
-	return c, time.Duration(milliseconds) * time.Millisecond, nil
+	c.Deadline = time.Now().Add(wait)
+	return c, nil
 }
 
-// writer sends the answer's events. Its lock keeps beats out of the middle of
-// an event and from following the last one.
-type writer struct {
-	response   http.ResponseWriter
-	controller *http.ResponseController
-
-	lock   sync.Mutex // guards the fields below and writes to response
-	buffer []byte
-	ended  bool
+func (h *Handler) add(id string, s *session) error {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if h.sessions == nil {
+		h.sessions = map[string]*session{}
+	}
+	if h.sessions[id] != nil {
+		return snipeerror.New(snipeerror.ErrDuplicate, snipeerror.MayHaveRun, "hop was begun before")
+	}
+	if h.inFlight >= h.MaxCalls {
+		return snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "too many calls of peers in flight").After(busyRetry)
+	}
+	h.sessions[id] = s
+	h.inFlight++
+	return nil
 }
 
-func (w *writer) start() {
-	w.response.Header().Set("Content-Type", "text/event-stream")
-	w.response.WriteHeader(http.StatusOK)
+// end closes a session and forgets it after the window.
+func (h *Handler) end(id string, s *session) {
+	s.close()
+	forget := func() {
+		h.lock.Lock()
+		defer h.lock.Unlock()
+		delete(h.sessions, id)
+	}
+	h.lock.Lock()
+	h.inFlight--
+	crowded := len(h.sessions) > keptShare*h.MaxCalls
+	h.lock.Unlock()
+	if crowded {
+		forget()
+		return
+	}
+	time.AfterFunc(h.Window, forget)
 }
 
-func (w *writer) beat(interval time.Duration) (stop func()) {
-	done := make(chan struct{})
-	go func() {
-		t := time.NewTicker(interval)
-		defer t.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-t.C:
-				// A broken hop shows itself to the call's own writes.
-				_ = w.send(snipestream.Event{Name: eventBeat, Data: []byte("{}")}, false)
-			}
-		}
-	}()
-	return func() { close(done) }
+func (h *Handler) find(id string) *session {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.sessions[id]
 }
 
-func (w *writer) chunk(c snipecall.Chunk) error {
-	if c.ContentType != "" || c.Status != 0 {
-		data, err := json.Marshal(whole{Status: c.Status, ContentType: c.ContentType, Data: c.Data})
-		if err != nil {
-			return errors.Wrap(err, "encode whole answer")
-		}
-		return w.send(snipestream.Event{ID: 1, Name: eventWhole, Data: data}, true)
+func (h *Handler) resume(w http.ResponseWriter, r *http.Request, id string) {
+	after, err := strconv.ParseUint(r.Header.Get(afterHeader), 10, 64)
+	if err != nil {
+		snipeerror.New(snipeerror.ErrBadRequest, snipeerror.MayHaveRun, "number of the last event").Write(w, "")
+		return
 	}
-	name := eventChunk
-	if c.Last {
-		name = eventLast
+	s := h.find(id)
+	if s == nil {
+		snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "peer does not know the hop").Write(w, "")
+		return
+	}
+	out := newConnection(w, h.WriteTimeout)
+	if !s.attach(out, after) {
+		snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "peer has dropped the missing events").Write(w, s.call.ID)
+		return
+	}
+	defer s.detach(out)
+	select {
+	case <-s.done:
+	case <-r.Context().Done():
 	}
-	return w.send(snipestream.Event{ID: c.Sequence, Name: name, Data: c.Data}, c.Last)
 }
 
-func (w *writer) fail(f *snipeerror.CallError, id string) {
-	// The other side may be gone; there is nobody to tell.
-	_ = w.send(snipestream.Event{Name: eventFailure, Data: f.Encode(id)}, true)
+func (h *Handler) cancel(w http.ResponseWriter, id string) {
+	if s := h.find(id); s != nil {
+		s.cancel()
+		return
+	}
+	w.WriteHeader(http.StatusNotFound)
 }
 
-func (w *writer) send(e snipestream.Event, last bool) error {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if w.ended {
-		return nil
+// DecodeCall reads a call's fields and the time left from the hop's headers.
+func DecodeCall(header http.Header) (*snipecall.Call, time.Duration, error) {
+	c := &snipecall.Call{}
+	if err := json.Unmarshal([]byte(header.Get(callHeader)), c); err != nil {
+		return nil, 0, errors.Wrap(ErrBadCall, err.Error())
 	}
-	w.ended = last
-	w.buffer = snipestream.Append(w.buffer[:0], e)
-	if _, err := w.response.Write(w.buffer); err != nil {
-		return errors.Wrap(err, "write hop")
+	if c.Class >= snipecall.Classes || c.Upstream == "" {
+		return nil, 0, errors.Wrap(ErrBadCall, "class or upstream")
 	}
-	if err := w.controller.Flush(); err != nil {
-		return errors.Wrap(err, "flush hop")
+	milliseconds, err := strconv.ParseInt(header.Get(waitHeader), 10, 64)
+	if err != nil || milliseconds > maxWait.Milliseconds() || milliseconds < -maxWait.Milliseconds() {
+		return nil, 0, errors.Wrap(ErrBadCall, "time left")
 	}
-	return nil
+	return c, time.Duration(milliseconds) * time.Millisecond, nil
 }
--- /dev/null
+++ b/snipeupstream/service_test.go
@@ -0,0 +1,157 @@
+package snipeupstream
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+func (s *script) service() *Service {
+	return &Service{
+		Name: "orders-1", Address: engineAddress, Client: s.engine.Client, Fresh: s.engine.Fresh, Progress: 5 * time.Second,
+	}
+}
+
+func serviceCall(idempotent bool) *snipecall.Call {
+	return &snipecall.Call{ID: "call-1", Method: http.MethodPost, Path: "/order", Idempotent: idempotent, Key: "k-1"}
+}
+
+func slow(d time.Duration, text string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(d)
+		raw(text)(w, r)
+	}
+}
+
+// abort closes the connection without an answer.
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func TestService(t *testing.T) {
+	type steps = []func(http.ResponseWriter, *http.Request)
+	cases := map[string]struct {
+		idempotent bool
+		silence    bool // of the kept connections, before the call
+		steps      steps
+		want       string
+		kind       error
+		outcome    snipeerror.Outcome
+		runs       int
+	}{
+		"answered":                    {false, false, steps{raw("done")}, "done", nil, "", 1},
+		"slow is not silent":          {true, false, steps{slow(20*time.Second, "done")}, "done", nil, "", 1},
+		"silent kept, idempotent":     {true, true, steps{raw("done")}, "done", nil, "", 1},
+		"silent kept, not idempotent": {false, true, steps{raw("done")}, "done", nil, "", 1},
+		"no answer":                   {false, false, steps{abort, raw("twice")}, "", snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, 1},
+		"body breaks": {false, false, steps{func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			raw("half")(w, r)
+		}}, "", snipeerror.ErrIncomplete, snipeerror.MayHaveRun, 1},
+		"body silent": {false, false, steps{func(w http.ResponseWriter, r *http.Request) {
+			raw("half")(w, r)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}}, "", snipeerror.ErrIncomplete, snipeerror.MayHaveRun, 1},
+		"redirect is the answer": {true, false, steps{func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+		}}, "", nil, "", 1},
+		"too large": {
+			false, false,
+			steps{func(w http.ResponseWriter, r *http.Request) { raw(strings.Repeat("x", MaxServiceAnswer+1))(w, r) }},
+			"", snipeerror.ErrTooLarge, snipeerror.MayHaveRun, 1,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newScript(t, c.steps...)
+				if c.silence {
+					s.steps = append(steps{raw("first")}, c.steps...)
+					must.NoError(t, s.service().Call(t.Context(), serviceCall(true), func(snipecall.Chunk) error { return nil }))
+					synctest.Wait()
+					s.network.Silence()
+					s.requests = nil
+					s.steps = c.steps
+				}
+				got := ""
+				err := s.service().Call(t.Context(), serviceCall(c.idempotent), func(k snipecall.Chunk) error {
+					got = string(k.Data)
+					return nil
+				})
+				must.ErrorIs(t, err, c.kind)
+				if err != nil {
+					must.Eq(t, c.outcome, snipeerror.From(err).Outcome)
+				}
+				must.Eq(t, c.want, got)
+				must.Len(t, c.runs, s.seen())
+			})
+		})
+	}
+}
+
+// TestServiceNotReached: only where nothing can have been sent, the call is
+// not run.
+func TestServiceNotReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript(t)
+		s.engine.Fresh = NewFresh((&snipestand.Network{}).Dial)
+		err := s.service().Call(t.Context(), serviceCall(false), nil)
+		must.ErrorIs(t, err, snipeerror.ErrNoUpstream)
+		must.Eq(t, snipeerror.NotRun, snipeerror.From(err).Outcome)
+	})
+}
+
+// TestNetHTTPRepeats shows the hazard that the fresh client is for: net/http
+// takes a POST with an Idempotency-Key and no body for repeatable, and sends it
+// again by itself when a kept connection fails, although GetBody is unset.
+func TestNetHTTPRepeats(t *testing.T) {
+	send := func(t *testing.T, client func(*script) *http.Client) int {
+		runs := 0
+		synctest.Test(t, func(t *testing.T) {
+			s := newScript(t, raw("first"), abort, raw("again"))
+			call := func() {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.engine.url("/order"), strings.NewReader(""))
+				must.NoError(t, err)
+				r.GetBody = nil
+				r.Header.Set("Idempotency-Key", "k-1")
+				x, err := Begin(client(s), r, Watch{Kept: s.engine.Client})
+				if err == nil {
+					x.Finish()
+				}
+				synctest.Wait()
+			}
+			call()
+			call()
+			runs = len(s.seen())
+		})
+		return runs
+	}
+	must.Eq(t, 3, send(t, func(s *script) *http.Client { return s.engine.Client }))
+	must.Eq(t, 2, send(t, func(s *script) *http.Client { return s.engine.Fresh }))
+}
+
+// TestServiceCallerGone: the upstream sees its request end.
+func TestServiceCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := false
+		s := newScript(t, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			ended = true
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		err := s.service().Call(ctx, serviceCall(false), nil)
+		must.ErrorIs(t, err, snipeerror.ErrCanceled)
+		must.Eq(t, snipeerror.MayHaveRun, snipeerror.From(err).Outcome)
+		synctest.Wait()
+		must.True(t, ended)
+	})
+}
--- a/snipeupstream/snipeupstream.go
+++ b/snipeupstream/snipeupstream.go
@@ -15,19 +15,17 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/tidwall/gjson"
-	"github.com/tidwall/sjson"
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
-	"snipepitch.example/snipepitch/snipestream"
+	"snipepitch.example/snipepitch/snipelog"
 )
 
 // FenceHeader carries the fencing number of an order.
@@ -55,11 +53,18 @@
 	// Name and Address name the engine.
 	Name    string
 	Address netip.AddrPort
-	// Client sends calls and orders.
-	Client *http.Client
-	// Progress is the longest time between two chunks of an answer before its
-	// connection is given up.
+	// Client sends idempotent calls over kept connections. Fresh opens a
+	// connection for each request and sends all else: orders, cancels,
+	// resumes, and calls that may not be repeated.
+	Client, Fresh *http.Client
+	// Progress is the longest silence of a connection before it is given up:
+	// before the response's header and between two chunks.
 	Progress time.Duration
+	// FirstChunk is the longest silence between the response's header and the
+	// first chunk, while the engine queues the call; zero is Progress.
+	FirstChunk time.Duration
+	// Log takes events; nil is none.
+	Log *snipelog.Logger
 }
 
 // order is the body of the load and unload orders.
@@ -89,7 +94,7 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(FenceHeader, strconv.FormatUint(fence, 10))
-	response, err := e.Client.Do(r)
+	response, err := e.Fresh.Do(r)
 	if err != nil {
 		return errors.Wrapf(ErrOrder, "%s %s: %v", path, o.Name, err)
 	}
@@ -119,14 +124,17 @@
 	return string(text)
 }
 
-// Call executes c under the alias and passes the answer to sink. Errors are
-// Failures, or ErrNotResident.
+// Call executes c under the alias, which must be one of the call's adapter, and
+// passes the answer to sink. Errors are CallErrors, or ErrNotResident.
 func (e *Engine) Call(ctx context.Context, c *snipecall.Call, alias string, sink snipecall.Sink) error {
+	if !strings.HasPrefix(alias, c.Adapter.String()+"#") {
+		return snipeerror.New(snipeerror.ErrMismatch, snipeerror.NotRun, "alias "+strconv.Quote(alias)+" for "+c.Adapter.String())
+	}
 	body, err := requestBody(c, alias)
 	if err != nil {
 		return snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, err.Error())
 	}
-	a := &answer{engine: e, call: c, alias: alias, sink: sink}
+	a := &answer{engine: e, call: c, alias: alias, model: c.Adapter.Model(), sink: sink}
 	if !c.Stream {
 		a.assembled = &assembly{chat: c.Path == ChatPath}
 	}
@@ -150,23 +158,6 @@
 	ChatPath        = "/v1/chat/completions"
 )
 
-// priorities of the classes at the engine; the lowest is the most urgent.
-var priorities = [snipecall.Classes]int{0, 10, 20}
-
-func requestBody(c *snipecall.Call, alias string) ([]byte, error) {
-	body, err := sjson.SetBytes(c.Body, "model", alias)
-	if err != nil {
-		return nil, errors.Wrap(err, "set model")
-	}
-	if body, err = sjson.SetBytes(body, "stream", true); err != nil {
-		return nil, errors.Wrap(err, "set stream")
-	}
-	if body, err = sjson.SetBytes(body, "priority", priorities[c.Class]); err != nil {
-		return nil, errors.Wrap(err, "set priority")
-	}
-	return body, nil
-}
-
 // cancelTimeout bounds the order to cancel an answer.
 const cancelTimeout = 2 * time.Second
 
@@ -180,169 +171,10 @@
 		if err != nil {
 			return
 		}
-		response, err := e.Client.Do(r)
+		response, err := e.Fresh.Do(r)
 		if err != nil {
 			return
 		}
 		closeBody(response)
 	}()
 }
-
-// answer is the state of one answer across connections.
-type answer struct {
-	engine    *Engine
-	call      *snipecall.Call
-	alias     string
-	sink      snipecall.Sink
-	assembled *assembly // nil when the caller wants a stream
-
-	id       string // the engine's identifier of the answer
-	sequence uint64 // of the last chunk that arrived
-	finished bool   // a finish reason arrived
-	done     bool   // the end mark arrived
-}
-
-type requestMaker func(context.Context) (*http.Request, error)
-
-// errBroken marks a connection that failed in the middle of an answer.
-var errBroken = errors.New("stream broken")
-
-func (a *answer) run(ctx context.Context, first requestMaker) error {
-	err := a.connect(ctx, first)
-	for n := 0; n < maxResumes && errors.Is(err, errBroken) && a.id != ""; n++ {
-		if ctx.Err() != nil {
-			break
-		}
-		err = a.connect(ctx, a.resume)
-	}
-	if err == nil {
-		return nil
-	}
-	if ctx.Err() != nil {
-		return snipeerror.New(contextKind(ctx), snipeerror.MayHaveRun, "while the engine was answering")
-	}
-	if errors.Is(err, errBroken) {
-		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, err.Error())
-	}
-	return err
-}
-
-func contextKind(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return snipeerror.ErrDeadline
-	}
-	return snipeerror.ErrCanceled
-}
-
-func (a *answer) resume(ctx context.Context) (*http.Request, error) {
-	path := "/v1/responses/" + a.id + "?stream=true&starting_after=" + strconv.FormatUint(a.sequence, 10)
-	return http.NewRequestWithContext(ctx, http.MethodGet, a.engine.url(path), http.NoBody)
-}
-
-// connect sends one request and reads its stream to the end.
-func (a *answer) connect(parent context.Context, request requestMaker) error {
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	r, err := request(ctx)
-	if err != nil {
-		return errors.Wrap(err, "make request")
-	}
-	watch := time.AfterFunc(a.engine.Progress, cancel)
-	defer watch.Stop()
-	response, err := a.engine.Client.Do(r)
-	if err != nil {
-		return a.sendError(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return a.statusError(response)
-	}
-	reader := snipestream.NewReader(response.Body)
-	for !a.done {
-		event, err := reader.Read()
-		if err != nil {
-			return errors.Wrapf(errBroken, "after chunk %d: %v", a.sequence, err)
-		}
-		watch.Reset(a.engine.Progress)
-		if err := a.take(event); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// sendError tells a request that never reached the engine from one that may
-// have been taken.
-func (a *answer) sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" && a.id == "" {
-		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "engine "+a.engine.Name+" does not answer")
-	}
-	return errors.Wrapf(errBroken, "send: %v", err)
-}
-
-func (a *answer) statusError(response *http.Response) error {
-	text := readError(response)
-	reason := "engine " + a.engine.Name + ": status " + strconv.Itoa(response.StatusCode) + ": " + text
-	if a.id != "" {
-		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, reason)
-	}
-	switch response.StatusCode {
-	case http.StatusNotFound:
-		return ErrNotResident
-	case http.StatusBadRequest, http.StatusUnprocessableEntity:
-		return snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, reason)
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, reason)
-	}
-	return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, reason)
-}
-
-var endMark = []byte("[DONE]")
-
-// take checks one event and passes it on.
-func (a *answer) take(event snipestream.Event) error {
-	if event.ID <= a.sequence {
-		// A chunk that arrived before the connection broke.
-		return nil
-	}
-	if event.ID != a.sequence+1 {
-		return errors.Wrapf(errBroken, "chunk %d after %d", event.ID, a.sequence)
-	}
-	a.sequence = event.ID
-	if bytes.Equal(event.Data, endMark) {
-		return a.end(event)
-	}
-	if got := gjson.GetBytes(event.Data, "model").String(); got != a.alias {
-		return snipeerror.New(snipeerror.ErrMismatch, snipeerror.MayHaveRun, "engine "+a.engine.Name+" answered as "+strconv.Quote(got))
-	}
-	if a.id == "" {
-		a.id = gjson.GetBytes(event.Data, "id").String()
-	}
-	if gjson.GetBytes(event.Data, "choices.0.finish_reason").String() != "" {
-		a.finished = true
-	}
-	if a.assembled != nil {
-		a.assembled.add(event.Data)
-		return nil
-	}
-	data, err := sjson.SetBytes(event.Data, "model", a.call.Adapter.Model())
-	if err != nil {
-		return errors.Wrap(err, "set model")
-	}
-	return a.sink(snipecall.Chunk{Sequence: a.sequence, Data: data})
-}
-
-func (a *answer) end(event snipestream.Event) error {
-	if !a.finished {
-		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "end mark without a finish reason")
-	}
-	a.done = true
-	if a.assembled == nil {
-		return a.sink(snipecall.Chunk{Sequence: a.sequence, Data: event.Data, Last: true})
-	}
-	return a.sink(snipecall.Chunk{
-		Sequence: 1, Status: http.StatusOK, ContentType: "application/json",
-		Data: a.assembled.whole(a.call.Adapter.Model()), Last: true,
-	})
-}
