--- a/snipecaller/model.go
+++ b/snipecaller/model.go
@@ -17,8 +17,9 @@
 
 // modelBody are the fields of a model call's body that matter here.
 type modelBody struct {
-	model  string
-	stream bool
+	model   string
+	stream  bool
+	options bool
 }
 
 // parseModelBody checks the body of a model call. Its errors are CallErrors.
@@ -45,7 +46,7 @@
 		err = m.field(key.String(), value)
 		return err == nil
 	})
-	if err == nil && !m.stream && seen["stream_options"] {
+	if err == nil && m.options && !m.stream {
 		err = refused(snipeerror.ErrBadRequest, `"stream_options" goes with "stream": true only`)
 	}
 	return m, err
@@ -74,6 +75,7 @@
 		if !value.IsObject() {
 			return refused(snipeerror.ErrBadRequest, `"stream_options" must be an object`)
 		}
+		m.options = true
 	case "prompt":
 		return checkPrompt(value)
 	}
--- a/snipecaller/snipecaller.go
+++ b/snipecaller/snipecaller.go
@@ -204,11 +204,10 @@
 
 // readBody reads the body within its bounds of size and time.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(s.BodyTimeout))
+	// net/http clears the deadline when it begins to watch for a caller that
+	// goes away, after the body.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody))
-	// From here on the connection is read only to see the caller go away.
-	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
 		return nil, bodyError(err)
 	}
