--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -36,6 +36,7 @@
 	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipetree"
+	"snipepitch.example/snipepitch/snipeupstream"
 	"snipepitch.example/snipepitch/snipeweight"
 )
 
@@ -44,12 +45,11 @@
 
 const (
 	leaseMargin       = 2 * time.Second
-	dialTimeout       = 2 * time.Second
 	readHeaderTimeout = 10 * time.Second
-	maxHeader         = 64 << 10
+	maxHeader         = 32 << 10
+	bodyTimeout       = 30 * time.Second
 	peerBeat          = time.Second
 	stopPoll          = 50 * time.Millisecond
-	idleConnections   = 1024
 )
 
 // Instance is one running instance. Exported fields are set before Run.
@@ -65,6 +65,7 @@
 	dispatch *snipedispatch.Dispatcher
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
+	peers    *snipepeer.Handler
 	budget   *snipeweight.Budget
 
 	ready    atomic.Bool
@@ -102,7 +103,7 @@
 		Address: c.Platform.Table, Table: c.Platform.TableName,
 		AccessKey: c.Platform.AccessKey, SecretKey: c.Platform.SecretKey,
 		Timeout: c.Platform.Timeout.Value(),
-		Dial:    i.meter.Traffic("Platform").Dialer((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
 	i.buildDispatch()
@@ -112,30 +113,24 @@
 
 func (i *Instance) buildDispatch() {
 	c := i.Config
-	client := &http.Client{Transport: transport()}
-	fresh := transport()
-	fresh.DisableKeepAlives = true
+	dial := snipeupstream.DialTCP()
 	i.budget = &snipeweight.Budget{Limits: i.weightShare}
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
 		Budget: i.budget.Acquire,
-		Client: client, Fresh: &http.Client{Transport: fresh},
-		Progress: c.Progress.Value(), LoadTimeout: c.LoadTimeout.Value(),
+		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
+		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := transport()
-	toPeers.DialContext = i.meter.Traffic("ToPeers").Dialer(toPeers.DialContext)
-	i.forward = &snipepeer.Client{HTTP: &http.Client{Transport: toPeers}, Secret: c.PeerSecret, Progress: c.Progress.Value()}
-}
-
-func transport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:        idleConnections,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+	toPeers := i.meter.Traffic("ToPeers").Dialer(dial)
+	i.forward = &snipepeer.Client{
+		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
+		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
+	}
+	i.peers = &snipepeer.Handler{
+		Execute: i.dispatch.Run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
+		WriteTimeout: c.Progress.Value(), MaxBody: c.MaxBody, MaxCalls: c.MaxCalls,
 	}
 }
 
@@ -187,7 +182,8 @@
 	attempts := i.retries()
 	i.callers = &snipecaller.Server{
 		Tree: i.settings.Current, Serve: attempts.Serve, Admit: i.admit, NewID: rand.Text,
-		MaxBody: i.Config.MaxBody, Meter: i.meter, Log: i.Log,
+		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
+		Meter: i.meter, Log: i.Log,
 	}
 }
 
@@ -276,9 +272,7 @@
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
 	peers := http.NewServeMux()
-	peers.Handle("POST "+snipepeer.Path, &snipepeer.Handler{
-		Execute: i.dispatch.Run, Secret: i.Config.PeerSecret, Beat: peerBeat, MaxBody: i.Config.MaxBody,
-	})
+	peers.Handle(snipepeer.Path, i.peers)
 	return []listener{
 		{"Callers", i.Config.Callers, front},
 		{"Operators", i.Config.Operators, mux},
@@ -299,7 +293,7 @@
 		return errors.Wrapf(err, "listen for %s", l.name)
 	}
 	n = i.meter.Traffic(l.name).Listener(n)
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeader}
 	g.Add(func() error {
 		err := server.Serve(n)
 		if errors.Is(err, http.ErrServerClosed) {
