--- a/snipecaller/snipecaller_test.go
+++ b/snipecaller/snipecaller_test.go
@@ -145,7 +145,8 @@
 	}{
 		"complete": {[]snipecall.Chunk{chunk(1, "plume@2"), end}, nil, "id: 1\ndata: {\"model\":\"plume@2\"}\n\nid: 2\ndata: [DONE]\n\n", ""},
 		"failure": {
-			[]snipecall.Chunk{chunk(1, "plume@2")}, snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "engine gone"),
+			[]snipecall.Chunk{chunk(1, "plume@2")},
+			snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "engine gone"),
 			"id: 2\nevent: error\n", "AnswerIncomplete",
 		},
 		"gap":              {[]snipecall.Chunk{chunk(1, "plume@2"), chunk(3, "plume@2")}, nil, "id: 2\nevent: error\n", "AnswerIncomplete"},
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -103,6 +103,7 @@
 		Address: c.Platform.Table, Table: c.Platform.TableName,
 		AccessKey: c.Platform.AccessKey, SecretKey: c.Platform.SecretKey,
 		Timeout: c.Platform.Timeout.Value(),
+		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
 	i.buildDispatch()
@@ -122,8 +123,9 @@
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
+	toPeers := i.meter.Traffic("ToPeers").Dialer(dial)
 	i.forward = &snipepeer.Client{
-		HTTP: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
+		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
 	}
 	i.peers = &snipepeer.Handler{
@@ -290,6 +292,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", l.name)
 	}
+	n = i.meter.Traffic(l.name).Listener(n)
 	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeader}
 	g.Add(func() error {
 		err := server.Serve(n)
