--- a/snipecaller/snipecaller_test.go
+++ b/snipecaller/snipecaller_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
@@ -118,7 +119,7 @@
 			must.NoError(t, err)
 			must.ErrorIs(t, f, c.kind)
 			must.StrContains(t, f.Reason, c.reason)
-			if c.kind != snipeerror.ErrMismatch {
+			if !errors.Is(c.kind, snipeerror.ErrMismatch) {
 				must.Eq(t, snipeerror.NotRun, f.Outcome)
 			}
 			must.Zero(t, s.InFlight())
