--- a/snipeupstream/clients.go
+++ b/snipeupstream/clients.go
@@ -1,10 +1,11 @@
 package snipeupstream
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
+
+	"snipepitch.example/snipepitch/snipemeter"
 )
 
 const (
@@ -14,7 +15,7 @@
 )
 
 // Dial opens a connection, as net.Dialer.DialContext does.
-type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+type Dial = snipemeter.Dial
 
 // DialTCP returns the Dial of the operating system, with a bound on its time.
 func DialTCP() Dial { return (&net.Dialer{Timeout: dialTimeout}).DialContext }
