--- a/snipemeter/traffic.go
+++ b/snipemeter/traffic.go
@@ -28,7 +28,7 @@
 }
 
 // Dial is the type of a transport's dialling function.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Dialer returns d with its connections counted.
 func (t *Traffic) Dialer(d Dial) Dial {
