--- /dev/null
+++ b/cmd/snipectl/apply.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+// waitPoll is the time between two looks at the instances.
+const waitPoll = 250 * time.Millisecond
+
+func prepareApply(f *flag.FlagSet) action {
+	team := f.String("team", "", "the branch; the platform's when empty")
+	version := f.Uint64("version", 0, "version that the branch must have, as show prints it; 0 for a new branch")
+	wait := f.Duration("wait", 0, "wait until the edit is in force on every live instance, at most this `time`")
+	return func(ctx context.Context, c *client, arguments []string) error {
+		data, err := c.input(arguments)
+		if err != nil {
+			return err
+		}
+		out, err := c.operator.ApplySettings(ctx, &snipeproto.ApplySettingsRequest{
+			Team: *team, ExpectVersion: *version, Document: data,
+		})
+		if err != nil {
+			return err
+		}
+		if *wait > 0 {
+			if err := c.waitInForce(ctx, out.GetRevision(), *wait); err != nil {
+				return err
+			}
+		}
+		if c.json {
+			return c.printJSON(accepted{out.GetRevision(), *wait > 0})
+		}
+		if *wait > 0 {
+			return c.print("in force everywhere as revision %d\n", out.GetRevision())
+		}
+		return c.print("accepted as revision %d\n", out.GetRevision())
+	}
+}
+
+// accepted is the answer of apply as -json prints it.
+type accepted struct {
+	Revision uint64
+	// InForce tells that the revision is in force on every live instance.
+	InForce bool
+}
+
+// waitInForce waits until every live instance has the revision in force. The
+// instances are asked themselves: their lease rows may be older.
+func (c *client) waitInForce(ctx context.Context, revision uint64, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	behind := []string{"no instance asked yet"}
+	for {
+		out, err := c.operator.ListInstances(ctx, &snipeproto.ListInstancesRequest{Ask: true})
+		if err == nil {
+			if behind = lagging(out.GetInstances(), revision); len(behind) == 0 {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(errNotInForce, "revision %d: %s", revision, strings.Join(behind, ", "))
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+// lagging returns the instances without the revision.
+func lagging(all []*snipeproto.InstanceState, revision uint64) []string {
+	var names []string
+	for _, i := range all {
+		if i.GetRevision() < revision {
+			names = append(names, i.GetName())
+		}
+	}
+	if len(all) == 0 {
+		return []string{"no live instance"}
+	}
+	return names
+}
--- /dev/null
+++ b/cmd/snipectl/hash.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"context"
+	"io"
+	"strings"
+
+	"snipepitch.example/snipepitch/snipetree"
+)
+
+func hash(_ context.Context, c *client, _ []string) error {
+	data, err := io.ReadAll(c.in)
+	if err != nil {
+		return err
+	}
+	text, err := snipetree.HashKey(strings.TrimSpace(string(data))).MarshalText()
+	if err != nil {
+		return err
+	}
+	return c.print("%s\n", text)
+}
--- a/cmd/snipectl/main.go
+++ b/cmd/snipectl/main.go
@@ -2,12 +2,13 @@
 //
 // Usage:
 //
-//	snipectl [-address IP:PORT] [-key-file FILE] [-json] COMMAND [arguments]
+//	snipectl [-address IP:PORT] [-key-file FILE] [-ca FILE] [-json] COMMAND [arguments]
 //
-// Commands: show, apply, instances, engines, drain, hash.
+// `snipectl -help` lists the commands, `snipectl COMMAND -help` explains one.
 //
 // Exit codes: 0 done, 1 failed, 2 bad arguments, 3 conflict with another edit,
-// 4 refused (rights or invalid settings), 5 outcome unknown.
+// 4 refused (rights or invalid settings), 5 outcome unknown, 6 accepted but not
+// yet in force everywhere, 7 the branches differ.
 package main
 
 import (
@@ -16,76 +17,144 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"strings"
-	"text/tabwriter"
+	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
-
-	"snipepitch.example/snipepitch/snipeproto"
-	"snipepitch.example/snipepitch/snipetree"
 )
 
 const (
-	exitFailed   = 1
-	exitUsage    = 2
-	exitConflict = 3
-	exitRefused  = 4
-	exitUnknown  = 5
+	exitFailed     = 1
+	exitUsage      = 2
+	exitConflict   = 3
+	exitRefused    = 4
+	exitUnknown    = 5
+	exitNotInForce = 6
+	exitDiffers    = 7
+)
+
+// Errors with exit codes of their own.
+var (
+	errUsage      = errors.New("bad arguments")
+	errNotInForce = errors.New("accepted, but not in force everywhere yet")
+	errDiffers    = errors.New("the branches differ")
 )
 
+// action is a command with its flags parsed.
+type action func(ctx context.Context, c *client, arguments []string) error
+
 // command is one command of the line.
 type command struct {
-	usage string
-	run   func(ctx context.Context, c *client, arguments []string) error
+	// name is the command, arguments what follows it.
+	name, arguments string
+	// about says what it does.
+	about string
+	// prepare declares the command's flags and returns what it does.
+	prepare func(f *flag.FlagSet) action
 }
 
-func commands() map[string]command {
-	return map[string]command{
-		"show":      {"show [TEAM]: print one branch; the platform's without TEAM", show},
-		"apply":     {"apply [-team TEAM] [-version N] FILE: replace one branch", apply},
-		"instances": {"instances: list the live instances", instances},
-		"engines":   {"engines: list the engines, their owners and resident adapters", engines},
-		"drain":     {"drain: stop the called instance gracefully", drain},
-		"hash":      {"hash: print the hash of the key on standard input", hash},
-	}
+var commands = []command{
+	{"show", "[TEAM]", "print one branch in force; the platform's without TEAM", prepareShow},
+	{"diff", "[-team TEAM] [FILE]", "compare a branch in force with a file", prepareDiff},
+	{"apply", "[-team TEAM] [-version N] [-wait D] [FILE]", "replace one branch", prepareApply},
+	{"watch", "[TEAM]", "print each change of a branch as it comes into force", prepareWatch},
+	{"instances", "", "list the live instances with the revision in force on each", plain(instances)},
+	{"engines", "", "list the engines, their owners and resident adapters", plain(engines)},
+	{"upstreams", "", "list engines and services' upstreams", plain(upstreams)},
+	{"adapters", "[TEAM]", "list the resident adapters and where they are", plain(adapters)},
+	{"leases", "", "list the leases and what is owned under each", plain(leases)},
+	{"drain", "[INSTANCE]", "make an instance stop gracefully; the called one without INSTANCE", plain(drain)},
+	{"hash", "", "print the hash of the key on standard input", plain(hash)},
+}
+
+// plain is a command without flags.
+func plain(a action) func(*flag.FlagSet) action {
+	return func(*flag.FlagSet) action { return a }
 }
 
 func main() {
-	os.Exit(runLine(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := runLine(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
-func runLine(line []string) int {
+// runLine carries out one command line and returns the exit code.
+func runLine(ctx context.Context, line []string, in io.Reader, out, messages io.Writer) int {
 	f := flag.NewFlagSet("snipectl", flag.ContinueOnError)
+	f.SetOutput(messages)
 	address := f.String("address", "127.0.0.1:7001", "operators' `IP:PORT` of an instance")
 	keyFile := f.String("key-file", "", "`file` with the operator's key; else the environment's SNIPECTL_KEY")
+	authority := f.String("ca", "", "`file` with the certificates to trust; the connection is then made with TLS")
 	asJSON := f.Bool("json", false, "print JSON instead of a table")
 	f.Usage = func() { usage(f) }
 	if err := f.Parse(line); err != nil {
-		return exitUsage
+		return helpOr(err)
 	}
-	c, ok := commands()[f.Arg(0)]
+	c, ok := find(f.Arg(0))
 	if !ok {
 		usage(f)
 		return exitUsage
 	}
+	inner := flag.NewFlagSet("snipectl "+c.name, flag.ContinueOnError)
+	inner.SetOutput(messages)
+	inner.Usage = func() { commandUsage(inner, c) }
+	act := c.prepare(inner)
+	if err := inner.Parse(f.Args()[1:]); err != nil {
+		return helpOr(err)
+	}
 	key, err := readKey(*keyFile)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "snipectl:", err)
+		_, _ = fmt.Fprintln(messages, "snipectl:", err)
 		return exitUsage
 	}
-	err = c.run(context.Background(), newClient(*address, key, *asJSON), f.Args()[1:])
+	api, err := newClient(*address, key, *authority)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "snipectl:", err)
+		_, _ = fmt.Fprintln(messages, "snipectl:", err)
+		return exitUsage
+	}
+	api.json, api.in, api.out, api.messages = *asJSON, in, out, messages
+	if err := act(ctx, api, inner.Args()); err != nil {
+		_, _ = fmt.Fprintln(messages, "snipectl:", err)
+		return exitCode(err)
+	}
+	return 0
+}
+
+// helpOr returns 0 for a line that asked for help.
+func helpOr(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
 	}
-	return exitCode(err)
+	return exitUsage
+}
+
+func find(name string) (command, bool) {
+	for _, c := range commands {
+		if c.name == name {
+			return c, true
+		}
+	}
+	return command{}, false
 }
 
 func usage(f *flag.FlagSet) {
 	out := f.Output()
 	_, _ = fmt.Fprintln(out, "usage: snipectl [flags] COMMAND [arguments]")
-	for _, name := range []string{"show", "apply", "instances", "engines", "drain", "hash"} {
-		_, _ = fmt.Fprintln(out, "  "+commands()[name].usage)
+	for _, c := range commands {
+		_, _ = fmt.Fprintf(out, "  %-10s %s\n", c.name, c.about)
 	}
+	_, _ = fmt.Fprintln(out, "flags:")
+	f.PrintDefaults()
+	_, _ = fmt.Fprintln(out, "exit codes: 0 done, 1 failed, 2 bad arguments, 3 conflict, 4 refused, 5 outcome unknown,")
+	_, _ = fmt.Fprintln(out, "            6 accepted but not yet in force everywhere, 7 the branches differ")
+}
+
+func commandUsage(f *flag.FlagSet, c command) {
+	out := f.Output()
+	_, _ = fmt.Fprintf(out, "usage: snipectl [flags] %s %s\n%s\n", c.name, c.arguments, c.about)
 	f.PrintDefaults()
 }
 
@@ -98,11 +167,16 @@
 }
 
 func exitCode(err error) int {
-	if err == nil {
-		return 0
+	switch {
+	case errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, errNotInForce):
+		return exitNotInForce
+	case errors.Is(err, errDiffers):
+		return exitDiffers
 	}
-	t, ok := err.(twirp.Error) //nolint:errorlint // Twirp returns it unwrapped
-	if !ok {
+	var t twirp.Error
+	if !errors.As(err, &t) {
 		return exitFailed
 	}
 	switch t.Code() {
@@ -115,102 +189,3 @@
 	}
 	return exitFailed
 }
-
-func show(ctx context.Context, c *client, arguments []string) error {
-	r := &snipeproto.GetSettingsRequest{}
-	if len(arguments) > 0 {
-		r.Team = arguments[0]
-	}
-	out, err := c.operator.GetSettings(ctx, r)
-	if err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(out)
-	}
-	fmt.Printf("# revision %d, version %d\n%s\n", out.GetRevision(), out.GetVersion(), out.GetDocument())
-	return nil
-}
-
-func apply(ctx context.Context, c *client, arguments []string) error {
-	f := flag.NewFlagSet("apply", flag.ContinueOnError)
-	team := f.String("team", "", "the branch; the platform's when empty")
-	version := f.Uint64("version", 0, "version that the branch must have; 0 for a new branch")
-	if err := f.Parse(arguments); err != nil {
-		return err
-	}
-	data, err := readInput(f.Arg(0))
-	if err != nil {
-		return err
-	}
-	out, err := c.operator.ApplySettings(ctx, &snipeproto.ApplySettingsRequest{
-		Team: *team, ExpectVersion: *version, Document: data,
-	})
-	if err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(out)
-	}
-	fmt.Printf("accepted as revision %d\n", out.GetRevision())
-	return nil
-}
-
-func readInput(name string) ([]byte, error) {
-	if name == "" || name == "-" {
-		return io.ReadAll(os.Stdin)
-	}
-	return os.ReadFile(name)
-}
-
-func instances(ctx context.Context, c *client, _ []string) error {
-	out, err := c.operator.ListInstances(ctx, &snipeproto.ListInstancesRequest{})
-	if err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(out)
-	}
-	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "NAME\tDOMAIN\tPEERS\tOPERATORS\tREVISION\tLEAVING")
-	for _, i := range out.GetInstances() {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%t\n",
-			i.GetName(), i.GetDomain(), i.GetPeerAddress(), i.GetOperatorAddress(), i.GetRevision(), i.GetLeaving())
-	}
-	return t.Flush()
-}
-
-func engines(ctx context.Context, c *client, _ []string) error {
-	out, err := c.operator.ListEngines(ctx, &snipeproto.ListEnginesRequest{})
-	if err != nil {
-		return err
-	}
-	if c.json {
-		return c.printJSON(out)
-	}
-	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "NAME\tBASE\tDOMAIN\tOWNER\tFENCE\tSLOTS\tRESIDENT")
-	for _, e := range out.GetEngines() {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", e.GetName(), e.GetBase(), e.GetDomain(),
-			e.GetOwner(), e.GetFence(), e.GetSlots(), strings.Join(e.GetResident(), " "))
-	}
-	return t.Flush()
-}
-
-func drain(ctx context.Context, c *client, _ []string) error {
-	_, err := c.operator.Drain(ctx, &snipeproto.DrainRequest{})
-	return err
-}
-
-func hash(context.Context, *client, []string) error {
-	data, err := io.ReadAll(os.Stdin)
-	if err != nil {
-		return err
-	}
-	text, err := snipetree.HashKey(strings.TrimSpace(string(data))).MarshalText()
-	if err != nil {
-		return err
-	}
-	fmt.Println(string(text))
-	return nil
-}
--- /dev/null
+++ b/cmd/snipectl/main_test.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipelease"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeoperator"
+	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/snipestand"
+	"snipepitch.example/snipepitch/snipetree"
+)
+
+// system is the operators' side of two instances with one table. The second
+// one owns engine "e" and stays at a revision of its own.
+type system struct {
+	address  string
+	revision uint64
+	drained  string
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{}
+	store := &snipetree.Store{Table: snipestand.NewTable().Client(), Log: snipelog.Discard(), Operation: rand.Text}
+	other := &snipeoperator.Own{Name: "two", Revision: func() uint64 { return s.revision }, Drain: func() { s.drained = "two" }}
+	peer := httptest.NewServer(snipeproto.NewStatusServer(other))
+	t.Cleanup(peer.Close)
+	view := &snipelease.View{
+		Instances: map[string]snipelease.Instance{
+			"one": {Name: "one"},
+			"two": {Name: "two", PeerAddress: netip.MustParseAddrPort(peer.Listener.Addr().String())},
+		},
+		Owners: map[string]snipelease.Ownership{"e": {Instance: snipelease.Instance{Name: "two"}, Fence: 7}},
+	}
+	other.View = func() *snipelease.View { return view }
+	other.Resident = func(string) ([]snipecall.Adapter, int) {
+		return []snipecall.Adapter{{Team: "a", Name: "x", Version: "1"}, {Team: "b", Name: "y", Version: "1"}}, 3
+	}
+	own := &snipeoperator.Own{
+		Name: "one", View: other.View, Resident: other.Resident, Drain: func() { s.drained = "one" },
+		Revision: func() uint64 { return store.Current().Revision },
+	}
+	server := &snipeoperator.Server{
+		Settings: store, BootstrapKeyHash: snipetree.HashKey("boot"), View: other.View, Own: own, Peers: http.DefaultClient,
+	}
+	refreshed := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// There is no duty that follows the table here.
+		_ = store.Refresh(r.Context())
+		server.Handler().ServeHTTP(w, r)
+	})
+	front := httptest.NewServer(refreshed)
+	t.Cleanup(front.Close)
+	s.address = front.Listener.Addr().String()
+	return s
+}
+
+// run carries out one command line with a key.
+func (s *system) run(t *testing.T, key, in string, line ...string) (int, string) {
+	t.Helper()
+	t.Setenv("SNIPECTL_KEY", key)
+	var out bytes.Buffer
+	line = append([]string{"-address", s.address}, line...)
+	code := runLine(context.Background(), line, strings.NewReader(in), &out, &out)
+	return code, out.String()
+}
+
+const branchA = `{"Keys": {}, "Adapters": {"x": {"Base": "base", "Versions": {"1": {"Path": "p"}}}}}`
+
+func platformBranch(t *testing.T) string {
+	t.Helper()
+	hash := func(key string) string {
+		text, err := snipetree.HashKey(key).MarshalText()
+		must.NoError(t, err)
+		return string(text)
+	}
+	return `{"WeightStore": {"LoadsPerSecond": 1, "Concurrent": 1}, "Services": {},
+		"Engines": {"e": {"Address": "192.0.2.1:1", "Domain": "d", "Base": "base", "Slots": 2, "Batch": 1}},
+		"Operators": {"platform": {"KeyHash": "` + hash("boot") + `", "Platform": true},
+		"a": {"KeyHash": "` + hash("key-a") + `", "Teams": ["a"]}}}`
+}
+
+// TestCommandLine holds exit codes, rights and output of one session, in order.
+func TestCommandLine(t *testing.T) {
+	s := newSystem(t)
+	steps := []struct {
+		name, key, in string
+		line          []string
+		code          int
+		text          string
+	}{
+		{"no command", "boot", "", nil, exitUsage, "usage: snipectl"},
+		{"unknown command", "boot", "", []string{"dance"}, exitUsage, "usage: snipectl"},
+		{"help", "boot", "", []string{"-help"}, 0, "exit codes"},
+		{"help of a command", "boot", "", []string{"apply", "-help"}, 0, "-wait"},
+		{"unknown flag", "boot", "", []string{"apply", "-nonsense"}, exitUsage, "nonsense"},
+		{"address with a name", "boot", "", []string{"-address", "localhost:1", "show"}, exitUsage, "-address"},
+		{"unknown key", "other", "", []string{"show"}, exitRefused, "unknown operator key"},
+		{"no key", "", "", []string{"show"}, exitRefused, "unknown operator key"},
+		{"bad branch", "boot", `{"Nonsense": 1}`, []string{"apply"}, exitRefused, "Nonsense"},
+		{"first branch", "boot", platformBranch(t), []string{"apply"}, 0, "accepted as revision 1"},
+		{"branch of a team", "boot", branchA, []string{"apply", "-team", "a"}, 0, "accepted as revision 2"},
+		{"conflict", "boot", branchA, []string{"apply", "-team", "a"}, exitConflict, "has version 1, not 0"},
+		{"own branch", "key-a", "", []string{"show", "a"}, 0, "# revision 2, version 1"},
+		{"other branch", "key-a", "", []string{"show", "b"}, exitRefused, `no right to branch "b"`},
+		{"platform's branch", "key-a", "", []string{"show"}, exitRefused, "no right"},
+		{"edit of another branch", "key-a", branchA, []string{"apply", "-team", "b"}, exitRefused, `no right to branch "b"`},
+		{"edit of the platform's branch", "key-a", platformBranch(t), []string{"apply", "-version", "1"}, exitRefused, "no right"},
+		{"no difference", "key-a", branchA, []string{"diff", "-team", "a"}, 0, ""},
+		{"difference", "key-a", strings.Replace(branchA, `"p"`, `"q"`, 1), []string{"diff", "-team", "a"}, exitDiffers, `+ Adapters.x.Versions.1.Path: "q"`},
+		{"not in force everywhere", "key-a", branchA, []string{"apply", "-team", "a", "-version", "1", "-wait", "1ms"}, exitNotInForce, "revision 3: "},
+		{"watch", "key-a", "", []string{"watch", "-count", "1", "-interval", "1ms", "a"}, 0, "# revision 3, version 2"},
+		{"adapters of a team", "key-a", "", []string{"adapters"}, 0, "a/x@1    true      e"},
+		{"adapters of another team", "key-a", "", []string{"adapters", "b"}, exitRefused, "no right"},
+		{"adapters of all teams", "boot", "", []string{"adapters"}, 0, "b/y@1    false     e"},
+		{"engines", "boot", "", []string{"engines"}, 0, "two    7      2      3      a/x@1 b/y@1"},
+		{"upstreams", "key-a", "", []string{"upstreams"}, 0, "e     Engine  192.0.2.1:1  d       two"},
+		{"leases", "key-a", "", []string{"leases"}, 0, "two                    false    e"},
+		{"drain without the right", "key-a", "", []string{"drain", "two"}, exitRefused, "no right"},
+		{"drain of an unknown instance", "boot", "", []string{"drain", "three"}, exitFailed, "no live instance three"},
+		{"drain by name", "boot", "", []string{"drain", "two"}, 0, ""},
+	}
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			code, text := s.run(t, step.key, step.in, step.line...)
+			must.Eq(t, step.code, code, must.Sprint(text))
+			must.StrContains(t, text, step.text)
+		})
+	}
+	must.Eq(t, "two", s.drained)
+}
+
+// TestTeamSeesOnlyItsAdapters: residency of other teams' adapters stays hidden.
+func TestTeamSeesOnlyItsAdapters(t *testing.T) {
+	s := newSystem(t)
+	code, _ := s.run(t, "boot", platformBranch(t), "apply")
+	must.Zero(t, code)
+	for _, command := range []string{"adapters", "engines"} {
+		_, text := s.run(t, "key-a", "", command)
+		must.StrContains(t, text, "a/x@1")
+		must.StrNotContains(t, text, "b/y@1")
+	}
+}
+
+// TestWaitInForce holds that -wait ends once every instance has the revision.
+func TestWaitInForce(t *testing.T) {
+	s := newSystem(t)
+	s.revision = 1
+	code, text := s.run(t, "boot", platformBranch(t), "apply", "-wait", "1m")
+	must.Zero(t, code)
+	must.StrContains(t, text, "in force everywhere as revision 1")
+}
+
+// TestKeyFile holds that the key may come from a file, and that another error
+// is named.
+func TestKeyFile(t *testing.T) {
+	s := newSystem(t)
+	file := filepath.Join(t.TempDir(), "key")
+	must.NoError(t, os.WriteFile(file, []byte("boot\n"), 0o600))
+	code, _ := s.run(t, "", platformBranch(t), "-key-file", file, "apply")
+	must.Zero(t, code)
+	code, text := s.run(t, "", "", "-key-file", file+"-missing", "show")
+	must.Eq(t, exitUsage, code)
+	must.StrContains(t, text, "no such file")
+}
--- /dev/null
+++ b/snipeinstance/operators.go
@@ -0,0 +1,24 @@
+package snipeinstance
+
+import (
+	"net/http"
+
+	"snipepitch.example/snipepitch/snipeoperator"
+	"snipepitch.example/snipepitch/snipepeer"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+// buildOperators makes the operators' side and adds its peers' part to peers.
+func (i *Instance) buildOperators(peers *http.ServeMux) *snipeoperator.Server {
+	own := &snipeoperator.Own{
+		Name: i.Config.Name, Revision: i.revision, View: i.holder.View,
+		Resident: i.dispatch.Resident, Drain: i.Stop,
+	}
+	status := snipepeer.Authorized(i.Config.PeerSecret, snipeproto.NewStatusServer(own))
+	peers.Handle(snipeoperator.StatusPathPrefix, status)
+	return &snipeoperator.Server{
+		Settings: i.settings, BootstrapKeyHash: i.Config.BootstrapKeyHash,
+		View: i.holder.View, Own: own,
+		Peers: &snipepeer.SecretClient{Client: i.forward.Fresh, Secret: i.Config.PeerSecret},
+	}
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -259,10 +259,9 @@
 }
 
 func (i *Instance) listeners() []listener {
-	operators := &snipeoperator.Server{
-		Settings: i.settings, BootstrapKeyHash: i.Config.BootstrapKeyHash,
-		View: i.holder.View, Resident: i.dispatch.Resident, Stop: i.Stop,
-	}
+	peers := http.NewServeMux()
+	peers.Handle(snipepeer.Path, i.peers)
+	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.meter.Write(w) })
@@ -271,8 +270,6 @@
 	front := http.NewServeMux()
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
-	peers := http.NewServeMux()
-	peers.Handle(snipepeer.Path, i.peers)
 	return []listener{
 		{"Callers", i.Config.Callers, front},
 		{"Operators", i.Config.Operators, mux},
--- /dev/null
+++ b/snipeoperator/drain.go
@@ -0,0 +1,31 @@
+package snipeoperator
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+// Drain implements snipeproto.Operator.
+func (s *Server) Drain(ctx context.Context, r *snipeproto.DrainRequest) (*snipeproto.DrainResponse, error) {
+	if err := s.authorize(ctx, ""); err != nil {
+		return nil, err
+	}
+	name := r.GetInstance()
+	if name == "" || name == s.Own.Name {
+		s.Own.Drain()
+		return &snipeproto.DrainResponse{}, nil
+	}
+	i, ok := s.View().Instances[name]
+	if !ok {
+		return nil, twirp.NotFoundError("no live instance " + name)
+	}
+	bounded, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if _, err := s.peer(i.PeerAddress).Stop(bounded, &snipeproto.StopRequest{}); err != nil {
+		return nil, twirp.Unavailable.Errorf("instance %s: %v", name, err)
+	}
+	return &snipeproto.DrainResponse{}, nil
+}
--- /dev/null
+++ b/snipeoperator/show.go
@@ -0,0 +1,57 @@
+package snipeoperator
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+
+	"github.com/twitchtv/twirp"
+
+	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/snipetree"
+)
+
+// GetSettings implements snipeproto.Operator.
+func (s *Server) GetSettings(ctx context.Context, r *snipeproto.GetSettingsRequest) (*snipeproto.GetSettingsResponse, error) {
+	if err := s.authorize(ctx, r.GetTeam()); err != nil {
+		return nil, err
+	}
+	t, version := s.branch(r.GetTeam())
+	if t == nil {
+		return &snipeproto.GetSettingsResponse{}, nil
+	}
+	out := &snipeproto.GetSettingsResponse{Revision: t.Revision, Version: version}
+	var branch any = t.Platform
+	if r.GetTeam() != "" {
+		b, ok := t.Teams[r.GetTeam()]
+		if !ok {
+			return out, nil
+		}
+		branch = b
+	}
+	for name := range t.Teams {
+		if s.authorize(ctx, name) == nil {
+			out.Teams = append(out.Teams, name)
+		}
+	}
+	sort.Strings(out.Teams)
+	document, err := json.MarshalIndent(branch, "", "  ")
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	out.Document = document
+	return out, nil
+}
+
+// branch returns the tree in force and the version of a branch in that very
+// tree. Were the version newer than the document, an operator could replace an
+// edit without having seen it.
+func (s *Server) branch(team string) (*snipetree.Tree, uint64) {
+	for {
+		t := s.Settings.Current()
+		version := s.Settings.BranchVersion(team)
+		if s.Settings.Current() == t {
+			return t, version
+		}
+	}
+}
--- a/snipeproto/operator.twirp.go
+++ b/snipeproto/operator.twirp.go
@@ -47,7 +47,16 @@
 	// ListEngines returns the engines with owners and resident adapters.
 	ListEngines(context.Context, *ListEnginesRequest) (*ListEnginesResponse, error)
 
-	// Drain asks the instance that is called to stop gracefully.
+	// ListUpstreams returns engines and services' upstreams as they are declared.
+	ListUpstreams(context.Context, *ListUpstreamsRequest) (*ListUpstreamsResponse, error)
+
+	// ListAdapters returns the adapters that are resident somewhere.
+	ListAdapters(context.Context, *ListAdaptersRequest) (*ListAdaptersResponse, error)
+
+	// ListLeases returns the leases and what is owned under each.
+	ListLeases(context.Context, *ListLeasesRequest) (*ListLeasesResponse, error)
+
+	// Drain asks an instance to stop gracefully.
 	Drain(context.Context, *DrainRequest) (*DrainResponse, error)
 }
 
@@ -57,7 +66,7 @@
 
 type operatorProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -85,11 +94,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Operator")
-	urls := [5]string{
+	urls := [8]string{
 		serviceURL + "GetSettings",
 		serviceURL + "ApplySettings",
 		serviceURL + "ListInstances",
 		serviceURL + "ListEngines",
+		serviceURL + "ListUpstreams",
+		serviceURL + "ListAdapters",
+		serviceURL + "ListLeases",
 		serviceURL + "Drain",
 	}
 
@@ -285,6 +297,144 @@
 	return out, nil
 }
 
+func (c *operatorProtobufClient) ListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ListUpstreams")
+	caller := c.callListUpstreams
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListUpstreamsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListUpstreamsRequest) when calling interceptor")
+					}
+					return c.callListUpstreams(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListUpstreamsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListUpstreamsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+	out := new(ListUpstreamsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) ListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ListAdapters")
+	caller := c.callListAdapters
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListAdaptersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListAdaptersRequest) when calling interceptor")
+					}
+					return c.callListAdapters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListAdaptersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListAdaptersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+	out := new(ListAdaptersResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) ListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ListLeases")
+	caller := c.callListLeases
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListLeasesRequest) (*ListLeasesResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListLeasesRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListLeasesRequest) when calling interceptor")
+					}
+					return c.callListLeases(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListLeasesResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListLeasesResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
+	out := new(ListLeasesResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *operatorProtobufClient) Drain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
 	ctx = ctxsetters.WithServiceName(ctx, "Operator")
@@ -316,7 +466,7 @@
 
 func (c *operatorProtobufClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -337,7 +487,7 @@
 
 type operatorJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -365,11 +515,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Operator")
-	urls := [5]string{
+	urls := [8]string{
 		serviceURL + "GetSettings",
 		serviceURL + "ApplySettings",
 		serviceURL + "ListInstances",
 		serviceURL + "ListEngines",
+		serviceURL + "ListUpstreams",
+		serviceURL + "ListAdapters",
+		serviceURL + "ListLeases",
 		serviceURL + "Drain",
 	}
 
@@ -565,6 +718,144 @@
 	return out, nil
 }
 
+func (c *operatorJSONClient) ListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ListUpstreams")
+	caller := c.callListUpstreams
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListUpstreamsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListUpstreamsRequest) when calling interceptor")
+					}
+					return c.callListUpstreams(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListUpstreamsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListUpstreamsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+	out := new(ListUpstreamsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) ListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ListAdapters")
+	caller := c.callListAdapters
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListAdaptersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListAdaptersRequest) when calling interceptor")
+					}
+					return c.callListAdapters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListAdaptersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListAdaptersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+	out := new(ListAdaptersResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) ListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "ListLeases")
+	caller := c.callListLeases
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListLeasesRequest) (*ListLeasesResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListLeasesRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListLeasesRequest) when calling interceptor")
+					}
+					return c.callListLeases(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListLeasesResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListLeasesResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
+	out := new(ListLeasesResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *operatorJSONClient) Drain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
 	ctx = ctxsetters.WithServiceName(ctx, "Operator")
@@ -596,7 +887,7 @@
 
 func (c *operatorJSONClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -720,6 +1011,15 @@
 	case "ListEngines":
 		s.serveListEngines(ctx, resp, req)
 		return
+	case "ListUpstreams":
+		s.serveListUpstreams(ctx, resp, req)
+		return
+	case "ListAdapters":
+		s.serveListAdapters(ctx, resp, req)
+		return
+	case "ListLeases":
+		s.serveListLeases(ctx, resp, req)
+		return
 	case "Drain":
 		s.serveDrain(ctx, resp, req)
 		return
@@ -1450,6 +1750,546 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *operatorServer) serveListUpstreams(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveListUpstreamsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveListUpstreamsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveListUpstreamsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListUpstreams")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ListUpstreamsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.ListUpstreams
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListUpstreamsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListUpstreamsRequest) when calling interceptor")
+					}
+					return s.Operator.ListUpstreams(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListUpstreamsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListUpstreamsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ListUpstreamsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ListUpstreamsResponse and nil error while calling ListUpstreams. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveListUpstreamsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListUpstreams")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ListUpstreamsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.ListUpstreams
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListUpstreamsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListUpstreamsRequest) when calling interceptor")
+					}
+					return s.Operator.ListUpstreams(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListUpstreamsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListUpstreamsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ListUpstreamsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ListUpstreamsResponse and nil error while calling ListUpstreams. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveListAdapters(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveListAdaptersJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveListAdaptersProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveListAdaptersJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListAdapters")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ListAdaptersRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.ListAdapters
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListAdaptersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListAdaptersRequest) when calling interceptor")
+					}
+					return s.Operator.ListAdapters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListAdaptersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListAdaptersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ListAdaptersResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ListAdaptersResponse and nil error while calling ListAdapters. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveListAdaptersProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListAdapters")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ListAdaptersRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.ListAdapters
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListAdaptersRequest) (*ListAdaptersResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListAdaptersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListAdaptersRequest) when calling interceptor")
+					}
+					return s.Operator.ListAdapters(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListAdaptersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListAdaptersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ListAdaptersResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ListAdaptersResponse and nil error while calling ListAdapters. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveListLeases(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveListLeasesJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveListLeasesProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveListLeasesJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListLeases")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ListLeasesRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.ListLeases
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListLeasesRequest) (*ListLeasesResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListLeasesRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListLeasesRequest) when calling interceptor")
+					}
+					return s.Operator.ListLeases(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListLeasesResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListLeasesResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ListLeasesResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ListLeasesResponse and nil error while calling ListLeases. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveListLeasesProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListLeases")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ListLeasesRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.ListLeases
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListLeasesRequest) (*ListLeasesResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListLeasesRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListLeasesRequest) when calling interceptor")
+					}
+					return s.Operator.ListLeases(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ListLeasesResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ListLeasesResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ListLeasesResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ListLeasesResponse and nil error while calling ListLeases. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *operatorServer) serveDrain(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -2211,42 +3051,60 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 585 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x94, 0x4d, 0x6f, 0xd3, 0x4c,
-	0x10, 0xc7, 0xe5, 0xc7, 0xce, 0x8b, 0x27, 0x2f, 0x7d, 0xb4, 0x4d, 0x8b, 0x1b, 0x24, 0x70, 0x2d,
-	0x21, 0x19, 0x0e, 0x41, 0xb4, 0x07, 0x2e, 0x5c, 0x8a, 0x78, 0x95, 0x50, 0x41, 0x5b, 0xc4, 0x81,
-	0x4b, 0xe4, 0x26, 0xd3, 0x74, 0xa5, 0x78, 0x6d, 0xbc, 0xdb, 0x50, 0x0e, 0x7c, 0x0b, 0xbe, 0x0f,
-	0x57, 0x3e, 0x16, 0xda, 0x5d, 0x3b, 0xf1, 0x36, 0x86, 0x72, 0xca, 0xfe, 0xff, 0x33, 0xbb, 0xeb,
-	0xf9, 0xed, 0x4c, 0x60, 0x98, 0xe5, 0x58, 0x24, 0x32, 0x2b, 0x26, 0x79, 0x91, 0xc9, 0x8c, 0x80,
-	0xe0, 0x2c, 0xc7, 0x9c, 0xc9, 0xd9, 0x65, 0x14, 0x03, 0x79, 0x8d, 0xf2, 0x0c, 0xa5, 0x64, 0x7c,
-	0x21, 0x28, 0x7e, 0xb9, 0x42, 0x21, 0x09, 0x01, 0x4f, 0x62, 0x92, 0x06, 0x4e, 0xe8, 0xc4, 0x3e,
-	0xd5, 0xeb, 0xe8, 0x3b, 0xec, 0x5a, 0x99, 0x22, 0xcf, 0xb8, 0x40, 0x32, 0x86, 0x6e, 0x81, 0x2b,
-	0x26, 0x58, 0xc6, 0x75, 0xba, 0x47, 0xd7, 0x9a, 0x04, 0xd0, 0x59, 0x61, 0xa1, 0x43, 0xff, 0xe9,
-	0x50, 0x25, 0xd5, 0xae, 0x79, 0x36, 0xbb, 0x4a, 0x91, 0xcb, 0xc0, 0x0d, 0x9d, 0xb8, 0x4f, 0xd7,
-	0x9a, 0x8c, 0xa0, 0xa5, 0x2e, 0x14, 0x81, 0x17, 0xba, 0xb1, 0x4f, 0x8d, 0x88, 0x52, 0x18, 0x9d,
-	0xe4, 0xf9, 0xf2, 0xdb, 0x3f, 0x7c, 0x2a, 0x79, 0x00, 0x43, 0xbc, 0xce, 0x71, 0x26, 0xa7, 0xf6,
-	0xf5, 0x03, 0xe3, 0x7e, 0xba, 0xfd, 0x23, 0xa2, 0x63, 0xd8, 0xbb, 0x71, 0xdd, 0xed, 0xf5, 0x46,
-	0xfb, 0x30, 0x7a, 0xc7, 0x84, 0x7c, 0xcb, 0x85, 0x4c, 0xf8, 0x0c, 0xab, 0x6f, 0x8c, 0x3e, 0xc0,
-	0xde, 0x0d, 0xbf, 0x3c, 0xec, 0x29, 0xf8, 0xac, 0x32, 0x03, 0x27, 0x74, 0xe3, 0xde, 0xd1, 0xc1,
-	0x64, 0xf3, 0x3a, 0x93, 0x6a, 0xc7, 0x99, 0x4c, 0x24, 0xd2, 0x4d, 0x6e, 0xf4, 0xd3, 0x81, 0x81,
-	0x15, 0x54, 0x1c, 0x78, 0x92, 0x62, 0xc5, 0x41, 0xad, 0xc9, 0x3e, 0xb4, 0xe7, 0x59, 0x9a, 0x30,
-	0x53, 0xbf, 0x4f, 0x4b, 0x45, 0x0e, 0xa1, 0x9f, 0x23, 0x16, 0xd3, 0x64, 0x3e, 0x2f, 0x50, 0x08,
-	0x5d, 0xbc, 0x4f, 0x7b, 0xca, 0x3b, 0x31, 0x96, 0x55, 0xa6, 0xb7, 0xfd, 0xac, 0x4b, 0x4c, 0x56,
-	0x8c, 0x2f, 0x82, 0x56, 0xe8, 0xc4, 0x5d, 0x5a, 0x49, 0xf2, 0x10, 0xfe, 0xaf, 0x7a, 0x6d, 0x7d,
-	0x78, 0x5b, 0x1f, 0xbe, 0x53, 0xf9, 0xe5, 0x05, 0xd1, 0x08, 0x88, 0x62, 0xf2, 0x92, 0x2f, 0x18,
-	0xdf, 0x90, 0x7a, 0x03, 0xbb, 0x96, 0x5b, 0x72, 0x7a, 0x02, 0x1d, 0x34, 0x56, 0x49, 0xe9, 0x4e,
-	0x9d, 0x92, 0xc9, 0x36, 0x8c, 0xaa, 0xbc, 0xe8, 0x97, 0x03, 0xbd, 0x5a, 0xa0, 0x91, 0x0f, 0x01,
-	0xef, 0x3c, 0x11, 0x58, 0xd2, 0xd1, 0xeb, 0x1a, 0x33, 0xd7, 0x62, 0x36, 0x82, 0x56, 0xf6, 0x95,
-	0x63, 0xa1, 0x69, 0xf8, 0xd4, 0x08, 0xe5, 0x5e, 0x20, 0x9f, 0xa1, 0x06, 0xe1, 0x51, 0x23, 0x94,
-	0x2b, 0x96, 0x99, 0x34, 0xb5, 0xbb, 0xd4, 0x08, 0x83, 0x54, 0xb0, 0xb9, 0x6a, 0xb7, 0x8e, 0x6e,
-	0xed, 0xb5, 0x26, 0x77, 0x55, 0x23, 0x4c, 0x2f, 0x96, 0x6c, 0x71, 0x29, 0x83, 0xae, 0xde, 0xd5,
-	0x65, 0xfc, 0x95, 0xd6, 0xd1, 0x10, 0xfa, 0x2f, 0x8a, 0x84, 0xf1, 0x0a, 0xd2, 0x0e, 0x0c, 0x4a,
-	0x6d, 0xf0, 0x1c, 0xfd, 0x70, 0xa1, 0xfb, 0xbe, 0xe4, 0x4b, 0x4e, 0xa1, 0x57, 0x9b, 0x53, 0x72,
-	0xaf, 0x4e, 0x6a, 0x7b, 0xd4, 0xc7, 0xf7, 0xff, 0x18, 0x2f, 0xd9, 0x7f, 0x84, 0x81, 0x35, 0x09,
-	0x24, 0xac, 0xef, 0x68, 0x9a, 0xc9, 0xf1, 0xe1, 0x5f, 0x32, 0x36, 0xa7, 0x5a, 0x23, 0x61, 0x9f,
-	0xda, 0x34, 0x45, 0xf6, 0xa9, 0xcd, 0xf3, 0x74, 0x0a, 0xbd, 0x5a, 0xfb, 0xd8, 0xb5, 0x6f, 0x77,
-	0x9b, 0x5d, 0x7b, 0x53, 0xdf, 0x3d, 0x83, 0x96, 0x26, 0x4d, 0x82, 0x7a, 0x66, 0xfd, 0x31, 0xc6,
-	0x07, 0x0d, 0x11, 0xb3, 0xfb, 0xf9, 0xa3, 0xcf, 0x71, 0x2d, 0x86, 0xd7, 0x49, 0x9a, 0x2f, 0xf1,
-	0xf1, 0xc6, 0x2a, 0x97, 0xea, 0x3f, 0xf9, 0xbc, 0xad, 0x7f, 0x8e, 0x7f, 0x07, 0x00, 0x00, 0xff,
-	0xff, 0x88, 0xf9, 0xad, 0xdd, 0xac, 0x05, 0x00, 0x00,
+	// 866 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0x5f, 0x8f, 0x1b, 0x35,
+	0x10, 0x57, 0xba, 0x9b, 0xbb, 0x64, 0x92, 0xb4, 0xc5, 0x97, 0x1e, 0xdb, 0x20, 0x4a, 0x6a, 0x09,
+	0x29, 0xed, 0xc3, 0x21, 0x5a, 0x24, 0x5e, 0x78, 0x39, 0x54, 0x40, 0x88, 0xaa, 0xc0, 0x16, 0x78,
+	0xe0, 0x81, 0xc3, 0xcd, 0x4e, 0xaf, 0x56, 0x37, 0xde, 0x65, 0xed, 0xbb, 0x96, 0x07, 0xe0, 0x9d,
+	0x4f, 0xc6, 0x77, 0xe0, 0xcb, 0x20, 0xff, 0xdb, 0xb5, 0x93, 0xcd, 0x1d, 0x4f, 0xf1, 0x8c, 0xc7,
+	0xb3, 0xf3, 0xfb, 0xf9, 0x37, 0xe3, 0xc0, 0xcd, 0xaa, 0xc6, 0x86, 0xa9, 0xaa, 0x39, 0xa9, 0x9b,
+	0x4a, 0x55, 0x04, 0xa4, 0xe0, 0x35, 0xd6, 0x5c, 0xad, 0x5f, 0xd1, 0x15, 0x90, 0xaf, 0x50, 0x3d,
+	0x47, 0xa5, 0xb8, 0x38, 0x97, 0x39, 0xfe, 0x76, 0x81, 0x52, 0x11, 0x02, 0xa9, 0x42, 0xb6, 0xc9,
+	0x06, 0xcb, 0xc1, 0x6a, 0x9c, 0x9b, 0x35, 0xfd, 0x03, 0x8e, 0xa2, 0x48, 0x59, 0x57, 0x42, 0x22,
+	0x59, 0xc0, 0xa8, 0xc1, 0x4b, 0x2e, 0x79, 0x25, 0x4c, 0x78, 0x9a, 0xb7, 0x36, 0xc9, 0xe0, 0xf0,
+	0x12, 0x1b, 0xb3, 0x75, 0xc3, 0x6c, 0x79, 0x53, 0x9f, 0x2a, 0xaa, 0xf5, 0xc5, 0x06, 0x85, 0xca,
+	0x92, 0xe5, 0x60, 0x35, 0xcd, 0x5b, 0x9b, 0xcc, 0x61, 0xa8, 0x3f, 0x28, 0xb3, 0x74, 0x99, 0xac,
+	0xc6, 0xb9, 0x35, 0xe8, 0x06, 0xe6, 0xa7, 0x75, 0x5d, 0xfe, 0xfe, 0x3f, 0x4a, 0x25, 0x1f, 0xc2,
+	0x4d, 0x7c, 0x5b, 0xe3, 0x5a, 0x9d, 0xc5, 0x9f, 0x9f, 0x59, 0xef, 0x4f, 0xd7, 0x17, 0x41, 0x1f,
+	0xc3, 0x9d, 0xad, 0xcf, 0x5d, 0x8f, 0x97, 0xae, 0x60, 0xfe, 0x94, 0x4b, 0xf5, 0xb5, 0x90, 0x8a,
+	0x89, 0x35, 0xb6, 0x35, 0xde, 0x86, 0x84, 0xc9, 0xd7, 0x26, 0x7c, 0x94, 0xeb, 0x25, 0xfd, 0x0e,
+	0xee, 0x6c, 0x45, 0xba, 0xf4, 0x9f, 0xc2, 0x98, 0x7b, 0x67, 0x36, 0x58, 0x26, 0xab, 0xc9, 0xa3,
+	0xbb, 0x27, 0xdd, 0x7d, 0x9d, 0xf8, 0x13, 0xcf, 0x15, 0x53, 0x98, 0x77, 0xb1, 0xf4, 0xdf, 0x01,
+	0xcc, 0xa2, 0x4d, 0xcd, 0x8c, 0x60, 0x1b, 0xf4, 0xcc, 0xe8, 0x35, 0x39, 0x86, 0x83, 0xa2, 0xda,
+	0x30, 0x6e, 0x19, 0x19, 0xe7, 0xce, 0x22, 0xf7, 0x61, 0x5a, 0x23, 0x36, 0x67, 0xac, 0x28, 0x1a,
+	0x94, 0xd2, 0xd0, 0x31, 0xce, 0x27, 0xda, 0x77, 0x6a, 0x5d, 0x11, 0xf0, 0x74, 0xf7, 0xa2, 0x4b,
+	0x64, 0x97, 0x5c, 0x9c, 0x67, 0x43, 0x03, 0xd2, 0x9b, 0xe4, 0x01, 0xdc, 0xf6, 0xea, 0x6b, 0x93,
+	0x1f, 0x98, 0xe4, 0xb7, 0xbc, 0x3f, 0xf8, 0x00, 0x13, 0xf2, 0x0d, 0x36, 0x58, 0x64, 0x87, 0x26,
+	0x4b, 0x6b, 0xd3, 0x39, 0x10, 0xcd, 0xd7, 0x17, 0xe2, 0x9c, 0x8b, 0x96, 0x57, 0xfa, 0x2b, 0x1c,
+	0x45, 0x5e, 0xc7, 0xe1, 0xc7, 0x70, 0x88, 0xd6, 0xe5, 0x18, 0x7c, 0x37, 0x64, 0xd0, 0x46, 0x5b,
+	0xfe, 0x7c, 0x9c, 0xe6, 0x45, 0xf2, 0x52, 0x0b, 0xe1, 0x86, 0x11, 0x9d, 0xb3, 0xe8, 0x3f, 0x03,
+	0x98, 0x04, 0x07, 0x7a, 0x39, 0x25, 0x90, 0xbe, 0x60, 0x12, 0x1d, 0xa3, 0x66, 0x1d, 0xf0, 0x9c,
+	0x44, 0x3c, 0xcf, 0x61, 0x58, 0xbd, 0x11, 0xd8, 0x18, 0x06, 0xc7, 0xb9, 0x35, 0xb4, 0xf7, 0x25,
+	0x8a, 0x35, 0x1a, 0xf2, 0xd2, 0xdc, 0x1a, 0xda, 0x2b, 0xcb, 0x4a, 0x59, 0xbe, 0x92, 0xdc, 0x1a,
+	0xf6, 0x1a, 0x24, 0x2f, 0x74, 0xad, 0x87, 0xa6, 0xd6, 0xd6, 0x26, 0xef, 0x69, 0xf1, 0x9c, 0xbd,
+	0x2c, 0xf9, 0xf9, 0x2b, 0x95, 0x8d, 0xcc, 0xa9, 0x11, 0x17, 0x5f, 0x1a, 0x9b, 0x1e, 0x5b, 0x71,
+	0xfe, 0x58, 0x4b, 0xd5, 0xe8, 0x8e, 0xf2, 0x24, 0x3a, 0x29, 0x06, 0xfe, 0x4e, 0x8a, 0x17, 0xde,
+	0xd9, 0x27, 0x45, 0x7f, 0xc2, 0x49, 0xb1, 0x8d, 0xa5, 0x7f, 0xc1, 0x2c, 0xda, 0xdb, 0xc7, 0xda,
+	0x6b, 0x2e, 0x0a, 0xcf, 0x9a, 0x5e, 0x6b, 0x19, 0xc5, 0x02, 0xf4, 0x66, 0xc0, 0x67, 0xda, 0xcf,
+	0xe7, 0x30, 0xe0, 0x93, 0x3e, 0xb0, 0xba, 0x38, 0x2d, 0x58, 0xad, 0xb0, 0xb9, 0x72, 0xaa, 0x15,
+	0x96, 0x95, 0x2e, 0xd4, 0x81, 0xff, 0x04, 0x46, 0xcc, 0xf9, 0x1c, 0xf6, 0x2c, 0xc4, 0xee, 0xe2,
+	0x2d, 0xf4, 0x36, 0x72, 0xaf, 0x8c, 0x7e, 0x81, 0x69, 0x78, 0xc2, 0x02, 0x35, 0xb6, 0x2b, 0xc6,
+	0x9b, 0x7a, 0xc7, 0x6b, 0xd7, 0xa6, 0x68, 0x25, 0xaa, 0xa7, 0x15, 0xae, 0x4b, 0xa6, 0xdb, 0x23,
+	0xb1, 0xed, 0xe1, 0x6d, 0x7a, 0x04, 0xef, 0x68, 0x14, 0x4f, 0x91, 0xc9, 0xae, 0x3b, 0x9e, 0xd8,
+	0x9e, 0xf1, 0x4e, 0x07, 0xec, 0x04, 0x0e, 0x4a, 0xe3, 0x71, 0xb0, 0x8e, 0x43, 0x58, 0x26, 0xd6,
+	0x82, 0x72, 0x51, 0xf4, 0x4f, 0x80, 0xce, 0xab, 0x8b, 0xf0, 0x23, 0xc7, 0x55, 0xde, 0xda, 0x64,
+	0x09, 0x13, 0x2e, 0xd6, 0xac, 0x11, 0x4c, 0xf9, 0x91, 0x3b, 0xce, 0x43, 0x57, 0x38, 0x26, 0x92,
+	0x78, 0x4c, 0x04, 0xb0, 0xd3, 0x08, 0x36, 0x7d, 0x08, 0xd3, 0x27, 0x0d, 0xe3, 0xc2, 0x5f, 0xe2,
+	0x15, 0x15, 0xd0, 0x5b, 0x30, 0x73, 0xb1, 0x16, 0xec, 0xa3, 0xbf, 0x87, 0x30, 0xfa, 0xd6, 0x8d,
+	0x19, 0xf2, 0x0c, 0x26, 0xc1, 0x03, 0x46, 0xee, 0x85, 0xc0, 0x77, 0xdf, 0xc0, 0xc5, 0x07, 0x7b,
+	0xf7, 0x1d, 0x93, 0x3f, 0xc0, 0x2c, 0x7a, 0x22, 0xc8, 0x32, 0x52, 0x48, 0xcf, 0x63, 0xb5, 0xb8,
+	0x7f, 0x45, 0x44, 0x97, 0x35, 0x7a, 0x19, 0xe2, 0xac, 0x7d, 0xcf, 0x4b, 0x9c, 0xb5, 0xff, 0x59,
+	0x79, 0x06, 0x93, 0x60, 0x52, 0xc6, 0xd8, 0x77, 0x07, 0x6b, 0x8c, 0xbd, 0x6f, 0xc4, 0xba, 0x2a,
+	0xdb, 0xa1, 0xb1, 0x5b, 0xe5, 0xf6, 0x9c, 0xd9, 0xad, 0x72, 0x77, 0xe2, 0x7c, 0x0f, 0xd3, 0xb0,
+	0x19, 0xc9, 0x4e, 0x19, 0x5b, 0x1d, 0xbd, 0x58, 0xee, 0x0f, 0x70, 0x29, 0xbf, 0x01, 0xe8, 0x9a,
+	0x80, 0xbc, 0xbf, 0x1d, 0x1f, 0x75, 0xcc, 0xe2, 0xde, 0xbe, 0x6d, 0x97, 0xec, 0x33, 0x18, 0x1a,
+	0x7d, 0x91, 0x68, 0x16, 0x84, 0xf2, 0x5c, 0xdc, 0xed, 0xd9, 0xb1, 0xa7, 0x3f, 0x7f, 0xf8, 0xf3,
+	0x2a, 0xd8, 0xc3, 0xb7, 0x6c, 0x53, 0x97, 0xf8, 0x51, 0xe7, 0x72, 0x4b, 0xfd, 0x17, 0xed, 0xc5,
+	0x81, 0xf9, 0x79, 0xfc, 0x5f, 0x00, 0x00, 0x00, 0xff, 0xff, 0x37, 0xe5, 0xdf, 0x14, 0xbb, 0x09,
+	0x00, 0x00,
 }
