--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -140,9 +140,21 @@
 	echo '}}'
 }
 
+# all_alive: fails when a process has ended, which a port in use makes it do.
+all_alive() {
+	local name
+	for name in "${!pid[@]}"; do
+		alive "$name" && continue
+		echo "$name has ended: $(tail -n 1 "$work/$name.log")" >&2
+		return 1
+	done
+}
+
 # apply_settings ADAPTERS: declares everything and waits until all are ready.
 apply_settings() {
 	local n team
+	sleep 0.3
+	all_alive
 	platform_branch >"$work/platform.json"
 	for n in $(seq 100); do ctl_at 1 apply "$work/platform.json" 2>"$work/apply.log" && break || sleep 0.1; done
 	for team in bottling ash; do
