Membership by random probes, with announcements that spread

Cause: instances know each other only by listing all lease rows, which costs reads that grow with the square of their number, and nothing spreads small news among them.

Change: package snipemember. Seeds: the platform's instance list (with a lagging stand-in) and, while an instance knows nobody, the lease rows.

Ruled out: counting news as told when it is sent. Ruled out too: kept connections, which would hide a silent one and whose keep-alives alone pass the budget of 4 KB/s at 340 instances.

--- a/cmd/snipestand/main.go
+++ b/cmd/snipestand/main.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	snipestand platform -address IP:PORT [-rate N] [-concurrent N] [-load D]
+//	snipestand platform -address IP:PORT [-rate N] [-concurrent N] [-load D] [-lag D]
 //	snipestand engine -address IP:PORT [-slots N] [-batch N] [-token D] [-checks-fence] [-weights IP:PORT]
 //	snipestand service -address IP:PORT [-name NAME] [-delay D]
 package main
@@ -65,7 +65,9 @@
 	f.Float64Var(&w.PerSecond, "rate", 4.5, "loads per second of the weight store")
 	f.IntVar(&w.Concurrent, "concurrent", 3, "loads at full speed at once")
 	f.DurationVar(&w.Duration, "load", 200*time.Millisecond, "time of one load at full speed")
-	p := &snipestand.Platform{Table: snipestand.NewTable(), Weights: w}
+	i := &snipestand.Instances{}
+	f.DurationVar(&i.Lag, "lag", 5*time.Second, "time until a change of the instance list shows")
+	p := &snipestand.Platform{Table: snipestand.NewTable(), Weights: w, Instances: i}
 	return p.Handler
 }
 
--- a/snipeconfig/snipeconfig.go
+++ b/snipeconfig/snipeconfig.go
@@ -67,6 +67,9 @@
 	TableName string
 	AccessKey string
 	SecretKey string
+	// InstanceList is where the platform lists the instances; without it they
+	// find each other by their lease rows.
+	InstanceList netip.AddrPort `json:",omitzero"`
 	// Timeout bounds each request to the platform.
 	Timeout snipejson.Duration
 }
--- /dev/null
+++ b/snipeinstance/members.go
@@ -0,0 +1,65 @@
+package snipeinstance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipelease"
+	"snipepitch.example/snipepitch/snipemember"
+	"snipepitch.example/snipepitch/snipepeer"
+	"snipepitch.example/snipepitch/snipeplatform"
+)
+
+// buildMembers makes this instance's part of the membership.
+func (i *Instance) buildMembers(table snipeplatform.Table) {
+	c := i.Config
+	// An old connection may have gone silent and proves nothing.
+	fresh := transport()
+	fresh.DisableKeepAlives = true
+	i.members = &snipemember.Node{
+		Self:     snipemember.Member{Name: c.Name, Address: c.Peers, Domain: c.Domain},
+		HTTP:     &snipepeer.SecretClient{Client: &http.Client{Transport: fresh}, Secret: c.PeerSecret},
+		Seeds:    func(ctx context.Context) ([]snipemember.Seed, error) { return i.seeds(ctx, table) },
+		Interval: snipemember.DefaultInterval, Timeout: snipemember.DefaultTimeout,
+		Random: rand.IntN, Log: i.Log,
+	}
+}
+
+// seeds returns the instances that the platform lists and, while this instance
+// knows no other, those that have lease rows.
+func (i *Instance) seeds(ctx context.Context, table snipeplatform.Table) ([]snipemember.Seed, error) {
+	var all []snipemember.Seed
+	var listed error
+	if c := i.Config.Platform; c.InstanceList.IsValid() {
+		var list []snipeplatform.ListedInstance
+		list, listed = snipeplatform.InstanceList{Address: c.InstanceList, Timeout: c.Timeout.Value()}.Read(ctx)
+		for _, l := range list {
+			all = append(all, snipemember.Seed{Name: l.Name, Address: l.Address})
+		}
+	}
+	if len(i.members.Members()) > 1 && len(all) > 0 {
+		return all, nil
+	}
+	instances, err := snipelease.ReadInstances(ctx, table)
+	for _, m := range instances {
+		all = append(all, snipemember.Seed{Name: m.Name, Address: m.PeerAddress})
+	}
+	if len(all) == 0 {
+		return nil, errors.Join(listed, err)
+	}
+	return all, nil
+}
+
+// goneTimeout bounds the last word of an instance that ends.
+const goneTimeout = time.Second
+
+// gone tells the others that this instance ends.
+func (i *Instance) gone(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, goneTimeout)
+	defer cancel()
+	i.members.Gone(bounded)
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -30,6 +30,7 @@
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelease"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemember"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
@@ -66,6 +67,7 @@
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
 	budget   *snipeweight.Budget
+	members  *snipemember.Node
 
 	ready    atomic.Bool
 	stopping chan struct{}
@@ -81,6 +83,7 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
@@ -105,6 +108,7 @@
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
 	i.buildDispatch()
+	i.buildMembers(table)
 	i.buildHolder(table)
 	i.buildCallers()
 }
@@ -276,6 +280,7 @@
 	peers.Handle("POST "+snipepeer.Path, &snipepeer.Handler{
 		Execute: i.dispatch.Run, Secret: i.Config.PeerSecret, Beat: peerBeat, MaxBody: i.Config.MaxBody,
 	})
+	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	return []listener{
 		{"Callers", i.Config.Callers, front},
 		{"Operators", i.Config.Operators, mux},
@@ -354,7 +359,9 @@
 	i.Log.Log(snipelog.Stopping, nil)
 	i.ready.Store(false)
 	i.callers.Stop()
+	i.members.Leave()
 	i.holder.Leave()
+	defer i.gone(ctx)
 	limit := time.NewTimer(i.Config.StopTimeout.Value())
 	defer limit.Stop()
 	t := time.NewTicker(stopPoll)
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -38,6 +38,17 @@
 	OwnersReadFailed = define(404, "OwnersReadFailed", logrus.WarnLevel)
 )
 
+// Events of membership, 450 to 469.
+var (
+	MemberAlive     = define(450, "MemberAlive", logrus.InfoLevel)
+	MemberSuspect   = define(451, "MemberSuspect", logrus.InfoLevel)
+	MemberDead      = define(452, "MemberDead", logrus.WarnLevel)
+	MemberLeft      = define(453, "MemberLeft", logrus.InfoLevel)
+	MemberRefuted   = define(454, "MemberRefuted", logrus.InfoLevel)
+	SeedsReadFailed = define(455, "SeedsReadFailed", logrus.WarnLevel)
+	DigestRefused   = define(456, "DigestRefused", logrus.ErrorLevel)
+)
+
 // Events of adapters and engines, 500 to 599.
 var (
 	AdapterLoaded   = define(500, "AdapterLoaded", logrus.InfoLevel)
--- a/snipestand/platform.go
+++ b/snipestand/platform.go
@@ -3,12 +3,16 @@
 import (
 	"net/http"
 	"time"
+
+	"snipepitch.example/snipepitch/snipeplatform"
 )
 
-// Platform is the platform as one process: table service and weight store.
+// Platform is the platform as one process: table service, weight store and
+// instance list.
 type Platform struct {
-	Table   *Table
-	Weights *Weights
+	Table     *Table
+	Weights   *Weights
+	Instances *Instances
 }
 
 // tableFault is the JSON form of TableFault.
@@ -23,6 +27,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /{$}", p.Table)
 	mux.Handle("GET /weights/", p.Weights)
+	mux.Handle(snipeplatform.InstancesPath, p.Instances)
 	mux.HandleFunc("POST /Fault", func(w http.ResponseWriter, r *http.Request) {
 		var f tableFault
 		if !readJSON(w, r, &f) {
