--- a/snipeinstance/members.go
+++ b/snipeinstance/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,17 +11,17 @@
 	"snipepitch.example/snipepitch/snipemember"
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipeupstream"
 )
 
 // buildMembers makes this instance's part of the membership.
 func (i *Instance) buildMembers(table snipeplatform.Table) {
 	c := i.Config
 	// An old connection may have gone silent and proves nothing.
-	fresh := transport()
-	fresh.DisableKeepAlives = true
+	fresh := snipeupstream.NewFresh(snipeupstream.DialTCP())
 	i.members = &snipemember.Node{
 		Self:     snipemember.Member{Name: c.Name, Address: c.Peers, Domain: c.Domain},
-		HTTP:     &snipepeer.SecretClient{Client: &http.Client{Transport: fresh}, Secret: c.PeerSecret},
+		HTTP:     &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret},
 		Seeds:    func(ctx context.Context) ([]snipemember.Seed, error) { return i.seeds(ctx, table) },
 		Interval: snipemember.DefaultInterval, Timeout: snipemember.DefaultTimeout,
 		Random: rand.IntN, Log: i.Log,
--- a/snipemember/member_test.go
+++ b/snipemember/member_test.go
@@ -22,7 +22,7 @@
 // group is a number of nodes on one network in memory.
 type group struct {
 	t       *testing.T
-	network *snipestand.Network
+	network *snipestand.PeerNetwork
 	nodes   []*snipemember.Node
 	cancels []context.CancelFunc
 	wait    sync.WaitGroup
@@ -152,7 +152,7 @@
 	for title, tc := range tests {
 		t.Run(title, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := &group{t: t, network: snipestand.NewNetwork(time.Millisecond)}
+				g := &group{t: t, network: snipestand.NewPeerNetwork(time.Millisecond)}
 				defer g.end()
 				for n := range size {
 					g.start(n)
@@ -203,7 +203,7 @@
 	for title, tc := range tests {
 		t.Run(title, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := &group{t: t, network: snipestand.NewNetwork(time.Millisecond)}
+				g := &group{t: t, network: snipestand.NewPeerNetwork(time.Millisecond)}
 				defer g.end()
 				for n := range size {
 					g.start(n)
@@ -222,7 +222,7 @@
 // also when its origin was replaced and its clock went back.
 func TestAnnounceOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := &group{t: t, network: snipestand.NewNetwork(time.Millisecond)}
+		g := &group{t: t, network: snipestand.NewPeerNetwork(time.Millisecond)}
 		defer g.end()
 		for n := range 12 {
 			g.start(n)
@@ -252,7 +252,7 @@
 // nothing else.
 func TestSeedsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := &group{t: t, network: snipestand.NewNetwork(time.Millisecond)}
+		g := &group{t: t, network: snipestand.NewPeerNetwork(time.Millisecond)}
 		defer g.end()
 		for n := range 4 {
 			g.start(n)
--- a/snipestand/network.go
+++ b/snipestand/network.go
@@ -1,164 +1,133 @@
 package snipestand
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"net/http"
-	"net/http/httptest"
+	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
-// ErrCut is returned for a request over a cut.
-var ErrCut = errors.New("network is cut")
+// ErrRefused is returned for a dial where nobody listens.
+var ErrRefused = errors.New("connection refused")
 
-// Traffic counts what one instance sent and received.
-type Traffic struct {
-	// Requests counts the requests that the instance sent or received.
-	Requests int
-	// Bytes counts those of requests and answers as they stand on the wire
-	// under HTTP/1.1, without the headers of TCP and IP.
-	Bytes int
-}
-
-// Network carries HTTP requests between instances in memory and counts the
-// bytes of their real encoding. It is safe for concurrent use.
+// Network is a network in memory, for tests on a paused clock. Its connections
+// can be cut, and can go silent for good while new ones work.
 type Network struct {
-	// Delay is the time of one way.
-	Delay time.Duration
-
-	lock     sync.Mutex // guards the fields below
-	handlers map[netip.AddrPort]http.Handler
-	cuts     map[[2]netip.AddrPort]bool
-	traffic  map[netip.AddrPort]Traffic
+	lock      sync.Mutex // guards the fields below
+	listeners map[string]*networkListener
+	links     []*networkConn
+	opened    int
 }
 
-// NewNetwork returns a network without instances.
-func NewNetwork(delay time.Duration) *Network {
-	return &Network{
-		Delay: delay, handlers: map[netip.AddrPort]http.Handler{},
-		cuts: map[[2]netip.AddrPort]bool{}, traffic: map[netip.AddrPort]Traffic{},
+// Listen returns a listener at an address.
+func (n *Network) Listen(address netip.AddrPort) net.Listener {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if n.listeners == nil {
+		n.listeners = map[string]*networkListener{}
 	}
+	l := &networkListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address.String()] = l
+	return l
 }
 
-// Listen serves an address; a nil handler ends it.
-func (n *Network) Listen(address netip.AddrPort, h http.Handler) {
+// Dial opens a connection; it has the signature of net.Dialer.DialContext.
+func (n *Network) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	n.lock.Lock()
+	l, ok := n.listeners[address]
+	n.lock.Unlock()
+	if !ok {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ErrRefused}
+	}
+	left, right := net.Pipe()
+	silent := &atomic.Bool{}
+	near, far := &networkConn{Conn: left, silent: silent}, &networkConn{Conn: right, silent: silent}
+	select {
+	case l.accepted <- far:
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ErrRefused}
+	case <-ctx.Done():
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	n.handlers[address] = h
+	n.links = append(n.links, near, far)
+	n.opened++
+	return near, nil
 }
 
-// Cut drops, or no longer drops, the requests from one address to another.
-func (n *Network) Cut(from, to netip.AddrPort, cut bool) {
+// Opened returns how many connections were ever opened.
+func (n *Network) Opened() int {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	n.cuts[[2]netip.AddrPort{from, to}] = cut
+	return n.opened
 }
 
-// Traffic returns the counts of an address and sets them to zero.
-func (n *Network) Traffic(address netip.AddrPort) Traffic {
+// Silence makes the connections that are open now lose all that is sent, also
+// the news that an end was closed.
+func (n *Network) Silence() {
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	t := n.traffic[address]
-	delete(n.traffic, address)
-	return t
+	for _, c := range n.links {
+		c.silent.Store(true)
+	}
 }
 
-// From returns the client side of an address.
-func (n *Network) From(address netip.AddrPort) *NetworkClient {
-	return &NetworkClient{network: n, from: address}
+// Cut closes all connections.
+func (n *Network) Cut() {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	for _, c := range n.links {
+		// A pipe's Close does not fail.
+		_ = c.Conn.Close()
+	}
+	n.links = nil
 }
 
-// NetworkClient sends requests from one address.
-type NetworkClient struct {
-	network *Network
-	from    netip.AddrPort
+type networkListener struct {
+	address  netip.AddrPort
+	accepted chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
 }
 
-// counter counts the bytes written to it.
-type counter struct{ bytes int }
+func (l *networkListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
 
-// Write implements io.Writer.
-func (c *counter) Write(p []byte) (int, error) {
-	c.bytes += len(p)
-	return len(p), nil
+func (l *networkListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
 }
 
-var _ io.Writer = (*counter)(nil)
+func (l *networkListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
 
-// Do sends one request; see http.Client.Do. A request over a cut hangs until
-// its context ends, one to nobody is refused.
-func (c *NetworkClient) Do(r *http.Request) (*http.Response, error) {
-	to, err := netip.ParseAddrPort(r.URL.Host)
-	if err != nil {
-		return nil, errors.Wrap(err, "address")
-	}
-	sent := &counter{}
-	copied := r.Clone(r.Context())
-	if copied.Body, err = r.GetBody(); err != nil {
-		return nil, errors.Wrap(err, "body")
-	}
-	if err := copied.Write(sent); err != nil {
-		return nil, errors.Wrap(err, "encode request")
-	}
-	if err := c.network.pass(r.Context(), c.from, to, sent.bytes); err != nil {
-		return nil, err
-	}
-	c.network.lock.Lock()
-	h := c.network.handlers[to]
-	c.network.lock.Unlock()
-	if h == nil {
-		return nil, errors.Wrapf(ErrCut, "nobody at %s", to)
-	}
-	recorder := httptest.NewRecorder()
-	h.ServeHTTP(recorder, r)
-	body := recorder.Body.Bytes()
-	answer, received := recorder.Result(), &counter{}
-	if err := answer.Write(received); err != nil {
-		return nil, errors.Wrap(err, "encode answer")
-	}
-	answer.Body = io.NopCloser(bytes.NewReader(body))
-	// Packets of both directions cross a connection: a cut in either one
-	// breaks only connections that are opened against it.
-	if err := c.network.pass(r.Context(), to, netip.AddrPort{}, received.bytes); err != nil {
-		return nil, err
-	}
-	c.network.count(c.from, 0, received.bytes)
-	return answer, nil
+// networkConn is one end of a connection.
+type networkConn struct {
+	net.Conn
+	silent *atomic.Bool // shared by both ends
 }
 
-func (n *Network) count(address netip.AddrPort, requests, bytes int) {
-	n.lock.Lock()
-	defer n.lock.Unlock()
-	t := n.traffic[address]
-	t.Requests += requests
-	t.Bytes += bytes
-	n.traffic[address] = t
+func (c *networkConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
 }
 
-// pass takes one way: it waits, and hangs when the way is cut.
-func (n *Network) pass(ctx context.Context, from, to netip.AddrPort, bytes int) error {
-	n.count(from, 1, bytes)
-	n.lock.Lock()
-	cut := n.cuts[[2]netip.AddrPort{from, to}]
-	n.lock.Unlock()
-	if cut {
-		<-ctx.Done()
-		return errors.Wrap(ErrCut, ctx.Err().Error())
+// Close ends this end alone when the connection is silent.
+func (c *networkConn) Close() error {
+	if c.silent.Load() {
+		return c.SetDeadline(time.Unix(1, 0))
 	}
-	timer := time.NewTimer(n.Delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return errors.Wrap(ErrCut, ctx.Err().Error())
-	case <-timer.C:
-	}
-	if to.IsValid() {
-		n.count(to, 0, bytes)
-	}
-	return nil
+	return c.Conn.Close()
 }
