--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,15 @@
 short-replay: build
 	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
 
+.PHONY: faults short-faults
+
+# A round of faults over real processes: SEED=n, or all kept seeds without it.
+faults: build
+	for seed in $(if $(SEED),$(SEED),$$(cat scripts/fault-seeds.txt)); do FAULT_SEED=$$seed ./scripts/faults.sh || exit 1; done
+
+short-faults: build
+	FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
+
 # Measures limits, retries, quarantine and health; writes docs/bench-limits.md.
 bench-limits:
 	./scripts/bench-limits.sh
