--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -30,6 +30,7 @@
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelease"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemember"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
@@ -67,6 +68,7 @@
 	forward  *snipepeer.Client
 	peers    *snipepeer.Handler
 	budget   *snipeweight.Budget
+	members  *snipemember.Node
 
 	ready    atomic.Bool
 	stopping chan struct{}
@@ -82,6 +84,7 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
@@ -107,6 +110,7 @@
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
 	i.buildDispatch()
+	i.buildMembers(table)
 	i.buildHolder(table)
 	i.buildCallers()
 }
@@ -261,6 +265,7 @@
 func (i *Instance) listeners() []listener {
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
@@ -349,7 +354,9 @@
 	i.Log.Log(snipelog.Stopping, nil)
 	i.ready.Store(false)
 	i.callers.Stop()
+	i.members.Leave()
 	i.holder.Leave()
+	defer i.gone(ctx)
 	limit := time.NewTimer(i.Config.StopTimeout.Value())
 	defer limit.Stop()
 	t := time.NewTicker(stopPoll)
