Claims: a call with a request key runs at most once, through any instance

Cause: nothing kept a caller that repeats an order through another instance from having it run twice.

Change: package snipeclaim wraps the retries. A row per team and key goes through Claimed, Dispatched, Answered or Unanswered, each step conditional on the row's version. Small answers are kept and replayed. Table.Settle sends a write whose outcome is unknown again under the same operation.

Ruled out: deleting the row of a call that was not run. Versions then start again, and a paused attempt's step can hit a later claim; the call ran twice in TestReleasedAndClaimedAgain. A release is now a state.

--- /dev/null
+++ b/snipeclaim/sweep.go
@@ -0,0 +1,77 @@
+package snipeclaim
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeplatform"
+)
+
+const (
+	// sweepMargin is how far clocks may differ.
+	sweepMargin = time.Hour
+	// sweepBatch bounds the rows deleted by one write.
+	sweepBatch = 25
+)
+
+// Run sweeps expired claims until ctx ends: one partition and at most one
+// write in each interval, so that the writes of all instances together stay
+// within their number divided by the interval.
+func (s *Claims) Run(ctx context.Context) error {
+	t := time.NewTicker(s.Sweep)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		if err := s.sweep(ctx); err != nil && ctx.Err() == nil {
+			s.Log.Error(snipelog.SweepFailed, err, nil)
+		}
+	}
+}
+
+// next returns the next partition that this instance sweeps.
+func (s *Claims) next() (string, bool) {
+	for range partitions {
+		s.cursor = (s.cursor + 1) % partitions
+		if name := partitionName(s.cursor); s.Mine(name) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func (s *Claims) sweep(ctx context.Context) error {
+	name, ok := s.next()
+	if !ok {
+		return nil
+	}
+	rows, err := s.Table.List(ctx, name)
+	if err != nil {
+		return errors.Wrap(err, "list claims")
+	}
+	var expired []snipeplatform.Change
+	for _, row := range rows {
+		var r record
+		if err := json.Unmarshal(row.Data, &r); err != nil || time.Since(r.Expires) < sweepMargin {
+			continue
+		}
+		if len(expired) < sweepBatch {
+			expired = append(expired, snipeplatform.Change{Key: row.Key, Expect: row.Version, Delete: true})
+		}
+	}
+	if len(expired) == 0 {
+		return nil
+	}
+	if err := s.Table.Write(ctx, s.Operation(), expired); err != nil {
+		// What is left is found again in the next round.
+		return errors.Wrapf(err, "sweep %d claims", len(expired))
+	}
+	return nil
+}
--- a/snipeinstance/members.go
+++ b/snipeinstance/members.go
@@ -18,7 +18,7 @@
 func (i *Instance) buildMembers(table snipeplatform.Table) {
 	c := i.Config
 	// An old connection may have gone silent and proves nothing.
-	fresh := snipeupstream.NewFresh(snipeupstream.DialTCP())
+	fresh := snipeupstream.NewFresh(i.meter.Traffic("Members").Dialer(snipeupstream.DialTCP()))
 	i.members = &snipemember.Node{
 		Self:     snipemember.Member{Name: c.Name, Address: c.Peers, Domain: c.Domain},
 		HTTP:     &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret},
@@ -53,11 +53,25 @@
 	return all, nil
 }
 
-// goneTimeout bounds the last word of an instance that ends.
-const goneTimeout = time.Second
+// goneTimeout bounds the last word of an instance that ends, claimsTimeout the
+// wait for the rows of calls that have their answers.
+const (
+	goneTimeout   = time.Second
+	claimsTimeout = 5 * time.Second
+)
 
-// gone tells the others that this instance ends.
+// gone ends what outlasts the calls and tells the others that this instance
+// ends.
 func (i *Instance) gone(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		i.claims.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(claimsTimeout):
+	}
 	bounded, cancel := context.WithTimeout(ctx, goneTimeout)
 	defer cancel()
 	i.members.Gone(bounded)
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -25,6 +25,7 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipecaller"
+	"snipepitch.example/snipepitch/snipeclaim"
 	"snipepitch.example/snipepitch/snipeconfig"
 	"snipepitch.example/snipepitch/snipedispatch"
 	"snipepitch.example/snipepitch/snipeerror"
@@ -69,6 +70,7 @@
 	peers    *snipepeer.Handler
 	budget   *snipeweight.Budget
 	members  *snipemember.Node
+	claims   *snipeclaim.Claims
 
 	ready    atomic.Bool
 	stopping chan struct{}
@@ -85,6 +87,7 @@
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
 	i.addLoop(ctx, &g, i.members.Run)
+	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
@@ -112,7 +115,7 @@
 	i.buildDispatch()
 	i.buildMembers(table)
 	i.buildHolder(table)
-	i.buildCallers()
+	i.buildCallers(table)
 }
 
 func (i *Instance) buildDispatch() {
@@ -182,10 +185,10 @@
 	return 0
 }
 
-func (i *Instance) buildCallers() {
-	attempts := i.retries()
+func (i *Instance) buildCallers(table snipeplatform.Table) {
+	serve := i.claimed(table, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Current, Serve: attempts.Serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Current, Serve: serve, Admit: i.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -50,6 +50,13 @@
 	DigestRefused   = define(456, "DigestRefused", logrus.ErrorLevel)
 )
 
+// Events of claims, 470 to 479.
+var (
+	ClaimTakenOver    = define(470, "ClaimTakenOver", logrus.InfoLevel)
+	ClaimNotCompleted = define(471, "ClaimNotCompleted", logrus.WarnLevel)
+	SweepFailed       = define(472, "SweepFailed", logrus.WarnLevel)
+)
+
 // Events of adapters and engines, 500 to 599.
 var (
 	AdapterLoaded   = define(500, "AdapterLoaded", logrus.InfoLevel)
