--- a/cmd/snipereplay/run.go
+++ b/cmd/snipereplay/run.go
@@ -45,7 +45,7 @@
 	flag.StringVar(&r.jsonFile, "json", "", "`file` for the results as JSON")
 	flag.StringVar(&r.svgFile, "svg", "", "`file` for a plot of the times")
 	flag.BoolVar(&r.plot, "plot", false, "print a plot of the times")
-	flag.BoolVar(&r.keyedRepeats, "keyed-repeats", false, "repeat non-idempotent calls that may have run, with their key")
+	flag.BoolVar(&r.keyedRepeats, "keyed-repeats", true, "repeat non-idempotent calls that may have run, with their key")
 	flag.Float64Var(&r.minAnswered, "min-answered", 0, "least `share` of calls that must end as stated, 0 to 1")
 	flag.Int64Var(&r.maxInFlight, "max-in-flight", 4096, "most calls in flight; more are counted as Unsent")
 	flag.DurationVar(&r.settle, "settle", time.Second, "pause between the last answer and the audit")
--- a/snipereplay/caller.go
+++ b/snipereplay/caller.go
@@ -47,7 +47,10 @@
 
 // again reports whether a caller may send the call once more after t.
 func (p *Replay) again(r snipetrace.Record, t Try) bool {
-	if decided(t.Code) {
+	// A key whose call may have run already, with no time to come back, will
+	// never be answered.
+	spent := t.Code == codeDuplicate && t.RetryAfter == 0
+	if decided(t.Code) || spent {
 		return false
 	}
 	switch t.Outcome {
--- a/snipereplay/judge_test.go
+++ b/snipereplay/judge_test.go
@@ -180,6 +180,7 @@
 func TestRepeats(t *testing.T) {
 	notRun := func() (*http.Response, error) { return failure(snipeerror.ErrNoUpstream, snipeerror.NotRun) }
 	mayHaveRun := func() (*http.Response, error) { return failure(snipeerror.ErrIncomplete, snipeerror.MayHaveRun) }
+	spent := func() (*http.Response, error) { return failure(snipeerror.ErrDuplicate, snipeerror.MayHaveRun) }
 	refused := func() (*http.Response, error) { return nil, errDial }
 	broken := func() (*http.Response, error) { return nil, errCut }
 	tests := map[string]struct {
@@ -192,6 +193,7 @@
 		"keyless after may have run":         {keyless, mayHaveRun, 1},
 		"keyless after a broken connection":  {keyless, broken, 1},
 		"keyed after may have run":           {keyed, mayHaveRun, 2},
+		"keyed after its key was spent":      {keyed, spent, 1},
 		"model after a broken connection":    {whole, broken, 2},
 		"model after may have run":           {whole, mayHaveRun, 2},
 	}
--- a/snipereplay/snipereplay.go
+++ b/snipereplay/snipereplay.go
@@ -43,6 +43,7 @@
 	codeBroken       = "Broken"
 	codeNoAnswer     = "NoAnswer"
 	codeUnreadable   = "Unreadable"
+	codeDuplicate    = "DuplicateRequestKey"
 	// codeUnsent: too many calls were in flight at the replay.
 	codeUnsent = "Unsent"
 )
