--- a/cmd/snipestand/main.go
+++ b/cmd/snipestand/main.go
@@ -3,9 +3,13 @@
 //
 // Usage:
 //
-//	snipestand platform -address IP:PORT [-rate N] [-concurrent N] [-load D]
-//	snipestand engine -address IP:PORT [-slots N] [-batch N] [-token D] [-checks-fence] [-weights IP:PORT]
-//	snipestand service -address IP:PORT [-name NAME] [-delay D]
+//	snipestand platform -address IP:PORT [-rate N] [-concurrent N] [-load D] [-lag D]
+//	snipestand engine -address IP:PORT [-slots N] [-batch N] [-token D] [-checks-fence] [-weights IP:PORT] [-record FILE]
+//	snipestand cutter -address IP:PORT -link LISTEN=TARGET...
+//	snipestand fault IP:PORT JSON
+//	snipestand cut IP:PORT LISTEN=MODE
+//	snipestand plan [-seed N] [-faults N] [-length D]
+//	snipestand service -address IP:PORT [-name NAME] [-delay D] [-record FILE]
 package main
 
 import (
@@ -31,6 +35,18 @@
 	if len(os.Args) < 2 {
 		usage()
 	}
+	commands := map[string]func([]string) error{
+		"plan":  plan,
+		"cut":   cut,
+		"fault": func(a []string) error { return order("/Fault", a) },
+	}
+	if c, ok := commands[os.Args[1]]; ok {
+		if err := c(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, "snipestand:", err)
+			os.Exit(exitFailed)
+		}
+		return
+	}
 	f := flag.NewFlagSet("snipestand "+os.Args[1], flag.ExitOnError)
 	address := f.String("address", "", "`IP:PORT` to listen on")
 	var handler func() http.Handler
@@ -41,6 +57,8 @@
 		handler = engine(f)
 	case "service":
 		handler = service(f)
+	case "cutter":
+		handler = cutter(f)
 	default:
 		usage()
 	}
@@ -56,7 +74,8 @@
 }
 
 func usage() {
-	fmt.Fprintln(os.Stderr, "usage: snipestand platform|engine|service -address IP:PORT [flags]")
+	fmt.Fprintln(os.Stderr, "usage: snipestand platform|engine|service|cutter -address IP:PORT [flags]")
+	fmt.Fprintln(os.Stderr, "       snipestand fault IP:PORT JSON | cut IP:PORT LISTEN=MODE | plan [flags]")
 	os.Exit(exitUsage)
 }
 
@@ -65,7 +84,9 @@
 	f.Float64Var(&w.PerSecond, "rate", 4.5, "loads per second of the weight store")
 	f.IntVar(&w.Concurrent, "concurrent", 3, "loads at full speed at once")
 	f.DurationVar(&w.Duration, "load", 200*time.Millisecond, "time of one load at full speed")
-	p := &snipestand.Platform{Table: snipestand.NewTable(), Weights: w}
+	i := &snipestand.Instances{}
+	f.DurationVar(&i.Lag, "lag", 5*time.Second, "time until a change of the instance list shows")
+	p := &snipestand.Platform{Table: snipestand.NewTable(), Weights: w, Instances: i}
 	return p.Handler
 }
 
@@ -76,6 +97,7 @@
 	f.DurationVar(&e.TokenTime, "token", 5*time.Millisecond, "time between tokens")
 	f.BoolVar(&e.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
 	f.TextVar(&e.Weights, "weights", netip.AddrPort{}, "`IP:PORT` of the weight store")
+	f.Func("record", "`file` that keeps the executed calls across restarts", e.Executed.Open)
 	return e.Handler
 }
 
@@ -83,5 +105,6 @@
 	s := &snipestand.Service{}
 	f.StringVar(&s.Name, "name", "service", "name put into answers")
 	f.DurationVar(&s.Delay, "delay", 0, "time that an answer takes")
+	f.Func("record", "`file` that keeps the executed calls across restarts", s.Executed.Open)
 	return s.Handler
 }
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -25,17 +25,20 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipecaller"
+	"snipepitch.example/snipepitch/snipeclaim"
 	"snipepitch.example/snipepitch/snipeconfig"
 	"snipepitch.example/snipepitch/snipedispatch"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelease"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemember"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipetree"
+	"snipepitch.example/snipepitch/snipeupstream"
 	"snipepitch.example/snipepitch/snipeweight"
 )
 
@@ -44,12 +47,11 @@
 
 const (
 	leaseMargin       = 2 * time.Second
-	dialTimeout       = 2 * time.Second
 	readHeaderTimeout = 10 * time.Second
-	maxHeader         = 64 << 10
+	maxHeader         = 32 << 10
+	bodyTimeout       = 30 * time.Second
 	peerBeat          = time.Second
 	stopPoll          = 50 * time.Millisecond
-	idleConnections   = 1024
 )
 
 // Instance is one running instance. Exported fields are set before Run.
@@ -65,7 +67,10 @@
 	dispatch *snipedispatch.Dispatcher
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
+	peers    *snipepeer.Handler
 	budget   *snipeweight.Budget
+	members  *snipemember.Node
+	claims   *snipeclaim.Claims
 
 	ready    atomic.Bool
 	stopping chan struct{}
@@ -81,6 +86,8 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.members.Run)
+	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
@@ -102,40 +109,35 @@
 		Address: c.Platform.Table, Table: c.Platform.TableName,
 		AccessKey: c.Platform.AccessKey, SecretKey: c.Platform.SecretKey,
 		Timeout: c.Platform.Timeout.Value(),
-		Dial:    i.meter.Traffic("Platform").Dialer((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
 	i.buildDispatch()
+	i.buildMembers(table)
 	i.buildHolder(table)
-	i.buildCallers()
+	i.buildCallers(table)
 }
 
 func (i *Instance) buildDispatch() {
 	c := i.Config
-	client := &http.Client{Transport: transport()}
-	fresh := transport()
-	fresh.DisableKeepAlives = true
+	dial := snipeupstream.DialTCP()
 	i.budget = &snipeweight.Budget{Limits: i.weightShare}
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
 		Budget: i.budget.Acquire,
-		Client: client, Fresh: &http.Client{Transport: fresh},
-		Progress: c.Progress.Value(), LoadTimeout: c.LoadTimeout.Value(),
+		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
+		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := transport()
-	toPeers.DialContext = i.meter.Traffic("ToPeers").Dialer(toPeers.DialContext)
-	i.forward = &snipepeer.Client{HTTP: &http.Client{Transport: toPeers}, Secret: c.PeerSecret, Progress: c.Progress.Value()}
-}
-
-func transport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:        idleConnections,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+	toPeers := i.meter.Traffic("ToPeers").Dialer(dial)
+	i.forward = &snipepeer.Client{
+		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
+		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
+	}
+	i.peers = &snipepeer.Handler{
+		Execute: i.dispatch.Run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
+		WriteTimeout: c.Progress.Value(), MaxBody: c.MaxBody, MaxCalls: c.MaxCalls,
 	}
 }
 
@@ -183,11 +185,12 @@
 	return 0
 }
 
-func (i *Instance) buildCallers() {
-	attempts := i.retries()
+func (i *Instance) buildCallers(table snipeplatform.Table) {
+	serve := i.claimed(table, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Current, Serve: attempts.Serve, Admit: i.admit, NewID: rand.Text,
-		MaxBody: i.Config.MaxBody, Meter: i.meter, Log: i.Log,
+		Tree: i.settings.Current, Serve: serve, Admit: i.admit, NewID: rand.Text,
+		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
+		Meter: i.meter, Log: i.Log,
 	}
 }
 
@@ -263,10 +266,10 @@
 }
 
 func (i *Instance) listeners() []listener {
-	operators := &snipeoperator.Server{
-		Settings: i.settings, BootstrapKeyHash: i.Config.BootstrapKeyHash,
-		View: i.holder.View, Resident: i.dispatch.Resident, Stop: i.Stop,
-	}
+	peers := http.NewServeMux()
+	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
+	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.meter.Write(w) })
@@ -275,10 +278,6 @@
 	front := http.NewServeMux()
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
-	peers := http.NewServeMux()
-	peers.Handle("POST "+snipepeer.Path, &snipepeer.Handler{
-		Execute: i.dispatch.Run, Secret: i.Config.PeerSecret, Beat: peerBeat, MaxBody: i.Config.MaxBody,
-	})
 	return []listener{
 		{"Callers", i.Config.Callers, front},
 		{"Operators", i.Config.Operators, mux},
@@ -299,7 +298,7 @@
 		return errors.Wrapf(err, "listen for %s", l.name)
 	}
 	n = i.meter.Traffic(l.name).Listener(n)
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeader}
 	g.Add(func() error {
 		err := server.Serve(n)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -358,7 +357,9 @@
 	i.Log.Log(snipelog.Stopping, nil)
 	i.ready.Store(false)
 	i.callers.Stop()
+	i.members.Leave()
 	i.holder.Leave()
+	defer i.gone(ctx)
 	limit := time.NewTimer(i.Config.StopTimeout.Value())
 	defer limit.Stop()
 	t := time.NewTicker(stopPoll)
