Take over what an engine holds instead of starting with empty slots

Cause: a new owner began with empty slots while the engine still held the last owner's aliases, so loads ended with "no free slot"; an engine that restarted empty was noticed by one 404 for each alias; a slot whose order's reply was lost counted as free.

Ruled out: unloading everything at a takeover (evicts under the last owner's calls, and costs a load for each slot).

Change: the new owner makes late orders harmless (first order with the new number, or the committed list of given-up aliases), reads what the engine holds, adopts what no late order can hit and gives up the rest. Aliases of earlier owners are evicted only after the engine's report shows no call there. Slots become free only when the engine confirms. The answer of a call whose ownership ended is passed on whole only if the alias is still listed. The stand-in engine reports busy aliases and its start in the form of vLLM's metrics. Calls count as under way before the ownership is checked, so that a handover cannot slip between the check and the count.

--- a/snipedispatch/snipedispatch.go
+++ b/snipedispatch/snipedispatch.go
@@ -4,14 +4,22 @@
 // All calls of an engine pass through its owner's Dispatcher, wherever their
 // callers are connected. The Dispatcher keeps the slots of each owned engine
 // for as long as one ownership lasts (one fencing number); a new ownership
-// starts with empty slots and aliases of its own.
+// starts with what the engine says it holds.
+//
+// What no owner can exclude by itself: it is frozen after its last look at its
+// lease and before it sends a call, and a successor evicts the alias in the
+// moment between the engine's report that nothing runs there and the call's
+// arrival. The answer of a call whose ownership ended meanwhile is therefore
+// passed on whole only if the engine still holds the alias after the last
+// chunk: no alias comes back, so it was there all the time.
 package snipedispatch
 
 import (
 	"context"
 	"net/http"
-	"strconv"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -35,6 +43,11 @@
 	Tree func() *snipetree.Tree
 	// Fence returns the fencing number of an owned engine.
 	Fence func(engine string) (uint64, bool)
+	// Holds reports that the ownership with the fencing number still stands.
+	Holds func(engine string, fence uint64) bool
+	// Record returns the list of given-up aliases of an engine that ignores
+	// fencing numbers.
+	Record func(engine string, fence uint64) *snipeslot.Record
 	// Budget waits for the weight store's permission to load.
 	Budget func(ctx context.Context) (func(), error)
 	// Client and Fresh send requests; see snipeupstream.Service.
@@ -45,15 +58,11 @@
 	Meter *snipemeter.Meter
 	Log   *snipelog.Logger
 
-	lock    sync.Mutex // guards engines
-	engines map[string]*engine
-}
+	loads atomic.Uint64 // numbers the loads of all ownerships
 
-// engine is one engine during one ownership.
-type engine struct {
-	fence  uint64
-	client *snipeupstream.Engine
-	slots  *snipeslot.Slots
+	lock    sync.Mutex // guards the fields below
+	engines map[string]*engine
+	calls   map[string]int // calls under way by engine, counted before the ownership is checked
 }
 
 // Run executes c at its upstream.
@@ -61,6 +70,7 @@
 	if c.Service != "" {
 		return d.service(ctx, c, sink)
 	}
+	defer d.enter(c.Upstream)()
 	e, err := d.engine(c.Upstream)
 	if err != nil {
 		return err
@@ -80,20 +90,46 @@
 		return acquireError(err)
 	}
 	defer use.Release()
+	if !d.Holds(c.Upstream, e.fence) {
+		return snipeerror.New(snipeerror.ErrNotOwner, snipeerror.NotRun, "engine "+c.Upstream)
+	}
 	d.Meter.Observe(snipemeter.LoadStall, c.Team, c.Class.String(), use.Stalled)
-	err = e.client.Call(ctx, c, use.Alias, sink)
+	err = e.client.Call(ctx, c, use.Alias, d.verified(ctx, e, use.Alias, sink))
 	if errors.Is(err, snipeupstream.ErrNotResident) {
 		e.slots.Forget(use.Alias)
 	}
 	return err
 }
 
+// verified passes chunks on. Before the last one of a call whose ownership has
+// ended it makes sure that nobody evicted the alias meanwhile.
+func (d *Dispatcher) verified(ctx context.Context, e *engine, alias string, sink snipecall.Sink) snipecall.Sink {
+	return func(k snipecall.Chunk) error {
+		if !k.Last || d.Holds(e.client.Name, e.fence) {
+			return sink(k)
+		}
+		names, err := e.client.Aliases(ctx)
+		if err != nil || !slices.Contains(names, alias) {
+			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun,
+				"ownership of engine "+e.client.Name+" ended and the adapter is gone")
+		}
+		return sink(k)
+	}
+}
+
+// engineRetry is what a caller is told to wait when an engine does not answer.
+const engineRetry = time.Second
+
 func acquireError(err error) error {
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.NotRun, "while waiting for the adapter")
 	case errors.Is(err, context.Canceled):
 		return snipeerror.New(snipeerror.ErrCanceled, snipeerror.NotRun, "while waiting for the adapter")
+	case errors.Is(err, snipeslot.ErrClosed):
+		return snipeerror.New(snipeerror.ErrNotOwner, snipeerror.NotRun, err.Error())
+	case errors.Is(err, snipeslot.ErrEngine):
+		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, err.Error()).After(engineRetry)
 	}
 	return snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error())
 }
@@ -116,47 +152,25 @@
 	if d.engines == nil {
 		d.engines = map[string]*engine{}
 	}
+	if old, ok := d.engines[name]; ok {
+		old.slots.Close()
+	}
 	e := d.newEngine(name, fence, settings)
 	d.engines[name] = e
 	return e, nil
 }
 
-func (d *Dispatcher) newEngine(name string, fence uint64, settings snipetree.Engine) *engine {
-	client := &snipeupstream.Engine{Name: name, Address: settings.Address, Client: d.Client, Progress: d.Progress}
-	return &engine{
-		fence:  fence,
-		client: client,
-		slots: &snipeslot.Slots{
-			Engine: name, Capacity: settings.Slots, Prefix: strconv.FormatUint(fence, 10),
-			Load: func(ctx context.Context, alias, path string) error {
-				return client.Load(ctx, alias, path, fence)
-			},
-			Unload: func(ctx context.Context, alias string) error {
-				return client.Unload(ctx, alias, fence)
-			},
-			Budget: d.Budget, Timeout: d.LoadTimeout, Log: d.Log,
-		},
-	}
-}
-
-// Busy reports that a call or an order is in flight at an engine.
-func (d *Dispatcher) Busy(name string) bool {
-	d.lock.Lock()
-	e, ok := d.engines[name]
-	d.lock.Unlock()
-	return ok && e.slots.InFlight() > 0
-}
-
 // Resident returns the adapters resident at an owned engine and the calls in
 // flight there.
 func (d *Dispatcher) Resident(name string) ([]snipecall.Adapter, int) {
 	d.lock.Lock()
 	e, ok := d.engines[name]
+	calls := d.calls[name]
 	d.lock.Unlock()
 	if !ok {
-		return nil, 0
+		return nil, calls
 	}
-	return e.slots.Resident(), e.slots.InFlight()
+	return e.slots.Resident(), calls
 }
 
 func (d *Dispatcher) service(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -81,6 +81,7 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
@@ -104,12 +105,12 @@
 		Timeout: c.Platform.Timeout.Value(),
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
-	i.buildDispatch()
+	i.buildDispatch(table)
 	i.buildHolder(table)
 	i.buildCallers()
 }
 
-func (i *Instance) buildDispatch() {
+func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	client := &http.Client{Transport: transport()}
 	fresh := transport()
@@ -118,6 +119,8 @@
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
+		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
+		Record: recordOf(table),
 		Budget: i.budget.Acquire,
 		Client: client, Fresh: &http.Client{Transport: fresh},
 		Progress: c.Progress.Value(), LoadTimeout: c.LoadTimeout.Value(),
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -46,4 +46,6 @@
 	UpstreamDown    = define(503, "UpstreamDown", logrus.WarnLevel)
 	UpstreamUp      = define(504, "UpstreamUp", logrus.InfoLevel)
 	EngineRestarted = define(505, "EngineRestarted", logrus.WarnLevel)
+	EngineAudited   = define(506, "EngineAudited", logrus.InfoLevel)
+	EvictionFailed  = define(507, "EvictionFailed", logrus.WarnLevel)
 )
--- a/snipeslot/snipeslot.go
+++ b/snipeslot/snipeslot.go
@@ -1,16 +1,27 @@
-// Package snipeslot keeps the adapter slots of one engine, on the engine's
-// owner.
+// Package snipeslot keeps the adapter slots of one engine during one
+// ownership, on the engine's owner.
 //
-// Every call at an engine passes through its owner, so the in-flight counts
-// here are exact. Invariants: an adapter with a use in flight is never
-// evicted; every load has an alias that was never used before, so that a late
-// order of an earlier owner can only hit what that owner had given up; one
-// load serves all who wait for it.
+// Design. Every call at an engine passes through its owner, so the in-flight
+// counts here are exact for this owner. What earlier owners left behind is
+// read from the engine before the first load (audit.go): an alias that no
+// order of theirs can still hit is adopted, all others are given up. Orders
+// are carried out in orders.go. Invariants:
+//
+//   - An adapter with a use in flight is never evicted. An alias of an earlier
+//     owner is evicted only after the engine has said, later than the takeover,
+//     that no call runs or waits under it.
+//   - Every load has an alias that was never used before.
+//   - Before the first order to unload an alias, the intent is committed where
+//     successors find it (GiveUp), or the engine refuses late orders. A
+//     successor never uses an alias that was given up, so a late order hits
+//     only what nobody uses.
+//   - A slot counts as free only once the engine has confirmed that the alias
+//     is not there, whatever happened to the replies before.
+//   - One load serves all who wait for it.
 package snipeslot
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -20,8 +31,26 @@
 	"snipepitch.example/snipepitch/snipelog"
 )
 
-// ErrLoad is returned when the engine could not load the adapter.
-var ErrLoad = errors.New("adapter load failed")
+// Errors of Acquire. All of them mean that no call was sent.
+var (
+	// ErrLoad: the engine could not load the adapter.
+	ErrLoad = errors.New("adapter load failed")
+	// ErrEngine: the engine's state could not be read.
+	ErrEngine = errors.New("engine state unknown")
+	// ErrClosed: the ownership has ended.
+	ErrClosed = errors.New("ownership ended")
+)
+
+// Results of orders that the decisions tell apart. The functions Load and
+// Unload wrap them; any other error means that the order was not carried out.
+var (
+	// ErrRefused: the engine refused the order because of its slots.
+	ErrRefused = errors.New("order refused")
+	// ErrUnclear: the order may have been carried out, or may be later.
+	ErrUnclear = errors.New("order outcome unknown")
+	// ErrFenced: a later owner has given orders.
+	ErrFenced = errors.New("a later owner exists")
+)
 
 type state uint8
 
@@ -31,40 +60,83 @@
 	evicting
 )
 
+// key is what an alias holds: a version, loaded from one path.
+type key struct {
+	adapter snipecall.Adapter
+	path    uint64
+}
+
 // entry is one slot in use.
 type entry struct {
-	adapter  snipecall.Adapter
-	alias    string
+	key      key
+	alias    Alias
+	name     string // the alias as text
 	state    state
 	inFlight int
 	lastUsed time.Time
-	done     chan struct{} // closed when loading ends
-	err      error
+	since    uint64 // the audit clock when the entry became resident
+	// condemned entries are never used: they are evicted as soon as possible.
+	condemned bool
+	// unclear tells that an order for the alias may still be on its way.
+	unclear bool
+	// notBefore is when the next try to evict is worthwhile.
+	notBefore time.Time
+	done      chan struct{} // closed when loading ends
+	err       error
 }
 
-// Slots are the slots of one engine. Exported fields are set before the first
-// call of Acquire.
+// Slots are the slots of one engine during one ownership. Exported fields are
+// set before the first call of Acquire.
 type Slots struct {
 	// Engine is the engine's name.
 	Engine string
 	// Capacity is the number of slots.
 	Capacity int
-	// Prefix makes aliases unique across owners: it names the ownership.
-	Prefix string
-	// Load and Unload give the engine its orders.
+	// Fence is the fencing number of the ownership.
+	Fence uint64
+	// Number returns a number that no other load of this process has.
+	Number func() uint64
+	// Load and Unload give the engine its orders. Unload of an alias that is
+	// not there is no error.
 	Load   func(ctx context.Context, alias, path string) error
 	Unload func(ctx context.Context, alias string) error
+	// Aliases returns what the engine holds.
+	Aliases func(ctx context.Context) ([]string, error)
+	// Busy returns the aliases under which the engine has calls. It is read
+	// after the takeover, at most the lease margin late. Nil when the engine
+	// does not tell: aliases of earlier owners then stay for Settle.
+	Busy func(ctx context.Context) (map[string]bool, error)
+	// GiveUp commits the list of aliases that successors must not use; nil
+	// when the engine refuses late orders.
+	GiveUp func(ctx context.Context, aliases []string) error
+	// Inherit returns the list that the last owner has committed.
+	Inherit func(ctx context.Context) ([]string, error)
 	// Budget waits for the weight store's permission to load.
 	Budget func(ctx context.Context) (func(), error)
-	// Timeout bounds one load, with its wait for the budget.
+	// Timeout bounds one load, with its wait for the budget, and each order.
 	Timeout time.Duration
+	// Settle is how long calls of an earlier owner may last.
+	Settle time.Duration
 	// Log takes the events.
 	Log *snipelog.Logger
 
-	lock    sync.Mutex // guards the fields below; never held during an order
-	entries map[snipecall.Adapter]*entry
-	loads   uint64
-	changed chan struct{} // closed and replaced whenever a slot may be free
+	giving   sync.Mutex // serializes GiveUp
+	auditing sync.Mutex // serializes audits
+
+	lock     sync.Mutex // guards the fields below; never held during an order
+	slots    map[string]*entry
+	serving  map[key]*entry     // loading and resident entries
+	clock    uint64             // grows with each change that an audit must notice
+	removed  map[string]bool    // aliases removed during an audit, nil otherwise
+	given    map[string]bool    // given up: true once committed
+	order    []string           // given in the order of insertion
+	wanted   map[key]int        // calls that wait for a slot
+	opened   time.Time          // when the ownership's first audit ended
+	opening  *attempt           // the audit in progress
+	closed   bool               // no more orders
+	changed  chan struct{}      // closed and replaced whenever a slot may be free
+	stop     context.CancelFunc // ends the orders in progress
+	lifetime context.Context    //nolint:containedctx // of the orders, which outlive their callers
 }
 
 // Use is the right to call a resident adapter. Release must be called once.
@@ -80,135 +152,118 @@
 // Acquire waits until the adapter is resident and counts a use of it.
 func (s *Slots) Acquire(ctx context.Context, a snipecall.Adapter, path string) (*Use, error) {
 	start := time.Now()
+	if err := s.Open(ctx); err != nil {
+		return nil, err
+	}
+	k := key{a, HashPath(path)}
 	for {
-		e, wait := s.find(a, path)
-		if wait == nil {
-			return &Use{Alias: e.alias, Stalled: time.Since(start), slots: s, entry: e}, nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-wait:
+		e, wait := s.find(k, path)
+		switch {
+		case wait == nil && e == nil:
+			return nil, errors.Wrap(ErrClosed, s.Engine)
+		case wait == nil:
+			return &Use{Alias: e.name, Stalled: time.Since(start), slots: s, entry: e}, nil
 		}
-		if e != nil && e.err != nil {
-			return nil, e.err
+		if err := s.await(ctx, k, e, wait); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// await waits for a load, or for a free slot when e is nil. It returns nil when
+// it is worthwhile to look again.
+func (s *Slots) await(ctx context.Context, k key, e *entry, wait <-chan struct{}) error {
+	if e == nil {
+		defer s.unwant(k)
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-wait:
+	}
+	if e != nil && !errors.Is(e.err, ErrRefused) {
+		return e.err
+	}
+	return nil
+}
+
+func (s *Slots) unwant(k key) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.wanted[k]--; s.wanted[k] == 0 {
+		delete(s.wanted, k)
+	}
+}
+
 // find counts a use of a resident adapter, or returns what to wait for. The
-// entry is nil when the wait is for a free slot.
-func (s *Slots) find(a snipecall.Adapter, path string) (*entry, <-chan struct{}) {
+// entry is nil when the wait is for a free slot; both are nil when the
+// ownership has ended.
+func (s *Slots) find(k key, path string) (*entry, <-chan struct{}) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.setup()
-	e, ok := s.entries[a]
-	switch {
-	case ok && e.state == resident:
+	if s.closed {
+		return nil, nil
+	}
+	if e, ok := s.serving[k]; ok {
+		if e.state == loading {
+			return e, e.done
+		}
 		e.inFlight++
 		e.lastUsed = time.Now()
 		return e, nil
-	case ok && e.state == loading:
-		return e, e.done
-	case ok:
-		return nil, s.changed
-	}
-	if len(s.entries) >= s.Capacity && !s.evictOne() {
-		return nil, s.changed
 	}
-	if len(s.entries) >= s.Capacity {
+	if len(s.slots) >= s.Capacity {
+		s.wanted[k]++
+		s.evictOne()
 		return nil, s.changed
 	}
-	e = s.begin(a, path)
+	e := s.begin(k, path)
 	return e, e.done
 }
 
-func (s *Slots) setup() {
-	if s.entries == nil {
-		s.entries = map[snipecall.Adapter]*entry{}
-		s.changed = make(chan struct{})
-	}
-}
-
 // begin starts a load. The lock is held.
-func (s *Slots) begin(a snipecall.Adapter, path string) *entry {
-	s.loads++
+func (s *Slots) begin(k key, path string) *entry {
 	e := &entry{
-		adapter: a, state: loading, lastUsed: time.Now(), done: make(chan struct{}),
-		alias: a.String() + "#" + s.Prefix + "." + strconv.FormatUint(s.loads, 10),
+		key: k, state: loading, lastUsed: time.Now(), done: make(chan struct{}),
+		alias: Alias{Adapter: k.adapter, Fence: s.Fence, Number: s.Number(), Path: k.path},
 	}
-	s.entries[a] = e
+	e.name = e.alias.String()
+	s.slots[e.name] = e
+	s.serving[k] = e
 	go s.load(e, path)
 	return e
 }
 
-// load runs on its own: it outlives the caller that asked first, since others
-// may wait for it too.
-func (s *Slots) load(e *entry, path string) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
-	defer cancel()
-	err := s.order(ctx, e, path)
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if err != nil {
-		e.err = errors.Wrapf(ErrLoad, "%s at %s: %v", e.adapter, s.Engine, err)
-		delete(s.entries, e.adapter)
-		s.Log.Error(snipelog.LoadFailed, e.err, snipelog.Fields{"Engine": s.Engine})
-	} else {
-		e.state = resident
-		s.Log.Log(snipelog.AdapterLoaded, snipelog.Fields{"Engine": s.Engine, "Alias": e.alias})
-	}
-	close(e.done)
-	s.wake()
-}
-
-func (s *Slots) order(ctx context.Context, e *entry, path string) error {
-	release, err := s.Budget(ctx)
-	if err != nil {
-		return errors.Wrap(err, "wait for the weight store")
-	}
-	defer release()
-	return s.Load(ctx, e.alias, path)
-}
-
 // evictOne starts to evict the least recently used adapter with no use in
-// flight and reports whether there was one. The lock is held.
-func (s *Slots) evictOne() bool {
+// flight, unless as many evictions are in progress as adapters wait for a
+// slot. The lock is held.
+func (s *Slots) evictOne() {
 	var victim *entry
-	for _, e := range s.entries {
-		if e.state == evicting {
-			return true
+	now := time.Now()
+	evictions := 0
+	for _, e := range s.slots {
+		if e.state == evicting && !e.condemned {
+			evictions++
 		}
-		if e.state != resident || e.inFlight > 0 {
+		if e.state != resident || e.inFlight > 0 || now.Before(e.notBefore) {
 			continue
 		}
 		if victim == nil || e.lastUsed.Before(victim.lastUsed) {
 			victim = e
 		}
 	}
-	if victim == nil {
-		return false
+	if victim != nil && evictions < len(s.wanted) {
+		s.evict(victim)
 	}
-	victim.state = evicting
-	go s.evict(victim)
-	return true
 }
 
+// evict takes a resident adapter out of use. The lock is held.
 func (s *Slots) evict(e *entry) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
-	defer cancel()
-	err := s.Unload(ctx, e.alias)
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	// Even when the order failed the alias is given up: it is never used again.
-	delete(s.entries, e.adapter)
-	s.wake()
-	f := snipelog.Fields{"Engine": s.Engine, "Alias": e.alias}
-	if err != nil {
-		s.Log.Error(snipelog.AdapterEvicted, err, f)
-		return
+	e.state = evicting
+	if s.serving[e.key] == e {
+		delete(s.serving, e.key)
 	}
-	s.Log.Log(snipelog.AdapterEvicted, f)
+	go s.drop(e)
 }
 
 // wake lets all who wait for a slot look again. The lock is held.
@@ -217,27 +272,46 @@
 	s.changed = make(chan struct{})
 }
 
-// Forget drops a resident alias that the engine says it does not have.
+// Forget drops a resident alias that the engine says it does not have, and
+// looks in the background what else is gone.
 func (s *Slots) Forget(alias string) {
 	s.lock.Lock()
-	defer s.lock.Unlock()
-	for a, e := range s.entries {
-		if e.alias == alias && e.state == resident {
-			delete(s.entries, a)
-			s.wake()
-			return
-		}
+	if e, ok := s.slots[alias]; ok && e.state == resident {
+		s.remove(e)
 	}
+	closed := s.closed
+	s.lock.Unlock()
+	if closed {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(s.lifetime, s.Timeout)
+		defer cancel()
+		// The next call notices what this audit could not.
+		_ = s.audit(ctx)
+	}()
+}
+
+// remove forgets an entry whose alias is not at the engine. The lock is held.
+func (s *Slots) remove(e *entry) {
+	delete(s.slots, e.name)
+	if s.serving[e.key] == e {
+		delete(s.serving, e.key)
+	}
+	if s.removed != nil {
+		s.removed[e.name] = true
+	}
+	s.wake()
 }
 
-// InFlight returns the number of uses and orders in flight.
-func (s *Slots) InFlight() int {
+// Orders returns the number of loads in progress. Evictions do not count: a
+// successor need not wait for them.
+func (s *Slots) Orders() int {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	n := 0
-	for _, e := range s.entries {
-		n += e.inFlight
-		if e.state != resident {
+	for _, e := range s.slots {
+		if e.state == loading {
 			n++
 		}
 	}
@@ -249,14 +323,29 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	var all []snipecall.Adapter
-	for a, e := range s.entries {
+	for k, e := range s.serving {
 		if e.state == resident {
-			all = append(all, a)
+			all = append(all, k.adapter)
 		}
 	}
 	return all
 }
 
+// Close ends the ownership: no order is given any more, and those who wait get
+// ErrClosed. Uses in flight go on.
+func (s *Slots) Close() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	if s.stop != nil {
+		s.stop()
+		s.wake()
+	}
+}
+
 // Release ends the use.
 func (u *Use) Release() {
 	u.slots.lock.Lock()
--- a/snipeslot/snipeslot_test.go
+++ b/snipeslot/snipeslot_test.go
@@ -1,60 +1,19 @@
 package snipeslot
 
 import (
-	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"snipepitch.example/snipepitch/snipecall"
-	"snipepitch.example/snipepitch/snipelog"
 )
 
-// fakeEngine records orders and checks that no alias is used twice.
-type fakeEngine struct {
-	t      *testing.T
-	lock   sync.Mutex
-	loaded map[string]bool
-	ever   map[string]bool
-	loads  int
-}
-
-func (f *fakeEngine) load(_ context.Context, alias, _ string) error {
-	time.Sleep(100 * time.Millisecond)
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	must.False(f.t, f.ever[alias], must.Sprintf("alias %s was used before", alias))
-	f.loads++
-	f.loaded[alias], f.ever[alias] = true, true
-	return nil
-}
-
-func (f *fakeEngine) unload(_ context.Context, alias string) error {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	delete(f.loaded, alias)
-	return nil
-}
-
-func newSlots(t *testing.T, capacity int) (*Slots, *fakeEngine) {
-	f := &fakeEngine{t: t, loaded: map[string]bool{}, ever: map[string]bool{}}
-	return &Slots{
-		Engine: "e1", Capacity: capacity, Prefix: "1", Load: f.load, Unload: f.unload,
-		Budget:  func(context.Context) (func(), error) { return func() {}, nil },
-		Timeout: time.Minute, Log: snipelog.Discard(),
-	}, f
-}
-
-func adapter(name string) snipecall.Adapter {
-	return snipecall.Adapter{Team: "t", Name: name, Version: "1"}
-}
-
 func TestAcquireNeverEvictsInFlight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, f := newSlots(t, 1)
+		f := newFakeEngine(1, true)
+		s := newFakeOwners(f).take()
+		defer s.Close()
 		first, err := s.Acquire(t.Context(), adapter("a"), "p")
 		must.NoError(t, err)
 		second := make(chan *Use)
@@ -64,17 +23,19 @@
 			second <- u
 		}()
 		time.Sleep(time.Hour)
-		must.True(t, f.loaded[first.Alias])
+		must.True(t, f.has(first.Alias))
 		first.Release()
 		u := <-second
-		must.False(t, f.loaded[first.Alias])
+		must.False(t, f.has(first.Alias))
 		u.Release()
 	})
 }
 
 func TestAcquireOneLoadServesAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, f := newSlots(t, 2)
+		f := newFakeEngine(2, true)
+		s := newFakeOwners(f).take()
+		defer s.Close()
 		var all sync.WaitGroup
 		for range 10 {
 			all.Go(func() {
@@ -87,3 +48,22 @@
 		must.Eq(t, 1, f.loads)
 	})
 }
+
+func TestParseAlias(t *testing.T) {
+	whole := Alias{Adapter: adapter("a"), Fence: 7, Number: 9, Path: HashPath("p")}
+	got, err := ParseAlias(whole.String())
+	must.NoError(t, err)
+	must.Eq(t, whole, got)
+	for name, text := range map[string]string{
+		"base model":    "base-1",
+		"no team":       "a@1#1.2.3",
+		"no path":       "t/a@1#1.2",
+		"bad number":    "t/a@1#1.x.3",
+		"empty adapter": "#1.2.3",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseAlias(text)
+			must.ErrorIs(t, err, ErrBadAlias)
+		})
+	}
+}
--- /dev/null
+++ b/snipeslot/takeover_test.go
@@ -0,0 +1,200 @@
+package snipeslot
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// use acquires, calls at the engine and releases.
+func use(t *testing.T, f *fakeEngine, s *Slots, name, path string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for {
+		u, err := s.Acquire(ctx, adapter(name), path)
+		must.NoError(t, err)
+		if !f.begin(u.Alias, path) {
+			s.Forget(u.Alias)
+			u.Release()
+			continue
+		}
+		f.end(u.Alias)
+		u.Release()
+		return
+	}
+}
+
+// takeoverCase is one thing that a new owner may find at the engine.
+type takeoverCase struct {
+	// before is done by the old owner, after by the new one.
+	before func(t *testing.T, f *fakeEngine, old *Slots)
+	after  func(t *testing.T, f *fakeEngine, s *Slots)
+	loads  int // in all
+}
+
+var takeovers = map[string]takeoverCase{
+	"slots full of the old owner's aliases": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) { use(t, f, old, "a", "p"); use(t, f, old, "b", "p") },
+		after:  func(t *testing.T, f *fakeEngine, s *Slots) { use(t, f, s, "c", "p"); use(t, f, s, "d", "p") },
+		loads:  4,
+	},
+	"resident adapters are adopted": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) { use(t, f, old, "a", "p") },
+		after:  func(t *testing.T, f *fakeEngine, s *Slots) { use(t, f, s, "a", "p") },
+		loads:  1,
+	},
+	"a version whose path was changed is loaded again": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) { use(t, f, old, "a", "p") },
+		after:  func(t *testing.T, f *fakeEngine, s *Slots) { use(t, f, s, "a", "q") },
+		loads:  2,
+	},
+	"restarted empty": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			use(t, f, old, "a", "p")
+			use(t, f, old, "b", "p")
+			f.restart()
+			use(t, f, old, "a", "p")
+			synctest.Wait()
+			must.Eq(t, 1, len(old.Resident()))
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) { use(t, f, s, "a", "p") },
+		loads: 3,
+	},
+	"reply of a load lost": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			use(t, f, old, "a", "p")
+			once(f, faultLost)
+			_, err := old.Acquire(t.Context(), adapter("b"), "p")
+			must.ErrorIs(t, err, ErrLoad)
+			use(t, f, old, "c", "p")
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) { use(t, f, s, "c", "p") },
+		loads: 3,
+	},
+	"reply of an unload lost": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			use(t, f, old, "a", "p")
+			use(t, f, old, "b", "p")
+			once(f, faultLost)
+			use(t, f, old, "c", "p")
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) { use(t, f, s, "c", "p") },
+		loads: 3,
+	},
+	"order to unload lost on its way": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			use(t, f, old, "a", "p")
+			use(t, f, old, "b", "p")
+			once(f, faultVanished)
+			use(t, f, old, "c", "p")
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) { use(t, f, s, "c", "p") },
+		loads: 3,
+	},
+	"given-up orders to load and unload come late": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			must.NoError(t, old.Open(t.Context()))
+			once(f, faultDelayed)
+			f.late = 30 * time.Second
+			go func() { _, _ = old.Acquire(t.Context(), adapter("b"), "p") }()
+			time.Sleep(fakeLoad + time.Millisecond)
+			use(t, f, old, "a", "p")
+			use(t, f, old, "c", "p")
+			use(t, f, old, "d", "p") // evicts, and commits what is given up anew
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) {
+			f.restart()
+			time.Sleep(time.Minute) // the load arrives now; an order to unload may follow
+			must.NoError(t, s.Open(t.Context()))
+			synctest.Wait()
+			must.Eq(t, f.checks, slices.Contains(s.Resident(), adapter("b")))
+		},
+		loads: -1,
+	},
+	"order to unload comes late": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			use(t, f, old, "a", "p")
+			use(t, f, old, "b", "p")
+			once(f, faultLate) // the old owner freezes in the middle of an eviction
+			go func() { _, _ = old.Acquire(t.Context(), adapter("c"), "p") }()
+			synctest.Wait()
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) {
+			u, err := s.Acquire(t.Context(), adapter("a"), "p")
+			must.NoError(t, err)
+			must.True(t, f.begin(u.Alias, "p"))
+			time.Sleep(time.Minute) // the late order arrives now
+			must.True(t, f.has(u.Alias))
+			f.end(u.Alias)
+			u.Release()
+		},
+		loads: -1,
+	},
+	"a call of the old owner is under way": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			u, err := old.Acquire(t.Context(), adapter("a"), "p")
+			must.NoError(t, err)
+			must.True(t, f.begin(u.Alias, "p"))
+			time.AfterFunc(30*time.Second, func() { f.end(u.Alias) })
+			use(t, f, old, "b", "p")
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) {
+			use(t, f, s, "c", "p")
+			use(t, f, s, "d", "p")
+			use(t, f, s, "c", "p")
+		},
+		loads: 5,
+	},
+	"a load of the old owner comes late": {
+		before: func(t *testing.T, f *fakeEngine, old *Slots) {
+			use(t, f, old, "a", "p")
+			once(f, faultLate)
+			go func() { _, _ = old.Acquire(t.Context(), adapter("b"), "p") }()
+			time.Sleep(time.Second)
+		},
+		after: func(t *testing.T, f *fakeEngine, s *Slots) {
+			use(t, f, s, "c", "p")
+			time.Sleep(time.Minute)
+			use(t, f, s, "d", "p")
+			use(t, f, s, "e", "p")
+		},
+		loads: -1,
+	},
+}
+
+// once puts a fault on the next order.
+func once(f *fakeEngine, kind fault) {
+	f.next = func() fault {
+		f.next = func() fault { return faultNone }
+		return kind
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	for name, c := range takeovers {
+		for kind, checks := range map[string]bool{"engine refuses old numbers": true, "engine ignores numbers": false} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFakeEngine(2, checks)
+					owners := newFakeOwners(f)
+					old := owners.take()
+					c.before(t, f, old)
+					s := owners.take()
+					c.after(t, f, s)
+					time.Sleep(time.Hour)
+					old.Close()
+					s.Close()
+					must.Eq(t, "", f.violation)
+					if c.loads >= 0 {
+						must.Eq(t, c.loads, f.loads)
+					}
+				})
+			})
+		}
+	}
+}
--- a/snipestand/engine.go
+++ b/snipestand/engine.go
@@ -37,6 +37,7 @@
 	next    int
 	batch   chan struct{}
 	fault   EngineFault
+	started time.Time
 }
 
 // CrashPrompt is the text in a prompt that crashes the engine.
@@ -61,6 +62,7 @@
 	cancel          context.CancelFunc
 
 	lock     sync.Mutex // guards the fields below
+	running  bool
 	produced int
 	canceled bool
 	changed  chan struct{}
@@ -71,6 +73,7 @@
 
 // Handler returns the engine's routes.
 func (e *Engine) Handler() http.Handler {
+	e.started = time.Now()
 	e.loaded = map[string]string{}
 	e.answers = map[string]*generation{}
 	e.batch = make(chan struct{}, e.Batch)
@@ -82,6 +85,7 @@
 	mux.HandleFunc("GET /v1/responses/{id}", e.resume)
 	mux.HandleFunc("POST /v1/responses/{id}/cancel", e.cancelAnswer)
 	mux.HandleFunc("GET /v1/models", e.models)
+	mux.HandleFunc("GET /metrics", e.metrics)
 	mux.HandleFunc("POST /Fault", func(w http.ResponseWriter, r *http.Request) {
 		var f EngineFault
 		if readJSON(w, r, &f) {
@@ -261,6 +265,7 @@
 		return
 	}
 	defer func() { <-e.batch }()
+	g.run()
 	t := time.NewTicker(max(e.TokenTime, time.Microsecond))
 	defer t.Stop()
 	for range g.tokens {
--- a/snipeupstream/snipeupstream.go
+++ b/snipeupstream/snipeupstream.go
@@ -43,8 +43,13 @@
 var (
 	// ErrFenced: the engine refused an order with an old fencing number.
 	ErrFenced = errors.New("order refused: old fencing number")
-	// ErrOrder: the engine did not carry out an order.
+	// ErrOrder: the engine answered that it did not carry out an order.
 	ErrOrder = errors.New("order failed")
+	// ErrOrderRefused: an ErrOrder for a reason that lies in the order or in
+	// the engine's slots.
+	ErrOrderRefused = errors.New("order refused")
+	// ErrOrderUnknown: the order may have been carried out, or may be later.
+	ErrOrderUnknown = errors.New("order outcome unknown")
 	// ErrNotResident: the engine does not have the alias; the call was not run.
 	ErrNotResident = errors.New("adapter not resident")
 )
@@ -73,9 +78,14 @@
 	return e.order(ctx, "/v1/load_lora_adapter", order{Name: alias, Path: path}, fence)
 }
 
-// Unload orders the engine to drop an alias.
+// Unload orders the engine to drop an alias. An alias that is not there is no
+// error.
 func (e *Engine) Unload(ctx context.Context, alias string, fence uint64) error {
-	return e.order(ctx, "/v1/unload_lora_adapter", order{Name: alias}, fence)
+	err := e.order(ctx, "/v1/unload_lora_adapter", order{Name: alias}, fence)
+	if errors.Is(err, ErrNotResident) {
+		return nil
+	}
+	return err
 }
 
 func (e *Engine) order(ctx context.Context, path string, o order, fence uint64) error {
@@ -91,7 +101,7 @@
 	r.Header.Set(FenceHeader, strconv.FormatUint(fence, 10))
 	response, err := e.Client.Do(r)
 	if err != nil {
-		return errors.Wrapf(ErrOrder, "%s %s: %v", path, o.Name, err)
+		return orderError(err, path+" "+o.Name)
 	}
 	defer closeBody(response)
 	switch response.StatusCode {
@@ -99,10 +109,23 @@
 		return nil
 	case http.StatusPreconditionFailed:
 		return errors.Wrapf(ErrFenced, "%s %s with %d", path, o.Name, fence)
+	case http.StatusBadRequest, http.StatusConflict:
+		return errors.Wrapf(ErrOrderRefused, "%s %s: status %d: %s", path, o.Name, response.StatusCode, readError(response))
+	case http.StatusNotFound:
+		return errors.Wrapf(ErrNotResident, "%s %s", path, o.Name)
 	}
 	return errors.Wrapf(ErrOrder, "%s %s: status %d: %s", path, o.Name, response.StatusCode, readError(response))
 }
 
+// orderError tells an order that was never sent from one that may have been.
+func orderError(err error, what string) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrapf(ErrOrder, "%s: %v", what, err)
+	}
+	return errors.Wrapf(ErrOrderUnknown, "%s: %v", what, err)
+}
+
 func (e *Engine) url(path string) string { return "http://" + e.Address.String() + path }
 
 func closeBody(r *http.Response) {
