--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -86,6 +86,7 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.watchReady)
@@ -112,19 +113,21 @@
 		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
-	i.buildDispatch()
+	i.buildDispatch(table)
 	i.buildMembers(table)
 	i.buildHolder(table)
 	i.buildCallers(table)
 }
 
-func (i *Instance) buildDispatch() {
+func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
 	i.budget = &snipeweight.Budget{Limits: i.weightShare}
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
+		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
+		Record: recordOf(table),
 		Budget: i.budget.Acquire,
 		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
