--- a/snipedispatch/snipedispatch.go
+++ b/snipedispatch/snipedispatch.go
@@ -55,6 +55,10 @@
 	// Progress is the longest time between two chunks, FirstChunk that before
 	// the first one; LoadTimeout bounds a load.
 	Progress, FirstChunk, LoadTimeout time.Duration
+	// Gate is entered around each call at an upstream, with the alias that it
+	// runs under (empty for services); done takes the call's failure. Nil is no
+	// gate.
+	Gate func(ctx context.Context, c *snipecall.Call, alias string) (done func(error), err error)
 	// Meter and Log take metrics and events.
 	Meter *snipemeter.Meter
 	Log   *snipelog.Logger
@@ -95,13 +99,34 @@
 		return snipeerror.New(snipeerror.ErrNotOwner, snipeerror.NotRun, "engine "+c.Upstream)
 	}
 	d.Meter.Observe(snipemeter.LoadStall, c.Team, c.Class.String(), use.Stalled)
-	err = e.client.Call(ctx, c, use.Alias, d.verified(ctx, e, use.Alias, sink))
+	err = d.gated(ctx, c, use.Alias, func() error {
+		return e.client.Call(ctx, c, use.Alias, d.verified(ctx, e, use.Alias, sink))
+	})
 	if errors.Is(err, snipeupstream.ErrNotResident) {
 		e.slots.Forget(use.Alias)
 	}
 	return err
 }
 
+// gated makes a call within the gate.
+func (d *Dispatcher) gated(ctx context.Context, c *snipecall.Call, alias string, call func() error) error {
+	if d.Gate == nil {
+		return call()
+	}
+	done, err := d.Gate(ctx, c, alias)
+	if err != nil {
+		return err
+	}
+	err = call()
+	if errors.Is(err, snipeupstream.ErrNotResident) {
+		// The engine has refused the call; it is no failure of its caller's side.
+		done(snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "not resident"))
+		return err
+	}
+	done(err)
+	return err
+}
+
 // verified passes chunks on. Before the last one of a call whose ownership has
 // ended it makes sure that nobody evicted the alias meanwhile.
 func (d *Dispatcher) verified(ctx context.Context, e *engine, alias string, sink snipecall.Sink) snipecall.Sink {
@@ -180,5 +205,5 @@
 		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "upstream "+c.Upstream)
 	}
 	s := &snipeupstream.Service{Name: c.Upstream, Address: u.Address, Client: d.Client, Fresh: d.Fresh, Progress: d.Progress}
-	return s.Call(ctx, c, sink)
+	return d.gated(ctx, c, "", func() error { return s.Call(ctx, c, sink) })
 }
--- a/snipeinstance/retries.go
+++ b/snipeinstance/retries.go
@@ -5,6 +5,6 @@
 // retries returns what executes calls with their retries.
 func (i *Instance) retries() *sniperetry.Attempts {
 	return &sniperetry.Attempts{
-		Choose: i.choose, Execute: i.execute, Budget: sniperetry.DefaultBudget(), Log: i.Log,
+		Choose: i.choose, Execute: i.quarantine.guard.Execute, Budget: sniperetry.DefaultBudget(), Log: i.Log,
 	}
 }
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -36,6 +36,7 @@
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
@@ -72,6 +73,8 @@
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
 
+	quarantine *quarantine
+
 	ready    atomic.Bool
 	stopping chan struct{}
 	signals  chan os.Signal
@@ -89,6 +92,8 @@
 	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
+	i.addLoop(ctx, &g, i.quarantine.run)
+	i.addLoop(ctx, &g, i.quarantine.guard.Loop)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
@@ -116,6 +121,7 @@
 	i.buildDispatch(table)
 	i.buildMembers(table)
 	i.buildHolder(table)
+	i.buildQuarantine()
 	i.buildCallers(table)
 }
 
@@ -208,7 +214,7 @@
 const noUpstreamRetry = 2 * time.Second
 
 func (i *Instance) choose(c *snipecall.Call, failed []string) (string, error) {
-	candidates := i.candidates(c, failed)
+	candidates := i.quarantine.isolate(c, i.candidates(c, failed))
 	key := sniperoute.AdapterHash(c.Adapter)
 	if c.Service != "" {
 		key = sniperoute.Hash(c.ID)
@@ -272,6 +278,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
+	peers.Handle(snipequarantine.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.quarantine.guard.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -74,4 +74,5 @@
 	CallQuarantined    = define(600, "CallQuarantined", logrus.WarnLevel)
 	UpstreamBrokeOff   = define(601, "UpstreamBrokeOff", logrus.WarnLevel)
 	CrashNotReplicated = define(602, "CrashNotReplicated", logrus.WarnLevel)
+	RecordRefused      = define(603, "RecordRefused", logrus.WarnLevel)
 )
--- a/snipequarantine/guard.go
+++ b/snipequarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -66,6 +67,9 @@
 // Execute runs an attempt when its coordinator lets it. It sets the attempt's
 // Upstream and Alone as decided.
 func (g *Guard) Execute(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
+	if unguarded(c) {
+		return g.Run(ctx, c, sink)
+	}
 	a := Attempt{
 		Fingerprint: FingerprintOf(c), ID: c.ID + "/" + c.Upstream, Entry: g.Registry.Self,
 		Upstream: c.Upstream, Mark: g.Mark(c),
@@ -79,6 +83,13 @@
 	return err
 }
 
+// unguarded reports whether a call is passed on without its coordinator:
+// readings of plain services, which are the same for many callers and would
+// all be directed to one upstream.
+func unguarded(c *snipecall.Call) bool {
+	return c.Service != "" && (c.Method == http.MethodGet || c.Method == http.MethodHead)
+}
+
 // enter asks until the attempt may start or has no time left.
 func (g *Guard) enter(ctx context.Context, c *snipecall.Call, a *Attempt) error {
 	for {
--- a/snipequarantine/record.go
+++ b/snipequarantine/record.go
@@ -13,8 +13,9 @@
 // quarantineCrashes is how many crashes quarantine a fingerprint.
 const quarantineCrashes = 2
 
-// maxCrashes bounds the crashes that a record keeps; the oldest gives way.
-const maxCrashes = 8
+// maxCrashes bounds the crashes that a record keeps; the oldest gives way. An
+// encoded record stays below the 512 bytes of an announcement.
+const maxCrashes = 4
 
 // ErrBadRecord is returned for data that is no record.
 var ErrBadRecord = errors.New("not a record of crashes")
--- a/snipequarantine/snipequarantine.go
+++ b/snipequarantine/snipequarantine.go
@@ -159,6 +159,13 @@
 	ID string
 	// Domain is its failure domain.
 	Domain string
+	// Hash is the hash of ID that ranks it.
+	Hash uint64
+}
+
+// NewMember returns a member with its hash.
+func NewMember(id, domain string) Member {
+	return Member{ID: id, Domain: domain, Hash: sniperoute.Hash(id)}
 }
 
 // Coordinators returns the coordinators of a fingerprint: the member that
@@ -188,7 +195,7 @@
 		if !allowed(m) {
 			continue
 		}
-		if s := sniperoute.Score(key, sniperoute.Hash(m.ID)); best < 0 || s > bestScore {
+		if s := sniperoute.Score(key, m.Hash); best < 0 || s > bestScore {
 			best, bestScore = i, s
 		}
 	}
--- a/snipequarantine/world_test.go
+++ b/snipequarantine/world_test.go
@@ -118,7 +118,7 @@
 	for n, o := range i.world.instances {
 		started := !o.born.After(then) || o.born.Equal(i.world.instances[0].born) || o == i
 		if started && (o.died.IsZero() || o.died.After(then)) {
-			all = append(all, Member{ID: o.id, Domain: strconv.Itoa(n % 3)})
+			all = append(all, NewMember(o.id, strconv.Itoa(n%3)))
 		}
 	}
 	return all
