Limits: teams' limits over the deployment, fair queues and adaptive limits at upstreams

Cause: settings named limits that nothing enforced; at an upstream whoever came first was served, so a storm of one team took the others with it. Change: package snipelimit; Limits now hold for the deployment and may name classes; the dispatcher's gate is the queue and then the quarantine. Seen failing first, each by taking the rule out: fewest under way, pushing out, deadline, the eighth turn, one sign for refusals of a moment, order of classes, shares by demand.

--- a/snipeinstance/quarantine.go
+++ b/snipeinstance/quarantine.go
@@ -65,7 +65,6 @@
 		Mark: mark, Survived: q.survived, Log: i.Log,
 	}
 	registry.Announce = q.guard.Announce
-	i.dispatch.Gate = q.guard.Enter
 	i.quarantine = q
 }
 
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -75,6 +75,7 @@
 
 	quarantine *quarantine
 	health     *health
+	limits     *limits
 
 	ready    atomic.Bool
 	stopping chan struct{}
@@ -95,6 +96,7 @@
 	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.quarantine.run)
 	i.addLoop(ctx, &g, i.health.loop)
+	i.addLoop(ctx, &g, i.limits.loop)
 	i.addLoop(ctx, &g, i.quarantine.guard.Loop)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, l := range i.listeners() {
@@ -124,6 +126,7 @@
 	i.buildMembers(table)
 	i.buildHolder(table)
 	i.buildQuarantine()
+	i.buildLimits()
 	i.buildCallers(table)
 }
 
@@ -200,19 +203,12 @@
 func (i *Instance) buildCallers(table snipeplatform.Table) {
 	serve := i.claimed(table, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Current, Serve: serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Current, Serve: serve, Admit: i.limits.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
 }
 
-func (i *Instance) admit(*snipecall.Call) (func(), error) {
-	if i.callers.InFlight() > int64(i.Config.MaxCalls) {
-		return nil, snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "too many calls in flight").After(time.Second)
-	}
-	return func() {}, nil
-}
-
 // noUpstreamRetry is what a caller is told to wait when no upstream is usable.
 const noUpstreamRetry = 2 * time.Second
 
--- a/snipequarantine/interleaving_test.go
+++ b/snipequarantine/interleaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -166,3 +167,62 @@
 		}
 	}
 }
+
+// TestMeasureBound sends one crasher 40 times at once through five instances,
+// each up to 20 times more, with the guard and without it.
+func TestMeasureBound(t *testing.T) {
+	t.Log("Table: one crasher, 40 callers at five instances before eight engines, each repeats up to 20 times")
+	t.Log("| guard | engines crashed | refused as quarantined |")
+	t.Log("|---|---|---|")
+	for _, guarded := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(5)
+			w.unguarded = !guarded
+			var all sync.WaitGroup
+			for n := range 40 {
+				all.Go(func() {
+					w.call(w.instances[n%5], strconv.Itoa(n), "crash", rand.New(rand.NewPCG(1, uint64(n))), 20)
+				})
+			}
+			all.Wait()
+			w.lock.Lock()
+			crashes, refused := w.crashes["crash"], w.refused["crash"]
+			w.lock.Unlock()
+			t.Logf("| %s | %d | %d |", map[bool]string{false: "off", true: "on"}[guarded], crashes, refused)
+			must.Eq(t, guarded, crashes == quarantineCrashes)
+			w.stop()
+		})
+	}
+}
+
+// BenchmarkFingerprint is the cost of a fingerprint of a body of 4 KiB.
+func BenchmarkFingerprint(b *testing.B) {
+	c := newCall("id", strings.Repeat("x", 4096))
+	b.ReportAllocs()
+	for b.Loop() {
+		FingerprintOf(c)
+	}
+}
+
+// BenchmarkCoordinators is the choice of the coordinators among 340 members.
+func BenchmarkCoordinators(b *testing.B) {
+	members := make([]Member, 340)
+	for n := range members {
+		members[n] = NewMember("instance-"+strconv.Itoa(n), strconv.Itoa(n%8))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Coordinators(Fingerprint{}, members)
+	}
+}
+
+// BenchmarkRegistry is the start and the end of an attempt at its coordinator.
+func BenchmarkRegistry(b *testing.B) {
+	r := &Registry{Settle: time.Second, Linger: time.Second, Hold: time.Hour}
+	a := Attempt{ID: "a", Upstream: "e", Left: time.Minute}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Begin(a)
+		r.Finish(a, Answered)
+	}
+}
--- a/snipequarantine/world_test.go
+++ b/snipequarantine/world_test.go
@@ -27,6 +27,7 @@
 	delay     time.Duration // of each message
 	spread    time.Duration // of an announcement
 	lag       time.Duration // of the view of members
+	unguarded bool          // attempts run without their coordinators
 	lock      sync.Mutex    // guards the fields below
 	instances []*instance
 	crashes   map[string]int // by body
@@ -379,7 +380,11 @@
 	c.Upstream = strconv.Itoa(engine)
 	ctx, cancel := context.WithDeadline(i.ctx, c.Deadline)
 	defer cancel()
-	err := i.guard.Execute(ctx, c, func(snipecall.Chunk) error { return nil })
+	run := i.guard.Execute
+	if w.unguarded {
+		run = i.hop
+	}
+	err := run(ctx, c, func(snipecall.Chunk) error { return nil })
 	if i.ctx.Err() == nil {
 		w.count(body, err)
 	}
--- a/snipetree/snipetree.go
+++ b/snipetree/snipetree.go
@@ -120,12 +120,38 @@
 	Teams []string `json:",omitempty"`
 }
 
-// Limit bounds what a team may use.
+// Limit bounds what a team may use in the whole deployment.
 type Limit struct {
-	// Concurrent is how many calls may be in flight at one instance.
+	// Concurrent is how many calls may be in flight; zero is no limit.
 	Concurrent int `json:",omitempty"`
-	// PerSecond is how many calls may start in a second at one instance.
+	// PerSecond is how many calls may start in a second; zero is no limit.
 	PerSecond float64 `json:",omitempty"`
+	// Classes bounds the calls of single classes further.
+	Classes map[snipecall.Class]ClassLimit `json:",omitempty"`
+}
+
+// ClassLimit bounds the calls of one class of a team.
+type ClassLimit struct {
+	// Concurrent and PerSecond are as in Limit.
+	Concurrent int     `json:",omitempty"`
+	PerSecond  float64 `json:",omitempty"`
+}
+
+func (l Limit) check(field string) error {
+	bounds := map[string]ClassLimit{field: {Concurrent: l.Concurrent, PerSecond: l.PerSecond}}
+	for c, b := range l.Classes {
+		bounds[field+".Classes."+c.String()] = b
+	}
+	for _, name := range sortedNames(bounds) {
+		b := bounds[name]
+		if b.Concurrent < 0 || b.PerSecond < 0 {
+			return invalid(name, "must not be negative")
+		}
+		if b.Concurrent > maxConcurrent || b.PerSecond > maxRate {
+			return invalid(name, "must be at most 100000 calls and 1000000 a second")
+		}
+	}
+	return nil
 }
 
 // Branch is the branch of one team.
@@ -233,8 +259,8 @@
 		return invalid("WeightStore.Concurrent", "must be from 1 to 100000")
 	}
 	for _, name := range sortedNames(p.Limits) {
-		if l := p.Limits[name]; l.Concurrent < 0 || l.PerSecond < 0 {
-			return invalid("Limits."+name, "must not be negative")
+		if err := p.Limits[name].check("Limits." + name); err != nil {
+			return err
 		}
 	}
 	return nil
