Graceful stop in steps, bounded connections, TLS with keys read anew

Cause: readiness could come back on when settings arrived after a stop had begun; calls of peers executed here were not waited for; the listeners were closed when the last call had ended, before its last bytes were out; a stop whose table was down waited for StopTimeout; any number of connections was taken; keys could not be had at all.

Ruled out: SIGHUP for new keys (tools that renew certificates know no process; files are read every 10 s); names in peers' certificates (instances are known by addresses that change with each replacement); closing whatever is over the bound of connections without an answer (a refused caller is to read why).

Change: phases that only grow; notice, then refusal, then the end of calls here and of peers, then the handover with a bound of its own; Shutdown before Close. The peers' listener keeps its shared secret and can have mutual TLS besides.

--- a/snipeconfig/snipeconfig.go
+++ b/snipeconfig/snipeconfig.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipecert"
 	"snipepitch.example/snipepitch/snipejson"
 	"snipepitch.example/snipepitch/snipetree"
 )
@@ -54,12 +55,24 @@
 	FirstChunk snipejson.Duration
 	// LoadTimeout bounds the load of an adapter.
 	LoadTimeout snipejson.Duration
+	// CallersTLS, OperatorsTLS and PeersTLS are the certificates of the
+	// listeners; a listener without is plain HTTP. That of peers needs an
+	// authority, and all instances must have it or none.
+	CallersTLS   *snipecert.Files `json:",omitempty"`
+	OperatorsTLS *snipecert.Files `json:",omitempty"`
+	PeersTLS     *snipecert.Files `json:",omitempty"`
+	// StopNotice is how long a stopping instance, no longer ready, still takes
+	// calls, for the balancer to notice.
+	StopNotice snipejson.Duration
 	// StopTimeout bounds a graceful stop.
 	StopTimeout snipejson.Duration
 	// MaxBody bounds a call's body in bytes.
 	MaxBody int64
 	// MaxCalls bounds the calls in flight on this instance.
 	MaxCalls int
+	// MaxConnections bounds the open connections of the callers' listener, and
+	// those of the peers' listener.
+	MaxConnections int
 	// LogLevel is a level of logrus.
 	LogLevel string
 }
@@ -79,8 +92,8 @@
 	seconds := func(n int) snipejson.Duration { return snipejson.Duration(time.Duration(n) * time.Second) }
 	return Config{
 		Lease: seconds(6), Renew: seconds(1), Poll: seconds(1),
-		Progress: seconds(5), FirstChunk: seconds(30), LoadTimeout: seconds(60), StopTimeout: seconds(60),
-		MaxBody: 4 << 20, MaxCalls: 10000, LogLevel: "info",
+		Progress: seconds(5), FirstChunk: seconds(30), LoadTimeout: seconds(60), StopNotice: seconds(3), StopTimeout: seconds(60),
+		MaxBody: 4 << 20, MaxCalls: 10000, MaxConnections: 20000, LogLevel: "info",
 		Platform: Platform{TableName: "snipepitch", Timeout: seconds(2)},
 	}
 }
@@ -100,6 +113,9 @@
 		return Config{}, errors.Wrap(err, "settings file")
 	}
 	c, err := Decode(data)
+	if err == nil {
+		err = c.CheckFiles()
+	}
 	if err != nil {
 		return Config{}, errors.Wrap(err, path)
 	}
@@ -145,6 +161,12 @@
 	if c.MaxCalls < 1 {
 		return invalid("MaxCalls", "must be at least 1")
 	}
+	if c.MaxConnections < 1 {
+		return invalid("MaxConnections", "must be at least 1")
+	}
+	if err := c.checkTLS(); err != nil {
+		return err
+	}
 	if _, err := logrus.ParseLevel(c.LogLevel); err != nil {
 		return invalid("LogLevel", err.Error())
 	}
@@ -174,6 +196,40 @@
 	return nil
 }
 
+// checkTLS checks the certificate settings without their files.
+func (c Config) checkTLS() error {
+	if c.CallersTLS != nil && c.CallersTLS.Authority != "" {
+		return invalid("CallersTLS.Authority", "callers are known by their keys; leave it out")
+	}
+	if c.OperatorsTLS != nil && c.OperatorsTLS.Authority != "" {
+		return invalid("OperatorsTLS.Authority", "operators are known by their keys; leave it out")
+	}
+	if c.PeersTLS != nil && c.PeersTLS.Authority == "" {
+		return invalid("PeersTLS.Authority", "missing: peers prove themselves to each other")
+	}
+	return nil
+}
+
+// CheckFiles checks the files that the settings name.
+func (c Config) CheckFiles() error {
+	for _, l := range []struct {
+		field string
+		files *snipecert.Files
+	}{
+		{"CallersTLS", c.CallersTLS},
+		{"OperatorsTLS", c.OperatorsTLS},
+		{"PeersTLS", c.PeersTLS},
+	} {
+		if l.files == nil {
+			continue
+		}
+		if err := l.files.Check(); err != nil {
+			return invalid(l.field, err.Error())
+		}
+	}
+	return nil
+}
+
 func (c Config) checkDurations() error {
 	durations := []struct {
 		field string
@@ -193,6 +249,9 @@
 			return invalid(d.field, "must be above 0")
 		}
 	}
+	if c.StopNotice < 0 || c.StopNotice >= c.StopTimeout {
+		return invalid("StopNotice", "must not be negative, and below StopTimeout")
+	}
 	if c.Lease < 3*c.Renew {
 		return invalid("Lease", "must be at least three times Renew")
 	}
--- /dev/null
+++ b/snipeinstance/listen.go
@@ -0,0 +1,167 @@
+package snipeinstance
+
+import (
+	"context"
+	"crypto/tls"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"snipepitch.example/snipepitch/snipecert"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipelog"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	keepAliveTimeout  = 2 * time.Minute
+	shutdownTimeout   = 5 * time.Second
+	// maxOperators bounds the connections of operators and scrapers.
+	maxOperators = 256
+	// overBound is the share of connections over the bound that are still
+	// answered, with a refusal; more are closed without an answer.
+	overBound = 8
+	// crowdedRetry is what a refused connection is told to wait.
+	crowdedRetry = time.Second
+)
+
+// listener is one of the instance's listeners.
+type listener struct {
+	name    string
+	address netip.AddrPort
+	handler http.Handler
+	// connections bounds the open connections.
+	connections int
+	// keys are those for TLS; nil for none.
+	keys *snipecert.Keeper
+	log  *snipelog.Logger
+}
+
+// connectionLog takes what net/http says about single connections.
+type connectionLog struct {
+	logger   *snipelog.Logger
+	listener string
+}
+
+// Write implements io.Writer.
+func (c *connectionLog) Write(line []byte) (int, error) {
+	c.logger.Log(snipelog.ConnectionFailed, snipelog.Fields{
+		"Listener": c.listener, "Error": strings.TrimSpace(string(line)),
+	})
+	return len(line), nil
+}
+
+// bounded counts the open connections of a listener.
+type bounded struct {
+	net.Listener
+	limit int64
+	open  atomic.Int64
+}
+
+// boundedConn is a connection that is counted until it is closed.
+type boundedConn struct {
+	net.Conn
+	over  bool
+	count *atomic.Int64
+	done  atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (b *bounded) Accept() (net.Conn, error) {
+	for {
+		c, err := b.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		n := b.open.Add(1)
+		counted := &boundedConn{Conn: c, over: n > b.limit, count: &b.open}
+		if n <= b.limit+b.limit/overBound+1 {
+			return counted, nil
+		}
+		// There is nobody to tell.
+		_ = counted.Close()
+	}
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	if c.done.CompareAndSwap(false, true) {
+		c.count.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// overKey marks the context of a connection over the bound.
+type overKey struct{}
+
+func markOver(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if b, ok := c.(*boundedConn); ok && b.over {
+		return context.WithValue(ctx, overKey{}, true)
+	}
+	return ctx
+}
+
+// refuseOver answers requests on connections over the bound.
+func refuseOver(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Value(overKey{}) == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "too many connections").After(crowdedRetry).Write(w, "")
+	})
+}
+
+// newServer returns the server of a listener and what it accepts from.
+func newServer(l listener, n net.Listener) (*http.Server, net.Listener) {
+	n = &bounded{Listener: n, limit: int64(l.connections)}
+	if l.keys != nil {
+		n = tls.NewListener(n, l.keys.Server())
+	}
+	return &http.Server{
+		Handler: refuseOver(l.handler), ConnContext: markOver, MaxHeaderBytes: 2 * maxHeader,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
+		ErrorLog: log.New(&connectionLog{logger: l.log, listener: l.name}, "", 0),
+	}, n
+}
+
+func (i *Instance) addListener(ctx context.Context, g *run.Group, l listener) error {
+	var config net.ListenConfig
+	n, err := config.Listen(ctx, "tcp", l.address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", l.name)
+	}
+	server, n := newServer(l, i.meter.Traffic(l.name).Listener(n))
+	g.Add(func() error {
+		err := server.Serve(n)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		i.Log.Error(snipelog.ListenerFailed, err, snipelog.Fields{"Listener": l.name})
+		return errors.Wrapf(err, "serve %s", l.name)
+	}, func(cause error) { end(server, cause) })
+	return nil
+}
+
+// end closes a server: at once when the stop was forced, else after the last
+// bytes of answers are out, which a call's end does not wait for.
+func end(server *http.Server, cause error) {
+	if !errors.Is(cause, ErrForced) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		// What is left after the time is cut.
+		_ = server.Shutdown(ctx)
+	}
+	_ = server.Close()
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -11,20 +11,17 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipecaller"
+	"snipepitch.example/snipepitch/snipecert"
 	"snipepitch.example/snipepitch/snipeconfig"
 	"snipepitch.example/snipepitch/snipedispatch"
 	"snipepitch.example/snipepitch/snipeerror"
@@ -40,16 +37,12 @@
 	"snipepitch.example/snipepitch/snipeweight"
 )
 
-// ErrForced is returned by Run when a second signal ended the stop.
-var ErrForced = errors.New("stopped by a second signal")
-
 const (
-	leaseMargin       = 2 * time.Second
-	readHeaderTimeout = 10 * time.Second
-	maxHeader         = 32 << 10
-	bodyTimeout       = 30 * time.Second
-	peerBeat          = time.Second
-	stopPoll          = 50 * time.Millisecond
+	leaseMargin = 2 * time.Second
+	maxHeader   = 32 << 10
+	bodyTimeout = 30 * time.Second
+	peerBeat    = time.Second
+	stopPoll    = 50 * time.Millisecond
 )
 
 // Instance is one running instance. Exported fields are set before Run.
@@ -66,16 +59,19 @@
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
 	peers    *snipepeer.Handler
+	keys     map[string]*snipecert.Keeper // by listener
 	budget   *snipeweight.Budget
 
-	ready    atomic.Bool
+	phase    phase
 	stopping chan struct{}
 	signals  chan os.Signal
 }
 
 // Run serves until a signal or a drain order, then stops gracefully.
 func (i *Instance) Run(ctx context.Context) error {
-	i.build()
+	if err := i.build(); err != nil {
+		return err
+	}
 	i.signals = make(chan os.Signal, 2)
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(i.signals)
@@ -83,6 +79,9 @@
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
 	i.addLoop(ctx, &g, i.watchReady)
+	for _, k := range i.keys {
+		i.addLoop(ctx, &g, k.Run)
+	}
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
 			return err
@@ -95,8 +94,11 @@
 	return err
 }
 
-func (i *Instance) build() {
+func (i *Instance) build() error {
 	c := i.Config
+	if err := i.loadKeys(); err != nil {
+		return err
+	}
 	i.stopping = make(chan struct{}, 1)
 	i.meter = snipemeter.New()
 	table := snipeplatform.Dynamo{
@@ -109,6 +111,7 @@
 	i.buildDispatch()
 	i.buildHolder(table)
 	i.buildCallers()
+	return nil
 }
 
 func (i *Instance) buildDispatch() {
@@ -123,7 +126,7 @@
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := i.meter.Traffic("ToPeers").Dialer(dial)
+	toPeers := i.peerDial(dial)
 	i.forward = &snipepeer.Client{
 		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
@@ -251,13 +254,6 @@
 	return i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
 }
 
-// listener is one of the instance's listeners.
-type listener struct {
-	name    string
-	address netip.AddrPort
-	handler http.Handler
-}
-
 func (i *Instance) listeners() []listener {
 	operators := &snipeoperator.Server{
 		Settings: i.settings, BootstrapKeyHash: i.Config.BootstrapKeyHash,
@@ -274,103 +270,20 @@
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
 	return []listener{
-		{"Callers", i.Config.Callers, front},
-		{"Operators", i.Config.Operators, mux},
-		{"Peers", i.Config.Peers, peers},
+		{"Callers", i.Config.Callers, front, i.Config.MaxConnections, i.keys["Callers"], i.Log},
+		{"Operators", i.Config.Operators, mux, maxOperators, i.keys["Operators"], i.Log},
+		{"Peers", i.Config.Peers, peers, i.Config.MaxConnections, i.keys["Peers"], i.Log},
 	}
 }
 
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !i.ready.Load() {
+	if !i.phase.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-func (i *Instance) addListener(ctx context.Context, g *run.Group, l listener) error {
-	var config net.ListenConfig
-	n, err := config.Listen(ctx, "tcp", l.address.String())
-	if err != nil {
-		return errors.Wrapf(err, "listen for %s", l.name)
-	}
-	n = i.meter.Traffic(l.name).Listener(n)
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeader}
-	g.Add(func() error {
-		err := server.Serve(n)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		i.Log.Error(snipelog.ListenerFailed, err, snipelog.Fields{"Listener": l.name})
-		return errors.Wrapf(err, "serve %s", l.name)
-	}, func(error) {
-		// The stop has waited for the calls already; what is left is cut.
-		_ = server.Close()
-	})
-	return nil
-}
-
 // addLoop adds a duty that ends with its context.
 func (i *Instance) addLoop(ctx context.Context, g *run.Group, f func(context.Context) error) {
 	inner, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return f(inner) }, func(error) { cancel() })
 }
-
-// watchReady turns readiness on once settings are in force and owners known.
-func (i *Instance) watchReady(ctx context.Context) error {
-	t := time.NewTicker(stopPoll)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		if i.settings.Current() != nil && len(i.holder.View().Instances) > 0 {
-			i.ready.Store(true)
-			i.Log.Log(snipelog.Ready, nil)
-			<-ctx.Done()
-			return nil
-		}
-	}
-}
-
-// Stop starts a graceful stop.
-func (i *Instance) Stop() {
-	select {
-	case i.stopping <- struct{}{}:
-	default:
-	}
-}
-
-// waitStop waits for a signal or a drain order and carries out the stop.
-func (i *Instance) waitStop(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-i.signals:
-	case <-i.stopping:
-	}
-	i.Log.Log(snipelog.Stopping, nil)
-	i.ready.Store(false)
-	i.callers.Stop()
-	i.holder.Leave()
-	limit := time.NewTimer(i.Config.StopTimeout.Value())
-	defer limit.Stop()
-	t := time.NewTicker(stopPoll)
-	defer t.Stop()
-	for {
-		if i.callers.InFlight() == 0 && len(i.holder.Owned()) == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-i.signals:
-			i.Log.Log(snipelog.StopForced, nil)
-			return ErrForced
-		case <-limit.C:
-			i.Log.Log(snipelog.StopForced, nil)
-			return nil
-		case <-t.C:
-		}
-	}
-}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -10,6 +10,11 @@
 	Stopped        = define(103, "Stopped", logrus.InfoLevel)
 	StopForced     = define(104, "StopForced", logrus.WarnLevel)
 	ListenerFailed = define(105, "ListenerFailed", logrus.ErrorLevel)
+
+	CertificateInForce = define(106, "CertificateInForce", logrus.InfoLevel)
+	CertificateRefused = define(107, "CertificateRefused", logrus.ErrorLevel)
+	HandoverFailed     = define(108, "HandoverFailed", logrus.WarnLevel)
+	ConnectionFailed   = define(109, "ConnectionFailed", logrus.DebugLevel)
 )
 
 // Events of calls, 200 to 299.
