--- a/snipeinstance/listen_test.go
+++ b/snipeinstance/listen_test.go
@@ -101,6 +101,7 @@
 				must.NoError(t, err)
 				_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 				must.NoError(t, err)
+				synctest.Wait()
 				go end(server, c.cause)
 				r, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				if !c.whole {
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -22,11 +22,13 @@
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipecaller"
 	"snipepitch.example/snipepitch/snipecert"
+	"snipepitch.example/snipepitch/snipeclaim"
 	"snipepitch.example/snipepitch/snipeconfig"
 	"snipepitch.example/snipepitch/snipedispatch"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelease"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemember"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
@@ -61,6 +63,8 @@
 	peers    *snipepeer.Handler
 	keys     map[string]*snipecert.Keeper // by listener
 	budget   *snipeweight.Budget
+	members  *snipemember.Node
+	claims   *snipeclaim.Claims
 
 	phase    phase
 	stopping chan struct{}
@@ -78,6 +82,8 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.members.Run)
+	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, k := range i.keys {
 		i.addLoop(ctx, &g, k.Run)
@@ -109,8 +115,9 @@
 	}.Open()
 	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
 	i.buildDispatch()
+	i.buildMembers(table)
 	i.buildHolder(table)
-	i.buildCallers()
+	i.buildCallers(table)
 	return nil
 }
 
@@ -181,10 +188,10 @@
 	return 0
 }
 
-func (i *Instance) buildCallers() {
-	attempts := &snipecaller.Attempts{Choose: i.choose, Execute: i.execute, Log: i.Log}
+func (i *Instance) buildCallers(table snipeplatform.Table) {
+	serve := i.claimed(table, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Current, Serve: attempts.Serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Current, Serve: serve, Admit: i.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
@@ -255,10 +262,10 @@
 }
 
 func (i *Instance) listeners() []listener {
-	operators := &snipeoperator.Server{
-		Settings: i.settings, BootstrapKeyHash: i.Config.BootstrapKeyHash,
-		View: i.holder.View, Resident: i.dispatch.Resident, Stop: i.Stop,
-	}
+	peers := http.NewServeMux()
+	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
+	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.meter.Write(w) })
@@ -267,8 +274,6 @@
 	front := http.NewServeMux()
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
-	peers := http.NewServeMux()
-	peers.Handle(snipepeer.Path, i.peers)
 	return []listener{
 		{"Callers", i.Config.Callers, front, i.Config.MaxConnections, i.keys["Callers"], i.Log},
 		{"Operators", i.Config.Operators, mux, maxOperators, i.keys["Operators"], i.Log},
--- a/snipeinstance/stop.go
+++ b/snipeinstance/stop.go
@@ -113,12 +113,22 @@
 	}
 	s := &stop{
 		notice: i.Config.StopNotice.Value(), limit: i.Config.StopTimeout.Value(), handover: i.Config.Lease.Value(),
-		signals: i.signals, unready: i.phase.stop, leave: i.holder.Leave, refuse: i.callers.Stop,
+		signals: i.signals, unready: i.phase.stop, leave: i.leave, refuse: i.callers.Stop,
 		calls: func() int { return int(i.callers.InFlight()) + i.peers.InFlight() },
 		owned: func() int { return len(i.holder.Owned()) },
 		log:   i.Log,
 	}
-	return s.run(ctx)
+	err := s.run(ctx)
+	if !errors.Is(err, ErrForced) {
+		i.gone(ctx)
+	}
+	return err
+}
+
+// leave tells the other instances, and gives up the engines.
+func (i *Instance) leave() {
+	i.members.Leave()
+	i.holder.Leave()
 }
 
 // watchReady turns readiness on once settings are in force and owners known.
