--- a/snipeerror/body.go
+++ b/snipeerror/body.go
@@ -25,6 +25,7 @@
 		Code    string `json:"code"`
 	} `json:"error"`
 	Outcome                Outcome `json:"Outcome"`
+	Reason                 string  `json:"Reason,omitempty"`
 	RetryAfterMilliseconds int64   `json:"RetryAfterMilliseconds,omitempty"`
 	RequestID              string  `json:"RequestId,omitempty"`
 }
@@ -36,6 +37,7 @@
 	b.Error.Type = string(f.Outcome)
 	b.Error.Code = f.Code()
 	b.Outcome = f.Outcome
+	b.Reason = f.Reason
 	b.RetryAfterMilliseconds = f.RetryAfter.Milliseconds()
 	b.RequestID = requestID
 	data, err := json.Marshal(b)
@@ -62,7 +64,7 @@
 	}
 	for _, k := range kinds {
 		if k.code == b.Error.Code {
-			return New(k.sentinel, b.Outcome, b.Error.Message).After(wait), nil
+			return New(k.sentinel, b.Outcome, b.Reason).After(wait), nil
 		}
 	}
 	return nil, errors.Wrapf(ErrBadBody, "code %q", b.Error.Code)
--- a/snipejson/snipejson.go
+++ b/snipejson/snipejson.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,7 @@
 // Errors of Decode.
 var (
 	ErrDuplicate = errors.New("duplicate name")
+	ErrUnknown   = errors.New("unknown field")
 	ErrTrailing  = errors.New("data after the document")
 	ErrTooDeep   = errors.New("nested too deeply")
 )
@@ -26,7 +28,7 @@
 // Decode reads the one JSON document in data into v. It refuses unknown
 // fields, duplicate names and anything after the document.
 func Decode(data []byte, v any) error {
-	if err := checkNames(data); err != nil {
+	if err := checkNames(data, reflect.TypeOf(v)); err != nil {
 		return err
 	}
 	d := json.NewDecoder(bytes.NewReader(data))
@@ -37,11 +39,13 @@
 	return nil
 }
 
-// checkNames walks the document once and refuses a name given twice.
-func checkNames(data []byte) error {
+// checkNames walks the document once and refuses a name given twice, and one
+// that is not exactly a field's: encoding/json takes any case for it, so that
+// a field could be given twice by two spellings.
+func checkNames(data []byte, t reflect.Type) error {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.UseNumber()
-	if err := checkValue(d, nil); err != nil {
+	if err := checkValue(d, nil, t); err != nil {
 		return err
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
@@ -50,7 +54,7 @@
 	return nil
 }
 
-func checkValue(d *json.Decoder, path []string) error {
+func checkValue(d *json.Decoder, path []string, of reflect.Type) error {
 	if len(path) > maxDepth {
 		return errors.Wrap(ErrTooDeep, strings.Join(path[:4], "."))
 	}
@@ -60,27 +64,63 @@
 	}
 	switch t {
 	case json.Delim('{'):
-		return checkObject(d, path)
+		return checkObject(d, path, shape(of))
 	case json.Delim('['):
-		return checkArray(d, path)
+		return checkArray(d, path, shape(of))
 	}
 	return nil
 }
 
-func checkObject(d *json.Decoder, path []string) error {
+// shape returns the type whose fields or elements a value has; nil when the
+// type decodes itself or is not known.
+func shape(t reflect.Type) reflect.Type {
+	for t != nil && t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t == nil || reflect.PointerTo(t).Implements(reflect.TypeFor[json.Unmarshaler]()) {
+		return nil
+	}
+	return t
+}
+
+// below returns the type of the value under a name, and whether there may be
+// such a name.
+func below(t reflect.Type, name string) (reflect.Type, bool) {
+	switch {
+	case t == nil:
+		return nil, true
+	case t.Kind() == reflect.Map:
+		return t.Elem(), true
+	case t.Kind() != reflect.Struct:
+		return nil, true
+	}
+	for _, f := range reflect.VisibleFields(t) {
+		tag, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if tag == name || tag == "" && f.Name == name {
+			return f.Type, f.IsExported()
+		}
+	}
+	return nil, false
+}
+
+func checkObject(d *json.Decoder, path []string, of reflect.Type) error {
 	seen := map[string]bool{}
 	for d.More() {
-		t, err := d.Token()
+		token, err := d.Token()
 		if err != nil {
 			return errors.Wrapf(err, "at %q", strings.Join(path, "."))
 		}
-		name, _ := t.(string)
-		below := slices.Concat(path, []string{name})
+		name, _ := token.(string)
+		inner := slices.Concat(path, []string{name})
 		if seen[name] {
-			return errors.Wrap(ErrDuplicate, strings.Join(below, "."))
+			return errors.Wrap(ErrDuplicate, strings.Join(inner, "."))
 		}
 		seen[name] = true
-		if err := checkValue(d, below); err != nil {
+		t, ok := below(of, name)
+		if !ok {
+			return errors.Wrap(ErrUnknown, strings.Join(inner, "."))
+		}
+		if err := checkValue(d, inner, t); err != nil {
 			return err
 		}
 	}
@@ -88,10 +128,14 @@
 	return err
 }
 
-func checkArray(d *json.Decoder, path []string) error {
-	below := slices.Concat(path, []string{"[]"})
+func checkArray(d *json.Decoder, path []string, of reflect.Type) error {
+	inner := slices.Concat(path, []string{"[]"})
+	var element reflect.Type
+	if of != nil && (of.Kind() == reflect.Slice || of.Kind() == reflect.Array) {
+		element = of.Elem()
+	}
 	for d.More() {
-		if err := checkValue(d, below); err != nil {
+		if err := checkValue(d, inner, element); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/snipejson/snipejson_test.go
@@ -0,0 +1,91 @@
+package snipejson
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+type document struct {
+	Name    string
+	Timeout Duration
+	Inner   *document
+	Names   map[string]int
+}
+
+// FuzzDecode: what is taken is one JSON document, and encodes to one that is
+// taken again.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{}`, `{"Name":"a","Name":"b"}`, `{"Names":{"a":1,"a":2}}`, `{"Other":1}`, `{} {}`, `{"Timeout":"5s"}`, `{"Timeout":5}`,
+		`{"name":"a","Name":"b"}`, strings.Repeat(`{"Inner":`, 100) + "null" + strings.Repeat("}", 100), strings.Repeat("[", 100000),
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d document
+		if Decode(data, &d) != nil {
+			return
+		}
+		must.True(t, json.Valid(data))
+		again, err := json.Marshal(d)
+		must.NoError(t, err)
+		must.NoError(t, Decode(again, &document{}))
+	})
+}
+
+// FuzzDepth: it is never below the true depth, and a text without strings has
+// exactly as many levels as brackets nest.
+func FuzzDepth(f *testing.F) {
+	for _, seed := range []string{`{}`, `[[1],{"a":["]"]}]`, `"\"["`, `"`, `"\`, `]]][`, strings.Repeat("[", 1000)} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got := Depth(data)
+		if !json.Valid(data) {
+			return
+		}
+		var v any
+		must.NoError(t, json.Unmarshal(data, &v))
+		must.Eq(t, depth(v), got)
+	})
+}
+
+func depth(v any) int {
+	deepest := 0
+	switch v := v.(type) {
+	case []any:
+		for _, e := range v {
+			deepest = max(deepest, depth(e))
+		}
+	case map[string]any:
+		for _, e := range v {
+			deepest = max(deepest, depth(e))
+		}
+	default:
+		return 0
+	}
+	return deepest + 1
+}
+
+// TestRefusalsNameThePlace holds what an operator reads.
+func TestRefusalsNameThePlace(t *testing.T) {
+	cases := map[string]struct{ data, want string }{
+		"unknown field":      {`{"Title":"a"}`, "Title"},
+		"duplicate":          {`{"Inner":{"Name":"a","Name":"b"}}`, "Inner.Name"},
+		"duplicate by case":  {`{"Name":"a","name":"b"}`, "name"},
+		"trailing":           {`{} x`, "after the document"},
+		"bad duration":       {`{"Timeout":"5"}`, "duration"},
+		"nested too deeply":  {strings.Repeat(`{"Inner":`, 100) + "null" + strings.Repeat("}", 100), "nested too deeply"},
+		"document cut short": {`{"Name":`, "Name"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := Decode([]byte(c.data), &document{})
+			must.Error(t, err)
+			must.StrContains(t, err.Error(), c.want)
+		})
+	}
+}
--- a/snipepeer/server.go
+++ b/snipepeer/server.go
@@ -197,8 +197,11 @@
 	if err := json.Unmarshal([]byte(header.Get(callHeader)), c); err != nil {
 		return nil, 0, errors.Wrap(ErrBadCall, err.Error())
 	}
-	if c.Class >= snipecall.Classes || c.Upstream == "" {
-		return nil, 0, errors.Wrap(ErrBadCall, "class or upstream")
+	if c.Class >= snipecall.Classes || c.Upstream == "" || c.Method == "" || c.Path == "" {
+		return nil, 0, errors.Wrap(ErrBadCall, "class, upstream, method or path")
+	}
+	if !c.Adapter.IsZero() && c.Adapter.Team != c.Team {
+		return nil, 0, errors.Wrap(ErrBadCall, "adapter of another team")
 	}
 	milliseconds, err := strconv.ParseInt(header.Get(waitHeader), 10, 64)
 	if err != nil || milliseconds > maxWait.Milliseconds() || milliseconds < -maxWait.Milliseconds() {
--- a/snipepeer/snipepeer_test.go
+++ b/snipepeer/snipepeer_test.go
@@ -74,7 +74,7 @@
 
 func newCall() *snipecall.Call {
 	return &snipecall.Call{
-		ID: "call-1", Team: "ash", Adapter: adapter, Upstream: "engine-1", Method: http.MethodPost,
+		ID: "call-1", Team: "ash", Adapter: adapter, Upstream: "engine-1", Method: http.MethodPost, Path: "/v1/completions",
 		Idempotent: true, Stream: true, Deadline: time.Now().Add(time.Minute), Body: []byte("body"),
 	}
 }
--- a/snipestream/snipestream.go
+++ b/snipestream/snipestream.go
@@ -38,6 +38,7 @@
 type Reader struct {
 	reader *bufio.Reader
 	data   []byte
+	lines  int // data lines of the event
 }
 
 // NewReader returns a reader of r.
@@ -50,6 +51,7 @@
 func (r *Reader) Read() (Event, error) {
 	var e Event
 	r.data = r.data[:0]
+	r.lines = 0
 	started := false
 	for {
 		line, err := r.line()
@@ -110,7 +112,7 @@
 	value = bytes.TrimPrefix(value, []byte{' '})
 	switch {
 	case bytes.Equal(name, fieldData):
-		if len(r.data) > 0 {
+		if r.lines++; r.lines > 1 {
 			r.data = append(r.data, '\n')
 		}
 		r.data = append(r.data, value...)
--- a/snipeupstream/answer.go
+++ b/snipeupstream/answer.go
@@ -5,14 +5,15 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/tidwall/gjson"
-	"github.com/tidwall/sjson"
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipejson"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipestream"
 )
@@ -20,6 +21,9 @@
 // maxAhead bounds the chunks held back until an earlier one arrives.
 const maxAhead = 16
 
+// maxDepth bounds how deeply a chunk may be nested.
+const maxDepth = 128
+
 // answer is the state of one answer across connections. It belongs to the
 // goroutine of its call.
 type answer struct {
@@ -201,30 +205,54 @@
 	if bytes.Equal(data, endMark) {
 		return a.end()
 	}
-	if !gjson.ValidBytes(data) {
+	if snipejson.Depth(data) > maxDepth || !gjson.ValidBytes(data) {
 		return errors.Wrapf(errBroken, "chunk %d is not JSON", a.sequence+1)
 	}
-	if got := gjson.GetBytes(data, "model"); got.String() != a.alias {
+	f := readFields(data)
+	if f.model.String() != a.alias || f.models != 1 {
 		return snipeerror.New(snipeerror.ErrMismatch, snipeerror.MayHaveRun,
-			"engine "+a.engine.Name+" answered as "+strconv.Quote(got.String()))
+			"engine "+a.engine.Name+" answered as "+strconv.Quote(f.model.String()))
 	}
-	if err := a.checkID(gjson.GetBytes(data, "id").String()); err != nil {
+	if err := a.checkID(f.id); err != nil {
 		return err
 	}
 	a.sequence++
-	if gjson.GetBytes(data, "choices.0.finish_reason").String() != "" {
-		a.finished = true
-	}
+	a.finished = a.finished || f.finished
 	if a.assembled != nil {
 		return a.assembled.add(data)
 	}
-	var err error
-	if a.buffer, err = sjson.SetBytes(data, "model", a.model); err != nil {
-		return errors.Wrap(err, "set model")
-	}
+	a.buffer = append(a.buffer[:0], data[:f.model.Index]...)
+	a.buffer = strconv.AppendQuote(a.buffer, a.model)
+	a.buffer = append(a.buffer, data[f.model.Index+len(f.model.Raw):]...)
 	return a.sink(snipecall.Chunk{Sequence: a.sequence, Data: a.buffer})
 }
 
+// chunkFields are the fields of a chunk that matter here.
+type chunkFields struct {
+	model    gjson.Result
+	models   int // names that some decoder takes for "model"
+	id       string
+	finished bool
+}
+
+// readFields reads a chunk, which is valid JSON, in one pass.
+func readFields(data []byte) chunkFields {
+	var f chunkFields
+	gjson.ParseBytes(data).ForEach(func(key, value gjson.Result) bool {
+		switch name := key.String(); {
+		case strings.EqualFold(name, "model"):
+			f.models++
+			f.model = value
+		case name == "id":
+			f.id = value.String()
+		case name == "choices":
+			f.finished = f.finished || value.Get("0.finish_reason").String() != ""
+		}
+		return true
+	})
+	return f
+}
+
 // checkID holds all chunks to one answer of the engine.
 func (a *answer) checkID(id string) error {
 	if a.id == "" {
--- a/snipeupstream/assembly.go
+++ b/snipeupstream/assembly.go
@@ -121,8 +121,9 @@
 func mergeList(before, more []any) []any {
 	for _, v := range more {
 		entry, ok := v.(document)
-		if ok && entry["index"] != nil {
-			if known := findIndex(before, entry["index"]); known != nil {
+		index, numbered := entry["index"].(json.Number)
+		if ok && numbered {
+			if known := findIndex(before, index); known != nil {
 				merge(known, entry)
 				continue
 			}
@@ -133,9 +134,9 @@
 	return before
 }
 
-func findIndex(list []any, index any) document {
+func findIndex(list []any, index json.Number) document {
 	for _, v := range list {
-		if entry, ok := v.(document); ok && entry["index"] == index {
+		if entry, ok := v.(document); ok && entry["index"] == any(index) {
 			return entry
 		}
 	}
