Settings: documents by content, edits found out, peers pass revisions on

Cause: an edit whose reply was lost ended as unknown although it was not, or not yet, in effect; a stored branch that could not be decoded blocked all others; branches above 400 KB could not be stored; new, frozen and cut-off instances admitted calls under any revision; nothing checked across branches.

The table stand-in gains stale reads, lost and late writes, flapping, throttling and partial outages, and counts units.

Ruled out: recognising a repeated edit by its document; two operators with the same document would both be told that they won. Edits carry an identifier now.

Tests: TestApplyConflict and TestApplyReplyLost applied a team's branch whose base model no engine has, which is refused now. The first stands on a prepared platform and checks one more stale version; the second is the case "reply lost" of TestApplyUnderFaults, which also sends the edit again.

Seen failing first: mutations, each run against the tests, fail them: no second sending (3 cases), no peers (7), no freshness (4), lower revisions taken (2), edits not recognised (7), history not looked at (1), decode error blocks (1), own edit not put in force (1: all nine instances stop admitting when the table fails right after the commit), peers not asked at the start (1), head written without the revision's condition (12).

--- a/cmd/snipectl/apply.go
+++ b/cmd/snipectl/apply.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"flag"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
 
 	"snipepitch.example/snipepitch/snipeproto"
 )
@@ -23,8 +25,8 @@
 		if err != nil {
 			return err
 		}
-		out, err := c.operator.ApplySettings(ctx, &snipeproto.ApplySettingsRequest{
-			Team: *team, ExpectVersion: *version, Document: data,
+		out, err := c.apply(ctx, &snipeproto.ApplySettingsRequest{
+			Team: *team, ExpectVersion: *version, Document: data, Edit: rand.Text(),
 		})
 		if err != nil {
 			return err
@@ -44,6 +46,19 @@
 	}
 }
 
+// apply sends an edit, and sends it again while its outcome is unknown: the
+// same edit is never made twice.
+func (c *client) apply(ctx context.Context, in *snipeproto.ApplySettingsRequest) (*snipeproto.ApplySettingsResponse, error) {
+	const tries = 3
+	for n := 1; ; n++ {
+		out, err := c.operator.ApplySettings(ctx, in)
+		var failure twirp.Error
+		if err == nil || n == tries || !errors.As(err, &failure) || failure.Code() != twirp.DeadlineExceeded {
+			return out, err
+		}
+	}
+}
+
 // accepted is the answer of apply as -json prints it.
 type accepted struct {
 	Revision uint64
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -111,9 +111,9 @@
 		Timeout: c.Platform.Timeout.Value(),
 		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
-	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
-	i.buildDispatch()
 	i.buildMembers(table)
+	i.buildSettings(table)
+	i.buildDispatch()
 	i.buildHolder(table)
 	i.buildCallers(table)
 }
@@ -188,7 +188,7 @@
 func (i *Instance) buildCallers(table snipeplatform.Table) {
 	serve := i.claimed(table, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Current, Serve: serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Admitting, Serve: serve, Admit: i.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
@@ -268,6 +268,7 @@
 func (i *Instance) listeners() []listener {
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
@@ -286,7 +287,7 @@
 }
 
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !i.ready.Load() {
+	if !i.ready.Load() || !i.settings.Fresh() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/snipemember/run.go
+++ b/snipemember/run.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// runPushes tells new changes at once, within a budget of one push an interval
+// runPushes tells new changes at once, within a budget of pushRefill pushes an interval
 // and a burst.
 func (n *Node) runPushes(ctx context.Context) {
 	budget, filled := float64(pushBurst), time.Now()
@@ -62,7 +62,7 @@
 		for n.fresh() && ctx.Err() == nil {
 			sleep(ctx, pushGather)
 			now := time.Now()
-			budget = min(pushBurst, budget+now.Sub(filled).Seconds()/n.Interval.Seconds())
+			budget = min(pushBurst, budget+pushRefill*now.Sub(filled).Seconds()/n.Interval.Seconds())
 			filled = now
 			if budget < 1 {
 				sleep(ctx, n.Interval/2)
--- a/snipemember/snipemember.go
+++ b/snipemember/snipemember.go
@@ -102,8 +102,9 @@
 	relays         = 3
 	pushFanout     = 4
 	pushBurst      = 12
+	pushRefill     = 0.25
 	pushGather     = 20 * time.Millisecond
-	maxNews        = 900
+	maxNews        = 400
 	maxRetransmit  = 8
 	suspectFactor  = 3
 	isolatedFactor = 3
--- a/snipeoperator/apply.go
+++ b/snipeoperator/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
@@ -16,7 +17,13 @@
 	if err := s.authorize(ctx, r.GetTeam()); err != nil {
 		return nil, err
 	}
-	revision, err := s.Settings.Apply(ctx, r.GetTeam(), r.GetExpectVersion(), r.GetDocument())
+	edit := snipetree.Edit{
+		ID: r.GetEdit(), Team: r.GetTeam(), Expect: r.GetExpectVersion(), Document: r.GetDocument(),
+	}
+	if edit.ID == "" {
+		edit.ID = rand.Text()
+	}
+	revision, err := s.Settings.ApplyEdit(ctx, edit)
 	switch {
 	case err == nil:
 		return &snipeproto.ApplySettingsResponse{Revision: revision}, nil
--- a/snipestand/platform.go
+++ b/snipestand/platform.go
@@ -18,8 +18,25 @@
 // tableFault is the JSON form of TableFault.
 type tableFault struct {
 	Down              bool
+	DownPartition     string
+	FlapMilliseconds  int64
+	RefuseEvery       int
 	DelayMilliseconds int64
+	StaleMilliseconds int64
 	LoseReplies       int
+	LoseWrites        int
+	LateWrites        int
+	LateMilliseconds  int64
+}
+
+func (f tableFault) value() TableFault {
+	milliseconds := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	return TableFault{
+		Down: f.Down, DownPartition: f.DownPartition, Flap: milliseconds(f.FlapMilliseconds),
+		RefuseEvery: f.RefuseEvery, Delay: milliseconds(f.DelayMilliseconds), Stale: milliseconds(f.StaleMilliseconds),
+		LoseReplies: f.LoseReplies, LoseWrites: f.LoseWrites,
+		LateWrites: f.LateWrites, Late: milliseconds(f.LateMilliseconds),
+	}
 }
 
 // Handler returns the platform's routes.
@@ -33,9 +50,7 @@
 		if !readJSON(w, r, &f) {
 			return
 		}
-		p.Table.SetFault(TableFault{
-			Down: f.Down, Delay: time.Duration(f.DelayMilliseconds) * time.Millisecond, LoseReplies: f.LoseReplies,
-		})
+		p.Table.SetFault(f.value())
 	})
 	return mux
 }
--- a/snipetree/snipetree.go
+++ b/snipetree/snipetree.go
@@ -4,8 +4,13 @@
 // Design. A Tree is an immutable snapshot of one revision; it is built once,
 // checked as a whole, handed down and never changed. Revisions only grow: a
 // Store never replaces its snapshot by one of a lower revision, wherever that
-// one came from. A branch is accepted whole or not at all, by one transaction
-// on the branch's row and the head row (store.go).
+// one came from. A branch is accepted whole or not at all: its document is
+// stored under its hash first (document.go), then one transaction writes the
+// head row, the revision row and the history (edit.go). Documents never
+// change, so a stale read can only show an old head, which is not put in
+// force. Instances that cannot read the table take head and documents from
+// each other (peers.go). An instance admits calls only while its revision was
+// confirmed within FreshFor (store.go).
 package snipetree
 
 import (
@@ -163,6 +168,9 @@
 	Platform *Platform
 	// Teams are the branches by the team's name.
 	Teams map[string]*Branch
+	// Wrong are the branches whose stored document this instance cannot
+	// decode; they keep what was in force before.
+	Wrong []string
 	keys  map[KeyHash]string
 }
 
