--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -60,6 +60,7 @@
 	local n=${1//[a-z]/}
 	case $1 in
 	table*) echo 127.0.0.1:$((base + 360 + n)) ;;
+	peer*) echo 127.0.0.1:$((base + 370 + n)) ;;
 	caller*) echo 127.0.0.1:$((base + 350 + n)) ;;
 	toengine*) echo 127.0.0.1:$((base + 150 + n)) ;;
 	toservice*) echo 127.0.0.1:$((base + 250 + n)) ;;
--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -4,7 +4,7 @@
 # Ports: base the platform, +1 the cutter's orders, +100 engines, +200 services,
 # +300 callers, +310 operators, +320 peers of the instances; with the cutter
 # +150 links to engines, +250 to services, +350 to callers' sides, +360 to the
-# platform for each instance.
+# platform for each instance, +370 to its peers' side.
 
 bin=$PWD/bin
 work=$(mktemp -d)
@@ -86,22 +86,26 @@
 	for n in $(seq $instances); do
 		links+=(-link "127.0.0.1:$((base + 350 + n))=127.0.0.1:$((base + 300 + n))")
 		links+=(-link "127.0.0.1:$((base + 360 + n))=$platform")
+		links+=(-link "127.0.0.1:$((base + 370 + n))=127.0.0.1:$((base + 320 + n))")
 	done
 	start cutter "$bin/snipestand" cutter -address 127.0.0.1:$((base + 1)) "${links[@]}"
 	engine_hop=150
 	service_hop=250
 	table_hop=360
+	peer_hop=370
 }
 
 start_instances() {
-	local n table
+	local n table announced
 	for n in $(seq $instances); do
 		table=$platform
+		announced=
+		[ -n "${peer_hop:-}" ] && announced="\"PeersAnnounced\": \"127.0.0.1:$((base + peer_hop + n))\","
 		[ -n "${table_hop:-}" ] && table=127.0.0.1:$((base + table_hop + n))
 		cat >"$work/instance$n.json" <<-JSON
 			{"Name": "entry-$n", "Domain": "domain-$n",
 			 "Callers": "127.0.0.1:$((base + 300 + n))", "Operators": "127.0.0.1:$((base + 310 + n))",
-			 "Peers": "127.0.0.1:$((base + 320 + n))", "PeerSecret": "demo-secret",
+			 "Peers": "127.0.0.1:$((base + 320 + n))", "PeerSecret": "demo-secret", $announced
 			 "BootstrapKeyHash": "$(hash demo-operator)", "Lease": "3s", "Renew": "500ms", "Poll": "500ms",
 			 "Platform": {"Table": "$table", "AccessKey": "demo", "SecretKey": "demo"}}
 		JSON
--- a/snipeconfig/snipeconfig.go
+++ b/snipeconfig/snipeconfig.go
@@ -33,6 +33,9 @@
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Peers     netip.AddrPort
+	// PeersAnnounced is where other instances reach Peers, when an address
+	// translation stands between them; Peers itself when it is left out.
+	PeersAnnounced netip.AddrPort `json:",omitzero"`
 	// PeerSecret proves that a peer is an instance.
 	PeerSecret string
 	// BootstrapKeyHash is the SHA-256 sum of the key that may write the
@@ -88,6 +91,14 @@
 	}
 }
 
+// Announced returns the address that other instances are told.
+func (c Config) Announced() netip.AddrPort {
+	if c.PeersAnnounced.IsValid() {
+		return c.PeersAnnounced
+	}
+	return c.Peers
+}
+
 // Load reads and checks a settings file. Its errors name the file, the field
 // and the reason.
 func Load(path string) (Config, error) {
--- a/snipeinstance/members.go
+++ b/snipeinstance/members.go
@@ -20,7 +20,7 @@
 	// An old connection may have gone silent and proves nothing.
 	fresh := snipeupstream.NewFresh(i.meter.Traffic("Members").Dialer(snipeupstream.DialTCP()))
 	i.members = &snipemember.Node{
-		Self:     snipemember.Member{Name: c.Name, Address: c.Peers, Domain: c.Domain},
+		Self:     snipemember.Member{Name: c.Name, Address: c.Announced(), Domain: c.Domain},
 		HTTP:     &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret},
 		Seeds:    func(ctx context.Context) ([]snipemember.Seed, error) { return i.seeds(ctx, table) },
 		Interval: snipemember.DefaultInterval, Timeout: snipemember.DefaultTimeout,
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -157,7 +157,7 @@
 	i.holder = &snipelease.Holder{
 		Table: table,
 		Self: snipelease.Instance{
-			Name: c.Name, Incarnation: rand.Text(), PeerAddress: c.Peers,
+			Name: c.Name, Incarnation: rand.Text(), PeerAddress: c.Announced(),
 			OperatorAddress: c.Operators, Domain: c.Domain,
 		},
 		Duration: c.Lease.Value(), Renew: c.Renew.Value(), Margin: leaseMargin,
--- a/snipestand/cutter.go
+++ b/snipestand/cutter.go
@@ -50,7 +50,7 @@
 type Cutter struct {
 	Links []Link
 
-	lock  sync.Mutex // guards the states' fields
+	lock  sync.Mutex // guards the fields of the links' states
 	state map[netip.AddrPort]*linkState
 }
 
@@ -74,14 +74,17 @@
 	_ = c.server.Close()
 }
 
-// Listen opens all links and serves them in the background.
+// Listen opens all links and serves them in the background. A port 0 is
+// replaced by the one that the system chose.
 func (c *Cutter) Listen() error {
 	c.state = map[netip.AddrPort]*linkState{}
-	for _, l := range c.Links {
+	for n, l := range c.Links {
 		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.Listen))
 		if err != nil {
 			return errors.Wrapf(err, "link %s", l.Listen)
 		}
+		l.Listen = listener.Addr().(*net.TCPAddr).AddrPort()
+		c.Links[n] = l
 		s := &linkState{link: l, mode: CutNone, changed: make(chan struct{}), open: map[*cutConnection]bool{}}
 		c.state[l.Listen] = s
 		go c.accept(listener, s)
--- a/snipestand/plan.go
+++ b/snipestand/plan.go
@@ -47,6 +47,7 @@
 	slowTable   = 400
 	lostReplies = 5
 	failedLoads = 4
+	maxChunks   = 6
 )
 
 // planner is the state of one plan.
@@ -74,11 +75,14 @@
 	func(p *planner, at time.Duration) { p.platform(at, fmt.Sprintf(`{"LoseReplies":%d}`, lostReplies)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("table", p.Instances)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("caller", p.Instances)) },
+	func(p *planner, at time.Duration) { p.cut(at, p.pick("peer", p.Instances)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("toengine", p.Engines)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("toservice", p.Services)) },
 	func(p *planner, at time.Duration) {
 		p.add(at, "engine", p.pick("engine", p.Engines), fmt.Sprintf(`{"FailLoads":%d}`, failedLoads))
 	},
+	func(p *planner, at time.Duration) { p.stream(at, `{"SilentAfter":%d}`) },
+	func(p *planner, at time.Duration) { p.stream(at, `{"BreakAfter":%d}`) },
 	func(p *planner, at time.Duration) { p.add(at, "race", "ash", "") },
 	func(p *planner, at time.Duration) { p.add(at, "change", "bottling", "") },
 }
@@ -131,6 +135,13 @@
 	p.add(at+p.duration(), "platform", "platform", "{}")
 }
 
+// stream makes an engine's connections fail after some chunks, for a while.
+func (p *planner) stream(at time.Duration, fault string) {
+	target := p.pick("engine", p.Engines)
+	p.add(at, "engine", target, fmt.Sprintf(fault, 1+p.random.IntN(maxChunks)))
+	p.add(at+p.duration(), "engine", target, "{}")
+}
+
 func (p *planner) cut(at time.Duration, link string) {
 	modes := []CutMode{CutBoth, CutForward, CutBack, CutStale, CutRefuse}
 	p.add(at, "cut", link, string(modes[p.random.IntN(len(modes))]))
