--- a/cmd/snipectl/apply.go
+++ b/cmd/snipectl/apply.go
@@ -29,23 +29,29 @@
 		if err != nil {
 			return err
 		}
-		if *wait > 0 {
-			if err := c.waitInForce(ctx, out.GetRevision(), *wait); err != nil {
-				return err
-			}
-		}
-		if c.json {
-			return c.printJSON(accepted{out.GetRevision(), *wait > 0})
-		}
-		if *wait > 0 {
-			return c.print("in force everywhere as revision %d\n", out.GetRevision())
+		return c.accepted(ctx, out.GetRevision(), *wait)
+	}
+}
+
+// accepted waits until an accepted edit is in force everywhere, if that is
+// asked for, and prints its revision.
+func (c *client) accepted(ctx context.Context, revision uint64, wait time.Duration) error {
+	if wait > 0 {
+		if err := c.waitInForce(ctx, revision, wait); err != nil {
+			return err
 		}
-		return c.print("accepted as revision %d\n", out.GetRevision())
 	}
+	switch {
+	case c.json:
+		return c.printJSON(edit{revision, wait > 0})
+	case wait > 0:
+		return c.print("in force everywhere as revision %d\n", revision)
+	}
+	return c.print("accepted as revision %d\n", revision)
 }
 
-// accepted is the answer of apply as -json prints it.
-type accepted struct {
+// edit is an accepted edit as -json prints it.
+type edit struct {
 	Revision uint64
 	// InForce tells that the revision is in force on every live instance.
 	InForce bool
--- a/cmd/snipectl/main.go
+++ b/cmd/snipectl/main.go
@@ -55,15 +55,20 @@
 	prepare func(f *flag.FlagSet) action
 }
 
+// teamArgument names a branch; the platform's without it.
+const teamArgument = "[TEAM]"
+
 var commands = []command{
-	{"show", "[TEAM]", "print one branch in force; the platform's without TEAM", prepareShow},
+	{"show", teamArgument, "print one branch in force; the platform's without TEAM", prepareShow},
 	{"diff", "[-team TEAM] [FILE]", "compare a branch in force with a file", prepareDiff},
 	{"apply", "[-team TEAM] [-version N] [-wait D] [FILE]", "replace one branch", prepareApply},
-	{"watch", "[TEAM]", "print each change of a branch as it comes into force", prepareWatch},
+	{"watch", teamArgument, "print each change of a branch as it comes into force", prepareWatch},
+	{"history", teamArgument, "list the accepted edits of a branch, the last one first", plain(history)},
+	{"rollback", "-version N -to N [-team TEAM] [-wait D]", "give a branch an earlier document, as a new version", prepareRollback},
 	{"instances", "", "list the live instances with the revision in force on each", plain(instances)},
 	{"engines", "", "list the engines, their owners and resident adapters", plain(engines)},
 	{"upstreams", "", "list engines and services' upstreams", plain(upstreams)},
-	{"adapters", "[TEAM]", "list the resident adapters and where they are", plain(adapters)},
+	{"adapters", teamArgument, "list the resident adapters and where they are", plain(adapters)},
 	{"leases", "", "list the leases and what is owned under each", plain(leases)},
 	{"drain", "[INSTANCE]", "make an instance stop gracefully; the called one without INSTANCE", plain(drain)},
 	{"hash", "", "print the hash of the key on standard input", plain(hash)},
--- a/cmd/snipectl/main_test.go
+++ b/cmd/snipectl/main_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -54,7 +55,7 @@
 		Revision: func() uint64 { return store.Current().Revision },
 	}
 	server := &snipeoperator.Server{
-		Settings: store, BootstrapKeyHash: snipetree.HashKey("boot"), View: other.View, Own: own, Peers: http.DefaultClient,
+		Settings: store, History: s.history, Document: s.document, BootstrapKeyHash: snipetree.HashKey("boot"), View: other.View, Own: own, Peers: http.DefaultClient,
 	}
 	refreshed := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// There is no duty that follows the table here.
@@ -67,6 +68,18 @@
 	return s
 }
 
+// history and document are those of team a: what the tests apply.
+func (s *system) history(context.Context, string) ([]snipeoperator.Edit, error) {
+	return []snipeoperator.Edit{{Revision: 3, Version: 2, Accepted: time.Unix(0, 0)}}, nil
+}
+
+func (s *system) document(_ context.Context, _ string, version uint64) ([]byte, error) {
+	if version != 1 {
+		return nil, snipetree.ErrUnknownBranch
+	}
+	return []byte(branchA), nil
+}
+
 // run carries out one command line with a key.
 func (s *system) run(t *testing.T, key, in string, line ...string) (int, string) {
 	t.Helper()
@@ -122,6 +135,14 @@
 		{"difference", "key-a", strings.Replace(branchA, `"p"`, `"q"`, 1), []string{"diff", "-team", "a"}, exitDiffers, `+ Adapters.x.Versions.1.Path: "q"`},
 		{"not in force everywhere", "key-a", branchA, []string{"apply", "-team", "a", "-version", "1", "-wait", "1ms"}, exitNotInForce, "revision 3: "},
 		{"watch", "key-a", "", []string{"watch", "-count", "1", "-interval", "1ms", "a"}, 0, "# revision 3, version 2"},
+		{"history", "key-a", "", []string{"history", "a"}, 0, "2        3         1970-01-01T00:00:00Z"},
+		{"history without the right", "key-a", "", []string{"history", "b"}, exitRefused, "no right"},
+		{"earlier version", "key-a", "", []string{"show", "-version", "1", "a"}, 0, "version 1\n" + branchA},
+		{"unknown version", "key-a", "", []string{"show", "-version", "9", "a"}, exitFailed, "unknown branch"},
+		{"rollback without a version", "key-a", "", []string{"rollback", "-team", "a", "-to", "1"}, exitUsage, "needs -version and -to"},
+		{"rollback without the right", "key-a", "", []string{"rollback", "-team", "b", "-version", "2", "-to", "1"}, exitRefused, "no right"},
+		{"rollback from an old version", "key-a", "", []string{"rollback", "-team", "a", "-version", "1", "-to", "1"}, exitConflict, "has version 2, not 1"},
+		{"rollback", "key-a", "", []string{"rollback", "-team", "a", "-version", "2", "-to", "1"}, 0, "accepted as revision 4"},
 		{"adapters of a team", "key-a", "", []string{"adapters"}, 0, "a/x@1    true      e"},
 		{"adapters of another team", "key-a", "", []string{"adapters", "b"}, exitRefused, "no right"},
 		{"adapters of all teams", "boot", "", []string{"adapters"}, 0, "b/y@1    false     e"},
--- a/cmd/snipectl/show.go
+++ b/cmd/snipectl/show.go
@@ -9,12 +9,13 @@
 
 func prepareShow(f *flag.FlagSet) action {
 	documentOnly := f.Bool("document", false, "print only the branch, as a file for apply")
+	version := f.Uint64("version", 0, "print an earlier version, as history lists it")
 	return func(ctx context.Context, c *client, arguments []string) error {
 		team, err := optional(arguments)
 		if err != nil {
 			return err
 		}
-		out, err := c.operator.GetSettings(ctx, &snipeproto.GetSettingsRequest{Team: team})
+		out, err := c.operator.GetSettings(ctx, &snipeproto.GetSettingsRequest{Team: team, Version: *version})
 		switch {
 		case err != nil:
 			return err
--- a/snipeinstance/operators.go
+++ b/snipeinstance/operators.go
@@ -1,8 +1,11 @@
 package snipeinstance
 
 import (
+	"context"
 	"net/http"
 
+	"github.com/go-faster/errors"
+
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipeproto"
@@ -17,8 +20,15 @@
 	status := snipepeer.Authorized(i.Config.PeerSecret, snipeproto.NewStatusServer(own))
 	peers.Handle(snipeoperator.StatusPathPrefix, status)
 	return &snipeoperator.Server{
-		Settings: i.settings, BootstrapKeyHash: i.Config.BootstrapKeyHash,
+		Settings: i.settings, History: noHistory, Document: noDocument, BootstrapKeyHash: i.Config.BootstrapKeyHash,
 		View: i.holder.View, Own: own,
 		Peers: &snipepeer.SecretClient{Client: i.forward.Fresh, Secret: i.Config.PeerSecret},
 	}
 }
+
+// errNoHistory is returned while the settings store keeps no history.
+var errNoHistory = errors.New("no history is kept")
+
+func noHistory(context.Context, string) ([]snipeoperator.Edit, error) { return nil, errNoHistory }
+
+func noDocument(context.Context, string, uint64) ([]byte, error) { return nil, errNoHistory }
--- a/snipeoperator/apply.go
+++ b/snipeoperator/apply.go
@@ -16,7 +16,12 @@
 	if err := s.authorize(ctx, r.GetTeam()); err != nil {
 		return nil, err
 	}
-	revision, err := s.Settings.Apply(ctx, r.GetTeam(), r.GetExpectVersion(), r.GetDocument())
+	return s.apply(ctx, r.GetTeam(), r.GetExpectVersion(), r.GetDocument())
+}
+
+// apply replaces a branch on behalf of an operator who has the right to it.
+func (s *Server) apply(ctx context.Context, team string, expect uint64, document []byte) (*snipeproto.ApplySettingsResponse, error) {
+	revision, err := s.Settings.Apply(ctx, team, expect, document)
 	switch {
 	case err == nil:
 		return &snipeproto.ApplySettingsResponse{Revision: revision}, nil
--- a/snipeoperator/show.go
+++ b/snipeoperator/show.go
@@ -16,6 +16,9 @@
 	if err := s.authorize(ctx, r.GetTeam()); err != nil {
 		return nil, err
 	}
+	if r.GetVersion() > 0 {
+		return s.earlier(ctx, r)
+	}
 	t, version := s.branch(r.GetTeam())
 	if t == nil {
 		return &snipeproto.GetSettingsResponse{}, nil
--- a/snipeoperator/snipeoperator.go
+++ b/snipeoperator/snipeoperator.go
@@ -29,6 +29,10 @@
 	Settings *snipetree.Store
 	// BootstrapKeyHash may write the platform branch while it has no operators.
 	BootstrapKeyHash snipetree.KeyHash
+	// History returns the accepted edits of a branch, the last one first,
+	// Document the branch's document of an earlier version.
+	History  func(ctx context.Context, team string) ([]Edit, error)
+	Document func(ctx context.Context, team string, version uint64) ([]byte, error)
 	// View returns instances and owners.
 	View func() *snipelease.View
 	// Own tells what only this instance knows.
--- a/snipeproto/operator.twirp.go
+++ b/snipeproto/operator.twirp.go
@@ -36,6 +36,13 @@
 	// that the operator has read.
 	ApplySettings(context.Context, *ApplySettingsRequest) (*ApplySettingsResponse, error)
 
+	// GetHistory returns the accepted edits of a branch, the last one first.
+	GetHistory(context.Context, *GetHistoryRequest) (*GetHistoryResponse, error)
+
+	// Rollback makes an earlier document of a branch its document again, as a new
+	// version.
+	Rollback(context.Context, *RollbackRequest) (*ApplySettingsResponse, error)
+
 	// ListInstances returns the live instances with the revision in force on each.
 	ListInstances(context.Context, *ListInstancesRequest) (*ListInstancesResponse, error)
 
@@ -61,7 +68,7 @@
 
 type operatorProtobufClient struct {
 	client      HTTPClient
-	urls        [8]string
+	urls        [10]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -89,9 +96,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Operator")
-	urls := [8]string{
+	urls := [10]string{
 		serviceURL + "GetSettings",
 		serviceURL + "ApplySettings",
+		serviceURL + "GetHistory",
+		serviceURL + "Rollback",
 		serviceURL + "ListInstances",
 		serviceURL + "ListEngines",
 		serviceURL + "ListUpstreams",
@@ -200,6 +209,98 @@
 	return out, nil
 }
 
+func (c *operatorProtobufClient) GetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	caller := c.callGetHistory
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return c.callGetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callGetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	out := new(GetHistoryResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) Rollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	caller := c.callRollback
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return c.callRollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callRollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	out := new(ApplySettingsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *operatorProtobufClient) ListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
 	ctx = ctxsetters.WithServiceName(ctx, "Operator")
@@ -231,7 +332,7 @@
 
 func (c *operatorProtobufClient) callListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	out := new(ListInstancesResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -277,7 +378,7 @@
 
 func (c *operatorProtobufClient) callListEngines(ctx context.Context, in *ListEnginesRequest) (*ListEnginesResponse, error) {
 	out := new(ListEnginesResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -323,7 +424,7 @@
 
 func (c *operatorProtobufClient) callListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
 	out := new(ListUpstreamsResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -369,7 +470,7 @@
 
 func (c *operatorProtobufClient) callListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
 	out := new(ListAdaptersResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -415,7 +516,7 @@
 
 func (c *operatorProtobufClient) callListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
 	out := new(ListLeasesResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -461,7 +562,7 @@
 
 func (c *operatorProtobufClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -482,7 +583,7 @@
 
 type operatorJSONClient struct {
 	client      HTTPClient
-	urls        [8]string
+	urls        [10]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -510,9 +611,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Operator")
-	urls := [8]string{
+	urls := [10]string{
 		serviceURL + "GetSettings",
 		serviceURL + "ApplySettings",
+		serviceURL + "GetHistory",
+		serviceURL + "Rollback",
 		serviceURL + "ListInstances",
 		serviceURL + "ListEngines",
 		serviceURL + "ListUpstreams",
@@ -621,6 +724,98 @@
 	return out, nil
 }
 
+func (c *operatorJSONClient) GetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	caller := c.callGetHistory
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return c.callGetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callGetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	out := new(GetHistoryResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) Rollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	caller := c.callRollback
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return c.callRollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callRollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	out := new(ApplySettingsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *operatorJSONClient) ListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
 	ctx = ctxsetters.WithServiceName(ctx, "Operator")
@@ -652,7 +847,7 @@
 
 func (c *operatorJSONClient) callListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	out := new(ListInstancesResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -698,7 +893,7 @@
 
 func (c *operatorJSONClient) callListEngines(ctx context.Context, in *ListEnginesRequest) (*ListEnginesResponse, error) {
 	out := new(ListEnginesResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -744,7 +939,7 @@
 
 func (c *operatorJSONClient) callListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
 	out := new(ListUpstreamsResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -790,7 +985,7 @@
 
 func (c *operatorJSONClient) callListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
 	out := new(ListAdaptersResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -836,7 +1031,7 @@
 
 func (c *operatorJSONClient) callListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
 	out := new(ListLeasesResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -882,7 +1077,7 @@
 
 func (c *operatorJSONClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -1000,6 +1195,12 @@
 	case "ApplySettings":
 		s.serveApplySettings(ctx, resp, req)
 		return
+	case "GetHistory":
+		s.serveGetHistory(ctx, resp, req)
+		return
+	case "Rollback":
+		s.serveRollback(ctx, resp, req)
+		return
 	case "ListInstances":
 		s.serveListInstances(ctx, resp, req)
 		return
@@ -1385,6 +1586,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *operatorServer) serveGetHistory(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGetHistoryJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGetHistoryProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveGetHistoryJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GetHistoryRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.GetHistory
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return s.Operator.GetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetHistoryResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetHistoryResponse and nil error while calling GetHistory. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveGetHistoryProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GetHistoryRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.GetHistory
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return s.Operator.GetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetHistoryResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetHistoryResponse and nil error while calling GetHistory. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveRollback(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRollbackJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRollbackProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveRollbackJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RollbackRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.Rollback
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return s.Operator.Rollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplySettingsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplySettingsResponse and nil error while calling Rollback. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveRollbackProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RollbackRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.Rollback
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return s.Operator.Rollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplySettingsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplySettingsResponse and nil error while calling Rollback. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *operatorServer) serveListInstances(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -2481,60 +3042,67 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 866 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0x5f, 0x8f, 0x1b, 0x35,
-	0x10, 0x57, 0xba, 0x9b, 0xbb, 0x64, 0x92, 0xb4, 0xc5, 0x97, 0x1e, 0xdb, 0x20, 0x4a, 0x6a, 0x09,
-	0x29, 0xed, 0xc3, 0x21, 0x5a, 0x24, 0x5e, 0x78, 0x39, 0x54, 0x40, 0x88, 0xaa, 0xc0, 0x16, 0x78,
-	0xe0, 0x81, 0xc3, 0xcd, 0x4e, 0xaf, 0x56, 0x37, 0xde, 0x65, 0xed, 0xbb, 0x96, 0x07, 0xe0, 0x9d,
-	0x4f, 0xc6, 0x77, 0xe0, 0xcb, 0x20, 0xff, 0xdb, 0xb5, 0x93, 0xcd, 0x1d, 0x4f, 0xf1, 0x8c, 0xc7,
-	0xb3, 0xf3, 0xfb, 0xf9, 0x37, 0xe3, 0xc0, 0xcd, 0xaa, 0xc6, 0x86, 0xa9, 0xaa, 0x39, 0xa9, 0x9b,
-	0x4a, 0x55, 0x04, 0xa4, 0xe0, 0x35, 0xd6, 0x5c, 0xad, 0x5f, 0xd1, 0x15, 0x90, 0xaf, 0x50, 0x3d,
-	0x47, 0xa5, 0xb8, 0x38, 0x97, 0x39, 0xfe, 0x76, 0x81, 0x52, 0x11, 0x02, 0xa9, 0x42, 0xb6, 0xc9,
-	0x06, 0xcb, 0xc1, 0x6a, 0x9c, 0x9b, 0x35, 0xfd, 0x03, 0x8e, 0xa2, 0x48, 0x59, 0x57, 0x42, 0x22,
-	0x59, 0xc0, 0xa8, 0xc1, 0x4b, 0x2e, 0x79, 0x25, 0x4c, 0x78, 0x9a, 0xb7, 0x36, 0xc9, 0xe0, 0xf0,
-	0x12, 0x1b, 0xb3, 0x75, 0xc3, 0x6c, 0x79, 0x53, 0x9f, 0x2a, 0xaa, 0xf5, 0xc5, 0x06, 0x85, 0xca,
-	0x92, 0xe5, 0x60, 0x35, 0xcd, 0x5b, 0x9b, 0xcc, 0x61, 0xa8, 0x3f, 0x28, 0xb3, 0x74, 0x99, 0xac,
-	0xc6, 0xb9, 0x35, 0xe8, 0x06, 0xe6, 0xa7, 0x75, 0x5d, 0xfe, 0xfe, 0x3f, 0x4a, 0x25, 0x1f, 0xc2,
-	0x4d, 0x7c, 0x5b, 0xe3, 0x5a, 0x9d, 0xc5, 0x9f, 0x9f, 0x59, 0xef, 0x4f, 0xd7, 0x17, 0x41, 0x1f,
-	0xc3, 0x9d, 0xad, 0xcf, 0x5d, 0x8f, 0x97, 0xae, 0x60, 0xfe, 0x94, 0x4b, 0xf5, 0xb5, 0x90, 0x8a,
-	0x89, 0x35, 0xb6, 0x35, 0xde, 0x86, 0x84, 0xc9, 0xd7, 0x26, 0x7c, 0x94, 0xeb, 0x25, 0xfd, 0x0e,
-	0xee, 0x6c, 0x45, 0xba, 0xf4, 0x9f, 0xc2, 0x98, 0x7b, 0x67, 0x36, 0x58, 0x26, 0xab, 0xc9, 0xa3,
-	0xbb, 0x27, 0xdd, 0x7d, 0x9d, 0xf8, 0x13, 0xcf, 0x15, 0x53, 0x98, 0x77, 0xb1, 0xf4, 0xdf, 0x01,
-	0xcc, 0xa2, 0x4d, 0xcd, 0x8c, 0x60, 0x1b, 0xf4, 0xcc, 0xe8, 0x35, 0x39, 0x86, 0x83, 0xa2, 0xda,
-	0x30, 0x6e, 0x19, 0x19, 0xe7, 0xce, 0x22, 0xf7, 0x61, 0x5a, 0x23, 0x36, 0x67, 0xac, 0x28, 0x1a,
-	0x94, 0xd2, 0xd0, 0x31, 0xce, 0x27, 0xda, 0x77, 0x6a, 0x5d, 0x11, 0xf0, 0x74, 0xf7, 0xa2, 0x4b,
-	0x64, 0x97, 0x5c, 0x9c, 0x67, 0x43, 0x03, 0xd2, 0x9b, 0xe4, 0x01, 0xdc, 0xf6, 0xea, 0x6b, 0x93,
-	0x1f, 0x98, 0xe4, 0xb7, 0xbc, 0x3f, 0xf8, 0x00, 0x13, 0xf2, 0x0d, 0x36, 0x58, 0x64, 0x87, 0x26,
-	0x4b, 0x6b, 0xd3, 0x39, 0x10, 0xcd, 0xd7, 0x17, 0xe2, 0x9c, 0x8b, 0x96, 0x57, 0xfa, 0x2b, 0x1c,
-	0x45, 0x5e, 0xc7, 0xe1, 0xc7, 0x70, 0x88, 0xd6, 0xe5, 0x18, 0x7c, 0x37, 0x64, 0xd0, 0x46, 0x5b,
-	0xfe, 0x7c, 0x9c, 0xe6, 0x45, 0xf2, 0x52, 0x0b, 0xe1, 0x86, 0x11, 0x9d, 0xb3, 0xe8, 0x3f, 0x03,
-	0x98, 0x04, 0x07, 0x7a, 0x39, 0x25, 0x90, 0xbe, 0x60, 0x12, 0x1d, 0xa3, 0x66, 0x1d, 0xf0, 0x9c,
-	0x44, 0x3c, 0xcf, 0x61, 0x58, 0xbd, 0x11, 0xd8, 0x18, 0x06, 0xc7, 0xb9, 0x35, 0xb4, 0xf7, 0x25,
-	0x8a, 0x35, 0x1a, 0xf2, 0xd2, 0xdc, 0x1a, 0xda, 0x2b, 0xcb, 0x4a, 0x59, 0xbe, 0x92, 0xdc, 0x1a,
-	0xf6, 0x1a, 0x24, 0x2f, 0x74, 0xad, 0x87, 0xa6, 0xd6, 0xd6, 0x26, 0xef, 0x69, 0xf1, 0x9c, 0xbd,
-	0x2c, 0xf9, 0xf9, 0x2b, 0x95, 0x8d, 0xcc, 0xa9, 0x11, 0x17, 0x5f, 0x1a, 0x9b, 0x1e, 0x5b, 0x71,
-	0xfe, 0x58, 0x4b, 0xd5, 0xe8, 0x8e, 0xf2, 0x24, 0x3a, 0x29, 0x06, 0xfe, 0x4e, 0x8a, 0x17, 0xde,
-	0xd9, 0x27, 0x45, 0x7f, 0xc2, 0x49, 0xb1, 0x8d, 0xa5, 0x7f, 0xc1, 0x2c, 0xda, 0xdb, 0xc7, 0xda,
-	0x6b, 0x2e, 0x0a, 0xcf, 0x9a, 0x5e, 0x6b, 0x19, 0xc5, 0x02, 0xf4, 0x66, 0xc0, 0x67, 0xda, 0xcf,
-	0xe7, 0x30, 0xe0, 0x93, 0x3e, 0xb0, 0xba, 0x38, 0x2d, 0x58, 0xad, 0xb0, 0xb9, 0x72, 0xaa, 0x15,
-	0x96, 0x95, 0x2e, 0xd4, 0x81, 0xff, 0x04, 0x46, 0xcc, 0xf9, 0x1c, 0xf6, 0x2c, 0xc4, 0xee, 0xe2,
-	0x2d, 0xf4, 0x36, 0x72, 0xaf, 0x8c, 0x7e, 0x81, 0x69, 0x78, 0xc2, 0x02, 0x35, 0xb6, 0x2b, 0xc6,
-	0x9b, 0x7a, 0xc7, 0x6b, 0xd7, 0xa6, 0x68, 0x25, 0xaa, 0xa7, 0x15, 0xae, 0x4b, 0xa6, 0xdb, 0x23,
-	0xb1, 0xed, 0xe1, 0x6d, 0x7a, 0x04, 0xef, 0x68, 0x14, 0x4f, 0x91, 0xc9, 0xae, 0x3b, 0x9e, 0xd8,
-	0x9e, 0xf1, 0x4e, 0x07, 0xec, 0x04, 0x0e, 0x4a, 0xe3, 0x71, 0xb0, 0x8e, 0x43, 0x58, 0x26, 0xd6,
-	0x82, 0x72, 0x51, 0xf4, 0x4f, 0x80, 0xce, 0xab, 0x8b, 0xf0, 0x23, 0xc7, 0x55, 0xde, 0xda, 0x64,
-	0x09, 0x13, 0x2e, 0xd6, 0xac, 0x11, 0x4c, 0xf9, 0x91, 0x3b, 0xce, 0x43, 0x57, 0x38, 0x26, 0x92,
-	0x78, 0x4c, 0x04, 0xb0, 0xd3, 0x08, 0x36, 0x7d, 0x08, 0xd3, 0x27, 0x0d, 0xe3, 0xc2, 0x5f, 0xe2,
-	0x15, 0x15, 0xd0, 0x5b, 0x30, 0x73, 0xb1, 0x16, 0xec, 0xa3, 0xbf, 0x87, 0x30, 0xfa, 0xd6, 0x8d,
-	0x19, 0xf2, 0x0c, 0x26, 0xc1, 0x03, 0x46, 0xee, 0x85, 0xc0, 0x77, 0xdf, 0xc0, 0xc5, 0x07, 0x7b,
-	0xf7, 0x1d, 0x93, 0x3f, 0xc0, 0x2c, 0x7a, 0x22, 0xc8, 0x32, 0x52, 0x48, 0xcf, 0x63, 0xb5, 0xb8,
-	0x7f, 0x45, 0x44, 0x97, 0x35, 0x7a, 0x19, 0xe2, 0xac, 0x7d, 0xcf, 0x4b, 0x9c, 0xb5, 0xff, 0x59,
-	0x79, 0x06, 0x93, 0x60, 0x52, 0xc6, 0xd8, 0x77, 0x07, 0x6b, 0x8c, 0xbd, 0x6f, 0xc4, 0xba, 0x2a,
-	0xdb, 0xa1, 0xb1, 0x5b, 0xe5, 0xf6, 0x9c, 0xd9, 0xad, 0x72, 0x77, 0xe2, 0x7c, 0x0f, 0xd3, 0xb0,
-	0x19, 0xc9, 0x4e, 0x19, 0x5b, 0x1d, 0xbd, 0x58, 0xee, 0x0f, 0x70, 0x29, 0xbf, 0x01, 0xe8, 0x9a,
-	0x80, 0xbc, 0xbf, 0x1d, 0x1f, 0x75, 0xcc, 0xe2, 0xde, 0xbe, 0x6d, 0x97, 0xec, 0x33, 0x18, 0x1a,
-	0x7d, 0x91, 0x68, 0x16, 0x84, 0xf2, 0x5c, 0xdc, 0xed, 0xd9, 0xb1, 0xa7, 0x3f, 0x7f, 0xf8, 0xf3,
-	0x2a, 0xd8, 0xc3, 0xb7, 0x6c, 0x53, 0x97, 0xf8, 0x51, 0xe7, 0x72, 0x4b, 0xfd, 0x17, 0xed, 0xc5,
-	0x81, 0xf9, 0x79, 0xfc, 0x5f, 0x00, 0x00, 0x00, 0xff, 0xff, 0x37, 0xe5, 0xdf, 0x14, 0xbb, 0x09,
+	// 978 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0xdd, 0x72, 0x1b, 0x35,
+	0x14, 0x1e, 0x77, 0xd7, 0x8e, 0x7d, 0x6c, 0x37, 0xa9, 0xe2, 0x86, 0xad, 0x3b, 0x04, 0x57, 0x33,
+	0x80, 0xdb, 0x8b, 0x30, 0xb4, 0xcc, 0x70, 0xd3, 0x9b, 0x74, 0x5a, 0xca, 0x4f, 0xa7, 0xc0, 0xb6,
+	0x30, 0x0c, 0x17, 0x04, 0x65, 0x57, 0x49, 0x35, 0x59, 0x6b, 0x97, 0x95, 0x92, 0xb6, 0x17, 0xc0,
+	0xc3, 0xf0, 0x32, 0xbc, 0x03, 0x2f, 0xc3, 0xe8, 0x6f, 0x57, 0xf2, 0x4f, 0x9a, 0x61, 0xb8, 0xb2,
+	0xbe, 0xa3, 0xa3, 0xb3, 0xe7, 0xfb, 0xce, 0xd1, 0x91, 0xe1, 0x7a, 0x59, 0xd1, 0x9a, 0xc8, 0xb2,
+	0x3e, 0xa8, 0xea, 0x52, 0x96, 0x08, 0x04, 0x67, 0x15, 0xad, 0x98, 0xcc, 0x5e, 0xe1, 0x47, 0x80,
+	0x9e, 0x52, 0xf9, 0x82, 0x4a, 0xc9, 0xf8, 0xa9, 0x48, 0xe9, 0x6f, 0xe7, 0x54, 0x48, 0x84, 0x20,
+	0x96, 0x94, 0x2c, 0x92, 0xce, 0xac, 0x33, 0x1f, 0xa4, 0x7a, 0x8d, 0x12, 0xd8, 0xba, 0xa0, 0xb5,
+	0x60, 0x25, 0x4f, 0xae, 0xcd, 0x3a, 0xf3, 0x38, 0x75, 0x10, 0xff, 0x0e, 0xbb, 0x41, 0x0c, 0x51,
+	0x95, 0x5c, 0x50, 0x34, 0x85, 0x7e, 0x4d, 0x2f, 0x98, 0x3e, 0xd1, 0xd1, 0x27, 0x1a, 0xbc, 0x39,
+	0x98, 0x3a, 0x95, 0x97, 0xd9, 0xf9, 0x82, 0x72, 0x99, 0x44, 0xb3, 0xce, 0x7c, 0x94, 0x36, 0x18,
+	0x4d, 0xa0, 0xab, 0x52, 0x11, 0x49, 0x3c, 0x8b, 0xe6, 0x83, 0xd4, 0x00, 0xbc, 0x80, 0xc9, 0x61,
+	0x55, 0x15, 0x6f, 0xaf, 0x42, 0xe2, 0x43, 0xb8, 0x4e, 0xdf, 0x54, 0x34, 0x93, 0x47, 0xe1, 0xe7,
+	0xc7, 0xc6, 0xfa, 0xe3, 0xbb, 0x93, 0xc0, 0x0f, 0xe0, 0xe6, 0xd2, 0xe7, 0xde, 0xcd, 0x17, 0x7f,
+	0x0c, 0x37, 0x9e, 0x52, 0xf9, 0x25, 0x13, 0xb2, 0xac, 0xdf, 0x5e, 0x92, 0x20, 0x7e, 0xa8, 0xeb,
+	0xd1, 0x38, 0xda, 0xd0, 0x1f, 0x41, 0x97, 0xe6, 0x4c, 0x8a, 0xa4, 0x33, 0x8b, 0xe6, 0xc3, 0xfb,
+	0x3b, 0x07, 0x6d, 0x05, 0x0f, 0x9e, 0xe4, 0x4c, 0xa6, 0x66, 0x1b, 0xff, 0x04, 0xb1, 0x82, 0xff,
+	0x5d, 0x7a, 0x92, 0x65, 0xb4, 0x92, 0x34, 0xd7, 0xac, 0xa3, 0xb4, 0xc1, 0xf8, 0x04, 0xb6, 0xd3,
+	0xb2, 0x28, 0x8e, 0x49, 0x76, 0xf6, 0x3f, 0xe8, 0xeb, 0xe5, 0x10, 0x85, 0xbd, 0x34, 0x87, 0xc9,
+	0x33, 0x26, 0xe4, 0x57, 0x5c, 0x48, 0xc2, 0x33, 0xda, 0x14, 0x73, 0x07, 0x22, 0x22, 0xce, 0xf4,
+	0xb7, 0xfa, 0xa9, 0x5a, 0xe2, 0xef, 0xe0, 0xe6, 0x92, 0xa7, 0x15, 0xeb, 0x73, 0x18, 0x30, 0x67,
+	0xb4, 0x82, 0xdd, 0xf2, 0x05, 0x73, 0x27, 0x5e, 0x48, 0x22, 0x69, 0xda, 0xfa, 0xe2, 0x7f, 0x3a,
+	0x30, 0x0e, 0x36, 0x15, 0x45, 0x4e, 0x16, 0xd4, 0x51, 0x54, 0x6b, 0xb4, 0x07, 0xbd, 0xbc, 0x5c,
+	0x10, 0x66, 0xa8, 0x0d, 0x52, 0x8b, 0xd0, 0x1d, 0x18, 0x55, 0x94, 0xd6, 0x47, 0x24, 0xcf, 0x6b,
+	0x2a, 0x84, 0x26, 0x36, 0x48, 0x87, 0xca, 0x76, 0x68, 0x4c, 0x41, 0x59, 0xe2, 0xd5, 0xb2, 0x14,
+	0x94, 0x5c, 0x30, 0x7e, 0x9a, 0x74, 0x35, 0x49, 0x07, 0xd1, 0x5d, 0xd8, 0x71, 0x17, 0xb8, 0x09,
+	0xde, 0xd3, 0xc1, 0xb7, 0x9d, 0xdd, 0xfb, 0x00, 0xe1, 0xe2, 0x35, 0xad, 0x69, 0x9e, 0x6c, 0xe9,
+	0x28, 0x0d, 0xc6, 0x13, 0x40, 0x4a, 0xaf, 0x27, 0xfc, 0x94, 0xf1, 0x46, 0x57, 0xfc, 0x2b, 0xec,
+	0x06, 0x56, 0xab, 0xe1, 0xa7, 0xb0, 0x45, 0x8d, 0xc9, 0x2a, 0xf8, 0x5e, 0xd0, 0x72, 0x7a, 0xcb,
+	0xe8, 0xe7, 0xfc, 0x94, 0x2e, 0x82, 0x15, 0xea, 0xc6, 0x5c, 0xd3, 0xb7, 0xd3, 0x22, 0xfc, 0x77,
+	0x07, 0x86, 0xde, 0x81, 0xb5, 0x9a, 0x22, 0x88, 0x8f, 0x89, 0xa0, 0x56, 0x51, 0xbd, 0xf6, 0x74,
+	0x8e, 0x02, 0x9d, 0x27, 0xd0, 0x2d, 0x5f, 0x73, 0x5a, 0x6b, 0x05, 0x07, 0xa9, 0x01, 0xca, 0x7a,
+	0x42, 0x79, 0x46, 0xb5, 0x78, 0x71, 0x6a, 0x80, 0xb2, 0x8a, 0xa2, 0x94, 0x46, 0xaf, 0x28, 0x35,
+	0xc0, 0x94, 0x41, 0xb0, 0x5c, 0xe5, 0xba, 0xa5, 0x73, 0x6d, 0x30, 0xba, 0xad, 0x9a, 0xe7, 0xe8,
+	0xa4, 0x60, 0xa7, 0xaf, 0x64, 0xd2, 0x37, 0x97, 0x80, 0xf1, 0x2f, 0x34, 0xc6, 0x7b, 0xa6, 0x39,
+	0x7f, 0xa8, 0x84, 0xac, 0xd5, 0xe8, 0x71, 0x22, 0xda, 0x56, 0xf4, 0xec, 0x6d, 0x2b, 0x9e, 0x3b,
+	0xe3, 0xba, 0x56, 0x74, 0x27, 0x6c, 0x2b, 0x36, 0xbe, 0xf8, 0x4f, 0x18, 0x07, 0x7b, 0x9b, 0x54,
+	0x3b, 0x63, 0x3c, 0x77, 0xaa, 0xa9, 0xb5, 0x6a, 0xa3, 0xb0, 0x01, 0x1d, 0xf4, 0xf4, 0x8c, 0xd7,
+	0xeb, 0xd9, 0xf5, 0xf4, 0xc4, 0x77, 0x4d, 0x5f, 0x1c, 0xe6, 0xa4, 0x92, 0xb4, 0xbe, 0x6c, 0xa6,
+	0xe2, 0xdc, 0xa8, 0xd2, 0xba, 0x5a, 0xf2, 0x9f, 0x41, 0x9f, 0x58, 0x9b, 0xe5, 0x9e, 0xf8, 0xdc,
+	0xad, 0xbf, 0xa1, 0xde, 0x78, 0x6e, 0x6c, 0xa3, 0x5f, 0x60, 0xe4, 0x9f, 0x30, 0x44, 0x35, 0xb6,
+	0xc9, 0x38, 0xa8, 0x76, 0x5c, 0xef, 0x9a, 0x10, 0x4d, 0x8b, 0xaa, 0xb1, 0x4e, 0xb3, 0x82, 0xd4,
+	0x76, 0xc0, 0xf5, 0xd3, 0x06, 0xe3, 0x5d, 0xb8, 0xa1, 0x58, 0x3c, 0xa3, 0x44, 0xb4, 0xb7, 0xe3,
+	0xb1, 0xb9, 0x33, 0xce, 0x68, 0x89, 0x1d, 0x40, 0xaf, 0xd0, 0x16, 0x4b, 0x6b, 0xcf, 0xa7, 0xa5,
+	0x7d, 0x0d, 0x29, 0xeb, 0x85, 0xff, 0x00, 0x68, 0xad, 0x2a, 0x09, 0x37, 0x72, 0x6c, 0xe6, 0x0d,
+	0x46, 0x33, 0x18, 0x32, 0x9e, 0x91, 0x9a, 0x13, 0xe9, 0x66, 0xe7, 0x20, 0xf5, 0x4d, 0xfe, 0x98,
+	0x88, 0xc2, 0x31, 0xe1, 0xd1, 0x8e, 0x03, 0xda, 0xf8, 0x1e, 0x8c, 0x1e, 0xd7, 0x84, 0x71, 0x57,
+	0xc4, 0x4b, 0x32, 0xc0, 0xdb, 0x30, 0xb6, 0xbe, 0x86, 0xec, 0xfd, 0xbf, 0x7a, 0xd0, 0xff, 0xd6,
+	0x8e, 0x19, 0xf4, 0x1c, 0x86, 0xde, 0x4b, 0x8f, 0xf6, 0x7d, 0xe2, 0xab, 0x7f, 0x23, 0xa6, 0x1f,
+	0x6c, 0xdc, 0xb7, 0x4a, 0xbe, 0x84, 0x71, 0xf0, 0x96, 0xa2, 0x59, 0xd0, 0x21, 0x6b, 0x5e, 0xf5,
+	0xe9, 0x9d, 0x4b, 0x3c, 0x6c, 0xd4, 0x6f, 0x00, 0xda, 0x37, 0x14, 0xbd, 0xbf, 0x94, 0x44, 0xf8,
+	0x08, 0x4f, 0xf7, 0x37, 0x6d, 0xdb, 0x60, 0x5f, 0x43, 0xdf, 0x3d, 0x7c, 0xe8, 0xb6, 0xef, 0xbb,
+	0xf4, 0x1c, 0x5e, 0x25, 0xb1, 0x97, 0x30, 0x0e, 0x9e, 0xac, 0x90, 0xee, 0xba, 0x77, 0x2f, 0x8c,
+	0xba, 0xfe, 0xbd, 0x7b, 0x0e, 0x43, 0x6f, 0x84, 0x87, 0x45, 0x59, 0x9d, 0xf8, 0x61, 0x51, 0xd6,
+	0xcd, 0x7e, 0x9b, 0x65, 0x33, 0xcd, 0x56, 0xb3, 0x5c, 0x1e, 0x80, 0xab, 0x59, 0xae, 0x8e, 0xc2,
+	0xef, 0x61, 0xe4, 0x4f, 0x09, 0xb4, 0x92, 0xc6, 0xd2, 0xa8, 0x99, 0xce, 0x36, 0x3b, 0xb4, 0x75,
+	0x6e, 0x6f, 0x67, 0x58, 0xe7, 0x95, 0xab, 0x3c, 0xdd, 0xdf, 0xb4, 0x6d, 0x83, 0x3d, 0x84, 0xae,
+	0x6e, 0x7c, 0x14, 0x0c, 0x29, 0xff, 0xde, 0x4c, 0x6f, 0xad, 0xd9, 0x31, 0xa7, 0x1f, 0xdd, 0xfb,
+	0x79, 0xee, 0xed, 0xd1, 0x37, 0x64, 0x51, 0x15, 0xf4, 0x93, 0xd6, 0x64, 0x97, 0xea, 0xef, 0xf7,
+	0x71, 0x4f, 0xff, 0x3c, 0xf8, 0x37, 0x00, 0x00, 0xff, 0xff, 0x0a, 0xc8, 0x3c, 0x1b, 0x97, 0x0b,
 	0x00, 0x00,
 }
