Scripts are read as a whole before they run, and end their watchers on every way out

Cause: a script that was edited while it ran met a syntax error in the middle, and its watchers, which waited for a file that nobody would write, kept it from ending.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,33 +17,38 @@
 share=0.9
 . scripts/stand.sh
 
-start_outside
-start_instances
-apply_settings $adapters
-owned
-ctl_at 1 instances
-ctl_at 1 engines
+main() {
+	start_outside
+	start_instances
+	apply_settings $adapters
+	owned
+	ctl_at 1 instances
+	ctl_at 1 engines
 
-"$bin/snipereplay" -generate -seed "$seed" -calls "$calls" -length "$length" -teams bottling,ash \
-	-adapters $adapters -service orders >"$work/trace.jsonl"
-"$bin/snipereplay" -trace "$work/trace.jsonl" -keys bottling=bottling-key,ash=ash-key -min-answered $share \
-	-entries "$(entries $((base + 300)))" -upstreams "$(upstreams)" &
-replay=$!
-sleep 4
-echo "killing instance 2"
-end instance2
-sleep 3
-echo "killing engine 1; it comes back empty"
-end engine1
-sleep 0.5
-again engine1
-verdict=0
-wait "$replay" || verdict=$?
-ctl_at 1 engines
-echo "stopping instance 1 gracefully"
-kill -TERM "${pid[instance1]}"
-wait "${pid[instance1]}" || {
-	echo "instance 1 exited with $?" >&2
-	verdict=1
+	"$bin/snipereplay" -generate -seed "$seed" -calls "$calls" -length "$length" -teams bottling,ash \
+		-adapters $adapters -service orders >"$work/trace.jsonl"
+	"$bin/snipereplay" -trace "$work/trace.jsonl" -keys bottling=bottling-key,ash=ash-key -min-answered $share \
+		-entries "$(entries $((base + 300)))" -upstreams "$(upstreams)" &
+	replay=$!
+	sleep 4
+	echo "killing instance 2"
+	end instance2
+	sleep 3
+	echo "killing engine 1; it comes back empty"
+	end engine1
+	sleep 0.5
+	again engine1
+	verdict=0
+	wait "$replay" || verdict=$?
+	ctl_at 1 engines
+	echo "stopping instance 1 gracefully"
+	kill -TERM "${pid[instance1]}"
+	wait "${pid[instance1]}" || {
+		echo "instance 1 exited with $?" >&2
+		verdict=1
+	}
+	exit "$verdict"
 }
-exit "$verdict"
+
+# Read as a whole before it runs: the file may change meanwhile.
+main
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -85,7 +85,7 @@
 # watch N: notes the revisions that instance N shows, until the run ends.
 watch() {
 	local revision
-	while [ ! -e "$work/over" ]; do
+	while [ -d "$work" ] && [ ! -e "$work/over" ]; do
 		revision=$(timeout 1 "$bin/snipectl" -address 127.0.0.1:$((base + 310 + $1)) show ash 2>/dev/null |
 			sed -n '1s/# revision \([0-9]*\).*/\1/p') || true
 		[ "${revision:-0}" -gt 0 ] && echo "$revision" >>"$work/revisions$1"
@@ -134,42 +134,47 @@
 	sleep 1
 }
 
-edits=0
-verdict=0
-: >"$work/edits"
-start_outside
-start_cutter
-start_instances
-apply_settings $adapters
-owned
-if [ -n "${FAULT_PLAN:-}" ]; then
-	cp "$FAULT_PLAN" "$work/plan"
-else
-	"$bin/snipestand" plan -seed "$seed" -faults "$count" -length "${length}s" >"$work/plan"
-fi
-echo "plan of seed $seed (milliseconds, action, target, argument):"
-cat "$work/plan"
-for n in $(seq $instances); do watch "$n" & done
-"$bin/snipereplay" -load -seed "$seed" -calls $(((length + 4) * rate)) -length $((length + 4))s -adapters $adapters \
-	-service orders -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
-	-entries "$(entries $((base + 350)))" -upstreams "$(upstreams)" -json "$work/result.json" &
-replay=$!
-begin=${EPOCHREALTIME/./}
-while read -r at action target argument; do
-	wait_for=$((at * 1000 - (${EPOCHREALTIME/./} - begin)))
-	[ "$wait_for" -gt 0 ] && sleep "$((wait_for / 1000000)).$(printf %06d $((wait_for % 1000000)))"
-	step "$action" "$target" "$argument"
-done <"$work/plan"
-wait "$replay" || verdict=$?
-settle
-touch "$work/over"
-sleep 1.5
-judge_edits
-echo "edits (branch, version, deadline, exit code, revision):"
-cat "$work/edits"
-(grep -hc '"Event":202' "$work"/instance?.log || true) | awk '{n += $1} END {print "wrong answers held back: " n}'
-for n in $(seq $instances); do
-	if grep -q '^panic:\|^fatal error:\|DATA RACE' "$work/instance$n.log"; then broken "instance $n crashed"; fi
-done
-echo "seed $seed: $([ "$verdict" = 0 ] && echo kept || echo BROKEN)"
-exit "$verdict"
+main() {
+	edits=0
+	verdict=0
+	: >"$work/edits"
+	start_outside
+	start_cutter
+	start_instances
+	apply_settings $adapters
+	owned
+	if [ -n "${FAULT_PLAN:-}" ]; then
+		cp "$FAULT_PLAN" "$work/plan"
+	else
+		"$bin/snipestand" plan -seed "$seed" -faults "$count" -length "${length}s" >"$work/plan"
+	fi
+	echo "plan of seed $seed (milliseconds, action, target, argument):"
+	cat "$work/plan"
+	for n in $(seq $instances); do watch "$n" & done
+	"$bin/snipereplay" -load -seed "$seed" -calls $(((length + 4) * rate)) -length $((length + 4))s -adapters $adapters \
+		-service orders -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
+		-entries "$(entries $((base + 350)))" -upstreams "$(upstreams)" -json "$work/result.json" &
+	replay=$!
+	begin=${EPOCHREALTIME/./}
+	while read -r at action target argument; do
+		wait_for=$((at * 1000 - (${EPOCHREALTIME/./} - begin)))
+		[ "$wait_for" -gt 0 ] && sleep "$((wait_for / 1000000)).$(printf %06d $((wait_for % 1000000)))"
+		step "$action" "$target" "$argument"
+	done <"$work/plan"
+	wait "$replay" || verdict=$?
+	settle
+	touch "$work/over"
+	sleep 1.5
+	judge_edits
+	echo "edits (branch, version, deadline, exit code, revision):"
+	cat "$work/edits"
+	(grep -hc '"Event":202' "$work"/instance?.log || true) | awk '{n += $1} END {print "wrong answers held back: " n}'
+	for n in $(seq $instances); do
+		if grep -q '^panic:\|^fatal error:\|DATA RACE' "$work/instance$n.log"; then broken "instance $n crashed"; fi
+	done
+	echo "seed $seed: $([ "$verdict" = 0 ] && echo kept || echo BROKEN)"
+	exit "$verdict"
+}
+
+# Read as a whole before it runs: the file may change meanwhile.
+main
--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -20,6 +20,7 @@
 # stop_all ends what this script started, frozen processes included.
 stop_all() {
 	local name
+	touch "$work/over"
 	for name in "${!pid[@]}"; do
 		kill -CONT "${pid[$name]}" 2>/dev/null || true
 		kill "${pid[$name]}" 2>/dev/null || true
@@ -147,6 +148,7 @@
 # all_alive: fails when a process has ended, which a port in use makes it do.
 all_alive() {
 	local name
+	touch "$work/over"
 	for name in "${!pid[@]}"; do
 		alive "$name" && continue
 		echo "$name has ended: $(tail -n 1 "$work/$name.log")" >&2
