--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -148,7 +148,6 @@
 # all_alive: fails when a process has ended, which a port in use makes it do.
 all_alive() {
 	local name
-	touch "$work/over"
 	for name in "${!pid[@]}"; do
 		alive "$name" && continue
 		echo "$name has ended: $(tail -n 1 "$work/$name.log")" >&2
