--- a/cmd/snipectl/main_test.go
+++ b/cmd/snipectl/main_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -28,6 +31,7 @@
 // one owns engine "e" and stays at a revision of its own.
 type system struct {
 	address  string
+	handler  http.Handler
 	revision uint64
 	drained  string
 }
@@ -62,6 +66,7 @@
 		_ = store.Refresh(r.Context())
 		server.Handler().ServeHTTP(w, r)
 	})
+	s.handler = refreshed
 	front := httptest.NewServer(refreshed)
 	t.Cleanup(front.Close)
 	s.address = front.Listener.Addr().String()
@@ -196,3 +201,24 @@
 	must.Eq(t, exitUsage, code)
 	must.StrContains(t, text, "no such file")
 }
+
+// TestTLS holds that -ca makes the connection trust only what the file names.
+func TestTLS(t *testing.T) {
+	s := newSystem(t)
+	front := httptest.NewTLSServer(s.handler)
+	t.Cleanup(front.Close)
+	front.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.address = front.Listener.Addr().String()
+	directory := t.TempDir()
+	authority, empty := filepath.Join(directory, "ca.pem"), filepath.Join(directory, "empty.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: front.Certificate().Raw}
+	must.NoError(t, os.WriteFile(authority, pem.EncodeToMemory(block), 0o600))
+	must.NoError(t, os.WriteFile(empty, nil, 0o600))
+	code, _ := s.run(t, "boot", platformBranch(t), "-ca", authority, "apply")
+	must.Zero(t, code)
+	code, text := s.run(t, "boot", "", "-ca", empty, "show")
+	must.Eq(t, exitUsage, code)
+	must.StrContains(t, text, "no certificate")
+	code, _ = s.run(t, "boot", "", "show")
+	must.Eq(t, exitFailed, code)
+}
