--- a/snipeoperator/apply.go
+++ b/snipeoperator/apply.go
@@ -17,9 +17,14 @@
 	if err := s.authorize(ctx, r.GetTeam()); err != nil {
 		return nil, err
 	}
-	edit := snipetree.Edit{
+	return s.apply(ctx, snipetree.Edit{
 		ID: r.GetEdit(), Team: r.GetTeam(), Expect: r.GetExpectVersion(), Document: r.GetDocument(),
-	}
+	})
+}
+
+// apply makes an edit on behalf of an operator who has the right to it. An
+// edit without an identifier gets one; it cannot be sent again then.
+func (s *Server) apply(ctx context.Context, edit snipetree.Edit) (*snipeproto.ApplySettingsResponse, error) {
 	if edit.ID == "" {
 		edit.ID = rand.Text()
 	}
--- a/snipeproto/operator.twirp.go
+++ b/snipeproto/operator.twirp.go
@@ -36,6 +36,13 @@
 	// that the operator has read.
 	ApplySettings(context.Context, *ApplySettingsRequest) (*ApplySettingsResponse, error)
 
+	// GetHistory returns the accepted edits of a branch, the last one first.
+	GetHistory(context.Context, *GetHistoryRequest) (*GetHistoryResponse, error)
+
+	// Rollback makes an earlier document of a branch its document again, as a new
+	// version.
+	Rollback(context.Context, *RollbackRequest) (*ApplySettingsResponse, error)
+
 	// ListInstances returns the live instances with the revision in force on each.
 	ListInstances(context.Context, *ListInstancesRequest) (*ListInstancesResponse, error)
 
@@ -61,7 +68,7 @@
 
 type operatorProtobufClient struct {
 	client      HTTPClient
-	urls        [8]string
+	urls        [10]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -89,9 +96,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Operator")
-	urls := [8]string{
+	urls := [10]string{
 		serviceURL + "GetSettings",
 		serviceURL + "ApplySettings",
+		serviceURL + "GetHistory",
+		serviceURL + "Rollback",
 		serviceURL + "ListInstances",
 		serviceURL + "ListEngines",
 		serviceURL + "ListUpstreams",
@@ -200,6 +209,98 @@
 	return out, nil
 }
 
+func (c *operatorProtobufClient) GetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	caller := c.callGetHistory
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return c.callGetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callGetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	out := new(GetHistoryResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) Rollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	caller := c.callRollback
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return c.callRollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callRollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	out := new(ApplySettingsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *operatorProtobufClient) ListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
 	ctx = ctxsetters.WithServiceName(ctx, "Operator")
@@ -231,7 +332,7 @@
 
 func (c *operatorProtobufClient) callListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	out := new(ListInstancesResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -277,7 +378,7 @@
 
 func (c *operatorProtobufClient) callListEngines(ctx context.Context, in *ListEnginesRequest) (*ListEnginesResponse, error) {
 	out := new(ListEnginesResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -323,7 +424,7 @@
 
 func (c *operatorProtobufClient) callListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
 	out := new(ListUpstreamsResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -369,7 +470,7 @@
 
 func (c *operatorProtobufClient) callListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
 	out := new(ListAdaptersResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -415,7 +516,7 @@
 
 func (c *operatorProtobufClient) callListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
 	out := new(ListLeasesResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -461,7 +562,7 @@
 
 func (c *operatorProtobufClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -482,7 +583,7 @@
 
 type operatorJSONClient struct {
 	client      HTTPClient
-	urls        [8]string
+	urls        [10]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -510,9 +611,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Operator")
-	urls := [8]string{
+	urls := [10]string{
 		serviceURL + "GetSettings",
 		serviceURL + "ApplySettings",
+		serviceURL + "GetHistory",
+		serviceURL + "Rollback",
 		serviceURL + "ListInstances",
 		serviceURL + "ListEngines",
 		serviceURL + "ListUpstreams",
@@ -621,6 +724,98 @@
 	return out, nil
 }
 
+func (c *operatorJSONClient) GetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	caller := c.callGetHistory
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return c.callGetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callGetHistory(ctx context.Context, in *GetHistoryRequest) (*GetHistoryResponse, error) {
+	out := new(GetHistoryResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) Rollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	caller := c.callRollback
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return c.callRollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callRollback(ctx context.Context, in *RollbackRequest) (*ApplySettingsResponse, error) {
+	out := new(ApplySettingsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *operatorJSONClient) ListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
 	ctx = ctxsetters.WithServiceName(ctx, "Operator")
@@ -652,7 +847,7 @@
 
 func (c *operatorJSONClient) callListInstances(ctx context.Context, in *ListInstancesRequest) (*ListInstancesResponse, error) {
 	out := new(ListInstancesResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -698,7 +893,7 @@
 
 func (c *operatorJSONClient) callListEngines(ctx context.Context, in *ListEnginesRequest) (*ListEnginesResponse, error) {
 	out := new(ListEnginesResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -744,7 +939,7 @@
 
 func (c *operatorJSONClient) callListUpstreams(ctx context.Context, in *ListUpstreamsRequest) (*ListUpstreamsResponse, error) {
 	out := new(ListUpstreamsResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -790,7 +985,7 @@
 
 func (c *operatorJSONClient) callListAdapters(ctx context.Context, in *ListAdaptersRequest) (*ListAdaptersResponse, error) {
 	out := new(ListAdaptersResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -836,7 +1031,7 @@
 
 func (c *operatorJSONClient) callListLeases(ctx context.Context, in *ListLeasesRequest) (*ListLeasesResponse, error) {
 	out := new(ListLeasesResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -882,7 +1077,7 @@
 
 func (c *operatorJSONClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainResponse, error) {
 	out := new(DrainResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -1000,6 +1195,12 @@
 	case "ApplySettings":
 		s.serveApplySettings(ctx, resp, req)
 		return
+	case "GetHistory":
+		s.serveGetHistory(ctx, resp, req)
+		return
+	case "Rollback":
+		s.serveRollback(ctx, resp, req)
+		return
 	case "ListInstances":
 		s.serveListInstances(ctx, resp, req)
 		return
@@ -1385,6 +1586,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *operatorServer) serveGetHistory(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGetHistoryJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGetHistoryProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveGetHistoryJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GetHistoryRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.GetHistory
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return s.Operator.GetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetHistoryResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetHistoryResponse and nil error while calling GetHistory. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveGetHistoryProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GetHistory")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GetHistoryRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.GetHistory
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GetHistoryRequest) (*GetHistoryResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetHistoryRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetHistoryRequest) when calling interceptor")
+					}
+					return s.Operator.GetHistory(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GetHistoryResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GetHistoryResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GetHistoryResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GetHistoryResponse and nil error while calling GetHistory. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveRollback(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRollbackJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRollbackProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveRollbackJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RollbackRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.Rollback
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return s.Operator.Rollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplySettingsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplySettingsResponse and nil error while calling Rollback. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveRollbackProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Rollback")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RollbackRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.Rollback
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RollbackRequest) (*ApplySettingsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RollbackRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RollbackRequest) when calling interceptor")
+					}
+					return s.Operator.Rollback(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplySettingsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplySettingsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplySettingsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplySettingsResponse and nil error while calling Rollback. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *operatorServer) serveListInstances(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -2481,60 +3042,67 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 875 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0xcf, 0x8f, 0x1b, 0x35,
-	0x14, 0x56, 0x3a, 0x93, 0xdd, 0xe4, 0x25, 0x69, 0x8b, 0x37, 0x5d, 0xa6, 0x41, 0x94, 0xd4, 0x12,
-	0x52, 0xda, 0xc3, 0x22, 0x5a, 0x24, 0x2e, 0x5c, 0x16, 0x15, 0x10, 0xa2, 0x2a, 0x30, 0x05, 0x0e,
-	0x1c, 0x58, 0xdc, 0xcc, 0xeb, 0xd6, 0xea, 0xc4, 0x33, 0x8c, 0xbd, 0xdb, 0x72, 0x00, 0xc4, 0x95,
-	0xbf, 0x8c, 0xff, 0x81, 0x7f, 0x06, 0xf9, 0xd7, 0x8c, 0x9d, 0x4c, 0xb6, 0x3d, 0xad, 0xbf, 0xe7,
-	0xe7, 0x97, 0xf7, 0x7d, 0xf3, 0xf9, 0x79, 0xe1, 0x7a, 0x55, 0x63, 0xc3, 0x54, 0xd5, 0x9c, 0xd4,
-	0x4d, 0xa5, 0x2a, 0x02, 0x52, 0xf0, 0x1a, 0x6b, 0xae, 0xd6, 0x2f, 0xe8, 0x0a, 0xc8, 0x57, 0xa8,
-	0x9e, 0xa2, 0x52, 0x5c, 0x9c, 0xcb, 0x1c, 0x7f, 0xbb, 0x40, 0xa9, 0x08, 0x81, 0x54, 0x21, 0xdb,
-	0x64, 0x83, 0xe5, 0x60, 0x35, 0xce, 0xcd, 0x9a, 0xfe, 0x01, 0x47, 0x51, 0xa6, 0xac, 0x2b, 0x21,
-	0x91, 0x2c, 0x60, 0xd4, 0xe0, 0x25, 0x97, 0xbc, 0x12, 0x26, 0x3d, 0xcd, 0x5b, 0x4c, 0x32, 0x38,
-	0xbc, 0xc4, 0xc6, 0x6c, 0x5d, 0x33, 0x5b, 0x1e, 0xea, 0x53, 0x45, 0xb5, 0xbe, 0xd8, 0xa0, 0x50,
-	0x59, 0xb2, 0x1c, 0xac, 0xa6, 0x79, 0x8b, 0xc9, 0x1c, 0x86, 0xfa, 0x07, 0x65, 0x96, 0x2e, 0x93,
-	0xd5, 0x38, 0xb7, 0x80, 0xfe, 0x3d, 0x80, 0xf9, 0x69, 0x5d, 0x97, 0xbf, 0xbf, 0x45, 0xaf, 0xe4,
-	0x43, 0xb8, 0x8e, 0xaf, 0x6b, 0x5c, 0xab, 0xb3, 0xf8, 0xf7, 0x67, 0x36, 0xfa, 0xd3, 0x5b, 0x74,
-	0x41, 0x20, 0xc5, 0x82, 0xab, 0x2c, 0xb5, 0x65, 0xf5, 0x9a, 0x3e, 0x84, 0x5b, 0x5b, 0x2d, 0xbc,
-	0x59, 0x04, 0xba, 0x82, 0xf9, 0x63, 0x2e, 0xd5, 0xd7, 0x42, 0x2a, 0x26, 0xd6, 0xd8, 0xf6, 0x7d,
-	0x13, 0x12, 0x26, 0x5f, 0x9a, 0xf4, 0x51, 0xae, 0x97, 0xf4, 0x3b, 0xb8, 0xb5, 0x95, 0xe9, 0xca,
-	0x7f, 0x0a, 0x63, 0xee, 0x83, 0xd9, 0x60, 0x99, 0xac, 0x26, 0x0f, 0x6e, 0x9f, 0x74, 0x1f, 0xf1,
-	0xc4, 0x9f, 0x78, 0xaa, 0x98, 0xc2, 0xbc, 0xcb, 0xa5, 0xff, 0x0d, 0x60, 0x16, 0x6d, 0x6a, 0x5a,
-	0x82, 0x6d, 0xd0, 0xab, 0xa5, 0xd7, 0xe4, 0x18, 0x0e, 0x8a, 0x6a, 0xc3, 0xb8, 0x55, 0x69, 0x9c,
-	0x3b, 0x44, 0xee, 0xc2, 0xb4, 0x46, 0x6c, 0xce, 0x58, 0x51, 0x34, 0x28, 0xa5, 0x91, 0x68, 0x9c,
-	0x4f, 0x74, 0xec, 0xd4, 0x86, 0x22, 0xe2, 0xe9, 0xee, 0xd7, 0x2f, 0x91, 0x5d, 0x72, 0x71, 0x9e,
-	0x0d, 0x0d, 0x49, 0x0f, 0xc9, 0x3d, 0xb8, 0xe9, 0x2d, 0xd9, 0x16, 0x3f, 0x30, 0xc5, 0x6f, 0xf8,
-	0x78, 0xf0, 0x03, 0x4c, 0xc8, 0x57, 0xd8, 0x60, 0x91, 0x1d, 0x9a, 0x2a, 0x2d, 0xa6, 0x73, 0x20,
-	0x5a, 0xaf, 0x2f, 0xc4, 0x39, 0x17, 0xad, 0xae, 0xf4, 0x57, 0x38, 0x8a, 0xa2, 0x4e, 0xc3, 0x8f,
-	0xe1, 0x10, 0x6d, 0xc8, 0x29, 0xf8, 0x6e, 0xa8, 0xa0, 0xcd, 0xb6, 0xfa, 0xf9, 0x3c, 0xad, 0x8b,
-	0xe4, 0xa5, 0x36, 0xc7, 0x35, 0xe3, 0x44, 0x87, 0xe8, 0xbf, 0x03, 0x98, 0x04, 0x07, 0x7a, 0x35,
-	0x25, 0x90, 0x3e, 0x63, 0x12, 0x9d, 0xa2, 0x66, 0x1d, 0xe8, 0x9c, 0x44, 0x3a, 0xcf, 0x61, 0x58,
-	0xbd, 0x12, 0xd8, 0x38, 0xaf, 0x59, 0xa0, 0xa3, 0xcf, 0x51, 0xac, 0xd1, 0x88, 0x97, 0xe6, 0x16,
-	0xe8, 0xa8, 0x2c, 0x2b, 0x65, 0xf5, 0x4a, 0x72, 0x0b, 0xec, 0x67, 0x90, 0xbc, 0xd0, 0xbd, 0x1e,
-	0x9a, 0x5e, 0x5b, 0x4c, 0xde, 0xd3, 0xe6, 0x39, 0x7b, 0x5e, 0xf2, 0xf3, 0x17, 0x2a, 0x1b, 0x99,
-	0x53, 0x23, 0x2e, 0xbe, 0x34, 0x98, 0x1e, 0x5b, 0x73, 0xfe, 0x58, 0x4b, 0xd5, 0xe8, 0x6b, 0xe6,
-	0x45, 0x74, 0x56, 0x0c, 0xe2, 0x9d, 0x15, 0x2f, 0x7c, 0xb0, 0xcf, 0x8a, 0xfe, 0x84, 0xb3, 0x62,
-	0x9b, 0x4b, 0xff, 0x82, 0x59, 0xb4, 0xb7, 0x4f, 0xb5, 0x97, 0x5c, 0x14, 0x5e, 0x35, 0xbd, 0xd6,
-	0x36, 0x8a, 0x0d, 0xe8, 0x61, 0xa0, 0x67, 0xda, 0xaf, 0xe7, 0x30, 0xd0, 0x93, 0xde, 0xb3, 0xbe,
-	0x38, 0x2d, 0x58, 0xad, 0xb0, 0xb9, 0x72, 0xd4, 0x15, 0x56, 0x95, 0x2e, 0xd5, 0x91, 0xff, 0x04,
-	0x46, 0xcc, 0xc5, 0x1c, 0xf7, 0x2c, 0xe4, 0xee, 0xf2, 0x2d, 0xf5, 0x36, 0x73, 0xaf, 0x8d, 0x7e,
-	0x81, 0x69, 0x78, 0xc2, 0x12, 0x35, 0xd8, 0x35, 0xe3, 0xa1, 0xde, 0xf1, 0xde, 0xb5, 0x25, 0x5a,
-	0x8b, 0xea, 0x09, 0x86, 0xeb, 0x92, 0xe9, 0xeb, 0x91, 0xd8, 0xeb, 0xe1, 0x31, 0x3d, 0x82, 0x77,
-	0x34, 0x8b, 0xc7, 0xc8, 0x64, 0x77, 0x3b, 0x1e, 0xd9, 0x3b, 0xe3, 0x83, 0x8e, 0xd8, 0x09, 0x1c,
-	0x94, 0x26, 0xe2, 0x68, 0x1d, 0x87, 0xb4, 0x4c, 0xae, 0x25, 0xe5, 0xb2, 0xe8, 0x9f, 0x00, 0x5d,
-	0x54, 0x37, 0xe1, 0x47, 0x8e, 0xeb, 0xbc, 0xc5, 0x64, 0x09, 0x13, 0x2e, 0xd6, 0xac, 0x11, 0x4c,
-	0xf9, 0x31, 0x3c, 0xce, 0xc3, 0x50, 0x38, 0x26, 0x92, 0x78, 0x4c, 0x04, 0xb4, 0xd3, 0x88, 0x36,
-	0xbd, 0x0f, 0xd3, 0x47, 0x0d, 0xe3, 0xc2, 0x7f, 0xc4, 0x2b, 0x3a, 0xa0, 0x37, 0x60, 0xe6, 0x72,
-	0x2d, 0xd9, 0x07, 0xff, 0x0c, 0x61, 0xf4, 0xad, 0x1b, 0x33, 0xe4, 0x09, 0x4c, 0x82, 0x57, 0x8d,
-	0xdc, 0x09, 0x89, 0xef, 0x3e, 0x8c, 0x8b, 0x0f, 0xf6, 0xee, 0x3b, 0x25, 0x7f, 0x80, 0x59, 0xf4,
-	0x44, 0x90, 0x65, 0xe4, 0x90, 0x9e, 0x07, 0x6c, 0x71, 0xf7, 0x8a, 0x8c, 0xae, 0x6a, 0xf4, 0x32,
-	0xc4, 0x55, 0xfb, 0x9e, 0x97, 0xb8, 0x6a, 0xff, 0xb3, 0xf2, 0x04, 0x26, 0xc1, 0xa4, 0x8c, 0xb9,
-	0xef, 0x0e, 0xd6, 0x98, 0x7b, 0xdf, 0x88, 0x75, 0x5d, 0xb6, 0x43, 0x63, 0xb7, 0xcb, 0xed, 0x39,
-	0xb3, 0xdb, 0xe5, 0xee, 0xc4, 0xf9, 0x1e, 0xa6, 0xe1, 0x65, 0x24, 0x3b, 0x6d, 0x6c, 0xdd, 0xe8,
-	0xc5, 0x72, 0x7f, 0x82, 0x2b, 0xf9, 0x0d, 0x40, 0x77, 0x09, 0xc8, 0xfb, 0xdb, 0xf9, 0xd1, 0x8d,
-	0x59, 0xdc, 0xd9, 0xb7, 0xed, 0x8a, 0x7d, 0x06, 0x43, 0xe3, 0x2f, 0x12, 0xcd, 0x82, 0xd0, 0x9e,
-	0x8b, 0xdb, 0x3d, 0x3b, 0xf6, 0xf4, 0xe7, 0xf7, 0x7f, 0x5e, 0x05, 0x7b, 0xf8, 0x9a, 0x6d, 0xea,
-	0x12, 0x3f, 0xea, 0x42, 0x6e, 0xa9, 0xff, 0x6f, 0x7b, 0x76, 0x60, 0xfe, 0x3c, 0xfc, 0x3f, 0x00,
-	0x00, 0xff, 0xff, 0x87, 0x3c, 0x68, 0xc3, 0xd0, 0x09, 0x00, 0x00,
+	// 988 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0xdd, 0x72, 0x1b, 0x35,
+	0x14, 0x1e, 0x77, 0xd7, 0x8e, 0x7d, 0x6c, 0x37, 0xa9, 0xe2, 0x86, 0xad, 0x3b, 0x04, 0x57, 0x33,
+	0x80, 0xdb, 0x8b, 0x30, 0xb4, 0xcc, 0x70, 0xd3, 0x9b, 0x74, 0x5a, 0xca, 0x4f, 0xa7, 0xc0, 0xb6,
+	0x30, 0x0c, 0x17, 0x04, 0x65, 0x57, 0x49, 0x35, 0x59, 0x6b, 0x97, 0x95, 0x92, 0xb6, 0x17, 0xc0,
+	0xf0, 0x2c, 0xbc, 0x0c, 0xef, 0xc0, 0xcb, 0x30, 0xfa, 0xdb, 0x95, 0xfc, 0x13, 0x32, 0x0c, 0x57,
+	0xd6, 0x77, 0x74, 0x74, 0xf6, 0x7c, 0xdf, 0x39, 0x3a, 0x32, 0x5c, 0x2f, 0x2b, 0x5a, 0x13, 0x59,
+	0xd6, 0x07, 0x55, 0x5d, 0xca, 0x12, 0x81, 0xe0, 0xac, 0xa2, 0x15, 0x93, 0xd9, 0x2b, 0xfc, 0x08,
+	0xd0, 0x53, 0x2a, 0x5f, 0x50, 0x29, 0x19, 0x3f, 0x15, 0x29, 0xfd, 0xe5, 0x9c, 0x0a, 0x89, 0x10,
+	0xc4, 0x92, 0x92, 0x45, 0xd2, 0x99, 0x75, 0xe6, 0x83, 0x54, 0xaf, 0x51, 0x02, 0x5b, 0x17, 0xb4,
+	0x16, 0xac, 0xe4, 0xc9, 0xb5, 0x59, 0x67, 0x1e, 0xa7, 0x0e, 0xe2, 0x5f, 0x61, 0x37, 0x88, 0x21,
+	0xaa, 0x92, 0x0b, 0x8a, 0xa6, 0xd0, 0xaf, 0xe9, 0x05, 0xd3, 0x27, 0x3a, 0xfa, 0x44, 0x83, 0x37,
+	0x07, 0x53, 0xa7, 0xf2, 0x32, 0x3b, 0x5f, 0x50, 0x2e, 0x93, 0x68, 0xd6, 0x99, 0x8f, 0xd2, 0x06,
+	0xa3, 0x09, 0x74, 0x55, 0x2a, 0x22, 0x89, 0x67, 0xd1, 0x7c, 0x90, 0x1a, 0x80, 0xff, 0xe8, 0xc0,
+	0xe4, 0xb0, 0xaa, 0x8a, 0xb7, 0x57, 0x61, 0xf1, 0x3e, 0x5c, 0xa7, 0x6f, 0x2a, 0x9a, 0xc9, 0xa3,
+	0xf0, 0xfb, 0x63, 0x63, 0xfd, 0xfe, 0x0a, 0x59, 0x20, 0x88, 0x69, 0xce, 0x64, 0x12, 0x9b, 0xb0,
+	0x6a, 0x8d, 0x1f, 0xc0, 0xcd, 0xa5, 0x14, 0xfe, 0x5d, 0x04, 0xfc, 0x21, 0xdc, 0x78, 0x4a, 0xe5,
+	0xe7, 0x4c, 0xc8, 0xb2, 0x7e, 0x7b, 0x49, 0xd2, 0xf8, 0xa1, 0x2e, 0x52, 0xe3, 0x68, 0x43, 0x7f,
+	0x00, 0x5d, 0xf5, 0x6d, 0x91, 0x74, 0x66, 0xd1, 0x7c, 0x78, 0x7f, 0xe7, 0xa0, 0x2d, 0xeb, 0xc1,
+	0x93, 0x9c, 0xc9, 0xd4, 0x6c, 0xe3, 0x1f, 0x20, 0x56, 0xf0, 0xbf, 0xd7, 0x83, 0x64, 0x19, 0xad,
+	0x24, 0xcd, 0xb5, 0x12, 0x51, 0xda, 0x60, 0x7c, 0x02, 0xdb, 0x69, 0x59, 0x14, 0xc7, 0x24, 0x3b,
+	0xfb, 0x1f, 0x34, 0xf7, 0x72, 0x88, 0xc2, 0x06, 0x9b, 0xc3, 0xe4, 0x19, 0x13, 0xf2, 0x0b, 0x2e,
+	0x24, 0xe1, 0x19, 0x6d, 0x0a, 0xbc, 0x03, 0x11, 0x11, 0x67, 0xfa, 0x5b, 0xfd, 0x54, 0x2d, 0xf1,
+	0x37, 0x70, 0x73, 0xc9, 0xd3, 0x8a, 0xf5, 0x29, 0x0c, 0x98, 0x33, 0x5a, 0xc1, 0x6e, 0xf9, 0x82,
+	0xb9, 0x13, 0x2f, 0x24, 0x91, 0x34, 0x6d, 0x7d, 0xf1, 0xdf, 0x1d, 0x18, 0x07, 0x9b, 0x8a, 0x22,
+	0x27, 0x0b, 0xea, 0x28, 0xaa, 0x35, 0xda, 0x83, 0x5e, 0x5e, 0x2e, 0x08, 0x33, 0xd4, 0x06, 0xa9,
+	0x45, 0xe8, 0x0e, 0x8c, 0x2a, 0x4a, 0xeb, 0x23, 0x92, 0xe7, 0x35, 0x15, 0x42, 0x13, 0x1b, 0xa4,
+	0x43, 0x65, 0x3b, 0x34, 0xa6, 0xa0, 0x2c, 0xf1, 0x6a, 0x59, 0x0a, 0x4a, 0x2e, 0x18, 0x3f, 0x4d,
+	0xba, 0x9a, 0xa4, 0x83, 0xe8, 0x2e, 0xec, 0xb8, 0x5b, 0xdd, 0x04, 0xef, 0xe9, 0xe0, 0xdb, 0xce,
+	0xee, 0x7d, 0x80, 0x70, 0xf1, 0x9a, 0xd6, 0x34, 0x4f, 0xb6, 0x74, 0x94, 0x06, 0xe3, 0x09, 0x20,
+	0xa5, 0xd7, 0x13, 0x7e, 0xca, 0x78, 0xa3, 0x2b, 0xfe, 0x19, 0x76, 0x03, 0xab, 0xd5, 0xf0, 0x63,
+	0xd8, 0xa2, 0xc6, 0x64, 0x15, 0x7c, 0x27, 0x68, 0x39, 0xbd, 0x65, 0xf4, 0x73, 0x7e, 0x4a, 0x17,
+	0xc1, 0x0a, 0x75, 0x8b, 0xae, 0xe9, 0x2b, 0x6b, 0x11, 0xfe, 0xab, 0x03, 0x43, 0xef, 0xc0, 0x5a,
+	0x4d, 0x11, 0xc4, 0xc7, 0x44, 0x50, 0xab, 0xa8, 0x5e, 0x7b, 0x3a, 0x47, 0x81, 0xce, 0x13, 0xe8,
+	0x96, 0xaf, 0x39, 0xad, 0xed, 0xa5, 0x34, 0x40, 0x59, 0x4f, 0x28, 0xcf, 0xa8, 0x16, 0x2f, 0x4e,
+	0x0d, 0x50, 0x56, 0x51, 0x94, 0xd2, 0xe8, 0x15, 0xa5, 0x06, 0x98, 0x32, 0x08, 0x96, 0xab, 0x5c,
+	0xb7, 0x74, 0xae, 0x0d, 0x46, 0xb7, 0x55, 0xf3, 0x1c, 0x9d, 0x14, 0xec, 0xf4, 0x95, 0x4c, 0xfa,
+	0xe6, 0x12, 0x30, 0xfe, 0x99, 0xc6, 0x78, 0xcf, 0x34, 0xe7, 0x77, 0x95, 0x90, 0xb5, 0x9a, 0x47,
+	0x4e, 0x44, 0xdb, 0x8a, 0x9e, 0xbd, 0x6d, 0xc5, 0x73, 0x67, 0x5c, 0xd7, 0x8a, 0xee, 0x84, 0x6d,
+	0xc5, 0xc6, 0x17, 0xff, 0x0e, 0xe3, 0x60, 0x6f, 0x93, 0x6a, 0x67, 0x8c, 0xe7, 0x4e, 0x35, 0xb5,
+	0x56, 0x6d, 0x14, 0x36, 0xa0, 0x83, 0x9e, 0x9e, 0xf1, 0x7a, 0x3d, 0xbb, 0x9e, 0x9e, 0xf8, 0xae,
+	0xe9, 0x8b, 0xc3, 0x9c, 0x54, 0x92, 0xd6, 0x97, 0xcd, 0x59, 0x9c, 0x1b, 0x55, 0x5a, 0x57, 0x4b,
+	0xfe, 0x13, 0xe8, 0x13, 0x6b, 0xb3, 0xdc, 0x13, 0x9f, 0xbb, 0xf5, 0x37, 0xd4, 0x1b, 0xcf, 0x8d,
+	0x6d, 0xf4, 0x13, 0x8c, 0xfc, 0x13, 0x86, 0xa8, 0xc6, 0x36, 0x19, 0x07, 0xd5, 0x8e, 0xeb, 0x5d,
+	0x13, 0xa2, 0x69, 0x51, 0x35, 0xea, 0x69, 0x56, 0x90, 0xda, 0x0e, 0xb8, 0x7e, 0xda, 0x60, 0xbc,
+	0x0b, 0x37, 0x14, 0x8b, 0x67, 0x94, 0x88, 0xf6, 0x76, 0x3c, 0x36, 0x77, 0xc6, 0x19, 0x2d, 0xb1,
+	0x03, 0xe8, 0x15, 0xda, 0x62, 0x69, 0xed, 0xf9, 0xb4, 0xb4, 0xaf, 0x21, 0x65, 0xbd, 0xf0, 0x6f,
+	0x00, 0xad, 0x55, 0x25, 0xe1, 0x46, 0x8e, 0xcd, 0xbc, 0xc1, 0x68, 0x06, 0x43, 0xc6, 0x33, 0x52,
+	0x73, 0x22, 0xdd, 0xec, 0x1c, 0xa4, 0xbe, 0xc9, 0x1f, 0x13, 0x51, 0x38, 0x26, 0x3c, 0xda, 0x71,
+	0x40, 0x1b, 0xdf, 0x83, 0xd1, 0xe3, 0x9a, 0x30, 0xee, 0x8a, 0x78, 0x49, 0x06, 0x78, 0x1b, 0xc6,
+	0xd6, 0xd7, 0x90, 0xbd, 0xff, 0x67, 0x0f, 0xfa, 0x5f, 0xdb, 0x31, 0x83, 0x9e, 0xc3, 0xd0, 0x7b,
+	0xfe, 0xd1, 0xbe, 0x4f, 0x7c, 0xf5, 0xbf, 0xc5, 0xf4, 0xbd, 0x8d, 0xfb, 0x56, 0xc9, 0x97, 0x30,
+	0x0e, 0xde, 0x52, 0x34, 0x0b, 0x3a, 0x64, 0xcd, 0x4b, 0x3f, 0xbd, 0x73, 0x89, 0x87, 0x8d, 0xfa,
+	0x15, 0x40, 0xfb, 0x86, 0xa2, 0x77, 0x97, 0x92, 0x08, 0x1f, 0xe1, 0xe9, 0xfe, 0xa6, 0x6d, 0x1b,
+	0xec, 0x4b, 0xe8, 0xbb, 0x87, 0x0f, 0xdd, 0xf6, 0x7d, 0x97, 0x9e, 0xc3, 0xab, 0x24, 0xf6, 0x12,
+	0xc6, 0xc1, 0x93, 0x15, 0xd2, 0x5d, 0xf7, 0xee, 0x85, 0x51, 0xd7, 0xbf, 0x77, 0xcf, 0x61, 0xe8,
+	0x8d, 0xf0, 0xb0, 0x28, 0xab, 0x13, 0x3f, 0x2c, 0xca, 0xba, 0xd9, 0x6f, 0xb3, 0x6c, 0xa6, 0xd9,
+	0x6a, 0x96, 0xcb, 0x03, 0x70, 0x35, 0xcb, 0xd5, 0x51, 0xf8, 0x2d, 0x8c, 0xfc, 0x29, 0x81, 0x56,
+	0xd2, 0x58, 0x1a, 0x35, 0xd3, 0xd9, 0x66, 0x87, 0xb6, 0xce, 0xed, 0xed, 0x0c, 0xeb, 0xbc, 0x72,
+	0x95, 0xa7, 0xfb, 0x9b, 0xb6, 0x6d, 0xb0, 0x87, 0xd0, 0xd5, 0x8d, 0x8f, 0x82, 0x21, 0xe5, 0xdf,
+	0x9b, 0xe9, 0xad, 0x35, 0x3b, 0xe6, 0xf4, 0xa3, 0x7b, 0x3f, 0xce, 0xbd, 0x3d, 0xfa, 0x86, 0x2c,
+	0xaa, 0x82, 0x7e, 0xd4, 0x9a, 0xec, 0x52, 0xfd, 0x27, 0x3f, 0xee, 0xe9, 0x9f, 0x07, 0xff, 0x04,
+	0x00, 0x00, 0xff, 0xff, 0xe5, 0x53, 0x13, 0x51, 0xac, 0x0b, 0x00, 0x00,
 }
