--- a/cmd/snipectl/apply.go
+++ b/cmd/snipectl/apply.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"flag"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
 
 	"snipepitch.example/snipepitch/snipeproto"
 )
@@ -23,29 +25,48 @@
 		if err != nil {
 			return err
 		}
-		out, err := c.operator.ApplySettings(ctx, &snipeproto.ApplySettingsRequest{
-			Team: *team, ExpectVersion: *version, Document: data,
+		out, err := c.apply(ctx, &snipeproto.ApplySettingsRequest{
+			Team: *team, ExpectVersion: *version, Document: data, Edit: rand.Text(),
 		})
 		if err != nil {
 			return err
 		}
-		if *wait > 0 {
-			if err := c.waitInForce(ctx, out.GetRevision(), *wait); err != nil {
-				return err
-			}
-		}
-		if c.json {
-			return c.printJSON(accepted{out.GetRevision(), *wait > 0})
+		return c.accepted(ctx, out.GetRevision(), *wait)
+	}
+}
+
+// apply sends an edit, and sends it again while its outcome is unknown: the
+// same edit is never made twice.
+func (c *client) apply(ctx context.Context, in *snipeproto.ApplySettingsRequest) (*snipeproto.ApplySettingsResponse, error) {
+	const tries = 3
+	for n := 1; ; n++ {
+		out, err := c.operator.ApplySettings(ctx, in)
+		var failure twirp.Error
+		if err == nil || n == tries || !errors.As(err, &failure) || failure.Code() != twirp.DeadlineExceeded {
+			return out, err
 		}
-		if *wait > 0 {
-			return c.print("in force everywhere as revision %d\n", out.GetRevision())
+	}
+}
+
+// accepted waits until an accepted edit is in force everywhere, if that is
+// asked for, and prints its revision.
+func (c *client) accepted(ctx context.Context, revision uint64, wait time.Duration) error {
+	if wait > 0 {
+		if err := c.waitInForce(ctx, revision, wait); err != nil {
+			return err
 		}
-		return c.print("accepted as revision %d\n", out.GetRevision())
 	}
+	switch {
+	case c.json:
+		return c.printJSON(edit{revision, wait > 0})
+	case wait > 0:
+		return c.print("in force everywhere as revision %d\n", revision)
+	}
+	return c.print("accepted as revision %d\n", revision)
 }
 
-// accepted is the answer of apply as -json prints it.
-type accepted struct {
+// edit is an accepted edit as -json prints it.
+type edit struct {
 	Revision uint64
 	// InForce tells that the revision is in force on every live instance.
 	InForce bool
--- a/cmd/snipectl/main_test.go
+++ b/cmd/snipectl/main_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -27,6 +30,7 @@
 // one owns engine "e" and stays at a revision of its own.
 type system struct {
 	address  string
+	handler  http.Handler
 	revision uint64
 	drained  string
 }
@@ -61,6 +65,7 @@
 		_ = store.Refresh(r.Context())
 		server.Handler().ServeHTTP(w, r)
 	})
+	s.handler = refreshed
 	front := httptest.NewServer(refreshed)
 	t.Cleanup(front.Close)
 	s.address = front.Listener.Addr().String()
@@ -122,6 +127,14 @@
 		{"difference", "key-a", strings.Replace(branchA, `"p"`, `"q"`, 1), []string{"diff", "-team", "a"}, exitDiffers, `+ Adapters.x.Versions.1.Path: "q"`},
 		{"not in force everywhere", "key-a", branchA, []string{"apply", "-team", "a", "-version", "1", "-wait", "1ms"}, exitNotInForce, "revision 3: "},
 		{"watch", "key-a", "", []string{"watch", "-count", "1", "-interval", "1ms", "a"}, 0, "# revision 3, version 2"},
+		{"history", "key-a", "", []string{"history", "a"}, 0, "2        3         20"},
+		{"history without the right", "key-a", "", []string{"history", "b"}, exitRefused, "no right"},
+		{"earlier version", "key-a", "", []string{"show", "-version", "1", "a"}, 0, "version 1\n" + branchA},
+		{"unknown version", "key-a", "", []string{"show", "-version", "9", "a"}, exitFailed, "unknown version of a branch"},
+		{"rollback without a version", "key-a", "", []string{"rollback", "-team", "a", "-to", "1"}, exitUsage, "needs -version and -to"},
+		{"rollback without the right", "key-a", "", []string{"rollback", "-team", "b", "-version", "2", "-to", "1"}, exitRefused, "no right"},
+		{"rollback from an old version", "key-a", "", []string{"rollback", "-team", "a", "-version", "1", "-to", "1"}, exitConflict, "has version 2, not 1"},
+		{"rollback", "key-a", "", []string{"rollback", "-team", "a", "-version", "2", "-to", "1"}, 0, "accepted as revision 4"},
 		{"adapters of a team", "key-a", "", []string{"adapters"}, 0, "a/x@1    true      e"},
 		{"adapters of another team", "key-a", "", []string{"adapters", "b"}, exitRefused, "no right"},
 		{"adapters of all teams", "boot", "", []string{"adapters"}, 0, "b/y@1    false     e"},
@@ -175,3 +188,24 @@
 	must.Eq(t, exitUsage, code)
 	must.StrContains(t, text, "no such file")
 }
+
+// TestTLS holds that -ca makes the connection trust only what the file names.
+func TestTLS(t *testing.T) {
+	s := newSystem(t)
+	front := httptest.NewTLSServer(s.handler)
+	t.Cleanup(front.Close)
+	front.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.address = front.Listener.Addr().String()
+	directory := t.TempDir()
+	authority, empty := filepath.Join(directory, "ca.pem"), filepath.Join(directory, "empty.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: front.Certificate().Raw}
+	must.NoError(t, os.WriteFile(authority, pem.EncodeToMemory(block), 0o600))
+	must.NoError(t, os.WriteFile(empty, nil, 0o600))
+	code, _ := s.run(t, "boot", platformBranch(t), "-ca", authority, "apply")
+	must.Zero(t, code)
+	code, text := s.run(t, "boot", "", "-ca", empty, "show")
+	must.Eq(t, exitUsage, code)
+	must.StrContains(t, text, "no certificate")
+	code, _ = s.run(t, "boot", "", "show")
+	must.Eq(t, exitFailed, code)
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -82,6 +82,7 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.watchReady)
@@ -113,21 +114,23 @@
 		Timeout: c.Platform.Timeout.Value(),
 		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
-	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
-	i.buildDispatch()
 	i.buildMembers(table)
+	i.buildSettings(table)
+	i.buildDispatch(table)
 	i.buildHolder(table)
 	i.buildCallers(table)
 	return nil
 }
 
-func (i *Instance) buildDispatch() {
+func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
 	i.budget = &snipeweight.Budget{Limits: i.weightShare}
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
+		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
+		Record: recordOf(table),
 		Budget: i.budget.Acquire,
 		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
@@ -160,7 +163,7 @@
 	i.holder = &snipelease.Holder{
 		Table: table,
 		Self: snipelease.Instance{
-			Name: c.Name, Incarnation: rand.Text(), PeerAddress: c.Peers,
+			Name: c.Name, Incarnation: rand.Text(), PeerAddress: c.Announced(),
 			OperatorAddress: c.Operators, Domain: c.Domain,
 		},
 		Duration: c.Lease.Value(), Renew: c.Renew.Value(), Margin: leaseMargin,
@@ -191,7 +194,7 @@
 func (i *Instance) buildCallers(table snipeplatform.Table) {
 	serve := i.claimed(table, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Current, Serve: serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Admitting, Serve: serve, Admit: i.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
@@ -264,6 +267,7 @@
 func (i *Instance) listeners() []listener {
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
@@ -282,7 +286,7 @@
 }
 
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !i.phase.ready() {
+	if !i.phase.ready() || !i.settings.Fresh() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
