Send calls elsewhere at once while an engine's owner is not reached

Cause: a dead owner keeps its engines until its lease and the margin are over (5 s here). Until then each call tried it, was refused and spent a retry; with two of three engines at one owner the team's retry budget ran out.

Ruled out: a shorter lease (more writes, and a paused owner loses its engines sooner); taking over on the membership's word (a hint must not decide).

Change: snipepeer.Reach holds an instance off for a second after it was not reached; members known as dead are left out of the candidates.

--- /dev/null
+++ b/snipeinstance/reach.go
@@ -0,0 +1,19 @@
+package snipeinstance
+
+import (
+	"snipepitch.example/snipepitch/snipelease"
+)
+
+// reachable reports whether calls may be sent to the owner of an engine. An
+// owner that has died keeps its engines until its lease is over; until then
+// calls go to other engines at once.
+func (i *Instance) reachable(owner snipelease.Instance) bool {
+	if owner.Name == i.Config.Name {
+		return true
+	}
+	m, known := i.members.Member(owner.Name)
+	if known && !m.Live() && m.Address == owner.PeerAddress {
+		return false
+	}
+	return i.forward.Reach.Usable(owner.PeerAddress)
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -241,9 +241,9 @@
 	}
 	view := i.holder.View()
 	for name, e := range t.Platform.Engines {
-		_, owned := view.Owners[name]
+		o, owned := view.Owners[name]
 		if e.Base == c.Base {
-			add(name, owned)
+			add(name, owned && i.reachable(o.Instance))
 		}
 	}
 	return all
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -89,6 +89,8 @@
 	Progress time.Duration
 	// Log takes events; nil is none.
 	Log *snipelog.Logger
+	// Reach tells which instances were not reached lately.
+	Reach Reach
 }
 
 // hop is the state of one call at one owner, across connections. It belongs to
@@ -222,8 +224,12 @@
 	x, err := snipeupstream.Begin(client, r, snipeupstream.Watch{Progress: h.client.Progress, Kept: h.client.HTTP})
 	h.left = h.left || x.Left
 	if err != nil {
+		if ctx.Err() == nil {
+			h.client.Reach.Failed(h.address)
+		}
 		return h.sendError(ctx, err)
 	}
+	h.client.Reach.Answered(h.address)
 	err = h.take(x)
 	if h.ended {
 		x.Finish()
