Faults: planned stops, leaving upstreams, and a rolling replacement of all instances

make rolling drains and starts all instances one after another; any call that is cut short is a breach there.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	./scripts/demo.sh
 
 # Everything that CI checks.
-test: lint check-generated unit short-replay
+test: lint check-generated unit short-replay short-faults
 
 format:
 	$(LINT) fmt
@@ -36,12 +36,16 @@
 short-replay: build
 	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
 
-.PHONY: faults short-faults
+.PHONY: faults short-faults rolling
 
 # A round of faults over real processes: SEED=n, or all kept seeds without it.
 faults: build
 	for seed in $(if $(SEED),$(SEED),$$(cat scripts/fault-seeds.txt)); do FAULT_SEED=$$seed ./scripts/faults.sh || exit 1; done
 
+# All instances replaced one after another: no call may be cut short.
+rolling: build
+	FAULT_PLAN=scripts/rolling.plan FAULT_REPLAY="-planned -min-answered 1" ./scripts/faults.sh
+
 short-faults: build
 	FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
 
--- a/cmd/snipereplay/run.go
+++ b/cmd/snipereplay/run.go
@@ -36,6 +36,7 @@
 	maxInFlight              int64
 	settle                   time.Duration
 	keyedRepeats, plot       bool
+	planned                  bool
 }
 
 func (r *runner) flags() {
@@ -45,6 +46,7 @@
 	flag.StringVar(&r.jsonFile, "json", "", "`file` for the results as JSON")
 	flag.StringVar(&r.svgFile, "svg", "", "`file` for a plot of the times")
 	flag.BoolVar(&r.plot, "plot", false, "print a plot of the times")
+	flag.BoolVar(&r.planned, "planned", false, "nothing fails during the run: a call that is cut short is a breach")
 	flag.BoolVar(&r.keyedRepeats, "keyed-repeats", true, "repeat non-idempotent calls that may have run, with their key")
 	flag.Float64Var(&r.minAnswered, "min-answered", 0, "least `share` of calls that must end as stated, 0 to 1")
 	flag.Int64Var(&r.maxInFlight, "max-in-flight", 4096, "most calls in flight; more are counted as Unsent")
@@ -79,7 +81,7 @@
 // run replays records and returns the exit code.
 func (r *runner) run(records []snipetrace.Record) int {
 	p := &snipereplay.Replay{
-		Keys: map[string]string{}, KeyedRepeats: r.keyedRepeats, MaxInFlight: r.maxInFlight,
+		Keys: map[string]string{}, KeyedRepeats: r.keyedRepeats, Planned: r.planned, MaxInFlight: r.maxInFlight,
 		Client: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: idleConnections,
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
--- a/cmd/snipestand/faults.go
+++ b/cmd/snipestand/faults.go
@@ -100,3 +100,27 @@
 		return c.Handler()
 	}
 }
+
+// executed prints how many executions an upstream has recorded.
+func executed(arguments []string) error {
+	if len(arguments) != 1 {
+		usage()
+	}
+	address, err := netip.ParseAddrPort(arguments[0])
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	client := &http.Client{Timeout: orderTimeout}
+	// The operator names the address.
+	response, err := client.Get("http://" + address.String() + "/Executed") //nolint:gosec // see above
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var list snipestand.ExecutedList
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		return errors.Wrap(err, "decode executions")
+	}
+	fmt.Println(len(list.Executions) + list.Dropped)
+	return nil
+}
--- a/cmd/snipestand/main.go
+++ b/cmd/snipestand/main.go
@@ -8,6 +8,7 @@
 //	snipestand cutter -address IP:PORT -link LISTEN=TARGET...
 //	snipestand fault IP:PORT JSON
 //	snipestand cut IP:PORT LISTEN=MODE
+//	snipestand executed IP:PORT
 //	snipestand plan [-seed N] [-faults N] [-length D]
 //	snipestand service -address IP:PORT [-name NAME] [-delay D] [-record FILE]
 package main
@@ -36,9 +37,10 @@
 		usage()
 	}
 	commands := map[string]func([]string) error{
-		"plan":  plan,
-		"cut":   cut,
-		"fault": func(a []string) error { return order("/Fault", a) },
+		"plan":     plan,
+		"cut":      cut,
+		"executed": executed,
+		"fault":    func(a []string) error { return order("/Fault", a) },
 	}
 	if c, ok := commands[os.Args[1]]; ok {
 		if err := c(os.Args[2:]); err != nil {
@@ -75,7 +77,7 @@
 
 func usage() {
 	fmt.Fprintln(os.Stderr, "usage: snipestand platform|engine|service|cutter -address IP:PORT [flags]")
-	fmt.Fprintln(os.Stderr, "       snipestand fault IP:PORT JSON | cut IP:PORT LISTEN=MODE | plan [flags]")
+	fmt.Fprintln(os.Stderr, "       snipestand fault IP:PORT JSON | cut IP:PORT LISTEN=MODE | executed IP:PORT | plan [flags]")
 	os.Exit(exitUsage)
 }
 
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -11,7 +11,8 @@
 # Exit code 0 only when the judge found no breach, no instance ever showed a
 # revision below one that it had shown before, of racing edits at most one was
 # accepted, and at the end all instances show the highest accepted revision and
-# the branch that was accepted last.
+# the branch that was accepted last, every planned stop ended with 0, and an
+# upstream that had left got no new work.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 base=${FAULT_PORT:-22400}
@@ -21,10 +22,13 @@
 adapters=12
 rate=40
 everywhere=19
+stop_time=30
+caller_hop=300
+declare -A draining
 . scripts/stand.sh
 
 # version N TEAM: prints the version of a team's branch as instance N has it.
-version() { timeout 3 "$bin/snipectl" -address 127.0.0.1:$((base + 310 + $1)) show "$2" | sed -n '1s/.*version //p'; }
+version() { timeout 3 "$bin/snipectl" -address 127.0.0.1:$((base + 310 + $1)) show ${2:-} | sed -n '1s/.*version //p'; }
 
 # edit N TEAM VERSION DEADLINE: applies an edit and notes what became of it.
 edit() {
@@ -55,6 +59,61 @@
 	(v=$(version 3 "$1" || version 1 "$1") && [ -n "$v" ] && edit 3 "$1" "$v" "$((100 + edits))s" || true) &
 }
 
+# drained NAME: judges the exit of a process that was told to stop.
+drained() {
+	local code=0
+	[ -n "${draining[$1]:-}" ] || return 0
+	unset "draining[$1]"
+	wait "${pid[$1]}" 2>/dev/null || code=$?
+	[ "$code" = 0 ] || broken "planned stop of $1 exited with $code"
+}
+
+# finish_drains: waits for the planned stops that still go on, and starts the
+# instances again.
+finish_drains() {
+	local name n
+	for name in "${!draining[@]}"; do
+		for n in $(seq $((stop_time * 10))); do alive "$name" && sleep 0.1; done
+		if alive "$name"; then
+			broken "planned stop of $name has not ended"
+			continue
+		fi
+		drained "$name"
+		again "$name"
+	done
+}
+
+# leave NAME: takes an upstream of the service out of the settings; once that
+# is in force everywhere and a few seconds have passed, notes how often it was
+# executed.
+leave() {
+	services=$((services - 1))
+	platform_branch >"$work/platform-left.json"
+	services=$((services + 1))
+	(
+		v=$(version 1 || version 2) && [ -n "$v" ] || exit 0
+		for n in 1 2 3; do
+			if ctl_at "$n" apply -version "$v" -wait ${everywhere}s "$work/platform-left.json" >"$work/left" 2>&1; then
+				sleep 3
+				"$bin/snipestand" executed 127.0.0.1:$((base + 200 + ${1//[a-z]/})) >"$work/left-$1" || true
+				break
+			fi
+		done
+	) &
+}
+
+# judge_left: an upstream that has left got no new work.
+judge_left() {
+	local file name now
+	for file in "$work"/left-*; do
+		[ -s "$file" ] || continue
+		name=${file##*/left-}
+		now=$("$bin/snipestand" executed 127.0.0.1:$((base + 200 + ${name//[a-z]/})))
+		echo "$name has left: $(cat "$file") executions a few seconds later, $now at the end"
+		[ "$now" = "$(cat "$file")" ] || broken "$name got work after it had left"
+	done
+}
+
 # link NAME: prints the cutter's listener of a link of the plan.
 link() {
 	local n=${1//[a-z]/}
@@ -70,8 +129,13 @@
 # step ACTION TARGET ARGUMENT: carries out one step of the plan.
 step() {
 	case $1 in
-	kill) end "$2" ;;
-	start) alive "$2" || again "$2" ;;
+	kill)
+		end "$2"
+		unset "draining[$2]"
+		;;
+	drain) alive "$2" && kill -TERM "${pid[$2]}" && draining[$2]=1 || true ;;
+	start) alive "$2" || { drained "$2" && again "$2"; } ;;
+	leave) leave "$2" ;;
 	freeze) kill -STOP "${pid[$2]}" 2>/dev/null || true ;;
 	thaw) kill -CONT "${pid[$2]}" 2>/dev/null || true ;;
 	cut) "$bin/snipestand" cut 127.0.0.1:$((base + 1)) "$(link "$2")=$3" ;;
@@ -138,11 +202,6 @@
 	edits=0
 	verdict=0
 	: >"$work/edits"
-	start_outside
-	start_cutter
-	start_instances
-	apply_settings $adapters
-	owned
 	if [ -n "${FAULT_PLAN:-}" ]; then
 		cp "$FAULT_PLAN" "$work/plan"
 	else
@@ -150,10 +209,20 @@
 	fi
 	echo "plan of seed $seed (milliseconds, action, target, argument):"
 	cat "$work/plan"
+	start_outside
+	# The cutter takes connections for a party that refuses them: without a cut
+	# in the plan it would only hide what the product does.
+	if grep -q ' cut ' "$work/plan"; then
+		start_cutter
+		caller_hop=350
+	fi
+	start_instances
+	apply_settings $adapters
+	owned
 	for n in $(seq $instances); do watch "$n" & done
 	"$bin/snipereplay" -load -seed "$seed" -calls $(((length + 4) * rate)) -length $((length + 4))s -adapters $adapters \
 		-service orders -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
-		-entries "$(entries $((base + 350)))" -upstreams "$(upstreams)" -json "$work/result.json" &
+		-entries "$(entries $((base + caller_hop)))" -upstreams "$(upstreams)" -json "$work/result.json" &
 	replay=$!
 	begin=${EPOCHREALTIME/./}
 	while read -r at action target argument; do
@@ -162,10 +231,12 @@
 		step "$action" "$target" "$argument"
 	done <"$work/plan"
 	wait "$replay" || verdict=$?
+	finish_drains
 	settle
 	touch "$work/over"
 	sleep 1.5
 	judge_edits
+	judge_left
 	echo "edits (branch, version, deadline, exit code, revision):"
 	cat "$work/edits"
 	(grep -hc '"Event":202' "$work"/instance?.log || true) | awk '{n += $1} END {print "wrong answers held back: " n}'
--- a/snipereplay/audit.go
+++ b/snipereplay/audit.go
@@ -83,6 +83,10 @@
 		}
 	}
 	if r.Record.Service == "" {
+		last := r.Tries[max(len(r.Tries)-1, 0):]
+		if r.Answered && (len(last) == 0 || a.requests[last[0].Request] == 0) {
+			r.breach("answered, but no engine executed it")
+		}
 		return
 	}
 	a.checkCount(r, r.Record)
--- a/snipereplay/caller.go
+++ b/snipereplay/caller.go
@@ -35,6 +35,9 @@
 		t := p.try(bounded, &result, start)
 		result.Tries = append(result.Tries, t)
 		result.Refused = t.Code
+		if p.Planned && t.Outcome == MayHaveRun && t.Code != codeNoAnswer {
+			result.breach("cut short while nothing failed: " + t.Code)
+		}
 		if t.Outcome == Done || !p.again(r, t) {
 			break
 		}
--- a/snipereplay/judge_test.go
+++ b/snipereplay/judge_test.go
@@ -222,6 +222,38 @@
 	}
 }
 
+// TestPlannedStops: with Planned set, what a fault would excuse is a breach.
+func TestPlannedStops(t *testing.T) {
+	tests := map[string]struct {
+		first  func() (*http.Response, error)
+		breach bool
+	}{
+		"refused connection": {func() (*http.Response, error) { return nil, errDial }, false},
+		"not run":            {func() (*http.Response, error) { return failure(snipeerror.ErrStopping, snipeerror.NotRun) }, false},
+		"may have run":       {func() (*http.Response, error) { return failure(snipeerror.ErrIncomplete, snipeerror.MayHaveRun) }, true},
+		"broken connection":  {func() (*http.Response, error) { return nil, errCut }, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sent := 0
+				p := &snipereplay.Replay{
+					Entries: []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:1")}, MaxInFlight: 1, Planned: true,
+					Client: &http.Client{Transport: system(func(*http.Request) (*http.Response, error) {
+						if sent++; sent == 1 {
+							return tc.first()
+						}
+						return wholeAnswer("t/a/1", "a@1", "stop")
+					})},
+				}
+				r := p.Run(t.Context(), []snipetrace.Record{whole})[0]
+				must.True(t, r.Answered)
+				must.Eq(t, tc.breach, len(r.Breaches) > 0)
+			})
+		})
+	}
+}
+
 // TestAudit holds that executions which contradict an answer are breaches.
 func TestAudit(t *testing.T) {
 	ran := func(n int, key, body string) []snipestand.Execution {
@@ -250,6 +282,8 @@
 		"answered and never":          {keyed, true, snipereplay.Done, nil, "never executed"},
 		"not run, but executed":       {keyless, false, snipereplay.NotRun, ran(1, "", "p"), "as not run, but was executed"},
 		"model not run, but executed": {whole, false, snipereplay.NotRun, ran(1, "", ""), "as not run, but was executed"},
+		"model answered":              {whole, true, snipereplay.Done, ran(1, "", ""), ""},
+		"model answered and never":    {whole, true, snipereplay.Done, nil, "no engine executed it"},
 		"not sent, but executed":      {keyless, false, snipereplay.NotSent, ran(1, "", "p"), "every try"},
 	}
 	for name, tc := range tests {
--- a/snipereplay/snipereplay.go
+++ b/snipereplay/snipereplay.go
@@ -90,6 +90,9 @@
 	// KeyedRepeats makes the caller repeat a call that is not idempotent and
 	// may have run, with its request key.
 	KeyedRepeats bool
+	// Planned tells that nothing fails: a call that breaks or may have run
+	// without an answer is a breach, also when its repetition is answered.
+	Planned bool
 	// MaxInFlight bounds the calls in flight; a record above it is not sent.
 	MaxInFlight int64
 
--- a/snipestand/plan.go
+++ b/snipestand/plan.go
@@ -18,8 +18,8 @@
 type Step struct {
 	// At is when, from the start of the replay.
 	At time.Duration
-	// Action is what: kill, start, freeze, thaw, cut, platform, engine, race
-	// or change.
+	// Action is what: kill, drain, start, freeze, thaw, cut, platform, engine,
+	// race, change or leave.
 	Action string
 	// Target is the process or link, Argument what the action needs.
 	Target, Argument string
@@ -85,6 +85,17 @@
 	func(p *planner, at time.Duration) { p.stream(at, `{"BreakAfter":%d}`) },
 	func(p *planner, at time.Duration) { p.add(at, "race", "ash", "") },
 	func(p *planner, at time.Duration) { p.add(at, "change", "bottling", "") },
+	func(p *planner, at time.Duration) {
+		target := p.pick("instance", p.Instances)
+		p.add(at, "drain", target, "")
+		p.add(at+longFault, "start", target, "")
+	},
+	func(p *planner, at time.Duration) {
+		// The last service leaves, and only once.
+		if !slices.ContainsFunc(p.steps, func(s Step) bool { return s.Action == "leave" }) {
+			p.add(at, "leave", fmt.Sprintf("service%d", p.Services), "")
+		}
+	},
 }
 
 // Plan makes a plan of faults, in the order of time. Faults overlap as the
--- a/snipestand/plan_test.go
+++ b/snipestand/plan_test.go
@@ -16,7 +16,7 @@
 	s := snipestand.PlanShape{
 		Faults: 40, Length: 30 * time.Second, Instances: 3, Engines: 3, Services: 2, Lease: 5 * time.Second,
 	}
-	undo := map[string]string{"kill": "start", "freeze": "thaw"}
+	undo := map[string]string{"kill": "start", "drain": "start", "freeze": "thaw"}
 	for s.Seed = range 50 {
 		steps, err := snipestand.Plan(s)
 		must.NoError(t, err)
