--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -86,6 +86,7 @@
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
+	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.watchReady)
@@ -111,20 +112,22 @@
 		Timeout: c.Platform.Timeout.Value(),
 		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
-	i.settings = &snipetree.Store{Table: table, Poll: c.Poll.Value(), Log: i.Log, Operation: rand.Text}
-	i.buildDispatch()
 	i.buildMembers(table)
+	i.buildSettings(table)
+	i.buildDispatch(table)
 	i.buildHolder(table)
 	i.buildCallers(table)
 }
 
-func (i *Instance) buildDispatch() {
+func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
 	i.budget = &snipeweight.Budget{Limits: i.weightShare}
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
+		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
+		Record: recordOf(table),
 		Budget: i.budget.Acquire,
 		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
@@ -188,7 +191,7 @@
 func (i *Instance) buildCallers(table snipeplatform.Table) {
 	serve := i.claimed(table, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Current, Serve: serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Admitting, Serve: serve, Admit: i.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
@@ -268,6 +271,7 @@
 func (i *Instance) listeners() []listener {
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
@@ -286,7 +290,7 @@
 }
 
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !i.ready.Load() {
+	if !i.ready.Load() || !i.settings.Fresh() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/snipeoperator/apply.go
+++ b/snipeoperator/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
@@ -16,12 +17,18 @@
 	if err := s.authorize(ctx, r.GetTeam()); err != nil {
 		return nil, err
 	}
-	return s.apply(ctx, r.GetTeam(), r.GetExpectVersion(), r.GetDocument())
+	return s.apply(ctx, snipetree.Edit{
+		ID: r.GetEdit(), Team: r.GetTeam(), Expect: r.GetExpectVersion(), Document: r.GetDocument(),
+	})
 }
 
-// apply replaces a branch on behalf of an operator who has the right to it.
-func (s *Server) apply(ctx context.Context, team string, expect uint64, document []byte) (*snipeproto.ApplySettingsResponse, error) {
-	revision, err := s.Settings.Apply(ctx, team, expect, document)
+// apply makes an edit on behalf of an operator who has the right to it. An
+// edit without an identifier gets one; it cannot be sent again then.
+func (s *Server) apply(ctx context.Context, edit snipetree.Edit) (*snipeproto.ApplySettingsResponse, error) {
+	if edit.ID == "" {
+		edit.ID = rand.Text()
+	}
+	revision, err := s.Settings.ApplyEdit(ctx, edit)
 	switch {
 	case err == nil:
 		return &snipeproto.ApplySettingsResponse{Revision: revision}, nil
--- a/snipeoperator/history.go
+++ b/snipeoperator/history.go
@@ -2,27 +2,19 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/snipetree"
 )
 
-// Edit is one accepted edit of a branch.
-type Edit struct {
-	// Revision and Version are those of the tree and of the branch since then.
-	Revision, Version uint64
-	// Accepted is when, by the clock of the instance that accepted it.
-	Accepted time.Time
-}
-
 // GetHistory implements snipeproto.Operator.
 func (s *Server) GetHistory(ctx context.Context, r *snipeproto.GetHistoryRequest) (*snipeproto.GetHistoryResponse, error) {
 	if err := s.authorize(ctx, r.GetTeam()); err != nil {
 		return nil, err
 	}
-	edits, err := s.History(ctx, r.GetTeam())
+	edits, err := s.Settings.History(ctx, r.GetTeam())
 	if err != nil {
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
@@ -37,7 +29,7 @@
 
 // earlier returns a branch as it was at an earlier version.
 func (s *Server) earlier(ctx context.Context, r *snipeproto.GetSettingsRequest) (*snipeproto.GetSettingsResponse, error) {
-	document, err := s.Document(ctx, r.GetTeam(), r.GetVersion())
+	document, err := s.Settings.Document(ctx, r.GetTeam(), r.GetVersion())
 	if err != nil {
 		return nil, twirp.NotFoundError(err.Error())
 	}
@@ -50,9 +42,9 @@
 	if err := s.authorize(ctx, r.GetTeam()); err != nil {
 		return nil, err
 	}
-	document, err := s.Document(ctx, r.GetTeam(), r.GetVersion())
+	document, err := s.Settings.Document(ctx, r.GetTeam(), r.GetVersion())
 	if err != nil {
 		return nil, twirp.NotFoundError(err.Error())
 	}
-	return s.apply(ctx, r.GetTeam(), r.GetExpectVersion(), document)
+	return s.apply(ctx, snipetree.Edit{Team: r.GetTeam(), Expect: r.GetExpectVersion(), Document: document})
 }
