--- a/snipeoperator/history.go
+++ b/snipeoperator/history.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
 
 	"snipepitch.example/snipepitch/snipeproto"
@@ -31,7 +32,7 @@
 func (s *Server) earlier(ctx context.Context, r *snipeproto.GetSettingsRequest) (*snipeproto.GetSettingsResponse, error) {
 	document, err := s.Settings.Document(ctx, r.GetTeam(), r.GetVersion())
 	if err != nil {
-		return nil, twirp.NotFoundError(err.Error())
+		return nil, documentError(err)
 	}
 	return &snipeproto.GetSettingsResponse{Version: r.GetVersion(), Document: document}, nil
 }
@@ -44,7 +45,16 @@
 	}
 	document, err := s.Settings.Document(ctx, r.GetTeam(), r.GetVersion())
 	if err != nil {
-		return nil, twirp.NotFoundError(err.Error())
+		return nil, documentError(err)
 	}
 	return s.apply(ctx, snipetree.Edit{Team: r.GetTeam(), Expect: r.GetExpectVersion(), Document: document})
 }
+
+// documentError tells a version that there is not from one that cannot be read
+// now.
+func documentError(err error) error {
+	if errors.Is(err, snipetree.ErrUnknownVersion) {
+		return twirp.NotFoundError(err.Error())
+	}
+	return twirp.Unavailable.Error(err.Error())
+}
