One queue for the weight store, and slots freed only once a load may start

Cause: each instance kept an even part of the budget, whether it had loads or not, in the order of arrival; a slot was emptied before its load had permission, so that a resident adapter stood idle through the wait; a failed load was repeated at once; callers learned nothing until their deadline.

Ruled out: a lease or a row in the table for the queue (a write for each load, and no loads while the table is down). The queue is soft state on the instance that rendezvous hash names; two holders cost the store's speed, not safety.

Change: snipeweight has the queue (rate, number, order by weighted wait with ageing, backoff by path, expectation), the requesters' side with a turn to the next holder, and Twirp between them. snipeslot evicts after the permission, the adapter of least recent worth first, and refuses at once, not run and with the time to come back, what cannot be there before its deadline.

Seen failing first, by taking the mechanism out: class weights (TestOrder), backoff (TestFailedLoadsBackOff, TestRemote), next holder (TestHolderGone), rate (TestBudgetAcrossInstances).

--- a/snipedispatch/snipedispatch.go
+++ b/snipedispatch/snipedispatch.go
@@ -31,6 +31,7 @@
 	"snipepitch.example/snipepitch/snipeslot"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
+	"snipepitch.example/snipepitch/snipeweight"
 )
 
 // maxReloads bounds how often a call loads its adapter again because the
@@ -49,7 +50,7 @@
 	// fencing numbers.
 	Record func(engine string, fence uint64) *snipeslot.Record
 	// Budget waits for the weight store's permission to load.
-	Budget func(ctx context.Context) (func(), error)
+	Budget func(ctx context.Context, d *snipeweight.Demand) (func(failed bool), error)
 	// Client and Fresh send requests; see snipeupstream.Service.
 	Client, Fresh *http.Client
 	// Progress is the longest time between two chunks, FirstChunk that before
@@ -86,7 +87,7 @@
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, e *engine, c *snipecall.Call, sink snipecall.Sink) error {
-	use, err := e.slots.Acquire(ctx, c.Adapter, c.WeightPath)
+	use, err := e.slots.Acquire(ctx, snipeslot.Request{Adapter: c.Adapter, Path: c.WeightPath, Class: c.Class})
 	if err != nil {
 		return acquireError(err)
 	}
@@ -122,7 +123,13 @@
 const engineRetry = time.Second
 
 func acquireError(err error) error {
+	var late *snipeslot.LateError
+	var backoff *snipeweight.BackoffError
 	switch {
+	case errors.As(err, &late):
+		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.NotRun, err.Error()).After(late.After)
+	case errors.As(err, &backoff):
+		return snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error()).After(backoff.After)
 	case errors.Is(err, context.DeadlineExceeded):
 		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.NotRun, "while waiting for the adapter")
 	case errors.Is(err, context.Canceled):
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -68,7 +68,8 @@
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
 	peers    *snipepeer.Handler
-	budget   *snipeweight.Budget
+	weights  *snipeweight.Queue
+	permits  *snipeweight.Permits
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
 
@@ -122,13 +123,13 @@
 func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
-	i.budget = &snipeweight.Budget{Limits: i.weightShare}
+	i.buildWeights(dial)
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
 		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
 		Record: recordOf(table),
-		Budget: i.budget.Acquire,
+		Budget: i.permits.Acquire,
 		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
@@ -144,17 +145,6 @@
 	}
 }
 
-// weightShare splits the weight store's budget evenly among live instances.
-func (i *Instance) weightShare() (perSecond float64, concurrent int) {
-	t := i.settings.Current()
-	n := max(len(i.holder.View().Instances), 1)
-	if t == nil {
-		return 0, 0
-	}
-	w := t.Platform.WeightStore
-	return w.LoadsPerSecond / float64(n), max(w.Concurrent/n, 1)
-}
-
 func (i *Instance) buildHolder(table snipeplatform.Table) {
 	c := i.Config
 	i.holder = &snipelease.Holder{
@@ -272,6 +262,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
+	peers.Handle(i.weightServer())
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
--- /dev/null
+++ b/snipeinstance/weights.go
@@ -0,0 +1,83 @@
+package snipeinstance
+
+import (
+	"cmp"
+	"crypto/rand"
+	"math"
+	"net/http"
+	"slices"
+
+	"snipepitch.example/snipepitch/snipemember"
+	"snipepitch.example/snipepitch/snipepeer"
+	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipeupstream"
+	"snipepitch.example/snipepitch/snipeweight"
+)
+
+// weightQueueKey is the key whose rendezvous ranking names the holder of the
+// queue for the weight store.
+const weightQueueKey = "WeightQueue"
+
+// buildWeights makes this instance's part in the queue for the weight store.
+func (i *Instance) buildWeights(dial snipeupstream.Dial) {
+	c := i.Config
+	i.weights = &snipeweight.Queue{Limits: i.weightLimits}
+	fresh := snipeupstream.NewFresh(i.meter.Traffic("Weights").Dialer(dial))
+	client := &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret}
+	i.permits = &snipeweight.Permits{
+		Self: c.Name + "/" + rand.Text(), Hold: c.LoadTimeout.Value(),
+		Holders: func() []snipeweight.Holder { return i.weightHolders(client) },
+	}
+}
+
+// weightServer serves the queue to the other instances.
+func (i *Instance) weightServer() (prefix string, h http.Handler) {
+	server := snipeproto.NewWeightServer(&snipeweight.Server{Queue: i.weights})
+	return server.PathPrefix(), snipepeer.Authorized(i.Config.PeerSecret, server)
+}
+
+// weightHolders returns the live instances, the one that should hold the queue
+// first.
+func (i *Instance) weightHolders(client snipeproto.HTTPClient) []snipeweight.Holder {
+	key := sniperoute.Hash(weightQueueKey)
+	members := slices.DeleteFunc(i.members.Members(), func(m snipemember.Member) bool {
+		return m.Name != i.Config.Name && (!m.Live() || m.Leaving)
+	})
+	slices.SortFunc(members, func(a, b snipemember.Member) int {
+		x, y := sniperoute.Score(key, sniperoute.Hash(a.Name)), sniperoute.Score(key, sniperoute.Hash(b.Name))
+		return cmp.Or(cmp.Compare(y, x), cmp.Compare(a.Name, b.Name))
+	})
+	holders := make([]snipeweight.Holder, 0, len(members)+1)
+	self := false
+	for _, m := range members {
+		if m.Name == i.Config.Name {
+			self = true
+			holders = append(holders, snipeweight.Local(m.Name, i.weights))
+			continue
+		}
+		holders = append(holders, snipeweight.Remote(m.Name, m.Address, client))
+	}
+	if !self {
+		holders = append(holders, snipeweight.Local(i.Config.Name, i.weights))
+	}
+	return holders
+}
+
+// weightLimits returns the weight store's budget, or the share of this side
+// while it does not see all instances that hold leases.
+func (i *Instance) weightLimits() (perSecond float64, concurrent int) {
+	t := i.settings.Current()
+	if t == nil {
+		return 0, 0
+	}
+	live := 0
+	for _, m := range i.members.Members() {
+		if m.Live() {
+			live++
+		}
+	}
+	w := t.Platform.WeightStore
+	share := min(1, float64(max(live, 1))/float64(max(len(i.holder.View().Instances), 1)))
+	return w.LoadsPerSecond * share, max(int(math.Round(float64(w.Concurrent)*share)), 1)
+}
--- a/snipeslot/audit.go
+++ b/snipeslot/audit.go
@@ -51,7 +51,7 @@
 	s.slots = map[string]*entry{}
 	s.serving = map[key]*entry{}
 	s.given = map[string]bool{}
-	s.wanted = map[key]int{}
+	s.heats = map[key]heat{}
 	s.changed = make(chan struct{})
 	s.lifetime, s.stop = context.WithCancel(context.Background())
 }
@@ -72,12 +72,23 @@
 	} else {
 		s.opened = time.Now()
 		s.Log.Log(snipelog.EngineAudited, snipelog.Fields{
-			"Engine": s.Engine, "Fence": s.Fence, "Adopted": len(s.serving), "GivenUp": len(s.slots) - len(s.serving),
+			"Engine": s.Engine, "Fence": s.Fence, "Adopted": s.residents(), "GivenUp": len(s.slots) - s.residents(),
 		})
 	}
 	close(a.done)
 }
 
+// residents returns the number of adapters that serve. The lock is held.
+func (s *Slots) residents() int {
+	n := 0
+	for _, e := range s.slots {
+		if e.state == resident {
+			n++
+		}
+	}
+	return n
+}
+
 // prepare makes late orders of earlier owners harmless. At an engine that
 // refuses them the first order with the new number does it; it names an alias
 // that nobody has. At an engine that ignores the number the committed list
--- a/snipeslot/fake_test.go
+++ b/snipeslot/fake_test.go
@@ -13,6 +13,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/snipestand"
+	"snipepitch.example/snipepitch/snipeweight"
 )
 
 const fakeLoad = 100 * time.Millisecond
@@ -206,7 +207,9 @@
 			return o.engine.unload(fence, alias)
 		},
 		Aliases: o.engine.aliases, Busy: o.engine.busy,
-		Budget:  func(context.Context) (func(), error) { return func() {}, nil },
+		Budget: func(context.Context, *snipeweight.Demand) (func(bool), error) {
+			return func(bool) {}, nil
+		},
 		Timeout: time.Minute, Log: snipelog.Discard(),
 	}
 	if !o.engine.checks {
@@ -222,3 +225,7 @@
 func adapter(name string) snipecall.Adapter {
 	return snipecall.Adapter{Team: "t", Name: name, Version: "1"}
 }
+
+func request(name, path string) Request {
+	return Request{Adapter: adapter(name), Path: path, Class: snipecall.Standard}
+}
--- a/snipeslot/interleaving_test.go
+++ b/snipeslot/interleaving_test.go
@@ -56,7 +56,7 @@
 // call makes one call and reports whether it was served.
 func (p *play) call(ctx context.Context, name string, length time.Duration) bool {
 	s := p.owner()
-	u, err := s.Acquire(ctx, adapter(name), "path-"+name)
+	u, err := s.Acquire(ctx, request(name, "path-"+name))
 	if err != nil {
 		return false
 	}
--- a/snipeslot/orders.go
+++ b/snipeslot/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipelog"
 )
 
@@ -21,17 +22,16 @@
 const maxGiven = 256
 
 // load runs on its own: it outlives the caller that asked first, since others
-// may wait for it too.
-func (s *Slots) load(e *entry, path string) {
-	ctx, cancel := context.WithTimeout(s.lifetime, s.Timeout)
-	defer cancel()
+// may wait for it too. ctx ends when nobody waits before the permission came.
+func (s *Slots) load(ctx context.Context, e *entry, path string) {
+	defer e.cancel()
 	err := s.tryLoad(ctx, e, path)
-	if errors.Is(err, ErrRefused) && s.crowded(ctx) {
+	if errors.Is(err, ErrRefused) && s.crowded(s.lifetime) {
 		// Aliases that nobody knew of filled the slots. They are known now:
 		// whoever waits tries again.
 		err = errors.Wrap(ErrRefused, err.Error())
 	} else if err != nil {
-		err = errors.Wrapf(ErrLoad, "%s at %s: %v", e.key.adapter, s.Engine, err)
+		err = &loadError{adapter: e.key.adapter, engine: s.Engine, cause: err}
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
@@ -56,21 +56,51 @@
 	s.wake()
 }
 
+// loadError is an ErrLoad that keeps its cause.
+type loadError struct {
+	adapter snipecall.Adapter
+	engine  string
+	cause   error
+}
+
+func (e *loadError) Error() string {
+	return ErrLoad.Error() + ": " + e.adapter.String() + " at " + e.engine + ": " + e.cause.Error()
+}
+
+func (e *loadError) Unwrap() []error { return []error{ErrLoad, e.cause} }
+
 func (s *Slots) fields(e *entry) snipelog.Fields {
 	return snipelog.Fields{"Engine": s.Engine, "Alias": e.name}
 }
 
+// tryLoad gets permission and a slot, and orders the load.
 func (s *Slots) tryLoad(ctx context.Context, e *entry, path string) error {
-	release, err := s.Budget(ctx)
-	if err != nil {
-		return errors.Wrap(err, "wait for the weight store")
-	}
-	defer release()
-	err = s.Load(ctx, e.name, path)
-	if errors.Is(err, ErrUnclear) {
-		e.unclear = true // read by load alone before the entry is evicted
+	for {
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "load given up")
+		}
+		if err := s.claim(ctx); err != nil {
+			return err
+		}
+		release, err := s.Budget(ctx, e.demand)
+		if err != nil {
+			s.unclaim()
+			return errors.Wrap(err, "wait for the weight store")
+		}
+		e.demand.Expect(time.Time{})
+		if !s.reserve(e) {
+			// Whoever else waits for the store goes first.
+			release(false)
+			s.unclaim()
+			continue
+		}
+		bounded, cancel := context.WithTimeout(s.lifetime, s.Timeout)
+		err = s.ended(s.Load(bounded, e.name, path))
+		cancel()
+		e.unclear = errors.Is(err, ErrUnclear) // read by load alone until the entry is evicted
+		release(err != nil && !errors.Is(err, ErrRefused))
+		return err
 	}
-	return s.ended(err)
 }
 
 // ended closes the slots when an order was fenced off.
--- a/snipeslot/snipeslot.go
+++ b/snipeslot/snipeslot.go
@@ -18,6 +18,8 @@
 //   - A slot counts as free only once the engine has confirmed that the alias
 //     is not there, whatever happened to the replies before.
 //   - One load serves all who wait for it.
+//   - Nothing is evicted before the weight store's permission for the load that
+//     needs the slot is there: until then the victim serves on.
 package snipeslot
 
 import (
@@ -29,6 +31,7 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeweight"
 )
 
 // Errors of Acquire. All of them mean that no call was sent.
@@ -55,7 +58,8 @@
 type state uint8
 
 const (
-	loading state = iota
+	queued state = iota // waits for permission, has no slot
+	loading
 	resident
 	evicting
 )
@@ -66,7 +70,7 @@
 	path    uint64
 }
 
-// entry is one slot in use.
+// entry is an adapter that waits for a load, or one slot in use.
 type entry struct {
 	key      key
 	alias    Alias
@@ -81,10 +85,33 @@
 	unclear bool
 	// notBefore is when the next try to evict is worthwhile.
 	notBefore time.Time
-	done      chan struct{} // closed when loading ends
+	demand    *snipeweight.Demand // what waits for the load
+	waiters   int
+	cancel    context.CancelFunc // ends the wait for permission
+	done      chan struct{}      // closed when loading ends
 	err       error
 }
 
+// Request asks for an adapter.
+type Request struct {
+	// Adapter is the adapter and Path where its weights are.
+	Adapter snipecall.Adapter
+	Path    string
+	// Class is the class of the call that needs it.
+	Class snipecall.Class
+}
+
+// LateError tells that the adapter cannot be there before the call's deadline.
+type LateError struct {
+	// After is when it is expected to be there.
+	After time.Duration
+}
+
+// Error implements error.
+func (e *LateError) Error() string {
+	return "adapter is expected in " + e.After.Round(time.Millisecond).String() + ", after the deadline"
+}
+
 // Slots are the slots of one engine during one ownership. Exported fields are
 // set before the first call of Acquire.
 type Slots struct {
@@ -111,9 +138,10 @@
 	GiveUp func(ctx context.Context, aliases []string) error
 	// Inherit returns the list that the last owner has committed.
 	Inherit func(ctx context.Context) ([]string, error)
-	// Budget waits for the weight store's permission to load.
-	Budget func(ctx context.Context) (func(), error)
-	// Timeout bounds one load, with its wait for the budget, and each order.
+	// Budget waits for the weight store's permission to load. The function
+	// that it returns ends the load.
+	Budget func(ctx context.Context, d *snipeweight.Demand) (func(failed bool), error)
+	// Timeout bounds each order.
 	Timeout time.Duration
 	// Settle is how long calls of an earlier owner may last.
 	Settle time.Duration
@@ -125,12 +153,14 @@
 
 	lock     sync.Mutex // guards the fields below; never held during an order
 	slots    map[string]*entry
-	serving  map[key]*entry     // loading and resident entries
+	serving  map[key]*entry // queued, loading and resident entries
+	heats    map[key]heat
 	clock    uint64             // grows with each change that an audit must notice
 	removed  map[string]bool    // aliases removed during an audit, nil otherwise
 	given    map[string]bool    // given up: true once committed
 	order    []string           // given in the order of insertion
-	wanted   map[key]int        // calls that wait for a slot
+	claims   int                // loads that have or seek permission and need a slot
+	seeking  int                // loads that have permission and wait for their slot
 	opened   time.Time          // when the ownership's first audit ended
 	opening  *attempt           // the audit in progress
 	closed   bool               // no more orders
@@ -150,113 +180,102 @@
 }
 
 // Acquire waits until the adapter is resident and counts a use of it.
-func (s *Slots) Acquire(ctx context.Context, a snipecall.Adapter, path string) (*Use, error) {
+func (s *Slots) Acquire(ctx context.Context, r Request) (*Use, error) {
 	start := time.Now()
 	if err := s.Open(ctx); err != nil {
 		return nil, err
 	}
-	k := key{a, HashPath(path)}
+	k := key{r.Adapter, HashPath(r.Path)}
+	s.warm(k, r.Class)
 	for {
-		e, wait := s.find(k, path)
+		e, wait := s.find(k, r)
 		switch {
-		case wait == nil && e == nil:
+		case e == nil:
 			return nil, errors.Wrap(ErrClosed, s.Engine)
 		case wait == nil:
 			return &Use{Alias: e.name, Stalled: time.Since(start), slots: s, entry: e}, nil
 		}
-		if err := s.await(ctx, k, e, wait); err != nil {
+		err := e.await(ctx)
+		s.leave(e, r.Class)
+		if err == nil && !errors.Is(e.err, ErrRefused) {
+			err = e.err
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
 }
 
-// await waits for a load, or for a free slot when e is nil. It returns nil when
-// it is worthwhile to look again.
-func (s *Slots) await(ctx context.Context, k key, e *entry, wait <-chan struct{}) error {
-	if e == nil {
-		defer s.unwant(k)
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-wait:
-	}
-	if e != nil && !errors.Is(e.err, ErrRefused) {
-		return e.err
-	}
-	return nil
-}
-
-func (s *Slots) unwant(k key) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if s.wanted[k]--; s.wanted[k] == 0 {
-		delete(s.wanted, k)
+// await waits for the end of a load, unless the load is expected to end after
+// the deadline.
+func (e *entry) await(ctx context.Context) error {
+	deadline, bounded := ctx.Deadline()
+	for {
+		ready, changed := e.demand.Expected()
+		if bounded && ready.After(deadline) {
+			return &LateError{After: time.Until(ready)}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.done:
+			return nil
+		case <-changed:
+		}
 	}
 }
 
-// find counts a use of a resident adapter, or returns what to wait for. The
-// entry is nil when the wait is for a free slot; both are nil when the
-// ownership has ended.
-func (s *Slots) find(k key, path string) (*entry, <-chan struct{}) {
+// find counts a use of a resident adapter, or counts a waiter for its load and
+// returns what to wait for. The entry is nil when the ownership has ended.
+func (s *Slots) find(k key, r Request) (*entry, <-chan struct{}) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.closed {
 		return nil, nil
 	}
-	if e, ok := s.serving[k]; ok {
-		if e.state == loading {
-			return e, e.done
-		}
+	e, ok := s.serving[k]
+	if ok && e.state == resident {
 		e.inFlight++
 		e.lastUsed = time.Now()
 		return e, nil
 	}
-	if len(s.slots) >= s.Capacity {
-		s.wanted[k]++
-		s.evictOne()
-		return nil, s.changed
+	if !ok {
+		e = s.begin(k, r.Path)
 	}
-	e := s.begin(k, path)
+	e.waiters++
+	e.demand.Join(r.Class)
 	return e, e.done
 }
 
+// leave ends a wait. A load that has no permission yet and for which nobody
+// waits any more is given up.
+func (s *Slots) leave(e *entry, c snipecall.Class) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	e.demand.Leave(c)
+	e.waiters--
+	if e.waiters == 0 && e.state == queued {
+		e.cancel()
+		if s.serving[e.key] == e {
+			delete(s.serving, e.key)
+		}
+	}
+}
+
 // begin starts a load. The lock is held.
 func (s *Slots) begin(k key, path string) *entry {
+	ctx, cancel := context.WithCancel(s.lifetime)
 	e := &entry{
-		key: k, state: loading, lastUsed: time.Now(), done: make(chan struct{}),
-		alias: Alias{Adapter: k.adapter, Fence: s.Fence, Number: s.Number(), Path: k.path},
+		key: k, state: queued, lastUsed: time.Now(), done: make(chan struct{}), cancel: cancel,
+		alias:  Alias{Adapter: k.adapter, Fence: s.Fence, Number: s.Number(), Path: k.path},
+		demand: &snipeweight.Demand{Engine: s.Engine, Path: path},
 	}
 	e.name = e.alias.String()
-	s.slots[e.name] = e
 	s.serving[k] = e
-	go s.load(e, path)
+	go s.load(ctx, e, path)
 	return e
 }
 
-// evictOne starts to evict the least recently used adapter with no use in
-// flight, unless as many evictions are in progress as adapters wait for a
-// slot. The lock is held.
-func (s *Slots) evictOne() {
-	var victim *entry
-	now := time.Now()
-	evictions := 0
-	for _, e := range s.slots {
-		if e.state == evicting && !e.condemned {
-			evictions++
-		}
-		if e.state != resident || e.inFlight > 0 || now.Before(e.notBefore) {
-			continue
-		}
-		if victim == nil || e.lastUsed.Before(victim.lastUsed) {
-			victim = e
-		}
-	}
-	if victim != nil && evictions < len(s.wanted) {
-		s.evict(victim)
-	}
-}
-
 // evict takes a resident adapter out of use. The lock is held.
 func (s *Slots) evict(e *entry) {
 	e.state = evicting
--- a/snipeslot/snipeslot_test.go
+++ b/snipeslot/snipeslot_test.go
@@ -14,11 +14,11 @@
 		f := newFakeEngine(1, true)
 		s := newFakeOwners(f).take()
 		defer s.Close()
-		first, err := s.Acquire(t.Context(), adapter("a"), "p")
+		first, err := s.Acquire(t.Context(), request("a", "p"))
 		must.NoError(t, err)
 		second := make(chan *Use)
 		go func() {
-			u, err := s.Acquire(t.Context(), adapter("b"), "p")
+			u, err := s.Acquire(t.Context(), request("b", "p"))
 			must.NoError(t, err)
 			second <- u
 		}()
@@ -39,7 +39,7 @@
 		var all sync.WaitGroup
 		for range 10 {
 			all.Go(func() {
-				u, err := s.Acquire(t.Context(), adapter("a"), "p")
+				u, err := s.Acquire(t.Context(), request("a", "p"))
 				must.NoError(t, err)
 				u.Release()
 			})
--- a/snipeslot/takeover_test.go
+++ b/snipeslot/takeover_test.go
@@ -16,7 +16,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	for {
-		u, err := s.Acquire(ctx, adapter(name), path)
+		u, err := s.Acquire(ctx, request(name, path))
 		must.NoError(t, err)
 		if !f.begin(u.Alias, path) {
 			s.Forget(u.Alias)
@@ -69,7 +69,7 @@
 		before: func(t *testing.T, f *fakeEngine, old *Slots) {
 			use(t, f, old, "a", "p")
 			once(f, faultLost)
-			_, err := old.Acquire(t.Context(), adapter("b"), "p")
+			_, err := old.Acquire(t.Context(), request("b", "p"))
 			must.ErrorIs(t, err, ErrLoad)
 			use(t, f, old, "c", "p")
 		},
@@ -101,7 +101,7 @@
 			must.NoError(t, old.Open(t.Context()))
 			once(f, faultDelayed)
 			f.late = 30 * time.Second
-			go func() { _, _ = old.Acquire(t.Context(), adapter("b"), "p") }()
+			go func() { _, _ = old.Acquire(t.Context(), request("b", "p")) }()
 			time.Sleep(fakeLoad + time.Millisecond)
 			use(t, f, old, "a", "p")
 			use(t, f, old, "c", "p")
@@ -121,11 +121,11 @@
 			use(t, f, old, "a", "p")
 			use(t, f, old, "b", "p")
 			once(f, faultLate) // the old owner freezes in the middle of an eviction
-			go func() { _, _ = old.Acquire(t.Context(), adapter("c"), "p") }()
+			go func() { _, _ = old.Acquire(t.Context(), request("c", "p")) }()
 			synctest.Wait()
 		},
 		after: func(t *testing.T, f *fakeEngine, s *Slots) {
-			u, err := s.Acquire(t.Context(), adapter("a"), "p")
+			u, err := s.Acquire(t.Context(), request("a", "p"))
 			must.NoError(t, err)
 			must.True(t, f.begin(u.Alias, "p"))
 			time.Sleep(time.Minute) // the late order arrives now
@@ -137,7 +137,7 @@
 	},
 	"a call of the old owner is under way": {
 		before: func(t *testing.T, f *fakeEngine, old *Slots) {
-			u, err := old.Acquire(t.Context(), adapter("a"), "p")
+			u, err := old.Acquire(t.Context(), request("a", "p"))
 			must.NoError(t, err)
 			must.True(t, f.begin(u.Alias, "p"))
 			time.AfterFunc(30*time.Second, func() { f.end(u.Alias) })
@@ -154,7 +154,7 @@
 		before: func(t *testing.T, f *fakeEngine, old *Slots) {
 			use(t, f, old, "a", "p")
 			once(f, faultLate)
-			go func() { _, _ = old.Acquire(t.Context(), adapter("b"), "p") }()
+			go func() { _, _ = old.Acquire(t.Context(), request("b", "p")) }()
 			time.Sleep(time.Second)
 		},
 		after: func(t *testing.T, f *fakeEngine, s *Slots) {
--- /dev/null
+++ b/snipeweight/queue_test.go
@@ -0,0 +1,212 @@
+package snipeweight
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+const testLoad = 600 * time.Millisecond
+
+func newQueue(perSecond float64, concurrent int) *Queue {
+	return &Queue{Limits: func() (float64, int) { return perSecond, concurrent }}
+}
+
+// store counts loads and finds out how many ran at once.
+type store struct {
+	lock    sync.Mutex
+	running int
+	most    int
+	order   []string
+}
+
+func (s *store) load(t *testing.T, p *Permits, path string, c snipecall.Class, failed bool) error {
+	t.Helper()
+	d := &Demand{Path: path}
+	d.Join(c)
+	release, err := p.Acquire(t.Context(), d)
+	if err != nil {
+		return err
+	}
+	s.lock.Lock()
+	s.running++
+	s.most = max(s.most, s.running)
+	s.order = append(s.order, path)
+	s.lock.Unlock()
+	time.Sleep(testLoad)
+	s.lock.Lock()
+	s.running--
+	s.lock.Unlock()
+	release(failed)
+	return nil
+}
+
+func permits(name string, holders ...Holder) *Permits {
+	return &Permits{Self: name, Hold: time.Minute, Holders: func() []Holder { return holders }}
+}
+
+// TestBudgetAcrossInstances: however many instances ask, rate and number hold.
+func TestBudgetAcrossInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(4.5, 3)
+		s := &store{}
+		var all sync.WaitGroup
+		start := time.Now()
+		askers := map[int]*Permits{}
+		for n := range 9 {
+			askers[n] = permits(fmt.Sprint("i", n), Local("i0", q))
+		}
+		for n := range 45 {
+			all.Go(func() {
+				must.NoError(t, s.load(t, askers[n%9], fmt.Sprint(n), snipecall.Standard, false))
+			})
+		}
+		all.Wait()
+		must.Eq(t, 3, s.most)
+		must.GreaterEq(t, 44*time.Second*10/45, time.Since(start))
+		must.Less(t, 12*time.Second, time.Since(start))
+	})
+}
+
+func TestOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second snipecall.Class
+		want          []string
+	}{
+		"class goes before age":  {snipecall.Bulk, snipecall.Status, []string{"running", "second", "first"}},
+		"age decides in a class": {snipecall.Standard, snipecall.Standard, []string{"running", "first", "second"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := permits("i1", Local("i0", newQueue(1000, 1)))
+				s := &store{}
+				var all sync.WaitGroup
+				for n, class := range []snipecall.Class{snipecall.Bulk, c.first, c.second} {
+					all.Go(func() { must.NoError(t, s.load(t, p, []string{"running", "first", "second"}[n], class, false)) })
+					time.Sleep(time.Millisecond)
+				}
+				all.Wait()
+				must.Eq(t, c.want, s.order)
+			})
+		})
+	}
+}
+
+// TestFailedLoadsBackOff: a path that fails is refused at once, and others go on.
+func TestFailedLoadsBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := permits("i1", Local("i0", newQueue(1000, 1)))
+		s := &store{}
+		must.NoError(t, s.load(t, p, "bad", snipecall.Status, true))
+		synctest.Wait()
+		var backoff *BackoffError
+		must.True(t, errors.As(s.load(t, p, "bad", snipecall.Status, true), &backoff))
+		must.Eq(t, firstBackoff, backoff.After)
+		must.NoError(t, s.load(t, p, "good", snipecall.Bulk, false))
+		time.Sleep(firstBackoff)
+		must.NoError(t, s.load(t, p, "bad", snipecall.Status, true))
+		synctest.Wait()
+		must.True(t, errors.As(s.load(t, p, "bad", snipecall.Status, true), &backoff))
+		must.Eq(t, 2*firstBackoff, backoff.After)
+	})
+}
+
+// TestHolderGone: requesters turn to the next holder, also in the middle of a
+// wait.
+func TestHolderGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var gone atomic.Bool
+		local := Local("i0", newQueue(1000, 1))
+		dying := local
+		dying.Ask = func(ctx context.Context, a Ask) (Answer, error) {
+			if gone.Load() {
+				return Answer{}, errors.New("gone")
+			}
+			return local.Ask(ctx, a)
+		}
+		p := permits("i1", dying, Local("i2", newQueue(1000, 1)))
+		s := &store{}
+		blocker, err := p.Acquire(t.Context(), &Demand{Path: "a"})
+		must.NoError(t, err)
+		time.AfterFunc(5*time.Second, func() { gone.Store(true) })
+		start := time.Now()
+		must.NoError(t, s.load(t, p, "b", snipecall.Status, false))
+		must.Less(t, 8*time.Second, time.Since(start))
+		blocker(false)
+	})
+}
+
+// TestPermissionRunsOut: an asker that dies with a permission does not block
+// the store for good, nor one that dies in the queue.
+func TestPermissionRunsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1000, 1)
+		a := q.Ask(t.Context(), Ask{ID: ID{"dead", 1}, Path: "a", Hold: time.Minute})
+		must.True(t, a.Granted)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		must.False(t, q.Ask(ctx, Ask{ID: ID{"dead", 2}, Path: "a", Weight: 1000, Hold: time.Minute}).Granted)
+		s := &store{}
+		start := time.Now()
+		must.NoError(t, s.load(t, permits("i1", Local("i0", q)), "b", snipecall.Bulk, false))
+		must.Less(t, time.Minute+2*keepAsk, time.Since(start))
+	})
+}
+
+// TestExpectation: whoever waits learns how long.
+func TestExpectation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1, 1)
+		p := permits("i1", Local("i0", q))
+		s := &store{}
+		var all sync.WaitGroup
+		for n := range 10 {
+			all.Go(func() { must.NoError(t, s.load(t, p, fmt.Sprint(n), snipecall.Status, false)) })
+		}
+		time.Sleep(time.Second / 2)
+		d := &Demand{Path: "x"}
+		d.Join(snipecall.Bulk)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _, _ = p.Acquire(ctx, d) }()
+		time.Sleep(2 * firstPoll)
+		ready, _ := d.Expected()
+		must.Between(t, 8*time.Second, time.Until(ready), 12*time.Second)
+		cancel()
+		all.Wait()
+	})
+}
+
+func TestRemote(t *testing.T) {
+	q := newQueue(1000, 1)
+	server := httptest.NewServer(snipeproto.NewWeightServer(&Server{Queue: q}))
+	defer server.Close()
+	h := Remote("i0", netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), server.Client())
+	ask := func(n uint64, path string) Answer {
+		ctx, cancel := context.WithTimeout(t.Context(), firstPoll)
+		defer cancel()
+		a, err := h.Ask(ctx, Ask{ID: ID{"i1", n}, Path: path, Weight: 1, Hold: time.Minute})
+		must.NoError(t, err)
+		return a
+	}
+	must.True(t, ask(1, "a").Granted)
+	must.True(t, ask(1, "a").Granted) // the answer may have been lost
+	must.False(t, ask(2, "b").Granted)
+	must.NoError(t, h.Leave(t.Context(), ID{"i1", 2}))
+	must.NoError(t, h.Done(t.Context(), ID{"i1", 1}, "a", true))
+	must.True(t, ask(3, "a").Backoff)
+	_, err := h.Ask(t.Context(), Ask{Hold: -1})
+	must.Error(t, err)
+}
--- a/snipeweight/snipeweight.go
+++ b/snipeweight/snipeweight.go
@@ -1,75 +1,199 @@
-// Package snipeweight keeps loads within the weight store's budget: a rate at
-// which loads may start and a number that may run at once.
+// Package snipeweight keeps the loads of all instances within the weight
+// store's budget: a rate at which loads may start and a number that may run at
+// once.
+//
+// Design. One instance holds the one queue (Queue); which one follows from the
+// live instances by rendezvous hash, without an agreement. Every owner asks it
+// for permission before each load (Permits), with the weighted wait that the
+// load would end, and repeats the ask every second with the current weight; a
+// queue entry whose asker does not come back is forgotten. The queue is soft
+// state:
+//
+//   - Two holders at once cost speed of the store, not safety: each keeps
+//     within the limits it believes in. When the instances are split, each
+//     side takes the share of the budget of its live instances.
+//   - When the holder does not answer, the asker turns to the next in rank;
+//     its entry there starts anew.
+//   - A permission that is never told back counts for its Hold time.
+//   - A path whose load failed is kept back for a while that doubles; asks for
+//     it are answered at once, and stand in nobody's way.
 package snipeweight
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// firstPoll is the length of the first ask, so that the expectation comes
+	// back at once; poll is that of the later ones.
+	firstPoll = 20 * time.Millisecond
+	poll      = time.Second
+	// answerSlack is what an answer may take beyond the poll.
+	answerSlack = time.Second
+	// avoidHolder is how long a holder that did not answer is passed over.
+	avoidHolder = 5 * time.Second
+	// noHolderPause is the pause when no holder answers.
+	noHolderPause = 200 * time.Millisecond
 )
 
-// Budget hands out the permission to load. Its exported fields are set before
-// the first call of Acquire.
-type Budget struct {
-	// Limits returns the share of this instance: loads that may start in a
-	// second, and loads at once.
-	Limits func() (perSecond float64, concurrent int)
-
-	lock    sync.Mutex // guards the fields below
-	running int
-	next    time.Time
-	changed chan struct{}
+// BackoffError tells that the loads of a path have failed and that it will not
+// be loaded before a while.
+type BackoffError struct {
+	// After is the time until the next load is tried.
+	After time.Duration
+}
+
+// Error implements error.
+func (e *BackoffError) Error() string {
+	return "loads of the adapter failed; next try in " + e.After.Round(time.Millisecond).String()
+}
+
+// Holder is an instance that may hold the queue.
+type Holder struct {
+	// Name is the instance's name.
+	Name string
+	// Ask, Leave and Done are those of its Queue, perhaps over the network.
+	Ask   func(ctx context.Context, a Ask) (Answer, error)
+	Leave func(ctx context.Context, id ID) error
+	Done  func(ctx context.Context, id ID, path string, failed bool) error
+}
+
+// Local returns this instance itself as a holder.
+func Local(name string, q *Queue) Holder {
+	return Holder{
+		Name:  name,
+		Ask:   func(ctx context.Context, a Ask) (Answer, error) { return q.Ask(ctx, a), nil },
+		Leave: func(_ context.Context, id ID) error { q.Leave(id); return nil },
+		Done: func(_ context.Context, id ID, path string, failed bool) error {
+			q.Done(id, path, failed)
+			return nil
+		},
+	}
+}
+
+// Permits asks for permissions on behalf of one instance. Exported fields are
+// set before the first call.
+type Permits struct {
+	// Self is the instance's name, unique among its starts.
+	Self string
+	// Holders returns the live instances, the one that should hold the queue
+	// first.
+	Holders func() []Holder
+	// Hold is how long a load may take.
+	Hold time.Duration
+
+	number atomic.Uint64
+	lock   sync.Mutex // guards avoid
+	avoid  map[string]time.Time
 }
 
-// Acquire waits for permission to load. The returned function ends the load.
-func (b *Budget) Acquire(ctx context.Context) (func(), error) {
+// Acquire waits for permission to load what d waits for. The returned function
+// ends the load and must be called once. While it waits, d learns when the load
+// is expected to end.
+func (p *Permits) Acquire(ctx context.Context, d *Demand) (func(failed bool), error) {
+	id := ID{Asker: p.Self, Number: p.number.Add(1)}
+	length := firstPoll
+	last := ""
 	for {
-		wait, changed, ok := b.try()
-		if ok {
-			return b.release, nil
+		h, ok := p.holder()
+		if !ok {
+			if err := pause(ctx, noHolderPause); err != nil {
+				return nil, err
+			}
+			continue
 		}
-		t := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if h.Name != last {
+			length, last = firstPoll, h.Name
+		}
+		answer, err := p.ask(ctx, h, Ask{ID: id, Path: d.Path, Weight: d.Weight(), Hold: p.Hold}, length)
+		switch {
+		case ctx.Err() != nil:
+			p.leave(h, id, d.Path, answer)
 			return nil, ctx.Err()
-		case <-changed:
-			t.Stop()
-		case <-t.C:
+		case err != nil:
+			p.shun(h.Name)
+			continue
+		case answer.Granted:
+			return func(failed bool) { p.done(h, id, d.Path, failed) }, nil
+		case answer.Backoff:
+			return nil, &BackoffError{After: answer.Wait}
 		}
+		length = poll
+		d.Expect(time.Now().Add(answer.Wait))
 	}
 }
 
-// idleWait bounds the wait for a running load to end, after which the limits
-// are read again.
-const idleWait = time.Second
-
-func (b *Budget) try() (time.Duration, <-chan struct{}, bool) {
-	perSecond, concurrent := b.Limits()
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	if b.changed == nil {
-		b.changed = make(chan struct{})
+// ask makes one poll.
+func (p *Permits) ask(ctx context.Context, h Holder, a Ask, length time.Duration) (Answer, error) {
+	bounded, cancel := context.WithTimeout(ctx, length+answerSlack)
+	defer cancel()
+	inner, stop := context.WithTimeout(bounded, length)
+	defer stop()
+	answer, err := h.Ask(inner, a)
+	if err != nil {
+		return Answer{}, errors.Wrapf(err, "ask %s", h.Name)
 	}
+	return answer, nil
+}
+
+// holder returns the first holder that is not passed over.
+func (p *Permits) holder() (Holder, bool) {
+	all := p.Holders()
+	p.lock.Lock()
+	defer p.lock.Unlock()
 	now := time.Now()
-	if b.running >= max(concurrent, 1) {
-		return idleWait, b.changed, false
+	for _, h := range all {
+		if now.After(p.avoid[h.Name]) {
+			return h, true
+		}
 	}
-	if perSecond <= 0 {
-		return idleWait, b.changed, false
+	return Holder{}, false
+}
+
+func (p *Permits) shun(name string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.avoid == nil {
+		p.avoid = map[string]time.Time{}
 	}
-	if now.Before(b.next) {
-		return b.next.Sub(now), b.changed, false
+	p.avoid[name] = time.Now().Add(avoidHolder)
+}
+
+// leave gives an ask up; its own context has ended.
+func (p *Permits) leave(h Holder, id ID, path string, answer Answer) {
+	if answer.Granted {
+		p.done(h, id, path, false)
+		return
 	}
-	b.running++
-	b.next = now.Add(time.Duration(float64(time.Second) / perSecond))
-	return 0, nil, true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), answerSlack)
+		defer cancel()
+		// Without it the queue forgets the ask by itself.
+		_ = h.Leave(ctx, id)
+	}()
 }
 
-func (b *Budget) release() {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	b.running--
-	close(b.changed)
-	b.changed = make(chan struct{})
+func (p *Permits) done(h Holder, id ID, path string, failed bool) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), answerSlack)
+		defer cancel()
+		// Without it the permission runs out by itself.
+		_ = h.Done(ctx, id, path, failed)
+	}()
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
 }
