--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -61,8 +61,9 @@
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
 	peers    *snipepeer.Handler
+	weights  *snipeweight.Queue
+	permits  *snipeweight.Permits
 	keys     map[string]*snipecert.Keeper // by listener
-	budget   *snipeweight.Budget
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
 
@@ -125,13 +126,13 @@
 func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
-	i.budget = &snipeweight.Budget{Limits: i.weightShare}
+	i.buildWeights(dial)
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
 		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
 		Record: recordOf(table),
-		Budget: i.budget.Acquire,
+		Budget: i.permits.Acquire,
 		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
@@ -147,17 +148,6 @@
 	}
 }
 
-// weightShare splits the weight store's budget evenly among live instances.
-func (i *Instance) weightShare() (perSecond float64, concurrent int) {
-	t := i.settings.Current()
-	n := max(len(i.holder.View().Instances), 1)
-	if t == nil {
-		return 0, 0
-	}
-	w := t.Platform.WeightStore
-	return w.LoadsPerSecond / float64(n), max(w.Concurrent/n, 1)
-}
-
 func (i *Instance) buildHolder(table snipeplatform.Table) {
 	c := i.Config
 	i.holder = &snipelease.Holder{
@@ -269,6 +259,7 @@
 	peers.Handle(snipepeer.Path, i.peers)
 	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
+	peers.Handle(i.weightServer())
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
