Measure what an instance adds; collect whole answers without decoding text

Cause: a whole answer was made by decoding every chunk and growing its text by concatenation: time and bytes per chunk grew with the answer.

Change: text is collected as it comes; only a chunk that brings more than text is decoded.

Ruled out: a faster JSON decoder (the text was copied anew with each chunk, by whatever decoder).

--- /dev/null
+++ b/snipeinstance/bench_test.go
@@ -0,0 +1,307 @@
+package snipeinstance
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeconfig"
+	"snipepitch.example/snipepitch/snipejson"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipestand"
+	"snipepitch.example/snipepitch/snipestream"
+	"snipepitch.example/snipepitch/snipetree"
+	"snipepitch.example/snipepitch/snipeupstream"
+)
+
+// The benchmarks run a whole system over loopback in one process: platform,
+// engine, and two instances, of which one owns the engine. What an instance
+// adds is the difference to calling the engine directly, in the same run.
+
+const (
+	benchKey    = "bench-key"
+	benchChunks = 64
+)
+
+// benchEngine answers at once: the stand-in's own time would hide what an
+// instance adds. A gated stream sends each chunk when the benchmark has seen
+// the one before.
+type benchEngine struct {
+	stand http.Handler
+	gate  chan struct{}
+}
+
+func (e *benchEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != snipeupstream.CompletionsPath && r.URL.Path != snipeupstream.ChatPath {
+		e.stand.ServeHTTP(w, r)
+		return
+	}
+	var call struct {
+		Model string `json:"model"`
+	}
+	body, _ := io.ReadAll(r.Body)
+	_ = json.Unmarshal(body, &call)
+	flush := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	chunks := 1
+	if r.URL.Path == snipeupstream.ChatPath {
+		chunks = benchChunks
+	}
+	for n := 1; n <= chunks; n++ {
+		if chunks > 1 {
+			<-e.gate
+		}
+		reason := "null"
+		if n == chunks {
+			reason = `"stop"`
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"id\":\"a-1\",\"object\":\"chat.completion.chunk\",\"created\":1700000000,\"model\":%q,"+
+			"\"choices\":[{\"index\":0,\"text\":\" token\",\"logprobs\":null,\"finish_reason\":%s}]}\n\n", n, call.Model, reason)
+		_ = flush.Flush()
+	}
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", chunks+1)
+}
+
+// path is one way to the engine.
+type path struct {
+	name    string
+	address netip.AddrPort
+	model   string
+}
+
+// system is the whole system.
+type system struct {
+	engine *benchEngine
+	paths  []path
+	client *http.Client
+}
+
+// serve serves a handler on loopback and returns where.
+func serve(b *testing.B, h http.Handler) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// freeAddress returns an address on loopback that nobody listens on.
+func freeAddress(b *testing.B) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(b, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newSystem(b *testing.B) *system {
+	e := &snipestand.Engine{Slots: 4, Batch: 4}
+	s := &system{
+		engine: &benchEngine{stand: e.Handler(), gate: make(chan struct{})},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+	platform := &snipestand.Platform{Table: snipestand.NewTable(), Weights: &snipestand.Weights{PerSecond: 10, Concurrent: 1}}
+	table, engine := serve(b, platform.Handler()), serve(b, s.engine)
+	s.paths = []path{{"direct", engine, "x"}, {"instance", netip.AddrPort{}, "a@1"}, {"hop", netip.AddrPort{}, "a@1"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var ended sync.WaitGroup
+	b.Cleanup(func() {
+		cancel()
+		ended.Wait()
+	})
+	var instances []*Instance
+	for n := range 2 {
+		c := snipeconfig.Default()
+		c.Name, c.Domain, c.PeerSecret = fmt.Sprintf("entry-%d", n), "d", "s"
+		c.Callers, c.Operators, c.Peers = freeAddress(b), freeAddress(b), freeAddress(b)
+		c.Platform.Table, c.Platform.AccessKey, c.Platform.SecretKey = table, "a", "s"
+		c.Poll, c.Renew = snipejson.Duration(50*time.Millisecond), snipejson.Duration(200*time.Millisecond)
+		must.NoError(b, c.Check())
+		i := &Instance{Config: c, Log: snipelog.Discard()}
+		instances = append(instances, i)
+		ended.Go(func() { _ = i.Run(ctx) })
+	}
+	wait(b, func() bool { return s.apply(ctx, instances[0], engine) })
+	wait(b, func() bool {
+		for n, i := range instances {
+			if o, ok := i.holder.View().Owners["engine-0"]; ok && o.Instance.Name == i.Config.Name {
+				s.paths[1].address, s.paths[2].address = i.Config.Callers, instances[1-n].Config.Callers
+			}
+		}
+		return s.paths[1].address.IsValid()
+	})
+	for _, p := range s.paths[1:] {
+		wait(b, func() bool { return s.plain(p) == nil })
+	}
+	return s
+}
+
+// apply writes the settings.
+func (s *system) apply(ctx context.Context, i *Instance, engine netip.AddrPort) bool {
+	if i.settings == nil {
+		return false
+	}
+	hash, _ := snipetree.HashKey(benchKey).MarshalText()
+	platform := fmt.Sprintf(`{"WeightStore":{"LoadsPerSecond":10,"Concurrent":1},"Services":{},
+		"Operators":{"o":{"KeyHash":%q,"Platform":true}},
+		"Engines":{"engine-0":{"Address":%q,"Domain":"d","Base":"base","Slots":4,"Batch":4}}}`, hash, engine)
+	team := fmt.Sprintf(`{"Keys":{"k":%q},"Adapters":{"a":{"Base":"base","Versions":{"1":{"Path":"p"}}}}}`, hash)
+	if _, err := i.settings.Apply(ctx, "", 0, []byte(platform)); err != nil {
+		return false
+	}
+	_, err := i.settings.Apply(ctx, "bench", 0, []byte(team))
+	return err == nil
+}
+
+func wait(b *testing.B, done func() bool) {
+	for range 400 {
+		if done() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.Fatal("the system did not get ready")
+}
+
+func (s *system) send(p path, route, body string) (*http.Response, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.address.String()+route, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+benchKey)
+	r.Header.Set("Content-Type", "application/json")
+	response, err := s.client.Do(r)
+	if err == nil && response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("%s: %s", response.Status, text)
+	}
+	return response, err
+}
+
+// plain makes one call whose answer is short.
+func (s *system) plain(p path) error {
+	response, err := s.send(p, snipeupstream.CompletionsPath, `{"model":"`+p.model+`","prompt":"order twelve cases","max_tokens":1}`)
+	if err != nil {
+		return err
+	}
+	data, err := io.ReadAll(response.Body)
+	if err == nil && !bytes.Contains(data, []byte("token")) {
+		err = fmt.Errorf("wrong answer: %s", data)
+	}
+	_ = response.Body.Close()
+	return err
+}
+
+// stream makes one gated call and returns the time of each chunk from the
+// engine's leave to send it to its arrival.
+func (s *system) stream(p path, times []time.Duration) ([]time.Duration, error) {
+	go func() { s.engine.gate <- struct{}{} }()
+	response, err := s.send(p, snipeupstream.ChatPath, `{"model":"`+p.model+`","messages":[],"stream":true}`)
+	if err != nil {
+		return times, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	reader := snipestream.NewReader(response.Body)
+	var start time.Time
+	for n := 1; ; n++ {
+		e, err := reader.Read()
+		if err != nil || e.Name == "error" {
+			return times, fmt.Errorf("event %s %s: %w", e.Name, e.Data, err)
+		}
+		if n > 1 && n <= benchChunks {
+			times = append(times, time.Since(start))
+		}
+		if n > benchChunks {
+			_, err = io.Copy(io.Discard, response.Body)
+			return times, err
+		}
+		start = time.Now()
+		if n < benchChunks {
+			s.engine.gate <- struct{}{}
+		}
+	}
+}
+
+func median(times []time.Duration) float64 {
+	slices.Sort(times)
+	return float64(times[len(times)/2].Nanoseconds()) / 1e3
+}
+
+// BenchmarkAddedLatency takes turns between the ways and reports the medians,
+// in microseconds, of a plain call and of one chunk of a stream.
+func BenchmarkAddedLatency(b *testing.B) {
+	s := newSystem(b)
+	calls := make([][]time.Duration, len(s.paths))
+	chunks := make([][]time.Duration, len(s.paths))
+	b.ResetTimer()
+	for range b.N {
+		for n, p := range s.paths {
+			start := time.Now()
+			must.NoError(b, s.plain(p))
+			calls[n] = append(calls[n], time.Since(start))
+		}
+		for n, p := range s.paths {
+			var err error
+			chunks[n], err = s.stream(p, chunks[n])
+			must.NoError(b, err)
+		}
+	}
+	for n, p := range s.paths {
+		b.ReportMetric(median(calls[n]), "us/call-"+p.name)
+		b.ReportMetric(median(chunks[n]), "us/chunk-"+p.name)
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkCost runs each way alone, eight calls at a time, and reports time,
+// processor time and allocations of all parts in the process; the difference
+// to "direct" is the instance's.
+func BenchmarkCost(b *testing.B) {
+	s := newSystem(b)
+	for _, p := range s.paths {
+		b.Run("call-"+p.name, func(b *testing.B) {
+			b.ReportAllocs()
+			before := processorTime()
+			b.SetParallelism(1)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					must.NoError(b, s.plain(p))
+				}
+			})
+			b.ReportMetric(float64((processorTime()-before).Nanoseconds())/1e3/float64(b.N), "cpu-us/op")
+		})
+		b.Run("chunk-"+p.name, func(b *testing.B) {
+			b.ReportAllocs()
+			before := processorTime()
+			for range b.N/benchChunks + 1 {
+				_, err := s.stream(p, nil)
+				must.NoError(b, err)
+			}
+			b.ReportMetric(float64((processorTime()-before).Nanoseconds())/1e3/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// processorTime is what the process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		fmt.Fprintln(os.Stderr, "getrusage:", err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/snipeupstream/assembly.go
+++ b/snipeupstream/assembly.go
@@ -1,11 +1,12 @@
 package snipeupstream
 
 import (
-	"bytes"
 	"encoding/json"
 	"maps"
+	"strings"
 
 	"github.com/go-faster/errors"
+	"github.com/tidwall/gjson"
 
 	"snipepitch.example/snipepitch/snipeerror"
 )
@@ -19,12 +20,16 @@
 // assembly collects the chunks of a stream into one whole answer. It knows the
 // shape of chunks (a delta grows a message, lists grow, entries with an index
 // meet their kind), not the single fields, so that tool calls, log
-// probabilities and fields of later engines are kept.
+// probabilities and fields of later engines are kept. Text, which is all that
+// most chunks bring, is collected without decoding the rest.
 type assembly struct {
-	chat   bool
-	size   int
-	top    document
+	chat bool
+	size int
+	// top are the latest fields beside the choices, as they came.
+	top    map[string]json.RawMessage
 	choice document
+	text   strings.Builder
+	texts  int // chunks that brought text
 }
 
 // add merges one chunk, which is valid JSON.
@@ -32,41 +37,93 @@
 	if s.size += len(chunk); s.size > MaxAnswer {
 		return snipeerror.New(snipeerror.ErrTooLarge, snipeerror.MayHaveRun, "answer of the engine")
 	}
-	var top document
-	d := json.NewDecoder(bytes.NewReader(chunk))
-	d.UseNumber()
-	if err := d.Decode(&top); err != nil {
-		return errors.Wrapf(errBroken, "chunk: %v", err)
+	if s.top == nil {
+		s.top = map[string]json.RawMessage{}
+		s.choice = document{}
 	}
-	if choices, ok := top["choices"].([]any); ok && len(choices) > 0 {
-		choice, ok := choices[0].(document)
-		if !ok || len(choices) > 1 {
-			return errors.Wrap(errBroken, "chunk with other than one choice")
+	var err error
+	gjson.ParseBytes(chunk).ForEach(func(key, value gjson.Result) bool {
+		name := key.String()
+		switch {
+		case name == "choices":
+			err = s.addChoices(value)
+		case value.Type != gjson.Null && string(s.top[name]) != value.Raw:
+			s.top[strings.Clone(name)] = json.RawMessage(value.Raw)
 		}
-		s.addChoice(choice)
+		return err == nil
+	})
+	return err
+}
+
+func (s *assembly) addChoices(choices gjson.Result) error {
+	if !choices.IsArray() {
+		return nil
 	}
-	delete(top, "choices")
-	if s.top == nil {
-		s.top = document{}
+	all := choices.Array()
+	if len(all) == 0 {
+		return nil
 	}
-	for name, v := range top {
-		if v != nil {
-			s.top[name] = v
-		}
+	if len(all) > 1 || !all[0].IsObject() {
+		return errors.Wrap(errBroken, "chunk with other than one choice")
+	}
+	if !s.addText(all[0]) {
+		return nil
+	}
+	var choice document
+	d := json.NewDecoder(strings.NewReader(all[0].Raw))
+	d.UseNumber()
+	if err := d.Decode(&choice); err != nil {
+		return errors.Wrapf(errBroken, "chunk: %v", err)
 	}
+	s.addChoice(choice)
 	return nil
 }
 
+// addText takes the text of a choice and reports whether it has more to it.
+func (s *assembly) addText(choice gjson.Result) (more bool) {
+	choice.ForEach(func(key, value gjson.Result) bool {
+		switch name := key.String(); {
+		case name == "index" || value.Type == gjson.Null:
+		case name == "text" && value.Type == gjson.String:
+			s.grow(value)
+		case name == "delta" && value.IsObject():
+			value.ForEach(func(key, value gjson.Result) bool {
+				switch {
+				case value.Type == gjson.Null:
+				case key.String() == "content" && value.Type == gjson.String:
+					s.grow(value)
+				default:
+					more = true
+				}
+				return true
+			})
+		default:
+			more = true
+		}
+		return true
+	})
+	return more
+}
+
+func (s *assembly) grow(text gjson.Result) {
+	s.texts++
+	s.text.WriteString(text.String())
+}
+
+// addChoice merges what a choice has beside its text.
 func (s *assembly) addChoice(choice document) {
-	if s.choice == nil {
-		s.choice = document{}
-	}
 	delta, chat := choice["delta"].(document)
 	delete(choice, "delta")
+	if _, ok := choice["text"].(string); ok {
+		delete(choice, "text")
+	}
 	s.choice = merge(s.choice, choice)
 	if !chat {
 		return
 	}
+	if _, ok := delta["content"].(string); ok {
+		delete(delta, "content")
+	}
 	message, ok := s.choice["message"].(document)
 	if !ok {
 		message = document{}
@@ -148,17 +205,29 @@
 	object := "text_completion"
 	if s.chat {
 		object = "chat.completion"
-	}
-	if message, ok := s.choice["message"].(document); ok {
+		message, ok := s.choice["message"].(document)
+		if !ok {
+			message = document{}
+		}
+		if s.texts > 0 {
+			message["content"] = s.text.String()
+		}
 		finishMessage(message)
+		s.choice["message"] = message
+	} else {
+		s.choice["text"] = s.text.String()
 	}
 	s.choice["index"] = 0
-	s.top["object"], s.top["model"], s.top["choices"] = object, model, []any{s.choice}
-	body, err := json.Marshal(s.top)
+	body := map[string]any{}
+	for name, v := range s.top {
+		body[name] = v
+	}
+	body["object"], body["model"], body["choices"] = object, model, []any{s.choice}
+	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode whole answer")
 	}
-	return body, nil
+	return data, nil
 }
 
 // finishMessage drops what only chunks have, and sets what every message has.
