--- a/snipeinstance/bench_test.go
+++ b/snipeinstance/bench_test.go
@@ -88,10 +88,15 @@
 	engine *benchEngine
 	paths  []path
 	client *http.Client
+	scheme string
+
+	// instances are the two; ended gets what each returned.
+	instances []*Instance
+	ended     []chan error
 }
 
 // serve serves a handler on loopback and returns where.
-func serve(b *testing.B, h http.Handler) netip.AddrPort {
+func serve(b testing.TB, h http.Handler) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(b, err)
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
@@ -101,18 +106,18 @@
 }
 
 // freeAddress returns an address on loopback that nobody listens on.
-func freeAddress(b *testing.B) netip.AddrPort {
+func freeAddress(b testing.TB) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(b, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func newSystem(b *testing.B) *system {
+func newSystem(b testing.TB, change func(c *snipeconfig.Config)) *system {
 	e := &snipestand.Engine{Slots: 4, Batch: 4}
 	s := &system{
 		engine: &benchEngine{stand: e.Handler(), gate: make(chan struct{})},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}, scheme: "http://",
 	}
 	platform := &snipestand.Platform{Table: snipestand.NewTable(), Weights: &snipestand.Weights{PerSecond: 10, Concurrent: 1}}
 	table, engine := serve(b, platform.Handler()), serve(b, s.engine)
@@ -123,18 +128,24 @@
 		cancel()
 		ended.Wait()
 	})
-	var instances []*Instance
 	for n := range 2 {
 		c := snipeconfig.Default()
 		c.Name, c.Domain, c.PeerSecret = fmt.Sprintf("entry-%d", n), "d", "s"
 		c.Callers, c.Operators, c.Peers = freeAddress(b), freeAddress(b), freeAddress(b)
 		c.Platform.Table, c.Platform.AccessKey, c.Platform.SecretKey = table, "a", "s"
 		c.Poll, c.Renew = snipejson.Duration(50*time.Millisecond), snipejson.Duration(200*time.Millisecond)
+		if change != nil {
+			change(&c)
+		}
 		must.NoError(b, c.Check())
 		i := &Instance{Config: c, Log: snipelog.Discard()}
-		instances = append(instances, i)
-		ended.Go(func() { _ = i.Run(ctx) })
+		s.instances = append(s.instances, i)
+		must.NoError(b, i.build())
+		done := make(chan error, 1)
+		s.ended = append(s.ended, done)
+		ended.Go(func() { done <- i.serve(ctx) })
 	}
+	instances := s.instances
 	wait(b, func() bool { return s.apply(ctx, instances[0], engine) })
 	wait(b, func() bool {
 		for n, i := range instances {
@@ -144,17 +155,21 @@
 		}
 		return s.paths[1].address.IsValid()
 	})
+	if change == nil {
+		s.warm(b)
+	}
+	return s
+}
+
+// warm waits until both instances answer.
+func (s *system) warm(b testing.TB) {
 	for _, p := range s.paths[1:] {
 		wait(b, func() bool { return s.plain(p) == nil })
 	}
-	return s
 }
 
 // apply writes the settings.
 func (s *system) apply(ctx context.Context, i *Instance, engine netip.AddrPort) bool {
-	if i.settings == nil {
-		return false
-	}
 	hash, _ := snipetree.HashKey(benchKey).MarshalText()
 	platform := fmt.Sprintf(`{"WeightStore":{"LoadsPerSecond":10,"Concurrent":1},"Services":{},
 		"Operators":{"o":{"KeyHash":%q,"Platform":true}},
@@ -167,7 +182,7 @@
 	return err == nil
 }
 
-func wait(b *testing.B, done func() bool) {
+func wait(b testing.TB, done func() bool) {
 	for range 400 {
 		if done() {
 			return
@@ -178,7 +193,7 @@
 }
 
 func (s *system) send(p path, route, body string) (*http.Response, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+p.address.String()+route, strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, s.scheme+p.address.String()+route, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -245,7 +260,7 @@
 // BenchmarkAddedLatency takes turns between the ways and reports the medians,
 // in microseconds, of a plain call and of one chunk of a stream.
 func BenchmarkAddedLatency(b *testing.B) {
-	s := newSystem(b)
+	s := newSystem(b, nil)
 	calls := make([][]time.Duration, len(s.paths))
 	chunks := make([][]time.Duration, len(s.paths))
 	b.ResetTimer()
@@ -272,7 +287,7 @@
 // processor time and allocations of all parts in the process; the difference
 // to "direct" is the instance's.
 func BenchmarkCost(b *testing.B) {
-	s := newSystem(b)
+	s := newSystem(b, nil)
 	for _, p := range s.paths {
 		b.Run("call-"+p.name, func(b *testing.B) {
 			b.ReportAllocs()
--- a/snipeinstance/keys.go
+++ b/snipeinstance/keys.go
@@ -33,9 +33,9 @@
 }
 
 // peerDial returns the dial of connections to peers, with TLS where the peers'
-// listener has it.
-func (i *Instance) peerDial(dial snipeupstream.Dial) snipeupstream.Dial {
-	counted := i.meter.Traffic("ToPeers").Dialer(dial)
+// listener has it. Its bytes are counted for the purpose.
+func (i *Instance) peerDial(purpose string) snipeupstream.Dial {
+	counted := i.meter.Traffic(purpose).Dialer(snipeupstream.DialTCP())
 	if k := i.keys["Peers"]; k != nil {
 		return k.Dialer(counted)
 	}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -77,9 +77,13 @@
 	if err := i.build(); err != nil {
 		return err
 	}
-	i.signals = make(chan os.Signal, 2)
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(i.signals)
+	return i.serve(ctx)
+}
+
+// serve runs the duties until one of them ends.
+func (i *Instance) serve(ctx context.Context) error {
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
@@ -108,6 +112,7 @@
 		return err
 	}
 	i.stopping = make(chan struct{}, 1)
+	i.signals = make(chan os.Signal, 2)
 	i.meter = snipemeter.New()
 	table := snipeplatform.Dynamo{
 		Address: c.Platform.Table, Table: c.Platform.TableName,
@@ -126,7 +131,7 @@
 func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
-	i.buildWeights(dial)
+	i.buildWeights()
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
@@ -137,7 +142,7 @@
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := i.peerDial(dial)
+	toPeers := i.peerDial("ToPeers")
 	i.forward = &snipepeer.Client{
 		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
--- a/snipeinstance/weights.go
+++ b/snipeinstance/weights.go
@@ -20,10 +20,10 @@
 const weightQueueKey = "WeightQueue"
 
 // buildWeights makes this instance's part in the queue for the weight store.
-func (i *Instance) buildWeights(dial snipeupstream.Dial) {
+func (i *Instance) buildWeights() {
 	c := i.Config
 	i.weights = &snipeweight.Queue{Limits: i.weightLimits}
-	fresh := snipeupstream.NewFresh(i.meter.Traffic("Weights").Dialer(dial))
+	fresh := snipeupstream.NewFresh(i.peerDial("Weights"))
 	client := &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret}
 	i.permits = &snipeweight.Permits{
 		Self: c.Name + "/" + rand.Text(), Hold: c.LoadTimeout.Value(),
