Lease: rows read on change, owners that go on in an outage, direct handover

Cause: each renewal listed all lease and owner rows; an outage of the table ended all ownerships after one lease; a handover left an engine without an owner until the next renewals; each instance that came moved engines.

Defaults are now Lease 15s, Renew 5s, Poll 5s.

Ruled out: judging an outage by this instance's own failures; an instance that is cut off alone would go on while others take over. Renewing blindly after a failure; with replies lost the lease row moves on and nobody can take over.

--- a/snipeconfig/snipeconfig.go
+++ b/snipeconfig/snipeconfig.go
@@ -81,7 +81,7 @@
 func Default() Config {
 	seconds := func(n int) snipejson.Duration { return snipejson.Duration(time.Duration(n) * time.Second) }
 	return Config{
-		Lease: seconds(6), Renew: seconds(1), Poll: seconds(1),
+		Lease: seconds(15), Renew: seconds(5), Poll: seconds(5),
 		Progress: seconds(5), FirstChunk: seconds(30), LoadTimeout: seconds(60), StopTimeout: seconds(60),
 		MaxBody: 4 << 20, MaxCalls: 10000, LogLevel: "info",
 		Platform: Platform{TableName: "snipepitch", Timeout: seconds(2)},
--- a/snipeinstance/members.go
+++ b/snipeinstance/members.go
@@ -76,3 +76,12 @@
 	defer cancel()
 	i.members.Gone(bounded)
 }
+
+// leaseMembers returns the part of the membership that the lease uses.
+func (i *Instance) leaseMembers() snipelease.Members {
+	return snipelease.Members{
+		All:      func() ([]snipemember.Member, bool) { return i.members.Members(), i.members.Joined() },
+		Announce: i.members.Announce, Digests: i.members.Digests, Reached: i.members.LastContact,
+		Peers: i.randomPeers, HTTP: i.members.HTTP,
+	}
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -162,7 +163,7 @@
 		},
 		Duration: c.Lease.Value(), Renew: c.Renew.Value(), Margin: leaseMargin,
 		Engines: i.engineNames, Revision: i.revision, Busy: i.dispatch.Busy,
-		Operation: rand.Text, Log: i.Log,
+		Operation: rand.Text, Random: mathrand.Float64, Members: i.leaseMembers(), Log: i.Log,
 	}
 }
 
@@ -235,9 +236,9 @@
 	}
 	view := i.holder.View()
 	for name, e := range t.Platform.Engines {
-		_, owned := view.Owners[name]
+		o, owned := view.Owners[name]
 		if e.Base == c.Base {
-			add(name, owned)
+			add(name, owned && !o.Giving)
 		}
 	}
 	return all
@@ -268,6 +269,7 @@
 func (i *Instance) listeners() []listener {
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipelease.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.holder.Handler()))
 	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	operators := i.buildOperators(peers)
--- a/snipelease/snipelease.go
+++ b/snipelease/snipelease.go
@@ -3,31 +3,49 @@
 //
 // Design. Each instance has one lease row, renewed at an interval far shorter
 // than the lease's duration. Each engine has an owner row; the row's version
-// is the fencing number of the owner's orders. Invariants:
+// is the fencing number of the owner's orders. Who lives is learned from the
+// membership and who owns what from announcements, so that an instance reads
+// rows only when something changes and, rarely, all owner rows to make up for
+// what it missed (step.go). Which instance should own an engine is decided in
+// plan.go, how an engine changes hands in move.go.
+//
+// Invariants:
 //
 //   - An instance believes in its lease until the duration has passed on its
 //     monotonic clock, counted from before the renewal was sent.
-//   - An owner row changes hands only when its owner gave it up, or when the
-//     owner's lease row has stayed at one version for the duration and a
-//     margin as seen by the new owner; the takeover's transaction checks that
-//     version, so that a renewal in between defeats it.
-//   - An instance whose lease has lapsed owns nothing until it has renewed the
-//     lease and read the owner rows again.
+//   - An owner row changes hands only when its owner hands it over or gives it
+//     up, or when the owner's lease row has stayed at one version for the
+//     duration and a margin, counted by the new owner from its first direct
+//     read of that version; the takeover's transaction checks the version, so
+//     that a renewal in between defeats it. Membership decides only when to
+//     look.
+//   - After a lapse an instance owns an engine only once it has renewed the
+//     lease and read the engine's owner row again. A renewal without that read
+//     restores nothing.
+//   - While the table is down for at least half of all known instances, an
+//     owner goes on past its lease: nobody can take over then. It gives no
+//     order that destroys anything at an engine that ignores fencing numbers.
+//     An owner that alone cannot reach the table, or that hears of no other
+//     instance, ends with its lease. So does one that was paused past the time
+//     until which it went on: the table may have been back in between.
+//   - After a renewal that failed, the next one begins with a read: an instance
+//     whose writes take effect but whose replies are lost must not keep a lease
+//     alive in which it cannot believe.
+//   - A lease row that shows another incarnation under this instance's name
+//     ends this instance's ownerships for good.
 package snipelease
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemember"
 	"snipepitch.example/snipepitch/snipeplatform"
-	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipeproto"
 )
 
 const (
@@ -35,6 +53,23 @@
 	ownersPartition    = "Owners"
 )
 
+// Topics of announcements.
+const (
+	ownerTopic = "Owner"
+	lostTopic  = "TableLost"
+	hungTopic  = "Hung"
+)
+
+const (
+	// hintTTL is how long a change of owner is announced; it outlasts the time
+	// between two reads of all owner rows.
+	hintTTL = 2 * time.Minute
+	// listEvery is the time between two reads of all owner rows.
+	listEvery = time.Minute
+	// jitterShare is by how much the time between renewals varies.
+	jitterShare = 0.2
+)
+
 // Instance is the document of a lease row.
 type Instance struct {
 	// Name is the instance's name, Incarnation the start of its process.
@@ -48,7 +83,8 @@
 	Domain string
 	// Leaving tells that it takes no more ownership.
 	Leaving bool
-	// Revision is the revision of the settings in force on it.
+	// Revision is the revision of the settings in force on it at its last
+	// renewal.
 	Revision uint64
 }
 
@@ -65,33 +101,75 @@
 	Instance Instance
 	// Fence is the fencing number of the owner's orders.
 	Fence uint64
+	// Giving tells that the owner takes no new calls and hands the engine over.
+	Giving bool
 }
 
 // View is an immutable snapshot of instances and owners.
 type View struct {
-	// Instances are those whose lease holds, by name.
+	// Instances are those that are thought to live, by name.
 	Instances map[string]Instance
 	// Owners are the engines' owners by the engine's name.
 	Owners map[string]Ownership
 }
 
-// observation is a lease row's version and when this instance first saw it.
-type observation struct {
-	instance Instance
-	version  uint64
-	since    time.Time
+// seen is what the membership tells in one step.
+type seen struct {
+	all    []snipemember.Member
+	byName map[string]snipemember.Member
+	joined bool
+	// lost are the instances that said that they cannot reach the table.
+	lost map[string]bool
+	// hung are live instances whose lease rows were seen not to change.
+	hung map[string]bool
+}
+
+// knownInstance is a lease row as it was when its instance last started or
+// changed, by the membership's incarnation.
+type knownInstance struct {
+	Instance
+	member uint64
+}
+
+// Members is the part of the membership that the holder uses.
+type Members struct {
+	// All returns all known instances, and whether this instance has met the
+	// others yet.
+	All func() (all []snipemember.Member, joined bool)
+	// Announce and Digests spread changes; see snipemember.Node.
+	Announce func(topic, key string, data []byte, ttl time.Duration)
+	Digests  func(topic string) []snipemember.Digest
+	// Reached returns when another instance was last heard.
+	Reached func() time.Time
+	// Peers returns up to n random live peers, and HTTP sends requests to
+	// them; nil when owners are never asked for.
+	Peers func(n int) []netip.AddrPort
+	HTTP  snipeproto.HTTPClient
 }
 
-// ownerRow is an owner row as last read.
+// ownerRow is an owner row as last read or announced.
 type ownerRow struct {
 	owner
 	version uint64
+	giving  bool
+}
+
+// holding is an engine that this instance owns.
+type holding struct {
+	fence uint64
+	// read tells that the owner row was read or written since the lease last
+	// lapsed.
+	read bool
+	// giving tells that the engine is being handed over.
+	giving bool
 }
 
 // Holder keeps the lease. Its exported fields are set before Run.
 type Holder struct {
 	// Table is the platform's table.
 	Table snipeplatform.Table
+	// Members is the membership.
+	Members Members
 	// Self describes this instance.
 	Self Instance
 	// Duration is how long a lease holds, Renew the time between renewals and
@@ -106,21 +184,36 @@
 	Busy func(engine string) bool
 	// Operation returns a new identifier for a write.
 	Operation func() string
+	// Random returns a number from 0 up to, not including, 1.
+	Random func() float64
 	// Log takes the holder's events.
 	Log *snipelog.Logger
 
 	view    atomic.Pointer[View]
+	told    atomic.Pointer[map[string]ownerRow] // what peers are told
 	leaving atomic.Bool
 
 	lock     sync.Mutex // guards the fields below; never held during a request
 	deadline time.Time
-	owned    map[string]uint64
-	giving   map[string]bool
+	goOn     time.Time // until when the holder goes on past its lease
+	owned    map[string]holding
+	outlived bool // going on past the lease was logged
+	lapsed   bool // the lapse was logged
+	ended    bool // the name is another's, or the planned stop is done
 
 	// The fields below belong to Run's goroutine.
-	version  uint64
-	seen     map[string]observation
-	ownerRow map[string]ownerRow
+	began     time.Time
+	retry     time.Time // no renewal is tried before
+	version   uint64
+	first     bool // the lease row is this incarnation's
+	failed    bool // the last renewal failed, or its outcome is not known
+	listed    time.Time
+	rows      map[string]ownerRow
+	known     map[string]knownInstance
+	watched   map[string]watch
+	ownerless map[string]time.Time
+	checked   map[string]uint64 // versions of lease rows at the last check
+	seen      seen
 }
 
 // View returns the last snapshot; never nil.
@@ -132,15 +225,39 @@
 }
 
 // Fence returns the fencing number of an engine that this instance owns and
-// is not giving up. It reports false when the lease has lapsed.
+// is not giving up. It reports false when the lease has lapsed, unless the
+// table is down for everybody.
 func (h *Holder) Fence(engine string) (uint64, bool) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	if !time.Now().Before(h.deadline) || h.giving[engine] {
+	o, ok := h.owned[engine]
+	if !ok || o.giving || !h.believes(o, time.Now()) {
 		return 0, false
 	}
-	f, ok := h.owned[engine]
-	return f, ok
+	return o.fence, true
+}
+
+// believes reports whether a holding holds now. The lock is held.
+func (h *Holder) believes(o holding, now time.Time) bool {
+	return o.read && now.Before(h.deadline) || now.Before(h.goOn)
+}
+
+// MayDestroy reports whether an order that destroys something may be given to
+// an owned engine, under a fencing number: within the lease always, past it
+// only to an engine that checks the number. Whoever asks sends the order at
+// once, with a context that ends with the time returned.
+func (h *Holder) MayDestroy(engine string, fence uint64, checks bool) (until time.Time, ok bool) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	now := time.Now()
+	o, owned := h.owned[engine]
+	if !owned || o.fence != fence {
+		return time.Time{}, false
+	}
+	if o.read && now.Before(h.deadline) {
+		return h.deadline, true
+	}
+	return h.goOn, checks && now.Before(h.goOn)
 }
 
 // Owned returns the engines that this instance owns.
@@ -157,9 +274,10 @@
 // Leave asks the holder to give up all engines.
 func (h *Holder) Leave() { h.leaving.Store(true) }
 
-// Run keeps the lease until ctx ends.
+// Run keeps the lease until ctx ends. Its steps are short, so that what others
+// hand over is taken at once; most of them make no request.
 func (h *Holder) Run(ctx context.Context) error {
-	t := time.NewTicker(h.Renew)
+	t := time.NewTicker(pace)
 	defer t.Stop()
 	for {
 		h.Step(ctx)
@@ -171,254 +289,11 @@
 	}
 }
 
-// Step renews the lease once, reads the rows and takes or gives up engines.
-func (h *Holder) Step(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, h.Duration/2)
-	defer cancel()
-	if err := h.renew(bounded); err != nil {
-		h.Log.Error(snipelog.LeaseRenewFailed, err, nil)
-		h.lapse()
-		return
-	}
-	if err := h.read(bounded); err != nil {
-		h.Log.Error(snipelog.OwnersReadFailed, err, nil)
-		return
-	}
-	h.claim(bounded)
-	h.giveUp(bounded)
-	h.publish()
-}
-
-// lapse forgets the owned engines once the lease has run out.
-func (h *Holder) lapse() {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	if len(h.owned) == 0 || time.Now().Before(h.deadline) {
-		return
-	}
-	h.owned = nil
-	h.Log.Log(snipelog.LeaseLapsed, nil)
-}
-
-func (h *Holder) renew(ctx context.Context) error {
-	self := h.Self
-	self.Leaving = h.leaving.Load()
-	self.Revision = h.Revision()
-	data, err := json.Marshal(self)
-	if err != nil {
-		return errors.Wrap(err, "encode lease")
-	}
-	key := snipeplatform.Key{Partition: instancesPartition, Sort: h.Self.Name}
-	operation := h.Operation()
-	sent := time.Now()
-	err = h.Table.Write(ctx, operation, []snipeplatform.Change{{Key: key, Expect: h.version, Data: data}})
-	if err != nil {
-		err = h.confirm(ctx, key, operation, err)
-	} else {
-		h.version++
-	}
-	if err != nil {
-		return err
-	}
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	if !sent.Before(h.deadline) {
-		// The lease had lapsed: whatever was owned is read anew.
-		h.owned = nil
-	}
-	h.deadline = sent.Add(h.Duration)
-	return nil
-}
-
-// confirm reads the lease row after a write that was refused or whose outcome
-// is unknown, and adopts the row's version.
-func (h *Holder) confirm(ctx context.Context, key snipeplatform.Key, operation string, cause error) error {
-	if errors.Is(cause, snipeplatform.ErrUnavailable) {
-		return cause
-	}
-	row, err := h.Table.Get(ctx, key)
-	if errors.Is(err, snipeplatform.ErrNotFound) {
-		h.version = 0
-		return cause
-	}
-	if err != nil {
-		return errors.Wrap(err, "read lease back")
-	}
-	h.version = row.Version
-	if row.Operation == operation {
-		return nil
-	}
-	return cause
-}
-
-func (h *Holder) read(ctx context.Context) error {
-	rows, err := h.Table.List(ctx, instancesPartition)
-	if err != nil {
-		return errors.Wrap(err, "list instances")
-	}
-	h.observe(rows, time.Now())
-	rows, err = h.Table.List(ctx, ownersPartition)
-	if err != nil {
-		return errors.Wrap(err, "list owners")
-	}
-	h.ownerRow = map[string]ownerRow{}
-	owned := map[string]uint64{}
-	for _, r := range rows {
-		o := ownerRow{version: r.Version}
-		if err := json.Unmarshal(r.Data, &o.owner); err != nil {
-			return errors.Wrapf(err, "owner row %s", r.Sort)
-		}
-		h.ownerRow[r.Sort] = o
-		if o.Instance == h.Self.Name && o.Incarnation == h.Self.Incarnation {
-			owned[r.Sort] = r.Version
-		}
-	}
-	h.lock.Lock()
-	h.owned = owned
-	h.lock.Unlock()
-	return nil
-}
-
-func (h *Holder) observe(rows []snipeplatform.Row, now time.Time) {
-	seen := map[string]observation{}
-	for _, r := range rows {
-		var i Instance
-		if err := json.Unmarshal(r.Data, &i); err != nil {
-			continue
-		}
-		old, ok := h.seen[r.Sort]
-		if ok && old.version == r.Version {
-			seen[r.Sort] = old
-			continue
-		}
-		seen[r.Sort] = observation{instance: i, version: r.Version, since: now}
-	}
-	h.seen = seen
-}
-
-// alive reports whether an instance's lease may still hold.
-func (h *Holder) alive(name string) bool {
-	o, ok := h.seen[name]
-	return ok && time.Since(o.since) < h.Duration+h.Margin
-}
-
-// desired returns the live instance that should own an engine.
-func (h *Holder) desired(engine string) string {
-	key := sniperoute.Hash(engine)
-	best, bestScore := "", uint64(0)
-	for name, o := range h.seen {
-		if !h.alive(name) || o.instance.Leaving {
-			continue
-		}
-		s := sniperoute.Score(key, sniperoute.Hash(name))
-		if best == "" || s > bestScore || s == bestScore && name < best {
-			best, bestScore = name, s
-		}
-	}
-	return best
-}
-
-// claim takes the engines that should be this instance's and have no owner
-// whose lease may still hold.
-func (h *Holder) claim(ctx context.Context) {
-	if h.leaving.Load() {
-		return
-	}
-	for _, engine := range h.Engines() {
-		row := h.ownerRow[engine]
-		mine := row.Instance == h.Self.Name && row.Incarnation == h.Self.Incarnation
-		if mine || h.desired(engine) != h.Self.Name || h.held(row) {
-			continue
-		}
-		h.take(ctx, engine, row)
-	}
-}
+// pace is the time between two steps.
+const pace = 250 * time.Millisecond
 
-// held reports whether the row's owner may still believe in its lease.
-func (h *Holder) held(row ownerRow) bool {
-	o, ok := h.seen[row.Instance]
-	if row.Instance == "" || !ok {
-		return false
-	}
-	return h.alive(row.Instance) && o.instance.Incarnation == row.Incarnation
-}
-
-func (h *Holder) take(ctx context.Context, engine string, row ownerRow) {
-	data, err := json.Marshal(owner{Instance: h.Self.Name, Incarnation: h.Self.Incarnation})
-	if err != nil {
-		return
-	}
-	changes := []snipeplatform.Change{{
-		Key:    snipeplatform.Key{Partition: ownersPartition, Sort: engine},
-		Expect: row.version, Data: data,
-	}}
-	if o, ok := h.seen[row.Instance]; ok && row.Instance != "" && row.Instance != h.Self.Name {
-		changes = append(changes, snipeplatform.Change{
-			Key:    snipeplatform.Key{Partition: instancesPartition, Sort: row.Instance},
-			Expect: o.version,
-		})
-	}
-	if err := h.Table.Write(ctx, h.Operation(), changes); err != nil {
-		// A conflict or an unknown outcome: the next read tells.
-		return
-	}
-	h.ownerRow[engine] = ownerRow{owner: owner{h.Self.Name, h.Self.Incarnation}, version: row.version + 1}
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	h.owned[engine] = row.version + 1
-	h.Log.Log(snipelog.EngineTaken, snipelog.Fields{"Engine": engine, "Fence": row.version + 1})
-}
-
-// giveUp hands over engines that another live instance should own, as soon as
-// nothing is in flight there.
-func (h *Holder) giveUp(ctx context.Context) {
-	for _, engine := range h.Owned() {
-		to := h.desired(engine)
-		away := to != "" && to != h.Self.Name || h.leaving.Load()
-		h.lock.Lock()
-		if h.giving == nil {
-			h.giving = map[string]bool{}
-		}
-		h.giving[engine] = away
-		h.lock.Unlock()
-		if away && !h.Busy(engine) {
-			h.release(ctx, engine)
-		}
-	}
-}
-
-func (h *Holder) release(ctx context.Context, engine string) {
-	row := h.ownerRow[engine]
-	data, err := json.Marshal(owner{})
-	if err != nil {
-		return
-	}
-	err = h.Table.Write(ctx, h.Operation(), []snipeplatform.Change{{
-		Key:    snipeplatform.Key{Partition: ownersPartition, Sort: engine},
-		Expect: row.version, Data: data,
-	}})
-	if err != nil {
-		return
-	}
-	h.ownerRow[engine] = ownerRow{version: row.version + 1}
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	delete(h.owned, engine)
-	delete(h.giving, engine)
-	h.Log.Log(snipelog.EngineGivenUp, snipelog.Fields{"Engine": engine})
-}
-
-func (h *Holder) publish() {
-	v := &View{Instances: map[string]Instance{}, Owners: map[string]Ownership{}}
-	for name, o := range h.seen {
-		if h.alive(name) {
-			v.Instances[name] = o.instance
-		}
-	}
-	for engine, r := range h.ownerRow {
-		if i, ok := v.Instances[r.Instance]; ok {
-			v.Owners[engine] = Ownership{Instance: i, Fence: r.version}
-		}
-	}
-	h.view.Store(v)
+// spread returns a time that varies by jitterShare around d, so that instances
+// that lost the table together do not come back together.
+func (h *Holder) spread(d time.Duration) time.Duration {
+	return time.Duration((1 - jitterShare + 2*jitterShare*h.Random()) * float64(d))
 }
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -37,6 +37,9 @@
 	EngineTaken      = define(402, "EngineTaken", logrus.InfoLevel)
 	EngineGivenUp    = define(403, "EngineGivenUp", logrus.InfoLevel)
 	OwnersReadFailed = define(404, "OwnersReadFailed", logrus.WarnLevel)
+	LeaseOutlived    = define(405, "LeaseOutlived", logrus.WarnLevel)
+	NameTaken        = define(406, "NameTaken", logrus.ErrorLevel)
+	EngineLost       = define(407, "EngineLost", logrus.WarnLevel)
 )
 
 // Events of membership, 450 to 469.
--- a/snipemember/run.go
+++ b/snipemember/run.go
@@ -204,7 +204,7 @@
 	}
 	n.lock.Lock()
 	defer n.lock.Unlock()
-	n.seeds = seeds
+	n.seeds, n.listed = seeds, true
 }
 
 // join takes all that a few listed instances know.
--- a/snipemember/snipemember.go
+++ b/snipemember/snipemember.go
@@ -151,6 +151,7 @@
 	order   []string
 	contact time.Time
 	seeds   []Seed
+	listed  bool
 }
 
 // start makes the node usable before Run.
@@ -210,6 +211,22 @@
 	return p.Member, true
 }
 
+// Joined reports whether this instance has met another one, or knows of none.
+func (n *Node) Joined() bool {
+	n.start()
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if len(n.peers) > 0 {
+		return true
+	}
+	for _, s := range n.seeds {
+		if s.Name != n.self.Name {
+			return false
+		}
+	}
+	return n.listed
+}
+
 // LastContact returns when another instance last answered or asked. An
 // instance without any peer has no contact after its start.
 func (n *Node) LastContact() time.Time {
--- a/snipeproto/operator.twirp.go
+++ b/snipeproto/operator.twirp.go
@@ -2466,7 +2466,7 @@
 }
 
 func (s *operatorServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *operatorServer) ProtocGenTwirpVersion() string {
@@ -2480,7 +2480,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Operator")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 875 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0xcf, 0x8f, 0x1b, 0x35,
 	0x14, 0x56, 0x3a, 0x93, 0xdd, 0xe4, 0x25, 0x69, 0x8b, 0x37, 0x5d, 0xa6, 0x41, 0x94, 0xd4, 0x12,
