--- a/cmd/snipectl/apply.go
+++ b/cmd/snipectl/apply.go
@@ -31,18 +31,7 @@
 		if err != nil {
 			return err
 		}
-		if *wait > 0 {
-			if err := c.waitInForce(ctx, out.GetRevision(), *wait); err != nil {
-				return err
-			}
-		}
-		if c.json {
-			return c.printJSON(accepted{out.GetRevision(), *wait > 0})
-		}
-		if *wait > 0 {
-			return c.print("in force everywhere as revision %d\n", out.GetRevision())
-		}
-		return c.print("accepted as revision %d\n", out.GetRevision())
+		return c.accepted(ctx, out.GetRevision(), *wait)
 	}
 }
 
@@ -59,8 +48,25 @@
 	}
 }
 
-// accepted is the answer of apply as -json prints it.
-type accepted struct {
+// accepted waits until an accepted edit is in force everywhere, if that is
+// asked for, and prints its revision.
+func (c *client) accepted(ctx context.Context, revision uint64, wait time.Duration) error {
+	if wait > 0 {
+		if err := c.waitInForce(ctx, revision, wait); err != nil {
+			return err
+		}
+	}
+	switch {
+	case c.json:
+		return c.printJSON(edit{revision, wait > 0})
+	case wait > 0:
+		return c.print("in force everywhere as revision %d\n", revision)
+	}
+	return c.print("accepted as revision %d\n", revision)
+}
+
+// edit is an accepted edit as -json prints it.
+type edit struct {
 	Revision uint64
 	// InForce tells that the revision is in force on every live instance.
 	InForce bool
--- a/snipeconfig/snipeconfig.go
+++ b/snipeconfig/snipeconfig.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipecert"
 	"snipepitch.example/snipepitch/snipejson"
 	"snipepitch.example/snipepitch/snipetree"
 )
@@ -33,6 +34,9 @@
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Peers     netip.AddrPort
+	// PeersAnnounced is where other instances reach Peers, when an address
+	// translation stands between them; Peers itself when it is left out.
+	PeersAnnounced netip.AddrPort `json:",omitzero"`
 	// PeerSecret proves that a peer is an instance.
 	PeerSecret string
 	// BootstrapKeyHash is the SHA-256 sum of the key that may write the
@@ -54,12 +58,24 @@
 	FirstChunk snipejson.Duration
 	// LoadTimeout bounds the load of an adapter.
 	LoadTimeout snipejson.Duration
+	// CallersTLS, OperatorsTLS and PeersTLS are the certificates of the
+	// listeners; a listener without is plain HTTP. That of peers needs an
+	// authority, and all instances must have it or none.
+	CallersTLS   *snipecert.Files `json:",omitempty"`
+	OperatorsTLS *snipecert.Files `json:",omitempty"`
+	PeersTLS     *snipecert.Files `json:",omitempty"`
+	// StopNotice is how long a stopping instance, no longer ready, still takes
+	// calls, for the balancer to notice.
+	StopNotice snipejson.Duration
 	// StopTimeout bounds a graceful stop.
 	StopTimeout snipejson.Duration
 	// MaxBody bounds a call's body in bytes.
 	MaxBody int64
 	// MaxCalls bounds the calls in flight on this instance.
 	MaxCalls int
+	// MaxConnections bounds the open connections of the callers' listener, and
+	// those of the peers' listener.
+	MaxConnections int
 	// LogLevel is a level of logrus.
 	LogLevel string
 }
@@ -82,12 +98,20 @@
 	seconds := func(n int) snipejson.Duration { return snipejson.Duration(time.Duration(n) * time.Second) }
 	return Config{
 		Lease: seconds(15), Renew: seconds(5), Poll: seconds(5),
-		Progress: seconds(5), FirstChunk: seconds(30), LoadTimeout: seconds(60), StopTimeout: seconds(60),
-		MaxBody: 4 << 20, MaxCalls: 10000, LogLevel: "info",
+		Progress: seconds(5), FirstChunk: seconds(30), LoadTimeout: seconds(60), StopNotice: seconds(3), StopTimeout: seconds(60),
+		MaxBody: 4 << 20, MaxCalls: 10000, MaxConnections: 20000, LogLevel: "info",
 		Platform: Platform{TableName: "snipepitch", Timeout: seconds(2)},
 	}
 }
 
+// Announced returns the address that other instances are told.
+func (c Config) Announced() netip.AddrPort {
+	if c.PeersAnnounced.IsValid() {
+		return c.PeersAnnounced
+	}
+	return c.Peers
+}
+
 // Load reads and checks a settings file. Its errors name the file, the field
 // and the reason.
 func Load(path string) (Config, error) {
@@ -103,6 +127,9 @@
 		return Config{}, errors.Wrap(err, "settings file")
 	}
 	c, err := Decode(data)
+	if err == nil {
+		err = c.CheckFiles()
+	}
 	if err != nil {
 		return Config{}, errors.Wrap(err, path)
 	}
@@ -148,6 +175,12 @@
 	if c.MaxCalls < 1 {
 		return invalid("MaxCalls", "must be at least 1")
 	}
+	if c.MaxConnections < 1 {
+		return invalid("MaxConnections", "must be at least 1")
+	}
+	if err := c.checkTLS(); err != nil {
+		return err
+	}
 	if _, err := logrus.ParseLevel(c.LogLevel); err != nil {
 		return invalid("LogLevel", err.Error())
 	}
@@ -177,6 +210,40 @@
 	return nil
 }
 
+// checkTLS checks the certificate settings without their files.
+func (c Config) checkTLS() error {
+	if c.CallersTLS != nil && c.CallersTLS.Authority != "" {
+		return invalid("CallersTLS.Authority", "callers are known by their keys; leave it out")
+	}
+	if c.OperatorsTLS != nil && c.OperatorsTLS.Authority != "" {
+		return invalid("OperatorsTLS.Authority", "operators are known by their keys; leave it out")
+	}
+	if c.PeersTLS != nil && c.PeersTLS.Authority == "" {
+		return invalid("PeersTLS.Authority", "missing: peers prove themselves to each other")
+	}
+	return nil
+}
+
+// CheckFiles checks the files that the settings name.
+func (c Config) CheckFiles() error {
+	for _, l := range []struct {
+		field string
+		files *snipecert.Files
+	}{
+		{"CallersTLS", c.CallersTLS},
+		{"OperatorsTLS", c.OperatorsTLS},
+		{"PeersTLS", c.PeersTLS},
+	} {
+		if l.files == nil {
+			continue
+		}
+		if err := l.files.Check(); err != nil {
+			return invalid(l.field, err.Error())
+		}
+	}
+	return nil
+}
+
 func (c Config) checkDurations() error {
 	durations := []struct {
 		field string
@@ -196,6 +263,9 @@
 			return invalid(d.field, "must be above 0")
 		}
 	}
+	if c.StopNotice < 0 || c.StopNotice >= c.StopTimeout {
+		return invalid("StopNotice", "must not be negative, and below StopTimeout")
+	}
 	if c.Lease < 3*c.Renew {
 		return invalid("Lease", "must be at least three times Renew")
 	}
--- a/snipelease/snipelease.go
+++ b/snipelease/snipelease.go
@@ -23,8 +23,9 @@
 //     lease and read the engine's owner row again. A renewal without that read
 //     restores nothing.
 //   - While the table is down for at least half of all known instances, an
-//     owner goes on past its lease: nobody can take over then. It gives no
-//     order that destroys anything at an engine that ignores fencing numbers.
+//     owner goes on past its lease: nobody can take over then. An order that
+//     destroys something at an engine that ignores fencing numbers rests on a
+//     write with OwnerCheck before it, which fails then.
 //     An owner that alone cannot reach the table, or that hears of no other
 //     instance, ends with its lease. So does one that was paused past the time
 //     until which it went on: the table may have been back in between.
@@ -242,24 +243,6 @@
 	return o.read && now.Before(h.deadline) || now.Before(h.goOn)
 }
 
-// MayDestroy reports whether an order that destroys something may be given to
-// an owned engine, under a fencing number: within the lease always, past it
-// only to an engine that checks the number. Whoever asks sends the order at
-// once, with a context that ends with the time returned.
-func (h *Holder) MayDestroy(engine string, fence uint64, checks bool) (until time.Time, ok bool) {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	now := time.Now()
-	o, owned := h.owned[engine]
-	if !owned || o.fence != fence {
-		return time.Time{}, false
-	}
-	if o.read && now.Before(h.deadline) {
-		return h.deadline, true
-	}
-	return h.goOn, checks && now.Before(h.goOn)
-}
-
 // Owned returns the engines that this instance owns.
 func (h *Holder) Owned() []string {
 	h.lock.Lock()
