--- a/snipeconfig/snipeconfig_test.go
+++ b/snipeconfig/snipeconfig_test.go
@@ -27,7 +27,7 @@
 		"same address":          {`127.0.0.1:2`, `127.0.0.1:1`, "Operators: same address as Callers"},
 		"no secret":             {`"PeerSecret":"do-not-print",`, ``, "PeerSecret: missing"},
 		"bad duration":          {`"Domain"`, `"Renew":"soon","Domain"`, "duration"},
-		"short lease":           {`"Domain"`, `"Renew":"5s","Domain"`, "Lease: must be at least"},
+		"short lease":           {`"Domain"`, `"Lease":"14s","Renew":"5s","Domain"`, "Lease: must be at least"},
 		"zero duration":         {`"Domain"`, `"Progress":"0s","Domain"`, "Progress: must be above 0"},
 		"notice too long":       {`"Domain"`, `"StopNotice":"60s","Domain"`, "StopNotice: "},
 		"no connections":        {`"Domain"`, `"MaxConnections":0,"Domain"`, "MaxConnections: "},
