Begin to watch a suspect's lease where all own an even share

Cause: a suspect counted as live, so with three engines on three instances nobody had room for its engine until the membership held it dead; the watch of its lease began only then.

Ruled out: taking over on the suspicion itself; the lease still decides.

Change: suspects do not count in the plan of shares.

Seen failing first: TestSuspectLeavesRoom (no candidate before, two after).

--- a/snipelease/plan.go
+++ b/snipelease/plan.go
@@ -55,7 +55,9 @@
 	if m.Name == h.Self.Name {
 		return !h.leaving.Load()
 	}
-	if !m.Live() || m.Leaving {
+	// A suspect's engines may have to be taken over: while it counted, nobody
+	// had room for them where all instances own an even share.
+	if m.Status != snipemember.Alive || m.Leaving {
 		return false
 	}
 	return outage || !h.seen.lost[m.Name] && !h.seen.hung[m.Name]
