--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -24,6 +24,9 @@
 everywhere=19
 stop_time=30
 caller_hop=300
+# Long enough that kills and cuts meet calls that are being executed.
+service_delay=300ms
+timeout=12s
 declare -A draining
 . scripts/stand.sh
 
@@ -221,7 +224,7 @@
 	owned
 	for n in $(seq $instances); do watch "$n" & done
 	"$bin/snipereplay" -load -seed "$seed" -calls $(((length + 4) * rate)) -length $((length + 4))s -adapters $adapters \
-		-service orders -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
+		-service orders -timeout $timeout -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
 		-entries "$(entries $((base + caller_hop)))" -upstreams "$(upstreams)" -json "$work/result.json" &
 	replay=$!
 	begin=${EPOCHREALTIME/./}
--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -76,7 +76,7 @@
 	done
 	for n in $(seq $services); do
 		start "service$n" "$bin/snipestand" service -address 127.0.0.1:$((base + 200 + n)) -name "orders-$n" \
-			-delay 20ms -record "$work/service$n.record"
+			-delay ${service_delay:-20ms} -record "$work/service$n.record"
 	done
 }
 
--- a/snipereplay/caller.go
+++ b/snipereplay/caller.go
@@ -60,11 +60,16 @@
 	case NotSent, NotRun:
 		return true
 	case MayHaveRun:
-		return r.Repeatable() || r.Key != "" && p.KeyedRepeats
+		return p.repeats(r)
 	}
 	return false
 }
 
+// repeats reports whether the caller sends a call again that may have run.
+func (p *Replay) repeats(r snipetrace.Record) bool {
+	return r.Repeatable() || r.Key != "" && p.KeyedRepeats
+}
+
 // pauseAfter returns how long the caller waits after a failed try. It goes on
 // to the next instance at once when one refuses the connection, but not round
 // and round.
@@ -78,7 +83,7 @@
 // try sends the call once.
 func (p *Replay) try(ctx context.Context, result *Result, start time.Time) Try {
 	r := result.Record
-	if r.Repeatable() {
+	if p.repeats(r) {
 		var cancel func()
 		ctx, cancel = context.WithTimeout(ctx, r.Timeout.Value()/trySlices)
 		defer cancel()
