--- a/Makefile
+++ b/Makefile
@@ -36,12 +36,17 @@
 short-replay: build
 	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
 
-.PHONY: faults short-faults rolling
+.PHONY: faults short-faults rolling repeats
 
 # A round of faults over real processes: SEED=n, or all kept seeds without it.
 faults: build
 	for seed in $(if $(SEED),$(SEED),$$(cat scripts/fault-seeds.txt)); do FAULT_SEED=$$seed ./scripts/faults.sh || exit 1; done
 
+# Callers that repeat while the first try still runs; without claims this plan
+# shows calls that were executed twice.
+repeats: build
+	FAULT_PLAN=scripts/repeats.plan ./scripts/faults.sh
+
 # All instances replaced one after another: no call may be cut short.
 rolling: build
 	FAULT_PLAN=scripts/rolling.plan FAULT_REPLAY="-planned -min-answered 1" ./scripts/faults.sh
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -19,14 +19,15 @@
 seed=${FAULT_SEED:-1}
 count=${FAULT_COUNT:-8}
 length=${FAULT_LENGTH:-24}
-adapters=12
+# More than the engines have slots for, so that loads and evictions go on.
+adapters=${FAULT_ADAPTERS:-16}
 rate=40
 everywhere=19
 stop_time=30
 caller_hop=300
 # Long enough that kills and cuts meet calls that are being executed.
 service_delay=300ms
-timeout=12s
+timeout=9s
 declare -A draining
 . scripts/stand.sh
 
