--- a/snipedispatch/snipedispatch.go
+++ b/snipedispatch/snipedispatch.go
@@ -31,6 +31,7 @@
 	"snipepitch.example/snipepitch/snipeslot"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
+	"snipepitch.example/snipepitch/snipeweight"
 )
 
 // maxReloads bounds how often a call loads its adapter again because the
@@ -49,12 +50,16 @@
 	// fencing numbers.
 	Record func(engine string, fence uint64) *snipeslot.Record
 	// Budget waits for the weight store's permission to load.
-	Budget func(ctx context.Context) (func(), error)
+	Budget func(ctx context.Context, d *snipeweight.Demand) (func(failed bool), error)
 	// Client and Fresh send requests; see snipeupstream.Service.
 	Client, Fresh *http.Client
 	// Progress is the longest time between two chunks, FirstChunk that before
 	// the first one; LoadTimeout bounds a load.
 	Progress, FirstChunk, LoadTimeout time.Duration
+	// Gate is entered around each call at an upstream, with the alias that it
+	// runs under (empty for services); done takes the call's failure. Nil is no
+	// gate.
+	Gate func(ctx context.Context, c *snipecall.Call, alias string) (done func(error), err error)
 	// Meter and Log take metrics and events.
 	Meter *snipemeter.Meter
 	Log   *snipelog.Logger
@@ -86,7 +91,7 @@
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, e *engine, c *snipecall.Call, sink snipecall.Sink) error {
-	use, err := e.slots.Acquire(ctx, c.Adapter, c.WeightPath)
+	use, err := e.slots.Acquire(ctx, snipeslot.Request{Adapter: c.Adapter, Path: c.WeightPath, Class: c.Class})
 	if err != nil {
 		return acquireError(err)
 	}
@@ -95,13 +100,34 @@
 		return snipeerror.New(snipeerror.ErrNotOwner, snipeerror.NotRun, "engine "+c.Upstream)
 	}
 	d.Meter.Observe(snipemeter.LoadStall, c.Team, c.Class.String(), use.Stalled)
-	err = e.client.Call(ctx, c, use.Alias, d.verified(ctx, e, use.Alias, sink))
+	err = d.gated(ctx, c, use.Alias, func() error {
+		return e.client.Call(ctx, c, use.Alias, d.verified(ctx, e, use.Alias, sink))
+	})
 	if errors.Is(err, snipeupstream.ErrNotResident) {
 		e.slots.Forget(use.Alias)
 	}
 	return err
 }
 
+// gated makes a call within the gate.
+func (d *Dispatcher) gated(ctx context.Context, c *snipecall.Call, alias string, call func() error) error {
+	if d.Gate == nil {
+		return call()
+	}
+	done, err := d.Gate(ctx, c, alias)
+	if err != nil {
+		return err
+	}
+	err = call()
+	if errors.Is(err, snipeupstream.ErrNotResident) {
+		// The engine has refused the call; it is no failure of its caller's side.
+		done(snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "not resident"))
+		return err
+	}
+	done(err)
+	return err
+}
+
 // verified passes chunks on. Before the last one of a call whose ownership has
 // ended it makes sure that nobody evicted the alias meanwhile.
 func (d *Dispatcher) verified(ctx context.Context, e *engine, alias string, sink snipecall.Sink) snipecall.Sink {
@@ -122,7 +148,13 @@
 const engineRetry = time.Second
 
 func acquireError(err error) error {
+	var late *snipeslot.LateError
+	var backoff *snipeweight.BackoffError
 	switch {
+	case errors.As(err, &late):
+		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.NotRun, err.Error()).After(late.After)
+	case errors.As(err, &backoff):
+		return snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error()).After(backoff.After)
 	case errors.Is(err, context.DeadlineExceeded):
 		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.NotRun, "while waiting for the adapter")
 	case errors.Is(err, context.Canceled):
@@ -180,5 +212,5 @@
 		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "upstream "+c.Upstream)
 	}
 	s := &snipeupstream.Service{Name: c.Upstream, Address: u.Address, Client: d.Client, Fresh: d.Fresh, Progress: d.Progress}
-	return s.Call(ctx, c, sink)
+	return d.gated(ctx, c, "", func() error { return s.Call(ctx, c, sink) })
 }
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -11,20 +11,17 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipecaller"
+	"snipepitch.example/snipepitch/snipecert"
 	"snipepitch.example/snipepitch/snipeclaim"
 	"snipepitch.example/snipepitch/snipeconfig"
 	"snipepitch.example/snipepitch/snipedispatch"
@@ -36,22 +33,19 @@
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
 	"snipepitch.example/snipepitch/snipeweight"
 )
 
-// ErrForced is returned by Run when a second signal ended the stop.
-var ErrForced = errors.New("stopped by a second signal")
-
 const (
-	leaseMargin       = 2 * time.Second
-	readHeaderTimeout = 10 * time.Second
-	maxHeader         = 32 << 10
-	bodyTimeout       = 30 * time.Second
-	peerBeat          = time.Second
-	stopPoll          = 50 * time.Millisecond
+	leaseMargin = 2 * time.Second
+	maxHeader   = 32 << 10
+	bodyTimeout = 30 * time.Second
+	peerBeat    = time.Second
+	stopPoll    = 50 * time.Millisecond
 )
 
 // Instance is one running instance. Exported fields are set before Run.
@@ -68,18 +62,25 @@
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
 	peers    *snipepeer.Handler
-	budget   *snipeweight.Budget
+	weights  *snipeweight.Queue
+	permits  *snipeweight.Permits
+	keys     map[string]*snipecert.Keeper // by listener
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
 
-	ready    atomic.Bool
+	quarantine *quarantine
+	health     *health
+
+	phase    phase
 	stopping chan struct{}
 	signals  chan os.Signal
 }
 
 // Run serves until a signal or a drain order, then stops gracefully.
 func (i *Instance) Run(ctx context.Context) error {
-	i.build()
+	if err := i.build(); err != nil {
+		return err
+	}
 	i.signals = make(chan os.Signal, 2)
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(i.signals)
@@ -89,7 +90,13 @@
 	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
+	i.addLoop(ctx, &g, i.quarantine.run)
+	i.addLoop(ctx, &g, i.health.loop)
+	i.addLoop(ctx, &g, i.quarantine.guard.Loop)
 	i.addLoop(ctx, &g, i.watchReady)
+	for _, k := range i.keys {
+		i.addLoop(ctx, &g, k.Run)
+	}
 	for _, l := range i.listeners() {
 		if err := i.addListener(ctx, &g, l); err != nil {
 			return err
@@ -102,8 +109,11 @@
 	return err
 }
 
-func (i *Instance) build() {
+func (i *Instance) build() error {
 	c := i.Config
+	if err := i.loadKeys(); err != nil {
+		return err
+	}
 	i.stopping = make(chan struct{}, 1)
 	i.meter = snipemeter.New()
 	table := snipeplatform.Dynamo{
@@ -116,45 +126,37 @@
 	i.buildSettings(table)
 	i.buildDispatch(table)
 	i.buildHolder(table)
+	i.buildQuarantine()
 	i.buildCallers(table)
+	return nil
 }
 
 func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
-	i.budget = &snipeweight.Budget{Limits: i.weightShare}
+	i.buildWeights(dial)
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
 		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
 		Record: recordOf(table),
-		Budget: i.budget.Acquire,
+		Budget: i.permits.Acquire,
 		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := i.meter.Traffic("ToPeers").Dialer(dial)
+	toPeers := i.peerDial(dial)
+	i.buildHealth()
 	i.forward = &snipepeer.Client{
 		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
 	}
 	i.peers = &snipepeer.Handler{
-		Execute: i.dispatch.Run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
+		Execute: i.health.run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
 		WriteTimeout: c.Progress.Value(), MaxBody: c.MaxBody, MaxCalls: c.MaxCalls,
 	}
 }
 
-// weightShare splits the weight store's budget evenly among live instances.
-func (i *Instance) weightShare() (perSecond float64, concurrent int) {
-	t := i.settings.Current()
-	n := max(len(i.holder.View().Instances), 1)
-	if t == nil {
-		return 0, 0
-	}
-	w := t.Platform.WeightStore
-	return w.LoadsPerSecond / float64(n), max(w.Concurrent/n, 1)
-}
-
 func (i *Instance) buildHolder(table snipeplatform.Table) {
 	c := i.Config
 	i.holder = &snipelease.Holder{
@@ -209,11 +211,15 @@
 
 func (i *Instance) choose(c *snipecall.Call, failed []string) (string, error) {
 	candidates := i.candidates(c, failed)
-	key := sniperoute.AdapterHash(c.Adapter)
+	call := sniperoute.Hash(c.ID)
+	i.health.tracker.Mark(call, candidates)
+	candidates = i.quarantine.isolate(c, candidates)
+	var n int
 	if c.Service != "" {
-		key = sniperoute.Hash(c.ID)
+		n = i.health.tracker.Least(call, candidates)
+	} else {
+		n = sniperoute.Pick(sniperoute.AdapterHash(c.Adapter), candidates)
 	}
-	n := sniperoute.Pick(key, candidates)
 	if n < 0 {
 		return "", snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no usable upstream").After(noUpstreamRetry)
 	}
@@ -231,16 +237,16 @@
 		all = append(all, k)
 	}
 	if c.Service != "" {
-		for name := range t.Platform.Services[c.Service].Upstreams {
-			add(name, true)
+		for name, u := range t.Platform.Services[c.Service].Upstreams {
+			add(name, !u.Leaving)
 		}
 		return all
 	}
 	view := i.holder.View()
 	for name, e := range t.Platform.Engines {
-		_, owned := view.Owners[name]
+		o, owned := view.Owners[name]
 		if e.Base == c.Base {
-			add(name, owned)
+			add(name, owned && !e.Leaving && i.reachable(o.Instance))
 		}
 	}
 	return all
@@ -249,23 +255,18 @@
 // execute runs a call here or on the instance that owns its engine.
 func (i *Instance) execute(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
 	if c.Service != "" {
-		return i.dispatch.Run(ctx, c, sink)
+		return i.health.run(ctx, c, sink)
 	}
 	o, ok := i.holder.View().Owners[c.Upstream]
 	if !ok {
 		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "engine "+c.Upstream+" has no owner")
 	}
 	if o.Instance.Name == i.Config.Name {
-		return i.dispatch.Run(ctx, c, sink)
+		return i.health.run(ctx, c, sink)
 	}
-	return i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
-}
-
-// listener is one of the instance's listeners.
-type listener struct {
-	name    string
-	address netip.AddrPort
-	handler http.Handler
+	err := i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
+	i.health.tracker.Hop(c, err)
+	return err
 }
 
 func (i *Instance) listeners() []listener {
@@ -273,6 +274,8 @@
 	peers.Handle(snipepeer.Path, i.peers)
 	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
+	peers.Handle(i.weightServer())
+	peers.Handle(snipequarantine.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.quarantine.guard.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
@@ -283,105 +286,20 @@
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
 	return []listener{
-		{"Callers", i.Config.Callers, front},
-		{"Operators", i.Config.Operators, mux},
-		{"Peers", i.Config.Peers, peers},
+		{"Callers", i.Config.Callers, front, i.Config.MaxConnections, i.keys["Callers"], i.Log},
+		{"Operators", i.Config.Operators, mux, maxOperators, i.keys["Operators"], i.Log},
+		{"Peers", i.Config.Peers, peers, i.Config.MaxConnections, i.keys["Peers"], i.Log},
 	}
 }
 
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !i.ready.Load() || !i.settings.Fresh() {
+	if !i.phase.ready() || !i.settings.Fresh() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-func (i *Instance) addListener(ctx context.Context, g *run.Group, l listener) error {
-	var config net.ListenConfig
-	n, err := config.Listen(ctx, "tcp", l.address.String())
-	if err != nil {
-		return errors.Wrapf(err, "listen for %s", l.name)
-	}
-	n = i.meter.Traffic(l.name).Listener(n)
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeader}
-	g.Add(func() error {
-		err := server.Serve(n)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		i.Log.Error(snipelog.ListenerFailed, err, snipelog.Fields{"Listener": l.name})
-		return errors.Wrapf(err, "serve %s", l.name)
-	}, func(error) {
-		// The stop has waited for the calls already; what is left is cut.
-		_ = server.Close()
-	})
-	return nil
-}
-
 // addLoop adds a duty that ends with its context.
 func (i *Instance) addLoop(ctx context.Context, g *run.Group, f func(context.Context) error) {
 	inner, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return f(inner) }, func(error) { cancel() })
 }
-
-// watchReady turns readiness on once settings are in force and owners known.
-func (i *Instance) watchReady(ctx context.Context) error {
-	t := time.NewTicker(stopPoll)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		if i.settings.Current() != nil && len(i.holder.View().Instances) > 0 {
-			i.ready.Store(true)
-			i.Log.Log(snipelog.Ready, nil)
-			<-ctx.Done()
-			return nil
-		}
-	}
-}
-
-// Stop starts a graceful stop.
-func (i *Instance) Stop() {
-	select {
-	case i.stopping <- struct{}{}:
-	default:
-	}
-}
-
-// waitStop waits for a signal or a drain order and carries out the stop.
-func (i *Instance) waitStop(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-i.signals:
-	case <-i.stopping:
-	}
-	i.Log.Log(snipelog.Stopping, nil)
-	i.ready.Store(false)
-	i.callers.Stop()
-	i.members.Leave()
-	i.holder.Leave()
-	defer i.gone(ctx)
-	limit := time.NewTimer(i.Config.StopTimeout.Value())
-	defer limit.Stop()
-	t := time.NewTicker(stopPoll)
-	defer t.Stop()
-	for {
-		if i.callers.InFlight() == 0 && len(i.holder.Owned()) == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-i.signals:
-			i.Log.Log(snipelog.StopForced, nil)
-			return ErrForced
-		case <-limit.C:
-			i.Log.Log(snipelog.StopForced, nil)
-			return nil
-		case <-t.C:
-		}
-	}
-}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -10,6 +10,11 @@
 	Stopped        = define(103, "Stopped", logrus.InfoLevel)
 	StopForced     = define(104, "StopForced", logrus.WarnLevel)
 	ListenerFailed = define(105, "ListenerFailed", logrus.ErrorLevel)
+
+	CertificateInForce = define(106, "CertificateInForce", logrus.InfoLevel)
+	CertificateRefused = define(107, "CertificateRefused", logrus.ErrorLevel)
+	HandoverFailed     = define(108, "HandoverFailed", logrus.WarnLevel)
+	ConnectionFailed   = define(109, "ConnectionFailed", logrus.DebugLevel)
 )
 
 // Events of calls, 200 to 299.
@@ -68,3 +73,11 @@
 	EngineAudited   = define(506, "EngineAudited", logrus.InfoLevel)
 	EvictionFailed  = define(507, "EvictionFailed", logrus.WarnLevel)
 )
+
+// Events of limits, quarantine and health, 600 to 699.
+var (
+	CallQuarantined    = define(600, "CallQuarantined", logrus.WarnLevel)
+	UpstreamBrokeOff   = define(601, "UpstreamBrokeOff", logrus.WarnLevel)
+	CrashNotReplicated = define(602, "CrashNotReplicated", logrus.WarnLevel)
+	RecordRefused      = define(603, "RecordRefused", logrus.WarnLevel)
+)
