--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -19,11 +19,15 @@
 seed=${FAULT_SEED:-1}
 count=${FAULT_COUNT:-8}
 length=${FAULT_LENGTH:-24}
-adapters=12
+# More than the engines have slots for, so that loads and evictions go on.
+adapters=${FAULT_ADAPTERS:-16}
 rate=40
 everywhere=19
 stop_time=30
 caller_hop=300
+# Long enough that kills and cuts meet calls that are being executed.
+service_delay=300ms
+timeout=9s
 declare -A draining
 . scripts/stand.sh
 
@@ -221,7 +225,7 @@
 	owned
 	for n in $(seq $instances); do watch "$n" & done
 	"$bin/snipereplay" -load -seed "$seed" -calls $(((length + 4) * rate)) -length $((length + 4))s -adapters $adapters \
-		-service orders -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
+		-service orders -timeout $timeout -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
 		-entries "$(entries $((base + caller_hop)))" -upstreams "$(upstreams)" -json "$work/result.json" &
 	replay=$!
 	begin=${EPOCHREALTIME/./}
