--- a/snipeerror/snipeerror_test.go
+++ b/snipeerror/snipeerror_test.go
@@ -1,7 +1,10 @@
 package snipeerror
 
 import (
+	"fmt"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +57,13 @@
 	must.Eq(t, "2", w.Header().Get("Retry-After"))
 	must.StrContains(t, w.Body.String(), `"RetryAfterMilliseconds":1200`)
 }
+
+// TestCallersPage holds the callers' page against the kinds.
+func TestCallersPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/callers.md")
+	must.NoError(t, err)
+	for _, k := range kinds {
+		must.StrContains(t, string(page), fmt.Sprintf("| `%s` | %d |", k.code, k.status))
+	}
+	must.Eq(t, len(kinds), strings.Count(strings.Split(string(page), "| Code | Status |")[1], "\n| `"))
+}
