--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -33,6 +33,7 @@
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
@@ -67,6 +68,9 @@
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
 
+	quarantine *quarantine
+	health     *health
+
 	phase    phase
 	stopping chan struct{}
 	signals  chan os.Signal
@@ -90,6 +94,9 @@
 	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
+	i.addLoop(ctx, &g, i.quarantine.run)
+	i.addLoop(ctx, &g, i.health.loop)
+	i.addLoop(ctx, &g, i.quarantine.guard.Loop)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, k := range i.keys {
 		i.addLoop(ctx, &g, k.Run)
@@ -124,6 +131,7 @@
 	i.buildSettings(table)
 	i.buildDispatch(table)
 	i.buildHolder(table)
+	i.buildQuarantine()
 	i.buildCallers(table)
 	return nil
 }
@@ -143,12 +151,13 @@
 		Meter: i.meter, Log: i.Log,
 	}
 	toPeers := i.peerDial("ToPeers")
+	i.buildHealth()
 	i.forward = &snipepeer.Client{
 		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
 	}
 	i.peers = &snipepeer.Handler{
-		Execute: i.dispatch.Run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
+		Execute: i.health.run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
 		WriteTimeout: c.Progress.Value(), MaxBody: c.MaxBody, MaxCalls: c.MaxCalls,
 	}
 }
@@ -207,11 +216,15 @@
 
 func (i *Instance) choose(c *snipecall.Call, failed []string) (string, error) {
 	candidates := i.candidates(c, failed)
-	key := sniperoute.AdapterHash(c.Adapter)
+	call := sniperoute.Hash(c.ID)
+	i.health.tracker.Mark(call, candidates)
+	candidates = i.quarantine.isolate(c, candidates)
+	var n int
 	if c.Service != "" {
-		key = sniperoute.Hash(c.ID)
+		n = i.health.tracker.Least(call, candidates)
+	} else {
+		n = sniperoute.Pick(sniperoute.AdapterHash(c.Adapter), candidates)
 	}
-	n := sniperoute.Pick(key, candidates)
 	if n < 0 {
 		return "", snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no usable upstream").After(noUpstreamRetry)
 	}
@@ -229,8 +242,8 @@
 		all = append(all, k)
 	}
 	if c.Service != "" {
-		for name := range t.Platform.Services[c.Service].Upstreams {
-			add(name, true)
+		for name, u := range t.Platform.Services[c.Service].Upstreams {
+			add(name, !u.Leaving)
 		}
 		return all
 	}
@@ -238,7 +251,7 @@
 	for name, e := range t.Platform.Engines {
 		o, owned := view.Owners[name]
 		if e.Base == c.Base {
-			add(name, owned && i.reachable(o.Instance))
+			add(name, owned && !e.Leaving && i.reachable(o.Instance))
 		}
 	}
 	return all
@@ -247,16 +260,18 @@
 // execute runs a call here or on the instance that owns its engine.
 func (i *Instance) execute(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
 	if c.Service != "" {
-		return i.dispatch.Run(ctx, c, sink)
+		return i.health.run(ctx, c, sink)
 	}
 	o, ok := i.holder.View().Owners[c.Upstream]
 	if !ok {
 		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "engine "+c.Upstream+" has no owner")
 	}
 	if o.Instance.Name == i.Config.Name {
-		return i.dispatch.Run(ctx, c, sink)
+		return i.health.run(ctx, c, sink)
 	}
-	return i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
+	err := i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
+	i.health.tracker.Hop(c, err)
+	return err
 }
 
 func (i *Instance) listeners() []listener {
@@ -265,6 +280,7 @@
 	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	peers.Handle(i.weightServer())
+	peers.Handle(snipequarantine.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.quarantine.guard.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
--- a/snipeproto/weight.twirp.go
+++ b/snipeproto/weight.twirp.go
@@ -1065,7 +1065,7 @@
 }
 
 func (s *weightServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *weightServer) ProtocGenTwirpVersion() string {
@@ -1079,7 +1079,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Weight")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 369 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x53, 0x4d, 0x4f, 0xe3, 0x30,
 	0x10, 0x95, 0x37, 0x69, 0xb6, 0x3b, 0xda, 0x43, 0xeb, 0xed, 0xae, 0xa2, 0x6a, 0xb7, 0x1b, 0xe5,
