Large whole answers pass the hop; kept connections move away in a stop

Cause: an answer that is not streamed is one event of the hop, in base64, and an event was bounded by 1 MiB, so that an 8 MiB answer ended in AnswerIncomplete after it had run (TestLargeWholeAnswer, failing first). A balancer's kept connections stayed with a stopping instance until it refused. Change: the hop's reader has a bound of its own; answers in a stop carry "Connection: close". Ruled out: closing idle connections at the start of a stop, which can cut a request on its way.

The stand-in engine sends its header while a call waits for its place in the batch, and usage when asked. TestWholeStopWithoutTable stops both instances with the table down.

--- a/snipeinstance/bench_test.go
+++ b/snipeinstance/bench_test.go
@@ -86,6 +86,7 @@
 // system is the whole system.
 type system struct {
 	engine *benchEngine
+	table  *snipestand.Table
 	paths  []path
 	client *http.Client
 	scheme string
@@ -121,6 +122,7 @@
 	}
 	platform := &snipestand.Platform{Table: snipestand.NewTable(), Weights: &snipestand.Weights{PerSecond: 10, Concurrent: 1}}
 	table, engine := serve(b, platform.Handler()), serve(b, s.engine)
+	s.table = platform.Table
 	s.paths = []path{{"direct", engine, "x"}, {"instance", netip.AddrPort{}, "a@1"}, {"hop", netip.AddrPort{}, "a@1"}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -291,7 +291,7 @@
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
 	return []listener{
-		{"Callers", i.Config.Callers, front, i.Config.MaxConnections, i.keys["Callers"], i.Log},
+		{"Callers", i.Config.Callers, i.phase.closing(front), i.Config.MaxConnections, i.keys["Callers"], i.Log},
 		{"Operators", i.Config.Operators, mux, maxOperators, i.keys["Operators"], i.Log},
 		{"Peers", i.Config.Peers, peers, i.Config.MaxConnections, i.keys["Peers"], i.Log},
 	}
--- a/snipeinstance/stop.go
+++ b/snipeinstance/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,18 @@
 
 func (p *phase) stop() { p.value.Store(phaseStopping) }
 
+// closing asks callers to come over a new connection once a stop has begun, so
+// that the balancer's kept connections move to other instances. Closing them
+// here could cut a request that is on its way.
+func (p *phase) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.value.Load() == phaseStopping {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // stop carries out a planned stop. Its order: readiness off and ownership
 // given up; after the notice, in which the balancer sees that, no new calls;
 // calls in flight finish, those of peers too; ownership is handed over; end.
--- a/snipeinstance/stop_test.go
+++ b/snipeinstance/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -89,6 +91,18 @@
 	}
 }
 
+// TestKeptConnectionsMove: answers in a stop tell the balancer to connect anew.
+func TestKeptConnectionsMove(t *testing.T) {
+	var p phase
+	h := p.closing(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	for _, want := range []string{"", "close"} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		must.Eq(t, want, w.Header().Get("Connection"))
+		p.stop()
+	}
+}
+
 // TestStopEndsWithItsGroup: another duty's failure ends the wait.
 func TestStopEndsWithItsGroup(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/snipeinstance/whole_test.go
+++ b/snipeinstance/whole_test.go
@@ -19,6 +19,7 @@
 	"snipepitch.example/snipepitch/snipecert"
 	"snipepitch.example/snipepitch/snipeconfig"
 	"snipepitch.example/snipepitch/snipejson"
+	"snipepitch.example/snipepitch/snipestand"
 	"snipepitch.example/snipepitch/snipestream"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
@@ -104,3 +105,18 @@
 	must.False(t, s.instances[owner].phase.ready())
 	wait(t, func() bool { return s.plain(s.paths[2]) == nil })
 }
+
+// TestWholeStopWithoutTable: a stop ends although nothing can be handed over,
+// also with calls before it, and loses none.
+func TestWholeStopWithoutTable(t *testing.T) {
+	s := newSystem(t, func(c *snipeconfig.Config) {
+		c.StopNotice = snipejson.Duration(100 * time.Millisecond)
+		c.Lease = snipejson.Duration(time.Second)
+	})
+	s.warm(t)
+	s.table.SetFault(snipestand.TableFault{Down: true})
+	for n, i := range s.instances {
+		i.Stop()
+		must.NoError(t, <-s.ended[n])
+	}
+}
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -60,6 +60,9 @@
 	maxResumes    = 3
 	resumePause   = 50 * time.Millisecond
 	cancelTimeout = 2 * time.Second
+	// maxWhole bounds one event: the largest is an answer that is not
+	// streamed, in base64.
+	maxWhole = 2 * snipeupstream.MaxAnswer
 )
 
 // Errors of hops.
@@ -279,7 +282,7 @@
 }
 
 func (h *hop) read(x *snipeupstream.Exchange) error {
-	reader := snipestream.NewReader(x.Response.Body)
+	reader := snipestream.NewLimitedReader(x.Response.Body, maxWhole)
 	for {
 		e, err := reader.Read()
 		if err != nil {
--- a/snipepeer/snipepeer_test.go
+++ b/snipepeer/snipepeer_test.go
@@ -304,3 +304,30 @@
 	must.ErrorIs(t, err, errBehind)
 	must.Less(t, 70, n)
 }
+
+// TestLargeWholeAnswer: an answer that is not streamed may be larger than a
+// chunk, also when its connection breaks.
+func TestLargeWholeAnswer(t *testing.T) {
+	for name, cut := range map[string]bool{"no fault": false, "cut": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				data := make([]byte, 8<<20)
+				b.handler.Execute = func(_ context.Context, _ *snipecall.Call, sink snipecall.Sink) error {
+					if cut {
+						time.Sleep(time.Second)
+						b.network.Cut()
+						synctest.Wait()
+					}
+					return sink(snipecall.Chunk{Sequence: 1, Status: 200, ContentType: "text/plain", Data: data, Last: true})
+				}
+				size := 0
+				must.NoError(t, b.client.Forward(t.Context(), ownerAddress, newCall(), func(c snipecall.Chunk) error {
+					size = len(c.Data)
+					return nil
+				}))
+				must.Eq(t, len(data), size)
+			})
+		})
+	}
+}
--- a/snipestand/engine.go
+++ b/snipestand/engine.go
@@ -59,7 +59,7 @@
 // generation is one answer while it is produced and kept for resuming.
 type generation struct {
 	id, alias, path string
-	chat            bool
+	chat, usage     bool
 	tokens          []string
 	cancel          context.CancelFunc
 
@@ -209,6 +209,9 @@
 	Prompt    string          `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
+	Options   struct {
+		Usage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 // Answer returns the tokens that the stand-in answers with: the path of the
@@ -255,7 +258,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &generation{
 		id: "cmpl-" + strconv.Itoa(e.next), alias: c.Model, path: path, chat: len(c.Messages) > 0,
-		tokens: Answer(path, prompt, c.MaxTokens), cancel: cancel, changed: make(chan struct{}),
+		tokens: Answer(path, prompt, c.MaxTokens), usage: c.Options.Usage, cancel: cancel, changed: make(chan struct{}),
 	}
 	e.answers[g.id] = g
 	fault := e.fault
@@ -373,6 +376,8 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flush := http.NewResponseController(w)
+	// The header goes out while the call waits for its place in the batch.
+	_ = flush.Flush()
 	for sent < len(g.tokens) {
 		if fault.BreakAfter > 0 && sent >= fault.BreakAfter {
 			panic(http.ErrAbortHandler)
@@ -397,6 +402,11 @@
 		case <-changed:
 		}
 	}
+	if g.usage && sent == len(g.tokens) {
+		sent++
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"model\":%q,\"choices\":[],\"usage\":{\"completion_tokens\":%d}}\n\n",
+			sent, g.id, g.alias, len(g.tokens))
+	}
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", sent+1)
 	_ = flush.Flush()
 }
--- a/snipestream/snipestream.go
+++ b/snipestream/snipestream.go
@@ -18,6 +18,8 @@
 // MaxEvent bounds the bytes of one event.
 const MaxEvent = 1 << 20
 
+const bufferSize = 4096
+
 // Errors of the reader.
 var (
 	ErrTooLong = errors.New("event too long")
@@ -39,11 +41,15 @@
 	reader *bufio.Reader
 	data   []byte
 	lines  int // data lines of the event
+	limit  int
 }
 
-// NewReader returns a reader of r.
-func NewReader(r io.Reader) *Reader {
-	return &Reader{reader: bufio.NewReaderSize(r, 4096)}
+// NewReader returns a reader of r, whose events have at most MaxEvent bytes.
+func NewReader(r io.Reader) *Reader { return NewLimitedReader(r, MaxEvent) }
+
+// NewLimitedReader returns a reader of r, whose events have at most limit bytes.
+func NewLimitedReader(r io.Reader, limit int) *Reader {
+	return &Reader{reader: bufio.NewReaderSize(r, bufferSize), limit: limit}
 }
 
 // Read returns the next event with data. io.EOF means that the stream ended
@@ -89,7 +95,7 @@
 	}
 	long := append([]byte(nil), line...)
 	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > MaxEvent {
+		if len(long) > r.limit {
 			return nil, ErrTooLong
 		}
 		line, err = r.reader.ReadSlice('\n')
@@ -116,7 +122,7 @@
 			r.data = append(r.data, '\n')
 		}
 		r.data = append(r.data, value...)
-		if len(r.data) > MaxEvent {
+		if len(r.data) > r.limit {
 			return ErrTooLong
 		}
 	case bytes.Equal(name, fieldEvent):
