--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,9 @@
 # Measures limits, retries, quarantine and health; writes docs/bench-limits.md.
 bench-limits:
 	./scripts/bench-limits.sh
+
+.PHONY: bench-policy
+
+# Measures the decisions about adapters; writes docs/bench-policy.md.
+bench-policy:
+	go test ./snipepolicy -count=1 -run TestPage -timeout 10m -args -policy.page $(CURDIR)/docs/bench-policy.md
--- a/snipeslot/room.go
+++ b/snipeslot/room.go
@@ -6,45 +6,40 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"snipepitch.example/snipepitch/snipecall"
 )
 
 const (
 	// reserveTime is how long a permission is kept while its load has no slot.
 	reserveTime = time.Second
 	// heatTime is the time in which the worth of a use falls to 1/e.
-	heatTime = 10 * time.Minute
+	heatTime = 4 * time.Minute
 	// maxHeats bounds the adapters whose use is remembered, for each slot.
 	maxHeats = 64
 	// minHeat is the worth below which a use is forgotten when room is needed.
 	minHeat = 0.01
 )
 
-// heat is the worth of an adapter's recent uses: each use adds the weight of
-// its class, which decays with heatTime. It stands for the cost of loading the
-// adapter again, since all loads cost the store the same.
+// heat is the worth of an adapter's recent uses: each use adds 1, which decays
+// with heatTime. It stands for the cost of loading the adapter again, since all
+// loads cost the store the same.
 type heat struct {
 	value float64
 	at    time.Time
 }
 
-// useWeights are the weights of a use by class: what a second of stall costs.
-var useWeights = [snipecall.Classes]float64{4, 2, 1}
-
 func (h heat) now(t time.Time) float64 {
 	return h.value * math.Exp(-float64(t.Sub(h.at))/float64(heatTime))
 }
 
 // warm counts a use.
-func (s *Slots) warm(k key, c snipecall.Class) {
+func (s *Slots) warm(k key) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	now := time.Now()
 	if len(s.heats) >= maxHeats*s.Capacity {
 		s.cool(now)
 	}
-	s.heats[k] = heat{s.heats[k].now(now) + useWeights[c], now}
+	s.heats[k] = heat{s.heats[k].now(now) + 1, now}
 }
 
 // cool forgets the adapters of least worth. The lock is held.
@@ -136,6 +131,32 @@
 	return true
 }
 
+// worth says what keeping an adapter is worth. The lock is held.
+func (s *Slots) worth(k key, now time.Time) float64 {
+	if s.Worth != nil {
+		return s.Worth(k.adapter)
+	}
+	return s.heats[k].now(now)
+}
+
+// Pressure returns the worth of what the next load would evict: 0 while there
+// is a free slot.
+func (s *Slots) Pressure() float64 {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if len(s.slots) < s.Capacity {
+		return 0
+	}
+	least := math.Inf(1)
+	now := time.Now()
+	for _, e := range s.slots {
+		if s.evictable(e, now) {
+			least = min(least, s.worth(e.key, now))
+		}
+	}
+	return least
+}
+
 // evictOne starts to evict the adapter of least worth with no use in flight,
 // unless as many evictions are in progress as loads wait for their slot. The
 // lock is held.
@@ -151,7 +172,7 @@
 		if !s.evictable(e, now) {
 			continue
 		}
-		worth := s.heats[e.key].now(now)
+		worth := s.worth(e.key, now)
 		if victim == nil || worth < least || worth == least && e.lastUsed.Before(victim.lastUsed) {
 			victim, least = e, worth
 		}
--- a/snipeslot/snipeslot.go
+++ b/snipeslot/snipeslot.go
@@ -141,6 +141,9 @@
 	// Budget waits for the weight store's permission to load. The function
 	// that it returns ends the load.
 	Budget func(ctx context.Context, d *snipeweight.Demand) (func(failed bool), error)
+	// Worth says what keeping an adapter is worth; the one of least worth is
+	// evicted first. Nil is the worth of its recent uses.
+	Worth func(a snipecall.Adapter) float64
 	// Timeout bounds each order.
 	Timeout time.Duration
 	// Settle is how long calls of an earlier owner may last.
@@ -186,7 +189,7 @@
 		return nil, err
 	}
 	k := key{r.Adapter, HashPath(r.Path)}
-	s.warm(k, r.Class)
+	s.warm(k)
 	for {
 		e, wait := s.find(k, r)
 		switch {
@@ -268,7 +271,7 @@
 	e := &entry{
 		key: k, state: queued, lastUsed: time.Now(), done: make(chan struct{}), cancel: cancel,
 		alias:  Alias{Adapter: k.adapter, Fence: s.Fence, Number: s.Number(), Path: k.path},
-		demand: &snipeweight.Demand{Engine: s.Engine, Path: path},
+		demand: &snipeweight.Demand{Engine: s.Engine, Path: path, Team: k.adapter.Team},
 	}
 	e.name = e.alias.String()
 	s.serving[k] = e
--- a/snipeweight/demand.go
+++ b/snipeweight/demand.go
@@ -11,11 +11,12 @@
 var classWeights = [snipecall.Classes]float64{16, 4, 1}
 
 // Demand is what waits for one load, on the owner of the engine. It is safe
-// for concurrent use. Path and Engine are set before the first call.
+// for concurrent use. Path, Engine and Team are set before the first call.
 type Demand struct {
-	// Engine is where the load goes, Path what is loaded.
+	// Engine is where the load goes, Path what is loaded, Team whose it is.
 	Engine string
 	Path   string
+	Team   string
 
 	lock    sync.Mutex // guards the fields below
 	waiting [snipecall.Classes]int
--- a/snipeweight/queue.go
+++ b/snipeweight/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 )
@@ -10,6 +11,14 @@
 	// agingTime is the wait that doubles the weight of an ask: the small are
 	// not passed over for good.
 	agingTime = 10 * time.Second
+	// shareTime is the time in which a team's past loads fall to 1/e.
+	shareTime = 30 * time.Second
+	// minShare is what is forgotten of a team's past loads.
+	minShare = 0.05
+	// fairExcess is how many times its even share of the loads a team may have
+	// before its asks count less; fairPower says how much less.
+	fairExcess = 1.5
+	fairPower  = 4
 	// keepAsk is how long an ask stays queued without its asker.
 	keepAsk = 3 * time.Second
 	// firstBackoff doubles with each failed load of a path, up to lastBackoff.
@@ -32,8 +41,9 @@
 // Ask is a request for permission to load.
 type Ask struct {
 	ID ID
-	// Path is what is to be loaded.
+	// Path is what is to be loaded, Team whose it is.
 	Path string
+	Team string
 	// Weight is what a second of waiting costs.
 	Weight float64
 	// Hold is how long a permission counts when its end is not told.
@@ -75,7 +85,9 @@
 	running  map[ID]time.Time // the end of each permission that is not told back
 	started  map[ID]time.Time
 	failures map[string]failure
-	next     time.Time // the earliest start of the next load
+	shares   map[string]float64 // loads of each team, decaying with shareTime
+	shared   time.Time          // when shares were decayed last
+	next     time.Time          // the earliest start of the next load
 	length   time.Duration
 	timer    *time.Timer
 }
@@ -96,6 +108,9 @@
 		q.lock.Unlock()
 		return Answer{Granted: true}
 	}
+	if _, ok := q.shares[a.Team]; !ok {
+		q.shares[a.Team] = 0 // counts as one that shares until the next load
+	}
 	w, ok := q.waiting[a.ID]
 	if !ok {
 		w = &queued{since: now}
@@ -136,6 +151,7 @@
 		q.running = map[ID]time.Time{}
 		q.started = map[ID]time.Time{}
 		q.failures = map[string]failure{}
+		q.shares = map[string]float64{}
 	}
 }
 
@@ -199,6 +215,7 @@
 		delete(q.waiting, w.ask.ID)
 		q.running[w.ask.ID] = now.Add(w.ask.Hold)
 		q.started[w.ask.ID] = now
+		q.charge(w.ask.Team, now)
 		q.next = now.Add(time.Duration(float64(time.Second) / perSecond))
 		close(w.granted)
 	}
@@ -245,7 +262,7 @@
 
 // before orders two asks; equal ones by their age and name.
 func (q *Queue) before(a, b *queued, now time.Time) bool {
-	x, y := cost(a, now), cost(b, now)
+	x, y := q.cost(a, now), q.cost(b, now)
 	switch {
 	case x != y:
 		return x > y
@@ -257,8 +274,35 @@
 	return a.ask.ID.Number < b.ask.ID.Number
 }
 
-func cost(w *queued, now time.Time) float64 {
-	return w.ask.Weight * (1 + float64(now.Sub(w.since))/float64(agingTime))
+// cost is what a second of the ask's wait costs, less for a team that has had
+// more than its fair share of the loads of late.
+func (q *Queue) cost(w *queued, now time.Time) float64 {
+	aged := w.ask.Weight * (1 + float64(now.Sub(w.since))/float64(agingTime))
+	excess := q.shares[w.ask.Team] * float64(len(q.shares)) / q.total()
+	if excess <= fairExcess {
+		return aged
+	}
+	return aged * math.Pow(fairExcess/excess, fairPower)
+}
+
+func (q *Queue) total() float64 {
+	sum := 0.0
+	for _, n := range q.shares {
+		sum += n
+	}
+	return max(sum, 1)
+}
+
+// charge counts a load for its team. The lock is held.
+func (q *Queue) charge(team string, now time.Time) {
+	decay := math.Exp(-float64(now.Sub(q.shared)) / float64(shareTime))
+	q.shared = now
+	for t := range q.shares {
+		if q.shares[t] *= decay; q.shares[t] < minShare {
+			delete(q.shares, t)
+		}
+	}
+	q.shares[team]++
 }
 
 // expect returns the time until the ask's load ends: those before it at the
--- a/snipeweight/queue_test.go
+++ b/snipeweight/queue_test.go
@@ -105,6 +105,37 @@
 	}
 }
 
+// TestStormingTeam: a team that floods the queue does not keep another one
+// waiting behind all its loads.
+func TestStormingTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := permits("i1", Local("i0", newQueue(1000, 1)))
+		var all sync.WaitGroup
+		order := make(chan string, 100)
+		load := func(team string, n int) {
+			d := &Demand{Path: fmt.Sprint(team, n), Team: team}
+			d.Join(snipecall.Standard)
+			release, err := p.Acquire(t.Context(), d)
+			must.NoError(t, err)
+			order <- team
+			time.Sleep(testLoad)
+			release(false)
+		}
+		for n := range 40 {
+			all.Go(func() { load("storm", n) })
+		}
+		time.Sleep(20 * testLoad)
+		all.Go(func() { load("calm", 0) })
+		time.Sleep(2 * testLoad)
+		calm := false
+		for range len(order) {
+			calm = <-order == "calm" || calm
+		}
+		must.True(t, calm)
+		all.Wait()
+	})
+}
+
 // TestFailedLoadsBackOff: a path that fails is refused at once, and others go on.
 func TestFailedLoadsBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/snipeweight/remote.go
+++ b/snipeweight/remote.go
@@ -56,7 +56,7 @@
 	outer, cancel := context.WithTimeout(context.WithoutCancel(ctx), length+answerSlack)
 	defer cancel()
 	r, err := service.Ask(outer, &snipeproto.WeightAskRequest{
-		Asker: a.ID.Asker, Number: a.ID.Number, Path: a.Path, Weight: a.Weight,
+		Asker: a.ID.Asker, Number: a.ID.Number, Path: a.Path, Team: a.Team, Weight: a.Weight,
 		HoldMilliseconds: a.Hold.Milliseconds(), PollMilliseconds: max(length.Milliseconds(), 1),
 	})
 	if err != nil {
@@ -92,7 +92,7 @@
 	bounded, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	a := s.Queue.Ask(bounded, Ask{
-		ID: ID{Asker: r.GetAsker(), Number: r.GetNumber()}, Path: r.GetPath(), Weight: weight, Hold: hold,
+		ID: ID{Asker: r.GetAsker(), Number: r.GetNumber()}, Path: r.GetPath(), Team: r.GetTeam(), Weight: weight, Hold: hold,
 	})
 	return &snipeproto.WeightAskResponse{
 		Granted: a.Granted, Backoff: a.Backoff, WaitMilliseconds: a.Wait.Milliseconds(),
--- a/snipeweight/snipeweight.go
+++ b/snipeweight/snipeweight.go
@@ -110,7 +110,7 @@
 		if h.Name != last {
 			length, last = firstPoll, h.Name
 		}
-		answer, err := p.ask(ctx, h, Ask{ID: id, Path: d.Path, Weight: d.Weight(), Hold: p.Hold}, length)
+		answer, err := p.ask(ctx, h, Ask{ID: id, Path: d.Path, Team: d.Team, Weight: d.Weight(), Hold: p.Hold}, length)
 		switch {
 		case ctx.Err() != nil:
 			p.leave(h, id, d.Path, answer)
