--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := go tool -modfile=tools/gen/go.mod buf
 
-.PHONY: all build demo test format lint generate check-generated unit short-replay bench-limits
+.PHONY: all build demo test format lint generate check-generated unit short-replay bench bench-limits
 
 all: build
 
@@ -14,7 +14,7 @@
 	./scripts/demo.sh
 
 # Everything that CI checks.
-test: lint check-generated unit short-replay
+test: lint check-generated unit short-replay short-faults
 
 format:
 	$(LINT) fmt
@@ -36,15 +36,34 @@
 short-replay: build
 	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
 
-.PHONY: faults short-faults
+.PHONY: faults short-faults rolling repeats
 
 # A round of faults over real processes: SEED=n, or all kept seeds without it.
 faults: build
 	for seed in $(if $(SEED),$(SEED),$$(cat scripts/fault-seeds.txt)); do FAULT_SEED=$$seed ./scripts/faults.sh || exit 1; done
 
+# Callers that repeat while the first try still runs; without claims this plan
+# shows calls that were executed twice.
+repeats: build
+	FAULT_PLAN=scripts/repeats.plan ./scripts/faults.sh
+
+# All instances replaced one after another: no call may be cut short.
+rolling: build
+	FAULT_PLAN=scripts/rolling.plan FAULT_REPLAY="-planned -min-answered 1" ./scripts/faults.sh
+
 short-faults: build
 	FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
 
+# Measures what one instance adds to a call; writes docs/bench.md.
+bench:
+	./scripts/bench.sh
+
 # Measures limits, retries, quarantine and health; writes docs/bench-limits.md.
 bench-limits:
 	./scripts/bench-limits.sh
+
+.PHONY: bench-policy
+
+# Measures the decisions about adapters; writes docs/bench-policy.md.
+bench-policy:
+	go test ./snipepolicy -count=1 -run TestPage -timeout 10m -args -policy.page $(CURDIR)/docs/bench-policy.md
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -10,6 +10,11 @@
 	Stopped        = define(103, "Stopped", logrus.InfoLevel)
 	StopForced     = define(104, "StopForced", logrus.WarnLevel)
 	ListenerFailed = define(105, "ListenerFailed", logrus.ErrorLevel)
+
+	CertificateInForce = define(106, "CertificateInForce", logrus.InfoLevel)
+	CertificateRefused = define(107, "CertificateRefused", logrus.ErrorLevel)
+	HandoverFailed     = define(108, "HandoverFailed", logrus.WarnLevel)
+	ConnectionFailed   = define(109, "ConnectionFailed", logrus.DebugLevel)
 )
 
 // Events of calls, 200 to 299.
@@ -37,6 +42,9 @@
 	EngineTaken      = define(402, "EngineTaken", logrus.InfoLevel)
 	EngineGivenUp    = define(403, "EngineGivenUp", logrus.InfoLevel)
 	OwnersReadFailed = define(404, "OwnersReadFailed", logrus.WarnLevel)
+	LeaseOutlived    = define(405, "LeaseOutlived", logrus.WarnLevel)
+	NameTaken        = define(406, "NameTaken", logrus.ErrorLevel)
+	EngineLost       = define(407, "EngineLost", logrus.WarnLevel)
 )
 
 // Events of membership, 450 to 469.
--- /dev/null
+++ b/snipeoperator/history.go
@@ -0,0 +1,60 @@
+package snipeoperator
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+
+	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/snipetree"
+)
+
+// GetHistory implements snipeproto.Operator.
+func (s *Server) GetHistory(ctx context.Context, r *snipeproto.GetHistoryRequest) (*snipeproto.GetHistoryResponse, error) {
+	if err := s.authorize(ctx, r.GetTeam()); err != nil {
+		return nil, err
+	}
+	edits, err := s.Settings.History(ctx, r.GetTeam())
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	out := &snipeproto.GetHistoryResponse{}
+	for _, e := range edits {
+		out.Edits = append(out.Edits, &snipeproto.Edit{
+			Revision: e.Revision, Version: e.Version, Accepted: e.Accepted.UnixMilli(),
+		})
+	}
+	return out, nil
+}
+
+// earlier returns a branch as it was at an earlier version.
+func (s *Server) earlier(ctx context.Context, r *snipeproto.GetSettingsRequest) (*snipeproto.GetSettingsResponse, error) {
+	document, err := s.Settings.Document(ctx, r.GetTeam(), r.GetVersion())
+	if err != nil {
+		return nil, documentError(err)
+	}
+	return &snipeproto.GetSettingsResponse{Version: r.GetVersion(), Document: document}, nil
+}
+
+// Rollback implements snipeproto.Operator. The old document is checked as any
+// other edit is, and becomes a new version: revisions never go back.
+func (s *Server) Rollback(ctx context.Context, r *snipeproto.RollbackRequest) (*snipeproto.ApplySettingsResponse, error) {
+	if err := s.authorize(ctx, r.GetTeam()); err != nil {
+		return nil, err
+	}
+	document, err := s.Settings.Document(ctx, r.GetTeam(), r.GetVersion())
+	if err != nil {
+		return nil, documentError(err)
+	}
+	return s.apply(ctx, snipetree.Edit{Team: r.GetTeam(), Expect: r.GetExpectVersion(), Document: document})
+}
+
+// documentError tells a version that there is not from one that cannot be read
+// now.
+func documentError(err error) error {
+	if errors.Is(err, snipetree.ErrUnknownVersion) {
+		return twirp.NotFoundError(err.Error())
+	}
+	return twirp.Unavailable.Error(err.Error())
+}
--- a/snipestand/plan.go
+++ b/snipestand/plan.go
@@ -18,8 +18,8 @@
 type Step struct {
 	// At is when, from the start of the replay.
 	At time.Duration
-	// Action is what: kill, start, freeze, thaw, cut, platform, engine, race
-	// or change.
+	// Action is what: kill, drain, start, freeze, thaw, cut, platform, engine,
+	// race, change or leave.
 	Action string
 	// Target is the process or link, Argument what the action needs.
 	Target, Argument string
@@ -47,6 +47,7 @@
 	slowTable   = 400
 	lostReplies = 5
 	failedLoads = 4
+	maxChunks   = 6
 )
 
 // planner is the state of one plan.
@@ -74,13 +75,27 @@
 	func(p *planner, at time.Duration) { p.platform(at, fmt.Sprintf(`{"LoseReplies":%d}`, lostReplies)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("table", p.Instances)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("caller", p.Instances)) },
+	func(p *planner, at time.Duration) { p.cut(at, p.pick("peer", p.Instances)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("toengine", p.Engines)) },
 	func(p *planner, at time.Duration) { p.cut(at, p.pick("toservice", p.Services)) },
 	func(p *planner, at time.Duration) {
 		p.add(at, "engine", p.pick("engine", p.Engines), fmt.Sprintf(`{"FailLoads":%d}`, failedLoads))
 	},
+	func(p *planner, at time.Duration) { p.stream(at, `{"SilentAfter":%d}`) },
+	func(p *planner, at time.Duration) { p.stream(at, `{"BreakAfter":%d}`) },
 	func(p *planner, at time.Duration) { p.add(at, "race", "ash", "") },
 	func(p *planner, at time.Duration) { p.add(at, "change", "bottling", "") },
+	func(p *planner, at time.Duration) {
+		target := p.pick("instance", p.Instances)
+		p.add(at, "drain", target, "")
+		p.add(at+longFault, "start", target, "")
+	},
+	func(p *planner, at time.Duration) {
+		// The last service leaves, and only once.
+		if !slices.ContainsFunc(p.steps, func(s Step) bool { return s.Action == "leave" }) {
+			p.add(at, "leave", fmt.Sprintf("service%d", p.Services), "")
+		}
+	},
 }
 
 // Plan makes a plan of faults, in the order of time. Faults overlap as the
@@ -131,6 +146,13 @@
 	p.add(at+p.duration(), "platform", "platform", "{}")
 }
 
+// stream makes an engine's connections fail after some chunks, for a while.
+func (p *planner) stream(at time.Duration, fault string) {
+	target := p.pick("engine", p.Engines)
+	p.add(at, "engine", target, fmt.Sprintf(fault, 1+p.random.IntN(maxChunks)))
+	p.add(at+p.duration(), "engine", target, "{}")
+}
+
 func (p *planner) cut(at time.Duration, link string) {
 	modes := []CutMode{CutBoth, CutForward, CutBack, CutStale, CutRefuse}
 	p.add(at, "cut", link, string(modes[p.random.IntN(len(modes))]))
