What an idle instance reads of the table no longer grows with the engines

Cause: with the new lease the table traffic an instance received grew from 221 to 793 bytes a second from 6 engines and 3 instances to 54 and 27: all owner rows were listed each minute, and without a platform list all lease rows too. At 600 engines and 340 instances that alone would pass 4 KB/s.

Ruled out: no listing at all (an announcement that was missed would stay so). Looks have one timer now, apart from the listing.

Change: the time between listings grows with the rows, up to 10 minutes; lease rows are read for seeds every 10 minutes once others are known; announcements of owners last 12 minutes.

--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -8,9 +8,12 @@
 
 bin=$PWD/bin
 work=$(mktemp -d)
-instances=3
-engines=3
-services=2
+instances=${instances:-3}
+engines=${engines:-3}
+services=${services:-2}
+operators_hop=${operators_hop:-310}
+peers_hop=${peers_hop:-320}
+timing=${timing-'"Lease": "3s", "Renew": "500ms", "Poll": "500ms",'}
 engine_hop=100
 service_hop=200
 platform=127.0.0.1:$base
@@ -62,7 +65,7 @@
 ctl_at() {
 	local n=$1
 	shift
-	"$bin/snipectl" -address 127.0.0.1:$((base + 310 + n)) "$@"
+	"$bin/snipectl" -address 127.0.0.1:$((base + operators_hop + n)) "$@"
 }
 
 start_outside() {
@@ -87,7 +90,7 @@
 	for n in $(seq $instances); do
 		links+=(-link "127.0.0.1:$((base + 350 + n))=127.0.0.1:$((base + 300 + n))")
 		links+=(-link "127.0.0.1:$((base + 360 + n))=$platform")
-		links+=(-link "127.0.0.1:$((base + 370 + n))=127.0.0.1:$((base + 320 + n))")
+		links+=(-link "127.0.0.1:$((base + 370 + n))=127.0.0.1:$((base + peers_hop + n))")
 	done
 	start cutter "$bin/snipestand" cutter -address 127.0.0.1:$((base + 1)) "${links[@]}"
 	engine_hop=150
@@ -105,9 +108,9 @@
 		[ -n "${table_hop:-}" ] && table=127.0.0.1:$((base + table_hop + n))
 		cat >"$work/instance$n.json" <<-JSON
 			{"Name": "entry-$n", "Domain": "domain-$n",
-			 "Callers": "127.0.0.1:$((base + 300 + n))", "Operators": "127.0.0.1:$((base + 310 + n))",
-			 "Peers": "127.0.0.1:$((base + 320 + n))", "PeerSecret": "demo-secret", $announced
-			 "BootstrapKeyHash": "$(hash demo-operator)", "Lease": "3s", "Renew": "500ms", "Poll": "500ms",
+			 "Callers": "127.0.0.1:$((base + 300 + n))", "Operators": "127.0.0.1:$((base + operators_hop + n))",
+			 "Peers": "127.0.0.1:$((base + peers_hop + n))", "PeerSecret": "demo-secret", $announced
+			 "BootstrapKeyHash": "$(hash demo-operator)", $timing
 			 "Platform": {"Table": "$table", "AccessKey": "demo", "SecretKey": "demo"}}
 		JSON
 		"$bin/snipepitchd" -settings "$work/instance$n.json" -check
--- a/snipeinstance/members.go
+++ b/snipeinstance/members.go
@@ -28,8 +28,13 @@
 	}
 }
 
+// rowsEvery is the time between two reads of all lease rows for seeds, once
+// other instances are known.
+const rowsEvery = 10 * time.Minute
+
 // seeds returns the instances that the platform lists and, while this instance
-// knows no other, those that have lease rows.
+// knows no other and now and then where there is no list, those that have lease
+// rows.
 func (i *Instance) seeds(ctx context.Context, table snipeplatform.Table) ([]snipemember.Seed, error) {
 	var all []snipemember.Seed
 	var listed error
@@ -40,9 +45,14 @@
 			all = append(all, snipemember.Seed{Name: l.Name, Address: l.Address})
 		}
 	}
-	if len(i.members.Members()) > 1 && len(all) > 0 {
+	known := len(i.members.Members()) > 1
+	if known && len(all) > 0 {
 		return all, nil
 	}
+	if known && time.Since(i.rowsRead) < rowsEvery {
+		return i.rowSeeds, nil
+	}
+	i.rowsRead = time.Now()
 	instances, err := snipelease.ReadInstances(ctx, table)
 	for _, m := range instances {
 		all = append(all, snipemember.Seed{Name: m.Name, Address: m.PeerAddress})
@@ -50,6 +60,7 @@
 	if len(all) == 0 {
 		return nil, errors.Join(listed, err)
 	}
+	i.rowSeeds = all
 	return all, nil
 }
 
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -67,6 +67,9 @@
 	permits  *snipeweight.Permits
 	keys     map[string]*snipecert.Keeper // by listener
 	members  *snipemember.Node
+	// Lease rows read for seeds; they belong to the goroutine of members.
+	rowSeeds []snipemember.Seed
+	rowsRead time.Time
 	claims   *snipeclaim.Claims
 
 	quarantine *quarantine
--- a/snipelease/snipelease.go
+++ b/snipelease/snipelease.go
@@ -64,9 +64,15 @@
 const (
 	// hintTTL is how long a change of owner is announced; it outlasts the time
 	// between two reads of all owner rows.
-	hintTTL = 2 * time.Minute
-	// listEvery is the time between two reads of all owner rows.
+	hintTTL = 12 * time.Minute
+	// listEvery is the time between two reads of all owner rows, for up to
+	// listRows of them; it grows with their number up to listMost.
 	listEvery = time.Minute
+	listRows  = 60
+	listMost  = 10 * time.Minute
+	// checkEvery is the time between two looks at the lease rows of those whose
+	// engines this instance would take.
+	checkEvery = time.Minute
 	// jitterShare is by how much the time between renewals varies.
 	jitterShare = 0.2
 )
@@ -209,6 +215,7 @@
 	first     bool // the lease row is this incarnation's
 	failed    bool // the last renewal failed, or its outcome is not known
 	listed    time.Time
+	looked    time.Time
 	rows      map[string]ownerRow
 	known     map[string]knownInstance
 	watched   map[string]watch
--- a/snipelease/step.go
+++ b/snipelease/step.go
@@ -182,8 +182,11 @@
 // list reads all owner rows now and then, to make up for announcements that
 // were missed.
 func (h *Holder) list(ctx context.Context) error {
-	if !h.listed.IsZero() && time.Since(h.listed) < listEvery {
-		return h.readHinted(ctx)
+	if !h.listed.IsZero() && time.Since(h.listed) < h.listInterval() {
+		if err := h.readHinted(ctx); err != nil {
+			return err
+		}
+		return h.checkDue(ctx)
 	}
 	rows, err := h.Table.List(ctx, ownersPartition)
 	if err != nil {
@@ -199,9 +202,25 @@
 		h.setRow(r.Sort, row)
 	}
 	h.listed = time.Now().Add(h.spread(listEvery) - listEvery)
+	return h.checkDue(ctx)
+}
+
+// checkDue checks if that is due. Two looks must be far enough apart for a
+// renewal to lie between them.
+func (h *Holder) checkDue(ctx context.Context) error {
+	if time.Since(h.looked) < checkEvery {
+		return nil
+	}
+	h.looked = time.Now().Add(h.spread(checkEvery) - checkEvery)
 	return h.check(ctx)
 }
 
+// listInterval is the time between two reads of all owner rows: longer where
+// there are many, so that what an instance reads in a second stays the same.
+func (h *Holder) listInterval() time.Duration {
+	return min(listEvery*time.Duration(max(len(h.rows)/listRows, 1)), listMost)
+}
+
 // check reads the lease rows of some live owners: those whose engines this
 // instance would be the first to take. An owner whose row has not changed
 // since the last look is thought to be gone, though the membership hears it.
