--- a/snipeinstance/listen.go
+++ b/snipeinstance/listen.go
@@ -58,19 +58,22 @@
 	return len(line), nil
 }
 
-// bounded counts the open connections of a listener.
+// bounded counts the open connections of a listener, and those of them that
+// have a request.
 type bounded struct {
 	net.Listener
-	limit int64
-	open  atomic.Int64
+	limit  int64
+	open   atomic.Int64
+	active atomic.Int64
 }
 
 // boundedConn is a connection that is counted until it is closed.
 type boundedConn struct {
 	net.Conn
-	over  bool
-	count *atomic.Int64
-	done  atomic.Bool
+	over   bool
+	count  *bounded
+	done   atomic.Bool
+	active atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -81,7 +84,7 @@
 			return nil, err
 		}
 		n := b.open.Add(1)
-		counted := &boundedConn{Conn: c, over: n > b.limit, count: &b.open}
+		counted := &boundedConn{Conn: c, over: n > b.limit, count: b}
 		if n <= b.limit+b.limit/overBound+1 {
 			return counted, nil
 		}
@@ -93,19 +96,44 @@
 // Close implements net.Conn.
 func (c *boundedConn) Close() error {
 	if c.done.CompareAndSwap(false, true) {
-		c.count.Add(-1)
+		c.count.open.Add(-1)
+		c.setActive(false)
 	}
 	return c.Conn.Close()
 }
 
-// overKey marks the context of a connection over the bound.
-type overKey struct{}
+func (c *boundedConn) setActive(active bool) {
+	if !c.active.CompareAndSwap(!active, active) {
+		return
+	}
+	if active {
+		c.count.active.Add(1)
+	} else {
+		c.count.active.Add(-1)
+	}
+}
 
-func markOver(ctx context.Context, c net.Conn) context.Context {
+// inner returns the counted connection below TLS.
+func inner(c net.Conn) (*boundedConn, bool) {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
-	if b, ok := c.(*boundedConn); ok && b.over {
+	b, ok := c.(*boundedConn)
+	return b, ok
+}
+
+// follow is called by the server when a connection's state changes.
+func follow(c net.Conn, state http.ConnState) {
+	if b, ok := inner(c); ok {
+		b.setActive(state == http.StateActive)
+	}
+}
+
+// overKey marks the context of a connection over the bound.
+type overKey struct{}
+
+func markOver(ctx context.Context, c net.Conn) context.Context {
+	if b, ok := inner(c); ok && b.over {
 		return context.WithValue(ctx, overKey{}, true)
 	}
 	return ctx
@@ -123,17 +151,25 @@
 	})
 }
 
-// newServer returns the server of a listener and what it accepts from.
-func newServer(l listener, n net.Listener) (*http.Server, net.Listener) {
-	n = &bounded{Listener: n, limit: int64(l.connections)}
+// server serves one listener.
+type server struct {
+	http   *http.Server
+	accept net.Listener
+	count  *bounded
+}
+
+func newServer(l listener, n net.Listener) *server {
+	s := &server{count: &bounded{Listener: n, limit: int64(l.connections)}}
+	s.accept = s.count
 	if l.keys != nil {
-		n = tls.NewListener(n, l.keys.Server())
+		s.accept = tls.NewListener(s.count, l.keys.Server())
 	}
-	return &http.Server{
-		Handler: refuseOver(l.handler), ConnContext: markOver, MaxHeaderBytes: 2 * maxHeader,
+	s.http = &http.Server{
+		Handler: refuseOver(l.handler), ConnContext: markOver, ConnState: follow, MaxHeaderBytes: 2 * maxHeader,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
 		ErrorLog: log.New(&connectionLog{logger: l.log, listener: l.name}, "", 0),
-	}, n
+	}
+	return s
 }
 
 func (i *Instance) addListener(ctx context.Context, g *run.Group, l listener) error {
@@ -142,26 +178,33 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", l.name)
 	}
-	server, n := newServer(l, i.meter.Traffic(l.name).Listener(n))
+	s := newServer(l, i.meter.Traffic(l.name).Listener(n))
 	g.Add(func() error {
-		err := server.Serve(n)
+		err := s.http.Serve(s.accept)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
 		i.Log.Error(snipelog.ListenerFailed, err, snipelog.Fields{"Listener": l.name})
 		return errors.Wrapf(err, "serve %s", l.name)
-	}, func(cause error) { end(server, cause) })
+	}, s.end)
 	return nil
 }
 
-// end closes a server: at once when the stop was forced, else after the last
-// bytes of answers are out, which a call's end does not wait for.
-func end(server *http.Server, cause error) {
+// end closes the server: at once when the stop was forced, else after the last
+// bytes of answers are out, which a call's end does not wait for. It does not
+// wait for connections that have not brought a request, as Shutdown does.
+func (s *server) end(cause error) {
 	if !errors.Is(cause, ErrForced) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
+		go func() {
+			defer cancel()
+			for ctx.Err() == nil && s.count.active.Load() > 0 {
+				time.Sleep(stopPoll)
+			}
+		}()
 		// What is left after the time is cut.
-		_ = server.Shutdown(ctx)
+		_ = s.http.Shutdown(ctx)
 	}
-	_ = server.Close()
+	_ = s.http.Close()
 }
--- a/snipeinstance/listen_test.go
+++ b/snipeinstance/listen_test.go
@@ -20,11 +20,11 @@
 var testAddress = netip.MustParseAddrPort("10.0.0.9:1")
 
 // startServer serves a listener on a network in memory.
-func startServer(n *snipestand.Network, l listener) *http.Server {
+func startServer(n *snipestand.Network, l listener) *server {
 	l.log = snipelog.Discard()
-	server, accept := newServer(l, n.Listen(testAddress))
-	go func() { _ = server.Serve(accept) }()
-	return server
+	s := newServer(l, n.Listen(testAddress))
+	go func() { _ = s.http.Serve(s.accept) }()
+	return s
 }
 
 // get sends one request on a connection and returns its answer.
@@ -43,7 +43,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &snipestand.Network{}
-		server := startServer(n, listener{
+		s := startServer(n, listener{
 			connections: 2,
 			handler:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
 		})
@@ -72,7 +72,7 @@
 		synctest.Wait()
 		status, _ = get(t, dial())
 		must.Eq(t, 200, status)
-		_ = server.Close()
+		_ = s.http.Close()
 		n.Cut()
 	})
 }
@@ -90,7 +90,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := &snipestand.Network{}
-				server := startServer(n, listener{
+				s := startServer(n, listener{
 					connections: 2,
 					handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 						_, _ = io.WriteString(w, "all of it")
@@ -102,7 +102,7 @@
 				_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 				must.NoError(t, err)
 				synctest.Wait()
-				go end(server, c.cause)
+				go s.end(c.cause)
 				r, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				if !c.whole {
 					must.Error(t, err)
@@ -118,3 +118,19 @@
 		})
 	}
 }
+
+// TestEndDoesNotWaitForNothing: a connection that has brought no request, as a
+// balancer keeps them ready, does not hold the end.
+func TestEndDoesNotWaitForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &snipestand.Network{}
+		s := startServer(n, listener{connections: 2, handler: http.NotFoundHandler()})
+		_, err := n.Dial(t.Context(), "tcp", testAddress.String())
+		must.NoError(t, err)
+		synctest.Wait()
+		start := time.Now()
+		s.end(nil)
+		must.Less(t, stopPoll, time.Since(start))
+		n.Cut()
+	})
+}
