--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -150,8 +151,8 @@
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := i.peerDial("ToPeers")
 	i.buildHealth()
+	toPeers := i.peerDial("ToPeers")
 	i.forward = &snipepeer.Client{
 		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
@@ -172,7 +173,7 @@
 		},
 		Duration: c.Lease.Value(), Renew: c.Renew.Value(), Margin: leaseMargin,
 		Engines: i.engineNames, Revision: i.revision, Busy: i.dispatch.Busy,
-		Operation: rand.Text, Log: i.Log,
+		Operation: rand.Text, Random: mathrand.Float64, Members: i.leaseMembers(), Log: i.Log,
 	}
 }
 
@@ -251,7 +252,7 @@
 	for name, e := range t.Platform.Engines {
 		o, owned := view.Owners[name]
 		if e.Base == c.Base {
-			add(name, owned && !e.Leaving && i.reachable(o.Instance))
+			add(name, owned && !o.Giving && !e.Leaving && i.reachable(o.Instance))
 		}
 	}
 	return all
@@ -277,6 +278,7 @@
 func (i *Instance) listeners() []listener {
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipelease.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.holder.Handler()))
 	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	peers.Handle(i.weightServer())
--- a/snipelease/check.go
+++ b/snipelease/check.go
@@ -16,10 +16,12 @@
 }
 
 // Holds reports whether this instance still owns the engine under the fencing
-// number, also while it is giving the engine up.
+// number, also while it is giving the engine up, and past its lease while the
+// table is down for everybody. What must not happen past the lease rests on a
+// write with OwnerCheck, which fails then.
 func (h *Holder) Holds(engine string, fence uint64) bool {
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	f, ok := h.owned[engine]
-	return ok && f == fence && time.Now().Before(h.deadline)
+	o, ok := h.owned[engine]
+	return ok && o.fence == fence && h.believes(o, time.Now())
 }
