--- a/snipeinstance/bench_test.go
+++ b/snipeinstance/bench_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
 	"snipepitch.example/snipepitch/snipeconfig"
 	"snipepitch.example/snipepitch/snipejson"
@@ -33,7 +34,9 @@
 // adds is the difference to calling the engine directly, in the same run.
 
 const (
-	benchKey    = "bench-key"
+	benchKey    = "callers-key-not-to-be-logged"
+	peerSecret  = "peers-secret-not-to-be-logged"
+	tableSecret = "tables-secret-not-to-be-logged"
 	benchChunks = 64
 )
 
@@ -94,6 +97,25 @@
 	// instances are the two; ended gets what each returned.
 	instances []*Instance
 	ended     []chan error
+	log       lockedBuffer
+}
+
+// lockedBuffer collects the log of both instances.
+type lockedBuffer struct {
+	lock sync.Mutex // guards text
+	text strings.Builder
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.text.String()
 }
 
 // serve serves a handler on loopback and returns where.
@@ -132,15 +154,18 @@
 	})
 	for n := range 2 {
 		c := snipeconfig.Default()
-		c.Name, c.Domain, c.PeerSecret = fmt.Sprintf("entry-%d", n), "d", "s"
+		c.Name, c.Domain, c.PeerSecret = fmt.Sprintf("entry-%d", n), "d", peerSecret
 		c.Callers, c.Operators, c.Peers = freeAddress(b), freeAddress(b), freeAddress(b)
-		c.Platform.Table, c.Platform.AccessKey, c.Platform.SecretKey = table, "a", "s"
+		c.Platform.Table, c.Platform.AccessKey, c.Platform.SecretKey = table, "a", tableSecret
 		c.Poll, c.Renew = snipejson.Duration(50*time.Millisecond), snipejson.Duration(200*time.Millisecond)
 		if change != nil {
 			change(&c)
 		}
 		must.NoError(b, c.Check())
 		i := &Instance{Config: c, Log: snipelog.Discard()}
+		if change != nil {
+			i.Log = snipelog.New(&s.log, logrus.TraceLevel, c.Name)
+		}
 		s.instances = append(s.instances, i)
 		must.NoError(b, i.build())
 		done := make(chan error, 1)
--- a/snipeinstance/whole_test.go
+++ b/snipeinstance/whole_test.go
@@ -119,4 +119,10 @@
 		i.Stop()
 		must.NoError(t, <-s.ended[n])
 	}
+	// All that went wrong here is logged, and nothing secret with it.
+	log := s.log.String()
+	must.StrContains(t, log, "HandoverFailed")
+	for _, secret := range []string{benchKey, peerSecret, tableSecret} {
+		must.StrNotContains(t, log, secret)
+	}
 }
