--- a/snipecaller/snipecaller.go
+++ b/snipecaller/snipecaller.go
@@ -84,6 +84,9 @@
 	mux.HandleFunc("POST "+snipeupstream.CompletionsPath, s.handle)
 	mux.HandleFunc("POST "+snipeupstream.ChatPath, s.handle)
 	mux.HandleFunc(servicesPrefix, s.handle)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, s.NewID(), refused(snipeerror.ErrBadRequest, "no such call: "+r.Method+" "+strconv.Quote(r.URL.Path)))
+	})
 	return mux
 }
 
--- a/snipecaller/snipecaller_test.go
+++ b/snipecaller/snipecaller_test.go
@@ -93,6 +93,8 @@
 		}, 431, snipeerror.ErrHeaderTooLarge, "1000 bytes"},
 		"no key":        {goodBody, func(_ *Server, r *http.Request) { r.Header.Del("Authorization") }, 401, snipeerror.ErrUnauthenticated, "bearer"},
 		"unknown key":   {goodBody, func(_ *Server, r *http.Request) { r.Header.Set("Authorization", "Bearer x") }, 401, snipeerror.ErrUnauthenticated, "key"},
+		"other path":    {goodBody, func(_ *Server, r *http.Request) { r.URL.Path = "/v1/embeddings" }, 400, snipeerror.ErrBadRequest, "no such call"},
+		"other method":  {goodBody, func(_ *Server, r *http.Request) { r.Method = http.MethodGet }, 400, snipeerror.ErrBadRequest, "no such call"},
 		"bad class":     {goodBody, func(_ *Server, r *http.Request) { r.Header.Set(ClassHeader, "Urgent") }, 400, snipeerror.ErrBadRequest, "Urgent"},
 		"bad timeout":   {goodBody, func(_ *Server, r *http.Request) { r.Header.Set(TimeoutHeader, "-1s") }, 400, snipeerror.ErrBadRequest, TimeoutHeader},
 		"bad flag":      {goodBody, func(_ *Server, r *http.Request) { r.Header.Set(IdempotentHeader, "maybe") }, 400, snipeerror.ErrBadRequest, IdempotentHeader},
