--- a/snipepeer/snipepeer_test.go
+++ b/snipepeer/snipepeer_test.go
@@ -331,3 +331,19 @@
 		})
 	}
 }
+
+// TestRefusalOnKeptConnection: the bound on writes of an earlier hop does not
+// cut a refusal on the same connection, which would read as "may have run".
+func TestRefusalOnKeptConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		sink, _ := collect()
+		must.NoError(t, b.client.Forward(t.Context(), ownerAddress, newCall(), sink))
+		time.Sleep(20 * time.Second)
+		b.client.Secret = "other"
+		err := b.client.Forward(t.Context(), ownerAddress, newCall(), sink)
+		must.ErrorIs(t, err, snipeerror.ErrUnauthenticated)
+		must.Eq(t, snipeerror.NotRun, snipeerror.From(err).Outcome)
+		must.Eq(t, 1, b.network.Opened())
+	})
+}
