A slow reader is not a silent connection

Cause: the watch for silence ran on while a chunk was being passed on, so that a caller that did not read for 5 s had its answer's connection closed, and the answer resumed or lost (TestSlowCallerIsNotSilence, failing first). Change: the watch is held while what has arrived is passed on. Ruled out: a longer Progress, which would find real silences later.

TestSlowEntry hung at first: a paused clock does not go on while a goroutine waits for a mutex, here a beat behind a blocked write; it runs without beats.

--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -288,6 +288,7 @@
 		if err != nil {
 			return errors.Wrapf(errBroken, "after event %d: %v", h.sequence, err)
 		}
+		x.Hold()
 		switch {
 		case e.ID > h.sequence+1, e.ID == 0 && e.Name != eventBeat:
 			return errors.Wrapf(errBroken, "event %d after %d", e.ID, h.sequence)
--- a/snipepeer/snipepeer_test.go
+++ b/snipepeer/snipepeer_test.go
@@ -347,3 +347,21 @@
 		must.Eq(t, 1, b.network.Opened())
 	})
 }
+
+// TestSlowEntry: an entry that does not read for longer than a write to it may
+// take gets the whole answer all the same.
+func TestSlowEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		// A paused clock does not go on while a beat waits for the session's lock.
+		b.handler.Beat = time.Hour
+		sink, got := collect()
+		must.NoError(t, b.client.Forward(t.Context(), ownerAddress, newCall(), func(c snipecall.Chunk) error {
+			if c.Sequence == 3 {
+				time.Sleep(8 * time.Second)
+			}
+			return sink(c)
+		}))
+		must.Eq(t, wholeAnswer(10), *got)
+	})
+}
--- a/snipeupstream/answer.go
+++ b/snipeupstream/answer.go
@@ -123,6 +123,7 @@
 		if err != nil {
 			return errors.Wrapf(errBroken, "after chunk %d: %v", a.sequence, err)
 		}
+		x.Hold()
 		if err := a.take(event); err != nil {
 			return err
 		}
--- a/snipeupstream/engine_test.go
+++ b/snipeupstream/engine_test.go
@@ -318,6 +318,21 @@
 	})
 }
 
+// TestSlowCallerIsNotSilence: the time that a caller takes to read is not the
+// engine's silence, and costs no connection.
+func TestSlowCallerIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript(t, stream(1, 2, 3, 4, 5))
+		sink, got := collect()
+		must.NoError(t, s.engine.Call(t.Context(), modelCall(), testAlias, func(c snipecall.Chunk) error {
+			time.Sleep(20 * time.Second)
+			return sink(c)
+		}))
+		must.Eq(t, complete, *got)
+		must.Eq(t, 1, s.network.Opened())
+	})
+}
+
 // TestNonIdempotentOnFreshConnection: calls that may not be repeated, and
 // orders, never meet a kept connection.
 func TestNonIdempotentOnFreshConnection(t *testing.T) {
--- a/snipeupstream/exchange.go
+++ b/snipeupstream/exchange.go
@@ -87,6 +87,10 @@
 	}
 }
 
+// Hold stops the watch until the next Alive: while what has arrived is being
+// passed on, a slow reader is not a silent connection.
+func (x *Exchange) Hold() { x.watch.Stop() }
+
 // Silent reports that the exchange was ended for its silence.
 func (x *Exchange) Silent() bool { return x.silent.Load() }
 
