What has begun to answer has run; a fuzz target for what peers answer

Cause: a failure that said NotRun after chunks had gone out was passed on as it was, by the hop and to the caller, who would have sent the call again; a whole answer was taken after chunks, and without a status. The seeds of FuzzHop and the new case of TestStreamEnds failed first. Change: such failures say MayHaveRun, such whole answers are refused. `make fuzz` runs every target.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BUF := go tool -modfile=tools/gen/go.mod buf
 
-.PHONY: all build demo test format lint generate check-generated unit short-replay bench bench-limits
+.PHONY: all build demo test format lint generate check-generated unit short-replay bench bench-limits fuzz
 
 all: build
 
@@ -54,6 +54,10 @@
 short-faults: build
 	FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
 
+# Fuzzes each target for FUZZ_TIME (10s); `make unit` runs the seeds alone.
+fuzz:
+	./scripts/fuzz.sh
+
 # Measures what one instance adds to a call; writes docs/bench.md.
 bench:
 	./scripts/bench.sh
--- a/snipecaller/reply.go
+++ b/snipecaller/reply.go
@@ -98,6 +98,10 @@
 		f.Write(o.response, id)
 		return
 	}
+	begun := *f
+	// What has begun to answer has run, whatever the failure says.
+	begun.Outcome = snipeerror.MayHaveRun
+	f = &begun
 	e := snipestream.Event{ID: o.sequence + 1, Name: "error", Data: f.Encode(id)}
 	// The caller may be gone; there is nobody to tell.
 	_, _ = o.response.Write(snipestream.Append(nil, e))
--- a/snipecaller/snipecaller_test.go
+++ b/snipecaller/snipecaller_test.go
@@ -152,6 +152,11 @@
 			snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "engine gone"),
 			"id: 2\nevent: error\n", "AnswerIncomplete",
 		},
+		"failure that says not run": {
+			[]snipecall.Chunk{chunk(1, "plume@2")},
+			snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "x"),
+			"id: 2\nevent: error\n", "Overloaded",
+		},
 		"gap":              {[]snipecall.Chunk{chunk(1, "plume@2"), chunk(3, "plume@2")}, nil, "id: 2\nevent: error\n", "AnswerIncomplete"},
 		"duplicate":        {[]snipecall.Chunk{chunk(1, "plume@2"), chunk(1, "plume@2")}, nil, "id: 2\nevent: error\n", "AnswerIncomplete"},
 		"other adapter":    {[]snipecall.Chunk{chunk(1, "plume@2"), chunk(2, "plume@1")}, nil, "id: 2\nevent: error\n", "AnswerMismatch"},
@@ -174,6 +179,7 @@
 			must.StrNotContains(t, got, "plume@1\"}")
 			must.Eq(t, c.code == "", strings.HasSuffix(got, "data: [DONE]\n\n"))
 			must.Eq(t, c.code != "", strings.Contains(got, `"code":"`+c.code+`"`))
+			must.StrNotContains(t, got, "NotRun")
 		})
 	}
 }
--- a/snipepeer/fuzz_test.go
+++ b/snipepeer/fuzz_test.go
@@ -1,6 +1,7 @@
 package snipepeer
 
 import (
+	"bytes"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	"github.com/shoenig/test/must"
 
 	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipestream"
 )
 
 // FuzzDecodeCall: whatever a peer sends, a call that is taken is one that an
@@ -38,3 +41,43 @@
 		must.True(t, time.Now().Add(d).After(time.Time{}))
 	})
 }
+
+// FuzzHop: whatever a peer answers, what is passed on is in order, and nothing
+// follows the last event.
+func FuzzHop(f *testing.F) {
+	for _, seed := range []string{
+		"id: 1\nevent: Chunk\ndata: {}\n\nevent: Beat\ndata: {}\n\nid: 2\nevent: Last\ndata: [DONE]\n\nid: 3\nevent: Chunk\ndata: x\n\n",
+		"id: 1\nevent: Whole\ndata: {\"Status\":200,\"ContentType\":\"x\",\"Data\":\"eA==\"}\n\n", "id: 1\nevent: Whole\ndata: {\"Data\":7}\n\n",
+		"id: 1\nevent: Chunk\ndata: a\n\nid: 2\nevent: Whole\ndata: {\"Status\":200}\n\n", "id: 1\nevent: Whole\ndata: {}\n\n",
+		"id: 1\nevent: Failure\ndata: {\"error\":{\"code\":\"Overloaded\"},\"Outcome\":\"NotRun\"}\n\n", "id: 1\nevent: Failure\ndata: x\n\n",
+		"id: 1\nevent: Chunk\ndata: a\n\nid: 2\nevent: Failure\ndata: {\"error\":{\"code\":\"Overloaded\"},\"Outcome\":\"NotRun\"}\n\n",
+		"id: 2\nevent: Chunk\ndata: a\n\n", "id: 1\nevent: Other\ndata: a\n\n", "event: Chunk\ndata: a\n\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		var next uint64
+		last := false
+		h := &hop{call: newCall(), sink: func(c snipecall.Chunk) error {
+			next++
+			must.Eq(t, next, c.Sequence)
+			must.False(t, last)
+			must.True(t, c.Status == 0 || next == 1 && c.Last && c.Status >= 200)
+			last = c.Last
+			return nil
+		}}
+		reader := snipestream.NewReader(bytes.NewReader(input))
+		for !h.ended {
+			e, err := reader.Read()
+			if err != nil {
+				break
+			}
+			if err = h.event(e); err != nil {
+				// What has begun may have run, whatever a peer says.
+				must.True(t, next == 0 || snipeerror.From(err).Outcome == snipeerror.MayHaveRun)
+				return
+			}
+		}
+		must.Eq(t, h.ended, last)
+	})
+}
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -60,6 +60,7 @@
 	maxResumes    = 3
 	resumePause   = 50 * time.Millisecond
 	cancelTimeout = 2 * time.Second
+	maxStatus     = 599
 	// maxWhole bounds one event: the largest is an answer that is not
 	// streamed, in base64.
 	maxWhole = 2 * snipeupstream.MaxAnswer
@@ -289,19 +290,25 @@
 			return errors.Wrapf(errBroken, "after event %d: %v", h.sequence, err)
 		}
 		x.Hold()
-		switch {
-		case e.ID > h.sequence+1, e.ID == 0 && e.Name != eventBeat:
-			return errors.Wrapf(errBroken, "event %d after %d", e.ID, h.sequence)
-		case e.ID == h.sequence+1:
-			h.sequence = e.ID
-			if err := h.pass(e); err != nil || h.ended {
-				return err
-			}
+		if err := h.event(e); err != nil || h.ended {
+			return err
 		}
 		x.Alive(h.client.Progress)
 	}
 }
 
+// event puts one event in its place and hands it on.
+func (h *hop) event(e snipestream.Event) error {
+	switch {
+	case e.ID > h.sequence+1, e.ID == 0 && e.Name != eventBeat:
+		return errors.Wrapf(errBroken, "event %d after %d", e.ID, h.sequence)
+	case e.ID == h.sequence+1:
+		h.sequence = e.ID
+		return h.pass(e)
+	}
+	return nil
+}
+
 // pass hands one event on.
 func (h *hop) pass(e snipestream.Event) error {
 	switch e.Name {
@@ -315,6 +322,9 @@
 		if err := json.Unmarshal(e.Data, &w); err != nil {
 			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "whole answer: "+err.Error())
 		}
+		if e.ID != 1 || w.Status < http.StatusOK || w.Status > maxStatus {
+			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "whole answer in place or status")
+		}
 		h.ended = true
 		return h.sink(snipecall.Chunk{
 			Sequence: 1, Status: w.Status, ContentType: w.ContentType, Data: w.Data, Last: true,
@@ -325,6 +335,10 @@
 			return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, err.Error())
 		}
 		h.ended = true
+		if e.ID > 1 {
+			// What has begun to answer has run.
+			f.Outcome = snipeerror.MayHaveRun
+		}
 		return f
 	}
 	return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, "event "+strconv.Quote(e.Name))
