--- a/snipepeer/snipepeer_test.go
+++ b/snipepeer/snipepeer_test.go
@@ -331,3 +331,37 @@
 		})
 	}
 }
+
+// TestRefusalOnKeptConnection: the bound on writes of an earlier hop does not
+// cut a refusal on the same connection, which would read as "may have run".
+func TestRefusalOnKeptConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		sink, _ := collect()
+		must.NoError(t, b.client.Forward(t.Context(), ownerAddress, newCall(), sink))
+		time.Sleep(20 * time.Second)
+		b.client.Secret = "other"
+		err := b.client.Forward(t.Context(), ownerAddress, newCall(), sink)
+		must.ErrorIs(t, err, snipeerror.ErrUnauthenticated)
+		must.Eq(t, snipeerror.NotRun, snipeerror.From(err).Outcome)
+		must.Eq(t, 1, b.network.Opened())
+	})
+}
+
+// TestSlowEntry: an entry that does not read for longer than a write to it may
+// take gets the whole answer all the same.
+func TestSlowEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		// A paused clock does not go on while a beat waits for the session's lock.
+		b.handler.Beat = time.Hour
+		sink, got := collect()
+		must.NoError(t, b.client.Forward(t.Context(), ownerAddress, newCall(), func(c snipecall.Chunk) error {
+			if c.Sequence == 3 {
+				time.Sleep(8 * time.Second)
+			}
+			return sink(c)
+		}))
+		must.Eq(t, wholeAnswer(10), *got)
+	})
+}
