--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -81,9 +82,13 @@
 	if err := i.build(); err != nil {
 		return err
 	}
-	i.signals = make(chan os.Signal, 2)
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(i.signals)
+	return i.serve(ctx)
+}
+
+// serve runs the duties until one of them ends.
+func (i *Instance) serve(ctx context.Context) error {
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
@@ -115,6 +120,7 @@
 		return err
 	}
 	i.stopping = make(chan struct{}, 1)
+	i.signals = make(chan os.Signal, 2)
 	i.meter = snipemeter.New()
 	table := snipeplatform.Dynamo{
 		Address: c.Platform.Table, Table: c.Platform.TableName,
@@ -134,7 +140,7 @@
 func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
-	i.buildWeights(dial)
+	i.buildWeights()
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
@@ -145,8 +151,8 @@
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := i.peerDial(dial)
 	i.buildHealth()
+	toPeers := i.peerDial("ToPeers")
 	i.forward = &snipepeer.Client{
 		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
@@ -167,7 +173,7 @@
 		},
 		Duration: c.Lease.Value(), Renew: c.Renew.Value(), Margin: leaseMargin,
 		Engines: i.engineNames, Revision: i.revision, Busy: i.dispatch.Busy,
-		Operation: rand.Text, Log: i.Log,
+		Operation: rand.Text, Random: mathrand.Float64, Members: i.leaseMembers(), Log: i.Log,
 	}
 }
 
@@ -246,7 +252,7 @@
 	for name, e := range t.Platform.Engines {
 		o, owned := view.Owners[name]
 		if e.Base == c.Base {
-			add(name, owned && !e.Leaving && i.reachable(o.Instance))
+			add(name, owned && !o.Giving && !e.Leaving && i.reachable(o.Instance))
 		}
 	}
 	return all
@@ -272,6 +278,7 @@
 func (i *Instance) listeners() []listener {
 	peers := http.NewServeMux()
 	peers.Handle(snipepeer.Path, i.peers)
+	peers.Handle(snipelease.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.holder.Handler()))
 	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
 	peers.Handle(i.weightServer())
