--- a/Makefile
+++ b/Makefile
@@ -49,10 +49,10 @@
 
 # All instances replaced one after another: no call may be cut short.
 rolling: build
-	FAULT_PLAN=scripts/rolling.plan FAULT_REPLAY="-planned -min-answered 1" ./scripts/faults.sh
+	FAULT_CRASHES=0 FAULT_PLAN=scripts/rolling.plan FAULT_REPLAY="-planned -min-answered 1" ./scripts/faults.sh
 
 short-faults: build
-	FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
+	FAULT_CRASHES=0 FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
 
 # Measures what one instance adds to a call; writes docs/bench.md.
 bench:
--- a/cmd/snipereplay/main.go
+++ b/cmd/snipereplay/main.go
@@ -80,6 +80,7 @@
 	flag.DurationVar(&s.Length, "length", 10*time.Second, "length of a generated trace")
 	flag.IntVar(&s.Adapters, "adapters", 100, "adapters of each team in a generated trace")
 	flag.StringVar(&s.Service, "service", "", "plain service in a generated trace")
+	flag.IntVar(&s.Crashes, "crashes", 0, "calls of a generated trace that crash engines")
 	flag.DurationVar(&s.Timeout, "timeout", 20*time.Second, "deadline of each call in a generated trace")
 	flag.Func("popularity", "`steady`, shift, drift or storm (default steady)", func(text string) error {
 		s.Popularity = snipetrace.Popularity(text)
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -4,6 +4,7 @@
 # settings, all under a replayed trace. The plan comes from the seed and is
 # printed. Only processes that this script has started are signalled.
 #
+# FAULT_CRASHES calls that crash the engines they run on (1);
 # FAULT_SEED the seed; FAULT_COUNT faults; FAULT_LENGTH seconds by which they
 # have ended; FAULT_PORT the first of 400 ports; FAULT_PLAN a file with a plan
 # of its own; KEEP_LOGS a directory that takes all logs.
@@ -28,7 +29,7 @@
 # Long enough that kills and cuts meet calls that are being executed.
 service_delay=300ms
 timeout=9s
-declare -A draining
+declare -A draining down
 . scripts/stand.sh
 
 # version N TEAM: prints the version of a team's branch as instance N has it.
@@ -118,6 +119,24 @@
 	done
 }
 
+# revive: starts engines again that a call has crashed.
+revive() {
+	local n
+	for n in $(seq $engines); do
+		[ -n "${down[engine$n]:-}" ] || alive "engine$n" || again "engine$n"
+	done
+}
+
+# sleep_until MICROSECONDS: waits, reviving engines meanwhile.
+sleep_until() {
+	local left
+	while left=$(($1 - (${EPOCHREALTIME/./} - begin))) && [ "$left" -gt 0 ]; do
+		[ "$left" -gt 500000 ] && left=500000
+		sleep "0.$(printf %06d "$left")"
+		revive
+	done
+}
+
 # link NAME: prints the cutter's listener of a link of the plan.
 link() {
 	local n=${1//[a-z]/}
@@ -134,11 +153,15 @@
 step() {
 	case $1 in
 	kill)
+		down[$2]=1
 		end "$2"
 		unset "draining[$2]"
 		;;
 	drain) alive "$2" && kill -TERM "${pid[$2]}" && draining[$2]=1 || true ;;
-	start) alive "$2" || { drained "$2" && again "$2"; } ;;
+	start)
+		unset "down[$2]"
+		alive "$2" || { drained "$2" && again "$2"; }
+		;;
 	leave) leave "$2" ;;
 	freeze) kill -STOP "${pid[$2]}" 2>/dev/null || true ;;
 	thaw) kill -CONT "${pid[$2]}" 2>/dev/null || true ;;
@@ -225,15 +248,19 @@
 	owned
 	for n in $(seq $instances); do watch "$n" & done
 	"$bin/snipereplay" -load -seed "$seed" -calls $(((length + 4) * rate)) -length $((length + 4))s -adapters $adapters \
-		-service orders -timeout $timeout -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
+		-crashes "${FAULT_CRASHES:-1}" -service orders -timeout $timeout -popularity shift -keys bottling=bottling-key,ash=ash-key -settle 3s ${FAULT_REPLAY:-} \
 		-entries "$(entries $((base + caller_hop)))" -upstreams "$(upstreams)" -json "$work/result.json" &
 	replay=$!
 	begin=${EPOCHREALTIME/./}
 	while read -r at action target argument; do
-		wait_for=$((at * 1000 - (${EPOCHREALTIME/./} - begin)))
-		[ "$wait_for" -gt 0 ] && sleep "$((wait_for / 1000000)).$(printf %06d $((wait_for % 1000000)))"
+		sleep_until $((at * 1000))
 		step "$action" "$target" "$argument"
 	done <"$work/plan"
+	sleep_until $(((length + 4) * 1000000))
+	while alive_pid "$replay"; do
+		sleep 0.5
+		revive
+	done
 	wait "$replay" || verdict=$?
 	finish_drains
 	settle
--- a/scripts/stand.sh
+++ b/scripts/stand.sh
@@ -56,6 +56,8 @@
 # alive NAME: tells whether the process is there.
 alive() { kill -0 "${pid[$1]}" 2>/dev/null; }
 
+alive_pid() { kill -0 "$1" 2>/dev/null; }
+
 hash() { printf %s "$1" | "$bin/snipectl" hash; }
 
 # ctl_at N ARGUMENTS...: the operators' command line at instance N.
--- a/snipereplay/audit.go
+++ b/snipereplay/audit.go
@@ -82,6 +82,9 @@
 			r.breach("refused with " + t.Code + " as not run, but was executed")
 		}
 	}
+	if n := a.calls[identity("", r.Record.Prompt)]; r.Record.Crashes && n > snipetrace.MaxCrashes {
+		r.breach("crashed " + strconv.Itoa(n) + " engines")
+	}
 	if r.Record.Service == "" {
 		last := r.Tries[max(len(r.Tries)-1, 0):]
 		if r.Answered && (len(last) == 0 || a.requests[last[0].Request] == 0) {
--- a/snipereplay/judge.go
+++ b/snipereplay/judge.go
@@ -35,6 +35,8 @@
 func (r *Result) judgeRefusal() {
 	want := r.Record.Code
 	switch {
+	case r.Record.Crashes && r.Answered:
+		r.breach("answered, but its prompt crashes engines")
 	case want != "" && r.Answered:
 		r.breach("answered, but must be refused with " + want)
 	case want == r.Refused:
--- a/snipereplay/judge_test.go
+++ b/snipereplay/judge_test.go
@@ -34,6 +34,7 @@
 	whole    = snipetrace.Record{Team: "t", Model: "a@1", Path: "t/a/1", Prompt: "p", MaxTokens: 3, Timeout: timeout}
 	unknown  = snipetrace.Record{Team: "t", Model: "b@1", Code: "UnknownAdapter", Prompt: "p", Timeout: timeout}
 	keyed    = snipetrace.Record{Team: "t", Service: "s", Key: "k", Prompt: "p", Timeout: timeout}
+	crashing = snipetrace.Record{Team: "t", Model: "a@1", Path: "t/a/1", Prompt: "p", MaxTokens: 3, Crashes: true, Timeout: timeout}
 	keyless  = snipetrace.Record{Team: "t", Service: "s", Prompt: "p", Timeout: timeout}
 
 	errDial = &net.OpError{Op: "dial", Err: errors.New("connection refused")}
@@ -144,6 +145,9 @@
 		"answered, must be refused": {unknown, func() (*http.Response, error) {
 			return wholeAnswer("t/b/1", "b@1", "stop")
 		}, "must be refused"},
+		"crashes, but answered": {crashing, func() (*http.Response, error) {
+			return wholeAnswer("t/a/1", "a@1", "stop")
+		}, "crashes engines"},
 		"refused, must be answered": {whole, func() (*http.Response, error) {
 			return failure(snipeerror.ErrUnknownAdapter, snipeerror.NotRun)
 		}, "refused with UnknownAdapter"},
@@ -282,6 +286,8 @@
 		"answered and never":          {keyed, true, snipereplay.Done, nil, "never executed"},
 		"not run, but executed":       {keyless, false, snipereplay.NotRun, ran(1, "", "p"), "as not run, but was executed"},
 		"model not run, but executed": {whole, false, snipereplay.NotRun, ran(1, "", ""), "as not run, but was executed"},
+		"two crashes":                 {crashing, false, snipereplay.MayHaveRun, ran(2, "", "p"), ""},
+		"three crashes":               {crashing, false, snipereplay.MayHaveRun, ran(3, "", "p"), "crashed 3 engines"},
 		"model answered":              {whole, true, snipereplay.Done, ran(1, "", ""), ""},
 		"model answered and never":    {whole, true, snipereplay.Done, nil, "no engine executed it"},
 		"not sent, but executed":      {keyless, false, snipereplay.NotSent, ran(1, "", "p"), "every try"},
--- a/snipereplay/report.go
+++ b/snipereplay/report.go
@@ -86,7 +86,7 @@
 	switch {
 	case r.Answered:
 		p.Answered++
-	case r.Record.Code != "" && r.Record.Code == r.Refused:
+	case r.Record.Crashes, r.Record.Code != "" && r.Record.Code == r.Refused:
 		p.Stated++
 	default:
 		p.Refused++
--- a/snipestand/engine.go
+++ b/snipestand/engine.go
@@ -237,6 +237,8 @@
 		prompt = string(c.Messages)
 	}
 	if strings.Contains(prompt, CrashPrompt) && e.Crash != nil {
+		// The engine ends here in any case.
+		_ = e.Executed.Add(Execution{Request: r.Header.Get("X-Request-Id"), Body: prompt})
 		e.Crash()
 	}
 	e.lock.Lock()
--- a/snipetrace/generate.go
+++ b/snipetrace/generate.go
@@ -10,6 +10,7 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipejson"
+	"snipepitch.example/snipepitch/snipestand"
 )
 
 // ErrBadShape is returned for a shape that cannot be generated.
@@ -47,6 +48,8 @@
 	Adapters int
 	// Service is a plain service that a part of the calls go to.
 	Service string
+	// Crashes is how many calls, evenly over Length, crash engines.
+	Crashes int
 	// Timeout is the deadline of each call.
 	Timeout time.Duration
 }
@@ -109,6 +112,9 @@
 		at := time.Duration(float64(s.Length) * float64(n) / float64(s.Calls))
 		g.move(n)
 		all = append(all, g.record(at, s.Teams[r.IntN(len(s.Teams))]))
+		if (n+1)*(s.Crashes+1)/s.Calls != n*(s.Crashes+1)/s.Calls && n+1 < s.Calls {
+			all = append(all, g.crash(at))
+		}
 		if s.Popularity == Storm && n >= s.Calls/3 && n < 2*s.Calls/3 {
 			all = append(all, g.storm(n, at)...)
 		}
@@ -144,6 +150,18 @@
 	return extra
 }
 
+// crash returns a call that crashes engines.
+func (g *generator) crash(at time.Duration) Record {
+	team, adapter := g.Teams[0], g.ranks[0]
+	g.count++
+	return Record{
+		At: snipejson.Duration(at), Team: team, Class: snipecall.Standard, Crashes: true,
+		Model: fmt.Sprintf("adapter-%d@1", adapter), Path: fmt.Sprintf("%s/adapter-%d/1", team, adapter),
+		Prompt:  fmt.Sprintf("call %d of seed %d %s", g.count, g.Seed, snipestand.CrashPrompt),
+		Timeout: snipejson.Duration(g.Timeout), MaxTokens: shortestAnswer,
+	}
+}
+
 func (g *generator) record(at time.Duration, team string) Record {
 	r := g.random
 	c := Record{
--- a/snipetrace/generate_test.go
+++ b/snipetrace/generate_test.go
@@ -63,6 +63,21 @@
 	}
 }
 
+func TestGenerateCrashes(t *testing.T) {
+	s := shape(snipetrace.Steady)
+	s.Crashes = 3
+	records, err := snipetrace.Generate(s)
+	must.NoError(t, err)
+	crashes := 0
+	for _, r := range records {
+		must.NoError(t, r.Check())
+		if r.Crashes {
+			crashes++
+		}
+	}
+	must.Eq(t, 3, crashes)
+}
+
 func TestReadRefuses(t *testing.T) {
 	tests := map[string]string{
 		"neither model nor service": `{"Team":"t","Timeout":"1s"}`,
--- a/snipetrace/snipetrace.go
+++ b/snipetrace/snipetrace.go
@@ -48,10 +48,17 @@
 	// Path is the stated outcome of a model call: where the weight store keeps
 	// the adapter that must answer. Empty when Code is set.
 	Path string `json:",omitempty"`
+	// Crashes tells that the prompt crashes the engine that runs it: the call
+	// may crash MaxCrashes engines, however often it is sent, and is never
+	// answered.
+	Crashes bool `json:",omitempty"`
 	// Code is the stated outcome of a call that must be refused, as not run.
 	Code string `json:",omitempty"`
 }
 
+// MaxCrashes is how many engines one call may crash.
+const MaxCrashes = 2
+
 // Repeatable reports whether executing the call twice does no harm.
 func (r Record) Repeatable() bool { return r.Service == "" || r.Idempotent }
 
@@ -66,6 +73,8 @@
 		return errors.Wrap(ErrBadRecord, "needs either Path or Code")
 	case r.Model != "" && (r.Key != "" || r.Idempotent):
 		return errors.Wrap(ErrBadRecord, "Key and Idempotent are of service calls")
+	case r.Crashes && r.Path == "":
+		return errors.Wrap(ErrBadRecord, "Crashes is of model calls with Path")
 	case r.At < 0 || r.Timeout <= 0:
 		return errors.Wrap(ErrBadRecord, "At or Timeout out of range")
 	}
