--- a/Makefile
+++ b/Makefile
@@ -36,12 +36,16 @@
 short-replay: build
 	DEMO_CALLS=200 DEMO_LENGTH=9s ./scripts/demo.sh
 
-.PHONY: faults short-faults rolling repeats
+.PHONY: faults short-faults rolling repeats load
 
 # A round of faults over real processes: SEED=n, or all kept seeds without it.
 faults: build
 	for seed in $(if $(SEED),$(SEED),$$(cat scripts/fault-seeds.txt)); do FAULT_SEED=$$seed ./scripts/faults.sh || exit 1; done
 
+# Open-loop load on one machine; results in run/.
+load: build
+	LOAD_POPULARITY=$(or $(POPULARITY),steady) ./scripts/load.sh
+
 # Callers that repeat while the first try still runs; without claims this plan
 # shows calls that were executed twice.
 repeats: build
