snipectl: an edit whose answer was lost is unknown, not failed, and is sent again

Cause: a connection that broke in the middle of apply or rollback ended with exit code 1, which says that nothing was changed. Seen failing first: TestEditWithoutAnswer and TestReplyOfEditLost against the code without the change (exit code 1 in place of 5 and 0). Change: only a refused dial and the service's own refusals are failures; apply repeats an unknown edit, which its identifier makes safe; else exit code 5.

--- a/cmd/snipectl/apply.go
+++ b/cmd/snipectl/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"flag"
+	"net"
 	"strings"
 	"time"
 
@@ -41,11 +42,30 @@
 	const tries = 3
 	for n := 1; ; n++ {
 		out, err := c.operator.ApplySettings(ctx, in)
-		var failure twirp.Error
-		if err == nil || n == tries || !errors.As(err, &failure) || failure.Code() != twirp.DeadlineExceeded {
-			return out, err
+		if err == nil {
+			return out, nil
+		}
+		if err = editError(err); n == tries || !errors.Is(err, errUnknown) {
+			return nil, err
+		}
+	}
+}
+
+// editError tells an edit that was refused, or never sent, from one whose
+// answer did not arrive: that one may have taken effect.
+func editError(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return err
+	}
+	var t twirp.Error
+	if errors.As(err, &t) {
+		switch t.Code() {
+		case twirp.Internal, twirp.Unknown, twirp.Canceled, twirp.DeadlineExceeded:
+			return errors.Wrap(errUnknown, err.Error())
 		}
 	}
+	return err
 }
 
 // accepted waits until an accepted edit is in force everywhere, if that is
--- a/cmd/snipectl/history.go
+++ b/cmd/snipectl/history.go
@@ -44,7 +44,7 @@
 			Team: *team, ExpectVersion: *version, Version: *to,
 		})
 		if err != nil {
-			return err
+			return editError(err)
 		}
 		return c.accepted(ctx, out.GetRevision(), *wait)
 	}
--- a/cmd/snipectl/main.go
+++ b/cmd/snipectl/main.go
@@ -40,6 +40,7 @@
 	errUsage      = errors.New("bad arguments")
 	errNotInForce = errors.New("accepted, but not in force everywhere yet")
 	errDiffers    = errors.New("the branches differ")
+	errUnknown    = errors.New("outcome unknown: the edit may have taken effect")
 )
 
 // action is a command with its flags parsed.
@@ -179,6 +180,8 @@
 		return exitNotInForce
 	case errors.Is(err, errDiffers):
 		return exitDiffers
+	case errors.Is(err, errUnknown):
+		return exitUnknown
 	}
 	var t twirp.Error
 	if !errors.As(err, &t) {
--- a/cmd/snipectl/main_test.go
+++ b/cmd/snipectl/main_test.go
@@ -209,3 +209,37 @@
 	code, _ = s.run(t, "boot", "", "show")
 	must.Eq(t, exitFailed, code)
 }
+
+// TestEditWithoutAnswer: an edit whose answer did not arrive may have taken
+// effect; one that was never sent has not.
+func TestEditWithoutAnswer(t *testing.T) {
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	s := &system{address: cut.Listener.Addr().String()}
+	for _, line := range [][]string{{"apply"}, {"rollback", "-version", "2", "-to", "1"}} {
+		code, text := s.run(t, "boot", "{}", line...)
+		must.Eq(t, exitUnknown, code)
+		must.StrContains(t, text, "may have taken effect")
+	}
+	cut.Close()
+	code, _ := s.run(t, "boot", "{}", "apply")
+	must.Eq(t, exitFailed, code)
+}
+
+// TestReplyOfEditLost: an edit that took effect though its answer was lost is
+// found out and not made twice.
+func TestReplyOfEditLost(t *testing.T) {
+	s := newSystem(t)
+	requests := 0
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests++; requests == 1 {
+			s.handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		s.handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(front.Close)
+	s.address = front.Listener.Addr().String()
+	code, text := s.run(t, "boot", platformBranch(t), "apply")
+	must.Zero(t, code)
+	must.StrContains(t, text, "accepted as revision 1")
+}
