--- a/snipereplay/judge_test.go
+++ b/snipereplay/judge_test.go
@@ -328,7 +328,7 @@
 func (*recorder) Header() http.Header { return http.Header{} }
 func (*recorder) WriteHeader(int)     {}
 
-// TestAuditNotWhole holds that a record with gaps vouches for nothing.
+// TestAuditNotWhole holds that a record with gaps is an error.
 func TestAuditNotWhole(t *testing.T) {
 	_, err := audit(t, snipestand.ExecutedList{Dropped: 1})
 	must.ErrorIs(t, err, snipereplay.ErrAudit)
--- a/snipestand/executed.go
+++ b/snipestand/executed.go
@@ -25,7 +25,7 @@
 // ExecutedList is the answer of GET /Executed.
 type ExecutedList struct {
 	// Dropped is how many executions found no room; a judge that sees any
-	// cannot vouch for anything.
+	// can tell nothing.
 	Dropped    int
 	Executions []Execution
 }
