Platform: outcomes of writes told apart, requests shared by priority

Cause: a write whose dial was refused counted as unknown, a transaction that met another one as a conflict, and while the table was slow each call with a request key waited for its whole time before it was refused.

Seen failing first: on the code before, the cases "nobody listens", "dial hangs", "limited" and "met another transaction" of TestOutcome.

Conclusion: 12 cases over the real client and a network in memory, and the guard's counts on the paused clock.

--- a/snipeclaim/claim_test.go
+++ b/snipeclaim/claim_test.go
@@ -48,7 +48,7 @@
 
 func (b *bench) instance(name string, table snipeplatform.Table) *snipeclaim.Claims {
 	c := &snipeclaim.Claims{
-		Table: table, Instance: name, Dispatch: b.dispatch, Sweep: time.Second, Timeout: 2 * time.Second,
+		Table: table, SweepTable: table, Instance: name, Dispatch: b.dispatch, Sweep: time.Second, Timeout: 2 * time.Second,
 		Live: func(instance string) bool {
 			b.lock.Lock()
 			defer b.lock.Unlock()
--- a/snipeclaim/snipeclaim.go
+++ b/snipeclaim/snipeclaim.go
@@ -114,8 +114,8 @@
 // Claims wraps the execution of calls. Its exported fields are set before the
 // first call. It is safe for concurrent use.
 type Claims struct {
-	// Table is the platform's table.
-	Table snipeplatform.Table
+	// Table is the platform's table, SweepTable the same for the sweep.
+	Table, SweepTable snipeplatform.Table
 	// Instance is this instance's name.
 	Instance string
 	// Serve executes a call with its retries; it must call Execute below for
--- a/snipeclaim/sweep.go
+++ b/snipeclaim/sweep.go
@@ -52,7 +52,7 @@
 	if !ok {
 		return nil
 	}
-	rows, err := s.Table.List(ctx, name)
+	rows, err := s.SweepTable.List(ctx, name)
 	if err != nil {
 		return errors.Wrap(err, "list claims")
 	}
@@ -69,7 +69,7 @@
 	if len(expired) == 0 {
 		return nil
 	}
-	if err := s.Table.Write(ctx, s.Operation(), expired); err != nil {
+	if err := s.SweepTable.Write(ctx, s.Operation(), expired); err != nil {
 		// What is left is found again in the next round.
 		return errors.Wrapf(err, "sweep %d claims", len(expired))
 	}
--- a/snipeinstance/claims.go
+++ b/snipeinstance/claims.go
@@ -21,10 +21,10 @@
 
 // claimed puts the claims around a and returns what executes a call.
 func (i *Instance) claimed(
-	table snipeplatform.Table, a *sniperetry.Attempts,
+	guard *snipeplatform.Guard, a *sniperetry.Attempts,
 ) func(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
 	i.claims = &snipeclaim.Claims{
-		Table: table, Instance: i.Config.Name, Serve: a.Serve, Dispatch: a.Execute,
+		Table: guard.For(snipeplatform.Claims), SweepTable: guard.For(snipeplatform.Sweeps), Instance: i.Config.Name, Serve: a.Serve, Dispatch: a.Execute,
 		Live: i.live, Mine: i.sweeps, Sweep: sweepInterval, Timeout: claimTimeout,
 		Operation: rand.Text, Log: i.Log,
 	}
@@ -51,3 +51,18 @@
 	}
 	return true
 }
+
+// tableRequests is how many requests a second all instances together may make
+// to the table for claims and sweeps, beside leases and settings.
+const tableRequests = 1000
+
+// tableShare is this instance's part of tableRequests.
+func (i *Instance) tableShare() float64 {
+	live := 0
+	for _, m := range i.members.Members() {
+		if m.Live() {
+			live++
+		}
+	}
+	return tableRequests / float64(max(live, 1))
+}
--- a/snipeinstance/members.go
+++ b/snipeinstance/members.go
@@ -18,7 +18,7 @@
 func (i *Instance) buildMembers(table snipeplatform.Table) {
 	c := i.Config
 	// An old connection may have gone silent and proves nothing.
-	fresh := snipeupstream.NewFresh(i.meter.Traffic("Members").Dialer(snipeupstream.DialTCP()))
+	fresh := snipeupstream.NewFresh(i.peerDial(i.meter.Traffic("Members").Dialer(snipeupstream.DialTCP())))
 	i.members = &snipemember.Node{
 		Self:     snipemember.Member{Name: c.Name, Address: c.Announced(), Domain: c.Domain},
 		HTTP:     &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret},
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -115,11 +115,13 @@
 		Timeout: c.Platform.Timeout.Value(),
 		Dial:    i.meter.Traffic("Platform").Dialer(snipeupstream.DialTCP()),
 	}.Open()
-	i.buildMembers(table)
-	i.buildSettings(table)
-	i.buildDispatch(table)
-	i.buildHolder(table)
-	i.buildCallers(table)
+	guard := &snipeplatform.Guard{Table: table, Share: i.tableShare}
+	leases, settings := guard.For(snipeplatform.Leases), guard.For(snipeplatform.Settings)
+	i.buildMembers(settings)
+	i.buildSettings(settings)
+	i.buildDispatch(leases)
+	i.buildHolder(leases)
+	i.buildCallers(guard)
 	return nil
 }
 
@@ -192,8 +194,8 @@
 	return 0
 }
 
-func (i *Instance) buildCallers(table snipeplatform.Table) {
-	serve := i.claimed(table, i.retries())
+func (i *Instance) buildCallers(guard *snipeplatform.Guard) {
+	serve := i.claimed(guard, i.retries())
 	i.callers = &snipecaller.Server{
 		Tree: i.settings.Admitting, Serve: serve, Admit: i.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
--- a/snipeplatform/dynamo.go
+++ b/snipeplatform/dynamo.go
@@ -115,27 +115,15 @@
 	for _, c := range changes {
 		items = append(items, t.item(operation, c))
 	}
-	_, err := t.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
+	var sent sending
+	_, err := t.client.TransactWriteItems(sent.watch(ctx), &dynamodb.TransactWriteItemsInput{
 		ClientRequestToken: aws.String(operation),
 		TransactItems:      items,
 	})
 	if err == nil {
 		return nil
 	}
-	return writeError(err)
-}
-
-// writeError tells a write that was refused from one whose outcome is unknown.
-func writeError(err error) error {
-	var canceled *types.TransactionCanceledException
-	if errors.As(err, &canceled) {
-		return errors.Wrap(ErrConflict, canceled.ErrorMessage())
-	}
-	var throttled *types.ProvisionedThroughputExceededException
-	if errors.As(err, &throttled) {
-		return errors.Wrap(ErrUnavailable, throttled.ErrorMessage())
-	}
-	return errors.Wrapf(ErrUnknown, "write: %v", err)
+	return sent.writeError(err)
 }
 
 func (t *dynamoTable) item(operation string, c Change) types.TransactWriteItem {
--- a/snipestand/dynamo.go
+++ b/snipestand/dynamo.go
@@ -79,7 +79,7 @@
 	w.WriteHeader(http.StatusBadRequest)
 	body := map[string]any{"__type": "com.amazonaws.dynamodb.v20120810#" + exception, "message": err.Error()}
 	if exception == exceptionCanceled {
-		body["CancellationReasons"] = []any{}
+		body["CancellationReasons"] = []any{map[string]string{"Code": "ConditionalCheckFailed"}}
 	}
 	_ = json.NewEncoder(w).Encode(body)
 }
