Lease: random troubles, and the faults that they found

Change: going on needs more than half, and nobody heard who reaches the table; an instance that hears nobody takes nothing over for two minutes. The rule to read before writing after a failed renewal is gone: a mutation without it failed no test, as a renewal whose reply was lost makes the next one conflict.

--- a/snipelease/move.go
+++ b/snipelease/move.go
@@ -46,6 +46,9 @@
 		}
 		return h.turn(rank, h.ownerless[engine]) && h.take(ctx, engine, row, nil)
 	}
+	if silent := time.Since(h.Members.Reached()); len(h.seen.all) > 1 && silent > h.Renew && silent < aloneWait {
+		return false
+	}
 	// What was announced or told by a peer is a hint: the takeover rests on a
 	// read of its own.
 	fresh, err := h.readForTakeover(ctx, engine, row)
--- a/snipelease/renew.go
+++ b/snipelease/renew.go
@@ -28,15 +28,6 @@
 		return errors.Wrap(err, "encode lease")
 	}
 	key := snipeplatform.Key{Partition: instancesPartition, Sort: h.Self.Name}
-	if h.failed {
-		err := h.patient(ctx, func() error {
-			_, err := h.Table.Get(ctx, key)
-			return err
-		})
-		if err != nil && !errors.Is(err, snipeplatform.ErrNotFound) {
-			return errors.Wrap(err, "read lease")
-		}
-	}
 	h.failed = true
 	var sent time.Time
 	err = h.patient(ctx, func() error {
@@ -50,9 +41,7 @@
 		return err
 	}
 	h.version++
-	if h.seen.lost[h.Self.Name] {
-		h.Members.Announce(lostTopic, "", tableBack, h.Renew)
-	}
+	h.tellBack()
 	h.first, h.failed = true, false
 	h.lock.Lock()
 	defer h.lock.Unlock()
@@ -120,25 +109,47 @@
 	h.Log.Log(snipelog.NameTaken, nil)
 }
 
-// outage reports whether the table is lost for at least half of all known
-// instances.
+// tellers is how many instances, of those that reach the table while others do
+// not, say so.
+const tellers = 10
+
+// tellBack announces that this instance reaches the table, if it had said
+// otherwise, or, as one of a few, if others say otherwise: they must not take
+// their own trouble for an outage.
+func (h *Holder) tellBack() {
+	others := false
+	for name, lost := range h.seen.lost {
+		others = others || lost && name != h.Self.Name
+	}
+	one := h.Random()*float64(len(h.seen.all)) < tellers
+	if h.seen.lost[h.Self.Name] || others && one {
+		h.Members.Announce(lostTopic, "", tableBack, 3*h.Renew)
+	}
+}
+
+// outage reports whether the table is lost for more than half of all known
+// instances, and no live one is known to reach it.
 func (h *Holder) outage() (without, known int, outage bool) {
+	reached := false
 	for _, m := range h.seen.all {
 		if m.Status == snipemember.Left {
 			continue
 		}
 		known++
-		if h.seen.lost[m.Name] {
+		lost, told := h.seen.lost[m.Name]
+		if lost {
 			without++
 		}
+		reached = reached || told && !lost && m.Live() && m.Name != h.Self.Name
 	}
-	return without, known, 2*without >= known
+	return without, known, 2*without > known && !reached
 }
 
-// lost is called in each step after a renewal that failed. It tells the others, and decides
-// whether to go on past the lease: only in an outage, and while others are
-// heard. The time is below that of a takeover, which cannot begin before the
-// outage is over for somebody.
+// lost is called in each step after a renewal that failed. It tells the others,
+// and decides whether to go on past the lease: only in an outage, and while
+// others are heard. The time is below that of a takeover, which cannot begin
+// before the outage is over for somebody. When it is over, a short time is
+// left to renew.
 func (h *Holder) lost() {
 	// The announcement must outlast a step that fails by its timeout.
 	h.Members.Announce(lostTopic, "", tableLost, 2*(h.Duration/3+h.Renew))
@@ -154,7 +165,16 @@
 	unbroken := now.Before(h.deadline) || now.Before(h.goOn)
 	if outage && heard && unbroken && !h.ended {
 		h.logOnce(late, &h.outlived, snipelog.LeaseOutlived, snipelog.Fields{"Without": without, "Known": known})
-		h.goOn = now.Add(h.Duration)
+		h.goOn, h.hurried = now.Add(h.Duration), false
+		return
+	}
+	if unbroken && heard && now.Before(h.goOn) && !h.hurried {
+		h.hurried = true
+		h.retry = now.Add(h.spread(h.Renew / 8))
+		h.goOn = now.Add(h.Renew / 4)
+		return
+	}
+	if h.hurried && now.Before(h.goOn) {
 		return
 	}
 	h.logOnce(late, &h.lapsed, snipelog.LeaseLapsed, nil)
--- a/snipelease/snipelease.go
+++ b/snipelease/snipelease.go
@@ -22,16 +22,13 @@
 //   - After a lapse an instance owns an engine only once it has renewed the
 //     lease and read the engine's owner row again. A renewal without that read
 //     restores nothing.
-//   - While the table is down for at least half of all known instances, an
-//     owner goes on past its lease: nobody can take over then. An order that
+//   - While the table is down for more than half of all known instances, and
+//     none that is heard reaches it, an owner goes on past its lease: nobody can take over then. An order that
 //     destroys something at an engine that ignores fencing numbers rests on a
 //     write with OwnerCheck before it, which fails then.
 //     An owner that alone cannot reach the table, or that hears of no other
 //     instance, ends with its lease. So does one that was paused past the time
 //     until which it went on: the table may have been back in between.
-//   - After a renewal that failed, the next one begins with a read: an instance
-//     whose writes take effect but whose replies are lost must not keep a lease
-//     alive in which it cannot believe.
 //   - A lease row that shows another incarnation under this instance's name
 //     ends this instance's ownerships for good.
 package snipelease
@@ -67,6 +64,9 @@
 	hintTTL = 2 * time.Minute
 	// listEvery is the time between two reads of all owner rows.
 	listEvery = time.Minute
+	// aloneWait is how long an instance that hears no other one takes nothing
+	// over: the others may be in an outage that it does not hear of.
+	aloneWait = 2 * time.Minute
 	// jitterShare is by how much the time between renewals varies.
 	jitterShare = 0.2
 )
@@ -198,6 +198,7 @@
 	deadline time.Time
 	goOn     time.Time // until when the holder goes on past its lease
 	owned    map[string]holding
+	hurried  bool // a renewal was tried early, as the outage is over
 	outlived bool // going on past the lease was logged
 	lapsed   bool // the lapse was logged
 	ended    bool // the name is another's, or the planned stop is done
