--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -34,6 +34,7 @@
 	"snipepitch.example/snipepitch/snipeoperator"
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
@@ -62,11 +63,15 @@
 	callers  *snipecaller.Server
 	forward  *snipepeer.Client
 	peers    *snipepeer.Handler
+	weights  *snipeweight.Queue
+	permits  *snipeweight.Permits
 	keys     map[string]*snipecert.Keeper // by listener
-	budget   *snipeweight.Budget
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
 
+	quarantine *quarantine
+	health     *health
+
 	phase    phase
 	stopping chan struct{}
 	signals  chan os.Signal
@@ -77,15 +82,22 @@
 	if err := i.build(); err != nil {
 		return err
 	}
-	i.signals = make(chan os.Signal, 2)
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(i.signals)
+	return i.serve(ctx)
+}
+
+// serve runs the duties until one of them ends.
+func (i *Instance) serve(ctx context.Context) error {
 	var g run.Group
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
 	i.addLoop(ctx, &g, i.dispatch.Watch)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
+	i.addLoop(ctx, &g, i.quarantine.run)
+	i.addLoop(ctx, &g, i.health.loop)
+	i.addLoop(ctx, &g, i.quarantine.guard.Loop)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, k := range i.keys {
 		i.addLoop(ctx, &g, k.Run)
@@ -108,6 +120,7 @@
 		return err
 	}
 	i.stopping = make(chan struct{}, 1)
+	i.signals = make(chan os.Signal, 2)
 	i.meter = snipemeter.New()
 	table := snipeplatform.Dynamo{
 		Address: c.Platform.Table, Table: c.Platform.TableName,
@@ -121,6 +134,7 @@
 	i.buildSettings(settings)
 	i.buildDispatch(leases)
 	i.buildHolder(leases)
+	i.buildQuarantine()
 	i.buildCallers(guard)
 	return nil
 }
@@ -128,39 +142,29 @@
 func (i *Instance) buildDispatch(table snipeplatform.Table) {
 	c := i.Config
 	dial := snipeupstream.DialTCP()
-	i.budget = &snipeweight.Budget{Limits: i.weightShare}
+	i.buildWeights()
 	i.dispatch = &snipedispatch.Dispatcher{
 		Tree:   i.settings.Current,
 		Fence:  func(engine string) (uint64, bool) { return i.holder.Fence(engine) },
 		Holds:  func(engine string, fence uint64) bool { return i.holder.Holds(engine, fence) },
 		Record: recordOf(table),
-		Budget: i.budget.Acquire,
+		Budget: i.permits.Acquire,
 		Client: snipeupstream.NewPooled(dial), Fresh: snipeupstream.NewFresh(dial),
 		Progress: c.Progress.Value(), FirstChunk: c.FirstChunk.Value(), LoadTimeout: c.LoadTimeout.Value(),
 		Meter: i.meter, Log: i.Log,
 	}
-	toPeers := i.peerDial(dial)
+	i.buildHealth()
+	toPeers := i.peerDial("ToPeers")
 	i.forward = &snipepeer.Client{
 		HTTP: snipeupstream.NewPooled(toPeers), Fresh: snipeupstream.NewFresh(toPeers),
 		Secret: c.PeerSecret, Progress: c.Progress.Value(), Log: i.Log,
 	}
 	i.peers = &snipepeer.Handler{
-		Execute: i.dispatch.Run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
+		Execute: i.health.run, Secret: c.PeerSecret, Beat: peerBeat, Window: 2 * c.Progress.Value(),
 		WriteTimeout: c.Progress.Value(), MaxBody: c.MaxBody, MaxCalls: c.MaxCalls,
 	}
 }
 
-// weightShare splits the weight store's budget evenly among live instances.
-func (i *Instance) weightShare() (perSecond float64, concurrent int) {
-	t := i.settings.Current()
-	n := max(len(i.holder.View().Instances), 1)
-	if t == nil {
-		return 0, 0
-	}
-	w := t.Platform.WeightStore
-	return w.LoadsPerSecond / float64(n), max(w.Concurrent/n, 1)
-}
-
 func (i *Instance) buildHolder(table snipeplatform.Table) {
 	c := i.Config
 	i.holder = &snipelease.Holder{
@@ -215,11 +219,15 @@
 
 func (i *Instance) choose(c *snipecall.Call, failed []string) (string, error) {
 	candidates := i.candidates(c, failed)
-	key := sniperoute.AdapterHash(c.Adapter)
+	call := sniperoute.Hash(c.ID)
+	i.health.tracker.Mark(call, candidates)
+	candidates = i.quarantine.isolate(c, candidates)
+	var n int
 	if c.Service != "" {
-		key = sniperoute.Hash(c.ID)
+		n = i.health.tracker.Least(call, candidates)
+	} else {
+		n = sniperoute.Pick(sniperoute.AdapterHash(c.Adapter), candidates)
 	}
-	n := sniperoute.Pick(key, candidates)
 	if n < 0 {
 		return "", snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no usable upstream").After(noUpstreamRetry)
 	}
@@ -237,8 +245,8 @@
 		all = append(all, k)
 	}
 	if c.Service != "" {
-		for name := range t.Platform.Services[c.Service].Upstreams {
-			add(name, true)
+		for name, u := range t.Platform.Services[c.Service].Upstreams {
+			add(name, !u.Leaving)
 		}
 		return all
 	}
@@ -246,7 +254,7 @@
 	for name, e := range t.Platform.Engines {
 		o, owned := view.Owners[name]
 		if e.Base == c.Base {
-			add(name, owned && !o.Giving)
+			add(name, owned && !o.Giving && !e.Leaving && i.reachable(o.Instance))
 		}
 	}
 	return all
@@ -255,16 +263,18 @@
 // execute runs a call here or on the instance that owns its engine.
 func (i *Instance) execute(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
 	if c.Service != "" {
-		return i.dispatch.Run(ctx, c, sink)
+		return i.health.run(ctx, c, sink)
 	}
 	o, ok := i.holder.View().Owners[c.Upstream]
 	if !ok {
 		return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "engine "+c.Upstream+" has no owner")
 	}
 	if o.Instance.Name == i.Config.Name {
-		return i.dispatch.Run(ctx, c, sink)
+		return i.health.run(ctx, c, sink)
 	}
-	return i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
+	err := i.forward.Forward(ctx, o.Instance.PeerAddress, c, sink)
+	i.health.tracker.Hop(c, err)
+	return err
 }
 
 func (i *Instance) listeners() []listener {
@@ -273,6 +283,8 @@
 	peers.Handle(snipelease.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.holder.Handler()))
 	peers.Handle(snipetree.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.settings.Handler()))
 	peers.Handle(snipemember.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.members.Handler()))
+	peers.Handle(i.weightServer())
+	peers.Handle(snipequarantine.PathPrefix, snipepeer.Authorized(i.Config.PeerSecret, i.quarantine.guard.Handler()))
 	operators := i.buildOperators(peers)
 	mux := http.NewServeMux()
 	mux.Handle(snipeoperator.PathPrefix, operators.Handler())
@@ -283,7 +295,7 @@
 	front.Handle("/", i.callers.Handler())
 	front.HandleFunc("GET /ready", i.serveReady)
 	return []listener{
-		{"Callers", i.Config.Callers, front, i.Config.MaxConnections, i.keys["Callers"], i.Log},
+		{"Callers", i.Config.Callers, i.phase.closing(front), i.Config.MaxConnections, i.keys["Callers"], i.Log},
 		{"Operators", i.Config.Operators, mux, maxOperators, i.keys["Operators"], i.Log},
 		{"Peers", i.Config.Peers, peers, i.Config.MaxConnections, i.keys["Peers"], i.Log},
 	}
--- a/snipelease/renew.go
+++ b/snipelease/renew.go
@@ -156,6 +156,11 @@
 	h.seen.lost[h.Self.Name] = true
 	without, known, outage := h.outage()
 	heard := known < 2 || time.Since(h.Members.Reached()) < h.Renew
+	h.decide(outage && heard, heard, snipelog.Fields{"Without": without, "Known": known})
+}
+
+// decide goes on, leaves a short time, or lets the lease lapse.
+func (h *Holder) decide(outage, heard bool, fields snipelog.Fields) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	now := time.Now()
@@ -163,22 +168,19 @@
 	// Once it has stopped it may not go on again before the rows are checked:
 	// others may have taken over.
 	unbroken := now.Before(h.deadline) || now.Before(h.goOn)
-	if outage && heard && unbroken && !h.ended {
-		h.logOnce(late, &h.outlived, snipelog.LeaseOutlived, snipelog.Fields{"Without": without, "Known": known})
+	switch {
+	case outage && unbroken && !h.ended:
+		h.logOnce(late, &h.outlived, snipelog.LeaseOutlived, fields)
 		h.goOn, h.hurried = now.Add(h.Duration), false
-		return
-	}
-	if unbroken && heard && now.Before(h.goOn) && !h.hurried {
+	case h.hurried && now.Before(h.goOn):
+	case heard && now.Before(h.goOn):
 		h.hurried = true
 		h.retry = now.Add(h.spread(h.Renew / 8))
 		h.goOn = now.Add(h.Renew / 4)
-		return
+	default:
+		h.logOnce(late, &h.lapsed, snipelog.LeaseLapsed, nil)
+		h.goOn = time.Time{}
 	}
-	if h.hurried && now.Before(h.goOn) {
-		return
-	}
-	h.logOnce(late, &h.lapsed, snipelog.LeaseLapsed, nil)
-	h.goOn = time.Time{}
 }
 
 // logOnce logs an event that is due, unless it was logged since the last
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -76,3 +76,11 @@
 	EngineAudited   = define(506, "EngineAudited", logrus.InfoLevel)
 	EvictionFailed  = define(507, "EvictionFailed", logrus.WarnLevel)
 )
+
+// Events of limits, quarantine and health, 600 to 699.
+var (
+	CallQuarantined    = define(600, "CallQuarantined", logrus.WarnLevel)
+	UpstreamBrokeOff   = define(601, "UpstreamBrokeOff", logrus.WarnLevel)
+	CrashNotReplicated = define(602, "CrashNotReplicated", logrus.WarnLevel)
+	RecordRefused      = define(603, "RecordRefused", logrus.WarnLevel)
+)
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -60,6 +60,9 @@
 	maxResumes    = 3
 	resumePause   = 50 * time.Millisecond
 	cancelTimeout = 2 * time.Second
+	// maxWhole bounds one event: the largest is an answer that is not
+	// streamed, in base64.
+	maxWhole = 2 * snipeupstream.MaxAnswer
 )
 
 // Errors of hops.
@@ -89,6 +92,8 @@
 	Progress time.Duration
 	// Log takes events; nil is none.
 	Log *snipelog.Logger
+	// Reach tells which instances were not reached lately.
+	Reach Reach
 }
 
 // hop is the state of one call at one owner, across connections. It belongs to
@@ -222,8 +227,12 @@
 	x, err := snipeupstream.Begin(client, r, snipeupstream.Watch{Progress: h.client.Progress, Kept: h.client.HTTP})
 	h.left = h.left || x.Left
 	if err != nil {
+		if ctx.Err() == nil {
+			h.client.Reach.Failed(h.address)
+		}
 		return h.sendError(ctx, err)
 	}
+	h.client.Reach.Answered(h.address)
 	err = h.take(x)
 	if h.ended {
 		x.Finish()
@@ -273,7 +282,7 @@
 }
 
 func (h *hop) read(x *snipeupstream.Exchange) error {
-	reader := snipestream.NewReader(x.Response.Body)
+	reader := snipestream.NewLimitedReader(x.Response.Body, maxWhole)
 	for {
 		e, err := reader.Read()
 		if err != nil {
