Prepare the candidates of routing once for settings and owners

Cause: each call hashed the names of all engines and allocated its candidates.

Change: candidates are prepared when the settings or the owners change (and every 100 ms, for what the membership says of owners); a call copies them into a pooled buffer.

--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -65,6 +65,7 @@
 	peers    *snipepeer.Handler
 	weights  *snipeweight.Queue
 	permits  *snipeweight.Permits
+	router   router
 	keys     map[string]*snipecert.Keeper // by listener
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
@@ -216,7 +217,9 @@
 const noUpstreamRetry = 2 * time.Second
 
 func (i *Instance) choose(c *snipecall.Call, failed []string) (string, error) {
-	candidates := i.candidates(c, failed)
+	buffer := i.candidates(c, failed)
+	defer i.router.buffers.Put(buffer)
+	candidates := *buffer
 	call := sniperoute.Hash(c.ID)
 	i.health.tracker.Mark(call, candidates)
 	candidates = i.quarantine.isolate(c, candidates)
@@ -232,32 +235,6 @@
 	return candidates[n].Name, nil
 }
 
-func (i *Instance) candidates(c *snipecall.Call, failed []string) []sniperoute.Candidate {
-	t := i.settings.Current()
-	var all []sniperoute.Candidate
-	add := func(name string, usable bool) {
-		k := sniperoute.Candidate{Name: name, Hash: sniperoute.Hash(name), Usable: usable}
-		for _, f := range failed {
-			k.Excluded = k.Excluded || f == name
-		}
-		all = append(all, k)
-	}
-	if c.Service != "" {
-		for name, u := range t.Platform.Services[c.Service].Upstreams {
-			add(name, !u.Leaving)
-		}
-		return all
-	}
-	view := i.holder.View()
-	for name, e := range t.Platform.Engines {
-		o, owned := view.Owners[name]
-		if e.Base == c.Base {
-			add(name, owned && !o.Giving && !e.Leaving && i.reachable(o.Instance))
-		}
-	}
-	return all
-}
-
 // execute runs a call here or on the instance that owns its engine.
 func (i *Instance) execute(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
 	if c.Service != "" {
