--- a/snipeweight/queue.go
+++ b/snipeweight/queue.go
@@ -86,6 +86,7 @@
 	started  map[ID]time.Time
 	failures map[string]failure
 	shares   map[string]float64 // loads of each team, decaying with shareTime
+	charged  float64            // sum of shares
 	shared   time.Time          // when shares were decayed last
 	next     time.Time          // the earliest start of the next load
 	length   time.Duration
@@ -278,21 +279,13 @@
 // more than its fair share of the loads of late.
 func (q *Queue) cost(w *queued, now time.Time) float64 {
 	aged := w.ask.Weight * (1 + float64(now.Sub(w.since))/float64(agingTime))
-	excess := q.shares[w.ask.Team] * float64(len(q.shares)) / q.total()
+	excess := q.shares[w.ask.Team] * float64(len(q.shares)) / max(q.charged, 1)
 	if excess <= fairExcess {
 		return aged
 	}
 	return aged * math.Pow(fairExcess/excess, fairPower)
 }
 
-func (q *Queue) total() float64 {
-	sum := 0.0
-	for _, n := range q.shares {
-		sum += n
-	}
-	return max(sum, 1)
-}
-
 // charge counts a load for its team. The lock is held.
 func (q *Queue) charge(team string, now time.Time) {
 	decay := math.Exp(-float64(now.Sub(q.shared)) / float64(shareTime))
@@ -303,6 +296,10 @@
 		}
 	}
 	q.shares[team]++
+	q.charged = 0
+	for _, n := range q.shares {
+		q.charged += n
+	}
 }
 
 // expect returns the time until the ask's load ends: those before it at the
