Replicas for hot adapters, announced by the owner of their home

Cause: all calls of an adapter went to one engine; one that fills its batch made its callers wait for places there, without bound.

Change: sniperoute.Replicas decides from the home's exact counts, sniperoute.PickReplica spreads the calls, snipeinstance announces the number through the membership.

--- a/snipedispatch/engine.go
+++ b/snipedispatch/engine.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeslot"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
@@ -157,3 +158,14 @@
 	e, ok := d.engines[name]
 	return d.calls[name] > 0 || ok && e.slots.Orders() > 0
 }
+
+// Uses calls f for each adapter resident at an owned engine with its calls in
+// flight.
+func (d *Dispatcher) Uses(name string, f func(a snipecall.Adapter, inFlight int)) {
+	d.lock.Lock()
+	e, ok := d.engines[name]
+	d.lock.Unlock()
+	if ok {
+		e.slots.Uses(f)
+	}
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -66,6 +66,7 @@
 	weights  *snipeweight.Queue
 	permits  *snipeweight.Permits
 	router   router
+	replicas replicas
 	keys     map[string]*snipecert.Keeper // by listener
 	members  *snipemember.Node
 	claims   *snipeclaim.Claims
@@ -94,6 +95,7 @@
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
 	i.addLoop(ctx, &g, i.dispatch.Watch)
+	i.addLoop(ctx, &g, i.watchReplicas)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.quarantine.run)
@@ -227,7 +229,8 @@
 	if c.Service != "" {
 		n = i.health.tracker.Least(call, candidates)
 	} else {
-		n = sniperoute.Pick(sniperoute.AdapterHash(c.Adapter), candidates)
+		key := sniperoute.AdapterHash(c.Adapter)
+		n = sniperoute.PickReplica(key, call, i.replicas.count(key), candidates)
 	}
 	if n < 0 {
 		return "", snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no usable upstream").After(noUpstreamRetry)
--- a/snipepolicy/fakes.go
+++ b/snipepolicy/fakes.go
@@ -77,6 +77,7 @@
 	busy    time.Duration // time with at least one call
 	since   time.Time
 	work    time.Duration // time of all calls
+	waits   time.Duration // for a place in the batch
 }
 
 func (e *engine) load(ctx context.Context, alias, _ string) error {
@@ -121,9 +122,11 @@
 
 // run answers a call and reports false when the alias is not there.
 func (e *engine) run(alias string, tokens int) bool {
+	start := time.Now()
 	e.batch <- struct{}{}
 	defer func() { <-e.batch }()
 	e.lock.Lock()
+	e.waits += time.Since(start)
 	if !e.loaded[alias] {
 		e.lock.Unlock()
 		return false
--- a/snipepolicy/result.go
+++ b/snipepolicy/result.go
@@ -19,7 +19,8 @@
 	loads      int
 	evictions  int
 	efficiency float64
-	tokens     float64 // answered, for each engine and second
+	waits      time.Duration // for places in batches
+	tokens     float64       // answered, for each engine and second
 }
 
 func (w *world) served(c call, stall time.Duration) {
@@ -51,6 +52,7 @@
 	for _, e := range w.engines {
 		busy += e.busy
 		work += e.work
+		w.result.waits += e.waits
 		w.result.evictions += e.evicted
 	}
 	batch := w.deployment.batch
@@ -119,7 +121,7 @@
 // same trace.
 func write(w io.Writer, names []string, all []result) error {
 	_, err := fmt.Fprintln(w, "| Policy | Sum of stalls, s | Weighted | Other teams | Status 50/95/99 % | Standard 50/95/99 % | Bulk 50/95/99 % |"+
-		" Lost Status/Standard/Bulk | Loads | Evictions | Batch fill | Tokens/s | Worst team |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+		" Lost Status/Standard/Bulk | Loads | Evictions | Batch fill | Batch waits, s | Tokens/s | Worst team |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for n, r := range all {
 		if err != nil {
 			return err
@@ -129,8 +131,8 @@
 			s := r.stalls[c]
 			row += " | " + seconds(quantile(s, 0.5)) + "/" + seconds(quantile(s, 0.95)) + "/" + seconds(quantile(s, 0.99))
 		}
-		row += fmt.Sprintf(" | %d/%d/%d | %d | %d | %.3f | %.2f | %.2f |",
-			r.lostCalls[0], r.lostCalls[1], r.lostCalls[2], r.loads, r.evictions, r.efficiency, r.tokens, r.spread())
+		row += fmt.Sprintf(" | %d/%d/%d | %d | %d | %.3f | %.0f | %.2f | %.2f |",
+			r.lostCalls[0], r.lostCalls[1], r.lostCalls[2], r.loads, r.evictions, r.efficiency, r.waits.Seconds(), r.tokens, r.spread())
 		_, err = fmt.Fprintln(w, row)
 	}
 	return err
--- a/snipepolicy/snipepolicy.go
+++ b/snipepolicy/snipepolicy.go
@@ -27,7 +27,8 @@
 )
 
 const (
-	hop = time.Millisecond // between instances, one way
+	hop    = time.Millisecond // between instances, one way
+	digest = time.Second      // between two looks at what engines announce
 	// reloads bounds how often a call finds its adapter gone.
 	reloads = 3
 )
@@ -42,7 +43,7 @@
 	// clairvoyant evicts what is needed last, from one pool of all slots.
 	clairvoyant bool
 	// What is switched off.
-	noWorth, noClasses, noTeams, noQueue bool
+	noWorth, noClasses, noTeams, noQueue, noReplicas bool
 }
 
 var policies = []policy{
@@ -54,6 +55,7 @@
 	{name: "without classes in the queue", noClasses: true},
 	{name: "without team shares in the queue", noTeams: true},
 	{name: "without the shared queue", noQueue: true},
+	{name: "without replicas", noReplicas: true},
 }
 
 // world is one run.
@@ -66,18 +68,21 @@
 	engines    []*engine
 	slots      []*snipeslot.Slots
 	before     []*previousSlots
-	hashes     []uint64
+	candidates []sniperoute.Candidate
 
-	lock   sync.Mutex // guards the fields below
-	turn   int
-	result result
+	lock     sync.Mutex // guards the fields below
+	turn     int
+	replicas map[snipecall.Adapter]*sniperoute.Replicas
+	result   result
 }
 
 // run plays a trace under a policy. It runs in a bubble of testing/synctest.
 func run(d deployment, p policy, t *trace) result {
-	w := &world{deployment: d, policy: p, trace: t, start: time.Now(), store: &store{deployment: d}}
+	w := &world{deployment: d, policy: p, trace: t, start: time.Now(), store: &store{deployment: d}, replicas: map[snipecall.Adapter]*sniperoute.Replicas{}}
 	w.result.team = make([]time.Duration, teams)
 	w.build()
+	stop := make(chan struct{})
+	go w.refresh(stop)
 	if t.restart > 0 {
 		time.AfterFunc(t.restart, w.engines[0].restart)
 	}
@@ -87,6 +92,7 @@
 		all.Go(func() { w.call(c) })
 	}
 	all.Wait()
+	close(stop)
 	for _, s := range w.slots {
 		s.Close()
 	}
@@ -108,7 +114,8 @@
 			loaded: map[string]bool{}, fails: w.fails, parts: parts,
 		}
 		w.engines = append(w.engines, e)
-		w.hashes = append(w.hashes, sniperoute.Hash("engine-"+strconv.Itoa(n)))
+		name := "engine-" + strconv.Itoa(n)
+		w.candidates = append(w.candidates, sniperoute.Candidate{Name: name, Hash: sniperoute.Hash(name), Usable: true})
 	}
 	if w.policy.previous {
 		w.buildPrevious()
@@ -222,14 +229,45 @@
 		w.turn++
 		return w.turn % len(w.engines)
 	}
-	key := sniperoute.AdapterHash(a)
-	best := 0
-	for n, h := range w.hashes {
-		if sniperoute.Score(key, h) > sniperoute.Score(key, w.hashes[best]) {
-			best = n
+	w.turn++
+	count := 1
+	if r := w.replicas[a]; r != nil {
+		count = r.Count()
+	}
+	return sniperoute.PickReplica(sniperoute.AdapterHash(a), sniperoute.Hash(strconv.Itoa(w.turn)), count, w.candidates)
+}
+
+// refresh lets homes decide on replicas, and all instances hear of it.
+func (w *world) refresh(stop <-chan struct{}) {
+	t := time.NewTicker(digest)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
 		}
+		if w.policy.noReplicas || w.policy.clairvoyant {
+			continue
+		}
+		for n, s := range w.slots {
+			s.Uses(func(a snipecall.Adapter, inFlight int) { w.observe(n, a, inFlight) })
+		}
+	}
+}
+
+func (w *world) observe(n int, a snipecall.Adapter, inFlight int) {
+	if sniperoute.Pick(sniperoute.AdapterHash(a), w.candidates) != n {
+		return
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	r := w.replicas[a]
+	if r == nil {
+		r = &sniperoute.Replicas{}
+		w.replicas[a] = r
 	}
-	return best
+	r.Step(time.Now(), inFlight, w.deployment.batch)
 }
 
 // call plays one call.
--- a/snipepolicy/trace.go
+++ b/snipepolicy/trace.go
@@ -16,6 +16,7 @@
 	skew       = 1.1  // exponent of the popularity
 	driftHour  = 0.35 // part of the adapters that wake up or fall idle in an hour
 	stormTimes = 4    // how often a storming team sends what it usually sends
+	hotTimes   = 1.0  // of the usual rate, what goes to one adapter on top
 	failing    = 0.03 // part of the adapters whose loads fail, in that scenario
 )
 
@@ -74,9 +75,10 @@
 	restart scenario = "Restart"
 	storm   scenario = "Storm"
 	fails   scenario = "Failing loads"
+	hot     scenario = "One hot adapter"
 )
 
-var scenarios = []scenario{steady, shift, drift, restart, storm, fails}
+var scenarios = []scenario{steady, shift, drift, restart, storm, fails, hot}
 
 // popularity draws adapters by rank.
 type popularity struct {
@@ -113,17 +115,16 @@
 		t.restart = length / 2
 	}
 	for at := time.Duration(0); at < length; {
-		rate := d.rate
-		stormy := s == storm && at > length/3 && at < 2*length/3
-		if stormy {
-			rate += d.rate / teams * (stormTimes - 1)
-		}
-		gap := time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+		more := d.more(s, at)
+		gap := time.Duration(r.ExpFloat64() / (d.rate + more) * float64(time.Second))
 		p.change(r, s, at, gap)
 		at += gap
 		c := call{at: at, adapter: p.draw(r), class: drawClass(d, r), tokens: 20 + r.IntN(80)}
-		if stormy && r.Float64() < 1-d.rate/rate {
-			c.adapter = r.IntN(d.adapters/teams) * teams // of team 0
+		if more > 0 && r.Float64() < more/(d.rate+more) {
+			c.adapter = 0
+			if s == storm {
+				c.adapter = r.IntN(d.adapters/teams) * teams // of team 0
+			}
 		}
 		t.calls = append(t.calls, c)
 		t.uses[c.adapter] = append(t.uses[c.adapter], at)
@@ -131,6 +132,20 @@
 	return t
 }
 
+// more returns the calls a second on top of the usual ones.
+func (d deployment) more(s scenario, at time.Duration) float64 {
+	if at <= length/3 || at >= 2*length/3 {
+		return 0
+	}
+	switch s {
+	case storm:
+		return d.rate / teams * (stormTimes - 1)
+	case hot:
+		return d.rate * hotTimes
+	}
+	return 0
+}
+
 // change changes the popularity between at and the next call.
 func (p *popularity) change(r *rand.Rand, s scenario, at, gap time.Duration) {
 	switch {
--- a/sniperoute/route_test.go
+++ b/sniperoute/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -68,3 +69,38 @@
 		n++
 	}
 }
+
+func TestPickReplica(t *testing.T) {
+	all := engines(12)
+	all[4].Usable = false
+	for name, c := range map[string]struct{ count, want int }{
+		"one": {1, 1}, "three": {3, 3}, "more than there are": {100, 11},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seen := map[int]int{}
+			for call := range uint64(1000) {
+				seen[PickReplica(7, Hash(strconv.FormatUint(call, 10)), c.count, all)]++
+			}
+			must.MapLen(t, c.want, seen)
+			must.MapContainsKey(t, seen, Pick(7, all))
+			must.MapNotContainsKey(t, seen, 4)
+		})
+	}
+	must.Eq(t, -1, PickReplica(7, 1, 3, nil))
+}
+
+func TestReplicas(t *testing.T) {
+	var r Replicas
+	now := time.Unix(0, 0)
+	step := func(seconds, inFlight int) int {
+		for range seconds {
+			now = now.Add(time.Second)
+			r.Step(now, inFlight/r.Count(), 8)
+		}
+		return r.Count()
+	}
+	must.Eq(t, 1, step(30, 3))
+	must.Eq(t, 3, step(30, 16))
+	must.Eq(t, 3, step(30, 1)) // not yet
+	must.Eq(t, 1, step(240, 1))
+}
--- a/snipeslot/snipeslot.go
+++ b/snipeslot/snipeslot.go
@@ -353,6 +353,17 @@
 	return all
 }
 
+// Uses calls f for each resident adapter with its uses in flight.
+func (s *Slots) Uses(f func(a snipecall.Adapter, inFlight int)) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for k, e := range s.serving {
+		if e.state == resident {
+			f(k.adapter, e.inFlight)
+		}
+	}
+}
+
 // Close ends the ownership: no order is given any more, and those who wait get
 // ErrClosed. Uses in flight go on.
 func (s *Slots) Close() {
--- a/snipeweight/bench_test.go
+++ b/snipeweight/bench_test.go
@@ -14,7 +14,7 @@
 	cancel()
 	ask := func(n int) {
 		q.Ask(gone, Ask{
-			ID: ID{"asker", uint64(n)}, Path: fmt.Sprint(n), Team: fmt.Sprint(n % 100), //nolint:gosec // n is not negative
+			ID: ID{"asker", uint64(n)}, Path: fmt.Sprint(n), Team: fmt.Sprint(n % 100),
 			Weight: float64(n%7 + 1), Hold: time.Minute,
 		})
 	}
