--- a/snipecaller/snipecaller_test.go
+++ b/snipecaller/snipecaller_test.go
@@ -93,6 +93,8 @@
 		}, 431, snipeerror.ErrHeaderTooLarge, "1000 bytes"},
 		"no key":        {goodBody, func(_ *Server, r *http.Request) { r.Header.Del("Authorization") }, 401, snipeerror.ErrUnauthenticated, "bearer"},
 		"unknown key":   {goodBody, func(_ *Server, r *http.Request) { r.Header.Set("Authorization", "Bearer x") }, 401, snipeerror.ErrUnauthenticated, "key"},
+		"other path":    {goodBody, func(_ *Server, r *http.Request) { r.URL.Path = "/v1/embeddings" }, 400, snipeerror.ErrBadRequest, "no such call"},
+		"other method":  {goodBody, func(_ *Server, r *http.Request) { r.Method = http.MethodGet }, 400, snipeerror.ErrBadRequest, "no such call"},
 		"bad class":     {goodBody, func(_ *Server, r *http.Request) { r.Header.Set(ClassHeader, "Urgent") }, 400, snipeerror.ErrBadRequest, "Urgent"},
 		"bad timeout":   {goodBody, func(_ *Server, r *http.Request) { r.Header.Set(TimeoutHeader, "-1s") }, 400, snipeerror.ErrBadRequest, TimeoutHeader},
 		"bad flag":      {goodBody, func(_ *Server, r *http.Request) { r.Header.Set(IdempotentHeader, "maybe") }, 400, snipeerror.ErrBadRequest, IdempotentHeader},
@@ -150,6 +152,11 @@
 			snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "engine gone"),
 			"id: 2\nevent: error\n", "AnswerIncomplete",
 		},
+		"failure that says not run": {
+			[]snipecall.Chunk{chunk(1, "plume@2")},
+			snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "x"),
+			"id: 2\nevent: error\n", "Overloaded",
+		},
 		"gap":              {[]snipecall.Chunk{chunk(1, "plume@2"), chunk(3, "plume@2")}, nil, "id: 2\nevent: error\n", "AnswerIncomplete"},
 		"duplicate":        {[]snipecall.Chunk{chunk(1, "plume@2"), chunk(1, "plume@2")}, nil, "id: 2\nevent: error\n", "AnswerIncomplete"},
 		"other adapter":    {[]snipecall.Chunk{chunk(1, "plume@2"), chunk(2, "plume@1")}, nil, "id: 2\nevent: error\n", "AnswerMismatch"},
@@ -172,6 +179,7 @@
 			must.StrNotContains(t, got, "plume@1\"}")
 			must.Eq(t, c.code == "", strings.HasSuffix(got, "data: [DONE]\n\n"))
 			must.Eq(t, c.code != "", strings.Contains(got, `"code":"`+c.code+`"`))
+			must.StrNotContains(t, got, "NotRun")
 		})
 	}
 }
