--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -76,6 +76,7 @@
 
 	quarantine *quarantine
 	health     *health
+	limits     *limits
 
 	phase    phase
 	stopping chan struct{}
@@ -103,6 +104,7 @@
 	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.quarantine.run)
 	i.addLoop(ctx, &g, i.health.loop)
+	i.addLoop(ctx, &g, i.limits.loop)
 	i.addLoop(ctx, &g, i.quarantine.guard.Loop)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, k := range i.keys {
@@ -141,6 +143,7 @@
 	i.buildDispatch(leases)
 	i.buildHolder(leases)
 	i.buildQuarantine()
+	i.buildLimits()
 	i.buildCallers(guard)
 	return nil
 }
@@ -207,19 +210,12 @@
 func (i *Instance) buildCallers(guard *snipeplatform.Guard) {
 	serve := i.claimed(guard, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Admitting, Serve: serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Admitting, Serve: serve, Admit: i.limits.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
 }
 
-func (i *Instance) admit(*snipecall.Call) (func(), error) {
-	if i.callers.InFlight() > int64(i.Config.MaxCalls) {
-		return nil, snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "too many calls in flight").After(time.Second)
-	}
-	return func() {}, nil
-}
-
 // noUpstreamRetry is what a caller is told to wait when no upstream is usable.
 const noUpstreamRetry = 2 * time.Second
 
