--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -157,7 +157,7 @@
 		end "$2"
 		unset "draining[$2]"
 		;;
-	drain) alive "$2" && kill -TERM "${pid[$2]}" && draining[$2]=1 || true ;;
+	drain) [ -z "${draining[$2]:-}" ] && alive "$2" && kill -TERM "${pid[$2]}" && draining[$2]=1 || true ;;
 	start)
 		unset "down[$2]"
 		alive "$2" || { drained "$2" && again "$2"; }
