--- a/snipedispatch/engine.go
+++ b/snipedispatch/engine.go
@@ -70,7 +70,11 @@
 			continue // another instance owns it
 		}
 		// A failed takeover is tried again at the next look or call.
-		go func() { _ = e.slots.Open(ctx) }()
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, watchInterval)
+			defer cancel()
+			_ = e.slots.Open(bounded)
+		}()
 	}
 }
 
