Permissions to load count only while they are renewed

Cause: a permission whose reply was lost, or whose end was not told, counted for the longest load (60 s).

Change: a permission counts three seconds and is renewed every second, at whoever holds the queue now, so that a new holder learns of loads that run.

Seen failing first: TestLostGrant (1m0.62s and 59.62s until the next load) and TestLongLoadKeepsItsPermission.

--- a/snipeinstance/weights.go
+++ b/snipeinstance/weights.go
@@ -26,7 +26,7 @@
 	fresh := snipeupstream.NewFresh(i.peerDial("Weights"))
 	client := &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret}
 	i.permits = &snipeweight.Permits{
-		Self: c.Name + "/" + rand.Text(), Hold: c.LoadTimeout.Value(),
+		Self:    c.Name + "/" + rand.Text(),
 		Holders: func() []snipeweight.Holder { return i.weightHolders(client) },
 	}
 }
--- a/snipepolicy/snipepolicy.go
+++ b/snipepolicy/snipepolicy.go
@@ -152,7 +152,7 @@
 		}
 		h := w.holder(q)
 		permits = append(permits, &snipeweight.Permits{
-			Self: strconv.Itoa(n), Hold: time.Minute, Holders: func() []snipeweight.Holder { return []snipeweight.Holder{h} },
+			Self: strconv.Itoa(n), Holders: func() []snipeweight.Holder { return []snipeweight.Holder{h} },
 		})
 	}
 	number := uint64(0)
--- a/snipeweight/queue.go
+++ b/snipeweight/queue.go
@@ -46,8 +46,11 @@
 	Team string
 	// Weight is what a second of waiting costs.
 	Weight float64
-	// Hold is how long a permission counts when its end is not told.
+	// Hold is how long a permission counts when it is not renewed.
 	Hold time.Duration
+	// Renew tells that the load runs by an earlier permission, perhaps another
+	// holder's.
+	Renew bool
 }
 
 // Answer is what the queue says to an ask.
@@ -82,7 +85,7 @@
 
 	lock     sync.Mutex // guards the fields below
 	waiting  map[ID]*queued
-	running  map[ID]time.Time // the end of each permission that is not told back
+	running  map[ID]time.Time // the end of each permission that is not renewed
 	started  map[ID]time.Time
 	failures map[string]failure
 	shares   map[string]float64 // loads of each team, decaying with shareTime
@@ -99,6 +102,11 @@
 	q.lock.Lock()
 	now := time.Now()
 	q.setup()
+	if a.Renew {
+		q.running[a.ID] = now.Add(a.Hold)
+		q.lock.Unlock()
+		return Answer{Granted: true}
+	}
 	if f, ok := q.failures[a.Path]; ok && now.Before(f.before) {
 		delete(q.waiting, a.ID)
 		q.lock.Unlock()
--- a/snipeweight/queue_test.go
+++ b/snipeweight/queue_test.go
@@ -55,7 +55,7 @@
 }
 
 func permits(name string, holders ...Holder) *Permits {
-	return &Permits{Self: name, Hold: time.Minute, Holders: func() []Holder { return holders }}
+	return &Permits{Self: name, Holders: func() []Holder { return holders }}
 }
 
 // TestBudgetAcrossInstances: however many instances ask, rate and number hold.
@@ -241,3 +241,70 @@
 	_, err := h.Ask(t.Context(), Ask{Hold: -1})
 	must.Error(t, err)
 }
+
+// TestLostGrant: a grant whose reply is lost, and a load whose end is not told,
+// once stopped all loads for the time that a load may take.
+func TestLostGrant(t *testing.T) {
+	tests := map[string]func(h *Holder){
+		"reply lost": func(h *Holder) {
+			ask := h.Ask
+			h.Ask = func(ctx context.Context, a Ask) (Answer, error) {
+				_, _ = ask(ctx, a)
+				return Answer{}, errors.New("reply lost")
+			}
+		},
+		"end not told": func(h *Holder) {
+			h.Done = func(context.Context, ID, string, bool) error { return errors.New("cut") }
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newQueue(100, 1)
+				cut := Local("i0", q)
+				fault(&cut)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				d := &Demand{Path: "a"}
+				d.Join(snipecall.Standard)
+				release, err := permits("cut", cut).Acquire(ctx, d)
+				if err == nil {
+					release(false)
+				}
+				start := time.Now()
+				must.NoError(t, (&store{}).load(t, permits("other", Local("i0", q)), "b", snipecall.Standard, false))
+				must.Less(t, 10*time.Second, time.Since(start))
+			})
+		})
+	}
+}
+
+// TestLongLoadKeepsItsPermission: a load that lasts long is renewed, also at a
+// holder that comes later.
+func TestLongLoadKeepsItsPermission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := newQueue(100, 1), newQueue(100, 1)
+		holders := []Holder{Local("i0", first)}
+		p := &Permits{Self: "long", Holders: func() []Holder { return holders }}
+		d := &Demand{Path: "a"}
+		d.Join(snipecall.Standard)
+		release, err := p.Acquire(t.Context(), d)
+		must.NoError(t, err)
+		time.Sleep(time.Minute)
+		must.False(t, granted(t, first))
+		holders = []Holder{Local("i1", second)}
+		time.Sleep(2 * time.Second)
+		must.False(t, granted(t, second))
+		release(false)
+		time.Sleep(time.Second)
+		must.True(t, granted(t, second))
+	})
+}
+
+// granted reports whether a queue gives permission to one more load.
+func granted(t *testing.T, q *Queue) bool {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	return q.Ask(ctx, Ask{ID: ID{"probe", 1}, Path: "p", Hold: time.Second}).Granted
+}
--- a/snipeweight/remote.go
+++ b/snipeweight/remote.go
@@ -15,7 +15,7 @@
 // maxPoll and maxHold bound what an asker may claim.
 const (
 	maxPoll = 10 * time.Second
-	maxHold = 10 * time.Minute
+	maxHold = time.Minute
 )
 
 // Remote returns the queue of another instance as a holder.
@@ -57,7 +57,7 @@
 	defer cancel()
 	r, err := service.Ask(outer, &snipeproto.WeightAskRequest{
 		Asker: a.ID.Asker, Number: a.ID.Number, Path: a.Path, Team: a.Team, Weight: a.Weight,
-		HoldMilliseconds: a.Hold.Milliseconds(), PollMilliseconds: max(length.Milliseconds(), 1),
+		HoldMilliseconds: a.Hold.Milliseconds(), PollMilliseconds: max(length.Milliseconds(), 1), Renew: a.Renew,
 	})
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "ask")
@@ -93,6 +93,7 @@
 	defer cancel()
 	a := s.Queue.Ask(bounded, Ask{
 		ID: ID{Asker: r.GetAsker(), Number: r.GetNumber()}, Path: r.GetPath(), Team: r.GetTeam(), Weight: weight, Hold: hold,
+		Renew: r.GetRenew(),
 	})
 	return &snipeproto.WeightAskResponse{
 		Granted: a.Granted, Backoff: a.Backoff, WaitMilliseconds: a.Wait.Milliseconds(),
--- a/snipeweight/snipeweight.go
+++ b/snipeweight/snipeweight.go
@@ -14,7 +14,10 @@
 //     side takes the share of the budget of its live instances.
 //   - When the holder does not answer, the asker turns to the next in rank;
 //     its entry there starts anew.
-//   - A permission that is never told back counts for its Hold time.
+//   - A permission counts while it is renewed, every second, at whoever holds
+//     the queue. One whose reply was lost, or whose end was not told, counts for
+//     three seconds: while it counted for the longest load, a cut of one
+//     instance stopped the loads of all.
 //   - A path whose load failed is kept back for a while that doubles; asks for
 //     it are answered at once, and stand in nobody's way.
 package snipeweight
@@ -37,6 +40,10 @@
 	answerSlack = time.Second
 	// avoidHolder is how long a holder that did not answer is passed over.
 	avoidHolder = 5 * time.Second
+	// holdTime is how long a permission counts that is not renewed, renewEvery
+	// the time between renewals.
+	holdTime   = 3 * time.Second
+	renewEvery = time.Second
 	// noHolderPause is the pause when no holder answers.
 	noHolderPause = 200 * time.Millisecond
 )
@@ -84,8 +91,6 @@
 	// Holders returns the live instances, the one that should hold the queue
 	// first.
 	Holders func() []Holder
-	// Hold is how long a load may take.
-	Hold time.Duration
 
 	number atomic.Uint64
 	lock   sync.Mutex // guards avoid
@@ -110,7 +115,8 @@
 		if h.Name != last {
 			length, last = firstPoll, h.Name
 		}
-		answer, err := p.ask(ctx, h, Ask{ID: id, Path: d.Path, Team: d.Team, Weight: d.Weight(), Hold: p.Hold}, length)
+		ask := Ask{ID: id, Path: d.Path, Team: d.Team, Weight: d.Weight(), Hold: holdTime}
+		answer, err := p.ask(ctx, h, ask, length)
 		switch {
 		case ctx.Err() != nil:
 			p.leave(h, id, d.Path, answer)
@@ -119,7 +125,7 @@
 			p.shun(h.Name)
 			continue
 		case answer.Granted:
-			return func(failed bool) { p.done(h, id, d.Path, failed) }, nil
+			return p.keep(h, ask), nil
 		case answer.Backoff:
 			return nil, &BackoffError{After: answer.Wait}
 		}
@@ -178,6 +184,35 @@
 	}()
 }
 
+// keep renews a permission until the returned function is called, which tells
+// the holder that the load has ended.
+func (p *Permits) keep(h Holder, a Ask) func(failed bool) {
+	a.Renew = true
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for pause(ctx, renewEvery) == nil {
+			now, ok := p.holder()
+			if !ok {
+				continue
+			}
+			h = now
+			if _, err := p.ask(ctx, now, a, firstPoll); err != nil {
+				p.shun(now.Name)
+			}
+		}
+	}()
+	return func(failed bool) {
+		cancel()
+		go func() {
+			// A renewal after the end would count as a load that runs.
+			<-ended
+			p.done(h, a.ID, a.Path, failed)
+		}()
+	}
+}
+
 func (p *Permits) done(h Holder, id ID, path string, failed bool) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), answerSlack)
