--- a/snipequarantine/wire_test.go
+++ b/snipequarantine/wire_test.go
@@ -1,10 +1,12 @@
 package snipequarantine
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +74,62 @@
 		t.Run(name, func(t *testing.T) { must.Error(t, call()) })
 	}
 }
+
+// counted counts the bytes that a listener's connections carry.
+type counted struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *counted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countedConn{c, l}, err
+}
+
+type countedConn struct {
+	net.Conn
+	of *counted
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.of.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.of.bytes.Add(int64(n))
+	return n, err
+}
+
+// TestMeasureTraffic is what a call costs between its entry instance and its
+// coordinator.
+func TestMeasureTraffic(t *testing.T) {
+	g := &Guard{Registry: &Registry{Self: "m", Hold: time.Hour}, Log: snipelog.Discard()}
+	server := httptest.NewUnstartedServer(g.Handler())
+	l := &counted{Listener: server.Listener}
+	server.Listener = l
+	server.Start()
+	defer server.Close()
+	address, err := netip.ParseAddrPort(l.Addr().String())
+	must.NoError(t, err)
+	client := &Client{HTTP: http.DefaultClient, Address: func(string) (netip.AddrPort, bool) { return address, true }}
+	a := Attempt{
+		ID: "WZ3MJ5V4Y2Q6T7R8S9X0ABCDEF/engine-100", Entry: "entry-100/7DJNBXACLJBZO56SWY6OXTGA7Q",
+		Upstream: "engine-100", Mark: "bottling/adapter-1000@12#", Left: time.Minute,
+	}
+	const calls = 100
+	for range calls {
+		_, err := client.Begin(t.Context(), "m", a)
+		must.NoError(t, err)
+		_, err = client.Finish(t.Context(), "m", a, Answered)
+		must.NoError(t, err)
+	}
+	each := l.bytes.Load() / calls
+	t.Log("Table: messages of one call to its coordinator, both ways, without TCP's own")
+	t.Log("| requests | bytes |")
+	t.Log("|---|---|")
+	t.Logf("| 2 | %d |", each)
+	must.Less(t, 1500, each)
+}
