Health costs a call nothing while all upstreams are up

Change: the tracker keeps the few upstreams that do not take all calls; a call with none of them among its candidates returns at once.

--- a/snipehealth/snipehealth.go
+++ b/snipehealth/snipehealth.go
@@ -21,7 +21,6 @@
 	"time"
 
 	"snipepitch.example/snipepitch/snipelog"
-	"snipepitch.example/snipepitch/sniperoute"
 )
 
 // State is how far an upstream takes part.
@@ -105,8 +104,11 @@
 	// Log takes events.
 	Log *snipelog.Logger
 
-	lock      sync.Mutex // guards upstreams; not held during Announce
+	lock      sync.Mutex // guards the fields below; not held during Announce
 	upstreams map[string]*upstream
+	// troubled are the upstreams that do not take all calls: the marks of a call
+	// cost nothing while there are none.
+	troubled map[string]*upstream
 }
 
 // upstream is what is known of one upstream.
@@ -152,6 +154,7 @@
 	u.group = o.Group
 	u.observe(o, t.peers(name, o.Group), now)
 	after, reason := u.state, u.reason
+	t.note(name, u, now)
 	t.lock.Unlock()
 	t.tell(name, before, after, why, reason)
 }
@@ -258,78 +261,6 @@
 	return 1
 }
 
-// Mark makes candidates unusable that are to get no work now. The key is the
-// call's: it decides which calls an upstream that comes back gets.
-func (t *Tracker) Mark(key uint64, candidates []sniperoute.Candidate) {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	now := time.Now()
-	usable := 0
-	for i := range candidates {
-		if candidates[i].Usable && t.open(key, &candidates[i], now) {
-			usable++
-		}
-	}
-	spare := usable*keepDenominator < len(candidates)*keepNumerator
-	for i := range candidates {
-		c := &candidates[i]
-		u := t.upstreams[c.Name]
-		if u == nil || !c.Usable || t.open(key, c, now) {
-			continue
-		}
-		// A slow one is better than an overload of all others.
-		c.Usable = spare && u.state != Up && !u.reason.hard() && !now.Before(u.refused)
-	}
-}
-
-// open reports whether an upstream takes the call. The lock is held.
-func (t *Tracker) open(key uint64, c *sniperoute.Candidate, now time.Time) bool {
-	u := t.upstreams[c.Name]
-	if u == nil {
-		return true
-	}
-	u.settle(now)
-	share := u.share(now)
-	return share >= 1 || share > 0 && fraction(sniperoute.Score(key, c.Hash^rampSalt)) < share
-}
-
-// rampSalt keeps the choice of the calls for a ramp apart from the ranking.
-const rampSalt = 0x5bd1e9955bd1e995
-
-// fraction maps a hash to 0 up to 1.
-func fraction(h uint64) float64 {
-	const bits = 53
-	return float64(h>>(64-bits)) / (1 << bits)
-}
-
-// Least returns the index of the candidate with fewer calls in flight from this
-// instance, of the two that rank first for the key, or -1 when none is usable.
-func (t *Tracker) Least(key uint64, candidates []sniperoute.Candidate) int {
-	first := sniperoute.Pick(key, candidates)
-	if first < 0 {
-		return first
-	}
-	c := &candidates[first]
-	c.Usable = false
-	second := sniperoute.Pick(key, candidates)
-	c.Usable = true
-	if second < 0 {
-		return first
-	}
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	a, b := t.upstreams[candidates[first].Name], t.upstreams[candidates[second].Name]
-	if a != nil && (b == nil && a.inFlight > 0 || b != nil && b.load() < a.load()) {
-		return second
-	}
-	return first
-}
-
-// load is the work in flight: calls by how long they take.
-func (u *upstream) load() float64 {
-	return float64(u.inFlight+1) * max(u.gap, time.Millisecond.Seconds())
-}
-
 // Hear takes an announcement of another instance, which counts for ttl. An
 // upstream whose own calls have shown this instance something keeps that.
 func (t *Tracker) Hear(name string, s State, r Reason, ttl time.Duration) {
@@ -344,6 +275,20 @@
 		u.enter(s, r, now)
 	}
 	u.heard = now.Add(ttl)
+	t.note(name, u, now)
+}
+
+// note keeps the troubled ones in step with an upstream's state. The lock is
+// held.
+func (t *Tracker) note(name string, u *upstream, now time.Time) {
+	if u.share(now) >= 1 {
+		delete(t.troubled, name)
+		return
+	}
+	if t.troubled == nil {
+		t.troubled = map[string]*upstream{}
+	}
+	t.troubled[name] = u
 }
 
 // Outs returns the upstreams that this instance has found to be out, with the
@@ -367,6 +312,7 @@
 	for name, u := range t.upstreams {
 		if u.inFlight == 0 && !known(name) {
 			delete(t.upstreams, name)
+			delete(t.troubled, name)
 		}
 	}
 }
--- a/snipemeter/traffic.go
+++ b/snipemeter/traffic.go
@@ -73,3 +73,6 @@
 	c.traffic.sent.Add(n)
 	return n, err
 }
+
+// Bytes returns the bytes received and sent so far.
+func (t *Traffic) Bytes() (received, sent uint64) { return t.received.Get(), t.sent.Get() }
