--- a/snipeclaim/sweep.go
+++ b/snipeclaim/sweep.go
@@ -9,6 +9,7 @@
 
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 const (
@@ -22,18 +23,11 @@
 // write in each interval, so that the writes of all instances together stay
 // within their number divided by the interval.
 func (s *Claims) Run(ctx context.Context) error {
-	t := time.NewTicker(s.Sweep)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	return snipetime.Every(ctx, s.Sweep, func(ctx context.Context) {
 		if err := s.sweep(ctx); err != nil && ctx.Err() == nil {
 			s.Log.Error(snipelog.SweepFailed, err, nil)
 		}
-	}
+	})
 }
 
 // next returns the next partition that this instance sweeps.
--- a/snipedispatch/engine.go
+++ b/snipedispatch/engine.go
@@ -8,6 +8,7 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeslot"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
@@ -37,16 +38,7 @@
 // Watch takes over engines as soon as they are owned, so that no caller waits
 // for it, and ends what belongs to lost ownerships.
 func (d *Dispatcher) Watch(ctx context.Context) error {
-	t := time.NewTicker(watchInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			d.watch(ctx)
-		}
-	}
+	return snipetime.Every(ctx, watchInterval, d.watch)
 }
 
 func (d *Dispatcher) watch(ctx context.Context) {
--- a/snipeinstance/health.go
+++ b/snipeinstance/health.go
@@ -9,6 +9,7 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipehealth"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
 
@@ -70,24 +71,19 @@
 
 // loop hears what others have announced and probes what is out.
 func (h *health) loop(ctx context.Context) error {
-	t := time.NewTicker(healthInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		if h.instance.settings.Current() == nil {
-			continue
-		}
-		h.hear()
-		h.tracker.Step(ctx, h.probes, h.probe)
-		for name, reason := range h.tracker.Outs() {
-			h.announce(name, snipehealth.Out, reason)
-		}
-		h.tracker.Forget(h.known)
+	return snipetime.Every(ctx, healthInterval, h.step)
+}
+
+func (h *health) step(ctx context.Context) {
+	if h.instance.settings.Current() == nil {
+		return
+	}
+	h.hear()
+	h.tracker.Step(ctx, h.probes, h.probe)
+	for name, reason := range h.tracker.Outs() {
+		h.announce(name, snipehealth.Out, reason)
 	}
+	h.tracker.Forget(h.known)
 }
 
 func (h *health) hear() {
--- a/snipeinstance/quarantine.go
+++ b/snipeinstance/quarantine.go
@@ -14,6 +14,7 @@
 	"snipepitch.example/snipepitch/snipepeer"
 	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
 
@@ -126,16 +127,7 @@
 
 // run keeps the quarantine's knowledge of members and crashes.
 func (q *quarantine) run(ctx context.Context) error {
-	t := time.NewTicker(absorbInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			q.absorb()
-		}
-	}
+	return snipetime.Every(ctx, absorbInterval, func(context.Context) { q.absorb() })
 }
 
 // dialMark stands for a plain service: a connection proves that it is up.
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -32,6 +32,7 @@
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipestream"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
 
@@ -128,7 +129,7 @@
 	}
 	err := h.connect(ctx, client, h.begin)
 	for n := 0; errors.Is(err, errBroken); n++ {
-		if n == maxResumes || !sleep(ctx, resumePause<<n) {
+		if n == maxResumes || !snipetime.Sleep(ctx, resumePause<<n) {
 			return broken(ctx, err)
 		}
 		if h.client.Log != nil {
@@ -143,18 +144,6 @@
 	return err
 }
 
-// sleep waits and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // broken is the failure of a hop that cannot be resumed.
 func broken(ctx context.Context, err error) error {
 	kind := snipeerror.ErrIncomplete
--- a/snipepeer/snipepeer_test.go
+++ b/snipepeer/snipepeer_test.go
@@ -14,6 +14,7 @@
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipestand"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
 
@@ -34,7 +35,7 @@
 func execute(count int) func(context.Context, *snipecall.Call, snipecall.Sink) error {
 	return func(ctx context.Context, _ *snipecall.Call, sink snipecall.Sink) error {
 		for n := 1; n <= count; n++ {
-			if !sleep(ctx, time.Second) {
+			if !snipetime.Sleep(ctx, time.Second) {
 				return ctx.Err()
 			}
 			k := snipecall.Chunk{Sequence: uint64(n), Data: []byte("chunk " + strconv.Itoa(n)), Last: n == count}
--- a/snipeplatform/settle.go
+++ b/snipeplatform/settle.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 // Pauses between two sendings of one operation.
@@ -31,20 +33,8 @@
 		if !unknown {
 			return err
 		}
-		if !sleep(ctx, pause) {
+		if !snipetime.Sleep(ctx, pause) {
 			return errors.Wrapf(ErrUnknown, "%v, last: %v", ctx.Err(), err)
 		}
 	}
 }
-
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/snipepolicy/fakes.go
+++ b/snipepolicy/fakes.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"snipepitch.example/snipepitch/snipeslot"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 const (
@@ -47,18 +48,10 @@
 		s.running--
 		s.lock.Unlock()
 	}()
-	return sleep(ctx, wait)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !snipetime.Sleep(ctx, wait) {
 		return ctx.Err()
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 // engine is a model engine: slots, and a batch whose steps take longer the
--- a/snipepolicy/previous.go
+++ b/snipepolicy/previous.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 // previousSlots are the slots as they were before: least recently used goes
@@ -159,9 +160,9 @@
 	wait := b.next.Sub(now)
 	b.next = b.next.Add(time.Duration(float64(time.Second) / b.perSecond))
 	b.lock.Unlock()
-	if err := sleep(ctx, wait); err != nil {
+	if !snipetime.Sleep(ctx, wait) {
 		<-b.running
-		return nil, err
+		return nil, ctx.Err()
 	}
 	return func() { <-b.running }, nil
 }
--- a/sniperetry/outage_test.go
+++ b/sniperetry/outage_test.go
@@ -15,6 +15,7 @@
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 // The fleet of the outage: 12 engines that answer 10 calls at once in a second
@@ -72,7 +73,7 @@
 		defer f.lock.Unlock()
 		f.inFlight[n]--
 	})
-	if !wait(ctx, min(work, outageDeadline/2)) || work > outageDeadline/2 {
+	if !snipetime.Sleep(ctx, min(work, outageDeadline/2)) || work > outageDeadline/2 {
 		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "no progress")
 	}
 	f.lock.Lock()
--- a/sniperetry/sniperetry.go
+++ b/sniperetry/sniperetry.go
@@ -23,6 +23,7 @@
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 const (
@@ -93,7 +94,7 @@
 	if n == maxAttempts-1 || time.Until(c.Deadline) <= pause {
 		return false
 	}
-	return a.Budget.Spend(c.Team) && wait(ctx, pause)
+	return a.Budget.Spend(c.Team) && snipetime.Sleep(ctx, pause)
 }
 
 // mayHaveRun returns the failure of an attempt, as MayHaveRun when an earlier
@@ -148,15 +149,3 @@
 	h := sniperoute.Score(sniperoute.Hash(id), uint64(n)) //nolint:gosec // n is not negative
 	return float64(h>>(64-bits)) / (1 << bits)
 }
-
-// wait pauses and reports false when ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/snipeweight/snipeweight.go
+++ b/snipeweight/snipeweight.go
@@ -29,6 +29,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 const (
@@ -107,8 +109,8 @@
 	for {
 		h, ok := p.holder()
 		if !ok {
-			if err := pause(ctx, noHolderPause); err != nil {
-				return nil, err
+			if !snipetime.Sleep(ctx, noHolderPause) {
+				return nil, ctx.Err()
 			}
 			continue
 		}
@@ -192,7 +194,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		for pause(ctx, renewEvery) == nil {
+		for snipetime.Sleep(ctx, renewEvery) {
 			now, ok := p.holder()
 			if !ok {
 				continue
@@ -221,14 +223,3 @@
 		_ = h.Done(ctx, id, path, failed)
 	}()
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
