--- a/Makefile
+++ b/Makefile
@@ -75,3 +75,8 @@
 # Measures the decisions about adapters; writes docs/bench-policy.md.
 bench-policy:
 	go test ./snipepolicy -count=1 -run TestPage -timeout 10m -args -policy.page $(CURDIR)/docs/bench-policy.md
+
+# Measures membership, settings and leases; docs/bench-state.md has the figures.
+.PHONY: bench-state
+bench-state:
+	go test -tags bench -v -run TestMeasure ./snipemember ./snipetree ./snipelease | grep -E '^(Row|Settings|Feed|Lease):|^(ok|FAIL)'
