The log is written by a duty of its own, behind a bounded ring

Cause: logrus writes in the caller's goroutine; a log whose reader has stopped would hold up every call that logs. The ring that is to join duties was used nowhere.

Ruled out: an unbounded queue; blocking with a time limit for each line.

--- a/cmd/snipepitchd/main.go
+++ b/cmd/snipepitchd/main.go
@@ -51,7 +51,11 @@
 		// The settings file has been checked.
 		level = logrus.InfoLevel
 	}
-	i := &snipeinstance.Instance{Config: c, Log: snipelog.New(os.Stderr, level, c.Name)}
+	buffer := snipelog.NewBuffer(os.Stderr)
+	defer buffer.Start()()
+	i := &snipeinstance.Instance{
+		Config: c, Log: snipelog.New(buffer, level, c.Name), LogDropped: buffer.Dropped,
+	}
 	if err := i.Run(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "snipepitchd:", err)
 		return exitFailed
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -55,6 +55,8 @@
 	Config snipeconfig.Config
 	// Log takes events.
 	Log *snipelog.Logger
+	// LogDropped returns how many log lines were dropped; nil for none.
+	LogDropped func() uint64
 
 	meter    *snipemeter.Meter
 	settings *snipetree.Store
@@ -130,6 +132,9 @@
 	i.stopping = make(chan struct{}, 1)
 	i.signals = make(chan os.Signal, 2)
 	i.meter = snipemeter.New()
+	if i.LogDropped != nil {
+		i.meter.Gauge("snipepitch_log_lines_dropped", func() float64 { return float64(i.LogDropped()) })
+	}
 	table := snipeplatform.Dynamo{
 		Address: c.Platform.Table, Table: c.Platform.TableName,
 		AccessKey: c.Platform.AccessKey, SecretKey: c.Platform.SecretKey,
--- a/snipering/snipering.go
+++ b/snipering/snipering.go
@@ -40,3 +40,14 @@
 
 // Len returns the number of items waiting.
 func (r *Ring[T]) Len() int { return len(r.items) }
+
+// TryPop returns the oldest item and reports false when there is none.
+func (r *Ring[T]) TryPop() (T, bool) {
+	select {
+	case v := <-r.items:
+		return v, true
+	default:
+		var zero T
+		return zero, false
+	}
+}
--- /dev/null
+++ b/snipering/snipering_test.go
@@ -0,0 +1,30 @@
+package snipering_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipering"
+)
+
+func TestRing(t *testing.T) {
+	r := snipering.New[int](2)
+	_, ok := r.TryPop()
+	must.False(t, ok)
+	must.True(t, r.TryPush(1))
+	must.True(t, r.TryPush(2))
+	must.False(t, r.TryPush(3))
+	must.Eq(t, 2, r.Len())
+	v, err := r.Pop(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, 1, v)
+	v, ok = r.TryPop()
+	must.True(t, ok)
+	must.Eq(t, 2, v)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = r.Pop(ctx)
+	must.ErrorIs(t, err, context.Canceled)
+}
