--- a/snipedispatch/engine.go
+++ b/snipedispatch/engine.go
@@ -6,7 +6,9 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeslot"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
@@ -36,16 +38,7 @@
 // Watch takes over engines as soon as they are owned, so that no caller waits
 // for it, and ends what belongs to lost ownerships.
 func (d *Dispatcher) Watch(ctx context.Context) error {
-	t := time.NewTicker(watchInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			d.watch(ctx)
-		}
-	}
+	return snipetime.Every(ctx, watchInterval, d.watch)
 }
 
 func (d *Dispatcher) watch(ctx context.Context) {
@@ -69,7 +62,11 @@
 			continue // another instance owns it
 		}
 		// A failed takeover is tried again at the next look or call.
-		go func() { _ = e.slots.Open(ctx) }()
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, watchInterval)
+			defer cancel()
+			_ = e.slots.Open(bounded)
+		}()
 	}
 }
 
@@ -157,3 +154,14 @@
 	e, ok := d.engines[name]
 	return d.calls[name] > 0 || ok && e.slots.Orders() > 0
 }
+
+// Uses calls f for each adapter resident at an owned engine with its calls in
+// flight.
+func (d *Dispatcher) Uses(name string, f func(a snipecall.Adapter, inFlight int)) {
+	d.lock.Lock()
+	e, ok := d.engines[name]
+	d.lock.Unlock()
+	if ok {
+		e.slots.Uses(f)
+	}
+}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -65,12 +65,18 @@
 	peers    *snipepeer.Handler
 	weights  *snipeweight.Queue
 	permits  *snipeweight.Permits
+	router   router
+	replicas replicas
 	keys     map[string]*snipecert.Keeper // by listener
 	members  *snipemember.Node
+	// Lease rows read for seeds; they belong to the goroutine of members.
+	rowSeeds []snipemember.Seed
+	rowsRead time.Time
 	claims   *snipeclaim.Claims
 
 	quarantine *quarantine
 	health     *health
+	limits     *limits
 
 	phase    phase
 	stopping chan struct{}
@@ -93,10 +99,12 @@
 	i.addLoop(ctx, &g, i.settings.Run)
 	i.addLoop(ctx, &g, i.holder.Run)
 	i.addLoop(ctx, &g, i.dispatch.Watch)
+	i.addLoop(ctx, &g, i.watchReplicas)
 	i.addLoop(ctx, &g, i.members.Run)
 	i.addLoop(ctx, &g, i.claims.Run)
 	i.addLoop(ctx, &g, i.quarantine.run)
 	i.addLoop(ctx, &g, i.health.loop)
+	i.addLoop(ctx, &g, i.limits.loop)
 	i.addLoop(ctx, &g, i.quarantine.guard.Loop)
 	i.addLoop(ctx, &g, i.watchReady)
 	for _, k := range i.keys {
@@ -135,6 +143,7 @@
 	i.buildDispatch(leases)
 	i.buildHolder(leases)
 	i.buildQuarantine()
+	i.buildLimits()
 	i.buildCallers(guard)
 	return nil
 }
@@ -201,24 +210,19 @@
 func (i *Instance) buildCallers(guard *snipeplatform.Guard) {
 	serve := i.claimed(guard, i.retries())
 	i.callers = &snipecaller.Server{
-		Tree: i.settings.Admitting, Serve: serve, Admit: i.admit, NewID: rand.Text,
+		Tree: i.settings.Admitting, Serve: serve, Admit: i.limits.admit, NewID: rand.Text,
 		MaxBody: i.Config.MaxBody, MaxHeader: maxHeader, BodyTimeout: bodyTimeout,
 		Meter: i.meter, Log: i.Log,
 	}
 }
 
-func (i *Instance) admit(*snipecall.Call) (func(), error) {
-	if i.callers.InFlight() > int64(i.Config.MaxCalls) {
-		return nil, snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "too many calls in flight").After(time.Second)
-	}
-	return func() {}, nil
-}
-
 // noUpstreamRetry is what a caller is told to wait when no upstream is usable.
 const noUpstreamRetry = 2 * time.Second
 
 func (i *Instance) choose(c *snipecall.Call, failed []string) (string, error) {
-	candidates := i.candidates(c, failed)
+	buffer := i.candidates(c, failed)
+	defer i.router.buffers.Put(buffer)
+	candidates := *buffer
 	call := sniperoute.Hash(c.ID)
 	i.health.tracker.Mark(call, candidates)
 	candidates = i.quarantine.isolate(c, candidates)
@@ -226,7 +230,8 @@
 	if c.Service != "" {
 		n = i.health.tracker.Least(call, candidates)
 	} else {
-		n = sniperoute.Pick(sniperoute.AdapterHash(c.Adapter), candidates)
+		key := sniperoute.AdapterHash(c.Adapter)
+		n = sniperoute.PickReplica(key, call, i.replicas.count(key), candidates)
 	}
 	if n < 0 {
 		return "", snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no usable upstream").After(noUpstreamRetry)
@@ -234,32 +239,6 @@
 	return candidates[n].Name, nil
 }
 
-func (i *Instance) candidates(c *snipecall.Call, failed []string) []sniperoute.Candidate {
-	t := i.settings.Current()
-	var all []sniperoute.Candidate
-	add := func(name string, usable bool) {
-		k := sniperoute.Candidate{Name: name, Hash: sniperoute.Hash(name), Usable: usable}
-		for _, f := range failed {
-			k.Excluded = k.Excluded || f == name
-		}
-		all = append(all, k)
-	}
-	if c.Service != "" {
-		for name, u := range t.Platform.Services[c.Service].Upstreams {
-			add(name, !u.Leaving)
-		}
-		return all
-	}
-	view := i.holder.View()
-	for name, e := range t.Platform.Engines {
-		o, owned := view.Owners[name]
-		if e.Base == c.Base {
-			add(name, owned && !o.Giving && !e.Leaving && i.reachable(o.Instance))
-		}
-	}
-	return all
-}
-
 // execute runs a call here or on the instance that owns its engine.
 func (i *Instance) execute(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
 	if c.Service != "" {
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -32,6 +32,7 @@
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipestream"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
 
@@ -60,6 +61,7 @@
 	maxResumes    = 3
 	resumePause   = 50 * time.Millisecond
 	cancelTimeout = 2 * time.Second
+	maxStatus     = 599
 	// maxWhole bounds one event: the largest is an answer that is not
 	// streamed, in base64.
 	maxWhole = 2 * snipeupstream.MaxAnswer
@@ -127,7 +129,7 @@
 	}
 	err := h.connect(ctx, client, h.begin)
 	for n := 0; errors.Is(err, errBroken); n++ {
-		if n == maxResumes || !sleep(ctx, resumePause<<n) {
+		if n == maxResumes || !snipetime.Sleep(ctx, resumePause<<n) {
 			return broken(ctx, err)
 		}
 		if h.client.Log != nil {
@@ -142,18 +144,6 @@
 	return err
 }
 
-// sleep waits and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // broken is the failure of a hop that cannot be resumed.
 func broken(ctx context.Context, err error) error {
 	kind := snipeerror.ErrIncomplete
@@ -288,19 +278,26 @@
 		if err != nil {
 			return errors.Wrapf(errBroken, "after event %d: %v", h.sequence, err)
 		}
-		switch {
-		case e.ID > h.sequence+1, e.ID == 0 && e.Name != eventBeat:
-			return errors.Wrapf(errBroken, "event %d after %d", e.ID, h.sequence)
-		case e.ID == h.sequence+1:
-			h.sequence = e.ID
-			if err := h.pass(e); err != nil || h.ended {
-				return err
-			}
+		x.Hold()
+		if err := h.event(e); err != nil || h.ended {
+			return err
 		}
 		x.Alive(h.client.Progress)
 	}
 }
 
+// event puts one event in its place and hands it on.
+func (h *hop) event(e snipestream.Event) error {
+	switch {
+	case e.ID > h.sequence+1, e.ID == 0 && e.Name != eventBeat:
+		return errors.Wrapf(errBroken, "event %d after %d", e.ID, h.sequence)
+	case e.ID == h.sequence+1:
+		h.sequence = e.ID
+		return h.pass(e)
+	}
+	return nil
+}
+
 // pass hands one event on.
 func (h *hop) pass(e snipestream.Event) error {
 	switch e.Name {
@@ -314,6 +311,9 @@
 		if err := json.Unmarshal(e.Data, &w); err != nil {
 			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "whole answer: "+err.Error())
 		}
+		if e.ID != 1 || w.Status < http.StatusOK || w.Status > maxStatus {
+			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "whole answer in place or status")
+		}
 		h.ended = true
 		return h.sink(snipecall.Chunk{
 			Sequence: 1, Status: w.Status, ContentType: w.ContentType, Data: w.Data, Last: true,
@@ -324,6 +324,10 @@
 			return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, err.Error())
 		}
 		h.ended = true
+		if e.ID > 1 {
+			// What has begun to answer has run.
+			f.Outcome = snipeerror.MayHaveRun
+		}
 		return f
 	}
 	return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, "event "+strconv.Quote(e.Name))
--- a/snipequarantine/wire.go
+++ b/snipequarantine/wire.go
@@ -140,6 +140,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = remote.Replicate(ctx, &snipeproto.ReplicateRequest{Fingerprint: f[:], Record: record})
-	return errors.Wrapf(err, "replicate to %s", member)
+	if _, err := remote.Replicate(ctx, &snipeproto.ReplicateRequest{Fingerprint: f[:], Record: record}); err != nil {
+		return errors.Wrapf(err, "replicate to %s", member)
+	}
+	return nil
 }
--- a/snipeweight/remote.go
+++ b/snipeweight/remote.go
@@ -15,7 +15,7 @@
 // maxPoll and maxHold bound what an asker may claim.
 const (
 	maxPoll = 10 * time.Second
-	maxHold = 10 * time.Minute
+	maxHold = time.Minute
 )
 
 // Remote returns the queue of another instance as a holder.
@@ -56,8 +56,8 @@
 	outer, cancel := context.WithTimeout(context.WithoutCancel(ctx), length+answerSlack)
 	defer cancel()
 	r, err := service.Ask(outer, &snipeproto.WeightAskRequest{
-		Asker: a.ID.Asker, Number: a.ID.Number, Path: a.Path, Weight: a.Weight,
-		HoldMilliseconds: a.Hold.Milliseconds(), PollMilliseconds: max(length.Milliseconds(), 1),
+		Asker: a.ID.Asker, Number: a.ID.Number, Path: a.Path, Team: a.Team, Weight: a.Weight,
+		HoldMilliseconds: a.Hold.Milliseconds(), PollMilliseconds: max(length.Milliseconds(), 1), Renew: a.Renew,
 	})
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "ask")
@@ -92,7 +92,8 @@
 	bounded, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	a := s.Queue.Ask(bounded, Ask{
-		ID: ID{Asker: r.GetAsker(), Number: r.GetNumber()}, Path: r.GetPath(), Weight: weight, Hold: hold,
+		ID: ID{Asker: r.GetAsker(), Number: r.GetNumber()}, Path: r.GetPath(), Team: r.GetTeam(), Weight: weight, Hold: hold,
+		Renew: r.GetRenew(),
 	})
 	return &snipeproto.WeightAskResponse{
 		Granted: a.Granted, Backoff: a.Backoff, WaitMilliseconds: a.Wait.Milliseconds(),
