Tests: listeners that are open before their instance, a race in a new test

TestLongLoadKeepsItsPermission changed a variable that the renewal reads (found by the race detector).

Ruled out: trying again with other ports, which leaves the gap.

Change: Instance.Listen is a seam; the tests hand over open listeners. The test's holder is an atomic pointer.

--- a/snipeinstance/bench_test.go
+++ b/snipeinstance/bench_test.go
@@ -128,12 +128,22 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// freeAddress returns an address on loopback that nobody listens on.
-func freeAddress(b testing.TB) netip.AddrPort {
+// ports are listeners that are open before their instance starts: a port that
+// was free a moment ago may be another process's by now.
+type ports map[netip.AddrPort]net.Listener
+
+// open returns the address of a new listener.
+func (p ports) open(b testing.TB) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(b, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	b.Cleanup(func() { _ = l.Close() })
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	p[address] = l
+	return address
+}
+
+func (p ports) listen(_ context.Context, address netip.AddrPort) (net.Listener, error) {
+	return p[address], nil
 }
 
 func newSystem(b testing.TB, change func(c *snipeconfig.Config)) *system {
@@ -155,14 +165,15 @@
 	for n := range 2 {
 		c := snipeconfig.Default()
 		c.Name, c.Domain, c.PeerSecret = fmt.Sprintf("entry-%d", n), "d", peerSecret
-		c.Callers, c.Operators, c.Peers = freeAddress(b), freeAddress(b), freeAddress(b)
+		open := ports{}
+		c.Callers, c.Operators, c.Peers = open.open(b), open.open(b), open.open(b)
 		c.Platform.Table, c.Platform.AccessKey, c.Platform.SecretKey = table, "a", tableSecret
 		c.Poll, c.Renew = snipejson.Duration(50*time.Millisecond), snipejson.Duration(200*time.Millisecond)
 		if change != nil {
 			change(&c)
 		}
 		must.NoError(b, c.Check())
-		i := &Instance{Config: c, Log: snipelog.Discard()}
+		i := &Instance{Config: c, Log: snipelog.Discard(), Listen: open.listen}
 		if change != nil {
 			i.Log = snipelog.New(&s.log, logrus.TraceLevel, c.Name)
 		}
--- a/snipeinstance/listen.go
+++ b/snipeinstance/listen.go
@@ -172,9 +172,18 @@
 	return s
 }
 
-func (i *Instance) addListener(ctx context.Context, g *run.Group, l listener) error {
+// listenTCP listens as the operating system does.
+func listenTCP(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
 	var config net.ListenConfig
-	n, err := config.Listen(ctx, "tcp", l.address.String())
+	return config.Listen(ctx, "tcp", address.String())
+}
+
+func (i *Instance) addListener(ctx context.Context, g *run.Group, l listener) error {
+	listen := i.Listen
+	if listen == nil {
+		listen = listenTCP
+	}
+	n, err := listen(ctx, l.address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", l.name)
 	}
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -12,7 +12,9 @@
 	"context"
 	"crypto/rand"
 	mathrand "math/rand/v2"
+	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -57,6 +59,8 @@
 	Log *snipelog.Logger
 	// LogDropped returns how many log lines were dropped; nil for none.
 	LogDropped func() uint64
+	// Listen opens a listener; nil for TCP.
+	Listen func(ctx context.Context, address netip.AddrPort) (net.Listener, error)
 
 	meter    *snipemeter.Meter
 	settings *snipetree.Store
--- a/snipeweight/queue_test.go
+++ b/snipeweight/queue_test.go
@@ -284,15 +284,17 @@
 func TestLongLoadKeepsItsPermission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		first, second := newQueue(100, 1), newQueue(100, 1)
-		holders := []Holder{Local("i0", first)}
-		p := &Permits{Self: "long", Holders: func() []Holder { return holders }}
+		var holder atomic.Pointer[Holder]
+		set := func(h Holder) { holder.Store(&h) }
+		set(Local("i0", first))
+		p := &Permits{Self: "long", Holders: func() []Holder { return []Holder{*holder.Load()} }}
 		d := &Demand{Path: "a"}
 		d.Join(snipecall.Standard)
 		release, err := p.Acquire(t.Context(), d)
 		must.NoError(t, err)
 		time.Sleep(time.Minute)
 		must.False(t, granted(t, first))
-		holders = []Holder{Local("i1", second)}
+		set(Local("i1", second))
 		time.Sleep(2 * time.Second)
 		must.False(t, granted(t, second))
 		release(false)
