--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,7 @@
 length=${DEMO_LENGTH:-15s}
 seed=${DEMO_SEED:-1}
 adapters=12
-share=0.9
+share=${DEMO_SHARE:-0.9}
 . scripts/stand.sh
 
 main() {
--- a/snipeslot/takeover_test.go
+++ b/snipeslot/takeover_test.go
@@ -198,3 +198,23 @@
 		}
 	}
 }
+
+// TestEditedPath: a version whose path is edited while it is resident is loaded
+// from the new path before the next call; a call under way keeps the old one.
+func TestEditedPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeEngine(2, true)
+		s := newFakeOwners(f).take()
+		under, err := s.Acquire(t.Context(), request("a", "p"))
+		must.NoError(t, err)
+		must.True(t, f.begin(under.Alias, "p"))
+		use(t, f, s, "a", "q")
+		must.True(t, f.has(under.Alias))
+		f.end(under.Alias)
+		under.Release()
+		use(t, f, s, "a", "q")
+		s.Close()
+		must.Eq(t, "", f.violation)
+		must.Eq(t, 2, f.loads)
+	})
+}
