An edit of an owned engine comes into force with the ownership as it is

Cause: found by reading: the owner's state of an engine was made once for each ownership, so that an accepted change of its address or its slots stayed out of force until the engine changed hands.

Ruled out: a new state at once for every edit; it would not know of the calls under way and could evict under them.

Seen failing first: TestEngineIsEdited (2 slots instead of 5) without the call of adjust; its first version ended in a panic for an engine that was never opened, which the test now passes through.

--- a/snipedispatch/engine.go
+++ b/snipedispatch/engine.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"snipepitch.example/snipepitch/snipecall"
+	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipeslot"
 	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipetree"
@@ -33,6 +34,9 @@
 	client *snipeupstream.Engine
 	slots  *snipeslot.Slots
 	held   time.Time // when the ownership stood last; guarded by Dispatcher.lock
+	// settings are those that the state was made or last changed for; guarded
+	// by Dispatcher.lock.
+	settings snipetree.Engine
 }
 
 // Watch takes over engines as soon as they are owned, so that no caller waits
@@ -70,6 +74,23 @@
 	}
 }
 
+// adjust puts the settings of now in force on an engine and reports whether its
+// state can go on. Another address, or another way with fencing numbers, needs
+// a new state, which knows nothing of the calls under way: they end first, and
+// new ones are refused meanwhile. The lock is held.
+func (e *engine) adjust(now snipetree.Engine) (bool, error) {
+	if e.settings.Address == now.Address && e.settings.ChecksFence == now.ChecksFence {
+		e.slots.Resize(now.Slots)
+		e.settings = now
+		return true, nil
+	}
+	if e.slots.Idle() {
+		return false, nil
+	}
+	reason := "calls at the former address of engine " + e.client.Name + " end first"
+	return false, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, reason).After(engineRetry)
+}
+
 func (d *Dispatcher) newEngine(name string, fence uint64, settings snipetree.Engine) *engine {
 	client := &snipeupstream.Engine{
 		Name: name, Address: settings.Address, Client: d.Client, Fresh: d.Fresh,
@@ -91,7 +112,7 @@
 		r := d.Record(name, fence)
 		s.GiveUp, s.Inherit = r.GiveUp, r.Inherit
 	}
-	return &engine{fence: fence, client: client, slots: s, held: time.Now()}
+	return &engine{fence: fence, client: client, slots: s, held: time.Now(), settings: settings}
 }
 
 // order gives an order only while the ownership stands, and translates the
--- a/snipedispatch/ownership_test.go
+++ b/snipedispatch/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -15,6 +16,7 @@
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipeslot"
 	"snipepitch.example/snipepitch/snipestand"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
@@ -25,28 +27,41 @@
 type owned struct {
 	*Dispatcher
 	held   atomic.Bool
+	tree   atomic.Pointer[snipetree.Tree]
 	client *snipeupstream.Engine
 }
 
-func newOwned(t *testing.T) *owned {
+// standEngine starts a stand-in engine and returns where.
+func standEngine(t *testing.T) netip.AddrPort {
 	t.Helper()
 	stand := &snipestand.Engine{Slots: 2, Batch: 2, TokenTime: time.Millisecond, ChecksFence: true}
 	server := httptest.NewServer(stand.Handler())
 	t.Cleanup(server.Close)
-	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-	tree := snipetree.NewTree(1, &snipetree.Platform{Engines: map[string]snipetree.Engine{
-		"e1": {Address: address, Base: "base-1", Slots: 2, Batch: 2, ChecksFence: true},
-	}}, nil)
-	o := &owned{client: &snipeupstream.Engine{Name: "e1", Address: address, Client: server.Client(), Fresh: server.Client()}}
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// declare puts settings of the engine in force.
+func (o *owned) declare(address netip.AddrPort, slots int) {
+	o.tree.Store(snipetree.NewTree(1, &snipetree.Platform{Engines: map[string]snipetree.Engine{
+		"e1": {Address: address, Base: "base-1", Slots: slots, Batch: 2, ChecksFence: true},
+	}}, nil))
+}
+
+func newOwned(t *testing.T) *owned {
+	t.Helper()
+	address := standEngine(t)
+	client := &http.Client{}
+	o := &owned{client: &snipeupstream.Engine{Name: "e1", Address: address, Client: client, Fresh: client}}
+	o.declare(address, 2)
 	o.held.Store(true)
 	o.Dispatcher = &Dispatcher{
-		Tree:  func() *snipetree.Tree { return tree },
+		Tree:  o.tree.Load,
 		Fence: func(string) (uint64, bool) { return 1, true },
 		Holds: func(string, uint64) bool { return o.held.Load() },
 		Budget: func(context.Context, *snipeweight.Demand) (func(bool), error) {
 			return func(bool) {}, nil
 		},
-		Client: server.Client(), Fresh: server.Client(), Progress: time.Minute, FirstChunk: time.Minute,
+		Client: client, Fresh: client, Progress: time.Minute, FirstChunk: time.Minute,
 		LoadTimeout: time.Minute, Meter: snipemeter.New(), Log: snipelog.Discard(),
 	}
 	return o
@@ -101,3 +116,30 @@
 	must.NoError(t, err)
 	must.SliceEmpty(t, names)
 }
+
+// TestEngineIsEdited: an accepted edit of an owned engine comes into force with
+// the ownership as it is: another number of slots at once, another address as
+// soon as the calls at the former one have ended.
+func TestEngineIsEdited(t *testing.T) {
+	o := newOwned(t)
+	former, err := o.engine("e1")
+	must.NoError(t, err)
+	o.declare(o.client.Address, 5)
+	same, err := o.engine("e1")
+	must.NoError(t, err)
+	must.Eq(t, former, same)
+	must.Eq(t, 5, same.slots.Capacity)
+	use, err := same.slots.Acquire(t.Context(), snipeslot.Request{
+		Adapter: snipecall.Adapter{Team: "t", Name: "a", Version: "1"}, Path: "p",
+	})
+	must.NoError(t, err)
+	address := standEngine(t)
+	o.declare(address, 5)
+	_, err = o.engine("e1")
+	must.ErrorIs(t, err, snipeerror.ErrNoUpstream)
+	must.Eq(t, snipeerror.NotRun, snipeerror.From(err).Outcome)
+	use.Release()
+	next, err := o.engine("e1")
+	must.NoError(t, err)
+	must.Eq(t, address, next.client.Address)
+}
--- a/snipedispatch/snipedispatch.go
+++ b/snipedispatch/snipedispatch.go
@@ -180,7 +180,9 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	if e, ok := d.engines[name]; ok && e.fence == fence {
-		return e, nil
+		if goesOn, err := e.adjust(settings); goesOn || err != nil {
+			return e, err
+		}
 	}
 	if d.engines == nil {
 		d.engines = map[string]*engine{}
--- a/snipeslot/snipeslot.go
+++ b/snipeslot/snipeslot.go
@@ -326,20 +326,6 @@
 	s.wake()
 }
 
-// Orders returns the number of loads in progress. Evictions do not count: a
-// successor need not wait for them.
-func (s *Slots) Orders() int {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	n := 0
-	for _, e := range s.slots {
-		if e.state == loading {
-			n++
-		}
-	}
-	return n
-}
-
 // Resident returns the adapters that are resident.
 func (s *Slots) Resident() []snipecall.Adapter {
 	s.lock.Lock()
