Capacity page from the merged system

Cause: the page had the first lease's figures.

Conclusion: the idle system is within its bounds; the quarantine's two requests a call are not, if they count as control. The page says so first.

--- a/snipecapacity/render.go
+++ b/snipecapacity/render.go
@@ -124,7 +124,7 @@
 }
 
 func (in *Inputs) renderSums(b *strings.Builder, sums map[Resource]float64) {
-	b.WriteString("## Sums against the bounds\n\n| Resource | Sum | Bound | Share of the bound |\n|---|---|---|---|\n")
+	b.WriteString("## Sums against the bounds\n\nOf the terms above, without calls; what calls add is in the notes.\n\n| Resource | Sum | Bound | Share of the bound |\n|---|---|---|---|\n")
 	for _, r := range resources {
 		bound, ok := in.Bounds[r]
 		if !ok {
