An edit of an engine's batch is in force with the next call

Cause: found by reading: the queue of an upstream kept the batch of its first call for good.

Ruled out: a new queue for each batch; calls that wait in the old one would lose their turn.

Change: snipelimit.Queue.Resize; the adaptive limit starts anew at the new batch and keeps the usual time of a call. The demand loop uses snipetime.Every.

Seen failing first: TestResize does not compile without Resize; with a Resize that does nothing its call "3" is refused (the state before).

--- a/snipeinstance/limits.go
+++ b/snipeinstance/limits.go
@@ -9,6 +9,7 @@
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelimit"
+	"snipepitch.example/snipepitch/snipetime"
 	"snipepitch.example/snipepitch/snipetree"
 )
 
@@ -60,14 +61,16 @@
 
 // queue returns the queue of an upstream that this instance executes calls at.
 func (l *limits) queue(c *snipecall.Call) *snipelimit.Queue {
+	batch := l.instance.settings.Current().Platform.Engines[c.Upstream].Batch
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	q, ok := l.queues[c.Upstream]
 	if !ok {
-		batch := l.instance.settings.Current().Platform.Engines[c.Upstream].Batch
 		q = snipelimit.NewQueue(batch)
 		l.queues[c.Upstream] = q
 	}
+	// An accepted edit of the batch is in force with the next call.
+	q.Resize(batch)
 	return q
 }
 
@@ -102,25 +105,20 @@
 // loop announces and hears demands, and drops queues of upstreams that are no
 // longer in the settings.
 func (l *limits) loop(ctx context.Context) error {
-	t := time.NewTicker(demandInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		for _, d := range l.instance.members.Digests(demandTopic) {
-			demand, err := strconv.ParseFloat(string(d.Data), 64)
-			if err != nil || d.Origin == l.instance.Config.Name || !(demand >= 0) {
-				continue
-			}
-			l.teams.Hear(d.Key, d.Origin, demand, heardTTL)
-		}
-		l.teams.Step()
-		if l.instance.settings.Current() != nil {
-			l.forget()
+	return snipetime.Every(ctx, demandInterval, func(context.Context) { l.step() })
+}
+
+func (l *limits) step() {
+	for _, d := range l.instance.members.Digests(demandTopic) {
+		demand, err := strconv.ParseFloat(string(d.Data), 64)
+		if err != nil || d.Origin == l.instance.Config.Name || !(demand >= 0) {
+			continue
 		}
+		l.teams.Hear(d.Key, d.Origin, demand, heardTTL)
+	}
+	l.teams.Step()
+	if l.instance.settings.Current() != nil {
+		l.forget()
 	}
 }
 
--- a/snipelimit/adaptive.go
+++ b/snipelimit/adaptive.go
@@ -51,6 +51,7 @@
 // adaptive is a limit of concurrent calls: additive increase while it is used,
 // multiplicative decrease at refusals, and slowly at calls that take long.
 type adaptive struct {
+	batch      int
 	value, top float64
 	usual      time.Duration
 	shrunk     time.Time
@@ -58,9 +59,19 @@
 
 func newAdaptive(batch int) adaptive {
 	if batch < 1 {
-		return adaptive{value: unknownStart, top: unknownTop}
+		return adaptive{batch: batch, value: unknownStart, top: unknownTop}
 	}
-	return adaptive{value: float64(batch), top: float64(batch + max(batch/batchSpare, 1))}
+	return adaptive{batch: batch, value: float64(batch), top: float64(batch + max(batch/batchSpare, 1))}
+}
+
+// resize starts anew for another batch; the usual time of a call stays.
+func (a *adaptive) resize(batch int) {
+	if batch == a.batch {
+		return
+	}
+	usual := a.usual
+	*a = newAdaptive(batch)
+	a.usual = usual
 }
 
 // calls returns how many calls may run at once.
--- a/snipelimit/queue.go
+++ b/snipelimit/queue.go
@@ -54,6 +54,14 @@
 	return &Queue{limit: newAdaptive(batch), teams: map[string]*team{}}
 }
 
+// Resize tells the queue that its upstream executes so many calls at once now.
+func (q *Queue) Resize(batch int) {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.limit.resize(batch)
+	q.next()
+}
+
 // Enter waits for the call's turn. The caller calls done with its failure.
 func (q *Queue) Enter(ctx context.Context, c *snipecall.Call) (done func(error), err error) {
 	q.lock.Lock()
--- a/snipelimit/queue_test.go
+++ b/snipelimit/queue_test.go
@@ -183,3 +183,22 @@
 		must.Less(t, high, a.calls())
 	})
 }
+
+// TestResize: an edit of the batch of an upstream in use applies to the next
+// call.
+func TestResize(t *testing.T) {
+	q := NewQueue(1)
+	enter := func(id string) error {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := q.Enter(ctx, &snipecall.Call{ID: id, Team: "t", Deadline: time.Now().Add(time.Hour)})
+		return err
+	}
+	must.NoError(t, enter("1"))
+	must.Error(t, enter("2"))
+	q.Resize(2)
+	must.NoError(t, enter("3"))
+	must.Error(t, enter("4"))
+	q.Resize(2)
+	must.Error(t, enter("5"))
+}
