The last three copies of the waits use snipetime

Cause: snipetree, snipemember and the watch of replicas kept their own sleep and ticker loop.

Change: snipetime.Sleep and snipetime.Every. No change of behaviour; the tests of the three packages pass as before.

--- a/snipeinstance/replicas.go
+++ b/snipeinstance/replicas.go
@@ -8,6 +8,7 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 const (
@@ -49,17 +50,10 @@
 }
 
 func (i *Instance) watchReplicas(ctx context.Context) error {
-	t := time.NewTicker(replicasStep)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			i.decideReplicas(now)
-			i.hearReplicas()
-		}
-	}
+	return snipetime.Every(ctx, replicasStep, func(context.Context) {
+		i.decideReplicas(time.Now())
+		i.hearReplicas()
+	})
 }
 
 // decideReplicas looks at the adapters whose home is at an engine of this
--- a/snipemember/run.go
+++ b/snipemember/run.go
@@ -8,6 +8,7 @@
 
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 // Run takes part in the membership until ctx ends.
@@ -60,12 +61,12 @@
 		case <-n.wake:
 		}
 		for n.fresh() && ctx.Err() == nil {
-			sleep(ctx, pushGather)
+			snipetime.Sleep(ctx, pushGather)
 			now := time.Now()
 			budget = min(pushBurst, budget+pushRefill*now.Sub(filled).Seconds()/n.Interval.Seconds())
 			filled = now
 			if budget < 1 {
-				sleep(ctx, n.Interval/2)
+				snipetime.Sleep(ctx, n.Interval/2)
 				continue
 			}
 			count := min(pushFanout, int(budget))
@@ -77,15 +78,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // push tells news to random peers and returns to how many.
 func (n *Node) push(ctx context.Context, count int) int {
 	peers := n.some(count, "")
--- a/snipetree/edit.go
+++ b/snipetree/edit.go
@@ -11,6 +11,7 @@
 	"snipepitch.example/snipepitch/snipejson"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 // Entry is one accepted edit in the history.
@@ -74,7 +75,7 @@
 		if !errors.Is(err, snipeplatform.ErrConflict) {
 			return revision, err
 		}
-		if !pause(ctx, s.jitter(time.Duration(n+1)*20*time.Millisecond)) {
+		if !snipetime.Sleep(ctx, s.jitter(time.Duration(n+1)*20*time.Millisecond)) {
 			return 0, err
 		}
 	}
@@ -86,23 +87,12 @@
 	const tries, wait = 3, 50 * time.Millisecond
 	for n := 1; ; n++ {
 		err := step()
-		if !errors.Is(err, snipeplatform.ErrUnavailable) || n == tries || !pause(ctx, time.Duration(n)*wait) {
+		if !errors.Is(err, snipeplatform.ErrUnavailable) || n == tries || !snipetime.Sleep(ctx, time.Duration(n)*wait) {
 			return err
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func checkBranch(team string, data []byte) error {
 	if team == "" {
 		p := &Platform{}
