--- a/snipestand/engine.go
+++ b/snipestand/engine.go
@@ -111,13 +111,22 @@
 	return false
 }
 
-func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+// readOrder reads an order, or refuses it and reports false.
+func (e *Engine) readOrder(w http.ResponseWriter, r *http.Request) (orderBody, bool) {
 	var o orderBody
 	if !readJSON(w, r, &o) {
-		return
+		return o, false
 	}
 	if e.fenced(r) {
 		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+		return o, false
+	}
+	return o, true
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	o, ok := e.readOrder(w, r)
+	if !ok {
 		return
 	}
 	if e.failLoad() {
@@ -164,12 +173,8 @@
 }
 
 func (e *Engine) unload(w http.ResponseWriter, r *http.Request) {
-	var o orderBody
-	if !readJSON(w, r, &o) {
-		return
-	}
-	if e.fenced(r) {
-		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+	o, ok := e.readOrder(w, r)
+	if !ok {
 		return
 	}
 	e.lock.Lock()
