--- a/cmd/snipepitchd/main.go
+++ b/cmd/snipepitchd/main.go
@@ -3,6 +3,10 @@
 // Usage:
 //
 //	snipepitchd -settings FILE [-check]
+//	snipepitchd entry [-settings FILE] [-check]
+//
+// With entry it passes requests on as an entry instance of the co-operative
+// platform, which names the settings file itself.
 //
 // Exit codes: 0 after a planned stop or a successful check, 1 when it could
 // not serve, 2 for bad arguments or a bad settings file.
@@ -31,6 +35,9 @@
 }
 
 func serve() int {
+	if len(os.Args) > 1 && os.Args[1] == "entry" {
+		return serveEntry(os.Args[2:])
+	}
 	settings := flag.String("settings", "", "the instance's settings `file`")
 	check := flag.Bool("check", false, "only check the settings file")
 	flag.Parse()
--- /dev/null
+++ b/snipeadapter/order.go
@@ -0,0 +1,217 @@
+package snipeadapter
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipetime"
+)
+
+// order gives one order, with room made before a load, until the engine has taken
+// it, holds what it orders, or will not take it.
+func (e *engine) order(ctx context.Context, o *Order) (Reply, error) {
+	e.ordering.Lock()
+	defer e.ordering.Unlock()
+	for {
+		u := e.desk.Upstream(e.id)
+		if u == nil {
+			return Refused, errors.Wrap(ErrUnknownEngine, e.id)
+		}
+		fence, ok := e.desk.Fence(u.Address)
+		if !ok {
+			return Refused, errors.Wrap(ErrNotOwner, e.id)
+		}
+		if !e.read || e.fence != fence {
+			if err := e.readState(ctx, u, fence); err != nil {
+				return Refused, err
+			}
+		}
+		if o.Action == Load {
+			if err := e.makeRoom(ctx, u, o); err != nil {
+				return Refused, err
+			}
+		}
+		reply, err := e.give(ctx, u, o)
+		switch reply {
+		case Taken, Holds:
+			return reply, nil
+		case Refused, Elsewhere, Outdated:
+			return reply, errors.Wrapf(ErrRefused, "%s: %v", reply, err)
+		}
+		if err := ctx.Err(); err != nil {
+			return reply, err
+		}
+	}
+}
+
+// give sends one order. After a conflict or no answer the engine's state has to be
+// read again; it has been when give returns.
+func (e *engine) give(ctx context.Context, u *snipedirectory.Upstream, o *Order) (Reply, error) {
+	fence, ok := e.desk.Fence(u.Address)
+	if !ok {
+		return Refused, errors.Wrap(ErrNotOwner, e.id)
+	}
+	o.Expect, o.Holder, o.Fence = e.orders, e.desk.Holder, fence
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	reply, err := e.desk.Engine.Order(bounded, u, *o)
+	cancel()
+	fields := snipelog.Fields{
+		"Engine": e.id, "Action": o.Action.String(), "Adapter": o.Adapter.Name, "Version": o.Version,
+		"Expect": o.Expect, "Fence": fence, "Reply": reply.String(),
+	}
+	switch reply {
+	case Taken:
+		e.orders++
+		e.desk.Log.Log(snipelog.OrderGiven, fields)
+	case Holds:
+		if o.Action == Unload {
+			e.orders++
+		}
+		e.desk.Log.Log(snipelog.OrderGiven, fields)
+	case Conflict, Unanswered:
+		if err != nil {
+			fields["Error"] = err.Error()
+		}
+		e.desk.Log.Log(snipelog.OrderUnknown, fields)
+		e.read = false
+		if !snipetime.Sleep(ctx, reportAge) {
+			return reply, ctx.Err()
+		}
+	default:
+		e.desk.Log.Log(snipelog.OrderRefused, fields)
+	}
+	return reply, err
+}
+
+// readState reads what the engine holds. The caller holds ordering.
+func (e *engine) readState(ctx context.Context, u *snipedirectory.Upstream, fence uint64) error {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := e.desk.Engine.Report(bounded, u)
+	if err != nil {
+		return errors.Wrap(err, "read engine")
+	}
+	e.orders, e.fence, e.read = r.Orders, fence, true
+	e.desk.Log.Log(snipelog.EngineRead, snipelog.Fields{
+		"Engine": e.id, "Orders": r.Orders, "Resident": len(r.Resident), "Coming": len(r.Coming), "Fence": fence,
+	})
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	old := e.held
+	e.held = make(map[snipecatalog.Adapter]*holding, len(r.Resident))
+	for _, held := range append(r.Resident, r.Coming...) {
+		h := &holding{version: held.Version}
+		if known := old[held.Adapter]; known != nil {
+			h.used = known.used
+		}
+		e.held[held.Adapter] = h
+	}
+	return nil
+}
+
+// makeRoom unloads adapters until there is room for one more, the least recently
+// used first. The caller holds ordering.
+func (e *engine) makeRoom(ctx context.Context, u *snipedirectory.Upstream, o *Order) error {
+	for {
+		victim, full := e.victim(u, o.Adapter)
+		if !full {
+			return nil
+		}
+		if victim.Name == "" {
+			return errors.Wrap(ErrFull, e.id)
+		}
+		away := Order{Action: Unload, Adapter: victim}
+		reply, err := e.give(ctx, u, &away)
+		switch reply {
+		case Taken, Holds:
+			e.lock.Lock()
+			delete(e.held, victim)
+			e.lock.Unlock()
+		case Conflict, Unanswered:
+			if fence, ok := e.desk.Fence(u.Address); !ok {
+				return errors.Wrap(ErrNotOwner, e.id)
+			} else if err := e.readState(ctx, u, fence); err != nil {
+				return err
+			}
+		default:
+			return errors.Wrapf(ErrRefused, "unload: %s: %v", reply, err)
+		}
+	}
+}
+
+// victim returns the adapter to unload so that another one finds room, and whether
+// the engine is full. All loads that are under way count as held.
+func (e *engine) victim(u *snipedirectory.Upstream, coming snipecatalog.Adapter) (snipecatalog.Adapter, bool) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	taken := len(e.held)
+	for a := range e.loads {
+		if e.held[a] == nil && a != coming {
+			taken++
+		}
+	}
+	if e.held[coming] != nil || taken < e.desk.Slots(u) {
+		return snipecatalog.Adapter{}, false
+	}
+	var least snipecatalog.Adapter
+	var oldest time.Time
+	for a, h := range e.held {
+		if e.loads[a] != nil || time.Since(h.used) < recentUse {
+			continue
+		}
+		if least.Name == "" || h.used.Before(oldest) {
+			least, oldest = a, h.used
+		}
+	}
+	return least, true
+}
+
+// await asks until the load that was taken is complete. The question is the order
+// itself: an engine that holds what is ordered says so and does nothing.
+func (e *engine) await(ctx context.Context, o Order) error {
+	if !snipetime.Sleep(ctx, loadTime) {
+		return ctx.Err()
+	}
+	for {
+		u := e.desk.Upstream(e.id)
+		if u == nil {
+			return errors.Wrap(ErrUnknownEngine, e.id)
+		}
+		reply, err := e.ask(ctx, u, o)
+		if reply == Holds {
+			return nil
+		}
+		if err != nil && !errors.Is(err, ErrNoAnswer) {
+			return err
+		}
+		if !snipetime.Sleep(ctx, askEvery) {
+			return ctx.Err()
+		}
+	}
+}
+
+// ask repeats an order as a question. It states the number of orders before the
+// load, which is in the past: the engine can only say that it holds the adapter.
+func (e *engine) ask(ctx context.Context, u *snipedirectory.Upstream, o Order) (Reply, error) {
+	fence, ok := e.desk.Fence(u.Address)
+	if !ok {
+		return Refused, errors.Wrap(ErrNotOwner, e.id)
+	}
+	o.Fence = fence
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := e.desk.Engine.Order(bounded, u, o)
+	if reply == Elsewhere {
+		return reply, errors.Wrap(ErrRefused, reply.String())
+	}
+	if err != nil {
+		return reply, errors.Wrapf(ErrNoAnswer, "%v", err)
+	}
+	e.desk.Log.Log(snipelog.OrderRefused, snipelog.Fields{"Engine": e.id, "Ask": reply.String(), "Adapter": o.Adapter.Name})
+	return reply, nil
+}
--- /dev/null
+++ b/snipeadapter/residency.go
@@ -0,0 +1,94 @@
+package snipeadapter
+
+import (
+	"sync"
+	"time"
+
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
+)
+
+// belief is what is known of one adapter on one engine.
+type belief struct {
+	version int64
+	present bool
+	// told is when an owner or the engine itself said so; zero when it is from the
+	// directory.
+	told time.Time
+}
+
+// Residency is what an instance believes that engines hold. It is safe for
+// concurrent use; the zero value is ready.
+type Residency struct {
+	lock    sync.RWMutex // guards engines
+	engines map[string]map[snipecatalog.Adapter]belief
+}
+
+// Observe takes an engine's directory entry.
+func (r *Residency) Observe(u *snipedirectory.Upstream) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.engines == nil {
+		r.engines = make(map[string]map[snipecatalog.Adapter]belief)
+	}
+	old := r.engines[u.ID]
+	all := make(map[snipecatalog.Adapter]belief, len(u.Resident))
+	for _, held := range u.Resident {
+		all[held.Adapter] = belief{version: held.Version, present: true}
+	}
+	for a, b := range old {
+		if !b.told.IsZero() && time.Since(b.told) < trust {
+			all[a] = b
+		}
+	}
+	r.engines[u.ID] = all
+}
+
+// Tell notes that an engine holds an adapter.
+func (r *Residency) Tell(engine string, a snipecatalog.Adapter, version int64) {
+	r.note(engine, a, belief{version: version, present: true, told: time.Now()})
+}
+
+// Deny notes that an engine does not hold an adapter in the version it was thought
+// to.
+func (r *Residency) Deny(engine string, a snipecatalog.Adapter) {
+	r.note(engine, a, belief{told: time.Now()})
+}
+
+func (r *Residency) note(engine string, a snipecatalog.Adapter, b belief) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.engines == nil {
+		r.engines = make(map[string]map[snipecatalog.Adapter]belief)
+	}
+	all := r.engines[engine]
+	if all == nil {
+		all = make(map[snipecatalog.Adapter]belief)
+		r.engines[engine] = all
+	}
+	all[a] = b
+}
+
+// Forget drops an engine that is gone.
+func (r *Residency) Forget(engine string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.engines, engine)
+}
+
+// Holds returns the version of an adapter that an engine is believed to hold. The
+// base model itself is held by every engine that lists it.
+func (r *Residency) Holds(u *snipedirectory.Upstream, a snipecatalog.Adapter) (int64, bool) {
+	if a.Name == "" {
+		for _, m := range u.Models {
+			if m == a.Model {
+				return 0, true
+			}
+		}
+		return 0, false
+	}
+	r.lock.RLock()
+	defer r.lock.RUnlock()
+	b, ok := r.engines[u.ID][a]
+	return b.version, ok && b.present
+}
--- /dev/null
+++ b/snipebalance/snipebalance.go
@@ -0,0 +1,224 @@
+// Package snipebalance chooses among the upstreams of a service by what this
+// instance knows of their load and health.
+//
+// The load of an upstream is what it last said of itself, corrected by the
+// requests that this instance has sent and seen ended since then. A statement
+// loses weight as it grows old, so that an upstream that was busy is tried again.
+//
+// Choices are pure given the knowledge: no I/O and no allocation.
+package snipebalance
+
+import (
+	"sync"
+	"time"
+
+	"snipepitch.example/snipepitch/snipedirectory"
+)
+
+const (
+	// staleAfter is when a statement of load counts for nothing any more: several
+	// answers' time under the usual load.
+	staleAfter = 2 * time.Second
+	// farCost is what another failure domain counts, in shares of an upstream's
+	// slots: its bytes cost about a tenth of a busy upstream's slowness.
+	farCost = 0.10
+	// failureCost is what a certain failure counts, in shares of the slots.
+	failureCost = 3.0
+	// failureDecay is how much of the failure rate stays with each answer.
+	failureDecay = 0.85
+	// firstPause is how long an upstream is left alone after it could not be
+	// reached; it doubles up to maxPause.
+	firstPause = 300 * time.Millisecond
+	maxPause   = 3 * time.Second
+	// brokenLimit is how many requests in a row may get no answer before an
+	// upstream is left alone.
+	brokenLimit = 3
+	// promptTokens is the size of a prompt that counts as one more request: about
+	// the time in which an engine generates one answer's tokens.
+	promptTokens = 2000
+)
+
+// state is what is known of one upstream.
+type state struct {
+	// mine is the weight of this instance's requests in flight.
+	mine float64
+	// told is the last statement of load, mineThen this instance's part of it.
+	told     float64
+	mineThen float64
+	toldAt   time.Time
+	// failures is the decayed share of answers that were failures.
+	failures float64
+	// broken counts requests without an answer in a row.
+	broken int
+	pause  time.Duration
+	until  time.Time
+}
+
+// Balancer is the knowledge of all upstreams. Exported fields are set before the
+// first call; it is safe for concurrent use.
+type Balancer struct {
+	// Domain is this instance's failure domain.
+	Domain string
+	// Suspect is told when an upstream is left alone or is trusted again; nil for
+	// nobody.
+	Suspect func(id string, suspect bool)
+
+	lock   sync.Mutex // guards states
+	states map[string]*state
+}
+
+// Weight returns how much a request with a prompt counts.
+func Weight(prompt int) float64 { return 1 + float64(prompt)/promptTokens }
+
+// Filter says which upstreams may be chosen.
+type Filter func(u *snipedirectory.Upstream) bool
+
+// Pick returns the best upstream that passes the filter; nil when there is none.
+// Upstreams that are suspect are chosen only when there is no other.
+func (b *Balancer) Pick(all []*snipedirectory.Upstream, may Filter) *snipedirectory.Upstream {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	var best *snipedirectory.Upstream
+	var bestCost float64
+	bestSuspect := true
+	for _, u := range all {
+		if u.Leaving || !may(u) {
+			continue
+		}
+		cost, suspect := b.cost(u, now)
+		if best == nil || bestSuspect && !suspect || suspect == bestSuspect && cost < bestCost {
+			best, bestCost, bestSuspect = u, cost, suspect
+		}
+	}
+	return best
+}
+
+// Usable reports whether an upstream is neither leaving nor suspect.
+func (b *Balancer) Usable(u *snipedirectory.Upstream) bool {
+	if u.Leaving {
+		return false
+	}
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	s := b.states[u.ID]
+	return s == nil || !time.Now().Before(s.until)
+}
+
+// Busy returns the share of an upstream's slots that are thought to be taken.
+func (b *Balancer) Busy(u *snipedirectory.Upstream) float64 {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.busy(u, time.Now())
+}
+
+func (b *Balancer) busy(u *snipedirectory.Upstream, now time.Time) float64 {
+	s := b.states[u.ID]
+	if s == nil {
+		return 0
+	}
+	load := s.mine
+	if age := now.Sub(s.toldAt); age < staleAfter {
+		others := max(s.told-s.mineThen, 0)
+		load += others * float64(staleAfter-age) / float64(staleAfter)
+	}
+	return load / float64(max(u.Slots, 1))
+}
+
+func (b *Balancer) cost(u *snipedirectory.Upstream, now time.Time) (cost float64, suspect bool) {
+	cost = b.busy(u, now)
+	if u.Domain != b.Domain {
+		cost += farCost
+	}
+	if s := b.states[u.ID]; s != nil {
+		cost += failureCost * s.failures
+		suspect = now.Before(s.until)
+	}
+	return cost, suspect
+}
+
+func (b *Balancer) state(id string) *state {
+	if b.states == nil {
+		b.states = make(map[string]*state)
+	}
+	s := b.states[id]
+	if s == nil {
+		s = &state{}
+		b.states[id] = s
+	}
+	return s
+}
+
+// Begin notes that a request of a weight goes to an upstream. The returned
+// function notes its end.
+func (b *Balancer) Begin(id string, weight float64) (end func()) {
+	b.lock.Lock()
+	b.state(id).mine += weight
+	b.lock.Unlock()
+	return func() {
+		b.lock.Lock()
+		defer b.lock.Unlock()
+		if s := b.states[id]; s != nil {
+			s.mine = max(s.mine-weight, 0)
+		}
+	}
+}
+
+// Told notes what an upstream said of its load.
+func (b *Balancer) Told(id string, load float64) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	s := b.state(id)
+	s.told, s.mineThen, s.toldAt = load, s.mine, time.Now()
+}
+
+// Answered notes an answer, and whether it was a failure.
+func (b *Balancer) Answered(id string, failed bool) {
+	b.lock.Lock()
+	s := b.state(id)
+	s.failures *= failureDecay
+	if failed {
+		s.failures += 1 - failureDecay
+	}
+	trusted := s.pause > 0
+	s.broken, s.pause, s.until = 0, 0, time.Time{}
+	b.lock.Unlock()
+	if trusted {
+		b.tell(id, false)
+	}
+}
+
+// Unreached notes that an upstream could not be connected to.
+func (b *Balancer) Unreached(id string) { b.miss(id, true) }
+
+// Broken notes that a request got no answer.
+func (b *Balancer) Broken(id string) { b.miss(id, false) }
+
+func (b *Balancer) miss(id string, certain bool) {
+	b.lock.Lock()
+	s := b.state(id)
+	s.broken++
+	s.failures = s.failures*failureDecay + 1 - failureDecay
+	suspect := certain || s.broken >= brokenLimit
+	if suspect {
+		s.pause = min(max(2*s.pause, firstPause), maxPause)
+		s.until = time.Now().Add(s.pause)
+	}
+	b.lock.Unlock()
+	if suspect {
+		b.tell(id, true)
+	}
+}
+
+func (b *Balancer) tell(id string, suspect bool) {
+	if b.Suspect != nil {
+		b.Suspect(id, suspect)
+	}
+}
+
+// Forget drops an upstream that is gone.
+func (b *Balancer) Forget(id string) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	delete(b.states, id)
+}
--- /dev/null
+++ b/snipeentry/listen.go
@@ -0,0 +1,103 @@
+package snipeentry
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+const (
+	// headerTime bounds the time to send a request's header; callers take well
+	// under three seconds.
+	headerTime = 5 * time.Second
+	// idleTime is how long a connection may wait for its next request: callers
+	// reuse theirs after up to four fifths of what operators declare, 15 s so far.
+	idleTime = 2 * time.Minute
+	// headerBytes bounds a request's header; operators declare 16 KiB.
+	headerBytes = 32 << 10
+)
+
+// connectionLog takes what net/http says about single connections.
+type connectionLog struct {
+	logger   *snipelog.Logger
+	listener string
+}
+
+// Write implements io.Writer.
+func (c *connectionLog) Write(line []byte) (int, error) {
+	c.logger.Log(snipelog.ConnectionFailed, snipelog.Fields{
+		"Listener": c.listener, "Error": strings.TrimSpace(string(line)),
+	})
+	return len(line), nil
+}
+
+// listen opens the listeners and adds their servers. It returns those whose
+// requests a planned stop waits for.
+func (i *Instance) listen(ctx context.Context, g *run.Group) ([]*http.Server, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+i.Platform.ReadyPath, i.serveReady)
+	metrics := http.NewServeMux()
+	metrics.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.meter.Write(w) })
+	listeners := []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"Callers", i.Settings.Callers, i.gateway},
+		{"Peers", i.Settings.Peers, snipeproto.NewAdapterServer(&peerServer{i.desk})},
+		{"Ready", i.Settings.Ready, ready},
+		{"Metrics", i.Settings.Metrics, metrics},
+	}
+	var servers []*http.Server
+	for _, l := range listeners {
+		s := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+			ErrorLog: log.New(&connectionLog{i.Log, l.name}, "", 0),
+		}
+		var config net.ListenConfig
+		listener, err := config.Listen(ctx, "tcp", l.address.String())
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen %s", l.name)
+		}
+		i.serve(g, s, listener)
+		if l.name == "Callers" || l.name == "Peers" {
+			servers = append(servers, s)
+		}
+	}
+	return servers, nil
+}
+
+// serve adds a server. A server that a planned stop has shut down waits for the
+// stop's end.
+func (i *Instance) serve(g *run.Group, s *http.Server, l net.Listener) {
+	done := make(chan struct{})
+	g.Add(func() error {
+		err := s.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-done
+			return nil
+		}
+		i.Log.Error(snipelog.ListenerFailed, err, nil)
+		return err
+	}, func(error) {
+		close(done)
+		_ = s.Close()
+	})
+}
+
+// serveReady answers the balancer.
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !i.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/snipeentry/settings.go
@@ -0,0 +1,105 @@
+package snipeentry
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"snipepitch.example/snipepitch/snipejson"
+)
+
+// ErrSettings is wrapped by every error of the checks.
+var ErrSettings = errors.New("invalid settings file")
+
+// maxSettings bounds a settings file in bytes.
+const maxSettings = 1 << 20
+
+// Settings is the settings file of an entry instance.
+type Settings struct {
+	// Name is the instance's name, Domain its failure domain.
+	Name   string
+	Domain string
+	// Callers is where callers connect, Ready where the balancer asks whether the
+	// instance is ready, Peers where other instances connect, Metrics where
+	// scrapers do.
+	Callers netip.AddrPort
+	Ready   netip.AddrPort
+	Peers   netip.AddrPort
+	Metrics netip.AddrPort
+	// Table is the address of the platform's store.
+	Table netip.AddrPort
+	// OrderGap is the least time between orders of two instances to one engine.
+	OrderGap snipejson.Duration
+	// RetryShare is how many repeats all instances may send for each request of a
+	// service, RetrySlack how many beside that.
+	RetryShare float64
+	RetrySlack float64
+	// StopTimeout bounds a planned stop.
+	StopTimeout snipejson.Duration
+	// MemoryBytes is what the process may use.
+	MemoryBytes int64
+	// LogLevel is a level of logrus.
+	LogLevel string
+}
+
+// LoadSettings reads and checks a settings file. Its errors name the file, the
+// field and the reason.
+func LoadSettings(path string) (Settings, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings file")
+	}
+	if info.Size() > maxSettings {
+		return Settings{}, errors.Wrapf(ErrSettings, "%s: larger than %d bytes", path, maxSettings)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings file")
+	}
+	s := Settings{LogLevel: "info"}
+	if err := snipejson.Decode(data, &s); err != nil {
+		return Settings{}, errors.Wrapf(ErrSettings, "%s: %v", path, err)
+	}
+	if err := s.check(); err != nil {
+		return Settings{}, errors.Wrap(err, path)
+	}
+	return s, nil
+}
+
+// leastStop is the least time for a planned stop: the balancer needs more than two
+// seconds to notice.
+const leastStop = 4 * time.Second
+
+func (s Settings) check() error {
+	invalid := func(field, reason string) error { return errors.Wrapf(ErrSettings, "%s: %s", field, reason) }
+	if s.Name == "" {
+		return invalid("Name", "is empty")
+	}
+	addresses := map[string]netip.AddrPort{
+		"Callers": s.Callers, "Ready": s.Ready, "Peers": s.Peers, "Metrics": s.Metrics, "Table": s.Table,
+	}
+	for name, a := range addresses {
+		if !a.IsValid() || a.Port() == 0 {
+			return invalid(name, "is no address with a port")
+		}
+	}
+	switch {
+	case s.OrderGap < 0:
+		return invalid("OrderGap", "is negative")
+	case s.RetryShare < 0 || s.RetryShare > 1:
+		return invalid("RetryShare", "is not between 0 and 1")
+	case s.RetrySlack < 0:
+		return invalid("RetrySlack", "is negative")
+	case s.StopTimeout.Value() < leastStop:
+		return invalid("StopTimeout", "is shorter than "+leastStop.String())
+	case s.MemoryBytes < 0:
+		return invalid("MemoryBytes", "is negative")
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		return invalid("LogLevel", err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/snipeentry/snipeentry.go
@@ -0,0 +1,265 @@
+// Package snipeentry is an entry instance on a platform that keeps routes,
+// upstreams and rows in a store of its own: it puts the duties together and runs
+// them.
+//
+// Duties, each a goroutine of its own: following what operators declared,
+// following the registry of upstreams, keeping the right to order engines, reading
+// engines that were taken, closing idle connections, the four listeners, and the
+// planned stop. Requests run in the goroutines of net/http.
+//
+// Nothing on the path of a request asks the store. Losing it leaves the last known
+// routes and upstreams in use; only orders to engines end.
+package snipeentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"golang.org/x/sys/unix"
+
+	"snipepitch.example/snipepitch/snipeadapter"
+	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipegateway"
+	"snipepitch.example/snipepitch/snipelink"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipetime"
+)
+
+const (
+	// dialTimeout bounds a connection to an upstream or a peer, which are a few
+	// milliseconds away. The first packet is repeated after a second, too late for
+	// most requests.
+	dialTimeout = 400 * time.Millisecond
+	// linkIdle is how long an idle connection to an upstream is kept when it does
+	// not say how long it keeps it itself.
+	linkIdle = 4 * time.Second
+	// linksKept bounds the idle connections to one upstream: upstreams take a few
+	// hundred from all instances.
+	linksKept = 16
+	// sweepEvery is the time between two looks for idle connections to close.
+	sweepEvery = time.Second
+	// takeEvery is the time between two looks for engines that came to be this
+	// instance's.
+	takeEvery = 500 * time.Millisecond
+	// lapseReturn is how long after an outage of the registry entries that lapsed
+	// meanwhile may take to come back.
+	lapseReturn = 2500 * time.Millisecond
+)
+
+// Platform is how the instance speaks to what is around it.
+type Platform struct {
+	Protocol snipegateway.Protocol
+	// ReadyPath is where the balancer asks whether the instance is ready.
+	ReadyPath string
+	Table     snipeplatform.Table
+	Engine    snipeadapter.Engine
+	// Belongs and KeepAlive read answers of upstreams; see snipelink.Pool.
+	Belongs   func(r *http.Request, a *http.Response) bool
+	KeepAlive func(a *http.Response) time.Duration
+	// ReadDeclared and WatchDeclared read what operators declared.
+	ReadDeclared  func(ctx context.Context) (snipecatalog.Change, error)
+	WatchDeclared func(ctx context.Context, after uint64, wait time.Duration) (snipecatalog.Change, error)
+	// ReadUpstreams and WatchUpstreams read the registry; the errors beside the
+	// change tell of entries that could not be understood.
+	ReadUpstreams  func(ctx context.Context) (snipedirectory.Change, []error, error)
+	WatchUpstreams func(ctx context.Context, after uint64, wait time.Duration) (snipedirectory.Change, []error, error)
+}
+
+// Instance is one entry instance. Exported fields are set before Run.
+type Instance struct {
+	Settings Settings
+	Platform Platform
+	// Incarnation names this start of the process.
+	Incarnation string
+	// Operation returns a new identifier for a write.
+	Operation func() string
+	Log       *snipelog.Logger
+	// Reload reads the settings file again; its errors leave all as it is.
+	Reload func() (Settings, error)
+
+	meter     *snipemeter.Meter
+	catalog   *snipecatalog.Keeper
+	directory *snipedirectory.Keeper
+	balancer  *snipebalance.Balancer
+	residency *snipeadapter.Residency
+	holder    *snipeowner.Holder
+	desk      *snipeadapter.Desk
+	links     *snipelink.Pool
+	gateway   *snipegateway.Gateway
+	peers     *peers
+	budgets   *budgets
+	phase     phase
+	signals   chan os.Signal
+}
+
+// Run serves until a signal ends it, or until ctx ends.
+func (i *Instance) Run(ctx context.Context) error {
+	i.build()
+	i.signals = make(chan os.Signal, 4)
+	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(i.signals)
+	var g run.Group
+	i.duty(ctx, &g, i.followCatalog)
+	i.duty(ctx, &g, i.followDirectory)
+	i.duty(ctx, &g, i.holder.Run)
+	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, takeEvery, i.takeEngines) })
+	i.duty(ctx, &g, func(ctx context.Context) error {
+		return snipetime.Every(ctx, sweepEvery, func(context.Context) { i.links.Sweep() })
+	})
+	servers, err := i.listen(ctx, &g)
+	if err != nil {
+		return err
+	}
+	i.duty(ctx, &g, func(ctx context.Context) error { return i.waitStop(ctx, servers) })
+	i.Log.Log(snipelog.Started, snipelog.Fields{"Callers": i.Settings.Callers, "Incarnation": i.Incarnation})
+	err = g.Run()
+	i.Log.Log(snipelog.Stopped, nil)
+	return err
+}
+
+// duty adds a loop that ends with the instance.
+func (i *Instance) duty(ctx context.Context, g *run.Group, f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+func (i *Instance) build() {
+	s := i.Settings
+	i.meter = snipemeter.New()
+	i.catalog = &snipecatalog.Keeper{}
+	i.directory = &snipedirectory.Keeper{Seen: i.seen, Return: lapseReturn}
+	i.balancer = &snipebalance.Balancer{Domain: s.Domain, Suspect: i.suspect}
+	i.residency = &snipeadapter.Residency{}
+	i.links = &snipelink.Pool{
+		Dial: snipelink.Dialer(), DialTimeout: dialTimeout, Idle: linkIdle, Kept: linksKept,
+		Belongs: i.Platform.Belongs, KeepAlive: i.Platform.KeepAlive,
+	}
+	i.holder = &snipeowner.Holder{
+		Table:   i.Platform.Table,
+		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain},
+		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), Clock: bootClock,
+		Operation: i.Operation, Log: i.Log,
+	}
+	i.desk = &snipeadapter.Desk{
+		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: s.Name, Log: i.Log,
+		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
+		Slots:    i.adapterSlots,
+		Newest: func(a snipecatalog.Adapter) int64 {
+			version, _ := i.catalog.Newest(a)
+			return version
+		},
+	}
+	i.peers = &peers{http: peerClient()}
+	i.budgets = &budgets{share: s.RetryShare, slack: s.RetrySlack, instances: i.instances}
+	i.gateway = &snipegateway.Gateway{
+		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Protocol: i.Platform.Protocol,
+		Budget: i.budgets.of, Stopping: i.phase.stopping, Log: i.Log, Meter: i.meter,
+		Chooser: &snipegateway.Chooser{
+			Directory: i.directory, Balancer: i.balancer, Residency: i.residency, Versions: i.catalog,
+			Ensure: i.ensure, Owned: i.owned, Instances: i.instances,
+		},
+	}
+}
+
+// bootClock is a steady clock that also counts the time for which the machine is
+// suspended: a lease lapses meanwhile.
+func bootClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Every Linux has this clock.
+		panic(err)
+	}
+	return time.Duration(t.Nano())
+}
+
+// peerClient returns the client for questions to other instances.
+func peerClient() *http.Client {
+	dial := snipelink.Dialer()
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			to, err := netip.ParseAddrPort(address)
+			if err != nil {
+				return nil, err
+			}
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			return dial(ctx, to)
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: linksKept,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// engineAddresses returns the addresses of all engines that stay.
+func (i *Instance) engineAddresses() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, u := range i.engines() {
+		if !u.Leaving {
+			all = append(all, u.Address)
+		}
+	}
+	return all
+}
+
+// engines returns the upstreams of all services that run models.
+func (i *Instance) engines() []*snipedirectory.Upstream {
+	c := i.catalog.Catalog()
+	if c == nil {
+		return nil
+	}
+	var all []*snipedirectory.Upstream
+	for name, s := range c.Services {
+		if s.Engine != nil {
+			all = append(all, i.directory.Snapshot().Service(name)...)
+		}
+	}
+	return all
+}
+
+// adapterSlots returns how many adapters an engine can hold.
+func (i *Instance) adapterSlots(u *snipedirectory.Upstream) int {
+	c := i.catalog.Catalog()
+	if c == nil || c.Services[u.Service] == nil || c.Services[u.Service].Engine == nil {
+		return 0
+	}
+	return c.Services[u.Service].Engine.AdapterSlots
+}
+
+// takeEngines reads the engines that came to be this instance's.
+func (i *Instance) takeEngines(ctx context.Context) {
+	for _, u := range i.engines() {
+		if !u.Leaving {
+			i.desk.Take(ctx, u)
+		}
+	}
+}
+
+func (i *Instance) owned(u *snipedirectory.Upstream) bool {
+	_, ok := i.holder.View().Owners[u.Address]
+	return ok
+}
+
+// instances returns how many instances share the requests.
+func (i *Instance) instances() int { return len(i.holder.View().Live) }
+
+// suspect logs that an upstream is left alone or trusted again.
+func (i *Instance) suspect(id string, suspect bool) {
+	if suspect {
+		i.Log.Log(snipelog.UpstreamSuspect, snipelog.Fields{"Upstream": id})
+		return
+	}
+	i.Log.Log(snipelog.UpstreamTrusted, snipelog.Fields{"Upstream": id})
+}
--- /dev/null
+++ b/snipeentry/stop.go
@@ -0,0 +1,81 @@
+package snipeentry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipetime"
+)
+
+const (
+	// stopNotice is how long a stopping instance still takes connections: the
+	// balancer asks once a second and takes it out after two misses.
+	stopNotice = 3 * time.Second
+	// stopReserve is the part of the stop's time that is left for its end.
+	stopReserve = 500 * time.Millisecond
+)
+
+// phase is how far the instance is in its life.
+type phase struct{ ended atomic.Bool }
+
+func (p *phase) stopping() bool { return p.ended.Load() }
+
+// ready reports whether the balancer may send callers: routes and upstreams are
+// known and no stop has begun.
+func (i *Instance) ready() bool {
+	return !i.phase.stopping() && i.catalog.Catalog() != nil && i.directory.Snapshot() != nil
+}
+
+// waitStop waits for a signal and carries out a planned stop: readiness ends at
+// once, connections are taken until the balancer has noticed, requests in flight
+// end.
+func (i *Instance) waitStop(ctx context.Context, servers []*http.Server) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-i.signals:
+			if s == syscall.SIGHUP {
+				i.reload()
+				continue
+			}
+		}
+		break
+	}
+	i.Log.Log(snipelog.Stopping, snipelog.Fields{"InFlight": i.gateway.InFlight()})
+	i.phase.ended.Store(true)
+	i.holder.Leave()
+	limit, cancel := context.WithTimeout(ctx, i.Settings.StopTimeout.Value()-stopReserve)
+	defer cancel()
+	snipetime.Sleep(limit, stopNotice)
+	var all sync.WaitGroup
+	for _, s := range servers {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			// What is still in flight at the limit is cut by the end.
+			_ = s.Shutdown(limit)
+		}()
+	}
+	all.Wait()
+	if n := i.gateway.InFlight(); n > 0 {
+		i.Log.Log(snipelog.StopForced, snipelog.Fields{"InFlight": n})
+	}
+	return nil
+}
+
+// reload reads the settings file again. What a running instance can change is in
+// force at once; a file that is wrong changes nothing.
+func (i *Instance) reload() {
+	s, err := i.Reload()
+	if err != nil {
+		i.Log.Error(snipelog.SettingsRefused, err, nil)
+		return
+	}
+	i.Log.Log(snipelog.SettingsReloaded, snipelog.Fields{"Changed": s != i.Settings})
+}
--- /dev/null
+++ b/snipegateway/call.go
@@ -0,0 +1,353 @@
+package snipegateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/sniperoute"
+)
+
+const (
+	// defaultTimeout bounds a request whose route and caller name no time.
+	defaultTimeout = 30 * time.Second
+	// answerSlack is how much longer than the time left an answer is waited for:
+	// an upstream ends its work at the deadline that it was given, and its word
+	// of that takes a few milliseconds.
+	answerSlack = 100 * time.Millisecond
+	// leastLeft is the time below which another attempt cannot be answered.
+	leastLeft = 30 * time.Millisecond
+	// maxSends bounds the upstreams that a request is sent to, those that refuse
+	// it without running it included.
+	maxSends = 4
+	// coldRetry is when an instance that has just started is worth asking again.
+	coldRetry = time.Second
+)
+
+// call is the state of one request.
+type call struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+
+	Request
+	body     []byte
+	header   http.Header
+	catalog  *snipecatalog.Catalog
+	route    *snipecatalog.Route
+	service  string
+	deadline time.Time
+
+	// tried are the upstreams that were sent the request, ran how many of them
+	// may have run it.
+	tried []string
+	ran   int
+	// refused counts upstreams that stated that they did not run it.
+	refused int
+	version int64
+	waited  time.Duration
+	// begun tells that the answer has begun, lastEvent what the caller has of it.
+	begun     bool
+	lastEvent string
+	firstAt   time.Time
+	status    int
+	// spare is a failure of an upstream, to be passed on if nothing better comes.
+	spare *whole
+}
+
+// run serves the request and tells its end.
+func (c *call) run() {
+	err := c.admit()
+	if err == nil {
+		ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(answerSlack))
+		defer cancel()
+		err = c.serve(ctx)
+	}
+	if err != nil && c.request.Context().Err() == nil && !c.begun {
+		c.refuse(snipeerror.From(err))
+	}
+	c.tell(err)
+	if err != nil && (c.begun || c.request.Context().Err() != nil) {
+		// Ends the connection without an end of the answer, so that what was
+		// broken off looks broken off.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit reads the request and finds its route.
+func (c *call) admit() error {
+	g := c.gateway
+	if g.Stopping() {
+		c.writer.Header().Set("Connection", "close")
+	}
+	c.catalog = g.Catalog.Catalog()
+	if c.catalog == nil {
+		return snipeerror.New(snipeerror.ErrUnavailable, snipeerror.NotRun, "no routes are known yet").After(coldRetry)
+	}
+	var err error
+	if c.Request, err = g.Protocol.Decode(c.request); err != nil {
+		return snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, err.Error())
+	}
+	if !strings.HasPrefix(c.request.RequestURI, "/") {
+		return snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, "the target is no path")
+	}
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	if c.route = c.lookup(path); c.route == nil {
+		return snipeerror.New(snipeerror.ErrUnknownService, snipeerror.NotRun, "no route for this host and path")
+	}
+	c.service = c.route.Backend(sniperoute.Hash(c.ID))
+	c.deadline = c.arrived.Add(c.patience())
+	c.lastEvent = c.LastEvent
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	c.header = forwarded(c.request.Header)
+	g.Budget(c.service).Earn("")
+	return nil
+}
+
+// lookup finds the route; a host may carry a port.
+func (c *call) lookup(path string) *snipecatalog.Route {
+	if r := c.catalog.Lookup(c.request.Host, path); r != nil {
+		return r
+	}
+	host, _, found := strings.Cut(c.request.Host, ":")
+	if !found {
+		return nil
+	}
+	return c.catalog.Lookup(host, path)
+}
+
+// patience is how long the request may take: what the caller waits and what the
+// route allows.
+func (c *call) patience() time.Duration {
+	d := defaultTimeout
+	if c.route.Timeout > 0 {
+		d = c.route.Timeout
+	}
+	if c.Patience > 0 {
+		d = min(d, c.Patience)
+	}
+	return d
+}
+
+// readBody reads the whole body: it may have to be sent more than once.
+func (c *call) readBody() error {
+	limit := c.catalog.Limits.BodyBytes
+	tooLarge := snipeerror.New(snipeerror.ErrTooLarge, snipeerror.NotRun, "the body is too large")
+	if limit > 0 && c.request.ContentLength > limit {
+		c.writer.Header().Set("Connection", "close")
+		return tooLarge
+	}
+	if c.request.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(c.deadline)
+	body := io.Reader(c.request.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(c.writer, c.request.Body, limit)
+	}
+	var err error
+	c.body, err = io.ReadAll(body)
+	_ = control.SetReadDeadline(time.Time{})
+	var exceeded *http.MaxBytesError
+	switch {
+	case errors.As(err, &exceeded):
+		return tooLarge
+	case err != nil:
+		return snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, "the body cannot be read")
+	}
+	return nil
+}
+
+// single are the headers that concern one connection only.
+var single = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwarded returns a copy of a header without what concerns one connection only.
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range single {
+		out.Del(name)
+	}
+	return out
+}
+
+// serve tries upstreams until one has answered, or nothing more may be tried.
+func (c *call) serve(ctx context.Context) error {
+	for {
+		choice, err := c.choose(ctx)
+		if err != nil {
+			return c.giveUp(err)
+		}
+		err = c.attempt(ctx, choice)
+		if err == nil {
+			return nil
+		}
+		if again := c.next(ctx, err); !again {
+			return c.giveUp(err)
+		}
+		c.gateway.Log.Log(snipelog.RequestSentAgain, snipelog.Fields{
+			"Request": c.ID, "Route": c.route.Name, "After": err.Error(), "Tried": c.tried, "Ran": c.ran,
+			"LeftMilliseconds": time.Until(c.deadline).Milliseconds(),
+		})
+	}
+}
+
+// choose returns the upstream of the next attempt. An upstream that refused the
+// request without running it may be asked again when no other is left.
+func (c *call) choose(ctx context.Context) (Choice, error) {
+	bounded, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	choice, err := c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.tried)
+	c.waited += choice.Waited
+	c.version = choice.Version
+	return choice, err
+}
+
+// next decides whether a request is sent once more after an attempt that did not
+// answer it.
+func (c *call) next(ctx context.Context, err error) bool {
+	f := snipeerror.From(err)
+	switch {
+	case ctx.Err() != nil, time.Until(c.deadline) < leastLeft:
+		return false
+	case len(c.tried) >= maxSends:
+		return false
+	case f.Outcome == snipeerror.MayHaveRun && !c.route.MayRepeat():
+		return false
+	case c.ran >= c.route.MaxAttempts:
+		return false
+	case c.begun && !c.route.Resumable:
+		return false
+	}
+	return c.gateway.Budget(c.service).Spend("")
+}
+
+// giveUp returns the final failure. One that nothing may have run says so, with
+// the time to come back.
+func (c *call) giveUp(err error) error {
+	if c.spare != nil && !c.begun {
+		return c.deliver(c.spare)
+	}
+	f := snipeerror.From(err)
+	if c.ran > 0 {
+		f = snipeerror.New(f.Kind, snipeerror.MayHaveRun, f.Reason)
+	}
+	if f.Outcome == snipeerror.NotRun && f.RetryAfter == 0 {
+		f = f.After(c.comeBack())
+	}
+	return f
+}
+
+// comeBack is when a refused request is worth sending again: after a share of its
+// objective, spread so that those refused together do not return together.
+func (c *call) comeBack() time.Duration {
+	target := max(c.route.Target, 200*time.Millisecond)
+	spread := time.Duration(sniperoute.Hash(c.ID) % uint64(target))
+	return target/2 + spread/2
+}
+
+// refuse writes a failure of this instance's own.
+func (c *call) refuse(f *snipeerror.CallError) {
+	status := f.Status()
+	if f.Outcome == snipeerror.MayHaveRun {
+		status = afterRun(status)
+	} else if status == http.StatusGatewayTimeout || status == http.StatusBadGateway {
+		status = http.StatusServiceUnavailable
+	}
+	h := c.writer.Header()
+	if c.ID != "" {
+		c.gateway.Protocol.Sign(h, c.ID)
+	}
+	h.Set("Content-Type", "application/json")
+	if f.RetryAfter > 0 && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	c.status = status
+	c.writer.WriteHeader(status)
+	// The caller may have gone away; there is nobody to tell.
+	_, _ = c.writer.Write(f.Encode(c.ID))
+}
+
+// afterRun returns the status for a request that may have run: never one that
+// promises that it has not.
+func afterRun(status int) int {
+	switch status {
+	case http.StatusGatewayTimeout:
+		return status
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// tell logs the end of the request and counts it.
+func (c *call) tell(err error) {
+	event := snipelog.RequestEnded
+	outcome := "Answered"
+	switch {
+	case c.request.Context().Err() != nil:
+		event, outcome = snipelog.RequestAbandoned, "Abandoned"
+	case err != nil && snipeerror.From(err).Outcome == snipeerror.NotRun:
+		event, outcome = snipelog.RequestRefused, "Refused"
+	case err != nil:
+		event, outcome = snipelog.RequestFailed, "Failed"
+	}
+	took := time.Since(c.arrived)
+	fields := snipelog.Fields{
+		"Request": c.ID, "Outcome": outcome, "Status": c.status, "Milliseconds": took.Milliseconds(),
+		"Tried": slices.Clone(c.tried), "Ran": c.ran,
+	}
+	name := "none"
+	if c.route != nil {
+		name = c.route.Name
+		fields["Route"], fields["Service"], fields["Catalog"] = name, c.service, c.catalog.Version
+		fields["DirectoryAge"] = c.directoryAge().Milliseconds()
+	}
+	if c.Adapter.Model != "" {
+		fields["Adapter"], fields["Version"] = c.Adapter.Name, c.version
+		fields["WaitedMilliseconds"] = c.waited.Milliseconds()
+	}
+	if !c.firstAt.IsZero() {
+		first := c.firstAt.Sub(c.arrived)
+		fields["FirstMilliseconds"] = first.Milliseconds()
+		c.gateway.Meter.Observe(snipemeter.FirstChunk, name, outcome, first)
+	}
+	if c.waited > 0 {
+		c.gateway.Meter.Observe(snipemeter.LoadStall, name, outcome, c.waited)
+	}
+	c.gateway.Meter.Observe(snipemeter.CallDuration, name, outcome, took)
+	if err != nil {
+		c.gateway.Log.Error(event, err, fields)
+		return
+	}
+	c.gateway.Log.Log(event, fields)
+}
+
+// directoryAge is how old the knowledge of upstreams is.
+func (c *call) directoryAge() time.Duration {
+	s := c.gateway.Chooser.Directory.Snapshot()
+	if s == nil {
+		return 0
+	}
+	return time.Since(s.Read)
+}
--- /dev/null
+++ b/snipegateway/choose.go
@@ -0,0 +1,296 @@
+package snipegateway
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipeadapter"
+	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/sniperoute"
+)
+
+const (
+	// versionGrace is how long after an adapter's new version was announced a
+	// request may still begin on the one before: under the five seconds that
+	// operators allow, less the time in which the announcement is learned.
+	versionGrace = 3500 * time.Millisecond
+	// replicaRate is how many requests a second one engine should answer for one
+	// adapter: a quarter of what an engine can answer in all.
+	replicaRate = 15.0
+	// spareRate is from how many requests a second on an adapter has a second
+	// engine, so that the loss of one engine stalls nobody who asks often.
+	spareRate = 1.5
+	// maxReplicas bounds the engines that hold one adapter.
+	maxReplicas = 6
+	// loadTries is how many engines are asked to load an adapter for one request.
+	loadTries = 2
+	// backgroundTimeout bounds a load that nobody waits for.
+	backgroundTimeout = 3 * time.Second
+	// rateWindow is the time over which requests for an adapter are counted.
+	rateWindow = 2 * time.Second
+)
+
+// Choice is where a request goes.
+type Choice struct {
+	Upstream *snipedirectory.Upstream
+	// Version is the adapter's version there; zero when any will do.
+	Version int64
+	// Waited is the time for which the adapter was waited for.
+	Waited time.Duration
+}
+
+// Chooser chooses upstreams for requests and has adapters loaded where they are
+// wanted. Exported fields are set before the first call; it is safe for
+// concurrent use.
+type Chooser struct {
+	Directory *snipedirectory.Keeper
+	Balancer  *snipebalance.Balancer
+	Residency *snipeadapter.Residency
+	Versions  *snipecatalog.Keeper
+	// Ensure has an engine's owner load an adapter and waits for it.
+	Ensure func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64) (int64, error)
+	// Owned reports whether an engine has an owner that can order it.
+	Owned func(u *snipedirectory.Upstream) bool
+	// Instances returns how many instances share the requests.
+	Instances func() int
+
+	lock    sync.Mutex // guards the fields below
+	flights map[flightKey]*flight
+	rates   map[snipecatalog.Adapter]*rate
+}
+
+// flightKey names a load that is waited for.
+type flightKey struct {
+	engine  string
+	adapter snipecatalog.Adapter
+	version int64
+}
+
+// flight is one question to an owner, shared by all that wait for its answer.
+type flight struct {
+	done    chan struct{}
+	version int64
+	err     error
+}
+
+// rate counts requests for an adapter.
+type rate struct {
+	since    time.Time
+	count    float64
+	previous float64
+}
+
+// Choose returns an upstream of a service for a request; tried are those that
+// failed it.
+func (c *Chooser) Choose(ctx context.Context, service string, q *Request, tried []string) (Choice, error) {
+	all := c.Directory.Snapshot().Service(service)
+	if len(all) == 0 {
+		return Choice{}, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "the service has no upstream").After(time.Second)
+	}
+	fresh := func(u *snipedirectory.Upstream) bool { return !slices.Contains(tried, u.ID) }
+	if q.Adapter.Model == "" {
+		return c.plain(all, fresh)
+	}
+	return c.engine(ctx, all, q, fresh)
+}
+
+func (c *Chooser) plain(all []*snipedirectory.Upstream, fresh snipebalance.Filter) (Choice, error) {
+	u := c.Balancer.Pick(all, fresh)
+	if u == nil {
+		return Choice{}, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no upstream is left to try").After(time.Second)
+	}
+	return Choice{Upstream: u}, nil
+}
+
+// engine returns an engine that holds the request's adapter, or has one load it.
+func (c *Chooser) engine(ctx context.Context, all []*snipedirectory.Upstream, q *Request, fresh snipebalance.Filter) (Choice, error) {
+	a := q.Adapter
+	required := c.Versions.Required(a, versionGrace)
+	wanted := c.wanted(a, len(all))
+	held := 0
+	holds := func(u *snipedirectory.Upstream) bool {
+		version, ok := c.Residency.Holds(u, a)
+		return ok && version >= required
+	}
+	for _, u := range all {
+		if holds(u) && c.Balancer.Usable(u) {
+			held++
+		}
+	}
+	if a.Name != "" && held > 0 && held < wanted {
+		c.replicate(all, a, required, holds)
+	}
+	u := c.Balancer.Pick(all, func(u *snipedirectory.Upstream) bool { return holds(u) && fresh(u) })
+	if u != nil && (c.Balancer.Usable(u) || held > 0) {
+		return c.choice(u, a), nil
+	}
+	if a.Name == "" {
+		return Choice{}, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no engine holds the model").After(time.Second)
+	}
+	return c.load(ctx, all, a, required, fresh)
+}
+
+// choice returns an engine with the version to expect of it. Where no version was
+// ever announced all engines hold the same one.
+func (c *Chooser) choice(u *snipedirectory.Upstream, a snipecatalog.Adapter) Choice {
+	choice := Choice{Upstream: u}
+	if _, announced := c.Versions.Newest(a); announced {
+		choice.Version, _ = c.Residency.Holds(u, a)
+	}
+	return choice
+}
+
+// load has an engine load the adapter.
+func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, fresh snipebalance.Filter) (Choice, error) {
+	begun := time.Now()
+	last := errors.New("no engine has an owner")
+	tries := 0
+	for _, u := range c.ranked(all, a) {
+		if !fresh(u) || !c.Balancer.Usable(u) || !c.Owned(u) {
+			continue
+		}
+		if tries++; tries > loadTries {
+			break
+		}
+		_, err := c.ask(ctx, u, a, required)
+		if err == nil {
+			choice := c.choice(u, a)
+			choice.Waited = time.Since(begun)
+			return choice, nil
+		}
+		if ctx.Err() != nil {
+			return Choice{}, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "the adapter did not arrive in time").After(loadRetry)
+		}
+		last = err
+	}
+	return Choice{}, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, last.Error()).After(loadRetry)
+}
+
+// loadRetry is when an adapter that could not be loaded is worth asking for again:
+// twice the time of a load.
+const loadRetry = 500 * time.Millisecond
+
+// ranked returns the engines in the order in which they should hold an adapter,
+// the same on every instance.
+func (c *Chooser) ranked(all []*snipedirectory.Upstream, a snipecatalog.Adapter) []*snipedirectory.Upstream {
+	key := sniperoute.Hash(a.Model, a.Name)
+	type scored struct {
+		upstream *snipedirectory.Upstream
+		score    uint64
+	}
+	ranked := make([]scored, 0, len(all))
+	for _, u := range all {
+		ranked = append(ranked, scored{u, sniperoute.Score(key, sniperoute.Hash(u.Address.String()))})
+	}
+	slices.SortFunc(ranked, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	upstreams := make([]*snipedirectory.Upstream, 0, len(ranked))
+	for _, s := range ranked {
+		upstreams = append(upstreams, s.upstream)
+	}
+	return upstreams
+}
+
+// ask asks an engine's owner for an adapter, once for all requests that wait.
+func (c *Chooser) ask(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64) (int64, error) {
+	key := flightKey{u.ID, a, version}
+	c.lock.Lock()
+	f := c.flights[key]
+	if f == nil {
+		f = &flight{done: make(chan struct{})}
+		if c.flights == nil {
+			c.flights = make(map[flightKey]*flight)
+		}
+		c.flights[key] = f
+		go c.fly(key, f, u)
+	}
+	c.lock.Unlock()
+	select {
+	case <-f.done:
+		return f.version, f.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+func (c *Chooser) fly(key flightKey, f *flight, u *snipedirectory.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), backgroundTimeout)
+	defer cancel()
+	f.version, f.err = c.Ensure(ctx, u, key.adapter, key.version)
+	if f.err == nil {
+		c.Residency.Tell(key.engine, key.adapter, f.version)
+	}
+	c.lock.Lock()
+	delete(c.flights, key)
+	c.lock.Unlock()
+	close(f.done)
+}
+
+// replicate has one more engine load an adapter; nobody waits for it.
+func (c *Chooser) replicate(all []*snipedirectory.Upstream, a snipecatalog.Adapter, version int64, holds snipebalance.Filter) {
+	for _, u := range c.ranked(all, a) {
+		if holds(u) || !c.Balancer.Usable(u) || !c.Owned(u) {
+			continue
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // the question goes on without its asker
+		_, _ = c.ask(ctx, u, a, version)
+		return
+	}
+}
+
+// wanted returns how many engines should hold an adapter, by how often this
+// instance is asked for it: callers are spread over the instances.
+func (c *Chooser) wanted(a snipecatalog.Adapter, engines int) int {
+	perSecond := c.count(a) * float64(max(c.Instances(), 1))
+	n := int(math.Ceil(perSecond / replicaRate))
+	if perSecond > spareRate {
+		n = max(n, 2)
+	}
+	return max(min(n, maxReplicas, engines), 1)
+}
+
+// count counts a request and returns how many come a second.
+func (c *Chooser) count(a snipecatalog.Adapter) float64 {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.rates == nil {
+		c.rates = make(map[snipecatalog.Adapter]*rate)
+	}
+	now := time.Now()
+	r := c.rates[a]
+	if r == nil {
+		c.prune(now)
+		r = &rate{since: now}
+		c.rates[a] = r
+	}
+	if age := now.Sub(r.since); age >= rateWindow {
+		r.previous = r.count / age.Seconds()
+		r.since, r.count = now, 0
+	}
+	r.count++
+	return max(r.previous, r.count/rateWindow.Seconds())
+}
+
+// maxRates bounds the adapters that are counted.
+const maxRates = 4096
+
+// prune forgets adapters that are no longer asked for. The lock is held.
+func (c *Chooser) prune(now time.Time) {
+	if len(c.rates) < maxRates {
+		return
+	}
+	for a, r := range c.rates {
+		if now.Sub(r.since) > 2*rateWindow {
+			delete(c.rates, a)
+		}
+	}
+}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -15,6 +15,8 @@
 	CertificateRefused = define(107, "CertificateRefused", logrus.ErrorLevel)
 	HandoverFailed     = define(108, "HandoverFailed", logrus.WarnLevel)
 	ConnectionFailed   = define(109, "ConnectionFailed", logrus.DebugLevel)
+	SettingsReloaded   = define(110, "SettingsReloaded", logrus.InfoLevel)
+	SettingsRefused    = define(111, "SettingsRefused", logrus.ErrorLevel)
 )
 
 // Events of calls, 200 to 299.
@@ -84,3 +86,50 @@
 	CrashNotReplicated = define(602, "CrashNotReplicated", logrus.WarnLevel)
 	RecordRefused      = define(603, "RecordRefused", logrus.WarnLevel)
 )
+
+// Events of requests that are passed on, 210 to 239.
+var (
+	RequestEnded      = define(210, "RequestEnded", logrus.InfoLevel)
+	RequestRefused    = define(211, "RequestRefused", logrus.InfoLevel)
+	RequestSentAgain  = define(212, "RequestSentAgain", logrus.InfoLevel)
+	RequestFailed     = define(213, "RequestFailed", logrus.WarnLevel)
+	RequestAbandoned  = define(214, "RequestAbandoned", logrus.InfoLevel)
+	AnswerDiscarded   = define(215, "AnswerDiscarded", logrus.WarnLevel)
+	AdapterWanted     = define(216, "AdapterWanted", logrus.InfoLevel)
+	LinesWithheld     = define(217, "LinesWithheld", logrus.WarnLevel)
+	RequestDispatched = define(218, "RequestDispatched", logrus.DebugLevel)
+)
+
+// Events of what operators declared and of the directory, 310 to 339.
+var (
+	CatalogInForce   = define(310, "CatalogInForce", logrus.InfoLevel)
+	CatalogStale     = define(311, "CatalogStale", logrus.WarnLevel)
+	CatalogFresh     = define(312, "CatalogFresh", logrus.InfoLevel)
+	CatalogWrong     = define(313, "CatalogWrong", logrus.ErrorLevel)
+	VersionAnnounced = define(314, "VersionAnnounced", logrus.InfoLevel)
+	UpstreamAppeared = define(320, "UpstreamAppeared", logrus.InfoLevel)
+	UpstreamLeaving  = define(321, "UpstreamLeaving", logrus.InfoLevel)
+	UpstreamGone     = define(322, "UpstreamGone", logrus.InfoLevel)
+	DirectoryStale   = define(323, "DirectoryStale", logrus.WarnLevel)
+	DirectoryFresh   = define(324, "DirectoryFresh", logrus.InfoLevel)
+	UpstreamSuspect  = define(325, "UpstreamSuspect", logrus.WarnLevel)
+	UpstreamTrusted  = define(326, "UpstreamTrusted", logrus.InfoLevel)
+)
+
+// Events of the right to order engines, 480 to 499.
+var (
+	OwnershipTaken    = define(480, "OwnershipTaken", logrus.InfoLevel)
+	OwnershipLost     = define(481, "OwnershipLost", logrus.WarnLevel)
+	OwnershipStale    = define(482, "OwnershipStale", logrus.WarnLevel)
+	OwnershipFresh    = define(483, "OwnershipFresh", logrus.InfoLevel)
+	OwnershipRowWrong = define(484, "OwnershipRowWrong", logrus.ErrorLevel)
+)
+
+// Events of orders to engines, 510 to 529.
+var (
+	OrderGiven     = define(510, "OrderGiven", logrus.InfoLevel)
+	OrderUnknown   = define(511, "OrderUnknown", logrus.WarnLevel)
+	OrderRefused   = define(512, "OrderRefused", logrus.WarnLevel)
+	EngineRead     = define(513, "EngineRead", logrus.InfoLevel)
+	AdapterPresent = define(514, "AdapterPresent", logrus.InfoLevel)
+)
--- /dev/null
+++ b/snipeowner/snipeowner.go
@@ -0,0 +1,467 @@
+// Package snipeowner decides which instance may give orders to an engine.
+//
+// Design. Calls go straight from every instance to the engines; only orders
+// (loads, evictions) need one author at a time. Each instance renews one row in
+// the table; each engine's address has an owner row, which names the instance
+// that may order it and a fencing number. Instances read all rows once a step.
+// An engine without a live owner is taken by the live instance that ranks first
+// for it by rendezvous hash, so that the loss of one instance leaves most engines
+// with their owners.
+//
+// The engines do not check fencing numbers. So time must separate two owners:
+//
+//	renewal sent ........ orderTime ....... | order gap ...... | first order
+//	(old owner's orders end here)             (of the new owner)
+//
+// Invariants:
+//
+//   - An instance orders only within orderTime of sending its last successful
+//     renewal, by a clock that also runs while the machine is suspended.
+//   - A renewal succeeds only while all rows that make this instance an owner are
+//     as it knows them.
+//   - A takeover succeeds only while the former owner's row is as it was when the
+//     new owner first read it, at least the lease's duration ago, and the first
+//     order follows the former owner's last possible one by at least orderGap.
+//   - A fencing number grows whenever the owner changes, also to a new start of
+//     the same instance.
+package snipeowner
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/sniperoute"
+)
+
+// Rows of both kinds lie in one partition, so that one read shows them all as of
+// one moment.
+const (
+	partition      = "ownership"
+	instancePrefix = "instance/"
+	ownerPrefix    = "engine/"
+)
+
+const (
+	// stepEvery is the time between two steps, each one read of both partitions
+	// and one renewal. Two renewals may fail before orders stop.
+	stepEvery = 800 * time.Millisecond
+	// orderTime is how long after a renewal was sent this instance may order.
+	orderTime = 2200 * time.Millisecond
+	// margin covers the difference between two machines' clock rates and the time
+	// between the check of an order's right and its arrival.
+	margin = 300 * time.Millisecond
+	// settleTime is how long an instance that starts looks for others before it
+	// takes engines: all start within a third of a second of each other.
+	settleTime = 2 * time.Second
+)
+
+// Instance describes an instance to the others.
+type Instance struct {
+	Name string
+	// Incarnation names this start of its process.
+	Incarnation string
+	// Peer is where other instances reach it.
+	Peer   netip.AddrPort
+	Domain string
+	// Leaving instances own nothing.
+	Leaving bool
+}
+
+// ownership is the document of an owner row.
+type ownership struct {
+	// Machine is the owner's address, which stays the same when it starts again;
+	// empty when the engine was given up.
+	Machine     netip.AddrPort `json:",omitzero"`
+	Incarnation string
+	Fence       uint64
+}
+
+// Owner is who may order an engine.
+type Owner struct {
+	Instance Instance
+	// Self tells that it is this instance.
+	Self bool
+}
+
+// View is an immutable snapshot of what is known of the others.
+type View struct {
+	// Live are the instances that renew, by address.
+	Live map[netip.AddrPort]Instance
+	// Owners are the live owners of engines, by the engine's address.
+	Owners map[netip.AddrPort]Owner
+	// Read is when the rows were read.
+	Read time.Time
+}
+
+// Holder keeps this instance's row and ownerships. Exported fields are set before
+// Run.
+type Holder struct {
+	// Table is the platform's table.
+	Table snipeplatform.Table
+	// Self describes this instance.
+	Self Instance
+	// Engines returns the addresses of the engines in the directory.
+	Engines func() []netip.AddrPort
+	// OrderGap is the least time between the orders of two owners of an engine.
+	OrderGap time.Duration
+	// Clock is a steady clock that also counts the time for which the machine is
+	// suspended.
+	Clock func() time.Duration
+	// Operation returns a new identifier for a write.
+	Operation func() string
+	// Reached is told of each step whether the table answered; nil for nobody.
+	Reached func(ok bool)
+	Log     *snipelog.Logger
+
+	view    atomic.Pointer[View]
+	leaving atomic.Bool
+
+	lock     sync.Mutex // guards the fields below
+	until    time.Duration
+	holdings map[netip.AddrPort]holding
+
+	// The fields below belong to Run's goroutine.
+	started  time.Duration
+	instance map[netip.AddrPort]sighting
+	owners   map[netip.AddrPort]ownerRow
+	lost     bool
+}
+
+// holding is an engine that this instance owns.
+type holding struct {
+	fence   uint64
+	version uint64
+	// from is when orders may begin.
+	from time.Duration
+	// confirmed tells that a renewal covered it.
+	confirmed bool
+}
+
+// sighting is an instance row and when its version was first read.
+type sighting struct {
+	Instance
+	version uint64
+	since   time.Duration
+}
+
+type ownerRow struct {
+	ownership
+	version uint64
+	// seen is when this version was first read.
+	seen time.Duration
+}
+
+// View returns the last snapshot; never nil.
+func (h *Holder) View() *View {
+	if v := h.view.Load(); v != nil {
+		return v
+	}
+	return &View{}
+}
+
+// Fence returns the fencing number for an order to an engine, and false when this
+// instance must not order it now.
+func (h *Holder) Fence(engine netip.AddrPort) (uint64, bool) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	o, ok := h.holdings[engine]
+	now := h.Clock()
+	if !ok || !o.confirmed || now >= h.until || now < o.from {
+		return 0, false
+	}
+	return o.fence, true
+}
+
+// Leave asks the holder to give all engines up.
+func (h *Holder) Leave() { h.leaving.Store(true) }
+
+// Run keeps the row until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	h.prepare()
+	t := time.NewTicker(stepEvery)
+	defer t.Stop()
+	for {
+		h.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (h *Holder) prepare() {
+	if h.instance != nil {
+		return
+	}
+	h.started = h.Clock()
+	h.instance = make(map[netip.AddrPort]sighting)
+	h.owners = make(map[netip.AddrPort]ownerRow)
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	h.holdings = make(map[netip.AddrPort]holding)
+}
+
+// Step reads all rows, renews this instance's own with what it owns, and takes
+// engines that have no live owner.
+func (h *Holder) Step(ctx context.Context) {
+	h.prepare()
+	err := h.read(ctx)
+	if err == nil {
+		err = h.renew(ctx)
+	}
+	h.note(err)
+	h.publish()
+}
+
+// note logs the loss and the return of the table once.
+func (h *Holder) note(err error) {
+	if h.Reached != nil {
+		h.Reached(err == nil)
+	}
+	switch {
+	case err != nil && !h.lost:
+		h.Log.Error(snipelog.OwnershipStale, err, nil)
+	case err == nil && h.lost:
+		h.Log.Log(snipelog.OwnershipFresh, nil)
+	}
+	h.lost = err != nil
+}
+
+// read takes all rows and drops what this instance no longer owns.
+func (h *Holder) read(ctx context.Context) error {
+	sent := h.Clock()
+	rows, err := h.Table.List(ctx, partition)
+	if err != nil {
+		return errors.Wrap(err, "read ownership")
+	}
+	h.take(rows, sent)
+	h.settle()
+	return nil
+}
+
+// take notes the rows. A row that cannot be decoded hides no other.
+func (h *Holder) take(rows []snipeplatform.Row, sent time.Duration) {
+	instances := make(map[netip.AddrPort]sighting)
+	owners := make(map[netip.AddrPort]ownerRow)
+	for _, r := range rows {
+		var err error
+		if engine, ok := strings.CutPrefix(r.Sort, ownerPrefix); ok {
+			err = h.takeOwner(owners, engine, r, sent)
+		} else {
+			err = h.takeInstance(instances, r, sent)
+		}
+		if err != nil {
+			h.Log.Error(snipelog.OwnershipRowWrong, err, snipelog.Fields{"Row": r.Sort})
+		}
+	}
+	h.instance, h.owners = instances, owners
+}
+
+func (h *Holder) takeInstance(all map[netip.AddrPort]sighting, r snipeplatform.Row, sent time.Duration) error {
+	s := sighting{version: r.Version, since: sent}
+	if err := json.Unmarshal(r.Data, &s.Instance); err != nil {
+		return err
+	}
+	if old, ok := h.instance[s.Peer]; ok && old.version == s.version {
+		s.since = old.since
+	}
+	all[s.Peer] = s
+	return nil
+}
+
+func (h *Holder) takeOwner(all map[netip.AddrPort]ownerRow, name string, r snipeplatform.Row, sent time.Duration) error {
+	o := ownerRow{version: r.Version, seen: sent}
+	engine, err := netip.ParseAddrPort(name)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(r.Data, &o.ownership); err != nil {
+		return err
+	}
+	if old, ok := h.owners[engine]; ok && old.version == o.version {
+		o.seen = old.seen
+	}
+	all[engine] = o
+	return nil
+}
+
+func (h *Holder) mine(o ownership) bool {
+	return o.Machine == h.Self.Peer && o.Incarnation == h.Self.Incarnation
+}
+
+// settle makes the holdings what the owner rows say.
+func (h *Holder) settle() {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	for engine, o := range h.holdings {
+		row := h.owners[engine]
+		if h.mine(row.ownership) && row.Fence == o.fence {
+			continue
+		}
+		delete(h.holdings, engine)
+		h.Log.Log(snipelog.OwnershipLost, snipelog.Fields{"Engine": engine, "Fence": o.fence})
+	}
+	for engine, row := range h.owners {
+		o, held := h.holdings[engine]
+		switch {
+		case !h.mine(row.ownership):
+		case held:
+			o.version = row.version
+			h.holdings[engine] = o
+		default:
+			// A write whose outcome was not known took effect after all. How long
+			// ago the former owner could order is not known: wait the whole time.
+			from := h.Clock() + orderTime + h.OrderGap + margin
+			h.holdings[engine] = holding{fence: row.Fence, version: row.version, from: from}
+		}
+	}
+}
+
+// renew writes this instance's row, under the condition that it still owns what
+// it believes to own, together with the engines that it takes or gives up.
+func (h *Holder) renew(ctx context.Context) error {
+	self := h.Self
+	self.Leaving = h.leaving.Load()
+	data, err := json.Marshal(self)
+	if err != nil {
+		return errors.Wrap(err, "encode instance")
+	}
+	changes := []snipeplatform.Change{{
+		Key:    instanceKey(self.Peer),
+		Expect: h.instance[self.Peer].version, Data: data,
+	}}
+	var wanted []takeover
+	if self.Leaving {
+		changes = append(changes, h.releases()...)
+	} else {
+		changes = append(changes, h.conditions()...)
+		wanted = h.wanted()
+		for _, t := range wanted {
+			changes = append(changes, t.changes...)
+		}
+	}
+	changes = unique(changes)
+	sent := h.Clock()
+	if err := h.Table.Write(ctx, h.Operation(), changes); err != nil {
+		return errors.Wrap(err, "renew")
+	}
+	h.renewed(sent, wanted, self.Leaving)
+	return nil
+}
+
+// maxChanges bounds the rows of one transaction; the store takes a hundred.
+const maxChanges = 90
+
+// unique drops conditions on a row that is already among the changes.
+func unique(changes []snipeplatform.Change) []snipeplatform.Change {
+	seen := make(map[snipeplatform.Key]bool, len(changes))
+	return slices.DeleteFunc(changes, func(c snipeplatform.Change) bool {
+		again := seen[c.Key]
+		seen[c.Key] = true
+		return again
+	})
+}
+
+func ownerKey(engine netip.AddrPort) snipeplatform.Key {
+	return snipeplatform.Key{Partition: partition, Sort: ownerPrefix + engine.String()}
+}
+
+func instanceKey(peer netip.AddrPort) snipeplatform.Key {
+	return snipeplatform.Key{Partition: partition, Sort: instancePrefix + peer.String()}
+}
+
+// conditions hold each owner row of this instance to what it knows.
+func (h *Holder) conditions() []snipeplatform.Change {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	changes := make([]snipeplatform.Change, 0, len(h.holdings))
+	for engine, o := range h.holdings {
+		changes = append(changes, snipeplatform.Change{Key: ownerKey(engine), Expect: o.version})
+	}
+	return changes
+}
+
+// releases give all engines up.
+func (h *Holder) releases() []snipeplatform.Change {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	var changes []snipeplatform.Change
+	for engine, o := range h.holdings {
+		// A struct of plain fields always has a JSON form.
+		data, _ := json.Marshal(ownership{Fence: o.fence})
+		changes = append(changes, snipeplatform.Change{Key: ownerKey(engine), Expect: o.version, Data: data})
+	}
+	return changes
+}
+
+// renewed notes a successful renewal.
+func (h *Holder) renewed(sent time.Duration, taken []takeover, leaving bool) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if leaving {
+		h.holdings = make(map[netip.AddrPort]holding)
+		h.until = 0
+		return
+	}
+	h.until = sent + orderTime
+	for engine, o := range h.holdings {
+		o.confirmed = true
+		h.holdings[engine] = o
+	}
+	for _, t := range taken {
+		// The next read tells the row's version and the next renewal confirms it;
+		// the transaction that took it has confirmed it as well.
+		h.holdings[t.engine] = holding{fence: t.fence, from: t.from, confirmed: true}
+		h.owners[t.engine] = ownerRow{ownership: ownership{
+			Machine: h.Self.Peer, Incarnation: h.Self.Incarnation, Fence: t.fence,
+		}}
+		h.Log.Log(snipelog.OwnershipTaken, snipelog.Fields{
+			"Engine": t.engine, "Fence": t.fence, "From": t.former, "OrdersIn": (t.from - sent).Milliseconds(),
+		})
+	}
+}
+
+// publish makes a new view.
+func (h *Holder) publish() {
+	v := &View{Live: make(map[netip.AddrPort]Instance), Owners: make(map[netip.AddrPort]Owner), Read: time.Now()}
+	for peer, s := range h.instance {
+		if h.live(s) {
+			v.Live[peer] = s.Instance
+		}
+	}
+	for engine, o := range h.owners {
+		if h.mine(o.ownership) {
+			v.Owners[engine] = Owner{Instance: h.Self, Self: true}
+			continue
+		}
+		if i, ok := v.Live[o.Machine]; ok && i.Incarnation == o.Incarnation {
+			v.Owners[engine] = Owner{Instance: i}
+		}
+	}
+	h.view.Store(v)
+}
+
+// live reports whether an instance's row has changed within a lease's duration.
+// While the table does not answer nobody's row changes and all stay as they were.
+func (h *Holder) live(s sighting) bool {
+	if h.lost || s.Peer == h.Self.Peer {
+		return true
+	}
+	return h.Clock()-s.since < orderTime+margin
+}
+
+// Rank returns the value by which an instance ranks for an engine.
+func Rank(engine, instance netip.AddrPort) uint64 {
+	return sniperoute.Score(sniperoute.Hash(engine.String()), sniperoute.Hash(instance.String()))
+}
--- /dev/null
+++ b/snipeowner/take.go
@@ -0,0 +1,94 @@
+package snipeowner
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"snipepitch.example/snipepitch/snipeplatform"
+)
+
+// takeover is an engine that this instance is about to own.
+type takeover struct {
+	engine netip.AddrPort
+	former netip.AddrPort
+	fence  uint64
+	// from is when orders may begin.
+	from    time.Duration
+	changes []snipeplatform.Change
+}
+
+// wanted returns the engines without a live owner for which this instance ranks
+// first among the live ones.
+func (h *Holder) wanted() []takeover {
+	now := h.Clock()
+	if now-h.started < settleTime {
+		return nil
+	}
+	var all []takeover
+	rows := 0
+	for _, engine := range h.Engines() {
+		if rows >= maxChanges || !h.first(engine) {
+			continue
+		}
+		t, ok := h.takeOver(engine, now)
+		if !ok {
+			continue
+		}
+		rows += len(t.changes)
+		all = append(all, t)
+	}
+	return all
+}
+
+// first reports whether this instance ranks first for an engine among the live
+// instances that stay.
+func (h *Holder) first(engine netip.AddrPort) bool {
+	own := Rank(engine, h.Self.Peer)
+	for peer, s := range h.instance {
+		if peer == h.Self.Peer || s.Leaving || !h.live(s) {
+			continue
+		}
+		if Rank(engine, peer) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// takeOver returns how to take an engine, if its owner can no longer order it.
+func (h *Holder) takeOver(engine netip.AddrPort, now time.Duration) (takeover, bool) {
+	row, known := h.owners[engine]
+	if known && h.mine(row.ownership) {
+		return takeover{}, false
+	}
+	t := takeover{engine: engine, former: row.Machine, fence: row.Fence + 1, from: now}
+	// A struct of plain fields always has a JSON form.
+	data, _ := json.Marshal(ownership{Machine: h.Self.Peer, Incarnation: h.Self.Incarnation, Fence: t.fence})
+	t.changes = []snipeplatform.Change{{Key: ownerKey(engine), Expect: row.version, Data: data}}
+	switch {
+	case !known, row.Machine == h.Self.Peer:
+		// Nobody has ordered it, or an earlier start of this machine did.
+		return t, true
+	case !row.Machine.IsValid():
+		t.from = row.seen + h.OrderGap + margin
+		return t, true
+	}
+	former, exists := h.instance[row.Machine]
+	switch {
+	case !exists || former.Incarnation != row.Incarnation:
+		// Its row is gone or another start's: the owner's last renewal lies before
+		// this row was first read.
+		since := row.seen
+		if exists {
+			since = max(since, former.since)
+		}
+		t.from = since + orderTime + h.OrderGap + margin
+	case now-former.since < orderTime+margin:
+		return takeover{}, false
+	default:
+		t.from = former.since + orderTime + h.OrderGap + margin
+		t.changes = append(t.changes, snipeplatform.Change{Key: instanceKey(row.Machine), Expect: former.version})
+	}
+	return t, true
+}
--- a/snipeplatform/snipeplatform.go
+++ b/snipeplatform/snipeplatform.go
@@ -25,6 +25,8 @@
 	ErrConflict = errors.New("write conflict")
 	// ErrUnavailable: the service did not take the request; nothing was written.
 	ErrUnavailable = errors.New("table service unavailable")
+	// ErrHistory: the changes since the position asked for are no longer kept.
+	ErrHistory = errors.New("history is gone")
 	// ErrUnknown: the request may have taken effect.
 	ErrUnknown = errors.New("write outcome unknown")
 )
@@ -40,7 +42,8 @@
 // Row is one row of the table.
 type Row struct {
 	Key
-	// Version is 1 for a new row and grows by one with each write.
+	// Version grows with each write: by one from 1 on in a table that counts for
+	// each row, by more in one that counts all writes together.
 	Version uint64
 	// Operation identifies the write that made this version.
 	Operation string
