Use of adapters is reported to the engines' owners; unloads wait for their place

Cause: owners evicted hot adapters, since only loads told them of use, and gave orders while an unload waited for its runs, which engines refuse. Ruled out: slow loads (median 258 ms as the engines give it). Change: entries report uses every 500 ms; the least used of calm adapters goes; an unload that waits is asked for until its place is free; the state of a completed load is asked by the same order.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -22,14 +22,15 @@
 	// reportAge is how old an engine's report may be.
 	reportAge = 300 * time.Millisecond
 	// loadTime is how long an adapter usually takes; it is asked for from then on.
-	loadTime = 230 * time.Millisecond
+	loadTime = 245 * time.Millisecond
 	// askEvery is the time between two questions whether a load is complete.
-	askEvery = 25 * time.Millisecond
+	askEvery = 15 * time.Millisecond
 	// loadTimeout bounds a load, over all its tries.
 	loadTimeout = 6 * time.Second
-	// recentUse is how long an adapter that was asked for is not evicted while
-	// another one was used less recently.
-	recentUse = time.Second
+	// calmUse is how long an adapter must not have been used to be evicted while
+	// there is another choice: a usual answer's time and that of a report of use. An
+	// engine that has to wait for an answer before it unloads takes no other order.
+	calmUse = 1500 * time.Millisecond
 )
 
 // Desk gives orders to the engines that this instance owns. Exported fields are
@@ -77,7 +78,17 @@
 // holding is an adapter that an engine holds.
 type holding struct {
 	version int64
-	used    time.Time
+	// used is when it was last used, uses how often it is.
+	used time.Time
+	uses Decay
+	// coming adapters take a place, and cannot be used yet.
+	coming bool
+}
+
+// note notes uses.
+func (h *holding) note(now time.Time, n int) {
+	h.used = now
+	h.uses.Add(now, float64(n))
 }
 
 // load is an adapter that is on its way, or waits for its turn.
@@ -113,8 +124,8 @@
 	return l.version, nil
 }
 
-// Used notes the use of adapters on an engine, as far as the desk knows it.
-func (d *Desk) Used(id string, all []snipecatalog.Adapter) {
+// Used notes how often adapters were used on an engine since the last report.
+func (d *Desk) Used(id string, uses map[snipecatalog.Adapter]int) {
 	d.lock.Lock()
 	e := d.engines[id]
 	d.lock.Unlock()
@@ -123,9 +134,10 @@
 	}
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	for _, a := range all {
+	now := time.Now()
+	for a, n := range uses {
 		if h := e.held[a]; h != nil {
-			h.used = time.Now()
+			h.note(now, n)
 		}
 	}
 }
@@ -211,7 +223,7 @@
 	if h != nil {
 		h.used = time.Now()
 	}
-	if h != nil && h.version >= least {
+	if h != nil && !h.coming && h.version >= least {
 		return nil, h.version
 	}
 	if l := e.loads[a]; l != nil && l.version >= least {
@@ -233,7 +245,12 @@
 		delete(e.loads, a)
 	}
 	if l.err == nil {
-		e.held[a] = &holding{version: l.version, used: time.Now()}
+		h := &holding{version: l.version}
+		if known := e.held[a]; known != nil {
+			h.uses = known.uses
+		}
+		h.note(time.Now(), 1)
+		e.held[a] = h
 	}
 	e.lock.Unlock()
 	close(l.done)
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -70,6 +70,7 @@
 		e.desk.Log.Log(snipelog.OrderGiven, fields)
 	case Holds:
 		if o.Action == Unload {
+			// The engine held it, and has unloaded it at once.
 			e.orders++
 		}
 		e.desk.Log.Log(snipelog.OrderGiven, fields)
@@ -104,16 +105,24 @@
 	defer e.lock.Unlock()
 	old := e.held
 	e.held = make(map[snipecatalog.Adapter]*holding, len(r.Resident))
-	for _, held := range append(r.Resident, r.Coming...) {
-		h := &holding{version: held.Version}
-		if known := old[held.Adapter]; known != nil {
-			h.used = known.used
-		}
-		e.held[held.Adapter] = h
+	for _, held := range r.Resident {
+		e.hold(held, old, false)
+	}
+	for _, held := range r.Coming {
+		e.hold(held, old, true)
 	}
 	return nil
 }
 
+// hold notes an adapter of a report. The lock is held.
+func (e *engine) hold(held snipedirectory.Resident, old map[snipecatalog.Adapter]*holding, coming bool) {
+	h := &holding{version: held.Version, coming: coming}
+	if known := old[held.Adapter]; known != nil {
+		h.used, h.uses = known.used, known.uses
+	}
+	e.held[held.Adapter] = h
+}
+
 // makeRoom unloads adapters until there is room for one more, the least recently
 // used first. The caller holds ordering.
 func (e *engine) makeRoom(ctx context.Context, u *snipedirectory.Upstream, o *Order) error {
@@ -125,22 +134,43 @@
 		if victim.Name == "" {
 			return errors.Wrap(ErrFull, e.id)
 		}
-		away := Order{Action: Unload, Adapter: victim}
-		reply, err := e.give(ctx, u, &away)
-		switch reply {
-		case Taken, Holds:
-			e.lock.Lock()
-			delete(e.held, victim)
-			e.lock.Unlock()
-		case Conflict, Unanswered:
-			if fence, ok := e.desk.Fence(u.Address); !ok {
-				return errors.Wrap(ErrNotOwner, e.id)
-			} else if err := e.readState(ctx, u, fence); err != nil {
-				return err
-			}
-		default:
-			return errors.Wrapf(ErrRefused, "unload: %s: %v", reply, err)
+		if err := e.unload(ctx, u, victim); err != nil {
+			return err
+		}
+	}
+}
+
+// unload takes an adapter off the engine and waits until its place is free. The
+// caller holds ordering: meanwhile the engine takes no other order.
+func (e *engine) unload(ctx context.Context, u *snipedirectory.Upstream, victim snipecatalog.Adapter) error {
+	away := Order{Action: Unload, Adapter: victim}
+	reply, err := e.give(ctx, u, &away)
+	for reply == Taken {
+		if !snipetime.Sleep(ctx, askEvery) {
+			return ctx.Err()
+		}
+		if _, ok := e.desk.Fence(u.Address); !ok {
+			return errors.Wrap(ErrNotOwner, e.id)
+		}
+		away.Expect = e.orders
+		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		reply, err = e.desk.Engine.Order(bounded, u, away)
+		cancel()
+	}
+	switch reply {
+	case Holds:
+		e.lock.Lock()
+		delete(e.held, victim)
+		e.lock.Unlock()
+		return nil
+	case Conflict, Unanswered:
+		fence, ok := e.desk.Fence(u.Address)
+		if !ok {
+			return errors.Wrap(ErrNotOwner, e.id)
 		}
+		return e.readState(ctx, u, fence)
+	default:
+		return errors.Wrapf(ErrRefused, "unload: %s: %v", reply, err)
 	}
 }
 
@@ -158,17 +188,29 @@
 	if e.held[coming] != nil || taken < e.desk.Slots(u) {
 		return snipecatalog.Adapter{}, false
 	}
+	if a, ok := e.leastUsed(calmUse); ok {
+		return a, true
+	}
+	a, _ := e.leastUsed(0)
+	return a, true
+}
+
+// leastUsed returns the adapter that is used least, of those not used for calm. The
+// lock is held.
+func (e *engine) leastUsed(calm time.Duration) (snipecatalog.Adapter, bool) {
 	var least snipecatalog.Adapter
-	var oldest time.Time
+	var lowest float64
+	found := false
+	now := time.Now()
 	for a, h := range e.held {
-		if e.loads[a] != nil || time.Since(h.used) < recentUse {
+		if h.coming || e.loads[a] != nil || now.Sub(h.used) < calm {
 			continue
 		}
-		if least.Name == "" || h.used.Before(oldest) {
-			least, oldest = a, h.used
+		if score := h.uses.At(now); !found || score < lowest {
+			least, lowest, found = a, score, true
 		}
 	}
-	return least, true
+	return least, found
 }
 
 // await asks until the load that was taken is complete. The question is the order
@@ -195,23 +237,31 @@
 	}
 }
 
-// ask repeats an order as a question. It states the number of orders before the
-// load, which is in the past: the engine can only say that it holds the adapter.
+// ask repeats an order as a question: an engine that holds the adapter says so, one
+// that is about to takes note of nothing new.
 func (e *engine) ask(ctx context.Context, u *snipedirectory.Upstream, o Order) (Reply, error) {
+	e.ordering.Lock()
+	defer e.ordering.Unlock()
 	fence, ok := e.desk.Fence(u.Address)
 	if !ok {
 		return Refused, errors.Wrap(ErrNotOwner, e.id)
 	}
-	o.Fence = fence
+	if !e.read || e.fence != fence {
+		if err := e.readState(ctx, u, fence); err != nil {
+			return Unanswered, errors.Wrapf(ErrNoAnswer, "%v", err)
+		}
+	}
+	o.Fence, o.Expect = fence, e.orders
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	reply, err := e.desk.Engine.Order(bounded, u, o)
-	if reply == Elsewhere {
+	switch {
+	case reply == Conflict:
+		e.read = false
+	case reply == Elsewhere, reply == Outdated, reply == Refused:
 		return reply, errors.Wrap(ErrRefused, reply.String())
-	}
-	if err != nil {
+	case err != nil:
 		return reply, errors.Wrapf(ErrNoAnswer, "%v", err)
 	}
-	e.desk.Log.Log(snipelog.OrderRefused, snipelog.Fields{"Engine": e.id, "Ask": reply.String(), "Adapter": o.Adapter.Name})
 	return reply, nil
 }
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -19,14 +19,14 @@
 	// catalogWait is how long one read waits for a change of what operators
 	// declared. A connection that has gone silent hides changes no longer than
 	// this and the store's timeout.
-	catalogWait = 2 * time.Second
+	catalogWait = 3 * time.Second
 	// catalogPace is the least time between two reads, so that a storm of changes
 	// costs ten reads a second at most.
 	catalogPace = 100 * time.Millisecond
 	// directoryWait and directoryPace are the same for the registry, whose entries
 	// change all the time. Upstreams that leave take new work for two seconds.
 	directoryWait = time.Second
-	directoryPace = 700 * time.Millisecond
+	directoryPace = 1100 * time.Millisecond
 )
 
 // feed follows one table of the store. It reads all of it once and then what has
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
@@ -12,6 +13,7 @@
 	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeproto"
 )
 
@@ -37,11 +39,14 @@
 
 // Used implements snipeproto.Adapter.
 func (s *peerServer) Used(_ context.Context, r *snipeproto.AdapterUsedRequest) (*snipeproto.AdapterUsedResponse, error) {
-	all := make([]snipecatalog.Adapter, 0, len(r.GetAdapters()))
-	for _, name := range r.GetAdapters() {
-		all = append(all, snipecatalog.Adapter{Model: r.GetModel(), Name: name})
+	if len(r.GetCounts()) != len(r.GetAdapters()) {
+		return nil, twirp.InvalidArgumentError("counts", "is not as long as adapters")
 	}
-	s.desk.Used(r.GetEngine(), all)
+	uses := make(map[snipecatalog.Adapter]int, len(r.GetAdapters()))
+	for n, name := range r.GetAdapters() {
+		uses[snipecatalog.Adapter{Model: r.GetModel(), Name: name}] = int(r.GetCounts()[n])
+	}
+	s.desk.Used(r.GetEngine(), uses)
 	return &snipeproto.AdapterUsedResponse{}, nil
 }
 
@@ -84,3 +89,49 @@
 	}
 	return answer.GetVersion(), nil
 }
+
+// reportUses tells engines' owners what was used, so that they evict what is not.
+// A report that is lost is not repeated: the next one says nearly the same.
+func (i *Instance) reportUses(ctx context.Context) {
+	owners := i.holder.View().Owners
+	for id, uses := range i.gateway.Chooser.TakeUses() {
+		u := i.directory.Snapshot().ByID(id)
+		if u == nil {
+			continue
+		}
+		owner, ok := owners[u.Address]
+		switch {
+		case !ok:
+		case owner.Self:
+			i.desk.Used(id, uses)
+		default:
+			go i.reportUse(ctx, owner.Instance.Peer, id, uses)
+		}
+	}
+}
+
+// reportTimeout bounds one report of use.
+const reportTimeout = 500 * time.Millisecond
+
+func (i *Instance) reportUse(ctx context.Context, to netip.AddrPort, id string, uses map[snipecatalog.Adapter]int) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	byModel := make(map[string]*snipeproto.AdapterUsedRequest)
+	for a, n := range uses {
+		r := byModel[a.Model]
+		if r == nil {
+			r = &snipeproto.AdapterUsedRequest{Engine: id, Model: a.Model}
+			byModel[a.Model] = r
+		}
+		r.Adapters = append(r.Adapters, a.Name)
+		r.Counts = append(r.Counts, uint32(min(n, maxCount)))
+	}
+	for _, r := range byModel {
+		if _, err := i.peers.client(to).Used(ctx, r); err != nil {
+			i.Log.Error(snipelog.PeerUnreached, err, snipelog.Fields{"Peer": to})
+		}
+	}
+}
+
+// maxCount bounds a count in a report of use.
+const maxCount = 1 << 20
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -33,7 +33,6 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeowner"
-	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/snipetime"
 )
 
@@ -53,6 +52,8 @@
 	// takeEvery is the time between two looks for engines that came to be this
 	// instance's.
 	takeEvery = 500 * time.Millisecond
+	// reportEvery is the time between two reports of use to engines' owners.
+	reportEvery = 500 * time.Millisecond
 	// lapseReturn is how long after an outage of the registry entries that lapsed
 	// meanwhile may take to come back.
 	lapseReturn = 2500 * time.Millisecond
@@ -63,7 +64,7 @@
 	Protocol snipegateway.Protocol
 	// ReadyPath is where the balancer asks whether the instance is ready.
 	ReadyPath string
-	Table     snipeplatform.Table
+	Table     snipeowner.Table
 	Engine    snipeadapter.Engine
 	// Belongs and KeepAlive read answers of upstreams; see snipelink.Pool.
 	Belongs   func(r *http.Request, a *http.Response) bool
@@ -118,6 +119,7 @@
 	i.duty(ctx, &g, func(ctx context.Context) error {
 		return snipetime.Every(ctx, sweepEvery, func(context.Context) { i.links.Sweep() })
 	})
+	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, reportEvery, i.reportUses) })
 	servers, err := i.listen(ctx, &g)
 	if err != nil {
 		return err
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -28,7 +28,7 @@
 	replicaRate = 15.0
 	// spareRate is from how many requests a second on an adapter has a second
 	// engine, so that the loss of one engine stalls nobody who asks often.
-	spareRate = 1.5
+	spareRate = 6.0
 	// maxReplicas bounds the engines that hold one adapter.
 	maxReplicas = 6
 	// loadTries is how many engines are asked to load an adapter for one request.
@@ -66,6 +66,7 @@
 	lock    sync.Mutex // guards the fields below
 	flights map[flightKey]*flight
 	rates   map[snipecatalog.Adapter]*rate
+	uses    map[string]map[snipecatalog.Adapter]int
 }
 
 // flightKey names a load that is waited for.
@@ -143,12 +144,39 @@
 // ever announced all engines hold the same one.
 func (c *Chooser) choice(u *snipedirectory.Upstream, a snipecatalog.Adapter) Choice {
 	choice := Choice{Upstream: u}
+	c.use(u.ID, a)
 	if _, announced := c.Versions.Newest(a); announced {
 		choice.Version, _ = c.Residency.Holds(u, a)
 	}
 	return choice
 }
 
+// use counts a use of an adapter for the next report to the engine's owner.
+func (c *Chooser) use(engine string, a snipecatalog.Adapter) {
+	if a.Name == "" {
+		return
+	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.uses == nil {
+		c.uses = make(map[string]map[snipecatalog.Adapter]int)
+	}
+	if c.uses[engine] == nil {
+		c.uses[engine] = make(map[snipecatalog.Adapter]int)
+	}
+	c.uses[engine][a]++
+}
+
+// TakeUses returns how often adapters were used on each engine since the last
+// call.
+func (c *Chooser) TakeUses() map[string]map[snipecatalog.Adapter]int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	uses := c.uses
+	c.uses = nil
+	return uses
+}
+
 // load has an engine load the adapter.
 func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, fresh snipebalance.Filter) (Choice, error) {
 	begun := time.Now()
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -132,4 +132,5 @@
 	OrderRefused   = define(512, "OrderRefused", logrus.WarnLevel)
 	EngineRead     = define(513, "EngineRead", logrus.InfoLevel)
 	AdapterPresent = define(514, "AdapterPresent", logrus.InfoLevel)
+	PeerUnreached  = define(515, "PeerUnreached", logrus.WarnLevel)
 )
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -52,11 +52,13 @@
 )
 
 const (
-	// stepEvery is the time between two steps, each one read of both partitions
-	// and one renewal. Two renewals may fail before orders stop.
-	stepEvery = 800 * time.Millisecond
+	// stepEvery is the time between two renewals. One may fail before orders stop.
+	stepEvery = time.Second
+	// stepsPerRead is how many renewals lie between two readings of all rows: a
+	// renewal alone already fails when an engine has another owner.
+	stepsPerRead = 2
 	// orderTime is how long after a renewal was sent this instance may order.
-	orderTime = 2200 * time.Millisecond
+	orderTime = 2400 * time.Millisecond
 	// margin covers the difference between two machines' clock rates and the time
 	// between the check of an order's right and its arrival.
 	margin = 300 * time.Millisecond
@@ -103,11 +105,20 @@
 	Read time.Time
 }
 
+// Table is the part of the platform's table that ownership rests on.
+type Table struct {
+	// List reads all rows of a partition as of one moment.
+	List func(ctx context.Context, partition string) ([]snipeplatform.Row, error)
+	// Write makes all changes or none and returns the version that the changed
+	// rows have then. Its errors are those of package snipeplatform.
+	Write func(ctx context.Context, operation string, changes []snipeplatform.Change) (uint64, error)
+}
+
 // Holder keeps this instance's row and ownerships. Exported fields are set before
 // Run.
 type Holder struct {
 	// Table is the platform's table.
-	Table snipeplatform.Table
+	Table Table
 	// Self describes this instance.
 	Self Instance
 	// Engines returns the addresses of the engines in the directory.
@@ -135,6 +146,8 @@
 	instance map[netip.AddrPort]sighting
 	owners   map[netip.AddrPort]ownerRow
 	lost     bool
+	// reads counts the steps since all rows were read.
+	reads int
 }
 
 // holding is an engine that this instance owns.
@@ -216,8 +229,12 @@
 // engines that have no live owner.
 func (h *Holder) Step(ctx context.Context) {
 	h.prepare()
-	err := h.read(ctx)
+	var err error
+	if h.reads == 0 || h.lost {
+		err = h.read(ctx)
+	}
 	if err == nil {
+		h.reads = (h.reads + 1) % stepsPerRead
 		err = h.renew(ctx)
 	}
 	h.note(err)
@@ -353,10 +370,13 @@
 	}
 	changes = unique(changes)
 	sent := h.Clock()
-	if err := h.Table.Write(ctx, h.Operation(), changes); err != nil {
+	version, err := h.Table.Write(ctx, h.Operation(), changes)
+	if err != nil {
+		h.reads = 0
 		return errors.Wrap(err, "renew")
 	}
-	h.renewed(sent, wanted, self.Leaving)
+	h.instance[self.Peer] = sighting{Instance: self, version: version, since: sent}
+	h.renewed(sent, version, wanted, self.Leaving)
 	return nil
 }
 
@@ -406,7 +426,7 @@
 }
 
 // renewed notes a successful renewal.
-func (h *Holder) renewed(sent time.Duration, taken []takeover, leaving bool) {
+func (h *Holder) renewed(sent time.Duration, version uint64, taken []takeover, leaving bool) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	if leaving {
@@ -420,10 +440,8 @@
 		h.holdings[engine] = o
 	}
 	for _, t := range taken {
-		// The next read tells the row's version and the next renewal confirms it;
-		// the transaction that took it has confirmed it as well.
-		h.holdings[t.engine] = holding{fence: t.fence, from: t.from, confirmed: true}
-		h.owners[t.engine] = ownerRow{ownership: ownership{
+		h.holdings[t.engine] = holding{fence: t.fence, version: version, from: t.from, confirmed: true}
+		h.owners[t.engine] = ownerRow{version: version, seen: sent, ownership: ownership{
 			Machine: h.Self.Peer, Incarnation: h.Self.Incarnation, Fence: t.fence,
 		}}
 		h.Log.Log(snipelog.OwnershipTaken, snipelog.Fields{
@@ -458,7 +476,7 @@
 	if h.lost || s.Peer == h.Self.Peer {
 		return true
 	}
-	return h.Clock()-s.since < orderTime+margin
+	return h.Clock()-s.since < orderTime+margin+stepsPerRead*stepEvery
 }
 
 // Rank returns the value by which an instance ranks for an engine.
