Loads queue by who waits; those that nobody waits for are not begun

Ruled out: the weight store (median load 270 ms at its full speed). Change: a bounded queue an engine, refused at once when it would take over twice the objective, with the time to come back; base models are ordered; adapters that an engine held lately are asked for after 25 ms. Conclusion: orders still wait for each other behind unloads and lost replies.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,24 +14,28 @@
 )
 
 const (
-	// onTheWay bounds the adapters on their way to one engine. Engines take four
-	// at once; the weight store serves about two an engine at full speed over all
-	// engines, and more make each slower.
-	onTheWay = 3
+	// mostOnTheWay bounds the adapters on their way to one engine, which takes four
+	// at once. The weight store serves two an engine at full speed over all engines.
+	mostOnTheWay = 4
 	// orderTimeout bounds one order: an engine answers within milliseconds.
 	orderTimeout = 400 * time.Millisecond
 	// reportAge is how old an engine's report may be.
 	reportAge = 300 * time.Millisecond
-	// loadTime is how long an adapter usually takes; it is asked for from then on.
-	loadTime = 245 * time.Millisecond
+	// loadTime is how long an adapter usually takes from the weight store, reloadTime
+	// one that the engine has held lately, a tenth; it is asked for from then on.
+	loadTime   = 245 * time.Millisecond
+	reloadTime = 25 * time.Millisecond
 	// askEvery is the time between two questions whether a load is complete.
 	askEvery = 15 * time.Millisecond
 	// loadTimeout bounds a load, over all its tries.
 	loadTimeout = 6 * time.Second
+	// modelTimeout bounds the load of a base model, which takes up to two seconds,
+	// and in proportion longer when many engines load one.
+	modelTimeout = 15 * time.Second
 	// calmUse is how long an adapter must not have been used to be evicted while
 	// there is another choice: a usual answer's time and that of a report of use. An
 	// engine that has to wait for an answer before it unloads takes no other order.
-	calmUse = 1500 * time.Millisecond
+	calmUse = 800 * time.Millisecond
 )
 
 // Desk gives orders to the engines that this instance owns. Exported fields are
@@ -43,6 +48,9 @@
 	Upstream func(id string) *snipedirectory.Upstream
 	// Slots returns how many adapters an engine can hold.
 	Slots func(u *snipedirectory.Upstream) int
+	// Model returns the base model that an engine without one should hold; empty
+	// for none.
+	Model func(u *snipedirectory.Upstream) string
 	// Newest returns the newest announced version of an adapter; 0 for none.
 	Newest func(a snipecatalog.Adapter) int64
 	// Holder is this instance's name in orders.
@@ -57,9 +65,6 @@
 type engine struct {
 	desk *Desk
 	id   string
-	// transit bounds the loads on their way.
-	transit chan struct{}
-
 	// ordering serialises orders: each states the number of those before it.
 	ordering sync.Mutex
 	// fence is that under which the engine was last read; what was known under an
@@ -68,11 +73,16 @@
 	// orders is the number of orders that the engine has taken; it is known once
 	// the engine was read.
 	orders uint64
-	read   bool
-
-	lock  sync.Mutex // guards the fields below
-	held  map[snipecatalog.Adapter]*holding
-	loads map[snipecatalog.Adapter]*load
+	read   atomic.Bool
+
+	lock sync.Mutex // guards the fields below
+	// models are the base models that it holds; nil until it was read.
+	models map[string]bool
+	held   map[snipecatalog.Adapter]*holding
+	loads  map[snipecatalog.Adapter]*load
+	// queue are the loads that wait for their turn, onTheWay how many have it.
+	queue    []*load
+	onTheWay int
 }
 
 // holding is an adapter that an engine holds.
@@ -83,6 +93,9 @@
 	uses Decay
 	// coming adapters take a place, and cannot be used yet.
 	coming bool
+	// replaced adapters are used while a newer version, which takes a place of its
+	// own, is on its way.
+	replaced bool
 }
 
 // note notes uses.
@@ -91,16 +104,10 @@
 	h.uses.Add(now, float64(n))
 }
 
-// load is an adapter that is on its way, or waits for its turn.
-type load struct {
-	version int64
-	done    chan struct{}
-	err     error
-}
-
 // Ensure waits until an engine holds an adapter in at least the given version and
-// returns the version that it holds.
-func (d *Desk) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64) (int64, error) {
+// returns the version that it holds. A load that cannot be complete within patience
+// is refused at once: the error is then a Busy.
+func (d *Desk) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error) {
 	u := d.Upstream(id)
 	if u == nil {
 		return 0, errors.Wrap(ErrUnknownEngine, id)
@@ -109,13 +116,17 @@
 		return 0, errors.Wrap(ErrNotOwner, id)
 	}
 	e := d.engine(id)
-	l, held := e.want(a, max(version, d.Newest(a)), version)
+	if !e.serves(a.Model) {
+		return 0, errors.Wrap(ErrNoModel, id)
+	}
+	l, held, err := e.want(a, max(version, d.Newest(a)), version, patience)
 	if l == nil {
-		return held, nil
+		return held, err
 	}
 	select {
 	case <-l.done:
 	case <-ctx.Done():
+		e.leave(l)
 		return 0, ctx.Err()
 	}
 	if l.err != nil {
@@ -152,7 +163,7 @@
 		h := e.held[a]
 		e.lock.Unlock()
 		if h != nil && h.version < version {
-			e.want(a, version, version)
+			e.must(a, version)
 		}
 	}
 }
@@ -167,12 +178,19 @@
 	e := d.engine(u.ID)
 	e.ordering.Lock()
 	defer e.ordering.Unlock()
-	if e.read && e.fence == fence {
+	if e.read.Load() && e.fence == fence {
+		return
+	}
+	if err := e.readState(ctx, u, fence); err != nil {
+		d.Log.Error(snipelog.EngineUnread, err, snipelog.Fields{"Engine": u.ID})
+		return
+	}
+	if model := d.Model(u); model != "" && !e.serves(model) {
+		e.must(snipecatalog.Adapter{Model: model}, 0)
 		return
 	}
-	_ = e.readState(ctx, u, fence)
 	for a, version := range e.outdated() {
-		e.want(a, version, version)
+		e.must(a, version)
 	}
 }
 
@@ -193,13 +211,20 @@
 		d.engines = make(map[string]*engine)
 	}
 	e := &engine{
-		desk: d, id: id, transit: make(chan struct{}, onTheWay),
+		desk: d, id: id,
 		held: make(map[snipecatalog.Adapter]*holding), loads: make(map[snipecatalog.Adapter]*load),
 	}
 	d.engines[id] = e
 	return e
 }
 
+// serves reports whether the engine holds a base model, as far as is known.
+func (e *engine) serves(model string) bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return e.models == nil || e.models[model]
+}
+
 // outdated returns the adapters that the engine holds in an older version than the
 // newest one.
 func (e *engine) outdated() map[snipecatalog.Adapter]int64 {
@@ -213,70 +238,3 @@
 	}
 	return all
 }
-
-// want returns the load that brings an adapter, starting it if none is under way,
-// or the version that the engine holds already if that will do.
-func (e *engine) want(a snipecatalog.Adapter, target, least int64) (*load, int64) {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	h := e.held[a]
-	if h != nil {
-		h.used = time.Now()
-	}
-	if h != nil && !h.coming && h.version >= least {
-		return nil, h.version
-	}
-	if l := e.loads[a]; l != nil && l.version >= least {
-		return l, 0
-	}
-	l := &load{version: target, done: make(chan struct{})}
-	e.loads[a] = l
-	go e.run(a, l)
-	return l, 0
-}
-
-// run brings one adapter onto the engine.
-func (e *engine) run(a snipecatalog.Adapter, l *load) {
-	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
-	defer cancel()
-	l.err = e.bring(ctx, a, l)
-	e.lock.Lock()
-	if e.loads[a] == l {
-		delete(e.loads, a)
-	}
-	if l.err == nil {
-		h := &holding{version: l.version}
-		if known := e.held[a]; known != nil {
-			h.uses = known.uses
-		}
-		h.note(time.Now(), 1)
-		e.held[a] = h
-	}
-	e.lock.Unlock()
-	close(l.done)
-}
-
-// bring orders the load and waits until it is complete.
-func (e *engine) bring(ctx context.Context, a snipecatalog.Adapter, l *load) error {
-	select {
-	case e.transit <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-e.transit }()
-	begun := time.Now()
-	o := Order{Action: Load, Adapter: a, Version: l.version}
-	reply, err := e.order(ctx, &o)
-	if err != nil {
-		return err
-	}
-	if reply == Taken {
-		if err := e.await(ctx, o); err != nil {
-			return err
-		}
-	}
-	e.desk.Log.Log(snipelog.AdapterPresent, snipelog.Fields{
-		"Engine": e.id, "Adapter": a.Name, "Version": l.version, "Milliseconds": time.Since(begun).Milliseconds(),
-	})
-	return nil
-}
--- /dev/null
+++ b/snipeadapter/load.go
@@ -0,0 +1,181 @@
+package snipeadapter
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipelog"
+)
+
+// ErrUnwanted: nobody waits for the load any more.
+var ErrUnwanted = errors.New("nobody waits for the adapter")
+
+// Busy is the error of a load that would take too long.
+type Busy struct {
+	// Wait is when there will be room for it.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (b *Busy) Error() string { return "too many loads wait: " + b.Wait.String() }
+
+// load is an adapter that is on its way, or waits for its turn.
+type load struct {
+	adapter snipecatalog.Adapter
+	version int64
+	since   time.Time
+	// waiting counts those who wait for it. One that nobody waits for is not begun.
+	waiting int
+	done    chan struct{}
+	err     error
+}
+
+// want returns the load that brings an adapter, queueing it if none is under way,
+// or the version that the engine holds already if that will do. The caller waits
+// for the load, or leaves it.
+func (e *engine) want(a snipecatalog.Adapter, target, least int64, patience time.Duration) (*load, int64, error) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	h := e.held[a]
+	if h != nil {
+		h.used = time.Now()
+	}
+	if h != nil && !h.coming && h.version >= least {
+		return nil, h.version, nil
+	}
+	if l := e.loads[a]; l != nil && l.version >= least {
+		l.waiting++
+		return l, 0, nil
+	}
+	if wait := e.wait(); wait > patience {
+		return nil, 0, &Busy{Wait: wait}
+	}
+	return e.enqueue(a, target), 0, nil
+}
+
+// must queues a load that somebody always waits for.
+func (e *engine) must(a snipecatalog.Adapter, version int64) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if l := e.loads[a]; l != nil && l.version >= version {
+		l.waiting++
+		return
+	}
+	e.enqueue(a, version)
+}
+
+// wait is how long a load that is queued now will take. The lock is held.
+func (e *engine) wait() time.Duration {
+	ahead := len(e.queue) + e.onTheWay
+	return loadTime + time.Duration(ahead/mostOnTheWay)*loadTime
+}
+
+// enqueue queues a load. The lock is held.
+func (e *engine) enqueue(a snipecatalog.Adapter, version int64) *load {
+	l := &load{adapter: a, version: version, since: time.Now(), waiting: 1, done: make(chan struct{})}
+	e.loads[a] = l
+	e.queue = append(e.queue, l)
+	e.begin()
+	return l
+}
+
+// leave notes that somebody no longer waits.
+func (e *engine) leave(l *load) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	l.waiting--
+}
+
+// begin starts the loads whose turn it is: those that most wait for, the oldest
+// first. The lock is held.
+func (e *engine) begin() {
+	for e.onTheWay < mostOnTheWay && len(e.queue) > 0 {
+		next := 0
+		for n, l := range e.queue {
+			if l.waiting > e.queue[next].waiting {
+				next = n
+			}
+		}
+		l := e.queue[next]
+		e.queue = slices.Delete(e.queue, next, next+1)
+		if l.waiting <= 0 {
+			e.end(l, ErrUnwanted)
+			continue
+		}
+		e.onTheWay++
+		go e.run(l)
+	}
+}
+
+// end ends a load. The lock is held.
+func (e *engine) end(l *load, err error) {
+	if e.loads[l.adapter] == l {
+		delete(e.loads, l.adapter)
+	}
+	l.err = err
+	close(l.done)
+}
+
+// run brings one adapter onto the engine.
+func (e *engine) run(l *load) {
+	limit := loadTimeout
+	if l.adapter.Name == "" {
+		limit = modelTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := e.bring(ctx, l)
+	if err != nil {
+		// Whether it takes a place on the engine is not known.
+		e.read.Store(false)
+		e.desk.Log.Error(snipelog.LoadFailed, err, snipelog.Fields{
+			"Engine": e.id, "Adapter": l.adapter.Name, "Waiting": l.waiting,
+		})
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if err == nil {
+		e.arrived(l)
+	}
+	e.end(l, err)
+	e.onTheWay--
+	e.begin()
+}
+
+// arrived notes an adapter or a model that the engine now holds. The lock is held.
+func (e *engine) arrived(l *load) {
+	if l.adapter.Name == "" {
+		e.models[l.adapter.Model] = true
+		return
+	}
+	h := &holding{version: l.version}
+	if known := e.held[l.adapter]; known != nil {
+		h.uses = known.uses
+	}
+	h.note(time.Now(), max(l.waiting, 1))
+	e.held[l.adapter] = h
+}
+
+// bring orders the load and waits until it is complete.
+func (e *engine) bring(ctx context.Context, l *load) error {
+	begun := time.Now()
+	o := Order{Action: Load, Adapter: l.adapter, Version: l.version}
+	reply, err := e.order(ctx, &o)
+	if err != nil {
+		return err
+	}
+	if reply == Taken {
+		if err := e.await(ctx, o); err != nil {
+			return err
+		}
+	}
+	e.desk.Log.Log(snipelog.AdapterPresent, snipelog.Fields{
+		"Engine": e.id, "Adapter": l.adapter.Name, "Version": l.version,
+		"Milliseconds": time.Since(begun).Milliseconds(), "Queued": begun.Sub(l.since).Milliseconds(),
+	})
+	return nil
+}
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -26,12 +26,12 @@
 		if !ok {
 			return Refused, errors.Wrap(ErrNotOwner, e.id)
 		}
-		if !e.read || e.fence != fence {
+		if !e.read.Load() || e.fence != fence {
 			if err := e.readState(ctx, u, fence); err != nil {
 				return Refused, err
 			}
 		}
-		if o.Action == Load {
+		if o.Action == Load && o.Adapter.Name != "" {
 			if err := e.makeRoom(ctx, u, o); err != nil {
 				return Refused, err
 			}
@@ -67,6 +67,7 @@
 	switch reply {
 	case Taken:
 		e.orders++
+		e.taken(o)
 		e.desk.Log.Log(snipelog.OrderGiven, fields)
 	case Holds:
 		if o.Action == Unload {
@@ -79,7 +80,7 @@
 			fields["Error"] = err.Error()
 		}
 		e.desk.Log.Log(snipelog.OrderUnknown, fields)
-		e.read = false
+		e.read.Store(false)
 		if !snipetime.Sleep(ctx, reportAge) {
 			return reply, ctx.Err()
 		}
@@ -89,6 +90,20 @@
 	return reply, err
 }
 
+// taken notes the place of an adapter that is on its way.
+func (e *engine) taken(o *Order) {
+	if o.Action != Load || o.Adapter.Name == "" {
+		return
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if h := e.held[o.Adapter]; h != nil && !h.coming {
+		h.replaced = true
+		return
+	}
+	e.held[o.Adapter] = &holding{version: o.Version, coming: true}
+}
+
 // readState reads what the engine holds. The caller holds ordering.
 func (e *engine) readState(ctx context.Context, u *snipedirectory.Upstream, fence uint64) error {
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -97,18 +112,27 @@
 	if err != nil {
 		return errors.Wrap(err, "read engine")
 	}
-	e.orders, e.fence, e.read = r.Orders, fence, true
+	e.orders, e.fence = r.Orders, fence
+	e.read.Store(true)
 	e.desk.Log.Log(snipelog.EngineRead, snipelog.Fields{
 		"Engine": e.id, "Orders": r.Orders, "Resident": len(r.Resident), "Coming": len(r.Coming), "Fence": fence,
 	})
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	e.models = make(map[string]bool, len(r.Models))
+	for _, m := range r.Models {
+		e.models[m] = true
+	}
 	old := e.held
 	e.held = make(map[snipecatalog.Adapter]*holding, len(r.Resident))
 	for _, held := range r.Resident {
 		e.hold(held, old, false)
 	}
 	for _, held := range r.Coming {
+		if h := e.held[held.Adapter]; h != nil {
+			h.replaced = true
+			continue
+		}
 		e.hold(held, old, true)
 	}
 	return nil
@@ -127,7 +151,7 @@
 // used first. The caller holds ordering.
 func (e *engine) makeRoom(ctx context.Context, u *snipedirectory.Upstream, o *Order) error {
 	for {
-		victim, full := e.victim(u, o.Adapter)
+		victim, full := e.victim(u)
 		if !full {
 			return nil
 		}
@@ -175,17 +199,17 @@
 }
 
 // victim returns the adapter to unload so that another one finds room, and whether
-// the engine is full. All loads that are under way count as held.
-func (e *engine) victim(u *snipedirectory.Upstream, coming snipecatalog.Adapter) (snipecatalog.Adapter, bool) {
+// the engine is full. A new version takes a place beside the one that it replaces.
+func (e *engine) victim(u *snipedirectory.Upstream) (snipecatalog.Adapter, bool) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	taken := len(e.held)
-	for a := range e.loads {
-		if e.held[a] == nil && a != coming {
+	for _, h := range e.held {
+		if h.replaced {
 			taken++
 		}
 	}
-	if e.held[coming] != nil || taken < e.desk.Slots(u) {
+	if taken < e.desk.Slots(u) {
 		return snipecatalog.Adapter{}, false
 	}
 	if a, ok := e.leastUsed(calmUse); ok {
@@ -203,7 +227,7 @@
 	found := false
 	now := time.Now()
 	for a, h := range e.held {
-		if h.coming || e.loads[a] != nil || now.Sub(h.used) < calm {
+		if h.coming || h.replaced || e.loads[a] != nil || now.Sub(h.used) < calm {
 			continue
 		}
 		if score := h.uses.At(now); !found || score < lowest {
@@ -216,7 +240,8 @@
 // await asks until the load that was taken is complete. The question is the order
 // itself: an engine that holds what is ordered says so and does nothing.
 func (e *engine) await(ctx context.Context, o Order) error {
-	if !snipetime.Sleep(ctx, loadTime) {
+	begun := time.Now()
+	if !snipetime.Sleep(ctx, reloadTime) {
 		return ctx.Err()
 	}
 	for {
@@ -231,12 +256,21 @@
 		if err != nil && !errors.Is(err, ErrNoAnswer) {
 			return err
 		}
-		if !snipetime.Sleep(ctx, askEvery) {
+		if !snipetime.Sleep(ctx, untilAsked(o, time.Since(begun))) {
 			return ctx.Err()
 		}
 	}
 }
 
+// untilAsked is the time to the next question about a load. An adapter that was
+// not there after the time of a reload comes from the weight store.
+func untilAsked(o Order, since time.Duration) time.Duration {
+	if o.Adapter.Name != "" && since >= 2*reloadTime {
+		return max(loadTime-since, askEvery)
+	}
+	return askEvery
+}
+
 // ask repeats an order as a question: an engine that holds the adapter says so, one
 // that is about to takes note of nothing new.
 func (e *engine) ask(ctx context.Context, u *snipedirectory.Upstream, o Order) (Reply, error) {
@@ -246,7 +280,7 @@
 	if !ok {
 		return Refused, errors.Wrap(ErrNotOwner, e.id)
 	}
-	if !e.read || e.fence != fence {
+	if !e.read.Load() || e.fence != fence {
 		if err := e.readState(ctx, u, fence); err != nil {
 			return Unanswered, errors.Wrapf(ErrNoAnswer, "%v", err)
 		}
@@ -257,7 +291,7 @@
 	reply, err := e.desk.Engine.Order(bounded, u, o)
 	switch {
 	case reply == Conflict:
-		e.read = false
+		e.read.Store(false)
 	case reply == Elsewhere, reply == Outdated, reply == Refused:
 		return reply, errors.Wrap(ErrRefused, reply.String())
 	case err != nil:
--- a/snipeadapter/snipeadapter.go
+++ b/snipeadapter/snipeadapter.go
@@ -35,6 +35,8 @@
 	ErrNotOwner = errors.New("no right to order the engine")
 	// ErrUnknownEngine: the engine is not in this instance's directory.
 	ErrUnknownEngine = errors.New("unknown engine")
+	// ErrNoModel: the engine does not hold the adapter's base model.
+	ErrNoModel = errors.New("the engine does not hold the model")
 	// ErrFull: the engine holds as many adapters as it can, all in use.
 	ErrFull = errors.New("no room for the adapter")
 	// ErrRefused: the engine refused the order.
@@ -102,7 +104,9 @@
 // Report is what an engine says of itself. It is a fraction of a second old.
 type Report struct {
 	// Orders is the number of orders taken.
-	Orders   uint64
+	Orders uint64
+	// Models are the base models that it holds, Resident their adapters.
+	Models   []string
 	Resident []snipedirectory.Resident
 	// Coming are adapters on their way.
 	Coming []snipedirectory.Resident
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -25,8 +25,12 @@
 // Ensure implements snipeproto.Adapter.
 func (s *peerServer) Ensure(ctx context.Context, r *snipeproto.AdapterEnsureRequest) (*snipeproto.AdapterEnsureResponse, error) {
 	a := snipecatalog.Adapter{Model: r.GetModel(), Name: r.GetAdapter()}
-	version, err := s.desk.Ensure(ctx, r.GetEngine(), a, r.GetVersion())
+	patience := time.Duration(r.GetPatienceMilliseconds()) * time.Millisecond
+	version, err := s.desk.Ensure(ctx, r.GetEngine(), a, r.GetVersion(), patience)
+	var busy *snipeadapter.Busy
 	switch {
+	case errors.As(err, &busy):
+		return &snipeproto.AdapterEnsureResponse{Busy: true, WaitMilliseconds: busy.Wait.Milliseconds()}, nil
 	case errors.Is(err, snipeadapter.ErrNotOwner):
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	case errors.Is(err, snipeadapter.ErrFull):
@@ -73,20 +77,24 @@
 }
 
 // ensure has an engine's owner load an adapter.
-func (i *Instance) ensure(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64) (int64, error) {
+func (i *Instance) ensure(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error) {
 	owner, ok := i.holder.View().Owners[u.Address]
 	if !ok {
 		return 0, errors.Wrap(snipeadapter.ErrNotOwner, u.ID)
 	}
 	if owner.Self {
-		return i.desk.Ensure(ctx, u.ID, a, version)
+		return i.desk.Ensure(ctx, u.ID, a, version, patience)
 	}
 	answer, err := i.peers.client(owner.Instance.Peer).Ensure(ctx, &snipeproto.AdapterEnsureRequest{
 		Engine: u.ID, Model: a.Model, Adapter: a.Name, Version: version,
+		PatienceMilliseconds: patience.Milliseconds(),
 	})
 	if err != nil {
 		return 0, errors.Wrapf(err, "owner %s", owner.Instance.Name)
 	}
+	if answer.GetBusy() {
+		return 0, &snipeadapter.Busy{Wait: time.Duration(answer.GetWaitMilliseconds()) * time.Millisecond}
+	}
 	return answer.GetVersion(), nil
 }
 
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -158,6 +158,7 @@
 		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: s.Name, Log: i.Log,
 		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
 		Slots:    i.adapterSlots,
+		Model:    i.modelFor,
 		Newest: func(a snipecatalog.Adapter) int64 {
 			version, _ := i.catalog.Newest(a)
 			return version
@@ -240,6 +241,28 @@
 	return c.Services[u.Service].Engine.AdapterSlots
 }
 
+// modelFor returns the base model that an engine without one should hold: that
+// which the fewest engines of its service hold.
+func (i *Instance) modelFor(u *snipedirectory.Upstream) string {
+	c := i.catalog.Catalog()
+	if c == nil || len(u.Models) > 0 || c.Services[u.Service] == nil || c.Services[u.Service].Engine == nil {
+		return ""
+	}
+	held := make(map[string]int)
+	for _, other := range i.directory.Snapshot().Service(u.Service) {
+		for _, m := range other.Models {
+			held[m]++
+		}
+	}
+	rarest := ""
+	for _, m := range c.Services[u.Service].Engine.Models {
+		if rarest == "" || held[m.Name] < held[rarest] {
+			rarest = m.Name
+		}
+	}
+	return rarest
+}
+
 // takeEngines reads the engines that came to be this instance's.
 func (i *Instance) takeEngines(ctx context.Context) {
 	for _, u := range i.engines() {
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -36,6 +36,10 @@
 	u := choice.Upstream
 	g := c.gateway
 	c.tried = append(c.tried, u.ID)
+	if now := g.Chooser.Directory.Snapshot().ByID(u.ID); now == nil || now.Leaving {
+		// It was chosen before the request waited for its adapter.
+		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream is leaving")
+	}
 	left := time.Until(c.deadline)
 	if left < leastLeft && len(c.tried) > 1 {
 		return snipeerror.New(snipeerror.ErrDeadline, c.outcome(), "no time left")
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -30,6 +30,8 @@
 	// maxSends bounds the upstreams that a request is sent to, those that refuse
 	// it without running it included.
 	maxSends = 4
+	// loadShare is how many times its objective a request may wait for an adapter.
+	loadShare = 2
 	// coldRetry is when an instance that has just started is worth asking again.
 	coldRetry = time.Second
 )
@@ -218,12 +220,19 @@
 func (c *call) choose(ctx context.Context) (Choice, error) {
 	bounded, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	choice, err := c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.tried)
+	choice, err := c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.tried, c.loadPatience())
 	c.waited += choice.Waited
 	c.version = choice.Version
 	return choice, err
 }
 
+// loadPatience is how long the request may wait for an adapter: somewhat over its
+// objective, since a late answer is still worth a part of one in time. Beyond it the
+// caller is told at once when there will be room.
+func (c *call) loadPatience() time.Duration {
+	return min(time.Until(c.deadline), loadShare*c.route.Target)
+}
+
 // next decides whether a request is sent once more after an attempt that did not
 // answer it.
 func (c *call) next(ctx context.Context, err error) bool {
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -33,8 +33,11 @@
 	maxReplicas = 6
 	// loadTries is how many engines are asked to load an adapter for one request.
 	loadTries = 2
-	// backgroundTimeout bounds a load that nobody waits for.
-	backgroundTimeout = 3 * time.Second
+	// askTimeout bounds one question to an engine's owner.
+	askTimeout = 5 * time.Second
+	// replicaPatience is how long the load of one more replica may take: with more
+	// to do, the engine is no help.
+	replicaPatience = 300 * time.Millisecond
 	// rateWindow is the time over which requests for an adapter are counted.
 	rateWindow = 2 * time.Second
 )
@@ -57,7 +60,9 @@
 	Residency *snipeadapter.Residency
 	Versions  *snipecatalog.Keeper
 	// Ensure has an engine's owner load an adapter and waits for it.
-	Ensure func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64) (int64, error)
+	// It is refused at once, with a snipeadapter.Busy, if it would take longer than
+	// patience.
+	Ensure func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error)
 	// Owned reports whether an engine has an owner that can order it.
 	Owned func(u *snipedirectory.Upstream) bool
 	// Instances returns how many instances share the requests.
@@ -79,6 +84,8 @@
 // flight is one question to an owner, shared by all that wait for its answer.
 type flight struct {
 	done    chan struct{}
+	cancel  context.CancelFunc
+	waiting int
 	version int64
 	err     error
 }
@@ -91,8 +98,8 @@
 }
 
 // Choose returns an upstream of a service for a request; tried are those that
-// failed it.
-func (c *Chooser) Choose(ctx context.Context, service string, q *Request, tried []string) (Choice, error) {
+// failed it, patience is how long an adapter may be waited for.
+func (c *Chooser) Choose(ctx context.Context, service string, q *Request, tried []string, patience time.Duration) (Choice, error) {
 	all := c.Directory.Snapshot().Service(service)
 	if len(all) == 0 {
 		return Choice{}, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "the service has no upstream").After(time.Second)
@@ -101,7 +108,7 @@
 	if q.Adapter.Model == "" {
 		return c.plain(all, fresh)
 	}
-	return c.engine(ctx, all, q, fresh)
+	return c.engine(ctx, all, q, patience, fresh)
 }
 
 func (c *Chooser) plain(all []*snipedirectory.Upstream, fresh snipebalance.Filter) (Choice, error) {
@@ -113,7 +120,7 @@
 }
 
 // engine returns an engine that holds the request's adapter, or has one load it.
-func (c *Chooser) engine(ctx context.Context, all []*snipedirectory.Upstream, q *Request, fresh snipebalance.Filter) (Choice, error) {
+func (c *Chooser) engine(ctx context.Context, all []*snipedirectory.Upstream, q *Request, patience time.Duration, fresh snipebalance.Filter) (Choice, error) {
 	a := q.Adapter
 	required := c.Versions.Required(a, versionGrace)
 	wanted := c.wanted(a, len(all))
@@ -137,7 +144,7 @@
 	if a.Name == "" {
 		return Choice{}, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "no engine holds the model").After(time.Second)
 	}
-	return c.load(ctx, all, a, required, fresh)
+	return c.load(ctx, all, a, required, patience, fresh)
 }
 
 // choice returns an engine with the version to expect of it. Where no version was
@@ -177,19 +184,20 @@
 	return uses
 }
 
-// load has an engine load the adapter.
-func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, fresh snipebalance.Filter) (Choice, error) {
+// load has an engine load the adapter. Where the first in rank has too much to do,
+// the second is asked.
+func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, patience time.Duration, fresh snipebalance.Filter) (Choice, error) {
 	begun := time.Now()
-	last := errors.New("no engine has an owner")
+	refusal := snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "no engine has an owner").After(loadRetry)
 	tries := 0
 	for _, u := range c.ranked(all, a) {
-		if !fresh(u) || !c.Balancer.Usable(u) || !c.Owned(u) {
+		if !fresh(u) || !c.loadable(u, a) {
 			continue
 		}
 		if tries++; tries > loadTries {
 			break
 		}
-		_, err := c.ask(ctx, u, a, required)
+		_, err := c.ask(ctx, u, a, required, patience)
 		if err == nil {
 			choice := c.choice(u, a)
 			choice.Waited = time.Since(begun)
@@ -198,9 +206,20 @@
 		if ctx.Err() != nil {
 			return Choice{}, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "the adapter did not arrive in time").After(loadRetry)
 		}
-		last = err
+		wait := loadRetry
+		var busy *snipeadapter.Busy
+		if errors.As(err, &busy) {
+			wait = busy.Wait
+		}
+		refusal = snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error()).After(wait)
 	}
-	return Choice{}, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, last.Error()).After(loadRetry)
+	return Choice{}, refusal
+}
+
+// loadable reports whether an engine can be asked for an adapter.
+func (c *Chooser) loadable(u *snipedirectory.Upstream, a snipecatalog.Adapter) bool {
+	_, serves := c.Residency.Holds(u, snipecatalog.Adapter{Model: a.Model})
+	return serves && c.Balancer.Usable(u) && c.Owned(u)
 }
 
 // loadRetry is when an adapter that could not be loaded is worth asking for again:
@@ -227,37 +246,52 @@
 	return upstreams
 }
 
-// ask asks an engine's owner for an adapter, once for all requests that wait.
-func (c *Chooser) ask(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64) (int64, error) {
-	key := flightKey{u.ID, a, version}
-	c.lock.Lock()
-	f := c.flights[key]
-	if f == nil {
-		f = &flight{done: make(chan struct{})}
-		if c.flights == nil {
-			c.flights = make(map[flightKey]*flight)
-		}
-		c.flights[key] = f
-		go c.fly(key, f, u)
-	}
-	c.lock.Unlock()
+// ask asks an engine's owner for an adapter, once for all requests that wait. When
+// nobody waits any more the question is taken back.
+func (c *Chooser) ask(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error) {
+	f := c.join(u, a, version, patience)
 	select {
 	case <-f.done:
 		return f.version, f.err
 	case <-ctx.Done():
-		return 0, ctx.Err()
 	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if f.waiting--; f.waiting == 0 {
+		f.cancel()
+	}
+	return 0, ctx.Err()
 }
 
-func (c *Chooser) fly(key flightKey, f *flight, u *snipedirectory.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), backgroundTimeout)
-	defer cancel()
-	f.version, f.err = c.Ensure(ctx, u, key.adapter, key.version)
+// join returns the question that is under way, or begins it.
+func (c *Chooser) join(u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) *flight {
+	key := flightKey{u.ID, a, version}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if f := c.flights[key]; f != nil && f.waiting > 0 {
+		f.waiting++
+		return f
+	}
+	if c.flights == nil {
+		c.flights = make(map[flightKey]*flight)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	f := &flight{done: make(chan struct{}), cancel: cancel, waiting: 1}
+	c.flights[key] = f
+	go c.fly(ctx, key, f, u, patience)
+	return f
+}
+
+func (c *Chooser) fly(ctx context.Context, key flightKey, f *flight, u *snipedirectory.Upstream, patience time.Duration) {
+	defer f.cancel()
+	f.version, f.err = c.Ensure(ctx, u, key.adapter, key.version, patience)
 	if f.err == nil {
 		c.Residency.Tell(key.engine, key.adapter, f.version)
 	}
 	c.lock.Lock()
-	delete(c.flights, key)
+	if c.flights[key] == f {
+		delete(c.flights, key)
+	}
 	c.lock.Unlock()
 	close(f.done)
 }
@@ -265,12 +299,10 @@
 // replicate has one more engine load an adapter; nobody waits for it.
 func (c *Chooser) replicate(all []*snipedirectory.Upstream, a snipecatalog.Adapter, version int64, holds snipebalance.Filter) {
 	for _, u := range c.ranked(all, a) {
-		if holds(u) || !c.Balancer.Usable(u) || !c.Owned(u) {
+		if holds(u) || !c.loadable(u, a) {
 			continue
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel() // the question goes on without its asker
-		_, _ = c.ask(ctx, u, a, version)
+		c.join(u, a, version, replicaPatience)
 		return
 	}
 }
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -133,4 +133,5 @@
 	EngineRead     = define(513, "EngineRead", logrus.InfoLevel)
 	AdapterPresent = define(514, "AdapterPresent", logrus.InfoLevel)
 	PeerUnreached  = define(515, "PeerUnreached", logrus.WarnLevel)
+	EngineUnread   = define(516, "EngineUnread", logrus.WarnLevel)
 )
