Orders wait for adapters that are in use instead of unloading them

Cause: an unload of an adapter in use holds up all orders to its engine, and every refused load made the engine's state be read again, older than known. Ruled out: the weight store's pace. Change: owners hear what is in flight; a load waits until some adapter is calm; the state is read anew only where an order's outcome is not known; lost replies are resolved by repeating the order; the second and third engine in rank are asked before the first is waited for. Conclusion: what is left is waiting in the first seconds and around restarts.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -18,7 +18,7 @@
 	// at once. The weight store serves two an engine at full speed over all engines.
 	mostOnTheWay = 4
 	// orderTimeout bounds one order: an engine answers within milliseconds.
-	orderTimeout = 400 * time.Millisecond
+	orderTimeout = 150 * time.Millisecond
 	// reportAge is how old an engine's report may be.
 	reportAge = 300 * time.Millisecond
 	// loadTime is how long an adapter usually takes from the weight store, reloadTime
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -9,11 +9,18 @@
 
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 // ErrUnwanted: nobody waits for the load any more.
 var ErrUnwanted = errors.New("nobody waits for the adapter")
 
+// errInUse: all adapters that the engine holds were used a moment ago.
+var errInUse = errors.New("all adapters of the engine are in use")
+
+// calmPause is the time between two looks for an adapter that is no longer used.
+const calmPause = 40 * time.Millisecond
+
 // Busy is the error of a load that would take too long.
 type Busy struct {
 	// Wait is when there will be room for it.
@@ -130,8 +137,6 @@
 	defer cancel()
 	err := e.bring(ctx, l)
 	if err != nil {
-		// Whether it takes a place on the engine is not known.
-		e.read.Store(false)
 		e.desk.Log.Error(snipelog.LoadFailed, err, snipelog.Fields{
 			"Engine": e.id, "Adapter": l.adapter.Name, "Waiting": l.waiting,
 		})
@@ -146,6 +151,13 @@
 	e.begin()
 }
 
+// wanted reports whether somebody waits for a load.
+func (e *engine) wanted(l *load) bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return l.waiting > 0
+}
+
 // arrived notes an adapter or a model that the engine now holds. The lock is held.
 func (e *engine) arrived(l *load) {
 	if l.adapter.Name == "" {
@@ -165,11 +177,16 @@
 	begun := time.Now()
 	o := Order{Action: Load, Adapter: l.adapter, Version: l.version}
 	reply, err := e.order(ctx, &o)
+	for errors.Is(err, errInUse) && e.wanted(l) && snipetime.Sleep(ctx, calmPause) {
+		reply, err = e.order(ctx, &o)
+	}
 	if err != nil {
 		return err
 	}
 	if reply == Taken {
 		if err := e.await(ctx, o); err != nil {
+			// Whether it takes a place on the engine is not known.
+			e.read.Store(false)
 			return err
 		}
 	}
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -49,20 +49,54 @@
 	}
 }
 
-// give sends one order. After a conflict or no answer the engine's state has to be
-// read again; it has been when give returns.
+// give sends one order until the engine has said what became of it. After a conflict
+// the engine's state has to be read again.
 func (e *engine) give(ctx context.Context, u *snipedirectory.Upstream, o *Order) (Reply, error) {
+	reply, err := e.send(ctx, u, o)
+	unanswered := false
+	for range mostRepeats {
+		if reply != Unanswered || ctx.Err() != nil {
+			break
+		}
+		unanswered = true
+		reply, err = e.send(ctx, u, o)
+	}
+	if reply == Conflict && unanswered {
+		// The order that got no answer was taken; then the engine has taken one
+		// order more, and knows this one.
+		e.orders++
+		if reply, err = e.send(ctx, u, o); reply == Taken || reply == Holds {
+			e.orders-- // the order is counted below
+		}
+	}
+	e.note(ctx, o, reply, err)
+	return reply, err
+}
+
+// mostRepeats bounds how often an order is repeated that gets no answer. Repeats
+// state the same number of orders, so that the engine takes one of them.
+const mostRepeats = 4
+
+// send sends one order.
+func (e *engine) send(ctx context.Context, u *snipedirectory.Upstream, o *Order) (Reply, error) {
 	fence, ok := e.desk.Fence(u.Address)
 	if !ok {
 		return Refused, errors.Wrap(ErrNotOwner, e.id)
 	}
 	o.Expect, o.Holder, o.Fence = e.orders, e.desk.Holder, fence
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-	reply, err := e.desk.Engine.Order(bounded, u, *o)
-	cancel()
+	defer cancel()
+	return e.desk.Engine.Order(bounded, u, *o)
+}
+
+// note takes what became of an order.
+func (e *engine) note(ctx context.Context, o *Order, reply Reply, err error) {
 	fields := snipelog.Fields{
 		"Engine": e.id, "Action": o.Action.String(), "Adapter": o.Adapter.Name, "Version": o.Version,
-		"Expect": o.Expect, "Fence": fence, "Reply": reply.String(),
+		"Expect": o.Expect, "Fence": o.Fence, "Reply": reply.String(),
+	}
+	if err != nil {
+		fields["Error"] = err.Error()
 	}
 	switch reply {
 	case Taken:
@@ -76,18 +110,13 @@
 		}
 		e.desk.Log.Log(snipelog.OrderGiven, fields)
 	case Conflict, Unanswered:
-		if err != nil {
-			fields["Error"] = err.Error()
-		}
 		e.desk.Log.Log(snipelog.OrderUnknown, fields)
 		e.read.Store(false)
-		if !snipetime.Sleep(ctx, reportAge) {
-			return reply, ctx.Err()
-		}
+		// Not answered in time: the caller looks at the context itself.
+		snipetime.Sleep(ctx, reportAge)
 	default:
 		e.desk.Log.Log(snipelog.OrderRefused, fields)
 	}
-	return reply, err
 }
 
 // taken notes the place of an adapter that is on its way.
@@ -156,7 +185,7 @@
 			return nil
 		}
 		if victim.Name == "" {
-			return errors.Wrap(ErrFull, e.id)
+			return errors.Wrap(errInUse, e.id)
 		}
 		if err := e.unload(ctx, u, victim); err != nil {
 			return err
@@ -173,13 +202,9 @@
 		if !snipetime.Sleep(ctx, askEvery) {
 			return ctx.Err()
 		}
-		if _, ok := e.desk.Fence(u.Address); !ok {
-			return errors.Wrap(ErrNotOwner, e.id)
+		if reply, err = e.send(ctx, u, &away); reply == Unanswered {
+			reply = Taken // asked again
 		}
-		away.Expect = e.orders
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-		reply, err = e.desk.Engine.Order(bounded, u, away)
-		cancel()
 	}
 	switch reply {
 	case Holds:
@@ -212,10 +237,7 @@
 	if taken < e.desk.Slots(u) {
 		return snipecatalog.Adapter{}, false
 	}
-	if a, ok := e.leastUsed(calmUse); ok {
-		return a, true
-	}
-	a, _ := e.leastUsed(0)
+	a, _ := e.leastUsed(calmUse)
 	return a, true
 }
 
--- a/snipeadapter/snipeadapter.go
+++ b/snipeadapter/snipeadapter.go
@@ -37,8 +37,6 @@
 	ErrUnknownEngine = errors.New("unknown engine")
 	// ErrNoModel: the engine does not hold the adapter's base model.
 	ErrNoModel = errors.New("the engine does not hold the model")
-	// ErrFull: the engine holds as many adapters as it can, all in use.
-	ErrFull = errors.New("no room for the adapter")
 	// ErrRefused: the engine refused the order.
 	ErrRefused = errors.New("order refused")
 	// ErrNoAnswer: the order may have been taken.
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -33,8 +33,6 @@
 		return &snipeproto.AdapterEnsureResponse{Busy: true, WaitMilliseconds: busy.Wait.Milliseconds()}, nil
 	case errors.Is(err, snipeadapter.ErrNotOwner):
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
-	case errors.Is(err, snipeadapter.ErrFull):
-		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
 	case err != nil:
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -53,7 +53,7 @@
 	// instance's.
 	takeEvery = 500 * time.Millisecond
 	// reportEvery is the time between two reports of use to engines' owners.
-	reportEvery = 500 * time.Millisecond
+	reportEvery = 300 * time.Millisecond
 	// lapseReturn is how long after an outage of the registry entries that lapsed
 	// meanwhile may take to come back.
 	lapseReturn = 2500 * time.Millisecond
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -49,6 +49,7 @@
 	}
 	end := g.Balancer.Begin(u.ID, snipebalance.Weight(c.PromptTokens))
 	defer end()
+	defer g.Chooser.Use(u.ID, c.Adapter)()
 	answer, _, err := g.Links.Send(ctx, u.Address, c.outgoing(d), c.body, false)
 	if err != nil {
 		return c.unanswered(ctx, u.ID, err)
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -31,8 +31,12 @@
 	spareRate = 6.0
 	// maxReplicas bounds the engines that hold one adapter.
 	maxReplicas = 6
-	// loadTries is how many engines are asked to load an adapter for one request.
-	loadTries = 2
+	// loadTries is how many engines are asked to load an adapter soon, before the
+	// first of them is asked to do it late.
+	loadTries = 3
+	// soon is the wait for a load at an engine that has no more to do than it does
+	// at once.
+	soon = 400 * time.Millisecond
 	// askTimeout bounds one question to an engine's owner.
 	askTimeout = 5 * time.Second
 	// replicaPatience is how long the load of one more replica may take: with more
@@ -71,7 +75,13 @@
 	lock    sync.Mutex // guards the fields below
 	flights map[flightKey]*flight
 	rates   map[snipecatalog.Adapter]*rate
-	uses    map[string]map[snipecatalog.Adapter]int
+	uses    map[string]map[snipecatalog.Adapter]*use
+}
+
+// use is the use of an adapter on one engine.
+type use struct {
+	// begun counts requests since the last report, running those in flight.
+	begun, running int
 }
 
 // flightKey names a load that is waited for.
@@ -151,71 +161,115 @@
 // ever announced all engines hold the same one.
 func (c *Chooser) choice(u *snipedirectory.Upstream, a snipecatalog.Adapter) Choice {
 	choice := Choice{Upstream: u}
-	c.use(u.ID, a)
 	if _, announced := c.Versions.Newest(a); announced {
 		choice.Version, _ = c.Residency.Holds(u, a)
 	}
 	return choice
 }
 
-// use counts a use of an adapter for the next report to the engine's owner.
-func (c *Chooser) use(engine string, a snipecatalog.Adapter) {
+// Use notes that a request for an adapter goes to an engine, for the next report to
+// the engine's owner. The returned function notes its end.
+func (c *Chooser) Use(engine string, a snipecatalog.Adapter) (end func()) {
 	if a.Name == "" {
-		return
+		return func() {}
 	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if c.uses == nil {
-		c.uses = make(map[string]map[snipecatalog.Adapter]int)
+		c.uses = make(map[string]map[snipecatalog.Adapter]*use)
 	}
 	if c.uses[engine] == nil {
-		c.uses[engine] = make(map[snipecatalog.Adapter]int)
+		c.uses[engine] = make(map[snipecatalog.Adapter]*use)
+	}
+	u := c.uses[engine][a]
+	if u == nil {
+		u = &use{}
+		c.uses[engine][a] = u
+	}
+	u.begun++
+	u.running++
+	return func() {
+		c.lock.Lock()
+		defer c.lock.Unlock()
+		u.running--
 	}
-	c.uses[engine][a]++
 }
 
 // TakeUses returns how often adapters were used on each engine since the last
-// call.
+// call; 0 for those whose requests are still in flight.
 func (c *Chooser) TakeUses() map[string]map[snipecatalog.Adapter]int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	uses := c.uses
-	c.uses = nil
-	return uses
+	taken := make(map[string]map[snipecatalog.Adapter]int, len(c.uses))
+	for engine, all := range c.uses {
+		counts := make(map[snipecatalog.Adapter]int, len(all))
+		for a, u := range all {
+			counts[a] = u.begun
+			u.begun = 0
+			if u.running == 0 {
+				delete(all, a)
+			}
+		}
+		if len(all) == 0 {
+			delete(c.uses, engine)
+		}
+		taken[engine] = counts
+	}
+	return taken
 }
 
-// load has an engine load the adapter. Where the first in rank has too much to do,
-// the second is asked.
+// load has an engine load the adapter: the first in rank that can do it soon, or else
+// the first that can do it within patience.
 func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, patience time.Duration, fresh snipebalance.Filter) (Choice, error) {
 	begun := time.Now()
 	refusal := snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "no engine has an owner").After(loadRetry)
-	tries := 0
-	for _, u := range c.ranked(all, a) {
-		if !fresh(u) || !c.loadable(u, a) {
-			continue
-		}
-		if tries++; tries > loadTries {
-			break
+	for _, step := range loadSteps(patience) {
+		tries := 0
+		for _, u := range c.ranked(all, a) {
+			if !fresh(u) || !c.loadable(u, a) {
+				continue
+			}
+			if tries++; tries > step.tries {
+				break
+			}
+			_, err := c.ask(ctx, u, a, required, step.patience)
+			if err == nil {
+				choice := c.choice(u, a)
+				choice.Waited = time.Since(begun)
+				return choice, nil
+			}
+			if refusal = refused(err); ctx.Err() != nil {
+				return Choice{}, refusal
+			}
 		}
-		_, err := c.ask(ctx, u, a, required, patience)
-		if err == nil {
-			choice := c.choice(u, a)
-			choice.Waited = time.Since(begun)
-			return choice, nil
-		}
-		if ctx.Err() != nil {
-			return Choice{}, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "the adapter did not arrive in time").After(loadRetry)
-		}
-		wait := loadRetry
-		var busy *snipeadapter.Busy
-		if errors.As(err, &busy) {
-			wait = busy.Wait
-		}
-		refusal = snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error()).After(wait)
 	}
 	return Choice{}, refusal
 }
 
+// loadStep is a round of questions to engines' owners.
+type loadStep struct {
+	patience time.Duration
+	tries    int
+}
+
+// loadSteps returns the rounds for a request that waits for patience.
+func loadSteps(patience time.Duration) []loadStep {
+	if patience <= soon {
+		return []loadStep{{patience, loadTries}}
+	}
+	return []loadStep{{soon, loadTries}, {patience, 1}}
+}
+
+// refused returns the failure of a request whose adapter was not loaded.
+func refused(err error) *snipeerror.CallError {
+	wait := loadRetry
+	var busy *snipeadapter.Busy
+	if errors.As(err, &busy) {
+		wait = busy.Wait
+	}
+	return snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error()).After(wait)
+}
+
 // loadable reports whether an engine can be asked for an adapter.
 func (c *Chooser) loadable(u *snipedirectory.Upstream, a snipecatalog.Adapter) bool {
 	_, serves := c.Residency.Holds(u, snipecatalog.Adapter{Model: a.Model})
