A renewal that finds the store gone ends the long reads that wait for it

Ruled out: the pace of the feed (100 ms). Change: feeds are interrupted, and poll without waiting until the store is back.

--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,13 +35,18 @@
 type feed[T any] struct {
 	// read and watch return what was read and its position.
 	read  func(ctx context.Context) (T, uint64, error)
-	watch func(ctx context.Context, after uint64) (T, uint64, error)
+	watch func(ctx context.Context, after uint64, wait time.Duration) (T, uint64, error)
 	// apply takes what was read.
 	apply func(v T)
 	// failed and back are told once of the loss and the return of the store.
 	failed func(err error)
 	back   func()
 	pace   time.Duration
+	// wait is how long one read waits for a change.
+	wait time.Duration
+
+	lock   sync.Mutex // guards cancel
+	cancel context.CancelFunc
 
 	position uint64
 	known    bool
@@ -71,8 +77,18 @@
 	var v T
 	var err error
 	position := f.position
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.lock.Lock()
+	f.cancel = cancel
+	f.lock.Unlock()
 	if f.known {
-		v, position, err = f.watch(ctx, f.position)
+		wait := f.wait
+		if f.lost {
+			// Finds out soon that the store is back.
+			wait = 0
+		}
+		v, position, err = f.watch(ctx, f.position, wait)
 	} else {
 		v, position, err = f.read(ctx)
 	}
@@ -92,6 +108,16 @@
 	return nil
 }
 
+// interrupt ends the read in progress: another duty has found that the store does
+// not answer, and a read that began before would wait for its whole time.
+func (f *feed[T]) interrupt() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
 // fail notes a failure. After an outage the whole table is read again: what
 // changed meanwhile may no longer be told.
 func (f *feed[T]) fail(err error) {
@@ -101,23 +127,22 @@
 	f.lost = true
 }
 
-// followCatalog follows what operators declared.
-func (i *Instance) followCatalog(ctx context.Context) error {
-	f := &feed[snipecatalog.Change]{
+// catalogFeed follows what operators declared.
+func (i *Instance) catalogFeed() *feed[snipecatalog.Change] {
+	return &feed[snipecatalog.Change]{
 		read: func(ctx context.Context) (snipecatalog.Change, uint64, error) {
 			c, err := i.Platform.ReadDeclared(ctx)
 			return c, c.Position, err
 		},
-		watch: func(ctx context.Context, after uint64) (snipecatalog.Change, uint64, error) {
-			c, err := i.Platform.WatchDeclared(ctx, after, catalogWait)
+		watch: func(ctx context.Context, after uint64, wait time.Duration) (snipecatalog.Change, uint64, error) {
+			c, err := i.Platform.WatchDeclared(ctx, after, wait)
 			return c, c.Position, err
 		},
 		apply:  i.applyCatalog,
 		failed: func(err error) { i.Log.Error(snipelog.CatalogStale, err, i.catalogFields()) },
 		back:   func() { i.Log.Log(snipelog.CatalogFresh, i.catalogFields()) },
-		pace:   catalogPace,
+		pace:   catalogPace, wait: catalogWait,
 	}
-	return f.run(ctx)
 }
 
 func (i *Instance) catalogFields() snipelog.Fields {
@@ -152,32 +177,36 @@
 	wrong  []error
 }
 
-// followDirectory follows the registry of upstreams.
-func (i *Instance) followDirectory(ctx context.Context) error {
-	f := &feed[upstreamsRead]{
+// directoryFeed follows the registry of upstreams.
+func (i *Instance) directoryFeed() *feed[upstreamsRead] {
+	return &feed[upstreamsRead]{
 		read: func(ctx context.Context) (upstreamsRead, uint64, error) {
 			c, wrong, err := i.Platform.ReadUpstreams(ctx)
 			return upstreamsRead{c, wrong}, c.Position, err
 		},
-		watch: func(ctx context.Context, after uint64) (upstreamsRead, uint64, error) {
-			c, wrong, err := i.Platform.WatchUpstreams(ctx, after, directoryWait)
+		watch: func(ctx context.Context, after uint64, wait time.Duration) (upstreamsRead, uint64, error) {
+			c, wrong, err := i.Platform.WatchUpstreams(ctx, after, wait)
 			return upstreamsRead{c, wrong}, c.Position, err
 		},
 		apply: i.applyDirectory,
 		failed: func(err error) {
 			i.Log.Error(snipelog.DirectoryStale, err, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
+			i.directory.Lost()
 		},
 		back: func() {
 			i.Log.Log(snipelog.DirectoryFresh, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
 		},
-		pace: directoryPace,
+		pace: directoryPace, wait: directoryWait,
 	}
-	lost := f.failed
-	f.failed = func(err error) {
-		lost(err)
-		i.directory.Lost()
+}
+
+// storeReached is told of each renewal whether the store answered.
+func (i *Instance) storeReached(ok bool) {
+	if ok {
+		return
 	}
-	return f.run(ctx)
+	i.catalogs.interrupt()
+	i.directories.interrupt()
 }
 
 // applyDirectory takes what was read of the registry.
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -102,6 +102,9 @@
 	peers     *peers
 	budgets   *budgets
 	phase     phase
+
+	catalogs    *feed[snipecatalog.Change]
+	directories *feed[upstreamsRead]
 	signals   chan os.Signal
 }
 
@@ -112,8 +115,8 @@
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(i.signals)
 	var g run.Group
-	i.duty(ctx, &g, i.followCatalog)
-	i.duty(ctx, &g, i.followDirectory)
+	i.duty(ctx, &g, i.catalogs.run)
+	i.duty(ctx, &g, i.directories.run)
 	i.duty(ctx, &g, i.holder.Run)
 	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, takeEvery, i.takeEngines) })
 	i.duty(ctx, &g, func(ctx context.Context) error {
@@ -152,8 +155,9 @@
 		Table:   i.Platform.Table,
 		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain},
 		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), Clock: bootClock,
-		Operation: i.Operation, Log: i.Log,
+		Operation: i.Operation, Reached: i.storeReached, Log: i.Log,
 	}
+	i.catalogs, i.directories = i.catalogFeed(), i.directoryFeed()
 	i.desk = &snipeadapter.Desk{
 		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: s.Name, Log: i.Log,
 		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -244,7 +244,7 @@
 // note logs the loss and the return of the table once.
 func (h *Holder) note(err error) {
 	if h.Reached != nil {
-		h.Reached(err == nil)
+		h.Reached(err == nil || errors.Is(err, snipeplatform.ErrConflict))
 	}
 	switch {
 	case err != nil && !h.lost:
