--- a/cmd/snipepitchd/entry.go
+++ b/cmd/snipepitchd/entry.go
@@ -91,4 +91,3 @@
 	}
 	return i.Run(context.Background())
 }
-
--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -65,8 +65,9 @@
 type engine struct {
 	desk *Desk
 	id   string
-	// ordering serialises orders: each states the number of those before it.
-	ordering sync.Mutex
+	// ordering serialises orders: each states the number of those before it. It is
+	// held while an order is under way, so it is no mutex.
+	ordering turn
 	// fence is that under which the engine was last read; what was known under an
 	// earlier one is void.
 	fence uint64
@@ -74,6 +75,9 @@
 	// the engine was read.
 	orders uint64
 	read   atomic.Bool
+	// sure tells that the last order of all got its answer here. Else one that got
+	// none, of this instance or of the owner before, may still be carried out.
+	sure bool
 
 	lock sync.Mutex // guards the fields below
 	// models are the base models that it holds; nil until it was read.
@@ -85,6 +89,20 @@
 	onTheWay int
 }
 
+// turn is taken by one goroutine at a time.
+type turn chan struct{}
+
+func (t turn) take(ctx context.Context) error {
+	select {
+	case t <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t turn) leave() { <-t }
+
 // holding is an adapter that an engine holds.
 type holding struct {
 	version int64
@@ -106,7 +124,7 @@
 
 // Ensure waits until an engine holds an adapter in at least the given version and
 // returns the version that it holds. A load that cannot be complete within patience
-// is refused at once: the error is then a Busy.
+// is refused at once: the error is then a BusyError.
 func (d *Desk) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error) {
 	u := d.Upstream(id)
 	if u == nil {
@@ -176,13 +194,15 @@
 		return
 	}
 	e := d.engine(u.ID)
-	e.ordering.Lock()
-	defer e.ordering.Unlock()
+	if err := e.ordering.take(ctx); err != nil {
+		return
+	}
+	defer e.ordering.leave()
 	if e.read.Load() && e.fence == fence {
 		return
 	}
 	if err := e.readState(ctx, u, fence); err != nil {
-		d.Log.Error(snipelog.EngineUnread, err, snipelog.Fields{"Engine": u.ID})
+		d.Log.Error(snipelog.EngineUnread, err, e.fields(nil))
 		return
 	}
 	if model := d.Model(u); model != "" && !e.serves(model) {
@@ -211,13 +231,22 @@
 		d.engines = make(map[string]*engine)
 	}
 	e := &engine{
-		desk: d, id: id,
+		desk: d, id: id, ordering: make(turn, 1),
 		held: make(map[snipecatalog.Adapter]*holding), loads: make(map[snipecatalog.Adapter]*load),
 	}
 	d.engines[id] = e
 	return e
 }
 
+// fields adds the engine to the fields of a log line.
+func (e *engine) fields(f snipelog.Fields) snipelog.Fields {
+	if f == nil {
+		f = snipelog.Fields{}
+	}
+	f["Engine"] = e.id
+	return f
+}
+
 // serves reports whether the engine holds a base model, as far as is known.
 func (e *engine) serves(model string) bool {
 	e.lock.Lock()
--- /dev/null
+++ b/snipeadapter/desk_test.go
@@ -0,0 +1,328 @@
+package snipeadapter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeadapter"
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipelog"
+)
+
+const (
+	model      = "base"
+	places     = 6
+	transfer   = 250 * time.Millisecond
+	reportLag  = 200 * time.Millisecond
+	reloadTime = 25 * time.Millisecond
+)
+
+// fakeEngine takes orders as engines do: each states the number of those before it,
+// loads take their time, and what does not fit crashes it.
+type fakeEngine struct {
+	lock   sync.Mutex
+	rand   *rand.Rand
+	models []string
+	orders uint64
+	held   map[snipecatalog.Adapter]int64
+	coming map[snipecatalog.Adapter]int64
+	before map[snipecatalog.Adapter]bool
+	// lost is the share of orders that get no answer, late of which are carried out
+	// seconds later.
+	lost, late float64
+	crashed    bool
+	loads      int
+	report     snipeadapter.Report
+}
+
+func newFakeEngine(seed uint64) *fakeEngine {
+	return &fakeEngine{
+		rand: rand.New(rand.NewPCG(seed, 7)), models: []string{model},
+		held: map[snipecatalog.Adapter]int64{}, coming: map[snipecatalog.Adapter]int64{},
+		before: map[snipecatalog.Adapter]bool{},
+	}
+}
+
+func (f *fakeEngine) order(ctx context.Context, _ *snipedirectory.Upstream, o snipeadapter.Order) (snipeadapter.Reply, error) {
+	time.Sleep(2 * time.Millisecond)
+	f.lock.Lock()
+	lost, late := f.rand.Float64() < f.lost, f.rand.Float64() < f.late
+	delay := time.Duration(2000+f.rand.IntN(10000)) * time.Millisecond
+	f.lock.Unlock()
+	if !lost {
+		return f.carryOut(o), nil
+	}
+	if late {
+		time.AfterFunc(delay, func() { f.carryOut(o) })
+	} else {
+		f.carryOut(o)
+	}
+	<-ctx.Done()
+	return snipeadapter.Unanswered, ctx.Err()
+}
+
+func (f *fakeEngine) carryOut(o snipeadapter.Order) snipeadapter.Reply {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if o.Expect != f.orders {
+		return snipeadapter.Conflict
+	}
+	version, held := f.held[o.Adapter]
+	if o.Action == snipeadapter.Unload {
+		if held {
+			delete(f.held, o.Adapter)
+			f.orders++
+		}
+		return snipeadapter.Holds
+	}
+	target := max(o.Version, 1)
+	if held && version >= target {
+		return snipeadapter.Holds
+	}
+	if f.coming[o.Adapter] >= target {
+		return snipeadapter.Taken
+	}
+	f.orders++
+	f.coming[o.Adapter] = target
+	f.loads++
+	f.crashed = f.crashed || len(f.held)+len(f.coming) > places
+	d := transfer
+	if f.before[o.Adapter] {
+		d = reloadTime
+	}
+	time.AfterFunc(d, func() {
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		delete(f.coming, o.Adapter)
+		f.held[o.Adapter], f.before[o.Adapter] = target, true
+	})
+	return snipeadapter.Taken
+}
+
+// read returns a report that is a moment old.
+func (f *fakeEngine) read(context.Context, *snipedirectory.Upstream) (snipeadapter.Report, error) {
+	time.Sleep(2 * time.Millisecond)
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.report, nil
+}
+
+// publish renews the report until ctx ends.
+func (f *fakeEngine) publish(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.lock.Lock()
+		r := snipeadapter.Report{Orders: f.orders, Models: append([]string(nil), f.models...)}
+		for a, v := range f.held {
+			r.Resident = append(r.Resident, snipedirectory.Resident{Adapter: a, Version: v})
+		}
+		for a, v := range f.coming {
+			r.Coming = append(r.Coming, snipedirectory.Resident{Adapter: a, Version: v})
+		}
+		f.report = r
+		f.lock.Unlock()
+		time.Sleep(reportLag)
+	}
+}
+
+func adapter(n int) snipecatalog.Adapter {
+	return snipecatalog.Adapter{Model: model, Name: fmt.Sprint("a", n)}
+}
+
+// newDesk returns a desk over the engine, and whether the desk may order.
+func newDesk(f *fakeEngine) (desk *snipeadapter.Desk, owns *bool) {
+	u := &snipedirectory.Upstream{ID: "e1", Address: netip.MustParseAddrPort("10.9.0.1:80"), Models: f.models}
+	mayOrder := true
+	return &snipeadapter.Desk{
+		Engine:   snipeadapter.Engine{Order: f.order, Report: f.read},
+		Fence:    func(netip.AddrPort) (uint64, bool) { return 1, mayOrder },
+		Upstream: func(string) *snipedirectory.Upstream { return u },
+		Slots:    func(*snipedirectory.Upstream) int { return places },
+		Model:    func(*snipedirectory.Upstream) string { return "" },
+		Newest:   func(snipecatalog.Adapter) int64 { return 0 },
+		Holder:   "one", Log: snipelog.Discard(),
+	}, &mayOrder
+}
+
+const patient = 10 * time.Second
+
+// play runs f in a bubble with an engine and its desk.
+func play(t *testing.T, seed uint64, f func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, owns *bool)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newFakeEngine(seed)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { e.publish(ctx) })
+		defer func() {
+			cancel()
+			running.Wait()
+			time.Sleep(time.Minute) // what is still under way
+		}()
+		time.Sleep(time.Millisecond)
+		d, owns := newDesk(e)
+		f(t, e, d, owns)
+	})
+}
+
+// TestEnsureOnce: all that wait for an adapter wait for one load.
+func TestEnsureOnce(t *testing.T) {
+	play(t, 1, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		begun := time.Now()
+		var all sync.WaitGroup
+		for range 20 {
+			all.Go(func() {
+				_, err := d.Ensure(t.Context(), "e1", adapter(1), 0, patient)
+				must.NoError(t, err)
+			})
+		}
+		all.Wait()
+		must.Eq(t, 1, e.loads)
+		must.Less(t, 300*time.Millisecond, time.Since(begun))
+	})
+}
+
+// TestNeverOverfull plays many adapters on few places while orders get lost and come
+// late: the engine is never ordered to hold more than it can, and all that is asked
+// for arrives.
+func TestNeverOverfull(t *testing.T) {
+	tests := map[string]struct{ lost, late float64 }{
+		"Calm":       {0, 0},
+		"Lost":       {0.3, 0},
+		"Late":       {0.35, 1},
+		"LostOrLate": {0.4, 0.5},
+	}
+	for name, tt := range tests {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
+				play(t, seed, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+					e.lost, e.late = tt.lost, tt.late
+					r := rand.New(rand.NewPCG(seed, 3))
+					var all sync.WaitGroup
+					failed := 0
+					var lock sync.Mutex
+					for range 150 {
+						a := adapter(r.IntN(20))
+						all.Go(func() {
+							_, err := d.Ensure(t.Context(), "e1", a, 0, time.Minute)
+							lock.Lock()
+							defer lock.Unlock()
+							if err != nil {
+								failed++
+							}
+						})
+						time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
+					}
+					all.Wait()
+					must.False(t, e.crashed)
+					must.Less(t, 30, failed)
+					if tt.lost == 0 {
+						must.Eq(t, 0, failed)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestReplacement: a new version takes a place of its own while the one before it is
+// still there.
+func TestReplacement(t *testing.T) {
+	play(t, 2, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		for n := range places {
+			_, err := d.Ensure(t.Context(), "e1", adapter(n), 0, patient)
+			must.NoError(t, err)
+		}
+		time.Sleep(5 * time.Second)
+		d.Refresh(adapter(0), 2)
+		version, err := d.Ensure(t.Context(), "e1", adapter(0), 2, patient)
+		must.NoError(t, err)
+		must.Eq(t, 2, version)
+		must.False(t, e.crashed)
+	})
+}
+
+// TestUsedStays: what is used stays, what is not makes way.
+func TestUsedStays(t *testing.T) {
+	play(t, 3, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		for n := range 40 {
+			_, err := d.Ensure(t.Context(), "e1", adapter(n), 0, patient)
+			must.NoError(t, err)
+			d.Used("e1", map[snipecatalog.Adapter]int{adapter(0): 5})
+			time.Sleep(300 * time.Millisecond)
+		}
+		must.Eq(t, 40, e.loads)
+	})
+}
+
+// TestBusyAtOnce: a load that cannot be complete in time is refused at once, with the
+// time after which there is room.
+func TestBusyAtOnce(t *testing.T) {
+	play(t, 4, func(t *testing.T, _ *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		var all sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		for n := range 40 {
+			all.Go(func() { _, _ = d.Ensure(ctx, "e1", adapter(n), 0, time.Minute) })
+		}
+		synctest.Wait()
+		begun := time.Now()
+		_, err := d.Ensure(t.Context(), "e1", adapter(99), 0, time.Second)
+		var busy *snipeadapter.BusyError
+		must.True(t, errors.As(err, &busy))
+		must.Greater(t, time.Second, busy.Wait)
+		must.Eq(t, 0, time.Since(begun))
+		cancel()
+		all.Wait()
+	})
+}
+
+// TestUnwantedIsNotBegun: a load whose callers have left is not begun.
+func TestUnwantedIsNotBegun(t *testing.T) {
+	play(t, 5, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		for n := range 30 {
+			all.Go(func() { _, _ = d.Ensure(ctx, "e1", adapter(n), 0, time.Minute) })
+		}
+		synctest.Wait()
+		cancel()
+		all.Wait()
+		time.Sleep(10 * time.Second)
+		must.LessEq(t, 4, e.loads)
+	})
+}
+
+// TestOrdersNeedTheRight: no order leaves without the right to order.
+func TestOrdersNeedTheRight(t *testing.T) {
+	play(t, 6, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, owns *bool) {
+		*owns = false
+		_, err := d.Ensure(t.Context(), "e1", adapter(1), 0, patient)
+		must.ErrorIs(t, err, snipeadapter.ErrNotOwner)
+		must.Eq(t, 0, e.loads)
+	})
+}
+
+// TestEngineWithoutModel: an engine that came back empty is given its base model, and
+// asked for no adapter before.
+func TestEngineWithoutModel(t *testing.T) {
+	play(t, 7, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		e.models = nil
+		time.Sleep(2 * reportLag)
+		d.Model = func(*snipedirectory.Upstream) string { return model }
+		d.Take(t.Context(), d.Upstream("e1"))
+		_, err := d.Ensure(t.Context(), "e1", adapter(1), 0, patient)
+		must.ErrorIs(t, err, snipeadapter.ErrNoModel)
+		time.Sleep(time.Second)
+		must.MapContainsKey(t, e.held, snipecatalog.Adapter{Model: model})
+		_, err = d.Ensure(t.Context(), "e1", adapter(1), 0, patient)
+		must.NoError(t, err)
+	})
+}
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -12,7 +12,7 @@
 	"snipepitch.example/snipepitch/snipetime"
 )
 
-// ErrUnwanted: nobody waits for the load any more.
+// ErrUnwanted says that nobody waits for the load any more.
 var ErrUnwanted = errors.New("nobody waits for the adapter")
 
 // errInUse: all adapters that the engine holds were used a moment ago.
@@ -21,14 +21,14 @@
 // calmPause is the time between two looks for an adapter that is no longer used.
 const calmPause = 40 * time.Millisecond
 
-// Busy is the error of a load that would take too long.
-type Busy struct {
+// BusyError is the error of a load that would take too long.
+type BusyError struct {
 	// Wait is when there will be room for it.
 	Wait time.Duration
 }
 
 // Error implements error.
-func (b *Busy) Error() string { return "too many loads wait: " + b.Wait.String() }
+func (b *BusyError) Error() string { return "too many loads wait: " + b.Wait.String() }
 
 // load is an adapter that is on its way, or waits for its turn.
 type load struct {
@@ -59,7 +59,7 @@
 		return l, 0, nil
 	}
 	if wait := e.wait(); wait > patience {
-		return nil, 0, &Busy{Wait: wait}
+		return nil, 0, &BusyError{Wait: wait}
 	}
 	return e.enqueue(a, target), 0, nil
 }
@@ -137,9 +137,9 @@
 	defer cancel()
 	err := e.bring(ctx, l)
 	if err != nil {
-		e.desk.Log.Error(snipelog.LoadFailed, err, snipelog.Fields{
-			"Engine": e.id, "Adapter": l.adapter.Name, "Waiting": l.waiting,
-		})
+		e.desk.Log.Error(snipelog.LoadFailed, err, e.fields(snipelog.Fields{
+			"Adapter": l.adapter.Name, "Waiting": l.waiting,
+		}))
 	}
 	e.lock.Lock()
 	defer e.lock.Unlock()
@@ -190,9 +190,9 @@
 			return err
 		}
 	}
-	e.desk.Log.Log(snipelog.AdapterPresent, snipelog.Fields{
-		"Engine": e.id, "Adapter": l.adapter.Name, "Version": l.version,
+	e.desk.Log.Log(snipelog.AdapterPresent, e.fields(snipelog.Fields{
+		"Adapter": l.adapter.Name, "Version": l.version,
 		"Milliseconds": time.Since(begun).Milliseconds(), "Queued": begun.Sub(l.since).Milliseconds(),
-	})
+	}))
 	return nil
 }
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -15,24 +15,17 @@
 // order gives one order, with room made before a load, until the engine has taken
 // it, holds what it orders, or will not take it.
 func (e *engine) order(ctx context.Context, o *Order) (Reply, error) {
-	e.ordering.Lock()
-	defer e.ordering.Unlock()
+	if err := e.ordering.take(ctx); err != nil {
+		return Unanswered, err
+	}
+	defer e.ordering.leave()
 	for {
-		u := e.desk.Upstream(e.id)
-		if u == nil {
-			return Refused, errors.Wrap(ErrUnknownEngine, e.id)
-		}
-		fence, ok := e.desk.Fence(u.Address)
-		if !ok {
-			return Refused, errors.Wrap(ErrNotOwner, e.id)
-		}
-		if !e.read.Load() || e.fence != fence {
-			if err := e.readState(ctx, u, fence); err != nil {
-				return Refused, err
-			}
+		u, err := e.known(ctx)
+		if err != nil {
+			return Refused, err
 		}
 		if o.Action == Load && o.Adapter.Name != "" {
-			if err := e.makeRoom(ctx, u, o); err != nil {
+			if err := e.makeRoom(ctx, u); err != nil {
 				return Refused, err
 			}
 		}
@@ -49,6 +42,23 @@
 	}
 }
 
+// known returns the engine once its state under the present right to order it is
+// known. The caller holds ordering.
+func (e *engine) known(ctx context.Context) (*snipedirectory.Upstream, error) {
+	u := e.desk.Upstream(e.id)
+	if u == nil {
+		return nil, errors.Wrap(ErrUnknownEngine, e.id)
+	}
+	fence, ok := e.desk.Fence(u.Address)
+	if !ok {
+		return nil, errors.Wrap(ErrNotOwner, e.id)
+	}
+	if e.read.Load() && e.fence == fence {
+		return u, nil
+	}
+	return u, e.readState(ctx, u, fence)
+}
+
 // give sends one order until the engine has said what became of it. After a conflict
 // the engine's state has to be read again.
 func (e *engine) give(ctx context.Context, u *snipedirectory.Upstream, o *Order) (Reply, error) {
@@ -61,11 +71,11 @@
 		unanswered = true
 		reply, err = e.send(ctx, u, o)
 	}
-	if reply == Conflict && unanswered {
-		// The order that got no answer was taken; then the engine has taken one
-		// order more, and knows this one.
+	if reply == Conflict && unanswered && e.sure {
+		// One of the repeats was taken: nobody else's order can be under way.
 		e.orders++
-		if reply, err = e.send(ctx, u, o); reply == Taken || reply == Holds {
+		reply, err = e.send(ctx, u, o)
+		if reply == Taken || reply == Holds && o.Action == Unload {
 			e.orders-- // the order is counted below
 		}
 	}
@@ -91,22 +101,24 @@
 
 // note takes what became of an order.
 func (e *engine) note(ctx context.Context, o *Order, reply Reply, err error) {
-	fields := snipelog.Fields{
-		"Engine": e.id, "Action": o.Action.String(), "Adapter": o.Adapter.Name, "Version": o.Version,
+	fields := e.fields(snipelog.Fields{
+		"Action": o.Action.String(), "Adapter": o.Adapter.Name, "Version": o.Version,
 		"Expect": o.Expect, "Fence": o.Fence, "Reply": reply.String(),
-	}
+	})
 	if err != nil {
 		fields["Error"] = err.Error()
 	}
 	switch reply {
 	case Taken:
 		e.orders++
+		e.sure = true
 		e.taken(o)
 		e.desk.Log.Log(snipelog.OrderGiven, fields)
 	case Holds:
 		if o.Action == Unload {
 			// The engine held it, and has unloaded it at once.
 			e.orders++
+			e.sure = true
 		}
 		e.desk.Log.Log(snipelog.OrderGiven, fields)
 	case Conflict, Unanswered:
@@ -141,11 +153,11 @@
 	if err != nil {
 		return errors.Wrap(err, "read engine")
 	}
-	e.orders, e.fence = r.Orders, fence
+	e.orders, e.fence, e.sure = r.Orders, fence, false
 	e.read.Store(true)
-	e.desk.Log.Log(snipelog.EngineRead, snipelog.Fields{
-		"Engine": e.id, "Orders": r.Orders, "Resident": len(r.Resident), "Coming": len(r.Coming), "Fence": fence,
-	})
+	e.desk.Log.Log(snipelog.EngineRead, e.fields(snipelog.Fields{
+		"Orders": r.Orders, "Resident": len(r.Resident), "Coming": len(r.Coming), "Fence": fence,
+	}))
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	e.models = make(map[string]bool, len(r.Models))
@@ -178,7 +190,7 @@
 
 // makeRoom unloads adapters until there is room for one more, the least recently
 // used first. The caller holds ordering.
-func (e *engine) makeRoom(ctx context.Context, u *snipedirectory.Upstream, o *Order) error {
+func (e *engine) makeRoom(ctx context.Context, u *snipedirectory.Upstream) error {
 	for {
 		victim, full := e.victim(u)
 		if !full {
@@ -213,11 +225,8 @@
 		e.lock.Unlock()
 		return nil
 	case Conflict, Unanswered:
-		fence, ok := e.desk.Fence(u.Address)
-		if !ok {
-			return errors.Wrap(ErrNotOwner, e.id)
-		}
-		return e.readState(ctx, u, fence)
+		_, err := e.known(ctx)
+		return err
 	default:
 		return errors.Wrapf(ErrRefused, "unload: %s: %v", reply, err)
 	}
@@ -267,11 +276,7 @@
 		return ctx.Err()
 	}
 	for {
-		u := e.desk.Upstream(e.id)
-		if u == nil {
-			return errors.Wrap(ErrUnknownEngine, e.id)
-		}
-		reply, err := e.ask(ctx, u, o)
+		reply, err := e.ask(ctx, o)
 		if reply == Holds {
 			return nil
 		}
@@ -295,22 +300,19 @@
 
 // ask repeats an order as a question: an engine that holds the adapter says so, one
 // that is about to takes note of nothing new.
-func (e *engine) ask(ctx context.Context, u *snipedirectory.Upstream, o Order) (Reply, error) {
-	e.ordering.Lock()
-	defer e.ordering.Unlock()
-	fence, ok := e.desk.Fence(u.Address)
-	if !ok {
-		return Refused, errors.Wrap(ErrNotOwner, e.id)
+func (e *engine) ask(ctx context.Context, o Order) (Reply, error) {
+	if err := e.ordering.take(ctx); err != nil {
+		return Unanswered, err
 	}
-	if !e.read.Load() || e.fence != fence {
-		if err := e.readState(ctx, u, fence); err != nil {
-			return Unanswered, errors.Wrapf(ErrNoAnswer, "%v", err)
-		}
+	defer e.ordering.leave()
+	u, err := e.known(ctx)
+	if errors.Is(err, ErrNotOwner) || errors.Is(err, ErrUnknownEngine) {
+		return Refused, err
 	}
-	o.Fence, o.Expect = fence, e.orders
-	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	reply, err := e.desk.Engine.Order(bounded, u, o)
+	if err != nil {
+		return Unanswered, errors.Wrapf(ErrNoAnswer, "%v", err)
+	}
+	reply, err := e.send(ctx, u, &o)
 	switch {
 	case reply == Conflict:
 		e.read.Store(false)
--- /dev/null
+++ b/snipebalance/snipebalance_test.go
@@ -0,0 +1,116 @@
+package snipebalance_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipedirectory"
+)
+
+func upstreams() []*snipedirectory.Upstream {
+	return []*snipedirectory.Upstream{
+		{ID: "near", Domain: "here", Slots: 10},
+		{ID: "far", Domain: "there", Slots: 10},
+		{ID: "leaving", Domain: "here", Slots: 10, Leaving: true},
+	}
+}
+
+func every(*snipedirectory.Upstream) bool { return true }
+
+// TestPick holds what decides between upstreams.
+func TestPick(t *testing.T) {
+	tests := map[string]struct {
+		before func(b *snipebalance.Balancer)
+		want   string
+	}{
+		"Near":      {func(*snipebalance.Balancer) {}, "near"},
+		"OwnLoad":   {func(b *snipebalance.Balancer) { b.Begin("near", 2) }, "far"},
+		"Ended":     {func(b *snipebalance.Balancer) { b.Begin("near", 2)() }, "near"},
+		"ToldLoad":  {func(b *snipebalance.Balancer) { b.Told("near", 5) }, "far"},
+		"OldTold":   {func(b *snipebalance.Balancer) { b.Told("near", 5); time.Sleep(3 * time.Second) }, "near"},
+		"Unreached": {func(b *snipebalance.Balancer) { b.Unreached("near") }, "far"},
+		"Recovered": {func(b *snipebalance.Balancer) {
+			b.Unreached("near")
+			time.Sleep(time.Second)
+			for range 12 {
+				b.Answered("near", false)
+			}
+		}, "near"},
+		"Failing": {func(b *snipebalance.Balancer) {
+			for range 3 {
+				b.Answered("near", true)
+			}
+		}, "far"},
+		"AllSuspect": {func(b *snipebalance.Balancer) { b.Unreached("near"); b.Unreached("far") }, "near"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &snipebalance.Balancer{Domain: "here"}
+				tt.before(b)
+				must.Eq(t, tt.want, b.Pick(upstreams(), every).ID)
+			})
+		})
+	}
+}
+
+// TestOwnIsNotCountedTwice: what an upstream says of its load includes this
+// instance's requests.
+func TestOwnIsNotCountedTwice(t *testing.T) {
+	b := &snipebalance.Balancer{}
+	u := upstreams()[0]
+	end := b.Begin(u.ID, 3)
+	b.Told(u.ID, 5)
+	must.InDelta(t, 0.5, b.Busy(u), 0.01)
+	end()
+	must.Less(t, 0.25, b.Busy(u))
+}
+
+// TestSuspectComesBack: an upstream that cannot be reached is left alone longer each
+// time, up to a bound, and is trusted again with its first answer.
+func TestSuspectComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := []bool{}
+		b := &snipebalance.Balancer{Suspect: func(_ string, s bool) { told = append(told, s) }}
+		u := upstreams()[0]
+		for range 6 {
+			b.Unreached(u.ID)
+			must.False(t, b.Usable(u))
+			time.Sleep(3 * time.Second)
+			must.True(t, b.Usable(u))
+		}
+		b.Answered(u.ID, false)
+		must.Eq(t, []bool{true, true, true, true, true, true, false}, told)
+	})
+}
+
+// TestBrokenAnswers: one broken answer is the upstream's bad luck, three in a row are
+// a reason to leave it alone.
+func TestBrokenAnswers(t *testing.T) {
+	b := &snipebalance.Balancer{}
+	u := upstreams()[0]
+	b.Broken(u.ID)
+	b.Broken(u.ID)
+	must.True(t, b.Usable(u))
+	b.Broken(u.ID)
+	must.False(t, b.Usable(u))
+	b.Forget(u.ID)
+	must.True(t, b.Usable(u))
+}
+
+func BenchmarkPick(b *testing.B) {
+	balancer := &snipebalance.Balancer{}
+	all := make([]*snipedirectory.Upstream, 600)
+	for n := range all {
+		all[n] = &snipedirectory.Upstream{ID: string(rune('a' + n)), Slots: 64}
+		balancer.Told(all[n].ID, float64(n))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		balancer.Pick(all, every)
+	}
+}
--- a/snipecatalog/snipecatalog.go
+++ b/snipecatalog/snipecatalog.go
@@ -23,16 +23,16 @@
 type Repeat uint8
 
 const (
-	// AtMostOnce: a request runs once or not at all.
+	// AtMostOnce requests run once or not at all.
 	AtMostOnce Repeat = iota
-	// Idempotent: a request may run more than once.
+	// Idempotent requests may run more than once.
 	Idempotent
 )
 
 // Backend is a service that a route's requests go to, with its share of them.
 type Backend struct {
 	Service string
-	Weight  int
+	Weight  uint32
 }
 
 // Route says what happens to the requests of a host below a path prefix.
@@ -67,18 +67,19 @@
 // Backend returns the service for a request, chosen by a number that is spread
 // evenly over all requests.
 func (r *Route) Backend(spread uint64) string {
-	total := 0
+	var total uint64
 	for _, b := range r.Backends {
-		total += b.Weight
+		total += uint64(b.Weight)
 	}
-	if total <= 0 {
+	if total == 0 {
 		return r.Backends[0].Service
 	}
-	n := int(spread % uint64(total))
+	n := spread % total
 	for _, b := range r.Backends {
-		if n -= b.Weight; n < 0 {
+		if n < uint64(b.Weight) {
 			return b.Service
 		}
+		n -= uint64(b.Weight)
 	}
 	return r.Backends[len(r.Backends)-1].Service
 }
--- /dev/null
+++ b/snipecatalog/snipecatalog_test.go
@@ -0,0 +1,93 @@
+package snipecatalog_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipecatalog"
+)
+
+func catalog(version int64, routes ...snipecatalog.Route) *snipecatalog.Catalog {
+	c := &snipecatalog.Catalog{Version: version, Routes: routes}
+	c.Index()
+	return c
+}
+
+// TestLookup: the longest prefix of a host's routes wins, letter by letter.
+func TestLookup(t *testing.T) {
+	c := catalog(
+		1,
+		snipecatalog.Route{Name: "short", Host: "one.example", Prefix: "/a/"},
+		snipecatalog.Route{Name: "long", Host: "one.example", Prefix: "/a/b/"},
+		snipecatalog.Route{Name: "other", Host: "two.example", Prefix: "/a/"},
+	)
+	tests := map[string]struct{ host, path, want string }{
+		"Short":         {"one.example", "/a/x", "short"},
+		"Long":          {"one.example", "/a/b/x", "long"},
+		"HostsCase":     {"ONE.example", "/a/x", "short"},
+		"OtherHost":     {"two.example", "/a/b/x", "other"},
+		"NoSlash":       {"one.example", "/a", ""},
+		"Escaped":       {"one.example", "/%61/", ""},
+		"DoubleSlash":   {"one.example", "//a/", ""},
+		"UnknownHost":   {"three.example", "/a/", ""},
+		"UnknownPrefix": {"one.example", "/b/", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := c.Lookup(tt.host, tt.path); r != nil {
+				got = r.Name
+			}
+			must.Eq(t, tt.want, got)
+		})
+	}
+}
+
+// TestBackend: requests spread over a route's services by their weights.
+func TestBackend(t *testing.T) {
+	r := snipecatalog.Route{Backends: []snipecatalog.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := map[string]int{}
+	for n := range uint64(1000) {
+		count[r.Backend(n)]++
+	}
+	must.Eq(t, map[string]int{"a": 900, "b": 100}, count)
+	r.Backends = []snipecatalog.Backend{{Service: "only"}}
+	must.Eq(t, "only", r.Backend(7))
+}
+
+// TestNeverBack: a lower version is never put in force.
+func TestNeverBack(t *testing.T) {
+	k := &snipecatalog.Keeper{}
+	must.Nil(t, k.Catalog())
+	must.True(t, k.Adopt(catalog(3)))
+	must.False(t, k.Adopt(catalog(2)))
+	must.False(t, k.Adopt(catalog(3)))
+	must.Eq(t, 3, k.Catalog().Version)
+}
+
+// TestRequired: each version must be everywhere within its own time, also when the
+// next one was named before.
+func TestRequired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 3 * time.Second
+		k := &snipecatalog.Keeper{}
+		a := snipecatalog.Adapter{Model: "base", Name: "a1"}
+		must.Eq(t, 0, k.Required(a, grace))
+		must.True(t, k.Announce(a, 2))
+		time.Sleep(2 * time.Second)
+		must.True(t, k.Announce(a, 3))
+		must.False(t, k.Announce(a, 2))
+		must.Eq(t, 0, k.Required(a, grace))
+		time.Sleep(time.Second)
+		must.Eq(t, 2, k.Required(a, grace))
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 3, k.Required(a, grace))
+		newest, ok := k.Newest(a)
+		must.True(t, ok)
+		must.Eq(t, 3, newest)
+		must.Eq(t, map[snipecatalog.Adapter]int64{a: 3}, k.Announcements())
+	})
+}
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -74,24 +74,12 @@
 }
 
 func (f *feed[T]) step(ctx context.Context) error {
-	var v T
-	var err error
-	position := f.position
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.lock.Lock()
 	f.cancel = cancel
 	f.lock.Unlock()
-	if f.known {
-		wait := f.wait
-		if f.lost {
-			// Finds out soon that the store is back.
-			wait = 0
-		}
-		v, position, err = f.watch(ctx, f.position, wait)
-	} else {
-		v, position, err = f.read(ctx)
-	}
+	v, position, err := f.next(ctx)
 	if errors.Is(err, snipeplatform.ErrHistory) {
 		f.known = false
 		return nil
@@ -108,6 +96,19 @@
 	return nil
 }
 
+// next reads the whole table, or what has changed since the last reading.
+func (f *feed[T]) next(ctx context.Context) (T, uint64, error) {
+	switch {
+	case !f.known:
+		return f.read(ctx)
+	case f.lost:
+		// Does not wait for a change, to find out soon that the store is back.
+		return f.watch(ctx, f.position, 0)
+	default:
+		return f.watch(ctx, f.position, f.wait)
+	}
+}
+
 // interrupt ends the read in progress: another duty has found that the store does
 // not answer, and a read that began before would wait for its whole time.
 func (f *feed[T]) interrupt() {
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -16,6 +16,9 @@
 	"snipepitch.example/snipepitch/snipeproto"
 )
 
+// callersName is the name of the callers' listener in settings and logs.
+const callersName = "Callers"
+
 const (
 	// headerTime bounds the time to send a request's header; callers take well
 	// under three seconds.
@@ -53,7 +56,7 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{"Callers", i.Settings.Callers, i.gateway},
+		{callersName, i.Settings.Callers, i.gateway},
 		{"Peers", i.Settings.Peers, snipeproto.NewAdapterServer(&peerServer{i.desk})},
 		{"Ready", i.Settings.Ready, ready},
 		{"Metrics", i.Settings.Metrics, metrics},
@@ -64,19 +67,26 @@
 			Handler: l.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
 			ErrorLog: log.New(&connectionLog{i.Log, l.name}, "", 0),
 		}
-		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp", l.address.String())
+		listener, err := i.open(ctx, l.address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen %s", l.name)
 		}
 		i.serve(g, s, listener)
-		if l.name == "Callers" || l.name == "Peers" {
+		if l.name == callersName || l.name == "Peers" {
 			servers = append(servers, s)
 		}
 	}
 	return servers, nil
 }
 
+func (i *Instance) open(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	if i.Listen != nil {
+		return i.Listen(ctx, address)
+	}
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address.String())
+}
+
 // serve adds a server. A server that a planned stop has shut down waits for the
 // stop's end.
 func (i *Instance) serve(g *run.Group, s *http.Server, l net.Listener) {
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -27,7 +27,7 @@
 	a := snipecatalog.Adapter{Model: r.GetModel(), Name: r.GetAdapter()}
 	patience := time.Duration(r.GetPatienceMilliseconds()) * time.Millisecond
 	version, err := s.desk.Ensure(ctx, r.GetEngine(), a, r.GetVersion(), patience)
-	var busy *snipeadapter.Busy
+	var busy *snipeadapter.BusyError
 	switch {
 	case errors.As(err, &busy):
 		return &snipeproto.AdapterEnsureResponse{Busy: true, WaitMilliseconds: busy.Wait.Milliseconds()}, nil
@@ -91,7 +91,7 @@
 		return 0, errors.Wrapf(err, "owner %s", owner.Instance.Name)
 	}
 	if answer.GetBusy() {
-		return 0, &snipeadapter.Busy{Wait: time.Duration(answer.GetWaitMilliseconds()) * time.Millisecond}
+		return 0, &snipeadapter.BusyError{Wait: time.Duration(answer.GetWaitMilliseconds()) * time.Millisecond}
 	}
 	return answer.GetVersion(), nil
 }
@@ -130,7 +130,7 @@
 			byModel[a.Model] = r
 		}
 		r.Adapters = append(r.Adapters, a.Name)
-		r.Counts = append(r.Counts, uint32(min(n, maxCount)))
+		r.Counts = append(r.Counts, int64(n))
 	}
 	for _, r := range byModel {
 		if _, err := i.peers.client(to).Used(ctx, r); err != nil {
@@ -138,6 +138,3 @@
 		}
 	}
 }
-
-// maxCount bounds a count in a report of use.
-const maxCount = 1 << 20
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -79,7 +79,7 @@
 		return invalid("Name", "is empty")
 	}
 	addresses := map[string]netip.AddrPort{
-		"Callers": s.Callers, "Ready": s.Ready, "Peers": s.Peers, "Metrics": s.Metrics, "Table": s.Table,
+		callersName: s.Callers, "Ready": s.Ready, "Peers": s.Peers, "Metrics": s.Metrics, "Table": s.Table,
 	}
 	for name, a := range addresses {
 		if !a.IsValid() || a.Port() == 0 {
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -18,6 +18,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -89,7 +90,10 @@
 	Log       *snipelog.Logger
 	// Reload reads the settings file again; its errors leave all as it is.
 	Reload func() (Settings, error)
+	// Listen opens a listener; nil for TCP.
+	Listen func(ctx context.Context, address netip.AddrPort) (net.Listener, error)
 
+	prepare   sync.Once // makes signals
 	meter     *snipemeter.Meter
 	catalog   *snipecatalog.Keeper
 	directory *snipedirectory.Keeper
@@ -105,13 +109,13 @@
 
 	catalogs    *feed[snipecatalog.Change]
 	directories *feed[upstreamsRead]
-	signals   chan os.Signal
+	signals     chan os.Signal
 }
 
 // Run serves until a signal ends it, or until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
 	i.build()
-	i.signals = make(chan os.Signal, 4)
+	i.prepareSignals()
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(i.signals)
 	var g run.Group
@@ -128,12 +132,28 @@
 		return err
 	}
 	i.duty(ctx, &g, func(ctx context.Context) error { return i.waitStop(ctx, servers) })
-	i.Log.Log(snipelog.Started, snipelog.Fields{"Callers": i.Settings.Callers, "Incarnation": i.Incarnation})
+	i.Log.Log(snipelog.Started, snipelog.Fields{callersName: i.Settings.Callers, "Incarnation": i.Incarnation})
 	err = g.Run()
 	i.Log.Log(snipelog.Stopped, nil)
 	return err
 }
 
+// maxSignals bounds the signals that wait for the stop's duty.
+const maxSignals = 4
+
+func (i *Instance) prepareSignals() {
+	i.prepare.Do(func() { i.signals = make(chan os.Signal, maxSignals) })
+}
+
+// Stop begins a planned stop, as a signal does.
+func (i *Instance) Stop() {
+	i.prepareSignals()
+	select {
+	case i.signals <- syscall.SIGTERM:
+	default: // a stop waits already
+	}
+}
+
 // duty adds a loop that ends with the instance.
 func (i *Instance) duty(ctx context.Context, g *run.Group, f func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/snipeentry/whole_test.go
@@ -0,0 +1,466 @@
+package snipeentry_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"github.com/sirupsen/logrus"
+
+	"snipepitch.example/snipepitch/platform"
+	"snipepitch.example/snipepitch/snipeentry"
+	"snipepitch.example/snipepitch/snipejson"
+	"snipepitch.example/snipepitch/snipelink"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+const host = "calls.example"
+
+// stage is a store, runners and entry instances on loopback.
+type stage struct {
+	t       *testing.T
+	store   *snipestand.RowStore
+	address netip.AddrPort
+	runners map[string]*snipestand.Runner
+	faults  snipestand.RunnerFaults
+	log     bytes.Buffer
+	lock    sync.Mutex // guards log
+}
+
+// Write implements io.Writer for the instances' logs.
+func (s *stage) Write(p []byte) (int, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.log.Write(p)
+}
+
+func (s *stage) logged() string {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.log.String()
+}
+
+func serve(t *testing.T, h http.Handler) netip.AddrPort {
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// newStage starts a store, two engines and two plain upstreams, which write their
+// entries until the test ends.
+func newStage(t *testing.T) *stage {
+	s := &stage{t: t, store: snipestand.NewRowStore(), runners: map[string]*snipestand.Runner{}}
+	s.address = serve(t, s.store.Handler())
+	for _, r := range []*snipestand.Runner{
+		{ID: "e1", Service: "engines", Model: "base"},
+		{ID: "e2", Service: "engines", Model: "base"},
+		{ID: "p1", Service: "plain"},
+		{ID: "p2", Service: "plain"},
+	} {
+		r.Slots, r.Load, r.Event, r.Events = 4, 30*time.Millisecond, time.Millisecond, 6
+		r.Faults = &s.faults
+		s.runners[r.ID] = r
+		r.Address = serve(t, r.Handler()).String()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var beating sync.WaitGroup
+	t.Cleanup(func() { cancel(); beating.Wait() })
+	beating.Go(func() { s.beat(ctx) })
+	return s
+}
+
+// beat writes all runners' entries twice a second.
+func (s *stage) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, r := range s.runners {
+			if err := r.Beat(s.store); err != nil {
+				s.t.Error(err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+type object = map[string]any
+
+// declare writes the operators' catalog.
+func (s *stage) declare(version int) {
+	route := func(name, prefix, kind, service string, more object) object {
+		r := object{
+			"name": name, "host": host, "prefix": prefix, "routeKind": kind, "service": service,
+			"timeoutMs": 8000, "targetLatencyMs": 3000, "maxAttempts": 2,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	must.NoError(s.t, s.store.Put("op", "config", object{
+		"version": version,
+		"routes": []object{
+			route("once", "/once/", "non_idempotent", "plain", nil),
+			route("often", "/often/", "idempotent", "plain", nil),
+			route("draft", "/draft/", "streaming", "engines", object{"resumable": true}),
+			route("final", "/final/", "streaming", "engines", nil),
+		},
+		"services": []object{
+			{"name": "plain", "healthPath": "/healthz"},
+			{"name": "engines", "engine": object{"slots": 8, "adapterSlots": 4, "models": []object{{"name": "base", "adapters": 50}}}},
+		},
+		"limits": object{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+	}))
+}
+
+// instance is one entry instance.
+type instance struct {
+	*snipeentry.Instance
+	url   string
+	ready string
+	ended chan error
+	kill  context.CancelFunc
+}
+
+func (s *stage) start(name string) *instance {
+	listeners := map[netip.AddrPort]net.Listener{}
+	open := func() netip.AddrPort {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(s.t, err)
+		a := netip.MustParseAddrPort(l.Addr().String())
+		listeners[a] = l
+		return a
+	}
+	settings := snipeentry.Settings{
+		Name: name, Domain: "here", Callers: open(), Ready: open(), Peers: open(), Metrics: open(),
+		Table: s.address, OrderGap: snipejson.Duration(200 * time.Millisecond), RetryShare: 0.2, RetrySlack: 100,
+		StopTimeout: snipejson.Duration(8 * time.Second), LogLevel: "info",
+	}
+	dial := snipelink.Dialer()
+	store := &platform.Store{Address: s.address, Timeout: time.Second, Dial: dial}
+	store.Open()
+	engines := &platform.Engines{Links: &snipelink.Pool{
+		Dial: dial, DialTimeout: time.Second, Idle: time.Second, Kept: 2,
+		Belongs: platform.AnyAnswer, KeepAlive: platform.KeepAlive,
+	}}
+	i := &instance{
+		Instance: &snipeentry.Instance{
+			Settings: settings, Incarnation: rand.Text(), Operation: rand.Text,
+			Log: snipelog.New(s, logrus.InfoLevel, name),
+			Listen: func(_ context.Context, a netip.AddrPort) (net.Listener, error) {
+				return listeners[a], nil
+			},
+			Platform: snipeentry.Platform{
+				Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
+				Table: store.Table(), Engine: engines.Engine(),
+				Belongs: platform.Belongs, KeepAlive: platform.KeepAlive,
+				ReadDeclared: store.ReadDeclared, WatchDeclared: store.WatchDeclared,
+				ReadUpstreams: store.ReadUpstreams, WatchUpstreams: store.WatchUpstreams,
+			},
+		},
+		url: "http://" + settings.Callers.String(), ready: "http://" + settings.Ready.String() + platform.ReadyPath,
+		ended: make(chan error, 1),
+	}
+	var ctx context.Context
+	ctx, i.kill = context.WithCancel(context.Background())
+	go func() { i.ended <- i.Run(ctx) }()
+	s.t.Cleanup(i.kill)
+	return i
+}
+
+// eventually waits until f reports true.
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(f), wait.Timeout(30*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+func (i *instance) isReady() bool {
+	a, err := http.Get(i.ready)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = a.Body.Close() }()
+	return a.StatusCode == http.StatusOK
+}
+
+// reply is a caller's view of an answer.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var requests = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// send sends a request of a fresh identifier.
+func send(t *testing.T, url, method, target, body string, header ...string) (reply, string) {
+	t.Helper()
+	id := rand.Text()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	must.NoError(t, err)
+	r.URL.Opaque, r.Host = target, host
+	r.Header.Set("X-Snipepitch-Attempt-Id", id)
+	r.Header.Set("X-Snipepitch-Deadline-Ms", "8000")
+	for n := 0; n < len(header); n += 2 {
+		r.Header.Set(header[n], header[n+1])
+	}
+	a, err := requests.Do(r)
+	if err != nil {
+		return reply{err: err}, id
+	}
+	defer func() { _ = a.Body.Close() }()
+	data, err := io.ReadAll(a.Body)
+	return reply{a.StatusCode, a.Header, string(data), err}, id
+}
+
+// events are those of a whole answer, from one on.
+func events(from int) string {
+	var b strings.Builder
+	for n := from; n <= 6; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// total returns how often a request ran, over all runners.
+func (s *stage) total(id string) int {
+	n := 0
+	for _, r := range s.runners {
+		n += r.Ran()[id]
+	}
+	return n
+}
+
+const modelHeader = "X-Snipepitch-Model"
+
+// TestWholePath plays callers, instances, upstreams and the store together.
+func TestWholePath(t *testing.T) {
+	s := newStage(t)
+	one := s.start("one")
+	eventually(t, func() bool {
+		a, _ := send(t, one.url, http.MethodPost, "/once/x", "")
+		return a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") != ""
+	})
+	must.False(t, one.isReady())
+	s.declare(1)
+	eventually(t, one.isReady)
+
+	t.Run("ByteForByte", func(t *testing.T) {
+		const target = "/once/%2F%41/..//x?a=%20+b;&&"
+		a, id := send(t, one.url, http.MethodPost, target, "the body")
+		must.Eq(t, http.StatusOK, a.status)
+		must.Eq(t, "POST "+target+" the body", a.body)
+		must.Eq(t, 1, s.total(id))
+	})
+	t.Run("Refusals", func(t *testing.T) { refusals(t, one) })
+	t.Run("Faults", func(t *testing.T) { faults(t, s, one) })
+	t.Run("Stream", func(t *testing.T) {
+		eventually(t, func() bool {
+			a, id := send(t, one.url, http.MethodPost, "/draft/x", "", modelHeader, "base/a7")
+			return a.status == http.StatusOK && a.body == events(1) && s.total(id) == 1
+		})
+	})
+	t.Run("ResumedByCaller", func(t *testing.T) {
+		a, _ := send(t, one.url, http.MethodPost, "/draft/x", "", modelHeader, "base/a7", "Last-Event-Id", "4")
+		must.Eq(t, events(5), a.body)
+	})
+	t.Run("NewVersion", func(t *testing.T) {
+		for _, r := range s.runners {
+			r.Announce("a7", 2)
+		}
+		must.NoError(t, s.store.Put("op", "version/base.a7", object{"model": "base", "adapter": "a7", "version": 2}))
+		eventually(t, func() bool {
+			all := strings.Join(append(s.runners["e1"].Held(), s.runners["e2"].Held()...), " ")
+			return strings.Contains(all, "a7@2") && !strings.Contains(all, "a7@1")
+		})
+	})
+	t.Run("Leaving", func(t *testing.T) {
+		s.runners["p1"].Leave()
+		eventually(t, func() bool { return strings.Contains(s.logged(), `"Name":"UpstreamLeaving"`) })
+		before := len(s.runners["p1"].Ran())
+		for range 10 {
+			a, _ := send(t, one.url, http.MethodGet, "/often/x", "")
+			must.Eq(t, http.StatusOK, a.status)
+		}
+		must.Eq(t, before, len(s.runners["p1"].Ran()))
+	})
+}
+
+func refusals(t *testing.T, one *instance) {
+	tests := map[string]struct {
+		target, body string
+		header       []string
+		want         int
+	}{
+		"UnknownPrefix": {"/other/x", "", nil, http.StatusNotFound},
+		"UnknownHost":   {"/once/x", "", []string{"Host", "x"}, http.StatusOK},
+		"NoIdentifier":  {"/once/x", "", []string{"X-Snipepitch-Attempt-Id", ""}, http.StatusBadRequest},
+		"BadDeadline":   {"/once/x", "", []string{"X-Snipepitch-Deadline-Ms", "soon"}, http.StatusBadRequest},
+		"BadTokens":     {"/draft/x", "", []string{"X-Snipepitch-Token-Usage", "many"}, http.StatusBadRequest},
+		"BadParts":      {"/draft/x", "", []string{"X-Snipepitch-Prompt-Prefix", "ab:x"}, http.StatusBadRequest},
+		"TooLarge":      {"/once/x", strings.Repeat("x", 1<<20+1), nil, http.StatusRequestEntityTooLarge},
+		"Reserved":      {"/once/x", "", []string{"X-Snipepitch-Expect-Instance", "nobody", "X-Snipepitch-Hold", "h"}, http.StatusOK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, _ := send(t, one.url, http.MethodPost, tt.target, tt.body, tt.header...)
+			if a.err != nil && tt.want == http.StatusRequestEntityTooLarge {
+				return // refused while the body was being sent
+			}
+			must.Eq(t, tt.want, a.status, must.Sprint(a.body))
+			must.Less(t, 1000, len(a.body))
+		})
+	}
+}
+
+// faults holds what callers get when upstreams fail, and how often requests run.
+func faults(t *testing.T, s *stage, one *instance) {
+	tests := map[string]struct {
+		target, service string
+		fault           snipestand.RunnerFault
+		times           int
+		status          int // 0: the answer breaks off
+		body            string
+		ran             int
+	}{
+		"OnceErrors":    {"/once/x", "plain", snipestand.RunnerErrors, 2, 500, "", 1},
+		"OnceSheds":     {"/once/x", "plain", snipestand.RunnerSheds, 1, 200, "POST /once/x ", 1},
+		"OnceResets":    {"/once/x", "plain", snipestand.RunnerResets, 2, 502, "", 1},
+		"OnceTears":     {"/once/x", "plain", snipestand.RunnerTears, 2, 502, "", 1},
+		"OnceForeign":   {"/once/x", "plain", snipestand.RunnerForeign, 2, 502, "", 1},
+		"OnceUnsealed":  {"/once/x", "plain", snipestand.RunnerUnsealed, 2, 502, "", 1},
+		"OftenErrors":   {"/often/x", "plain", snipestand.RunnerErrors, 2, 500, "", 2},
+		"OftenResets":   {"/often/x", "plain", snipestand.RunnerResets, 2, 502, "", 2},
+		"DraftTears":    {"/draft/x", "engines", snipestand.RunnerTears, 1, 200, events(1), 2},
+		"DraftResets":   {"/draft/x", "engines", snipestand.RunnerResets, 1, 200, events(1), 2},
+		"FinalTears":    {"/final/x", "engines", snipestand.RunnerTears, 2, 0, "", 1},
+		"FinalUnsealed": {"/final/x", "engines", snipestand.RunnerUnsealed, 2, 502, "", 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var header []string
+			if tt.service == "engines" {
+				header = []string{modelHeader, "base"}
+			}
+			s.faults.Set(tt.fault, tt.times)
+			a, id := send(t, one.url, http.MethodPost, tt.target, "", header...)
+			s.faults.Set(snipestand.RunnerWorks, 0)
+			if tt.status == 0 {
+				must.Error(t, a.err)
+			} else {
+				must.Eq(t, tt.status, a.status, must.Sprint(a.body))
+			}
+			if tt.body != "" {
+				must.Eq(t, tt.body, a.body)
+			}
+			must.Eq(t, tt.ran, s.total(id))
+		})
+	}
+}
+
+// TestInstanceDies: the engines that an instance may order pass to another one, no
+// engine is ordered by two at once, and requests go on.
+func TestInstanceDies(t *testing.T) {
+	s := newStage(t)
+	s.declare(1)
+	one, two := s.start("one"), s.start("two")
+	eventually(t, func() bool { return one.isReady() && two.isReady() })
+	draft := func(i *instance, adapter string) bool {
+		a, _ := send(t, i.url, http.MethodPost, "/draft/x", "", modelHeader, "base/"+adapter)
+		return a.status == http.StatusOK && a.body == events(1)
+	}
+	eventually(t, func() bool { return draft(one, "a1") && draft(two, "a2") })
+	one.kill()
+	must.NoError(t, <-one.ended)
+	for n := range 6 {
+		adapter := fmt.Sprint("b", n)
+		eventually(t, func() bool { return draft(two, adapter) })
+	}
+	for _, id := range []string{"e1", "e2"} {
+		holders, overfull := s.runners[id].Holders()
+		must.Eq(t, 0, overfull)
+		changes := 0
+		for n := 1; n < len(holders); n++ {
+			if holders[n] != holders[n-1] {
+				changes++
+			}
+		}
+		must.LessEq(t, 1, changes)
+	}
+}
+
+// TestStop: a planned stop ends readiness at once, answers what comes meanwhile and
+// cuts nothing.
+func TestStop(t *testing.T) {
+	s := newStage(t)
+	s.declare(1)
+	one := s.start("one")
+	eventually(t, one.isReady)
+	s.runners["e1"].Event, s.runners["e2"].Event = 100*time.Millisecond, 100*time.Millisecond
+	answered := make(chan reply, 1)
+	go func() {
+		a, _ := send(t, one.url, http.MethodPost, "/final/x", "", modelHeader, "base")
+		answered <- a
+	}()
+	eventually(t, func() bool { return len(s.runners["e1"].Ran())+len(s.runners["e2"].Ran()) > 0 })
+	one.Stop()
+	eventually(t, func() bool { return !one.isReady() })
+	a, _ := send(t, one.url, http.MethodPost, "/once/x", "late")
+	must.Eq(t, http.StatusOK, a.status)
+	must.Eq(t, events(1), (<-answered).body)
+	must.NoError(t, <-one.ended)
+}
+
+// TestStoreLost: without the store what is known stays in use.
+func TestStoreLost(t *testing.T) {
+	modes := map[string]snipestand.StoreMode{
+		"Refuses": snipestand.StoreRefuses, "Silent": snipestand.StoreSilent,
+		"LosesAnswers": snipestand.StoreLosesAnswers,
+	}
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t)
+			s.declare(1)
+			one := s.start("one")
+			eventually(t, one.isReady)
+			s.store.SetMode(mode)
+			eventually(t, func() bool { return strings.Contains(s.logged(), `"Name":"CatalogStale"`) })
+			a, _ := send(t, one.url, http.MethodPost, "/once/x", "")
+			must.Eq(t, http.StatusOK, a.status)
+			must.True(t, one.isReady())
+			s.store.SetMode(snipestand.StoreServes)
+			s.declare(2)
+			eventually(t, func() bool { return strings.Contains(s.logged(), `"Catalog":2,"Event":310`) })
+		})
+	}
+}
+
+// TestHistoryLost: a store that forgot its history is read anew.
+func TestHistoryLost(t *testing.T) {
+	s := newStage(t)
+	s.declare(1)
+	one := s.start("one")
+	eventually(t, one.isReady)
+	s.store.Compact()
+	s.declare(2)
+	eventually(t, func() bool { return strings.Contains(s.logged(), `"Catalog":2,"Event":310`) })
+}
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -272,8 +273,8 @@
 // objective, spread so that those refused together do not return together.
 func (c *call) comeBack() time.Duration {
 	target := max(c.route.Target, 200*time.Millisecond)
-	spread := time.Duration(sniperoute.Hash(c.ID) % uint64(target))
-	return target/2 + spread/2
+	spread := float64(sniperoute.Hash(c.ID)) / math.MaxUint64
+	return target/2 + time.Duration(spread*float64(target)/2)
 }
 
 // refuse writes a failure of this instance's own.
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -64,7 +64,7 @@
 	Residency *snipeadapter.Residency
 	Versions  *snipecatalog.Keeper
 	// Ensure has an engine's owner load an adapter and waits for it.
-	// It is refused at once, with a snipeadapter.Busy, if it would take longer than
+	// It is refused at once, with a snipeadapter.BusyError, if it would take longer than
 	// patience.
 	Ensure func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error)
 	// Owned reports whether an engine has an owner that can order it.
@@ -134,16 +134,11 @@
 	a := q.Adapter
 	required := c.Versions.Required(a, versionGrace)
 	wanted := c.wanted(a, len(all))
-	held := 0
 	holds := func(u *snipedirectory.Upstream) bool {
 		version, ok := c.Residency.Holds(u, a)
 		return ok && version >= required
 	}
-	for _, u := range all {
-		if holds(u) && c.Balancer.Usable(u) {
-			held++
-		}
-	}
+	held := c.held(all, holds)
 	if a.Name != "" && held > 0 && held < wanted {
 		c.replicate(all, a, required, holds)
 	}
@@ -157,6 +152,17 @@
 	return c.load(ctx, all, a, required, patience, fresh)
 }
 
+// held returns how many usable engines hold an adapter.
+func (c *Chooser) held(all []*snipedirectory.Upstream, holds snipebalance.Filter) int {
+	n := 0
+	for _, u := range all {
+		if holds(u) && c.Balancer.Usable(u) {
+			n++
+		}
+	}
+	return n
+}
+
 // choice returns an engine with the version to expect of it. Where no version was
 // ever announced all engines hold the same one.
 func (c *Chooser) choice(u *snipedirectory.Upstream, a snipecatalog.Adapter) Choice {
@@ -263,7 +269,7 @@
 // refused returns the failure of a request whose adapter was not loaded.
 func refused(err error) *snipeerror.CallError {
 	wait := loadRetry
-	var busy *snipeadapter.Busy
+	var busy *snipeadapter.BusyError
 	if errors.As(err, &busy) {
 		wait = busy.Wait
 	}
--- a/snipejson/snipejson.go
+++ b/snipejson/snipejson.go
@@ -34,11 +34,27 @@
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return errors.Wrap(err, "decode")
+		return errors.Wrap(err, "decode"+failing(data, v))
 	}
 	return nil
 }
 
+// failing names the field of the document that cannot be decoded: types that
+// decode themselves do not tell. It is empty when no single field is at fault.
+func failing(data []byte, v any) string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return ""
+	}
+	for name, raw := range fields {
+		one, err := json.Marshal(map[string]json.RawMessage{name: raw})
+		if err == nil && json.Unmarshal(one, reflect.New(reflect.TypeOf(v).Elem()).Interface()) != nil {
+			return " " + name
+		}
+	}
+	return ""
+}
+
 // checkNames walks the document once and refuses a name given twice, and one
 // that is not exactly a field's: encoding/json takes any case for it, so that
 // a field could be given twice by two spellings.
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -149,7 +149,7 @@
 // head reads the answer's head.
 func (a *Answer) head(r *http.Request) error {
 	for range maxInformational {
-		answer, err := http.ReadResponse(a.link.reader, r)
+		answer, err := http.ReadResponse(a.link.reader, r) //nolint:bodyclose // Answer.Close ends the connection or has read it all
 		if err != nil {
 			return errors.Wrapf(ErrBroken, "read: %v", err)
 		}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -89,15 +89,12 @@
 
 // Events of requests that are passed on, 210 to 239.
 var (
-	RequestEnded      = define(210, "RequestEnded", logrus.InfoLevel)
-	RequestRefused    = define(211, "RequestRefused", logrus.InfoLevel)
-	RequestSentAgain  = define(212, "RequestSentAgain", logrus.InfoLevel)
-	RequestFailed     = define(213, "RequestFailed", logrus.WarnLevel)
-	RequestAbandoned  = define(214, "RequestAbandoned", logrus.InfoLevel)
-	AnswerDiscarded   = define(215, "AnswerDiscarded", logrus.WarnLevel)
-	AdapterWanted     = define(216, "AdapterWanted", logrus.InfoLevel)
-	LinesWithheld     = define(217, "LinesWithheld", logrus.WarnLevel)
-	RequestDispatched = define(218, "RequestDispatched", logrus.DebugLevel)
+	RequestEnded     = define(210, "RequestEnded", logrus.InfoLevel)
+	RequestRefused   = define(211, "RequestRefused", logrus.InfoLevel)
+	RequestSentAgain = define(212, "RequestSentAgain", logrus.InfoLevel)
+	RequestFailed    = define(213, "RequestFailed", logrus.WarnLevel)
+	RequestAbandoned = define(214, "RequestAbandoned", logrus.InfoLevel)
+	AnswerDiscarded  = define(215, "AnswerDiscarded", logrus.WarnLevel)
 )
 
 // Events of what operators declared and of the directory, 310 to 339.
--- /dev/null
+++ b/snipeowner/snipeowner_test.go
@@ -0,0 +1,306 @@
+package snipeowner_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeplatform"
+)
+
+const orderGap = 3 * time.Second
+
+// table is a store whose rows all count by one version.
+type table struct {
+	lock    sync.Mutex
+	rows    map[snipeplatform.Key]snipeplatform.Row
+	version uint64
+}
+
+func (t *table) list(partition string) []snipeplatform.Row {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	var rows []snipeplatform.Row
+	for _, r := range t.rows {
+		if r.Partition == partition {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+func (t *table) write(operation string, changes []snipeplatform.Change) (uint64, error) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	for _, c := range changes {
+		if t.rows[c.Key].Version != c.Expect {
+			return 0, snipeplatform.ErrConflict
+		}
+	}
+	t.version++
+	for _, c := range changes {
+		if c.Data != nil {
+			t.rows[c.Key] = snipeplatform.Row{Key: c.Key, Version: t.version, Operation: operation, Data: c.Data}
+		}
+	}
+	return t.version, nil
+}
+
+// link is one instance's way to the table.
+type link struct {
+	table *table
+	lock  sync.Mutex
+	// cut calls get no answer; lost ones are made late and get none.
+	cut  bool
+	lost float64
+	rand *rand.Rand
+}
+
+func (l *link) state() (cut, lost bool, late time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.cut, l.rand.Float64() < l.lost, time.Duration(l.rand.IntN(6000)) * time.Millisecond
+}
+
+const callTimeout = 1200 * time.Millisecond
+
+func (l *link) list(_ context.Context, partition string) ([]snipeplatform.Row, error) {
+	if cut, _, _ := l.state(); cut {
+		time.Sleep(callTimeout)
+		return nil, snipeplatform.ErrUnknown
+	}
+	time.Sleep(4 * time.Millisecond)
+	return l.table.list(partition), nil
+}
+
+func (l *link) write(_ context.Context, operation string, changes []snipeplatform.Change) (uint64, error) {
+	cut, lost, late := l.state()
+	if cut || lost {
+		if lost && !cut {
+			time.AfterFunc(late, func() { _, _ = l.table.write(operation, changes) })
+		}
+		time.Sleep(callTimeout)
+		return 0, snipeplatform.ErrUnknown
+	}
+	time.Sleep(9 * time.Millisecond)
+	return l.table.write(operation, changes)
+}
+
+func (l *link) set(cut bool, lost float64) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.cut, l.lost = cut, lost
+}
+
+// play is a deployment whose orders are watched.
+type play struct {
+	t       *testing.T
+	table   *table
+	engines []netip.AddrPort
+	links   []*link
+	holders []*snipeowner.Holder
+	stops   []context.CancelFunc
+	last    map[netip.AddrPort]order
+	running sync.WaitGroup
+}
+
+type order struct {
+	at     time.Time
+	holder int
+	fence  uint64
+}
+
+func newPlay(t *testing.T, seed uint64, instances, engines int) *play {
+	p := &play{
+		t: t, table: &table{rows: map[snipeplatform.Key]snipeplatform.Row{}}, last: map[netip.AddrPort]order{},
+	}
+	for n := range engines {
+		p.engines = append(p.engines, netip.MustParseAddrPort(fmt.Sprintf("10.9.0.%d:80", n+1)))
+	}
+	for n := range instances {
+		l := &link{table: p.table, rand: rand.New(rand.NewPCG(seed, uint64(n)))}
+		p.links = append(p.links, l)
+		p.holders = append(p.holders, nil)
+		p.stops = append(p.stops, nil)
+		p.start(n)
+	}
+	return p
+}
+
+// start starts an instance, anew if it ran before.
+func (p *play) start(n int) {
+	if p.stops[n] != nil {
+		// What the former process has under way gets no answer.
+		old := p.links[n]
+		p.links[n] = &link{table: old.table, rand: old.rand}
+		old.set(true, 0)
+		p.stops[n]()
+	}
+	link := p.links[n]
+	began := time.Now()
+	operations := 0
+	h := &snipeowner.Holder{
+		Table: snipeowner.Table{List: link.list, Write: link.write},
+		Self: snipeowner.Instance{
+			Name: fmt.Sprint("i", n), Incarnation: fmt.Sprint(n, began.UnixNano()),
+			Peer: netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:70", n+1)),
+		},
+		Engines: func() []netip.AddrPort { return p.engines }, OrderGap: orderGap,
+		Clock: func() time.Duration { return time.Since(began) + time.Hour },
+		Operation: func() string {
+			operations++
+			return fmt.Sprint(n, began.UnixNano(), operations)
+		},
+		Log: snipelog.Discard(),
+	}
+	ctx, cancel := context.WithCancel(p.t.Context())
+	p.holders[n], p.stops[n] = h, cancel
+	p.running.Go(func() { _ = h.Run(ctx) })
+}
+
+// end ends all instances and what they have under way.
+func (p *play) end() {
+	for _, stop := range p.stops {
+		stop()
+	}
+	p.running.Wait()
+	time.Sleep(10 * time.Second)
+}
+
+// watch looks who may order each engine, every 20 ms for a while.
+func (p *play) watch(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, e := range p.engines {
+			p.look(e)
+		}
+	}
+}
+
+func (p *play) look(e netip.AddrPort) {
+	now := time.Now()
+	for n, h := range p.holders {
+		fence, ok := h.Fence(e)
+		if !ok {
+			continue
+		}
+		last, known := p.last[e]
+		if known && last.holder != n {
+			must.Greater(p.t, last.fence, fence, must.Sprintf("fence of %s", e))
+			must.GreaterEq(p.t, orderGap, now.Sub(last.at), must.Sprintf("%s: %d after %d", e, n, last.holder))
+		}
+		p.last[e] = order{now, n, fence}
+	}
+}
+
+// owned returns how many engines may be ordered now.
+func (p *play) owned() int {
+	n := 0
+	for _, e := range p.engines {
+		for _, h := range p.holders {
+			if _, ok := h.Fence(e); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestOwnersWithoutFaults: all engines have an owner soon after the start, and keep
+// it.
+func TestOwnersWithoutFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 1, 9, 12)
+		defer p.end()
+		p.watch(5 * time.Second)
+		must.Eq(t, 12, p.owned())
+		p.watch(10 * time.Second)
+		must.Eq(t, 12, p.owned())
+	})
+}
+
+// TestOwnerDies: the engines of an instance that died have another owner after the
+// lease and the gap between two owners' orders.
+func TestOwnerDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 2, 3, 6)
+		defer p.end()
+		p.watch(5 * time.Second)
+		p.links[0].set(true, 0)
+		p.stops[0]()
+		p.watch(10 * time.Second)
+		must.Eq(t, 6, p.owned())
+	})
+}
+
+// TestOwnerLeaves: a planned stop frees the engines at once.
+func TestOwnerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 3, 3, 6)
+		defer p.end()
+		p.watch(5 * time.Second)
+		p.holders[1].Leave()
+		p.watch(9 * time.Second)
+		must.Eq(t, 6, p.owned())
+	})
+}
+
+// TestOwnerStartsAgain: an instance that starts again orders its own engines
+// without waiting for its former lease.
+func TestOwnerStartsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 4, 1, 3)
+		defer p.end()
+		p.watch(5 * time.Second)
+		p.start(0)
+		p.watch(4 * time.Second)
+		must.Eq(t, 3, p.owned())
+	})
+}
+
+// TestOneOwner plays random faults: cuts, lost and late writes, restarts, planned
+// stops. Whatever happens, two instances never order an engine within the gap, and
+// fencing numbers grow.
+func TestOneOwner(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(seed, 99))
+				p := newPlay(t, seed, 4, 5)
+				defer p.end()
+				p.watch(4 * time.Second)
+				for range 25 {
+					n := r.IntN(len(p.holders))
+					switch r.IntN(6) {
+					case 0:
+						p.links[n].set(true, 0)
+					case 1:
+						p.links[n].set(false, 0.4)
+					case 2:
+						p.start(n)
+					case 3:
+						p.holders[n].Leave()
+						p.watch(time.Second)
+						p.start(n)
+					default:
+						p.links[n].set(false, 0)
+					}
+					p.watch(time.Duration(r.IntN(3000)) * time.Millisecond)
+				}
+				for _, l := range p.links {
+					l.set(false, 0)
+				}
+				p.watch(15 * time.Second)
+				must.Eq(t, 5, p.owned())
+			})
+		})
+	}
+}
--- /dev/null
+++ b/snipestand/runner.go
@@ -0,0 +1,360 @@
+package snipestand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Runner is an upstream of the co-operative platform: a model engine, or a plain
+// service where Model is empty. It registers itself in the platform's store.
+type Runner struct {
+	// ID names this start, Service what it serves; Address is where others reach it.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Model is the base model that it holds, Slots how many adapters fit.
+	Model string
+	Slots int
+	// Load is the time of an adapter's load, Event the time between events,
+	// Events how many an answer has.
+	Load   time.Duration
+	Event  time.Duration
+	Events int
+	// Faults are the faults to come; several runners may share them. Nil for none.
+	Faults *RunnerFaults
+
+	lock     sync.Mutex // guards the fields below
+	held     map[string]int64
+	coming   map[string]int64
+	newest   map[string]int64
+	orders   uint64
+	leaving  bool
+	ran      map[string]int
+	holders  []string
+	overfull int
+}
+
+// RunnerFault is how a runner fails requests.
+type RunnerFault uint8
+
+// The faults.
+const (
+	// RunnerWorks is the usual state.
+	RunnerWorks RunnerFault = iota
+	// RunnerErrors answers 500, with its receipt.
+	RunnerErrors
+	// RunnerSheds refuses without running.
+	RunnerSheds
+	// RunnerResets runs and closes the connection without an answer.
+	RunnerResets
+	// RunnerTears breaks the answer off in the middle.
+	RunnerTears
+	// RunnerForeign answers as to another request.
+	RunnerForeign
+	// RunnerUnsealed answers without a receipt.
+	RunnerUnsealed
+	// RunnerLosesOrders carries orders out and does not answer them.
+	RunnerLosesOrders
+)
+
+// RunnerFaults is a number of faults to come.
+type RunnerFaults struct {
+	lock  sync.Mutex // guards the fields below
+	fault RunnerFault
+	left  int
+}
+
+// Set makes the next n requests, or orders, fail.
+func (f *RunnerFaults) Set(fault RunnerFault, n int) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.fault, f.left = fault, n
+}
+
+// next returns the fault of a request or an order.
+func (f *RunnerFaults) next(order bool) RunnerFault {
+	if f == nil {
+		return RunnerWorks
+	}
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.left == 0 || order != (f.fault == RunnerLosesOrders) {
+		return RunnerWorks
+	}
+	f.left--
+	return f.fault
+}
+
+// Ran returns how often a request was run, by its identifier.
+func (r *Runner) Ran() map[string]int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	all := make(map[string]int, len(r.ran))
+	for id, n := range r.ran {
+		all[id] = n
+	}
+	return all
+}
+
+// Held returns the adapters that it holds.
+func (r *Runner) Held() []string {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.names()
+}
+
+// Holders returns who gave the orders, in their order; Overfull how often more was
+// ordered than fits.
+func (r *Runner) Holders() (holders []string, overfull int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return slices.Clone(r.holders), r.overfull
+}
+
+// Leave makes the runner say that it is leaving.
+func (r *Runner) Leave() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.leaving = true
+}
+
+// Announce makes a version of an adapter the newest.
+func (r *Runner) Announce(adapter string, version int64) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.newest == nil {
+		r.newest = make(map[string]int64)
+	}
+	r.newest[adapter] = version
+}
+
+// Beat registers the runner at a store once.
+func (r *Runner) Beat(s *RowStore) error {
+	r.lock.Lock()
+	state := "ready"
+	if r.leaving {
+		state = "draining"
+	}
+	entry := map[string]any{
+		"service": r.Service, "addr": r.Address, "zone": r.Zone, "slots": 8, "state": state, "models": r.models(),
+	}
+	r.lock.Unlock()
+	return s.Put("servers", r.ID, entry)
+}
+
+// names returns the adapters with their versions. The lock is held.
+func (r *Runner) names() []string {
+	all := []string{}
+	for a, v := range r.held {
+		all = append(all, fmt.Sprintf("%s@%d", a, v))
+	}
+	slices.Sort(all)
+	return all
+}
+
+// models is the list of models. The lock is held.
+func (r *Runner) models() []map[string]any {
+	if r.Model == "" {
+		return []map[string]any{}
+	}
+	return []map[string]any{{"name": r.Model, "version": 1, "adapters": r.names()}}
+}
+
+// Handler returns the handler of the runner's calls.
+func (r *Runner) Handler() http.Handler {
+	r.lock.Lock()
+	r.held, r.coming, r.ran = map[string]int64{}, map[string]int64{}, map[string]int{}
+	r.lock.Unlock()
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if want := q.Header.Get("X-Snipepitch-Expect-Instance"); want != "" && want != r.ID {
+			w.Header().Set("X-Snipepitch-Instance-Id", r.ID)
+			r.echo(w, q)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		// Not by a mux, which would clean paths.
+		switch q.URL.Path {
+		case "/api/order":
+			r.order(w, q)
+		case "/api/report":
+			r.report(w, q)
+		default:
+			r.serve(w, q)
+		}
+	})
+}
+
+func (r *Runner) echo(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("X-Snipepitch-Attempt-Id", q.Header.Get("X-Snipepitch-Attempt-Id"))
+}
+
+func (r *Runner) report(w http.ResponseWriter, _ *http.Request) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	coming := []string{}
+	for a, v := range r.coming {
+		coming = append(coming, fmt.Sprintf("%s/%s@%d", r.Model, a, v))
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "seq": r.orders, "coming": coming})
+}
+
+type runnerOrder struct {
+	Action  string  `json:"op"`
+	Model   string  `json:"model"`
+	Adapter string  `json:"adapter"`
+	Version int64   `json:"version"`
+	Expect  *uint64 `json:"precondition"`
+	Holder  string  `json:"holder"`
+	Fence   uint64  `json:"fence"`
+}
+
+func (r *Runner) order(w http.ResponseWriter, q *http.Request) {
+	var o runnerOrder
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	status := r.carryOut(o)
+	if r.Faults.next(true) == RunnerLosesOrders {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+// carryOut carries an order out and returns its status.
+func (r *Runner) carryOut(o runnerOrder) int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if o.Expect != nil && *o.Expect != r.orders {
+		return http.StatusConflict
+	}
+	version, held := r.held[o.Adapter]
+	if o.Action == "model_unload" {
+		if !held {
+			return http.StatusOK
+		}
+		delete(r.held, o.Adapter)
+		r.taken(o)
+		return http.StatusOK
+	}
+	target := max(o.Version, r.newest[o.Adapter], 1)
+	if held && version >= target {
+		return http.StatusOK
+	}
+	if r.coming[o.Adapter] >= target {
+		return http.StatusAccepted
+	}
+	if len(r.held)+len(r.coming) >= r.Slots {
+		r.overfull++
+	}
+	r.taken(o)
+	r.coming[o.Adapter] = target
+	time.AfterFunc(r.Load, func() { r.arrive(o.Adapter, target) })
+	return http.StatusAccepted
+}
+
+// taken notes an order. The lock is held.
+func (r *Runner) taken(o runnerOrder) {
+	r.orders++
+	r.holders = append(r.holders, o.Holder)
+}
+
+func (r *Runner) arrive(adapter string, version int64) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	delete(r.coming, adapter)
+	r.held[adapter] = version
+}
+
+// serve runs a request, as the fault of the moment has it.
+func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.echo(w, q)
+	f := r.Faults.next(false)
+	if f == RunnerSheds {
+		w.Header().Set("X-Snipepitch-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !r.holds(q) {
+		w.Header().Set("X-Snipepitch-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.lock.Lock()
+	r.ran[q.Header.Get("X-Snipepitch-Attempt-Id")]++
+	r.lock.Unlock()
+	r.answer(w, q, body, f)
+}
+
+// holds reports whether the runner holds the adapter that a request names, in the
+// version that it expects.
+func (r *Runner) holds(q *http.Request) bool {
+	_, adapter, named := strings.Cut(q.Header.Get("X-Snipepitch-Model"), "/")
+	if !named {
+		return true
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	version, held := r.held[adapter]
+	want := q.Header.Get("X-Snipepitch-Expect-Version")
+	return held && (want == "" || want == strconv.FormatInt(version, 10))
+}
+
+func (r *Runner) answer(w http.ResponseWriter, q *http.Request, body []byte, f RunnerFault) {
+	h := w.Header()
+	h.Set("X-Snipepitch-Server-Seal", r.ID+".1")
+	h.Set("X-Snipepitch-Server-Load", "1,0,8")
+	switch f {
+	case RunnerResets:
+		panic(http.ErrAbortHandler)
+	case RunnerErrors:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case RunnerForeign:
+		h.Set("X-Snipepitch-Attempt-Id", "another")
+	case RunnerUnsealed:
+		h.Del("X-Snipepitch-Server-Seal")
+	}
+	if q.Header.Get("X-Snipepitch-Model") != "" {
+		r.stream(q.Context(), w, q, f)
+		return
+	}
+	if f == RunnerTears {
+		h.Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "torn")
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "%s %s %s", q.Method, q.RequestURI, body) //nolint:gosec // a stand-in echoes what it got
+}
+
+// stream writes events, from the one after the last that the request names.
+func (r *Runner) stream(ctx context.Context, w http.ResponseWriter, q *http.Request, f RunnerFault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	begin, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // none: from the first
+	for n := begin + 1; n <= r.Events; n++ {
+		if f == RunnerTears && n == begin+2 {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(r.Event):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
