A plain service ignores the model that a caller names

Cause: the chooser went by the caller's header, so that a request to a plain service that named a model was refused for want of an engine (found by the whole-path test, whose own waits used it by mistake). Change: the route's service decides whether a model is looked for. After: the package's tests pass under the race detector.

--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -110,6 +110,10 @@
 		return snipeerror.New(snipeerror.ErrUnknownService, snipeerror.NotRun, "no route for this host and path")
 	}
 	c.service = c.route.Backend(sniperoute.Hash(c.ID))
+	if s := c.catalog.Services[c.service]; s == nil || s.Engine == nil {
+		// A plain service holds no models, whatever the caller names.
+		c.Adapter = snipecatalog.Adapter{}
+	}
 	c.deadline = c.arrived.Add(c.patience())
 	c.lastEvent = c.LastEvent
 	if err := c.readBody(); err != nil {
