Few instances read the store and pass on what they read; few hold leases

A reading was also counted from before it was sent, so that a version written while a slow read was under way aged too soon. Ruled out: longer paces, which delay what must be known within two seconds. Change: copies of tables (snipemirror), read from the instance that reads for its failure domain, or from the store at once where that one fails or is not fresh; where there are many instances most renew their rows each ten seconds only; the age of a version counts from after the read. A data race in a test of snipectl.

--- a/cmd/snipectl/main_test.go
+++ b/cmd/snipectl/main_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -229,9 +230,9 @@
 // found out and not made twice.
 func TestReplyOfEditLost(t *testing.T) {
 	s := newSystem(t)
-	requests := 0
+	var requests atomic.Int32
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if requests++; requests == 1 {
+		if requests.Add(1) == 1 {
 			s.handler.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
--- a/cmd/snipepitchd/entry.go
+++ b/cmd/snipepitchd/entry.go
@@ -83,10 +83,10 @@
 		Reload: func() (snipeentry.Settings, error) { return snipeentry.LoadSettings(path) },
 		Platform: snipeentry.Platform{
 			Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
-			Table: store.Table(), Engine: engines.Engine(),
+			Source: store.Source, Write: store.WriteRows, Engine: engines.Engine(),
 			Belongs: platform.Belongs, KeepAlive: platform.KeepAlive,
-			ReadDeclared: store.ReadDeclared, WatchDeclared: store.WatchDeclared,
-			ReadUpstreams: store.ReadUpstreams, WatchUpstreams: store.WatchUpstreams,
+			DeclaredTable: platform.DeclaredTable, DecodeDeclared: platform.DecodeDeclared,
+			UpstreamTable: platform.UpstreamTable, DecodeUpstreams: platform.DecodeUpstreams,
 		},
 	}
 	return i.Run(context.Background())
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -10,13 +9,12 @@
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemirror"
+	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeplatform"
-	"snipepitch.example/snipepitch/snipetime"
 )
 
 const (
-	// failurePause is the time between two reads while the store does not answer.
-	failurePause = 300 * time.Millisecond
 	// catalogWait is how long one read waits for a change of what operators
 	// declared. A connection that has gone silent hides changes no longer than
 	// this and the store's timeout.
@@ -28,122 +26,69 @@
 	// change all the time. Upstreams that leave take new work for two seconds.
 	directoryWait = time.Second
 	directoryPace = 1100 * time.Millisecond
+	// ownershipPace is the same for the rows of ownership, which change with each
+	// renewal. A dead owner is noticed after its lease, more than two seconds.
+	ownershipPace = 1500 * time.Millisecond
+	// maxOwnershipAge is how old the rows of ownership may be for it to be judged by
+	// them who lives: two reads.
+	maxOwnershipAge = 4 * time.Second
 )
 
-// feed follows one table of the store. It reads all of it once and then what has
-// changed.
-type feed[T any] struct {
-	// read and watch return what was read and its position.
-	read  func(ctx context.Context) (T, uint64, error)
-	watch func(ctx context.Context, after uint64, wait time.Duration) (T, uint64, error)
-	// apply takes what was read.
-	apply func(v T)
-	// failed and back are told once of the loss and the return of the store.
-	failed func(err error)
-	back   func()
-	pace   time.Duration
-	// wait is how long one read waits for a change.
-	wait time.Duration
-
-	lock   sync.Mutex // guards cancel
-	cancel context.CancelFunc
-
-	position uint64
-	known    bool
-	lost     bool
+// tables are the tables of the store that an instance follows.
+type tables struct {
+	catalog   *snipemirror.Follower
+	directory *snipemirror.Follower
+	ownership *snipemirror.Follower
 }
 
-// run follows the table until ctx ends.
-func (f *feed[T]) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		begun := time.Now()
-		err := f.step(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		pause := f.pace
-		if err != nil {
-			pause = failurePause
-			f.fail(err)
-		}
-		if !snipetime.Sleep(ctx, pause-time.Since(begun)) {
-			return nil
-		}
-	}
-	return nil
+func (t *tables) all() []*snipemirror.Follower {
+	return []*snipemirror.Follower{t.catalog, t.directory, t.ownership}
 }
 
-func (f *feed[T]) step(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.lock.Lock()
-	f.cancel = cancel
-	f.lock.Unlock()
-	v, position, err := f.next(ctx)
-	if errors.Is(err, snipeplatform.ErrHistory) {
-		f.known = false
-		return nil
+// mirrors returns the copies by the tables' names, for other instances.
+func (i *Instance) mirrors() map[string]*snipemirror.Mirror {
+	return map[string]*snipemirror.Mirror{
+		i.Platform.DeclaredTable: i.tables.catalog.Mirror,
+		i.Platform.UpstreamTable: i.tables.directory.Mirror,
+		snipeowner.Partition:     i.tables.ownership.Mirror,
 	}
-	if err != nil {
-		return err
-	}
-	f.position, f.known = max(position, f.position), true
-	if f.lost {
-		f.lost = false
-		f.back()
-	}
-	f.apply(v)
-	return nil
 }
 
-// next reads the whole table, or what has changed since the last reading.
-func (f *feed[T]) next(ctx context.Context) (T, uint64, error) {
-	switch {
-	case !f.known:
-		return f.read(ctx)
-	case f.lost:
-		// Does not wait for a change, to find out soon that the store is back.
-		return f.watch(ctx, f.position, 0)
-	default:
-		return f.watch(ctx, f.position, f.wait)
+// follower returns the follower of a table.
+func (i *Instance) follower(table string, pace, wait time.Duration) *snipemirror.Follower {
+	return &snipemirror.Follower{
+		Mirror: snipemirror.New(), Store: i.Platform.Source(table), Pace: pace, Wait: wait,
+		Near: func() (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+			return i.near(table)
+		},
 	}
 }
 
-// interrupt ends the read in progress: another duty has found that the store does
-// not answer, and a read that began before would wait for its whole time.
-func (f *feed[T]) interrupt() {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	if f.cancel != nil {
-		f.cancel()
+func (i *Instance) buildTables() {
+	t := &i.tables
+	t.catalog = i.follower(i.Platform.DeclaredTable, catalogPace, catalogWait)
+	t.catalog.Changed = func(rows []snipemirror.Row, position uint64) {
+		if len(rows) > 0 {
+			i.applyCatalog(i.Platform.DecodeDeclared(rows, position))
+		}
 	}
-}
+	t.catalog.Lost = func(err error) { i.Log.Error(snipelog.CatalogStale, err, i.catalogFields()) }
+	t.catalog.Back = func() { i.Log.Log(snipelog.CatalogFresh, i.catalogFields()) }
 
-// fail notes a failure. After an outage the whole table is read again: what
-// changed meanwhile may no longer be told.
-func (f *feed[T]) fail(err error) {
-	if !f.lost {
-		f.failed(err)
+	t.directory = i.follower(i.Platform.UpstreamTable, directoryPace, directoryWait)
+	t.directory.Changed = i.applyDirectory
+	t.directory.Lost = func(err error) {
+		i.Log.Error(snipelog.DirectoryStale, err, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
+		i.directory.Lost()
 	}
-	f.lost = true
-}
-
-// catalogFeed follows what operators declared.
-func (i *Instance) catalogFeed() *feed[snipecatalog.Change] {
-	return &feed[snipecatalog.Change]{
-		read: func(ctx context.Context) (snipecatalog.Change, uint64, error) {
-			c, err := i.Platform.ReadDeclared(ctx)
-			return c, c.Position, err
-		},
-		watch: func(ctx context.Context, after uint64, wait time.Duration) (snipecatalog.Change, uint64, error) {
-			c, err := i.Platform.WatchDeclared(ctx, after, wait)
-			return c, c.Position, err
-		},
-		apply:  i.applyCatalog,
-		failed: func(err error) { i.Log.Error(snipelog.CatalogStale, err, i.catalogFields()) },
-		back:   func() { i.Log.Log(snipelog.CatalogFresh, i.catalogFields()) },
-		pace:   catalogPace, wait: catalogWait,
+	t.directory.Back = func() {
+		i.Log.Log(snipelog.DirectoryFresh, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
 	}
+
+	t.ownership = i.follower(snipeowner.Partition, ownershipPace, directoryWait)
+	t.ownership.Changed = func([]snipemirror.Row, uint64) {}
+	// The holder tells of the loss of the store itself, by its renewals.
+	t.ownership.Lost, t.ownership.Back = func(error) {}, func() {}
 }
 
 func (i *Instance) catalogFields() snipelog.Fields {
@@ -172,33 +117,33 @@
 	}
 }
 
-// upstreamsRead is what was read of the registry.
-type upstreamsRead struct {
-	change snipedirectory.Change
-	wrong  []error
+// applyDirectory takes what was read of the registry.
+func (i *Instance) applyDirectory(rows []snipemirror.Row, position uint64) {
+	change, wrong := i.Platform.DecodeUpstreams(rows, position)
+	for _, err := range wrong {
+		i.Log.Error(snipelog.CatalogWrong, err, nil)
+	}
+	for _, u := range change.Changed {
+		i.residency.Observe(u)
+	}
+	i.directory.Apply(change)
 }
 
-// directoryFeed follows the registry of upstreams.
-func (i *Instance) directoryFeed() *feed[upstreamsRead] {
-	return &feed[upstreamsRead]{
-		read: func(ctx context.Context) (upstreamsRead, uint64, error) {
-			c, wrong, err := i.Platform.ReadUpstreams(ctx)
-			return upstreamsRead{c, wrong}, c.Position, err
-		},
-		watch: func(ctx context.Context, after uint64, wait time.Duration) (upstreamsRead, uint64, error) {
-			c, wrong, err := i.Platform.WatchUpstreams(ctx, after, wait)
-			return upstreamsRead{c, wrong}, c.Position, err
-		},
-		apply: i.applyDirectory,
-		failed: func(err error) {
-			i.Log.Error(snipelog.DirectoryStale, err, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
-			i.directory.Lost()
-		},
-		back: func() {
-			i.Log.Log(snipelog.DirectoryFresh, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
-		},
-		pace: directoryPace, wait: directoryWait,
+// ownershipRows returns the rows of ownership as last read.
+func (i *Instance) ownershipRows(_ context.Context, partition string) ([]snipeplatform.Row, error) {
+	rows, err := i.tables.ownership.Mirror.Rows()
+	if err != nil {
+		return nil, errors.Wrap(err, partition)
 	}
+	if age := i.tables.ownership.Mirror.Age(); age > maxOwnershipAge {
+		return nil, errors.Wrap(snipemirror.ErrStale, age.String())
+	}
+	all := make([]snipeplatform.Row, 0, len(rows))
+	for _, r := range rows {
+		key := snipeplatform.Key{Partition: partition, Sort: r.Key}
+		all = append(all, snipeplatform.Row{Key: key, Version: r.Version, Data: r.Value})
+	}
+	return all, nil
 }
 
 // storeReached is told of each renewal whether the store answered.
@@ -206,19 +151,9 @@
 	if ok {
 		return
 	}
-	i.catalogs.interrupt()
-	i.directories.interrupt()
-}
-
-// applyDirectory takes what was read of the registry.
-func (i *Instance) applyDirectory(r upstreamsRead) {
-	for _, err := range r.wrong {
-		i.Log.Error(snipelog.CatalogWrong, err, nil)
-	}
-	for _, u := range r.change.Changed {
-		i.residency.Observe(u)
+	for _, f := range i.tables.all() {
+		f.Interrupt()
 	}
-	i.directory.Apply(r.change)
 }
 
 // seen is told of upstreams that are new, leaving or gone.
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -57,7 +57,7 @@
 		handler http.Handler
 	}{
 		{callersName, i.Settings.Callers, i.gateway},
-		{"Peers", i.Settings.Peers, snipeproto.NewAdapterServer(&peerServer{i.desk})},
+		{"Peers", i.Settings.Peers, i.peerHandler()},
 		{"Ready", i.Settings.Ready, ready},
 		{"Metrics", i.Settings.Metrics, metrics},
 	}
@@ -79,6 +79,16 @@
 	return servers, nil
 }
 
+// peerHandler serves other instances.
+func (i *Instance) peerHandler() http.Handler {
+	desk := snipeproto.NewAdapterServer(&peerServer{i.desk})
+	mirrors := snipeproto.NewMirrorServer(&mirrorServer{i.mirrors()})
+	m := http.NewServeMux()
+	m.Handle(desk.PathPrefix(), desk)
+	m.Handle(mirrors.PathPrefix(), mirrors)
+	return m
+}
+
 func (i *Instance) open(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
 	if i.Listen != nil {
 		return i.Listen(ctx, address)
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -56,8 +56,23 @@
 type peers struct {
 	http *http.Client
 
-	lock    sync.Mutex // guards clients
+	lock    sync.Mutex // guards the fields below
 	clients map[netip.AddrPort]snipeproto.Adapter
+	mirrors map[netip.AddrPort]snipeproto.Mirror
+}
+
+func (p *peers) mirror(address netip.AddrPort) snipeproto.Mirror {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.mirrors == nil {
+		p.mirrors = make(map[netip.AddrPort]snipeproto.Mirror)
+	}
+	c := p.mirrors[address]
+	if c == nil {
+		c = snipeproto.NewMirrorProtobufClient("http://"+address.String(), p.http)
+		p.mirrors[address] = c
+	}
+	return c
 }
 
 func (p *peers) client(address netip.AddrPort) snipeproto.Adapter {
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -33,7 +33,9 @@
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipemirror"
 	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/snipetime"
 )
 
@@ -65,18 +67,20 @@
 	Protocol snipegateway.Protocol
 	// ReadyPath is where the balancer asks whether the instance is ready.
 	ReadyPath string
-	Table     snipeowner.Table
 	Engine    snipeadapter.Engine
 	// Belongs and KeepAlive read answers of upstreams; see snipelink.Pool.
 	Belongs   func(r *http.Request, a *http.Response) bool
 	KeepAlive func(a *http.Response) time.Duration
-	// ReadDeclared and WatchDeclared read what operators declared.
-	ReadDeclared  func(ctx context.Context) (snipecatalog.Change, error)
-	WatchDeclared func(ctx context.Context, after uint64, wait time.Duration) (snipecatalog.Change, error)
-	// ReadUpstreams and WatchUpstreams read the registry; the errors beside the
-	// change tell of entries that could not be understood.
-	ReadUpstreams  func(ctx context.Context) (snipedirectory.Change, []error, error)
-	WatchUpstreams func(ctx context.Context, after uint64, wait time.Duration) (snipedirectory.Change, []error, error)
+	// Source returns how a table of the store is read, Write changes rows; see
+	// snipeowner.Table.
+	Source func(table string) snipemirror.Source
+	Write  func(ctx context.Context, operation string, changes []snipeplatform.Change) (uint64, error)
+	// DeclaredTable holds what operators declare, UpstreamTable the registry. The
+	// errors beside a change tell of rows that could not be understood.
+	DeclaredTable   string
+	DecodeDeclared  func(rows []snipemirror.Row, position uint64) snipecatalog.Change
+	UpstreamTable   string
+	DecodeUpstreams func(rows []snipemirror.Row, position uint64) (snipedirectory.Change, []error)
 }
 
 // Instance is one entry instance. Exported fields are set before Run.
@@ -107,9 +111,8 @@
 	budgets   *budgets
 	phase     phase
 
-	catalogs    *feed[snipecatalog.Change]
-	directories *feed[upstreamsRead]
-	signals     chan os.Signal
+	tables  tables
+	signals chan os.Signal
 }
 
 // Run serves until a signal ends it, or until ctx ends.
@@ -119,8 +122,9 @@
 	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(i.signals)
 	var g run.Group
-	i.duty(ctx, &g, i.catalogs.run)
-	i.duty(ctx, &g, i.directories.run)
+	for _, f := range i.tables.all() {
+		i.duty(ctx, &g, f.Run)
+	}
 	i.duty(ctx, &g, i.holder.Run)
 	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, takeEvery, i.takeEngines) })
 	i.duty(ctx, &g, func(ctx context.Context) error {
@@ -172,12 +176,12 @@
 		Belongs: i.Platform.Belongs, KeepAlive: i.Platform.KeepAlive,
 	}
 	i.holder = &snipeowner.Holder{
-		Table:   i.Platform.Table,
+		Table:   snipeowner.Table{List: i.ownershipRows, Write: i.Platform.Write},
 		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain},
 		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), Clock: bootClock,
 		Operation: i.Operation, Reached: i.storeReached, Log: i.Log,
 	}
-	i.catalogs, i.directories = i.catalogFeed(), i.directoryFeed()
+	i.buildTables()
 	i.desk = &snipeadapter.Desk{
 		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: s.Name, Log: i.Log,
 		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
--- a/snipeentry/whole_test.go
+++ b/snipeentry/whole_test.go
@@ -169,10 +169,10 @@
 			},
 			Platform: snipeentry.Platform{
 				Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
-				Table: store.Table(), Engine: engines.Engine(),
+				Source: store.Source, Write: store.WriteRows, Engine: engines.Engine(),
 				Belongs: platform.Belongs, KeepAlive: platform.KeepAlive,
-				ReadDeclared: store.ReadDeclared, WatchDeclared: store.WatchDeclared,
-				ReadUpstreams: store.ReadUpstreams, WatchUpstreams: store.WatchUpstreams,
+				DeclaredTable: platform.DeclaredTable, DecodeDeclared: platform.DecodeDeclared,
+				UpstreamTable: platform.UpstreamTable, DecodeUpstreams: platform.DecodeUpstreams,
 			},
 		},
 		url: "http://" + settings.Callers.String(), ready: "http://" + settings.Ready.String() + platform.ReadyPath,
--- /dev/null
+++ b/snipemirror/follow.go
@@ -0,0 +1,161 @@
+package snipemirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipetime"
+)
+
+const (
+	// failurePause is the time between two reads while the store does not answer.
+	failurePause = 300 * time.Millisecond
+	// maxAge is how old another instance's copy may be: its pace and a long wait for
+	// the store's answer.
+	maxAge = 2500 * time.Millisecond
+	// distrust is how long the store is read itself after another instance's copy
+	// could not be had.
+	distrust = 3 * time.Second
+)
+
+// Source reads a table: all of it, or what has changed after a position, waiting for
+// it for up to wait. An error that wraps snipeplatform.ErrHistory means that all of
+// it has to be read.
+type Source struct {
+	Read  func(ctx context.Context) (Page, error)
+	Watch func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
+}
+
+// Follower keeps a mirror. Exported fields are set before Run.
+type Follower struct {
+	Mirror *Mirror
+	// Store reads the store.
+	Store Source
+	// Near returns how to read the copy of another instance; false when this
+	// instance is to read the store itself.
+	Near func() (func(ctx context.Context, after uint64, wait time.Duration) (Page, error), bool)
+	// Changed takes the rows of each reading that are new here; none when it only
+	// showed that nothing has changed.
+	Changed func(rows []Row, position uint64)
+	// Lost and Back are told once of the loss and the return of the store.
+	Lost func(err error)
+	Back func()
+	// Pace is the least time between two reads of the store, Wait how long one waits
+	// for a change.
+	Pace time.Duration
+	Wait time.Duration
+
+	lock   sync.Mutex // guards cancel
+	cancel context.CancelFunc
+
+	// The fields below belong to Run's goroutine.
+	lost     bool
+	whole    bool // all rows have to be read
+	distrust time.Time
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		near, err := f.step(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		pause := f.Pace
+		switch {
+		case err != nil && near:
+			// The store is asked at once.
+			f.distrust = time.Now().Add(distrust)
+			pause = 0
+		case err != nil:
+			pause = failurePause
+			f.fail(err)
+		case near:
+			pause = 0
+		}
+		if !snipetime.Sleep(ctx, pause-time.Since(begun)) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// step reads once, and tells whether it read another instance's copy.
+func (f *Follower) step(ctx context.Context) (near bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.lock.Lock()
+	f.cancel = cancel
+	f.lock.Unlock()
+	page, near, err := f.next(ctx)
+	if errors.Is(err, snipeplatform.ErrHistory) {
+		f.whole = true
+		return near, nil
+	}
+	if err != nil {
+		return near, err
+	}
+	if page.Whole {
+		f.whole = false
+	}
+	if f.lost && !near {
+		f.lost = false
+		f.Back()
+	}
+	f.Changed(f.Mirror.Apply(page), page.Position)
+	return near, nil
+}
+
+// next reads another instance's copy, or the store.
+func (f *Follower) next(ctx context.Context) (Page, bool, error) {
+	position, known := f.Mirror.Position()
+	if watch, ok := f.near(); ok {
+		page, err := watch(ctx, position, f.Wait)
+		if err == nil && page.Age > maxAge {
+			err = errors.Wrap(ErrStale, page.Age.String())
+		}
+		return page, true, err
+	}
+	switch {
+	case !known || f.whole:
+		page, err := f.Store.Read(ctx)
+		return page, false, err
+	case f.lost:
+		// Does not wait for a change, to find out soon that the store is back.
+		page, err := f.Store.Watch(ctx, position, 0)
+		return page, false, err
+	default:
+		page, err := f.Store.Watch(ctx, position, f.Wait)
+		return page, false, err
+	}
+}
+
+func (f *Follower) near() (func(ctx context.Context, after uint64, wait time.Duration) (Page, error), bool) {
+	if f.lost || f.Near == nil || time.Now().Before(f.distrust) {
+		return nil, false
+	}
+	return f.Near()
+}
+
+// Interrupt ends the read in progress: another duty has found that the store does
+// not answer, and a read that began before would wait for its whole time.
+func (f *Follower) Interrupt() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// fail notes a failure of the store.
+func (f *Follower) fail(err error) {
+	if !f.lost {
+		f.Lost(err)
+	}
+	f.lost = true
+}
--- /dev/null
+++ b/snipemirror/snipemirror_test.go
@@ -0,0 +1,214 @@
+package snipemirror_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipemirror"
+	"snipepitch.example/snipepitch/snipeplatform"
+)
+
+func row(key string, version uint64) snipemirror.Row {
+	return snipemirror.Row{Key: key, Version: version, Value: []byte(fmt.Sprint(key, version))}
+}
+
+func gone(key string, version uint64) snipemirror.Row {
+	return snipemirror.Row{Key: key, Version: version, Removed: true}
+}
+
+func whole(position uint64, rows ...snipemirror.Row) snipemirror.Page {
+	return snipemirror.Page{Whole: true, Position: position, Rows: rows}
+}
+
+func part(position uint64, rows ...snipemirror.Row) snipemirror.Page {
+	return snipemirror.Page{Position: position, Rows: rows}
+}
+
+// TestApply: whatever the order of arrival, the higher version wins.
+func TestApply(t *testing.T) {
+	tests := map[string]struct {
+		pages []snipemirror.Page
+		want  []snipemirror.Row
+	}{
+		"Newer":         {[]snipemirror.Page{whole(1, row("a", 1)), part(2, row("a", 2))}, []snipemirror.Row{row("a", 2)}},
+		"Older":         {[]snipemirror.Page{whole(2, row("a", 2)), part(1, row("a", 1))}, []snipemirror.Row{row("a", 2)}},
+		"Removed":       {[]snipemirror.Page{whole(1, row("a", 1)), part(2, gone("a", 2))}, nil},
+		"RemovedLate":   {[]snipemirror.Page{whole(3, row("a", 3)), part(2, gone("a", 2))}, []snipemirror.Row{row("a", 3)}},
+		"Back":          {[]snipemirror.Page{part(2, gone("a", 2)), part(3, row("a", 3))}, []snipemirror.Row{row("a", 3)}},
+		"OlderAfterEnd": {[]snipemirror.Page{part(2, gone("a", 2)), part(1, row("a", 1))}, nil},
+		"Absent":        {[]snipemirror.Page{whole(1, row("a", 1)), whole(2, row("b", 2))}, []snipemirror.Row{row("b", 2)}},
+		"AbsentBefore":  {[]snipemirror.Page{whole(5, row("a", 5)), whole(3, row("b", 2))}, []snipemirror.Row{row("a", 5), row("b", 2)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := snipemirror.New()
+			_, err := m.Rows()
+			must.ErrorIs(t, err, snipeplatform.ErrUnread)
+			for _, p := range tt.pages {
+				m.Apply(p)
+			}
+			rows, err := m.Rows()
+			must.NoError(t, err)
+			must.Eq(t, tt.want, rows)
+		})
+	}
+}
+
+// TestWatch: another instance learns each change once, and all rows when it is too far
+// behind.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := snipemirror.New()
+		m.Apply(whole(5, row("a", 3), row("b", 5)))
+		p, err := m.Watch(t.Context(), 0, time.Second)
+		must.NoError(t, err)
+		must.True(t, p.Whole)
+		must.Len(t, 2, p.Rows)
+		time.AfterFunc(300*time.Millisecond, func() { m.Apply(part(8, gone("a", 7), row("c", 8))) })
+		begun := time.Now()
+		p, err = m.Watch(t.Context(), p.Position, time.Second)
+		must.NoError(t, err)
+		must.Eq(t, 300*time.Millisecond, time.Since(begun))
+		must.False(t, p.Whole)
+		must.Eq(t, []snipemirror.Row{gone("a", 7), row("c", 8)}, p.Rows)
+		p, err = m.Watch(t.Context(), p.Position, time.Second)
+		must.NoError(t, err)
+		must.SliceEmpty(t, p.Rows)
+		must.Eq(t, time.Second, p.Age)
+		time.Sleep(2 * time.Minute)
+		m.Apply(part(9, row("d", 9)))
+		p, err = m.Watch(t.Context(), 5, time.Second)
+		must.NoError(t, err)
+		must.True(t, p.Whole)
+	})
+}
+
+// fakeStore is a store with a version that grows, which can be lost.
+type fakeStore struct {
+	lock    sync.Mutex
+	version uint64
+	lost    bool
+	silent  bool
+	reads   int
+}
+
+func (s *fakeStore) read(context.Context) (snipemirror.Page, error) {
+	return s.page(true)
+}
+
+func (s *fakeStore) page(all bool) (snipemirror.Page, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.reads++
+	if s.lost {
+		return snipemirror.Page{}, snipeplatform.ErrUnavailable
+	}
+	return snipemirror.Page{Whole: all, Position: s.version, Rows: []snipemirror.Row{row("a", s.version)}}, nil
+}
+
+func (s *fakeStore) watch(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
+	end := time.Now().Add(wait)
+	for {
+		s.lock.Lock()
+		version, silent := s.version, s.silent
+		s.lock.Unlock()
+		if silent {
+			<-ctx.Done()
+			return snipemirror.Page{}, ctx.Err()
+		}
+		if version > after || !time.Now().Before(end) {
+			return s.page(false)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *fakeStore) set(f func()) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	f()
+}
+
+// follow runs a follower in a bubble.
+func follow(t *testing.T, f *snipemirror.Follower) (lost, back *int) {
+	lost, back = new(int), new(int)
+	f.Mirror = snipemirror.New()
+	f.Changed = func([]snipemirror.Row, uint64) {}
+	f.Lost, f.Back = func(error) { *lost++ }, func() { *back++ }
+	f.Pace, f.Wait = time.Second, 3*time.Second
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = f.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return lost, back
+}
+
+// TestInterrupt: a read that waits for a change while the store has gone silent ends
+// when another duty finds that out; then the store's return is seen soon.
+func TestInterrupt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{version: 1}
+		f := &snipemirror.Follower{Store: snipemirror.Source{Read: s.read, Watch: s.watch}}
+		lost, back := follow(t, f)
+		time.Sleep(1500 * time.Millisecond)
+		s.set(func() { s.silent = true })
+		time.Sleep(100 * time.Millisecond)
+		f.Interrupt()
+		time.Sleep(100 * time.Millisecond)
+		must.Eq(t, 1, *lost)
+		s.set(func() { s.silent = false; s.version = 9 })
+		f.Interrupt() // the next renewal fails too, or its successor succeeds
+		time.Sleep(600 * time.Millisecond)
+		must.Eq(t, 1, *back)
+		position, _ := f.Mirror.Position()
+		must.Eq(t, 9, position)
+	})
+}
+
+// TestNear: another instance's copy is taken instead of the store while it is fresh;
+// when it cannot be had the store is read at once.
+func TestNear(t *testing.T) {
+	tests := map[string]struct {
+		page  snipemirror.Page
+		err   error
+		store bool
+	}{
+		"Fresh":  {part(7, row("n", 7)), nil, false},
+		"Old":    {snipemirror.Page{Position: 7, Age: 5 * time.Second}, nil, true},
+		"Failed": {snipemirror.Page{}, errors.New("gone"), true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeStore{version: 3}
+				f := &snipemirror.Follower{Store: snipemirror.Source{Read: s.read, Watch: s.watch}}
+				f.Near = func() (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+					return func(_ context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
+						if tt.err == nil && after >= tt.page.Position {
+							time.Sleep(wait)
+						}
+						return tt.page, tt.err
+					}, true
+				}
+				lost, _ := follow(t, f)
+				time.Sleep(100 * time.Millisecond)
+				position, known := f.Mirror.Position()
+				must.True(t, known)
+				must.Eq(t, 0, *lost)
+				if tt.store {
+					must.Eq(t, 3, position)
+					return
+				}
+				must.Eq(t, 7, position)
+				s.set(func() { must.Eq(t, 0, s.reads) })
+			})
+		})
+	}
+}
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -43,10 +43,12 @@
 	"snipepitch.example/snipepitch/sniperoute"
 )
 
-// Rows of both kinds lie in one partition, so that one read shows them all as of
-// one moment.
+// Partition holds the rows of both kinds, so that one read shows them all as of one
+// moment.
+const Partition = "ownership"
+
+// Kinds of rows.
 const (
-	partition      = "ownership"
 	instancePrefix = "instance/"
 	ownerPrefix    = "engine/"
 )
@@ -54,9 +56,16 @@
 const (
 	// stepEvery is the time between two renewals. One may fail before orders stop.
 	stepEvery = time.Second
-	// stepsPerRead is how many renewals lie between two readings of all rows: a
-	// renewal alone already fails when an engine has another owner.
-	stepsPerRead = 2
+	// staleRows is how old the rows that are read may be, beside their own age.
+	staleRows = 2 * time.Second
+	// leastOwners is how many instances share the engines where there are few, and
+	// enginesPerOwner how many engines each has where there are many: one renews its
+	// row each second, whatever it owns, and its loss stops the orders of them all.
+	leastOwners     = 9
+	enginesPerOwner = 5
+	// standbyEvery is the time between two renewals of an instance that owns nothing
+	// and is not needed.
+	standbyEvery = 10 * time.Second
 	// orderTime is how long after a renewal was sent this instance may order.
 	orderTime = 2400 * time.Millisecond
 	// margin covers the difference between two machines' clock rates and the time
@@ -76,7 +85,10 @@
 	Peer   netip.AddrPort
 	Domain string
 	// Leaving instances own nothing.
-	Leaving bool
+	Leaving bool `json:",omitempty"`
+	// Standby instances own nothing either, and renew their rows rarely: there are
+	// enough others.
+	Standby bool `json:",omitempty"`
 }
 
 // ownership is the document of an owner row.
@@ -146,8 +158,10 @@
 	instance map[netip.AddrPort]sighting
 	owners   map[netip.AddrPort]ownerRow
 	lost     bool
-	// reads counts the steps since all rows were read.
-	reads int
+	// stale tells that the rows could not be read in this step.
+	stale bool
+	// renewedAt is when the last successful renewal was sent.
+	renewedAt time.Duration
 }
 
 // holding is an engine that this instance owns.
@@ -229,18 +243,38 @@
 // engines that have no live owner.
 func (h *Holder) Step(ctx context.Context) {
 	h.prepare()
-	var err error
-	if h.reads == 0 || h.lost {
-		err = h.read(ctx)
+	err := h.read(ctx)
+	if errors.Is(err, snipeplatform.ErrUnread) {
+		return
 	}
-	if err == nil {
-		h.reads = (h.reads + 1) % stepsPerRead
-		err = h.renew(ctx)
+	h.stale = err != nil
+	if standby := h.standby(); !standby || h.standbyDue() {
+		h.note(h.renew(ctx, standby))
 	}
-	h.note(err)
 	h.publish()
 }
 
+// standby reports whether there are enough other instances to own the engines.
+func (h *Holder) standby() bool {
+	if len(h.holdings) > 0 || h.leaving.Load() {
+		return false
+	}
+	ahead := 0
+	own := Rank(netip.AddrPort{}, h.Self.Peer)
+	for peer, s := range h.instance {
+		if peer != h.Self.Peer && !s.Leaving && h.live(s) && Rank(netip.AddrPort{}, peer) > own {
+			ahead++
+		}
+	}
+	return ahead >= max(leastOwners, len(h.Engines())/enginesPerOwner)
+}
+
+// standbyDue reports whether an instance on standby is to renew its row.
+func (h *Holder) standbyDue() bool {
+	row := h.instance[h.Self.Peer]
+	return h.lost || row.Incarnation != h.Self.Incarnation || !row.Standby || h.Clock()-h.renewedAt >= standbyEvery
+}
+
 // note logs the loss and the return of the table once.
 func (h *Holder) note(err error) {
 	if h.Reached != nil {
@@ -257,26 +291,27 @@
 
 // read takes all rows and drops what this instance no longer owns.
 func (h *Holder) read(ctx context.Context) error {
-	sent := h.Clock()
-	rows, err := h.Table.List(ctx, partition)
+	rows, err := h.Table.List(ctx, Partition)
 	if err != nil {
 		return errors.Wrap(err, "read ownership")
 	}
-	h.take(rows, sent)
+	// Counted from after the read: a version may have been written while the read
+	// was under way.
+	h.take(rows, h.Clock())
 	h.settle()
 	return nil
 }
 
 // take notes the rows. A row that cannot be decoded hides no other.
-func (h *Holder) take(rows []snipeplatform.Row, sent time.Duration) {
+func (h *Holder) take(rows []snipeplatform.Row, now time.Duration) {
 	instances := make(map[netip.AddrPort]sighting)
 	owners := make(map[netip.AddrPort]ownerRow)
 	for _, r := range rows {
 		var err error
 		if engine, ok := strings.CutPrefix(r.Sort, ownerPrefix); ok {
-			err = h.takeOwner(owners, engine, r, sent)
+			err = h.takeOwner(owners, engine, r, now)
 		} else {
-			err = h.takeInstance(instances, r, sent)
+			err = h.takeInstance(instances, r, now)
 		}
 		if err != nil {
 			h.Log.Error(snipelog.OwnershipRowWrong, err, snipelog.Fields{"Row": r.Sort})
@@ -285,20 +320,20 @@
 	h.instance, h.owners = instances, owners
 }
 
-func (h *Holder) takeInstance(all map[netip.AddrPort]sighting, r snipeplatform.Row, sent time.Duration) error {
-	s := sighting{version: r.Version, since: sent}
+func (h *Holder) takeInstance(all map[netip.AddrPort]sighting, r snipeplatform.Row, now time.Duration) error {
+	s := sighting{version: r.Version, since: now}
 	if err := json.Unmarshal(r.Data, &s.Instance); err != nil {
 		return err
 	}
-	if old, ok := h.instance[s.Peer]; ok && old.version == s.version {
-		s.since = old.since
+	if old, ok := h.instance[s.Peer]; ok && old.version >= s.version {
+		s = old
 	}
 	all[s.Peer] = s
 	return nil
 }
 
-func (h *Holder) takeOwner(all map[netip.AddrPort]ownerRow, name string, r snipeplatform.Row, sent time.Duration) error {
-	o := ownerRow{version: r.Version, seen: sent}
+func (h *Holder) takeOwner(all map[netip.AddrPort]ownerRow, name string, r snipeplatform.Row, now time.Duration) error {
+	o := ownerRow{version: r.Version, seen: now}
 	engine, err := netip.ParseAddrPort(name)
 	if err != nil {
 		return err
@@ -306,8 +341,8 @@
 	if err := json.Unmarshal(r.Data, &o.ownership); err != nil {
 		return err
 	}
-	if old, ok := h.owners[engine]; ok && old.version == o.version {
-		o.seen = old.seen
+	if old, ok := h.owners[engine]; ok && old.version >= o.version {
+		o = old
 	}
 	all[engine] = o
 	return nil
@@ -347,9 +382,9 @@
 
 // renew writes this instance's row, under the condition that it still owns what
 // it believes to own, together with the engines that it takes or gives up.
-func (h *Holder) renew(ctx context.Context) error {
+func (h *Holder) renew(ctx context.Context, standby bool) error {
 	self := h.Self
-	self.Leaving = h.leaving.Load()
+	self.Leaving, self.Standby = h.leaving.Load(), standby
 	data, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "encode instance")
@@ -359,9 +394,10 @@
 		Expect: h.instance[self.Peer].version, Data: data,
 	}}
 	var wanted []takeover
-	if self.Leaving {
+	switch {
+	case self.Leaving:
 		changes = append(changes, h.releases()...)
-	} else {
+	case !standby:
 		changes = append(changes, h.conditions()...)
 		wanted = h.wanted()
 		for _, t := range wanted {
@@ -372,9 +408,9 @@
 	sent := h.Clock()
 	version, err := h.Table.Write(ctx, h.Operation(), changes)
 	if err != nil {
-		h.reads = 0
 		return errors.Wrap(err, "renew")
 	}
+	h.renewedAt = sent
 	h.instance[self.Peer] = sighting{Instance: self, version: version, since: sent}
 	h.renewed(sent, version, wanted, self.Leaving)
 	return nil
@@ -394,11 +430,11 @@
 }
 
 func ownerKey(engine netip.AddrPort) snipeplatform.Key {
-	return snipeplatform.Key{Partition: partition, Sort: ownerPrefix + engine.String()}
+	return snipeplatform.Key{Partition: Partition, Sort: ownerPrefix + engine.String()}
 }
 
 func instanceKey(peer netip.AddrPort) snipeplatform.Key {
-	return snipeplatform.Key{Partition: partition, Sort: instancePrefix + peer.String()}
+	return snipeplatform.Key{Partition: Partition, Sort: instancePrefix + peer.String()}
 }
 
 // conditions hold each owner row of this instance to what it knows.
@@ -473,10 +509,14 @@
 // live reports whether an instance's row has changed within a lease's duration.
 // While the table does not answer nobody's row changes and all stay as they were.
 func (h *Holder) live(s sighting) bool {
-	if h.lost || s.Peer == h.Self.Peer {
+	if h.lost || h.stale || s.Peer == h.Self.Peer {
 		return true
 	}
-	return h.Clock()-s.since < orderTime+margin+stepsPerRead*stepEvery
+	limit := orderTime + margin + staleRows
+	if s.Standby {
+		limit += 2 * standbyEvery
+	}
+	return h.Clock()-s.since < limit
 }
 
 // Rank returns the value by which an instance ranks for an engine.
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -22,7 +22,7 @@
 // first among the live ones.
 func (h *Holder) wanted() []takeover {
 	now := h.Clock()
-	if now-h.started < settleTime {
+	if now-h.started < settleTime || h.stale {
 		return nil
 	}
 	var all []takeover
@@ -46,7 +46,7 @@
 func (h *Holder) first(engine netip.AddrPort) bool {
 	own := Rank(engine, h.Self.Peer)
 	for peer, s := range h.instance {
-		if peer == h.Self.Peer || s.Leaving || !h.live(s) {
+		if peer == h.Self.Peer || s.Leaving || s.Standby || !h.live(s) {
 			continue
 		}
 		if Rank(engine, peer) > own {
--- a/snipeplatform/snipeplatform.go
+++ b/snipeplatform/snipeplatform.go
@@ -25,6 +25,8 @@
 	ErrConflict = errors.New("write conflict")
 	// ErrUnavailable: the service did not take the request; nothing was written.
 	ErrUnavailable = errors.New("table service unavailable")
+	// ErrUnread: the table has not been read yet.
+	ErrUnread = errors.New("table not read yet")
 	// ErrHistory: the changes since the position asked for are no longer kept.
 	ErrHistory = errors.New("history is gone")
 	// ErrUnknown: the request may have taken effect.
