--- a/snipemirror/snipemirror_test.go
+++ b/snipemirror/snipemirror_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,11 +138,11 @@
 }
 
 // follow runs a follower in a bubble.
-func follow(t *testing.T, f *snipemirror.Follower) (lost, back *int) {
-	lost, back = new(int), new(int)
+func follow(t *testing.T, f *snipemirror.Follower) (lost, back *atomic.Int32) {
+	lost, back = new(atomic.Int32), new(atomic.Int32)
 	f.Mirror = snipemirror.New()
 	f.Changed = func([]snipemirror.Row, uint64) {}
-	f.Lost, f.Back = func(error) { *lost++ }, func() { *back++ }
+	f.Lost, f.Back = func(error) { lost.Add(1) }, func() { back.Add(1) }
 	f.Pace, f.Wait = time.Second, 3*time.Second
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -162,11 +163,11 @@
 		time.Sleep(100 * time.Millisecond)
 		f.Interrupt()
 		time.Sleep(100 * time.Millisecond)
-		must.Eq(t, 1, *lost)
+		must.Eq(t, 1, lost.Load())
 		s.set(func() { s.silent = false; s.version = 9 })
 		f.Interrupt() // the next renewal fails too, or its successor succeeds
 		time.Sleep(600 * time.Millisecond)
-		must.Eq(t, 1, *back)
+		must.Eq(t, 1, back.Load())
 		position, _ := f.Mirror.Position()
 		must.Eq(t, 9, position)
 	})
@@ -201,7 +202,7 @@
 				time.Sleep(100 * time.Millisecond)
 				position, known := f.Mirror.Position()
 				must.True(t, known)
-				must.Eq(t, 0, *lost)
+				must.Eq(t, 0, lost.Load())
 				if tt.store {
 					must.Eq(t, 3, position)
 					return
