An instance that the store does not answer learns from others

Ruled out: slow starts (the first reading takes 0.3 s when the store answers). Change: while the store is lost reads go by turns to other instances, in rank, and to the seeds of the settings; renewals that fail interrupt only reads of the store.

--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -58,8 +58,8 @@
 func (i *Instance) follower(table string, pace, wait time.Duration) *snipemirror.Follower {
 	return &snipemirror.Follower{
 		Mirror: snipemirror.New(), Store: i.Platform.Source(table), Pace: pace, Wait: wait,
-		Near: func() (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
-			return i.near(table)
+		Near: func(failures int, lost bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+			return i.near(table, failures, lost)
 		},
 	}
 }
--- a/snipeentry/near.go
+++ b/snipeentry/near.go
@@ -1,8 +1,10 @@
 package snipeentry
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -17,11 +19,16 @@
 const nearSlack = 500 * time.Millisecond
 
 // near returns how to read another instance's copy of a table: that of the instance
-// which reads the store for this failure domain. It is false when that is this one,
-// or when no other is known.
-func (i *Instance) near(table string) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
-	reader, ok := i.reader()
-	if !ok || reader == i.Settings.Peers {
+// which reads the store for this failure domain, or of the next one in rank after
+// each failure. It is false when this instance is to read the store itself; when the
+// store does not answer it, any other instance will do.
+func (i *Instance) near(table string, failures int, lost bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+	readers := i.readers(lost)
+	if len(readers) == 0 {
+		return nil, false
+	}
+	reader := readers[failures%len(readers)]
+	if reader == i.Settings.Peers {
 		return nil, false
 	}
 	client := i.peers.mirror(reader)
@@ -38,20 +45,36 @@
 	}, true
 }
 
-// reader returns the instance that reads the store for this failure domain: the
-// first in rank of those that renew their rows and stay.
-func (i *Instance) reader() (netip.AddrPort, bool) {
-	var best netip.AddrPort
-	var rank uint64
+// readers returns the instances whose copies may be read, the best first: of those
+// that renew their rows and stay, the first in rank of this failure domain reads the
+// store for it. An instance that the store does not answer may ask them all, and
+// those that its settings name when it knows of nobody yet.
+func (i *Instance) readers(lost bool) []netip.AddrPort {
+	var near, far []netip.AddrPort
 	for peer, other := range i.holder.View().Live {
-		if other.Domain != i.Settings.Domain || other.Leaving || other.Standby {
-			continue
+		switch {
+		case other.Leaving || other.Standby, lost && peer == i.Settings.Peers:
+		case other.Domain == i.Settings.Domain:
+			near = append(near, peer)
+		default:
+			far = append(far, peer)
 		}
-		if r := snipeowner.Rank(netip.AddrPort{}, peer); !best.IsValid() || r > rank {
-			best, rank = peer, r
+	}
+	byRank := func(a, b netip.AddrPort) int {
+		return cmp.Compare(snipeowner.Rank(netip.AddrPort{}, b), snipeowner.Rank(netip.AddrPort{}, a))
+	}
+	slices.SortFunc(near, byRank)
+	if !lost {
+		return near
+	}
+	slices.SortFunc(far, byRank)
+	near = append(near, far...)
+	for _, seed := range i.Settings.Seeds {
+		if seed != i.Settings.Peers && !slices.Contains(near, seed) {
+			near = append(near, seed)
 		}
 	}
-	return best, best.IsValid()
+	return near
 }
 
 func decodePage(m *snipeproto.MirrorWatchResponse) snipemirror.Page {
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -29,6 +29,9 @@
 	Ready   netip.AddrPort
 	Peers   netip.AddrPort
 	Metrics netip.AddrPort
+	// Seeds are other instances' Peers, to learn from while the store does not answer;
+	// they may be down.
+	Seeds []netip.AddrPort
 	// Table is the address of the platform's store.
 	Table netip.AddrPort
 	// OrderGap is the least time between orders of two instances to one engine.
@@ -75,6 +78,11 @@
 
 func (s Settings) check() error {
 	invalid := func(field, reason string) error { return errors.Wrapf(ErrSettings, "%s: %s", field, reason) }
+	for _, seed := range s.Seeds {
+		if !seed.IsValid() {
+			return invalid("Seeds", "has an entry that is no address with a port")
+		}
+	}
 	if s.Name == "" {
 		return invalid("Name", "is empty")
 	}
--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -77,5 +78,5 @@
 		i.Log.Error(snipelog.SettingsRefused, err, nil)
 		return
 	}
-	i.Log.Log(snipelog.SettingsReloaded, snipelog.Fields{"Changed": s != i.Settings})
+	i.Log.Log(snipelog.SettingsReloaded, snipelog.Fields{"Changed": !reflect.DeepEqual(s, i.Settings)})
 }
--- a/snipemirror/follow.go
+++ b/snipemirror/follow.go
@@ -36,8 +36,9 @@
 	// Store reads the store.
 	Store Source
 	// Near returns how to read the copy of another instance; false when this
-	// instance is to read the store itself.
-	Near func() (func(ctx context.Context, after uint64, wait time.Duration) (Page, error), bool)
+	// instance is to read the store itself. It is told how many others have failed in
+	// a row, and whether the store does not answer this instance.
+	Near func(failures int, lost bool) (func(ctx context.Context, after uint64, wait time.Duration) (Page, error), bool)
 	// Changed takes the rows of each reading that are new here; none when it only
 	// showed that nothing has changed.
 	Changed func(rows []Row, position uint64)
@@ -49,13 +50,15 @@
 	Pace time.Duration
 	Wait time.Duration
 
-	lock   sync.Mutex // guards cancel
-	cancel context.CancelFunc
+	lock   sync.Mutex         // guards cancel
+	cancel context.CancelFunc // ends a read of the store
 
 	// The fields below belong to Run's goroutine.
 	lost     bool
 	whole    bool // all rows have to be read
 	distrust time.Time
+	failures int  // reads of other instances that failed in a row
+	turn     bool // while the store is lost: the next read is another instance's
 }
 
 // Run follows the table until ctx ends.
@@ -70,6 +73,7 @@
 		switch {
 		case err != nil && near:
 			// The store is asked at once.
+			f.failures++
 			f.distrust = time.Now().Add(distrust)
 			pause = 0
 		case err != nil:
@@ -87,11 +91,6 @@
 
 // step reads once, and tells whether it read another instance's copy.
 func (f *Follower) step(ctx context.Context) (near bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.lock.Lock()
-	f.cancel = cancel
-	f.lock.Unlock()
 	page, near, err := f.next(ctx)
 	if errors.Is(err, snipeplatform.ErrHistory) {
 		f.whole = true
@@ -103,7 +102,10 @@
 	if page.Whole {
 		f.whole = false
 	}
-	if f.lost && !near {
+	if near {
+		f.failures = 0
+	}
+	if f.lost {
 		f.lost = false
 		f.Back()
 	}
@@ -115,12 +117,20 @@
 func (f *Follower) next(ctx context.Context) (Page, bool, error) {
 	position, known := f.Mirror.Position()
 	if watch, ok := f.near(); ok {
-		page, err := watch(ctx, position, f.Wait)
+		wait := f.Wait
+		if f.lost {
+			wait = 0
+		}
+		page, err := watch(ctx, position, wait)
 		if err == nil && page.Age > maxAge {
 			err = errors.Wrap(ErrStale, page.Age.String())
 		}
 		return page, true, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.interruptible(cancel)
+	defer f.interruptible(nil)
 	switch {
 	case !known || f.whole:
 		page, err := f.Store.Read(ctx)
@@ -136,13 +146,29 @@
 }
 
 func (f *Follower) near() (func(ctx context.Context, after uint64, wait time.Duration) (Page, error), bool) {
-	if f.lost || f.Near == nil || time.Now().Before(f.distrust) {
+	if f.Near == nil {
 		return nil, false
 	}
-	return f.Near()
+	if f.lost {
+		// By turns with the store: it may serve others.
+		if f.turn = !f.turn; !f.turn {
+			return nil, false
+		}
+		return f.Near(f.failures, true)
+	}
+	if time.Now().Before(f.distrust) {
+		return nil, false
+	}
+	return f.Near(f.failures, false)
+}
+
+func (f *Follower) interruptible(cancel context.CancelFunc) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.cancel = cancel
 }
 
-// Interrupt ends the read in progress: another duty has found that the store does
+// Interrupt ends a read of the store in progress: another duty has found that the store does
 // not answer, and a read that began before would wait for its whole time.
 func (f *Follower) Interrupt() {
 	f.lock.Lock()
--- a/snipemirror/snipemirror_test.go
+++ b/snipemirror/snipemirror_test.go
@@ -190,7 +190,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeStore{version: 3}
 				f := &snipemirror.Follower{Store: snipemirror.Source{Read: s.read, Watch: s.watch}}
-				f.Near = func() (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+				f.Near = func(int, bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
 					return func(_ context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
 						if tt.err == nil && after >= tt.page.Position {
 							time.Sleep(wait)
@@ -213,3 +213,28 @@
 		})
 	}
 }
+
+// TestStoreServesOthers: an instance that the store does not answer learns from
+// others, the next one after each that fails.
+func TestStoreServesOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{version: 3, lost: true}
+		f := &snipemirror.Follower{Store: snipemirror.Source{Read: s.read, Watch: s.watch}}
+		f.Near = func(failures int, lost bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+			return func(_ context.Context, _ uint64, wait time.Duration) (snipemirror.Page, error) {
+				if failures < 2 {
+					return snipemirror.Page{}, errors.New("gone")
+				}
+				time.Sleep(wait)
+				return part(7, row("n", 7)), nil
+			}, lost
+		}
+		lost, back := follow(t, f)
+		time.Sleep(3 * time.Second)
+		position, known := f.Mirror.Position()
+		must.True(t, known)
+		must.Eq(t, 7, position)
+		must.GreaterEq(t, 1, lost.Load())
+		must.GreaterEq(t, 1, back.Load())
+	})
+}
