An engine's next owner orders as soon as the former's right is over

What must not happen is that owners take turns: one, another, the first again. Change: the first order follows the end of the former owner's right; an instance that owns an engine again, which another owned in between, waits for the gap.

--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -10,8 +10,8 @@
 //
 // The engines do not check fencing numbers. So time must separate two owners:
 //
-//	renewal sent ........ orderTime ....... | order gap ...... | first order
-//	(old owner's orders end here)             (of the new owner)
+//	renewal sent ....... orderTime ....... | margin ... | first order
+//	          (old owner's orders end here)              (of the new owner)
 //
 // Invariants:
 //
@@ -20,8 +20,10 @@
 //   - A renewal succeeds only while all rows that make this instance an owner are
 //     as it knows them.
 //   - A takeover succeeds only while the former owner's row is as it was when the
-//     new owner first read it, at least the lease's duration ago, and the first
-//     order follows the former owner's last possible one by at least orderGap.
+//     new owner first read it, at least the lease's duration ago. An owner that
+//     gives an engine up has ended its orders before.
+//   - Two instances do not take turns: one that comes to own an engine again, which
+//     another owned in between, waits for OrderGap.
 //   - A fencing number grows whenever the owner changes, also to a new start of
 //     the same instance.
 package snipeowner
@@ -135,7 +137,9 @@
 	Self Instance
 	// Engines returns the addresses of the engines in the directory.
 	Engines func() []netip.AddrPort
-	// OrderGap is the least time between the orders of two owners of an engine.
+	// OrderGap is the least time between the orders of an instance and its next ones to
+	// the same engine if another instance owned it in between: owners do not take
+	// turns.
 	OrderGap time.Duration
 	// Clock is a steady clock that also counts the time for which the machine is
 	// suspended.
@@ -160,6 +164,8 @@
 	lost     bool
 	// stale tells that the rows could not be read in this step.
 	stale bool
+	// ended is when this instance last owned engines that others own now.
+	ended map[netip.AddrPort]time.Duration
 	// renewedAt is when the last successful renewal was sent.
 	renewedAt time.Duration
 }
@@ -234,6 +240,7 @@
 	h.started = h.Clock()
 	h.instance = make(map[netip.AddrPort]sighting)
 	h.owners = make(map[netip.AddrPort]ownerRow)
+	h.ended = make(map[netip.AddrPort]time.Duration)
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	h.holdings = make(map[netip.AddrPort]holding)
@@ -362,6 +369,7 @@
 			continue
 		}
 		delete(h.holdings, engine)
+		h.ended[engine] = h.Clock()
 		h.Log.Log(snipelog.OwnershipLost, snipelog.Fields{"Engine": engine, "Fence": o.fence})
 	}
 	for engine, row := range h.owners {
@@ -374,7 +382,7 @@
 		default:
 			// A write whose outcome was not known took effect after all. How long
 			// ago the former owner could order is not known: wait the whole time.
-			from := h.Clock() + orderTime + h.OrderGap + margin
+			from := h.afterOwn(engine, h.Clock()+orderTime+margin)
 			h.holdings[engine] = holding{fence: row.Fence, version: row.version, from: from}
 		}
 	}
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -71,7 +71,8 @@
 		// Nobody has ordered it, or an earlier start of this machine did.
 		return t, true
 	case !row.Machine.IsValid():
-		t.from = row.seen + h.OrderGap + margin
+		// Its owner gave it up, and its orders had ended before.
+		t.from = h.afterOwn(engine, now)
 		return t, true
 	}
 	former, exists := h.instance[row.Machine]
@@ -83,12 +84,22 @@
 		if exists {
 			since = max(since, former.since)
 		}
-		t.from = since + orderTime + h.OrderGap + margin
+		t.from = since + orderTime + margin
 	case now-former.since < orderTime+margin:
 		return takeover{}, false
 	default:
-		t.from = former.since + orderTime + h.OrderGap + margin
+		t.from = former.since + orderTime + margin
 		t.changes = append(t.changes, snipeplatform.Change{Key: instanceKey(row.Machine), Expect: former.version})
 	}
+	t.from = max(t.from, h.afterOwn(engine, now))
 	return t, true
 }
+
+// afterOwn is when this instance may order an engine again that was another's since
+// it was its own.
+func (h *Holder) afterOwn(engine netip.AddrPort, now time.Duration) time.Duration {
+	if at, ok := h.ended[engine]; ok {
+		return max(now, at+h.OrderGap)
+	}
+	return now
+}
