--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	./scripts/demo.sh
 
 # Everything that CI checks.
-test: lint check-generated unit short-replay short-faults
+test: lint check-generated unit short-replay short-faults short-soak
 
 format:
 	$(LINT) fmt
@@ -60,6 +60,18 @@
 short-faults: build
 	FAULT_REPLAY="-min-answered 0.5" FAULT_CRASHES=0 FAULT_SEED=1 FAULT_COUNT=4 FAULT_LENGTH=15 ./scripts/faults.sh
 
+.PHONY: soak short-soak
+
+# Entry instances as processes under faults drawn from SEED (1), SEEDS of them (1);
+# SOAK_LENGTH is the time in which faults begin.
+soak: build
+	./bin/snipesoak -program bin/snipepitchd -seed $(or $(SEED),1) -seeds $(or $(SEEDS),1) -length $(or $(SOAK_LENGTH),15s)
+
+# The seeds that once showed a fault, and one more.
+short-soak: build
+	for seed in $$(grep -v '^#' scripts/soak-seeds.txt | cut -d' ' -f1); do \
+		./bin/snipesoak -program bin/snipepitchd -seed $$seed -length 8s || exit 1; done
+
 # Fuzzes each target for FUZZ_TIME (10s); `make unit` runs the seeds alone.
 fuzz:
 	./scripts/fuzz.sh
--- /dev/null
+++ b/cmd/snipesoak/main.go
@@ -0,0 +1,85 @@
+// Command snipesoak plays entry instances as processes under load and faults drawn
+// from a seed, and prints what was broken.
+//
+// Usage:
+//
+//	snipesoak -program FILE [-seed N] [-seeds N] [-length D] [-instances N] [-logs DIR]
+//
+// Exit codes: 0 when nothing was broken, 1 when something was or a run could not be
+// made, 2 for bad arguments. The logs of a run that broke something are kept.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"snipepitch.example/snipepitch/snipesoak"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	program := flag.String("program", "", "the instance's program, a `file`")
+	seed := flag.Uint64("seed", 1, "the first `number` that faults are drawn from")
+	seeds := flag.Uint64("seeds", 1, "how `many` seeds are played, one after another")
+	length := flag.Duration("length", 15*time.Second, "the time in which faults begin")
+	instances := flag.Int("instances", 3, "how many `processes` of the program run")
+	logs := flag.String("logs", os.TempDir(), "`folder` for settings and logs")
+	flag.Parse()
+	if *program == "" || *instances < 1 || flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(exitUsage)
+	}
+	passed, failed := 0, 0
+	for n := *seed; n < *seed+*seeds; n++ {
+		if play(n, *program, *logs, *length, *instances) {
+			passed++
+		} else {
+			failed++
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", passed, failed)
+	if failed > 0 {
+		os.Exit(exitFailed)
+	}
+}
+
+// play plays one seed and reports whether nothing was broken.
+func play(seed uint64, program, logs string, length time.Duration, instances int) bool {
+	folder, err := os.MkdirTemp(logs, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "snipesoak:", err)
+		return false
+	}
+	plan, err := os.Create(filepath.Join(folder, "faults.log"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "snipesoak:", err)
+		return false
+	}
+	defer func() { _ = plan.Close() }()
+	s := &snipesoak.Soak{
+		Seed: seed, Program: program, Folder: folder, Length: length, Instances: instances, Out: plan,
+	}
+	breaches, answered, err := s.Run(context.Background())
+	if err != nil {
+		fmt.Printf("seed %d: %v; logs in %s\n", seed, err, folder)
+		return false
+	}
+	for _, b := range breaches {
+		fmt.Printf("seed %d: BROKEN %s: %s\n", seed, b.Promise, b.Detail)
+	}
+	fmt.Printf("seed %d: %d answered, %d broken\n", seed, answered, len(breaches))
+	if len(breaches) > 0 {
+		fmt.Println("logs in", folder)
+		return false
+	}
+	_ = os.RemoveAll(folder) // what stays costs space only
+	return true
+}
--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -16,7 +16,7 @@
 const (
 	// mostOnTheWay bounds the adapters on their way to one engine, which takes four
 	// at once. The weight store serves two an engine at full speed over all engines.
-	mostOnTheWay = 4
+	mostOnTheWay = 3
 	// orderTimeout bounds one order: an engine answers within milliseconds.
 	orderTimeout = 150 * time.Millisecond
 	// reportAge is how old an engine's report may be.
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -76,24 +77,30 @@
 // seconds to notice.
 const leastStop = 4 * time.Second
 
-func (s Settings) check() error {
-	invalid := func(field, reason string) error { return errors.Wrapf(ErrSettings, "%s: %s", field, reason) }
-	for _, seed := range s.Seeds {
-		if !seed.IsValid() {
-			return invalid("Seeds", "has an entry that is no address with a port")
-		}
-	}
-	if s.Name == "" {
-		return invalid("Name", "is empty")
-	}
+func invalid(field, reason string) error { return errors.Wrapf(ErrSettings, "%s: %s", field, reason) }
+
+func (s Settings) checkAddresses() error {
 	addresses := map[string]netip.AddrPort{
 		callersName: s.Callers, "Ready": s.Ready, "Peers": s.Peers, "Metrics": s.Metrics, "Table": s.Table,
 	}
+	for n, seed := range s.Seeds {
+		addresses["Seeds"+strconv.Itoa(n)] = seed
+	}
 	for name, a := range addresses {
 		if !a.IsValid() || a.Port() == 0 {
 			return invalid(name, "is no address with a port")
 		}
 	}
+	return nil
+}
+
+func (s Settings) check() error {
+	if s.Name == "" {
+		return invalid("Name", "is empty")
+	}
+	if err := s.checkAddresses(); err != nil {
+		return err
+	}
 	switch {
 	case s.OrderGap < 0:
 		return invalid("OrderGap", "is negative")
--- a/snipeentry/whole_test.go
+++ b/snipeentry/whole_test.go
@@ -409,11 +409,11 @@
 		eventually(t, func() bool { return draft(two, adapter) })
 	}
 	for _, id := range []string{"e1", "e2"} {
-		holders, overfull := s.runners[id].Holders()
+		orders, overfull := s.runners[id].Taken()
 		must.Eq(t, 0, overfull)
 		changes := 0
-		for n := 1; n < len(holders); n++ {
-			if holders[n] != holders[n-1] {
+		for n := 1; n < len(orders); n++ {
+			if orders[n].Holder != orders[n-1].Holder {
 				changes++
 			}
 		}
--- a/snipemirror/snipemirror_test.go
+++ b/snipemirror/snipemirror_test.go
@@ -20,8 +20,9 @@
 	return snipemirror.Row{Key: key, Version: version, Value: []byte(fmt.Sprint(key, version))}
 }
 
-func gone(key string, version uint64) snipemirror.Row {
-	return snipemirror.Row{Key: key, Version: version, Removed: true}
+// gone is the mark that row a was removed.
+func gone(version uint64) snipemirror.Row {
+	return snipemirror.Row{Key: "a", Version: version, Removed: true}
 }
 
 func whole(position uint64, rows ...snipemirror.Row) snipemirror.Page {
@@ -40,10 +41,10 @@
 	}{
 		"Newer":         {[]snipemirror.Page{whole(1, row("a", 1)), part(2, row("a", 2))}, []snipemirror.Row{row("a", 2)}},
 		"Older":         {[]snipemirror.Page{whole(2, row("a", 2)), part(1, row("a", 1))}, []snipemirror.Row{row("a", 2)}},
-		"Removed":       {[]snipemirror.Page{whole(1, row("a", 1)), part(2, gone("a", 2))}, nil},
-		"RemovedLate":   {[]snipemirror.Page{whole(3, row("a", 3)), part(2, gone("a", 2))}, []snipemirror.Row{row("a", 3)}},
-		"Back":          {[]snipemirror.Page{part(2, gone("a", 2)), part(3, row("a", 3))}, []snipemirror.Row{row("a", 3)}},
-		"OlderAfterEnd": {[]snipemirror.Page{part(2, gone("a", 2)), part(1, row("a", 1))}, nil},
+		"Removed":       {[]snipemirror.Page{whole(1, row("a", 1)), part(2, gone(2))}, nil},
+		"RemovedLate":   {[]snipemirror.Page{whole(3, row("a", 3)), part(2, gone(2))}, []snipemirror.Row{row("a", 3)}},
+		"Back":          {[]snipemirror.Page{part(2, gone(2)), part(3, row("a", 3))}, []snipemirror.Row{row("a", 3)}},
+		"OlderAfterEnd": {[]snipemirror.Page{part(2, gone(2)), part(1, row("a", 1))}, nil},
 		"Absent":        {[]snipemirror.Page{whole(1, row("a", 1)), whole(2, row("b", 2))}, []snipemirror.Row{row("b", 2)}},
 		"AbsentBefore":  {[]snipemirror.Page{whole(5, row("a", 5)), whole(3, row("b", 2))}, []snipemirror.Row{row("a", 5), row("b", 2)}},
 	}
@@ -72,13 +73,13 @@
 		must.NoError(t, err)
 		must.True(t, p.Whole)
 		must.Len(t, 2, p.Rows)
-		time.AfterFunc(300*time.Millisecond, func() { m.Apply(part(8, gone("a", 7), row("c", 8))) })
+		time.AfterFunc(300*time.Millisecond, func() { m.Apply(part(8, gone(7), row("c", 8))) })
 		begun := time.Now()
 		p, err = m.Watch(t.Context(), p.Position, time.Second)
 		must.NoError(t, err)
 		must.Eq(t, 300*time.Millisecond, time.Since(begun))
 		must.False(t, p.Whole)
-		must.Eq(t, []snipemirror.Row{gone("a", 7), row("c", 8)}, p.Rows)
+		must.Eq(t, []snipemirror.Row{gone(7), row("c", 8)}, p.Rows)
 		p, err = m.Watch(t.Context(), p.Position, time.Second)
 		must.NoError(t, err)
 		must.SliceEmpty(t, p.Rows)
--- /dev/null
+++ b/snipesoak/instance.go
@@ -0,0 +1,115 @@
+package snipesoak
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipeentry"
+	"snipepitch.example/snipepitch/snipejson"
+)
+
+// stopTimeout is the instances' bound for a planned stop.
+const stopTimeout = 6 * time.Second
+
+// instance is one process of the program.
+type instance struct {
+	soak  *Soak
+	name  string
+	store netip.AddrPort
+
+	callers, ready, peers, metrics netip.AddrPort
+
+	// turn is held by the fault that has the process in hand.
+	turn sync.Mutex
+
+	lock    sync.Mutex // guards the fields below
+	process *os.Process
+	ended   chan struct{}
+}
+
+// reserve finds free ports. They are released before the process takes them.
+func (i *instance) reserve() error {
+	for _, a := range []*netip.AddrPort{&i.callers, &i.ready, &i.peers, &i.metrics} {
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback))
+		if err != nil {
+			return err
+		}
+		*a = l.Addr().(*net.TCPAddr).AddrPort()
+		defer func() { _ = l.Close() }()
+	}
+	return nil
+}
+
+// start starts the process.
+func (i *instance) start() error {
+	settings := snipeentry.Settings{
+		Name: i.name, Domain: "here", Callers: i.callers, Ready: i.ready, Peers: i.peers, Metrics: i.metrics,
+		Table: i.store, OrderGap: snipejson.Duration(orderGap), RetryShare: 1, RetrySlack: 1000,
+		StopTimeout: snipejson.Duration(stopTimeout), LogLevel: "info",
+	}
+	for _, other := range i.soak.instances {
+		settings.Seeds = append(settings.Seeds, other.peers)
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(i.soak.Folder, i.name+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(i.soak.log(i.name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()                            // the process has its own
+	c := exec.Command(i.soak.Program, "entry", "-settings", path) //nolint:gosec // the program under test
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// How it ended shows in its log.
+		_ = c.Wait()
+	}()
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	i.process, i.ended = c.Process, ended
+	return nil
+}
+
+// signal sends a signal to the process, if it runs.
+func (i *instance) signal(s syscall.Signal) {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	if i.process != nil {
+		// It may have ended by itself.
+		_ = i.process.Signal(s)
+	}
+}
+
+// kill ends the process and waits for its end.
+func (i *instance) kill() {
+	i.signal(syscall.SIGKILL)
+	i.wait()
+}
+
+func (i *instance) wait() {
+	i.lock.Lock()
+	ended := i.ended
+	i.lock.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -39,7 +39,7 @@
 	orders   uint64
 	leaving  bool
 	ran      map[string]int
-	holders  []string
+	taken    []TakenOrder
 	overfull int
 }
 
@@ -112,12 +112,19 @@
 	return r.names()
 }
 
-// Holders returns who gave the orders, in their order; Overfull how often more was
-// ordered than fits.
-func (r *Runner) Holders() (holders []string, overfull int) {
+// TakenOrder is an order that a runner has taken.
+type TakenOrder struct {
+	Holder string
+	Fence  uint64
+	At     time.Time
+}
+
+// Taken returns the orders that were taken; overfull is how often more was ordered
+// than fits.
+func (r *Runner) Taken() (orders []TakenOrder, overfull int) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return slices.Clone(r.holders), r.overfull
+	return slices.Clone(r.taken), r.overfull
 }
 
 // Leave makes the runner say that it is leaving.
@@ -243,7 +250,7 @@
 			return http.StatusOK
 		}
 		delete(r.held, o.Adapter)
-		r.taken(o)
+		r.take(o)
 		return http.StatusOK
 	}
 	target := max(o.Version, r.newest[o.Adapter], 1)
@@ -256,16 +263,16 @@
 	if len(r.held)+len(r.coming) >= r.Slots {
 		r.overfull++
 	}
-	r.taken(o)
+	r.take(o)
 	r.coming[o.Adapter] = target
 	time.AfterFunc(r.Load, func() { r.arrive(o.Adapter, target) })
 	return http.StatusAccepted
 }
 
-// taken notes an order. The lock is held.
-func (r *Runner) taken(o runnerOrder) {
+// take notes an order. The lock is held.
+func (r *Runner) take(o runnerOrder) {
 	r.orders++
-	r.holders = append(r.holders, o.Holder)
+	r.taken = append(r.taken, TakenOrder{Holder: o.Holder, Fence: o.Fence, At: time.Now()})
 }
 
 func (r *Runner) arrive(adapter string, version int64) {
