--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -36,7 +36,7 @@
 	// there is another choice. Reports of use come every 0.3 s and tell what is in
 	// flight. An engine that has to wait for an answer before it unloads takes no
 	// other order; a longer calm leaves too few to choose from under heavy load.
-	calmUse = 500 * time.Millisecond
+	calmUse = 300 * time.Millisecond
 )
 
 // Desk gives orders to the engines that this instance owns. Exported fields are
--- a/snipeentry/near.go
+++ b/snipeentry/near.go
@@ -1,7 +1,6 @@
 package snipeentry
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -50,31 +49,42 @@
 // store for it. An instance that the store does not answer may ask them all, and
 // those that its settings name when it knows of nobody yet.
 func (i *Instance) readers(lost bool) []netip.AddrPort {
-	var near, far []netip.AddrPort
+	var near, far []snipeowner.Instance
 	for peer, other := range i.holder.View().Live {
 		switch {
 		case other.Leaving || other.Standby, lost && peer == i.Settings.Peers:
 		case other.Domain == i.Settings.Domain:
-			near = append(near, peer)
-		default:
-			far = append(far, peer)
+			near = append(near, other)
+		case lost:
+			far = append(far, other)
 		}
 	}
-	byRank := func(a, b netip.AddrPort) int {
-		return cmp.Compare(snipeowner.Rank(netip.AddrPort{}, b), snipeowner.Rank(netip.AddrPort{}, a))
-	}
-	slices.SortFunc(near, byRank)
+	readers := addresses(near)
 	if !lost {
-		return near
+		return readers
 	}
-	slices.SortFunc(far, byRank)
-	near = append(near, far...)
+	readers = append(readers, addresses(far)...)
 	for _, seed := range i.Settings.Seeds {
-		if seed != i.Settings.Peers && !slices.Contains(near, seed) {
-			near = append(near, seed)
+		if seed != i.Settings.Peers && !slices.Contains(readers, seed) {
+			readers = append(readers, seed)
+		}
+	}
+	return readers
+}
+
+// addresses returns where instances are reached, the first in rank first.
+func addresses(all []snipeowner.Instance) []netip.AddrPort {
+	slices.SortFunc(all, func(a, b snipeowner.Instance) int {
+		if a.Before(b) {
+			return -1
 		}
+		return 1
+	})
+	peers := make([]netip.AddrPort, 0, len(all))
+	for _, a := range all {
+		peers = append(peers, a.Peer)
 	}
-	return near
+	return peers
 }
 
 func decodePage(m *snipeproto.MirrorWatchResponse) snipemirror.Page {
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -43,6 +43,9 @@
 	RetrySlack float64
 	// StopTimeout bounds a planned stop.
 	StopTimeout snipejson.Duration
+	// Power is the share of a core that the machine gives the process; duties for
+	// all instances go to those that have most.
+	Power float64
 	// MemoryBytes is what the process may use.
 	MemoryBytes int64
 	// LogLevel is a level of logrus.
@@ -110,6 +113,8 @@
 		return invalid("RetrySlack", "is negative")
 	case s.StopTimeout.Value() < leastStop:
 		return invalid("StopTimeout", "is shorter than "+leastStop.String())
+	case s.Power < 0:
+		return invalid("Power", "is negative")
 	case s.MemoryBytes < 0:
 		return invalid("MemoryBytes", "is negative")
 	}
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -177,7 +177,7 @@
 	}
 	i.holder = &snipeowner.Holder{
 		Table:   snipeowner.Table{List: i.ownershipRows, Write: i.Platform.Write},
-		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain},
+		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain, Power: s.Power},
 		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), Clock: bootClock,
 		Operation: i.Operation, Reached: i.storeReached, Log: i.Log,
 	}
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -31,6 +31,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -86,6 +87,9 @@
 	// Peer is where other instances reach it.
 	Peer   netip.AddrPort
 	Domain string
+	// Power is the share of a core that its machine gives it. Duties for others go to
+	// those that have most.
+	Power float64 `json:",omitempty"`
 	// Leaving instances own nothing.
 	Leaving bool `json:",omitempty"`
 	// Standby instances own nothing either, and renew their rows rarely: there are
@@ -267,9 +271,8 @@
 		return false
 	}
 	ahead := 0
-	own := Rank(netip.AddrPort{}, h.Self.Peer)
 	for peer, s := range h.instance {
-		if peer != h.Self.Peer && !s.Leaving && h.live(s) && Rank(netip.AddrPort{}, peer) > own {
+		if peer != h.Self.Peer && !s.Leaving && h.live(s) && s.Before(h.Self) {
 			ahead++
 		}
 	}
@@ -309,10 +312,11 @@
 	return nil
 }
 
-// take notes the rows. A row that cannot be decoded hides no other.
+// take notes the rows. A row that cannot be decoded hides no other. Rows are never
+// removed: one that is missing was written here a moment ago, and the copy that is
+// read does not show it yet.
 func (h *Holder) take(rows []snipeplatform.Row, now time.Duration) {
-	instances := make(map[netip.AddrPort]sighting)
-	owners := make(map[netip.AddrPort]ownerRow)
+	instances, owners := maps.Clone(h.instance), maps.Clone(h.owners)
 	for _, r := range rows {
 		var err error
 		if engine, ok := strings.CutPrefix(r.Sort, ownerPrefix); ok {
@@ -527,6 +531,15 @@
 	return h.Clock()-s.since < limit
 }
 
+// Before reports whether an instance comes before another one where duties for all
+// are given to a few.
+func (i Instance) Before(other Instance) bool {
+	if i.Power != other.Power {
+		return i.Power > other.Power
+	}
+	return Rank(netip.AddrPort{}, i.Peer) > Rank(netip.AddrPort{}, other.Peer)
+}
+
 // Rank returns the value by which an instance ranks for an engine.
 func Rank(engine, instance netip.AddrPort) uint64 {
 	return sniperoute.Score(sniperoute.Hash(engine.String()), sniperoute.Hash(instance.String()))
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -59,6 +59,9 @@
 type link struct {
 	table *table
 	lock  sync.Mutex
+	// behind tells that reads show the rows as of the read before.
+	behind bool
+	shown  []snipeplatform.Row
 	// cut calls get no answer; lost ones are made late and get none.
 	cut  bool
 	lost float64
@@ -82,6 +85,9 @@
 	time.Sleep(l.delay())
 	rows := l.table.list(partition)
 	time.Sleep(l.delay())
+	if l.behind {
+		rows, l.shown = l.shown, rows
+	}
 	return rows, nil
 }
 
@@ -252,6 +258,24 @@
 	})
 }
 
+// TestCopyBehind: rows that are read from a copy which does not yet show what this
+// instance has written take nothing away from it.
+func TestCopyBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 5, 2, 4)
+		defer p.end()
+		for _, l := range p.links {
+			l.behind = true
+		}
+		p.watch(5 * time.Second)
+		must.Eq(t, 4, p.owned())
+		for range 100 {
+			p.watch(100 * time.Millisecond)
+			must.Eq(t, 4, p.owned())
+		}
+	})
+}
+
 // TestOwnerDies: the engines of an instance that died have another owner after the
 // lease.
 func TestOwnerDies(t *testing.T) {
