An instance that starts again takes its own engines back at once

Cause: after all instances had been killed each waited two seconds for others before it took engines, its own included, and the others did not ask it meanwhile. Ruled out: reading the engines (0.05 s). Change: an earlier start's engines are taken with the first renewal; the owner is known by its machine.

--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -75,7 +75,8 @@
 	// between the check of an order's right and its arrival.
 	margin = 300 * time.Millisecond
 	// settleTime is how long an instance that starts looks for others before it
-	// takes engines: all start within a third of a second of each other.
+	// takes engines that were not its own: all start within a third of a second of
+	// each other.
 	settleTime = 2 * time.Second
 )
 
@@ -511,7 +512,8 @@
 			v.Owners[engine] = Owner{Instance: h.Self, Self: true}
 			continue
 		}
-		if i, ok := v.Live[o.Machine]; ok && i.Incarnation == o.Incarnation {
+		// One that has started again takes its engines back at once.
+		if i, ok := v.Live[o.Machine]; ok {
 			v.Owners[engine] = Owner{Instance: i}
 		}
 	}
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -310,7 +310,7 @@
 		defer p.end()
 		p.watch(5 * time.Second)
 		p.start(0)
-		p.watch(4 * time.Second)
+		p.watch(1500 * time.Millisecond)
 		must.Eq(t, 3, p.owned())
 	})
 }
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -19,16 +19,18 @@
 }
 
 // wanted returns the engines without a live owner for which this instance ranks
-// first among the live ones.
+// first among the live ones, and those that an earlier start of it owned.
 func (h *Holder) wanted() []takeover {
-	now := h.Clock()
-	if now-h.started < settleTime || h.stale {
+	if h.stale {
 		return nil
 	}
+	now := h.Clock()
+	settled := now-h.started >= settleTime
 	var all []takeover
 	rows := 0
 	for _, engine := range h.Engines() {
-		if rows >= maxChanges || !h.first(engine) {
+		own := h.owners[engine].Machine == h.Self.Peer
+		if rows >= maxChanges || !own && !(settled && h.first(engine)) {
 			continue
 		}
 		t, ok := h.takeOver(engine, now)
