--- /dev/null
+++ b/snipegateway/choose_test.go
@@ -0,0 +1,173 @@
+package snipegateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeadapter"
+	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipegateway"
+)
+
+const service = "engines"
+
+// owners stands for the engines' owners: each load takes its time, engines that are
+// busy refuse.
+type owners struct {
+	lock     sync.Mutex
+	asked    []string
+	busy     map[string]time.Duration
+	canceled int
+}
+
+func (o *owners) ensure(ctx context.Context, u *snipedirectory.Upstream, _ snipecatalog.Adapter, _ int64, patience time.Duration) (int64, error) {
+	o.lock.Lock()
+	o.asked = append(o.asked, u.ID)
+	wait := o.busy[u.ID]
+	o.lock.Unlock()
+	if wait > patience {
+		return 0, &snipeadapter.BusyError{Wait: wait}
+	}
+	select {
+	case <-time.After(wait + 250*time.Millisecond):
+		return 1, nil
+	case <-ctx.Done():
+		o.lock.Lock()
+		defer o.lock.Unlock()
+		o.canceled++
+		return 0, ctx.Err()
+	}
+}
+
+func newChooser(o *owners, engines int) *snipegateway.Chooser {
+	c := &snipegateway.Chooser{
+		Directory: &snipedirectory.Keeper{}, Balancer: &snipebalance.Balancer{},
+		Residency: &snipeadapter.Residency{}, Versions: &snipecatalog.Keeper{},
+		Ensure: o.ensure, Owned: func(*snipedirectory.Upstream) bool { return true },
+		Instances: func() int { return 1 },
+	}
+	change := snipedirectory.Change{Whole: true}
+	for n := range engines {
+		change.Changed = append(change.Changed, &snipedirectory.Upstream{
+			ID: fmt.Sprint("e", n), Service: service, Slots: 64, Models: []string{"base"},
+			Address: netip.MustParseAddrPort(fmt.Sprintf("10.9.0.%d:80", n+1)),
+		})
+	}
+	c.Directory.Apply(change)
+	return c
+}
+
+var request = &snipegateway.Request{Adapter: snipecatalog.Adapter{Model: "base", Name: "a1"}}
+
+const objective = 600 * time.Millisecond
+
+// TestOneLoadForAll answers the pattern of a cold start: many callers ask for one
+// adapter at once. One load serves them all, and the next ones find it.
+func TestOneLoadForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &owners{}
+		c := newChooser(o, 12)
+		var all sync.WaitGroup
+		for range 10 {
+			all.Go(func() {
+				choice, err := c.Choose(t.Context(), service, request, nil, objective)
+				must.NoError(t, err)
+				must.Eq(t, 250*time.Millisecond, choice.Waited)
+			})
+		}
+		all.Wait()
+		must.Len(t, 1, o.asked)
+		choice, err := c.Choose(t.Context(), service, request, nil, objective)
+		must.NoError(t, err)
+		must.Eq(t, o.asked[0], choice.Upstream.ID)
+		must.Eq(t, 0, choice.Waited)
+	})
+}
+
+// TestSecondInRank answers the pattern of uneven load: the adapter's first engine has
+// more loads queued than it does at once, another one has not.
+func TestSecondInRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &owners{}
+		c := newChooser(o, 12)
+		first, err := c.Choose(t.Context(), service, request, nil, objective)
+		must.NoError(t, err)
+		home := first.Upstream.ID
+		c = newChooser(o, 12)
+		o.asked, o.busy = nil, map[string]time.Duration{home: 500 * time.Millisecond}
+		choice, err := c.Choose(t.Context(), service, request, nil, objective)
+		must.NoError(t, err)
+		must.NotEq(t, home, choice.Upstream.ID)
+		must.Eq(t, []string{home, choice.Upstream.ID}, o.asked)
+	})
+}
+
+// TestRefusedAtOnce answers the pattern of a storm: no engine can load the adapter
+// within the objective. The caller hears at once when there is room.
+func TestRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &owners{busy: map[string]time.Duration{}}
+		for n := range 12 {
+			o.busy[fmt.Sprint("e", n)] = 2 * time.Second
+		}
+		begun := time.Now()
+		_, err := newChooser(o, 12).Choose(t.Context(), service, request, nil, objective)
+		f := snipeerror.From(err)
+		must.Eq(t, snipeerror.NotRun, f.Outcome)
+		must.Eq(t, 2*time.Second, f.RetryAfter)
+		must.Eq(t, 0, time.Since(begun))
+	})
+}
+
+// TestQuestionTakenBack: when all callers have left, the owner is told.
+func TestQuestionTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &owners{}
+		c := newChooser(o, 3)
+		var all sync.WaitGroup
+		for n := range 3 {
+			all.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n+1)*50*time.Millisecond)
+				defer cancel()
+				_, err := c.Choose(ctx, service, request, nil, objective)
+				must.Error(t, err)
+			})
+		}
+		all.Wait()
+		synctest.Wait()
+		must.Eq(t, 1, o.canceled)
+	})
+}
+
+// TestReplicas: an adapter that is asked for often comes onto more engines, a rare one
+// does not.
+func TestReplicas(t *testing.T) {
+	tests := map[string]struct {
+		perSecond int
+		want      int
+	}{"Rare": {2, 1}, "Often": {13, 2}, "Hot": {70, 5}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := &owners{}
+				c := newChooser(o, 12)
+				for range 6 * tt.perSecond {
+					_, err := c.Choose(t.Context(), service, request, nil, objective)
+					must.NoError(t, err)
+					time.Sleep(time.Second / time.Duration(tt.perSecond))
+				}
+				must.Len(t, tt.want, o.asked)
+			})
+		})
+	}
+}
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -30,7 +30,7 @@
 	rows := 0
 	for _, engine := range h.Engines() {
 		own := h.owners[engine].Machine == h.Self.Peer
-		if rows >= maxChanges || !own && !(settled && h.first(engine)) {
+		if rows >= maxChanges || !own && (!settled || !h.first(engine)) {
 			continue
 		}
 		t, ok := h.takeOver(engine, now)
--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"snipepitch.example/snipepitch/snipestand"
 )
 
 // kind is a kind of request.
@@ -59,11 +61,11 @@
 	}
 	q.GetBody = nil // so that net/http sends nothing again by itself
 	q.Host = host
-	q.Header.Set("X-Snipepitch-Attempt-Id", id)
-	q.Header.Set("X-Snipepitch-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	model := ""
 	if k.stream {
-		q.Header.Set("X-Snipepitch-Model", fmt.Sprint("base/a", r.IntN(adapters)))
+		model = fmt.Sprint("base/a", r.IntN(adapters))
 	}
+	snipestand.CallerHeader(q.Header, id, patience, model)
 	answer, err := client.Do(q)
 	if err != nil {
 		return false
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -197,8 +197,7 @@
 	for _, u := range s.runners {
 		u.Announce(adapter, version)
 	}
-	entry := object{"model": "base", "adapter": adapter, "version": version}
-	if err := s.store.Put("op", "version/base."+adapter, entry); err != nil {
+	if err := s.store.NameVersion("base", adapter, version); err != nil {
 		return err.Error()
 	}
 	return adapter
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -77,6 +77,8 @@
 	callers = 12
 	// orderGap is the least time between two turns of an instance at an engine.
 	orderGap = 3 * time.Second
+	// maxBody bounds the bodies of requests in bytes.
+	maxBody = 1 << 20
 	// thawSlack is how long after a process goes on an order of it does not count: it
 	// had passed its check before.
 	thawSlack = 300 * time.Millisecond
@@ -206,30 +208,24 @@
 	}
 }
 
-type object = map[string]any
-
 // declare writes the next version of the operators' catalog.
 func (s *Soak) declare() error {
 	s.version++
-	route := func(prefix, kind, service string, resumable bool) object {
-		return object{
-			"name": prefix, "host": host, "prefix": prefix, "routeKind": kind, "service": service,
-			"timeoutMs": 5000, "targetLatencyMs": 1000, "maxAttempts": 2, "resumable": resumable,
+	route := func(prefix, kind, service string, resumable bool) snipestand.DeclaredRoute {
+		return snipestand.DeclaredRoute{
+			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Service: service,
+			Timeout: 5000, Target: 1000, MaxAttempts: 2, Resumable: resumable,
 		}
 	}
-	service := func(name string, engine object) object { return object{"name": name, "engine": engine} }
-	return s.store.Put("op", "config", object{
-		"version": s.version,
-		"routes": []object{
-			route("/once/", "non_idempotent", "plain", false), route("/often/", "idempotent", "plain", false),
-			route("/draft/", "streaming", "engines", true), route("/final/", "streaming", "engines", false),
-		},
-		"services": []object{
-			service("plain", nil),
-			service("engines", object{"adapterSlots": places, "models": []object{{"name": "base"}}}),
-		},
-		"limits": object{"maxBodyBytes": 1 << 20},
-	})
+	return s.store.Declare(s.version, []snipestand.DeclaredRoute{
+		route("/once/", snipestand.RouteOnce, "plain", false), route("/often/", snipestand.RouteOften, "plain", false),
+		route("/draft/", snipestand.RouteStream, "engines", true), route("/final/", snipestand.RouteStream, "engines", false),
+	}, []snipestand.DeclaredService{
+		{Name: "plain"},
+		{Name: "engines", Engine: &snipestand.DeclaredEngine{
+			AdapterSlots: places, Models: []snipestand.DeclaredModel{{Name: "base"}},
+		}},
+	}, maxBody)
 }
 
 // recover waits until each instance serves each kind of request.
