--- a/cmd/snipepitchd/entry.go
+++ b/cmd/snipepitchd/entry.go
@@ -79,7 +79,7 @@
 	}}
 	i := &snipeentry.Instance{
 		Settings: s, Incarnation: rand.Text(), Operation: rand.Text,
-		Log:    snipelog.New(buffer, level, s.Name),
+		Log: snipelog.New(buffer, level, s.Name), LogDropped: buffer.Dropped,
 		Reload: func() (snipeentry.Settings, error) { return snipeentry.LoadSettings(path) },
 		Platform: snipeentry.Platform{
 			Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -92,6 +92,8 @@
 	// Operation returns a new identifier for a write.
 	Operation func() string
 	Log       *snipelog.Logger
+	// LogDropped returns how many log lines were dropped; nil for none.
+	LogDropped func() uint64
 	// Reload reads the settings file again; its errors leave all as it is.
 	Reload func() (Settings, error)
 	// Listen opens a listener; nil for TCP.
@@ -182,6 +184,7 @@
 		Operation: i.Operation, Reached: i.storeReached, Log: i.Log,
 	}
 	i.buildTables()
+	i.gauges()
 	i.desk = &snipeadapter.Desk{
 		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: s.Name, Log: i.Log,
 		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
@@ -204,6 +207,22 @@
 	}
 }
 
+// gauges registers what is read at each scrape.
+func (i *Instance) gauges() {
+	if i.LogDropped != nil {
+		i.meter.Gauge("snipepitch_log_lines_dropped", func() float64 { return float64(i.LogDropped()) })
+	}
+	i.meter.Gauge("snipepitch_requests_in_flight", func() float64 { return float64(i.gateway.InFlight()) })
+	i.meter.Gauge("snipepitch_upstreams", func() float64 { return float64(i.directory.Snapshot().Len()) })
+	i.meter.Gauge("snipepitch_instances", func() float64 { return float64(i.instances()) })
+	for name, f := range map[string]*snipemirror.Follower{
+		"catalog": i.tables.catalog, "directory": i.tables.directory, "ownership": i.tables.ownership,
+	} {
+		label := `snipepitch_table_age_seconds{table="` + name + `"}`
+		i.meter.Gauge(label, func() float64 { return f.Mirror.Age().Seconds() })
+	}
+}
+
 // bootClock is a steady clock that also counts the time for which the machine is
 // suspended: a lease lapses meanwhile.
 func bootClock() time.Duration {
