A copy that its reader no longer renews is followed for 1.4 s, not 2.5

Ruled out: the check right before a request is sent, which used what was known. Change: a copy is waited for only until the rows here reach their greatest age, 1.4 s, then the store is read itself; operators' rows are read once a second, so that their copies are fresh; less slack for a copy whose owner is frozen.

--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -17,8 +17,9 @@
 const (
 	// catalogWait is how long one read waits for a change of what operators
 	// declared. A connection that has gone silent hides changes no longer than
-	// this and the store's timeout.
-	catalogWait = 3 * time.Second
+	// this and the store's timeout, and a copy that others follow is as old as this
+	// when nothing changes.
+	catalogWait = time.Second
 	// catalogPace is the least time between two reads, so that a storm of changes
 	// costs ten reads a second at most.
 	catalogPace = 100 * time.Millisecond
@@ -26,9 +27,15 @@
 	// change all the time. Upstreams that leave take new work for two seconds.
 	directoryWait = time.Second
 	directoryPace = 1100 * time.Millisecond
+	// maxAge is how old another instance's copy of both may become: more than a
+	// read's time and pace, and so little that what must be known within two seconds
+	// is, when the reader loses the store at the worst moment.
+	maxAge = 1400 * time.Millisecond
 	// ownershipPace is the same for the rows of ownership, which change with each
 	// renewal. A dead owner is noticed after its lease, more than two seconds.
 	ownershipPace = 1500 * time.Millisecond
+	// ownershipAge is the same for their copies.
+	ownershipAge = 2500 * time.Millisecond
 	// maxOwnershipAge is how old the rows of ownership may be for it to be judged by
 	// them who lives: two reads.
 	maxOwnershipAge = 4 * time.Second
@@ -55,9 +62,9 @@
 }
 
 // follower returns the follower of a table.
-func (i *Instance) follower(table string, pace, wait time.Duration) *snipemirror.Follower {
+func (i *Instance) follower(table string, pace, wait, age time.Duration) *snipemirror.Follower {
 	return &snipemirror.Follower{
-		Mirror: snipemirror.New(), Store: i.Platform.Source(table), Pace: pace, Wait: wait,
+		Mirror: snipemirror.New(), Store: i.Platform.Source(table), Pace: pace, Wait: wait, MaxAge: age,
 		Near: func(failures int, lost bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
 			return i.near(table, failures, lost)
 		},
@@ -66,7 +73,7 @@
 
 func (i *Instance) buildTables() {
 	t := &i.tables
-	t.catalog = i.follower(i.Platform.DeclaredTable, catalogPace, catalogWait)
+	t.catalog = i.follower(i.Platform.DeclaredTable, catalogPace, catalogWait, maxAge)
 	t.catalog.Changed = func(rows []snipemirror.Row, position uint64) {
 		if len(rows) > 0 {
 			i.applyCatalog(i.Platform.DecodeDeclared(rows, position))
@@ -75,7 +82,7 @@
 	t.catalog.Lost = func(err error) { i.Log.Error(snipelog.CatalogStale, err, i.catalogFields()) }
 	t.catalog.Back = func() { i.Log.Log(snipelog.CatalogFresh, i.catalogFields()) }
 
-	t.directory = i.follower(i.Platform.UpstreamTable, directoryPace, directoryWait)
+	t.directory = i.follower(i.Platform.UpstreamTable, directoryPace, directoryWait, maxAge)
 	t.directory.Changed = i.applyDirectory
 	t.directory.Lost = func(err error) {
 		i.Log.Error(snipelog.DirectoryStale, err, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
@@ -85,7 +92,7 @@
 		i.Log.Log(snipelog.DirectoryFresh, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
 	}
 
-	t.ownership = i.follower(snipeowner.Partition, ownershipPace, directoryWait)
+	t.ownership = i.follower(snipeowner.Partition, ownershipPace, directoryWait, ownershipAge)
 	t.ownership.Changed = func([]snipemirror.Row, uint64) {}
 	// The holder tells of the loss of the store itself, by its renewals.
 	t.ownership.Lost, t.ownership.Back = func(error) {}, func() {}
--- a/snipeentry/near.go
+++ b/snipeentry/near.go
@@ -15,7 +15,7 @@
 
 // nearSlack is how much longer than its wait a read of another instance's copy may
 // take: both are in one failure domain.
-const nearSlack = 500 * time.Millisecond
+const nearSlack = 200 * time.Millisecond
 
 // near returns how to read another instance's copy of a table: that of the instance
 // which reads the store for this failure domain, or of the next one in rank after
--- a/snipemirror/follow.go
+++ b/snipemirror/follow.go
@@ -14,9 +14,6 @@
 const (
 	// failurePause is the time between two reads while the store does not answer.
 	failurePause = 300 * time.Millisecond
-	// maxAge is how old another instance's copy may be: its pace and a long wait for
-	// the store's answer.
-	maxAge = 2500 * time.Millisecond
 	// distrust is how long the store is read itself after another instance's copy
 	// could not be had.
 	distrust = 3 * time.Second
@@ -27,7 +24,7 @@
 // it has to be read.
 type Source struct {
 	Read  func(ctx context.Context) (Page, error)
-	Watch func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
+	Watch watchFunc
 }
 
 // Follower keeps a mirror. Exported fields are set before Run.
@@ -38,7 +35,7 @@
 	// Near returns how to read the copy of another instance; false when this
 	// instance is to read the store itself. It is told how many others have failed in
 	// a row, and whether the store does not answer this instance.
-	Near func(failures int, lost bool) (func(ctx context.Context, after uint64, wait time.Duration) (Page, error), bool)
+	Near func(failures int, lost bool) (watchFunc, bool)
 	// Changed takes the rows of each reading that are new here; none when it only
 	// showed that nothing has changed.
 	Changed func(rows []Row, position uint64)
@@ -49,6 +46,9 @@
 	// for a change.
 	Pace time.Duration
 	Wait time.Duration
+	// MaxAge is how old another instance's copy may become before the store is read
+	// itself: somewhat more than the longer of Pace and Wait.
+	MaxAge time.Duration
 
 	lock   sync.Mutex         // guards cancel
 	cancel context.CancelFunc // ends a read of the store
@@ -117,14 +117,7 @@
 func (f *Follower) next(ctx context.Context) (Page, bool, error) {
 	position, known := f.Mirror.Position()
 	if watch, ok := f.near(); ok {
-		wait := f.Wait
-		if f.lost {
-			wait = 0
-		}
-		page, err := watch(ctx, position, wait)
-		if err == nil && page.Age > maxAge {
-			err = errors.Wrap(ErrStale, page.Age.String())
-		}
+		page, err := f.copy(ctx, watch, position)
 		return page, true, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -145,7 +138,28 @@
 	}
 }
 
-func (f *Follower) near() (func(ctx context.Context, after uint64, wait time.Duration) (Page, error), bool) {
+// copy reads another instance's copy, no longer than until the rows here are too old:
+// what it has not told by then has to come from the store.
+func (f *Follower) copy(ctx context.Context, watch watchFunc, position uint64) (Page, error) {
+	wait := min(f.Wait, f.MaxAge-f.Mirror.Age())
+	_, known := f.Mirror.Position()
+	switch {
+	case f.lost || !known:
+		wait = 0
+	case wait <= 0:
+		return Page{}, errors.Wrap(ErrStale, "the copy followed is not renewed")
+	}
+	page, err := watch(ctx, position, wait)
+	if err == nil && page.Age > f.MaxAge {
+		err = errors.Wrap(ErrStale, page.Age.String())
+	}
+	return page, err
+}
+
+// watchFunc reads what has changed after a position, waiting for it for up to wait.
+type watchFunc = func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
+
+func (f *Follower) near() (watchFunc, bool) {
 	if f.Near == nil {
 		return nil, false
 	}
--- a/snipemirror/snipemirror.go
+++ b/snipemirror/snipemirror.go
@@ -11,8 +11,8 @@
 // Invariants:
 //
 //   - A row never goes back to an older version.
-//   - A copy that another instance has not renewed from the store for maxAge is not
-//     taken; the store is asked instead.
+//   - A copy that another instance has not renewed from the store for MaxAge is not
+//     taken, nor waited for any longer; the store is asked instead.
 package snipemirror
 
 import (
--- a/snipemirror/snipemirror_test.go
+++ b/snipemirror/snipemirror_test.go
@@ -144,7 +144,7 @@
 	f.Mirror = snipemirror.New()
 	f.Changed = func([]snipemirror.Row, uint64) {}
 	f.Lost, f.Back = func(error) { lost.Add(1) }, func() { back.Add(1) }
-	f.Pace, f.Wait = time.Second, 3*time.Second
+	f.Pace, f.Wait, f.MaxAge = time.Second, time.Second, 1400*time.Millisecond
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { _ = f.Run(ctx) })
@@ -215,6 +215,34 @@
 	}
 }
 
+// TestReaderLosesStore: when the instance whose copy is followed loses the store, what
+// has changed meanwhile is known within 1.5 s of its last reading.
+func TestReaderLosesStore(t *testing.T) {
+	for name, frozen := range map[string]bool{"Silenced": false, "Frozen": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeStore{version: 9}
+				reader := snipemirror.New()
+				reader.Apply(whole(5, row("a", 5)))
+				f := &snipemirror.Follower{Store: snipemirror.Source{Read: s.read, Watch: s.watch}}
+				f.Near = func(int, bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+					return func(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
+						if frozen && after > 0 {
+							time.Sleep(wait + 100*time.Millisecond)
+							return snipemirror.Page{}, context.DeadlineExceeded
+						}
+						return reader.Watch(ctx, after, wait)
+					}, true
+				}
+				follow(t, f)
+				time.Sleep(1550 * time.Millisecond)
+				position, _ := f.Mirror.Position()
+				must.Eq(t, 9, position)
+			})
+		})
+	}
+}
+
 // TestStoreServesOthers: an instance that the store does not answer learns from
 // others, the next one after each that fails.
 func TestStoreServesOthers(t *testing.T) {
