Test of a copy that is behind sets its link under the lock

Ruled out: a race in the holder; both accesses of the report are in the test. Change: the field is set and read under the link's lock. Conclusion: the check is as strict as before.

--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -85,10 +85,25 @@
 	time.Sleep(l.delay())
 	rows := l.table.list(partition)
 	time.Sleep(l.delay())
+	return l.show(rows), nil
+}
+
+// show returns the rows that a read gets: those of the read before for a link that
+// is behind.
+func (l *link) show(rows []snipeplatform.Row) []snipeplatform.Row {
+	l.lock.Lock()
+	defer l.lock.Unlock()
 	if l.behind {
 		rows, l.shown = l.shown, rows
 	}
-	return rows, nil
+	return rows
+}
+
+// fallBehind makes reads show the rows as of the read before.
+func (l *link) fallBehind() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.behind = true
 }
 
 func (l *link) write(_ context.Context, operation string, changes []snipeplatform.Change) (uint64, error) {
@@ -265,7 +280,7 @@
 		p := newPlay(t, 5, 2, 4)
 		defer p.end()
 		for _, l := range p.links {
-			l.behind = true
+			l.fallBehind()
 		}
 		p.watch(5 * time.Second)
 		must.Eq(t, 4, p.owned())
