A load states the adapter's version and waits for the same adapter's earlier one

The repeat of a load is the question whether it is complete. It named no version where none was known; a version announced meanwhile made the repeat a load of its own, which had no place. Second cause, found by the new test under the race detector: a newer version ordered while the older one was on its way was counted once. Measured with the platform's engines: a stated version is exact, naming 1 where 2 is held replaces it; adapters without an announcement have version 1. The stand-in took the greater of both and now does as they do. Change: loads state the version; loads of one adapter go one after another. The soak draws ports below those of outgoing connections: one of seven parallel plays did not start, 'address already in use' in its log.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -37,6 +37,9 @@
 	// flight. An engine that has to wait for an answer before it unloads takes no
 	// other order; a longer calm leaves too few to choose from under heavy load.
 	calmUse = 300 * time.Millisecond
+	// firstVersion is the version of an adapter before any was announced, as engines
+	// list it.
+	firstVersion = 1
 )
 
 // Desk gives orders to the engines that this instance owns. Exported fields are
@@ -85,9 +88,11 @@
 	models map[string]bool
 	held   map[snipecatalog.Adapter]*holding
 	loads  map[snipecatalog.Adapter]*load
-	// queue are the loads that wait for their turn, onTheWay how many have it.
+	// queue are the loads that wait for their turn, onTheWay how many have it, of the
+	// adapters in bringing.
 	queue    []*load
 	onTheWay int
+	bringing map[snipecatalog.Adapter]bool
 }
 
 // turn is taken by one goroutine at a time.
@@ -138,7 +143,7 @@
 	if !e.serves(a.Model) {
 		return 0, errors.Wrap(ErrNoModel, id)
 	}
-	l, held, err := e.want(a, max(version, d.Newest(a)), version, patience)
+	l, held, err := e.want(a, d.target(a, version), version, patience)
 	if l == nil {
 		return held, err
 	}
@@ -154,6 +159,13 @@
 	return l.version, nil
 }
 
+// target returns the version to load of an adapter of which at least one version is
+// asked for. It is always stated: the repeat of an order that states none would begin
+// the load of a version that was announced meanwhile, which has no place.
+func (d *Desk) target(a snipecatalog.Adapter, least int64) int64 {
+	return max(least, d.Newest(a), firstVersion)
+}
+
 // Used notes how often adapters were used on an engine since the last report.
 func (d *Desk) Used(id string, uses map[snipecatalog.Adapter]int) {
 	d.lock.Lock()
@@ -234,6 +246,7 @@
 	e := &engine{
 		desk: d, id: id, ordering: make(turn, 1),
 		held: make(map[snipecatalog.Adapter]*holding), loads: make(map[snipecatalog.Adapter]*load),
+		bringing: make(map[snipecatalog.Adapter]bool),
 	}
 	d.engines[id] = e
 	return e
--- a/snipeadapter/desk_test.go
+++ b/snipeadapter/desk_test.go
@@ -37,6 +37,8 @@
 	held   map[snipecatalog.Adapter]int64
 	coming map[snipecatalog.Adapter]int64
 	before map[snipecatalog.Adapter]bool
+	// newest are the announced versions, which a load that names none fetches.
+	newest map[snipecatalog.Adapter]int64
 	// lost is the share of orders that get no answer, late of which are carried out
 	// seconds later.
 	lost, late float64
@@ -49,7 +51,7 @@
 	return &fakeEngine{
 		rand: rand.New(rand.NewPCG(seed, 7)), models: []string{model},
 		held: map[snipecatalog.Adapter]int64{}, coming: map[snipecatalog.Adapter]int64{},
-		before: map[snipecatalog.Adapter]bool{},
+		before: map[snipecatalog.Adapter]bool{}, newest: map[snipecatalog.Adapter]int64{},
 	}
 }
 
@@ -85,11 +87,14 @@
 		}
 		return snipeadapter.Holds
 	}
-	target := max(o.Version, 1)
-	if held && version >= target {
+	target := o.Version
+	if target == 0 {
+		target = max(f.newest[o.Adapter], 1)
+	}
+	if held && version == target {
 		return snipeadapter.Holds
 	}
-	if f.coming[o.Adapter] >= target {
+	if f.coming[o.Adapter] == target {
 		return snipeadapter.Taken
 	}
 	f.orders++
@@ -109,6 +114,13 @@
 	return snipeadapter.Taken
 }
 
+// announce makes a version the newest.
+func (f *fakeEngine) announce(a snipecatalog.Adapter, version int64) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.newest[a] = version
+}
+
 // begun returns how many loads were begun.
 func (f *fakeEngine) begun() int {
 	f.lock.Lock()
@@ -116,6 +128,13 @@
 	return f.loads
 }
 
+// overfull reports whether it was ever ordered to hold more than it can.
+func (f *fakeEngine) overfull() bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.crashed
+}
+
 func (f *fakeEngine) setModels(models []string) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
@@ -235,7 +254,7 @@
 						time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
 					}
 					all.Wait()
-					must.False(t, e.crashed)
+					must.False(t, e.overfull())
 					must.Less(t, 30, failed)
 					if tt.lost == 0 {
 						must.Eq(t, 0, failed)
@@ -246,6 +265,47 @@
 	}
 }
 
+// TestVersionsWhileLoading announces versions while loads are under way, of which the
+// desk hears later than the engine: no question about a load begins another one that
+// has no place.
+func TestVersionsWhileLoading(t *testing.T) {
+	const hearing = 300 * time.Millisecond
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, seed, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+				r := rand.New(rand.NewPCG(seed, 4))
+				var lock sync.Mutex
+				heard := map[snipecatalog.Adapter]int64{}
+				d.Newest = func(a snipecatalog.Adapter) int64 {
+					lock.Lock()
+					defer lock.Unlock()
+					return heard[a]
+				}
+				var all sync.WaitGroup
+				for n := range 150 {
+					a := adapter(r.IntN(20))
+					all.Go(func() {
+						_, err := d.Ensure(t.Context(), "e1", a, 0, time.Minute)
+						must.NoError(t, err)
+					})
+					time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
+					if version := int64(n + 2); r.IntN(2) == 0 {
+						e.announce(a, version)
+						time.AfterFunc(hearing, func() {
+							lock.Lock()
+							heard[a] = version
+							lock.Unlock()
+							d.Refresh(a, version)
+						})
+					}
+				}
+				all.Wait()
+				must.False(t, e.overfull())
+			})
+		})
+	}
+}
+
 // TestReplacement: a new version takes a place of its own while the one before it is
 // still there.
 func TestReplacement(t *testing.T) {
@@ -259,7 +319,7 @@
 		version, err := d.Ensure(t.Context(), "e1", adapter(0), 2, patient)
 		must.NoError(t, err)
 		must.Eq(t, 2, version)
-		must.False(t, e.crashed)
+		must.False(t, e.overfull())
 	})
 }
 
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -97,15 +97,12 @@
 	l.waiting--
 }
 
-// begin starts the loads whose turn it is: those that most wait for, the oldest
-// first. The lock is held.
+// begin starts the loads whose turn it is. The lock is held.
 func (e *engine) begin() {
-	for e.onTheWay < mostOnTheWay && len(e.queue) > 0 {
-		next := 0
-		for n, l := range e.queue {
-			if l.waiting > e.queue[next].waiting {
-				next = n
-			}
+	for e.onTheWay < mostOnTheWay {
+		next := e.nextLoad()
+		if next < 0 {
+			return
 		}
 		l := e.queue[next]
 		e.queue = slices.Delete(e.queue, next, next+1)
@@ -114,10 +111,27 @@
 			continue
 		}
 		e.onTheWay++
+		e.bringing[l.adapter] = true
 		go e.run(l)
 	}
 }
 
+// nextLoad returns which of the queued loads is next, or -1: the one that most wait
+// for, the oldest first. Another version of an adapter waits until the one before it
+// has come: two at once would take a place more than is counted. The lock is held.
+func (e *engine) nextLoad() int {
+	next := -1
+	for n, l := range e.queue {
+		if e.bringing[l.adapter] {
+			continue
+		}
+		if next < 0 || l.waiting > e.queue[next].waiting {
+			next = n
+		}
+	}
+	return next
+}
+
 // end ends a load. The lock is held.
 func (e *engine) end(l *load, err error) {
 	if e.loads[l.adapter] == l {
@@ -148,6 +162,7 @@
 	}
 	e.end(l, err)
 	e.onTheWay--
+	delete(e.bringing, l.adapter)
 	e.begin()
 }
 
--- a/snipeadapter/snipeadapter.go
+++ b/snipeadapter/snipeadapter.go
@@ -15,6 +15,8 @@
 //   - Each order states the number of orders that the engine has taken so far, so
 //     that one that comes late, after others, does nothing.
 //   - Loads that may have been taken count as adapters that the engine holds.
+//   - A load states the adapter's version, so that repeating it asks whether it is
+//     complete and never begins another load.
 //   - No order leaves without the right to order at that moment.
 package snipeadapter
 
@@ -64,7 +66,8 @@
 type Order struct {
 	Action  Action
 	Adapter snipecatalog.Adapter
-	// Version is the adapter's version; 0 for the newest.
+	// Version is the adapter's version, which the engine loads whichever one it
+	// holds; 0 for a base model.
 	Version int64
 	// Expect is the number of orders that the engine must have taken so far.
 	Expect uint64
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -36,10 +37,17 @@
 	ended   chan struct{}
 }
 
+// The ports of instances are below those that the system gives to outgoing
+// connections, one of which could take a port while its process is down.
+const lowestPort, ports = 12000, 18000
+
+// portTries bounds the search for a free port.
+const portTries = 100
+
 // reserve finds free ports. They are released before the process takes them.
 func (i *instance) reserve() error {
 	for _, a := range []*netip.AddrPort{&i.callers, &i.ready, &i.peers, &i.metrics} {
-		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback))
+		l, err := listenLow()
 		if err != nil {
 			return err
 		}
@@ -49,6 +57,19 @@
 	return nil
 }
 
+// listenLow listens on a port that is free, drawn anew for each run: several soaks may
+// run at once.
+func listenLow() (net.Listener, error) {
+	for range portTries {
+		port := lowestPort + rand.Uint32N(ports)                     //nolint:gosec // any free port will do
+		address := netip.AddrPortFrom(loopback.Addr(), uint16(port)) //nolint:gosec // at most 30,000
+		if l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.New("no free port was found")
+}
+
 // start starts the process.
 func (i *instance) start() error {
 	settings := snipeentry.Settings{
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -253,11 +253,14 @@
 		r.take(o)
 		return http.StatusOK
 	}
-	target := max(o.Version, r.newest[o.Adapter], 1)
-	if held && version >= target {
+	target := o.Version
+	if target == 0 {
+		target = max(r.newest[o.Adapter], 1)
+	}
+	if held && version == target {
 		return http.StatusOK
 	}
-	if r.coming[o.Adapter] >= target {
+	if r.coming[o.Adapter] == target {
 		return http.StatusAccepted
 	}
 	if len(r.held)+len(r.coming) >= r.Slots {
