Owners of engines decide about replicas, by the use of all instances

Cause: each instance counted its own requests and multiplied by the number of instances. Of 81 each sees 1/81: two requests in 2 s looked like 80 a second, and an adapter that suddenly is asked for 200 times a second came onto at most six engines, found by the others up to 2.5 s later through the registry. Change: instances report use each 80 ms (300 before); the owner sees the engine's whole rate, over 0.3 s, and has as many engines load the adapter as it takes. The answer to a report tells where else its adapters are and which are gone.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -112,9 +112,10 @@
 // holding is an adapter that an engine holds.
 type holding struct {
 	version int64
-	// used is when it was last used, uses how often it is.
+	// used is when it was last used, uses how often it is, rate how often of late.
 	used time.Time
 	uses Decay
+	rate Rate
 	// coming adapters take a place, and cannot be used yet.
 	coming bool
 	// replaced adapters are used while a newer version, which takes a place of its
@@ -126,6 +127,14 @@
 func (h *holding) note(now time.Time, n int) {
 	h.used = now
 	h.uses.Add(now, float64(n))
+	h.rate.Add(now, float64(n))
+}
+
+// inherit takes the use of what was known of the same adapter before.
+func (h *holding) inherit(known *holding) {
+	if known != nil {
+		h.used, h.uses, h.rate = known.used, known.uses, known.rate
+	}
 }
 
 // Ensure waits until an engine holds an adapter in at least the given version and
@@ -166,22 +175,53 @@
 	return max(least, d.Newest(a), firstVersion)
 }
 
-// Used notes how often adapters were used on an engine since the last report.
-func (d *Desk) Used(id string, uses map[snipecatalog.Adapter]int) {
+// Used notes how often adapters were used on an engine since the last report, and
+// returns those that it does not hold.
+func (d *Desk) Used(id string, uses map[snipecatalog.Adapter]int) (gone []snipecatalog.Adapter) {
 	d.lock.Lock()
 	e := d.engines[id]
 	d.lock.Unlock()
-	if e == nil {
-		return
+	if e == nil || !e.read.Load() {
+		return nil
 	}
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	now := time.Now()
 	for a, n := range uses {
-		if h := e.held[a]; h != nil {
+		switch h := e.held[a]; {
+		case h != nil:
 			h.note(now, n)
+		case e.loads[a] == nil:
+			gone = append(gone, a)
+		}
+	}
+	return gone
+}
+
+// Rates returns how often a second the adapters of an engine are used, of those that
+// are used at least so often.
+func (d *Desk) Rates(id string, least float64) map[snipecatalog.Adapter]float64 {
+	d.lock.Lock()
+	e := d.engines[id]
+	d.lock.Unlock()
+	if e == nil {
+		return nil
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	now := time.Now()
+	var rates map[snipecatalog.Adapter]float64
+	for a, h := range e.held {
+		perSecond := h.rate.PerSecond(now)
+		if perSecond < least {
+			continue
+		}
+		if rates == nil {
+			rates = make(map[snipecatalog.Adapter]float64)
 		}
+		rates[a] = perSecond
 	}
+	return rates
 }
 
 // Refresh replaces an adapter by a newer version on all engines of this desk that
--- a/snipeadapter/desk_test.go
+++ b/snipeadapter/desk_test.go
@@ -336,6 +336,59 @@
 	})
 }
 
+// TestRates: what many instances each ask for rarely adds up to what is asked for, a few
+// reports after it begins, and is over soon after it ends.
+func TestRates(t *testing.T) {
+	const instances, reports = 80, 80 * time.Millisecond
+	tests := map[string]struct{ perSecond, soon, least, most float64 }{
+		"Rare": {1, 0, 0.5, 2}, "Often": {15, 3, 12, 18}, "Hot": {150, 70, 130, 170},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			play(t, 9, func(t *testing.T, _ *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+				_, err := d.Ensure(t.Context(), "e1", adapter(1), 0, patient)
+				must.NoError(t, err)
+				r := rand.New(rand.NewPCG(9, 9))
+				rate := func() float64 { return d.Rates("e1", 0)[adapter(1)] }
+				report := func() {
+					for range instances {
+						n := 0
+						if r.Float64() < tt.perSecond*reports.Seconds()/instances {
+							n = 1
+						}
+						d.Used("e1", map[snipecatalog.Adapter]int{adapter(1): n})
+					}
+					time.Sleep(reports)
+				}
+				for range 4 {
+					report()
+				}
+				must.GreaterEq(t, tt.soon, rate())
+				const looks = 300
+				sum := 0.0
+				for range looks {
+					report()
+					sum += rate()
+				}
+				must.Between(t, tt.least, sum/looks, tt.most)
+				time.Sleep(2 * time.Second)
+				must.Less(t, 12, rate())
+			})
+		})
+	}
+}
+
+// TestUsedButGone: who reports the use of an adapter that the engine does not hold is
+// told so.
+func TestUsedButGone(t *testing.T) {
+	play(t, 10, func(t *testing.T, _ *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		_, err := d.Ensure(t.Context(), "e1", adapter(1), 0, patient)
+		must.NoError(t, err)
+		gone := d.Used("e1", map[snipecatalog.Adapter]int{adapter(1): 3, adapter(2): 1})
+		must.Eq(t, []snipecatalog.Adapter{adapter(2)}, gone)
+	})
+}
+
 // TestBusyAtOnce: a load that cannot be complete in time is refused at once, with the
 // time after which there is room.
 func TestBusyAtOnce(t *testing.T) {
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -180,9 +180,7 @@
 		return
 	}
 	h := &holding{version: l.version}
-	if known := e.held[l.adapter]; known != nil {
-		h.uses = known.uses
-	}
+	h.inherit(e.held[l.adapter])
 	h.note(time.Now(), max(l.waiting, 1))
 	e.held[l.adapter] = h
 }
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -197,9 +197,7 @@
 // hold notes an adapter of a report. The lock is held.
 func (e *engine) hold(held snipedirectory.Resident, old map[snipecatalog.Adapter]*holding, coming bool) {
 	h := &holding{version: held.Version, coming: coming}
-	if known := old[held.Adapter]; known != nil {
-		h.used, h.uses = known.used, known.uses
-	}
+	h.inherit(old[held.Adapter])
 	e.held[held.Adapter] = h
 }
 
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -13,6 +13,7 @@
 	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeproto"
 )
@@ -20,6 +21,8 @@
 // peerServer serves other instances' questions to this instance's desk.
 type peerServer struct {
 	desk *snipeadapter.Desk
+	// replicas returns where else an adapter of an engine is since a moment ago.
+	replicas func(a snipecatalog.Adapter, engine string) []snipegateway.Replica
 }
 
 // Ensure implements snipeproto.Adapter.
@@ -48,8 +51,18 @@
 	for n, name := range r.GetAdapters() {
 		uses[snipecatalog.Adapter{Model: r.GetModel(), Name: name}] = int(r.GetCounts()[n])
 	}
-	s.desk.Used(r.GetEngine(), uses)
-	return &snipeproto.AdapterUsedResponse{}, nil
+	answer := &snipeproto.AdapterUsedResponse{}
+	for _, a := range s.desk.Used(r.GetEngine(), uses) {
+		answer.Gone = append(answer.Gone, a.Name)
+	}
+	for a := range uses {
+		for _, other := range s.replicas(a, r.GetEngine()) {
+			answer.Replicas = append(answer.Replicas, &snipeproto.AdapterReplica{
+				Adapter: a.Name, Engine: other.Engine, Version: other.Version,
+			})
+		}
+	}
+	return answer, nil
 }
 
 // peers asks other instances' desks.
@@ -124,7 +137,9 @@
 		switch {
 		case !ok:
 		case owner.Self:
-			i.desk.Used(id, uses)
+			for _, a := range i.desk.Used(id, uses) {
+				i.residency.Deny(id, a)
+			}
 		default:
 			go i.reportUse(ctx, owner.Instance.Peer, id, uses)
 		}
@@ -148,8 +163,32 @@
 		r.Counts = append(r.Counts, int64(n))
 	}
 	for _, r := range byModel {
-		if _, err := i.peers.client(to).Used(ctx, r); err != nil {
+		answer, err := i.peers.client(to).Used(ctx, r)
+		if err != nil {
 			i.Log.Error(snipelog.PeerUnreached, err, snipelog.Fields{"Peer": to})
+			continue
+		}
+		i.learn(r, answer)
+	}
+}
+
+// learn takes what an engine's owner knows of the adapters in a report of use.
+func (i *Instance) learn(r *snipeproto.AdapterUsedRequest, answer *snipeproto.AdapterUsedResponse) {
+	for _, name := range answer.GetGone() {
+		i.residency.Deny(r.GetEngine(), snipecatalog.Adapter{Model: r.GetModel(), Name: name})
+	}
+	for _, other := range answer.GetReplicas() {
+		a := snipecatalog.Adapter{Model: r.GetModel(), Name: other.GetAdapter()}
+		i.residency.Tell(other.GetEngine(), a, other.GetVersion())
+	}
+}
+
+// spread has more engines load what is used much on this instance's engines.
+func (i *Instance) spread() {
+	for _, u := range i.engines() {
+		if _, ok := i.holder.Fence(u.Address); !ok {
+			continue
 		}
+		i.gateway.Chooser.Spread(u, i.desk.Rates(u.ID, snipegateway.ReplicaRate))
 	}
 }
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -55,8 +55,9 @@
 	// takeEvery is the time between two looks for engines that came to be this
 	// instance's.
 	takeEvery = 500 * time.Millisecond
-	// reportEvery is the time between two reports of use to engines' owners.
-	reportEvery = 300 * time.Millisecond
+	// reportEvery is the time between two reports of use to engines' owners: how soon
+	// an adapter that is suddenly asked for comes onto more engines, and is found there.
+	reportEvery = 80 * time.Millisecond
 	// lapseReturn is how long after an outage of the registry entries that lapsed
 	// meanwhile may take to come back.
 	lapseReturn = 2500 * time.Millisecond
@@ -132,7 +133,12 @@
 	i.duty(ctx, &g, func(ctx context.Context) error {
 		return snipetime.Every(ctx, sweepEvery, func(context.Context) { i.links.Sweep() })
 	})
-	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, reportEvery, i.reportUses) })
+	i.duty(ctx, &g, func(ctx context.Context) error {
+		return snipetime.Every(ctx, reportEvery, func(ctx context.Context) {
+			i.reportUses(ctx)
+			i.spread()
+		})
+	})
 	servers, err := i.listen(ctx, &g)
 	if err != nil {
 		return err
@@ -202,7 +208,7 @@
 		Budget: i.budgets.of, Stopping: i.phase.stopping, Log: i.Log, Meter: i.meter,
 		Chooser: &snipegateway.Chooser{
 			Directory: i.directory, Balancer: i.balancer, Residency: i.residency, Versions: i.catalog,
-			Ensure: i.ensure, Owned: i.owned, Instances: i.instances,
+			Ensure: i.ensure, Owned: i.owned,
 		},
 	}
 }
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -24,15 +24,6 @@
 	// 2 s for the wait in an engine's queue, which was up to 1.8 s under heavy load.
 	// Engines that are not in a queue's way have the new version within a second.
 	versionGrace = 1500 * time.Millisecond
-	// replicaRate is how many requests a second one engine should answer for one
-	// adapter: a quarter of what an engine can answer in all.
-	replicaRate = 15.0
-	// spareRate is from how many requests a second on an adapter has a second
-	// engine, so that the loss of one engine stalls few. A lower rate fills places
-	// that rarer adapters need: 12 served 0.4 in 100 more than 6 over six days played without processor time.
-	spareRate = 12.0
-	// maxReplicas bounds the engines that hold one adapter.
-	maxReplicas = 6
 	// loadTries is how many engines are asked to load an adapter soon, before the
 	// first of them is asked to do it late.
 	loadTries = 3
@@ -41,11 +32,6 @@
 	soon = 400 * time.Millisecond
 	// askTimeout bounds one question to an engine's owner.
 	askTimeout = 5 * time.Second
-	// replicaPatience is how long the load of one more replica may take: with more
-	// to do, the engine is no help.
-	replicaPatience = 300 * time.Millisecond
-	// rateWindow is the time over which requests for an adapter are counted.
-	rateWindow = 2 * time.Second
 )
 
 // Choice is where a request goes.
@@ -71,13 +57,11 @@
 	Ensure func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error)
 	// Owned reports whether an engine has an owner that can order it.
 	Owned func(u *snipedirectory.Upstream) bool
-	// Instances returns how many instances share the requests.
-	Instances func() int
 
-	lock    sync.Mutex // guards the fields below
-	flights map[flightKey]*flight
-	rates   map[snipecatalog.Adapter]*rate
-	uses    map[string]map[snipecatalog.Adapter]*use
+	lock     sync.Mutex // guards the fields below
+	flights  map[flightKey]*flight
+	replicas map[snipecatalog.Adapter]map[string]news
+	uses     map[string]map[snipecatalog.Adapter]*use
 }
 
 // use is the use of an adapter on one engine.
@@ -102,13 +86,6 @@
 	err     error
 }
 
-// rate counts requests for an adapter.
-type rate struct {
-	since    time.Time
-	count    float64
-	previous float64
-}
-
 // Choose returns an upstream of a service for a request; tried are those that
 // failed it, patience is how long an adapter may be waited for.
 func (c *Chooser) Choose(ctx context.Context, service string, q *Request, tried []string, patience time.Duration) (Choice, error) {
@@ -135,15 +112,11 @@
 func (c *Chooser) engine(ctx context.Context, all []*snipedirectory.Upstream, q *Request, patience time.Duration, fresh snipebalance.Filter) (Choice, error) {
 	a := q.Adapter
 	required := c.Versions.Required(a, versionGrace)
-	wanted := c.wanted(a, len(all))
 	holds := func(u *snipedirectory.Upstream) bool {
 		version, ok := c.Residency.Holds(u, a)
 		return ok && version >= required
 	}
 	held := c.held(all, holds)
-	if a.Name != "" && held > 0 && held < wanted {
-		c.replicate(all, a, required, holds)
-	}
 	u := c.Balancer.Pick(all, func(u *snipedirectory.Upstream) bool { return holds(u) && fresh(u) })
 	if u != nil && (c.Balancer.Usable(u) || held > 0) {
 		return c.choice(u, a), nil
@@ -354,6 +327,9 @@
 	if c.flights[key] == f {
 		delete(c.flights, key)
 	}
+	if f.err == nil {
+		c.noteReplica(key.adapter, key.engine, f.version)
+	}
 	c.lock.Unlock()
 	close(f.done)
 }
