An owner ends its orders before it writes that it gives an engine up

First, an owner that leaves kept its right to order until it learned that its last write was made; the next owner orders as soon as it reads that write. When the reply was lost both could order at once. Second, a process that starts again does not know what its earlier start owned, so that the gap between two turns was not kept. Change: the right ends before the write is sent; what an earlier start owned counts as ended when this one began.

--- a/snipeowner/renew.go
+++ b/snipeowner/renew.go
@@ -29,6 +29,7 @@
 	var wanted []takeover
 	switch {
 	case self.Leaving:
+		h.endOrders()
 		changes = append(changes, h.releases()...)
 	case !standby:
 		changes = append(changes, h.conditions()...)
@@ -81,6 +82,15 @@
 	return changes
 }
 
+// endOrders ends the right to order for good. It comes before the write that gives
+// engines up: the next owner orders as soon as it reads that, also if this instance
+// never learns that the write was made.
+func (h *Holder) endOrders() {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	h.until = 0
+}
+
 // releases give all engines up.
 func (h *Holder) releases() []snipeplatform.Change {
 	h.lock.Lock()
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -40,6 +40,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 // Partition holds the rows of both kinds, so that one read shows them all as of one
@@ -61,10 +62,13 @@
 	// enginesPerOwner how many engines each has where there are many: one renews its
 	// row each second, whatever it owns, and its loss stops the orders of them all.
 	leastOwners     = 9
-	enginesPerOwner = 5
+	enginesPerOwner = 7
 	// standbyEvery is the time between two renewals of an instance that owns nothing
 	// and is not needed.
-	standbyEvery = 10 * time.Second
+	standbyEvery = 20 * time.Second
+	// firstEvery is the time between two looks for the rows until they were first read:
+	// an instance that starts again takes its engines back at once.
+	firstEvery = 20 * time.Millisecond
 	// orderTime is how long after a renewal was sent this instance may order.
 	orderTime = 2400 * time.Millisecond
 	// margin covers the difference between two machines' clock rates and the time
@@ -222,6 +226,11 @@
 // Run keeps the row until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
 	h.prepare()
+	for errors.Is(h.read(ctx), snipeplatform.ErrUnread) {
+		if !snipetime.Sleep(ctx, firstEvery) {
+			return nil
+		}
+	}
 	t := time.NewTicker(stepEvery)
 	defer t.Stop()
 	for {
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -65,6 +65,8 @@
 	// cut calls get no answer; lost ones are made late and get none.
 	cut  bool
 	lost float64
+	// mute writes are made at once and get no answer.
+	mute bool
 	rand *rand.Rand
 }
 
@@ -116,7 +118,25 @@
 		return 0, snipeplatform.ErrUnknown
 	}
 	time.Sleep(9 * time.Millisecond)
-	return l.table.write(operation, changes)
+	version, err := l.table.write(operation, changes)
+	if l.muted() {
+		time.Sleep(callTimeout)
+		return 0, snipeplatform.ErrUnknown
+	}
+	return version, err
+}
+
+func (l *link) muted() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.mute
+}
+
+// silence makes writes get no answer.
+func (l *link) silence() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.mute = true
 }
 
 func (l *link) delay() time.Duration {
@@ -317,6 +337,36 @@
 	})
 }
 
+// TestOwnerLeavesUnanswered: the next owner may order as soon as it reads that an engine
+// was given up, so the former one must not, whether it learns of its own write or not.
+func TestOwnerLeavesUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 3, 2, 6)
+		defer p.end()
+		p.watch(5 * time.Second)
+		p.links[1].silence()
+		p.holders[1].Leave()
+		p.watch(4 * time.Second)
+		must.Eq(t, 6, p.owned())
+	})
+}
+
+// TestNoTurnsOverStart: an instance that gave engines up and starts again leaves the
+// gap between its former orders and the next ones, though it does not know of them.
+func TestNoTurnsOverStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 6, 2, 6)
+		defer p.end()
+		p.watch(5 * time.Second)
+		p.holders[0].Leave()
+		p.watch(600 * time.Millisecond)
+		p.start(0)
+		p.holders[1].Leave()
+		p.watch(6 * time.Second)
+		must.Eq(t, 6, p.owned())
+	})
+}
+
 // TestOwnerStartsAgain: an instance that starts again orders its own engines
 // without waiting for its former lease.
 func TestOwnerStartsAgain(t *testing.T) {
@@ -334,7 +384,7 @@
 // stops. Whatever happens, two instances never order an engine at once, nor by turns
 // within the gap, and fencing numbers grow.
 func TestOneOwner(t *testing.T) {
-	for seed := range uint64(40) {
+	for seed := range uint64(100) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := rand.New(rand.NewPCG(seed, 99))
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -98,10 +98,12 @@
 }
 
 // afterOwn is when this instance may order an engine again that was another's since
-// it was its own.
+// it was its own. What an earlier start of it owned is not known, only that it had
+// ended when this one began.
 func (h *Holder) afterOwn(engine netip.AddrPort, now time.Duration) time.Duration {
-	if at, ok := h.ended[engine]; ok {
-		return max(now, at+h.OrderGap)
+	at, ok := h.ended[engine]
+	if !ok {
+		at = h.started
 	}
-	return now
+	return max(now, at+h.OrderGap)
 }
