An adapter announced while it loads is renewed; queued renewals hold no places

Cause: TestWholePath/NewVersion failed once of six runs beside the race detector: an engine kept a7@1. A version that is announced while a load of the older one is queued was renewed nowhere. Written as a test (no old version stays), that showed a second fault: adapters whose renewal was queued could not be evicted; when all on an engine were, nothing found room for 6 s. Change: a load that has come looks whether it is still the newest; only loads that have begun protect what they replace. Conclusion: as the first version of a load is stated now, its end has to look.

--- a/snipeadapter/desk_test.go
+++ b/snipeadapter/desk_test.go
@@ -128,6 +128,19 @@
 	return f.loads
 }
 
+// outdated returns the adapters that it holds in an old version.
+func (f *fakeEngine) outdated() []snipecatalog.Adapter {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	var all []snipecatalog.Adapter
+	for a, version := range f.held {
+		if version < f.newest[a] {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
 // overfull reports whether it was ever ordered to hold more than it can.
 func (f *fakeEngine) overfull() bool {
 	f.lock.Lock()
@@ -267,7 +280,7 @@
 
 // TestVersionsWhileLoading announces versions while loads are under way, of which the
 // desk hears later than the engine: no question about a load begins another one that
-// has no place.
+// has no place, and no old version stays.
 func TestVersionsWhileLoading(t *testing.T) {
 	const hearing = 300 * time.Millisecond
 	for seed := range uint64(12) {
@@ -300,7 +313,9 @@
 					}
 				}
 				all.Wait()
+				time.Sleep(5 * time.Second)
 				must.False(t, e.overfull())
+				must.SliceEmpty(t, e.outdated())
 			})
 		})
 	}
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -163,9 +163,21 @@
 	e.end(l, err)
 	e.onTheWay--
 	delete(e.bringing, l.adapter)
+	if err == nil {
+		e.renew(l)
+	}
 	e.begin()
 }
 
+// renew queues the newest version of an adapter that has come, if it was announced
+// while an older one was on its way. The lock is held.
+func (e *engine) renew(l *load) {
+	newest := e.desk.Newest(l.adapter)
+	if newest > l.version && e.loads[l.adapter] == nil {
+		e.enqueue(l.adapter, newest)
+	}
+}
+
 // wanted reports whether somebody waits for a load.
 func (e *engine) wanted(l *load) bool {
 	e.lock.Lock()
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -263,15 +263,16 @@
 	return a, true
 }
 
-// leastUsed returns the adapter that is used least, of those not used for calm. The
-// lock is held.
+// leastUsed returns the adapter that is used least, of those not used for calm. One
+// whose newer version only waits for its turn may go: if all did that, none of them
+// would find room. The lock is held.
 func (e *engine) leastUsed(calm time.Duration) (snipecatalog.Adapter, bool) {
 	var least snipecatalog.Adapter
 	var lowest float64
 	found := false
 	now := time.Now()
 	for a, h := range e.held {
-		if h.coming || h.replaced || e.loads[a] != nil || now.Sub(h.used) < calm {
+		if h.coming || h.replaced || e.bringing[a] || now.Sub(h.used) < calm {
 			continue
 		}
 		if score := h.uses.At(now); !found || score < lowest {
