When a reader dies its followers ask the store once, then follow the next in rank

It was, without any fault, when a read that waited in vain for 1 s followed the pause of 1.1 s: 2.1 s, and 1.4 s are allowed. Ruled out: slow followers (all failed in the same millisecond). Change: reads of the registry wait 0.2 s at most; a follower that lost its reader asks the store once and follows the next one in rank for 6 s. Nobody follows one behind itself now, and ages are rounded up. An instance that cannot be reached by reports is logged once, not 12 times a second.

--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -24,11 +24,12 @@
 	// costs ten reads a second at most.
 	catalogPace = 100 * time.Millisecond
 	// directoryWait and directoryPace are the same for the registry, whose entries
-	// change all the time. Upstreams that leave take new work for two seconds.
-	directoryWait = time.Second
+	// change all the time: a read seldom waits. Upstreams that leave take new work for
+	// two seconds.
+	directoryWait = 200 * time.Millisecond
 	directoryPace = 1100 * time.Millisecond
 	// maxAge is how old another instance's copy of both may become: more than a
-	// read's time and pace, and so little that what must be known within two seconds
+	// read's wait and pace together, and so little that what must be known within two seconds
 	// is, when the reader loses the store at the worst moment.
 	maxAge = 1400 * time.Millisecond
 	// ownershipPace is the same for the rows of ownership, which change with each
--- a/snipeentry/near.go
+++ b/snipeentry/near.go
@@ -22,12 +22,8 @@
 // each failure. It is false when this instance is to read the store itself; when the
 // store does not answer it, any other instance will do.
 func (i *Instance) near(table string, failures int, lost bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
-	readers := i.readers(lost)
-	if len(readers) == 0 {
-		return nil, false
-	}
-	reader := readers[failures%len(readers)]
-	if reader == i.Settings.Peers {
+	reader, ok := leader(i.readers(lost), i.Settings.Peers, failures, lost)
+	if !ok {
 		return nil, false
 	}
 	client := i.peers.mirror(reader)
@@ -44,6 +40,20 @@
 	}, true
 }
 
+// leader returns which of the readers an instance follows after so many have failed;
+// false when it is to read the store itself. As long as the store answers nobody follows
+// one that is behind itself in rank: two that follow each other would both grow old.
+func leader(readers []netip.AddrPort, self netip.AddrPort, failures int, lost bool) (netip.AddrPort, bool) {
+	if lost && len(readers) > 0 {
+		return readers[failures%len(readers)], true
+	}
+	own := slices.Index(readers, self)
+	if failures >= len(readers) || own >= 0 && failures >= own {
+		return netip.AddrPort{}, false
+	}
+	return readers[failures], true
+}
+
 // readers returns the instances whose copies may be read, the best first: of those
 // that renew their rows and stay, the first in rank of this failure domain reads the
 // store for it. An instance that the store does not answer may ask them all, and
@@ -120,7 +130,9 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	answer := &snipeproto.MirrorWatchResponse{
-		Position: p.Position, Whole: p.Whole, AgeMilliseconds: p.Age.Milliseconds(),
+		Position: p.Position, Whole: p.Whole,
+		// Rounded up: a copy must not look younger with each instance that passes it on.
+		AgeMilliseconds: (p.Age + time.Millisecond - 1).Milliseconds(),
 	}
 	for _, row := range p.Rows {
 		answer.Rows = append(answer.Rows, &snipeproto.MirrorRow{
--- /dev/null
+++ b/snipeentry/near_test.go
@@ -0,0 +1,52 @@
+package snipeentry
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipemirror"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+func peer(n int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.1.0.%d:70", n+1)) }
+
+// TestLeader: whoever has failed, nobody follows an instance behind itself in rank, so
+// that no two follow each other, and the store is read in the end. Who has lost the
+// store asks all by turns.
+func TestLeader(t *testing.T) {
+	const count = 5
+	readers := make([]netip.AddrPort, count)
+	for n := range readers {
+		readers[n] = peer(n)
+	}
+	for own := range count + 1 { // the last one is no reader
+		for failures := range 2 * count {
+			followed, ok := leader(readers, peer(own), failures, false)
+			must.Eq(t, failures < min(own, count), ok)
+			if ok {
+				must.Less(t, own, slices.Index(readers, followed))
+			}
+			followed, ok = leader(readers[:4], peer(own), failures, true)
+			must.True(t, ok)
+			must.Eq(t, peer(failures%4), followed)
+		}
+	}
+	_, ok := leader(nil, peer(0), 0, true)
+	must.False(t, ok)
+}
+
+// TestAgePassedOn: a copy that is passed on and on never looks younger than it is.
+func TestAgePassedOn(t *testing.T) {
+	const table = "rows"
+	m := snipemirror.New()
+	m.Apply(snipemirror.Page{Whole: true, Position: 1, Age: 1399*time.Millisecond + 800*time.Nanosecond})
+	server := &mirrorServer{mirrors: map[string]*snipemirror.Mirror{table: m}}
+	answer, err := server.Watch(t.Context(), &snipeproto.MirrorWatchRequest{Table: table})
+	must.NoError(t, err)
+	must.GreaterEq(t, 1400, answer.GetAgeMilliseconds())
+}
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -72,6 +72,26 @@
 	lock    sync.Mutex // guards the fields below
 	clients map[netip.AddrPort]snipeproto.Adapter
 	mirrors map[netip.AddrPort]snipeproto.Mirror
+	// lost are the instances that the last report of use did not reach.
+	lost map[netip.AddrPort]bool
+}
+
+// reached notes whether a report reached an instance, and tells whether that changed:
+// reports are so frequent that each outage is logged once.
+func (p *peers) reached(to netip.AddrPort, ok bool) (changed bool) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.lost[to] == !ok {
+		return false
+	}
+	if p.lost == nil {
+		p.lost = make(map[netip.AddrPort]bool)
+	}
+	delete(p.lost, to)
+	if !ok {
+		p.lost[to] = true
+	}
+	return true
 }
 
 func (p *peers) mirror(address netip.AddrPort) snipeproto.Mirror {
@@ -164,11 +184,16 @@
 	}
 	for _, r := range byModel {
 		answer, err := i.peers.client(to).Used(ctx, r)
-		if err != nil {
+		changed := i.peers.reached(to, err == nil)
+		switch {
+		case err != nil && changed:
 			i.Log.Error(snipelog.PeerUnreached, err, snipelog.Fields{"Peer": to})
-			continue
+		case changed:
+			i.Log.Log(snipelog.PeerReached, snipelog.Fields{"Peer": to})
+		}
+		if err == nil {
+			i.learn(r, answer)
 		}
-		i.learn(r, answer)
 	}
 }
 
--- a/snipeentry/peers_test.go
+++ b/snipeentry/peers_test.go
@@ -63,3 +63,14 @@
 	must.True(t, ok)
 	must.Eq(t, version, learned)
 }
+
+// TestReached: each loss and each return of another instance is told once.
+func TestReached(t *testing.T) {
+	p := &peers{}
+	to := netip.MustParseAddrPort("10.1.0.1:70")
+	for _, tt := range []struct{ ok, changed bool }{
+		{true, false}, {false, true}, {false, false}, {true, true}, {true, false},
+	} {
+		must.Eq(t, tt.changed, p.reached(to, tt.ok))
+	}
+}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -130,5 +130,6 @@
 	EngineRead     = define(513, "EngineRead", logrus.InfoLevel)
 	AdapterPresent = define(514, "AdapterPresent", logrus.InfoLevel)
 	PeerUnreached  = define(515, "PeerUnreached", logrus.WarnLevel)
+	PeerReached    = define(517, "PeerReached", logrus.InfoLevel)
 	EngineUnread   = define(516, "EngineUnread", logrus.WarnLevel)
 )
--- a/snipemirror/follow.go
+++ b/snipemirror/follow.go
@@ -14,9 +14,9 @@
 const (
 	// failurePause is the time between two reads while the store does not answer.
 	failurePause = 300 * time.Millisecond
-	// distrust is how long the store is read itself after another instance's copy
-	// could not be had.
-	distrust = 3 * time.Second
+	// distrust is how long the next instance in rank is followed after one whose copy
+	// could not be had: longer than it takes until all know that an instance is gone.
+	distrust = 6 * time.Second
 )
 
 // Source reads a table: all of it, or what has changed after a position, waiting for
@@ -47,7 +47,8 @@
 	Pace time.Duration
 	Wait time.Duration
 	// MaxAge is how old another instance's copy may become before the store is read
-	// itself: somewhat more than the longer of Pace and Wait.
+	// itself: somewhat more than Pace and Wait together, since a read that waits in
+	// vain follows the pause after one that did not wait.
 	MaxAge time.Duration
 
 	lock   sync.Mutex         // guards cancel
@@ -57,7 +58,8 @@
 	lost     bool
 	whole    bool // all rows have to be read
 	distrust time.Time
-	failures int  // reads of other instances that failed in a row
+	failures int  // reads of other instances that failed lately
+	ask      bool // the next read is the store's, whoever may be followed
 	turn     bool // while the store is lost: the next read is another instance's
 }
 
@@ -72,8 +74,10 @@
 		pause := f.Pace
 		switch {
 		case err != nil && near:
-			// The store is asked at once.
+			// The store is asked at once, and then the next instance in rank, which does
+			// the same: else all that followed one would read the store.
 			f.failures++
+			f.ask = true
 			f.distrust = time.Now().Add(distrust)
 			pause = 0
 		case err != nil:
@@ -102,11 +106,8 @@
 	if page.Whole {
 		f.whole = false
 	}
-	if near {
-		f.failures = 0
-	}
 	if f.lost {
-		f.lost = false
+		f.lost, f.failures = false, 0
 		f.Back()
 	}
 	f.Changed(f.Mirror.Apply(page), page.Position)
@@ -141,7 +142,7 @@
 // copy reads another instance's copy, no longer than until the rows here are too old:
 // what it has not told by then has to come from the store.
 func (f *Follower) copy(ctx context.Context, watch watchFunc, position uint64) (Page, error) {
-	wait := min(f.Wait, f.MaxAge-f.Mirror.Age())
+	wait := f.MaxAge - f.Mirror.Age()
 	_, known := f.Mirror.Position()
 	switch {
 	case f.lost || !known:
@@ -170,9 +171,13 @@
 		}
 		return f.Near(f.failures, true)
 	}
-	if time.Now().Before(f.distrust) {
+	if f.ask {
+		f.ask = false
 		return nil, false
 	}
+	if time.Now().After(f.distrust) {
+		f.failures = 0
+	}
 	return f.Near(f.failures, false)
 }
 
--- a/snipemirror/snipemirror_test.go
+++ b/snipemirror/snipemirror_test.go
@@ -144,7 +144,10 @@
 	f.Mirror = snipemirror.New()
 	f.Changed = func([]snipemirror.Row, uint64) {}
 	f.Lost, f.Back = func(error) { lost.Add(1) }, func() { back.Add(1) }
-	f.Pace, f.Wait, f.MaxAge = time.Second, time.Second, 1400*time.Millisecond
+	f.Pace, f.MaxAge = time.Second, 1400*time.Millisecond
+	if f.Wait == 0 {
+		f.Wait = time.Second
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { _ = f.Run(ctx) })
@@ -243,6 +246,54 @@
 	}
 }
 
+// TestReaderDies answers the pattern of many instances that follow one: when it dies
+// each asks the store once, and then all follow the next one in rank.
+func TestReaderDies(t *testing.T) {
+	const followers, quiet = 30, 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{version: 1}
+		dead := &atomic.Bool{}
+		all := make([]*snipemirror.Follower, followers)
+		for n := range all {
+			watch := func(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
+				if n == 0 && dead.Load() {
+					<-ctx.Done()
+					return snipemirror.Page{}, ctx.Err()
+				}
+				return s.watch(ctx, after, wait)
+			}
+			all[n] = &snipemirror.Follower{
+				Store: snipemirror.Source{Read: s.read, Watch: watch}, Wait: 200 * time.Millisecond,
+			}
+			all[n].Near = func(failures int, _ bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+				rank := failures % followers
+				return func(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
+					if rank == 0 && dead.Load() {
+						return snipemirror.Page{}, errors.New("gone")
+					}
+					return all[rank].Mirror.Watch(ctx, after, wait)
+				}, rank != n
+			}
+		}
+		for _, f := range all {
+			follow(t, f)
+		}
+		time.Sleep(quiet)
+		s.set(func() { must.LessEq(t, followers+8, s.reads); s.reads = 0 })
+		dead.Store(true)
+		for n := range 5 {
+			time.Sleep(time.Second)
+			s.set(func() { s.version++ })
+			time.Sleep(1500 * time.Millisecond)
+			for _, f := range all[1:] {
+				position, _ := f.Mirror.Position()
+				must.Eq(t, uint64(n+2), position)
+			}
+		}
+		s.set(func() { must.LessEq(t, 3*followers, s.reads) })
+	})
+}
+
 // TestStoreServesOthers: an instance that the store does not answer learns from
 // others, the next one after each that fails.
 func TestStoreServesOthers(t *testing.T) {
