Owners tell loads and evictions in their answers; what reached no upstream is no repeat

Engines that had just died took that budget too, though nothing reached them. Ruled out: restarted engines as the cause of 421 (they come at 100/s in calm seconds). Change: the answer to a report of use tells the loads of all engines of the owner, from what all instances report, and each eviction once to each instance. A send that reached no upstream costs no budget. An upstream whose address another one has is left alone for 10 s.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -61,6 +61,8 @@
 	Holder string
 	Log    *snipelog.Logger
 
+	evicted evictions
+
 	lock    sync.Mutex // guards engines
 	engines map[string]*engine
 }
--- a/snipeadapter/desk_test.go
+++ b/snipeadapter/desk_test.go
@@ -404,6 +404,33 @@
 	})
 }
 
+// TestEvictions: what was unloaded is told for a while, until the engine holds it again.
+func TestEvictions(t *testing.T) {
+	play(t, 11, func(t *testing.T, _ *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		ensure := func(n int) {
+			_, err := d.Ensure(t.Context(), "e1", adapter(n), 0, patient)
+			must.NoError(t, err)
+			time.Sleep(350 * time.Millisecond)
+		}
+		for n := range places + 1 {
+			ensure(n)
+		}
+		first, last := d.Evictions(0)
+		must.Eq(t, []snipeadapter.Eviction{{Engine: "e1", Adapter: adapter(0)}}, first)
+		ensure(0)
+		second := []snipeadapter.Eviction{{Engine: "e1", Adapter: adapter(1)}}
+		recent, _ := d.Evictions(0)
+		must.Eq(t, second, recent)
+		recent, last = d.Evictions(last)
+		must.Eq(t, second, recent)
+		recent, _ = d.Evictions(last)
+		must.SliceEmpty(t, recent)
+		time.Sleep(2 * time.Second)
+		recent, _ = d.Evictions(0)
+		must.SliceEmpty(t, recent)
+	})
+}
+
 // TestBusyAtOnce: a load that cannot be complete in time is refused at once, with the
 // time after which there is room.
 func TestBusyAtOnce(t *testing.T) {
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -195,6 +195,7 @@
 	h.inherit(e.held[l.adapter])
 	h.note(time.Now(), max(l.waiting, 1))
 	e.held[l.adapter] = h
+	e.desk.evicted.drop(e.id, l.adapter)
 }
 
 // bring orders the load and waits until it is complete.
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -236,6 +236,7 @@
 		e.lock.Lock()
 		delete(e.held, victim)
 		e.lock.Unlock()
+		e.desk.evicted.add(e.id, victim)
 		return nil
 	case Conflict, Unanswered:
 		_, err := e.known(ctx)
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -30,6 +30,9 @@
 	// reached; it doubles up to maxPause.
 	firstPause = 300 * time.Millisecond
 	maxPause   = 3 * time.Second
+	// replacedPause is how long an upstream is left alone whose address another one has:
+	// longer than its entry takes to disappear.
+	replacedPause = 10 * time.Second
 	// brokenLimit is how many requests in a row may get no answer before an
 	// upstream is left alone.
 	brokenLimit = 3
@@ -172,7 +175,17 @@
 	}
 }
 
-// Told notes what an upstream said of its load.
+// Mine returns the weight of this instance's requests in flight at an upstream.
+func (b *Balancer) Mine(id string) float64 {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if s := b.states[id]; s != nil {
+		return s.mine
+	}
+	return 0
+}
+
+// Told notes an upstream's load: what it said itself, or what a Board adds up to.
 func (b *Balancer) Told(id string, load float64) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -199,6 +212,14 @@
 // Unreached notes that an upstream could not be connected to.
 func (b *Balancer) Unreached(id string) { b.miss(id, true) }
 
+// Replaced notes that another upstream answered at its address: it does not come back.
+func (b *Balancer) Replaced(id string) {
+	b.lock.Lock()
+	b.state(id).until = time.Now().Add(replacedPause)
+	b.lock.Unlock()
+	b.tell(id, true)
+}
+
 // Broken notes that a request got no answer.
 func (b *Balancer) Broken(id string) { b.miss(id, false) }
 
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -81,7 +81,7 @@
 
 // peerHandler serves other instances.
 func (i *Instance) peerHandler() http.Handler {
-	desk := snipeproto.NewAdapterServer(&peerServer{desk: i.desk, replicas: i.gateway.Chooser.Replicas})
+	desk := snipeproto.NewAdapterServer(&peerServer{desk: i.desk, replicas: i.gateway.Chooser.Replicas, board: i.board})
 	mirrors := snipeproto.NewMirrorServer(&mirrorServer{i.mirrors()})
 	m := http.NewServeMux()
 	m.Handle(desk.PathPrefix(), desk)
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"snipepitch.example/snipepitch/snipeadapter"
+	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipegateway"
@@ -23,6 +24,24 @@
 	desk *snipeadapter.Desk
 	// replicas returns where else an adapter of an engine is since a moment ago.
 	replicas func(a snipecatalog.Adapter, engine string) []snipegateway.Replica
+	board    *snipebalance.Board
+
+	lock sync.Mutex // guards told
+	// told is the last eviction that each instance was told of.
+	told map[string]uint64
+}
+
+// news returns the evictions that an instance was not told of yet. Those in an answer
+// that is lost are not told again: the registry shows them a second later.
+func (s *peerServer) news(instance string) []snipeadapter.Eviction {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	recent, last := s.desk.Evictions(s.told[instance])
+	if s.told == nil {
+		s.told = make(map[string]uint64)
+	}
+	s.told[instance] = last
+	return recent
 }
 
 // Ensure implements snipeproto.Adapter.
@@ -51,7 +70,16 @@
 	for n, name := range r.GetAdapters() {
 		uses[snipecatalog.Adapter{Model: r.GetModel(), Name: name}] = int(r.GetCounts()[n])
 	}
+	s.board.Report(r.GetEngine(), r.GetInstance(), r.GetLoad())
 	answer := &snipeproto.AdapterUsedResponse{}
+	for _, v := range s.news(r.GetInstance()) {
+		if v.Adapter.Model == r.GetModel() {
+			answer.Evicted = append(answer.Evicted, &snipeproto.AdapterReplica{Engine: v.Engine, Adapter: v.Adapter.Name})
+		}
+	}
+	for engine, load := range s.board.Loads() {
+		answer.Loads = append(answer.Loads, &snipeproto.EngineLoad{Engine: engine, Load: load})
+	}
 	for _, a := range s.desk.Used(r.GetEngine(), uses) {
 		answer.Gone = append(answer.Gone, a.Name)
 	}
@@ -157,6 +185,7 @@
 		switch {
 		case !ok:
 		case owner.Self:
+			i.board.Report(id, i.Settings.Peers.String(), i.balancer.Mine(id))
 			for _, a := range i.desk.Used(id, uses) {
 				i.residency.Deny(id, a)
 			}
@@ -176,7 +205,9 @@
 	for a, n := range uses {
 		r := byModel[a.Model]
 		if r == nil {
-			r = &snipeproto.AdapterUsedRequest{Engine: id, Model: a.Model}
+			r = &snipeproto.AdapterUsedRequest{
+				Engine: id, Model: a.Model, Instance: i.Settings.Peers.String(), Load: i.balancer.Mine(id),
+			}
 			byModel[a.Model] = r
 		}
 		r.Adapters = append(r.Adapters, a.Name)
@@ -202,12 +233,31 @@
 	for _, name := range answer.GetGone() {
 		i.residency.Deny(r.GetEngine(), snipecatalog.Adapter{Model: r.GetModel(), Name: name})
 	}
+	for _, v := range answer.GetEvicted() {
+		i.residency.Deny(v.GetEngine(), snipecatalog.Adapter{Model: r.GetModel(), Name: v.GetAdapter()})
+	}
+	for _, l := range answer.GetLoads() {
+		i.balancer.Told(l.GetEngine(), l.GetLoad())
+	}
 	for _, other := range answer.GetReplicas() {
 		a := snipecatalog.Adapter{Model: r.GetModel(), Name: other.GetAdapter()}
 		i.residency.Tell(other.GetEngine(), a, other.GetVersion())
 	}
 }
 
+// tellOwn takes what others learn from this instance's answers: the loads of its own
+// engines and what they no longer hold.
+func (i *Instance) tellOwn() {
+	recent, last := i.desk.Evictions(i.evicted)
+	i.evicted = last
+	for _, v := range recent {
+		i.residency.Deny(v.Engine, v.Adapter)
+	}
+	for engine, load := range i.board.Loads() {
+		i.balancer.Told(engine, load)
+	}
+}
+
 // spread has more engines load what is used much on this instance's engines.
 func (i *Instance) spread() {
 	for _, u := range i.engines() {
--- a/snipeentry/peers_test.go
+++ b/snipeentry/peers_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"snipepitch.example/snipepitch/snipeadapter"
+	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipegateway"
@@ -41,7 +42,7 @@
 	}
 	_, err := desk.Ensure(t.Context(), engine, held, 0, time.Second)
 	must.NoError(t, err)
-	server := &peerServer{desk: desk, replicas: func(a snipecatalog.Adapter, except string) []snipegateway.Replica {
+	server := &peerServer{desk: desk, board: &snipebalance.Board{}, replicas: func(a snipecatalog.Adapter, except string) []snipegateway.Replica {
 		must.Eq(t, engine, except)
 		if a != held {
 			return nil
@@ -50,11 +51,12 @@
 	}}
 	report := &snipeproto.AdapterUsedRequest{
 		Engine: engine, Model: "base", Adapters: []string{held.Name, gone.Name}, Counts: []int64{2, 1},
+		Instance: "i1", Load: 2,
 	}
 	answer, err := server.Used(t.Context(), report)
 	must.NoError(t, err)
 
-	i := &Instance{residency: &snipeadapter.Residency{}}
+	i := &Instance{residency: &snipeadapter.Residency{}, balancer: &snipebalance.Balancer{}}
 	i.residency.Tell(engine, gone, 1)
 	i.learn(report, answer)
 	_, ok := i.residency.Holds(u, gone)
@@ -62,6 +64,7 @@
 	learned, ok := i.residency.Holds(&snipedirectory.Upstream{ID: other}, held)
 	must.True(t, ok)
 	must.Eq(t, version, learned)
+	must.Positive(t, i.balancer.Busy(u))
 }
 
 // TestReached: each loss and each return of another instance is told once.
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -105,6 +105,7 @@
 	catalog   *snipecatalog.Keeper
 	directory *snipedirectory.Keeper
 	balancer  *snipebalance.Balancer
+	board     *snipebalance.Board
 	residency *snipeadapter.Residency
 	holder    *snipeowner.Holder
 	desk      *snipeadapter.Desk
@@ -114,6 +115,9 @@
 	budgets   *budgets
 	phase     phase
 
+	// evicted is the last eviction of an own engine that the reports' duty has noted.
+	evicted uint64
+
 	tables  tables
 	signals chan os.Signal
 }
@@ -136,6 +140,7 @@
 	i.duty(ctx, &g, func(ctx context.Context) error {
 		return snipetime.Every(ctx, reportEvery, func(ctx context.Context) {
 			i.reportUses(ctx)
+			i.tellOwn()
 			i.spread()
 		})
 	})
@@ -178,6 +183,7 @@
 	i.catalog = &snipecatalog.Keeper{}
 	i.directory = &snipedirectory.Keeper{Seen: i.seen, Return: lapseReturn}
 	i.balancer = &snipebalance.Balancer{Domain: s.Domain, Suspect: i.suspect}
+	i.board = &snipebalance.Board{}
 	i.residency = &snipeadapter.Residency{}
 	i.links = &snipelink.Pool{
 		Dial: snipelink.Dialer(), DialTimeout: dialTimeout, Idle: linkIdle, Kept: linksKept,
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -51,6 +51,9 @@
 	defer end()
 	defer g.Chooser.Use(u.ID, c.Adapter)()
 	answer, _, err := g.Links.Send(ctx, u.Address, c.outgoing(d), c.body, false)
+	if !errors.Is(err, snipelink.ErrNotSent) {
+		c.reached++
+	}
 	if err != nil {
 		return c.unanswered(ctx, u.ID, err)
 	}
@@ -120,7 +123,7 @@
 	id := d.Upstream.ID
 	switch {
 	case v.Elsewhere:
-		c.gateway.Balancer.Unreached(id)
+		c.gateway.Balancer.Replaced(id)
 	case c.Adapter.Name != "":
 		c.gateway.Chooser.Residency.Deny(id, c.Adapter)
 	}
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -28,9 +28,12 @@
 	answerSlack = 100 * time.Millisecond
 	// leastLeft is the time below which another attempt cannot be answered.
 	leastLeft = 30 * time.Millisecond
-	// maxSends bounds the upstreams that a request is sent to, those that refuse
-	// it without running it included.
+	// maxSends bounds the upstreams that a request reaches, those that refuse it
+	// without running it included.
 	maxSends = 4
+	// maxTries bounds the upstreams that are tried, those that cannot be connected to
+	// included: a quarter of all may have died a moment ago.
+	maxTries = 12
 	// loadShare is how many times its objective a request may wait for an adapter:
 	// longer ones hold up loads that could still be in time.
 	loadShare = 1
@@ -53,10 +56,11 @@
 	service  string
 	deadline time.Time
 
-	// tried are the upstreams that were sent the request, ran how many of them
-	// may have run it.
-	tried []string
-	ran   int
+	// tried are the upstreams that were tried, reached how many of them the request
+	// reached, ran how many may have run it.
+	tried   []string
+	reached int
+	ran     int
 	// refused counts upstreams that stated that they did not run it.
 	refused int
 	version int64
@@ -245,7 +249,7 @@
 	switch {
 	case ctx.Err() != nil, time.Until(c.deadline) < leastLeft:
 		return false
-	case len(c.tried) >= maxSends:
+	case c.reached >= maxSends, len(c.tried) >= maxTries:
 		return false
 	case f.Outcome == snipeerror.MayHaveRun && !c.route.MayRepeat():
 		return false
@@ -253,6 +257,9 @@
 		return false
 	case c.begun && !c.route.Resumable:
 		return false
+	case c.reached == 0:
+		// What reached no upstream is no repeat for any.
+		return true
 	}
 	return c.gateway.Budget(c.service).Spend("")
 }
--- /dev/null
+++ b/snipegateway/reach_test.go
@@ -0,0 +1,108 @@
+package snipegateway_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipegateway"
+	"snipepitch.example/snipepitch/snipelink"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/sniperetry"
+)
+
+// TestDeadUpstreams answers the pattern of a crash that takes many upstreams at once:
+// those that cannot be connected to cost no budget and no request, however many they
+// are; those that refuse a request are repeats that the budget pays for.
+func TestDeadUpstreams(t *testing.T) {
+	tests := map[string]struct {
+		dead, refusing int
+		want           int
+	}{
+		"AllWork":  {0, 0, http.StatusOK},
+		"MostDead": {10, 0, http.StatusOK},
+		"Refused":  {0, 11, http.StatusServiceUnavailable},
+		"AllDead":  {12, 0, http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			const count = 12
+			c := newChooser(&owners{}, count)
+			dead := map[netip.AddrPort]bool{}
+			refusing := map[string]bool{}
+			for n, u := range c.Directory.Snapshot().Service(service) {
+				if n < tt.dead {
+					dead[u.Address] = true
+				} else if n < tt.dead+tt.refusing {
+					refusing[u.ID] = true
+				}
+			}
+			g, upstream := newGateway(t, c, dead, refusing)
+			r := httptest.NewRequest(http.MethodPost, "/x/", http.NoBody)
+			r.Host = "calls.example"
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, r)
+			must.Eq(t, tt.want, w.Code)
+			must.LessEq(t, 1, upstream.Load())
+		})
+	}
+}
+
+// newGateway returns a gateway whose upstreams are one server, without a budget for
+// repeats, and the count of requests that it got.
+func newGateway(t *testing.T, c *snipegateway.Chooser, dead map[netip.AddrPort]bool, refusing map[string]bool) (*snipegateway.Gateway, *atomic.Int32) {
+	got := &atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got.Add(1)
+		if refusing[r.Header.Get("Expect-Upstream")] {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	t.Cleanup(server.Close)
+	catalog := &snipecatalog.Keeper{}
+	routes := &snipecatalog.Catalog{
+		Version: 1, Services: map[string]*snipecatalog.Service{service: {}},
+		Routes: []snipecatalog.Route{{
+			Name: "x", Host: "calls.example", Prefix: "/x/", Timeout: time.Minute, MaxAttempts: 2,
+			Backends: []snipecatalog.Backend{{Service: service, Weight: 1}},
+		}},
+	}
+	routes.Index()
+	catalog.Adopt(routes)
+	c.Balancer = &snipebalance.Balancer{}
+	return &snipegateway.Gateway{
+		Catalog: catalog, Chooser: c, Balancer: c.Balancer, Log: snipelog.Discard(), Meter: snipemeter.New(),
+		Links: &snipelink.Pool{
+			Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+				if dead[to] {
+					return nil, errors.New("refused")
+				}
+				return (&net.Dialer{}).DialContext(ctx, "tcp", server.Listener.Addr().String())
+			},
+			DialTimeout: time.Second, Idle: time.Minute, Kept: 4,
+			Belongs:   func(*http.Request, *http.Response) bool { return true },
+			KeepAlive: func(*http.Response) time.Duration { return 0 },
+		},
+		Protocol: snipegateway.Protocol{
+			Decode:  func(*http.Request) (snipegateway.Request, error) { return snipegateway.Request{ID: "1"}, nil },
+			Prepare: func(h http.Header, d snipegateway.Dispatch) { h.Set("Expect-Upstream", d.Upstream.ID) },
+			Judge: func(a *http.Response, _ snipegateway.Dispatch) snipegateway.Verdict {
+				return snipegateway.Verdict{Genuine: true, NotRun: a.StatusCode != http.StatusOK}
+			},
+			Sign: func(http.Header, string) {},
+		},
+		Budget:   func(string) *sniperetry.Budget { return &sniperetry.Budget{} },
+		Stopping: func() bool { return false },
+	}, got
+}
