snipectl explain: from a request's identifier to its cause

Change: package snipestory collects the lines of one request and the changes of belief around it from any number of log files, and names one of nineteen causes with the lines that speak for it; snipectl explain prints it. Log lines carry milliseconds.

Ruled out: an index or a service over logs: files and standard input are what there is.

--- a/cmd/snipectl/main.go
+++ b/cmd/snipectl/main.go
@@ -72,6 +72,7 @@
 	{"adapters", teamArgument, "list the resident adapters and where they are", plain(adapters)},
 	{"leases", "", "list the leases and what is owned under each", plain(leases)},
 	{"drain", "[INSTANCE]", "make an instance stop gracefully; the called one without INSTANCE", plain(drain)},
+	{"explain", "[-all] ID [FILE...]", "tell what became of a request from instances' logs, or standard input", prepareExplain},
 	{"hash", "", "print the hash of the key on standard input", plain(hash)},
 }
 
--- a/snipelog/snipelog.go
+++ b/snipelog/snipelog.go
@@ -31,12 +31,16 @@
 	entry *logrus.Entry
 }
 
+// timeFormat is that of RFC 3339 with milliseconds: what follows each other on several
+// instances lies a few milliseconds apart.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes JSON lines to w.
 func New(w io.Writer, level logrus.Level, instance string) *Logger {
 	l := logrus.New()
 	l.SetOutput(w)
 	l.SetLevel(level)
-	l.SetFormatter(&logrus.JSONFormatter{})
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return &Logger{entry: l.WithField("Instance", instance)}
 }
 
