A renewal never holds more than the store takes in one transaction

A renewal counted up to 90 rows to take over; each is a condition and a write, and conditions on the engines that are owned came on top. Such a renewal is refused again each second: the instance that should take most engines over takes none, and one with more than 49 cannot give them up.

Ruled out: the takeover rules, which were right about who is to own what.

Change: takeovers and releases are cut to the entries that are left; the rest follows with the next renewals. An instance owns 97 engines at most, whose conditions fit.

--- a/snipeowner/renew.go
+++ b/snipeowner/renew.go
@@ -27,13 +27,16 @@
 		Expect: h.instance[self.Peer].version, Data: data,
 	}}
 	var wanted []takeover
+	var released []netip.AddrPort
 	switch {
 	case self.Leaving:
 		h.endOrders()
-		changes = append(changes, h.releases()...)
+		var given []snipeplatform.Change
+		given, released = h.releases(maxEntries - entries(changes))
+		changes = append(changes, given...)
 	case !standby:
 		changes = append(changes, h.conditions()...)
-		wanted = h.wanted()
+		wanted = h.wanted(maxEntries - entries(changes))
 		for _, t := range wanted {
 			changes = append(changes, t.changes...)
 		}
@@ -47,12 +50,28 @@
 	}
 	h.renewedAt = sent
 	h.instance[self.Peer] = sighting{Instance: self, version: version, since: sent}
-	h.renewed(sent, version, wanted, self.Leaving)
+	if self.Leaving {
+		h.released(released)
+		return nil
+	}
+	h.renewed(sent, version, wanted)
 	return nil
 }
 
-// maxChanges bounds the rows of one transaction; the store takes a hundred.
-const maxChanges = 90
+// maxEntries is how many conditions and writes the store takes in one transaction. A
+// renewal holds a condition for each engine that is owned, so that it also bounds those.
+const maxEntries = 100
+
+// entries counts the conditions and writes of changes: each has a condition.
+func entries(changes []snipeplatform.Change) int {
+	n := len(changes)
+	for _, c := range changes {
+		if c.Data != nil || c.Delete {
+			n++
+		}
+	}
+	return n
+}
 
 // unique drops conditions on a row that is already among the changes.
 func unique(changes []snipeplatform.Change) []snipeplatform.Change {
@@ -92,28 +111,37 @@
 	h.until = 0
 }
 
-// releases give all engines up.
-func (h *Holder) releases() []snipeplatform.Change {
+// releases give engines up, as many as fit into so many entries.
+func (h *Holder) releases(room int) (changes []snipeplatform.Change, released []netip.AddrPort) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	var changes []snipeplatform.Change
 	for engine, o := range h.holdings {
 		// A struct of plain fields always has a JSON form.
 		data, _ := json.Marshal(ownership{Fence: o.fence})
-		changes = append(changes, snipeplatform.Change{Key: ownerKey(engine), Expect: o.version, Data: data})
+		change := []snipeplatform.Change{{Key: ownerKey(engine), Expect: o.version, Data: data}}
+		if room -= entries(change); room < 0 {
+			break
+		}
+		changes, released = append(changes, change...), append(released, engine)
 	}
-	return changes
+	return changes, released
 }
 
-// renewed notes a successful renewal.
-func (h *Holder) renewed(sent time.Duration, version uint64, taken []takeover, leaving bool) {
+// released notes that engines were given up. This instance has no right to order any
+// more; what did not fit follows with the next renewal.
+func (h *Holder) released(engines []netip.AddrPort) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	if leaving {
-		h.holdings = make(map[netip.AddrPort]holding)
-		h.until = 0
-		return
+	h.until = 0
+	for _, engine := range engines {
+		delete(h.holdings, engine)
 	}
+}
+
+// renewed notes a successful renewal.
+func (h *Holder) renewed(sent time.Duration, version uint64, taken []takeover) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
 	h.until = sent + orderTime
 	for engine, o := range h.holdings {
 		o.confirmed = true
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -38,9 +38,21 @@
 	return rows
 }
 
+// maxEntries is how many conditions and writes the table takes at once.
+const maxEntries = 100
+
 func (t *table) write(operation string, changes []snipeplatform.Change) (uint64, error) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	entries := len(changes)
+	for _, c := range changes {
+		if c.Data != nil {
+			entries++
+		}
+	}
+	if entries > maxEntries {
+		return 0, snipeplatform.ErrUnavailable
+	}
 	for _, c := range changes {
 		if t.rows[c.Key].Version != c.Expect {
 			return 0, snipeplatform.ErrConflict
@@ -333,6 +345,30 @@
 	}
 }
 
+// TestManyEngines: an instance that is to own more engines than fit into one transaction
+// of the table takes them one part after the other, gives them up so, and owns no more
+// than it can hold all conditions of.
+func TestManyEngines(t *testing.T) {
+	tests := map[string]struct{ engines, owned int }{"Few": {40, 40}, "Many": {70, 70}, "TooMany": {120, 97}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlay(t, 9, 2, tt.engines)
+				defer p.end()
+				p.links[1].set(true, 0)
+				p.stops[1]()
+				p.watch(20 * time.Second)
+				must.Eq(t, tt.owned, p.owned())
+				p.start(1)
+				p.watch(5 * time.Second)
+				p.holders[0].Leave()
+				p.watch(20 * time.Second)
+				must.Eq(t, tt.owned, p.owned())
+			})
+		})
+	}
+}
+
 // TestCopyBehind: rows that are read from a copy which does not yet show what this
 // instance has written take nothing away from it.
 func TestCopyBehind(t *testing.T) {
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -19,25 +19,27 @@
 }
 
 // wanted returns the engines without a live owner for which this instance ranks
-// first among the live ones, and those that an earlier start of it owned.
-func (h *Holder) wanted() []takeover {
+// first among the live ones, and those that an earlier start of it owned, as many as
+// fit into so many entries of a transaction.
+func (h *Holder) wanted(room int) []takeover {
 	if h.stale {
 		return nil
 	}
 	now := h.Clock()
 	settled := now-h.started >= settleTime
 	var all []takeover
-	rows := 0
 	for _, engine := range h.Engines() {
 		own := h.owners[engine].Machine == h.Self.Peer
-		if rows >= maxChanges || !own && (!settled || !h.first(engine)) {
+		if !own && (!settled || !h.first(engine)) {
 			continue
 		}
 		t, ok := h.takeOver(engine, now)
 		if !ok {
 			continue
 		}
-		rows += len(t.changes)
+		if room -= entries(t.changes); room < 0 {
+			return all
+		}
 		all = append(all, t)
 	}
 	return all
