--- a/snipeadapter/snipeadapter.go
+++ b/snipeadapter/snipeadapter.go
@@ -41,6 +41,8 @@
 	ErrNoModel = errors.New("the engine does not hold the model")
 	// ErrRefused: the engine refused the order.
 	ErrRefused = errors.New("order refused")
+	// ErrUnreached: nothing was sent to the engine, which takes no connection.
+	ErrUnreached = errors.New("engine unreached")
 	// ErrNoAnswer: the order may have been taken.
 	ErrNoAnswer = errors.New("no answer to the order")
 )
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -116,6 +116,13 @@
 	return s == nil || !time.Now().Before(s.until)
 }
 
+// Load returns the weight of the requests that are thought to be at an upstream.
+func (b *Balancer) Load(u *snipedirectory.Upstream) float64 {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.load(u.ID, time.Now())
+}
+
 // Busy returns the share of an upstream's slots that are thought to be taken.
 func (b *Balancer) Busy(u *snipedirectory.Upstream) float64 {
 	b.lock.Lock()
@@ -124,7 +131,11 @@
 }
 
 func (b *Balancer) busy(u *snipedirectory.Upstream, now time.Time) float64 {
-	s := b.states[u.ID]
+	return b.load(u.ID, now) / float64(max(u.Slots, 1))
+}
+
+func (b *Balancer) load(id string, now time.Time) float64 {
+	s := b.states[id]
 	if s == nil {
 		return 0
 	}
@@ -133,7 +144,7 @@
 		others := max(s.told-s.mineThen, 0)
 		load += others * float64(staleAfter-age) / float64(staleAfter)
 	}
-	return load / float64(max(u.Slots, 1))
+	return load
 }
 
 func (b *Balancer) cost(u *snipedirectory.Upstream, now time.Time) (cost float64, suspect bool) {
--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/sniperoute"
 )
 
 // Resident is an adapter that an engine holds.
@@ -35,6 +36,9 @@
 	ID      string
 	Service string
 	Address netip.AddrPort
+	// RankKey is the hash of the address by which the upstream ranks for an adapter; the
+	// Keeper sets it.
+	RankKey uint64
 	// Domain is its failure domain.
 	Domain string
 	Slots  int
@@ -169,6 +173,7 @@
 
 func (k *Keeper) put(byID map[string]*Upstream, u *Upstream) {
 	old := byID[u.ID]
+	u.RankKey = sniperoute.Hash(u.Address.String())
 	byID[u.ID] = u
 	delete(k.missing, u.ID)
 	switch {
--- a/snipeentry/budget.go
+++ b/snipeentry/budget.go
@@ -2,14 +2,16 @@
 
 import (
 	"sync"
+	"time"
 
 	"snipepitch.example/snipepitch/sniperetry"
 )
 
 const (
-	// keptBack is the share of the allowed repeats that is used: instances do not
-	// count each other's, and their number changes.
-	keptBack = 0.75
+	// keptBack is the share of the allowed repeats that is used. The rest is for what
+	// instances do not know: how many they are while some start or end, and what was
+	// repeated by those that ended. All killed at once may spend the slack twice.
+	keptBack = 0.85
 	// fewestInstances is the least number among which the slack is divided: one
 	// that has just started may know of nobody yet.
 	fewestInstances = 6
@@ -21,24 +23,29 @@
 type budgets struct {
 	share     float64
 	slack     float64
+	span      time.Duration
 	instances func() int
 
 	lock sync.Mutex // guards all
-	all  map[string]*sniperetry.Budget
+	all  map[string]*sniperetry.Window
 }
 
 // of returns a service's budget.
-func (b *budgets) of(service string) *sniperetry.Budget {
+func (b *budgets) of(service string) *sniperetry.Window {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if found := b.all[service]; found != nil {
 		return found
 	}
 	if b.all == nil {
-		b.all = make(map[string]*sniperetry.Budget)
+		b.all = make(map[string]*sniperetry.Window)
 	}
-	burst := keptBack * b.slack / float64(max(b.instances(), fewestInstances))
-	made := &sniperetry.Budget{Share: keptBack * b.share, Burst: burst, TeamBurst: burst}
+	made := &sniperetry.Window{Share: keptBack * b.share, Slack: b.part, Span: b.span}
 	b.all[service] = made
 	return made
 }
+
+// part is this instance's part of the slack.
+func (b *budgets) part() float64 {
+	return keptBack * b.slack / float64(max(b.instances(), fewestInstances))
+}
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -55,6 +55,8 @@
 		return &snipeproto.AdapterEnsureResponse{Busy: true, WaitMilliseconds: busy.Wait.Milliseconds()}, nil
 	case errors.Is(err, snipeadapter.ErrNotOwner):
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	case errors.Is(err, snipeadapter.ErrUnreached):
+		return nil, twirp.NewError(twirp.Aborted, err.Error())
 	case err != nil:
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -163,6 +165,10 @@
 		Engine: u.ID, Model: a.Model, Adapter: a.Name, Version: version,
 		PatienceMilliseconds: patience.Milliseconds(),
 	})
+	var failure twirp.Error
+	if errors.As(err, &failure) && failure.Code() == twirp.Aborted {
+		return 0, errors.Wrapf(snipeadapter.ErrUnreached, "owner %s: %s", owner.Instance.Name, failure.Msg())
+	}
 	if err != nil {
 		return 0, errors.Wrapf(err, "owner %s", owner.Instance.Name)
 	}
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -41,6 +41,8 @@
 	// service, RetrySlack how many beside that.
 	RetryShare float64
 	RetrySlack float64
+	// RetrySpan is the span of time over which both are counted.
+	RetrySpan snipejson.Duration
 	// StopTimeout bounds a planned stop.
 	StopTimeout snipejson.Duration
 	// Power is the share of a core that the machine gives the process; duties for
@@ -66,7 +68,7 @@
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "settings file")
 	}
-	s := Settings{LogLevel: "info"}
+	s := Settings{LogLevel: "info", RetrySpan: snipejson.Duration(DefaultRetrySpan)}
 	if err := snipejson.Decode(data, &s); err != nil {
 		return Settings{}, errors.Wrapf(ErrSettings, "%s: %v", path, err)
 	}
@@ -76,6 +78,9 @@
 	return s, nil
 }
 
+// DefaultRetrySpan is the span over which repeats are counted: the platform's.
+const DefaultRetrySpan = 10 * time.Second
+
 // leastStop is the least time for a planned stop: the balancer needs more than two
 // seconds to notice.
 const leastStop = 4 * time.Second
@@ -111,6 +116,8 @@
 		return invalid("RetryShare", "is not between 0 and 1")
 	case s.RetrySlack < 0:
 		return invalid("RetrySlack", "is negative")
+	case s.RetrySpan <= 0:
+		return invalid("RetrySpan", "is not positive")
 	case s.StopTimeout.Value() < leastStop:
 		return invalid("StopTimeout", "is shorter than "+leastStop.String())
 	case s.Power < 0:
--- a/snipeentry/settings_test.go
+++ b/snipeentry/settings_test.go
@@ -14,7 +14,7 @@
 const settingsText = `{
   "Name": "one", "Domain": "here",
   "Callers": "10.0.0.1:80", "Ready": "10.0.0.1:81", "Peers": "10.0.0.1:82", "Metrics": "10.0.0.1:83",
-  "Table": "10.0.0.9:90", "OrderGap": "3s", "RetryShare": 0.2, "RetrySlack": 58,
+  "Table": "10.0.0.9:90", "OrderGap": "3s", "RetryShare": 0.2, "RetrySlack": 58, "RetrySpan": "10s",
   "StopTimeout": "8s", "MemoryBytes": 284000000, "LogLevel": "info"
 }`
 
@@ -27,6 +27,7 @@
 		"NoAddress":   {"10.0.0.1:82", "here", "Peers"},
 		"LongShare":   {"0.2", "1.2", "RetryShare"},
 		"NoSlack":     {"58", "-1", "RetrySlack"},
+		"NoSpan":      {"10s", "0s", "RetrySpan"},
 		"ShortStop":   {"8s", "2s", "StopTimeout"},
 		"NoLevel":     {`"info"`, `"loud"`, "LogLevel"},
 		"BadGap":      {"3s", "-3s", "OrderGap"},
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -208,7 +208,7 @@
 		},
 	}
 	i.peers = &peers{http: peerClient()}
-	i.budgets = &budgets{share: s.RetryShare, slack: s.RetrySlack, instances: i.instances}
+	i.budgets = &budgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Protocol: i.Platform.Protocol,
 		Budget: i.budgets.of, Stopping: i.phase.stopping, Log: i.Log, Meter: i.meter,
--- a/snipeentry/whole_test.go
+++ b/snipeentry/whole_test.go
@@ -151,6 +151,7 @@
 	settings := snipeentry.Settings{
 		Name: name, Domain: "here", Callers: open(), Ready: open(), Peers: open(), Metrics: open(),
 		Table: s.address, OrderGap: snipejson.Duration(200 * time.Millisecond), RetryShare: 0.2, RetrySlack: 100,
+		RetrySpan:   snipejson.Duration(snipeentry.DefaultRetrySpan),
 		StopTimeout: snipejson.Duration(8 * time.Second), LogLevel: "info",
 	}
 	dial := snipelink.Dialer()
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -117,7 +117,6 @@
 
 // notRun returns the failure of a request that the upstream did not run.
 func (c *call) notRun(answer *snipelink.Answer, d Dispatch, v Verdict) error {
-	c.refused++
 	// Read to the end, so that the connection can be kept.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxWhole))
 	id := d.Upstream.ID
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
-	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -15,7 +12,6 @@
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
-	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/sniperoute"
 )
 
@@ -61,15 +57,23 @@
 	tried   []string
 	reached int
 	ran     int
-	// refused counts upstreams that stated that they did not run it.
-	refused int
+	// paid tells that the attempt under way is a repeat that was paid for.
+	paid    bool
 	version int64
 	waited  time.Duration
+	// busy is the share of the last upstream's slots that were thought to be taken when
+	// it was chosen, holders how many upstreams could have been.
+	busy    float64
+	holders int
 	// begun tells that the answer has begun, lastEvent what the caller has of it.
 	begun     bool
 	lastEvent string
 	firstAt   time.Time
-	status    int
+	// wroteAt is when something was last passed on, longestPause the longest time
+	// between two such moments.
+	wroteAt      time.Time
+	longestPause time.Duration
+	status       int
 	// spare is a failure of an upstream, to be passed on if nothing better comes.
 	spare *whole
 }
@@ -125,7 +129,7 @@
 		return err
 	}
 	c.header = forwarded(c.request.Header)
-	g.Budget(c.service).Earn("")
+	g.Budget(c.service).Count()
 	return nil
 }
 
@@ -207,11 +211,14 @@
 // serve tries upstreams until one has answered, or nothing more may be tried.
 func (c *call) serve(ctx context.Context) error {
 	for {
+		reached := c.reached
 		choice, err := c.choose(ctx)
 		if err != nil {
+			c.settle(reached)
 			return c.giveUp(err)
 		}
 		err = c.attempt(ctx, choice)
+		c.settle(reached)
 		if err == nil {
 			return nil
 		}
@@ -233,6 +240,9 @@
 	choice, err := c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.tried, c.loadPatience())
 	c.waited += choice.Waited
 	c.version = choice.Version
+	if choice.Upstream != nil {
+		c.busy, c.holders = c.gateway.Balancer.Busy(choice.Upstream), choice.Holders
+	}
 	return choice, err
 }
 
@@ -261,114 +271,14 @@
 		// What reached no upstream is no repeat for any.
 		return true
 	}
-	return c.gateway.Budget(c.service).Spend("")
-}
-
-// giveUp returns the final failure. One that nothing may have run says so, with
-// the time to come back.
-func (c *call) giveUp(err error) error {
-	if c.spare != nil && !c.begun {
-		return c.deliver(c.spare)
-	}
-	f := snipeerror.From(err)
-	if c.ran > 0 {
-		f = snipeerror.New(f.Kind, snipeerror.MayHaveRun, f.Reason)
-	}
-	if f.Outcome == snipeerror.NotRun && f.RetryAfter == 0 {
-		f = f.After(c.comeBack())
-	}
-	return f
-}
-
-// comeBack is when a refused request is worth sending again: after a share of its
-// objective, spread so that those refused together do not return together.
-func (c *call) comeBack() time.Duration {
-	target := max(c.route.Target, 200*time.Millisecond)
-	spread := float64(sniperoute.Hash(c.ID)) / math.MaxUint64
-	return target/2 + time.Duration(spread*float64(target)/2)
-}
-
-// refuse writes a failure of this instance's own.
-func (c *call) refuse(f *snipeerror.CallError) {
-	status := f.Status()
-	if f.Outcome == snipeerror.MayHaveRun {
-		status = afterRun(status)
-	} else if status == http.StatusGatewayTimeout || status == http.StatusBadGateway {
-		status = http.StatusServiceUnavailable
-	}
-	h := c.writer.Header()
-	if c.ID != "" {
-		c.gateway.Protocol.Sign(h, c.ID)
-	}
-	h.Set("Content-Type", "application/json")
-	if f.RetryAfter > 0 && status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	c.status = status
-	c.writer.WriteHeader(status)
-	// The caller may have gone away; there is nobody to tell.
-	_, _ = c.writer.Write(f.Encode(c.ID))
-}
-
-// afterRun returns the status for a request that may have run: never one that
-// promises that it has not.
-func afterRun(status int) int {
-	switch status {
-	case http.StatusGatewayTimeout:
-		return status
-	default:
-		return http.StatusBadGateway
-	}
-}
-
-// tell logs the end of the request and counts it.
-func (c *call) tell(err error) {
-	event := snipelog.RequestEnded
-	outcome := "Answered"
-	switch {
-	case c.request.Context().Err() != nil:
-		event, outcome = snipelog.RequestAbandoned, "Abandoned"
-	case err != nil && snipeerror.From(err).Outcome == snipeerror.NotRun:
-		event, outcome = snipelog.RequestRefused, "Refused"
-	case err != nil:
-		event, outcome = snipelog.RequestFailed, "Failed"
-	}
-	took := time.Since(c.arrived)
-	fields := snipelog.Fields{
-		"Request": c.ID, "Outcome": outcome, "Status": c.status, "Milliseconds": took.Milliseconds(),
-		"Tried": slices.Clone(c.tried), "Ran": c.ran,
-	}
-	name := "none"
-	if c.route != nil {
-		name = c.route.Name
-		fields["Route"], fields["Service"], fields["Catalog"] = name, c.service, c.catalog.Version
-		fields["DirectoryAge"] = c.directoryAge().Milliseconds()
-	}
-	if c.Adapter.Model != "" {
-		fields["Adapter"], fields["Version"] = c.Adapter.Name, c.version
-		fields["WaitedMilliseconds"] = c.waited.Milliseconds()
-	}
-	if !c.firstAt.IsZero() {
-		first := c.firstAt.Sub(c.arrived)
-		fields["FirstMilliseconds"] = first.Milliseconds()
-		c.gateway.Meter.Observe(snipemeter.FirstChunk, name, outcome, first)
-	}
-	if c.waited > 0 {
-		c.gateway.Meter.Observe(snipemeter.LoadStall, name, outcome, c.waited)
-	}
-	c.gateway.Meter.Observe(snipemeter.CallDuration, name, outcome, took)
-	if err != nil {
-		c.gateway.Log.Error(event, err, fields)
-		return
-	}
-	c.gateway.Log.Log(event, fields)
+	c.paid = c.gateway.Budget(c.service).Spend()
+	return c.paid
 }
 
-// directoryAge is how old the knowledge of upstreams is.
-func (c *call) directoryAge() time.Duration {
-	s := c.gateway.Chooser.Directory.Snapshot()
-	if s == nil {
-		return 0
+// settle takes back what was paid for an attempt that reached no upstream.
+func (c *call) settle(reached int) {
+	if c.paid && c.reached == reached {
+		c.gateway.Budget(c.service).Refund()
 	}
-	return time.Since(s.Read)
+	c.paid = false
 }
--- a/snipegateway/choose_test.go
+++ b/snipegateway/choose_test.go
@@ -28,18 +28,28 @@
 	asked    []string
 	busy     map[string]time.Duration
 	canceled int
+	// failing are the engines that fail, and how.
+	failing map[string]error
+	// slow is how much longer than expected each load takes.
+	slow time.Duration
 }
 
+// loadTakes is the time of a load at an engine that has nothing else to do.
+const loadTakes = 250 * time.Millisecond
+
 func (o *owners) ensure(ctx context.Context, u *snipedirectory.Upstream, _ snipecatalog.Adapter, version int64, patience time.Duration) (int64, error) {
 	o.lock.Lock()
 	o.asked = append(o.asked, u.ID)
-	wait := o.busy[u.ID]
+	wait, failure := o.busy[u.ID], o.failing[u.ID]
 	o.lock.Unlock()
+	if failure != nil {
+		return 0, failure
+	}
 	if wait > patience {
 		return 0, &snipeadapter.BusyError{Wait: wait}
 	}
 	select {
-	case <-time.After(wait + 250*time.Millisecond):
+	case <-time.After(wait + loadTakes + o.slow):
 		return max(version, 1), nil
 	case <-ctx.Done():
 		o.lock.Lock()
@@ -118,6 +128,39 @@
 	})
 }
 
+// TestDeadEngines answers the pattern of a crash that takes a quarter of the engines:
+// those in rank that do not answer are passed over, and one that takes no connection is
+// not asked again for a while.
+func TestDeadEngines(t *testing.T) {
+	const count = 12
+	tests := map[string]struct {
+		dead      int
+		failure   error
+		questions int // of a second request for another adapter
+	}{
+		"NoConnection": {5, snipeadapter.ErrUnreached, 1},
+		"NoOwner":      {5, snipeadapter.ErrNotOwner, 6},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := &owners{failing: map[string]error{}}
+				c := newChooser(o, count)
+				for _, u := range c.RankedForTest(service, request.Adapter)[:tt.dead] {
+					o.failing[u] = tt.failure
+				}
+				_, err := c.Choose(t.Context(), service, request, nil, objective)
+				must.NoError(t, err)
+				must.Eq(t, tt.dead+1, o.questions())
+				c.Residency.Deny(o.asked[tt.dead], request.Adapter)
+				_, err = c.Choose(t.Context(), service, request, nil, objective)
+				must.NoError(t, err)
+				must.Eq(t, tt.questions, o.questions()-tt.dead-1)
+			})
+		})
+	}
+}
+
 // TestOldVersionEnds: a request may wait for seconds in an engine's queue before it
 // begins, so one is sent to an engine with the former version only for a short while
 // after the announcement.
--- a/snipegateway/memory.go
+++ b/snipegateway/memory.go
@@ -32,7 +32,7 @@
 		if !may(u) || !c.Balancer.Usable(u) {
 			continue
 		}
-		if score := sniperoute.Score(key, sniperoute.Hash(u.Address.String())); reader == nil || score > highest {
+		if score := sniperoute.Score(key, u.RankKey); reader == nil || score > highest {
 			reader, highest = u, score
 		}
 	}
--- a/snipegateway/reach_test.go
+++ b/snipegateway/reach_test.go
@@ -70,6 +70,7 @@
 		}
 	}))
 	t.Cleanup(server.Close)
+	budget := &sniperetry.Window{Slack: func() float64 { return 0 }, Span: time.Minute}
 	catalog := &snipecatalog.Keeper{}
 	routes := &snipecatalog.Catalog{
 		Version: 1, Services: map[string]*snipecatalog.Service{service: {}},
@@ -102,7 +103,7 @@
 			},
 			Sign: func(http.Header, string) {},
 		},
-		Budget:   func(string) *sniperetry.Budget { return &sniperetry.Budget{} },
+		Budget:   func(string) *sniperetry.Window { return budget },
 		Stopping: func() bool { return false },
 	}, got
 }
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -40,7 +40,7 @@
 	Links    *snipelink.Pool
 	Protocol Protocol
 	// Budget returns what pays for the repeats of a service's requests.
-	Budget func(service string) *sniperetry.Budget
+	Budget func(service string) *sniperetry.Window
 	// Stopping reports that a planned stop has begun: connections are not kept.
 	Stopping func() bool
 	Log      *snipelog.Logger
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -71,12 +72,21 @@
 	if err := http.NewResponseController(c.writer).Flush(); err != nil {
 		return snipeerror.New(snipeerror.ErrCanceled, snipeerror.MayHaveRun, err.Error())
 	}
+	c.notePause(time.Now())
 	if id := lastID(events); id != "" {
 		c.lastEvent = id
 	}
 	return nil
 }
 
+// notePause keeps the longest time between two writes to the caller.
+func (c *call) notePause(now time.Time) {
+	if !c.wroteAt.IsZero() {
+		c.longestPause = max(c.longestPause, now.Sub(c.wroteAt))
+	}
+	c.wroteAt = now
+}
+
 // finish writes what is left of a stream that came to its end.
 func (c *call) finish(id string, answer *snipelink.Answer, rest []byte) error {
 	c.gateway.Balancer.Answered(id, false)
--- /dev/null
+++ b/sniperetry/window_test.go
@@ -0,0 +1,127 @@
+package sniperetry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	testShare = 0.2
+	testSpan  = 10 * time.Second
+)
+
+func newWindow(slack float64) *Window {
+	return &Window{Share: testShare, Slack: func() float64 { return slack }, Span: testSpan}
+}
+
+// TestWindowAtCrash answers the pattern of an upstream that takes all of its requests
+// with it: an instance of eighty has eleven requests a second and a slack of two; eight of them
+// fail at once. All may be repeated, where a bucket that saves up no more than
+// its slack pays for two.
+func TestWindowAtCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWindow(2)
+		bucket := &Budget{Share: testShare, Burst: 2, TeamBurst: 2}
+		for range 11 * 10 {
+			w.Count()
+			bucket.Earn("")
+			time.Sleep(time.Second / 11)
+		}
+		repeated, bucketed := 0, 0
+		for range 8 {
+			if w.Spend() {
+				repeated++
+			}
+			if bucket.Spend("") {
+				bucketed++
+			}
+		}
+		must.Eq(t, 8, repeated)
+		must.Eq(t, 2, bucketed)
+	})
+}
+
+// TestWindowNeverExceeds holds the bound over every span of random traffic and failures: the
+// repeats of any ten seconds are no more than the share of the requests of these or the ten seconds
+// that end half a span before, and the slack.
+func TestWindowNeverExceeds(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 3))
+			w := newWindow(3)
+			var requests, repeats []time.Time
+			rate, failing := 20.0, 0.1
+			for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+				if r.IntN(100) == 0 {
+					failing = r.Float64()
+				}
+				time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+				requests = append(requests, time.Now())
+				w.Count()
+				for r.Float64() < failing && w.Spend() {
+					repeats = append(repeats, time.Now())
+				}
+			}
+			for n, last := range repeats {
+				count, from := 0, last.Add(-testSpan)
+				for _, at := range repeats[:n+1] {
+					if at.After(from) {
+						count++
+					}
+				}
+				most := max(within(requests, from, last), within(requests, from.Add(-testSpan/2), last.Add(-testSpan/2)))
+				must.LessEq(t, testShare*float64(most)+3+1e-9, float64(count))
+			}
+		})
+	}
+}
+
+func within(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestWindowEdges holds what else pays for repeats.
+func TestWindowEdges(t *testing.T) {
+	count := func(w *Window, n int) {
+		for range n {
+			w.Count()
+		}
+	}
+	tests := map[string]struct {
+		before func(w *Window)
+		want   int
+	}{
+		"FirstQuarter":    {func(*Window) {}, 1},
+		"SlackGrows":      {func(w *Window) { w.Count(); time.Sleep(testSpan / 2) }, 2},
+		"SlackWhole":      {func(w *Window) { w.Count(); time.Sleep(2 * testSpan) }, 4},
+		"RequestsAtOnce":  {func(w *Window) { count(w, 50) }, 11},
+		"RequestsLapse":   {func(w *Window) { count(w, 50); time.Sleep(11 * time.Second) }, 4},
+		"LongPause":       {func(w *Window) { count(w, 50); time.Sleep(time.Hour) }, 4},
+		"SpentLapse":      {func(w *Window) { count(w, 5); w.Spend(); time.Sleep(11 * time.Second) }, 4},
+		"SpentDoesNotYet": {func(w *Window) { count(w, 10); w.Spend(); time.Sleep(9 * time.Second) }, 4},
+		"Refunded":        {func(w *Window) { count(w, 50); w.Spend(); w.Refund() }, 11},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWindow(4)
+				tt.before(w)
+				spent := 0
+				for w.Spend() {
+					spent++
+				}
+				must.Eq(t, tt.want, spent)
+			})
+		})
+	}
+}
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -75,6 +75,7 @@
 	settings := snipeentry.Settings{
 		Name: i.name, Domain: "here", Callers: i.callers, Ready: i.ready, Peers: i.peers, Metrics: i.metrics,
 		Table: i.store, OrderGap: snipejson.Duration(orderGap), RetryShare: 1, RetrySlack: 1000,
+		RetrySpan:   snipejson.Duration(snipeentry.DefaultRetrySpan),
 		StopTimeout: snipejson.Duration(stopTimeout), LogLevel: "info",
 	}
 	for _, other := range i.soak.instances {
