One owner decides about an adapter's replicas; evicted is what is silent or held elsewhere

Each of its engines' owners multiplied its own engine's rate by the number of holders: a rate that still showed the time before the last replicas came, and that varies by a third by chance. Each demand that rose so pushed out the adapters of 40 engines, 1,148 evictions were of adapters asked for ten times or more in the next three seconds, and 6 in 100 requests met an engine that had just evicted theirs.

Change: the owner of the first holder in rank decides, at most once in 1.2 s, and adds to several holders only from one and a half times the rate on. What an adapter is worth to an engine is bounded by the time that it was not asked for, and is a twentieth where the other holders can take its requests over.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -57,6 +57,9 @@
 	Model func(u *snipedirectory.Upstream) string
 	// Newest returns the newest announced version of an adapter; 0 for none.
 	Newest func(a snipecatalog.Adapter) int64
+	// Spare reports whether an engine may lose an adapter that is used so many times a
+	// second there, because others hold it too; nil for never.
+	Spare func(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool
 	// Holder is this instance's name in orders.
 	Holder string
 	Log    *snipelog.Logger
--- a/snipeadapter/desk_test.go
+++ b/snipeadapter/desk_test.go
@@ -494,3 +494,65 @@
 		must.NoError(t, err)
 	})
 }
+
+// TestEvictsWhatIsSilent answers the pattern of a demand that moves on: an adapter that was
+// asked for very often until two seconds ago makes way before those that are asked for
+// now and then.
+func TestEvictsWhatIsSilent(t *testing.T) {
+	const hot = 1
+	play(t, 12, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		fill(t, d)
+		for range 20 {
+			d.Used("e1", map[snipecatalog.Adapter]int{adapter(hot): 8})
+			time.Sleep(80 * time.Millisecond)
+		}
+		for round := range 16 {
+			for n := hot + 1; n <= places; n++ {
+				d.Used("e1", map[snipecatalog.Adapter]int{adapter(n): 1 + round%2})
+			}
+			time.Sleep(330 * time.Millisecond)
+		}
+		_, err := d.Ensure(t.Context(), "e1", adapter(99), 0, patient)
+		must.NoError(t, err)
+		must.False(t, e.holds(adapter(hot)))
+	})
+}
+
+// TestEvictsWhatOthersHold: of two adapters the one that other engines hold too makes way,
+// though it is asked for more often.
+func TestEvictsWhatOthersHold(t *testing.T) {
+	const replica = 1
+	play(t, 13, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		d.Spare = func(_ *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
+			return a == adapter(replica) && perSecond < 5
+		}
+		fill(t, d)
+		for range 4 {
+			for n := range places {
+				d.Used("e1", map[snipecatalog.Adapter]int{adapter(n + 1): 1})
+			}
+			d.Used("e1", map[snipecatalog.Adapter]int{adapter(replica): 2})
+			time.Sleep(400 * time.Millisecond)
+		}
+		_, err := d.Ensure(t.Context(), "e1", adapter(99), 0, patient)
+		must.NoError(t, err)
+		must.False(t, e.holds(adapter(replica)))
+	})
+}
+
+// fill has the engine hold as many adapters as it has places for, from 1 on.
+func fill(t *testing.T, d *snipeadapter.Desk) {
+	t.Helper()
+	for n := range places {
+		_, err := d.Ensure(t.Context(), "e1", adapter(n+1), 0, patient)
+		must.NoError(t, err)
+	}
+}
+
+// holds reports whether the engine holds an adapter.
+func (f *fakeEngine) holds(a snipecatalog.Adapter) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	_, ok := f.held[a]
+	return ok
+}
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -260,14 +261,14 @@
 	if taken < e.desk.Slots(u) {
 		return snipecatalog.Adapter{}, false
 	}
-	a, _ := e.leastUsed(calmUse)
+	a, _ := e.leastUsed(u, calmUse)
 	return a, true
 }
 
-// leastUsed returns the adapter that is used least, of those not used for calm. One
+// leastUsed returns the adapter whose loss costs least, of those not used for calm. One
 // whose newer version only waits for its turn may go: if all did that, none of them
 // would find room. The lock is held.
-func (e *engine) leastUsed(calm time.Duration) (snipecatalog.Adapter, bool) {
+func (e *engine) leastUsed(u *snipedirectory.Upstream, calm time.Duration) (snipecatalog.Adapter, bool) {
 	var least snipecatalog.Adapter
 	var lowest float64
 	found := false
@@ -276,13 +277,36 @@
 		if h.coming || h.replaced || e.bringing[a] || now.Sub(h.used) < calm {
 			continue
 		}
-		if score := h.uses.At(now); !found || score < lowest {
+		if score := e.worth(u, a, h, now); !found || score < lowest {
 			least, lowest, found = a, score, true
 		}
 	}
 	return least, found
 }
 
+const (
+	// silentUses is how many uses were due in the time that an adapter has not been used:
+	// a demand that has ended shows after three times the pause between its requests.
+	silentUses = 3
+	// spareWorth is what an adapter is worth that other engines hold too, as a share of
+	// one that they do not: its loss costs a few refusals until it is known, no load.
+	spareWorth = 0.05
+)
+
+// worth is what an engine loses with an adapter: the uses of late, no more than the time
+// without any allows, and little of that where other engines do as well.
+func (e *engine) worth(u *snipedirectory.Upstream, a snipecatalog.Adapter, h *holding, now time.Time) float64 {
+	uses := h.uses.At(now)
+	if silent := now.Sub(h.used); silent > 0 {
+		uses = min(uses, silentUses*float64(halfLife)/math.Ln2/float64(silent))
+	}
+	perSecond := uses * math.Ln2 / halfLife.Seconds()
+	if e.desk.Spare != nil && e.desk.Spare(u, a, perSecond) {
+		return spareWorth * uses
+	}
+	return uses
+}
+
 // await asks until the load that was taken is complete. The question is the order
 // itself: an engine that holds what is ordered says so and does nothing.
 func (e *engine) await(ctx context.Context, o Order) error {
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -207,6 +207,9 @@
 			return version
 		},
 	}
+	i.desk.Spare = func(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
+		return i.gateway.Chooser.Spare(u, a, perSecond)
+	}
 	i.peers = &peers{http: peerClient()}
 	i.budgets = &budgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -52,6 +52,8 @@
 	lock     sync.Mutex // guards the fields below
 	flights  map[flightKey]*flight
 	replicas map[snipecatalog.Adapter]map[string]news
+	// settling tells until when a decision about an adapter's replicas settles.
+	settling map[snipecatalog.Adapter]time.Time
 	uses     map[string]map[snipecatalog.Adapter]*use
 }
 
--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -120,10 +120,13 @@
 	return serves && c.Balancer.Usable(u) && c.Owned(u)
 }
 
+// rankKey is the hash of an adapter by which engines rank for it.
+func rankKey(a snipecatalog.Adapter) uint64 { return sniperoute.Hash(a.Model, a.Name) }
+
 // ranked returns the engines in the order in which they should hold an adapter,
 // the same on every instance.
 func (c *Chooser) ranked(all []*snipedirectory.Upstream, a snipecatalog.Adapter) []*snipedirectory.Upstream {
-	key := sniperoute.Hash(a.Model, a.Name)
+	key := rankKey(a)
 	type scored struct {
 		upstream *snipedirectory.Upstream
 		score    uint64
--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -1,11 +1,13 @@
 package snipegateway
 
 import (
+	"maps"
 	"math"
 	"time"
 
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/sniperoute"
 )
 
 const (
@@ -17,6 +19,17 @@
 	// replicaPatience is how long the load of one more replica may take: with more
 	// to do, the engine is no help.
 	replicaPatience = 300 * time.Millisecond
+	// replicaSettle is how long after one decision about an adapter the next one follows:
+	// the loads take 0.3 s, and rates have a half-life of as much.
+	replicaSettle = 1200 * time.Millisecond
+	// replicaMargin is by how much the rate on one engine must exceed ReplicaRate for
+	// more engines to be added to several: half a second's requests of one adapter at one
+	// engine vary by a third from one time to the next.
+	replicaMargin = 1.5
+	// spareRate is the rate up to which the other holders may take over the requests of
+	// one that is to be evicted: less than what adds a replica, so that the two do not
+	// follow each other.
+	spareRate = 0.7 * ReplicaRate
 	// replicaNews is for how long others are told of a replica: the registry shows
 	// it to all by then.
 	replicaNews = 3 * time.Second
@@ -39,37 +52,82 @@
 // engine, of all instances: one instance alone sees too few requests to tell an
 // adapter that is asked for often from one that was asked for twice.
 func (c *Chooser) Spread(u *snipedirectory.Upstream, rates map[snipecatalog.Adapter]float64) {
-	all := c.Directory.Snapshot().Service(u.Service)
 	for a, perSecond := range rates {
-		c.spread(all, a, perSecond)
+		c.spread(u, a, perSecond)
 	}
 }
 
 // spread has as many engines load an adapter as its use on one engine calls for; the
-// others that hold it are used as much.
-func (c *Chooser) spread(all []*snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) {
-	required := c.Versions.Required(a, versionGrace)
-	holds := func(u *snipedirectory.Upstream) bool {
-		version, ok := c.Residency.Holds(u, a)
-		return ok && version >= required
+// others that hold it are used as much. Of several engines only the first in rank decides:
+// each knows its own rate alone, and what all of them add by theirs is too much.
+func (c *Chooser) spread(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) {
+	all := c.Directory.Snapshot().Service(u.Service)
+	holders, first := c.holders(all, a)
+	if holders > 1 && (first != u || perSecond < replicaMargin*ReplicaRate) {
+		return
 	}
-	held := max(c.held(all, holds), 1)
-	missing := wanted(perSecond*float64(held), len(all)) - held
-	if missing <= 0 {
+	holders = max(holders, 1)
+	missing := wanted(perSecond*float64(holders), len(all)) - holders
+	if missing <= 0 || !c.settled(a) {
 		return
 	}
-	for _, u := range c.ranked(all, a) {
+	required := c.Versions.Required(a, versionGrace)
+	for _, other := range c.uncrowdedFirst(c.ranked(all, a)) {
 		if missing == 0 {
 			return
 		}
-		if holds(u) || !c.loadable(u, a) {
+		if version, held := c.Residency.Holds(other, a); held && version >= required || !c.loadable(other, a) {
 			continue
 		}
-		c.join(u, a, required, replicaPatience)
+		c.join(other, a, required, replicaPatience)
 		missing--
 	}
 }
 
+// holders returns how many usable engines hold an adapter in a version that will do, and
+// the first of them in rank.
+func (c *Chooser) holders(all []*snipedirectory.Upstream, a snipecatalog.Adapter) (count int, first *snipedirectory.Upstream) {
+	required := c.Versions.Required(a, versionGrace)
+	key := rankKey(a)
+	var highest uint64
+	for _, u := range all {
+		version, ok := c.Residency.Holds(u, a)
+		if !ok || version < required || !c.Balancer.Usable(u) {
+			continue
+		}
+		count++
+		if score := sniperoute.Score(key, u.RankKey); first == nil || score > highest {
+			first, highest = u, score
+		}
+	}
+	return count, first
+}
+
+// settled reports whether the last decision about an adapter shows in its rates, and
+// notes a new one if so.
+func (c *Chooser) settled(a snipecatalog.Adapter) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	now := time.Now()
+	if now.Before(c.settling[a]) {
+		return false
+	}
+	if c.settling == nil {
+		c.settling = make(map[snipecatalog.Adapter]time.Time)
+	}
+	maps.DeleteFunc(c.settling, func(_ snipecatalog.Adapter, until time.Time) bool { return now.After(until) })
+	c.settling[a] = now.Add(replicaSettle)
+	return true
+}
+
+// Spare reports whether an engine may lose an adapter that is used so often there: the
+// other engines that hold it take its requests over. The first in rank is never spare, so
+// that not all are dropped at the same time.
+func (c *Chooser) Spare(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
+	holders, first := c.holders(c.Directory.Snapshot().Service(u.Service), a)
+	return holders > 1 && first != u && perSecond*float64(holders)/float64(holders-1) < spareRate
+}
+
 // wanted returns how many engines should hold an adapter that is asked for so often.
 func wanted(perSecond float64, engines int) int {
 	return max(min(int(math.Ceil(perSecond/ReplicaRate)), engines), 1)
