The first holder in rank is known by its identifier, not by its entry

Cause, found in reading the diff: an engine's entry in the directory is another object with each reading. One that was read before the present one was never the first in rank, so that the owner of the first holder could take it for spare and drop the last copy, or decide nothing.

Ruled out: keeping entries that did not change; their positions differ with each heartbeat.

Change: the identifier is compared. TestSpare passes an older entry and failed for First.

--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -63,7 +63,7 @@
 func (c *Chooser) spread(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) {
 	all := c.Directory.Snapshot().Service(u.Service)
 	holders, first := c.holders(all, a)
-	if holders > 1 && (first != u || perSecond < replicaMargin*ReplicaRate) {
+	if holders > 1 && (first != u.ID || perSecond < replicaMargin*ReplicaRate) {
 		return
 	}
 	holders = max(holders, 1)
@@ -85,8 +85,8 @@
 }
 
 // holders returns how many usable engines hold an adapter in a version that will do, and
-// the first of them in rank.
-func (c *Chooser) holders(all []*snipedirectory.Upstream, a snipecatalog.Adapter) (count int, first *snipedirectory.Upstream) {
+// the identifier of the first of them in rank: its entry is another one with each reading.
+func (c *Chooser) holders(all []*snipedirectory.Upstream, a snipecatalog.Adapter) (count int, first string) {
 	required := c.Versions.Required(a, versionGrace)
 	key := rankKey(a)
 	var highest uint64
@@ -96,8 +96,8 @@
 			continue
 		}
 		count++
-		if score := sniperoute.Score(key, u.RankKey); first == nil || score > highest {
-			first, highest = u, score
+		if score := sniperoute.Score(key, u.RankKey); first == "" || score > highest {
+			first, highest = u.ID, score
 		}
 	}
 	return count, first
@@ -125,7 +125,7 @@
 // that not all are dropped at the same time.
 func (c *Chooser) Spare(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
 	holders, first := c.holders(c.Directory.Snapshot().Service(u.Service), a)
-	return holders > 1 && first != u && perSecond*float64(holders)/float64(holders-1) < spareRate
+	return holders > 1 && first != u.ID && perSecond*float64(holders)/float64(holders-1) < spareRate
 }
 
 // wanted returns how many engines should hold an adapter that is asked for so often.
--- a/snipegateway/replicas_test.go
+++ b/snipegateway/replicas_test.go
@@ -132,8 +132,9 @@
 			for _, id := range tt.holders {
 				c.Residency.Tell(id, request.Adapter, 1)
 			}
-			u := c.Directory.Snapshot().ByID(tt.engine)
-			must.Eq(t, tt.spare, c.Spare(u, request.Adapter, tt.perSecond))
+			// An entry that was read before the present one.
+			u := *c.Directory.Snapshot().ByID(tt.engine)
+			must.Eq(t, tt.spare, c.Spare(&u, request.Adapter, tt.perSecond))
 		})
 	}
 }
