snipectl explain reads files, and tells a load from a replacement

Ruled out: a fault of the reader, whose tests pass it a reader and no file.

Change: the error is wrapped only if there is one; versions are compared where one is named. The end of a request is a copy, which the sorting of the lines cannot move.

--- a/cmd/snipectl/explain.go
+++ b/cmd/snipectl/explain.go
@@ -54,7 +54,10 @@
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	return errors.Wrap(log.Read(file), name)
+	if err := log.Read(file); err != nil {
+		return errors.Wrap(err, name)
+	}
+	return nil
 }
 
 // printStory prints the cause and the lines that speak for it, as they were logged.
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -126,7 +126,7 @@
 		}
 		if l.Action == "Unload" {
 			unloads = append(unloads, l)
-		} else if l.Version > e.Version {
+		} else if e.Version > 0 && l.Version > e.Version {
 			loads = append(loads, l)
 		}
 	}
--- a/snipestory/snipestory.go
+++ b/snipestory/snipestory.go
@@ -58,9 +58,9 @@
 	own := slices.Clone(l.own)
 	slices.SortStableFunc(own, byTime)
 	s := &Story{ID: l.id}
-	for n := range own {
-		if isEnd(own[n].Event) {
-			s.End = &own[n]
+	for _, line := range own {
+		if isEnd(line.Event) {
+			s.End = &line
 		}
 	}
 	from, to := span(own, s.End)
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -55,6 +55,11 @@
 			snipestory.AdapterReplaced,
 			[]string{"OrderGiven", "End"},
 		},
+		"LoadedNotReplaced": { // without an announced version any will do
+			[]string{unload, replace, end("211", `"Error":"status 421","Adapter":"a5","Tried":["u1"]`)},
+			snipestory.AdapterEvicted,
+			[]string{"OrderGiven", "End"},
+		},
 		"Absent": {
 			[]string{elsehow, end("211", `"Error":"status 421","Adapter":"a5","Tried":["u1"]`)},
 			snipestory.AdapterAbsent,
