The soak gives no two instances the same port

The log of one0 says that port 26888 was in use; the settings of one2 name it too. The ports of one instance were found free, and freed, before those of the next were drawn: 12 ports of 18,000, so that about one soak in three hundred draws one twice.

Change: all ports are held until all are drawn.

Test: TestPortsDiffer and TestNoPort failed with the ports freed at once, and pass.

--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -44,25 +44,32 @@
 // portTries bounds the search for a free port.
 const portTries = 100
 
-// reserve finds free ports. They are released before the process takes them.
-func (i *instance) reserve() error {
-	for _, a := range []*netip.AddrPort{&i.callers, &i.ready, &i.peers, &i.metrics} {
-		l, err := listenLow()
-		if err != nil {
-			return err
+// reserve finds free ports for all instances. They are released when all are found, before
+// the processes take them: freed one instance after the other, the same port can be drawn
+// for two of them.
+func reserve(all []*instance, draw func() uint16) error {
+	for _, i := range all {
+		for _, a := range []*netip.AddrPort{&i.callers, &i.ready, &i.peers, &i.metrics} {
+			l, err := listenLow(draw)
+			if err != nil {
+				return err
+			}
+			*a = l.Addr().(*net.TCPAddr).AddrPort()
+			defer func() { _ = l.Close() }()
 		}
-		*a = l.Addr().(*net.TCPAddr).AddrPort()
-		defer func() { _ = l.Close() }()
 	}
 	return nil
 }
 
-// listenLow listens on a port that is free, drawn anew for each run: several soaks may
-// run at once.
-func listenLow() (net.Listener, error) {
+// drawPort draws a port anew for each run: several soaks may run at once.
+func drawPort() uint16 {
+	return uint16(lowestPort + rand.Uint32N(ports)) //nolint:gosec // any free port will do, at most 30,000
+}
+
+// listenLow listens on a drawn port that is free.
+func listenLow(draw func() uint16) (net.Listener, error) {
 	for range portTries {
-		port := lowestPort + rand.Uint32N(ports)                     //nolint:gosec // any free port will do
-		address := netip.AddrPortFrom(loopback.Addr(), uint16(port)) //nolint:gosec // at most 30,000
+		address := netip.AddrPortFrom(loopback.Addr(), draw())
 		if l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address)); err == nil {
 			return l, nil
 		}
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -160,10 +160,8 @@
 
 // start writes the instances' settings and starts them.
 func (s *Soak) start() error {
-	for _, i := range s.instances {
-		if err := i.reserve(); err != nil {
-			return err
-		}
+	if err := reserve(s.instances, drawPort); err != nil {
+		return err
 	}
 	for n, i := range s.instances {
 		i.store = s.cutter.Links[n].Listen
