snipectl explain tells how many lines it could not read

Cause, found in reading the diff: lines that are none of an instance's log were counted, and the count was told to nobody.

Ruled out: stopping at them; a stack trace in the same file is what an engineer looks for.

Change: the count goes to standard error. Test: TestExplain/Foreign, failed before.

--- a/cmd/snipectl/explain.go
+++ b/cmd/snipectl/explain.go
@@ -24,6 +24,10 @@
 		if err := readLogs(log, arguments[1:], c.in); err != nil {
 			return err
 		}
+		if log.Unread > 0 {
+			// The story may lack what stood there.
+			_, _ = fmt.Fprintf(c.messages, "snipectl: %d lines are none of an instance's log\n", log.Unread)
+		}
 		story, err := log.Tell()
 		if err != nil {
 			return err
--- a/cmd/snipectl/explain_test.go
+++ b/cmd/snipectl/explain_test.go
@@ -28,6 +28,7 @@
 		"Input":   {[]string{"explain", "q1"}, explained, 0, []string{"AdapterEvicted"}},
 		"JSON":    {[]string{"-json", "explain", "q1", file}, "", 0, []string{`"Kind": "AdapterEvicted"`}},
 		"All":     {[]string{"explain", "-all", "q1", file}, "", 0, []string{"AdapterEvicted", "OrderGiven"}},
+		"Foreign": {[]string{"explain", "q1"}, "panic: x\n" + explained, 0, []string{"AdapterEvicted", "1 lines are none"}},
 		"Unknown": {[]string{"explain", "q2", file}, "", exitFailed, []string{"no line of this request"}},
 		"NoFile":  {[]string{"explain", "q1", file + "x"}, "", exitFailed, []string{"no such file"}},
 		"NoID":    {[]string{"explain"}, "", exitUsage, []string{"identifier"}},
