An upstream that starts again is another one; entries that cannot be read name none

Cause: upstreams were known by their names. One that starts again under its name kept what was known of the start before: adapters told within four seconds, suspicion, places, and the number of orders, which an order of before can meet again after the restart. An entry of the registry that could not be decoded left the row before it in use.

Ruled out: a start beside the name in every table (each forgotten place is a fault); the order of starts by time (clocks jump).

Change: one identifier for a start, made of name and moment; reports of another start end the one that the registry shows; places stay free for loads of before a restart; entries are checked field by field and taken out when wrong, logged once and counted.

No upstream of the users' sites says when it started, so that only our own tests show restarts under the same name.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -60,12 +60,17 @@
 	// Spare reports whether an engine may lose an adapter that is used so many times a
 	// second there, because others hold it too; nil for never.
 	Spare func(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool
+	// StartedAgain is told of a start of an engine that is over, as its report shows,
+	// though the directory does not tell yet.
+	StartedAgain func(id string)
 	// Holder is this instance's name in orders.
 	Holder string
 	Log    *snipelog.Logger
 
 	evicted evictions
 
+	late lateOrders
+
 	lock    sync.Mutex // guards engines
 	engines map[string]*engine
 }
@@ -74,6 +79,10 @@
 type engine struct {
 	desk *Desk
 	id   string
+	// name and again are the upstream's; learned is since when this desk knows this start.
+	name    string
+	again   bool
+	learned time.Time
 	// ordering serialises orders: each states the number of those before it. It is
 	// held while an order is under way, so it is no mutex.
 	ordering turn
@@ -153,7 +162,7 @@
 	if _, ok := d.Fence(u.Address); !ok {
 		return 0, errors.Wrap(ErrNotOwner, id)
 	}
-	e := d.engine(id)
+	e := d.engine(u)
 	if !e.serves(a.Model) {
 		return 0, errors.Wrap(ErrNoModel, id)
 	}
@@ -251,7 +260,7 @@
 	if !ok {
 		return
 	}
-	e := d.engine(u.ID)
+	e := d.engine(u)
 	if err := e.ordering.take(ctx); err != nil {
 		return
 	}
@@ -279,21 +288,21 @@
 	delete(d.engines, id)
 }
 
-func (d *Desk) engine(id string) *engine {
+func (d *Desk) engine(u *snipedirectory.Upstream) *engine {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	if e := d.engines[id]; e != nil {
+	if e := d.engines[u.ID]; e != nil {
 		return e
 	}
 	if d.engines == nil {
 		d.engines = make(map[string]*engine)
 	}
 	e := &engine{
-		desk: d, id: id, ordering: make(turn, 1),
+		desk: d, id: u.ID, name: u.Name, again: u.Again, learned: time.Now(), ordering: make(turn, 1),
 		held: make(map[snipecatalog.Adapter]*holding), loads: make(map[snipecatalog.Adapter]*load),
 		bringing: make(map[snipecatalog.Adapter]bool),
 	}
-	d.engines[id] = e
+	d.engines[u.ID] = e
 	return e
 }
 
--- a/snipeadapter/desk_test.go
+++ b/snipeadapter/desk_test.go
@@ -44,6 +44,7 @@
 	lost, late float64
 	crashed    bool
 	loads      int
+	start      int64
 	report     snipeadapter.Report
 }
 
@@ -105,9 +106,13 @@
 	if f.before[o.Adapter] {
 		d = reloadTime
 	}
+	start := f.start
 	time.AfterFunc(d, func() {
 		f.lock.Lock()
 		defer f.lock.Unlock()
+		if f.start != start {
+			return
+		}
 		delete(f.coming, o.Adapter)
 		f.held[o.Adapter], f.before[o.Adapter] = target, true
 	})
@@ -166,7 +171,7 @@
 func (f *fakeEngine) publish(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.lock.Lock()
-		r := snipeadapter.Report{Orders: f.orders, Models: append([]string(nil), f.models...)}
+		r := snipeadapter.Report{Start: f.start, Orders: f.orders, Models: append([]string(nil), f.models...)}
 		for a, v := range f.held {
 			r.Resident = append(r.Resident, snipedirectory.Resident{Adapter: a, Version: v})
 		}
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -97,7 +97,11 @@
 	o.Expect, o.Holder, o.Fence = e.orders, e.desk.Holder, fence
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return e.desk.Engine.Order(bounded, u, *o)
+	reply, err := e.desk.Engine.Order(bounded, u, *o)
+	if reply == Unanswered && o.Action == Load {
+		e.desk.late.add(e.name, o.Expect)
+	}
+	return reply, err
 }
 
 // note takes what became of an order.
@@ -169,6 +173,11 @@
 	if err != nil {
 		return errors.Wrap(err, "read engine")
 	}
+	if r.Start != u.Start && r.Start != 0 && u.Start != 0 {
+		e.desk.Log.Log(snipelog.EngineStartedAgain, e.fields(snipelog.Fields{"Start": u.Start, "Reported": r.Start}))
+		e.desk.StartedAgain(u.ID)
+		return errors.Wrap(ErrStartedAgain, e.id)
+	}
 	e.orders, e.fence, e.sure = r.Orders, fence, false
 	e.read.Store(true)
 	e.desk.Log.Log(snipelog.EngineRead, e.fields(snipelog.Fields{
@@ -258,7 +267,8 @@
 			taken++
 		}
 	}
-	if taken < e.desk.Slots(u) {
+	slots := e.desk.Slots(u)
+	if taken < slots-e.reserved(slots) {
 		return snipecatalog.Adapter{}, false
 	}
 	a, _ := e.leastUsed(u, calmUse)
--- a/snipeadapter/residency.go
+++ b/snipeadapter/residency.go
@@ -1,6 +1,7 @@
 package snipeadapter
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -76,6 +77,13 @@
 	delete(r.engines, engine)
 }
 
+// Keep forgets all engines but some.
+func (r *Residency) Keep(known func(engine string) bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	maps.DeleteFunc(r.engines, func(id string, _ map[snipecatalog.Adapter]belief) bool { return !known(id) })
+}
+
 // Holds returns the version of an adapter that an engine is believed to hold. The
 // base model itself is held by every engine that lists it.
 func (r *Residency) Holds(u *snipedirectory.Upstream, a snipecatalog.Adapter) (int64, bool) {
--- a/snipeadapter/snipeadapter.go
+++ b/snipeadapter/snipeadapter.go
@@ -18,6 +18,9 @@
 //   - A load states the adapter's version, so that repeating it asks whether it is
 //     complete and never begins another load.
 //   - No order leaves without the right to order at that moment.
+//   - What was known of an engine is known of one start of it. An order of before a
+//     restart that the engine takes afterwards, because its count is met again, finds
+//     a place.
 package snipeadapter
 
 import (
@@ -43,6 +46,8 @@
 	ErrRefused = errors.New("order refused")
 	// ErrUnreached: nothing was sent to the engine, which takes no connection.
 	ErrUnreached = errors.New("engine unreached")
+	// ErrStartedAgain: the engine has started again and is not what it was.
+	ErrStartedAgain = errors.New("engine started again")
 	// ErrNoAnswer: the order may have been taken.
 	ErrNoAnswer = errors.New("no answer to the order")
 )
@@ -106,7 +111,9 @@
 
 // Report is what an engine says of itself. It is a fraction of a second old.
 type Report struct {
-	// Orders is the number of orders taken.
+	// Start is when the engine started, in milliseconds; 0 when it does not say.
+	Start int64
+	// Orders is the number of orders taken since then.
 	Orders uint64
 	// Models are the base models that it holds, Resident their adapters.
 	Models   []string
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -9,6 +9,7 @@
 package snipebalance
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -258,6 +259,13 @@
 	}
 }
 
+// Keep forgets all upstreams but some.
+func (b *Balancer) Keep(known func(id string) bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	maps.DeleteFunc(b.states, func(id string, _ *state) bool { return !known(id) })
+}
+
 // Forget drops an upstream that is gone.
 func (b *Balancer) Forget(id string) {
 	b.lock.Lock()
--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -7,14 +7,18 @@
 //
 //   - An upstream that is marked as leaving or that is gone from the registry is
 //     not returned for new work, from the moment at which that was read.
-//   - Identifiers are never used twice: an upstream that starts again is another
-//     one, though its address may be the same.
+//   - An upstream that starts again is another one, though its name and its address
+//     may be the same: it holds nothing of before, and nothing that was learned of the
+//     start before it is true of it. Starts are compared for equality only, since
+//     they are told by clocks that jump.
+//   - An entry that cannot be understood names no upstream to use, whatever the entry
+//     before it said.
 package snipedirectory
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,8 +36,16 @@
 
 // Upstream is one registered upstream.
 type Upstream struct {
-	// ID names this start of the upstream.
-	ID      string
+	// ID names this start of the upstream, and Name the upstream, which may start
+	// again under it; StartID makes the one of the other.
+	ID   string
+	Name string
+	// Start is the moment at which it says that it started, in milliseconds; 0 when it
+	// does not say.
+	Start int64
+	// Again tells that the start before this one was known under the same name; the
+	// Keeper sets it.
+	Again   bool
 	Service string
 	Address netip.AddrPort
 	// RankKey is the hash of the address by which the upstream ranks for an adapter; the
@@ -54,6 +66,16 @@
 	Position uint64
 }
 
+// StartID returns the identifier of one start of an upstream: its name and the moment
+// at which it says that it started, in milliseconds. One that does not say has its name
+// alone.
+func StartID(name string, start int64) string {
+	if start == 0 {
+		return name
+	}
+	return name + "@" + strconv.FormatInt(start, 10)
+}
+
 // Snapshot is the state of the directory at one position.
 type Snapshot struct {
 	// Position is the registry's position, Read when it was read.
@@ -94,7 +116,10 @@
 	Whole    bool
 	Position uint64
 	Changed  []*Upstream
-	Removed  []string
+	// Removed names upstreams without an entry, Wrong those whose entry cannot be
+	// understood.
+	Removed []string
+	Wrong   []string
 }
 
 // Keeper holds the newest snapshot. Exported fields are set before the first
@@ -111,6 +136,8 @@
 	lock    sync.Mutex // guards the fields below
 	outage  time.Time  // when the registry last could not be read
 	missing map[string]time.Time
+	// ended are the starts, by name, that are over though the registry still shows them.
+	ended map[string]string
 }
 
 // Event is what has become of an upstream.
@@ -137,83 +164,135 @@
 func (k *Keeper) Apply(c Change) {
 	k.lock.Lock()
 	defer k.lock.Unlock()
-	old := k.current.Load()
-	byID := make(map[string]*Upstream)
-	if old != nil {
-		byID = maps.Clone(old.byID)
-	}
+	byName := k.names()
 	gone := slices.Clone(c.Removed)
 	if c.Whole {
-		gone = append(gone, absent(byID, c.Changed)...)
+		gone = append(gone, absent(byName, c)...)
 	}
 	for _, u := range c.Changed {
-		k.put(byID, u)
+		k.put(byName, u)
+	}
+	for _, name := range c.Wrong {
+		k.remove(byName, name)
+	}
+	for _, name := range gone {
+		k.drop(byName, name)
 	}
-	for _, id := range gone {
-		k.drop(byID, id)
+	k.expire(byName)
+	k.current.Store(newSnapshot(byName, c.Position))
+}
+
+// End notes that a start is over though the registry still shows it: the upstream has
+// started again. It is not used until its entry tells of another start.
+func (k *Keeper) End(id string) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	old := k.current.Load()
+	u := old.ByID(id)
+	if u == nil {
+		return
+	}
+	if k.ended == nil {
+		k.ended = make(map[string]string)
+	}
+	k.ended[u.Name] = id
+	byName := k.names()
+	k.remove(byName, u.Name)
+	s := newSnapshot(byName, old.Position)
+	s.Read = old.Read
+	k.current.Store(s)
+}
+
+// names returns the upstreams by name, to be changed. The lock is held.
+func (k *Keeper) names() map[string]*Upstream {
+	byName := make(map[string]*Upstream)
+	if old := k.current.Load(); old != nil {
+		for _, u := range old.byID {
+			byName[u.Name] = u
+		}
 	}
-	k.expire(byID)
-	k.current.Store(newSnapshot(byID, c.Position))
+	return byName
 }
 
-// absent returns the identifiers of byID that are not among the entries.
-func absent(byID map[string]*Upstream, entries []*Upstream) []string {
-	present := make(map[string]bool, len(entries))
-	for _, u := range entries {
-		present[u.ID] = true
+// absent returns the names that a whole change does not hold.
+func absent(byName map[string]*Upstream, c Change) []string {
+	present := make(map[string]bool, len(c.Changed))
+	for _, u := range c.Changed {
+		present[u.Name] = true
+	}
+	for _, name := range c.Wrong {
+		present[name] = true
 	}
-	var ids []string
-	for id := range byID {
-		if !present[id] {
-			ids = append(ids, id)
+	var names []string
+	for name := range byName {
+		if !present[name] {
+			names = append(names, name)
 		}
 	}
-	return ids
+	return names
 }
 
-func (k *Keeper) put(byID map[string]*Upstream, u *Upstream) {
-	old := byID[u.ID]
+// put takes an entry. The lock is held.
+func (k *Keeper) put(byName map[string]*Upstream, u *Upstream) {
+	if k.ended[u.Name] == u.ID {
+		return
+	}
+	_, u.Again = k.ended[u.Name]
+	delete(k.ended, u.Name)
+	delete(k.missing, u.Name)
+	old := byName[u.Name]
+	if old != nil && old.ID != u.ID {
+		k.remove(byName, u.Name)
+		u.Again, old = true, nil
+	}
 	u.RankKey = sniperoute.Hash(u.Address.String())
-	byID[u.ID] = u
-	delete(k.missing, u.ID)
+	byName[u.Name] = u
 	switch {
 	case old == nil:
 		k.tell(u, Appeared)
+		return
 	case u.Leaving && !old.Leaving:
 		k.tell(u, Leaving)
 	}
+	u.Again = old.Again
 }
 
-// drop takes an entry out, unless the registry is just back: entries lapse
-// during an outage and are written again by upstreams that live.
-func (k *Keeper) drop(byID map[string]*Upstream, id string) {
-	u := byID[id]
-	if u == nil {
+// drop takes an upstream out whose entry is gone, unless the registry is just back:
+// entries lapse during an outage and are written again by upstreams that live. The lock
+// is held.
+func (k *Keeper) drop(byName map[string]*Upstream, name string) {
+	delete(k.ended, name)
+	if byName[name] == nil {
 		return
 	}
-	if !k.outage.IsZero() && time.Since(k.outage) < k.Return {
-		if k.missing == nil {
-			k.missing = make(map[string]time.Time)
-		}
-		if _, ok := k.missing[id]; !ok {
-			k.missing[id] = k.outage.Add(k.Return)
-		}
+	if k.outage.IsZero() || time.Since(k.outage) >= k.Return {
+		k.remove(byName, name)
 		return
 	}
-	delete(byID, id)
+	if k.missing == nil {
+		k.missing = make(map[string]time.Time)
+	}
+	if _, ok := k.missing[name]; !ok {
+		k.missing[name] = k.outage.Add(k.Return)
+	}
+}
+
+// remove takes an upstream out. The lock is held.
+func (k *Keeper) remove(byName map[string]*Upstream, name string) {
+	delete(k.missing, name)
+	u := byName[name]
+	if u == nil {
+		return
+	}
+	delete(byName, name)
 	k.tell(u, Gone)
 }
 
-// expire drops the entries that did not come back in time.
-func (k *Keeper) expire(byID map[string]*Upstream) {
-	for id, until := range k.missing {
-		if time.Now().Before(until) {
-			continue
-		}
-		delete(k.missing, id)
-		if u := byID[id]; u != nil {
-			delete(byID, id)
-			k.tell(u, Gone)
+// expire drops the entries that did not come back in time. The lock is held.
+func (k *Keeper) expire(byName map[string]*Upstream) {
+	for name, until := range k.missing {
+		if !time.Now().Before(until) {
+			k.remove(byName, name)
 		}
 	}
 }
@@ -224,9 +303,13 @@
 	}
 }
 
-func newSnapshot(byID map[string]*Upstream, position uint64) *Snapshot {
-	s := &Snapshot{Position: position, Read: time.Now(), byID: byID, services: make(map[string][]*Upstream)}
-	for _, u := range byID {
+func newSnapshot(byName map[string]*Upstream, position uint64) *Snapshot {
+	s := &Snapshot{
+		Position: position, Read: time.Now(),
+		byID: make(map[string]*Upstream, len(byName)), services: make(map[string][]*Upstream),
+	}
+	for _, u := range byName {
+		s.byID[u.ID] = u
 		s.services[u.Service] = append(s.services[u.Service], u)
 	}
 	for _, all := range s.services {
--- a/snipedirectory/snipedirectory_test.go
+++ b/snipedirectory/snipedirectory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +14,7 @@
 
 func entry(id string, leaving bool) *snipedirectory.Upstream {
 	return &snipedirectory.Upstream{
-		ID: id, Service: "s", Address: netip.MustParseAddrPort("10.9.0.1:80"), Leaving: leaving,
+		ID: id, Name: id, Service: "s", Address: netip.MustParseAddrPort("10.9.0.1:80"), Leaving: leaving,
 	}
 }
 
@@ -61,3 +62,88 @@
 		must.Eq(t, 0, k.Snapshot().Len())
 	})
 }
+
+// started is the entry of one start of an upstream.
+func started(name string, start int64) *snipedirectory.Upstream {
+	u := entry(name, false)
+	u.ID = snipedirectory.StartID(name, start)
+	return u
+}
+
+func changed(entries ...*snipedirectory.Upstream) snipedirectory.Change {
+	return snipedirectory.Change{Changed: entries}
+}
+
+// TestStarts: what becomes of an upstream that starts again under its name, and of
+// entries that cannot be understood.
+func TestStarts(t *testing.T) {
+	const appeared, gone = snipedirectory.Appeared, snipedirectory.Gone
+	wrong := func(names ...string) snipedirectory.Change { return snipedirectory.Change{Wrong: names} }
+	whole := func(c snipedirectory.Change) snipedirectory.Change {
+		c.Whole = true
+		return c
+	}
+	type events = map[string][]snipedirectory.Event
+	tests := map[string]struct {
+		changes []snipedirectory.Change
+		// ended is a start that is said to be over before the last change.
+		ended string
+		told  events
+		left  []string
+		// again are those that are known to have started again.
+		again []string
+	}{
+		"Same":      {[]snipedirectory.Change{changed(started("a", 5)), changed(started("a", 5))}, "", events{"a@5": {appeared}}, []string{"a@5"}, nil},
+		"Later":     {[]snipedirectory.Change{changed(started("a", 5)), changed(started("a", 9))}, "", events{"a@5": {appeared, gone}, "a@9": {appeared}}, []string{"a@9"}, []string{"a@9"}},
+		"ClockBack": {[]snipedirectory.Change{changed(started("a", 9)), changed(started("a", 5))}, "", events{"a@9": {appeared, gone}, "a@5": {appeared}}, []string{"a@5"}, []string{"a@5"}},
+		"Untold":    {[]snipedirectory.Change{changed(started("a", 5)), changed(started("a", 0))}, "", events{"a@5": {appeared, gone}, "a": {appeared}}, []string{"a"}, []string{"a"}},
+		"InOnePage": {[]snipedirectory.Change{whole(changed(started("a", 5), started("b", 1))), whole(changed(started("a", 6), started("b", 1)))}, "", events{"a@5": {appeared, gone}, "a@6": {appeared}, "b@1": {appeared}}, []string{"a@6", "b@1"}, []string{"a@6"}},
+		"Wrong":     {[]snipedirectory.Change{changed(started("a", 5), started("b", 1)), wrong("a")}, "", events{"a@5": {appeared, gone}, "b@1": {appeared}}, []string{"b@1"}, nil},
+		"WrongInWhole": {
+			[]snipedirectory.Change{changed(started("a", 5)), whole(wrong("a"))},
+			"",
+			events{"a@5": {appeared, gone}},
+			nil, nil,
+		},
+		"WrongAndBack": {[]snipedirectory.Change{changed(started("a", 5)), wrong("a"), changed(started("a", 5))}, "", events{"a@5": {appeared, gone, appeared}}, []string{"a@5"}, nil},
+		"WrongUnknown": {[]snipedirectory.Change{wrong("a")}, "", events{}, nil, nil},
+		"Ended":        {[]snipedirectory.Change{changed(started("a", 5)), changed(started("a", 5))}, "a@5", events{"a@5": {appeared, gone}}, nil, nil},
+		"EndedInWhole": {[]snipedirectory.Change{changed(started("a", 5)), whole(changed(started("a", 5)))}, "a@5", events{"a@5": {appeared, gone}}, nil, nil},
+		"EndedAndNew":  {[]snipedirectory.Change{changed(started("a", 5)), changed(started("a", 6))}, "a@5", events{"a@5": {appeared, gone}, "a@6": {appeared}}, []string{"a@6"}, []string{"a@6"}},
+		"EndedUnknown": {[]snipedirectory.Change{changed(started("a", 5)), changed(started("a", 5))}, "a@4", events{"a@5": {appeared}}, []string{"a@5"}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			told := events{}
+			k := &snipedirectory.Keeper{Seen: func(u *snipedirectory.Upstream, e snipedirectory.Event) {
+				told[u.ID] = append(told[u.ID], e)
+			}}
+			for n, c := range tt.changes {
+				if n == len(tt.changes)-1 && tt.ended != "" {
+					k.End(tt.ended)
+				}
+				k.Apply(c)
+			}
+			must.Eq(t, tt.told, told)
+			must.Eq(t, len(tt.left), k.Snapshot().Len())
+			for _, id := range tt.left {
+				u := k.Snapshot().ByID(id)
+				must.NotNil(t, u)
+				must.Eq(t, slices.Contains(tt.again, id), u.Again)
+			}
+		})
+	}
+}
+
+// TestWrongInOutage: an entry that cannot be understood is not used while those that
+// lapsed in an outage of the registry are still waited for.
+func TestWrongInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &snipedirectory.Keeper{Return: time.Minute}
+		k.Apply(whole(entry("a", false), entry("b", false)))
+		k.Lost()
+		k.Apply(snipedirectory.Change{Whole: true, Wrong: []string{"a"}})
+		must.Nil(t, k.Snapshot().ByID("a"))
+		must.NotNil(t, k.Snapshot().ByID("b"))
+	})
+}
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -42,6 +43,9 @@
 	maxOwnershipAge = 4 * time.Second
 )
 
+// positionName names the store's position in log lines.
+const positionName = "Position"
+
 // tables are the tables of the store that an instance follows.
 type tables struct {
 	catalog   *snipemirror.Follower
@@ -124,7 +128,7 @@
 	}
 	if c.Catalog != nil && i.catalog.Adopt(c.Catalog) {
 		i.Log.Log(snipelog.CatalogInForce, snipelog.Fields{
-			"Catalog": c.Catalog.Version, "Routes": len(c.Catalog.Routes), "Position": c.Position,
+			"Catalog": c.Catalog.Version, "Routes": len(c.Catalog.Routes), positionName: c.Position,
 		})
 	}
 }
@@ -132,13 +136,42 @@
 // applyDirectory takes what was read of the registry.
 func (i *Instance) applyDirectory(rows []snipemirror.Row, position uint64) {
 	change, wrong := i.Platform.DecodeUpstreams(rows, position)
-	for _, err := range wrong {
-		i.Log.Error(snipelog.CatalogWrong, err, nil)
-	}
+	i.tellEntries(change, wrong)
+	i.directory.Apply(change)
+	now := i.directory.Snapshot()
 	for _, u := range change.Changed {
-		i.residency.Observe(u)
+		if now.ByID(u.ID) != nil {
+			i.residency.Observe(u)
+		}
+	}
+}
+
+// forget drops what is known of starts of upstreams that are not in the directory: what
+// others say of one may come after it was forgotten.
+func (i *Instance) forget() {
+	now := i.directory.Snapshot()
+	registered := func(id string) bool { return now.ByID(id) != nil }
+	i.residency.Keep(registered)
+	i.balancer.Keep(registered)
+}
+
+// tellEntries logs which entries of the registry cannot be understood, and which can be
+// again. Each is told once: whoever writes nonsense may do so every second.
+func (i *Instance) tellEntries(c snipedirectory.Change, wrong []error) {
+	for n, key := range c.Wrong {
+		if i.wrongEntries.Add(key) {
+			i.Log.Error(snipelog.EntryWrong, wrong[n], snipelog.Fields{"Key": key, positionName: c.Position})
+		}
+	}
+	mended := slices.Clone(c.Removed)
+	for _, u := range c.Changed {
+		mended = append(mended, u.Name)
+	}
+	for _, key := range mended {
+		if i.wrongEntries.Remove(key) {
+			i.Log.Log(snipelog.EntryMended, snipelog.Fields{"Key": key, positionName: c.Position})
+		}
 	}
-	i.directory.Apply(change)
 }
 
 // ownershipRows returns the rows of ownership as last read.
@@ -170,7 +203,7 @@
 
 // seen is told of upstreams that are new, leaving or gone.
 func (i *Instance) seen(u *snipedirectory.Upstream, e snipedirectory.Event) {
-	fields := snipelog.Fields{"Upstream": u.ID, "Service": u.Service, "Address": u.Address, "Position": u.Position}
+	fields := snipelog.Fields{"Upstream": u.ID, "Service": u.Service, "Address": u.Address, positionName: u.Position}
 	switch e {
 	case snipedirectory.Appeared:
 		i.Log.Log(snipelog.UpstreamAppeared, fields)
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -50,7 +50,8 @@
 	// linksKept bounds the idle connections to one upstream: upstreams take a few
 	// hundred from all instances.
 	linksKept = 16
-	// sweepEvery is the time between two looks for idle connections to close.
+	// sweepEvery is the time between two looks for idle connections to close, and for
+	// what is known of upstreams that are gone.
 	sweepEvery = time.Second
 	// takeEvery is the time between two looks for engines that came to be this
 	// instance's.
@@ -115,6 +116,7 @@
 	budgets   *budgets
 	phase     phase
 
+	wrongEntries wrongEntries
 	// evicted is the last eviction of an own engine that the reports' duty has noted.
 	evicted uint64
 
@@ -136,7 +138,10 @@
 	i.duty(ctx, &g, i.holder.RunProlong)
 	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, takeEvery, i.takeEngines) })
 	i.duty(ctx, &g, func(ctx context.Context) error {
-		return snipetime.Every(ctx, sweepEvery, func(context.Context) { i.links.Sweep() })
+		return snipetime.Every(ctx, sweepEvery, func(context.Context) {
+			i.links.Sweep()
+			i.forget()
+		})
 	})
 	i.duty(ctx, &g, func(ctx context.Context) error {
 		return snipetime.Every(ctx, reportEvery, func(ctx context.Context) {
@@ -203,7 +208,7 @@
 		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: s.Name, Log: i.Log,
 		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
 		Slots:    i.adapterSlots,
-		Model:    i.modelFor,
+		Model:    i.modelFor, StartedAgain: i.directory.End,
 		Newest: func(a snipecatalog.Adapter) int64 {
 			version, _ := i.catalog.Newest(a)
 			return version
@@ -231,6 +236,7 @@
 	}
 	i.meter.Gauge("snipepitch_requests_in_flight", func() float64 { return float64(i.gateway.InFlight()) })
 	i.meter.Gauge("snipepitch_upstreams", func() float64 { return float64(i.directory.Snapshot().Len()) })
+	i.meter.Gauge("snipepitch_wrong_entries", func() float64 { return float64(i.wrongEntries.Len()) })
 	i.meter.Gauge("snipepitch_instances", func() float64 { return float64(i.instances()) })
 	for name, f := range map[string]*snipemirror.Follower{
 		"catalog": i.tables.catalog, "directory": i.tables.directory, "ownership": i.tables.ownership,
--- a/snipegateway/choose_test.go
+++ b/snipegateway/choose_test.go
@@ -75,7 +75,7 @@
 	change := snipedirectory.Change{Whole: true}
 	for n := range engines {
 		change.Changed = append(change.Changed, &snipedirectory.Upstream{
-			ID: fmt.Sprint("e", n), Service: service, Slots: 64, Models: []string{"base"},
+			ID: fmt.Sprint("e", n), Name: fmt.Sprint("e", n), Service: service, Slots: 64, Models: []string{"base"},
 			Address: netip.MustParseAddrPort(fmt.Sprintf("10.9.0.%d:80", n+1)),
 		})
 	}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -111,6 +111,8 @@
 	DirectoryFresh   = define(324, "DirectoryFresh", logrus.InfoLevel)
 	UpstreamSuspect  = define(325, "UpstreamSuspect", logrus.WarnLevel)
 	UpstreamTrusted  = define(326, "UpstreamTrusted", logrus.InfoLevel)
+	EntryWrong       = define(327, "EntryWrong", logrus.WarnLevel)
+	EntryMended      = define(328, "EntryMended", logrus.InfoLevel)
 )
 
 // Events of the right to order engines, 480 to 499.
@@ -135,4 +137,6 @@
 	PeerUnreached  = define(515, "PeerUnreached", logrus.WarnLevel)
 	PeerReached    = define(517, "PeerReached", logrus.InfoLevel)
 	EngineUnread   = define(516, "EngineUnread", logrus.WarnLevel)
+
+	EngineStartedAgain = define(518, "EngineStartedAgain", logrus.WarnLevel)
 )
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -45,14 +45,33 @@
 	{"settings change", changeSettings},
 	{"new version", newVersion},
 	{"kill all", killAll},
+	{"an upstream starts again", startAgain},
+	{"an entry is nonsense", writeNonsense},
+}
+
+// The first seeds draw from the faults and the spoils that came first in their lists, so that
+// those that once showed a fault still draw what they drew then.
+const (
+	firstSeeds  = 1000
+	firstFaults = 12
+	firstSpoils = 7
+)
+
+// drawn returns the entries that a seed draws from.
+func drawn[T any](seed uint64, all []T, first int) []T {
+	if seed < firstSeeds {
+		return all[:first]
+	}
+	return all
 }
 
 // disturb begins faults, drawn from the seed, and waits until all have ended.
 func (s *Soak) disturb(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.Seed, 77)) //nolint:gosec // the same faults for the same seed
 	var running sync.WaitGroup
+	all := drawn(s.Seed, faults, firstFaults)
 	for end := time.Now().Add(s.Length); time.Now().Before(end) && ctx.Err() == nil; {
-		f := faults[r.IntN(len(faults))]
+		f := all[r.IntN(len(all))]
 		d := shortest + time.Duration(r.Int64N(int64(longest-shortest)))
 		own := rand.New(rand.NewPCG(r.Uint64(), 1)) //nolint:gosec // as above
 		running.Go(func() {
@@ -165,11 +184,12 @@
 
 var spoils = []snipestand.RunnerFault{
 	snipestand.RunnerErrors, snipestand.RunnerSheds, snipestand.RunnerResets, snipestand.RunnerTears,
-	snipestand.RunnerForeign, snipestand.RunnerUnsealed, snipestand.RunnerLosesOrders,
+	snipestand.RunnerForeign, snipestand.RunnerUnsealed, snipestand.RunnerLosesOrders, snipestand.RunnerLateOrders,
 }
 
 func spoilUpstreams(s *Soak, r *rand.Rand, d time.Duration) string {
-	f := spoils[r.IntN(len(spoils))]
+	all := drawn(s.Seed, spoils, firstSpoils)
+	f := all[r.IntN(len(all))]
 	n := 1 + r.IntN(mostSpoiled)
 	s.faults.Set(f, n)
 	time.Sleep(d)
@@ -202,3 +222,19 @@
 	}
 	return adapter
 }
+
+// startAgain has an upstream start again under its identifier.
+func startAgain(s *Soak, r *rand.Rand, _ time.Duration) string {
+	u := s.runners[r.IntN(len(s.runners))]
+	u.StartAgain()
+	return u.ID
+}
+
+// writeNonsense has an upstream's entry be one that cannot be understood.
+func writeNonsense(s *Soak, r *rand.Rand, d time.Duration) string {
+	u := s.runners[r.IntN(len(s.runners))]
+	u.WriteNonsense(true)
+	time.Sleep(d)
+	u.WriteNonsense(false)
+	return u.ID
+}
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -75,6 +75,9 @@
 	beatEvery = 500 * time.Millisecond
 	// callers is how many callers send requests, one after another.
 	callers = 12
+	// lateOrder is how late an order is carried out that comes late: long enough for its
+	// engine to have started again.
+	lateOrder = 3 * time.Second
 	// orderGap is the least time between two turns of an instance at an engine.
 	orderGap = 3 * time.Second
 	// maxBody bounds the bodies of requests in bytes.
@@ -132,6 +135,7 @@
 		r := &snipestand.Runner{
 			ID: fmt.Sprint("e", n), Service: "engines", Model: "base", Slots: places, Faults: &s.faults,
 			Load: 60 * time.Millisecond, Event: 5 * time.Millisecond, Events: events,
+			Late: lateOrder,
 		}
 		if n >= engines {
 			r.ID, r.Service, r.Model = fmt.Sprint("p", n), "plain", ""
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -31,6 +31,8 @@
 	Events int
 	// Faults are the faults to come; several runners may share them. Nil for none.
 	Faults *RunnerFaults
+	// Late is how much later than it was sent an order is carried out that comes late.
+	Late time.Duration
 
 	lock     sync.Mutex // guards the fields below
 	held     map[string]int64
@@ -38,9 +40,13 @@
 	newest   map[string]int64
 	orders   uint64
 	leaving  bool
-	ran      map[string]int
-	taken    []TakenOrder
-	overfull int
+	nonsense bool
+	start    int64
+	// empty runners hold no base model, bare those that also have none on its way.
+	empty, bare bool
+	ran         map[string]int
+	taken       []TakenOrder
+	overfull    int
 }
 
 // RunnerFault is how a runner fails requests.
@@ -64,6 +70,8 @@
 	RunnerUnsealed
 	// RunnerLosesOrders carries orders out and does not answer them.
 	RunnerLosesOrders
+	// RunnerLateOrders does not answer orders and carries them out late.
+	RunnerLateOrders
 )
 
 // RunnerFaults is a number of faults to come.
@@ -87,7 +95,7 @@
 	}
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	if f.left == 0 || order != (f.fault == RunnerLosesOrders) {
+	if f.left == 0 || order != (f.fault >= RunnerLosesOrders) {
 		return RunnerWorks
 	}
 	f.left--
@@ -134,6 +142,24 @@
 	r.leaving = true
 }
 
+// StartAgain starts the runner again under its identifier: it holds nothing of before and
+// counts its orders anew.
+func (r *Runner) StartAgain() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.start = max(time.Now().UnixMilli(), r.start+1)
+	r.orders, r.empty, r.bare = 0, true, true
+	clear(r.held)
+	clear(r.coming)
+}
+
+// WriteNonsense makes the runner's entry one that cannot be understood, or proper again.
+func (r *Runner) WriteNonsense(on bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.nonsense = on
+}
+
 // Announce makes a version of an adapter the newest.
 func (r *Runner) Announce(adapter string, version int64) {
 	r.lock.Lock()
@@ -153,6 +179,10 @@
 	}
 	entry := map[string]any{
 		"service": r.Service, "addr": r.Address, "zone": r.Zone, "slots": 8, "state": state, "models": r.models(),
+		"version": "v1", "seq": r.orders, "coldLeftMs": 0, "born": r.start,
+	}
+	if r.nonsense {
+		entry["slots"] = "many"
 	}
 	r.lock.Unlock()
 	return s.Put("servers", r.ID, entry)
@@ -170,7 +200,7 @@
 
 // models is the list of models. The lock is held.
 func (r *Runner) models() []map[string]any {
-	if r.Model == "" {
+	if r.Model == "" || r.empty {
 		return []map[string]any{}
 	}
 	return []map[string]any{{"name": r.Model, "version": 1, "adapters": r.names()}}
@@ -180,6 +210,7 @@
 func (r *Runner) Handler() http.Handler {
 	r.lock.Lock()
 	r.held, r.coming, r.ran = map[string]int64{}, map[string]int64{}, map[string]int{}
+	r.start = time.Now().UnixMilli()
 	r.lock.Unlock()
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if want := q.Header.Get("X-Snipepitch-Expect-Instance"); want != "" && want != r.ID {
@@ -211,7 +242,7 @@
 	for a, v := range r.coming {
 		coming = append(coming, fmt.Sprintf("%s/%s@%d", r.Model, a, v))
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "seq": r.orders, "coming": coming})
+	_ = json.NewEncoder(w).Encode(map[string]any{"models": r.models(), "seq": r.orders, "coming": coming, "born": r.start})
 }
 
 type runnerOrder struct {
@@ -230,8 +261,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	f := r.Faults.next(true)
+	if f == RunnerLateOrders {
+		time.AfterFunc(r.Late, func() { r.carryOut(o) })
+		panic(http.ErrAbortHandler)
+	}
 	status := r.carryOut(o)
-	if r.Faults.next(true) == RunnerLosesOrders {
+	if f == RunnerLosesOrders {
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(status)
@@ -244,6 +280,9 @@
 	if o.Expect != nil && *o.Expect != r.orders {
 		return http.StatusConflict
 	}
+	if o.Adapter == "" {
+		return r.loadModel(o)
+	}
 	version, held := r.held[o.Adapter]
 	if o.Action == "model_unload" {
 		if !held {
@@ -268,7 +307,29 @@
 	}
 	r.take(o)
 	r.coming[o.Adapter] = target
-	time.AfterFunc(r.Load, func() { r.arrive(o.Adapter, target) })
+	start := r.start
+	time.AfterFunc(r.Load, func() { r.arrive(o.Adapter, target, start) })
+	return http.StatusAccepted
+}
+
+// loadModel carries out an order for the base model. The lock is held.
+func (r *Runner) loadModel(o runnerOrder) int {
+	switch {
+	case o.Action != "model_load" || o.Model != r.Model:
+		return http.StatusBadRequest
+	case !r.empty:
+		return http.StatusOK
+	case !r.bare:
+		return http.StatusAccepted
+	}
+	r.take(o)
+	r.bare = false
+	start := r.start
+	time.AfterFunc(r.Load, func() {
+		r.lock.Lock()
+		defer r.lock.Unlock()
+		r.empty = r.empty && r.start != start
+	})
 	return http.StatusAccepted
 }
 
@@ -278,9 +339,13 @@
 	r.taken = append(r.taken, TakenOrder{Holder: o.Holder, Fence: o.Fence, At: time.Now()})
 }
 
-func (r *Runner) arrive(adapter string, version int64) {
+// arrive ends a load of one start of the runner.
+func (r *Runner) arrive(adapter string, version, start int64) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	if r.start != start {
+		return
+	}
 	delete(r.coming, adapter)
 	r.held[adapter] = version
 }
@@ -312,12 +377,12 @@
 // holds reports whether the runner holds the adapter that a request names, in the
 // version that it expects.
 func (r *Runner) holds(q *http.Request) bool {
-	_, adapter, named := strings.Cut(q.Header.Get("X-Snipepitch-Model"), "/")
-	if !named {
-		return true
-	}
+	model, adapter, named := strings.Cut(q.Header.Get("X-Snipepitch-Model"), "/")
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	if !named {
+		return model == "" || !r.empty
+	}
 	version, held := r.held[adapter]
 	want := q.Header.Get("X-Snipepitch-Expect-Version")
 	return held && (want == "" || want == strconv.FormatInt(version, 10))
