An adapter on its way from before can be evicted once it has come

Cause: when an engine is read, adapters on their way are noted as coming. Nobody awaited the end of those that the owner before had ordered, or that were given up: they kept a place and could not be evicted until the engine was read again. Found by a play of TestStartsAgain in which no place was left: every load failed with 'all adapters of the engine are in use'.

Ruled out: waiting for them as for own loads (an order of one owner must not be repeated by the next as its own).

Change: an engine that is full and shows such an adapter half a second after it was read is read again before anything is evicted.

Before: TestComingFromBefore failed.

--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -98,6 +98,8 @@
 	sure bool
 
 	lock sync.Mutex // guards the fields below
+	// readAt is when the engine was last read.
+	readAt time.Time
 	// models are the base models that it holds; nil until it was read.
 	models map[string]bool
 	held   map[snipecatalog.Adapter]*holding
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -185,6 +185,7 @@
 	}))
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	e.readAt = time.Now()
 	e.models = make(map[string]bool, len(r.Models))
 	for _, m := range r.Models {
 		e.models[m] = true
@@ -219,6 +220,13 @@
 		if !full {
 			return nil
 		}
+		if e.strays() {
+			e.read.Store(false)
+			if _, err := e.known(ctx); err != nil {
+				return err
+			}
+			continue
+		}
 		if victim.Name == "" {
 			return errors.Wrap(errInUse, e.id)
 		}
@@ -228,6 +236,27 @@
 	}
 }
 
+// strays reports whether adapters should have come meanwhile that were on their way when the
+// engine was last read, by orders of which this instance awaits no end: of the owner before,
+// or given up. Until the engine is read again they take places and cannot be evicted.
+func (e *engine) strays() bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if time.Since(e.readAt) < strayAge {
+		return false
+	}
+	for a, h := range e.held {
+		if (h.coming || h.replaced) && !e.bringing[a] {
+			return true
+		}
+	}
+	return false
+}
+
+// strayAge is how old the reading of an engine may be that showed an adapter on its way: two
+// loads are over by then, and reading an engine costs as much as an order.
+const strayAge = 500 * time.Millisecond
+
 // unload takes an adapter off the engine and waits until its place is free. The
 // caller holds ordering: meanwhile the engine takes no other order.
 func (e *engine) unload(ctx context.Context, u *snipedirectory.Upstream, victim snipecatalog.Adapter) error {
--- a/snipeadapter/start_test.go
+++ b/snipeadapter/start_test.go
@@ -197,3 +197,18 @@
 		must.False(t, ok)
 	})
 }
+
+// TestComingFromBefore: adapters that were on their way when an engine was read, by orders of
+// the owner before, can be evicted once they have come.
+func TestComingFromBefore(t *testing.T) {
+	play(t, 4, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
+		for n := range places {
+			e.carryOut(snipeadapter.Order{Action: snipeadapter.Load, Adapter: adapter(n), Expect: uint64(n)})
+		}
+		time.Sleep(reportLag)
+		d.Take(t.Context(), d.Upstream("e1"))
+		_, err := d.Ensure(t.Context(), "e1", adapter(places), 0, patient)
+		must.NoError(t, err)
+		must.Eq(t, places, e.count())
+	})
+}
