An owner that does not answer is asked for no loads

Ruled out: a bound on each question by what the load should take (a load that waits for a place takes longer than told, and going elsewhere then costs the store another one).

Change: the reports of use, which go to each owner at least once a second, tell who is silent. Their bound is 300 ms, 500 before. A silent owner's questions end, so that the requests go on to the next engine, and it is asked for no loads until it answers a report.

--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -106,6 +106,8 @@
 	heard map[netip.AddrPort]time.Time
 	// lost are the instances that the last report of use did not reach.
 	lost map[netip.AddrPort]bool
+	// questions are those under way, by the owner that is asked.
+	questions map[netip.AddrPort]map[*question]bool
 }
 
 // reached notes whether a report reached an instance, and tells whether that changed:
@@ -120,8 +122,12 @@
 		p.lost = make(map[netip.AddrPort]bool)
 	}
 	delete(p.lost, to)
-	if !ok {
-		p.lost[to] = true
+	if ok {
+		return true
+	}
+	p.lost[to] = true
+	for q := range p.questions[to] {
+		q.cancel(errSilent)
 	}
 	return true
 }
@@ -193,6 +199,8 @@
 	if owner.Self {
 		return i.desk.Ensure(ctx, u.ID, a, version, patience)
 	}
+	ctx, cancel := i.peers.ask(ctx, owner.Instance.Peer)
+	defer cancel()
 	answer, err := i.peers.client(owner.Instance.Peer).Ensure(ctx, &snipeproto.AdapterEnsureRequest{
 		Engine: u.ID, Model: a.Model, Adapter: a.Name, Version: version,
 		PatienceMilliseconds: patience.Milliseconds(),
@@ -201,6 +209,9 @@
 	if errors.As(err, &failure) && failure.Code() == twirp.Aborted {
 		return 0, errors.Wrapf(snipeadapter.ErrUnreached, "owner %s: %s", owner.Instance.Name, failure.Msg())
 	}
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		err = errSilent
+	}
 	if err != nil {
 		return 0, errors.Wrapf(err, "owner %s", owner.Instance.Name)
 	}
--- a/snipeentry/report.go
+++ b/snipeentry/report.go
@@ -68,8 +68,10 @@
 	return owner, engine
 }
 
-// reportTimeout bounds one report of use.
-const reportTimeout = 500 * time.Millisecond
+// reportTimeout bounds one report of use: a hundred times the way there and back. An owner that
+// does not answer in time is asked for no loads, and what waits for it goes elsewhere while most
+// objectives can still be met.
+const reportTimeout = 300 * time.Millisecond
 
 // reportUse reports the use of one engine.
 func (i *Instance) reportUse(ctx context.Context, to netip.AddrPort, id string, uses map[snipecatalog.Adapter]int) {
--- /dev/null
+++ b/snipeentry/silent_test.go
@@ -0,0 +1,61 @@
+package snipeentry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestSilentOwner answers the pattern of an owner that stands still while requests wait for
+// loads that it was asked for: once a report finds it silent its questions end, and it is asked
+// for no more until it answers a report.
+func TestSilentOwner(t *testing.T) {
+	asked := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	owner := netip.MustParseAddrPort(server.Listener.Addr().String())
+	other := netip.MustParseAddrPort("10.0.0.9:80")
+	p := &peers{http: server.Client()}
+
+	ctx, cancel := p.ask(t.Context(), owner)
+	defer cancel()
+	elsewhere, end := p.ask(t.Context(), other)
+	defer end()
+	failed := make(chan error, 1)
+	go func() {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL, nil)
+		if err == nil {
+			var a *http.Response
+			if a, err = p.http.Do(r); err == nil {
+				err = a.Body.Close()
+			}
+		}
+		failed <- err
+	}()
+	<-asked
+	must.False(t, p.silent(owner))
+	must.True(t, p.reached(owner, false))
+	select {
+	case err := <-failed:
+		must.Error(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the question goes on")
+	}
+	must.ErrorIs(t, context.Cause(ctx), errSilent)
+	must.NoError(t, elsewhere.Err())
+	must.True(t, p.silent(owner))
+	must.True(t, p.reached(owner, true))
+	must.False(t, p.silent(owner))
+
+	cancel()
+	end()
+	must.MapEmpty(t, p.questions)
+}
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -342,9 +342,10 @@
 	}
 }
 
+// owned reports whether an engine has an owner that can be asked for loads.
 func (i *Instance) owned(u *snipedirectory.Upstream) bool {
-	_, ok := i.holder.View().Owners[u.Address]
-	return ok
+	owner, ok := i.holder.View().Owners[u.Address]
+	return ok && (owner.Self || !i.peers.silent(owner.Instance.Peer))
 }
 
 // instances returns how many instances share the requests.
