An engine is crowded when its delay costs more than a load

Cause: an engine counted as crowded from 0.8 of its slots on, whatever a load cost.

Ruled out: another constant; a bound by objectives (it says nothing of what the way out costs).

Change: each instance observes what one in five first pieces exceeds in proportion to how busy its engine was, and how long loads are waited for; an engine is crowded where the first is more than the second. Nothing observed yet: when its slots are taken.

--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -50,6 +50,7 @@
 	end := g.Balancer.Begin(u.ID, snipebalance.Weight(c.PromptTokens))
 	defer end()
 	defer g.Chooser.Use(u.ID, c.Adapter)()
+	c.sentAt = time.Now()
 	answer, _, err := g.Links.Send(ctx, u.Address, c.outgoing(d), c.body, false)
 	if !errors.Is(err, snipelink.ErrNotSent) {
 		c.reached++
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -68,6 +68,8 @@
 	// it was chosen, holders how many upstreams could have been.
 	busy    float64
 	holders int
+	// sentAt is when the request was last sent.
+	sentAt time.Time
 	// begun tells that the answer has begun, lastEvent what the caller has of it.
 	begun     bool
 	lastEvent string
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -49,6 +49,8 @@
 	// Owned reports whether an engine has an owner that can order it.
 	Owned func(u *snipedirectory.Upstream) bool
 
+	paces paces
+
 	lock     sync.Mutex // guards the fields below
 	flights  map[flightKey]*flight
 	replicas map[snipecatalog.Adapter]map[string]news
--- a/snipegateway/crowd.go
+++ b/snipegateway/crowd.go
@@ -10,15 +10,6 @@
 )
 
 const (
-	// crowdedLoad and crowdedShare of an engine's slots are the weight of its requests from
-	// which on one more is better served by an engine that first has to load its adapter,
-	// 0.3 s: some twenty prompts of 650 tokens, read one after the other between the
-	// tokens of the others. With 60 engines of 24 slots, requests whose first piece was
-	// late had found 38 others at the median, those in time nine. With twelve engines of 64
-	// slots twenty were too few: 0.723 of the worth of eight heavy days was earned so, and
-	// 0.729 with forty.
-	crowdedLoad  = 32
-	crowdedShare = 0.8
 	// reliefShare is the share of a crowded engine's load that another one may have to
 	// relieve it.
 	reliefShare = 0.5
@@ -28,10 +19,10 @@
 	reliefLimit    = 450 * time.Millisecond
 )
 
-// crowded reports whether an engine has so much to do that another one should be found,
-// even if it has to load the adapter first.
+// crowded reports whether an engine has so much to do that one more request is better served
+// by another one, even if that has to load the adapter first.
 func (c *Chooser) crowded(u *snipedirectory.Upstream) bool {
-	return c.Balancer.Load(u) >= max(crowdedLoad, crowdedShare*float64(u.Slots))
+	return c.Balancer.Busy(u) >= c.paces.of(u.Service).crowding()
 }
 
 // bestFirst returns the engines in the order in which they should be asked to load an
--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -180,9 +180,11 @@
 
 func (c *Chooser) fly(ctx context.Context, key flightKey, f *flight, u *snipedirectory.Upstream, patience time.Duration) {
 	defer f.cancel()
+	begun := time.Now()
 	f.version, f.err = c.Ensure(ctx, u, key.adapter, key.version, patience)
 	switch {
 	case f.err == nil:
+		c.paces.of(u.Service).loaded(time.Since(begun))
 		c.Residency.Tell(key.engine, key.adapter, f.version)
 	case errors.Is(f.err, snipeadapter.ErrUnreached):
 		c.Balancer.Unreached(key.engine)
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -63,6 +63,7 @@
 // events writes whole events.
 func (c *call) events(answer *snipelink.Answer, events []byte) error {
 	if !c.begun {
+		c.gateway.Chooser.paces.of(c.service).first(time.Since(c.sentAt), c.busy)
 		c.head(http.StatusOK, forwarded(answer.Header))
 		c.writer.WriteHeader(http.StatusOK)
 	}
