Loads that come in time for somebody go before those that come too late for all

Cause: queued loads went in the order of how many wait. In an overload those that most waited for had waited for longest: each came too late, and made the next ones late in turn.

Ruled out: refusing what can no longer be in time while it queues (an answer that is late is worth more to its caller than none).

Change: each load knows until when somebody counts on it. Those that would be complete by then go first, by the number who wait; the others follow.

--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -37,6 +37,8 @@
 	since   time.Time
 	// quick loads come from the engine's own memory, as far as is known.
 	quick bool
+	// due is until when the last of those who wait counts on it.
+	due time.Time
 	// waiting counts those who wait for it. One that nobody waits for is not begun.
 	waiting int
 	done    chan struct{}
@@ -57,13 +59,21 @@
 		return nil, h.version, nil
 	}
 	if l := e.loads[a]; l != nil && l.version >= least {
-		l.waiting++
+		l.join(patience)
 		return l, 0, nil
 	}
 	if wait := e.wait(a); wait > patience {
 		return nil, 0, &BusyError{Wait: wait}
 	}
-	return e.enqueue(a, target), 0, nil
+	return e.enqueue(a, target, patience), 0, nil
+}
+
+// join notes that somebody waits for the load who has patience. The engine's lock is held.
+func (l *load) join(patience time.Duration) {
+	l.waiting++
+	if due := time.Now().Add(patience); due.After(l.due) {
+		l.due = due
+	}
 }
 
 // must queues a load that somebody always waits for.
@@ -71,10 +81,10 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if l := e.loads[a]; l != nil && l.version >= version {
-		l.waiting++
+		l.join(loadTimeout)
 		return
 	}
-	e.enqueue(a, version)
+	e.enqueue(a, version, loadTimeout)
 }
 
 // wait is how long a load that is queued now will take. The lock is held.
@@ -92,8 +102,9 @@
 }
 
 // enqueue queues a load. The lock is held.
-func (e *engine) enqueue(a snipecatalog.Adapter, version int64) *load {
-	l := &load{adapter: a, version: version, since: time.Now(), quick: e.quick(a), waiting: 1, done: make(chan struct{})}
+func (e *engine) enqueue(a snipecatalog.Adapter, version int64, patience time.Duration) *load {
+	l := &load{adapter: a, version: version, since: time.Now(), quick: e.quick(a), done: make(chan struct{})}
+	l.join(patience)
 	e.loads[a] = l
 	e.queue = append(e.queue, l)
 	e.begin()
@@ -129,11 +140,13 @@
 }
 
 // nextLoad returns which of the queued loads is next, or -1: quick ones, which hold up nobody,
-// then the one that most wait for, the oldest first. Another version of an adapter waits until
-// the one before it has come: two at once would take a place more than is counted. The lock is
-// held.
+// then those that come in time for somebody, then the one that most wait for, the oldest first.
+// Where all are served in the order of their numbers, an overload makes everybody late: those for
+// whom it is too late get what the others leave. Another version of an adapter waits until the
+// one before it has come: two at once would take a place more than is counted. The lock is held.
 func (e *engine) nextLoad() int {
 	next := -1
+	ready := time.Now().Add(loadTime)
 	for n, l := range e.queue {
 		if e.bringing[l.adapter] {
 			continue
@@ -144,13 +157,21 @@
 		if e.fromStore >= mostFromStore {
 			continue
 		}
-		if next < 0 || l.waiting > e.queue[next].waiting {
+		if next < 0 || l.before(e.queue[next], ready) {
 			next = n
 		}
 	}
 	return next
 }
 
+// before reports whether a load goes before an older one, if both would be complete at a time.
+func (l *load) before(older *load, ready time.Time) bool {
+	if inTime := l.due.After(ready); inTime != older.due.After(ready) {
+		return inTime
+	}
+	return l.waiting > older.waiting
+}
+
 // end ends a load. The lock is held.
 func (e *engine) end(l *load, err error) {
 	if e.loads[l.adapter] == l {
@@ -195,7 +216,7 @@
 func (e *engine) renew(l *load) {
 	newest := e.desk.Newest(l.adapter)
 	if newest > l.version && e.loads[l.adapter] == nil {
-		e.enqueue(l.adapter, newest)
+		e.enqueue(l.adapter, newest, loadTimeout)
 	}
 }
 
