A stopping instance answers the others until its last request has ended

With the store away for eight seconds owners go on by the promises of all who could take their engines over. A planned stop closed the listener for other instances after three seconds and served its last requests for five more: alive, and without an answer. So nobody could go on, and what had to be loaded was refused.

Ruled out: taking a refused connection for an end of the process (a process that starts again at the same address refuses for a moment too, and could own what the former one promised).

Change: the servers are shut down one after the other, the callers' first. TestStopAnswersPeers got 'connection refused' before.

--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -45,7 +45,7 @@
 }
 
 // listen opens the listeners and adds their servers. It returns those whose
-// requests a planned stop waits for.
+// requests a planned stop waits for, in the order in which it does: the callers' first.
 func (i *Instance) listen(ctx context.Context, g *run.Group) ([]*http.Server, error) {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+i.Platform.ReadyPath, i.serveReady)
--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"reflect"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,7 +33,9 @@
 
 // waitStop waits for a signal and carries out a planned stop: readiness ends at
 // once, connections are taken until the balancer has noticed, requests in flight
-// end.
+// end. The servers are shut down one after the other: until its callers' requests have
+// ended the instance answers the others, whose right to order engines in an outage of the
+// store hangs on the word of each instance that lives.
 func (i *Instance) waitStop(ctx context.Context, servers []*http.Server) error {
 	for {
 		select {
@@ -54,16 +55,10 @@
 	limit, cancel := context.WithTimeout(ctx, i.Settings.StopTimeout.Value()-stopReserve)
 	defer cancel()
 	snipetime.Sleep(limit, stopNotice)
-	var all sync.WaitGroup
 	for _, s := range servers {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			// What is still in flight at the limit is cut by the end.
-			_ = s.Shutdown(limit)
-		}()
+		// What is still in flight at the limit is cut by the end.
+		_ = s.Shutdown(limit)
 	}
-	all.Wait()
 	if n := i.gateway.InFlight(); n > 0 {
 		i.Log.Log(snipelog.StopForced, snipelog.Fields{"InFlight": n})
 	}
