--- a/snipegateway/choose_test.go
+++ b/snipegateway/choose_test.go
@@ -76,7 +76,7 @@
 	for n := range engines {
 		change.Changed = append(change.Changed, &snipedirectory.Upstream{
 			ID: fmt.Sprint("e", n), Name: fmt.Sprint("e", n), Service: service, Slots: 64, Models: []string{"base"},
-			Address: netip.MustParseAddrPort(fmt.Sprintf("10.9.0.%d:80", n+1)),
+			Address: netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:80", n/200, n%200+1)),
 		})
 	}
 	c.Directory.Apply(change)
