A load that failed is logged with the lock held

Cause: run read the number of those who wait for its log line without the engine's lock, while others join or leave. Ruled out: a copy taken at the begin of the load (it tells nothing).

Change: one reader with the lock, used by the decision to go on as well. The test's own fields are set with the fake engine's lock.

--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -192,7 +192,7 @@
 	err := e.bring(ctx, l)
 	if err != nil {
 		e.desk.Log.Error(snipelog.LoadFailed, err, e.fields(snipelog.Fields{
-			"Adapter": l.adapter.Name, "Waiting": l.waiting,
+			"Adapter": l.adapter.Name, "Waiting": e.waiting(l),
 		}))
 	}
 	e.lock.Lock()
@@ -220,11 +220,11 @@
 	}
 }
 
-// wanted reports whether somebody waits for a load.
-func (e *engine) wanted(l *load) bool {
+// waiting returns how many wait for a load.
+func (e *engine) waiting(l *load) int {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	return l.waiting > 0
+	return l.waiting
 }
 
 // arrived notes an adapter or a model that the engine now holds. The lock is held.
@@ -245,7 +245,7 @@
 	begun := time.Now()
 	o := Order{Action: Load, Adapter: l.adapter, Version: l.version}
 	reply, err := e.order(ctx, &o)
-	for errors.Is(err, errInUse) && e.wanted(l) && snipetime.Sleep(ctx, calmPause) {
+	for errors.Is(err, errInUse) && e.waiting(l) > 0 && snipetime.Sleep(ctx, calmPause) {
 		reply, err = e.order(ctx, &o)
 	}
 	if err != nil {
--- a/snipeadapter/quick_test.go
+++ b/snipeadapter/quick_test.go
@@ -19,7 +19,7 @@
 	const quick, queued = 99, 10
 	play(t, 14, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
 		d.Formerly = func(_ string, a snipecatalog.Adapter) bool { return a == adapter(quick) }
-		e.before[adapter(quick)] = true
+		e.remember(adapter(quick))
 		var all sync.WaitGroup
 		for n := range queued {
 			all.Go(func() { _, _ = d.Ensure(t.Context(), "e1", adapter(n), 0, time.Minute) })
@@ -48,3 +48,10 @@
 		must.Eq(t, places, e.begun())
 	})
 }
+
+// remember makes the engine have an adapter in its own memory.
+func (f *fakeEngine) remember(a snipecatalog.Adapter) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.before[a] = true
+}
--- a/snipeadapter/start_test.go
+++ b/snipeadapter/start_test.go
@@ -27,6 +27,20 @@
 	clear(f.coming)
 }
 
+// setStart makes the engine's start another one, as of its beginning.
+func (f *fakeEngine) setStart(start int64) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.start = start
+}
+
+// lose makes a share of the orders get no answer, a share of which come late.
+func (f *fakeEngine) lose(lost, late float64) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.lost, f.late = lost, late
+}
+
 // registry is a directory that shows an engine's starts a while later.
 type registry struct {
 	now atomic.Pointer[snipedirectory.Upstream]
@@ -79,7 +93,8 @@
 		for seed := range uint64(16) {
 			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
 				play(t, seed, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
-					e.start, e.lost, e.late = 1, 0.35, late
+					e.setStart(1)
+					e.lose(0.35, late)
 					r := newRegistry(d)
 					random := rand.New(rand.NewPCG(seed, 5))
 					var all sync.WaitGroup
@@ -95,9 +110,7 @@
 					}
 					all.Wait()
 					must.False(t, e.overfull())
-					e.lock.Lock()
-					e.lost = 0
-					e.lock.Unlock()
+					e.lose(0, 0)
 					time.Sleep(time.Second)
 					_, err := d.Ensure(t.Context(), r.id(), adapter(1), 0, time.Minute)
 					must.NoError(t, err)
@@ -125,7 +138,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			play(t, 1, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
-				e.start = tt.reported
+				e.setStart(tt.reported)
 				time.Sleep(2 * reportLag)
 				r := newRegistry(d)
 				r.show(d, tt.shown)
@@ -149,7 +162,7 @@
 // may come.
 func TestPlacesAfterStart(t *testing.T) {
 	play(t, 3, func(t *testing.T, e *fakeEngine, d *snipeadapter.Desk, _ *bool) {
-		e.start = 2
+		e.setStart(2)
 		time.Sleep(2 * reportLag)
 		r := newRegistry(d)
 		r.show(d, 2)
