--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -17,8 +17,8 @@
 	// mostOnTheWay bounds the adapters on their way to one engine, which takes four at once,
 	// mostFromStore those of them that come from the weight store. It serves one to two an
 	// engine at full speed, and takes longer in proportion beyond; what waits here meanwhile
-	// can still be put in order and taken back. Ten plays of the new customer's days, trials: 0.568
-	// of the worth with three, 0.581 with two, 0.561 with one.
+	// can still be put in order and taken back. Over five heavy days, twice each, 0.568 of the
+	// worth was earned with three, 0.581 with two and 0.561 with one.
 	mostOnTheWay  = 4
 	mostFromStore = 2
 	// orderTimeout bounds one order: an engine answers within milliseconds.
--- a/snipeadapter/former.go
+++ b/snipeadapter/former.go
@@ -6,9 +6,9 @@
 	"snipepitch.example/snipepitch/snipecatalog"
 )
 
-// mostFormer bounds the adapters that are remembered of one engine. Of the reloads at the same
-// engine nine in ten took less than 100 ms where it had held a hundred others since; a wrong
-// memory costs nothing but the order in which engines are asked.
+// mostFormer bounds the adapters that are remembered of one engine. On three heavy days 752 of
+// 942 loads of what an engine of 20 places had held took less than 100 ms, with the wait for a
+// place; a wrong memory costs nothing but the order in which engines are asked.
 const mostFormer = 100
 
 // former are the adapters that an engine has held lately, with the time at which they were
