--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -19,7 +19,6 @@
 	"net/netip"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,8 +132,9 @@
 
 	current atomic.Pointer[Snapshot]
 
-	lock    sync.Mutex // guards the fields below
-	outage  time.Time  // when the registry last could not be read
+	lock    sync.Mutex           // guards the fields below
+	names   map[string]*Upstream // by name
+	outage  time.Time            // when the registry last could not be read
 	missing map[string]time.Time
 	// ended are the starts, by name, that are over though the registry still shows them.
 	ended map[string]string
@@ -164,22 +164,22 @@
 func (k *Keeper) Apply(c Change) {
 	k.lock.Lock()
 	defer k.lock.Unlock()
-	byName := k.names()
+	e := k.edit()
 	gone := slices.Clone(c.Removed)
 	if c.Whole {
-		gone = append(gone, absent(byName, c)...)
+		gone = append(gone, absent(k.names, c)...)
 	}
 	for _, u := range c.Changed {
-		k.put(byName, u)
+		k.put(e, u)
 	}
 	for _, name := range c.Wrong {
-		k.remove(byName, name)
+		k.remove(e, name)
 	}
 	for _, name := range gone {
-		k.drop(byName, name)
+		k.drop(e, name)
 	}
-	k.expire(byName)
-	k.current.Store(newSnapshot(byName, c.Position))
+	k.expire(e)
+	k.current.Store(e.snapshot(c.Position, time.Now()))
 }
 
 // End notes that a start is over though the registry still shows it: the upstream has
@@ -196,22 +196,17 @@
 		k.ended = make(map[string]string)
 	}
 	k.ended[u.Name] = id
-	byName := k.names()
-	k.remove(byName, u.Name)
-	s := newSnapshot(byName, old.Position)
-	s.Read = old.Read
-	k.current.Store(s)
+	e := k.edit()
+	k.remove(e, u.Name)
+	k.current.Store(e.snapshot(old.Position, old.Read))
 }
 
-// names returns the upstreams by name, to be changed. The lock is held.
-func (k *Keeper) names() map[string]*Upstream {
-	byName := make(map[string]*Upstream)
-	if old := k.current.Load(); old != nil {
-		for _, u := range old.byID {
-			byName[u.Name] = u
-		}
+// edit begins a new snapshot. The lock is held.
+func (k *Keeper) edit() *edit {
+	if k.names == nil {
+		k.names = make(map[string]*Upstream)
 	}
-	return byName
+	return newEdit(k.current.Load())
 }
 
 // absent returns the names that a whole change does not hold.
@@ -233,40 +228,48 @@
 }
 
 // put takes an entry. The lock is held.
-func (k *Keeper) put(byName map[string]*Upstream, u *Upstream) {
+func (k *Keeper) put(e *edit, u *Upstream) {
 	if k.ended[u.Name] == u.ID {
 		return
 	}
 	_, u.Again = k.ended[u.Name]
 	delete(k.ended, u.Name)
 	delete(k.missing, u.Name)
-	old := byName[u.Name]
+	old := k.names[u.Name]
 	if old != nil && old.ID != u.ID {
-		k.remove(byName, u.Name)
+		k.remove(e, u.Name)
 		u.Again, old = true, nil
 	}
-	u.RankKey = sniperoute.Hash(u.Address.String())
-	byName[u.Name] = u
-	switch {
-	case old == nil:
+	k.names[u.Name] = u
+	if old == nil {
+		u.RankKey = sniperoute.Hash(u.Address.String())
+		e.put(u)
 		k.tell(u, Appeared)
 		return
-	case u.Leaving && !old.Leaving:
+	}
+	u.Again, u.RankKey = old.Again, old.RankKey
+	if u.Address != old.Address {
+		u.RankKey = sniperoute.Hash(u.Address.String())
+	}
+	if u.Service != old.Service {
+		e.remove(old)
+	}
+	e.put(u)
+	if u.Leaving && !old.Leaving {
 		k.tell(u, Leaving)
 	}
-	u.Again = old.Again
 }
 
 // drop takes an upstream out whose entry is gone, unless the registry is just back:
 // entries lapse during an outage and are written again by upstreams that live. The lock
 // is held.
-func (k *Keeper) drop(byName map[string]*Upstream, name string) {
+func (k *Keeper) drop(e *edit, name string) {
 	delete(k.ended, name)
-	if byName[name] == nil {
+	if k.names[name] == nil {
 		return
 	}
 	if k.outage.IsZero() || time.Since(k.outage) >= k.Return {
-		k.remove(byName, name)
+		k.remove(e, name)
 		return
 	}
 	if k.missing == nil {
@@ -278,21 +281,22 @@
 }
 
 // remove takes an upstream out. The lock is held.
-func (k *Keeper) remove(byName map[string]*Upstream, name string) {
+func (k *Keeper) remove(e *edit, name string) {
 	delete(k.missing, name)
-	u := byName[name]
+	u := k.names[name]
 	if u == nil {
 		return
 	}
-	delete(byName, name)
+	delete(k.names, name)
+	e.remove(u)
 	k.tell(u, Gone)
 }
 
 // expire drops the entries that did not come back in time. The lock is held.
-func (k *Keeper) expire(byName map[string]*Upstream) {
+func (k *Keeper) expire(e *edit) {
 	for name, until := range k.missing {
 		if !time.Now().Before(until) {
-			k.remove(byName, name)
+			k.remove(e, name)
 		}
 	}
 }
@@ -302,18 +306,3 @@
 		k.Seen(u, e)
 	}
 }
-
-func newSnapshot(byName map[string]*Upstream, position uint64) *Snapshot {
-	s := &Snapshot{
-		Position: position, Read: time.Now(),
-		byID: make(map[string]*Upstream, len(byName)), services: make(map[string][]*Upstream),
-	}
-	for _, u := range byName {
-		s.byID[u.ID] = u
-		s.services[u.Service] = append(s.services[u.Service], u)
-	}
-	for _, all := range s.services {
-		slices.SortFunc(all, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
-	}
-	return s
-}
--- a/snipedirectory/snipedirectory_test.go
+++ b/snipedirectory/snipedirectory_test.go
@@ -1,6 +1,8 @@
 package snipedirectory_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -147,3 +149,75 @@
 		must.NotNil(t, k.Snapshot().ByID("b"))
 	})
 }
+
+// TestSnapshotsStay holds snapshots of random changes against a plain model, each again after
+// the changes that followed it: what a snapshot shares with the next one is never changed.
+func TestSnapshotsStay(t *testing.T) {
+	const rounds, names = 300, 12
+	r := rand.New(rand.NewPCG(3, 3))
+	k := &snipedirectory.Keeper{}
+	model := map[string]*snipedirectory.Upstream{}
+	type taken struct {
+		snapshot *snipedirectory.Snapshot
+		want     map[string][]string
+	}
+	var all []taken
+	for round := range rounds {
+		var c snipedirectory.Change
+		for range r.IntN(4) {
+			name := string(rune('a' + r.IntN(names)))
+			switch {
+			case r.IntN(3) == 0:
+				c.Removed = append(c.Removed, name)
+			case !slices.ContainsFunc(c.Changed, func(u *snipedirectory.Upstream) bool { return u.Name == name }):
+				u := entry(name, r.IntN(4) == 0)
+				u.Service = string(rune('s' + r.IntN(2)))
+				c.Changed = append(c.Changed, u)
+			}
+		}
+		c.Position = uint64(round)
+		k.Apply(c)
+		for _, u := range c.Changed {
+			model[u.Name] = u
+		}
+		for _, name := range c.Removed {
+			delete(model, name)
+		}
+		want := map[string][]string{"s": nil, "t": nil}
+		for name, u := range model {
+			want[u.Service] = append(want[u.Service], name)
+			slices.Sort(want[u.Service])
+		}
+		all = append(all, taken{k.Snapshot(), want})
+	}
+	for _, x := range all {
+		for service, names := range x.want {
+			var got []string
+			for _, u := range x.snapshot.Service(service) {
+				got = append(got, u.ID)
+				must.Eq(t, u, x.snapshot.ByID(u.ID))
+			}
+			must.Eq(t, names, got)
+		}
+		must.Eq(t, len(x.want["s"])+len(x.want["t"]), x.snapshot.Len())
+	}
+}
+
+// BenchmarkApply measures a reading of the registry in which one entry has changed.
+func BenchmarkApply(b *testing.B) {
+	for _, count := range []int{12, 600, 3000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			k := &snipedirectory.Keeper{}
+			var all []*snipedirectory.Upstream
+			for n := range count {
+				all = append(all, entry(fmt.Sprint("e", n), false))
+			}
+			k.Apply(whole(all...))
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				u := *all[n%count]
+				k.Apply(snipedirectory.Change{Changed: []*snipedirectory.Upstream{&u}})
+			}
+		})
+	}
+}
