--- a/cmd/snipepitchd/entry.go
+++ b/cmd/snipepitchd/entry.go
@@ -87,6 +87,7 @@
 			Belongs: platform.Belongs, KeepAlive: platform.KeepAlive,
 			DeclaredTable: platform.DeclaredTable, DecodeDeclared: platform.DecodeDeclared,
 			UpstreamTable: platform.UpstreamTable, DecodeUpstreams: platform.DecodeUpstreams,
+			SameUpstream: platform.SameUpstream,
 		},
 	}
 	return i.Run(context.Background())
--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,10 +38,10 @@
 	// modelTimeout bounds the load of a base model, which takes up to two seconds,
 	// and in proportion longer when many engines load one.
 	modelTimeout = 15 * time.Second
-	// calmUse is how long an adapter must not have been used to be evicted while
-	// there is another choice. Reports of use come every 0.3 s and tell what is in
-	// flight. An engine that has to wait for an answer before it unloads takes no
-	// other order; a longer calm leaves too few to choose from under heavy load.
+	// calmUse is how long an adapter must not have been used to be evicted: uses that
+	// have begun are heard of later than that seldom. An engine that has to wait for an
+	// answer before it unloads takes no other order; a longer calm leaves too few to
+	// choose from under heavy load.
 	calmUse = 300 * time.Millisecond
 	// firstVersion is the version of an adapter before any was announced, as engines
 	// list it.
@@ -111,6 +113,8 @@
 	models map[string]bool
 	held   map[snipecatalog.Adapter]*holding
 	loads  map[snipecatalog.Adapter]*load
+	// flights are the adapters in flight, by the instance that reports them.
+	flights map[string]flights
 	// queue are the loads that wait for their turn, bringing the adapters of those that
 	// have it, fromStore how many of these come from the weight store.
 	queue     []*load
@@ -198,29 +202,6 @@
 	return max(least, d.Newest(a), firstVersion)
 }
 
-// Used notes how often adapters were used on an engine since the last report, and
-// returns those that it does not hold.
-func (d *Desk) Used(id string, uses map[snipecatalog.Adapter]int) (gone []snipecatalog.Adapter) {
-	d.lock.Lock()
-	e := d.engines[id]
-	d.lock.Unlock()
-	if e == nil || !e.read.Load() {
-		return nil
-	}
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	now := time.Now()
-	for a, n := range uses {
-		switch h := e.held[a]; {
-		case h != nil:
-			h.note(now, n)
-		case e.loads[a] == nil:
-			gone = append(gone, a)
-		}
-	}
-	return gone
-}
-
 // Rates returns how often a second the adapters of an engine are used, of those that
 // are used at least so often.
 func (d *Desk) Rates(id string, least float64) map[snipecatalog.Adapter]float64 {
@@ -290,6 +271,13 @@
 	}
 }
 
+// Engines returns the engines that this desk has ordered and that are not gone.
+func (d *Desk) Engines() []string {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return slices.Collect(maps.Keys(d.engines))
+}
+
 // Forget drops an engine that is gone.
 func (d *Desk) Forget(id string) {
 	d.lock.Lock()
@@ -309,7 +297,7 @@
 	e := &engine{
 		desk: d, id: u.ID, name: u.Name, again: u.Again, learned: time.Now(), ordering: make(turn, 1),
 		held: make(map[snipecatalog.Adapter]*holding), loads: make(map[snipecatalog.Adapter]*load),
-		bringing: make(map[snipecatalog.Adapter]bool),
+		bringing: make(map[snipecatalog.Adapter]bool), flights: make(map[string]flights),
 	}
 	d.engines[u.ID] = e
 	return e
--- a/snipeadapter/former.go
+++ b/snipeadapter/former.go
@@ -6,9 +6,8 @@
 	"snipepitch.example/snipepitch/snipecatalog"
 )
 
-// mostFormer bounds the adapters that are remembered of one engine. On three heavy days 752 of
-// 942 loads of what an engine of 20 places had held took less than 100 ms, with the wait for a
-// place; a wrong memory costs nothing but the order in which engines are asked.
+// mostFormer bounds the adapters that are remembered of one engine: a few times as many as it
+// holds. A wrong memory costs nothing but the order in which engines are asked.
 const mostFormer = 100
 
 // former are the adapters that an engine has held lately, with the time at which they were
@@ -17,14 +16,15 @@
 	seen map[snipecatalog.Adapter]time.Time
 }
 
-// add notes that an adapter was there until now.
-func (f *former) add(a snipecatalog.Adapter) {
+// add notes that an adapter was there until now, and returns the one that is forgotten for
+// it, if there are too many.
+func (f *former) add(a snipecatalog.Adapter) (forgotten snipecatalog.Adapter, full bool) {
 	if f.seen == nil {
 		f.seen = make(map[snipecatalog.Adapter]time.Time)
 	}
 	f.seen[a] = time.Now()
 	if len(f.seen) <= mostFormer {
-		return
+		return snipecatalog.Adapter{}, false
 	}
 	oldest := a
 	for other, at := range f.seen {
@@ -33,6 +33,7 @@
 		}
 	}
 	delete(f.seen, oldest)
+	return oldest, true
 }
 
 // has reports whether an adapter was there lately.
--- a/snipeadapter/residency.go
+++ b/snipeadapter/residency.go
@@ -1,7 +1,7 @@
 package snipeadapter
 
 import (
-	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,48 +9,121 @@
 	"snipepitch.example/snipepitch/snipedirectory"
 )
 
-// belief is what is known of one adapter on one engine.
-type belief struct {
+// word is what an owner or the engine itself said of one adapter on one engine.
+type word struct {
 	version int64
 	present bool
-	// told is when an owner or the engine itself said so; zero when it is from the
-	// directory.
-	told time.Time
+	at      time.Time
 }
 
 // memory is what is believed of one engine.
 type memory struct {
-	beliefs map[snipecatalog.Adapter]belief
-	former  former
+	// listed are the versions of the adapters in its directory entry.
+	listed map[snipecatalog.Adapter]int64
+	// told is what was said since, which stands against the entry for a while.
+	told   map[snipecatalog.Adapter]word
+	former former
+}
+
+// holds returns the version of an adapter that the engine is believed to hold, where the
+// directory was last read at a time.
+func (m *memory) holds(a snipecatalog.Adapter, read time.Time) (int64, bool) {
+	if w, ok := m.told[a]; ok && read.Sub(w.at) < trust {
+		return w.version, w.present
+	}
+	version, ok := m.listed[a]
+	return version, ok
 }
 
 // Residency is what an instance believes that engines hold, and what they held a while
 // ago and bring back soon. It is safe for concurrent use; the zero value is ready.
 type Residency struct {
-	lock    sync.RWMutex // guards engines
+	lock    sync.RWMutex // guards the fields below
 	engines map[string]*memory
+	// read is when the directory was last read: what was said stands until the directory
+	// must know of it, however long it cannot be read.
+	read time.Time
+	// holders are the engines that may be believed to hold an adapter, formers those that
+	// are remembered to have held it.
+	holders index
+	formers index
+}
+
+// index names engines by adapter.
+type index map[snipecatalog.Adapter][]string
+
+func (x index) add(a snipecatalog.Adapter, engine string) {
+	if !slices.Contains(x[a], engine) {
+		x[a] = append(x[a], engine)
+	}
+}
+
+func (x index) remove(a snipecatalog.Adapter, engine string) {
+	left := slices.DeleteFunc(x[a], func(other string) bool { return other == engine })
+	if len(left) == 0 {
+		delete(x, a)
+		return
+	}
+	x[a] = left
+}
+
+// Read notes that the directory was read: entries that were not observed since are as they
+// were.
+func (r *Residency) Read() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.read = time.Now()
 }
 
-// Observe takes an engine's directory entry.
+// Observe takes an engine's directory entry, which was read now.
 func (r *Residency) Observe(u *snipedirectory.Upstream) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.read = time.Now()
 	m := r.memory(u.ID)
-	all := make(map[snipecatalog.Adapter]belief, len(u.Resident))
+	before := m.listed
+	m.listed = make(map[snipecatalog.Adapter]int64, len(u.Resident))
 	for _, held := range u.Resident {
-		all[held.Adapter] = belief{version: held.Version, present: true}
+		m.listed[held.Adapter] = held.Version
+		r.holders.add(held.Adapter, u.ID)
 	}
-	for a, b := range m.beliefs {
-		if !b.told.IsZero() && time.Since(b.told) < trust {
-			all[a] = b
+	r.expire(u.ID, m)
+	for a := range before {
+		if _, listed := m.listed[a]; !listed {
+			r.settle(u.ID, m, a, true)
 		}
 	}
-	for a, b := range m.beliefs {
-		if b.present && !all[a].present {
-			m.former.add(a)
+}
+
+// expire forgets what was said too long ago. The lock is held.
+func (r *Residency) expire(engine string, m *memory) {
+	for a, w := range m.told {
+		if r.read.Sub(w.at) >= trust {
+			delete(m.told, a)
+			r.settle(engine, m, a, w.present)
 		}
 	}
-	m.beliefs = all
+}
+
+// settle notes that an adapter is no longer listed or told to be on an engine that may have
+// held it. The lock is held.
+func (r *Residency) settle(engine string, m *memory, a snipecatalog.Adapter, held bool) {
+	if _, holds := m.holds(a, r.read); holds {
+		return
+	}
+	r.holders.remove(a, engine)
+	if held {
+		r.remember(engine, m, a)
+	}
+}
+
+// remember notes that an engine held an adapter until now. The lock is held.
+func (r *Residency) remember(engine string, m *memory, a snipecatalog.Adapter) {
+	forgotten, full := m.former.add(a)
+	r.formers.add(a, engine)
+	if full {
+		r.formers.remove(forgotten, engine)
+	}
 }
 
 // memory returns what is believed of an engine, to be changed. The lock is held.
@@ -60,32 +133,31 @@
 		return m
 	}
 	if r.engines == nil {
-		r.engines = make(map[string]*memory)
+		r.engines, r.holders, r.formers = make(map[string]*memory), make(index), make(index)
 	}
-	m = &memory{beliefs: make(map[snipecatalog.Adapter]belief)}
+	m = &memory{told: make(map[snipecatalog.Adapter]word)}
 	r.engines[engine] = m
 	return m
 }
 
 // Tell notes that an engine holds an adapter.
 func (r *Residency) Tell(engine string, a snipecatalog.Adapter, version int64) {
-	r.note(engine, a, belief{version: version, present: true, told: time.Now()})
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.memory(engine).told[a] = word{version: version, present: true, at: time.Now()}
+	r.holders.add(a, engine)
 }
 
 // Deny notes that an engine does not hold an adapter in the version it was thought
 // to.
 func (r *Residency) Deny(engine string, a snipecatalog.Adapter) {
-	r.note(engine, a, belief{told: time.Now()})
-}
-
-func (r *Residency) note(engine string, a snipecatalog.Adapter, b belief) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	m := r.memory(engine)
-	if m.beliefs[a].present && !b.present {
-		m.former.add(a)
+	if _, held := m.holds(a, r.read); held {
+		r.remember(engine, m, a)
 	}
-	m.beliefs[a] = b
+	m.told[a] = word{at: time.Now()}
 }
 
 // Formerly reports whether an engine held an adapter lately and does not now: it brings
@@ -94,33 +166,56 @@
 	r.lock.RLock()
 	defer r.lock.RUnlock()
 	m := r.engines[engine]
-	return m != nil && !m.beliefs[a].present && m.former.has(a)
+	if m == nil || !m.former.has(a) {
+		return false
+	}
+	_, held := m.holds(a, r.read)
+	return !held
 }
 
 // Forget drops an engine that is gone.
 func (r *Residency) Forget(engine string) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.forget(engine)
+}
+
+// forget drops an engine. The lock is held.
+func (r *Residency) forget(engine string) {
+	m := r.engines[engine]
+	if m == nil {
+		return
+	}
+	for a := range m.listed {
+		r.holders.remove(a, engine)
+	}
+	for a := range m.told {
+		r.holders.remove(a, engine)
+	}
+	for a := range m.former.seen {
+		r.formers.remove(a, engine)
+	}
 	delete(r.engines, engine)
 }
 
-// Keep forgets all engines but some.
+// Keep forgets all engines but some, and what was said too long ago of these.
 func (r *Residency) Keep(known func(engine string) bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	maps.DeleteFunc(r.engines, func(id string, _ *memory) bool { return !known(id) })
+	for id, m := range r.engines {
+		if known(id) {
+			r.expire(id, m)
+			continue
+		}
+		r.forget(id)
+	}
 }
 
 // Holds returns the version of an adapter that an engine is believed to hold. The
 // base model itself is held by every engine that lists it.
 func (r *Residency) Holds(u *snipedirectory.Upstream, a snipecatalog.Adapter) (int64, bool) {
 	if a.Name == "" {
-		for _, m := range u.Models {
-			if m == a.Model {
-				return 0, true
-			}
-		}
-		return 0, false
+		return 0, slices.Contains(u.Models, a.Model)
 	}
 	r.lock.RLock()
 	defer r.lock.RUnlock()
@@ -128,6 +223,21 @@
 	if m == nil {
 		return 0, false
 	}
-	b, ok := m.beliefs[a]
-	return b.version, ok && b.present
+	return m.holds(a, r.read)
+}
+
+// Holders appends the engines that may be believed to hold an adapter; Holds tells whether
+// one is. Of some thousand engines few do, so that whoever looks for one need not ask all.
+func (r *Residency) Holders(a snipecatalog.Adapter, engines []string) []string {
+	r.lock.RLock()
+	defer r.lock.RUnlock()
+	return append(engines, r.holders[a]...)
+}
+
+// Formers appends the engines that are remembered to have held an adapter; Formerly tells
+// whether one has and does not now.
+func (r *Residency) Formers(a snipecatalog.Adapter, engines []string) []string {
+	r.lock.RLock()
+	defer r.lock.RUnlock()
+	return append(engines, r.formers[a]...)
 }
--- a/snipeadapter/room.go
+++ b/snipeadapter/room.go
@@ -112,8 +112,9 @@
 	var lowest float64
 	found := false
 	now := time.Now()
+	inFlight := e.inFlight(now)
 	for a, h := range e.held {
-		if h.coming || h.replaced || e.bringing[a] || now.Sub(h.used) < calm {
+		if h.coming || h.replaced || e.bringing[a] || inFlight[a] || now.Sub(h.used) < calm {
 			continue
 		}
 		if score := e.worth(u, a, h, now); !found || score < lowest {
--- a/snipebalance/board.go
+++ b/snipebalance/board.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// reportLife is for how long a report of load counts: instances with requests in flight
-// repeat theirs a few times in it.
-const reportLife = 400 * time.Millisecond
+// reportLife is for how long a report of load counts. Instances report each change, and
+// repeat theirs a few times in it while they have requests in flight.
+const reportLife = 1500 * time.Millisecond
 
 // Board adds up what instances report of their requests in flight at some upstreams, so
 // that each learns of all: one of many instances sees too few answers of an upstream to
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -13,6 +13,7 @@
 	"snipepitch.example/snipepitch/snipemirror"
 	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipetime"
 )
 
 const (
@@ -29,20 +30,25 @@
 	// two seconds.
 	directoryWait = 200 * time.Millisecond
 	directoryPace = 1100 * time.Millisecond
-	// maxAge is how old another instance's copy of both may become: more than a
-	// read's wait and pace together, and so little that what must be known within two seconds
-	// is, when the reader loses the store at the worst moment.
-	maxAge = 1400 * time.Millisecond
 	// ownershipPace is the same for the rows of ownership, which change with each
 	// renewal. A dead owner is noticed after its lease, more than two seconds.
 	ownershipPace = 1500 * time.Millisecond
-	// ownershipAge is the same for their copies.
-	ownershipAge = 2500 * time.Millisecond
 	// maxOwnershipAge is how old the rows of ownership may be for it to be judged by
 	// them who lives: two reads.
 	maxOwnershipAge = 4 * time.Second
 )
 
+const (
+	// acquaintance is how long an instance that starts waits at most to know the others,
+	// whose copies it follows, before it reads the store's tables itself.
+	acquaintance = 700 * time.Millisecond
+	// acquaintanceEvery is the time between two looks.
+	acquaintanceEvery = 10 * time.Millisecond
+	// settledAfter is how long after its start an instance that knows nobody looks for others
+	// more often: all may have started at once, and have written no row yet.
+	settledAfter = 3 * time.Second
+)
+
 // positionName names the store's position in log lines.
 const positionName = "Position"
 
@@ -67,22 +73,35 @@
 }
 
 // follower returns the follower of a table.
-func (i *Instance) follower(table string, pace, wait, age time.Duration) *snipemirror.Follower {
+func (i *Instance) follower(table string, pace, wait time.Duration, ages copyAges) *snipemirror.Follower {
 	return &snipemirror.Follower{
 		Rare:   i.standsBy,
-		Mirror: snipemirror.New(), Store: i.Platform.Source(table), Pace: pace, Wait: wait, MaxAge: age,
+		Mirror: snipemirror.New(), Store: i.source(table), Pace: pace, Wait: wait,
+		MaxAge: func() time.Duration { return i.copyAge(ages) },
 		Near: func(failures int, lost bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
 			return i.near(table, failures, lost)
 		},
 	}
 }
 
+// alone reports whether no other instance is known.
+func (i *Instance) alone() bool { return i.instances() <= 1 }
+
+// acquaint waits until other instances are known, so that a start of hundreds reads of the
+// store what each needs to find the others, and the rest from these.
+func (i *Instance) acquaint(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acquaintance)
+	defer cancel()
+	for i.alone() && snipetime.Sleep(ctx, acquaintanceEvery) {
+	}
+}
+
 // standsBy reports whether this instance leaves duties for all to others.
 func (i *Instance) standsBy() bool { return i.holder.View().Live[i.Settings.Peers].Standby }
 
 func (i *Instance) buildTables() {
 	t := &i.tables
-	t.catalog = i.follower(i.Platform.DeclaredTable, catalogPace, catalogWait, maxAge)
+	t.catalog = i.follower(i.Platform.DeclaredTable, catalogPace, catalogWait, feedAges)
 	t.catalog.Changed = func(rows []snipemirror.Row, position uint64) {
 		if len(rows) > 0 {
 			i.applyCatalog(i.Platform.DecodeDeclared(rows, position))
@@ -91,7 +110,8 @@
 	t.catalog.Lost = func(err error) { i.Log.Error(snipelog.CatalogStale, err, i.catalogFields()) }
 	t.catalog.Back = func() { i.Log.Log(snipelog.CatalogFresh, i.catalogFields()) }
 
-	t.directory = i.follower(i.Platform.UpstreamTable, directoryPace, directoryWait, maxAge)
+	t.directory = i.follower(i.Platform.UpstreamTable, directoryPace, directoryWait, feedAges)
+	t.directory.Mirror.Same = i.Platform.SameUpstream
 	t.directory.Changed = i.applyDirectory
 	t.directory.Lost = func(err error) {
 		i.Log.Error(snipelog.DirectoryStale, err, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
@@ -101,8 +121,15 @@
 		i.Log.Log(snipelog.DirectoryFresh, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
 	}
 
-	t.ownership = i.follower(snipeowner.Partition, ownershipPace, directoryWait, ownershipAge)
-	t.ownership.Changed = func([]snipemirror.Row, uint64) {}
+	t.ownership = i.follower(snipeowner.Partition, ownershipPace, directoryWait, ownershipAges)
+	t.ownership.Changed = func([]snipemirror.Row, uint64) {
+		if i.alone() {
+			i.holder.Nudge()
+		}
+	}
+	started := time.Now()
+	t.ownership.Hasten = func() bool { return i.alone() && time.Since(started) < settledAfter }
+	t.catalog.Begin, t.directory.Begin = i.acquaint, i.acquaint
 	// The holder tells of the loss of the store itself, by its renewals.
 	t.ownership.Lost, t.ownership.Back = func(error) {}, func() {}
 }
@@ -137,7 +164,12 @@
 func (i *Instance) applyDirectory(rows []snipemirror.Row, position uint64) {
 	change, wrong := i.Platform.DecodeUpstreams(rows, position)
 	i.tellEntries(change, wrong)
+	first := i.directory.Snapshot() == nil
 	i.directory.Apply(change)
+	if first {
+		i.Log.Log(snipelog.DirectoryRead, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len(), positionName: position})
+	}
+	i.residency.Read()
 	now := i.directory.Snapshot()
 	for _, u := range change.Changed {
 		if now.ByID(u.ID) != nil {
@@ -174,28 +206,32 @@
 	}
 }
 
-// ownershipRows returns the rows of ownership as last read.
-func (i *Instance) ownershipRows(_ context.Context, partition string) ([]snipeplatform.Row, error) {
-	rows, err := i.tables.ownership.Mirror.Rows()
+// ownershipRows returns the rows of ownership that have changed since a mark, as last read.
+func (i *Instance) ownershipRows(_ context.Context, partition string, since uint64) ([]snipeplatform.Row, uint64, error) {
+	rows, mark, err := i.tables.ownership.Mirror.Rows(since)
 	if err != nil {
-		return nil, errors.Wrap(err, partition)
+		return nil, 0, errors.Wrap(err, partition)
 	}
 	if age := i.tables.ownership.Mirror.Age(); age > maxOwnershipAge {
-		return nil, errors.Wrap(snipemirror.ErrStale, age.String())
+		return nil, 0, errors.Wrap(snipemirror.ErrStale, age.String())
 	}
 	all := make([]snipeplatform.Row, 0, len(rows))
 	for _, r := range rows {
 		key := snipeplatform.Key{Partition: partition, Sort: r.Key}
 		all = append(all, snipeplatform.Row{Key: key, Version: r.Version, Data: r.Value})
 	}
-	return all, nil
+	return all, mark, nil
 }
 
 // storeReached is told of each renewal whether the store answered.
 func (i *Instance) storeReached(ok bool) {
-	if ok {
-		return
+	if !ok {
+		i.interruptReads()
 	}
+}
+
+// interruptReads ends the reads of the store that are under way: it does not answer.
+func (i *Instance) interruptReads() {
 	for _, f := range i.tables.all() {
 		f.Interrupt()
 	}
@@ -206,7 +242,10 @@
 	fields := snipelog.Fields{"Upstream": u.ID, "Service": u.Service, "Address": u.Address, positionName: u.Position}
 	switch e {
 	case snipedirectory.Appeared:
-		i.Log.Log(snipelog.UpstreamAppeared, fields)
+		// Those of the first reading are told by their number.
+		if i.directory.Snapshot() != nil {
+			i.Log.Log(snipelog.UpstreamAppeared, fields)
+		}
 	case snipedirectory.Leaving:
 		fields["RemainingMilliseconds"] = u.Remaining.Milliseconds()
 		i.Log.Log(snipelog.UpstreamLeaving, fields)
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -82,8 +82,8 @@
 // peerHandler serves other instances.
 func (i *Instance) peerHandler() http.Handler {
 	desk := snipeproto.NewAdapterServer(&peerServer{desk: i.desk, replicas: i.gateway.Chooser.Replicas, board: i.board})
-	mirrors := snipeproto.NewMirrorServer(&mirrorServer{i.mirrors()})
-	owners := snipeproto.NewOwnershipServer(&ownershipServer{i.holder})
+	mirrors := snipeproto.NewMirrorServer(&mirrorServer{mirrors: i.mirrors()})
+	owners := snipeproto.NewOwnershipServer(&ownershipServer{i.holder, i.relay})
 	m := http.NewServeMux()
 	m.Handle(owners.PathPrefix(), owners)
 	m.Handle(desk.PathPrefix(), desk)
--- /dev/null
+++ b/snipeentry/metrics.go
@@ -0,0 +1,70 @@
+package snipeentry
+
+import (
+	"context"
+	"net/http"
+	"path"
+	"strconv"
+	"time"
+
+	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipemirror"
+	"snipepitch.example/snipepitch/snipeplatform"
+)
+
+// gauges registers what is read at each scrape.
+func (i *Instance) gauges() {
+	if i.LogDropped != nil {
+		i.meter.Gauge("snipepitch_log_lines_dropped", func() float64 { return float64(i.LogDropped()) })
+	}
+	i.meter.Gauge("snipepitch_requests_in_flight", func() float64 { return float64(i.gateway.InFlight()) })
+	i.meter.Gauge("snipepitch_upstreams", func() float64 { return float64(i.directory.Snapshot().Len()) })
+	i.meter.Gauge("snipepitch_wrong_entries", func() float64 { return float64(i.wrongEntries.Len()) })
+	i.meter.Gauge("snipepitch_instances", func() float64 { return float64(i.instances()) })
+	for name, f := range map[string]*snipemirror.Follower{
+		"catalog": i.tables.catalog, "directory": i.tables.directory, "ownership": i.tables.ownership,
+	} {
+		label := `{table="` + name + `"}`
+		i.meter.Gauge("snipepitch_table_age_seconds"+label, func() float64 { return f.Mirror.Age().Seconds() })
+		i.meter.Gauge("snipepitch_table_rows_read"+label, func() float64 { read, _ := f.Mirror.Counts(); return float64(read) })
+		i.meter.Gauge("snipepitch_table_rows_changed"+label, func() float64 { _, changed := f.Mirror.Counts(); return float64(changed) })
+	}
+}
+
+// storeCalls is the counter of calls to the store, by their kind.
+func storeCalls(kind string) string { return `snipepitch_store_calls_total{call="` + kind + `"}` }
+
+// source returns how a table of the store is read, with its calls counted.
+func (i *Instance) source(table string) snipemirror.Source {
+	s := i.Platform.Source(table)
+	return snipemirror.Source{
+		Read: func(ctx context.Context) (snipemirror.Page, error) {
+			i.meter.Count(storeCalls("Read"))
+			return s.Read(ctx)
+		},
+		Watch: func(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
+			i.meter.Count(storeCalls("Watch"))
+			return s.Watch(ctx, after, wait)
+		},
+	}
+}
+
+// write changes rows of the store, with the call counted.
+func (i *Instance) write(ctx context.Context, operation string, changes []snipeplatform.Change) (uint64, error) {
+	i.meter.Count(storeCalls("Write"))
+	return i.Platform.Write(ctx, operation, changes)
+}
+
+// countedTransport counts calls to other instances, by their kind and whether they were
+// answered.
+type countedTransport struct {
+	http.RoundTripper
+	meter *snipemeter.Meter
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *countedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	answer, err := t.RoundTripper.RoundTrip(r)
+	t.meter.Count(`snipepitch_peer_calls_total{call="` + path.Base(r.URL.Path) + `",answered="` + strconv.FormatBool(err == nil) + `"}`)
+	return answer, err
+}
--- /dev/null
+++ b/snipeentry/mirror.go
@@ -0,0 +1,175 @@
+package snipeentry
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"snipepitch.example/snipepitch/snipemirror"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+const (
+	// maxNearWait bounds the wait that another instance may ask for.
+	maxNearWait = 10 * time.Second
+	// packedFrom is from how many rows on a page is compressed: those of some thousand
+	// upstreams are alike, and dozens of instances ask for all of them when all start.
+	packedFrom = 200
+	// packLife is for how long one compressed page is given to all that ask for it: what has
+	// changed since follows with the next one.
+	packLife = 300 * time.Millisecond
+	// maxUnpacked bounds the rows of a page in bytes.
+	maxUnpacked = 64 << 20
+)
+
+// errUnpacked: the rows of a page are more than a table can hold.
+var errUnpacked = errors.New("packed rows are too large")
+
+// mirrorServer serves this instance's copies to others.
+type mirrorServer struct {
+	mirrors map[string]*snipemirror.Mirror
+
+	lock sync.Mutex // guards packs
+	// packs are the last compressed pages that hold all rows, by table.
+	packs map[string]pack
+}
+
+// pack is a compressed page and when it was made.
+type pack struct {
+	page snipemirror.Page // without rows
+	rows []byte
+	at   time.Time
+}
+
+// Watch implements snipeproto.Mirror.
+func (s *mirrorServer) Watch(ctx context.Context, r *snipeproto.MirrorWatchRequest) (*snipeproto.MirrorWatchResponse, error) {
+	m := s.mirrors[r.GetTable()]
+	if m == nil {
+		return nil, twirp.NotFoundError("no copy of this table")
+	}
+	if r.GetAfter() == 0 {
+		if p, ok := s.packed(r.GetTable()); ok {
+			p.page.Age += time.Since(p.at)
+			return encodePage(p.page, p.rows), nil
+		}
+	}
+	wait := min(time.Duration(r.GetWaitMilliseconds())*time.Millisecond, maxNearWait)
+	page, err := m.Watch(ctx, r.GetAfter(), wait)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	if len(page.Rows) < packedFrom {
+		return encodePage(page, nil), nil
+	}
+	rows, err := packRows(page.Rows)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	page.Rows = nil
+	if page.Whole {
+		s.keep(r.GetTable(), pack{page, rows, time.Now()})
+	}
+	return encodePage(page, rows), nil
+}
+
+// packed returns a compressed page of all rows that was made a moment ago.
+func (s *mirrorServer) packed(table string) (pack, bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	p, ok := s.packs[table]
+	return p, ok && time.Since(p.at) < packLife
+}
+
+func (s *mirrorServer) keep(table string, p pack) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.packs == nil {
+		s.packs = make(map[string]pack)
+	}
+	s.packs[table] = p
+}
+
+// encodePage returns a page for the wire, with its rows as they are or packed.
+func encodePage(p snipemirror.Page, packed []byte) *snipeproto.MirrorWatchResponse {
+	return &snipeproto.MirrorWatchResponse{
+		Position: p.Position, Whole: p.Whole, Rows: encodeRows(p.Rows), Packed: packed,
+		// Rounded up: a copy must not look younger with each instance that passes it on.
+		AgeMilliseconds: (p.Age + time.Millisecond - 1).Milliseconds(),
+	}
+}
+
+func decodePage(m *snipeproto.MirrorWatchResponse) (snipemirror.Page, error) {
+	p := snipemirror.Page{
+		Position: m.GetPosition(), Whole: m.GetWhole(), Rows: decodeRows(m.GetRows()),
+		Age: time.Duration(m.GetAgeMilliseconds()) * time.Millisecond,
+	}
+	if len(m.GetPacked()) == 0 {
+		return p, nil
+	}
+	var err error
+	p.Rows, err = unpackRows(m.GetPacked())
+	return p, err
+}
+
+func encodeRows(rows []snipemirror.Row) []*snipeproto.MirrorRow {
+	all := make([]*snipeproto.MirrorRow, 0, len(rows))
+	for _, r := range rows {
+		all = append(all, &snipeproto.MirrorRow{
+			Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed, Renewed: r.Renewed,
+		})
+	}
+	return all
+}
+
+func decodeRows(rows []*snipeproto.MirrorRow) []snipemirror.Row {
+	all := make([]snipemirror.Row, 0, len(rows))
+	for _, r := range rows {
+		all = append(all, snipemirror.Row{
+			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(), Renewed: r.GetRenewed(),
+		})
+	}
+	return all
+}
+
+// packRows compresses rows.
+func packRows(rows []snipemirror.Row) ([]byte, error) {
+	data, err := proto.Marshal(&snipeproto.MirrorRows{Rows: encodeRows(rows)})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode rows")
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress rows")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress rows")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress rows")
+	}
+	return b.Bytes(), nil
+}
+
+// unpackRows is the inverse of packRows.
+func unpackRows(packed []byte) ([]snipemirror.Row, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress rows")
+	}
+	if len(data) == maxUnpacked {
+		return nil, errUnpacked
+	}
+	var rows snipeproto.MirrorRows
+	if err := proto.Unmarshal(data, &rows); err != nil {
+		return nil, errors.Wrap(err, "decode rows")
+	}
+	return decodeRows(rows.GetRows()), nil
+}
--- /dev/null
+++ b/snipeentry/mirror_test.go
@@ -0,0 +1,68 @@
+package snipeentry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipemirror"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+// rowsOf returns the rows of a registry of so many upstreams.
+func rowsOf(count int) []snipemirror.Row {
+	var rows []snipemirror.Row
+	for n := range count {
+		rows = append(rows, snipemirror.Row{
+			Key: fmt.Sprintf("i-%06d", n), Version: uint64(n + 1),
+			Value: fmt.Appendf(nil, `{"service":"engines","addr":"10.9.%d.%d:80","state":"ready","models":[{"name":"base","adapters":["a%d@1"]}],"seq":%d}`, n/250, n%250, n*7, n),
+		})
+	}
+	return rows
+}
+
+// TestWholePages answers the pattern of dozens of instances that all start at once and ask one
+// for all rows of three thousand upstreams: the page is compressed once for all of them, and
+// whoever goes on from it misses nothing.
+func TestWholePages(t *testing.T) {
+	const table, count = "rows", 3000
+	synctest.Test(t, func(t *testing.T) {
+		source := snipemirror.New()
+		rows := rowsOf(count)
+		source.Apply(snipemirror.Page{Whole: true, Position: count, Rows: rows})
+		server := &mirrorServer{mirrors: map[string]*snipemirror.Mirror{table: source}}
+		watch := func(after uint64) *snipeproto.MirrorWatchResponse {
+			answer, err := server.Watch(t.Context(), &snipeproto.MirrorWatchRequest{Table: table, After: after})
+			must.NoError(t, err)
+			return answer
+		}
+		first := watch(0)
+		must.Less(t, count*30, len(first.GetPacked()))
+		source.Apply(snipemirror.Page{Position: count + 1, Rows: []snipemirror.Row{{Key: "i-000000", Version: count + 1, Value: []byte("new")}}})
+		time.Sleep(packLife / 2)
+		second := watch(0)
+		must.True(t, &first.GetPacked()[0] == &second.GetPacked()[0])
+		must.Eq(t, (packLife / 2).Milliseconds(), second.GetAgeMilliseconds())
+
+		follower := snipemirror.New()
+		page, err := decodePage(second)
+		must.NoError(t, err)
+		must.True(t, page.Whole)
+		must.Len(t, count, follower.Apply(page))
+		page, err = decodePage(watch(page.Position))
+		must.NoError(t, err)
+		must.Len(t, 1, page.Rows)
+		must.Len(t, 1, follower.Apply(page))
+		time.Sleep(packLife)
+		must.Eq(t, count+1, watch(0).GetPosition())
+		all, _, err := follower.Rows(0)
+		must.NoError(t, err)
+		rows[0] = snipemirror.Row{Key: "i-000000", Version: count + 1, Value: []byte("new")}
+		must.Eq(t, rows, all)
+	})
+	_, err := unpackRows([]byte("nothing of the kind"))
+	must.Error(t, err)
+}
--- a/snipeentry/near.go
+++ b/snipeentry/near.go
@@ -6,10 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"snipepitch.example/snipepitch/snipemirror"
-	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeproto"
 )
 
@@ -22,7 +19,11 @@
 // each failure. It is false when this instance is to read the store itself; when the
 // store does not answer it, any other instance will do.
 func (i *Instance) near(table string, failures int, lost bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
-	reader, ok := leader(i.readers(lost), i.Settings.Peers, failures, lost)
+	readers := i.readers(lost)
+	reader, ok := leader(readers, i.Settings.Peers, failures, lost)
+	if !ok && !lost && failures == 0 {
+		reader, ok = i.root()
+	}
 	if !ok {
 		return nil, false
 	}
@@ -36,10 +37,63 @@
 		if err != nil {
 			return snipemirror.Page{}, err
 		}
-		return decodePage(answer), nil
+		return decodePage(answer)
 	}, true
 }
 
+// copyAges are how old a copy may become before the store is read itself: more than a read's
+// wait and pace together.
+type copyAges struct {
+	// Direct is for copies of an instance that reads the store, where each failure domain has
+	// one. Where one instance reads the store for all domains, First is for the first instance
+	// of a domain, which follows it, and Others for those that follow the first: these wait
+	// longer, so that the loss of the one reader makes the first instances read the store and
+	// not all.
+	Direct, First, Others time.Duration
+}
+
+var (
+	// feedAges are those of what operators declare and of the registry: so short that what
+	// must be known within two seconds, or within three where one reads for all, is known when
+	// the reader loses the store at the worst moment.
+	feedAges = copyAges{Direct: 1400 * time.Millisecond, First: 1500 * time.Millisecond, Others: 2100 * time.Millisecond}
+	// ownershipAges are those of the rows of ownership, by which nobody's death is told sooner
+	// than by the lease.
+	ownershipAges = copyAges{Direct: 2500 * time.Millisecond, First: 2 * time.Second, Others: 2500 * time.Millisecond}
+)
+
+// oneReaderFrom is the least time for knowledge to spread with which one instance reads the
+// store for all failure domains.
+const oneReaderFrom = 3 * time.Second
+
+// oneReader reports whether one instance reads the store for all failure domains.
+func (i *Instance) oneReader() bool { return i.Settings.freshness() >= oneReaderFrom }
+
+// copyAge returns how old this instance's copy may become.
+func (i *Instance) copyAge(ages copyAges) time.Duration {
+	if !i.oneReader() {
+		return ages.Direct
+	}
+	if readers := i.readers(false); len(readers) > 0 && readers[0] == i.Settings.Peers {
+		return ages.First
+	}
+	return ages.Others
+}
+
+// root returns the instance that reads the store for all failure domains, for the first
+// instance of another domain; false where each domain reads for itself.
+func (i *Instance) root() (netip.AddrPort, bool) {
+	if !i.oneReader() {
+		return netip.AddrPort{}, false
+	}
+	for _, other := range i.holder.View().Ranked {
+		if !other.Leaving && !other.Standby {
+			return other.Peer, other.Peer != i.Settings.Peers
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
 // leader returns which of the readers an instance follows after so many have failed;
 // false when it is to read the store itself. As long as the store answers nobody follows
 // one that is behind itself in rank: two that follow each other would both grow old.
@@ -59,21 +113,20 @@
 // store for it. An instance that the store does not answer may ask them all, and
 // those that its settings name when it knows of nobody yet.
 func (i *Instance) readers(lost bool) []netip.AddrPort {
-	var near, far []snipeowner.Instance
-	for peer, other := range i.holder.View().Live {
+	var readers, far []netip.AddrPort
+	for _, other := range i.holder.View().Ranked {
 		switch {
-		case other.Leaving || other.Standby, lost && peer == i.Settings.Peers:
+		case other.Leaving || other.Standby, lost && other.Peer == i.Settings.Peers:
 		case other.Domain == i.Settings.Domain:
-			near = append(near, other)
+			readers = append(readers, other.Peer)
 		case lost:
-			far = append(far, other)
+			far = append(far, other.Peer)
 		}
 	}
-	readers := addresses(near)
 	if !lost {
 		return readers
 	}
-	readers = append(readers, addresses(far)...)
+	readers = append(readers, far...)
 	for _, seed := range i.Settings.Seeds {
 		if seed != i.Settings.Peers && !slices.Contains(readers, seed) {
 			readers = append(readers, seed)
@@ -81,63 +134,3 @@
 	}
 	return readers
 }
-
-// addresses returns where instances are reached, the first in rank first.
-func addresses(all []snipeowner.Instance) []netip.AddrPort {
-	slices.SortFunc(all, func(a, b snipeowner.Instance) int {
-		if a.Before(b) {
-			return -1
-		}
-		return 1
-	})
-	peers := make([]netip.AddrPort, 0, len(all))
-	for _, a := range all {
-		peers = append(peers, a.Peer)
-	}
-	return peers
-}
-
-func decodePage(m *snipeproto.MirrorWatchResponse) snipemirror.Page {
-	p := snipemirror.Page{
-		Position: m.GetPosition(), Whole: m.GetWhole(),
-		Age: time.Duration(m.GetAgeMilliseconds()) * time.Millisecond,
-	}
-	for _, r := range m.GetRows() {
-		p.Rows = append(p.Rows, snipemirror.Row{
-			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
-		})
-	}
-	return p
-}
-
-// maxNearWait bounds the wait that another instance may ask for.
-const maxNearWait = 10 * time.Second
-
-// mirrorServer serves this instance's copies to others.
-type mirrorServer struct {
-	mirrors map[string]*snipemirror.Mirror
-}
-
-// Watch implements snipeproto.Mirror.
-func (s *mirrorServer) Watch(ctx context.Context, r *snipeproto.MirrorWatchRequest) (*snipeproto.MirrorWatchResponse, error) {
-	m := s.mirrors[r.GetTable()]
-	if m == nil {
-		return nil, twirp.NotFoundError("no copy of this table")
-	}
-	wait := min(time.Duration(r.GetWaitMilliseconds())*time.Millisecond, maxNearWait)
-	p, err := m.Watch(ctx, r.GetAfter(), wait)
-	if err != nil {
-		return nil, twirp.NewError(twirp.Unavailable, err.Error())
-	}
-	answer := &snipeproto.MirrorWatchResponse{
-		Position: p.Position, Whole: p.Whole,
-		// Rounded up: a copy must not look younger with each instance that passes it on.
-		AgeMilliseconds: (p.Age + time.Millisecond - 1).Milliseconds(),
-	}
-	for _, row := range p.Rows {
-		answer.Rows = append(answer.Rows, &snipeproto.MirrorRow{
-			Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed,
-		})
-	}
-	return answer, nil
-}
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -62,36 +63,36 @@
 	return &snipeproto.AdapterEnsureResponse{Version: version}, nil
 }
 
-// Used implements snipeproto.Adapter.
-func (s *peerServer) Used(_ context.Context, r *snipeproto.AdapterUsedRequest) (*snipeproto.AdapterUsedResponse, error) {
-	if len(r.GetCounts()) != len(r.GetAdapters()) {
-		return nil, twirp.InvalidArgumentError("counts", "is not as long as adapters")
+// Report implements snipeproto.Adapter.
+func (s *peerServer) Report(_ context.Context, r *snipeproto.AdapterReportRequest) (*snipeproto.AdapterReportResponse, error) {
+	answer := &snipeproto.AdapterReportResponse{}
+	for _, e := range r.GetEngines() {
+		s.take(r.GetInstance(), e, answer)
 	}
-	uses := make(map[snipecatalog.Adapter]int, len(r.GetAdapters()))
-	for n, name := range r.GetAdapters() {
-		uses[snipecatalog.Adapter{Model: r.GetModel(), Name: name}] = int(r.GetCounts()[n])
-	}
-	s.board.Report(r.GetEngine(), r.GetInstance(), r.GetLoad())
-	answer := &snipeproto.AdapterUsedResponse{}
 	for _, v := range s.news(r.GetInstance()) {
-		if v.Adapter.Model == r.GetModel() {
-			answer.Evicted = append(answer.Evicted, &snipeproto.AdapterReplica{Engine: v.Engine, Adapter: v.Adapter.Name})
-		}
+		answer.Evicted = append(answer.Evicted, encodeAdapter(v.Engine, v.Adapter))
 	}
 	for engine, load := range s.board.Loads() {
 		answer.Loads = append(answer.Loads, &snipeproto.EngineLoad{Engine: engine, Load: load})
 	}
-	for _, a := range s.desk.Used(r.GetEngine(), uses) {
-		answer.Gone = append(answer.Gone, a.Name)
+	return answer, nil
+}
+
+// take notes how an instance uses an engine, and adds to the answer what it should know of
+// the adapters.
+func (s *peerServer) take(instance string, e *snipeproto.EngineUse, answer *snipeproto.AdapterReportResponse) {
+	engine, uses := e.GetEngine(), decodeUse(e)
+	s.board.Report(engine, instance, e.GetLoad())
+	for _, a := range s.desk.Used(engine, instance, uses) {
+		answer.Gone = append(answer.Gone, encodeAdapter(engine, a))
 	}
 	for a := range uses {
-		for _, other := range s.replicas(a, r.GetEngine()) {
-			answer.Replicas = append(answer.Replicas, &snipeproto.AdapterReplica{
-				Adapter: a.Name, Engine: other.Engine, Version: other.Version,
-			})
+		for _, other := range s.replicas(a, engine) {
+			replica := encodeAdapter(other.Engine, a)
+			replica.Version = other.Version
+			answer.Replicas = append(answer.Replicas, replica)
 		}
 	}
-	return answer, nil
 }
 
 // peers asks other instances' desks.
@@ -106,6 +107,9 @@
 	heard map[netip.AddrPort]time.Time
 	// lost are the instances that the last report of use did not reach.
 	lost map[netip.AddrPort]bool
+	// noRight tells until when engines are not asked for, whose owners have said that they
+	// have no right to order them now.
+	noRight map[netip.AddrPort]time.Time
 	// questions are those under way, by the owner that is asked.
 	questions map[netip.AddrPort]map[*question]bool
 }
@@ -132,6 +136,29 @@
 	return true
 }
 
+// noRightPause is how long an engine is left alone whose owner may not order it: somebody else
+// owns it soon, or its owner may again.
+const noRightPause = 500 * time.Millisecond
+
+// noteNoRight notes that an engine's owner may not order it now.
+func (p *peers) noteNoRight(engine netip.AddrPort) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.noRight == nil {
+		p.noRight = make(map[netip.AddrPort]time.Time)
+	}
+	now := time.Now()
+	maps.DeleteFunc(p.noRight, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
+	p.noRight[engine] = now.Add(noRightPause)
+}
+
+// hasRight reports whether an engine's owner may order it, as far as is known.
+func (p *peers) hasRight(engine netip.AddrPort) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return !time.Now().Before(p.noRight[engine])
+}
+
 // hear notes that an owner has answered.
 func (p *peers) hear(owner netip.AddrPort) {
 	p.lock.Lock()
@@ -206,8 +233,13 @@
 		PatienceMilliseconds: patience.Milliseconds(),
 	})
 	var failure twirp.Error
-	if errors.As(err, &failure) && failure.Code() == twirp.Aborted {
-		return 0, errors.Wrapf(snipeadapter.ErrUnreached, "owner %s: %s", owner.Instance.Name, failure.Msg())
+	if errors.As(err, &failure) {
+		switch failure.Code() {
+		case twirp.Aborted:
+			return 0, errors.Wrapf(snipeadapter.ErrUnreached, "owner %s: %s", owner.Instance.Name, failure.Msg())
+		case twirp.FailedPrecondition:
+			i.peers.noteNoRight(u.Address)
+		}
 	}
 	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
 		err = errSilent
@@ -223,10 +255,14 @@
 
 // spread has more engines load what is used much on this instance's engines.
 func (i *Instance) spread() {
-	for _, u := range i.engines() {
-		if _, ok := i.holder.Fence(u.Address); !ok {
+	directory := i.directory.Snapshot()
+	for _, id := range i.desk.Engines() {
+		u := directory.ByID(id)
+		if u == nil {
 			continue
 		}
-		i.gateway.Chooser.Spread(u, i.desk.Rates(u.ID, snipegateway.ReplicaRate))
+		if _, ok := i.holder.Fence(u.Address); ok {
+			i.gateway.Chooser.Spread(u, i.desk.Rates(id, snipegateway.ReplicaRate))
+		}
 	}
 }
--- a/snipeentry/promise.go
+++ b/snipeentry/promise.go
@@ -14,6 +14,7 @@
 // ownershipServer answers other instances that own engines and do not reach the store.
 type ownershipServer struct {
 	holder *snipeowner.Holder
+	relay  *relay
 }
 
 // maxPromised bounds the engines of one question: an instance owns fewer.
--- /dev/null
+++ b/snipeentry/reader_test.go
@@ -0,0 +1,163 @@
+package snipeentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipejson"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemirror"
+	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeplatform"
+)
+
+const (
+	domains   = 5
+	perDomain = 60
+	// sample is of how many of the weak instances one is looked at: they are alike.
+	sample = 13
+)
+
+// member returns one of three hundred instances; the first three of each domain are strong.
+func member(n int) snipeowner.Instance {
+	m := snipeowner.Instance{
+		Name: fmt.Sprint("i", n), Incarnation: "1", Domain: fmt.Sprint("d", n%domains), Power: 0.2,
+		Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n / 250), byte(n%250 + 1)}), 70),
+	}
+	if n < 3*domains {
+		m.Power = 0.8
+	}
+	return m
+}
+
+// among returns an instance that knows the rows of all.
+func among(t *testing.T, n int, freshness time.Duration, rows []snipeplatform.Row) *Instance {
+	self := member(n)
+	i := &Instance{Settings: Settings{
+		Peers: self.Peer, Domain: self.Domain,
+		DrainTime: snipejson.Duration(freshness), ApplyTime: snipejson.Duration(freshness),
+	}}
+	i.peers = &peers{http: &http.Client{}}
+	i.holder = &snipeowner.Holder{
+		Self: self, Engines: func() []netip.AddrPort { return nil }, Log: snipelog.Discard(),
+		Clock:     func() time.Duration { return time.Hour },
+		Operation: func() string { return "" },
+		Table: snipeowner.Table{
+			List: func(context.Context, string, uint64) ([]snipeplatform.Row, uint64, error) { return rows, 0, nil },
+			Write: func(context.Context, string, []snipeplatform.Change) (uint64, error) {
+				return 0, snipeplatform.ErrUnavailable
+			},
+		},
+	}
+	i.holder.Step(t.Context())
+	return i
+}
+
+func memberRows(t *testing.T) []snipeplatform.Row {
+	var rows []snipeplatform.Row
+	for n := range domains * perDomain {
+		m := member(n)
+		m.Standby = n >= 3*domains
+		data, err := json.Marshal(m)
+		must.NoError(t, err)
+		key := snipeplatform.Key{Partition: snipeowner.Partition, Sort: "instance/" + m.Peer.String()}
+		rows = append(rows, snipeplatform.Row{Key: key, Version: uint64(n + 1), Data: data})
+	}
+	return rows
+}
+
+// TestOneReader answers the pattern of hundreds of instances that all have to know what the
+// store tells: one of them reads it, the first of each other domain follows that one, and all
+// others their domain's first. Where knowledge has to spread fast each domain has a reader.
+func TestOneReader(t *testing.T) {
+	tests := map[string]struct {
+		freshness time.Duration
+		// readers is how many instances read the store, first how many are the first to find
+		// that another one no longer does.
+		readers, first int
+	}{"OneForAll": {4 * time.Second, 1, domains}, "OneADomain": {2 * time.Second, domains, 0}}
+	rows := memberRows(t)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			readers, first := 0, 0
+			for n := range domains * perDomain {
+				if n >= 3*domains && n%sample != 0 {
+					continue
+				}
+				i := among(t, n, tt.freshness, rows)
+				if _, follows := i.near("rows", 0, false); !follows {
+					readers++
+				}
+				if i.copyAge(feedAges) == feedAges.First {
+					first++
+				}
+				_, follows := i.near("rows", domains*perDomain, false)
+				must.False(t, follows, must.Sprint("in the end each reads the store"))
+				must.LessEq(t, tt.freshness, i.copyAge(feedAges)+500*time.Millisecond)
+			}
+			must.Eq(t, tt.readers, readers)
+			must.Eq(t, tt.first, first)
+		})
+	}
+}
+
+// TestReaderLost: when the one reader is lost only the first of each domain read the store;
+// the others, which wait longer, never find their copies too old.
+func TestReaderLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &countedStore{}
+		root := snipemirror.New()
+		position, err := store.read(t.Context())
+		must.NoError(t, err)
+		root.Apply(position)
+		first := newFollower(store, root, feedAges.First)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = first.Run(ctx) }()
+		others := &countedStore{}
+		for range perDomain {
+			f := newFollower(others, first.Mirror, feedAges.Others)
+			go func() { _ = f.Run(ctx) }()
+		}
+		// The root never reads the store again.
+		time.Sleep(5 * time.Second)
+		must.Positive(t, store.calls.Load())
+		must.Eq(t, 0, others.calls.Load())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// countedStore is a store that has something new each second.
+type countedStore struct{ calls atomic.Int32 }
+
+func (s *countedStore) read(context.Context) (snipemirror.Page, error) {
+	return snipemirror.Page{Whole: true, Position: uint64(time.Now().Unix())}, nil
+}
+
+func (s *countedStore) watch(_ context.Context, _ uint64, wait time.Duration) (snipemirror.Page, error) {
+	s.calls.Add(1)
+	time.Sleep(wait)
+	return snipemirror.Page{Position: uint64(time.Now().Unix())}, nil
+}
+
+// newFollower follows one copy first, and then the store.
+func newFollower(s *countedStore, m *snipemirror.Mirror, age time.Duration) *snipemirror.Follower {
+	return &snipemirror.Follower{
+		Mirror: snipemirror.New(), Store: snipemirror.Source{Read: s.read, Watch: s.watch},
+		Pace: directoryPace, Wait: directoryWait, MaxAge: func() time.Duration { return age },
+		Near: func(failures int, _ bool) (func(context.Context, uint64, time.Duration) (snipemirror.Page, error), bool) {
+			return m.Watch, failures == 0
+		},
+		Changed: func([]snipemirror.Row, uint64) {}, Lost: func(error) {}, Back: func() {},
+	}
+}
--- /dev/null
+++ b/snipeentry/relay_test.go
@@ -0,0 +1,176 @@
+package snipeentry
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+// way is one instance's way to the store, and what becomes of a write on it.
+type way struct {
+	err  error
+	took time.Duration
+	// applies tells that the write is made, whatever is answered.
+	applies bool
+}
+
+var (
+	goodWay    = way{took: 5 * time.Millisecond, applies: true}
+	refusedWay = way{err: snipeplatform.ErrUnavailable, took: 2 * time.Millisecond}
+	silentWay  = way{err: snipeplatform.ErrUnknown, took: time.Minute}
+	lostWay    = way{err: snipeplatform.ErrUnknown, took: time.Minute, applies: true}
+)
+
+// rowStore is a store of one row, which counts how often it was written.
+type rowStore struct {
+	version uint64
+	writes  int
+	calls   map[netip.AddrPort]int
+}
+
+func (s *rowStore) through(w way, peer netip.AddrPort) writeFunc {
+	return func(ctx context.Context, _ string, changes []snipeplatform.Change) (uint64, error) {
+		s.calls[peer]++
+		err := w.err
+		if w.applies {
+			if changes[0].Expect == s.version {
+				s.version++
+				s.writes++
+			} else if err == nil {
+				err = snipeplatform.ErrConflict
+			}
+		}
+		version := s.version
+		select {
+		case <-time.After(w.took):
+		case <-ctx.Done():
+		}
+		return version, err
+	}
+}
+
+// TestRelay answers the pattern of a third of the instances that the store does not answer
+// while they reach the others: their renewals are made by another one, in time for the next,
+// and never twice. Where the store answers nobody they fail as they would alone.
+func TestRelay(t *testing.T) {
+	const renewals, every = 8, time.Second
+	tests := map[string]struct {
+		self   way
+		others []way
+		// renewed is how many renewals succeed, within the time between two of them.
+		renewed int
+	}{
+		"Reached":         {goodWay, []way{refusedWay}, renewals},
+		"Refused":         {refusedWay, []way{goodWay, goodWay}, renewals},
+		"Silent":          {silentWay, []way{goodWay, goodWay}, renewals},
+		"OneOtherIsCut":   {refusedWay, []way{goodWay, silentWay}, renewals},
+		"LostAnswers":     {lostWay, []way{goodWay, goodWay}, 0},
+		"RefusesAll":      {refusedWay, []way{refusedWay, refusedWay, refusedWay}, 0},
+		"AnswersNobody":   {silentWay, []way{silentWay, silentWay, silentWay}, 0},
+		"NobodyIsKnown":   {refusedWay, nil, 0},
+		"OthersAreSilent": {goodWay, []way{silentWay}, renewals},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &rowStore{calls: map[netip.AddrPort]int{}}
+				servers := map[netip.AddrPort]*ownershipServer{}
+				var others []netip.AddrPort
+				for n, w := range tt.others {
+					r := &relay{Direct: s.through(w, peer(n+1)), Lost: func(error) {}, Back: func() {}}
+					servers[peer(n+1)] = &ownershipServer{relay: r}
+					others = append(others, peer(n+1))
+				}
+				r := &relay{
+					Direct: s.through(tt.self, peer(0)), Others: func() []netip.AddrPort { return others },
+					Ask: func(ctx context.Context, to netip.AddrPort, operation string, changes []snipeplatform.Change) (uint64, error) {
+						return serveWrite(ctx, servers[to], operation, changes)
+					},
+					Lost: func(error) {}, Back: func() {}, Owns: func() bool { return true },
+				}
+				renewed, known := 0, uint64(0)
+				for range renewals {
+					begun := time.Now()
+					change := snipeplatform.Change{Key: snipeplatform.Key{Partition: snipeowner.Partition, Sort: "instance/a"}, Expect: known, Data: []byte("{}")}
+					version, err := r.Write(t.Context(), "", []snipeplatform.Change{change})
+					if err == nil {
+						renewed++
+						known = version
+						must.Less(t, every+relayTimeout, time.Since(begun))
+					}
+					time.Sleep(every - time.Since(begun))
+				}
+				must.Between(t, max(tt.renewed-1, 0), renewed, max(tt.renewed, 0))
+				must.LessEq(t, renewals, s.writes)
+				if tt.self.err == nil {
+					must.Eq(t, renewals, s.calls[peer(0)])
+				} else {
+					must.Less(t, renewals+1, s.calls[peer(0)])
+				}
+			})
+		})
+	}
+}
+
+// serveWrite passes a write to another instance as its client does.
+func serveWrite(ctx context.Context, s *ownershipServer, operation string, changes []snipeplatform.Change) (uint64, error) {
+	r := &snipeproto.OwnershipWriteRequest{Operation: operation}
+	for _, c := range changes {
+		r.Changes = append(r.Changes, &snipeproto.OwnershipChange{Row: c.Sort, Expect: c.Expect, Data: c.Data})
+	}
+	answer, err := s.Write(ctx, r)
+	if err != nil {
+		return 0, snipeplatform.ErrUnknown
+	}
+	if answer.GetVersion() == 0 {
+		return 0, snipeplatform.ErrConflict
+	}
+	return answer.GetVersion(), nil
+}
+
+// TestRelayedRows: another instance writes rows of ownership alone, within bounds, and says at
+// once that it does not reach the store either.
+func TestRelayedRows(t *testing.T) {
+	s := &rowStore{calls: map[netip.AddrPort]int{}}
+	server := &ownershipServer{relay: &relay{Direct: s.through(refusedWay, peer(1)), Lost: func(error) {}, Back: func() {}}}
+	_, err := server.Write(t.Context(), &snipeproto.OwnershipWriteRequest{})
+	must.Error(t, err)
+	many := &snipeproto.OwnershipWriteRequest{}
+	for range maxRelayed + 1 {
+		many.Changes = append(many.Changes, &snipeproto.OwnershipChange{Row: "a"})
+	}
+	_, err = server.Write(t.Context(), many)
+	must.Error(t, err)
+	must.Eq(t, 0, s.calls[peer(1)])
+	many.Changes = many.Changes[:1]
+	for range 3 {
+		_, err = server.Write(t.Context(), many)
+		must.Error(t, err)
+	}
+	must.Eq(t, 1, s.calls[peer(1)], must.Sprint("it is known to be lost after the first"))
+	must.False(t, server.relay.Reached())
+}
+
+// TestNoRight: an engine whose owner has no right to order it is asked for nothing for a
+// while, so that what needs a load goes to another one at once.
+func TestNoRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &peers{}
+		must.True(t, p.hasRight(peer(1)))
+		p.noteNoRight(peer(1))
+		must.False(t, p.hasRight(peer(1)))
+		must.True(t, p.hasRight(peer(2)))
+		time.Sleep(noRightPause)
+		must.True(t, p.hasRight(peer(1)))
+		p.noteNoRight(peer(2))
+		must.MapLen(t, 1, p.noRight)
+	})
+}
--- a/snipeentry/report.go
+++ b/snipeentry/report.go
@@ -5,103 +5,117 @@
 	"net/netip"
 	"time"
 
+	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipecatalog"
-	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipelog"
-	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeproto"
 )
 
-// reportUses tells engines' owners what was used, so that they evict what is not.
-// A report that is lost is not repeated: the next one says nearly the same.
+// reportUses tells engines' owners what has changed in the use of their engines: one report
+// an owner. One that is lost is not repeated; what is in flight is told again while it lasts.
 func (i *Instance) reportUses(ctx context.Context) {
-	owners := i.holder.View().Owners
+	v := i.holder.View()
+	directory := i.directory.Snapshot()
+	reports := make(map[netip.AddrPort]*snipeproto.AdapterReportRequest)
 	for id, uses := range i.gateway.Chooser.TakeUses() {
-		u := i.directory.Snapshot().ByID(id)
+		u := directory.ByID(id)
 		if u == nil {
 			continue
 		}
-		owner, ok := owners[u.Address]
+		owner, ok := v.Owners[u.Address]
 		switch {
 		case !ok:
 		case owner.Self:
-			i.board.Report(id, i.Settings.Peers.String(), i.balancer.Mine(id))
-			for _, a := range i.desk.Used(id, uses) {
-				i.residency.Deny(id, a)
-			}
+			i.noteOwnUse(id, uses)
 		default:
-			go i.reportUse(ctx, owner.Instance.Peer, id, uses)
+			peer := owner.Instance.Peer
+			if reports[peer] == nil {
+				reports[peer] = i.newReport()
+			}
+			reports[peer].Engines = append(reports[peer].Engines, i.encodeUse(id, uses))
 		}
 	}
-	i.askQuietOwner(ctx, owners)
+	i.askQuietOwner(v.Others, reports)
+	for peer, r := range reports {
+		go i.report(ctx, peer, r)
+	}
+}
+
+// noteOwnUse notes the use of an engine that this instance owns.
+func (i *Instance) noteOwnUse(id string, uses map[snipecatalog.Adapter]snipeadapter.Use) {
+	self := i.Settings.Peers.String()
+	i.board.Report(id, self, i.balancer.Mine(id))
+	for _, a := range i.desk.Used(id, self, uses) {
+		i.residency.Deny(id, a)
+	}
 }
 
 // quietTime is how long an owner may not have been heard of. What it says of its engines'
-// loads counts for two seconds; engines of which nothing is known seem idle, and those of an
-// owner of two engines, which few instances use, drew twice their share of the requests.
+// loads counts for two seconds; engines of which nothing is known seem idle and draw too many
+// requests.
 const quietTime = time.Second
 
-// askQuietOwner reports no use to the owner that was not heard of for longest, so that it
-// tells the loads of its engines: one owner a step, however many there are.
-func (i *Instance) askQuietOwner(ctx context.Context, owners map[netip.AddrPort]snipeowner.Owner) {
-	owner, engine := quietOwner(i.engines(), owners, i.peers.heardAt, time.Now().Add(-quietTime))
-	if engine == nil {
+// askQuietOwner adds a report of no use to the owner that was not heard of for longest, so
+// that it tells the loads of its engines: one owner a step, however many there are.
+func (i *Instance) askQuietOwner(owners []netip.AddrPort, reports map[netip.AddrPort]*snipeproto.AdapterReportRequest) {
+	owner, ok := quietOwner(owners, i.peers.heardAt, time.Now().Add(-quietTime))
+	if !ok {
 		return
 	}
 	// Not asked again before it has had the time to answer.
 	i.peers.hear(owner)
-	go i.report(ctx, owner, i.newReport(engine.ID, engine.Models[0]))
+	if reports[owner] == nil {
+		reports[owner] = i.newReport()
+	}
 }
 
-// quietOwner returns the owner that was not heard of for longest, since before a time, and
-// one of its engines; nil when all were.
-func quietOwner(engines []*snipedirectory.Upstream, owners map[netip.AddrPort]snipeowner.Owner, heardAt func(netip.AddrPort) time.Time, since time.Time) (owner netip.AddrPort, engine *snipedirectory.Upstream) {
-	for _, u := range engines {
-		o, ok := owners[u.Address]
-		if !ok || o.Self || len(u.Models) == 0 {
-			continue
-		}
-		if heard := heardAt(o.Instance.Peer); heard.Before(since) {
-			owner, engine, since = o.Instance.Peer, u, heard
+// quietOwner returns the owner that was not heard of for longest, since before a time; false
+// when all were.
+func quietOwner(owners []netip.AddrPort, heardAt func(netip.AddrPort) time.Time, since time.Time) (quiet netip.AddrPort, ok bool) {
+	for _, owner := range owners {
+		if heard := heardAt(owner); heard.Before(since) {
+			quiet, since, ok = owner, heard, true
 		}
 	}
-	return owner, engine
+	return quiet, ok
 }
 
-// reportTimeout bounds one report of use: a hundred times the way there and back. An owner that
-// does not answer in time is asked for no loads, and what waits for it goes elsewhere while most
-// objectives can still be met.
-const reportTimeout = 300 * time.Millisecond
+// newReport returns a report that tells of no use yet.
+func (i *Instance) newReport() *snipeproto.AdapterReportRequest {
+	return &snipeproto.AdapterReportRequest{Instance: i.Settings.Peers.String()}
+}
 
-// reportUse reports the use of one engine.
-func (i *Instance) reportUse(ctx context.Context, to netip.AddrPort, id string, uses map[snipecatalog.Adapter]int) {
-	byModel := make(map[string]*snipeproto.AdapterUsedRequest)
-	for a, n := range uses {
-		r := byModel[a.Model]
-		if r == nil {
-			r = i.newReport(id, a.Model)
-			byModel[a.Model] = r
-		}
-		r.Adapters = append(r.Adapters, a.Name)
-		r.Counts = append(r.Counts, int64(n))
-	}
-	for _, r := range byModel {
-		i.report(ctx, to, r)
+// encodeUse returns the use of one engine for a report.
+func (i *Instance) encodeUse(id string, uses map[snipecatalog.Adapter]snipeadapter.Use) *snipeproto.EngineUse {
+	e := &snipeproto.EngineUse{Engine: id, Load: i.balancer.Mine(id)}
+	for a, u := range uses {
+		e.Adapters = append(e.Adapters, &snipeproto.AdapterUse{
+			Model: a.Model, Adapter: a.Name, Begun: int64(u.Begun), Running: u.Running,
+		})
 	}
+	return e
 }
 
-// newReport returns a report that tells of no use yet.
-func (i *Instance) newReport(id, model string) *snipeproto.AdapterUsedRequest {
-	return &snipeproto.AdapterUsedRequest{
-		Engine: id, Model: model, Instance: i.Settings.Peers.String(), Load: i.balancer.Mine(id),
+// decodeUse returns the use of one engine from a report.
+func decodeUse(e *snipeproto.EngineUse) map[snipecatalog.Adapter]snipeadapter.Use {
+	uses := make(map[snipecatalog.Adapter]snipeadapter.Use, len(e.GetAdapters()))
+	for _, u := range e.GetAdapters() {
+		a := snipecatalog.Adapter{Model: u.GetModel(), Name: u.GetAdapter()}
+		uses[a] = snipeadapter.Use{Begun: int(u.GetBegun()), Running: u.GetRunning()}
 	}
+	return uses
 }
 
+// reportTimeout bounds one report of use: a hundred times the way there and back. An owner that
+// does not answer in time is asked for no loads, and what waits for it goes elsewhere while most
+// objectives can still be met.
+const reportTimeout = 300 * time.Millisecond
+
 // report sends a report and takes what its answer tells.
-func (i *Instance) report(ctx context.Context, to netip.AddrPort, r *snipeproto.AdapterUsedRequest) {
+func (i *Instance) report(ctx context.Context, to netip.AddrPort, r *snipeproto.AdapterReportRequest) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, err := i.peers.client(to).Used(ctx, r)
+	answer, err := i.peers.client(to).Report(ctx, r)
 	changed := i.peers.reached(to, err == nil)
 	switch {
 	case err != nil && changed:
@@ -111,27 +125,35 @@
 	}
 	if err == nil {
 		i.peers.hear(to)
-		i.learn(r, answer)
+		i.learn(answer)
 	}
 }
 
-// learn takes what an engine's owner knows of the adapters in a report of use.
-func (i *Instance) learn(r *snipeproto.AdapterUsedRequest, answer *snipeproto.AdapterUsedResponse) {
-	for _, name := range answer.GetGone() {
-		i.residency.Deny(r.GetEngine(), snipecatalog.Adapter{Model: r.GetModel(), Name: name})
+// learn takes what an owner knows of its engines and of the adapters in a report.
+func (i *Instance) learn(answer *snipeproto.AdapterReportResponse) {
+	for _, gone := range answer.GetGone() {
+		i.residency.Deny(gone.GetEngine(), decodeAdapter(gone))
 	}
 	for _, v := range answer.GetEvicted() {
-		i.residency.Deny(v.GetEngine(), snipecatalog.Adapter{Model: r.GetModel(), Name: v.GetAdapter()})
+		i.residency.Deny(v.GetEngine(), decodeAdapter(v))
 	}
 	for _, l := range answer.GetLoads() {
 		i.balancer.Told(l.GetEngine(), l.GetLoad())
 	}
 	for _, other := range answer.GetReplicas() {
-		a := snipecatalog.Adapter{Model: r.GetModel(), Name: other.GetAdapter()}
-		i.residency.Tell(other.GetEngine(), a, other.GetVersion())
+		i.residency.Tell(other.GetEngine(), decodeAdapter(other), other.GetVersion())
 	}
 }
 
+// encodeAdapter names an adapter on an engine.
+func encodeAdapter(engine string, a snipecatalog.Adapter) *snipeproto.AdapterReplica {
+	return &snipeproto.AdapterReplica{Engine: engine, Model: a.Model, Adapter: a.Name}
+}
+
+func decodeAdapter(r *snipeproto.AdapterReplica) snipecatalog.Adapter {
+	return snipecatalog.Adapter{Model: r.GetModel(), Name: r.GetAdapter()}
+}
+
 // tellOwn takes what others learn from this instance's answers: the loads of its own
 // engines and what they no longer hold.
 func (i *Instance) tellOwn() {
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -45,6 +45,10 @@
 	RetrySpan snipejson.Duration
 	// StopTimeout bounds a planned stop.
 	StopTimeout snipejson.Duration
+	// DrainTime is within what time an upstream that says that it is leaving gets no new
+	// work, ApplyTime within what time what operators declare is in force.
+	DrainTime snipejson.Duration
+	ApplyTime snipejson.Duration
 	// Power is the share of a core that the machine gives the process; duties for
 	// all instances go to those that have most.
 	Power float64
@@ -68,7 +72,10 @@
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "settings file")
 	}
-	s := Settings{LogLevel: "info", RetrySpan: snipejson.Duration(DefaultRetrySpan)}
+	s := Settings{
+		LogLevel: "info", RetrySpan: snipejson.Duration(DefaultRetrySpan),
+		DrainTime: snipejson.Duration(DefaultFreshness), ApplyTime: snipejson.Duration(DefaultFreshness),
+	}
 	if err := snipejson.Decode(data, &s); err != nil {
 		return Settings{}, errors.Wrapf(ErrSettings, "%s: %v", path, err)
 	}
@@ -81,10 +88,19 @@
 // DefaultRetrySpan is the span over which repeats are counted: the platform's.
 const DefaultRetrySpan = 10 * time.Second
 
+// DefaultFreshness is the default of DrainTime and ApplyTime: what the paces of reading are made
+// for.
+const DefaultFreshness = 2 * time.Second
+
+// freshness is within what time what the store tells is known.
+func (s Settings) freshness() time.Duration { return min(s.DrainTime.Value(), s.ApplyTime.Value()) }
+
 // leastStop is the least time for a planned stop: the balancer needs more than two
 // seconds to notice.
 const leastStop = 4 * time.Second
 
+const notPositive = "is not positive"
+
 func invalid(field, reason string) error { return errors.Wrapf(ErrSettings, "%s: %s", field, reason) }
 
 func (s Settings) checkAddresses() error {
@@ -102,6 +118,22 @@
 	return nil
 }
 
+func (s Settings) checkTimes() error {
+	switch {
+	case s.OrderGap < 0:
+		return invalid("OrderGap", "is negative")
+	case s.RetrySpan <= 0:
+		return invalid("RetrySpan", notPositive)
+	case s.StopTimeout.Value() < leastStop:
+		return invalid("StopTimeout", "is shorter than "+leastStop.String())
+	case s.DrainTime <= 0:
+		return invalid("DrainTime", notPositive)
+	case s.ApplyTime <= 0:
+		return invalid("ApplyTime", notPositive)
+	}
+	return nil
+}
+
 func (s Settings) check() error {
 	if s.Name == "" {
 		return invalid("Name", "is empty")
@@ -109,17 +141,14 @@
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
+	if err := s.checkTimes(); err != nil {
+		return err
+	}
 	switch {
-	case s.OrderGap < 0:
-		return invalid("OrderGap", "is negative")
 	case s.RetryShare < 0 || s.RetryShare > 1:
 		return invalid("RetryShare", "is not between 0 and 1")
 	case s.RetrySlack < 0:
 		return invalid("RetrySlack", "is negative")
-	case s.RetrySpan <= 0:
-		return invalid("RetrySpan", "is not positive")
-	case s.StopTimeout.Value() < leastStop:
-		return invalid("StopTimeout", "is shorter than "+leastStop.String())
 	case s.Power < 0:
 		return invalid("Power", "is negative")
 	case s.MemoryBytes < 0:
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -83,6 +83,9 @@
 	DecodeDeclared  func(rows []snipemirror.Row, position uint64) snipecatalog.Change
 	UpstreamTable   string
 	DecodeUpstreams func(rows []snipemirror.Row, position uint64) (snipedirectory.Change, []error)
+	// SameUpstream reports whether an entry of the registry says nothing that the one before
+	// it did not.
+	SameUpstream func(old, now []byte) bool
 }
 
 // Instance is one entry instance. Exported fields are set before Run.
@@ -109,6 +112,7 @@
 	board     *snipebalance.Board
 	residency *snipeadapter.Residency
 	holder    *snipeowner.Holder
+	relay     *relay
 	desk      *snipeadapter.Desk
 	links     *snipelink.Pool
 	gateway   *snipegateway.Gateway
@@ -195,8 +199,9 @@
 		Dial: snipelink.Dialer(), DialTimeout: dialTimeout, Idle: linkIdle, Kept: linksKept,
 		Belongs: i.Platform.Belongs, KeepAlive: i.Platform.KeepAlive,
 	}
+	i.buildRelay()
 	i.holder = &snipeowner.Holder{
-		Table:   snipeowner.Table{List: i.ownershipRows, Write: i.Platform.Write},
+		Table:   snipeowner.Table{List: i.ownershipRows, Write: i.relay.Write},
 		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain, Power: s.Power},
 		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), Clock: bootClock,
 		Operation: i.Operation, Reached: i.storeReached, Log: i.Log,
@@ -217,7 +222,7 @@
 	i.desk.Spare = func(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
 		return i.gateway.Chooser.Spare(u, a, perSecond)
 	}
-	i.peers = &peers{http: peerClient()}
+	i.peers = &peers{http: peerClient(i.meter)}
 	i.budgets = &budgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Protocol: i.Platform.Protocol,
@@ -229,23 +234,6 @@
 	}
 }
 
-// gauges registers what is read at each scrape.
-func (i *Instance) gauges() {
-	if i.LogDropped != nil {
-		i.meter.Gauge("snipepitch_log_lines_dropped", func() float64 { return float64(i.LogDropped()) })
-	}
-	i.meter.Gauge("snipepitch_requests_in_flight", func() float64 { return float64(i.gateway.InFlight()) })
-	i.meter.Gauge("snipepitch_upstreams", func() float64 { return float64(i.directory.Snapshot().Len()) })
-	i.meter.Gauge("snipepitch_wrong_entries", func() float64 { return float64(i.wrongEntries.Len()) })
-	i.meter.Gauge("snipepitch_instances", func() float64 { return float64(i.instances()) })
-	for name, f := range map[string]*snipemirror.Follower{
-		"catalog": i.tables.catalog, "directory": i.tables.directory, "ownership": i.tables.ownership,
-	} {
-		label := `snipepitch_table_age_seconds{table="` + name + `"}`
-		i.meter.Gauge(label, func() float64 { return f.Mirror.Age().Seconds() })
-	}
-}
-
 // bootClock is a steady clock that also counts the time for which the machine is
 // suspended: a lease lapses meanwhile.
 func bootClock() time.Duration {
@@ -258,10 +246,10 @@
 }
 
 // peerClient returns the client for questions to other instances.
-func peerClient() *http.Client {
+func peerClient(m *snipemeter.Meter) *http.Client {
 	dial := snipelink.Dialer()
-	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+	return &http.Client{Transport: &countedTransport{meter: m, RoundTripper: &http.Transport{
+		DialContext: m.Traffic("peers").Dialer(func(ctx context.Context, _, address string) (net.Conn, error) {
 			to, err := netip.ParseAddrPort(address)
 			if err != nil {
 				return nil, err
@@ -269,11 +257,11 @@
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
 			return dial(ctx, to)
-		},
+		}),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: linksKept,
 		IdleConnTimeout:     time.Minute,
-	}}
+	}}}
 }
 
 // engineAddresses returns the addresses of all engines that stay.
@@ -345,7 +333,7 @@
 // owned reports whether an engine has an owner that can be asked for loads.
 func (i *Instance) owned(u *snipedirectory.Upstream) bool {
 	owner, ok := i.holder.View().Owners[u.Address]
-	return ok && (owner.Self || !i.peers.silent(owner.Instance.Peer))
+	return ok && (owner.Self || !i.peers.silent(owner.Instance.Peer) && i.peers.hasRight(u.Address))
 }
 
 // instances returns how many instances share the requests.
--- a/snipeentry/whole_test.go
+++ b/snipeentry/whole_test.go
@@ -174,6 +174,7 @@
 				Belongs: platform.Belongs, KeepAlive: platform.KeepAlive,
 				DeclaredTable: platform.DeclaredTable, DecodeDeclared: platform.DecodeDeclared,
 				UpstreamTable: platform.UpstreamTable, DecodeUpstreams: platform.DecodeUpstreams,
+				SameUpstream: platform.SameUpstream,
 			},
 		},
 		url: "http://" + settings.Callers.String(), ready: "http://" + settings.Ready.String() + platform.ReadyPath,
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -47,9 +47,13 @@
 	d := Dispatch{
 		Upstream: u, Left: left, Version: choice.Version, Priority: c.route.Priority, LastEvent: c.lastEvent,
 	}
+	// The use is noted last at both ends: its report tells the load.
 	end := g.Balancer.Begin(u.ID, snipebalance.Weight(c.PromptTokens))
-	defer end()
-	defer g.Chooser.Use(u.ID, c.Adapter)()
+	used := g.Chooser.Use(u.ID, c.Adapter)
+	defer func() {
+		end()
+		used()
+	}()
 	c.sentAt = time.Now()
 	answer, _, err := g.Links.Send(ctx, u.Address, c.outgoing(d), c.body, false)
 	if !errors.Is(err, snipelink.ErrNotSent) {
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -56,20 +56,21 @@
 	replicas map[snipecatalog.Adapter]map[string]news
 	// settling tells until when a decision about an adapter's replicas settles.
 	settling map[snipecatalog.Adapter]time.Time
-	uses     map[string]map[snipecatalog.Adapter]*use
+	uses     map[string]*engineUse
 }
 
 // Choose returns an upstream of a service for a request; tried are those that
 // failed it, patience is how long an adapter may be waited for.
 func (c *Chooser) Choose(ctx context.Context, service string, q *Request, tried []string, patience time.Duration) (Choice, error) {
-	all := c.Directory.Snapshot().Service(service)
+	directory := c.Directory.Snapshot()
+	all := directory.Service(service)
 	if len(all) == 0 {
 		return Choice{}, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "the service has no upstream").After(time.Second)
 	}
 	if q.Adapter.Model == "" {
 		return c.plain(all, untried(tried))
 	}
-	return c.engine(ctx, all, q, patience, tried)
+	return c.engine(ctx, directory, service, q, patience, tried)
 }
 
 // untried passes the upstreams that are not among those tried.
@@ -86,16 +87,18 @@
 }
 
 // engine returns an engine that holds the request's adapter, or has one load it.
-func (c *Chooser) engine(ctx context.Context, all []*snipedirectory.Upstream, q *Request, patience time.Duration, tried []string) (Choice, error) {
+func (c *Chooser) engine(ctx context.Context, directory *snipedirectory.Snapshot, service string, q *Request, patience time.Duration, tried []string) (Choice, error) {
 	a, fresh := q.Adapter, untried(tried)
+	all := directory.Service(service)
+	holders := c.mayHold(directory, service, a)
 	required := c.Versions.Required(a, versionGrace)
 	holds := func(u *snipedirectory.Upstream) bool {
 		version, ok := c.Residency.Holds(u, a)
 		return ok && version >= required
 	}
-	held := c.held(all, holds)
+	held := c.held(holders, holds)
 	may := func(u *snipedirectory.Upstream) bool { return holds(u) && fresh(u) }
-	u := c.Balancer.Pick(all, may, c.memoryCost(all, may, q))
+	u := c.Balancer.Pick(holders, may, c.memoryCost(holders, may, q))
 	if u != nil && (c.Balancer.Usable(u) || held > 0) {
 		choice := c.choice(u, a)
 		if a.Name != "" && c.crowded(u) {
@@ -112,6 +115,30 @@
 	return c.load(ctx, all, a, required, patience, fresh)
 }
 
+// mayHold returns the engines of a service that may hold an adapter; all of them for a base
+// model.
+func (c *Chooser) mayHold(directory *snipedirectory.Snapshot, service string, a snipecatalog.Adapter) []*snipedirectory.Upstream {
+	if a.Name == "" {
+		return directory.Service(service)
+	}
+	return resolve(directory, service, c.Residency.Holders(a, make([]string, 0, usualHolders)))
+}
+
+// usualHolders is the number of engines for whose names room is made at once: few adapters
+// are on more.
+const usualHolders = 8
+
+// resolve returns the engines of a service by their identifiers, without those that are gone.
+func resolve(directory *snipedirectory.Snapshot, service string, ids []string) []*snipedirectory.Upstream {
+	engines := make([]*snipedirectory.Upstream, 0, len(ids))
+	for _, id := range ids {
+		if u := directory.ByID(id); u != nil && u.Service == service {
+			engines = append(engines, u)
+		}
+	}
+	return engines
+}
+
 // held returns how many usable engines hold an adapter.
 func (c *Chooser) held(all []*snipedirectory.Upstream, holds snipebalance.Filter) int {
 	n := 0
--- a/snipegateway/choose_bench_test.go
+++ b/snipegateway/choose_bench_test.go
@@ -31,3 +31,17 @@
 		})
 	}
 }
+
+// BenchmarkLoadOrder measures the choice of the first engines to ask for an adapter that none
+// holds.
+func BenchmarkLoadOrder(b *testing.B) {
+	for _, engines := range []int{9, 600, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			c := newChooser(&owners{}, engines)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.BestFirstForTest(service, request.Adapter, 3)
+			}
+		})
+	}
+}
--- a/snipegateway/crowd.go
+++ b/snipegateway/crowd.go
@@ -1,12 +1,16 @@
 package snipegateway
 
 import (
+	"cmp"
 	"context"
+	"iter"
 	"slices"
+	"strings"
 	"time"
 
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/sniperoute"
 )
 
 const (
@@ -25,25 +29,55 @@
 	return c.Balancer.Busy(u) >= c.paces.of(u.Service).crowding()
 }
 
-// bestFirst returns the engines in the order in which they should be asked to load an
+// bestFirst passes the engines in the order in which they should be asked to load an
 // adapter: those that are crowded last, and of the others first those that held it lately.
-// These bring it back in 25 ms and leave the weight store, which all engines share, to what
-// no engine has. Counted in logs of heavy days, 247 of 1426 loads were of that kind where nine
-// engines held 180 adapters of 720 that were asked for, 1125 of 3482 where twelve held 216
-// of 1350.
-func (c *Chooser) bestFirst(all []*snipedirectory.Upstream, a snipecatalog.Adapter) []*snipedirectory.Upstream {
-	var former, uncrowded, crowded []*snipedirectory.Upstream
-	for _, u := range c.ranked(all, a) {
-		switch {
-		case c.crowded(u):
-			crowded = append(crowded, u)
-		case c.Residency.Formerly(u.ID, a):
-			former = append(former, u)
-		default:
-			uncrowded = append(uncrowded, u)
+// These bring it back at once and leave the weight store, which all engines share, to what no
+// engine has. Of many engines mostly the first few are asked, so that the others are not put
+// in order.
+func (c *Chooser) bestFirst(all []*snipedirectory.Upstream, a snipecatalog.Adapter) iter.Seq[*snipedirectory.Upstream] {
+	return func(yield func(*snipedirectory.Upstream) bool) {
+		formers := c.formers(all, a)
+		for _, u := range formers {
+			if !yield(u) {
+				return
+			}
+		}
+		var crowded []*snipedirectory.Upstream
+		for r := newRanking(all, a); r.Len() > 0; {
+			u := r.next()
+			switch {
+			case slices.Contains(formers, u):
+			case c.crowded(u):
+				crowded = append(crowded, u)
+			case !yield(u):
+				return
+			}
+		}
+		for _, u := range crowded {
+			if !yield(u) {
+				return
+			}
+		}
+	}
+}
+
+// formers returns the engines that held an adapter lately and are not crowded, the first in
+// rank first.
+func (c *Chooser) formers(all []*snipedirectory.Upstream, a snipecatalog.Adapter) []*snipedirectory.Upstream {
+	var engines []*snipedirectory.Upstream
+	for _, id := range c.Residency.Formers(a, nil) {
+		n, found := slices.BinarySearchFunc(all, id, func(u *snipedirectory.Upstream, id string) int {
+			return strings.Compare(u.ID, id)
+		})
+		if found && c.Residency.Formerly(id, a) && !c.crowded(all[n]) {
+			engines = append(engines, all[n])
 		}
 	}
-	return slices.Concat(former, uncrowded, crowded)
+	key := rankKey(a)
+	slices.SortFunc(engines, func(x, y *snipedirectory.Upstream) int {
+		return cmp.Compare(sniperoute.Score(key, y.RankKey), sniperoute.Score(key, x.RankKey))
+	})
+	return engines
 }
 
 // relieve has another engine load an adapter of which the least loaded holder is crowded,
@@ -54,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reliefLimit)
 	defer cancel()
 	tries := 0
-	for _, u := range c.bestFirst(all, a) {
+	for u := range c.bestFirst(all, a) {
 		version, held := c.Residency.Holds(u, a)
 		switch {
 		case held && version >= required, slices.Contains(tried, u.ID), !c.loadable(u, a):
--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -1,7 +1,6 @@
 package snipegateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -13,7 +12,6 @@
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipeerror"
-	"snipepitch.example/snipepitch/sniperoute"
 )
 
 const (
@@ -57,7 +55,7 @@
 	var failed []string
 	for _, step := range loadSteps(patience) {
 		tries := 0
-		for _, u := range c.bestFirst(all, a) {
+		for u := range c.bestFirst(all, a) {
 			if !fresh(u) || !c.loadable(u, a) || slices.Contains(failed, u.ID) {
 				continue
 			}
@@ -119,29 +117,6 @@
 	return serves && c.Balancer.Usable(u) && c.Owned(u)
 }
 
-// rankKey is the hash of an adapter by which engines rank for it.
-func rankKey(a snipecatalog.Adapter) uint64 { return sniperoute.Hash(a.Model, a.Name) }
-
-// ranked returns the engines in the order in which they should hold an adapter,
-// the same on every instance.
-func (c *Chooser) ranked(all []*snipedirectory.Upstream, a snipecatalog.Adapter) []*snipedirectory.Upstream {
-	key := rankKey(a)
-	type scored struct {
-		upstream *snipedirectory.Upstream
-		score    uint64
-	}
-	ranked := make([]scored, 0, len(all))
-	for _, u := range all {
-		ranked = append(ranked, scored{u, sniperoute.Score(key, u.RankKey)})
-	}
-	slices.SortFunc(ranked, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	upstreams := make([]*snipedirectory.Upstream, 0, len(ranked))
-	for _, s := range ranked {
-		upstreams = append(upstreams, s.upstream)
-	}
-	return upstreams
-}
-
 // ask asks an engine's owner for an adapter, once for all requests that wait. When
 // nobody waits any more the question is taken back.
 func (c *Chooser) ask(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) error {
--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -61,8 +61,9 @@
 // others that hold it are used as much. Of several engines only the first in rank decides:
 // each knows its own rate alone, and what all of them add by theirs is too much.
 func (c *Chooser) spread(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) {
-	all := c.Directory.Snapshot().Service(u.Service)
-	holders, first := c.holders(all, a)
+	directory := c.Directory.Snapshot()
+	all := directory.Service(u.Service)
+	holders, first := c.holders(directory, u.Service, a)
 	if holders > 1 && (first != u.ID || perSecond < replicaMargin*ReplicaRate) {
 		return
 	}
@@ -72,7 +73,7 @@
 		return
 	}
 	required := c.Versions.Required(a, versionGrace)
-	for _, other := range c.bestFirst(all, a) {
+	for other := range c.bestFirst(all, a) {
 		if missing == 0 {
 			return
 		}
@@ -86,11 +87,11 @@
 
 // holders returns how many usable engines hold an adapter in a version that will do, and
 // the identifier of the first of them in rank: its entry is another one with each reading.
-func (c *Chooser) holders(all []*snipedirectory.Upstream, a snipecatalog.Adapter) (count int, first string) {
+func (c *Chooser) holders(directory *snipedirectory.Snapshot, service string, a snipecatalog.Adapter) (count int, first string) {
 	required := c.Versions.Required(a, versionGrace)
 	key := rankKey(a)
 	var highest uint64
-	for _, u := range all {
+	for _, u := range c.mayHold(directory, service, a) {
 		version, ok := c.Residency.Holds(u, a)
 		if !ok || version < required || !c.Balancer.Usable(u) {
 			continue
@@ -124,7 +125,7 @@
 // other engines that hold it take its requests over. The first in rank is never spare, so
 // that not all are dropped at the same time.
 func (c *Chooser) Spare(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
-	holders, first := c.holders(c.Directory.Snapshot().Service(u.Service), a)
+	holders, first := c.holders(c.Directory.Snapshot(), u.Service, a)
 	return holders > 1 && first != u.ID && perSecond*float64(holders)/float64(holders-1) < spareRate
 }
 
--- /dev/null
+++ b/snipegateway/use_test.go
@@ -0,0 +1,71 @@
+package snipegateway_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeadapter"
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipegateway"
+)
+
+// TestTakeUses answers the pattern of hundreds of instances that each have a few streams in
+// flight: what has not changed is told again seldom, what has is told at once.
+func TestTakeUses(t *testing.T) {
+	const tick = 80 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		c := &snipegateway.Chooser{}
+		a, b := snipecatalog.Adapter{Model: "base", Name: "a"}, snipecatalog.Adapter{Model: "base", Name: "b"}
+		type uses = map[string]map[snipecatalog.Adapter]snipeadapter.Use
+		endA := c.Use("e1", a)
+		c.Use("e1", a)()
+		endB := c.Use("e1", b)
+		endBase := c.Use("e2", snipecatalog.Adapter{Model: "base"})
+		must.Eq(t, uses{
+			"e1": {a: {Begun: 2, Running: true}, b: {Begun: 1, Running: true}}, "e2": {},
+		}, c.TakeUses())
+		reports := 0
+		for range 25 {
+			time.Sleep(tick)
+			if taken := c.TakeUses(); len(taken) > 0 {
+				reports++
+				must.Eq(t, uses{"e1": {a: {Running: true}, b: {Running: true}}, "e2": {}}, taken)
+			}
+		}
+		must.Between(t, 3, reports, 4)
+		endA()
+		must.Eq(t, uses{"e1": {a: {}, b: {Running: true}}}, c.TakeUses())
+		must.MapEmpty(t, c.TakeUses())
+		endB()
+		endBase()
+		must.Eq(t, uses{"e1": {b: {}}, "e2": {}}, c.TakeUses())
+		time.Sleep(time.Minute)
+		must.MapEmpty(t, c.TakeUses())
+	})
+}
+
+// TestLostReports: the report of a use that is lost is made good while the use lasts, before
+// the one before it has lapsed.
+func TestLostReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &snipegateway.Chooser{}
+		c.Use("e1", snipecatalog.Adapter{Model: "base", Name: "a"})
+		last := time.Now()
+		c.TakeUses()
+		lost := false
+		for range 100 {
+			time.Sleep(80 * time.Millisecond)
+			if len(c.TakeUses()) == 0 {
+				continue
+			}
+			if lost = !lost; lost {
+				continue
+			}
+			must.Less(t, snipeadapter.UseLife, time.Since(last))
+			last = time.Now()
+		}
+	})
+}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -111,6 +111,7 @@
 	DirectoryFresh   = define(324, "DirectoryFresh", logrus.InfoLevel)
 	UpstreamSuspect  = define(325, "UpstreamSuspect", logrus.WarnLevel)
 	UpstreamTrusted  = define(326, "UpstreamTrusted", logrus.InfoLevel)
+	DirectoryRead    = define(329, "DirectoryRead", logrus.InfoLevel)
 	EntryWrong       = define(327, "EntryWrong", logrus.WarnLevel)
 	EntryMended      = define(328, "EntryMended", logrus.InfoLevel)
 )
@@ -123,6 +124,8 @@
 	OwnershipFresh    = define(483, "OwnershipFresh", logrus.InfoLevel)
 	OwnershipRowWrong = define(484, "OwnershipRowWrong", logrus.ErrorLevel)
 
+	StoreUnreached     = define(487, "StoreUnreached", logrus.WarnLevel)
+	StoreReached       = define(488, "StoreReached", logrus.InfoLevel)
 	OwnershipProlonged = define(485, "OwnershipProlonged", logrus.InfoLevel)
 	OwnershipRefused   = define(486, "OwnershipRefused", logrus.InfoLevel)
 )
--- a/snipemirror/follow.go
+++ b/snipemirror/follow.go
@@ -19,6 +19,11 @@
 	// 9,550 calls in 48 s with an outage of 8 s, and 5,241 with every 2.4 s. Most learn that
 	// it is back from those that ask more often.
 	lostTurns, rareTurns = 2, 16
+	// firstWait is how long another instance is waited for that may have started just now as
+	// well, and has read nothing yet.
+	firstWait = 500 * time.Millisecond
+	// HasteAfter is the time between two reads of the store while Hasten asks for it.
+	HasteAfter = 300 * time.Millisecond
 	// distrust is how long the next instance in rank is followed after one whose copy
 	// could not be had: longer than it takes until all know that an instance is gone.
 	distrust = 6 * time.Second
@@ -41,6 +46,12 @@
 	// instance is to read the store itself. It is told how many others have failed in
 	// a row, and whether the store does not answer this instance.
 	Near func(failures int, lost bool) (watchFunc, bool)
+	// Begin waits until it is known whose copy can be followed, before the first read; nil for
+	// at once.
+	Begin func(ctx context.Context)
+	// Hasten reports that the store is to be read again after HasteAfter, sooner than after
+	// Pace; nil for never.
+	Hasten func() bool
 	// Rare reports that this instance is one of many that read no store for others: while
 	// the store does not answer it asks them, and the store itself seldom. Nil for never.
 	Rare func() bool
@@ -54,10 +65,10 @@
 	// for a change.
 	Pace time.Duration
 	Wait time.Duration
-	// MaxAge is how old another instance's copy may become before the store is read
+	// MaxAge returns how old another instance's copy may become before the store is read
 	// itself: somewhat more than Pace and Wait together, since a read that waits in
 	// vain follows the pause after one that did not wait.
-	MaxAge time.Duration
+	MaxAge func() time.Duration
 
 	lock   sync.Mutex         // guards cancel
 	cancel context.CancelFunc // ends a read of the store
@@ -73,13 +84,16 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	if f.Begin != nil {
+		f.Begin(ctx)
+	}
 	for ctx.Err() == nil {
 		begun := time.Now()
 		near, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		pause := f.Pace
+		pause := f.pace()
 		switch {
 		case err != nil && near:
 			// The store is asked at once, and then the next instance in rank, which does
@@ -104,6 +118,14 @@
 	return nil
 }
 
+// pace is the least time between two reads of the store.
+func (f *Follower) pace() time.Duration {
+	if f.Hasten != nil && f.Hasten() {
+		return min(f.Pace, HasteAfter)
+	}
+	return f.Pace
+}
+
 // step reads once, and tells whether it read another instance's copy.
 func (f *Follower) step(ctx context.Context) (near bool, err error) {
 	page, near, err := f.next(ctx)
@@ -114,6 +136,10 @@
 	if err != nil {
 		return near, err
 	}
+	if f.Mirror.Lacks(page) {
+		f.whole = true
+		return near, nil
+	}
 	if page.Whole {
 		f.whole = false
 	}
@@ -128,6 +154,9 @@
 // next reads another instance's copy, or the store.
 func (f *Follower) next(ctx context.Context) (Page, bool, error) {
 	position, known := f.Mirror.Position()
+	if f.whole {
+		position = 0
+	}
 	if watch, ok := f.near(); ok {
 		page, err := f.copy(ctx, watch, position)
 		return page, true, err
@@ -153,16 +182,18 @@
 // copy reads another instance's copy, no longer than until the rows here are too old:
 // what it has not told by then has to come from the store.
 func (f *Follower) copy(ctx context.Context, watch watchFunc, position uint64) (Page, error) {
-	wait := f.MaxAge - f.Mirror.Age()
+	wait := f.MaxAge() - f.Mirror.Age()
 	_, known := f.Mirror.Position()
 	switch {
-	case f.lost || !known:
+	case f.lost:
 		wait = 0
+	case !known:
+		wait = firstWait
 	case wait <= 0:
 		return Page{}, errors.Wrap(ErrStale, "the copy followed is not renewed")
 	}
 	page, err := watch(ctx, position, wait)
-	if err == nil && page.Age > f.MaxAge {
+	if err == nil && page.Age > f.MaxAge() {
 		err = errors.Wrap(ErrStale, page.Age.String())
 	}
 	return page, err
--- a/snipeowner/renew.go
+++ b/snipeowner/renew.go
@@ -49,7 +49,7 @@
 		return errors.Wrap(err, "renew")
 	}
 	h.renewedAt = sent
-	h.instance[self.Peer] = sighting{Instance: self, version: version, since: sent}
+	h.instance[self.Peer] = sighting{Instance: self, hash: addressHash(self.Peer), version: version, since: sent}
 	if self.Leaving {
 		h.released(released)
 		return nil
@@ -159,6 +159,7 @@
 			t.from = max(t.from, observed)
 		}
 		h.holdings[t.engine] = holding{fence: t.fence, version: version, from: t.from, confirmed: true}
+		h.moved = true
 		h.owners[t.engine] = ownerRow{version: version, seen: sent, ownership: ownership{
 			Machine: h.Self.Peer, Incarnation: h.Self.Incarnation, Fence: t.fence,
 		}}
--- a/snipeowner/rows.go
+++ b/snipeowner/rows.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"net/netip"
 	"strings"
 	"time"
@@ -14,12 +13,13 @@
 	"snipepitch.example/snipepitch/snipeplatform"
 )
 
-// read takes all rows and drops what this instance no longer owns.
+// read takes the rows that have changed and drops what this instance no longer owns.
 func (h *Holder) read(ctx context.Context) error {
-	rows, err := h.Table.List(ctx, Partition)
+	rows, mark, err := h.Table.List(ctx, Partition, h.mark)
 	if err != nil {
 		return errors.Wrap(err, "read ownership")
 	}
+	h.mark = mark
 	// Counted from after the read: a version may have been written while the read
 	// was under way.
 	now := h.Clock()
@@ -41,46 +41,46 @@
 // removed: one that is missing was written here a moment ago, and the copy that is
 // read does not show it yet.
 func (h *Holder) take(rows []snipeplatform.Row, now time.Duration) {
-	instances, owners := maps.Clone(h.instance), maps.Clone(h.owners)
 	for _, r := range rows {
 		var err error
 		if engine, ok := strings.CutPrefix(r.Sort, ownerPrefix); ok {
-			err = h.takeOwner(owners, engine, r, now)
+			err = h.takeOwner(engine, r, now)
 		} else {
-			err = h.takeInstance(instances, r, now)
+			err = h.takeInstance(r, now)
 		}
 		if err != nil {
 			h.Log.Error(snipelog.OwnershipRowWrong, err, snipelog.Fields{"Row": r.Sort})
 		}
 	}
-	h.instance, h.owners = instances, owners
 }
 
-func (h *Holder) takeInstance(all map[netip.AddrPort]sighting, r snipeplatform.Row, now time.Duration) error {
+func (h *Holder) takeInstance(r snipeplatform.Row, now time.Duration) error {
 	s := sighting{version: r.Version, since: now}
 	if err := json.Unmarshal(r.Data, &s.Instance); err != nil {
 		return err
 	}
 	if old, ok := h.instance[s.Peer]; ok && old.version >= s.version {
-		s = old
+		return nil
 	}
-	all[s.Peer] = s
+	s.hash = addressHash(s.Peer)
+	h.instance[s.Peer] = s
 	return nil
 }
 
-func (h *Holder) takeOwner(all map[netip.AddrPort]ownerRow, name string, r snipeplatform.Row, now time.Duration) error {
-	o := ownerRow{version: r.Version, seen: now}
+func (h *Holder) takeOwner(name string, r snipeplatform.Row, now time.Duration) error {
 	engine, err := netip.ParseAddrPort(name)
 	if err != nil {
 		return err
 	}
+	if old, ok := h.owners[engine]; ok && old.version >= r.Version {
+		return nil
+	}
+	o := ownerRow{version: r.Version, seen: now}
 	if err := json.Unmarshal(r.Data, &o.ownership); err != nil {
 		return err
 	}
-	if old, ok := h.owners[engine]; ok && old.version >= o.version {
-		o = old
-	}
-	all[engine] = o
+	h.owners[engine] = o
+	h.moved = true
 	return nil
 }
 
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -32,8 +32,11 @@
 package snipeowner
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +75,9 @@
 	// margin covers the difference between two machines' clock rates and the time
 	// between the check of an order's right and its arrival.
 	margin = 300 * time.Millisecond
+	// firstSpread is the time over which instances that all start for the first time write
+	// their rows.
+	firstSpread = time.Second
 	// settleTime is how long an instance that starts looks for others before it
 	// takes engines that were not its own: all start within a third of a second of
 	// each other.
@@ -114,20 +120,25 @@
 
 // View is an immutable snapshot of what is known of the others.
 type View struct {
-	// Live are the instances that renew, by address.
-	Live map[netip.AddrPort]Instance
+	// Live are the instances that renew, by address, and Ranked the same in the order in
+	// which duties for all go to them.
+	Live   map[netip.AddrPort]Instance
+	Ranked []Instance
 	// Lapsed are those that have not renewed for a while.
 	Lapsed []netip.AddrPort
-	// Owners are the live owners of engines, by the engine's address.
+	// Owners are the live owners of engines, by the engine's address, and Others where those
+	// of them are reached that are other instances.
 	Owners map[netip.AddrPort]Owner
+	Others []netip.AddrPort
 	// Read is when the rows were read.
 	Read time.Time
 }
 
 // Table is the part of the platform's table that ownership rests on.
 type Table struct {
-	// List reads all rows of a partition as of one moment.
-	List func(ctx context.Context, partition string) ([]snipeplatform.Row, error)
+	// List reads the rows of a partition that have come or changed since a mark, all of
+	// them for 0, and returns the mark to go on from.
+	List func(ctx context.Context, partition string, since uint64) ([]snipeplatform.Row, uint64, error)
 	// Write makes all changes or none and returns the version that the changed
 	// rows have then. Its errors are those of package snipeplatform.
 	Write func(ctx context.Context, operation string, changes []snipeplatform.Change) (uint64, error)
@@ -159,16 +170,22 @@
 	Reached func(ok bool)
 	Log     *snipelog.Logger
 
-	view    atomic.Pointer[View]
-	leaving atomic.Bool
-	outage  outage
+	prepared sync.Once // makes nudged
+	nudged   chan struct{}
+	view     atomic.Pointer[View]
+	leaving  atomic.Bool
+	outage   outage
 
 	lock     sync.Mutex // guards the fields below
 	until    time.Duration
 	holdings map[netip.AddrPort]holding
 
 	// The fields below belong to Run's goroutine.
-	started  time.Duration
+	started time.Duration
+	// mark is how far the rows were read.
+	mark uint64
+	// moved tells that an owner row has changed since the last view.
+	moved    bool
 	instance map[netip.AddrPort]sighting
 	owners   map[netip.AddrPort]ownerRow
 	lost     bool
@@ -196,6 +213,8 @@
 // sighting is an instance row and when its version was first read.
 type sighting struct {
 	Instance
+	// hash is the instance's part of its ranks.
+	hash    uint64
 	version uint64
 	since   time.Duration
 }
@@ -228,6 +247,13 @@
 	return o.fence, true
 }
 
+// Owns reports whether this instance owns engines.
+func (h *Holder) Owns() bool {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return len(h.holdings) > 0
+}
+
 // Leave asks the holder to give all engines up.
 func (h *Holder) Leave() { h.leaving.Store(true) }
 
@@ -239,18 +265,56 @@
 			return nil
 		}
 	}
+	if len(h.instance) == 0 {
+		// All may start now for the first time, and a part of the store makes a few hundred
+		// writes a second: those that come later find enough owners and write nothing yet.
+		first := time.NewTimer(h.portion(firstSpread))
+		defer first.Stop()
+		h.lookUntil(ctx, first.C)
+	}
 	t := time.NewTicker(stepEvery)
 	defer t.Stop()
-	for {
+	for ctx.Err() == nil {
 		h.Step(ctx)
+		h.lookUntil(ctx, t.C)
+	}
+	return nil
+}
+
+// lookUntil looks at the rows whenever it is nudged, until a time comes or ctx ends.
+func (h *Holder) lookUntil(ctx context.Context, end <-chan time.Time) {
+	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-t.C:
+			return
+		case <-end:
+			return
+		case <-h.nudges():
+			h.look(ctx)
 		}
 	}
 }
 
+// Nudge has the rows looked at before the next step, where somebody waits for what they tell.
+func (h *Holder) Nudge() {
+	select {
+	case h.nudges() <- struct{}{}:
+	default: // a look is due already
+	}
+}
+
+func (h *Holder) nudges() chan struct{} {
+	h.prepared.Do(func() { h.nudged = make(chan struct{}, 1) })
+	return h.nudged
+}
+
+// look takes the rows into a new view. What a step decides waits for the next one.
+func (h *Holder) look(ctx context.Context) {
+	if err := h.read(ctx); err == nil {
+		h.publish()
+	}
+}
+
 func (h *Holder) prepare() {
 	if h.instance != nil {
 		return
@@ -306,9 +370,11 @@
 	h.lost = err != nil
 }
 
-// publish makes a new view.
+// publish makes a new view. It shares with the last one what has not changed: most steps
+// show that all go on as they were.
 func (h *Holder) publish() {
-	v := &View{Live: make(map[netip.AddrPort]Instance), Owners: make(map[netip.AddrPort]Owner), Read: time.Now()}
+	last := h.View()
+	v := &View{Live: make(map[netip.AddrPort]Instance, len(last.Live)), Read: time.Now()}
 	for peer, s := range h.instance {
 		switch {
 		case h.live(s):
@@ -317,17 +383,54 @@
 			v.Lapsed = append(v.Lapsed, peer)
 		}
 	}
+	same := maps.Equal(v.Live, last.Live)
+	if same {
+		v.Live, v.Ranked = last.Live, last.Ranked
+	} else {
+		v.Ranked = h.ranked(v.Live)
+	}
+	if same && !h.moved && last.Owners != nil {
+		v.Owners, v.Others = last.Owners, last.Others
+	} else {
+		v.Owners, v.Others = h.ownersAmong(v.Live)
+	}
+	h.moved = false
+	h.view.Store(v)
+}
+
+// ranked returns the live instances in the order in which duties for all go to them.
+func (h *Holder) ranked(live map[netip.AddrPort]Instance) []Instance {
+	sightings := make([]sighting, 0, len(live))
+	for peer := range live {
+		sightings = append(sightings, h.instance[peer])
+	}
+	slices.SortFunc(sightings, comparePower)
+	all := make([]Instance, 0, len(sightings))
+	for _, s := range sightings {
+		all = append(all, s.Instance)
+	}
+	return all
+}
+
+// ownersAmong returns the owners of engines that are among the live instances, and where
+// those are reached that are other instances.
+func (h *Holder) ownersAmong(live map[netip.AddrPort]Instance) (owners map[netip.AddrPort]Owner, others []netip.AddrPort) {
+	owners = make(map[netip.AddrPort]Owner, len(h.owners))
+	peers := make(map[netip.AddrPort]bool)
 	for engine, o := range h.owners {
 		if h.mine(o.ownership) {
-			v.Owners[engine] = Owner{Instance: h.Self, Self: true}
+			owners[engine] = Owner{Instance: h.Self, Self: true}
 			continue
 		}
 		// One that has started again takes its engines back at once.
-		if i, ok := v.Live[o.Machine]; ok {
-			v.Owners[engine] = Owner{Instance: i}
+		if i, ok := live[o.Machine]; ok {
+			owners[engine] = Owner{Instance: i}
+			if i.Peer != h.Self.Peer {
+				peers[i.Peer] = true
+			}
 		}
 	}
-	h.view.Store(v)
+	return owners, slices.Collect(maps.Keys(peers))
 }
 
 // live reports whether an instance's row has changed within a lease's duration.
@@ -352,16 +455,18 @@
 	return h.Clock()
 }
 
-// Before reports whether an instance comes before another one where duties for all
-// are given to a few.
-func (i Instance) Before(other Instance) bool {
-	if i.Power != other.Power {
-		return i.Power > other.Power
-	}
-	return Rank(netip.AddrPort{}, i.Peer) > Rank(netip.AddrPort{}, other.Peer)
+// comparePower orders instances where duties for all are given to a few: the strongest
+// first.
+func comparePower(a, b sighting) int {
+	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(rank(forAll, b.hash), rank(forAll, a.hash)))
 }
 
-// Rank returns the value by which an instance ranks for an engine.
-func Rank(engine, instance netip.AddrPort) uint64 {
-	return sniperoute.Score(sniperoute.Hash(engine.String()), sniperoute.Hash(instance.String()))
-}
+// forAll stands for the engine where instances rank for duties that concern no engine.
+var forAll = addressHash(netip.AddrPort{})
+
+// addressHash is an address's part of a rank.
+func addressHash(a netip.AddrPort) uint64 { return sniperoute.Hash(a.String()) }
+
+// rank returns the value by which an instance ranks for an engine, given by the hashes of
+// their addresses.
+func rank(engine, instance uint64) uint64 { return sniperoute.Score(engine, instance) }
--- a/snipeowner/standby.go
+++ b/snipeowner/standby.go
@@ -1,6 +1,11 @@
 package snipeowner
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"snipepitch.example/snipepitch/sniperoute"
+)
 
 // Of many instances a few own all engines. The others stand by: they renew their rows seldom and
 // own nothing, until there are too few owners.
@@ -11,14 +16,25 @@
 	// row each second, whatever it owns, and its loss stops the orders of them all.
 	leastOwners     = 9
 	enginesPerOwner = 7
+	// mostOwners bounds the owners, whose renewals every instance takes in, and fullOwner is
+	// how many engines each has where that is not enough: a renewal has room for half as
+	// many again, those of owners that are lost.
+	mostOwners = 40
+	fullOwner  = 60
 	// strongOwners is how many instances of at least twice the power are enough to leave
 	// the engines to them, each up to twice as many: an owner takes the reports of all others,
 	// a thousand a second at 81 instances, which filled the links of 10 Mbit/s that the small
 	// ones have.
 	strongOwners = 5
 	// standbyEvery is the time between two renewals of an instance that owns nothing
-	// and is not needed.
-	standbyEvery = 20 * time.Second
+	// and is not needed: what others do with its row can wait.
+	standbyEvery = time.Minute
+	// standbyPause is the time between the writes of two instances on standby on average,
+	// where all start or have lost the store at the same moment: a part of the store makes a
+	// few hundred writes a second, and the owners' go first.
+	standbyPause = 20 * time.Millisecond
+	// standbyBegin is how long the owners' first writes go before those on standby.
+	standbyBegin = time.Second
 	// standbyRetry is the time between two tries of one that the store does not answer.
 	standbyRetry = 5 * time.Second
 )
@@ -28,22 +44,28 @@
 	if len(h.holdings) > 0 || h.leaving.Load() {
 		return false
 	}
+	self := sighting{Instance: h.Self, hash: addressHash(h.Self.Peer)}
 	ahead, strong := 0, 0
 	for peer, s := range h.instance {
 		if peer == h.Self.Peer || s.Leaving || !h.live(s) {
 			continue
 		}
-		if s.Before(h.Self) {
+		if comparePower(s, self) < 0 {
 			ahead++
 		}
 		if h.Self.Power > 0 && s.Power >= 2*h.Self.Power {
 			strong++
 		}
 	}
-	enough := len(h.Engines()) / enginesPerOwner
+	enough := owners(len(h.Engines()))
 	return strong >= max(strongOwners, enough/2) || ahead >= max(leastOwners, enough)
 }
 
+// owners returns how many instances should share so many engines where there are many.
+func owners(engines int) int {
+	return max(min(engines/enginesPerOwner, mostOwners), engines/fullOwner)
+}
+
 // left reports whether the others know that this instance is leaving and owns nothing. It
 // has nothing more to tell: seventy that are replaced in turn would else write for as long as
 // their last requests last.
@@ -54,9 +76,20 @@
 
 // standbyDue reports whether an instance on standby is to renew its row.
 func (h *Holder) standbyDue() bool {
-	row := h.instance[h.Self.Peer]
-	if h.lost {
-		return h.Clock()-h.triedAt >= standbyRetry
+	row, now := h.instance[h.Self.Peer], h.Clock()
+	spread := h.portion(time.Duration(len(h.instance)) * standbyPause)
+	switch {
+	case h.lost:
+		return now-h.triedAt >= standbyRetry+spread
+	case row.Incarnation != h.Self.Incarnation || !row.Standby:
+		return now-h.started >= standbyBegin+spread
+	default:
+		return now-h.renewedAt >= standbyEvery
 	}
-	return row.Incarnation != h.Self.Incarnation || !row.Standby || h.Clock()-h.renewedAt >= standbyEvery
+}
+
+// portion returns this instance's moment in a time over which all spread, another one at each
+// start.
+func (h *Holder) portion(d time.Duration) time.Duration {
+	return time.Duration(float64(sniperoute.Hash(h.Self.Peer.String(), h.Self.Incarnation)) / math.MaxUint64 * float64(d))
 }
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -27,10 +27,12 @@
 	}
 	now := h.Clock()
 	settled := now-h.started >= settleTime
+	rivals := h.rivals()
 	var all []takeover
 	for _, engine := range h.Engines() {
+		// Most engines have an owner that renews: what is cheap to tell goes first.
 		own := h.owners[engine].Machine == h.Self.Peer
-		if !own && (!settled || !h.first(engine)) {
+		if !own && (!settled || h.renewing(engine, now) || !h.first(engine, rivals)) {
 			continue
 		}
 		t, ok := h.takeOver(engine, now)
@@ -45,15 +47,35 @@
 	return all
 }
 
-// first reports whether this instance ranks first for an engine among the live
-// instances that stay.
-func (h *Holder) first(engine netip.AddrPort) bool {
-	own := Rank(engine, h.Self.Peer)
+// rivals returns the hashes of the other instances that could take an engine: the live
+// ones that stay.
+func (h *Holder) rivals() []uint64 {
+	var all []uint64
 	for peer, s := range h.instance {
-		if peer == h.Self.Peer || s.Leaving || s.Standby || !h.live(s) {
-			continue
+		if peer != h.Self.Peer && !s.Leaving && !s.Standby && h.live(s) {
+			all = append(all, s.hash)
 		}
-		if Rank(engine, peer) > own {
+	}
+	return all
+}
+
+// renewing reports whether an engine's owner has renewed its row so lately that nobody may
+// take the engine.
+func (h *Holder) renewing(engine netip.AddrPort, now time.Duration) bool {
+	row, known := h.owners[engine]
+	if !known || !row.Machine.IsValid() {
+		return false
+	}
+	s, exists := h.instance[row.Machine]
+	return exists && s.Incarnation == row.Incarnation && now-s.since < observation
+}
+
+// first reports whether this instance ranks before all rivals for an engine.
+func (h *Holder) first(engine netip.AddrPort, rivals []uint64) bool {
+	key := addressHash(engine)
+	own := rank(key, addressHash(h.Self.Peer))
+	for _, rival := range rivals {
+		if rank(key, rival) > own {
 			return false
 		}
 	}
@@ -101,7 +123,7 @@
 			since = max(since, former.since)
 		}
 		t.from = since + orderTime + margin
-	case now-former.since < orderTime+margin:
+	case now-former.since < observation:
 		return takeover{}, false
 	default:
 		t.from = former.since + orderTime + margin
--- a/snipeproto/ownership.twirp.go
+++ b/snipeproto/ownership.twirp.go
@@ -30,6 +30,10 @@
 type Ownership interface {
 	// Promise asks an instance not to take engines over for the time of a lease.
 	Promise(context.Context, *OwnershipPromiseRequest) (*OwnershipPromiseResponse, error)
+
+	// Write makes a transaction on rows of ownership for an instance that does not reach the
+	// platform's store.
+	Write(context.Context, *OwnershipWriteRequest) (*OwnershipWriteResponse, error)
 }
 
 // =========================
@@ -38,7 +42,7 @@
 
 type ownershipProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -66,8 +70,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Ownership")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Promise",
+		serviceURL + "Write",
 	}
 
 	return &ownershipProtobufClient{
@@ -124,13 +129,59 @@
 	return out, nil
 }
 
+func (c *ownershipProtobufClient) Write(ctx context.Context, in *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Ownership")
+	ctx = ctxsetters.WithMethodName(ctx, "Write")
+	caller := c.callWrite
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OwnershipWriteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OwnershipWriteRequest) when calling interceptor")
+					}
+					return c.callWrite(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OwnershipWriteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OwnershipWriteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *ownershipProtobufClient) callWrite(ctx context.Context, in *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+	out := new(OwnershipWriteResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Ownership JSON Client
 // =====================
 
 type ownershipJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -158,8 +209,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "snipepitch", "Ownership")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Promise",
+		serviceURL + "Write",
 	}
 
 	return &ownershipJSONClient{
@@ -216,6 +268,52 @@
 	return out, nil
 }
 
+func (c *ownershipJSONClient) Write(ctx context.Context, in *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "snipepitch")
+	ctx = ctxsetters.WithServiceName(ctx, "Ownership")
+	ctx = ctxsetters.WithMethodName(ctx, "Write")
+	caller := c.callWrite
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OwnershipWriteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OwnershipWriteRequest) when calling interceptor")
+					}
+					return c.callWrite(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OwnershipWriteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OwnershipWriteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *ownershipJSONClient) callWrite(ctx context.Context, in *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+	out := new(OwnershipWriteResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ========================
 // Ownership Server Handler
 // ========================
@@ -316,6 +414,9 @@
 	case "Promise":
 		s.servePromise(ctx, resp, req)
 		return
+	case "Write":
+		s.serveWrite(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -503,6 +604,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *ownershipServer) serveWrite(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveWriteJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveWriteProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *ownershipServer) serveWriteJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Write")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(OwnershipWriteRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Ownership.Write
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OwnershipWriteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OwnershipWriteRequest) when calling interceptor")
+					}
+					return s.Ownership.Write(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OwnershipWriteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OwnershipWriteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OwnershipWriteResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OwnershipWriteResponse and nil error while calling Write. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *ownershipServer) serveWriteProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Write")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(OwnershipWriteRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Ownership.Write
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OwnershipWriteRequest) (*OwnershipWriteResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OwnershipWriteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OwnershipWriteRequest) when calling interceptor")
+					}
+					return s.Ownership.Write(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OwnershipWriteResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OwnershipWriteResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OwnershipWriteResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OwnershipWriteResponse and nil error while calling Write. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *ownershipServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor5, 0
 }
@@ -519,20 +800,27 @@
 }
 
 var twirpFileDescriptor5 = []byte{
-	// 226 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x50, 0x3d, 0x4b, 0x04, 0x31,
-	0x14, 0x24, 0x2e, 0x7a, 0xee, 0x6b, 0x84, 0x20, 0x5e, 0xb0, 0x5a, 0x4e, 0x8b, 0x60, 0xb1, 0x82,
-	0x0a, 0xf6, 0xf6, 0xa2, 0x04, 0x2b, 0x1b, 0x89, 0xb7, 0x8f, 0xbb, 0xc0, 0xee, 0x4b, 0xcc, 0xcb,
-	0x71, 0xd6, 0xfe, 0x72, 0xd9, 0x2f, 0x77, 0x41, 0xb4, 0x4a, 0x26, 0x33, 0xc3, 0xcc, 0x04, 0x4e,
-	0xfc, 0x9e, 0x30, 0xf2, 0xd6, 0x85, 0x32, 0x44, 0x9f, 0xbc, 0x04, 0x26, 0x17, 0x30, 0xb8, 0xb4,
-	0xde, 0xae, 0xbe, 0x04, 0x2c, 0x9f, 0x46, 0xfe, 0x39, 0xfa, 0xc6, 0x31, 0x1a, 0xfc, 0xd8, 0x21,
-	0x27, 0x79, 0x0a, 0x87, 0x9d, 0x55, 0x89, 0x42, 0xe8, 0xdc, 0xf4, 0x40, 0x2a, 0x58, 0x20, 0x6d,
-	0x1c, 0x21, 0xab, 0x83, 0x22, 0xd3, 0xb9, 0x19, 0xa1, 0xbc, 0x87, 0xe5, 0x8e, 0x2c, 0xf1, 0x1e,
-	0x23, 0x56, 0x6f, 0x8d, 0xab, 0x6b, 0xc7, 0xb8, 0xf6, 0x54, 0xb1, 0xca, 0x0a, 0xa1, 0x33, 0x73,
-	0x36, 0xd1, 0x8f, 0x33, 0x76, 0x75, 0x07, 0xea, 0x77, 0x07, 0x0e, 0x9e, 0x18, 0xdb, 0xb8, 0x4d,
-	0xb4, 0x94, 0xb0, 0xea, 0x6a, 0x1c, 0x9b, 0x11, 0xde, 0x58, 0xc8, 0x7f, 0x5c, 0xf2, 0x05, 0x16,
-	0x83, 0x53, 0x5e, 0x94, 0xd3, 0xbe, 0xf2, 0x8f, 0x6d, 0xe7, 0x97, 0xff, 0x8b, 0xfa, 0xf0, 0x87,
-	0xab, 0x57, 0x3d, 0x93, 0xe1, 0xa7, 0x6d, 0x42, 0x8d, 0xd7, 0xd3, 0xd3, 0x70, 0x6d, 0x7f, 0xf5,
-	0xfd, 0xa8, 0x3b, 0x6e, 0xbf, 0x03, 0x00, 0x00, 0xff, 0xff, 0x2f, 0xfc, 0x86, 0xcd, 0x6f, 0x01,
-	0x00, 0x00,
+	// 351 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0xcf, 0x4e, 0xe3, 0x30,
+	0x10, 0xc6, 0x95, 0xa6, 0x7f, 0x36, 0xb3, 0x2b, 0x75, 0x65, 0x41, 0x1b, 0x15, 0x0e, 0x21, 0x70,
+	0x88, 0x38, 0x14, 0xa9, 0x80, 0xb8, 0xc3, 0x19, 0x8a, 0x2c, 0x24, 0x24, 0x2e, 0x28, 0x24, 0xa3,
+	0xd6, 0x52, 0x6a, 0x1b, 0xdb, 0xa5, 0x3d, 0xf3, 0x46, 0xbc, 0x21, 0xaa, 0xeb, 0x24, 0xa5, 0x54,
+	0x3d, 0x65, 0x3e, 0xcf, 0x37, 0x9e, 0xdf, 0x4c, 0x0c, 0x5d, 0xb1, 0xe0, 0xa8, 0xf4, 0x94, 0xc9,
+	0xa1, 0x54, 0xc2, 0x08, 0x02, 0x9a, 0x33, 0x89, 0x92, 0x99, 0x6c, 0x1a, 0x7f, 0x7a, 0xd0, 0x1f,
+	0x97, 0xf9, 0x47, 0x25, 0x66, 0x4c, 0x23, 0xc5, 0xf7, 0x39, 0x6a, 0x43, 0x0e, 0xa0, 0x65, 0x4b,
+	0x43, 0x2f, 0xf2, 0x92, 0x80, 0xae, 0x05, 0x09, 0xa1, 0x83, 0x7c, 0xc2, 0x38, 0xea, 0xb0, 0x11,
+	0xf9, 0x49, 0x40, 0x4b, 0x49, 0x6e, 0xa0, 0x3f, 0xe7, 0x29, 0xd7, 0x0b, 0x54, 0x98, 0xbf, 0xce,
+	0x58, 0x51, 0x30, 0x8d, 0x99, 0xe0, 0xb9, 0x0e, 0xfd, 0xc8, 0x4b, 0x7c, 0xda, 0xab, 0xd3, 0xf7,
+	0x1b, 0xd9, 0xf8, 0x0a, 0xc2, 0xdf, 0x0c, 0x5a, 0x0a, 0xae, 0x71, 0xd5, 0x6e, 0xa2, 0x52, 0x6e,
+	0x30, 0xb7, 0x18, 0x7f, 0x68, 0x29, 0xe3, 0x02, 0x0e, 0xab, 0xaa, 0x67, 0xc5, 0x4c, 0xc5, 0x7d,
+	0x0c, 0x81, 0x90, 0xa8, 0x52, 0xc3, 0x04, 0x77, 0xec, 0xf5, 0x01, 0xb9, 0x86, 0x4e, 0x36, 0x4d,
+	0xf9, 0xc4, 0xf1, 0xff, 0x1d, 0x1d, 0x0d, 0xeb, 0x7d, 0x0c, 0xab, 0x1b, 0xef, 0xac, 0x87, 0x96,
+	0xde, 0x78, 0x0c, 0xdd, 0xad, 0x1c, 0xf9, 0x0f, 0xbe, 0x12, 0x0b, 0xd7, 0x61, 0x15, 0x92, 0x1e,
+	0xb4, 0x71, 0x29, 0x31, 0x33, 0x61, 0x23, 0xf2, 0x92, 0x26, 0x75, 0x8a, 0x10, 0x68, 0xe6, 0xa9,
+	0x49, 0xed, 0x1a, 0xfe, 0x51, 0x1b, 0xc7, 0x23, 0xe8, 0x6d, 0xe3, 0xd7, 0x23, 0x7f, 0xa0, 0xd2,
+	0x25, 0x7d, 0x93, 0x96, 0x72, 0xf4, 0xe5, 0x41, 0x50, 0x15, 0x91, 0x27, 0xe8, 0xb8, 0x6d, 0x91,
+	0xd3, 0x9d, 0x33, 0xfc, 0xfc, 0x9f, 0x83, 0xb3, 0xfd, 0x26, 0xd7, 0xfd, 0x01, 0x5a, 0x16, 0x87,
+	0x9c, 0xec, 0xb4, 0x6f, 0x6e, 0x7a, 0x10, 0xef, 0xb3, 0xac, 0xef, 0xbb, 0x3d, 0x7f, 0x49, 0x36,
+	0x4c, 0xb8, 0x4c, 0x67, 0xb2, 0xc0, 0x8b, 0xfa, 0xc8, 0x85, 0xab, 0x97, 0xf9, 0xd6, 0xb6, 0x9f,
+	0xcb, 0xef, 0x00, 0x00, 0x00, 0xff, 0xff, 0x7e, 0x67, 0xd9, 0x05, 0xb3, 0x02, 0x00, 0x00,
 }
