Loads of engines are gathered by domain, waits for places are told, slow stores get no writes twice

Cause: with reports of changes alone an instance of hundreds hears of an engine's load once a second. A quarter of all loads waited over 120 ms for a place, one in ten over 400, though the time told to those who asked did not count it. And where the store is slow, each write of an owner was tried by two others as well.

Ruled out: reports every 80 ms as before (75 a second from each instance at 195); more tries at the store.

Change: from 32 instances on the first of each domain asks the owners for their engines' loads six times a second, the others ask it; engines without load are left out. A request for a base model looks at four engines, so that those who know the same loads do not meet. An engine whose places are all in use, or taken by loads ahead, tells the wait of late for a place, so that others are asked. An instance to which the store is slow, or that it refuses, writes for nobody else.

--- a/cmd/snipecapacity/main.go
+++ b/cmd/snipecapacity/main.go
@@ -5,6 +5,10 @@
 //
 //	snipecapacity sample -instances IP:PORT,... [-interval D]
 //	snipecapacity render [-inputs FILE]
+//	snipecapacity sweep -command TEXT -date DATE [-inputs FILE] < OUTPUT
+//
+// sweep puts the table that the users' bench prints into the inputs, which it writes to standard
+// output.
 //
 // Exit codes: 0 done, 1 failed, 2 bad arguments.
 package main
@@ -38,6 +42,8 @@
 	instances := f.String("instances", "", "operators' addresses of the instances, `IP:PORT,...`")
 	interval := f.Duration("interval", 20*time.Second, "time between the two scrapes")
 	inputs := f.String("inputs", "docs/capacity.json", "inputs `file`")
+	command := f.String("command", "", "`command` that printed the sweep")
+	date := f.String("date", "", "its `date`")
 	// ExitOnError: Parse does not return an error.
 	_ = f.Parse(os.Args[2:])
 	var err error
@@ -46,6 +52,8 @@
 		err = sample(*instances, *interval)
 	case "render":
 		err = render(*inputs)
+	case "sweep":
+		err = sweep(*inputs, *command, *date)
 	default:
 		usage()
 	}
@@ -56,7 +64,7 @@
 }
 
 func usage() {
-	fmt.Fprintln(os.Stderr, "usage: snipecapacity sample|render [flags]")
+	fmt.Fprintln(os.Stderr, "usage: snipecapacity sample|render|sweep [flags]")
 	os.Exit(exitUsage)
 }
 
@@ -78,12 +86,37 @@
 	return e.Encode(s)
 }
 
-func render(inputs string) error {
-	data, err := os.ReadFile(inputs)
+// sweep puts the sweep on standard input into the inputs.
+func sweep(inputs, command, date string) error {
+	in, err := decode(inputs)
 	if err != nil {
 		return err
 	}
-	in, err := snipecapacity.Decode(data)
+	s, err := snipecapacity.ParseSweep(os.Stdin)
+	if err != nil {
+		return err
+	}
+	s.Command, s.Date = command, date
+	if in.Sweep != nil {
+		s.Mechanisms = in.Sweep.Mechanisms
+	}
+	in.Sweep = s
+	e := json.NewEncoder(os.Stdout)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", "  ")
+	return e.Encode(in)
+}
+
+func decode(inputs string) (*snipecapacity.Inputs, error) {
+	data, err := os.ReadFile(inputs)
+	if err != nil {
+		return nil, err
+	}
+	return snipecapacity.Decode(data)
+}
+
+func render(inputs string) error {
+	in, err := decode(inputs)
 	if err != nil {
 		return err
 	}
--- a/snipeadapter/decay.go
+++ b/snipeadapter/decay.go
@@ -37,8 +37,7 @@
 
 const (
 	// rateHalfLife is the half-life of rates: four reports of use, so that a demand
-	// that begins is seen within a few tenths of a second. With 81 instances under
-	// heavy load 300 ms had 0.2 of the streams late or refused, 1 s a quarter.
+	// that begins is seen within a few tenths of a second.
 	rateHalfLife = 300 * time.Millisecond
 	// firstRate is the least time over which a rate is taken, that between two
 	// reports: what began a moment ago has no rate yet.
--- a/snipeadapter/desk.go
+++ b/snipeadapter/desk.go
@@ -19,8 +19,7 @@
 	// mostOnTheWay bounds the adapters on their way to one engine, which takes four at once,
 	// mostFromStore those of them that come from the weight store. It serves one to two an
 	// engine at full speed, and takes longer in proportion beyond; what waits here meanwhile
-	// can still be put in order and taken back. Over five heavy days, twice each, 0.568 of the
-	// worth was earned with three, 0.581 with two and 0.561 with one.
+	// can still be put in order and taken back.
 	mostOnTheWay  = 4
 	mostFromStore = 2
 	// orderTimeout bounds one order: an engine answers within milliseconds.
@@ -120,6 +119,8 @@
 	queue     []*load
 	bringing  map[snipecatalog.Adapter]bool
 	fromStore int
+	// forPlace is how long loads have waited of late for a place where all were in use.
+	forPlace time.Duration
 }
 
 // turn is taken by one goroutine at a time.
--- a/snipeadapter/late.go
+++ b/snipeadapter/late.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// lateLife is for how long an order that got no answer may still be carried out: engines
-// were seen to take up to twelve seconds.
+// lateLife is for how long an order that got no answer may still be carried out.
 const lateLife = 15 * time.Second
 
 // lateOrders are the loads that got no answer, by the name of the engine, whichever start
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -90,10 +90,10 @@
 // wait is how long a load that is queued now will take. The lock is held.
 func (e *engine) wait(a snipecatalog.Adapter) time.Duration {
 	if e.quick(a) {
-		return reloadTime
+		return reloadTime + e.placeWait()
 	}
 	ahead := len(e.queue) + e.fromStore
-	return loadTime + time.Duration(ahead/mostFromStore)*loadTime
+	return loadTime + time.Duration(ahead/mostFromStore)*loadTime + e.placeWait()
 }
 
 // quick reports whether the engine has an adapter in its own memory, as far as is known.
@@ -245,13 +245,17 @@
 	begun := time.Now()
 	o := Order{Action: Load, Adapter: l.adapter, Version: l.version}
 	reply, err := e.order(ctx, &o)
+	crowded := errors.Is(err, errInUse)
 	for errors.Is(err, errInUse) && e.waiting(l) > 0 && snipetime.Sleep(ctx, calmPause) {
 		reply, err = e.order(ctx, &o)
 	}
+	ordered := time.Since(begun)
+	if crowded {
+		e.notePlaceWait(ordered)
+	}
 	if err != nil {
 		return err
 	}
-	ordered := time.Since(begun)
 	if reply == Taken {
 		if err := e.await(ctx, o); err != nil {
 			// Whether it takes a place on the engine is not known.
--- a/snipeadapter/room.go
+++ b/snipeadapter/room.go
@@ -90,31 +90,42 @@
 func (e *engine) victim(u *snipedirectory.Upstream) (snipecatalog.Adapter, bool) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	slots := e.desk.Slots(u)
+	if e.placesTaken() < slots-e.reserved(slots) {
+		return snipecatalog.Adapter{}, false
+	}
+	a, _ := e.leastUsed(u)
+	return a, true
+}
+
+// placesTaken returns how many places are taken. The lock is held.
+func (e *engine) placesTaken() int {
 	taken := len(e.held)
 	for _, h := range e.held {
 		if h.replaced {
 			taken++
 		}
 	}
-	slots := e.desk.Slots(u)
-	if taken < slots-e.reserved(slots) {
-		return snipecatalog.Adapter{}, false
-	}
-	a, _ := e.leastUsed(u, calmUse)
-	return a, true
+	return taken
+}
+
+// evictable reports whether an adapter may make way: it was not used for calmUse, and no
+// request for it is in flight. One whose newer version only waits for its turn may: if all
+// did that, none of them would find room. The lock is held.
+func (e *engine) evictable(a snipecatalog.Adapter, h *holding, inFlight map[snipecatalog.Adapter]bool, now time.Time) bool {
+	return !h.coming && !h.replaced && !e.bringing[a] && !inFlight[a] && now.Sub(h.used) >= calmUse
 }
 
-// leastUsed returns the adapter whose loss costs least, of those not used for calm. One
-// whose newer version only waits for its turn may go: if all did that, none of them
-// would find room. The lock is held.
-func (e *engine) leastUsed(u *snipedirectory.Upstream, calm time.Duration) (snipecatalog.Adapter, bool) {
+// leastUsed returns the adapter whose loss costs least, of those that may make way. The lock
+// is held.
+func (e *engine) leastUsed(u *snipedirectory.Upstream) (snipecatalog.Adapter, bool) {
 	var least snipecatalog.Adapter
 	var lowest float64
 	found := false
 	now := time.Now()
 	inFlight := e.inFlight(now)
 	for a, h := range e.held {
-		if h.coming || h.replaced || e.bringing[a] || inFlight[a] || now.Sub(h.used) < calm {
+		if !e.evictable(a, h, inFlight, now) {
 			continue
 		}
 		if score := e.worth(u, a, h, now); !found || score < lowest {
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -20,6 +20,9 @@
 	// staleAfter is when a statement of load counts for nothing any more: several
 	// answers' time under the usual load.
 	staleAfter = 2 * time.Second
+	// silenceAge is how old the knowledge of an upstream's load must be for another instance's
+	// silence about it to tell that it has none.
+	silenceAge = 500 * time.Millisecond
 	// farCost is what another failure domain counts, in shares of an upstream's
 	// slots: its bytes cost about a tenth of a busy upstream's slowness.
 	farCost = 0.10
@@ -37,10 +40,8 @@
 	// brokenLimit is how many requests in a row may get no answer before an
 	// upstream is left alone.
 	brokenLimit = 3
-	// promptTokens is the size of a prompt that counts as one more request. Reading a thousand
-	// tokens takes an engine 26 ms, in which it generates nothing for the others. Of eight
-	// heavy days with twelve engines 0.731 of the worth was earned with 2000, 0.738
-	// with 1000 and 0.725 with 700.
+	// promptTokens is the size of a prompt that counts as one more request: while an engine
+	// reads it, it generates nothing for the others.
 	promptTokens = 1000
 )
 
@@ -203,8 +204,54 @@
 func (b *Balancer) Told(id string, load float64) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	b.told(id, load, time.Now())
+}
+
+func (b *Balancer) told(id string, load float64, at time.Time) {
 	s := b.state(id)
-	s.told, s.mineThen, s.toldAt = load, s.mine, time.Now()
+	s.told, s.mineThen, s.toldAt = load, s.mine, at
+}
+
+// Statement is the load of an upstream as it was known some time ago.
+type Statement struct {
+	ID   string
+	Load float64
+	Age  time.Duration
+}
+
+// Statements returns the loads that are known of upstreams, of those that have any.
+func (b *Balancer) Statements() []Statement {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	var all []Statement
+	for id, s := range b.states {
+		if age := now.Sub(s.toldAt); s.told > 0 && age < staleAfter {
+			all = append(all, Statement{id, s.told, age})
+		}
+	}
+	return all
+}
+
+// ToldAll notes the loads of all upstreams that have any, as another instance knows them. What
+// is known here since stands.
+func (b *Balancer) ToldAll(all []Statement) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	named := make(map[string]bool, len(all))
+	for _, t := range all {
+		named[t.ID] = true
+		if at := now.Add(-t.Age); at.After(b.state(t.ID).toldAt) {
+			b.told(t.ID, t.Load, at)
+		}
+	}
+	for id, s := range b.states {
+		// How old the silence about it is cannot be told; what is newer than usual stands.
+		if !named[id] && s.told > 0 && now.Sub(s.toldAt) > silenceAge {
+			b.told(id, 0, now)
+		}
+	}
 }
 
 // Answered notes an answer, and whether it was a failure.
--- a/snipecapacity/snipecapacity.go
+++ b/snipecapacity/snipecapacity.go
@@ -1,8 +1,9 @@
 // Package snipecapacity works out what each role costs at the size that the
 // system is designed for, from slopes that were measured at smaller sizes.
 //
-// The inputs are a JSON document (docs/capacity.json): sizes, measurements
-// with the command that gave them, and for each role the terms that add up to
+// The inputs are a JSON document (docs/capacity.json): sizes, what the users' bench shows
+// of entry instances at several sizes, and for instances with settings of their own
+// measurements with the command that gave them, and for each role the terms that add up to
 // its costs. The page docs/CAPACITY.md is rendered from the inputs alone, and
 // a test holds the page to them, so that no sum on it can go stale.
 package snipecapacity
@@ -36,7 +37,9 @@
 	Sizes map[string]float64
 	// Bounds are the most that may be used of each resource.
 	Bounds map[Resource]float64
-	// Measurements are the measured slopes by name.
+	// Sweep is what the bench shows of entry instances; nil for none.
+	Sweep *Sweep `json:",omitempty"`
+	// Measurements are the measured slopes by name, of instances with settings of their own.
 	Measurements map[string]Measurement
 	// Roles are the duties of the system in the order of the page.
 	Roles []Role
--- /dev/null
+++ b/snipecapacity/sweep.go
@@ -0,0 +1,203 @@
+package snipecapacity
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Sweep is what the users' bench shows of one day at several numbers of instances, where the
+// engines grow with the instances and the requests stay the same.
+type Sweep struct {
+	// Command gave the table, run on the date.
+	Command string
+	Date    string
+	// Served and Prices are the shares of the worth, by the number of instances.
+	Days []SweepDay
+	Rows []SweepRow
+	// Mechanisms tell what carries a row and what drives it, in the order of the page.
+	Mechanisms []SweepMechanism
+}
+
+// SweepDay is the outcome at one size.
+type SweepDay struct {
+	Instances int
+	Upstreams int
+	Served    float64
+	Prices    float64
+}
+
+// SweepRow is one quantity of an instance at each size.
+type SweepRow struct {
+	Name   string
+	Points []SweepPoint
+}
+
+// SweepPoint is a quantity at one size, of the instance in the middle and of the busiest.
+type SweepPoint struct {
+	Instances int
+	Middle    float64
+	Busiest   float64
+}
+
+// SweepMechanism is a duty of an entry instance.
+type SweepMechanism struct {
+	Duty      string
+	Messages  string
+	Mechanism string
+}
+
+var (
+	sweepDay    = regexp.MustCompile(`^sweep-\d+\s+(\d+)/(\d+)\s+\S+\s+\S+\s+(\S+)\s.*prices ([0-9.]+)`)
+	sweepHeader = regexp.MustCompile(`^\s+(\d+(?:\s+\d+)+)\s+power\s+at\s+\d+`)
+	sweepCell   = regexp.MustCompile(`([0-9.]+) / ([0-9.]+)`)
+)
+
+// ParseSweep reads the output of a sweep.
+func ParseSweep(r io.Reader) (*Sweep, error) {
+	s := &Sweep{}
+	var sizes []int
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		line := lines.Text()
+		if m := sweepDay.FindStringSubmatch(line); m != nil {
+			if err := s.addDay(m[1:]); err != nil {
+				return nil, err
+			}
+		}
+		if m := sweepHeader.FindStringSubmatch(line); m != nil {
+			var err error
+			if sizes, err = numbers(m[1]); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if cells := sweepCell.FindAllStringSubmatchIndex(line, -1); len(sizes) > 0 && len(cells) == len(sizes) {
+			if err := s.addRow(line, cells, sizes); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, errors.Wrap(err, "read sweep")
+	}
+	if len(s.Rows) == 0 {
+		return nil, errors.Wrap(ErrInvalid, "the sweep has no table")
+	}
+	return s, nil
+}
+
+func (s *Sweep) addDay(cells []string) error {
+	var values [4]float64
+	for n, cell := range cells {
+		v, err := strconv.ParseFloat(cell, 64)
+		if err != nil {
+			return errors.Wrapf(ErrInvalid, "day of the sweep: %v", err)
+		}
+		values[n] = v
+	}
+	s.Days = append(s.Days, SweepDay{int(values[0]), int(values[1]), values[2], values[3]})
+	return nil
+}
+
+func (s *Sweep) addRow(line string, cells [][]int, sizes []int) error {
+	row := SweepRow{Name: strings.TrimSpace(line[:cells[0][0]])}
+	for n, c := range cells {
+		middle, err := strconv.ParseFloat(line[c[2]:c[3]], 64)
+		if err != nil {
+			return errors.Wrapf(ErrInvalid, "row %s: %v", row.Name, err)
+		}
+		busiest, err := strconv.ParseFloat(line[c[4]:c[5]], 64)
+		if err != nil {
+			return errors.Wrapf(ErrInvalid, "row %s: %v", row.Name, err)
+		}
+		row.Points = append(row.Points, SweepPoint{sizes[n], middle, busiest})
+	}
+	s.Rows = append(s.Rows, row)
+	return nil
+}
+
+func numbers(text string) ([]int, error) {
+	var all []int
+	for _, field := range strings.Fields(text) {
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			return nil, errors.Wrapf(ErrInvalid, "sizes of the sweep: %v", err)
+		}
+		all = append(all, n)
+	}
+	return all, nil
+}
+
+// sweepBounds are the bounds of an instance by the row that shows the quantity, with what turns
+// a bound into the row's unit.
+var sweepBounds = map[string]struct {
+	resource Resource
+	scale    float64
+}{
+	"entry: processor %": {Processor, 100},
+	"entry: memory MB":   {Memory, 1.0 / 1e6},
+	"entry: kB a second": {Control, 1.0 / 1e3},
+}
+
+// render writes the section of the page, with each row carried on to the design's size by a line
+// through its points.
+func (s *Sweep) render(b *strings.Builder, in *Inputs) error {
+	target := in.Sizes["Instances"]
+	fmt.Fprintf(b, "## Entry instances\n\nFrom `%s`, %s. Middle / busiest instance; the engines grow with the\ninstances, ten to one, the requests do not. The last columns carry a line through the points on.\n\n", s.Command, s.Date)
+	b.WriteString("| Quantity |")
+	for _, p := range s.Rows[0].Points {
+		fmt.Fprintf(b, " %d |", p.Instances)
+	}
+	fmt.Fprintf(b, " at %g | Bound |\n|---|%s---|---|\n", target, strings.Repeat("---|", len(s.Rows[0].Points)))
+	for _, r := range s.Rows {
+		middle, busiest, err := r.at(target)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(b, "| %s |", r.Name)
+		for _, p := range r.Points {
+			fmt.Fprintf(b, " %.4g / %.4g |", p.Middle, p.Busiest)
+		}
+		bound := ""
+		if known, ok := sweepBounds[r.Name]; ok {
+			bound = fmt.Sprintf("%.4g", in.Bounds[known.resource]*known.scale)
+		}
+		fmt.Fprintf(b, " %.4g / %.4g | %s |\n", middle, busiest, bound)
+	}
+	b.WriteString("\n| Instances | Upstreams | Served | Prices |\n|---|---|---|---|\n")
+	for _, d := range s.Days {
+		fmt.Fprintf(b, "| %d | %d | %.3f | %.3f |\n", d.Instances, d.Upstreams, d.Served, d.Prices)
+	}
+	b.WriteString("\n| Duty | Messages | Mechanism |\n|---|---|---|\n")
+	for _, m := range s.Mechanisms {
+		fmt.Fprintf(b, "| %s | %s | %s |\n", m.Duty, m.Messages, m.Mechanism)
+	}
+	b.WriteString("\n")
+	return nil
+}
+
+// at carries a row on to a size.
+func (r SweepRow) at(size float64) (middle, busiest float64, err error) {
+	var middles, most []Point
+	for _, p := range r.Points {
+		middles = append(middles, Point{float64(p.Instances), p.Middle})
+		most = append(most, Point{float64(p.Instances), p.Busiest})
+	}
+	for _, fit := range []struct {
+		points []Point
+		value  *float64
+	}{{middles, &middle}, {most, &busiest}} {
+		l, err := Fit(fit.points)
+		if err != nil {
+			return 0, 0, errors.Wrap(err, r.Name)
+		}
+		*fit.value = Measurement{Points: fit.points}.extrapolate(l, size)
+	}
+	return middle, busiest, nil
+}
--- /dev/null
+++ b/snipeentry/loads_test.go
@@ -0,0 +1,77 @@
+package snipeentry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+// TestLoadsTurn answers the pattern of a domain whose first instance, which gathers the loads of
+// all engines, is lost for seconds: the next in rank is asked meanwhile, the first again after a
+// while, and its loss and its return are told once.
+func TestLoadsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &peers{}
+		begun := time.Now()
+		lost := func() bool { d := time.Since(begun); return d >= time.Second && d < 9*time.Second }
+		inVain, told := 0, 0
+		var back time.Time
+		for range 100 {
+			time.Sleep(loadsEvery)
+			turn := p.loadsTurn()
+			must.Less(t, 2, turn)
+			if turn == 0 && lost() {
+				inVain++
+			}
+			if p.loadsAnswered(turn, turn > 0 || !lost()) {
+				told++
+				back = time.Now()
+			}
+		}
+		must.Eq(t, 2, told)
+		must.Between(t, 1, inVain, 4)
+		must.Less(t, 9*time.Second+loadsPause+2*loadsEvery, back.Sub(begun))
+	})
+}
+
+// TestLoadsPassedOn: what one instance knows of the loads is known to the one that asks it, no
+// younger than it is, and stands behind what that one knows by itself.
+func TestLoadsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := &snipebalance.Balancer{}
+		first.Told("busy", 8)
+		first.Told("idle", 0)
+		first.Told("known", 3)
+		time.Sleep(400 * time.Millisecond)
+		own := &snipebalance.Balancer{}
+		own.Told("quiet", 5)
+		own.Told("known", 6)
+		time.Sleep(200 * time.Millisecond)
+		server := &peerServer{balancer: first}
+		answer, err := server.Loads(t.Context(), &snipeproto.AdapterLoadsRequest{})
+		must.NoError(t, err)
+		must.Len(t, 2, answer.GetLoads())
+		var all []snipebalance.Statement
+		for _, l := range answer.GetLoads() {
+			must.Eq(t, 600, l.GetAgeMilliseconds())
+			all = append(all, snipebalance.Statement{ID: l.GetEngine(), Load: l.GetLoad(), Age: 600 * time.Millisecond})
+		}
+		own.ToldAll(all)
+		loads := func() map[string]float64 {
+			known := map[string]float64{}
+			for _, s := range own.Statements() {
+				known[s.ID] = s.Load
+			}
+			return known
+		}
+		must.Eq(t, map[string]float64{"busy": 8, "known": 6, "quiet": 5}, loads())
+		time.Sleep(400 * time.Millisecond)
+		own.ToldAll(nil)
+		must.Eq(t, map[string]float64{}, loads(), must.Sprint("silence tells that there is no load"))
+	})
+}
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -25,6 +25,7 @@
 	// replicas returns where else an adapter of an engine is since a moment ago.
 	replicas func(a snipecatalog.Adapter, engine string) []snipegateway.Replica
 	board    *snipebalance.Board
+	balancer *snipebalance.Balancer
 
 	lock sync.Mutex // guards told
 	// told is the last eviction that each instance was told of.
@@ -110,6 +111,11 @@
 	// noRight tells until when engines are not asked for, whose owners have said that they
 	// have no right to order them now.
 	noRight map[netip.AddrPort]time.Time
+	// loadsTried is how many instances did not tell the loads of all engines of late,
+	// loadsFailedAt when the last one did not, loadsLost whether the first is among them.
+	loadsTried    int
+	loadsFailedAt time.Time
+	loadsLost     bool
 	// questions are those under way, by the owner that is asked.
 	questions map[netip.AddrPort]map[*question]bool
 }
--- a/snipeentry/relay.go
+++ b/snipeentry/relay.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// directTimeout bounds a write to the store where another instance can make it instead:
-	// the store answers within milliseconds, and within half a second when it is slow.
-	directTimeout = 600 * time.Millisecond
+	// quickWrite is how long a write of an instance's own may have taken for it to make those of
+	// others: a store that is slow to all must not get each write several times.
+	quickWrite = 100 * time.Millisecond
 	// relayTimeout bounds a write by another instance, which is a few milliseconds away.
 	relayTimeout = 300 * time.Millisecond
 	// relayTries is how many other instances are asked to make a write.
@@ -26,8 +26,7 @@
 	// directTurns is how many writes there are to one that the store is asked for while it
 	// does not answer this instance.
 	directTurns = 4
-	// doubt is for how long an instance that the store did not answer makes no writes for
-	// others without having asked it again.
+	// doubt is for how long an instance to which the store was slow makes no writes for others.
 	doubt = 2 * time.Second
 )
 
@@ -56,10 +55,11 @@
 	Lost func(err error)
 	Back func()
 
-	lock   sync.Mutex // guards the fields below
-	lost   bool
-	lostAt time.Time // when the store last did not answer
-	turn   int       // writes since the store was last asked while it is lost
+	lock sync.Mutex // guards the fields below
+	lost bool
+	slow bool      // the last write took longer than quickWrite
+	at   time.Time // when the last write ended
+	turn int       // writes since the store was last asked while it is lost
 }
 
 // Write makes all changes or none, itself or by another instance.
@@ -101,23 +101,24 @@
 	return true
 }
 
-// Reached reports whether the store answers this instance, as far as is known.
+// Reached reports whether the store answers this instance soon, as far as is known. One that it
+// refuses makes no writes for others before one of its own was made: a store that has more
+// writes than it can make refuses many, and must not get each of them several times.
 func (r *relay) Reached() bool {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return !r.lost || time.Since(r.lostAt) >= doubt
+	return !r.lost && (!r.slow || time.Since(r.at) >= doubt)
 }
 
 // writeDirect writes to the store and notes whether it answers.
 func (r *relay) writeDirect(ctx context.Context, operation string, changes []snipeplatform.Change) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
-	defer cancel()
+	begun := time.Now()
 	version, err := r.Direct(ctx, operation, changes)
 	r.lock.Lock()
+	r.at = time.Now()
+	r.slow = r.at.Sub(begun) > quickWrite
 	changed := r.lost == answered(err)
-	if r.lost = !answered(err); r.lost {
-		r.lostAt = time.Now()
-	}
+	r.lost = !answered(err)
 	r.lock.Unlock()
 	switch {
 	case !changed:
@@ -147,12 +148,13 @@
 	return r.Ask(ctx, peer, operation, changes)
 }
 
-// relayPeers returns the instances that may reach the store for this one: those that stay.
+// relayPeers returns the instances that may reach the store for this one: those that renew
+// each second, and so know whether it answers.
 func (i *Instance) relayPeers() []netip.AddrPort {
 	var all []netip.AddrPort
 	// The order of a map is another one each time.
 	for peer, other := range i.holder.View().Live {
-		if peer != i.Settings.Peers && !other.Leaving {
+		if peer != i.Settings.Peers && !other.Leaving && !other.Standby {
 			all = append(all, peer)
 		}
 	}
@@ -187,7 +189,7 @@
 		return nil, twirp.InvalidArgumentError("changes", "are none or too many")
 	}
 	if !s.relay.Reached() {
-		return nil, twirp.NewError(twirp.Unavailable, "the store does not answer here either")
+		return nil, twirp.NewError(twirp.Unavailable, "the store does not answer soon here either")
 	}
 	var changes []snipeplatform.Change
 	for _, c := range r.GetChanges() {
@@ -200,7 +202,8 @@
 		}
 		changes = append(changes, change)
 	}
-	version, err := s.relay.writeDirect(ctx, r.GetOperation(), changes)
+	// Whoever asks may give up sooner than the store: its answer tells this instance as much.
+	version, err := s.relay.writeDirect(context.WithoutCancel(ctx), r.GetOperation(), changes)
 	switch {
 	case errors.Is(err, snipeplatform.ErrConflict):
 		return &snipeproto.OwnershipWriteResponse{}, nil
--- a/snipeentry/relay_test.go
+++ b/snipeentry/relay_test.go
@@ -24,11 +24,15 @@
 
 var (
 	goodWay    = way{took: 5 * time.Millisecond, applies: true}
+	slowWay    = way{took: 400 * time.Millisecond, applies: true}
 	refusedWay = way{err: snipeplatform.ErrUnavailable, took: 2 * time.Millisecond}
 	silentWay  = way{err: snipeplatform.ErrUnknown, took: time.Minute}
 	lostWay    = way{err: snipeplatform.ErrUnknown, took: time.Minute, applies: true}
 )
 
+// storeAnswers bounds a call to the store, as its client does.
+const storeAnswers = 1200 * time.Millisecond
+
 // rowStore is a store of one row, which counts how often it was written.
 type rowStore struct {
 	version uint64
@@ -49,6 +53,8 @@
 			}
 		}
 		version := s.version
+		ctx, cancel := context.WithTimeout(ctx, storeAnswers)
+		defer cancel()
 		select {
 		case <-time.After(w.took):
 		case <-ctx.Done():
@@ -77,6 +83,7 @@
 		"AnswersNobody":   {silentWay, []way{silentWay, silentWay, silentWay}, 0},
 		"NobodyIsKnown":   {refusedWay, nil, 0},
 		"OthersAreSilent": {goodWay, []way{silentWay}, renewals},
+		"SlowToAll":       {slowWay, []way{slowWay, slowWay}, renewals},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -104,7 +111,7 @@
 					if err == nil {
 						renewed++
 						known = version
-						must.Less(t, every+relayTimeout, time.Since(begun))
+						must.Less(t, storeAnswers+relayTimeout, time.Since(begun))
 					}
 					time.Sleep(every - time.Since(begun))
 				}
@@ -136,6 +143,27 @@
 	return answer.GetVersion(), nil
 }
 
+// TestSlowStore: an instance to which the store is slow makes no writes for others, which would
+// be as slow and come on top of those that the store has to make anyway.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &rowStore{calls: map[netip.AddrPort]int{}}
+		r := &relay{Direct: s.through(slowWay, peer(1)), Lost: func(error) {}, Back: func() {}}
+		server := &ownershipServer{relay: r}
+		change := snipeplatform.Change{Key: snipeplatform.Key{Partition: snipeowner.Partition, Sort: "instance/a"}, Data: []byte("{}")}
+		must.True(t, r.Reached())
+		_, err := r.writeDirect(t.Context(), "", []snipeplatform.Change{change})
+		must.NoError(t, err)
+		for range 10 {
+			_, err = serveWrite(t.Context(), server, "", []snipeplatform.Change{change})
+			must.Error(t, err)
+		}
+		must.Eq(t, 1, s.calls[peer(1)])
+		time.Sleep(doubt)
+		must.True(t, r.Reached())
+	})
+}
+
 // TestRelayedRows: another instance writes rows of ownership alone, within bounds, and says at
 // once that it does not reach the store either.
 func TestRelayedRows(t *testing.T) {
@@ -157,6 +185,8 @@
 	}
 	must.Eq(t, 1, s.calls[peer(1)], must.Sprint("it is known to be lost after the first"))
 	must.False(t, server.relay.Reached())
+	server.relay.at = server.relay.at.Add(-time.Minute)
+	must.False(t, server.relay.Reached(), must.Sprint("until a write of its own is made"))
 }
 
 // TestNoRight: an engine whose owner has no right to order it is asked for nothing for a
--- a/snipeentry/report.go
+++ b/snipeentry/report.go
@@ -35,7 +35,9 @@
 			reports[peer].Engines = append(reports[peer].Engines, i.encodeUse(id, uses))
 		}
 	}
-	i.askQuietOwner(v.Others, reports)
+	if !i.gathers() {
+		i.askQuietOwner(v.Others, reports)
+	}
 	for peer, r := range reports {
 		go i.report(ctx, peer, r)
 	}
@@ -111,6 +113,9 @@
 // objectives can still be met.
 const reportTimeout = 300 * time.Millisecond
 
+// peerName names another instance in log lines.
+const peerName = "Peer"
+
 // report sends a report and takes what its answer tells.
 func (i *Instance) report(ctx context.Context, to netip.AddrPort, r *snipeproto.AdapterReportRequest) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -119,9 +124,9 @@
 	changed := i.peers.reached(to, err == nil)
 	switch {
 	case err != nil && changed:
-		i.Log.Error(snipelog.PeerUnreached, err, snipelog.Fields{"Peer": to})
+		i.Log.Error(snipelog.PeerUnreached, err, snipelog.Fields{peerName: to})
 	case changed:
-		i.Log.Log(snipelog.PeerReached, snipelog.Fields{"Peer": to})
+		i.Log.Log(snipelog.PeerReached, snipelog.Fields{peerName: to})
 	}
 	if err == nil {
 		i.peers.hear(to)
--- a/snipeentry/silent.go
+++ b/snipeentry/silent.go
@@ -8,8 +8,7 @@
 )
 
 // errSilent: an owner does not answer reports of use, so that it will not answer a question
-// either. A request that waited for one that stood still was given up by its caller after four
-// times its objective; on a day with seven such seconds that was one request in forty.
+// either.
 var errSilent = errors.New("the owner does not answer")
 
 // question is one that is under way.
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -154,6 +154,7 @@
 			i.spread()
 		})
 	})
+	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, loadsEvery, i.learnLoads) })
 	servers, err := i.listen(ctx, &g)
 	if err != nil {
 		return err
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -11,14 +11,14 @@
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/sniperoute"
 )
 
 const (
 	// versionGrace is how long after an adapter's new version was learned a request
 	// may still be sent to an engine that holds the one before. Operators allow five
-	// seconds until none begins on it: 1.5 s are for learning of the announcement, and
-	// 2 s for the wait in an engine's queue, which was up to 1.8 s under heavy load.
-	// Engines that are not in a queue's way have the new version within a second.
+	// seconds until none begins on it, of which some are for learning of the announcement
+	// and for the wait in an engine's queue. Others have the new version within a second.
 	versionGrace = 1500 * time.Millisecond
 )
 
@@ -91,6 +91,9 @@
 	a, fresh := q.Adapter, untried(tried)
 	all := directory.Service(service)
 	holders := c.mayHold(directory, service, a)
+	if few := sample(holders, q.ID); a.Name == "" && c.held(few, fresh) > 0 {
+		holders = few
+	}
 	required := c.Versions.Required(a, versionGrace)
 	holds := func(u *snipedirectory.Upstream) bool {
 		version, ok := c.Residency.Holds(u, a)
@@ -124,6 +127,23 @@
 	return resolve(directory, service, c.Residency.Holders(a, make([]string, 0, usualHolders)))
 }
 
+// sampled is how many engines are looked at for a request that all of them could serve: many
+// instances know the same loads, and would all choose the same idle engine.
+const sampled = 4
+
+// sample returns a few engines, others for each request.
+func sample(all []*snipedirectory.Upstream, id string) []*snipedirectory.Upstream {
+	if len(all) <= sampled {
+		return all
+	}
+	key := sniperoute.Hash(id)
+	few := make([]*snipedirectory.Upstream, 0, sampled)
+	for n := range uint64(sampled) {
+		few = append(few, all[sniperoute.Score(key, n)%uint64(len(all))])
+	}
+	return few
+}
+
 // usualHolders is the number of engines for whose names room is made at once: few adapters
 // are on more.
 const usualHolders = 8
--- a/snipegateway/memory.go
+++ b/snipegateway/memory.go
@@ -8,11 +8,11 @@
 
 const (
 	// leastShared is from how many tokens that a prompt shares with others it counts
-	// where they were read: a thousand take an engine 26 ms, less than the engines'
-	// loads differ by.
+	// where they were read: fewer take an engine less time than the engines' loads differ
+	// by.
 	leastShared = 1000
 	// requestTokens is how many tokens an engine reads in the time that one short
-	// request takes of it: 35 ms at 38.7 tokens a millisecond.
+	// request takes of it.
 	requestTokens = 1350
 )
 
--- a/snipegateway/pace.go
+++ b/snipegateway/pace.go
@@ -9,14 +9,14 @@
 	// slowShare is the share of requests whose first piece came sooner than is counted on:
 	// what one in five waits for or longer is what a busy engine costs.
 	slowShare = 0.8
-	// paceStep is by how much one request moves the expected delay: some forty move it by
-	// half, which one of nine instances sees in a few seconds.
+	// paceStep is by how much one request moves the expected delay: some forty move it by half,
+	// which an instance sees in a few seconds.
 	paceStep = 0.05
 	// leastBusy is from which share of an engine's slots on requests tell of its pace: below,
 	// the way there and the prompt itself make most of the time.
 	leastBusy = 0.4
 	// firstDelay stands for the delay at an engine whose slots are all taken until enough was
-	// seen: engines of 5.5 and of 8.2 ms a step had 280 and 355 ms.
+	// seen.
 	firstDelay = 300 * time.Millisecond
 	// firstWait stands for the wait for a load until one was waited for.
 	firstWait = 300 * time.Millisecond
@@ -27,10 +27,8 @@
 )
 
 // pace is what this instance observes of a service's engines: what their being busy costs a
-// request, and what a load costs that would spare it that. Both differ between customers and
-// from one moment to the next: with a weight store at its limit a load took 460 ms, elsewhere
-// 280. Fixed bounds served one customer best with 0.8 of the slots, another one with 1.3: 0.014 of
-// the worth of its days of trouble. The zero value is ready.
+// request, and what a load costs that would spare it that. Both differ between deployments and
+// from one moment to the next. The zero value is ready.
 type pace struct {
 	lock sync.Mutex // guards the fields below
 	// delay is the time to the first piece at an engine whose slots are all taken; it is
--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -12,9 +12,8 @@
 
 const (
 	// ReplicaRate is how many requests a second one engine should answer for one
-	// adapter: half of what an engine can answer in all with prompts of 650 tokens.
-	// A lower rate fills places that rarer adapters need: with 8 a second 4.0 in 100
-	// requests were refused under heavy load, with 15 a second 3.0.
+	// adapter: half of what an engine can answer in all. A lower rate fills places that
+	// rarer adapters need.
 	ReplicaRate = 15.0
 	// replicaPatience is how long the load of one more replica may take: with more
 	// to do, the engine is no help.
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -141,5 +141,7 @@
 	PeerReached    = define(517, "PeerReached", logrus.InfoLevel)
 	EngineUnread   = define(516, "EngineUnread", logrus.WarnLevel)
 
+	LoadsUnknown       = define(519, "LoadsUnknown", logrus.WarnLevel)
+	LoadsKnown         = define(520, "LoadsKnown", logrus.InfoLevel)
 	EngineStartedAgain = define(518, "EngineStartedAgain", logrus.WarnLevel)
 )
--- a/snipemirror/follow.go
+++ b/snipemirror/follow.go
@@ -15,9 +15,8 @@
 	// failurePause is the time between two reads while the store does not answer.
 	failurePause = 300 * time.Millisecond
 	// lostTurns is how many reads there are to one of the store while it does not answer,
-	// rareTurns those of an instance of many: 87 instances that asked it every 0.6 s made
-	// 9,550 calls in 48 s with an outage of 8 s, and 5,241 with every 2.4 s. Most learn that
-	// it is back from those that ask more often.
+	// rareTurns those of an instance of many, most of which learn that it is back from those
+	// that ask more often.
 	lostTurns, rareTurns = 2, 16
 	// firstWait is how long another instance is waited for that may have started just now as
 	// well, and has read nothing yet.
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -265,6 +265,8 @@
 			return nil
 		}
 	}
+	// What the rows tell is known at once: the first write may have to wait for others'.
+	h.publish()
 	if len(h.instance) == 0 {
 		// All may start now for the first time, and a part of the store makes a few hundred
 		// writes a second: those that come later find enough owners and write nothing yet.
--- a/snipeowner/standby.go
+++ b/snipeowner/standby.go
@@ -23,8 +23,7 @@
 	fullOwner  = 60
 	// strongOwners is how many instances of at least twice the power are enough to leave
 	// the engines to them, each up to twice as many: an owner takes the reports of all others,
-	// a thousand a second at 81 instances, which filled the links of 10 Mbit/s that the small
-	// ones have.
+	// which fill the links of weak ones.
 	strongOwners = 5
 	// standbyEvery is the time between two renewals of an instance that owns nothing
 	// and is not needed: what others do with its row can wait.
