A start during an outage of the store does not wait to find others

Cause: an instance that starts waits until it knows others whose copies it may follow; with the store away it found nobody and waited 0.7 s before it turned to its seeds.

Change: the wait ends when the store refuses, and is 0.4 s at most. TestAcquaint.

--- /dev/null
+++ b/snipeentry/acquaint_test.go
@@ -0,0 +1,36 @@
+package snipeentry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestAcquaint answers the pattern of all instances starting at once, also while the store is
+// away: who knows others begins at once, who finds nobody waits a moment, and nobody waits for
+// a store that refuses.
+func TestAcquaint(t *testing.T) {
+	tests := map[string]struct {
+		known   int
+		refused bool
+		want    time.Duration
+	}{
+		"KnowsOthers":  {3, false, 0},
+		"FindsNobody":  {0, false, acquaintance},
+		"StoreRefuses": {0, true, 0},
+	}
+	all := memberRows(t)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := among(t, 0, 2*time.Second, all[:tt.known])
+				i.strange.Store(tt.refused)
+				begun := time.Now()
+				i.acquaint(t.Context())
+				must.Eq(t, tt.want, time.Since(begun))
+			})
+		})
+	}
+}
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -40,8 +40,9 @@
 
 const (
 	// acquaintance is how long an instance that starts waits at most to know the others,
-	// whose copies it follows, before it reads the store's tables itself.
-	acquaintance = 700 * time.Millisecond
+	// whose copies it follows, before it reads the store's tables itself: where the store is
+	// silent all that start are without routes meanwhile.
+	acquaintance = 400 * time.Millisecond
 	// acquaintanceEvery is the time between two looks.
 	acquaintanceEvery = 10 * time.Millisecond
 	// settledAfter is how long after its start an instance that knows nobody looks for others
@@ -88,11 +89,12 @@
 func (i *Instance) alone() bool { return i.instances() <= 1 }
 
 // acquaint waits until other instances are known, so that a start of hundreds reads of the
-// store what each needs to find the others, and the rest from these.
+// store what each needs to find the others, and the rest from these. While the store does not
+// answer nobody can be found by it.
 func (i *Instance) acquaint(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, acquaintance)
 	defer cancel()
-	for i.alone() && snipetime.Sleep(ctx, acquaintanceEvery) {
+	for i.alone() && !i.strange.Load() && snipetime.Sleep(ctx, acquaintanceEvery) {
 	}
 }
 
@@ -131,7 +133,8 @@
 	t.ownership.Hasten = func() bool { return i.alone() && time.Since(started) < settledAfter }
 	t.catalog.Begin, t.directory.Begin = i.acquaint, i.acquaint
 	// The holder tells of the loss of the store itself, by its renewals.
-	t.ownership.Lost, t.ownership.Back = func(error) {}, func() {}
+	t.ownership.Lost = func(error) { i.strange.Store(true) }
+	t.ownership.Back = func() { i.strange.Store(false) }
 }
 
 func (i *Instance) catalogFields() snipelog.Fields {
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -19,6 +19,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -121,6 +122,8 @@
 	phase     phase
 
 	wrongEntries wrongEntries
+	// strange tells that the rows of ownership, by which others are found, cannot be read.
+	strange atomic.Bool
 	// evicted is the last eviction of an own engine that the reports' duty has noted.
 	evicted uint64
 
