Owners that start again take their engines back at once

Cause: a start reads the rows of ownership before the registry, and its first step finds no engines; the next one came a second later (known red, TestStartBeforeDirectory: 2 of 6 engines ordered 0.4 s after the start). And an owner that others outrank by the time it starts again stood by, so that its engines waited for a lease.

Ruled out: reading both at once again, which costs every start a whole reading of the registry.

Change: after the first step the engines are looked for each 20 ms, for five seconds at most, and the next step is taken as soon as they are known. Who owned engines by an earlier start does not stand by.

--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -70,6 +70,9 @@
 	// firstEvery is the time between two looks for the rows until they were first read:
 	// an instance that starts again takes its engines back at once.
 	firstEvery = 20 * time.Millisecond
+	// unknownEngines is how long after a start engines that are not known yet are looked for so
+	// often. A deployment may have none.
+	unknownEngines = 5 * time.Second
 	// orderTime is how long after a renewal was sent this instance may order.
 	orderTime = 2400 * time.Millisecond
 	// margin covers the difference between two machines' clock rates and the time
@@ -278,11 +281,40 @@
 	defer t.Stop()
 	for ctx.Err() == nil {
 		h.Step(ctx)
+		if h.awaitEngines(ctx, t.C) {
+			t.Reset(stepEvery)
+			continue
+		}
 		h.lookUntil(ctx, t.C)
 	}
 	return nil
 }
 
+// awaitEngines waits, for a while after the start, until engines are known, and reports whether
+// the next step is due: an instance that starts again takes its engines back at once, whichever
+// of the rows and the directory it reads first.
+func (h *Holder) awaitEngines(ctx context.Context, end <-chan time.Time) bool {
+	if len(h.Engines()) > 0 || h.Clock()-h.started > unknownEngines {
+		return false
+	}
+	look := time.NewTicker(firstEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-end:
+			return true
+		case <-h.nudges():
+			h.look(ctx)
+		case <-look.C:
+			if len(h.Engines()) > 0 {
+				return true
+			}
+		}
+	}
+}
+
 // lookUntil looks at the rows whenever it is nudged, until a time comes or ctx ends.
 func (h *Holder) lookUntil(ctx context.Context, end <-chan time.Time) {
 	for {
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -690,6 +690,33 @@
 	})
 }
 
+// TestStartOutranked answers the pattern of all instances starting again at once, where those
+// that owned the engines rank behind others by now: they order their engines again at once, and
+// leave none to be taken over after a lease.
+func TestStartOutranked(t *testing.T) {
+	// A reading of the rows takes up to 600 ms here; a lease takes 2.7 s.
+	const soon = 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 13, 24, 6)
+		defer p.end()
+		p.watch(5 * time.Second)
+		must.Eq(t, 6, p.owned())
+		p.power = func(n int) float64 {
+			if p.holders[n].Owns() {
+				return 0.2
+			}
+			return 0.8
+		}
+		for n := range p.holders {
+			p.start(n)
+		}
+		p.watch(soon)
+		must.Eq(t, 6, p.owned())
+		p.watch(10 * time.Second)
+		must.Eq(t, 6, p.owned())
+	})
+}
+
 // TestOutage answers the pattern of a store that answers nobody for ten seconds: those who own
 // engines go on to order them, since nobody else can take them. Where the store answers
 // some, or where one who may reach it says nothing, the right ends with the lease.
--- a/snipeowner/standby.go
+++ b/snipeowner/standby.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"net/netip"
+	"slices"
 	"time"
 
 	"snipepitch.example/snipepitch/sniperoute"
@@ -40,7 +42,7 @@
 
 // standby reports whether there are enough other instances to own the engines.
 func (h *Holder) standby() bool {
-	if len(h.holdings) > 0 || h.leaving.Load() {
+	if len(h.holdings) > 0 || h.leaving.Load() || h.formerOwner() {
 		return false
 	}
 	self := sighting{Instance: h.Self, hash: addressHash(h.Self.Peer)}
@@ -60,6 +62,14 @@
 	return strong >= max(strongOwners, enough/2) || ahead >= max(leastOwners, enough)
 }
 
+// formerOwner reports whether an earlier start of this instance owned engines that nobody has
+// taken since. It takes them back, whoever ranks before it: others would wait for a lease.
+func (h *Holder) formerOwner() bool {
+	return slices.ContainsFunc(h.Engines(), func(engine netip.AddrPort) bool {
+		return h.owners[engine].Machine == h.Self.Peer
+	})
+}
+
 // owners returns how many instances should share so many engines where there are many.
 func owners(engines int) int {
 	return max(min(engines/enginesPerOwner, mostOwners), engines/fullOwner)
