--- a/snipecaller/snipecaller.go
+++ b/snipecaller/snipecaller.go
@@ -183,7 +183,7 @@
 	if tree == nil {
 		return nil, snipeerror.New(snipeerror.ErrUnavailable, snipeerror.NotRun, "no settings yet").After(stoppingRetry)
 	}
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key, ok := snipecall.BearerKey(r.Header)
 	if !ok {
 		return nil, refused(snipeerror.ErrUnauthenticated, "no bearer key")
 	}
--- a/snipecatalog/snipecatalog.go
+++ b/snipecatalog/snipecatalog.go
@@ -1,6 +1,6 @@
 // Package snipecatalog holds what operators declare for requests that are passed
-// on as they are: routes by host and path prefix, the services behind them, and
-// the newest version of each adapter.
+// on as they are: routes by host and path prefix, the services behind them, the
+// workspaces that callers' keys belong to, and the newest version of each adapter.
 //
 // A Catalog is an immutable snapshot. A Keeper holds the one in force.
 //
@@ -59,6 +59,8 @@
 	Backends []Backend
 	// MaxAttempts bounds the upstreams that may run one request.
 	MaxAttempts int
+	// Public routes need no key.
+	Public bool
 }
 
 // MayRepeat reports whether a request that may have run can be sent again.
@@ -127,20 +129,27 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]*Service
-	Limits   Limits
+	// Workspaces are whom callers' keys belong to; where there are none no request needs a key.
+	Workspaces []Workspace
+	Limits     Limits
 
 	hosts map[string][]*Route
+	keys  map[KeyDigest]*Workspace
+	names map[string]*Workspace
+	// limited tells that a workspace has a quota.
+	limited bool
 }
 
-// Index prepares the catalog for Lookup. It is called once, before the catalog
-// is shared.
-func (c *Catalog) Index() {
+// Index prepares the catalog for Lookup and Workspace, and returns what is wrong with its
+// workspaces. It is called once, before the catalog is shared.
+func (c *Catalog) Index() error {
 	c.hosts = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
 	}
+	return c.indexWorkspaces()
 }
 
 // Lookup returns the route of a host with the longest prefix of path; nil when
--- a/snipecatalog/snipecatalog_test.go
+++ b/snipecatalog/snipecatalog_test.go
@@ -12,7 +12,9 @@
 
 func catalog(version int64, routes ...snipecatalog.Route) *snipecatalog.Catalog {
 	c := &snipecatalog.Catalog{Version: version, Routes: routes}
-	c.Index()
+	if err := c.Index(); err != nil {
+		panic(err) // the routes are those of the test
+	}
 	return c
 }
 
--- /dev/null
+++ b/snipeentry/keys_test.go
@@ -0,0 +1,247 @@
+package snipeentry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+const (
+	tokensHeader    = "X-Snipepitch-Token-Usage"
+	workspaceHeader = "X-Snipepitch-Tenant"
+)
+
+// workspace is a workspace without a quota, as operators write it.
+func workspace(name string, keys ...string) object {
+	return object{"name": name, "apiKeys": keys, "unit": "token_rate", "plainTokens": 200}
+}
+
+// seen returns the tokens that upstreams ran for a workspace, and how many keys they saw.
+func (s *stage) seen(workspace string) (tokens, keys int) {
+	for _, r := range s.runners {
+		_, n := r.Workspaces()
+		tokens, keys = tokens+r.Tokens()[workspace], keys+n
+	}
+	return tokens, keys
+}
+
+// status sends a request with a key and returns the status that it got.
+func status(t *testing.T, i *instance, key string) int {
+	t.Helper()
+	a, _ := send(t, i.url, http.MethodPost, "/once/x", "", "Authorization", "Bearer "+key)
+	must.NoError(t, a.err)
+	return a.status
+}
+
+// TestKeys: a request runs for the workspace that holds its key, and not without one.
+func TestKeys(t *testing.T) {
+	s := newStage(t, time.Millisecond)
+	s.declare(1, workspace("north", "key-n1", "key-n2"), workspace("south", "key-s1"))
+	one := s.start("one")
+	eventually(t, func() bool { return status(t, one, "key-n1") == http.StatusOK })
+	tests := map[string]struct {
+		target string
+		header []string
+		want   int
+		runs   string // the workspace that it runs for
+	}{
+		"Key":              {"/once/x", []string{"Authorization", "Bearer key-n2"}, 200, "north"},
+		"OtherCase":        {"/once/x", []string{"authorization", "BEARER key-s1"}, 200, "south"},
+		"Spaces":           {"/once/x", []string{"Authorization", "  Bearer   key-s1 "}, 200, "south"},
+		"None":             {"/once/x", nil, 401, ""},
+		"Empty":            {"/once/x", []string{"Authorization", ""}, 401, ""},
+		"Unknown":          {"/once/x", []string{"Authorization", "Bearer key-x"}, 401, ""},
+		"OtherScheme":      {"/once/x", []string{"Authorization", "Basic key-n1"}, 401, ""},
+		"KeyInOtherCase":   {"/once/x", []string{"Authorization", "Bearer KEY-N1"}, 401, ""},
+		"TwoInOne":         {"/once/x", []string{"Authorization", "Bearer key-n1, Bearer key-s1"}, 401, ""},
+		"Huge":             {"/once/x", []string{"Authorization", "Bearer " + strings.Repeat("k", 16<<10)}, 401, ""},
+		"ClaimsOther":      {"/once/x", []string{"Authorization", "Bearer key-n1", workspaceHeader, "south"}, 200, "north"},
+		"ClaimsUnderscore": {"/once/x", []string{"Authorization", "Bearer key-n1", "X_Snipepitch_Tenant", "south"}, 200, "north"},
+		"ListedConnection": {"/once/x", []string{"Authorization", "Bearer key-n1", "Connection", workspaceHeader}, 200, "north"},
+		"Public":           {"/open/x", nil, 200, ""},
+		"PublicClaims":     {"/open/x", []string{workspaceHeader, "south"}, 200, ""},
+		"PublicUnknown":    {"/open/x", []string{"Authorization", "Bearer key-x"}, 200, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			before, _ := s.seen(tt.runs)
+			a, id := send(t, one.url, http.MethodPost, tt.target, "", append(tt.header, tokensHeader, "30,4")...)
+			must.NoError(t, a.err)
+			must.Eq(t, tt.want, a.status, must.Sprint(a.body))
+			after, keys := s.seen(tt.runs)
+			must.Eq(t, 0, keys)
+			if tt.want != http.StatusOK {
+				must.Eq(t, 0, s.total(id))
+				must.Eq(t, "Bearer", a.header.Get("WWW-Authenticate"))
+				return
+			}
+			must.Eq(t, before+34, after)
+		})
+	}
+	must.StrNotContains(t, s.logged(), "key-")
+}
+
+// TestKeysChange: keys are in force and void with the catalogs that say so.
+func TestKeysChange(t *testing.T) {
+	s := newStage(t, time.Millisecond)
+	s.declare(1, workspace("north", "key-1", "key-2"), workspace("south", "key-3"))
+	one := s.start("one")
+	becomes := func(key string, want int) {
+		t.Helper()
+		eventually(t, func() bool { return status(t, one, key) == want })
+	}
+	becomes("key-1", http.StatusOK)
+	// Taken away, and given back.
+	s.declare(2, workspace("north", "key-2"), workspace("south", "key-3"))
+	becomes("key-1", http.StatusUnauthorized)
+	becomes("key-2", http.StatusOK)
+	s.declare(3, workspace("north", "key-1", "key-2"), workspace("south", "key-3"))
+	becomes("key-1", http.StatusOK)
+	// All of a workspace's keys at once, and one that moves to another workspace.
+	s.declare(4, workspace("north"), workspace("south", "key-3", "key-2"))
+	becomes("key-1", http.StatusUnauthorized)
+	before, _ := s.seen("south")
+	_, _ = send(t, one.url, http.MethodPost, "/once/x", "", "Authorization", "Bearer key-2", tokensHeader, "5,5")
+	after, _ := s.seen("south")
+	must.Eq(t, before+10, after)
+	// A catalog that is wrong in one workspace changes nothing.
+	s.declare(5, workspace("north", "key-1"), workspace("south", "key-1"))
+	eventually(t, func() bool { return strings.Contains(s.logged(), `\"south\": has a key of \"north\"`) })
+	becomes("key-3", http.StatusOK)
+	// Without workspaces no request needs a key.
+	s.declare(6)
+	becomes("key-1", http.StatusOK)
+	must.StrNotContains(t, s.logged(), "key-")
+}
+
+// TestKeyTakenWhileWaiting answers the pattern of a request that waits for its adapter when its key
+// is taken away: it goes to no upstream.
+func TestKeyTakenWhileWaiting(t *testing.T) {
+	s := newStage(t, time.Millisecond)
+	for _, r := range s.runners {
+		r.Load = 1500 * time.Millisecond
+	}
+	s.declare(1, workspace("north", "key-1"))
+	one := s.start("one")
+	eventually(t, func() bool {
+		a, _ := send(t, one.url, http.MethodPost, "/draft/x", "", modelHeader, "base/a8", "Authorization", "Bearer key-1")
+		return a.status == http.StatusOK
+	})
+	type result struct {
+		reply
+		id string
+	}
+	got := make(chan result, 1)
+	go func() {
+		a, id := send(t, one.url, http.MethodPost, "/draft/x", "", modelHeader, "base/a9", "Authorization", "Bearer key-1")
+		got <- result{a, id}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	s.declare(2, workspace("north", "key-2"))
+	r := <-got
+	must.Eq(t, http.StatusUnauthorized, r.status, must.Sprint(r.body))
+	must.Eq(t, 0, s.total(r.id))
+}
+
+// TestKeyWhileBehind: an instance that cannot know whether a newer catalog holds the key does not
+// say that there is none.
+func TestKeyWhileBehind(t *testing.T) {
+	s := newStage(t, time.Millisecond)
+	s.declare(1, workspace("north", "key-1"))
+	one := s.start("one")
+	eventually(t, func() bool { return status(t, one, "key-1") == http.StatusOK })
+	s.store.SetMode(snipestand.StoreRefuses)
+	eventually(t, func() bool { return status(t, one, "key-2") == http.StatusServiceUnavailable })
+	must.Eq(t, http.StatusOK, status(t, one, "key-1"))
+	a, _ := send(t, one.url, http.MethodPost, "/other/x", "", "Authorization", "Bearer key-1")
+	must.Eq(t, http.StatusServiceUnavailable, a.status)
+	must.NotEq(t, "", a.header.Get("Retry-After"))
+	s.store.SetMode(snipestand.StoreServes)
+	eventually(t, func() bool { return status(t, one, "key-2") == http.StatusUnauthorized })
+}
+
+// TestHostileKeys: headers of ten thousand callers without a key reach no upstream and no log.
+func TestHostileKeys(t *testing.T) {
+	s := newStage(t, time.Millisecond)
+	s.declare(1, workspace("north", "key-1"))
+	one := s.start("one")
+	eventually(t, func() bool { return status(t, one, "key-1") == http.StatusOK })
+	ran := func() int { return len(s.runners["p1"].Ran()) + len(s.runners["p2"].Ran()) }
+	before := ran()
+	random := rand.New(rand.NewPCG(1, 1))
+	h := &http.Client{}
+	for n := range 10_000 {
+		r, err := http.NewRequest(http.MethodGet, one.url+"/often/x", nil)
+		must.NoError(t, err)
+		r.Host = host
+		r.Header.Set("X-Snipepitch-Attempt-Id", fmt.Sprint("hostile", n))
+		r.Header["Authorization"] = hostile(random)
+		a, err := h.Do(r)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusUnauthorized, a.StatusCode, must.Sprintf("%q", r.Header["Authorization"]))
+		must.Less(t, 1000, a.ContentLength)
+		must.NoError(t, a.Body.Close())
+	}
+	must.Eq(t, before, ran())
+	must.StrNotContains(t, s.logged(), "hidden-")
+}
+
+// hostile returns values of a key's header that hold no key, or that are none.
+func hostile(random *rand.Rand) []string {
+	junk := make([]byte, random.IntN(200))
+	for n := range junk {
+		junk[n] = byte(0x80 + random.IntN(0x80))
+	}
+	forms := []string{
+		"", " ", "Bearer", "Bearer ", "Bearer\tkey-1", "Bearer hidden-1", "bearer hidden-2", "Basic key-1", "key-1",
+		"Bearer key-1 ,", "Bearer \"key-1\"", "Bearer  key-1=", "Bearer KEY-1", "Bearer " + string(junk), string(junk),
+		"Bearer hidden-" + strings.Repeat("x", random.IntN(4000)), "Bearer key-1;hidden-3", "Bearer key-1 key-1",
+	}
+	values := []string{forms[random.IntN(len(forms))]}
+	if random.IntN(3) == 0 {
+		values = append(values, forms[random.IntN(len(forms))], "Bearer key-1")
+	}
+	return values
+}
+
+// TestQuota: over the quota callers are told at once when to come back, and what ran is counted.
+func TestQuota(t *testing.T) {
+	s := newStage(t, time.Millisecond)
+	limited := workspace("north", "key-1")
+	limited["ratePerS"], limited["burst"] = 1000, 1000
+	s.declare(1, limited, workspace("south", "key-2"))
+	one, two := s.start("one"), s.start("two")
+	for _, i := range []*instance{one, two} {
+		eventually(t, func() bool { return status(t, i, "key-2") == http.StatusOK })
+	}
+	// Some seconds at ten times the quota, at both instances.
+	began := time.Now()
+	refused := 0
+	for time.Since(began) < 3*time.Second {
+		for _, i := range []*instance{one, two} {
+			a, _ := send(t, i.url, http.MethodPost, "/once/x", "", "Authorization", "Bearer key-1", tokensHeader, "90,10")
+			switch a.status {
+			case http.StatusOK:
+			case http.StatusTooManyRequests:
+				refused++
+				must.NotEq(t, "", a.header.Get("Retry-After"))
+			default:
+				must.Unreachable(t, must.Sprint(a.status, a.body))
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	must.Positive(t, refused)
+	tokens, _ := s.seen("north")
+	// A burst, and the rate for the time that it took; requests under way may count twice.
+	must.LessEq(t, int(1000*(1+time.Since(began).Seconds()))+200, tokens)
+	must.GreaterEq(t, 2000, tokens)
+	must.Eq(t, http.StatusOK, status(t, one, "key-2"))
+}
--- a/snipeentry/loads.go
+++ b/snipeentry/loads.go
@@ -58,7 +58,7 @@
 func (i *Instance) askLoads(ctx context.Context, to netip.AddrPort, turn int) {
 	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
 	defer cancel()
-	answer, err := i.peers.client(to).Loads(ctx, &snipeproto.AdapterLoadsRequest{})
+	answer, err := i.peers.adapters.of(to).Loads(ctx, &snipeproto.AdapterLoadsRequest{})
 	if ctx.Err() == context.Canceled {
 		return
 	}
--- a/snipeentry/near.go
+++ b/snipeentry/near.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return nil, false
 	}
-	client := i.peers.mirror(reader)
+	client := i.peers.mirrors.of(reader)
 	return func(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
 		ctx, cancel := context.WithTimeout(ctx, wait+nearSlack)
 		defer cancel()
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -96,14 +96,14 @@
 	}
 }
 
-// peers asks other instances' desks.
+// peers asks other instances.
 type peers struct {
-	http *http.Client
+	adapters clients[snipeproto.Adapter]
+	mirrors  clients[snipeproto.Mirror]
+	owners   clients[snipeproto.Ownership]
+	quotas   clients[snipeproto.Quota]
 
-	lock    sync.Mutex // guards the fields below
-	clients map[netip.AddrPort]snipeproto.Adapter
-	mirrors map[netip.AddrPort]snipeproto.Mirror
-	owners  map[netip.AddrPort]snipeproto.Ownership
+	lock sync.Mutex // guards the fields below
 	// heard is when owners last answered, or were last asked.
 	heard map[netip.AddrPort]time.Time
 	// lost are the instances that the last report of use did not reach.
@@ -181,46 +181,39 @@
 	return p.heard[owner]
 }
 
-func (p *peers) mirror(address netip.AddrPort) snipeproto.Mirror {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if p.mirrors == nil {
-		p.mirrors = make(map[netip.AddrPort]snipeproto.Mirror)
-	}
-	c := p.mirrors[address]
-	if c == nil {
-		c = snipeproto.NewMirrorProtobufClient("http://"+address.String(), p.http)
-		p.mirrors[address] = c
-	}
-	return c
+// clients are those of one service, by the instances that serve it.
+type clients[C any] struct {
+	// Make makes the client of a service at a URL.
+	Make func(url string, http snipeproto.HTTPClient, options ...twirp.ClientOption) C
+	HTTP *http.Client
+
+	lock sync.Mutex // guards all
+	all  map[netip.AddrPort]C
 }
 
-func (p *peers) owner(address netip.AddrPort) snipeproto.Ownership {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if p.owners == nil {
-		p.owners = make(map[netip.AddrPort]snipeproto.Ownership)
+// of returns the client of an instance.
+func (c *clients[C]) of(address netip.AddrPort) C {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if found, ok := c.all[address]; ok {
+		return found
 	}
-	c := p.owners[address]
-	if c == nil {
-		c = snipeproto.NewOwnershipProtobufClient("http://"+address.String(), p.http)
-		p.owners[address] = c
+	if c.all == nil {
+		c.all = make(map[netip.AddrPort]C)
 	}
-	return c
+	made := c.Make("http://"+address.String(), c.HTTP)
+	c.all[address] = made
+	return made
 }
 
-func (p *peers) client(address netip.AddrPort) snipeproto.Adapter {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if p.clients == nil {
-		p.clients = make(map[netip.AddrPort]snipeproto.Adapter)
-	}
-	c := p.clients[address]
-	if c == nil {
-		c = snipeproto.NewAdapterProtobufClient("http://"+address.String(), p.http)
-		p.clients[address] = c
+// newPeers returns the clients of other instances, which share connections.
+func newPeers(h *http.Client) *peers {
+	return &peers{
+		adapters: clients[snipeproto.Adapter]{Make: snipeproto.NewAdapterProtobufClient, HTTP: h},
+		mirrors:  clients[snipeproto.Mirror]{Make: snipeproto.NewMirrorProtobufClient, HTTP: h},
+		owners:   clients[snipeproto.Ownership]{Make: snipeproto.NewOwnershipProtobufClient, HTTP: h},
+		quotas:   clients[snipeproto.Quota]{Make: snipeproto.NewQuotaProtobufClient, HTTP: h},
 	}
-	return c
 }
 
 // ensure has an engine's owner load an adapter.
@@ -234,7 +227,7 @@
 	}
 	ctx, cancel := i.peers.ask(ctx, owner.Instance.Peer)
 	defer cancel()
-	answer, err := i.peers.client(owner.Instance.Peer).Ensure(ctx, &snipeproto.AdapterEnsureRequest{
+	answer, err := i.peers.adapters.of(owner.Instance.Peer).Ensure(ctx, &snipeproto.AdapterEnsureRequest{
 		Engine: u.ID, Model: a.Model, Adapter: a.Name, Version: version,
 		PatienceMilliseconds: patience.Milliseconds(),
 	})
--- a/snipeentry/promise.go
+++ b/snipeentry/promise.go
@@ -48,7 +48,7 @@
 	for _, engine := range q.Engines {
 		r.Engines = append(r.Engines, engine.String())
 	}
-	answer, err := i.peers.owner(peer).Promise(ctx, r)
+	answer, err := i.peers.owners.of(peer).Promise(ctx, r)
 	switch {
 	case err != nil:
 		return err
--- /dev/null
+++ b/snipeentry/quota.go
@@ -0,0 +1,131 @@
+package snipeentry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipegateway"
+	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/snipequota"
+	"snipepitch.example/snipepitch/sniperoute"
+)
+
+// buildQuotas puts together how quotas of workspaces are kept.
+func (i *Instance) buildQuotas() {
+	s := i.Settings
+	bounds := snipequota.Bounds{Span: s.QuotaSpan.Value(), Overrun: s.QuotaOverrun, Slack: s.QuotaSlack}
+	i.issuer = &snipequota.Issuer{Quota: i.quotaOf, Instances: i.instanceNames, Bounds: bounds}
+	i.account = &snipequota.Account{
+		Ask: i.askQuota, Limited: i.quotasDeclared, Instances: i.instances, Bounds: bounds, Log: i.Log,
+	}
+}
+
+// gatewayQuotas returns how requests are counted.
+func (i *Instance) gatewayQuotas() snipegateway.Quotas {
+	return snipegateway.Quotas{Take: i.account.Take, Again: i.account.Again, Return: i.account.Return}
+}
+
+// quotaOf returns a workspace's quota by the catalog in force.
+func (i *Instance) quotaOf(workspace string) snipecatalog.Quota {
+	c := i.catalog.Catalog()
+	if c == nil {
+		return snipecatalog.Quota{}
+	}
+	w := c.WorkspaceNamed(workspace)
+	if w == nil {
+		return snipecatalog.Quota{}
+	}
+	return w.Quota
+}
+
+// quotasDeclared reports whether any workspace has a quota.
+func (i *Instance) quotasDeclared() bool {
+	c := i.catalog.Catalog()
+	return c != nil && c.Limited()
+}
+
+// instanceNames returns the names by which the live instances ask for units.
+func (i *Instance) instanceNames() []string {
+	ranked := i.holder.View().Ranked
+	all := make([]string, 0, len(ranked))
+	for _, other := range ranked {
+		all = append(all, other.Peer.String())
+	}
+	return all
+}
+
+// errNoIssuer says that no instance is known that grants units.
+var errNoIssuer = errors.New("no instance grants units of quotas")
+
+// quotaIssuer returns the instance that grants units: one of those that renew their rows each
+// second, the same one as long as it lives.
+func (i *Instance) quotaIssuer() (netip.AddrPort, bool) {
+	var best netip.AddrPort
+	var highest uint64
+	for _, other := range i.holder.View().Ranked {
+		if other.Leaving || other.Standby {
+			continue
+		}
+		if rank := sniperoute.Hash("quota", other.Peer.String()); rank >= highest {
+			best, highest = other.Peer, rank
+		}
+	}
+	return best, best.IsValid()
+}
+
+// askQuota asks the issuer for units.
+func (i *Instance) askQuota(ctx context.Context, asks []snipequota.Ask) ([]snipequota.Grant, error) {
+	issuer, ok := i.quotaIssuer()
+	if !ok {
+		return nil, errNoIssuer
+	}
+	self := i.Settings.Peers
+	if issuer == self {
+		return i.issuer.Issue(self.String(), asks), nil
+	}
+	r := &snipeproto.QuotaIssueRequest{Instance: self.String()}
+	for _, a := range asks {
+		r.Asks = append(r.Asks, &snipeproto.QuotaAsk{
+			Workspace: a.Workspace, Need: a.Need, First: a.First, Ahead: a.Ahead, Held: a.Held, Alone: a.Alone,
+			Demand: a.Demand, Level: a.Level, AgeMilliseconds: a.Age.Milliseconds(), Known: a.Known,
+		})
+	}
+	answer, err := i.peers.quotas.of(issuer).Issue(ctx, r)
+	if err != nil {
+		return nil, errors.Wrapf(err, "issuer %s", issuer)
+	}
+	all := make([]snipequota.Grant, 0, len(answer.GetGrants()))
+	for _, g := range answer.GetGrants() {
+		all = append(all, snipequota.Grant{
+			Workspace: g.GetWorkspace(), Units: g.GetUnits(), Share: g.GetShare(),
+			Wait: time.Duration(g.GetWaitMilliseconds()) * time.Millisecond, Level: g.GetLevel(),
+		})
+	}
+	return all, nil
+}
+
+// quotaServer serves other instances' questions for units.
+type quotaServer struct{ issuer *snipequota.Issuer }
+
+// Issue implements snipeproto.Quota.
+func (s *quotaServer) Issue(_ context.Context, r *snipeproto.QuotaIssueRequest) (*snipeproto.QuotaIssueResponse, error) {
+	asks := make([]snipequota.Ask, 0, len(r.GetAsks()))
+	for _, a := range r.GetAsks() {
+		asks = append(asks, snipequota.Ask{
+			Workspace: a.GetWorkspace(), Need: a.GetNeed(), First: a.GetFirst(), Ahead: a.GetAhead(), Held: a.GetHeld(),
+			Alone: a.GetAlone(), Demand: a.GetDemand(), Level: a.GetLevel(),
+			Age: time.Duration(a.GetAgeMilliseconds()) * time.Millisecond, Known: a.GetKnown(),
+		})
+	}
+	answer := &snipeproto.QuotaIssueResponse{}
+	for _, g := range s.issuer.Issue(r.GetInstance(), asks) {
+		answer.Grants = append(answer.Grants, &snipeproto.QuotaGrant{
+			Workspace: g.Workspace, Units: g.Units, Share: g.Share, WaitMilliseconds: g.Wait.Milliseconds(), Level: g.Level,
+		})
+	}
+	return answer, nil
+}
--- a/snipeentry/reader_test.go
+++ b/snipeentry/reader_test.go
@@ -46,7 +46,7 @@
 		Peers: self.Peer, Domain: self.Domain,
 		DrainTime: snipejson.Duration(freshness), ApplyTime: snipejson.Duration(freshness),
 	}}
-	i.peers = &peers{http: &http.Client{}}
+	i.peers = newPeers(&http.Client{})
 	i.holder = &snipeowner.Holder{
 		Self: self, Engines: func() []netip.AddrPort { return nil }, Log: snipelog.Discard(),
 		Clock:     func() time.Duration { return time.Hour },
--- a/snipeentry/relay.go
+++ b/snipeentry/relay.go
@@ -167,7 +167,7 @@
 	for _, c := range changes {
 		r.Changes = append(r.Changes, &snipeproto.OwnershipChange{Row: c.Sort, Expect: c.Expect, Data: c.Data})
 	}
-	answer, err := i.peers.owner(peer).Write(ctx, r)
+	answer, err := i.peers.owners.of(peer).Write(ctx, r)
 	var failure twirp.Error
 	switch {
 	case errors.As(err, &failure) && failure.Code() == twirp.Unavailable:
--- a/snipeentry/report.go
+++ b/snipeentry/report.go
@@ -120,7 +120,7 @@
 func (i *Instance) report(ctx context.Context, to netip.AddrPort, r *snipeproto.AdapterReportRequest) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, err := i.peers.client(to).Report(ctx, r)
+	answer, err := i.peers.adapters.of(to).Report(ctx, r)
 	changed := i.peers.reached(to, err == nil)
 	switch {
 	case err != nil && changed:
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -43,6 +43,11 @@
 	RetrySlack float64
 	// RetrySpan is the span of time over which both are counted.
 	RetrySpan snipejson.Duration
+	// QuotaSpan is the window over which the use of quotas is counted. In it all instances may
+	// together exceed a quota by the share QuotaOverrun of it and by QuotaSlack units.
+	QuotaSpan    snipejson.Duration
+	QuotaOverrun float64
+	QuotaSlack   float64
 	// StopTimeout bounds a planned stop.
 	StopTimeout snipejson.Duration
 	// DrainTime is within what time an upstream that says that it is leaving gets no new
@@ -73,7 +78,7 @@
 		return Settings{}, errors.Wrap(err, "settings file")
 	}
 	s := Settings{
-		LogLevel: "info", RetrySpan: snipejson.Duration(DefaultRetrySpan),
+		LogLevel: "info", RetrySpan: snipejson.Duration(DefaultRetrySpan), QuotaSpan: snipejson.Duration(DefaultQuotaSpan),
 		DrainTime: snipejson.Duration(DefaultFreshness), ApplyTime: snipejson.Duration(DefaultFreshness),
 	}
 	if err := snipejson.Decode(data, &s); err != nil {
@@ -88,6 +93,9 @@
 // DefaultRetrySpan is the span over which repeats are counted: the platform's.
 const DefaultRetrySpan = 10 * time.Second
 
+// DefaultQuotaSpan is the default of QuotaSpan.
+const DefaultQuotaSpan = 10 * time.Second
+
 // DefaultFreshness is the default of DrainTime and ApplyTime: what the paces of reading are made
 // for.
 const DefaultFreshness = 2 * time.Second
@@ -124,6 +132,8 @@
 		return invalid("OrderGap", "is negative")
 	case s.RetrySpan <= 0:
 		return invalid("RetrySpan", notPositive)
+	case s.QuotaSpan <= 0:
+		return invalid("QuotaSpan", notPositive)
 	case s.StopTimeout.Value() < leastStop:
 		return invalid("StopTimeout", "is shorter than "+leastStop.String())
 	case s.DrainTime <= 0:
@@ -134,6 +144,21 @@
 	return nil
 }
 
+// checkExcesses checks by how much all instances together may exceed what is allowed.
+func (s Settings) checkExcesses() error {
+	for name, share := range map[string]float64{"RetryShare": s.RetryShare, "QuotaOverrun": s.QuotaOverrun} {
+		if share < 0 || share > 1 {
+			return invalid(name, "is not between 0 and 1")
+		}
+	}
+	for name, slack := range map[string]float64{"RetrySlack": s.RetrySlack, "QuotaSlack": s.QuotaSlack} {
+		if slack < 0 {
+			return invalid(name, "is negative")
+		}
+	}
+	return nil
+}
+
 func (s Settings) check() error {
 	if s.Name == "" {
 		return invalid("Name", "is empty")
@@ -144,11 +169,10 @@
 	if err := s.checkTimes(); err != nil {
 		return err
 	}
+	if err := s.checkExcesses(); err != nil {
+		return err
+	}
 	switch {
-	case s.RetryShare < 0 || s.RetryShare > 1:
-		return invalid("RetryShare", "is not between 0 and 1")
-	case s.RetrySlack < 0:
-		return invalid("RetrySlack", "is negative")
 	case s.Power < 0:
 		return invalid("Power", "is negative")
 	case s.MemoryBytes < 0:
--- a/snipeentry/silent_test.go
+++ b/snipeentry/silent_test.go
@@ -23,7 +23,7 @@
 	defer server.Close()
 	owner := netip.MustParseAddrPort(server.Listener.Addr().String())
 	other := netip.MustParseAddrPort("10.0.0.9:80")
-	p := &peers{http: server.Client()}
+	p := newPeers(server.Client())
 
 	ctx, cancel := p.ask(t.Context(), owner)
 	defer cancel()
@@ -34,7 +34,7 @@
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL, nil)
 		if err == nil {
 			var a *http.Response
-			if a, err = p.http.Do(r); err == nil {
+			if a, err = server.Client().Do(r); err == nil {
 				err = a.Body.Close()
 			}
 		}
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -37,6 +37,7 @@
 	"snipepitch.example/snipepitch/snipemirror"
 	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipequota"
 	"snipepitch.example/snipepitch/snipetime"
 )
 
@@ -119,6 +120,8 @@
 	gateway   *snipegateway.Gateway
 	peers     *peers
 	budgets   *budgets
+	issuer    *snipequota.Issuer
+	account   *snipequota.Account
 	phase     phase
 
 	wrongEntries wrongEntries
@@ -143,6 +146,7 @@
 	}
 	i.duty(ctx, &g, i.holder.Run)
 	i.duty(ctx, &g, i.holder.RunProlong)
+	i.duty(ctx, &g, i.account.Run)
 	i.duty(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, takeEvery, i.takeEngines) })
 	i.duty(ctx, &g, func(ctx context.Context) error {
 		return snipetime.Every(ctx, sweepEvery, func(context.Context) {
@@ -226,10 +230,12 @@
 	i.desk.Spare = func(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
 		return i.gateway.Chooser.Spare(u, a, perSecond)
 	}
-	i.peers = &peers{http: peerClient(i.meter)}
+	i.peers = newPeers(peerClient(i.meter))
+	i.buildQuotas()
 	i.budgets = &budgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Protocol: i.Platform.Protocol,
+		Quotas: i.gatewayQuotas(), Outdated: i.outdated,
 		Budget: i.budgets.of, Stopping: i.phase.stopping, Log: i.Log, Meter: i.meter,
 		Chooser: &snipegateway.Chooser{
 			Directory: i.directory, Balancer: i.balancer, Residency: i.residency, Versions: i.catalog,
@@ -340,6 +346,12 @@
 	return ok && (owner.Self || !i.peers.silent(owner.Instance.Peer) && i.peers.hasRight(u.Address))
 }
 
+// outdated reports whether operators may have declared something that is in force elsewhere and
+// not known here.
+func (i *Instance) outdated() bool {
+	return i.tables.catalog.Mirror.Age() > i.Settings.ApplyTime.Value()
+}
+
 // instances returns how many instances share the requests.
 func (i *Instance) instances() int { return len(i.holder.View().Live) }
 
--- a/snipeentry/whole_test.go
+++ b/snipeentry/whole_test.go
@@ -102,8 +102,8 @@
 
 type object = map[string]any
 
-// declare writes the operators' catalog.
-func (s *stage) declare(version int) {
+// declare writes the operators' catalog, with its workspaces if there are any.
+func (s *stage) declare(version int, workspaces ...object) {
 	route := func(name, prefix, kind, service string, more object) object {
 		r := object{
 			"name": name, "host": host, "prefix": prefix, "routeKind": kind, "service": service,
@@ -121,7 +121,9 @@
 			route("often", "/often/", "idempotent", "plain", nil),
 			route("draft", "/draft/", "streaming", "engines", object{"resumable": true}),
 			route("final", "/final/", "streaming", "engines", nil),
+			route("open", "/open/", "idempotent", "plain", object{"public": true}),
 		},
+		"tenants": workspaces,
 		"services": []object{
 			{"name": "plain", "healthPath": "/healthz"},
 			{"name": "engines", "engine": object{"slots": 8, "adapterSlots": 4, "models": []object{{"name": "base", "adapters": 50}}}},
@@ -151,7 +153,8 @@
 	settings := snipeentry.Settings{
 		Name: name, Domain: "here", Callers: open(), Ready: open(), Peers: open(), Metrics: open(),
 		Table: s.address, OrderGap: snipejson.Duration(200 * time.Millisecond), RetryShare: 0.2, RetrySlack: 100,
-		RetrySpan:   snipejson.Duration(snipeentry.DefaultRetrySpan),
+		RetrySpan: snipejson.Duration(snipeentry.DefaultRetrySpan), QuotaSpan: snipejson.Duration(snipeentry.DefaultQuotaSpan),
+		DrainTime: snipejson.Duration(snipeentry.DefaultFreshness), ApplyTime: snipejson.Duration(snipeentry.DefaultFreshness),
 		StopTimeout: snipejson.Duration(8 * time.Second), LogLevel: "info",
 	}
 	dial := snipelink.Dialer()
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -44,8 +44,13 @@
 	if left < leastLeft && len(c.tried) > 1 {
 		return snipeerror.New(snipeerror.ErrDeadline, c.outcome(), "no time left")
 	}
+	if err := c.authorizeAgain(); err != nil {
+		return err
+	}
+	c.countAgain()
 	d := Dispatch{
-		Upstream: u, Left: left, Version: choice.Version, Priority: c.route.Priority, LastEvent: c.lastEvent,
+		Upstream: u, Left: left, Version: choice.Version, Priority: c.priority(), LastEvent: c.lastEvent,
+		Workspace: c.workspaceName(),
 	}
 	// The use is noted last at both ends: its report tells the load.
 	end := g.Balancer.Begin(u.ID, snipebalance.Weight(c.PromptTokens))
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -52,6 +52,10 @@
 	route    *snipecatalog.Route
 	service  string
 	deadline time.Time
+	// key and workspace are whose the request is, units what it counts against its quota.
+	key       snipecatalog.KeyDigest
+	workspace *snipecatalog.Workspace
+	units     float64
 
 	// tried are the upstreams that were tried, reached how many of them the request
 	// reached, ran how many may have run it.
@@ -90,6 +94,7 @@
 		ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(answerSlack))
 		defer cancel()
 		err = c.serve(ctx)
+		c.uncount()
 	}
 	if err != nil && c.request.Context().Err() == nil && !c.begun {
 		c.refuse(snipeerror.From(err))
@@ -121,7 +126,10 @@
 	}
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
 	if c.route = c.lookup(path); c.route == nil {
-		return snipeerror.New(snipeerror.ErrUnknownService, snipeerror.NotRun, "no route for this host and path")
+		return c.outdated(snipeerror.New(snipeerror.ErrUnknownService, snipeerror.NotRun, "no route for this host and path"))
+	}
+	if err := c.identify(); err != nil {
+		return err
 	}
 	c.service = c.route.Backend(sniperoute.Hash(c.ID))
 	if s := c.catalog.Services[c.service]; s == nil || s.Engine == nil {
@@ -130,10 +138,17 @@
 	}
 	c.deadline = c.arrived.Add(c.patience())
 	c.lastEvent = c.LastEvent
+	if err := c.count(c.request.Context()); err != nil {
+		return err
+	}
 	if err := c.readBody(); err != nil {
+		c.uncount()
 		return err
 	}
 	c.header = forwarded(c.request.Header)
+	if c.catalog.Keyed() {
+		c.header.Del(keyHeader)
+	}
 	g.Budget(c.service).Count()
 	return nil
 }
@@ -264,6 +279,8 @@
 func (c *call) next(ctx context.Context, err error) bool {
 	f := snipeerror.From(err)
 	switch {
+	case errors.Is(f, snipeerror.ErrUnauthenticated):
+		return false
 	case ctx.Err() != nil, time.Until(c.deadline) < leastLeft:
 		return false
 	case c.reached >= maxSends, len(c.tried) >= maxTries:
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -48,7 +48,7 @@
 		c.gateway.Protocol.Sign(h, c.ID)
 	}
 	h.Set("Content-Type", "application/json")
-	if f.RetryAfter > 0 && status == http.StatusServiceUnavailable {
+	if f.RetryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	c.status = status
@@ -94,6 +94,9 @@
 		fields["PauseTargetMilliseconds"] = c.route.MaxGap.Milliseconds()
 		fields["Busy"], fields["Holders"] = math.Round(100*c.busy)/100, c.holders
 	}
+	if c.workspace != nil {
+		fields["Workspace"], fields["Units"] = c.workspace.Name, c.units
+	}
 	if c.Adapter.Model != "" {
 		fields["Adapter"], fields["Version"] = c.Adapter.Name, c.version
 		fields["WaitedMilliseconds"] = c.waited.Milliseconds()
@@ -109,6 +112,7 @@
 		c.gateway.Meter.Observe(snipemeter.LoadStall, name, outcome, c.waited)
 	}
 	c.gateway.Meter.Observe(snipemeter.CallDuration, name, outcome, took)
+	c.countWorkspace(outcome)
 	if err != nil {
 		c.gateway.Log.Error(event, err, fields)
 		return
--- a/snipegateway/reach_test.go
+++ b/snipegateway/reach_test.go
@@ -101,7 +101,7 @@
 			Backends: []snipecatalog.Backend{{Service: service, Weight: 1}},
 		}},
 	}
-	routes.Index()
+	must.NoError(t, routes.Index())
 	catalog.Adopt(routes)
 	c.Balancer = &snipebalance.Balancer{}
 	return &snipegateway.Gateway{
@@ -127,5 +127,6 @@
 		},
 		Budget:   func(string) *sniperetry.Window { return budget },
 		Stopping: func() bool { return false },
+		Outdated: func() bool { return false },
 	}, got
 }
--- a/snipegateway/request.go
+++ b/snipegateway/request.go
@@ -27,6 +27,8 @@
 	// PromptTokens and OutputTokens are its size.
 	PromptTokens int
 	OutputTokens int
+	// Sized tells that the caller has stated these two.
+	Sized bool
 	// Parts are the parts of its prompt, in their order.
 	Parts []Part
 }
@@ -52,6 +54,8 @@
 	Priority int
 	// LastEvent is where a stream goes on; empty for its beginning.
 	LastEvent string
+	// Workspace is whom the caller's key belongs to; empty where no key was needed.
+	Workspace string
 }
 
 // Load is what an upstream says of its load in an answer.
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -15,6 +15,8 @@
 //   - 503 is given only to requests that have not run and never will.
 //   - An answer is passed on only if it carries the upstream's receipt and the
 //     request's identifier. One that breaks off looks broken off.
+//   - Where operators declare workspaces nothing runs, but on public routes, without a key that
+//     one of them holds. The key goes to no upstream and into no log line.
 //   - The events of a stream reach the caller whole and in order, each once, also
 //     when the stream goes on at another upstream.
 package snipegateway
@@ -39,6 +41,9 @@
 	Balancer *snipebalance.Balancer
 	Links    *snipelink.Pool
 	Protocol Protocol
+	Quotas   Quotas
+	// Outdated reports that operators may have declared something that is not known here.
+	Outdated func() bool
 	// Budget returns what pays for the repeats of a service's requests.
 	Budget func(service string) *sniperetry.Window
 	// Stopping reports that a planned stop has begun: connections are not kept.
@@ -47,6 +52,7 @@
 	Meter    *snipemeter.Meter
 
 	inFlight atomic.Int64
+	counted  counted
 }
 
 // InFlight returns the number of requests that are served.
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -95,6 +95,8 @@
 	RequestFailed    = define(213, "RequestFailed", logrus.WarnLevel)
 	RequestAbandoned = define(214, "RequestAbandoned", logrus.InfoLevel)
 	AnswerDiscarded  = define(215, "AnswerDiscarded", logrus.WarnLevel)
+	QuotaUnreached   = define(216, "QuotaUnreached", logrus.WarnLevel)
+	QuotaReached     = define(217, "QuotaReached", logrus.InfoLevel)
 )
 
 // Events of what operators declared and of the directory, 310 to 339.
--- a/snipemeter/snipemeter.go
+++ b/snipemeter/snipemeter.go
@@ -46,6 +46,9 @@
 // Count adds one to the named counter; name carries its own labels.
 func (m *Meter) Count(name string) { m.set.GetOrCreateCounter(name).Inc() }
 
+// Add adds to a counter.
+func (m *Meter) Add(name string, n int) { m.set.GetOrCreateCounter(name).Add(n) }
+
 // Gauge registers a gauge whose value is read from f at each scrape.
 func (m *Meter) Gauge(name string, f func() float64) { m.set.GetOrCreateGauge(name, f) }
 
--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -27,10 +27,20 @@
 	{"/once/", true, false}, {"/often/", false, false}, {"/draft/", false, true}, {"/final/", true, true},
 }
 
+// The callers' workspace and its key. One request in strangers comes with another key.
+const (
+	workspace = "soaked"
+	key       = "key-of-the-soak"
+	wrongKey  = "key-of-nobody"
+	strangers = 25
+)
+
 // call is what a caller has seen of a request.
 type call struct {
-	kind   kind
-	status int
+	kind kind
+	// stranger tells that its key was declared by nobody.
+	stranger bool
+	status   int
 	// refused tells that the caller was told that the request has not run.
 	refused bool
 }
@@ -42,14 +52,15 @@
 func (s *Soak) caller(ctx context.Context, n int) {
 	r := random.New(random.NewPCG(s.Seed, uint64(n)+1)) //nolint:gosec // the same calls for the same seed
 	for ctx.Err() == nil {
-		s.ask(ctx, s.instances[r.IntN(len(s.instances))], kinds[r.IntN(len(kinds))], r)
+		i, k := s.instances[r.IntN(len(s.instances))], kinds[r.IntN(len(kinds))]
+		s.ask(ctx, i, k, r, r.IntN(strangers) == 0)
 	}
 }
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers, DisableCompression: true}}
 
 // ask sends a request, checks its answer and reports whether it was served.
-func (s *Soak) ask(ctx context.Context, i *instance, k kind, r *random.Rand) bool {
+func (s *Soak) ask(ctx context.Context, i *instance, k kind, r *random.Rand, stranger bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	id := rand.Text()
@@ -65,23 +76,31 @@
 	if k.stream {
 		model = fmt.Sprint("base/a", r.IntN(adapters))
 	}
-	snipestand.CallerHeader(q.Header, id, patience, model)
+	callerKey := key
+	if stranger {
+		callerKey = wrongKey
+	}
+	snipestand.CallerHeader(q.Header, id, callerKey, patience, model)
 	answer, err := client.Do(q)
 	if err != nil {
 		return false
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(answer.Body)
-	s.judge(id, k, answer, string(data), err)
+	s.judge(id, call{kind: k, stranger: stranger}, answer, string(data), err)
 	return err == nil && answer.StatusCode == http.StatusOK
 }
 
 // judge checks one answer.
-func (s *Soak) judge(id string, k kind, answer *http.Response, body string, broken error) {
-	c := call{kind: k, status: answer.StatusCode}
+func (s *Soak) judge(id string, c call, answer *http.Response, body string, broken error) {
+	c.status = answer.StatusCode
 	switch answer.StatusCode {
 	case http.StatusOK:
-		s.judgeBody(id, k, body, broken)
+		s.judgeBody(id, c.kind, body, broken)
+	case http.StatusUnauthorized:
+		if !c.stranger {
+			s.breach("declared keys are known", "%s: %s", id, body)
+		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest:
 		c.refused = true
 		if answer.Header.Get("Retry-After") == "" {
@@ -128,9 +147,13 @@
 		for id, n := range r.Ran() {
 			ran[id] += n
 		}
+		s.auditKeys(r)
 		s.auditOrders(r.ID, r)
 	}
 	for id, c := range s.calls {
+		if c.stranger && ran[id] > 0 {
+			s.breach("nothing runs without a key", "%s %s ran", c.kind, id)
+		}
 		if c.kind.once && ran[id] > 1 {
 			s.breach("at most once", "%s %s ran %d times", c.kind, id, ran[id])
 		}
@@ -140,6 +163,19 @@
 	}
 }
 
+// auditKeys checks that requests came for the callers' workspace, and no key with them.
+func (s *Soak) auditKeys(r *runner) {
+	runs, keys := r.Workspaces()
+	if keys > 0 {
+		s.breach("keys stay here", "%s: %d requests with a key", r.ID, keys)
+	}
+	for name, n := range runs {
+		if name != workspace {
+			s.breach("what runs is a workspace's", "%s: %d requests of %q", r.ID, n, name)
+		}
+	}
+}
+
 // auditOrders checks that no more was ordered than fits, that fencing numbers grow,
 // and that no two instances took turns.
 func (s *Soak) auditOrders(engine string, r *runner) {
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -82,7 +82,7 @@
 	settings := snipeentry.Settings{
 		Name: i.name, Domain: "here", Callers: i.callers, Ready: i.ready, Peers: i.peers, Metrics: i.metrics,
 		Table: i.store, OrderGap: snipejson.Duration(orderGap), RetryShare: 1, RetrySlack: 1000,
-		RetrySpan:   snipejson.Duration(snipeentry.DefaultRetrySpan),
+		RetrySpan: snipejson.Duration(snipeentry.DefaultRetrySpan), QuotaSpan: snipejson.Duration(snipeentry.DefaultQuotaSpan),
 		StopTimeout: snipejson.Duration(stopTimeout), LogLevel: "info",
 		DrainTime: snipejson.Duration(snipeentry.DefaultFreshness), ApplyTime: snipejson.Duration(snipeentry.DefaultFreshness),
 	}
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -219,15 +219,21 @@
 			Timeout: 5000, Target: 1000, MaxAttempts: 2, Resumable: resumable,
 		}
 	}
-	return s.store.Declare(s.version, []snipestand.DeclaredRoute{
-		route("/once/", snipestand.RouteOnce, "plain", false), route("/often/", snipestand.RouteOften, "plain", false),
-		route("/draft/", snipestand.RouteStream, "engines", true), route("/final/", snipestand.RouteStream, "engines", false),
-	}, []snipestand.DeclaredService{
-		{Name: "plain"},
-		{Name: "engines", Engine: &snipestand.DeclaredEngine{
-			AdapterSlots: places, Models: []snipestand.DeclaredModel{{Name: "base"}},
-		}},
-	}, maxBody)
+	return s.store.Declare(snipestand.Declared{
+		Version: s.version,
+		Routes: []snipestand.DeclaredRoute{
+			route("/once/", snipestand.RouteOnce, "plain", false), route("/often/", snipestand.RouteOften, "plain", false),
+			route("/draft/", snipestand.RouteStream, "engines", true), route("/final/", snipestand.RouteStream, "engines", false),
+		},
+		Services: []snipestand.DeclaredService{
+			{Name: "plain"},
+			{Name: "engines", Engine: &snipestand.DeclaredEngine{
+				AdapterSlots: places, Models: []snipestand.DeclaredModel{{Name: "base"}},
+			}},
+		},
+		Workspaces: []snipestand.DeclaredWorkspace{{Name: workspace, Keys: []string{key}}},
+		Limits:     snipestand.DeclaredLimits{BodyBytes: maxBody},
+	})
 }
 
 // recover waits until each instance serves each kind of request.
@@ -237,7 +243,7 @@
 	random := rand.New(rand.NewPCG(s.Seed, 0)) //nolint:gosec // the same calls for the same seed
 	for _, i := range s.instances {
 		for _, kind := range kinds {
-			for !s.ask(ctx, i, kind, random) {
+			for !s.ask(ctx, i, kind, random, false) {
 				if ctx.Err() != nil {
 					return errors.Errorf("%s does not serve %s", i.name, kind.prefix)
 				}
--- a/snipestand/declare.go
+++ b/snipestand/declare.go
@@ -43,19 +43,33 @@
 	Name string `json:"name"`
 }
 
-// Declare writes a version of what operators declare. Bodies may have maxBody bytes.
-func (s *RowStore) Declare(version int, routes []DeclaredRoute, services []DeclaredService, maxBody int) error {
-	type limits struct {
-		Body int `json:"maxBodyBytes"`
-	}
-	return s.Put("op", "config", struct {
-		Version  int               `json:"version"`
-		Routes   []DeclaredRoute   `json:"routes"`
-		Services []DeclaredService `json:"services"`
-		Limits   limits            `json:"limits"`
-	}{version, routes, services, limits{maxBody}})
+// DeclaredWorkspace is a workspace with its keys.
+type DeclaredWorkspace struct {
+	Name string   `json:"name"`
+	Keys []string `json:"apiKeys"`
+	// Unit, PerSecond and Burst are its quota; no quota where the rate is zero.
+	Unit      string  `json:"unit,omitempty"`
+	PerSecond float64 `json:"ratePerS,omitempty"`
+	Burst     float64 `json:"burst,omitempty"`
+}
+
+// Declared is what operators declare.
+type Declared struct {
+	Version    int                 `json:"version"`
+	Routes     []DeclaredRoute     `json:"routes"`
+	Services   []DeclaredService   `json:"services"`
+	Workspaces []DeclaredWorkspace `json:"tenants,omitempty"`
+	Limits     DeclaredLimits      `json:"limits"`
 }
 
+// DeclaredLimits bound what callers may send.
+type DeclaredLimits struct {
+	BodyBytes int `json:"maxBodyBytes"`
+}
+
+// Declare writes a version of what operators declare.
+func (s *RowStore) Declare(d Declared) error { return s.Put("op", "config", d) }
+
 // NameVersion declares a new version of an adapter.
 func (s *RowStore) NameVersion(model, adapter string, version int64) error {
 	return s.Put("op", "version/"+model+"."+adapter, struct {
@@ -67,7 +81,8 @@
 
 // CallerHeader sets what a caller of the platform says of its request; model is empty
 // for plain services, and MODEL/ADAPTER for an adapter.
-func CallerHeader(h http.Header, id string, patience time.Duration, model string) {
+func CallerHeader(h http.Header, id, key string, patience time.Duration, model string) {
+	h.Set("Authorization", "Bearer "+key)
 	h.Set("X-Snipepitch-Attempt-Id", id)
 	h.Set("X-Snipepitch-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
 	if model != "" {
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -45,8 +46,13 @@
 	// empty runners hold no base model, bare those that also have none on its way.
 	empty, bare bool
 	ran         map[string]int
-	taken       []TakenOrder
-	overfull    int
+	// tokens are those of the requests that ran by workspace, workspaces the requests; keys
+	// counts those that brought a caller's key.
+	tokens     map[string]int
+	workspaces map[string]int
+	keys       int
+	taken      []TakenOrder
+	overfull   int
 }
 
 // RunnerFault is how a runner fails requests.
@@ -113,6 +119,45 @@
 	return all
 }
 
+// Workspaces returns how many requests ran by the workspace that they were sent for, and how many
+// brought their caller's key along.
+func (r *Runner) Workspaces() (runs map[string]int, keys int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return maps.Clone(r.workspaces), r.keys
+}
+
+// Tokens returns the tokens of the requests that ran, by workspace.
+func (r *Runner) Tokens() map[string]int {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return maps.Clone(r.tokens)
+}
+
+// count notes that a request runs.
+func (r *Runner) count(q *http.Request) {
+	tokens := 0
+	for _, n := range strings.Split(q.Header.Get("X-Snipepitch-Token-Usage"), ",") {
+		size, err := strconv.Atoi(n)
+		if err != nil {
+			continue // the caller did not state its size
+		}
+		tokens += size
+	}
+	workspace := q.Header.Get("X-Snipepitch-Tenant")
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.ran[q.Header.Get("X-Snipepitch-Attempt-Id")]++
+	if r.tokens == nil {
+		r.tokens, r.workspaces = make(map[string]int), make(map[string]int)
+	}
+	r.tokens[workspace] += tokens
+	r.workspaces[workspace]++
+	if len(q.Header.Values("Authorization")) > 0 {
+		r.keys++
+	}
+}
+
 // Held returns the adapters that it holds.
 func (r *Runner) Held() []string {
 	r.lock.Lock()
@@ -368,9 +413,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.lock.Lock()
-	r.ran[q.Header.Get("X-Snipepitch-Attempt-Id")]++
-	r.lock.Unlock()
+	r.count(q)
 	r.answer(w, q, body, f)
 }
 
