What may be used without an issuer is divided among six at least; account of the shifted work

Cause, from reading: an instance that has just started and knows nobody divided what is left for those without an issuer by one, so that all that start at once could each take the whole.

Change: divided by six at least, as budgets for repeats are. TestSharers failed first (0 instances known, one sharer).

--- a/snipeentry/quota.go
+++ b/snipeentry/quota.go
@@ -20,7 +20,7 @@
 	bounds := snipequota.Bounds{Span: s.QuotaSpan.Value(), Overrun: s.QuotaOverrun, Slack: s.QuotaSlack}
 	i.issuer = &snipequota.Issuer{Quota: i.quotaOf, Instances: i.instanceNames, Bounds: bounds}
 	i.account = &snipequota.Account{
-		Ask: i.askQuota, Limited: i.quotasDeclared, Instances: i.instances, Bounds: bounds, Log: i.Log,
+		Ask: i.askQuota, Limited: i.quotasDeclared, Instances: i.sharers, Bounds: bounds, Log: i.Log,
 	}
 }
 
@@ -29,6 +29,10 @@
 	return snipegateway.Quotas{Take: i.account.Take, Again: i.account.Again, Return: i.account.Return}
 }
 
+// sharers is among how many instances what may be used without an issuer is divided: one that has
+// just started may know of nobody yet.
+func (i *Instance) sharers() int { return max(i.instances(), fewestInstances) }
+
 // quotaOf returns a workspace's quota by the catalog in force.
 func (i *Instance) quotaOf(workspace string) snipecatalog.Quota {
 	c := i.catalog.Catalog()
