What is given back by a request of a former catalog voids no grants; names

Cause, from reading: a request admitted by an older catalog gave units back through that catalog's quota, which made it the quota in force at this instance for a moment and voided what was granted by the newer one.

Change: giving back leaves the quota alone. What an instance may use of a quota is an allowance. TestReturnedByOldCatalog fails with the line as it was (seen), and passes.

--- a/snipequota/account.go
+++ b/snipequota/account.go
@@ -13,8 +13,8 @@
 	// askTimeout bounds one question to an issuer, which is a few milliseconds away: requests
 	// wait for it.
 	askTimeout = 120 * time.Millisecond
-	// lonelyPause is for how long no issuer is asked after one did not answer.
-	lonelyPause = 250 * time.Millisecond
+	// unansweredPause is for how long no issuer is asked after one did not answer.
+	unansweredPause = 250 * time.Millisecond
 	// leaseMargin is how much before the issuer's an instance counts the end of its share.
 	leaseMargin = time.Second
 )
@@ -34,8 +34,8 @@
 	prepared sync.Once // makes wake
 	wake     chan struct{}
 
-	lock   sync.Mutex // guards the fields below
-	purses map[string]*purse
+	lock       sync.Mutex // guards the fields below
+	allowances map[string]*allowance
 	// heardAt is when the issuer last answered, askedAt when it was last asked.
 	heardAt time.Time
 	askedAt time.Time
@@ -65,7 +65,7 @@
 	now := time.Now()
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	p := a.purse(w)
+	p := a.allowance(w)
 	p.arrive(units, now)
 	p.expire(now)
 	switch {
@@ -77,7 +77,7 @@
 		return verdict{ok: true}, nil
 	case now.Before(p.closed):
 		return verdict{wait: p.reopens.Sub(now)}, nil
-	case a.lost && now.Sub(a.askedAt) < lonelyPause:
+	case a.lost && now.Sub(a.askedAt) < unansweredPause:
 		return a.takeAlone(p, units, now), nil
 	}
 	r := &waiter{units: units, done: make(chan verdict, 1)}
@@ -92,19 +92,22 @@
 // Return gives back what was taken for a request that was not run.
 func (a *Account) Return(w *snipecatalog.Workspace, units float64) { a.add(w, units) }
 
+// add changes what is left. The workspace may be that of a catalog of before, whose quota is in
+// force no more.
 func (a *Account) add(w *snipecatalog.Workspace, units float64) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	p := a.purse(w)
-	p.expire(time.Now())
-	p.left += units
+	if p := a.allowances[w.Name]; p != nil {
+		p.expire(time.Now())
+		p.left += units
+	}
 }
 
 // abandon takes back a request whose caller has left.
 func (a *Account) abandon(workspace string, r *waiter) {
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	p := a.purses[workspace]
+	p := a.allowances[workspace]
 	for n, other := range p.waiting {
 		if other == r {
 			p.waiting = append(p.waiting[:n], p.waiting[n+1:]...)
@@ -117,14 +120,15 @@
 	}
 }
 
-func (a *Account) purse(w *snipecatalog.Workspace) *purse {
-	p := a.purses[w.Name]
+// allowance returns what may be used of a workspace's quota.
+func (a *Account) allowance(w *snipecatalog.Workspace) *allowance {
+	p := a.allowances[w.Name]
 	if p == nil {
-		if a.purses == nil {
-			a.purses = make(map[string]*purse)
+		if a.allowances == nil {
+			a.allowances = make(map[string]*allowance)
 		}
-		p = &purse{}
-		a.purses[w.Name] = p
+		p = &allowance{}
+		a.allowances[w.Name] = p
 	}
 	if p.quota != w.Quota {
 		// What was granted by another quota is void.
@@ -175,19 +179,19 @@
 	a.note(err, begun)
 	now := time.Now()
 	if err != nil {
-		for _, p := range a.purses {
+		for _, p := range a.allowances {
 			a.serveAlone(p, now)
 		}
 		return
 	}
 	for _, g := range grants {
-		if p := a.purses[g.Workspace]; p != nil && p.receive(g, begun, now) {
+		if p := a.allowances[g.Workspace]; p != nil && p.receive(g, begun, now) {
 			a.nudge()
 		}
 	}
 	// What the issuer knows no quota for is served as it comes: its catalog is another one.
 	for _, q := range asks {
-		if p := a.purses[q.Workspace]; p.levelAt.Before(begun) {
+		if p := a.allowances[q.Workspace]; p.levelAt.Before(begun) {
 			a.serveAlone(p, now)
 		}
 	}
@@ -213,7 +217,7 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	var all []Ask
-	for name, p := range a.purses {
+	for name, p := range a.allowances {
 		p.fade(now)
 		p.expire(now)
 		if len(p.waiting) == 0 && p.demand < 1 && p.left == 0 && p.used == 0 {
@@ -225,7 +229,7 @@
 }
 
 // serveAlone serves what waits without an issuer.
-func (a *Account) serveAlone(p *purse, now time.Time) {
+func (a *Account) serveAlone(p *allowance, now time.Time) {
 	for len(p.waiting) > 0 {
 		p.answer(a.takeAlone(p, p.waiting[0].units, now))
 	}
@@ -233,7 +237,7 @@
 
 // takeAlone counts a request against what this instance may use without an issuer: its share of
 // the rate since the issuer was last heard, and its part of what is left for those without one.
-func (a *Account) takeAlone(p *purse, units float64, now time.Time) verdict {
+func (a *Account) takeAlone(p *allowance, units float64, now time.Time) verdict {
 	if !p.quota.Limited() {
 		return verdict{ok: true}
 	}
--- a/snipequota/purse.go
+++ b/snipequota/allowance.go
@@ -24,8 +24,8 @@
 	aloneTime = 500 * time.Millisecond
 )
 
-// purse is what may be used of one workspace's quota.
-type purse struct {
+// allowance is what may be used of one workspace's quota.
+type allowance struct {
 	quota snipecatalog.Quota
 	// left is what is left of grants, until its end. It is negative after requests that ran
 	// again.
@@ -67,7 +67,7 @@
 }
 
 // arrive counts a request into the demand.
-func (p *purse) arrive(units float64, now time.Time) {
+func (p *allowance) arrive(units float64, now time.Time) {
 	p.fade(now)
 	p.demand += units / demandTime.Seconds()
 	if p.size == 0 {
@@ -76,7 +76,7 @@
 	p.size += (units - p.size) / 8
 }
 
-func (p *purse) fade(now time.Time) {
+func (p *allowance) fade(now time.Time) {
 	if passed := now.Sub(p.seen); passed > 0 {
 		p.demand *= math.Exp(-passed.Seconds() / demandTime.Seconds())
 	}
@@ -84,22 +84,22 @@
 }
 
 // expire ends grants whose time is over.
-func (p *purse) expire(now time.Time) {
+func (p *allowance) expire(now time.Time) {
 	if p.left > 0 && !now.Before(p.end) {
 		p.left = 0
 	}
 }
 
 // low reports whether what is left does not last.
-func (p *purse) low() bool { return p.left < max(p.demand*lowTime.Seconds(), p.size) }
+func (p *allowance) low() bool { return p.left < max(p.demand*lowTime.Seconds(), p.size) }
 
 // ahead is what is asked for beside what waits.
-func (p *purse) ahead() float64 {
+func (p *allowance) ahead() float64 {
 	return max(max(p.demand*aheadTime.Seconds(), aheadRequests*p.size)-max(p.left, 0), 0)
 }
 
 // question returns what to ask the issuer for.
-func (p *purse) question(name string, now time.Time) Ask {
+func (p *allowance) question(name string, now time.Time) Ask {
 	q := Ask{Workspace: name, Held: p.left, Alone: p.used, Demand: p.demand}
 	for n, r := range p.waiting {
 		if n == 0 {
@@ -122,7 +122,7 @@
 
 // receive takes a grant and serves what waits, in the order of arrival. It reports whether requests
 // still wait: they have come since the question.
-func (p *purse) receive(g Grant, asked, now time.Time) (again bool) {
+func (p *allowance) receive(g Grant, asked, now time.Time) (again bool) {
 	p.expire(now)
 	if g.Units > 0 {
 		p.left += g.Units
@@ -140,7 +140,7 @@
 }
 
 // close refuses what waits and what comes in the next moment: the quota is used up.
-func (p *purse) close(wait time.Duration, now time.Time) {
+func (p *allowance) close(wait time.Duration, now time.Time) {
 	pause := min(max(wait, pauseTime), longestPause)
 	p.closed, p.reopens = now.Add(pause), now.Add(max(wait, pause))
 	for len(p.waiting) > 0 {
@@ -149,13 +149,13 @@
 }
 
 // answer tells the first of those that wait.
-func (p *purse) answer(v verdict) {
+func (p *allowance) answer(v verdict) {
 	p.waiting[0].done <- v
 	p.waiting = p.waiting[1:]
 }
 
 // growAlone adds what may be used without an issuer since it was last looked at.
-func (p *purse) growAlone(a *Account, now time.Time) {
+func (p *allowance) growAlone(a *Account, now time.Time) {
 	// One half is there at once, the other one comes over the window.
 	reserve := a.Bounds.Over(p.quota) / 2 / float64(max(a.Instances(), 1)) / 2
 	slow, share := reserve/a.Bounds.Span.Seconds(), 0.0
--- a/snipequota/faults_test.go
+++ b/snipequota/faults_test.go
@@ -130,3 +130,19 @@
 		must.LessEq(t, 8, took())
 	})
 }
+
+// TestReturnedByOldCatalog: a request of a catalog of before that gives back what it took does not
+// void what was granted by the quota in force.
+func TestReturnedByOldCatalog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 5, 3, large)
+		defer w.end()
+		old := w.workspace()
+		w.declare(small)
+		must.True(t, w.take(1, 1000))
+		asked := w.messages()
+		w.nodes[1].account.Return(old, 1000)
+		must.True(t, w.take(1, 1000))
+		must.Eq(t, asked, w.messages())
+	})
+}
