TestReturnedByOldCatalog counts questions, not their rate

It now counts questions, fails with the former line (2 questions for 1, seen) and passes without it. The product's code is unchanged.

--- a/snipequota/faults_test.go
+++ b/snipequota/faults_test.go
@@ -140,9 +140,9 @@
 		old := w.workspace()
 		w.declare(small)
 		must.True(t, w.take(1, 1000))
-		asked := w.messages()
+		asked := w.questions()
 		w.nodes[1].account.Return(old, 1000)
 		must.True(t, w.take(1, 1000))
-		must.Eq(t, asked, w.messages())
+		must.Eq(t, asked, w.questions())
 	})
 }
--- a/snipequota/world_test.go
+++ b/snipequota/world_test.go
@@ -260,13 +260,16 @@
 	return most
 }
 
-// messages returns how many questions were asked in a second.
-func (w *world) messages() float64 {
+// questions returns how many questions were asked.
+func (w *world) questions() int {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	return float64(w.asked) / time.Since(w.began).Seconds()
+	return w.asked
 }
 
+// messages returns how many questions were asked in a second.
+func (w *world) messages() float64 { return float64(w.questions()) / time.Since(w.began).Seconds() }
+
 // allowed is how many units may run within a window.
 func allowed(q snipecatalog.Quota) float64 {
 	return q.PerSecond*bounds.Span.Seconds() + q.Burst + bounds.Over(q)
