--- a/cmd/snipecapacity/main.go
+++ b/cmd/snipecapacity/main.go
@@ -7,8 +7,8 @@
 //	snipecapacity render [-inputs FILE]
 //	snipecapacity sweep -command TEXT -date DATE [-inputs FILE] < OUTPUT
 //
-// sweep puts the table that the users' bench prints into the inputs, which it writes to standard
-// output.
+// sweep puts the table that the users' bench prints into the inputs, in the place of the one of the
+// same command, and writes them to standard output.
 //
 // Exit codes: 0 done, 1 failed, 2 bad arguments.
 package main
@@ -97,10 +97,7 @@
 		return err
 	}
 	s.Command, s.Date = command, date
-	if in.Sweep != nil {
-		s.Mechanisms = in.Sweep.Mechanisms
-	}
-	in.Sweep = s
+	in.AddSweep(s)
 	e := json.NewEncoder(os.Stdout)
 	e.SetEscapeHTML(false)
 	e.SetIndent("", "  ")
--- a/snipecapacity/render.go
+++ b/snipecapacity/render.go
@@ -37,10 +37,8 @@
 
 `)
 	in.renderSizes(&b)
-	if in.Sweep != nil {
-		if err := in.Sweep.render(&b, in); err != nil {
-			return "", err
-		}
+	if err := in.renderSweeps(&b); err != nil {
+		return "", err
 	}
 	b.WriteString("# Instances with settings of their own\n\nThe slopes below were measured by scripts of this project and are shown by no sweep.\n\n")
 	if err := in.renderMeasurements(&b); err != nil {
--- a/snipecapacity/snipecapacity.go
+++ b/snipecapacity/snipecapacity.go
@@ -37,8 +37,10 @@
 	Sizes map[string]float64
 	// Bounds are the most that may be used of each resource.
 	Bounds map[Resource]float64
-	// Sweep is what the bench shows of entry instances; nil for none.
-	Sweep *Sweep `json:",omitempty"`
+	// Sweeps are what the bench shows of entry instances on a deployment each, Duties what
+	// these send to each other.
+	Sweeps []*Sweep `json:",omitempty"`
+	Duties []Duty   `json:",omitempty"`
 	// Measurements are the measured slopes by name, of instances with settings of their own.
 	Measurements map[string]Measurement
 	// Roles are the duties of the system in the order of the page.
--- a/snipecapacity/sweep.go
+++ b/snipecapacity/sweep.go
@@ -20,8 +20,6 @@
 	// Served and Prices are the shares of the worth, by the number of instances.
 	Days []SweepDay
 	Rows []SweepRow
-	// Mechanisms tell what carries a row and what drives it, in the order of the page.
-	Mechanisms []SweepMechanism
 }
 
 // SweepDay is the outcome at one size.
@@ -45,9 +43,10 @@
 	Busiest   float64
 }
 
-// SweepMechanism is a duty of an entry instance.
-type SweepMechanism struct {
-	Duty      string
+// Duty is a duty of an entry instance.
+type Duty struct {
+	Name string
+	// Messages are what it costs, Mechanism what carries it.
 	Messages  string
 	Mechanism string
 }
@@ -145,11 +144,41 @@
 	"entry: kB a second": {Control, 1.0 / 1e3},
 }
 
-// render writes the section of the page, with each row carried on to the design's size by a line
+// renderSweeps writes the section of entry instances.
+func (in *Inputs) renderSweeps(b *strings.Builder) error {
+	if len(in.Sweeps) == 0 {
+		return nil
+	}
+	b.WriteString("## Entry instances\n\nMiddle / busiest instance; the engines grow with the instances, ten to one, the requests do not.\nThe last columns carry a line through the points on.\n\n")
+	for _, s := range in.Sweeps {
+		if err := s.render(b, in); err != nil {
+			return err
+		}
+	}
+	b.WriteString("| Duty | Messages | Mechanism |\n|---|---|---|\n")
+	for _, d := range in.Duties {
+		fmt.Fprintf(b, "| %s | %s | %s |\n", d.Name, d.Messages, d.Mechanism)
+	}
+	b.WriteString("\n")
+	return nil
+}
+
+// AddSweep puts a sweep among the others, in the place of the one that the same command printed.
+func (in *Inputs) AddSweep(s *Sweep) {
+	for n, other := range in.Sweeps {
+		if other.Command == s.Command {
+			in.Sweeps[n] = s
+			return
+		}
+	}
+	in.Sweeps = append(in.Sweeps, s)
+}
+
+// render writes what one sweep shows, with each row carried on to the design's size by a line
 // through its points.
 func (s *Sweep) render(b *strings.Builder, in *Inputs) error {
 	target := in.Sizes["Instances"]
-	fmt.Fprintf(b, "## Entry instances\n\nFrom `%s`, %s. Middle / busiest instance; the engines grow with the\ninstances, ten to one, the requests do not. The last columns carry a line through the points on.\n\n", s.Command, s.Date)
+	fmt.Fprintf(b, "From `%s`, %s:\n\n", s.Command, s.Date)
 	b.WriteString("| Quantity |")
 	for _, p := range s.Rows[0].Points {
 		fmt.Fprintf(b, " %d |", p.Instances)
@@ -174,10 +203,6 @@
 	for _, d := range s.Days {
 		fmt.Fprintf(b, "| %d | %d | %.3f | %.3f |\n", d.Instances, d.Upstreams, d.Served, d.Prices)
 	}
-	b.WriteString("\n| Duty | Messages | Mechanism |\n|---|---|---|\n")
-	for _, m := range s.Mechanisms {
-		fmt.Fprintf(b, "| %s | %s | %s |\n", m.Duty, m.Messages, m.Mechanism)
-	}
 	b.WriteString("\n")
 	return nil
 }
--- a/snipecapacity/sweep_test.go
+++ b/snipecapacity/sweep_test.go
@@ -40,8 +40,15 @@
 func TestRenderSweep(t *testing.T) {
 	s, err := ParseSweep(strings.NewReader(sweepOutput))
 	must.NoError(t, err)
-	in := &Inputs{Sizes: map[string]float64{"Instances": 300}, Bounds: map[Resource]float64{Processor: 0.028}, Sweep: s}
+	in := &Inputs{Sizes: map[string]float64{"Instances": 300}, Bounds: map[Resource]float64{Processor: 0.028}, Sweeps: []*Sweep{s}}
 	page, err := in.Render()
 	must.NoError(t, err)
+	again := *s
+	in.AddSweep(&again)
+	must.Len(t, 1, in.Sweeps)
+	other := *s
+	other.Command = "another"
+	in.AddSweep(&other)
+	must.Len(t, 2, in.Sweeps)
 	must.StrContains(t, page, "| entry: processor % | 4.2 / 4.7 | 5.7 / 8.2 | 5.7 / 8.2 | 2.8 |")
 }
