--- a/snipeentry/relay.go
+++ b/snipeentry/relay.go
@@ -66,27 +66,24 @@
 func (r *relay) Write(ctx context.Context, operation string, changes []snipeplatform.Change) (uint64, error) {
 	if r.Owns() && !r.directTurn() {
 		version, err := r.askOthers(ctx, operation, changes)
-		if answered(err) {
+		if snipeplatform.Answered(err) {
 			return version, err
 		}
 	}
 	version, err := r.writeDirect(ctx, operation, changes)
-	if answered(err) {
+	if snipeplatform.Answered(err) {
 		return version, err
 	}
 	if !r.Owns() {
 		return 0, err
 	}
 	version, relayed := r.askOthers(ctx, operation, changes)
-	if answered(relayed) {
+	if snipeplatform.Answered(relayed) {
 		return version, relayed
 	}
 	return 0, err
 }
 
-// answered reports whether the store has answered a write.
-func answered(err error) bool { return err == nil || errors.Is(err, snipeplatform.ErrConflict) }
-
 // directTurn reports whether the store is to be asked first.
 func (r *relay) directTurn() bool {
 	r.lock.Lock()
@@ -117,12 +114,12 @@
 	r.lock.Lock()
 	r.at = time.Now()
 	r.slow = r.at.Sub(begun) > quickWrite
-	changed := r.lost == answered(err)
-	r.lost = !answered(err)
+	changed := r.lost == snipeplatform.Answered(err)
+	r.lost = !snipeplatform.Answered(err)
 	r.lock.Unlock()
 	switch {
 	case !changed:
-	case answered(err):
+	case snipeplatform.Answered(err):
 		r.Back()
 	default:
 		r.Lost(err)
@@ -135,7 +132,7 @@
 	err = snipeplatform.ErrUnavailable
 	others := r.Others()
 	for _, peer := range others[:min(relayTries, len(others))] {
-		if version, err = r.ask(ctx, peer, operation, changes); answered(err) {
+		if version, err = r.ask(ctx, peer, operation, changes); snipeplatform.Answered(err) {
 			break
 		}
 	}
--- a/snipeplatform/snipeplatform.go
+++ b/snipeplatform/snipeplatform.go
@@ -33,6 +33,9 @@
 	ErrUnknown = errors.New("write outcome unknown")
 )
 
+// Answered reports whether the table has answered a write.
+func Answered(err error) bool { return err == nil || errors.Is(err, ErrConflict) }
+
 // Key names a row.
 type Key struct {
 	// Partition groups rows that are listed together.
