An owner whose start the store refuses tries again after 0.2 s, not after a renewal

Callers saw refusals for want of a right to order, up to a second longer than the store refused writes, whenever all instances started again meanwhile (a part of the store refuses what would wait for more than a second, which a start of hundreds brings about by itself). Cause: the same as of TestStartBeforeDirectory, at another place: the step after a start runs at once, but one whose write was refused waits a whole renewal like any other. Ruled out: the reading of the rows, which is from a copy and repeated every 20 ms until it was read. Why it works: an instance that owned engines before and owns none yet makes its next step 0.2 s after a refused one, for five seconds after its start; what it writes has the same conditions as before.

--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -67,8 +67,11 @@
 	// an instance that starts again takes its engines back at once.
 	firstEvery = 20 * time.Millisecond
 	// unknownEngines is how long after a start engines that are not known yet are looked for so
-	// often. A deployment may have none.
+	// often, and those of a start before are tried to be taken back. A deployment may have none.
 	unknownEngines = 5 * time.Second
+	// firstRetry is the time between two tries of an instance that has started again to take its
+	// engines back: nobody orders them meanwhile.
+	firstRetry = 200 * time.Millisecond
 	// orderTime is how long after a renewal was sent this instance may order.
 	orderTime = 2400 * time.Millisecond
 	// margin covers the difference between two machines' clock rates and the time
@@ -248,7 +251,7 @@
 	defer t.Stop()
 	for ctx.Err() == nil {
 		h.Step(ctx)
-		if h.awaitEngines(ctx, t.C) {
+		if h.awaitEngines(ctx, t.C) || h.awaitRetry(ctx) {
 			t.Reset(stepEvery)
 			continue
 		}
@@ -282,6 +285,18 @@
 	}
 }
 
+// awaitRetry waits, for a while after the start, where the store has not made the write by which
+// this instance takes back what it owned, and reports whether the next step is due.
+func (h *Holder) awaitRetry(ctx context.Context) bool {
+	if !h.lost || h.Owns() || h.leaving.Load() || h.Clock()-h.started > unknownEngines || !h.formerOwner() {
+		return false
+	}
+	retry := time.NewTimer(firstRetry)
+	defer retry.Stop()
+	h.lookUntil(ctx, retry.C)
+	return true
+}
+
 // lookUntil looks at the rows whenever it is nudged, until a time comes or ctx ends.
 func (h *Holder) lookUntil(ctx context.Context, end <-chan time.Time) {
 	for {
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -103,6 +103,21 @@
 	quick bool
 	// readAt is when the rows were last read.
 	readAt time.Time
+	// opens is until when writes are refused.
+	opens time.Time
+}
+
+// refuseWrites makes writes be refused for a while.
+func (l *link) refuseWrites(d time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.opens = time.Now().Add(d)
+}
+
+func (l *link) refusesWrites() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return time.Now().Before(l.opens)
 }
 
 // age returns how old the rows are that were read last.
@@ -152,6 +167,10 @@
 }
 
 func (l *link) write(_ context.Context, operation string, changes []snipeplatform.Change) (uint64, error) {
+	if l.refusesWrites() {
+		time.Sleep(2 * time.Millisecond)
+		return 0, snipeplatform.ErrUnavailable
+	}
 	cut, lost, late := l.state()
 	if cut || lost {
 		if lost && !cut {
@@ -740,6 +759,25 @@
 	})
 }
 
+// TestStartRefused answers the pattern of all instances starting again while the store refuses
+// writes: it guards against a whole renewal between the end of that and the first order.
+func TestStartRefused(t *testing.T) {
+	// A reading of the rows takes up to 600 ms here, a renewal comes each second.
+	const refused, soon = 1100 * time.Millisecond, 850 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlay(t, 12, 3, 6)
+		defer p.end()
+		p.watch(5 * time.Second)
+		must.Eq(t, 6, p.owned())
+		for n := range p.holders {
+			p.start(n)
+			p.links[n].refuseWrites(refused)
+		}
+		p.watch(refused + soon)
+		must.Eq(t, 6, p.owned())
+	})
+}
+
 // TestOutage answers the pattern of a store that answers nobody for ten seconds: those who own
 // engines go on to order them, since nobody else can take them. Where the store answers
 // some, or where one who may reach it says nothing, the right ends with the lease.
