--- a/cmd/snipepitchd/entry.go
+++ b/cmd/snipepitchd/entry.go
@@ -21,8 +21,6 @@
 	// storeTimeout bounds one call to the platform's store, which answers within
 	// milliseconds, and within half a second when it is slow.
 	storeTimeout = 1200 * time.Millisecond
-	// writeTimeout bounds a write to it: package snipeentry waits less for most.
-	writeTimeout = 2 * time.Second
 	// orderIdle is how long an idle connection for orders is kept.
 	orderIdle = 4 * time.Second
 	// ordersKept bounds the idle connections for orders to one engine.
@@ -73,7 +71,7 @@
 	buffer := snipelog.NewBuffer(os.Stdout)
 	defer buffer.Start()()
 	dial := snipelink.Dialer()
-	store := &platform.Store{Address: s.Table, Timeout: storeTimeout, WriteTimeout: writeTimeout, Dial: dial}
+	store := &platform.Store{Address: s.Table, Timeout: storeTimeout, Dial: dial}
 	store.Open()
 	engines := &platform.Engines{Links: &snipelink.Pool{
 		Dial: dial, DialTimeout: orderDial, Idle: orderIdle, Kept: ordersKept,
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -130,7 +130,6 @@
 	StoreReached       = define(488, "StoreReached", logrus.InfoLevel)
 	OwnershipProlonged = define(485, "OwnershipProlonged", logrus.InfoLevel)
 	OwnershipRefused   = define(486, "OwnershipRefused", logrus.InfoLevel)
-	RenewalsJoined     = define(489, "RenewalsJoined", logrus.InfoLevel)
 )
 
 // Events of orders to engines, 510 to 529.
--- a/snipeowner/renew.go
+++ b/snipeowner/renew.go
@@ -32,11 +32,11 @@
 	case self.Leaving:
 		h.endOrders()
 		var given []snipeplatform.Change
-		given, released = h.releases(MaxEntries - snipeplatform.Entries(changes))
+		given, released = h.releases(maxEntries - entries(changes))
 		changes = append(changes, given...)
 	case !standby:
 		changes = append(changes, h.conditions()...)
-		wanted = h.wanted(MaxEntries - snipeplatform.Entries(changes))
+		wanted = h.wanted(maxEntries - entries(changes))
 		for _, t := range wanted {
 			changes = append(changes, t.changes...)
 		}
@@ -58,9 +58,20 @@
 	return nil
 }
 
-// MaxEntries is how many conditions and writes the store takes in one transaction. A
+// maxEntries is how many conditions and writes the store takes in one transaction. A
 // renewal holds a condition for each engine that is owned, so that it also bounds those.
-const MaxEntries = 100
+const maxEntries = 100
+
+// entries counts the conditions and writes of changes: each has a condition.
+func entries(changes []snipeplatform.Change) int {
+	n := len(changes)
+	for _, c := range changes {
+		if c.Data != nil || c.Delete {
+			n++
+		}
+	}
+	return n
+}
 
 // unique drops conditions on a row that is already among the changes.
 func unique(changes []snipeplatform.Change) []snipeplatform.Change {
@@ -108,7 +119,7 @@
 		// A struct of plain fields always has a JSON form.
 		data, _ := json.Marshal(ownership{Fence: o.fence})
 		change := []snipeplatform.Change{{Key: ownerKey(engine), Expect: o.version, Data: data}}
-		if room -= snipeplatform.Entries(change); room < 0 {
+		if room -= entries(change); room < 0 {
 			break
 		}
 		changes, released = append(changes, change...), append(released, engine)
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -39,7 +39,7 @@
 		if !ok {
 			continue
 		}
-		if room -= snipeplatform.Entries(t.changes); room < 0 {
+		if room -= entries(t.changes); room < 0 {
 			return all
 		}
 		all = append(all, t)
--- a/snipeplatform/snipeplatform.go
+++ b/snipeplatform/snipeplatform.go
@@ -36,16 +36,6 @@
 // Answered reports whether the table has answered a write.
 func Answered(err error) bool { return err == nil || errors.Is(err, ErrConflict) }
 
-// ConflictError is an ErrConflict that tells the versions of the rows that the write concerned;
-// those that do not exist are missing.
-type ConflictError struct{ Versions map[Key]uint64 }
-
-// Error implements error.
-func (e *ConflictError) Error() string { return ErrConflict.Error() }
-
-// Unwrap has errors.Is find ErrConflict.
-func (e *ConflictError) Unwrap() error { return ErrConflict }
-
 // Key names a row.
 type Key struct {
 	// Partition groups rows that are listed together.
@@ -90,14 +80,3 @@
 	// does nothing more.
 	Write func(ctx context.Context, operation string, changes []Change) error
 }
-
-// Entries counts the conditions and writes of changes: each change has a condition.
-func Entries(changes []Change) int {
-	n := len(changes)
-	for _, c := range changes {
-		if c.Data != nil || c.Delete {
-			n++
-		}
-	}
-	return n
-}
