The soak tells for how long it stood still itself

The soak's store and upstreams live in its own process: it now looks at its own clock each 0.1 s, writes each standstill to the faults' log, and says so where an instance does not serve. The check itself is unchanged.

--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -51,6 +51,7 @@
 	links     map[string]netip.AddrPort
 	instances []*instance
 	callers   sync.WaitGroup
+	pulse     *pulse
 	version   int
 
 	lock     sync.Mutex // guards the fields below
@@ -93,6 +94,8 @@
 	s.calls, s.thawed, s.links = map[string]call{}, map[string][]time.Time{}, map[string]netip.AddrPort{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.pulse = &pulse{Out: s.Out}
+	go s.pulse.run(ctx)
 	if err := s.stage(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -245,7 +248,7 @@
 		for _, kind := range kinds {
 			for !s.ask(ctx, i, kind, random, false) {
 				if ctx.Err() != nil {
-					return errors.Errorf("%s does not serve %s", i.name, kind.prefix)
+					return errors.Errorf("%s does not serve %s; %s", i.name, kind.prefix, s.pulse)
 				}
 				time.Sleep(50 * time.Millisecond)
 			}
