--- /dev/null
+++ b/snipestand/runneranswer.go
@@ -0,0 +1,93 @@
+package snipestand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// serve runs a request, as the fault of the moment has it.
+func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.echo(w, q)
+	f := r.Faults.next(false)
+	if f == RunnerSheds {
+		w.Header().Set("X-Snipepitch-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !r.holds(q) {
+		w.Header().Set("X-Snipepitch-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.count(q)
+	r.answer(w, q, body, f)
+}
+
+// holds reports whether the runner holds the adapter that a request names, in the
+// version that it expects.
+func (r *Runner) holds(q *http.Request) bool {
+	model, adapter, named := strings.Cut(q.Header.Get("X-Snipepitch-Model"), "/")
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if !named {
+		return model == "" || !r.empty
+	}
+	version, held := r.held[adapter]
+	want := q.Header.Get("X-Snipepitch-Expect-Version")
+	return held && (want == "" || want == strconv.FormatInt(version, 10))
+}
+
+func (r *Runner) answer(w http.ResponseWriter, q *http.Request, body []byte, f RunnerFault) {
+	h := w.Header()
+	h.Set("X-Snipepitch-Server-Seal", r.ID+".1")
+	h.Set("X-Snipepitch-Server-Load", "1,0,8")
+	switch f {
+	case RunnerResets:
+		panic(http.ErrAbortHandler)
+	case RunnerErrors:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case RunnerForeign:
+		h.Set("X-Snipepitch-Attempt-Id", "another")
+	case RunnerUnsealed:
+		h.Del("X-Snipepitch-Server-Seal")
+	}
+	if q.Header.Get("X-Snipepitch-Model") != "" {
+		r.stream(q.Context(), w, q, f)
+		return
+	}
+	if f == RunnerTears {
+		h.Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "torn")
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "%s %s %s", q.Method, q.RequestURI, body) //nolint:gosec // a stand-in echoes what it got
+}
+
+// stream writes events, from the one after the last that the request names.
+func (r *Runner) stream(ctx context.Context, w http.ResponseWriter, q *http.Request, f RunnerFault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	begin, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // none: from the first
+	for n := begin + 1; n <= r.Events; n++ {
+		if f == RunnerTears && n == begin+2 {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(r.Event):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
