--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -108,9 +108,9 @@
 	heard map[netip.AddrPort]time.Time
 	// lost are the instances that the last report of use did not reach.
 	lost map[netip.AddrPort]bool
-	// noRight are the engines that are not asked for, whose owners have said that they have no
-	// right to order them now.
-	noRight map[netip.AddrPort]noRight
+	// noRight tells until when engines are not asked for, whose owners have said that they
+	// have no right to order them now.
+	noRight map[netip.AddrPort]time.Time
 	// loadsTried is how many instances did not tell the loads of all engines of late,
 	// loadsFailedAt when the last one did not, loadsLost whether the first is among them.
 	loadsTried    int
@@ -142,45 +142,27 @@
 	return true
 }
 
-const (
-	// noRightPause is how long an engine is left alone at most whose owner may not order it: somebody
-	// else owns it soon, or its owner may again.
-	noRightPause = 500 * time.Millisecond
-	// firstNoRight is how long it is the first time: an owner that starts again has its right within
-	// tens of milliseconds. Each time doubles it that follows within noRightMemory.
-	firstNoRight  = 40 * time.Millisecond
-	noRightMemory = 400 * time.Millisecond
-)
-
-// noRight is an engine that is left alone until a time, for how long in all.
-type noRight struct {
-	until time.Time
-	pause time.Duration
-}
+// noRightPause is how long an engine is left alone whose owner may not order it: somebody else
+// owns it soon, or its owner may again.
+const noRightPause = 500 * time.Millisecond
 
 // noteNoRight notes that an engine's owner may not order it now.
 func (p *peers) noteNoRight(engine netip.AddrPort) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	if p.noRight == nil {
-		p.noRight = make(map[netip.AddrPort]noRight)
+		p.noRight = make(map[netip.AddrPort]time.Time)
 	}
 	now := time.Now()
-	maps.DeleteFunc(p.noRight, func(_ netip.AddrPort, n noRight) bool { return now.Sub(n.until) > noRightMemory })
-	n := p.noRight[engine]
-	if now.Before(n.until) {
-		return // asked before that was known
-	}
-	n.pause = min(max(2*n.pause, firstNoRight), noRightPause)
-	n.until = now.Add(n.pause)
-	p.noRight[engine] = n
+	maps.DeleteFunc(p.noRight, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
+	p.noRight[engine] = now.Add(noRightPause)
 }
 
 // hasRight reports whether an engine's owner may order it, as far as is known.
 func (p *peers) hasRight(engine netip.AddrPort) bool {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	return !time.Now().Before(p.noRight[engine].until)
+	return !time.Now().Before(p.noRight[engine])
 }
 
 // hear notes that an owner has answered.
