--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -66,8 +66,8 @@
 	// firstEvery is the time between two looks for the rows until they were first read:
 	// an instance that starts again takes its engines back at once.
 	firstEvery = 20 * time.Millisecond
-	// unknownEngines is how long after a start engines that are not known yet are looked for so
-	// often, and those of a start before are tried to be taken back. A deployment may have none.
+	// unknownEngines is for how long after a start engines that are not known yet are looked for so
+	// often, and refused writes are tried again soon. A deployment may have no engines.
 	unknownEngines = 5 * time.Second
 	// firstRetry is the time between two tries of an instance that has started again to take its
 	// engines back: nobody orders them meanwhile.
