Instances log what upstreams say of their limits, and headers that are new

Change: the platform's folder decodes the limit, snipesignal keeps what is known of each start of an upstream, and an instance logs when it changes (UpstreamLimited, UpstreamFree), what cannot be understood (SignalWrong, once an upstream), and each header name that no answer had before (HeaderAppeared, 128 at most): names as they stand on the wire show by that. No decision is changed by it.

The channel of stop signals is called stops now: signals are what upstreams say.

--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -197,6 +197,7 @@
 	registered := func(id string) bool { return now.ByID(id) != nil }
 	i.residency.Keep(registered)
 	i.balancer.Keep(registered)
+	i.signals.Keep(registered)
 }
 
 // tellEntries logs which entries of the registry cannot be understood, and which can be
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -38,6 +38,7 @@
 	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/snipequota"
+	"snipepitch.example/snipepitch/snipesignal"
 	"snipepitch.example/snipepitch/snipetime"
 )
 
@@ -106,7 +107,7 @@
 	// Listen opens a listener; nil for TCP.
 	Listen func(ctx context.Context, address netip.AddrPort) (net.Listener, error)
 
-	prepare   sync.Once // makes signals
+	prepare   sync.Once // makes stops
 	meter     *snipemeter.Meter
 	catalog   *snipecatalog.Keeper
 	directory *snipedirectory.Keeper
@@ -118,6 +119,7 @@
 	desk      *snipeadapter.Desk
 	links     *snipelink.Pool
 	gateway   *snipegateway.Gateway
+	signals   *snipesignal.Book
 	peers     *peers
 	budgets   *budgets
 	issuer    *snipequota.Issuer
@@ -131,16 +133,16 @@
 	// evicted is the last eviction of an own engine that the reports' duty has noted.
 	evicted uint64
 
-	tables  tables
-	signals chan os.Signal
+	tables tables
+	stops  chan os.Signal
 }
 
 // Run serves until a signal ends it, or until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
 	i.build()
 	i.prepareSignals()
-	signal.Notify(i.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(i.signals)
+	signal.Notify(i.stops, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(i.stops)
 	var g run.Group
 	for _, f := range i.tables.all() {
 		i.duty(ctx, &g, f.Run)
@@ -178,14 +180,14 @@
 const maxSignals = 4
 
 func (i *Instance) prepareSignals() {
-	i.prepare.Do(func() { i.signals = make(chan os.Signal, maxSignals) })
+	i.prepare.Do(func() { i.stops = make(chan os.Signal, maxSignals) })
 }
 
 // Stop begins a planned stop, as a signal does.
 func (i *Instance) Stop() {
 	i.prepareSignals()
 	select {
-	case i.signals <- syscall.SIGTERM:
+	case i.stops <- syscall.SIGTERM:
 	default: // a stop waits already
 	}
 }
@@ -234,9 +236,10 @@
 	}
 	i.peers = newPeers(peerClient(i.meter))
 	i.buildQuotas()
+	i.buildSignals()
 	i.budgets = &budgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
-		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Protocol: i.Platform.Protocol,
+		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
 		Quotas: i.gatewayQuotas(), Outdated: i.outdated, Begin: i.beginning.wait,
 		Budget: i.budgets.of, Stopping: i.phase.stopping, Log: i.Log, Meter: i.meter,
 		Chooser: &snipegateway.Chooser{
--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -41,7 +41,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case s := <-i.signals:
+		case s := <-i.stops:
 			if s == syscall.SIGHUP {
 				i.reload()
 				continue
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -72,6 +72,10 @@
 	if v.Load != nil {
 		g.Balancer.Told(u.ID, float64(v.Load.Running+v.Load.Waiting))
 	}
+	c.tellHeaders(u.ID, answer.Response)
+	if !v.Elsewhere {
+		g.Signals.Hear(u.ID, c.sentAt, v.Signal)
+	}
 	if v.NotRun {
 		return c.notRun(answer, d, v)
 	}
@@ -84,6 +88,17 @@
 	return c.take(ctx, u.ID, answer)
 }
 
+// tellHeaders logs the names of an answer's headers that no answer had before.
+func (c *call) tellHeaders(id string, answer *http.Response) {
+	for name := range answer.Header {
+		if c.gateway.headers.add(name) {
+			c.gateway.Log.Log(snipelog.HeaderAppeared, snipelog.Fields{
+				"Request": c.ID, "Upstream": id, "Header": name, "Status": answer.StatusCode,
+			})
+		}
+	}
+}
+
 // outgoing makes the request for an upstream.
 func (c *call) outgoing(d Dispatch) *http.Request {
 	h := c.header.Clone()
--- a/snipegateway/reach_test.go
+++ b/snipegateway/reach_test.go
@@ -21,6 +21,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/sniperetry"
+	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // TestDeadUpstreams answers the pattern of a crash that takes many upstreams at once:
@@ -105,7 +106,7 @@
 	catalog.Adopt(routes)
 	c.Balancer = &snipebalance.Balancer{}
 	return &snipegateway.Gateway{
-		Catalog: catalog, Chooser: c, Balancer: c.Balancer, Log: snipelog.Discard(), Meter: snipemeter.New(),
+		Catalog: catalog, Chooser: c, Balancer: c.Balancer, Signals: &snipesignal.Book{}, Log: snipelog.Discard(), Meter: snipemeter.New(),
 		Links: &snipelink.Pool{
 			Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 				if dead[to] {
--- a/snipegateway/request.go
+++ b/snipegateway/request.go
@@ -6,6 +6,7 @@
 
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // Part is a piece of a prompt that requests may share.
@@ -75,6 +76,8 @@
 	Missing bool
 	// Load is nil when the answer does not tell.
 	Load *Load
+	// Signal is what the answer says of the upstream.
+	Signal snipesignal.Signal
 }
 
 // Protocol translates between the gateway and the formats around it.
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -33,6 +33,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/sniperetry"
+	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // Gateway serves requests. Exported fields are set before the first request.
@@ -41,6 +42,7 @@
 	Chooser  *Chooser
 	Balancer *snipebalance.Balancer
 	Links    *snipelink.Pool
+	Signals  *snipesignal.Book
 	Protocol Protocol
 	Quotas   Quotas
 	// Begin holds a request that has come before routes and upstreams are known, for a moment
@@ -57,6 +59,7 @@
 
 	inFlight atomic.Int64
 	counted  counted
+	headers  headerNames
 }
 
 // InFlight returns the number of requests that are served.
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -97,6 +97,7 @@
 	AnswerDiscarded  = define(215, "AnswerDiscarded", logrus.WarnLevel)
 	QuotaUnreached   = define(216, "QuotaUnreached", logrus.WarnLevel)
 	QuotaReached     = define(217, "QuotaReached", logrus.InfoLevel)
+	HeaderAppeared   = define(218, "HeaderAppeared", logrus.InfoLevel)
 )
 
 // Events of what operators declared and of the directory, 310 to 339.
@@ -116,6 +117,9 @@
 	DirectoryRead    = define(329, "DirectoryRead", logrus.InfoLevel)
 	EntryWrong       = define(327, "EntryWrong", logrus.WarnLevel)
 	EntryMended      = define(328, "EntryMended", logrus.InfoLevel)
+	UpstreamLimited  = define(330, "UpstreamLimited", logrus.WarnLevel)
+	UpstreamFree     = define(331, "UpstreamFree", logrus.InfoLevel)
+	SignalWrong      = define(332, "SignalWrong", logrus.WarnLevel)
 )
 
 // Events of the right to order engines, 480 to 499.
