Failing test: an upstream that names a limit gets as much as before

Three instances on loopback, two plain upstreams and two engines; one of each kind names 3 requests a second while callers send 33.

--- /dev/null
+++ b/snipeentry/limit_test.go
@@ -0,0 +1,74 @@
+package snipeentry_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+// senders are the instances that were asked to serve requests, by the requests' identifiers.
+type senders struct {
+	lock sync.Mutex // guards all
+	all  map[string]string
+	// refused counts the answers other than success.
+	refused int
+}
+
+func (s *senders) note(id, instance string, status int) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.all[id] = instance
+	if status != http.StatusOK {
+		s.refused++
+	}
+}
+
+func (s *senders) of(id string) string { return s.all[id] }
+
+// press sends requests to instances in turn, one after each pause, and waits for their answers.
+func press(t *testing.T, instances []*instance, target string, pause, length time.Duration, header ...string) *senders {
+	s := &senders{all: map[string]string{}}
+	var all sync.WaitGroup
+	for n := range int(length / pause) {
+		i := instances[n%len(instances)]
+		all.Go(func() {
+			a, id := send(t, i.url, http.MethodGet, target, "", header...)
+			s.note(id, i.url, a.status)
+		})
+		time.Sleep(pause)
+	}
+	all.Wait()
+	return s
+}
+
+// TestLimitNamedByUpstream guards against instances that go on sending an upstream what it was sent
+// before, after its answers have told them how many requests a second it takes of all of them.
+func TestLimitNamedByUpstream(t *testing.T) {
+	tests := map[string]struct {
+		limited, target string
+		header          []string
+	}{
+		"Plain":  {"p1", "/often/x", nil},
+		"Engine": {"e1", "/final/x", []string{modelHeader, "base"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, time.Millisecond)
+			s.declare(1)
+			instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
+			for _, i := range instances {
+				serving(t, i)
+			}
+			s.runners[tt.limited].NameLimit(3)
+			sent := press(t, instances, tt.target, 30*time.Millisecond, 9*time.Second, tt.header...)
+			must.SliceEmpty(t, snipestand.LimitBreaches(s.runners[tt.limited].Arrivals(), sent.of, nil))
+			must.Eq(t, 0, sent.refused, must.Sprint("the other upstream is free"))
+		})
+	}
+}
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -51,6 +51,9 @@
 	keys       int
 	taken      []TakenOrder
 	overfull   int
+	arrivals   []Arrival
+	limit      float64
+	limited    bool
 }
 
 // Ran returns how often a request was run, by its identifier.
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -17,6 +17,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.echo(w, q)
+	r.signal(w.Header(), q)
 	f := r.Faults.next(false)
 	if f == RunnerSheds {
 		w.Header().Set("X-Snipepitch-Not-Executed", "1")
--- /dev/null
+++ b/snipestand/runnersignal.go
@@ -0,0 +1,51 @@
+package snipestand
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Arrival is a request that has reached a runner, and what its answer says of the runner.
+type Arrival struct {
+	ID string
+	At time.Time
+	// Limit is how many requests a second the runner takes, where it is Limited.
+	Limit   float64
+	Limited bool
+}
+
+// Arrivals returns the requests that have reached the runner, in the order in which they came.
+func (r *Runner) Arrivals() []Arrival {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return slices.Clone(r.arrivals)
+}
+
+// NameLimit makes the runner name in its answers how many requests a second it takes from all
+// instances together.
+func (r *Runner) NameLimit(perSecond float64) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.limit, r.limited = perSecond, true
+}
+
+// NameNoLimit ends what NameLimit began.
+func (r *Runner) NameNoLimit() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.limited = false
+}
+
+// signal notes a request and puts what the runner says of itself on its answer.
+func (r *Runner) signal(h http.Header, q *http.Request) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.arrivals = append(r.arrivals, Arrival{
+		ID: q.Header.Get("X-Snipepitch-Attempt-Id"), At: time.Now(), Limit: r.limit, Limited: r.limited,
+	})
+	if r.limited {
+		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', -1, 64))
+	}
+}
