Instances log that an upstream leaves or wants rest by its own answers

Change: both are decoded and kept by the start of an upstream, and logged when they begin: UpstreamLeaving now tells its source, UpstreamRests is new. No decision is changed by it.

--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -263,7 +263,7 @@
 			i.Log.Log(snipelog.UpstreamAppeared, fields)
 		}
 	case snipedirectory.Leaving:
-		fields["RemainingMilliseconds"] = u.Remaining.Milliseconds()
+		fields["RemainingMilliseconds"], fields[sourceName] = u.Remaining.Milliseconds(), "Registry"
 		i.Log.Log(snipelog.UpstreamLeaving, fields)
 	case snipedirectory.Gone:
 		i.Log.Log(snipelog.UpstreamGone, fields)
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -20,9 +20,12 @@
 	toldOfDomain = 2
 )
 
+// sourceName names in log lines from whom something is known.
+const sourceName = "Source"
+
 // buildSignals makes the book of what upstreams say of themselves.
 func (i *Instance) buildSignals() {
-	i.signals = &snipesignal.Book{Part: i.limitPart, Changed: i.signalChanged, Wrong: i.signalWrong}
+	i.signals = &snipesignal.Book{Part: i.limitPart, Changed: i.signalChanged, Rested: i.signalRested, Wrong: i.signalWrong}
 }
 
 // limitPart returns this instance's part of an upstream's limit: instances rank for each upstream
@@ -54,7 +57,18 @@
 
 // signalChanged logs a change of what an upstream says of itself.
 func (i *Instance) signalChanged(c snipesignal.Change) {
-	fields := snipelog.Fields{upstreamName: c.Upstream, "Source": c.Source}
+	if c.Now.Leaving && !c.Before.Leaving {
+		i.meter.Count(signalCount("Leaving"))
+		i.Log.Log(snipelog.UpstreamLeaving, snipelog.Fields{upstreamName: c.Upstream, sourceName: c.Source})
+	}
+	if c.Now.Limited || c.Before.Limited {
+		i.limitChanged(c)
+	}
+}
+
+// limitChanged logs a change of an upstream's limit.
+func (i *Instance) limitChanged(c snipesignal.Change) {
+	fields := snipelog.Fields{upstreamName: c.Upstream, sourceName: c.Source}
 	if c.Before.Limited {
 		fields["Before"] = c.Before.Limit
 	}
@@ -69,6 +83,12 @@
 	i.Log.Log(snipelog.UpstreamLimited, fields)
 }
 
+// signalRested logs that an upstream wants to be left alone by this instance.
+func (i *Instance) signalRested(upstream string, rest time.Duration) {
+	i.meter.Count(signalCount("Rest"))
+	i.Log.Log(snipelog.UpstreamRests, snipelog.Fields{upstreamName: upstream, "RestMilliseconds": rest.Milliseconds()})
+}
+
 // signalWrong logs what cannot be understood.
 func (i *Instance) signalWrong(upstream, text string) {
 	i.meter.Count(signalCount("Wrong"))
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -120,6 +120,7 @@
 	UpstreamLimited  = define(330, "UpstreamLimited", logrus.WarnLevel)
 	UpstreamFree     = define(331, "UpstreamFree", logrus.InfoLevel)
 	SignalWrong      = define(332, "SignalWrong", logrus.WarnLevel)
+	UpstreamRests    = define(333, "UpstreamRests", logrus.WarnLevel)
 )
 
 // Events of the right to order engines, 480 to 499.
--- a/snipesignal/news.go
+++ b/snipesignal/news.go
@@ -93,8 +93,8 @@
 		return Change{}, false
 	}
 	e = b.entry(s.Upstream)
-	b.say(s.Upstream, e, s.State, saidAt, now)
+	b.say(s.Upstream, e, s.Limit, s.Limited, saidAt, now)
 	// Whoever has heard it has told the others.
-	e.news = news{told: s.State, toldAt: now}
+	e.news = news{told: e.State, toldAt: now}
 	return e.change(s.Upstream, Instance)
 }
--- a/snipesignal/snipesignal.go
+++ b/snipesignal/snipesignal.go
@@ -28,14 +28,20 @@
 	// it is Limited.
 	Limit   float64
 	Limited bool
+	// Leaving upstreams take no new work.
+	Leaving bool
+	// Rest is for how long the upstream wants to be left alone by the instance that it has
+	// answered; zero for no time.
+	Rest time.Duration
 	// Wrong is what could not be understood, for the log; empty for nothing.
 	Wrong string
 }
 
-// State is what is known of an upstream.
+// State is what is known of an upstream, by whichever instance.
 type State struct {
 	Limit   float64
 	Limited bool
+	Leaving bool
 }
 
 // sameLimit is by what part of it a limit may differ from another one that says the same.
@@ -44,7 +50,7 @@
 // same reports whether two states say the same, by and large: limits may change with each answer.
 func (s State) same(other State) bool {
 	difference := max(s.Limit, other.Limit) - min(s.Limit, other.Limit)
-	return s.Limited == other.Limited && difference <= sameLimit*max(s.Limit, other.Limit)
+	return s.Limited == other.Limited && s.Leaving == other.Leaving && difference <= sameLimit*max(s.Limit, other.Limit)
 }
 
 // Source is from whom a state is known.
@@ -73,9 +79,11 @@
 type Book struct {
 	// Part returns this instance's part of an upstream's limit; nil for all of it.
 	Part func(upstream string, limit float64) Part
-	// Changed is told of each change, Wrong once of each upstream that says what cannot be
-	// understood; nil for nobody. They are called without a lock.
+	// Changed is told of each change, Rested when an upstream asks for rest that did not rest,
+	// Wrong once of each upstream that says what cannot be understood; nil for nobody. They are
+	// called without a lock.
 	Changed func(c Change)
+	Rested  func(upstream string, rest time.Duration)
 	Wrong   func(upstream, text string)
 
 	lock  sync.Mutex // guards known
@@ -91,6 +99,8 @@
 	shown State
 	// news is what others are told.
 	news news
+	// rest is until when the upstream wants to be left alone.
+	rest time.Time
 	// turn is which requests may go to the upstream.
 	turn turn
 	// wrong tells that it once said what cannot be understood.
@@ -105,31 +115,57 @@
 		return
 	}
 	e := b.entry(upstream)
-	wrong := s.Wrong != "" && !e.wrong
-	e.wrong = e.wrong || wrong
 	now := time.Now()
+	wrong, rested := e.hearWrong(s), e.hearRest(s, now)
 	if s.Limited || e.Limited && sent.After(e.saidAt) {
-		b.say(upstream, e, State{Limit: s.Limit, Limited: s.Limited}, now, now)
+		b.say(upstream, e, s.Limit, s.Limited, now, now)
 		e.news.heard = true
 	}
+	if s.Leaving {
+		e.Leaving, e.news.heard = true, true
+	}
 	change, changed := e.change(upstream, Answer)
 	b.lock.Unlock()
 	if wrong && b.Wrong != nil {
 		b.Wrong(upstream, s.Wrong)
 	}
+	if rested && b.Rested != nil {
+		b.Rested(upstream, s.Rest)
+	}
 	b.tell(change, changed)
 }
 
-// say notes a state as of when an upstream said it. The lock is held.
-func (b *Book) say(upstream string, e *entry, s State, saidAt, now time.Time) {
-	begins := s.Limited && !e.Limited
-	changes := s.Limited && s.Limit != e.Limit
-	e.State, e.saidAt = s, saidAt
+// hearWrong notes what cannot be understood, and reports whether it is the first time.
+func (e *entry) hearWrong(s Signal) bool {
+	if s.Wrong == "" || e.wrong {
+		return false
+	}
+	e.wrong = true
+	return true
+}
+
+// hearRest notes that the upstream wants rest, and reports whether it did not rest before. Of
+// several times the one that ends last counts.
+func (e *entry) hearRest(s Signal, now time.Time) bool {
+	until := now.Add(s.Rest)
+	if s.Rest == 0 || !until.After(e.rest) {
+		return false
+	}
+	begins := !now.Before(e.rest)
+	e.rest = until
+	return begins
+}
+
+// say notes a limit, or that there is none, as of when an upstream said it. The lock is held.
+func (b *Book) say(upstream string, e *entry, limit float64, limited bool, saidAt, now time.Time) {
+	begins := limited && !e.Limited
+	changes := limited && limit != e.Limit
+	e.Limit, e.Limited, e.saidAt = limit, limited, saidAt
 	switch {
 	case begins:
-		e.turn.begin(b.part(upstream, s.Limit), now)
+		e.turn.begin(b.part(upstream, limit), now)
 	case changes:
-		e.turn.change(b.part(upstream, s.Limit), now)
+		e.turn.change(b.part(upstream, limit), now)
 	}
 }
 
