The soak's upstreams name limits

From seed 4000 on an upstream may name a limit, while other faults overlap; the arrivals are judged by the same rule as in the tests, without requests of instances and upstreams that were disturbed until three seconds before. Seeds below 4000 draw what they drew.

--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -81,6 +81,9 @@
 		callerKey = wrongKey
 	}
 	snipestand.CallerHeader(q.Header, id, callerKey, patience, model)
+	s.lock.Lock()
+	s.senders[id] = i.name
+	s.lock.Unlock()
 	answer, err := client.Do(q)
 	if err != nil {
 		return false
@@ -148,6 +151,7 @@
 			ran[id] += n
 		}
 		s.auditKeys(r)
+		s.auditLimit(r)
 		s.auditOrders(r.ID, r)
 	}
 	for id, c := range s.calls {
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -28,6 +28,10 @@
 	// betweenMost bounds the time between the beginnings of two faults, so that they
 	// overlap.
 	betweenMost = 2500 * time.Millisecond
+	// mostLimit bounds the limits that upstreams name, in halves of requests a second; they stand
+	// for limitLength longer than other faults, so that the bound on them can be judged.
+	mostLimit   = 20
+	limitLength = 6 * time.Second
 	// mostSpoiled bounds the requests that one fault of upstreams spoils.
 	mostSpoiled = 25
 )
@@ -47,29 +51,44 @@
 	{"kill all", killAll},
 	{"an upstream starts again", startAgain},
 	{"an entry is nonsense", writeNonsense},
+	{"an upstream names a limit", nameLimit},
 }
 
-// The first seeds draw from the faults and the spoils that came first in their lists, so that
-// those that once showed a fault still draw what they drew then.
+// Seeds below some numbers draw from the faults and the spoils that came first in their lists, so
+// that those that once showed a fault still draw what they drew then.
 const (
-	firstSeeds  = 1000
-	firstFaults = 12
-	firstSpoils = 7
+	firstSeeds   = 1000
+	firstFaults  = 12
+	firstSpoils  = 7
+	secondSeeds  = 4000
+	secondFaults = 14
 )
 
-// drawn returns the entries that a seed draws from.
-func drawn[T any](seed uint64, all []T, first int) []T {
+// drawnFaults returns the faults that a seed draws from.
+func drawnFaults(seed uint64) []fault {
+	switch {
+	case seed < firstSeeds:
+		return faults[:firstFaults]
+	case seed < secondSeeds:
+		return faults[:secondFaults]
+	default:
+		return faults
+	}
+}
+
+// drawnSpoils returns the spoils that a seed draws from.
+func drawnSpoils(seed uint64) []snipestand.RunnerFault {
 	if seed < firstSeeds {
-		return all[:first]
+		return spoils[:firstSpoils]
 	}
-	return all
+	return spoils
 }
 
-// disturb begins faults, drawn from the seed, and waits until all have ended.
-func (s *Soak) disturb(ctx context.Context) {
+// play begins faults, drawn from the seed, and waits until all have ended.
+func (s *Soak) play(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.Seed, 77)) //nolint:gosec // the same faults for the same seed
 	var running sync.WaitGroup
-	all := drawn(s.Seed, faults, firstFaults)
+	all := drawnFaults(s.Seed)
 	for end := time.Now().Add(s.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		f := all[r.IntN(len(all))]
 		d := shortest + time.Duration(r.Int64N(int64(longest-shortest)))
@@ -97,6 +116,7 @@
 	i := s.pick(r)
 	i.turn.Lock()
 	defer i.turn.Unlock()
+	defer s.disturb(i.name)()
 	i.kill()
 	time.Sleep(d / 4)
 	s.again(i)
@@ -109,6 +129,7 @@
 		all.Go(func() {
 			i.turn.Lock()
 			defer i.turn.Unlock()
+			defer s.disturb(i.name)()
 			i.kill()
 			time.Sleep(d / 4)
 			s.again(i)
@@ -122,6 +143,7 @@
 	i := s.pick(r)
 	i.turn.Lock()
 	defer i.turn.Unlock()
+	defer s.disturb(i.name)()
 	i.signal(syscall.SIGTERM)
 	i.wait()
 	s.again(i)
@@ -132,6 +154,7 @@
 	i := s.pick(r)
 	i.turn.Lock()
 	defer i.turn.Unlock()
+	defer s.disturb(i.name)()
 	i.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	s.lock.Lock()
@@ -166,11 +189,15 @@
 }
 
 func cutStore(s *Soak, r *rand.Rand, d time.Duration) string {
-	return s.cut(r, r.IntN(s.Instances), d)
+	n := r.IntN(s.Instances)
+	defer s.disturb(s.instances[n].name)()
+	return s.cut(r, n, d)
 }
 
 func cutUpstream(s *Soak, r *rand.Rand, d time.Duration) string {
-	return s.cut(r, s.Instances+r.IntN(len(s.runners)), d)
+	n := r.IntN(len(s.runners))
+	defer s.disturb(s.runners[n].ID)()
+	return s.cut(r, s.Instances+n, d)
 }
 
 func spoilStore(s *Soak, r *rand.Rand, d time.Duration) string {
@@ -188,7 +215,7 @@
 }
 
 func spoilUpstreams(s *Soak, r *rand.Rand, d time.Duration) string {
-	all := drawn(s.Seed, spoils, firstSpoils)
+	all := drawnSpoils(s.Seed)
 	f := all[r.IntN(len(all))]
 	n := 1 + r.IntN(mostSpoiled)
 	s.faults.Set(f, n)
@@ -238,3 +265,13 @@
 	u.WriteNonsense(false)
 	return u.ID
 }
+
+// nameLimit has an upstream name how many requests a second it takes.
+func nameLimit(s *Soak, r *rand.Rand, d time.Duration) string {
+	u := s.runners[r.IntN(len(s.runners))]
+	limit := float64(1+r.IntN(mostLimit)) / 2
+	u.NameLimit(limit)
+	time.Sleep(d + limitLength)
+	u.NameNoLimit()
+	return fmt.Sprint(u.ID, " ", limit, " a second")
+}
--- a/snipesoak/signal.go
+++ b/snipesoak/signal.go
@@ -6,23 +6,30 @@
 	"snipepitch.example/snipepitch/snipestand"
 )
 
-// disturbedFor is for how long after a start, a freeze or a cut the requests of an instance do not
-// count for what upstreams say of themselves.
-const disturbedFor = 4 * time.Second
+// disturbance is the time in which an instance did not run or was cut off, or an upstream was.
+type disturbance struct {
+	begin, end time.Time
+}
+
+// disturbedFor is for how long after a disturbance requests do not count for what upstreams say of
+// themselves: what was held up comes late, and what was known may be lost.
+const disturbedFor = 3 * time.Second
 
-// disturbed notes that instances have just been started, frozen or cut off.
-func (s *Soak) disturbed(all ...*instance) {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	for _, i := range all {
-		s.disturbances[i.name] = append(s.disturbances[i.name], time.Now())
+// disturb notes that an instance or an upstream is disturbed, until the returned function is
+// called.
+func (s *Soak) disturb(name string) (end func()) {
+	begin := time.Now()
+	return func() {
+		s.lock.Lock()
+		defer s.lock.Unlock()
+		s.disturbances[name] = append(s.disturbances[name], disturbance{begin, time.Now()})
 	}
 }
 
-// excused reports whether an instance was disturbed shortly before a moment, or is so now.
-func (s *Soak) excused(name string, at time.Time) bool {
-	for _, t := range s.disturbances[name] {
-		if d := at.Sub(t); d > -longest && d < disturbedFor {
+// disturbed reports whether an instance or an upstream was disturbed at a moment, or shortly before.
+func (s *Soak) disturbed(name string, at time.Time) bool {
+	for _, d := range s.disturbances[name] {
+		if at.After(d.begin) && at.Before(d.end.Add(disturbedFor)) {
 			return true
 		}
 	}
@@ -32,7 +39,10 @@
 // auditLimit checks that no more requests reached an upstream than it said that it takes.
 func (s *Soak) auditLimit(r *runner) {
 	sender := func(id string) string { return s.senders[id] }
-	for _, breach := range snipestand.LimitBreaches(r.Arrivals(), sender, s.excused) {
+	excused := func(instance string, at time.Time) bool {
+		return s.disturbed(instance, at) || s.disturbed(r.ID, at)
+	}
+	for _, breach := range snipestand.LimitBreaches(r.Arrivals(), sender, excused) {
 		s.breach("no more than an upstream takes", "%s: %s", r.ID, breach)
 	}
 }
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -58,7 +58,11 @@
 	breaches []Breach
 	calls    map[string]call // answered calls by identifier
 	thawed   map[string][]time.Time
-	answered int
+	// senders are the instances that were asked, by the requests' identifiers, disturbances what
+	// was done to instances and upstreams, by their names.
+	senders      map[string]string
+	disturbances map[string][]disturbance
+	answered     int
 }
 
 const (
@@ -92,6 +96,7 @@
 // answered as they should.
 func (s *Soak) Run(ctx context.Context) ([]Breach, int, error) {
 	s.calls, s.thawed, s.links = map[string]call{}, map[string][]time.Time{}, map[string]netip.AddrPort{}
+	s.senders, s.disturbances = map[string]string{}, map[string][]disturbance{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.pulse = &pulse{Out: s.Out}
@@ -107,7 +112,7 @@
 	for n := range callers {
 		s.callers.Go(func() { s.caller(calling, n) })
 	}
-	s.disturb(ctx)
+	s.play(ctx)
 	if err := s.recover(ctx); err != nil {
 		s.breach("served again after the last fault", "%v", err)
 	}
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -141,7 +141,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.start = max(time.Now().UnixMilli(), r.start+1)
-	r.orders, r.empty, r.bare = 0, true, true
+	r.orders, r.empty, r.bare, r.limited = 0, true, true, false
 	clear(r.held)
 	clear(r.coming)
 }
