--- /dev/null
+++ b/snipeentry/leaving_test.go
@@ -0,0 +1,42 @@
+package snipeentry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+// drainBound is how long after an instance was told that an upstream leaves its requests may reach
+// that.
+const drainBound = 2 * time.Second
+
+// TestLeavingToldByAnswer guards against instances that go on sending requests to an upstream whose
+// answers say that it leaves, because the registry does not say so: the store is away.
+func TestLeavingToldByAnswer(t *testing.T) {
+	tests := map[string]struct {
+		leaving, target string
+		header          []string
+	}{
+		"Plain":  {"p1", "/often/x", nil},
+		"Engine": {"e1", "/final/x", []string{modelHeader, "base"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, time.Millisecond)
+			s.declare(1)
+			instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
+			for _, i := range instances {
+				serving(t, i)
+			}
+			s.store.SetMode(snipestand.StoreSilent)
+			s.runners[tt.leaving].SayLeaving()
+			sent := press(t, instances, tt.target, 30*time.Millisecond, 5*time.Second, tt.header...)
+			must.SliceEmpty(t, snipestand.LeavingBreaches(s.runners[tt.leaving].Arrivals(), drainBound, sent.of, nil))
+			must.Eq(t, 0, sent.refused, must.Sprint("the other upstream stays"))
+		})
+	}
+}
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -54,6 +54,8 @@
 	arrivals   []Arrival
 	limit      float64
 	limited    bool
+	// saysLeaving tells that its answers say that it leaves.
+	saysLeaving bool
 }
 
 // Ran returns how often a request was run, by its identifier.
@@ -141,7 +143,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.start = max(time.Now().UnixMilli(), r.start+1)
-	r.orders, r.empty, r.bare, r.limited = 0, true, true, false
+	r.orders, r.empty, r.bare, r.limited, r.saysLeaving = 0, true, true, false, false
 	clear(r.held)
 	clear(r.coming)
 }
--- a/snipestand/runnersignal.go
+++ b/snipestand/runnersignal.go
@@ -14,6 +14,8 @@
 	// Limit is how many requests a second the runner takes, where it is Limited.
 	Limit   float64
 	Limited bool
+	// Leaving tells that the runner leaves.
+	Leaving bool
 }
 
 // Arrivals returns the requests that have reached the runner, in the order in which they came.
@@ -38,13 +40,23 @@
 	r.limited = false
 }
 
+// SayLeaving makes the runner say in its answers that it leaves, and not in the registry.
+func (r *Runner) SayLeaving() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.saysLeaving = true
+}
+
 // signal notes a request and puts what the runner says of itself on its answer.
 func (r *Runner) signal(h http.Header, q *http.Request) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.arrivals = append(r.arrivals, Arrival{
-		ID: q.Header.Get("X-Snipepitch-Attempt-Id"), At: time.Now(), Limit: r.limit, Limited: r.limited,
+		ID: q.Header.Get("X-Snipepitch-Attempt-Id"), At: time.Now(), Limit: r.limit, Limited: r.limited, Leaving: r.saysLeaving,
 	})
+	if r.saysLeaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if r.limited {
 		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', -1, 64))
 	}
