--- /dev/null
+++ b/snipeentry/rest_test.go
@@ -0,0 +1,40 @@
+package snipeentry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+// TestRestAskedByUpstream guards against instances that go on sending requests to an upstream that
+// has turned one away and asked for rest, and against callers that are refused for it although
+// another upstream is free.
+func TestRestAskedByUpstream(t *testing.T) {
+	tests := map[string]struct {
+		resting, target string
+		header          []string
+	}{
+		"Plain":   {"p1", "/often/x", nil},
+		"Once":    {"p1", "/once/x", nil},
+		"Engine":  {"e1", "/final/x", []string{modelHeader, "base"}},
+		"Adapter": {"e1", "/final/x", []string{modelHeader, "base/a1"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, time.Millisecond)
+			s.declare(1)
+			instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
+			for _, i := range instances {
+				serving(t, i)
+			}
+			s.runners[tt.resting].AskRest(3 * time.Second)
+			sent := press(t, instances, tt.target, 30*time.Millisecond, 7*time.Second, tt.header...)
+			must.SliceEmpty(t, snipestand.RestBreaches(s.runners[tt.resting].Arrivals(), sent.of, nil))
+			must.Eq(t, 0, sent.refused, must.Sprint("the other upstream is free"))
+		})
+	}
+}
--- /dev/null
+++ b/snipestand/restrule_test.go
@@ -0,0 +1,70 @@
+package snipestand
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestRestBreaches holds that the stand-in counts as its rule is worded: by instance, from half a
+// second after the answer, until the end of the rest that it asked for.
+func TestRestBreaches(t *testing.T) {
+	const rest = 3 * time.Second
+	// at returns requests that an instance sends at some moments after the one that is turned away.
+	at := func(from string, ms ...int) []Arrival {
+		all := []Arrival{{ID: "a/", At: time.Unix(100, 0), Rest: rest}}
+		for _, n := range ms {
+			all = append(all, Arrival{ID: from + "/", At: time.Unix(100, 0).Add(time.Duration(n) * time.Millisecond)})
+		}
+		return all
+	}
+	tests := map[string]struct {
+		arrivals []Arrival
+		excused  bool
+		want     int
+	}{
+		"None":    {nil, false, 0},
+		"Two":     {at("a", 600, 700), false, 0},
+		"Three":   {at("a", 600, 700, 2900), false, 1},
+		"Early":   {at("a", 100, 200, 300, 400, 600), false, 0},
+		"Late":    {at("a", 600, 3100, 3200, 3300), false, 0},
+		"Other":   {at("b", 600, 700, 800, 900), false, 0},
+		"Excused": {at("a", 600, 700, 800, 900), true, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sender := func(id string) string { return strings.TrimSuffix(id, "/") }
+			excused := func(string, time.Time) bool { return tt.excused }
+			must.Len(t, tt.want, RestBreaches(tt.arrivals, sender, excused))
+		})
+	}
+}
+
+// TestLeavingBreaches holds that the stand-in counts as its rule is worded: from the first answer to
+// an instance on, by the start of the runner.
+func TestLeavingBreaches(t *testing.T) {
+	const bound = 2 * time.Second
+	leaving := func(from string, ms int) Arrival {
+		return Arrival{ID: from + "/", At: time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond), Leaving: true}
+	}
+	staying := leaving("a", 2500)
+	staying.Leaving = false
+	tests := map[string]struct {
+		arrivals []Arrival
+		want     int
+	}{
+		"None":         {nil, 0},
+		"InTime":       {[]Arrival{leaving("a", 0), leaving("a", 1900)}, 0},
+		"Late":         {[]Arrival{leaving("a", 0), leaving("a", 2100), leaving("a", 2200)}, 2},
+		"ToldLate":     {[]Arrival{leaving("a", 0), leaving("b", 2100), leaving("b", 4000)}, 0},
+		"AnotherStart": {[]Arrival{leaving("a", 0), staying, leaving("a", 3000)}, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sender := func(id string) string { return strings.TrimSuffix(id, "/") }
+			must.Len(t, tt.want, LeavingBreaches(tt.arrivals, bound, sender, nil))
+		})
+	}
+}
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -56,6 +56,8 @@
 	limited    bool
 	// saysLeaving tells that its answers say that it leaves.
 	saysLeaving bool
+	// rest is for how long it wants to be left alone.
+	rest time.Duration
 }
 
 // Ran returns how often a request was run, by its identifier.
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -17,7 +17,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.echo(w, q)
-	r.signal(w.Header(), q)
+	if r.signal(w.Header(), q) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	f := r.Faults.next(false)
 	if f == RunnerSheds {
 		w.Header().Set("X-Snipepitch-Not-Executed", "1")
--- a/snipestand/runnersignal.go
+++ b/snipestand/runnersignal.go
@@ -16,6 +16,8 @@
 	Limited bool
 	// Leaving tells that the runner leaves.
 	Leaving bool
+	// Rest is for how long the runner, which does not run the request, wants to be left alone.
+	Rest time.Duration
 }
 
 // Arrivals returns the requests that have reached the runner, in the order in which they came.
@@ -47,12 +49,20 @@
 	r.saysLeaving = true
 }
 
-// signal notes a request and puts what the runner says of itself on its answer.
-func (r *Runner) signal(h http.Header, q *http.Request) {
+// AskRest makes the runner turn all requests away and ask for rest; zero ends it.
+func (r *Runner) AskRest(rest time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.rest = rest
+}
+
+// signal notes a request and puts what the runner says of itself on its answer. It reports whether
+// the runner turns the request away.
+func (r *Runner) signal(h http.Header, q *http.Request) (refused bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.arrivals = append(r.arrivals, Arrival{
-		ID: q.Header.Get("X-Snipepitch-Attempt-Id"), At: time.Now(), Limit: r.limit, Limited: r.limited, Leaving: r.saysLeaving,
+		ID: q.Header.Get("X-Snipepitch-Attempt-Id"), At: time.Now(), Limit: r.limit, Limited: r.limited, Leaving: r.saysLeaving, Rest: r.rest,
 	})
 	if r.saysLeaving {
 		h.Set("Server-Leaving", "1")
@@ -60,4 +70,9 @@
 	if r.limited {
 		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', -1, 64))
 	}
+	if r.rest > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.rest.Seconds(), 'f', -1, 64))
+		h.Set("X-Snipepitch-Not-Executed", "1")
+	}
+	return r.rest > 0
 }
