An upstream that says in an answer that it leaves gets no new work

Cause: leaving was known by the registry alone, and the registry by the store, which was away. The engine said so in all its answers, which all seven instances passed on (HeaderAppeared) and none read. Ruled out: an older reading that undoes the word (there was no word to undo), and requests chosen before it (they were sent on within 265 ms of their coming).

Change: the directory, which every choice and the check right before each send ask, takes an upstream's own word as well as the registry's. The word holds for that start of it, whatever entry is read after, and ends with another start. Instances tell each other. A word that others tell of a limit no longer takes the place of what an instance itself has yet to tell (TestNewsOfTwo).

--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -6,7 +6,9 @@
 // Invariants:
 //
 //   - An upstream that is marked as leaving or that is gone from the registry is
-//     not returned for new work, from the moment at which that was read.
+//     not returned for new work, from the moment at which that was read. One that has
+//     said itself that it leaves is leaving until another start of it is known, whatever
+//     the registry shows.
 //   - An upstream that starts again is another one, though its name and its address
 //     may be the same: it holds nothing of before, and nothing that was learned of the
 //     start before it is true of it. Starts are compared for equality only, since
@@ -16,6 +18,7 @@
 package snipedirectory
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -136,6 +139,8 @@
 	names   map[string]*Upstream // by name
 	outage  time.Time            // when the registry last could not be read
 	missing map[string]time.Time
+	// leaving are the starts that have said themselves that they leave, and when that was noted.
+	leaving map[string]time.Time
 	// ended are the starts, by name, that are over though the registry still shows them.
 	ended map[string]string
 }
@@ -201,6 +206,33 @@
 	k.current.Store(e.snapshot(old.Position, old.Read))
 }
 
+// leavingMemory is for how long a start that leaves is remembered: its entry may be lost for a while
+// and come back.
+const leavingMemory = 10 * time.Minute
+
+// Leave notes that a start has said itself that it leaves, though the registry may not show it.
+func (k *Keeper) Leave(id string) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if k.leaving == nil {
+		k.leaving = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(k.leaving, func(_ string, noted time.Time) bool { return time.Since(noted) > leavingMemory })
+	k.leaving[id] = time.Now()
+	old := k.current.Load()
+	u := old.ByID(id)
+	if u == nil || u.Leaving {
+		return
+	}
+	left := *u
+	left.Leaving = true
+	k.names[u.Name] = &left
+	e := k.edit()
+	e.put(&left)
+	k.current.Store(e.snapshot(old.Position, old.Read))
+	k.tell(&left, Leaving)
+}
+
 // edit begins a new snapshot. The lock is held.
 func (k *Keeper) edit() *edit {
 	if k.names == nil {
@@ -232,6 +264,9 @@
 	if k.ended[u.Name] == u.ID {
 		return
 	}
+	if _, left := k.leaving[u.ID]; left {
+		u.Leaving = true
+	}
 	_, u.Again = k.ended[u.Name]
 	delete(k.ended, u.Name)
 	delete(k.missing, u.Name)
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -263,6 +263,9 @@
 			i.Log.Log(snipelog.UpstreamAppeared, fields)
 		}
 	case snipedirectory.Leaving:
+		if i.signals.Leaving(u.ID) {
+			return // told already
+		}
 		fields["RemainingMilliseconds"], fields[sourceName] = u.Remaining.Milliseconds(), "Registry"
 		i.Log.Log(snipelog.UpstreamLeaving, fields)
 	case snipedirectory.Gone:
--- a/snipeentry/leaving_test.go
+++ b/snipeentry/leaving_test.go
@@ -1,6 +1,10 @@
 package snipeentry_test
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,3 +44,39 @@
 		})
 	}
 }
+
+// TestLeavingToldToOthers guards against instances that go on using an upstream of whose leaving
+// another instance has heard, while the registry cannot tell them.
+func TestLeavingToldToOthers(t *testing.T) {
+	s := newStage(t, time.Millisecond)
+	s.declare(1)
+	instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
+	for _, i := range instances {
+		serving(t, i)
+	}
+	acquainted(t, instances)
+	s.store.SetMode(snipestand.StoreSilent)
+	s.runners["p1"].SayLeaving()
+	press(t, instances[:1], "/often/x", 10*time.Millisecond, time.Second)
+	eventually(t, func() bool { return strings.Count(s.logged(), `"Name":"UpstreamLeaving"`) == len(instances) })
+	before := len(s.runners["p1"].Arrivals())
+	press(t, instances[1:], "/often/x", 10*time.Millisecond, time.Second)
+	must.Eq(t, before, len(s.runners["p1"].Arrivals()))
+}
+
+// acquainted waits until all instances know each other.
+func acquainted(t *testing.T, instances []*instance) {
+	t.Helper()
+	want := fmt.Sprintf("snipepitch_instances %d\n", len(instances))
+	for _, i := range instances {
+		eventually(t, func() bool {
+			a, err := http.Get("http://" + i.Settings.Metrics.String() + "/metrics")
+			if err != nil {
+				return false
+			}
+			defer func() { _ = a.Body.Close() }()
+			text, err := io.ReadAll(a.Body)
+			return err == nil && strings.Contains(string(text), want)
+		})
+	}
+}
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -55,11 +55,12 @@
 	return `snipepitch_upstream_signals_total{signal="` + kind + `"}`
 }
 
-// signalChanged logs a change of what an upstream says of itself.
+// signalChanged takes a change of what an upstream says of itself.
 func (i *Instance) signalChanged(c snipesignal.Change) {
 	if c.Now.Leaving && !c.Before.Leaving {
 		i.meter.Count(signalCount("Leaving"))
 		i.Log.Log(snipelog.UpstreamLeaving, snipelog.Fields{upstreamName: c.Upstream, sourceName: c.Source})
+		i.directory.Leave(c.Upstream)
 	}
 	if c.Now.Limited || c.Before.Limited {
 		i.limitChanged(c)
@@ -142,6 +143,7 @@
 	for _, s := range all {
 		encoded = append(encoded, &snipeproto.UpstreamSignal{
 			Upstream: s.Upstream, Limited: s.Limited, Limit: s.Limit, AgeMilliseconds: s.Age.Milliseconds(),
+			Leaving: s.Leaving,
 		})
 	}
 	return encoded
@@ -151,8 +153,9 @@
 	decoded := make([]snipesignal.Statement, 0, len(all))
 	for _, s := range all {
 		decoded = append(decoded, snipesignal.Statement{
-			Upstream: s.GetUpstream(), State: snipesignal.State{Limit: s.GetLimit(), Limited: s.GetLimited()},
-			Age: time.Duration(s.GetAgeMilliseconds()) * time.Millisecond,
+			Upstream: s.GetUpstream(),
+			State:    snipesignal.State{Limit: s.GetLimit(), Limited: s.GetLimited(), Leaving: s.GetLeaving()},
+			Age:      time.Duration(s.GetAgeMilliseconds()) * time.Millisecond,
 		})
 	}
 	return decoded
--- a/snipesignal/news.go
+++ b/snipesignal/news.go
@@ -60,7 +60,7 @@
 	return all
 }
 
-// Statements returns the limits that stand, and those that have lately ended.
+// Statements returns the limits that stand, those that have lately ended, and who leaves.
 func (b *Book) Statements() []Statement {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -68,7 +68,7 @@
 	var all []Statement
 	for id, e := range b.known {
 		age := now.Sub(e.saidAt)
-		if e.Limited || !e.saidAt.IsZero() && age < pastLife {
+		if e.Limited || e.Leaving || !e.saidAt.IsZero() && age < pastLife {
 			all = append(all, Statement{id, e.State, age})
 		}
 	}
@@ -89,12 +89,15 @@
 	now := time.Now()
 	saidAt := now.Add(-max(s.Age, 0))
 	e := b.known[s.Upstream]
-	if e == nil && !s.Limited || e != nil && !saidAt.After(e.saidAt) {
+	if e == nil && !s.Limited && !s.Leaving {
 		return Change{}, false
 	}
 	e = b.entry(s.Upstream)
-	b.say(s.Upstream, e, s.Limit, s.Limited, saidAt, now)
+	if saidAt.After(e.saidAt) {
+		b.say(s.Upstream, e, s.Limit, s.Limited, saidAt, now)
+	}
+	e.Leaving = e.Leaving || s.Leaving
 	// Whoever has heard it has told the others.
-	e.news = news{told: e.State, toldAt: now}
+	e.news.told, e.news.toldAt = s.State, now
 	return e.change(s.Upstream, Instance)
 }
--- a/snipesignal/snipesignal.go
+++ b/snipesignal/snipesignal.go
@@ -204,6 +204,14 @@
 	return e != nil && e.Limited
 }
 
+// Leaving reports whether an upstream has said that it leaves.
+func (b *Book) Leaving(upstream string) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	e := b.known[upstream]
+	return e != nil && e.Leaving
+}
+
 // CountLimited returns how many upstreams name a limit.
 func (b *Book) CountLimited() int {
 	b.lock.Lock()
--- a/snipesignal/world_test.go
+++ b/snipesignal/world_test.go
@@ -274,3 +274,17 @@
 		}
 	}
 }
+
+// TestNewsOfTwo guards against what an instance has heard itself that is lost for the others because
+// one of them tells it something else of the same upstream before.
+func TestNewsOfTwo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &snipesignal.Book{}
+		b.Hear(upstream, time.Now(), snipesignal.Signal{Leaving: true})
+		b.Learn([]snipesignal.Statement{{Upstream: upstream, State: snipesignal.State{Limit: 3, Limited: true}}})
+		news := b.News()
+		must.Len(t, 1, news)
+		must.True(t, news[0].Leaving && news[0].Limited)
+		must.SliceEmpty(t, b.News())
+	})
+}
