The test of rest waits until adapters are served at all

Its case for an adapter also met the first seconds after a start, in which no engine has an owner yet and callers of adapters are refused: another fault (the first right of a lone start comes late), which has nothing to do with rest. The check and its bounds are as before; each case now serves before the upstream asks for rest. Still fails on this code in all four cases.

--- a/snipeentry/rest_test.go
+++ b/snipeentry/rest_test.go
@@ -1,6 +1,7 @@
 package snipeentry_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -30,6 +31,11 @@
 			instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
 			for _, i := range instances {
 				serving(t, i)
+				// Until engines have owners adapters are refused for want of one.
+				eventually(t, func() bool {
+					a, _ := send(t, i.url, http.MethodGet, tt.target, "", tt.header...)
+					return a.status == http.StatusOK
+				})
 			}
 			s.runners[tt.resting].AskRest(3 * time.Second)
 			sent := press(t, instances, tt.target, 30*time.Millisecond, 7*time.Second, tt.header...)
