An upstream that asks for rest is left alone until the end of it

The engines got 9 and 20 requests in 3 s of rest, two being allowed.

Cause: a 503 was read as 'adapter missing' or 'no room now', and held for the request alone that met it; Retry-After was not read. Evidence: 194 lines of RequestSentAgain with status 503 within four seconds, from all instances, to the same three. Ruled out: choices made before the answer, since it went on for six seconds.

Change: the rest that an answer asks for is kept by instance and start of the upstream; the one that ends last counts. Until its end the upstream is no candidate, no load is ordered for it, and a request that chose it before is not sent. Then one request goes alone until its answer has come, or a second has passed, so that not all come at once. A refusal that asks for rest does not make an adapter count as missing. Where all rest, callers are refused at once and told the first end, each 20 ms after the one before.

--- a/snipedirectory/leaving_test.go
+++ b/snipedirectory/leaving_test.go
@@ -10,10 +10,10 @@
 	"snipepitch.example/snipepitch/snipedirectory"
 )
 
-// start is an entry of one start of an upstream, as the registry shows it.
-func start(name string, at int64) *snipedirectory.Upstream {
-	u := entry(name, false)
-	u.ID, u.Start = snipedirectory.StartID(name, at), at
+// start is the entry of one start of upstream a, as the registry shows it.
+func start(at int64) *snipedirectory.Upstream {
+	u := entry("a", false)
+	u.ID, u.Start = snipedirectory.StartID(u.Name, at), at
 	return u
 }
 
@@ -27,19 +27,19 @@
 		want bool
 	}{
 		"Said":       {func(*snipedirectory.Keeper) {}, left, true},
-		"OlderEntry": {func(k *snipedirectory.Keeper) { k.Apply(whole(start("a", 1), entry("b", false))) }, left, true},
+		"OlderEntry": {func(k *snipedirectory.Keeper) { k.Apply(whole(start(1), entry("b", false))) }, left, true},
 		"EntryLapses": {func(k *snipedirectory.Keeper) {
 			k.Apply(whole(entry("b", false)))
-			k.Apply(whole(start("a", 1), entry("b", false)))
+			k.Apply(whole(start(1), entry("b", false)))
 		}, left, true},
 		"Outage": {func(k *snipedirectory.Keeper) {
 			k.Lost()
 			k.Apply(whole(entry("b", false)))
 			time.Sleep(time.Second)
-			k.Apply(whole(start("a", 1), entry("b", false)))
+			k.Apply(whole(start(1), entry("b", false)))
 		}, left, true},
 		"SaidAgain":    {func(k *snipedirectory.Keeper) { k.Leave(left) }, left, true},
-		"AnotherStart": {func(k *snipedirectory.Keeper) { k.Apply(whole(start("a", 2), entry("b", false))) }, next, false},
+		"AnotherStart": {func(k *snipedirectory.Keeper) { k.Apply(whole(start(2), entry("b", false))) }, next, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -50,7 +50,7 @@
 						told++
 					}
 				}}
-				k.Apply(whole(start("a", 1), entry("b", false)))
+				k.Apply(whole(start(1), entry("b", false)))
 				before := k.Snapshot()
 				k.Leave(left)
 				tt.play(k)
@@ -68,6 +68,6 @@
 func TestLeavesBeforeItIsKnown(t *testing.T) {
 	k := &snipedirectory.Keeper{}
 	k.Leave("a@1")
-	k.Apply(whole(start("a", 1)))
+	k.Apply(whole(start(1)))
 	must.True(t, k.Snapshot().ByID("a@1").Leaving)
 }
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -160,6 +160,8 @@
 	switch {
 	case v.Elsewhere:
 		c.gateway.Balancer.Replaced(id)
+	case v.Signal.Rest > 0:
+		// It has no room, and will hold what it holds after its rest.
 	case c.Adapter.Name != "":
 		c.gateway.Chooser.Residency.Deny(id, c.Adapter)
 	default:
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -89,7 +89,7 @@
 }
 
 // nowhere returns the refusal of a request that can go to none of some upstreams; wait is when it
-// may come back if none of them is held back by its limit.
+// may come back if none of them has said itself that it takes none now.
 func (c *Chooser) nowhere(all []*snipedirectory.Upstream, reason string, wait time.Duration) *snipeerror.CallError {
 	ids := make([]string, 0, len(all))
 	for _, u := range all {
@@ -98,7 +98,7 @@
 		}
 	}
 	if promised, limited := c.Signals.Promise(ids); limited {
-		return snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, reason+": limits are reached").After(promised)
+		return snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, reason+": limits are reached, or rest is wanted").After(promised)
 	}
 	return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, reason).After(wait)
 }
--- a/snipegateway/limit_test.go
+++ b/snipegateway/limit_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipesignal"
 )
@@ -101,3 +102,45 @@
 	must.Eq(t, http.StatusOK, ask(g).Code)
 	must.False(t, c.Signals.Open(only.ID))
 }
+
+// TestAllRest guards against requests that reach upstreams in the rest that these have asked for, or
+// wait for its end: where all rest callers are refused at once, and told when the first rest ends.
+func TestAllRest(t *testing.T) {
+	c := newChooser(&owners{}, 2)
+	g, upstream := newGateway(t, c, nil, nil)
+	g.Signals = c.Signals
+	c.Balancer.Open = c.Signals.Open
+	c.Signals.Hear("e0", time.Now(), snipesignal.Signal{Rest: 3 * time.Second})
+	must.Eq(t, http.StatusOK, ask(g).Code)
+	c.Signals.Hear("e1", time.Now(), snipesignal.Signal{Rest: 2 * time.Second})
+	begun := time.Now()
+	w := ask(g)
+	must.Less(t, 500*time.Millisecond, time.Since(begun))
+	must.Eq(t, http.StatusServiceUnavailable, w.Code)
+	seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	must.NoError(t, err)
+	must.Between(t, 1.5, seconds, 2.1)
+	must.Eq(t, 1, upstream.Load())
+}
+
+// TestRestIsNotMissing guards against an adapter that counts as missing on an engine which has no room
+// and asks for rest: it would be loaded again.
+func TestRestIsNotMissing(t *testing.T) {
+	c := newChooser(&owners{}, 1)
+	only := c.Directory.Snapshot().Service(service)[0]
+	g, upstream := newGateway(t, c, nil, map[string]bool{only.ID: true})
+	g.Signals = c.Signals
+	c.Balancer.Open = c.Signals.Open
+	c.Residency.Tell(only.ID, request.Adapter, 1)
+	g.Catalog.Catalog().Services[service].Engine = &snipecatalog.Engine{}
+	g.Protocol.Decode = func(*http.Request) (snipegateway.Request, error) {
+		return snipegateway.Request{ID: "1", Adapter: request.Adapter}, nil
+	}
+	g.Protocol.Judge = func(*http.Response, snipegateway.Dispatch) snipegateway.Verdict {
+		return snipegateway.Verdict{NotRun: true, Signal: snipesignal.Signal{Rest: time.Second}}
+	}
+	must.Eq(t, http.StatusServiceUnavailable, ask(g).Code)
+	must.Eq(t, 1, upstream.Load())
+	_, held := c.Residency.Holds(only, request.Adapter)
+	must.True(t, held)
+}
--- a/snipesignal/snipesignal.go
+++ b/snipesignal/snipesignal.go
@@ -14,6 +14,8 @@
 //   - What is kept is kept by the identifier of one start of an upstream, and holds for no other.
 //   - Between two requests of one instance to an upstream that names a limit lies its part's
 //     interval.
+//   - An upstream that has asked an instance for rest gets nothing from it until the end of that,
+//     and then one request first. Rest is between the two: other instances are not told.
 package snipesignal
 
 import (
@@ -99,8 +101,7 @@
 	shown State
 	// news is what others are told.
 	news news
-	// rest is until when the upstream wants to be left alone.
-	rest time.Time
+	rest rest
 	// turn is which requests may go to the upstream.
 	turn turn
 	// wrong tells that it once said what cannot be understood.
@@ -116,7 +117,12 @@
 	}
 	e := b.entry(upstream)
 	now := time.Now()
-	wrong, rested := e.hearWrong(s), e.hearRest(s, now)
+	wrong, rested := e.hearWrong(s), false
+	if s.Rest > 0 {
+		rested = e.rest.ask(s.Rest, now)
+	} else {
+		e.rest.served(now)
+	}
 	if s.Limited || e.Limited && sent.After(e.saidAt) {
 		b.say(upstream, e, s.Limit, s.Limited, now, now)
 		e.news.heard = true
@@ -144,18 +150,6 @@
 	return true
 }
 
-// hearRest notes that the upstream wants rest, and reports whether it did not rest before. Of
-// several times the one that ends last counts.
-func (e *entry) hearRest(s Signal, now time.Time) bool {
-	until := now.Add(s.Rest)
-	if s.Rest == 0 || !until.After(e.rest) {
-		return false
-	}
-	begins := !now.Before(e.rest)
-	e.rest = until
-	return begins
-}
-
 // say notes a limit, or that there is none, as of when an upstream said it. The lock is held.
 func (b *Book) say(upstream string, e *entry, limit float64, limited bool, saidAt, now time.Time) {
 	begins := limited && !e.Limited
--- a/snipesignal/turn.go
+++ b/snipesignal/turn.go
@@ -67,10 +67,12 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	e := b.known[upstream]
-	return e == nil || !e.Limited || e.open(time.Now())
+	return e == nil || e.open(time.Now())
 }
 
-func (e *entry) open(now time.Time) bool { return e.turn.open(now, now.Sub(e.saidAt)) }
+func (e *entry) open(now time.Time) bool {
+	return e.rest.open(now) && (!e.Limited || e.turn.open(now, now.Sub(e.saidAt)))
+}
 
 // Take counts a request that is about to be sent to an upstream; false if it may not be. The
 // returned function gives back what a request took that was not sent after all.
@@ -78,48 +80,60 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	e := b.known[upstream]
-	if e == nil || !e.Limited {
+	if e == nil {
 		return func() {}, true
 	}
 	now := time.Now()
-	t := &e.turn
-	if now.Sub(t.partAt) >= partLife {
-		t.change(b.part(upstream, e.Limit), now)
+	if e.Limited && now.Sub(e.turn.partAt) >= partLife {
+		e.turn.change(b.part(upstream, e.Limit), now)
 	}
 	if !e.open(now) {
 		return nil, false
 	}
-	before := t.next
-	t.use(now)
+	next, tried := e.turn.next, e.rest.tried
+	if e.Limited {
+		e.turn.use(now)
+	}
+	e.rest.tried = now
 	return func() {
 		b.lock.Lock()
 		defer b.lock.Unlock()
-		t.next = before
+		e.turn.next, e.rest.tried = next, tried
 	}, true
 }
 
 // Promise returns when a request may come back that could be sent to none of some upstreams, since
-// they have named limits: each caller is told another time. It is false where none of them has.
+// they want rest or have named limits: each caller is told another time. It is false where none of
+// them does.
 func (b *Book) Promise(upstreams []string) (time.Duration, bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	now := time.Now()
-	var first *turn
+	var first *entry
 	var soonest time.Time
 	for _, id := range upstreams {
 		e := b.known[id]
-		if e == nil || !e.Limited {
+		if e == nil || !e.Limited && !now.Before(e.rest.until) {
 			continue
 		}
-		if at := e.turn.free(); first == nil || at.Before(soonest) {
-			first, soonest = &e.turn, at
+		if at := e.free(); first == nil || at.Before(soonest) {
+			first, soonest = e, at
 		}
 	}
 	if first == nil {
 		return 0, false
 	}
-	first.promised = soonest
-	return min(max(soonest.Sub(now), 0), mostPromised), true
+	first.turn.promised, first.rest.promised = soonest, soonest
+	return min(max(soonest.Sub(now), returnPace), mostPromised), true
+}
+
+// free is the time of the first request that nobody was promised.
+func (e *entry) free() time.Time {
+	at := e.rest.free()
+	if e.Limited && e.turn.free().After(at) {
+		return e.turn.free()
+	}
+	return at
 }
 
 // free is the time of the first request that nobody was promised.
