A shorter pause does not end a longer one that an engine has asked for

Callers of engines behind an owner could reach an engine within the pause that it had asked for: the refusal of a second call that was under way named none, so that a quarter of a second took the place of three seconds.

Cause: the last word counted and not the one that ends last. TestLongestPause failed before (the engine was usable after 0.35 s).

--- a/snipehealth/snipehealth.go
+++ b/snipehealth/snipehealth.go
@@ -165,7 +165,9 @@
 	u.calls++
 	switch {
 	case o.Refused > 0:
-		u.refused = now.Add(o.Refused)
+		if until := now.Add(o.Refused); until.After(u.refused) {
+			u.refused = until
+		}
 		return
 	case !o.Reached:
 		u.leave(Unreachable, now)
--- a/snipehealth/snipehealth_test.go
+++ b/snipehealth/snipehealth_test.go
@@ -84,6 +84,21 @@
 	}
 }
 
+// TestLongestPause guards against a shorter pause, of a call that was under way, which ends a longer
+// one that the upstream has asked for.
+func TestLongestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newTracker()
+		k.Observe("0", Observation{Reached: true, Refused: 3 * time.Second})
+		time.Sleep(100 * time.Millisecond)
+		k.Observe("0", Observation{Reached: true, Refused: 250 * time.Millisecond})
+		time.Sleep(2800 * time.Millisecond)
+		must.Eq(t, []string{"1", "2"}, usable(k, 1, 3))
+		time.Sleep(200 * time.Millisecond)
+		must.Len(t, 3, usable(k, 1, 3))
+	})
+}
+
 // TestFloor: two thirds of the candidates remain when all have become slow,
 // and none that does not answer.
 func TestFloor(t *testing.T) {
