--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -151,7 +151,7 @@
 			ran[id] += n
 		}
 		s.auditKeys(r)
-		s.auditLimit(r)
+		s.auditSignals(r)
 		s.auditOrders(r.ID, r)
 	}
 	for id, c := range s.calls {
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -28,10 +28,6 @@
 	// betweenMost bounds the time between the beginnings of two faults, so that they
 	// overlap.
 	betweenMost = 2500 * time.Millisecond
-	// mostLimit bounds the limits that upstreams name, in halves of requests a second; they stand
-	// for limitLength longer than other faults, so that the bound on them can be judged.
-	mostLimit   = 20
-	limitLength = 6 * time.Second
 	// mostSpoiled bounds the requests that one fault of upstreams spoils.
 	mostSpoiled = 25
 )
@@ -52,6 +48,8 @@
 	{"an upstream starts again", startAgain},
 	{"an entry is nonsense", writeNonsense},
 	{"an upstream names a limit", nameLimit},
+	{"an upstream says that it leaves", sayLeaving},
+	{"an upstream asks for rest", askRest},
 }
 
 // Seeds below some numbers draw from the faults and the spoils that came first in their lists, so
@@ -265,13 +263,3 @@
 	u.WriteNonsense(false)
 	return u.ID
 }
-
-// nameLimit has an upstream name how many requests a second it takes.
-func nameLimit(s *Soak, r *rand.Rand, d time.Duration) string {
-	u := s.runners[r.IntN(len(s.runners))]
-	limit := float64(1+r.IntN(mostLimit)) / 2
-	u.NameLimit(limit)
-	time.Sleep(d + limitLength)
-	u.NameNoLimit()
-	return fmt.Sprint(u.ID, " ", limit, " a second")
-}
