--- a/snipegateway/limit_test.go
+++ b/snipegateway/limit_test.go
@@ -66,8 +66,6 @@
 func TestAllLimited(t *testing.T) {
 	c := newChooser(&owners{}, 2)
 	g, upstream := newGateway(t, c, nil, nil)
-	g.Signals = c.Signals
-	c.Balancer.Open = c.Signals.Open
 	nameLimit(c.Signals, 1, "e0", "e1")
 	told := map[string]int{}
 	for range 6 {
@@ -90,7 +88,6 @@
 	only := c.Directory.Snapshot().Service(service)[0]
 	dead := map[netip.AddrPort]bool{only.Address: true}
 	g, _ := newGateway(t, c, dead, nil)
-	g.Signals = c.Signals
 	g.Protocol.Judge = func(*http.Response, snipegateway.Dispatch) snipegateway.Verdict {
 		return snipegateway.Verdict{Genuine: true, Signal: snipesignal.Signal{Limit: 1, Limited: true}}
 	}
@@ -108,8 +105,6 @@
 func TestAllRest(t *testing.T) {
 	c := newChooser(&owners{}, 2)
 	g, upstream := newGateway(t, c, nil, nil)
-	g.Signals = c.Signals
-	c.Balancer.Open = c.Signals.Open
 	c.Signals.Hear("e0", time.Now(), snipesignal.Signal{Rest: 3 * time.Second})
 	must.Eq(t, http.StatusOK, ask(g).Code)
 	c.Signals.Hear("e1", time.Now(), snipesignal.Signal{Rest: 2 * time.Second})
@@ -129,8 +124,6 @@
 	c := newChooser(&owners{}, 1)
 	only := c.Directory.Snapshot().Service(service)[0]
 	g, upstream := newGateway(t, c, nil, map[string]bool{only.ID: true})
-	g.Signals = c.Signals
-	c.Balancer.Open = c.Signals.Open
 	c.Residency.Tell(only.ID, request.Adapter, 1)
 	g.Catalog.Catalog().Services[service].Engine = &snipecatalog.Engine{}
 	g.Protocol.Decode = func(*http.Request) (snipegateway.Request, error) {
--- a/snipegateway/reach_test.go
+++ b/snipegateway/reach_test.go
@@ -21,7 +21,6 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/sniperetry"
-	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // TestDeadUpstreams answers the pattern of a crash that takes many upstreams at once:
@@ -104,9 +103,9 @@
 	}
 	must.NoError(t, routes.Index())
 	catalog.Adopt(routes)
-	c.Balancer = &snipebalance.Balancer{}
+	c.Balancer = &snipebalance.Balancer{Open: c.Signals.Open}
 	return &snipegateway.Gateway{
-		Catalog: catalog, Chooser: c, Balancer: c.Balancer, Signals: &snipesignal.Book{}, Log: snipelog.Discard(), Meter: snipemeter.New(),
+		Catalog: catalog, Chooser: c, Balancer: c.Balancer, Signals: c.Signals, Log: snipelog.Discard(), Meter: snipemeter.New(),
 		Links: &snipelink.Pool{
 			Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 				if dead[to] {
--- /dev/null
+++ b/snipegateway/waiting_test.go
@@ -0,0 +1,58 @@
+package snipegateway_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipegateway"
+	"snipepitch.example/snipepitch/snipesignal"
+)
+
+// TestWordWhileWaiting guards against a request that is sent to the engine for whose load it has
+// waited, although that has said meanwhile that it takes none: it goes to another one.
+func TestWordWhileWaiting(t *testing.T) {
+	tests := map[string]func(c *snipegateway.Chooser, engine string){
+		"Leaves": func(c *snipegateway.Chooser, engine string) { c.Directory.Leave(engine) },
+		"Rests": func(c *snipegateway.Chooser, engine string) {
+			c.Signals.Hear(engine, time.Now(), snipesignal.Signal{Rest: time.Minute})
+		},
+		"LimitReached": func(c *snipegateway.Chooser, engine string) {
+			c.Signals.Hear(engine, time.Now(), snipesignal.Signal{Limit: 0.1, Limited: true})
+		},
+	}
+	for name, say := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := &owners{}
+			c := newChooser(o, 2)
+			g, _ := newGateway(t, c, nil, nil)
+			g.Catalog.Catalog().Services[service].Engine = &snipecatalog.Engine{}
+			g.Catalog.Catalog().Routes[0].Target = 2 * time.Second
+			g.Protocol.Decode = func(*http.Request) (snipegateway.Request, error) {
+				return snipegateway.Request{ID: "1", Adapter: request.Adapter}, nil
+			}
+			var reached []string
+			prepare := g.Protocol.Prepare
+			g.Protocol.Prepare = func(h http.Header, d snipegateway.Dispatch) {
+				reached = append(reached, d.Upstream.ID)
+				prepare(h, d)
+			}
+			first := ""
+			c.Ensure = func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, patience time.Duration) (int64, error) {
+				if first == "" {
+					first = u.ID
+					defer say(c, u.ID)
+				}
+				return o.ensure(ctx, u, a, version, patience)
+			}
+			must.Eq(t, http.StatusOK, ask(g).Code)
+			must.Len(t, 1, reached)
+			must.NotEq(t, first, reached[0])
+		})
+	}
+}
