The end of a limit is told again; a refusal keeps its kind

An instance that has no part in a limit hears of its end by one message alone. Was that lost, it left the upstream alone until its turn to look, which is minutes at a limit below one. TestEndIsToldAgain failed before (told once). Whoever has heard the end tells it again twice, each 5 s.

--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -67,7 +67,7 @@
 	directory := c.Directory.Snapshot()
 	all := directory.Service(service)
 	if len(all) == 0 {
-		return Choice{}, snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, "the service has no upstream").After(time.Second)
+		return Choice{}, none("the service has no upstream")
 	}
 	if q.Adapter.Model == "" {
 		return c.plain(all, untried(tried))
@@ -83,24 +83,30 @@
 func (c *Chooser) plain(all []*snipedirectory.Upstream, fresh snipebalance.Filter) (Choice, error) {
 	u := c.Balancer.Pick(all, fresh, nil)
 	if u == nil {
-		return Choice{}, c.nowhere(all, "no upstream is left to try", time.Second)
+		return Choice{}, c.nowhere(all, none("no upstream is left to try"))
 	}
 	return Choice{Upstream: u, Holders: c.held(all, fresh)}, nil
 }
 
-// nowhere returns the refusal of a request that can go to none of some upstreams; wait is when it
-// may come back if none of them has said itself that it takes none now.
-func (c *Chooser) nowhere(all []*snipedirectory.Upstream, reason string, wait time.Duration) *snipeerror.CallError {
+// nowhere returns the refusal of a request that can go to none of some upstreams: another one than
+// usual where some of them have said that they take none now.
+func (c *Chooser) nowhere(all []*snipedirectory.Upstream, usual *snipeerror.CallError) *snipeerror.CallError {
 	ids := make([]string, 0, len(all))
 	for _, u := range all {
 		if !u.Leaving {
 			ids = append(ids, u.ID)
 		}
 	}
-	if promised, limited := c.Signals.Promise(ids); limited {
-		return snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, reason+": limits are reached, or rest is wanted").After(promised)
+	if promised, closed := c.Signals.Promise(ids); closed {
+		reason := usual.Reason + ": limits are reached, or rest is wanted"
+		return snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, reason).After(promised)
 	}
-	return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, reason).After(wait)
+	return usual
+}
+
+// none returns the usual refusal of a request that can go to no upstream.
+func none(reason string) *snipeerror.CallError {
+	return snipeerror.New(snipeerror.ErrNoUpstream, snipeerror.NotRun, reason).After(time.Second)
 }
 
 // engine returns an engine that holds the request's adapter, or has one load it.
@@ -130,7 +136,7 @@
 		return choice, nil
 	}
 	if a.Name == "" {
-		return Choice{}, c.nowhere(all, "no engine holds the model", time.Second)
+		return Choice{}, c.nowhere(all, none("no engine holds the model"))
 	}
 	return c.load(ctx, all, a, required, patience, fresh)
 }
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -24,8 +24,9 @@
 	if c.ran > 0 {
 		f = snipeerror.New(f.Kind, snipeerror.MayHaveRun, f.Reason)
 	}
-	limited := errors.Is(f, snipeerror.ErrOverloaded) && f.RetryAfter > 0
-	if f.Outcome == snipeerror.NotRun && !limited && (f.RetryAfter == 0 || c.full > 0) {
+	// What upstreams have said themselves is truer than the time in which a queue has room again.
+	said := errors.Is(f, snipeerror.ErrOverloaded) && f.RetryAfter > 0
+	if f.Outcome == snipeerror.NotRun && !said && (f.RetryAfter == 0 || c.full > 0) {
 		f = f.After(c.comeBack())
 	}
 	return f
--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -79,7 +79,7 @@
 		}
 	}
 	if refusal == nil {
-		refusal = c.nowhere(all, "no engine has an owner", loadRetry)
+		refusal = c.nowhere(all, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "no engine has an owner").After(loadRetry))
 	}
 	return Choice{}, refusal
 }
--- a/snipesignal/news.go
+++ b/snipesignal/news.go
@@ -8,8 +8,9 @@
 	tellEvery = 5 * time.Second
 	// tellers is how many of those that share a limit do so; the others only if these did not.
 	tellers = 3
-	// pastLife is for how long the end of a limit is told to those that ask.
-	pastLife = 10 * time.Second
+	// pastLife is for how long the end of a limit is told: again by whoever heard of it, and to
+	// those that ask.
+	pastLife = 12 * time.Second
 )
 
 // Statement is what an upstream was heard to say, as instances tell each other.
@@ -22,8 +23,10 @@
 
 // news is what others were told of an upstream.
 type news struct {
-	// heard tells that something was heard from the upstream itself since then.
+	// heard tells that something was heard from the upstream itself since then, ended that the end
+	// of a limit was.
 	heard bool
+	ended bool
 	// told is what they were last told, by whomever, and toldAt when that was.
 	told   State
 	toldAt time.Time
@@ -31,15 +34,18 @@
 
 // due reports whether others are to be told a state.
 func (n *news) due(e *entry, now time.Time) bool {
+	since := now.Sub(n.toldAt)
 	switch {
-	case !n.heard:
-		return false
-	case !e.same(n.told):
+	case n.heard && !e.same(n.told):
 		return true
+	case n.ended:
+		return since >= tellEvery && now.Sub(e.saidAt) < pastLife
+	case !n.heard || !e.Limited:
+		return false
 	case e.turn.part.Rank < tellers:
-		return e.Limited && now.Sub(n.toldAt) >= tellEvery
+		return since >= tellEvery
 	default:
-		return e.Limited && now.Sub(n.toldAt) >= 2*tellEvery
+		return since >= 2*tellEvery
 	}
 }
 
@@ -54,7 +60,7 @@
 		if !e.news.due(e, now) {
 			continue
 		}
-		e.news = news{told: e.State, toldAt: now}
+		e.news.heard, e.news.told, e.news.toldAt = false, e.State, now
 		all = append(all, Statement{id, e.State, now.Sub(e.saidAt)})
 	}
 	return all
@@ -95,6 +101,7 @@
 	e = b.entry(s.Upstream)
 	if saidAt.After(e.saidAt) {
 		b.say(s.Upstream, e, s.Limit, s.Limited, saidAt, now)
+		e.news.ended = false
 	}
 	e.Leaving = e.Leaving || s.Leaving
 	// Whoever has heard it has told the others.
--- a/snipesignal/snipesignal.go
+++ b/snipesignal/snipesignal.go
@@ -125,7 +125,7 @@
 	}
 	if s.Limited || e.Limited && sent.After(e.saidAt) {
 		b.say(upstream, e, s.Limit, s.Limited, now, now)
-		e.news.heard = true
+		e.news.heard, e.news.ended = true, !s.Limited
 	}
 	if s.Leaving {
 		e.Leaving, e.news.heard = true, true
--- a/snipesignal/world_test.go
+++ b/snipesignal/world_test.go
@@ -275,6 +275,27 @@
 	}
 }
 
+// TestEndIsToldAgain guards against an instance that leaves an upstream alone for minutes because the
+// one message was lost that told it of the end of a limit.
+func TestEndIsToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &snipesignal.Book{}
+		b.Hear(upstream, time.Now(), snipesignal.Signal{Limit: 3, Limited: true})
+		must.Len(t, 1, b.News())
+		time.Sleep(time.Second)
+		b.Hear(upstream, time.Now(), snipesignal.Signal{})
+		told := 0
+		for range 30 {
+			for _, s := range b.News() {
+				must.False(t, s.Limited)
+				told++
+			}
+			time.Sleep(time.Second)
+		}
+		must.Between(t, 2, told, 3)
+	})
+}
+
 // TestNewsOfTwo guards against what an instance has heard itself that is lost for the others because
 // one of them tells it something else of the same upstream before.
 func TestNewsOfTwo(t *testing.T) {
