Decode a load with a pace, and count loads that are ignored

Cause: an upstream that states RUNNING,WAITING,SLOTS,PACE had its load dropped whole, because decodeLoad took exactly three figures.

--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -59,6 +59,9 @@
 	reported     float64
 	inFlightThen float64
 	reportedAt   time.Time
+	// stated is the last load that the upstream stated with an answer, at statedAt.
+	stated   StatedLoad
+	statedAt time.Time
 	// failures is the moving average of the failure rate: of answers that were failures, and of
 	// requests that got no answer.
 	failures float64
@@ -237,6 +240,38 @@
 	s.reported, s.inFlightThen, s.reportedAt = load, s.inFlight, at
 }
 
+// StatedLoad is the load that an upstream states in an answer: the requests that it runs, those
+// that wait in its queue, how many it can run at once, and its pace.
+type StatedLoad struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes there at this moment, as a multiple of the usual time; zero if it
+	// is not stated.
+	Pace float64
+}
+
+// SetStated records the load that an upstream states now. It replaces the load of the previous
+// report (see SetLoad).
+func (b *Balancer) SetStated(id string, l StatedLoad) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	b.setLoad(id, float64(l.Running+l.Waiting), now)
+	s := b.state(id)
+	s.stated, s.statedAt = l, now
+}
+
+// Stated returns the load that an upstream last stated to this instance and its age, or false if it
+// has stated none.
+func (b *Balancer) Stated(id string) (l StatedLoad, age time.Duration, ok bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	s := b.states[id]
+	if s == nil || s.statedAt.IsZero() {
+		return StatedLoad{}, 0, false
+	}
+	return s.stated, time.Since(s.statedAt), true
+}
+
 // LoadReport is the reported load of an upstream and the age of the report.
 type LoadReport struct {
 	ID   string
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -87,7 +87,7 @@
 	g, u := c.gateway, d.Upstream
 	v := g.Protocol.Classify(answer.Response, d)
 	if v.Load != nil {
-		g.Balancer.SetLoad(u.ID, float64(v.Load.Running+v.Load.Waiting))
+		g.Balancer.SetStated(u.ID, snipebalance.StatedLoad(*v.Load))
 	}
 	c.logNewHeaders(u.ID, answer.Response)
 	if v.signalApplies() {
--- a/snipegateway/request.go
+++ b/snipegateway/request.go
@@ -69,6 +69,14 @@
 // in its queue, and how many it can run at once.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes at the upstream at this moment, as a multiple of the usual time;
+	// zero if the upstream does not state it.
+	Pace float64
+}
+
+// IgnoredHeaders counts header values that were ignored because they were invalid.
+type IgnoredHeaders struct {
+	Loads uint64
 }
 
 // AnswerState is what the headers and the status of an upstream's answer say about the request and
@@ -111,6 +119,9 @@
 	// Classify reads what the headers and the status of an upstream's answer say. It does not read
 	// the body.
 	Classify func(a *http.Response, d Dispatch) AnswerState
+	// Ignored returns the numbers of invalid header values that Decode and Classify have ignored;
+	// nil if they are not counted.
+	Ignored func() IgnoredHeaders
 	// Sign adds the request's identifier to an answer of this instance.
 	Sign func(h http.Header, id string)
 }
