Choose upstreams that state a pace by expected time

Change: where upstreams of a service state a pace, the cost is the expected time to the first event (for plain services, to the answer). The model is fitted to the observed times; the pace is the stated one, which fades to the observed mean. Requests, pending prompt tokens, reserved tokens and the pace go to an engine's owner and with the loads, in new fields; a report of an older instance counts by its weight. The better of two random upstreams is chosen, at random where they are alike. The overload threshold uses the same time. IgnorePace in the settings switches it off. The log has the expected time, the pace and the ages, and snipectl explain names them.

A fit that took the pending tokens of others as exact gave half of the true time of a token, and was replaced.

--- a/snipebalance/board.go
+++ b/snipebalance/board.go
@@ -20,12 +20,19 @@
 // report is the weight of one instance's requests in flight at an upstream.
 type report struct {
 	load float64
+	work Work
 	at   time.Time
 }
 
 // Report records the weight of an instance's requests in flight at an upstream. It replaces the
 // previous report of the instance.
 func (b *Board) Report(upstream, instance string, load float64) {
+	b.ReportWork(upstream, instance, load, Work{})
+}
+
+// ReportWork records the weight of an instance's requests in flight at an upstream and the work that
+// it consists of. It replaces the previous report of the instance.
+func (b *Board) ReportWork(upstream, instance string, load float64, w Work) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if b.reports == nil {
@@ -34,29 +41,55 @@
 	if b.reports[upstream] == nil {
 		b.reports[upstream] = make(map[string]report)
 	}
-	b.reports[upstream][instance] = report{load, time.Now()}
+	b.reports[upstream][instance] = report{load, w, time.Now()}
+}
+
+// Total is the load of an upstream, summed over all instances, and the work that it consists of; the
+// latter is the zero value if no instance has reported it.
+type Total struct {
+	Load float64
+	Work Work
 }
 
 // Loads returns the total load of each upstream for which there are reports, and drops the reports
 // that are older than boardLifetime.
 func (b *Board) Loads() map[string]float64 {
+	totals := b.Totals()
+	loads := make(map[string]float64, len(totals))
+	for upstream, t := range totals {
+		loads[upstream] = t.Load
+	}
+	return loads
+}
+
+// Totals returns the sums of the reports for each upstream for which there are any, and drops the
+// reports that are older than boardLifetime.
+func (b *Board) Totals() map[string]Total {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	loads := make(map[string]float64, len(b.reports))
+	totals := make(map[string]Total, len(b.reports))
 	for upstream, all := range b.reports {
-		sum := 0.0
+		var sum Total
+		unknown := 0.0 // load of the reports without its parts
 		for instance, r := range all {
 			if time.Since(r.at) > boardLifetime {
 				delete(all, instance)
 				continue
 			}
-			sum += r.load
+			sum.Load += r.load
+			sum.Work = sum.Work.add(r.work)
+			if r.work.Requests == 0 {
+				unknown += r.load
+			}
+		}
+		if sum.Work.Requests > 0 {
+			sum.Work.Requests += unknown
 		}
 		if len(all) == 0 {
 			delete(b.reports, upstream)
 		}
 		// An upstream whose last report has expired is returned once more, with no load.
-		loads[upstream] = sum
+		totals[upstream] = sum
 	}
-	return loads
+	return totals
 }
--- /dev/null
+++ b/snipebalance/flight.go
@@ -0,0 +1,127 @@
+package snipebalance
+
+import (
+	"time"
+
+	"snipepitch.example/snipepitch/snipedirectory"
+)
+
+// Flight is a request that was sent to an upstream. Its methods are called by one goroutine.
+type Flight struct {
+	balancer *Balancer
+	upstream *snipedirectory.Upstream
+	demand   Demand
+	weight   float64
+	sentAt   time.Time
+
+	// occupancy is the share of the slots that were occupied, pending the prompt tokens of other
+	// requests, expected the time to the first event at the usual pace (to the answer for a plain
+	// request), and pace the expected pace, all when the request was sent. waits is set if no slot
+	// was free.
+	occupancy, pending, expected, pace float64
+	waits                              bool
+	paceAge, reportAge                 time.Duration
+	// first is set once the answer's first event has arrived.
+	first bool
+}
+
+// Expectation is what was expected of a request when it was sent, and the age of what it was based on.
+type Expectation struct {
+	// Time is the expected time to the first event, or to the answer to a plain request.
+	Time time.Duration
+	// Pace is the expected pace, which Time includes. PaceAge is the age of the last stated pace, and
+	// ReportAge that of the last report about the requests in flight.
+	Pace               float64
+	PaceAge, ReportAge time.Duration
+}
+
+// Expectation returns what was expected when the request was sent.
+func (f *Flight) Expectation() Expectation {
+	return Expectation{
+		Time: time.Duration(f.expected * f.pace * float64(time.Second)), Pace: f.pace,
+		PaceAge: f.paceAge, ReportAge: f.reportAge,
+	}
+}
+
+// Start records that a request is sent to an upstream. The caller calls First at the first event of
+// the answer, and End once.
+func (b *Balancer) Start(u *snipedirectory.Upstream, d Demand) *Flight {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	m, s := b.model(u.Service), b.state(u.ID)
+	slots := float64(max(u.Slots, 1))
+	requests := s.requests.total(now, reportLifetime)
+	f := &Flight{
+		balancer: b, upstream: u, demand: d, weight: Weight(d.PromptTokens), sentAt: now,
+		occupancy: min(requests/slots, 1), waits: requests >= slots,
+		pending:  s.pending.total(now, pendingLifetime),
+		expected: m.atUsualPace(s, u, &d, now), pace: s.speed.pace(now),
+		paceAge: age(s.speed.statedAt, now), reportAge: age(s.requests.reportedAt, now),
+	}
+	s.service = u.Service
+	s.inFlight += f.weight
+	s.requests.own++
+	s.pending.own += float64(d.PromptTokens)
+	s.reserved.own += d.ReservedTokens
+	return f
+}
+
+// maxAge stands for the age of what was never reported.
+const maxAge = time.Hour
+
+func age(at, now time.Time) time.Duration { return min(now.Sub(at), maxAge) }
+
+// First records the first event of the answer: the prompt is processed, and delays no other request
+// any more. Further calls do nothing. It returns true for the first call.
+func (f *Flight) First() bool {
+	if f.first {
+		return false
+	}
+	f.first = true
+	b := f.balancer
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	s := b.state(f.upstream.ID)
+	s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
+	if f.demand.Plain {
+		return true
+	}
+	took := now.Sub(f.sentAt).Seconds()
+	if !f.waits {
+		b.model(f.upstream.Service).observeFirst(f.occupancy, float64(f.demand.PromptTokens), f.pending, took/f.pace)
+	}
+	s.speed.observe(took/f.expected, now)
+	return true
+}
+
+// End records the request's end. output is the number of output tokens of a whole answer; it is
+// negative if the request got no whole answer.
+func (f *Flight) End(output int) {
+	b := f.balancer
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	if s := b.states[f.upstream.ID]; s != nil {
+		s.inFlight = max(s.inFlight-f.weight, 0)
+		s.requests.own = max(s.requests.own-1, 0)
+		s.reserved.own = max(s.reserved.own-f.demand.ReservedTokens, 0)
+		if !f.first {
+			s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
+		}
+		if f.demand.Plain && output >= 0 {
+			s.speed.observe(now.Sub(f.sentAt).Seconds()/f.expected, now)
+		}
+	}
+	if output < 0 {
+		return
+	}
+	m := b.model(f.upstream.Service)
+	if !f.waits {
+		m.observeRequest(now.Sub(f.sentAt).Seconds() / f.pace)
+	}
+	if !f.demand.Plain && output > 0 {
+		m.observeOutput(float64(output))
+	}
+}
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -7,8 +7,13 @@
 // that time. This second part decreases with the age of the report and is zero from reportLifetime
 // on, so that an upstream that was busy receives requests again.
 //
-// Picking an upstream depends only on the recorded state and the clock: it does no I/O and
-// allocates nothing.
+// Where the upstreams of a service state a pace, an upstream is picked by the expected time to the
+// first event instead (see PickExpected). Its model is fitted to the observed times of the service's
+// requests (model.go), and the work in flight is kept by its parts: requests, prompt tokens that are
+// not yet processed, and tokens in an engine's memory (work.go, flight.go).
+//
+// Picking an upstream depends only on the recorded state, the clock and, for PickExpected, chance: it
+// does no I/O and allocates nothing.
 package snipebalance
 
 import (
@@ -62,9 +67,16 @@
 	// stated is the last load that the upstream stated with an answer, at statedAt.
 	stated   StatedLoad
 	statedAt time.Time
+	// service is the upstream's service; empty before the first request.
+	service string
+	// requests, pending and reserved are the requests in flight, the prompt tokens of those without
+	// a first event, and the tokens for which they take memory. speed is the upstream's pace.
+	requests, pending, reserved figure
+	speed                       speed
 	// failures is the moving average of the failure rate: of answers that were failures, and of
-	// requests that got no answer.
+	// requests that got no answer. failedAt is the time of the last failure.
 	failures float64
+	failedAt time.Time
 	// unanswered counts consecutive requests without an answer, including those for which no
 	// connection could be opened.
 	unanswered int
@@ -88,8 +100,16 @@
 	// left.
 	Open func(id string) bool
 
-	lock   sync.Mutex // guards states
+	// IgnorePace has every service treated as one whose upstreams state no pace.
+	IgnorePace bool
+	// Random returns a random number from 0 to below 1; nil means math/rand/v2.
+	Random func() float64
+
+	lock   sync.Mutex // guards the fields below
 	states map[string]*state
+	models map[string]*model // by service
+	// exceeded counts the choices of an upstream whose memory the request exceeds.
+	exceeded uint64
 }
 
 // Weight returns the weight of a request whose prompt has the given number of tokens. A request
@@ -139,7 +159,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	s := b.states[u.ID]
-	return s == nil || !time.Now().Before(s.suspectUntil)
+	return s == nil || s.suspectUntil.IsZero() || !time.Now().Before(s.suspectUntil)
 }
 
 // Load returns the estimated weight of all requests in flight at an upstream; zero if nothing is
@@ -206,13 +226,16 @@
 // records the request's end and must be called once.
 func (b *Balancer) Begin(id string, weight float64) (end func()) {
 	b.lock.Lock()
-	b.state(id).inFlight += weight
+	s := b.state(id)
+	s.inFlight += weight
+	s.requests.own++
 	b.lock.Unlock()
 	return func() {
 		b.lock.Lock()
 		defer b.lock.Unlock()
 		if s := b.states[id]; s != nil {
 			s.inFlight = max(s.inFlight-weight, 0)
+			s.requests.own = max(s.requests.own-1, 0)
 		}
 	}
 }
@@ -258,6 +281,8 @@
 	b.setLoad(id, float64(l.Running+l.Waiting), now)
 	s := b.state(id)
 	s.stated, s.statedAt = l, now
+	s.requests.report(float64(l.Running+l.Waiting), now)
+	s.speed.state(l.Pace, now)
 }
 
 // Stated returns the load that an upstream last stated to this instance and its age, or false if it
@@ -272,23 +297,26 @@
 	return s.stated, time.Since(s.statedAt), true
 }
 
-// LoadReport is the reported load of an upstream and the age of the report.
+// LoadReport is the reported load of an upstream, the work that it consists of as far as it is known,
+// and the age of the report.
 type LoadReport struct {
 	ID   string
 	Load float64
 	Age  time.Duration
+	Work Work
 }
 
 // LoadReports returns the last report of each upstream whose reported load is above zero, if the
-// report is younger than reportLifetime.
+// report is younger than reportLifetime, and of each whose stated pace is younger than paceLifetime.
 func (b *Balancer) LoadReports() []LoadReport {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	now := time.Now()
 	var all []LoadReport
 	for id, s := range b.states {
-		if age := now.Sub(s.reportedAt); s.reported > 0 && age < reportLifetime {
-			all = append(all, LoadReport{id, s.reported, age})
+		age := now.Sub(s.reportedAt)
+		if s.reported > 0 && age < reportLifetime || now.Sub(s.speed.statedAt) < paceLifetime && !s.reportedAt.IsZero() {
+			all = append(all, LoadReport{ID: id, Load: s.reported, Age: age, Work: s.reportedWork()})
 		}
 	}
 	return all
@@ -306,6 +334,7 @@
 		named[t.ID] = true
 		if at := now.Add(-t.Age); at.After(b.state(t.ID).reportedAt) {
 			b.setLoad(t.ID, t.Load, at)
+			b.setWork(t.ID, t.Work.orLoad(t.Load), at)
 		}
 	}
 	for id, s := range b.states {
@@ -313,6 +342,7 @@
 		// recorded here more recently than minClearAge is therefore kept.
 		if !named[id] && s.reported > 0 && now.Sub(s.reportedAt) > minClearAge {
 			b.setLoad(id, 0, now)
+			b.setWork(id, Work{}, now)
 		}
 	}
 }
@@ -325,6 +355,7 @@
 	s.failures *= failureDecay
 	if failed {
 		s.failures += 1 - failureDecay
+		s.failedAt = time.Now()
 	}
 	wasSuspect := s.suspicion > 0
 	s.unanswered, s.suspicion, s.suspectUntil = 0, 0, time.Time{}
@@ -359,6 +390,7 @@
 	s := b.state(id)
 	s.unanswered++
 	s.failures = s.failures*failureDecay + 1 - failureDecay
+	s.failedAt = time.Now()
 	suspect := atOnce || s.unanswered >= maxUnanswered
 	if suspect {
 		s.suspicion = min(max(2*s.suspicion, minSuspicion), maxSuspicion)
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -84,7 +84,10 @@
 
 // peerHandler returns the handler for requests of other instances.
 func (i *Instance) peerHandler() http.Handler {
-	adapters := snipeproto.NewAdapterServer(&peerServer{controller: i.controller, replicas: i.gateway.Chooser.Replicas, board: i.board, balancer: i.balancer, signals: i.signals})
+	adapters := snipeproto.NewAdapterServer(&peerServer{
+		controller: i.controller, replicas: i.gateway.Chooser.Replicas, board: i.board, balancer: i.balancer, signals: i.signals,
+		ignoredWork: i.countIgnoredWork,
+	})
 	mirrors := snipeproto.NewMirrorServer(&mirrorServer{mirrors: i.mirrors()})
 	owners := snipeproto.NewOwnershipServer(&ownershipServer{i.holder, i.relay})
 	quotas := snipeproto.NewQuotaServer(&quotaServer{i.issuer})
--- a/snipeentry/loads.go
+++ b/snipeentry/loads.go
@@ -84,20 +84,22 @@
 	all := make([]snipebalance.LoadReport, 0, len(answer.GetLoads()))
 	for _, l := range answer.GetLoads() {
 		age := time.Duration(l.GetAgeMilliseconds()) * time.Millisecond
-		all = append(all, snipebalance.LoadReport{ID: l.GetEngine(), Load: l.GetLoad(), Age: age})
+		r := snipebalance.LoadReport{ID: l.GetEngine(), Load: l.GetLoad(), Age: age, Work: decodeWork(l, i.countIgnoredWork)}
+		all = append(all, r)
+		i.notePaced(r.ID, r.Work)
 	}
 	i.balancer.MergeLoads(all)
 	i.signals.Merge(decodeSignals(answer.GetSignals()))
 }
 
-// Loads implements snipeproto.Adapter. It returns the loads above zero and the signals of upstreams
+// Loads implements snipeproto.Adapter. It returns the loads above zero, the recent paces and the signals of upstreams
 // that this instance knows, with their ages.
 func (s *peerServer) Loads(context.Context, *snipeproto.AdapterLoadsRequest) (*snipeproto.AdapterLoadsResponse, error) {
 	answer := &snipeproto.AdapterLoadsResponse{Signals: encodeSignals(s.signals.CurrentUpdates())}
 	for _, t := range s.balancer.LoadReports() {
-		answer.Loads = append(answer.Loads, &snipeproto.EngineLoad{
-			Engine: t.ID, Load: t.Load, AgeMilliseconds: t.Age.Milliseconds(),
-		})
+		l := encodeLoad(t.ID, t.Load, t.Work)
+		l.AgeMilliseconds = t.Age.Milliseconds()
+		answer.Loads = append(answer.Loads, l)
 	}
 	return answer, nil
 }
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -30,6 +30,8 @@
 	board    *snipebalance.Board
 	balancer *snipebalance.Balancer
 	signals  *snipesignal.Tracker
+	// ignoredWork is called for each message whose work is ignored; nil means that none is counted.
+	ignoredWork func()
 
 	lock sync.Mutex // guards reportedEvictions
 	// reportedEvictions holds the number of the last eviction that was reported to each instance.
@@ -83,8 +85,8 @@
 	for _, v := range s.newEvictions(r.GetInstance()) {
 		answer.Evicted = append(answer.Evicted, encodeAdapter(v.Engine, v.Adapter))
 	}
-	for engine, load := range s.board.Loads() {
-		answer.Loads = append(answer.Loads, &snipeproto.EngineLoad{Engine: engine, Load: load})
+	for engine, t := range s.board.Totals() {
+		answer.Loads = append(answer.Loads, encodeLoad(engine, t.Load, t.Work))
 	}
 	return answer, nil
 }
@@ -94,7 +96,7 @@
 // engines have loaded the used adapters.
 func (s *peerServer) recordUse(instance string, e *snipeproto.EngineUse, answer *snipeproto.AdapterReportResponse) {
 	engine, uses := e.GetEngine(), decodeUse(e)
-	s.board.Report(engine, instance, e.GetLoad())
+	s.board.ReportWork(engine, instance, e.GetLoad(), decodeWork(e, s.ignoredWork))
 	for _, a := range s.controller.RecordUse(engine, instance, uses) {
 		answer.Gone = append(answer.Gone, encodeAdapter(engine, a))
 	}
--- a/snipeentry/report.go
+++ b/snipeentry/report.go
@@ -53,7 +53,7 @@
 // residency.
 func (i *Instance) recordOwnUse(id string, uses map[snipecatalog.Adapter]snipeadapter.Use) {
 	self := i.Settings.Peers.String()
-	i.board.Report(id, self, i.balancer.InFlight(id))
+	i.board.ReportWork(id, self, i.balancer.InFlight(id), i.balancer.OwnWork(id))
 	for _, a := range i.controller.RecordUse(id, self, uses) {
 		i.residency.RecordAbsent(id, a)
 	}
@@ -99,7 +99,11 @@
 // encodeUse returns the message for this instance's use of one engine, with the weight of its
 // requests in flight there.
 func (i *Instance) encodeUse(id string, uses map[snipecatalog.Adapter]snipeadapter.Use) *snipeproto.EngineUse {
-	e := &snipeproto.EngineUse{Engine: id, Load: i.balancer.InFlight(id)}
+	w := i.balancer.OwnWork(id)
+	e := &snipeproto.EngineUse{
+		Engine: id, Load: i.balancer.InFlight(id), Requests: round(w.Requests), PendingTokens: round(w.PendingTokens),
+		ReservedTokens: round(w.ReservedTokens), PacePercent: round(w.Pace * percent), PaceAgeMilliseconds: paceAge(w),
+	}
 	for a, u := range uses {
 		e.Adapters = append(e.Adapters, &snipeproto.AdapterUse{
 			Model: a.Model, Adapter: a.Name, Begun: int64(u.Begun), Running: u.Running,
@@ -156,7 +160,9 @@
 		i.residency.RecordAbsent(v.GetEngine(), decodeAdapter(v))
 	}
 	for _, l := range answer.GetLoads() {
-		i.balancer.SetLoad(l.GetEngine(), l.GetLoad())
+		w := decodeWork(l, i.countIgnoredWork)
+		i.balancer.SetWork(l.GetEngine(), l.GetLoad(), w)
+		i.notePaced(l.GetEngine(), w)
 	}
 	for _, other := range answer.GetReplicas() {
 		i.residency.RecordHeld(other.GetEngine(), decodeAdapter(other), other.GetVersion())
@@ -182,7 +188,8 @@
 	for _, v := range recent {
 		i.residency.RecordAbsent(v.Engine, v.Adapter)
 	}
-	for engine, load := range i.board.Loads() {
-		i.balancer.SetLoad(engine, load)
+	for engine, t := range i.board.Totals() {
+		i.balancer.SetWork(engine, t.Load, t.Work)
+		i.notePaced(engine, t.Work)
 	}
 }
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -72,6 +72,8 @@
 	Power float64
 	// MemoryBytes is the memory that the process may use; 0 sets no limit.
 	MemoryBytes int64
+	// IgnorePace has upstreams chosen by their load alone, also where they state their pace.
+	IgnorePace bool
 	// LogLevel is the name of a logrus level; "info" if the file does not set it.
 	LogLevel string
 }
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -218,7 +218,7 @@
 	i.catalog = &snipecatalog.Cache{}
 	i.directory = &snipedirectory.Cache{OnEvent: i.upstreamChanged, LapseGrace: registryRecoveryTime}
 	i.buildSignals()
-	i.balancer = &snipebalance.Balancer{Domain: s.Domain, Suspect: i.logSuspect, Open: i.signals.Open}
+	i.balancer = &snipebalance.Balancer{Domain: s.Domain, Suspect: i.logSuspect, Open: i.signals.Open, IgnorePace: s.IgnorePace}
 	i.board = &snipebalance.Board{}
 	i.residency = &snipeadapter.Residency{}
 	i.links = &snipelink.Pool{
--- /dev/null
+++ b/snipeentry/work.go
@@ -0,0 +1,72 @@
+package snipeentry
+
+import (
+	"math"
+	"time"
+
+	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+// workMessage is implemented by the messages that state the work at an engine.
+type workMessage interface {
+	GetRequests() int64
+	GetPendingTokens() int64
+	GetReservedTokens() int64
+	GetPacePercent() int64
+	GetPaceAgeMilliseconds() int64
+}
+
+// decodeWork returns the work of a message. The work of a message that has a figure out of range is
+// unknown, so that only its load counts; ignored is then called unless it is nil.
+func decodeWork(m workMessage, ignored func()) snipebalance.Work {
+	w := snipebalance.Work{
+		Requests: float64(m.GetRequests()), PendingTokens: float64(m.GetPendingTokens()),
+		ReservedTokens: float64(m.GetReservedTokens()), Pace: float64(m.GetPacePercent()) / percent,
+	}
+	if age := m.GetPaceAgeMilliseconds(); age >= 0 && age < time.Minute.Milliseconds() {
+		w.PacedAt = time.Now().Add(-time.Duration(age) * time.Millisecond)
+	}
+	if !w.Valid() {
+		if ignored != nil {
+			ignored()
+		}
+		return snipebalance.Work{}
+	}
+	return w
+}
+
+// percent is the pace of usual speed in a message.
+const percent = 100
+
+// round returns a figure for a message.
+func round(f float64) int64 { return int64(math.Round(f)) }
+
+// paceAge returns the age of a stated pace in milliseconds.
+func paceAge(w snipebalance.Work) int64 {
+	if w.Pace == 0 {
+		return 0
+	}
+	return time.Since(w.PacedAt).Milliseconds()
+}
+
+// encodeLoad returns the message for the load of an engine and the work that it consists of.
+func encodeLoad(engine string, load float64, w snipebalance.Work) *snipeproto.EngineLoad {
+	return &snipeproto.EngineLoad{
+		Engine: engine, Load: load, Requests: round(w.Requests), PendingTokens: round(w.PendingTokens),
+		ReservedTokens: round(w.ReservedTokens), PacePercent: round(w.Pace * percent), PaceAgeMilliseconds: paceAge(w),
+	}
+}
+
+// countIgnoredWork counts a message whose work is ignored.
+func (i *Instance) countIgnoredWork() { i.meter.Count("snipepitch_ignored_work_total") }
+
+// notePaced records that the service of an engine states paces, if the work has one.
+func (i *Instance) notePaced(engine string, w snipebalance.Work) {
+	if w.Pace == 0 {
+		return
+	}
+	if u := i.directory.Snapshot().ByID(engine); u != nil {
+		i.balancer.NotePaced(u.Service)
+	}
+}
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-faster/errors"
 
-	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
@@ -61,10 +60,10 @@
 	// At the start and at the end of the request, the Balancer's record of requests in flight is
 	// updated before the use is recorded: a recorded use triggers a report to the engine's owner,
 	// and the report contains the weight of the requests in flight.
-	endLoad := g.Balancer.Begin(u.ID, snipebalance.Weight(c.PromptTokens))
+	c.flight, c.events, c.output = g.Balancer.Start(u, demand(&c.Request)), 0, noAnswer
 	endUse := g.Chooser.Use(u.ID, c.Adapter)
 	defer func() {
-		endLoad()
+		c.flight.End(c.output)
 		endUse()
 	}()
 	c.sentAt = time.Now()
@@ -87,7 +86,7 @@
 	g, u := c.gateway, d.Upstream
 	v := g.Protocol.Classify(answer.Response, d)
 	if v.Load != nil {
-		g.Balancer.SetStated(u.ID, snipebalance.StatedLoad(*v.Load))
+		g.setStated(u, v.Load)
 	}
 	c.logNewHeaders(u.ID, answer.Response)
 	if v.signalApplies() {
@@ -198,6 +197,9 @@
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.gateway.Balancer.RecordAnswer(id, failed)
+	if answer.StatusCode < http.StatusBadRequest {
+		c.output = 0
+	}
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body}
 	if len(body) == maxBuffered {
 		return c.writeUnbuffered(w, answer)
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
@@ -40,6 +41,9 @@
 	startRetryAfter = 300 * time.Millisecond
 )
 
+// noAnswer is the output of an attempt without a whole answer.
+const noAnswer = -1
+
 // requestField is the log field with a request's identifier.
 const requestField = "Request"
 
@@ -82,6 +86,12 @@
 	// snipebalance.Balancer.Busy), and holders is the Holders of that choice.
 	busy    float64
 	holders int
+	// flight is the record of the last attempt at the Balancer, events the number of its events so
+	// far, and output the number of output tokens of its whole answer: 0 if it is not known, noAnswer
+	// if there is no whole answer.
+	flight *snipebalance.Flight
+	events int
+	output int
 	// sentAt is when the request was last sent.
 	sentAt time.Time
 	// answerStarted is set when the answer to the caller has begun; lastEvent is the identifier of
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -32,7 +32,8 @@
 	// Waited is the time that the request waited for the adapter to load; zero if an engine that
 	// held the adapter was chosen.
 	Waited time.Duration
-	// Holders is the number of usable upstreams to choose from. For an adapter, they are the
+	// Holders is the number of usable upstreams to choose from. For a plain service that states
+	// paces, they are those that were compared. For an adapter, they are the
 	// engines believed to hold an accepted version, and the number is zero if the adapter was
 	// loaded because the request could be sent to none of them. For a base model of which only
 	// a sample of the engines is compared, they are the engines of the sample.
@@ -88,11 +89,11 @@
 
 // choosePlain returns an upstream of a plain service, which needs no adapter.
 func (c *Chooser) choosePlain(all []*snipedirectory.Upstream, untried snipebalance.Filter) (Choice, error) {
-	u := c.Balancer.Pick(all, untried, nil)
+	u, usable := c.pickPlain(all, untried)
 	if u == nil {
 		return Choice{}, c.refusalError(all, noUpstreamError("no upstream is left to try"))
 	}
-	return Choice{Upstream: u, Holders: c.countUsable(all, untried)}, nil
+	return Choice{Upstream: u, Holders: usable}, nil
 }
 
 // refusalError returns the error for a request that none of the upstreams in all can take:
@@ -136,7 +137,7 @@
 	}
 	held := c.countUsable(holders, holds)
 	eligible := func(u *snipedirectory.Upstream) bool { return holds(u) && untried(u) }
-	u := c.Balancer.Pick(holders, eligible, c.prefixCost(holders, eligible, q))
+	u := c.pickEngine(service, holders, eligible, q)
 	if u != nil && (c.Balancer.Usable(u) || held > 0) {
 		choice := c.newChoice(u, a)
 		if a.Name != "" && c.overloaded(u) {
--- a/snipegateway/choose_bench_test.go
+++ b/snipegateway/choose_bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipegateway"
 )
@@ -32,6 +33,28 @@
 	}
 }
 
+// BenchmarkChoosePaced measures the choice among 600 upstreams of a service that states paces: of a
+// plain service, and for a base model. It is to take less than 2 us.
+func BenchmarkChoosePaced(b *testing.B) {
+	for name, q := range map[string]*snipegateway.Request{
+		"Plain": {ID: "r"}, "Engine": {ID: "r", Adapter: snipecatalog.Adapter{Model: "base"}, PromptTokens: 650},
+	} {
+		b.Run(name, func(b *testing.B) {
+			c := newChooser(&fakeOwners{}, 600)
+			c.Balancer.NotePaced(service)
+			for n := range 600 {
+				c.Balancer.SetStated(fmt.Sprint("e", n), snipebalance.StatedLoad{Running: n % 64, Slots: 64, Pace: 1 + float64(n%7)/10})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.Choose(b.Context(), service, q, nil, latencyTarget); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkLoadOrder measures the selection of the first three engines to ask to load an adapter
 // that no engine holds.
 func BenchmarkLoadOrder(b *testing.B) {
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -102,7 +102,8 @@
 		fields["DirectoryAge"] = c.directoryAge().Milliseconds()
 		fields["TargetMilliseconds"] = c.route.Target.Milliseconds()
 		fields["PauseTargetMilliseconds"] = c.route.MaxGap.Milliseconds()
-		fields["Busy"], fields["Holders"] = math.Round(100*c.busy)/100, c.holders
+		fields["Busy"], fields["Holders"] = roundHundredths(c.busy), c.holders
+		c.addExpectation(fields)
 	}
 	if c.workspace != nil {
 		fields["Workspace"], fields["Asked"], fields["Units"] = c.workspace.Name, c.cost, c.units
@@ -130,6 +131,8 @@
 	c.gateway.Log.Log(event, fields)
 }
 
+func roundHundredths(x float64) float64 { return math.Round(100*x) / 100 }
+
 // directoryAge returns the time since the directory of upstreams was read; zero if it never was.
 func (c *call) directoryAge() time.Duration {
 	s := c.gateway.Chooser.Directory.Snapshot()
--- a/snipegateway/estimator.go
+++ b/snipegateway/estimator.go
@@ -92,6 +92,16 @@
 	return float64(wait) / float64(delay)
 }
 
+// expectedLoadWait returns the estimated wait for a load of an adapter.
+func (e *estimator) expectedLoadWait() time.Duration {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.loadWait == 0 {
+		return initialLoadWait
+	}
+	return e.loadWait
+}
+
 // estimators holds one estimator for each service. The zero value is ready to use.
 type estimators struct {
 	lock sync.Mutex // guards all
--- a/snipegateway/overload.go
+++ b/snipegateway/overload.go
@@ -16,6 +16,7 @@
 const (
 	// maxOffloadShare limits which engines take requests from an overloaded engine: the weight of
 	// the requests in flight there is at most this fraction of the weight at the overloaded engine.
+	// For a service that states paces, the same holds for the expected delay.
 	maxOffloadShare = 0.5
 	// offloadMaxWait is the longest expected time for loading the adapter on another engine.
 	// offloadTimeout is how long a request waits in all, whichever engines are asked, before it is
@@ -27,6 +28,9 @@
 // overloaded reports whether an engine has a limit in force or so many requests that another engine
 // is expected to answer one more request sooner, even if that engine has to load the adapter first.
 func (c *Chooser) overloaded(u *snipedirectory.Upstream) bool {
+	if c.Balancer.Paced(u.Service) {
+		return c.Signals.Limited(u.ID) || c.slowerThanLoad(u)
+	}
 	return c.Signals.Limited(u.ID) || c.Balancer.Busy(u) >= c.estimators.forService(u.Service).overloadThreshold()
 }
 
@@ -87,7 +91,7 @@
 // adapter within offloadTimeout.
 func (c *Chooser) offload(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, tried []string, holder *snipedirectory.Upstream) (Choice, bool) {
 	start := time.Now()
-	maxLoad := maxOffloadShare * c.Balancer.Load(holder)
+	maxLoad := maxOffloadShare * c.delay(holder)
 	ctx, cancel := context.WithTimeout(ctx, offloadTimeout)
 	defer cancel()
 	tries := 0
@@ -96,7 +100,7 @@
 		switch {
 		case held && version >= required, slices.Contains(tried, u.ID), !c.loadable(u, a):
 			continue
-		case c.overloaded(u), c.Balancer.Load(u) > maxLoad:
+		case c.overloaded(u), c.delay(u) > maxLoad:
 			continue
 		}
 		if tries++; tries > maxLoadTries {
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -39,6 +39,7 @@
 		pending = append(pending, (*chunk)[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			events := pending[:end+len(eventEnd)]
+			c.countEvents(events)
 			if resuming {
 				if !c.continuesStream(events) {
 					return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "the stream went on at another event")
@@ -94,6 +95,10 @@
 // whole event, and the header if the stream had no event.
 func (c *call) finishStream(id string, answer *snipelink.Answer, remainder []byte) error {
 	c.gateway.Balancer.RecordAnswer(id, false)
+	// An engine sends an event for each token. The events of a resumed stream are only its rest.
+	if c.output = c.events; c.LastEvent != "" || len(c.tried) > 1 {
+		c.output = 0
+	}
 	if len(remainder) == 0 && c.answerStarted {
 		return nil
 	}
--- a/snipegateway/use.go
+++ b/snipegateway/use.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// markUseChanged makes the use of an engine due for a report.
+func (c *Chooser) markUseChanged(engine string) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if e := c.uses[engine]; e != nil {
+		e.changed = true
+	}
+}
+
 // TakeUseReports returns the use of adapters, by engine, that is due to be reported to the engines'
 // owners, and records that it was reported. An engine is due if a request has begun or ended there
 // since its last report, or if requests are in flight there and its last report is older than
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -88,6 +88,10 @@
 	case exceeds(e.FirstMilliseconds, e.TargetMilliseconds):
 		text := fmt.Sprintf("the answer began after %d ms, of which %d were spent waiting for the adapter; an estimated %.0f%% of the upstream's slots were in use",
 			e.FirstMilliseconds, e.WaitedMilliseconds, 100*e.Busy)
+		if e.Pace > 0 {
+			text += fmt.Sprintf("; %d ms were expected there, at %.2f times the usual time for work, stated %d ms before",
+				e.ExpectedMilliseconds, e.Pace, e.PaceAgeMilliseconds)
+		}
 		return Cause{UpstreamWait, text}, append(s.retries(), *e)
 	case exceeds(e.PauseMilliseconds, e.PauseTargetMilliseconds):
 		text := fmt.Sprintf("the answer paused for %d ms, the target is %d", e.PauseMilliseconds, e.PauseTargetMilliseconds)
--- a/snipestory/line.go
+++ b/snipestory/line.go
@@ -36,6 +36,12 @@
 	Busy         float64
 	Holders      int
 	PromptTokens int
+	// ExpectedMilliseconds is the time to the first event that was expected when the last upstream was
+	// chosen, Pace the pace that it includes, and PaceAgeMilliseconds the age of the last stated one.
+	// Pace is 0 if the upstreams of the service state none.
+	ExpectedMilliseconds int64
+	Pace                 float64
+	PaceAgeMilliseconds  int64
 	// DirectoryAge is the age of the directory of upstreams in milliseconds.
 	DirectoryAge int64
 	// Workspace is the workspace of the request according to version Catalog of the catalog. Asked
