Avoid engines whose memory is reserved

Cause: an engine whose prompts and outputs exceed its memory evicts prompts of running requests. The catalog states the memory, but choices did not use it.

Change: each request reserves its prompt tokens and its expected output at its engine: the caller's hint, or the service's observed mean, at most the largest output that the caller states. A choice avoids engines whose memory would be exceeded, unless all would; an engine over its memory counts as overloaded. Only where the catalog states the memory and the upstreams state a pace.

Ruled out: reserving the largest stated output (engines count as full while much of their memory is free), and reservations granted by the owner (a message on the path of each request). These were weighed by argument; no figures compare them.

--- a/snipeentry/metrics.go
+++ b/snipeentry/metrics.go
@@ -22,8 +22,10 @@
 	i.meter.Gauge("snipepitch_wrong_entries", func() float64 { return float64(i.invalidEntries.Len()) })
 	i.meter.Gauge("snipepitch_limited_upstreams", func() float64 { return float64(i.signals.CountLimited()) })
 	i.meter.Gauge("snipepitch_instances", func() float64 { return float64(i.instances()) })
+	i.meter.Gauge("snipepitch_memory_exceeded_choices_total", func() float64 { return float64(i.balancer.ExceededChoices()) })
 	if ignored := i.Platform.Protocol.Ignored; ignored != nil {
 		i.meter.Gauge(`snipepitch_ignored_headers_total{header="Load"}`, func() float64 { return float64(ignored().Loads) })
+		i.meter.Gauge(`snipepitch_ignored_headers_total{header="LengthHint"}`, func() float64 { return float64(ignored().LengthHints) })
 	}
 	for name, f := range map[string]*snipemirror.Follower{
 		"catalog": i.tables.catalog, "directory": i.tables.directory, "ownership": i.tables.ownership,
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -60,7 +60,7 @@
 	// At the start and at the end of the request, the Balancer's record of requests in flight is
 	// updated before the use is recorded: a recorded use triggers a report to the engine's owner,
 	// and the report contains the weight of the requests in flight.
-	c.flight, c.events, c.output = g.Balancer.Start(u, demand(&c.Request)), 0, noAnswer
+	c.flight, c.events, c.output = g.Balancer.Start(u, g.Chooser.demand(c.service, &c.Request)), 0, noAnswer
 	endUse := g.Chooser.Use(u.ID, c.Adapter)
 	defer func() {
 		c.flight.End(c.output)
--- a/snipegateway/expected.go
+++ b/snipegateway/expected.go
@@ -31,13 +31,38 @@
 	if !c.Balancer.Paced(service) {
 		return c.Balancer.Pick(holders, eligible, extra)
 	}
-	u, _ := c.Balancer.PickExpected(holders, eligible, extra, demand(q))
+	u, _ := c.Balancer.PickExpected(holders, eligible, extra, c.demand(service, q))
 	return u
 }
 
-// demand returns what a request takes of an upstream.
-func demand(q *Request) snipebalance.Demand {
-	return snipebalance.Demand{Plain: q.Adapter.Model == "", PromptTokens: q.PromptTokens, ExtraTokens: tokensPerRequest}
+// demand returns what a request takes of an upstream of a service. An engine keeps the prompt and the
+// output in memory until the request ends. The expected output is the caller's hint or the mean of
+// the service, and at most the largest output that the caller states.
+func (c *Chooser) demand(service string, q *Request) snipebalance.Demand {
+	d := snipebalance.Demand{Plain: q.Adapter.Model == "", PromptTokens: q.PromptTokens}
+	if d.Plain {
+		return d
+	}
+	output := float64(q.LengthHint)
+	if output == 0 {
+		output = c.Balancer.MeanOutput(service)
+	}
+	if q.SizeStated && q.OutputTokens > 0 {
+		output = min(output, float64(q.OutputTokens))
+	}
+	d.ExtraTokens = tokensPerRequest
+	d.ReservedTokens, d.MemoryTokens = float64(q.PromptTokens)+output, c.memoryTokens(service)
+	return d
+}
+
+// memoryTokens returns the tokens for which an engine of a service has memory; zero if the catalog
+// does not state it.
+func (c *Chooser) memoryTokens(service string) int {
+	catalog := c.Versions.Catalog()
+	if catalog == nil || catalog.Services[service] == nil || catalog.Services[service].Engine == nil {
+		return 0
+	}
+	return catalog.Services[service].Engine.MemoryTokens
 }
 
 // slowerThanLoad reports whether a request is expected to be delayed at an engine for at least as
@@ -46,6 +71,11 @@
 	return c.Balancer.ExpectedDelay(u) >= c.estimators.forService(u.Service).expectedLoadWait()
 }
 
+// memoryTaken reports whether the requests at an engine take more memory than it has.
+func (c *Chooser) memoryTaken(u *snipedirectory.Upstream) bool {
+	return c.Balancer.Exceeds(u, snipebalance.Demand{MemoryTokens: c.memoryTokens(u.Service)})
+}
+
 // delay returns how much the requests in flight at an engine delay another one, as a figure to
 // compare with that of other engines of the service: a time if the engines state paces, otherwise
 // the weight of the requests.
--- a/snipegateway/expected_test.go
+++ b/snipegateway/expected_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"snipepitch.example/snipepitch/snipebalance"
+	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipegateway"
 )
 
@@ -62,10 +63,10 @@
 
 // TestPacedOverload guards against requests that queue behind a long prompt while another engine is
 // idle, and against loads of adapters for a delay that is shorter than the load. The engine that holds
-// the adapter is left when its expected delay is at least the wait for a load, 300 ms, and only
-// for an engine that is better.
+// the adapter is left when its expected delay is at least the wait for a load, 300 ms, or when its
+// memory is taken, and only for an engine that is better.
 func TestPacedOverload(t *testing.T) {
-	const count = 6
+	const count, memory = 6, 10_000
 	home := firstInRank(t, count)
 	stated := func(running int, pace float64) snipebalance.StatedLoad {
 		return snipebalance.StatedLoad{Running: running, Slots: 64, Pace: pace}
@@ -81,12 +82,15 @@
 		"FastEngine":    {map[string]snipebalance.Work{home: {Requests: 2, PendingTokens: 18_000}}, 0.5, false},
 		"SlowEngine":    {map[string]snipebalance.Work{home: {Requests: 1, PendingTokens: 9000}}, 2, true},
 		"ManyRequests":  {map[string]snipebalance.Work{home: {Requests: 60}}, 1, false},
+		"MemoryTaken":   {map[string]snipebalance.Work{home: {Requests: 8, ReservedTokens: memory + 1}}, 1, true},
+		"OthersTaken":   {map[string]snipebalance.Work{home: {Requests: 2, PendingTokens: 18_000}, "*": {Requests: 2, ReservedTokens: memory + 1}}, 1, false},
 		"OthersDelayed": {map[string]snipebalance.Work{home: {Requests: 2, PendingTokens: 18_000}, "*": {Requests: 2, PendingTokens: 12_000}}, 1, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newChooser(&fakeOwners{}, count)
+				adoptMemory(c, memory)
 				c.Residency.RecordHeld(home, request.Adapter, 1)
 				c.Balancer.NotePaced(service)
 				for _, id := range engineNames(count) {
@@ -104,3 +108,48 @@
 		})
 	}
 }
+
+// TestReservedMemory guards against requests that fill the memory of the engine with the shortest
+// queue, so that it evicts prompts of running requests. The tokens to reserve are the prompt and the
+// hint, at most the largest output that the caller states, or the mean output without a hint.
+func TestReservedMemory(t *testing.T) {
+	const memory = 3000
+	tests := map[string]struct {
+		request   snipegateway.Request
+		stated    bool // whether the catalog states the memory
+		elsewhere bool // whether the request goes to the engine with a longer queue
+	}{
+		"Fits":          {snipegateway.Request{PromptTokens: 500, LengthHint: 100}, true, false},
+		"HintExceeds":   {snipegateway.Request{PromptTokens: 500, LengthHint: 900}, true, true},
+		"HintIsBounded": {snipegateway.Request{PromptTokens: 500, LengthHint: 900, OutputTokens: 50, SizeStated: true}, true, false},
+		"MeanExceeds":   {snipegateway.Request{PromptTokens: 900}, true, true},
+		"Unknown":       {snipegateway.Request{PromptTokens: 500, LengthHint: 900}, false, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newChooser(&fakeOwners{}, 2)
+				if tt.stated {
+					adoptMemory(c, memory)
+				}
+				c.Balancer.NotePaced(service)
+				for n, w := range []snipebalance.Work{{Requests: 1, ReservedTokens: 2000}, {Requests: 4, PendingTokens: 3000}} {
+					c.Residency.RecordHeld(engineNames(2)[n], request.Adapter, 1)
+					c.Balancer.SetWork(engineNames(2)[n], w.Requests, w)
+				}
+				q := tt.request
+				q.Adapter = request.Adapter
+				choice, err := c.Choose(t.Context(), service, &q, nil, latencyTarget)
+				must.NoError(t, err)
+				must.Eq(t, tt.elsewhere, choice.Upstream.ID == engineNames(2)[1])
+			})
+		})
+	}
+}
+
+// adoptMemory has the catalog state the memory of engines.
+func adoptMemory(c *snipegateway.Chooser, tokens int) {
+	c.Versions.Adopt(&snipecatalog.Catalog{Version: 1, Services: map[string]*snipecatalog.Service{
+		service: {Name: service, Engine: &snipecatalog.Engine{MemoryTokens: tokens}},
+	}})
+}
--- a/snipegateway/overload.go
+++ b/snipegateway/overload.go
@@ -29,7 +29,7 @@
 // is expected to answer one more request sooner, even if that engine has to load the adapter first.
 func (c *Chooser) overloaded(u *snipedirectory.Upstream) bool {
 	if c.Balancer.Paced(u.Service) {
-		return c.Signals.Limited(u.ID) || c.slowerThanLoad(u)
+		return c.Signals.Limited(u.ID) || c.slowerThanLoad(u) || c.memoryTaken(u)
 	}
 	return c.Signals.Limited(u.ID) || c.Balancer.Busy(u) >= c.estimators.forService(u.Service).overloadThreshold()
 }
--- a/snipegateway/request.go
+++ b/snipegateway/request.go
@@ -32,6 +32,8 @@
 	// PromptTokens and OutputTokens are the sizes of the prompt and the output; zero if not stated.
 	PromptTokens int
 	OutputTokens int
+	// LengthHint is the caller's estimate of the output tokens; zero if there is no valid one.
+	LengthHint int
 	// SizeStated is set if the caller stated both sizes.
 	SizeStated bool
 	// Parts are the parts of the prompt in order; nil if the caller states none.
@@ -76,7 +78,8 @@
 
 // IgnoredHeaders counts header values that were ignored because they were invalid.
 type IgnoredHeaders struct {
-	Loads uint64
+	// Loads counts loads of upstreams, LengthHints callers' estimates of the output.
+	Loads, LengthHints uint64
 }
 
 // AnswerState is what the headers and the status of an upstream's answer say about the request and
