--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -1,6 +1,7 @@
 package snipestand
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -54,7 +55,7 @@
 func (r *Runner) answer(w http.ResponseWriter, q *http.Request, body []byte, f RunnerFault) {
 	h := w.Header()
 	h.Set("X-Snipepitch-Server-Seal", r.ID+".1")
-	h.Set("X-Snipepitch-Server-Load", "1,0,8")
+	h.Set("X-Snipepitch-Server-Load", cmp.Or(r.Load, "1,0,8"))
 	switch f {
 	case RunnerResets:
 		panic(http.ErrAbortHandler)
