Bound on the bytes that an instance holds for slow callers and upstreams

Cause: an instance held any number of bodies, buffered answers and kernel buffers for callers and upstreams that read slowly. A process of 144 MB with 3,600 such callers reached 538 MB resident and 1.6 GB in kernel buffers; one above its memory is killed.

Change: package snipepressure, a budget over the instance with accounts by request and workspace. The gateway counts bodies, answers and incomplete events before it holds them, refuses requests that do not fit (503, not run, with a time to return), reads answers ahead of blocked callers within the budget, and ends answers that are not read. Kernel buffers of these connections have a fixed size, and connections of callers are bounded. Without MemoryBytes nothing changes.

--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
+	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeproto"
 )
@@ -74,6 +76,10 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen %s", l.name)
 		}
+		if l.name == callersName {
+			i.limitCallers(s)
+			listener = i.connections.listener(listener)
+		}
 		i.serve(g, s, listener)
 		if l.name == callersName || l.name == "Peers" {
 			servers = append(servers, s)
@@ -102,6 +108,15 @@
 		return i.Listen(ctx, address)
 	}
 	var config net.ListenConfig
+	if size := i.Settings.socketBuffer(); size > 0 && address == i.Settings.Callers {
+		config.Control = func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			if err := raw.Control(func(fd uintptr) { optionErr = snipelink.SetBuffers(int(fd), size) }); err != nil {
+				return err
+			}
+			return optionErr
+		}
+	}
 	return config.Listen(ctx, "tcp", address.String())
 }
 
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -39,6 +39,7 @@
 	"snipepitch.example/snipepitch/snipemirror"
 	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeplatform"
+	"snipepitch.example/snipepitch/snipepressure"
 	"snipepitch.example/snipepitch/snipequota"
 	"snipepitch.example/snipepitch/snipesignal"
 	"snipepitch.example/snipepitch/snipetime"
@@ -131,6 +132,8 @@
 	account         *snipequota.Account
 	stopState       stopState
 	startupGate     *startupGate
+	pressure        *snipepressure.Budget
+	connections     *connectionLimit // nil for no bound
 
 	invalidEntries invalidEntries
 	// ownershipUnreadable is set while the ownership rows, from which other instances are
@@ -174,6 +177,7 @@
 		})
 	})
 	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, loadsInterval, i.updateLoads) })
+	i.addTask(ctx, &g, i.runPressure)
 	servers, err := i.listen(ctx, &g)
 	if err != nil {
 		return err
@@ -222,7 +226,7 @@
 	i.board = &snipebalance.Board{}
 	i.residency = &snipeadapter.Residency{}
 	i.links = &snipelink.Pool{
-		Dial: snipelink.Dialer(), DialTimeout: dialTimeout, IdleTimeout: idleConnectionTime, MaxIdle: maxIdleConnections,
+		Dial: snipelink.BufferedDialer(s.socketBuffer()), DialTimeout: dialTimeout, IdleTimeout: idleConnectionTime, MaxIdle: maxIdleConnections,
 		IsAnswerTo: i.Platform.IsAnswerTo, KeepAlive: i.Platform.KeepAlive,
 	}
 	i.buildRelay()
@@ -250,11 +254,13 @@
 	}
 	i.peers = newPeers(peerClient(i.meter))
 	i.buildQuotas()
+	i.buildPressure()
 	i.retryBudgets = &retryBudgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
 		Quotas: i.gatewayQuotas(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
 		Budget: i.retryBudgets.budget, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
+		Pressure: i.pressure, SocketBytes: s.socketBytes(),
 		Chooser: &snipegateway.Chooser{
 			Directory: i.directory, Balancer: i.balancer, Residency: i.residency, Signals: i.signals, Versions: i.catalog,
 			Ensure: i.ensure, Owned: i.ownerReachable,
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -191,15 +191,16 @@
 		return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun,
 			"the stream did not go on: status "+strconv.Itoa(answer.StatusCode))
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered))
-	if err != nil {
+	body, err := c.readAnswer(answer, answer.ContentLength)
+	noRoom := errors.Is(err, errNoRoom)
+	if err != nil && !noRoom {
 		c.gateway.Balancer.RecordUnanswered(id)
 		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, err.Error())
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.gateway.Balancer.RecordAnswer(id, failed)
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body}
-	if len(body) == maxBuffered {
+	if len(body) == maxBuffered || noRoom {
 		return c.writeUnbuffered(w, answer)
 	}
 	if failed && c.route.MayRepeat() {
@@ -214,7 +215,9 @@
 	c.setHeader(w.status, w.header)
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(w.body)))
 	c.writer.WriteHeader(w.status)
-	if _, err := c.writer.Write(w.body); err != nil {
+	_, stop := c.startDelivery(nil)
+	defer stop()
+	if err := c.write(w.body, false); err != nil {
 		return snipeerror.New(snipeerror.ErrCanceled, snipeerror.MayHaveRun, err.Error())
 	}
 	return nil
@@ -225,10 +228,16 @@
 func (c *call) writeUnbuffered(w *bufferedAnswer, answer *snipelink.Answer) error {
 	c.setHeader(w.status, w.header)
 	c.writer.WriteHeader(w.status)
-	if _, err := c.writer.Write(w.body); err != nil {
+	body, stop := c.startDelivery(answer)
+	defer stop()
+	if err := c.write(w.body, false); err != nil {
 		return snipeerror.New(snipeerror.ErrCanceled, snipeerror.MayHaveRun, err.Error())
 	}
-	if _, err := io.Copy(c.writer, answer); err != nil {
+	to := io.Writer(c.writer)
+	if c.pressure.delivery != nil {
+		to = callWriter{c}
+	}
+	if _, err := io.Copy(to, body); err != nil {
 		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, err.Error())
 	}
 	return nil
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -96,17 +96,22 @@
 	status       int
 	// fallback is an error answer of an upstream, delivered if no later attempt succeeds.
 	fallback *bufferedAnswer
+	// pressure is what the request holds of the instance's memory.
+	pressure pressure
 }
 
 // run serves the request and records its end.
 func (c *call) run() {
+	defer c.pressure.Close()
 	err := c.admit()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(answerSlack))
 		defer cancel()
+		c.pressure.cancel = cancel
 		err = c.serve(ctx)
 		c.returnQuota()
 	}
+	err = c.endedError(err)
 	if err != nil && c.request.Context().Err() == nil && !c.answerStarted {
 		c.writeError(snipeerror.From(err))
 	}
@@ -138,6 +143,9 @@
 	}
 	c.deadline = c.arrived.Add(c.timeout())
 	c.lastEvent = c.LastEvent
+	if err := c.openAccount(); err != nil {
+		return err
+	}
 	if err := c.takeQuota(c.request.Context()); err != nil {
 		return err
 	}
@@ -222,10 +230,12 @@
 		body = http.MaxBytesReader(c.writer, c.request.Body, limit)
 	}
 	var err error
-	c.body, err = io.ReadAll(body)
+	c.body, err = c.readAllBody(body)
 	_ = control.SetReadDeadline(time.Time{})
 	var exceeded *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoRoom):
+		return c.refuseForMemory(c.pressure.Refusal(int64(bodyCopies * len(c.body))))
 	case errors.As(err, &exceeded):
 		return tooLarge
 	case err != nil:
--- /dev/null
+++ b/snipegateway/delivery.go
@@ -0,0 +1,277 @@
+package snipegateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipelink"
+	"snipepitch.example/snipepitch/snipepressure"
+)
+
+const (
+	// blockedAfter is how long a write takes when it counts as blocked. A caller that reads takes
+	// an event within a round trip of few milliseconds.
+	blockedAfter = 100 * time.Millisecond
+	// roomInterval is the time between two tries to get room for more bytes.
+	roomInterval = 20 * time.Millisecond
+)
+
+// delivery writes one answer to the caller and reads it from the upstream, where there is a bound on
+// the bytes held. While no write is blocked, the request's goroutine reads and writes alternately, as
+// it does without a bound. When a write is blocked for the first time, another goroutine begins to
+// read ahead, so that the upstream does not cut off an answer that is not read.
+type delivery struct {
+	call   *call
+	answer *snipelink.Answer // nil if the whole answer is in memory
+	timer  *time.Timer       // calls writeBlocked; nil before the first write
+
+	lock    sync.Mutex // guards the fields below
+	writing bool
+	began   time.Time // when the present write began
+	blocked bool      // whether the account is blocked
+	ahead   *readAhead
+}
+
+// startDelivery prepares the writes of an answer, and returns the reader of its body and a function
+// that must be called before the answer is closed. The answer is nil if it is in memory.
+func (c *call) startDelivery(answer *snipelink.Answer) (body io.Reader, stop func()) {
+	if !c.pressure.Active() || c.pressure.delivery != nil {
+		return answer, func() {}
+	}
+	d := &delivery{call: c, answer: answer}
+	c.pressure.delivery = d
+	c.pressure.End, c.pressure.Progress = c.end, c.readByCaller
+	return d, func() {
+		d.stop()
+		c.pressure.delivery = nil
+	}
+}
+
+// write writes data to the caller, and flushes it if flush is set.
+func (c *call) write(data []byte, flush bool) error {
+	if d := c.pressure.delivery; d != nil {
+		d.begin()
+		defer d.end()
+	}
+	if _, err := c.writer.Write(data); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return http.NewResponseController(c.writer).Flush()
+}
+
+// begin records that a write begins.
+func (d *delivery) begin() {
+	d.lock.Lock()
+	d.writing, d.began = true, time.Now()
+	d.lock.Unlock()
+	if d.timer == nil {
+		d.timer = time.AfterFunc(blockedAfter, d.writeBlocked)
+		return
+	}
+	d.timer.Reset(blockedAfter)
+}
+
+// end records that a write has ended.
+func (d *delivery) end() {
+	d.timer.Stop()
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.writing = false
+	if d.blocked {
+		d.blocked = false
+		d.call.pressure.Unblock()
+	}
+}
+
+// writeBlocked makes the request one that may be ended, and begins to read ahead.
+func (d *delivery) writeBlocked() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if !d.writing || d.blocked {
+		return // the write has ended meanwhile
+	}
+	d.blocked = true
+	d.call.pressure.Block(d.began)
+	if d.answer == nil || d.ahead != nil {
+		return
+	}
+	d.ahead = newReadAhead(d.answer, &d.call.pressure.Account)
+	go d.ahead.run()
+}
+
+// Read reads the answer's body.
+func (d *delivery) Read(p []byte) (int, error) {
+	d.lock.Lock()
+	ahead := d.ahead
+	d.lock.Unlock()
+	if ahead == nil {
+		return d.answer.Read(p)
+	}
+	return ahead.Read(p)
+}
+
+// stop ends the reading ahead.
+func (d *delivery) stop() {
+	d.lock.Lock()
+	ahead := d.ahead
+	d.lock.Unlock()
+	if ahead == nil {
+		return
+	}
+	close(ahead.quit)
+	d.answer.Interrupt()
+	<-ahead.done
+}
+
+// blockSize is the size of the blocks in which bytes that were read ahead are held and counted.
+const blockSize = 8 << 10
+
+// readAhead holds bytes of an answer that the caller has not taken yet.
+type readAhead struct {
+	answer  io.Reader
+	account *snipepressure.Account
+	quit    chan struct{} // closed to end run
+	done    chan struct{} // closed when run has ended
+	more    chan struct{} // holds a value if there may be something new to read
+
+	lock   sync.Mutex // guards the fields below
+	blocks [][]byte   // each has the capacity blockSize; only the last one is not full
+	taken  int        // bytes of the first block that were taken
+	err    error      // the error after all blocks
+}
+
+func newReadAhead(answer io.Reader, a *snipepressure.Account) *readAhead {
+	return &readAhead{
+		answer: answer, account: a,
+		quit: make(chan struct{}), done: make(chan struct{}), more: make(chan struct{}, 1),
+	}
+}
+
+// run reads until an error, or until quit is closed. While the instance must not hold more, it
+// does not read.
+func (r *readAhead) run() {
+	defer close(r.done)
+	for {
+		free, ok := r.space()
+		if !ok {
+			return
+		}
+		n, err := r.answer.Read(free)
+		r.lock.Lock()
+		last := len(r.blocks) - 1
+		r.blocks[last] = r.blocks[last][:len(r.blocks[last])+n]
+		r.err = err
+		r.lock.Unlock()
+		r.signal()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// space returns the free part of the last block, or of a new one. It returns false if quit is closed.
+func (r *readAhead) space() ([]byte, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if n := len(r.blocks); n > 0 && len(r.blocks[n-1]) < blockSize {
+		b := r.blocks[n-1]
+		return b[len(b):blockSize], true
+	}
+	r.lock.Unlock()
+	err := waitForRoom(r.account.GrowAhead, blockSize, r.quit)
+	r.lock.Lock()
+	if err != nil {
+		return nil, false
+	}
+	r.blocks = append(r.blocks, make([]byte, 0, blockSize))
+	return r.blocks[len(r.blocks)-1][:blockSize], true
+}
+
+// waitForRoom blocks until grow reports true, or returns errNoRoom when quit is closed.
+func waitForRoom(grow func(int64) bool, bytes int64, quit <-chan struct{}) error {
+	for !grow(bytes) {
+		select {
+		case <-quit:
+			return errNoRoom
+		case <-time.After(roomInterval):
+		}
+	}
+	return nil
+}
+
+func (r *readAhead) signal() {
+	select {
+	case r.more <- struct{}{}:
+	default:
+	}
+}
+
+// Read takes bytes that were read ahead. It blocks until there are some.
+func (r *readAhead) Read(p []byte) (int, error) {
+	for {
+		if n, err := r.take(p); n > 0 || err != nil {
+			return n, err
+		}
+		select {
+		case <-r.more:
+		case <-r.done:
+			if n, err := r.take(p); n > 0 || err != nil {
+				return n, err
+			}
+			return 0, io.ErrUnexpectedEOF // quit was closed
+		}
+	}
+}
+
+// take returns bytes that are held, or the error if there are none left.
+func (r *readAhead) take(p []byte) (int, error) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if len(r.blocks) == 0 {
+		return 0, r.err
+	}
+	first := r.blocks[0]
+	n := copy(p, first[r.taken:])
+	r.taken += n
+	if r.taken == blockSize {
+		r.blocks, r.taken = r.blocks[1:], 0
+		r.account.Release(blockSize)
+	}
+	if n == 0 {
+		return 0, r.err
+	}
+	return n, nil
+}
+
+// growPending returns pending with space for n more bytes. It counts the buffer of an event that is
+// not complete, and blocks while there is no room for it.
+func (c *call) growPending(ctx context.Context, pending []byte, n int) ([]byte, error) {
+	need := len(pending) + n
+	if need <= cap(pending) || !c.pressure.Active() {
+		return pending, nil
+	}
+	size := max(2*cap(pending), need)
+	if err := waitForRoom(c.pressure.Grow, int64(size-cap(pending)), ctx.Done()); err != nil {
+		return pending, errors.Wrap(err, "event")
+	}
+	return append(make([]byte, 0, size), pending...), nil
+}
+
+// callWriter writes to the caller of a call.
+type callWriter struct{ call *call }
+
+// Write implements io.Writer.
+func (w callWriter) Write(p []byte) (int, error) {
+	if err := w.call.write(p, false); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -83,7 +83,7 @@
 	event := snipelog.RequestEnded
 	outcome := "Answered"
 	switch {
-	case c.request.Context().Err() != nil:
+	case c.request.Context().Err() != nil && !c.pressure.Ended():
 		event, outcome = snipelog.RequestAbandoned, "Abandoned"
 	case err != nil && snipeerror.From(err).Outcome == snipeerror.NotRun:
 		event, outcome = snipelog.RequestRefused, "Refused"
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -34,6 +34,7 @@
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipepressure"
 	"snipepitch.example/snipepitch/sniperetry"
 	"snipepitch.example/snipepitch/snipesignal"
 )
@@ -58,8 +59,12 @@
 	// Stopping reports whether a planned stop has begun; connections are then closed after their
 	// current request.
 	Stopping func() bool
-	Log      *snipelog.Logger
-	Meter    *snipemeter.Meter
+	// Pressure bounds the bytes that are held for all requests; nil for no bound.
+	Pressure *snipepressure.Budget
+	// SocketBytes is what the kernel may hold for a request at most beside Go's memory.
+	SocketBytes int64
+	Log         *snipelog.Logger
+	Meter       *snipemeter.Meter
 
 	inFlight        atomic.Int64
 	workspaceLabels workspaceLabels
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -32,10 +32,17 @@
 func (c *call) stream(ctx context.Context, id string, answer *snipelink.Answer) error {
 	chunk := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(chunk)
+	body, stop := c.startDelivery(answer)
+	defer stop()
 	var pending []byte
 	resuming := c.answerStarted
+	defer func() { c.pressure.Release(int64(cap(pending))) }()
 	for {
-		n, err := answer.Read(*chunk)
+		n, err := body.Read(*chunk)
+		var full error
+		if pending, full = c.growPending(ctx, pending, n); full != nil {
+			return c.streamError(ctx, id, full)
+		}
 		pending = append(pending, (*chunk)[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			events := pending[:end+len(eventEnd)]
@@ -69,10 +76,7 @@
 		c.setHeader(http.StatusOK, endToEnd(answer.Header))
 		c.writer.WriteHeader(http.StatusOK)
 	}
-	if _, err := c.writer.Write(events); err != nil {
-		return snipeerror.New(snipeerror.ErrCanceled, snipeerror.MayHaveRun, err.Error())
-	}
-	if err := http.NewResponseController(c.writer).Flush(); err != nil {
+	if err := c.write(events, true); err != nil {
 		return snipeerror.New(snipeerror.ErrCanceled, snipeerror.MayHaveRun, err.Error())
 	}
 	c.recordPause(time.Now())
--- a/snipegateway/workspace.go
+++ b/snipegateway/workspace.go
@@ -166,6 +166,9 @@
 	return label
 }
 
+// WorkspaceLabel returns the quoted metric label of a workspace.
+func (g *Gateway) WorkspaceLabel(workspace string) string { return g.workspaceLabels.label(workspace) }
+
 // countWorkspace counts the end of a request in its workspace's metrics.
 func (c *call) countWorkspace(outcome string) {
 	if c.workspace == nil {
--- a/snipelink/dial.go
+++ b/snipelink/dial.go
@@ -29,6 +29,13 @@
 // Dialer returns a function that opens TCP connections. The kernel terminates such
 // a connection when the upstream becomes unresponsive.
 func Dialer() func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return BufferedDialer(0)
+}
+
+// BufferedDialer is a Dialer whose connections have kernel buffers of the given size, in bytes, for
+// each direction; 0 leaves the size to the kernel, which lets it grow to several MB. The kernel takes
+// twice the size, for its own data beside the bytes of the connection.
+func BufferedDialer(size int) func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	d := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -37,6 +44,9 @@
 			var optionErr error
 			err := raw.Control(func(fd uintptr) {
 				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+				if size > 0 && optionErr == nil {
+					optionErr = SetBuffers(int(fd), size)
+				}
 			})
 			if err != nil {
 				return err
@@ -49,6 +59,15 @@
 	}
 }
 
+// SetBuffers sets the size of a socket's kernel buffers for both directions. The connections that a
+// listening socket accepts have its sizes.
+func SetBuffers(fd, size int) error {
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size); err != nil {
+		return err
+	}
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size)
+}
+
 // isIdle reports whether a connection is open and has no bytes to read. A connection
 // whose type gives no access to a socket counts as idle.
 func isIdle(conn net.Conn) bool {
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -123,6 +123,9 @@
 // maxPooledBuffer bounds the size of the request buffers that are kept for reuse.
 const maxPooledBuffer = 64 << 10
 
+// maxHeaderSize is the space for a request's header in the buffer of a large request.
+const maxHeaderSize = 32 << 10
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // write sends the request with a single Write, so that a small one costs one system
@@ -141,6 +144,10 @@
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		r.ContentLength = int64(len(body))
 	}
+	if len(body) > maxPooledBuffer {
+		// Growth by doubling would hold up to three times the body.
+		b.Grow(len(body) + maxHeaderSize)
+	}
 	if err := r.Write(b); err != nil {
 		return 0, err
 	}
@@ -195,6 +202,10 @@
 	a.pool.put(a.connection)
 }
 
+// Interrupt ends a Read in progress in another goroutine, and all later ones, with an error. The
+// connection is not reused unless the body was read to its end.
+func (a *Answer) Interrupt() { _ = a.connection.conn.SetDeadline(time.Unix(1, 0)) }
+
 func (a *Answer) discard() {
 	a.stop()
 	_ = a.connection.conn.Close()
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -98,6 +98,12 @@
 	QuotaUnreached   = define(216, "QuotaUnreached", logrus.WarnLevel)
 	QuotaReached     = define(217, "QuotaReached", logrus.InfoLevel)
 	HeaderAppeared   = define(218, "HeaderAppeared", logrus.InfoLevel)
+
+	MemoryHigh       = define(230, "MemoryHigh", logrus.WarnLevel)
+	MemoryFree       = define(231, "MemoryFree", logrus.InfoLevel)
+	RefusedForMemory = define(232, "RefusedForMemory", logrus.InfoLevel)
+	AnswerEnded      = define(233, "AnswerEnded", logrus.WarnLevel)
+	ConnectionsFull  = define(234, "ConnectionsFull", logrus.WarnLevel)
 )
 
 // Events of the catalog, which operators declare, and of the directory of upstreams, 310 to 339.
--- /dev/null
+++ b/snipepressure/choose.go
@@ -0,0 +1,145 @@
+package snipepressure
+
+import "time"
+
+// Block records that the request's answer cannot be written because its caller does not read. since
+// is when the write began.
+func (a *Account) Block(since time.Time) {
+	b := a.budget
+	if b == nil {
+		return
+	}
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if b.blocked == nil {
+		b.blocked = make(map[*Account]struct{})
+	}
+	b.blocked[a] = struct{}{}
+	a.unreadSince = since
+	if a.Progress != nil {
+		a.lastProgress = a.Progress()
+	}
+}
+
+// Unblock records that the write has ended. When it has returned, End is not called any more.
+func (a *Account) Unblock() {
+	b := a.budget
+	if b == nil {
+		return
+	}
+	b.lock.Lock()
+	delete(b.blocked, a)
+	b.lock.Unlock()
+}
+
+// makeRoom ends blocked answers until the given bytes would fit below a mark. Up to the bound, only
+// answers that were unread for HighGrace are ended.
+func (b *Budget) makeRoom(bytes, mark int64) {
+	now := time.Now()
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	if now.Before(b.nextScan) {
+		return
+	}
+	for held := b.held.Load() + bytes; held-b.ending > mark; {
+		grace := HighGrace
+		if held-b.ending > b.Bound {
+			grace = 0
+		}
+		a := b.choose(now, grace)
+		if a == nil {
+			b.nextScan = now.Add(scanInterval)
+			return
+		}
+		b.end(a, now, false)
+	}
+}
+
+// choose returns the blocked account to end: of the workspace that holds most among those with an
+// account that is unread for at least grace, the one that is unread for longest. It returns nil if
+// there is none. The lock is held.
+func (b *Budget) choose(now time.Time, grace time.Duration) *Account {
+	var chosen *Account
+	for a := range b.blocked {
+		if a.ended.Load() || now.Sub(a.unreadSince) < grace {
+			continue
+		}
+		if chosen == nil || a.before(chosen) {
+			chosen = a
+		}
+	}
+	return chosen
+}
+
+// before reports whether a is ended before other. Accounts of equal workspaces and times are ended
+// in no particular order.
+func (a *Account) before(other *Account) bool {
+	if a.tally != other.tally {
+		x, y := a.tally.live(), other.tally.live()
+		return x > y || x == y && a.tally.name < other.tally.name
+	}
+	return a.unreadSince.Before(other.unreadSince)
+}
+
+// end ends an account. The lock is held.
+func (b *Budget) end(a *Account, now time.Time, expired bool) {
+	a.ended.Store(true)
+	a.endingBytes = a.held.Load()
+	b.ending += a.endingBytes
+	a.tally.ending += a.endingBytes
+	a.End(Decision{
+		Held: b.held.Load(), Bound: b.Bound, Workspace: a.tally.name, WorkspaceHeld: a.tally.held.Load(),
+		Released: a.endingBytes, Unread: now.Sub(a.unreadSince), Expired: expired,
+	})
+}
+
+// live returns what a workspace holds without its accounts that were ended. The lock is held.
+func (t *tally) live() int64 { return t.held.Load() - t.ending }
+
+// Sweep reads the progress of all blocked answers, ends those that are unread for MaxUnread, and
+// reports a change of the level. It is called a few times a second.
+func (b *Budget) Sweep() {
+	if !b.Active() {
+		return
+	}
+	now := time.Now()
+	b.lock.Lock()
+	for a := range b.blocked {
+		if a.ended.Load() {
+			continue
+		}
+		if a.Progress != nil {
+			if p := a.Progress(); p != a.lastProgress {
+				a.lastProgress, a.unreadSince = p, now
+			}
+		}
+		if b.MaxUnread > 0 && now.Sub(a.unreadSince) >= b.MaxUnread {
+			b.end(a, now, true)
+		}
+	}
+	b.flow.rate(now, b.freed.Load())
+	level, changed := b.nextLevel()
+	b.lock.Unlock()
+	b.makeRoom(0, b.high())
+	if changed && b.LevelChanged != nil {
+		b.LevelChanged(level, b.Held())
+	}
+}
+
+// freeShare is the fraction of the high mark below which pressure counts as ended, so that a level
+// near the mark is not reported again and again.
+const freeShare = 0.8
+
+// nextLevel updates the reported level. The lock is held.
+func (b *Budget) nextLevel() (level Level, changed bool) {
+	held, high := b.held.Load(), b.high()
+	switch {
+	case b.level == Free && held >= high:
+		b.level = High
+	case b.level == High && float64(held) < freeShare*float64(high):
+		b.level = Free
+	default:
+		return b.level, false
+	}
+	return b.level, true
+}
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -35,6 +35,8 @@
 	UpstreamUnsure  Kind = "UpstreamUnsure"
 	StopCut         Kind = "StopCut"
 	DeadlinePassed  Kind = "DeadlinePassed"
+	MemoryFull      Kind = "MemoryFull"
+	ReaderSlow      Kind = "ReaderSlow"
 	AdapterWait     Kind = "AdapterWait"
 	UpstreamWait    Kind = "UpstreamWait"
 	Pause           Kind = "Pause"
@@ -127,6 +129,8 @@
 		return Cause{RoutesUnknown, "the instance had not read any routes yet"}, append(s.lifecycleLines(), *e)
 	case contains("no route for this host"):
 		return Cause{NoRoute, "no declared route matches the host and path of the request"}, end
+	case contains("holds as many bytes"):
+		return Cause{MemoryFull, "the instance held as many bytes for requests as its memory allows"}, append(s.withEvents(snipelog.RefusedForMemory.Number), *e)
 	case contains("limits are reached"), contains("takes no more requests now"):
 		return Cause{UpstreamClosed, "the upstreams that could serve the request had signaled that they accept no more requests at the time"}, end
 	default:
@@ -193,6 +197,8 @@
 	failures := s.upstreamFailures(failureWindow)
 	stops := s.withEvents(snipelog.StopForced.Number)
 	switch {
+	case strings.Contains(e.Error, "had read nothing"):
+		return Cause{ReaderSlow, "the instance ended the answer: " + e.Error}, append(s.withEvents(snipelog.AnswerEnded.Number), *e)
 	case len(stops) > 0:
 		return Cause{StopCut, "the planned stop of the instance reached its time limit before the request ended"}, append(stops, *e)
 	case len(failures) > 0:
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -13,19 +13,21 @@
 
 // Log lines of instances under faults, shortened to the fields that a Story uses.
 const (
-	other        = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i9","Event":210,"Name":"RequestEnded","Request":"q2","Status":200}`
-	appeared     = `{"time":"2026-03-01T10:00:00.500Z","Instance":"i1","Event":320,"Name":"UpstreamAppeared","Upstream":"u7"}`
-	unload       = `{"time":"2026-03-01T10:00:00.900Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Unload","Adapter":"a5","Engine":"u1"}`
-	replace      = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Load","Adapter":"a5","Version":3,"Engine":"u1"}`
-	unloadOther  = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Unload","Adapter":"a6","Engine":"u1"}`
-	present      = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i3","Event":514,"Name":"AdapterPresent","Adapter":"a5","Engine":"u1","Queued":700,"Milliseconds":260}`
-	retried      = `{"time":"2026-03-01T10:00:01.200Z","Instance":"i1","Event":212,"Name":"RequestSentAgain","Request":"q1","After":"x","Tried":["u1"],"Ran":1}`
-	gone         = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u1"}`
-	goneOther    = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u2"}`
-	forced       = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i1","Event":104,"Name":"StopForced"}`
-	stale        = `{"time":"2026-03-01T10:00:00.100Z","Instance":"i1","Event":482,"Name":"OwnershipStale","Error":"down"}`
-	started      = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i1","Event":100,"Name":"Started"}`
-	startedOther = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i2","Event":100,"Name":"Started"}`
+	other         = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i9","Event":210,"Name":"RequestEnded","Request":"q2","Status":200}`
+	appeared      = `{"time":"2026-03-01T10:00:00.500Z","Instance":"i1","Event":320,"Name":"UpstreamAppeared","Upstream":"u7"}`
+	unload        = `{"time":"2026-03-01T10:00:00.900Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Unload","Adapter":"a5","Engine":"u1"}`
+	replace       = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Load","Adapter":"a5","Version":3,"Engine":"u1"}`
+	unloadOther   = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Unload","Adapter":"a6","Engine":"u1"}`
+	present       = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i3","Event":514,"Name":"AdapterPresent","Adapter":"a5","Engine":"u1","Queued":700,"Milliseconds":260}`
+	retried       = `{"time":"2026-03-01T10:00:01.200Z","Instance":"i1","Event":212,"Name":"RequestSentAgain","Request":"q1","After":"x","Tried":["u1"],"Ran":1}`
+	gone          = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u1"}`
+	goneOther     = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u2"}`
+	forced        = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i1","Event":104,"Name":"StopForced"}`
+	stale         = `{"time":"2026-03-01T10:00:00.100Z","Instance":"i1","Event":482,"Name":"OwnershipStale","Error":"down"}`
+	started       = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i1","Event":100,"Name":"Started"}`
+	refusedMemory = `{"time":"2026-03-01T10:00:01.990Z","Instance":"i1","Event":232,"Name":"RefusedForMemory","Request":"q1","Held":57000000,"Bound":57600000}`
+	answerEnded   = `{"time":"2026-03-01T10:00:01.990Z","Instance":"i1","Event":233,"Name":"AnswerEnded","Request":"q1","UnreadMilliseconds":1500}`
+	startedOther  = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i2","Event":100,"Name":"Started"}`
 )
 
 // end returns a line that reports the end of request q1 after 800 ms, with the given event and
@@ -46,6 +48,16 @@
 		"InTime":     {[]string{end("210", `"Status":200,"FirstMilliseconds":90`)}, snipestory.None, nil},
 		"AbsentLine": {[]string{retried, started, startedOther}, snipestory.Unknown, []string{"Started"}},
 		"CallerLeft": {[]string{end("214", `"Status":0`)}, snipestory.CallerLeft, nil},
+		"MemoryFull": {
+			[]string{refusedMemory, end("211", `"Status":503,"Error":"overloaded (NotRun): the instance holds as many bytes as it may"`)},
+			snipestory.MemoryFull,
+			[]string{"RefusedForMemory", "End"},
+		},
+		"ReaderSlow": {
+			[]string{answerEnded, forced, end("213", `"Status":200,"Error":"canceled by the caller (MayHaveRun): the caller had read nothing for 1500 ms and the instance holds as many bytes as it may"`)},
+			snipestory.ReaderSlow,
+			[]string{"AnswerEnded", "End"},
+		},
 		"Evicted": {
 			[]string{unload, unloadOther, end("211", `"Error":"status 421","Adapter":"a5","Tried":["u1"]`)},
 			snipestory.AdapterEvicted,
