Peak between samples and metrics in the test of slow readers

Cause: samples every 50 ms may miss a peak of the resident memory, and nothing checked that operators see the pressure.

Change: the process's high-water mark together with the largest kernel buffers is held against the setting, and /metrics is read. The counter of refused connections is shown from the start.

--- a/cmd/snipepitchd/pressure_test.go
+++ b/cmd/snipepitchd/pressure_test.go
@@ -176,6 +176,7 @@
 type process struct {
 	pid            int
 	callers, ready string
+	metrics        string
 	log            string
 	exited         chan error
 }
@@ -204,7 +205,7 @@
 	must.NoError(t, err)
 	path := filepath.Join(dir, "settings.json")
 	must.NoError(t, os.WriteFile(path, settings, 0o600))
-	p := &process{callers: addresses[0], ready: "http://" + addresses[1] + platform.ReadyPath, log: filepath.Join(dir, "log"), exited: make(chan error, 1)}
+	p := &process{callers: addresses[0], metrics: addresses[3], ready: "http://" + addresses[1] + platform.ReadyPath, log: filepath.Join(dir, "log"), exited: make(chan error, 1)}
 	file, err := os.Create(p.log)
 	must.NoError(t, err)
 	defer func() { _ = file.Close() }()
@@ -229,6 +230,33 @@
 	return pages * int64(os.Getpagesize())
 }
 
+// highWater returns the largest resident memory that the process had.
+func (p *process) highWater(t *testing.T) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
+	must.NoError(t, err)
+	_, after, found := strings.Cut(string(data), "VmHWM:")
+	must.True(t, found)
+	kilobytes, err := strconv.ParseInt(strings.Fields(after)[0], 10, 64)
+	must.NoError(t, err)
+	return kilobytes << 10
+}
+
+// checkMetrics checks that operators see the pressure, by workspace.
+func (p *process) checkMetrics(t *testing.T) {
+	a, err := http.Get("http://" + p.metrics + "/metrics")
+	must.NoError(t, err)
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
+	must.NoError(t, err)
+	for _, name := range []string{
+		`snipepitch_held_bytes{workspace="slow"}`, `snipepitch_held_bytes{workspace="sound"}`, "snipepitch_held_bytes_bound 51840000",
+		`snipepitch_memory_refusals_total{workspace="slow"}`, `snipepitch_answers_ended_total{workspace="slow",reason="Pressure"}`,
+		"snipepitch_caller_connections", "snipepitch_connections_refused_total",
+	} {
+		must.StrContains(t, string(text), name)
+	}
+}
+
 // queued returns the bytes in the kernel's buffers of the process's sockets: received and not read, and
 // sent and not acknowledged.
 func (p *process) queued() (received, sent int64) {
@@ -438,6 +466,9 @@
 		must.NoError(t, os.WriteFile(keep, text, 0o600))
 	}
 	must.Less(t, memoryBytes, m.total)
+	// The high-water mark includes peaks of the resident memory between two samples.
+	must.Less(t, memoryBytes, p.highWater(t)+m.received+m.sent)
+	p.checkMetrics(t)
 	must.Positive(t, other.served.Load())
 	must.Zero(t, other.unserved.Load())
 	must.Positive(t, same.served.Load())
--- a/snipeentry/pressure.go
+++ b/snipeentry/pressure.go
@@ -68,6 +68,8 @@
 	return int(requests) + int(connectionShare*float64(s.MemoryBytes))/idleConnectionBytes
 }
 
+const connectionsRefusedCounter = "snipepitch_connections_refused_total"
+
 // buildPressure creates the budget of the bytes held for requests.
 func (i *Instance) buildPressure() {
 	i.pressure = &snipepressure.Budget{
@@ -88,6 +90,7 @@
 	}
 	if i.pressure.Active() {
 		i.connections = &connectionLimit{most: i.Settings.maxConnections(), refused: i.connectionsRefused}
+		i.meter.Add(connectionsRefusedCounter, 0) // shown from the start
 		i.meter.Gauge("snipepitch_held_bytes_bound", func() float64 { return float64(i.pressure.Bound) })
 		i.meter.Gauge("snipepitch_caller_connections", func() float64 { return float64(i.connections.count()) })
 	}
@@ -100,7 +103,7 @@
 
 // connectionsRefused counts connections that were refused at the bound, and logs the first of a second.
 func (i *Instance) connectionsRefused(open int, first bool) {
-	i.meter.Count("snipepitch_connections_refused_total")
+	i.meter.Count(connectionsRefusedCounter)
 	if first {
 		i.Log.Log(snipelog.ConnectionsFull, snipelog.Fields{"Open": open, "Bound": i.Settings.maxConnections()})
 	}
