--- /dev/null
+++ b/snipeadmission/admission.go
@@ -0,0 +1,259 @@
+// Package snipeadmission shares the slots of a few upstreams among many instances.
+//
+// One instance, the coordinator of a service, runs a Coordinator. The other instances ask it for a
+// permit for each request, send the request to the upstream that the permit names, and release the
+// permit with the result. An instance that reaches no coordinator paces its requests by a Pacer.
+//
+// The package does no I/O and keeps no state that must last: a Coordinator that starts again learns
+// what runs at the upstreams from the load reports in the results.
+package snipeadmission
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrRefused is the error of a request that is not admitted. It has not run. The error is a
+// *RefusedError.
+var ErrRefused = errors.New("not admitted")
+
+// RefusedError is the refusal of a request.
+type RefusedError struct {
+	// RetryAfter is the time after which a request is expected to be served.
+	RetryAfter time.Duration
+	// Reason tells why the request was refused.
+	Reason Reason
+}
+
+func (e *RefusedError) Error() string {
+	return ErrRefused.Error() + ": " + e.Reason.String() + ", retry after " + e.RetryAfter.String()
+}
+
+// Unwrap makes errors.Is find ErrRefused.
+func (e *RefusedError) Unwrap() error { return ErrRefused }
+
+// Reason is the reason of a refusal.
+type Reason int
+
+// Reasons of refusals.
+const (
+	// ReasonDeadline means that the expected wait is longer than the deadline leaves.
+	ReasonDeadline Reason = iota
+	// ReasonLate means that the target cannot be met and that the capacity left over for late
+	// requests does not reach the request before its deadline.
+	ReasonLate
+	// ReasonNoUpstream means that no upstream is known or that all are left alone until after the
+	// deadline.
+	ReasonNoUpstream
+	// ReasonFull means that MaxWaiting requests wait.
+	ReasonFull
+)
+
+// String returns the reason as it stands in logs.
+func (r Reason) String() string {
+	switch r {
+	case ReasonDeadline:
+		return "expected wait exceeds the deadline"
+	case ReasonLate:
+		return "target missed and no capacity left over"
+	case ReasonNoUpstream:
+		return "no upstream available"
+	case ReasonFull:
+		return "queue full"
+	}
+	return "unknown"
+}
+
+// Upstream is an upstream as the catalog and its last load report describe it. An upstream that
+// starts again has another ID.
+type Upstream struct {
+	ID    string
+	Slots int
+}
+
+// Request is a request that asks for a permit.
+type Request struct {
+	// Instance is the name of the instance that will hold the permit.
+	Instance  string
+	Workspace string
+	// Priority is the urgency; 0 is the most urgent.
+	Priority int
+	// Tokens is the work that the workspace is charged; values that are not positive and finite
+	// count as 1.
+	Tokens float64
+	// Arrived is when the request first arrived; the zero time means now. A request that asks again,
+	// because an upstream refused it or an earlier Acquire ended, states it and keeps its place.
+	Arrived time.Time
+	// Target is when the answer is due, and Deadline when the request ends. Zero times mean that
+	// there is none.
+	Target   time.Time
+	Deadline time.Time
+	// Excluded holds the IDs of upstreams that have just refused this request. Each is avoided for
+	// the time in which its queue empties.
+	Excluded []string
+}
+
+// Permit allows one request to be sent to one upstream. It ends Lifetime after the grant or the
+// last renewal.
+type Permit struct {
+	ID       uint64
+	Upstream string
+	Lifetime time.Duration
+}
+
+// Outcome is how a request with a permit ended.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	// OutcomeServed means that the upstream answered; only its time counts as an observation.
+	OutcomeServed Outcome = iota
+	// OutcomeFailed means that the upstream executed the request or may have, and failed.
+	OutcomeFailed
+	// OutcomeCanceled means that the caller gave up while the request ran.
+	OutcomeCanceled
+	// OutcomeUnused means that the request was not sent; its charge is taken back.
+	OutcomeUnused
+	// OutcomeRefused means that the upstream was full and did not execute the request.
+	OutcomeRefused
+	// OutcomeUnreachable means that no connection to the upstream was made.
+	OutcomeUnreachable
+	// OutcomeSuspect means that the instance has reason to believe that the upstream is broken.
+	OutcomeSuspect
+)
+
+// Load is what an upstream states about its occupancy. Pace is 1 for the usual time and higher for
+// slower; 0 means not stated. Age is the time since the upstream stated it.
+type Load struct {
+	Running, Waiting, Slots int
+	Pace                    float64
+	Age                     time.Duration
+}
+
+// Result is what became of a request with a permit.
+type Result struct {
+	Outcome Outcome
+	// Took is the time from sending the request to the end of its answer.
+	Took time.Duration
+	// RetryAfter is the time that a refusing upstream named; 0 if none.
+	RetryAfter time.Duration
+	// Load is the upstream's load report, or nil.
+	Load *Load
+}
+
+// Event is what a Decision is about.
+type Event int
+
+// Events of decisions.
+const (
+	EventGranted Event = iota
+	EventRefused
+	EventExpired // the permit ended without a renewal or its instance is gone
+	EventPaused  // the upstream is left alone
+)
+
+// Decision is a decision of a Coordinator or Pacer with its inputs.
+type Decision struct {
+	Event Event
+	// Request is the request that was granted or refused.
+	Request Request
+	// Permit is the granted or expired permit. For EventPaused it holds only the upstream.
+	Permit Permit
+	// Refusal is set for EventRefused.
+	Refusal *RefusedError
+	// Waited is the time since Acquire was called, and ExpectedWait the wait that was expected when
+	// the decision was made.
+	Waited, ExpectedWait time.Duration
+	// Waiting is the length of the queue.
+	Waiting int
+	// Pause is the time for which the upstream is left alone.
+	Pause time.Duration
+	// LoadAge is the age of the load report of the upstream, or of the oldest report of all
+	// upstreams for a refusal; negative if there is none.
+	LoadAge time.Duration
+}
+
+// Stats are counters of a Coordinator or Pacer.
+type Stats struct {
+	// PermitsOut and Waiting are present numbers; the others count from the start.
+	PermitsOut, Waiting int
+	Granted, Refused    uint64
+	// Expired counts permits that ended without a release.
+	Expired uint64
+	// Withdrawn counts requests whose context ended while they waited.
+	Withdrawn uint64
+	// Unknown counts releases of permits that are not out, and Ignored load reports that make no
+	// sense.
+	Unknown, Ignored uint64
+}
+
+// Coordinator lends the slots of the upstreams of one service. Exported fields are set before the
+// first call. It is safe for concurrent use.
+type Coordinator struct {
+	// Upstreams returns the upstreams of the service. It is called with the lock held and must not
+	// call the Coordinator.
+	Upstreams func() []Upstream
+	// Lifetime is how long a permit lasts without a renewal; 0 means 1 s.
+	Lifetime time.Duration
+	// MaxDisplacement is the wait after which a request goes first within its priority; 0 means 2 s.
+	MaxDisplacement time.Duration
+	// MaxWaiting bounds the number of waiting requests; 0 means 4096.
+	MaxWaiting int
+	// OnDecision, if set, is called for each decision, without the lock.
+	OnDecision func(Decision)
+}
+
+// Acquire waits until the request gets a permit or is refused, or until ctx ends. A refusal is a
+// *RefusedError. If ctx ends, Acquire returns its error, but a permit that was granted at the same
+// moment is returned.
+func (c *Coordinator) Acquire(ctx context.Context, r Request) (Permit, error) {
+	return Permit{}, &RefusedError{Reason: ReasonNoUpstream}
+}
+
+// Renew prolongs the permits with these IDs that the instance holds, by Lifetime from now.
+func (c *Coordinator) Renew(instance string, ids []uint64) {}
+
+// Release ends a permit. A permit that is not out, because it expired, is counted and ignored.
+func (c *Coordinator) Release(id uint64, r Result) {}
+
+// Observe records a load report that did not come with a result, for example of a health check.
+func (c *Coordinator) Observe(upstream string, l Load) {}
+
+// DropInstance ends the permits of an instance that is gone.
+func (c *Coordinator) DropInstance(name string) {}
+
+// Refresh compares the upstreams with Upstreams, so that a change takes effect before the next
+// call.
+func (c *Coordinator) Refresh() {}
+
+// Stats returns the counters.
+func (c *Coordinator) Stats() Stats { return Stats{} }
+
+// Pacer spaces the requests of an instance on its own, without a coordinator. Exported fields are
+// set before the first call. It is safe for concurrent use.
+type Pacer struct {
+	// Upstreams returns the upstreams of the service. It is called with the lock held and must not
+	// call the Pacer.
+	Upstreams func() []Upstream
+	// Instances returns the number of live instances, among which the capacity is shared at first.
+	Instances func() int
+	// Random returns a number in [0, 1); nil means math/rand/v2.Float64.
+	Random func() float64
+	// OnDecision, if set, is called for each decision, without the lock.
+	OnDecision func(Decision)
+}
+
+// Acquire waits for the next send slot of an upstream and returns its ID. It returns a *RefusedError
+// at once if the wait would exceed the deadline, and the error of ctx if that ends first. Each
+// Acquire without an error needs a Release.
+func (p *Pacer) Acquire(ctx context.Context, r Request) (upstream string, err error) {
+	return "", &RefusedError{Reason: ReasonNoUpstream}
+}
+
+// Release records what became of a request that Acquire admitted.
+func (p *Pacer) Release(upstream string, r Result) {}
+
+// Stats returns the counters. A Pacer has no permits; PermitsOut counts requests without a Release.
+func (p *Pacer) Stats() Stats { return Stats{} }
