--- a/snipeadmission/admission.go
+++ b/snipeadmission/admission.go
@@ -9,7 +9,6 @@
 package snipeadmission
 
 import (
-	"context"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -188,72 +187,3 @@
 	// sense.
 	Unknown, Ignored uint64
 }
-
-// Coordinator lends the slots of the upstreams of one service. Exported fields are set before the
-// first call. It is safe for concurrent use.
-type Coordinator struct {
-	// Upstreams returns the upstreams of the service. It is called with the lock held and must not
-	// call the Coordinator.
-	Upstreams func() []Upstream
-	// Lifetime is how long a permit lasts without a renewal; 0 means 1 s.
-	Lifetime time.Duration
-	// MaxDisplacement is the wait after which a request goes first within its priority; 0 means 2 s.
-	MaxDisplacement time.Duration
-	// MaxWaiting bounds the number of waiting requests; 0 means 4096.
-	MaxWaiting int
-	// OnDecision, if set, is called for each decision, without the lock.
-	OnDecision func(Decision)
-}
-
-// Acquire waits until the request gets a permit or is refused, or until ctx ends. A refusal is a
-// *RefusedError. If ctx ends, Acquire returns its error, but a permit that was granted at the same
-// moment is returned.
-func (c *Coordinator) Acquire(ctx context.Context, r Request) (Permit, error) {
-	return Permit{}, &RefusedError{Reason: ReasonNoUpstream}
-}
-
-// Renew prolongs the permits with these IDs that the instance holds, by Lifetime from now.
-func (c *Coordinator) Renew(instance string, ids []uint64) {}
-
-// Release ends a permit. A permit that is not out, because it expired, is counted and ignored.
-func (c *Coordinator) Release(id uint64, r Result) {}
-
-// Observe records a load report that did not come with a result, for example of a health check.
-func (c *Coordinator) Observe(upstream string, l Load) {}
-
-// DropInstance ends the permits of an instance that is gone.
-func (c *Coordinator) DropInstance(name string) {}
-
-// Refresh compares the upstreams with Upstreams, so that a change takes effect before the next
-// call.
-func (c *Coordinator) Refresh() {}
-
-// Stats returns the counters.
-func (c *Coordinator) Stats() Stats { return Stats{} }
-
-// Pacer spaces the requests of an instance on its own, without a coordinator. Exported fields are
-// set before the first call. It is safe for concurrent use.
-type Pacer struct {
-	// Upstreams returns the upstreams of the service. It is called with the lock held and must not
-	// call the Pacer.
-	Upstreams func() []Upstream
-	// Instances returns the number of live instances, among which the capacity is shared at first.
-	Instances func() int
-	// Random returns a number in [0, 1); nil means math/rand/v2.Float64.
-	Random func() float64
-	// OnDecision, if set, is called for each decision, without the lock.
-	OnDecision func(Decision)
-}
-
-// Acquire waits for the next send slot of an upstream and returns its ID. It returns a *RefusedError
-// at once if the wait would exceed the deadline, and the error of ctx if that ends first. Each
-// Acquire without an error needs a Release.
-func (p *Pacer) Acquire(ctx context.Context, r Request) (upstream string, err error) {
-	return "", &RefusedError{Reason: ReasonNoUpstream}
-}
-
-// Release records what became of a request that Acquire admitted.
-func (p *Pacer) Release(upstream string, r Result) {}
-
-// Stats returns the counters. A Pacer has no permits; PermitsOut counts requests without a Release.
-func (p *Pacer) Stats() Stats { return Stats{} }
--- /dev/null
+++ b/snipeadmission/coordinator.go
@@ -0,0 +1,326 @@
+package snipeadmission
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"snipepitch.example/snipepitch/snipefair"
+)
+
+const (
+	defaultLifetime        = time.Second
+	defaultMaxDisplacement = 2 * time.Second
+	defaultMaxWaiting      = 4096
+	// sweepInterval is the time between two searches for waiting requests that can't be served in
+	// time any more. It also bounds the delay until a permit is granted because a load report faded.
+	sweepInterval = 10 * time.Millisecond
+)
+
+// Coordinator lends the slots of the upstreams of one service. Exported fields are set before the
+// first call. It is safe for concurrent use.
+//
+// It keeps no goroutine. A timer runs while permits are out or requests wait.
+type Coordinator struct {
+	// Upstreams returns the upstreams of the service. It is called with the lock held and must not
+	// call the Coordinator.
+	Upstreams func() []Upstream
+	// Lifetime is how long a permit lasts without a renewal; 0 means 1 s.
+	Lifetime time.Duration
+	// MaxDisplacement is the wait after which a request goes first within its priority; 0 means 2 s.
+	MaxDisplacement time.Duration
+	// MaxWaiting bounds the number of waiting requests; 0 means 4096.
+	MaxWaiting int
+	// OnDecision, if set, is called for each decision, without the lock.
+	OnDecision func(Decision)
+
+	lock    sync.Mutex // guards the fields below
+	pool    pool
+	demand  demand
+	queue   snipefair.Queue[*waiter]
+	permits map[uint64]*lease
+	lastID  uint64
+	// lastRetry is the time that was last named to a refused caller.
+	lastRetry time.Time
+	sweptAt   time.Time
+	timer     *time.Timer
+	wakeAt    time.Time // when the timer fires; zero if it does not run
+	stats     Stats
+	decisions []Decision // not yet passed to OnDecision
+}
+
+// lease is a permit that is out.
+type lease struct {
+	upstream *upstream
+	instance string
+	item     snipefair.Item
+	ends     time.Time
+	// running is the load of the upstream when the permit was granted, with this one.
+	running int
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	request  Request
+	since    time.Time // when Acquire was called
+	expected time.Duration
+	excluded []exclusion
+	decision chan decision
+}
+
+// exclusion is an upstream that a waiting request is not sent to for some time.
+type exclusion struct {
+	upstream string
+	until    time.Time
+}
+
+// decision is the end of a wait: a permit or a refusal.
+type decision struct {
+	permit Permit
+	err    *RefusedError
+}
+
+// Acquire waits until the request gets a permit or is refused, or until ctx ends. A refusal is a
+// *RefusedError. If ctx ends, Acquire returns its error, but a permit that was granted at the same
+// moment is returned.
+func (c *Coordinator) Acquire(ctx context.Context, r Request) (Permit, error) {
+	if err := ctx.Err(); err != nil {
+		return Permit{}, err
+	}
+	w, e := c.enter(r)
+	select {
+	case d := <-w.decision:
+		return d.result()
+	case <-ctx.Done():
+	}
+	c.lock.Lock()
+	waits := c.queue.Remove(e)
+	if waits {
+		c.stats.Withdrawn++
+	}
+	c.lock.Unlock()
+	if waits {
+		return Permit{}, ctx.Err()
+	}
+	return (<-w.decision).result()
+}
+
+func (d decision) result() (Permit, error) {
+	if d.err != nil {
+		return Permit{}, d.err
+	}
+	return d.permit, nil
+}
+
+// enter queues a request, and grants or refuses it if that can be decided at once.
+func (c *Coordinator) enter(r Request) (*waiter, *snipefair.Entry[*waiter]) {
+	now := c.begin()
+	defer c.end(now)
+	w := &waiter{request: r, since: now, decision: make(chan decision, 1)}
+	queued := now
+	if r.Arrived.IsZero() || r.Arrived.After(now) {
+		c.demand.add(r.Priority, now)
+	} else {
+		queued = r.Arrived
+	}
+	for _, id := range r.Excluded {
+		if u := c.pool.find(id); u != nil {
+			mean, _ := c.pool.service(u, now)
+			w.excluded = append(w.excluded, exclusion{id, later(u.pausedUntil, now.Add(seconds(mean)))})
+		}
+	}
+	e := c.queue.Push(snipefair.Item{
+		Priority: r.Priority, Workspace: r.Workspace, Tokens: r.Tokens,
+		Queued: queued, Target: r.Target, Deadline: r.Deadline,
+	}, w)
+	c.grantAll(now)
+	if len(w.decision) == 0 {
+		c.judge(e, now)
+	}
+	return w, e
+}
+
+// begin takes the lock and brings the state up to date. Each call is followed by one of end.
+func (c *Coordinator) begin() time.Time {
+	c.lock.Lock()
+	now := time.Now()
+	if c.permits == nil {
+		c.permits, c.lastID = make(map[uint64]*lease), rand.Uint64()
+		if c.Lifetime <= 0 {
+			c.Lifetime = defaultLifetime
+		}
+		if c.MaxDisplacement <= 0 {
+			c.MaxDisplacement = defaultMaxDisplacement
+		}
+		if c.MaxWaiting <= 0 {
+			c.MaxWaiting = defaultMaxWaiting
+		}
+		c.queue.MaxDisplacement = c.MaxDisplacement
+	}
+	if now.Sub(c.pool.refreshedAt) >= refreshInterval {
+		c.pool.refresh(c.Upstreams(), now)
+	}
+	return now
+}
+
+// end sets the timer, releases the lock and reports the decisions.
+func (c *Coordinator) end(now time.Time) {
+	if c.queue.Len() > 0 {
+		c.wake(now.Add(sweepInterval), now)
+	}
+	made := c.decisions
+	c.decisions = nil
+	c.lock.Unlock()
+	for _, d := range made {
+		c.OnDecision(d)
+	}
+}
+
+// wake makes the timer fire at the given time at the latest.
+func (c *Coordinator) wake(at, now time.Time) {
+	if !c.wakeAt.IsZero() && !at.Before(c.wakeAt) {
+		return
+	}
+	c.wakeAt = at
+	if c.timer == nil {
+		c.timer = time.AfterFunc(at.Sub(now), c.tick)
+		return
+	}
+	c.timer.Reset(at.Sub(now))
+}
+
+// tick ends permits that were not renewed, and refuses and grants what has become due.
+func (c *Coordinator) tick() {
+	now := c.begin()
+	defer c.end(now)
+	c.wakeAt = time.Time{}
+	for id, l := range c.permits {
+		if !now.Before(l.ends) {
+			c.expire(id, l, now)
+		}
+	}
+	for _, l := range c.permits {
+		c.wake(l.ends, now)
+	}
+	c.grantAll(now)
+	c.sweep(now)
+}
+
+// expire ends a permit that was not released.
+func (c *Coordinator) expire(id uint64, l *lease, now time.Time) {
+	c.remove(id, l)
+	c.stats.Expired++
+	c.decide(Decision{Event: EventExpired, Permit: c.permit(id, l), LoadAge: l.upstream.reportAge(now)})
+}
+
+func (c *Coordinator) remove(id uint64, l *lease) {
+	delete(c.permits, id)
+	l.upstream.out--
+}
+
+func (c *Coordinator) permit(id uint64, l *lease) Permit {
+	return Permit{ID: id, Upstream: l.upstream.id, Lifetime: c.Lifetime}
+}
+
+// decide keeps a decision for OnDecision.
+func (c *Coordinator) decide(d Decision) {
+	if c.OnDecision != nil {
+		d.Waiting = c.queue.Len()
+		c.decisions = append(c.decisions, d)
+	}
+}
+
+// Renew prolongs the permits with these IDs that the instance holds, by Lifetime from now.
+func (c *Coordinator) Renew(instance string, ids []uint64) {
+	now := c.begin()
+	defer c.end(now)
+	for _, id := range ids {
+		if l := c.permits[id]; l != nil && l.instance == instance {
+			l.ends = now.Add(c.Lifetime)
+		}
+	}
+}
+
+// Release ends a permit. A permit that is not out, because it expired, is counted and ignored.
+func (c *Coordinator) Release(id uint64, r Result) {
+	now := c.begin()
+	defer c.end(now)
+	l := c.permits[id]
+	if l == nil {
+		c.stats.Unknown++
+		return
+	}
+	u := l.upstream
+	if r.Load != nil {
+		c.report(u, *r.Load, now)
+	}
+	c.remove(id, l)
+	c.pool.observe(u, r, l.running, now)
+	switch r.Outcome {
+	case OutcomeServed:
+		u.failures = 0
+	case OutcomeUnused:
+		c.queue.Charge(l.item.Priority, l.item.Workspace, -l.item.Work())
+	case OutcomeRefused:
+		c.queue.Charge(l.item.Priority, l.item.Workspace, -l.item.Work())
+		mean, _ := c.pool.service(u, now)
+		c.paused(u, u.refused(r, seconds(mean), now), now)
+	case OutcomeUnreachable, OutcomeSuspect:
+		c.paused(u, u.fail(now), now)
+	}
+	c.grantAll(now)
+}
+
+func (c *Coordinator) paused(u *upstream, pause time.Duration, now time.Time) {
+	c.decide(Decision{Event: EventPaused, Permit: Permit{Upstream: u.id}, Pause: pause, LoadAge: u.reportAge(now)})
+}
+
+// report takes over a load report, or counts one that makes no sense.
+func (c *Coordinator) report(u *upstream, l Load, now time.Time) {
+	if !l.valid() {
+		c.stats.Ignored++
+		return
+	}
+	u.report(l, now)
+}
+
+// Observe records a load report that did not come with a result, for example of a health check.
+func (c *Coordinator) Observe(upstream string, l Load) {
+	now := c.begin()
+	defer c.end(now)
+	if u := c.pool.find(upstream); u != nil {
+		c.report(u, l, now)
+		c.grantAll(now)
+	}
+}
+
+// DropInstance ends the permits of an instance that is gone.
+func (c *Coordinator) DropInstance(name string) {
+	now := c.begin()
+	defer c.end(now)
+	for id, l := range c.permits {
+		if l.instance == name {
+			c.expire(id, l, now)
+		}
+	}
+	c.grantAll(now)
+}
+
+// Refresh compares the upstreams with Upstreams, so that a change takes effect before the next
+// call.
+func (c *Coordinator) Refresh() {
+	now := c.begin()
+	defer c.end(now)
+	c.pool.refresh(c.Upstreams(), now)
+	c.grantAll(now)
+}
+
+// Stats returns the counters.
+func (c *Coordinator) Stats() Stats {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	s := c.stats
+	s.PermitsOut, s.Waiting = len(c.permits), c.queue.Len()
+	return s
+}
--- /dev/null
+++ b/snipeadmission/grant.go
@@ -0,0 +1,203 @@
+package snipeadmission
+
+import (
+	"math"
+	"time"
+
+	"snipepitch.example/snipepitch/snipefair"
+)
+
+const (
+	// lookahead bounds the waiting requests that are looked at for one free slot, when those before
+	// them wait for a faster upstream.
+	lookahead = 64
+	// maxRetryAfter bounds the time that a refused caller is told.
+	maxRetryAfter = 5 * time.Second
+	// forever is the wait that stands for no service at all.
+	forever = 24 * time.Hour
+)
+
+// grantAll grants permits as long as there are free ones and requests that should use them.
+func (c *Coordinator) grantAll(now time.Time) {
+	for c.queue.Len() > 0 && c.pool.free(now) >= 1 {
+		e, u := c.next(now)
+		if e == nil {
+			return
+		}
+		c.grant(e, u, now)
+	}
+}
+
+// next returns the first waiting request that should be sent to an upstream now, or nil. A request
+// waits when an upstream without a free permit is expected to serve it sooner than the others; it is
+// then counted there, so that the next request finds the place taken.
+func (c *Coordinator) next(now time.Time) (*snipefair.Entry[*waiter], *upstream) {
+	_, most := c.pool.typical(now)
+	assigned := make([]float64, len(c.pool.list))
+	seen := 0
+	for e := range c.queue.InOrder(now, now.Add(most)) {
+		best := c.soonest(e.Value, assigned, now)
+		if best >= 0 {
+			u := c.pool.list[best]
+			if float64(u.out)+1 <= u.limit(now) {
+				return e, u
+			}
+			assigned[best]++
+		}
+		if seen++; seen >= lookahead {
+			break
+		}
+	}
+	return nil, nil
+}
+
+// soonest returns the position of the upstream that is expected to end the request first, given the
+// requests that are assigned to each besides those with permits; -1 if there is none.
+func (c *Coordinator) soonest(w *waiter, assigned []float64, now time.Time) int {
+	best, soonest := -1, math.Inf(1)
+	for i, u := range c.pool.list {
+		if u.limit(now) == 0 || w.excludes(u.id, now) {
+			continue
+		}
+		mean, _ := c.pool.service(u, now)
+		slots := min(float64(u.slots), u.limit(now))
+		excess := max(0, u.load(now)+assigned[i]+1-slots)
+		if end := mean * (1 + excess/slots); end < soonest {
+			best, soonest = i, end
+		}
+	}
+	return best
+}
+
+func (w *waiter) excludes(id string, now time.Time) bool {
+	for _, x := range w.excluded {
+		if x.upstream == id && now.Before(x.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// grant gives a waiting request a permit for an upstream.
+func (c *Coordinator) grant(e *snipefair.Entry[*waiter], u *upstream, now time.Time) {
+	c.queue.Take(e)
+	w := e.Value
+	c.lastID++
+	u.out++
+	l := &lease{upstream: u, instance: w.request.Instance, item: e.Item, ends: now.Add(c.Lifetime), running: int(u.load(now))}
+	c.permits[c.lastID] = l
+	c.stats.Granted++
+	p := c.permit(c.lastID, l)
+	c.decide(Decision{
+		Event: EventGranted, Request: w.request, Permit: p, Waited: now.Sub(w.since),
+		ExpectedWait: w.expected, LoadAge: u.reportAge(now),
+	})
+	w.decision <- decision{permit: p}
+	c.wake(l.ends, now)
+}
+
+// refuse ends the wait of a request without a permit.
+func (c *Coordinator) refuse(e *snipefair.Entry[*waiter], reason Reason, now time.Time) {
+	c.queue.Remove(e)
+	w := e.Value
+	c.stats.Refused++
+	err := &RefusedError{RetryAfter: c.retryAfter(now), Reason: reason}
+	c.decide(Decision{
+		Event: EventRefused, Request: w.request, Refusal: err, Waited: now.Sub(w.since),
+		ExpectedWait: w.expected, LoadAge: c.pool.oldestReport(now),
+	})
+	w.decision <- decision{err: err}
+}
+
+// retryAfter returns the time until the queue ends, and later for each further refused caller.
+func (c *Coordinator) retryAfter(now time.Time) time.Duration {
+	first, _ := c.pool.available()
+	at := later(first, now)
+	if rate := c.pool.rate(now); rate > 0 {
+		at = at.Add(c.wait(c.queue.Len(), rate, now))
+		at = later(at, c.lastRetry.Add(seconds(1/rate)))
+	}
+	if latest := now.Add(maxRetryAfter); at.After(latest) {
+		at = latest
+	}
+	c.lastRetry = at
+	return at.Sub(now)
+}
+
+// wait returns the expected time until a request with so many before it gets a permit, if permits
+// come at this rate. It is longer than all deadlines if there is no rate.
+func (c *Coordinator) wait(ahead int, rate float64, now time.Time) time.Duration {
+	needed := float64(ahead) + 1 - c.pool.free(now)
+	if needed <= 0 {
+		return 0
+	}
+	if needed > rate*forever.Seconds() {
+		return forever
+	}
+	return seconds(needed / rate)
+}
+
+// judge refuses a request that has just been queued if it can't be served before its deadline.
+func (c *Coordinator) judge(e *snipefair.Entry[*waiter], now time.Time) {
+	if c.queue.Len() > c.MaxWaiting {
+		c.refuse(e, ReasonFull, now)
+		return
+	}
+	_, most := c.pool.typical(now)
+	c.check(e, c.queue.Ahead(e, now, now.Add(most)), now)
+}
+
+// check refuses a request with so many before it if it can't be served before its deadline. It
+// counts on the whole rate of the upstreams, less the arrivals that are more urgent; if the request
+// will be late, also less those of its priority, because they go first.
+func (c *Coordinator) check(e *snipefair.Entry[*waiter], ahead int, now time.Time) {
+	if first, known := c.pool.available(); !known || first.After(now) {
+		if !known || c.misses(e, first.Sub(now), now) {
+			c.refuse(e, ReasonNoUpstream, now)
+		}
+		return
+	}
+	_, most := c.pool.typical(now)
+	rate, p := c.pool.rate(now), clampPriority(e.Item.Priority)
+	reason := ReasonDeadline
+	wait := c.wait(ahead, max(rate-c.demand.rate(p, now), 0), now)
+	if e.Item.Late(now.Add(wait + most)) {
+		reason = ReasonLate
+		wait = c.wait(ahead, max(c.pool.bestRate(now)-c.demand.rate(p+1, now), 0), now)
+	}
+	e.Value.expected = wait
+	if c.misses(e, wait, now) {
+		c.refuse(e, reason, now)
+	}
+}
+
+// misses reports whether a request that waits so long ends after its deadline.
+func (c *Coordinator) misses(e *snipefair.Entry[*waiter], wait time.Duration, now time.Time) bool {
+	mean, _ := c.pool.typical(now)
+	return !e.Item.Deadline.IsZero() && now.Add(wait+mean).After(e.Item.Deadline)
+}
+
+// sweep refuses the waiting requests that have become late and that the capacity left over does not
+// reach before their deadlines, and those whose deadline has come too close.
+func (c *Coordinator) sweep(now time.Time) {
+	if c.queue.Len() == 0 || now.Sub(c.sweptAt) < sweepInterval {
+		return
+	}
+	c.sweptAt = now
+	mean, most := c.pool.typical(now)
+	for _, e := range c.queue.Expired(now.Add(mean)) {
+		c.refuse(e, ReasonDeadline, now)
+	}
+	var late []*snipefair.Entry[*waiter]
+	var aheads []int
+	ahead := 0
+	for e := range c.queue.InOrder(now, now.Add(most)) {
+		if e.Item.Late(now.Add(most)) {
+			late, aheads = append(late, e), append(aheads, ahead)
+		}
+		ahead++
+	}
+	for i, e := range late {
+		c.check(e, aheads[i], now)
+	}
+}
--- /dev/null
+++ b/snipeadmission/pool.go
@@ -0,0 +1,188 @@
+package snipeadmission
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// refreshInterval is the least time between two looks at the upstreams.
+	refreshInterval = 10 * time.Millisecond
+	// mostDeviations is the number of mean deviations above the mean within which nearly all requests
+	// end.
+	mostDeviations = 3
+	// bestLife is the time constant with which the highest rate is forgotten. It is longer than the
+	// periods for which an upstream is slow, and shorter than the time after which a slower upstream
+	// counts as slower for good.
+	bestLife = 3 * time.Second
+)
+
+// pool is the set of upstreams of a service.
+type pool struct {
+	list        []*upstream // in the order of their IDs
+	refreshedAt time.Time
+	// mean is the average time of a request over all upstreams, in seconds at the usual pace, for
+	// upstreams without an observation of their own.
+	mean average
+	// best is the highest rate of late, which falls to the present rate with bestLife.
+	best   float64
+	bestAt time.Time
+}
+
+// refresh compares the upstreams with those listed. An upstream that has left is forgotten when its
+// last permit ends. Of entries with the same ID the last counts; those without an ID are ignored.
+func (p *pool) refresh(listed []Upstream, now time.Time) {
+	p.refreshedAt = now
+	for _, u := range p.list {
+		u.gone = true
+	}
+	for _, l := range listed {
+		if l.ID == "" {
+			continue
+		}
+		u := p.find(l.ID)
+		if u == nil {
+			u = &upstream{id: l.ID}
+			p.list = append(p.list, u)
+			p.best = 0
+		}
+		u.gone = false
+		u.setSlots(l.Slots)
+	}
+	p.list = slices.DeleteFunc(p.list, func(u *upstream) bool {
+		if u.gone {
+			p.best = 0
+		}
+		return u.gone && u.out == 0
+	})
+	slices.SortFunc(p.list, func(a, b *upstream) int { return strings.Compare(a.id, b.id) })
+}
+
+// find returns an upstream, or nil if it is unknown.
+func (p *pool) find(id string) *upstream {
+	for _, u := range p.list {
+		if u.id == id {
+			return u
+		}
+	}
+	return nil
+}
+
+// observe records the time of a request at an upstream and over all.
+func (p *pool) observe(u *upstream, r Result, running int, now time.Time) {
+	cutOff := r.Outcome == OutcomeFailed || r.Outcome == OutcomeCanceled
+	if r.Outcome != OutcomeServed && !cutOff {
+		return
+	}
+	u.observe(r.Took, running, cutOff, now)
+	if u.observedAt.Equal(now) {
+		p.mean.observe(u.took.mean)
+	}
+}
+
+// service returns the expected time of a request in seconds at the upstream, and its mean distance
+// from that.
+func (p *pool) service(u *upstream, now time.Time) (mean, deviation float64) {
+	base := firstGuess.Seconds()
+	if p.mean.count > 0 {
+		base = p.mean.mean
+	}
+	mean, deviation = base, base/2
+	if u.took.count > 0 {
+		mean, deviation = u.took.mean, u.took.deviation
+		if idle := now.Sub(u.observedAt) - forgetAfter; idle > 0 {
+			keep := math.Exp2(-float64(idle) / float64(forgetHalf))
+			mean = base + (mean-base)*keep
+		}
+	}
+	pace := u.paceNow(now)
+	return mean * pace, deviation * pace
+}
+
+// rate returns the number of requests a second that the available upstreams serve, as far as they
+// are not taken by requests without a permit.
+func (p *pool) rate(now time.Time) float64 {
+	sum := 0.0
+	for _, u := range p.list {
+		if limit := u.limit(now); limit > 0 {
+			mean, _ := p.service(u, now)
+			sum += min(limit, max(1, float64(u.slots)-u.othersNow(now))) / mean
+		}
+	}
+	return sum
+}
+
+// bestRate returns the highest rate of late. Whether requests can catch up depends on it: the present
+// rate is often that of an upstream which is slow for less than a second.
+func (p *pool) bestRate(now time.Time) float64 {
+	rate := p.rate(now)
+	keep := math.Exp(-float64(now.Sub(p.bestAt)) / float64(bestLife))
+	p.best, p.bestAt = max(rate, rate+(p.best-rate)*keep), now
+	return p.best
+}
+
+// free returns the number of permits that may be granted now.
+func (p *pool) free(now time.Time) float64 {
+	sum := 0.0
+	for _, u := range p.list {
+		sum += max(0, u.limit(now)-float64(u.out))
+	}
+	return sum
+}
+
+// typical returns the expected time of a request over the upstreams, weighed by their rates, and the
+// time within which nearly all end.
+func (p *pool) typical(now time.Time) (mean, most time.Duration) {
+	var slots, rate, distance float64
+	for _, u := range p.list {
+		if u.limit(now) > 0 {
+			m, d := p.service(u, now)
+			slots += float64(u.slots)
+			rate += float64(u.slots) / m
+			distance += float64(u.slots) * d / m
+		}
+	}
+	if rate == 0 {
+		return firstGuess, firstGuess
+	}
+	m, d := slots/rate, distance/rate
+	return seconds(m), seconds(m + mostDeviations*d)
+}
+
+// available returns the earliest time at which an upstream is no longer left alone, and whether any
+// upstream is known.
+func (p *pool) available() (time.Time, bool) {
+	var first time.Time
+	known := false
+	for _, u := range p.list {
+		if !u.gone && (!known || u.pausedUntil.Before(first)) {
+			first, known = u.pausedUntil, true
+		}
+	}
+	return first, known
+}
+
+// oldestReport returns the age of the oldest load report, or -1 if an upstream has sent none.
+func (p *pool) oldestReport(now time.Time) time.Duration {
+	oldest := time.Duration(-1)
+	for _, u := range p.list {
+		age := u.reportAge(now)
+		if age < 0 {
+			return age
+		}
+		oldest = max(oldest, age)
+	}
+	return oldest
+}
+
+// reportAge returns the age of the last load report, or -1 if there is none.
+func (u *upstream) reportAge(now time.Time) time.Duration {
+	if u.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(u.reportedAt)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/snipeadmission/upstream.go
@@ -0,0 +1,185 @@
+package snipeadmission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// reportLife is how long a load report counts; its weight falls evenly to zero.
+	reportLife = time.Second
+	// meanWeight is the weight of the latest observation in moving averages. With 0.05 the mean of
+	// service times with a spread of 0.5 is off by about a tenth.
+	meanWeight = 0.05
+	// forgetAfter is the time without an observation after which the observed time of an upstream
+	// moves towards the mean of all, by half in each further forgetHalf. Otherwise an upstream that
+	// was slow once would get no request that shows that it no longer is.
+	forgetAfter, forgetHalf = 2 * time.Second, time.Second
+	// firstGuess is the time of a request before any was observed.
+	firstGuess = 50 * time.Millisecond
+	// excessDivisor sets the permits beyond the slots of an upstream: one for each excessDivisor
+	// slots, at least one. They cover the time from a release to the next arrival.
+	excessDivisor = 8
+	// minPause and maxPause bound the time for which an upstream is left alone; firstPause is the
+	// time after the first failure, which doubles with each further one.
+	minPause, firstPause, maxPause = 10 * time.Millisecond, 250 * time.Millisecond, 4 * time.Second
+	// maxSlots, minPace and maxPace bound what a load report may state; maxTook bounds the time of a
+	// request that counts as an observation.
+	maxSlots         = 1 << 16
+	minPace, maxPace = 0.01, 100
+	maxTook          = 10 * time.Minute
+)
+
+// average is a moving average of a value and of its distance from the average.
+type average struct {
+	mean, deviation float64
+	count           int
+}
+
+// observe adds a value. The first values weigh more, so that the average does not hang on the first.
+func (a *average) observe(v float64) {
+	a.count++
+	w := max(meanWeight, 1/float64(a.count))
+	distance := math.Abs(v - a.mean)
+	if a.count == 1 {
+		distance = v / 2
+	}
+	a.deviation += w * (distance - a.deviation)
+	a.mean += w * (v - a.mean)
+}
+
+// upstream is what a Coordinator or Pacer knows about one upstream.
+type upstream struct {
+	id     string
+	listed int // slots that Upstreams states
+	slots  int // the slots that were stated last
+	gone   bool
+	// out is the number of permits out.
+	out int
+	// took is the time of a request in seconds at the usual pace, and observedAt the time of the
+	// latest observation.
+	took       average
+	observedAt time.Time
+	// pace is the pace that was stated last, at reportedAt; paces is the average of stated paces.
+	pace       float64
+	paces      average
+	reportedAt time.Time
+	// others is the number of requests without a permit of this coordinator that the last load
+	// report showed.
+	others float64
+	// pausedUntil is the time until which the upstream is left alone, after failures in a row. As
+	// long as there are failures, one request at a time is sent to it.
+	pausedUntil time.Time
+	failures    int
+}
+
+// setSlots takes over the slots that Upstreams states, if they have changed.
+func (u *upstream) setSlots(listed int) {
+	if listed == u.listed {
+		return
+	}
+	u.listed, u.slots = listed, min(max(listed, 1), maxSlots)
+}
+
+// valid reports whether a load report makes sense.
+func (l *Load) valid() bool {
+	in := func(n, low int) bool { return n >= low && n <= maxSlots }
+	return in(l.Running, 0) && in(l.Waiting, 0) && in(l.Slots, 0) && l.Age >= 0 &&
+		(l.Pace == 0 || l.Pace >= minPace && l.Pace <= maxPace)
+}
+
+// report takes over a valid load report. An older one than the last is ignored.
+func (u *upstream) report(l Load, now time.Time) {
+	at := now.Add(-l.Age)
+	if l.Age >= reportLife || at.Before(u.reportedAt) {
+		return
+	}
+	others := max(0, float64(l.Running+l.Waiting-u.out))
+	// Reports and releases overtake each other by a few requests, so that a single report says
+	// little.
+	u.others = u.othersNow(now)
+	u.others += (others - u.others) / 4
+	u.reportedAt = at
+	if l.Slots > 0 {
+		u.slots = l.Slots
+	}
+	if l.Pace > 0 {
+		u.pace = l.Pace
+		u.paces.observe(l.Pace)
+	}
+}
+
+// freshness returns the weight of the last load report, from 1 to 0.
+func (u *upstream) freshness(now time.Time) float64 {
+	return max(0, 1-float64(now.Sub(u.reportedAt))/float64(reportLife))
+}
+
+func (u *upstream) othersNow(now time.Time) float64 { return u.others * u.freshness(now) }
+
+// paceNow returns the expected pace: the one stated last, which fades to the mean.
+func (u *upstream) paceNow(now time.Time) float64 {
+	if u.paces.count == 0 {
+		return 1
+	}
+	return u.paces.mean + (u.pace-u.paces.mean)*u.freshness(now)
+}
+
+// observe records that a request took so long, which was sent when running requests had permits for
+// the upstream. The time that it waited for a slot there and the pace are taken out. A request that
+// was cut off shows only that it takes at least so long.
+func (u *upstream) observe(took time.Duration, running int, cutOff bool, now time.Time) {
+	if took <= 0 || took > maxTook {
+		return
+	}
+	crowd := 1 + max(0, float64(running-u.slots))/float64(u.slots)
+	v := took.Seconds() / crowd / u.paceNow(now)
+	if cutOff && v < u.took.mean {
+		return
+	}
+	u.took.observe(v)
+	u.observedAt = now
+}
+
+// fail leaves the upstream alone for a time that doubles with each failure in a row.
+func (u *upstream) fail(now time.Time) time.Duration {
+	pause := min(firstPause<<min(u.failures, 4), maxPause)
+	u.failures++
+	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
+	return pause
+}
+
+// refused leaves the upstream alone until its queue has become shorter: for the time that it named,
+// or else until it has served an eighth of what waits there.
+func (u *upstream) refused(r Result, service time.Duration, now time.Time) time.Duration {
+	pause := r.RetryAfter
+	if pause <= 0 {
+		pause = service
+		if r.Load != nil && r.Load.valid() {
+			pause = time.Duration(float64(service) * float64(r.Load.Waiting) / float64(u.slots) / excessDivisor)
+		}
+	}
+	pause = min(max(pause, minPause), maxPause)
+	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
+	return pause
+}
+
+// limit returns the number of permits that may be out.
+func (u *upstream) limit(now time.Time) float64 {
+	switch {
+	case u.gone || now.Before(u.pausedUntil):
+		return 0
+	case u.failures > 0:
+		return 1
+	}
+	return max(1, float64(u.slots+max(1, u.slots/excessDivisor))-u.othersNow(now))
+}
+
+// load returns the requests that are expected to run or wait there.
+func (u *upstream) load(now time.Time) float64 { return float64(u.out) + u.othersNow(now) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/snipefair/order.go
+++ b/snipefair/order.go
@@ -102,7 +102,7 @@
 		slices.SortFunc(entries, func(a, b *Entry[T]) int { return compareAge(g, a, b) })
 		for _, e := range entries {
 			e.turn = e.account.reached
-			e.account.reached += e.Item.work()
+			e.account.reached += e.Item.Work()
 		}
 		if g != groupDisplaced {
 			slices.SortStableFunc(entries, func(a, b *Entry[T]) int { return cmp.Compare(a.turn, b.turn) })
--- a/snipefair/queue.go
+++ b/snipefair/queue.go
@@ -54,8 +54,8 @@
 	return !i.Target.IsZero() && ready.After(i.Target)
 }
 
-// work returns the tokens that the item is charged.
-func (i *Item) work() float64 {
+// Work returns the tokens that the item is charged.
+func (i *Item) Work() float64 {
 	if i.Tokens > 0 && !math.IsInf(i.Tokens, 1) {
 		return i.Tokens
 	}
@@ -134,7 +134,7 @@
 	}
 	l := q.level(e.Item.Priority)
 	l.accounts.floor = l.lowest()
-	e.account.counter += e.Item.work()
+	e.account.counter += e.Item.Work()
 	q.remove(l, e)
 	return true
 }
