API: snipefair.Queue.Rescue; late requests are judged by the usual rate of the upstreams

Change: while arrivals stay below what the upstreams usually serve, items that have waited for five eighths of their time go first; above it late requests are refused.

--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -119,10 +119,10 @@
 	defer c.end(now)
 	w := &waiter{request: r, since: now, decision: make(chan decision, 1)}
 	queued := now
-	if r.Arrived.IsZero() || r.Arrived.After(now) {
-		c.demand.add(r.Priority, now)
-	} else {
+	if !r.Arrived.IsZero() && r.Arrived.Before(now) {
 		queued = r.Arrived
+	} else {
+		c.demand.add(r.Priority, now)
 	}
 	for _, id := range r.Excluded {
 		if u := c.pool.find(id); u != nil {
@@ -160,6 +160,7 @@
 	}
 	if now.Sub(c.pool.refreshedAt) >= refreshInterval {
 		c.pool.refresh(c.Upstreams(), now)
+		c.pool.updateSpeeds(now)
 	}
 	return now
 }
--- a/snipeadmission/demand.go
+++ b/snipeadmission/demand.go
@@ -7,8 +7,8 @@
 
 const (
 	// demandLife is the time constant of the observed rate of arrivals. It is longer than the random
-	// waves of arrivals and shorter than the bursts that last for seconds.
-	demandLife = time.Second
+	// variation of arrivals and shorter than bursts that last for seconds.
+	demandLife = 1500 * time.Millisecond
 	// priorities is the number of priorities with a rate of their own; less urgent ones share the
 	// last.
 	priorities = 8
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -21,7 +21,7 @@
 func (c *Coordinator) grantAll(now time.Time) {
 	for c.queue.Len() > 0 && c.pool.free(now) >= 1 {
 		e, u := c.next(now)
-		if e == nil {
+		if u == nil {
 			return
 		}
 		c.grant(e, u, now)
@@ -32,17 +32,16 @@
 // waits when an upstream without a free permit is expected to serve it sooner than the others; it is
 // then counted there, so that the next request finds the place taken.
 func (c *Coordinator) next(now time.Time) (*snipefair.Entry[*waiter], *upstream) {
-	_, most := c.pool.typical(now)
+	c.queue.Rescue = !c.overloaded(priorities, now)
+	ready := c.pool.ready(now)
 	assigned := make([]float64, len(c.pool.list))
+	if e := c.queue.Peek(now, ready); c.queue.Len() == 1 || c.soonestFree(e.Value, assigned, now) != nil {
+		return e, c.soonestFree(e.Value, assigned, now)
+	}
 	seen := 0
-	for e := range c.queue.InOrder(now, now.Add(most)) {
-		best := c.soonest(e.Value, assigned, now)
-		if best >= 0 {
-			u := c.pool.list[best]
-			if float64(u.out)+1 <= u.limit(now) {
-				return e, u
-			}
-			assigned[best]++
+	for e := range c.queue.InOrder(now, ready) {
+		if u := c.soonestFree(e.Value, assigned, now); u != nil {
+			return e, u
 		}
 		if seen++; seen >= lookahead {
 			break
@@ -51,6 +50,21 @@
 	return nil, nil
 }
 
+// soonestFree returns the upstream that is expected to end the request first, or nil if there is none
+// or it has no free permit. In that case the request is added to those assigned there.
+func (c *Coordinator) soonestFree(w *waiter, assigned []float64, now time.Time) *upstream {
+	best := c.soonest(w, assigned, now)
+	if best < 0 {
+		return nil
+	}
+	u := c.pool.list[best]
+	if float64(u.out)+1 <= u.limit(now) {
+		return u
+	}
+	assigned[best]++
+	return nil
+}
+
 // soonest returns the position of the upstream that is expected to end the request first, given the
 // requests that are assigned to each besides those with permits; -1 if there is none.
 func (c *Coordinator) soonest(w *waiter, assigned []float64, now time.Time) int {
@@ -143,34 +157,39 @@
 		c.refuse(e, ReasonFull, now)
 		return
 	}
-	_, most := c.pool.typical(now)
-	c.check(e, c.queue.Ahead(e, now, now.Add(most)), now)
+	mean, deviation := c.pool.typical(now)
+	most := mean + time.Duration(mostDeviations*float64(deviation))
+	c.check(e, c.queue.Ahead(e, now, c.pool.ready(now)), most, now)
 }
 
 // check refuses a request with so many before it if it can't be served before its deadline. It
-// counts on the whole rate of the upstreams, less the arrivals that are more urgent; if the request
-// will be late, also less those of its priority, because they go first.
-func (c *Coordinator) check(e *snipefair.Entry[*waiter], ahead int, now time.Time) {
+// counts on the rate of the upstreams, less the arrivals that are more urgent. A request that would
+// end after its target if it takes most is late: when the arrivals exceed what the upstreams usually
+// serve, no capacity is left over for it.
+func (c *Coordinator) check(e *snipefair.Entry[*waiter], ahead int, most time.Duration, now time.Time) {
 	if first, known := c.pool.available(); !known || first.After(now) {
 		if !known || c.misses(e, first.Sub(now), now) {
 			c.refuse(e, ReasonNoUpstream, now)
 		}
 		return
 	}
-	_, most := c.pool.typical(now)
-	rate, p := c.pool.rate(now), clampPriority(e.Item.Priority)
-	reason := ReasonDeadline
+	rate, p := max(c.pool.rate(now), c.pool.usualRate(now)), clampPriority(e.Item.Priority)
 	wait := c.wait(ahead, max(rate-c.demand.rate(p, now), 0), now)
-	if e.Item.Late(now.Add(wait + most)) {
-		reason = ReasonLate
-		wait = c.wait(ahead, max(c.pool.bestRate(now)-c.demand.rate(p+1, now), 0), now)
-	}
 	e.Value.expected = wait
-	if c.misses(e, wait, now) {
-		c.refuse(e, reason, now)
+	switch late := e.Item.Late(now.Add(wait + most)); {
+	case late && c.overloaded(p+1, now):
+		c.refuse(e, ReasonLate, now)
+	case c.misses(e, wait, now):
+		c.refuse(e, ReasonDeadline, now)
 	}
 }
 
+// overloaded reports whether the arrivals of the priorities below limit exceed what the upstreams
+// usually serve.
+func (c *Coordinator) overloaded(limit int, now time.Time) bool {
+	return c.demand.rate(limit, now) >= c.pool.usualRate(now)
+}
+
 // misses reports whether a request that waits so long ends after its deadline.
 func (c *Coordinator) misses(e *snipefair.Entry[*waiter], wait time.Duration, now time.Time) bool {
 	mean, _ := c.pool.typical(now)
@@ -184,20 +203,20 @@
 		return
 	}
 	c.sweptAt = now
-	mean, most := c.pool.typical(now)
+	mean, _ := c.pool.typical(now)
 	for _, e := range c.queue.Expired(now.Add(mean)) {
 		c.refuse(e, ReasonDeadline, now)
 	}
 	var late []*snipefair.Entry[*waiter]
 	var aheads []int
-	ahead := 0
-	for e := range c.queue.InOrder(now, now.Add(most)) {
-		if e.Item.Late(now.Add(most)) {
+	ahead, ready := 0, c.pool.ready(now)
+	for e := range c.queue.InOrder(now, ready) {
+		if e.Item.Late(ready) {
 			late, aheads = append(late, e), append(aheads, ahead)
 		}
 		ahead++
 	}
 	for i, e := range late {
-		c.check(e, aheads[i], now)
+		c.check(e, aheads[i], ready.Sub(now), now)
 	}
 }
--- a/snipeadmission/pool.go
+++ b/snipeadmission/pool.go
@@ -11,12 +11,13 @@
 	// refreshInterval is the least time between two looks at the upstreams.
 	refreshInterval = 10 * time.Millisecond
 	// mostDeviations is the number of mean deviations above the mean within which nearly all requests
-	// end.
-	mostDeviations = 3
-	// bestLife is the time constant with which the highest rate is forgotten. It is longer than the
-	// periods for which an upstream is slow, and shorter than the time after which a slower upstream
-	// counts as slower for good.
-	bestLife = 3 * time.Second
+	// end, as a new request is judged. A request that waits is late only if it would miss its target
+	// in lateDeviations. If both were equal, half of those that are just admitted would become late
+	// and be refused after a wait, because the expected wait is inexact.
+	mostDeviations, lateDeviations = 3, 1.5
+	// speedLife is the time constant of the usual speed of an upstream. It is longer than the periods
+	// for which an upstream is slow.
+	speedLife = 5 * time.Second
 )
 
 // pool is the set of upstreams of a service.
@@ -26,9 +27,6 @@
 	// mean is the average time of a request over all upstreams, in seconds at the usual pace, for
 	// upstreams without an observation of their own.
 	mean average
-	// best is the highest rate of late, which falls to the present rate with bestLife.
-	best   float64
-	bestAt time.Time
 }
 
 // refresh compares the upstreams with those listed. An upstream that has left is forgotten when its
@@ -44,19 +42,13 @@
 		}
 		u := p.find(l.ID)
 		if u == nil {
-			u = &upstream{id: l.ID}
+			u = &upstream{id: l.ID, knownSince: now, speedAt: now}
 			p.list = append(p.list, u)
-			p.best = 0
 		}
 		u.gone = false
 		u.setSlots(l.Slots)
 	}
-	p.list = slices.DeleteFunc(p.list, func(u *upstream) bool {
-		if u.gone {
-			p.best = 0
-		}
-		return u.gone && u.out == 0
-	})
+	p.list = slices.DeleteFunc(p.list, func(u *upstream) bool { return u.gone && u.out == 0 })
 	slices.SortFunc(p.list, func(a, b *upstream) int { return strings.Compare(a.id, b.id) })
 }
 
@@ -114,13 +106,30 @@
 	return sum
 }
 
-// bestRate returns the highest rate of late. Whether requests can catch up depends on it: the present
-// rate is often that of an upstream which is slow for less than a second.
-func (p *pool) bestRate(now time.Time) float64 {
-	rate := p.rate(now)
-	keep := math.Exp(-float64(now.Sub(p.bestAt)) / float64(bestLife))
-	p.best, p.bestAt = max(rate, rate+(p.best-rate)*keep), now
-	return p.best
+// usualRate is like rate, for the usual speed of the upstreams in place of the present one, which is
+// often that of an upstream that is slow for less than a second.
+func (p *pool) usualRate(now time.Time) float64 {
+	sum := 0.0
+	for _, u := range p.list {
+		if limit := u.limit(now); limit > 0 {
+			sum += min(limit, max(1, float64(u.slots)-u.othersNow(now))) * u.speed
+		}
+	}
+	return sum
+}
+
+// updateSpeeds brings the usual speeds of the upstreams up to date.
+func (p *pool) updateSpeeds(now time.Time) {
+	for _, u := range p.list {
+		mean, _ := p.service(u, now)
+		known, passed := now.Sub(u.knownSince), now.Sub(u.speedAt)
+		w := 1 - math.Exp(-float64(passed)/float64(speedLife))
+		if known < speedLife {
+			w = max(w, min(1, float64(passed)/float64(known+refreshInterval)))
+		}
+		u.speed += w * (1/mean - u.speed)
+		u.speedAt = now
+	}
 }
 
 // free returns the number of permits that may be granted now.
@@ -132,9 +141,9 @@
 	return sum
 }
 
-// typical returns the expected time of a request over the upstreams, weighed by their rates, and the
-// time within which nearly all end.
-func (p *pool) typical(now time.Time) (mean, most time.Duration) {
+// typical returns the expected time of a request over the upstreams, weighed by their rates, and its
+// mean distance from that.
+func (p *pool) typical(now time.Time) (mean, deviation time.Duration) {
 	var slots, rate, distance float64
 	for _, u := range p.list {
 		if u.limit(now) > 0 {
@@ -145,10 +154,16 @@
 		}
 	}
 	if rate == 0 {
-		return firstGuess, firstGuess
+		return firstGuess, firstGuess / 2
 	}
-	m, d := slots/rate, distance/rate
-	return seconds(m), seconds(m + mostDeviations*d)
+	return seconds(slots / rate), seconds(distance / rate)
+}
+
+// ready returns the time at which a request that starts now counts as served: a request whose target
+// is earlier is late.
+func (p *pool) ready(now time.Time) time.Time {
+	mean, deviation := p.typical(now)
+	return now.Add(mean + time.Duration(lateDeviations*float64(deviation)))
 }
 
 // available returns the earliest time at which an upstream is no longer left alone, and whether any
--- a/snipeadmission/simulation_test.go
+++ b/snipeadmission/simulation_test.go
@@ -106,7 +106,11 @@
 }
 
 func newSimulation(rate func(time.Duration) float64) *simulation {
-	s := &simulation{rate: rate, length: 20 * time.Second, seed: 1, slow: map[string][]bool{}}
+	return newSeeded(1, rate)
+}
+
+func newSeeded(seed uint64, rate func(time.Duration) float64) *simulation {
+	s := &simulation{rate: rate, length: 20 * time.Second, seed: seed, slow: map[string][]bool{}}
 	for i, speed := range []float64{0.7, 1, 1.5} {
 		v := &server{id: string(rune('a' + i)), speed: speed}
 		s.servers = append(s.servers, v)
@@ -126,12 +130,18 @@
 	}
 }
 
-// capacity returns the requests a second that the servers can serve.
+// capacity returns the requests a second that the servers can serve on average over the run.
 func (s *simulation) capacity() float64 {
 	sum := 0.0
 	for _, v := range s.servers {
 		mean := serviceTime.Seconds() * v.speed * (1 + outlierShare*(outlier-1))
-		sum += slots / mean * (1 - slowShare + slowShare/slowFactor)
+		slow, periods := 0, int(s.length/slowLength)
+		for _, is := range s.slow[v.id][:periods] {
+			if is {
+				slow++
+			}
+		}
+		sum += slots / mean * (1 - float64(slow)/float64(periods)*(1-1/slowFactor))
 	}
 	return sum
 }
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -60,6 +60,9 @@
 	// latest observation.
 	took       average
 	observedAt time.Time
+	// speed is the usual number of requests a second that a slot serves, at speedAt.
+	speed               float64
+	speedAt, knownSince time.Time
 	// pace is the pace that was stated last, at reportedAt; paces is the average of stated paces.
 	pace       float64
 	paces      average
--- a/snipefair/order.go
+++ b/snipefair/order.go
@@ -14,13 +14,18 @@
 	// displaced is the time before or at which an entry must have been queued to go first;
 	// math.MinInt64 if there is no such bound.
 	displaced int64
+	// rescue is the present time if Rescue is set, and math.MinInt64 otherwise.
+	rescue int64
 }
 
 func (q *Queue[T]) order(now, ready time.Time) order {
-	o := order{ready: ready.UnixNano(), displaced: math.MinInt64}
+	o := order{ready: ready.UnixNano(), displaced: math.MinInt64, rescue: math.MinInt64}
 	if q.MaxDisplacement > 0 {
 		o.displaced = now.Add(-q.MaxDisplacement).UnixNano()
 	}
+	if q.Rescue {
+		o.rescue = now.UnixNano()
+	}
 	return o
 }
 
@@ -31,11 +36,11 @@
 	groupLate
 )
 
-func (o *order) group(queued, target int64) int {
+func group[T any](o *order, e *Entry[T]) int {
 	switch {
-	case queued <= o.displaced:
+	case e.queued <= o.displaced, e.rescue <= o.rescue:
 		return groupDisplaced
-	case o.ready > target:
+	case o.ready > e.target:
 		return groupLate
 	}
 	return groupOnTime
@@ -94,7 +99,7 @@
 func (l *level[T]) inOrder(o order, yield func(*Entry[T]) bool) bool {
 	var groups [groupLate + 1][]*Entry[T]
 	for _, e := range l.entries {
-		g := o.group(e.queued, e.target)
+		g := group(&o, e)
 		groups[g] = append(groups[g], e)
 		e.account.reached = e.account.counter
 	}
--- a/snipefair/queue.go
+++ b/snipefair/queue.go
@@ -69,8 +69,9 @@
 
 	account *account
 	// queued and target are the times of the item in nanoseconds since 1970, which compare faster
-	// than a time.Time; target is math.MaxInt64 if there is none.
-	queued, target int64
+	// than a time.Time; rescue is when Rescue applies. target and rescue are math.MaxInt64 if there
+	// is none.
+	queued, target, rescue int64
 	// index is the position in the entries of the level; negative if the entry does not wait.
 	index    int
 	sequence uint64
@@ -83,6 +84,11 @@
 	// MaxDisplacement is the wait after which an item goes first within its priority; 0 means that
 	// there is no such bound.
 	MaxDisplacement time.Duration
+	// Rescue makes an item also go first within its priority when it has waited for five eighths of
+	// the time from Queued to Deadline. It serves late items that would otherwise miss their deadlines
+	// during short congestion. When there is more work than capacity for long, it must be off, because
+	// all items would then be served that late. It may be changed between calls.
+	Rescue bool
 
 	levels   []*level[T] // in the order of their priorities
 	waiting  int
@@ -107,7 +113,10 @@
 	q.sequence++
 	q.waiting++
 	e := &Entry[T]{Item: i, Value: v, account: a, index: len(l.entries), sequence: q.sequence}
-	e.queued, e.target = i.Queued.UnixNano(), math.MaxInt64
+	e.queued, e.target, e.rescue = i.Queued.UnixNano(), math.MaxInt64, math.MaxInt64
+	if !i.Deadline.IsZero() {
+		e.rescue = i.Queued.Add(i.Deadline.Sub(i.Queued) * 5 / 8).UnixNano()
+	}
 	if !i.Target.IsZero() {
 		e.target = i.Target.UnixNano()
 	}
@@ -146,10 +155,10 @@
 			continue
 		}
 		o := q.order(now, ready)
-		first, group := l.entries[0], o.group(l.entries[0].queued, l.entries[0].target)
+		first, firstGroup := l.entries[0], group(&o, l.entries[0])
 		for _, e := range l.entries[1:] {
-			if g := o.group(e.queued, e.target); g < group || g == group && goesFirst(g, e, first, e.account.counter, first.account.counter) {
-				first, group = e, g
+			if g := group(&o, e); g < firstGroup || g == firstGroup && goesFirst(g, e, first, e.account.counter, first.account.counter) {
+				first, firstGroup = e, g
 			}
 		}
 		return first
