--- a/snipeadmission/pool.go
+++ b/snipeadmission/pool.go
@@ -14,7 +14,7 @@
 	// end, as a new request is judged. A request that waits is late only if it would miss its target
 	// in lateDeviations. If both were equal, half of those that are just admitted would become late
 	// and be refused after a wait, because the expected wait is inexact.
-	mostDeviations, lateDeviations = 3, 1.5
+	mostDeviations, lateDeviations = 4, 1
 	// speedLife is the time constant of the usual speed of an upstream. It is longer than the periods
 	// for which an upstream is slow.
 	speedLife = 5 * time.Second
