Shared admission: permits between instances and in the path of a request

The gateway acquires a permit before each attempt at a plain service with fewer slots than AdmissionShare for each live instance, and gives it back with the result as soon as the upstream has ended its answer. The Twirp service Admission passes permits, results and renewals between instances. The coordinator is the first by rendezvous hash among the live instances with half of the highest Power; one that does not answer is left alone for three seconds, after two the instance paces its requests.

Ruled out: tickets that keep the place in the queue at the coordinator. A further call states the age of the request, which gives it the same place and needs no state. Calls that end with the caller's request: they would close the connection; the call ends after 350 ms at most, and its permit is given back.

--- /dev/null
+++ b/snipeentry/admission.go
@@ -0,0 +1,424 @@
+package snipeentry
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipeadmission"
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipegateway"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/sniperoute"
+)
+
+// One instance, the coordinator of a service, lends the slots of the service's upstreams to all
+// instances (see snipeadmission). Instances derive the coordinator from their own view of the live
+// instances. If views differ, two instances lend at the same time, and the load headers of the
+// upstreams show each of them what the other one lends.
+
+const (
+	// permitWait is the longest wait of one call for a permit. A request that waits longer calls
+	// again and keeps its place by its time of arrival, so that it follows a change of coordinator
+	// and notices the loss of one within this time.
+	permitWait = 250 * time.Millisecond
+	// permitTimeout bounds one call for a permit: permitWait, and time for the message on a busy
+	// machine. A coordinator that does not answer in this time counts as lost.
+	permitTimeout = permitWait + 100*time.Millisecond
+	// lostPause is how long a coordinator that did not answer is not asked.
+	lostPause = 3 * time.Second
+	// maxLostCalls is the number of lost calls, and of lost coordinators, after which an instance
+	// paces its requests on its own: two lost coordinators in a row show that this instance is cut
+	// off more often than that both have failed.
+	maxLostCalls = 2
+	// maxDeclinedCalls bounds the calls of one request to instances that decline to coordinate.
+	maxDeclinedCalls = 4
+	// coordinatorPower is the share of the highest Power that a coordinator needs.
+	coordinatorPower = 0.5
+)
+
+// Log fields of shared admission.
+const (
+	serviceField     = "Service"
+	coordinatorField = "Coordinator"
+)
+
+// errStillWaiting is returned by a call for a permit that ended after permitWait.
+var errStillWaiting = errors.New("still waiting for a permit")
+
+// errNotCoordinating is returned by a call for a permit to an instance that is stopping or does not
+// know the service.
+var errNotCoordinating = errors.New("the instance does not coordinate")
+
+// admission acquires permits for the requests of this instance. Exported fields are set before the
+// first call. It is safe for concurrent use.
+type admission struct {
+	// Self is the address of this instance for other instances, Share is Settings.AdmissionShare.
+	Self  netip.AddrPort
+	Share float64
+	// Plain reports whether a service is declared as one that runs no models, Upstreams returns the
+	// upstreams of a service, and View the live instances.
+	Plain     func(service string) bool
+	Upstreams func(service string) []*snipedirectory.Upstream
+	View      func() *snipeowner.View
+	// Lender grants the permits of the services that this instance coordinates. Client returns the
+	// client of another instance.
+	Lender *lender
+	Client func(netip.AddrPort) snipeproto.Admission
+	Log    *snipelog.Logger
+	Meter  *snipemeter.Meter
+
+	permits permits
+
+	lock sync.Mutex // guards the fields below
+	// lost holds the coordinators that did not answer, or declined.
+	lost map[netip.AddrPort]lostCoordinator
+	// services holds what is known of each service with shared admission.
+	services map[string]*admittedService
+}
+
+// lostCoordinator is an instance that is not asked for permits for now.
+type lostCoordinator struct {
+	until time.Time
+	// declined is set if the instance answered that it does not coordinate.
+	declined bool
+}
+
+// admittedService is the state of a service on this instance.
+type admittedService struct {
+	// coordinator is the instance that answered the last call.
+	coordinator netip.AddrPort
+	// pacing is set from the first paced request until a coordinator answers.
+	pacing bool
+	pacer  *snipeadmission.Pacer
+}
+
+// applies reports whether requests to a service need permits: it is a plain service with fewer than
+// Share slots for each live instance. Upstreams that are leaving do not count.
+func (a *admission) applies(service string) bool {
+	if a.Share <= 0 || !validName(service) || !a.Plain(service) {
+		return false
+	}
+	limit, slots := a.Share*float64(len(a.View().Live)), 0
+	for _, u := range a.Upstreams(service) {
+		if !u.Leaving {
+			slots += max(u.Slots, 1)
+		}
+		if float64(slots) >= limit {
+			return false
+		}
+	}
+	return slots > 0
+}
+
+// acquire returns a permit for a request: from the coordinator of the service, or from the next
+// instance by hash if that does not answer. After maxLostCalls lost calls, or while as many
+// coordinators are lost, this instance paces its requests on its own.
+func (a *admission) acquire(ctx context.Context, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
+	r.Instance = a.Self.String()
+	begun, lost, declined := time.Now(), 0, 0
+	for ctx.Err() == nil && lost < maxLostCalls && declined < maxDeclinedCalls {
+		to, ok := a.coordinator(service)
+		if !ok {
+			break
+		}
+		permit, err := a.ask(ctx, to, service, r)
+		switch {
+		case ctx.Err() != nil:
+			releaseUnused(permit)
+		case err == nil, errors.Is(err, snipeadmission.ErrRefused):
+			a.noteAnswer(service, to)
+			return permit, denied(a.name(to), err)
+		case errors.Is(err, errStillWaiting):
+			a.noteAnswer(service, to)
+			// The upstreams were avoided for the time in which their queues empty.
+			r.Arrived, r.Excluded = arrivedBy(r, begun), nil
+		case errors.Is(err, errNotCoordinating):
+			a.noteLost(service, to, true, err)
+			declined++
+		default:
+			a.noteLost(service, to, false, err)
+			lost++
+		}
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return a.pace(ctx, service, r)
+}
+
+// releaseUnused gives back a permit of a request that is not sent; p may be nil.
+func releaseUnused(p *snipegateway.Permit) {
+	if p != nil {
+		p.Release(snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
+	}
+}
+
+// arrivedBy returns when a request arrived: the time that it states, or else t.
+func arrivedBy(r snipeadmission.Request, t time.Time) time.Time {
+	if r.Arrived.IsZero() {
+		return t
+	}
+	return r.Arrived
+}
+
+// coordinator returns the instance to ask for the permits of a service, or false if this instance
+// is to pace its requests.
+func (a *admission) coordinator(service string) (netip.AddrPort, bool) {
+	candidates := a.coordinators(service)
+	now, lost := time.Now(), 0
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	for _, peer := range candidates {
+		l, ok := a.lost[peer]
+		switch {
+		case !ok:
+			return peer, true
+		case !now.Before(l.until):
+			// This request finds out whether the instance answers again; the others go on without
+			// it until then.
+			l.until = now.Add(permitTimeout)
+			a.lost[peer] = l
+			return peer, true
+		case !l.declined:
+			lost++
+		}
+		if lost >= maxLostCalls {
+			return netip.AddrPort{}, false
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// coordinators returns the instances that may coordinate a service, best first: the live ones that
+// are neither leaving nor on standby and have at least half of the highest Power, by rendezvous
+// hash.
+func (a *admission) coordinators(service string) []netip.AddrPort {
+	type candidate struct {
+		peer  netip.AddrPort
+		score uint64
+	}
+	ranked := a.View().Ranked
+	highest := 0.0
+	for _, other := range ranked {
+		if mayCoordinate(other) {
+			highest = max(highest, other.Power)
+		}
+	}
+	key := sniperoute.Hash("admission", service)
+	all := make([]candidate, 0, len(ranked))
+	for _, other := range ranked {
+		if mayCoordinate(other) && other.Power >= coordinatorPower*highest {
+			all = append(all, candidate{other.Peer, sniperoute.Score(key, sniperoute.Hash(other.Peer.String()))})
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	peers := make([]netip.AddrPort, 0, len(all))
+	for _, c := range all {
+		peers = append(peers, c.peer)
+	}
+	return peers
+}
+
+func mayCoordinate(i snipeowner.Instance) bool { return !i.Leaving && !i.Standby }
+
+// ask asks one instance, which may be this one, for a permit. It returns errStillWaiting after
+// permitWait. The call to another instance is not ended by ctx, so that the connection stays in use
+// and a permit that is granted meanwhile is given back; it takes permitTimeout at most.
+func (a *admission) ask(ctx context.Context, to netip.AddrPort, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
+	if to == a.Self {
+		p, err := a.Lender.acquire(ctx, service, r)
+		if err != nil {
+			return nil, err
+		}
+		return a.hold(to, service, p), nil
+	}
+	asked := time.Now()
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), permitTimeout)
+	defer cancel()
+	answer, err := a.Client(to).Acquire(bounded, encodeAcquire(service, r, asked))
+	if err != nil {
+		return nil, declined(err)
+	}
+	p, err := decodeAcquire(answer)
+	if err != nil {
+		return nil, err
+	}
+	permit := a.hold(to, service, p)
+	if time.Since(asked) >= p.Lifetime {
+		// The permit may have ended while this instance stood still.
+		releaseUnused(permit)
+		return nil, errStillWaiting
+	}
+	return permit, nil
+}
+
+// denied returns a refusal with the instance that refused, and any other error as it is.
+func denied(coordinator string, err error) error {
+	var refused *snipeadmission.RefusedError
+	if errors.As(err, &refused) {
+		return &snipegateway.DeniedError{Coordinator: coordinator, Refusal: refused}
+	}
+	return err
+}
+
+// name returns the name of an instance, or its address if it is no longer live.
+func (a *admission) name(peer netip.AddrPort) string {
+	if i, ok := a.View().Live[peer]; ok {
+		return i.Name
+	}
+	return peer.String()
+}
+
+// pace waits until this instance may send a request on its own.
+func (a *admission) pace(ctx context.Context, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
+	pacer := a.notePacing(service)
+	upstream, err := pacer.Acquire(ctx, r)
+	if err != nil {
+		return nil, denied("", err)
+	}
+	return &snipegateway.Permit{
+		Upstream: upstream, Release: func(r snipeadmission.Result) { pacer.Release(upstream, r) },
+	}, nil
+}
+
+// service returns the state of a service, and creates it on the first call. The lock is held.
+func (a *admission) service(name string) *admittedService {
+	if s := a.services[name]; s != nil {
+		return s
+	}
+	if a.services == nil {
+		a.services = make(map[string]*admittedService)
+	}
+	s := &admittedService{}
+	lines := &decisionLog{Service: name, Log: a.Log, Meter: a.Meter}
+	s.pacer = &snipeadmission.Pacer{
+		OnDecision: lines.record,
+		Upstreams:  func() []snipeadmission.Upstream { return lendable(a.Upstreams(name)) },
+		Instances:  func() int { return max(len(a.View().Live), minSharingInstances) },
+	}
+	a.services[name] = s
+	return s
+}
+
+// lendable returns the upstreams that are not leaving.
+func lendable(all []*snipedirectory.Upstream) []snipeadmission.Upstream {
+	usable := make([]snipeadmission.Upstream, 0, len(all))
+	for _, u := range all {
+		if !u.Leaving {
+			usable = append(usable, snipeadmission.Upstream{ID: u.ID, Slots: max(u.Slots, 1)})
+		}
+	}
+	return usable
+}
+
+// noteAnswer records that an instance answered a call for a permit.
+func (a *admission) noteAnswer(service string, from netip.AddrPort) {
+	a.lock.Lock()
+	s := a.service(service)
+	before, paced := s.coordinator, s.pacing
+	s.coordinator, s.pacing = from, false
+	delete(a.lost, from)
+	a.lock.Unlock()
+	if paced {
+		a.Log.Log(snipelog.PacingEnded, snipelog.Fields{serviceField: service, coordinatorField: a.name(from)})
+	}
+	if before != from {
+		a.Log.Log(snipelog.CoordinatorChanged, snipelog.Fields{serviceField: service, coordinatorField: a.name(from)})
+	}
+}
+
+// noteLost records that an instance did not answer a call for a permit or declined, so that it is
+// not asked for lostPause. Of several losses at the same time, one is logged and counted.
+func (a *admission) noteLost(service string, to netip.AddrPort, declined bool, err error) {
+	now := time.Now()
+	a.lock.Lock()
+	before, known := a.lost[to]
+	if a.lost == nil {
+		a.lost = make(map[netip.AddrPort]lostCoordinator)
+	}
+	a.lost[to] = lostCoordinator{until: now.Add(lostPause), declined: declined}
+	a.lock.Unlock()
+	if declined || known && !before.declined {
+		return
+	}
+	a.Meter.Count("snipepitch_admission_coordinators_lost_total")
+	a.Log.Error(snipelog.CoordinatorLost, err, snipelog.Fields{serviceField: service, coordinatorField: a.name(to)})
+}
+
+// notePacing records that a request to a service is paced, and returns the pacer.
+func (a *admission) notePacing(service string) *snipeadmission.Pacer {
+	a.Meter.Count("snipepitch_admission_paced_total")
+	a.lock.Lock()
+	s := a.service(service)
+	begins := !s.pacing
+	s.pacing = true
+	a.lock.Unlock()
+	if begins {
+		a.Log.Log(snipelog.PacingBegun, snipelog.Fields{serviceField: service, "Instances": len(a.View().Live)})
+	}
+	return s.pacer
+}
+
+// forget drops the state of services that are no longer declared, and of lost coordinators that are
+// no longer live.
+func (a *admission) forget() {
+	live := a.View().Live
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	for name := range a.services {
+		if !a.Plain(name) {
+			delete(a.services, name)
+		}
+	}
+	for peer := range a.lost {
+		if _, ok := live[peer]; !ok {
+			delete(a.lost, peer)
+		}
+	}
+}
+
+// buildAdmission creates the lender, which coordinates services for all instances, and the account
+// of this instance's own permits.
+func (i *Instance) buildAdmission() {
+	i.lender = &lender{
+		Plain: i.plain, Upstreams: i.serviceUpstreams, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
+	}
+	i.admission = &admission{
+		Self: i.Settings.Peers, Share: i.Settings.AdmissionShare, Plain: i.plain, Upstreams: i.serviceUpstreams,
+		View: i.holder.View, Lender: i.lender, Client: i.peers.permits.client, Log: i.Log, Meter: i.meter,
+	}
+	i.meter.Gauge("snipepitch_admission_permits_out", func() float64 { out, _ := i.lender.stats(); return float64(out) })
+	i.meter.Gauge("snipepitch_admission_waiting", func() float64 { _, waiting := i.lender.stats(); return float64(waiting) })
+}
+
+// gatewayAdmission returns the functions by which the gateway acquires permits.
+func (i *Instance) gatewayAdmission() snipegateway.Admission {
+	return snipegateway.Admission{Applies: i.admission.applies, Acquire: i.admission.acquire}
+}
+
+// plain reports whether the current catalog declares a service as one that runs no models.
+func (i *Instance) plain(service string) bool {
+	c := i.catalog.Catalog()
+	return c != nil && c.Services[service] != nil && c.Services[service].Engine == nil
+}
+
+// serviceUpstreams returns the known upstreams of a service.
+func (i *Instance) serviceUpstreams(service string) []*snipedirectory.Upstream {
+	return i.directory.Snapshot().Service(service)
+}
+
+// forgetAdmission drops what shared admission holds for services and instances that are gone.
+func (i *Instance) forgetAdmission() {
+	live := i.holder.View().Live
+	i.admission.forget()
+	i.lender.forget(live)
+}
--- /dev/null
+++ b/snipeentry/admissionwire.go
@@ -0,0 +1,314 @@
+package snipeentry
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+
+	"snipepitch.example/snipepitch/snipeadmission"
+	"snipepitch.example/snipepitch/snipeproto"
+)
+
+const (
+	// admissionVersion is the version of the messages of shared admission.
+	admissionVersion = 1
+	// maxResults bounds the results, and the renewed permits, in one message. An instance has fewer
+	// requests in flight at plain services.
+	maxResults = 1024
+	// maxExcluded bounds the upstreams that a request excludes. A request is sent to fewer.
+	maxExcluded = 32
+	// maxName bounds the names in messages, in bytes.
+	maxName = 256
+	// maxAdmissionTime bounds the times in messages; it is the longest deadline of a request.
+	maxAdmissionTime = 24 * time.Hour
+	// maxLoadFigure bounds the figures of a load report.
+	maxLoadFigure = 1 << 20
+	// maxPermitLifetime bounds the lifetime of a permit in an answer.
+	maxPermitLifetime = time.Minute
+	// maxPriority is the least urgent priority.
+	maxPriority = 1 << 10
+)
+
+// errMessage is wrapped by the errors for messages that make no sense or have another version.
+var errMessage = errors.New("invalid message")
+
+// admissionServer serves other instances' requests for permits.
+type admissionServer struct{ lender *lender }
+
+// Acquire implements snipeproto.Admission. The error code FailedPrecondition means that this
+// instance does not coordinate the service (see lender.acquire).
+func (s *admissionServer) Acquire(ctx context.Context, m *snipeproto.AdmissionAcquireRequest) (*snipeproto.AdmissionAcquireResponse, error) {
+	r, err := decodeAcquireRequest(m, time.Now())
+	if err != nil {
+		return nil, s.invalid(err)
+	}
+	p, err := s.lender.acquire(ctx, m.GetService(), r)
+	var refused *snipeadmission.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return &snipeproto.AdmissionAcquireResponse{
+			Refused: true, Reason: int32(refused.Reason), RetryMilliseconds: refused.RetryAfter.Milliseconds(), //nolint:gosec // a small number
+		}, nil
+	case errors.Is(err, errStillWaiting):
+		return &snipeproto.AdmissionAcquireResponse{Waiting: true}, nil
+	case errors.Is(err, errNotCoordinating):
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	case err != nil:
+		return nil, twirp.NewError(twirp.Canceled, err.Error())
+	}
+	return &snipeproto.AdmissionAcquireResponse{
+		Permit: p.ID, Upstream: p.Upstream, LifetimeMilliseconds: p.Lifetime.Milliseconds(),
+	}, nil
+}
+
+// Release implements snipeproto.Admission. A message with any invalid part is refused whole.
+func (s *admissionServer) Release(_ context.Context, m *snipeproto.AdmissionReleaseRequest) (*snipeproto.AdmissionReleaseResponse, error) {
+	results, err := decodeRelease(m)
+	if err != nil {
+		return nil, s.invalid(err)
+	}
+	for n, r := range m.GetResults() {
+		s.lender.release(r.GetService(), r.GetPermit(), results[n])
+	}
+	for _, r := range m.GetRenewals() {
+		s.lender.renew(m.GetInstance(), r.GetService(), r.GetPermits())
+	}
+	return &snipeproto.AdmissionReleaseResponse{}, nil
+}
+
+// invalid counts an invalid message and returns the error for its sender.
+func (s *admissionServer) invalid(err error) error {
+	s.lender.Meter.Count("snipepitch_admission_wrong_messages_total")
+	return twirp.NewError(twirp.InvalidArgument, err.Error())
+}
+
+// declined returns errNotCoordinating if a call was answered with FailedPrecondition, or else err.
+func declined(err error) error {
+	var failure twirp.Error
+	if errors.As(err, &failure) && failure.Code() == twirp.FailedPrecondition {
+		return errNotCoordinating
+	}
+	return err
+}
+
+// encodeAcquire returns the message that asks for a permit.
+func encodeAcquire(service string, r snipeadmission.Request, now time.Time) *snipeproto.AdmissionAcquireRequest {
+	m := &snipeproto.AdmissionAcquireRequest{
+		Version: admissionVersion, Instance: r.Instance, Service: service, Workspace: shortened(r.Workspace),
+		Priority: int32(min(max(r.Priority, 0), maxPriority)), Tokens: r.Tokens,
+		DeadlineMilliseconds: max(r.Deadline.Sub(now).Milliseconds(), 0),
+	}
+	for _, id := range r.Excluded {
+		if validName(id) && len(m.Excluded) < maxExcluded {
+			m.Excluded = append(m.Excluded, id)
+		}
+	}
+	if !r.Arrived.IsZero() {
+		m.AgeMilliseconds = max(now.Sub(r.Arrived).Milliseconds(), 1)
+	}
+	if !r.Target.IsZero() {
+		m.Targeted, m.TargetMilliseconds = true, r.Target.Sub(now).Milliseconds()
+	}
+	return m
+}
+
+// decodeAcquireRequest returns the request of a message that arrived now. Its errors wrap
+// errMessage.
+func decodeAcquireRequest(m *snipeproto.AdmissionAcquireRequest, now time.Time) (snipeadmission.Request, error) {
+	if err := checkSender(m.GetVersion(), m.GetInstance()); err != nil {
+		return snipeadmission.Request{}, err
+	}
+	r := snipeadmission.Request{
+		Instance: m.GetInstance(), Workspace: m.GetWorkspace(), Priority: int(m.GetPriority()), Tokens: m.GetTokens(),
+		Deadline: now.Add(milliseconds(m.GetDeadlineMilliseconds())),
+		Excluded: m.GetExcluded(),
+	}
+	if m.GetAgeMilliseconds() > 0 {
+		r.Arrived = now.Add(-milliseconds(m.GetAgeMilliseconds()))
+	}
+	if m.GetTargeted() {
+		r.Target = now.Add(milliseconds(m.GetTargetMilliseconds()))
+	}
+	return r, checkAcquire(m)
+}
+
+// checkAcquire checks the fields of a message that asks for a permit.
+func checkAcquire(m *snipeproto.AdmissionAcquireRequest) error {
+	switch {
+	case !validName(m.GetService()):
+		return errors.Wrap(errMessage, "service empty or too long")
+	case len(m.GetWorkspace()) > maxName:
+		return errors.Wrap(errMessage, "workspace too long")
+	case m.GetPriority() < 0 || m.GetPriority() > maxPriority:
+		return errors.Wrapf(errMessage, "priority %d", m.GetPriority())
+	case !(m.GetTokens() >= 0 && m.GetTokens() <= math.MaxFloat64):
+		return errors.Wrapf(errMessage, "%f tokens", m.GetTokens())
+	case outOfRange(m.GetAgeMilliseconds()), outOfRange(m.GetTargetMilliseconds()), outOfRange(m.GetDeadlineMilliseconds()):
+		return errors.Wrap(errMessage, "time out of range")
+	case m.GetAgeMilliseconds() < 0, m.GetDeadlineMilliseconds() < 0:
+		return errors.Wrap(errMessage, "negative time")
+	}
+	return checkExcluded(m.GetExcluded())
+}
+
+// checkExcluded checks the upstreams that a request excludes.
+func checkExcluded(excluded []string) error {
+	if len(excluded) > maxExcluded {
+		return errors.Wrapf(errMessage, "%d excluded upstreams", len(excluded))
+	}
+	for _, id := range excluded {
+		if !validName(id) {
+			return errors.Wrap(errMessage, "excluded upstream empty or too long")
+		}
+	}
+	return nil
+}
+
+// checkSender checks the version of a message and the instance that sent it.
+func checkSender(version uint32, instance string) error {
+	if version != admissionVersion {
+		return errors.Wrapf(errMessage, "version %d, expected %d", version, admissionVersion)
+	}
+	if _, err := netip.ParseAddrPort(instance); err != nil || len(instance) > maxName {
+		return errors.Wrap(errMessage, "instance is no address")
+	}
+	return nil
+}
+
+// shortened returns the longest valid prefix of a name that a message may contain.
+func shortened(name string) string { return strings.ToValidUTF8(name[:min(len(name), maxName)], "") }
+
+// validName reports whether a message may contain a name of a service or an upstream.
+func validName(name string) bool { return name != "" && len(name) <= maxName }
+
+// outOfRange reports whether a time is longer than maxAdmissionTime in either direction.
+func outOfRange(ms int64) bool {
+	const limit = int64(maxAdmissionTime / time.Millisecond)
+	return ms > limit || ms < -limit
+}
+
+// milliseconds returns a time of a message, bounded by maxAdmissionTime.
+func milliseconds(ms int64) time.Duration {
+	const limit = int64(maxAdmissionTime / time.Millisecond)
+	return time.Duration(min(max(ms, -limit), limit)) * time.Millisecond
+}
+
+// decodeAcquire returns the permit of an answer, errStillWaiting, or the refusal. A negative retry
+// time counts as none.
+func decodeAcquire(m *snipeproto.AdmissionAcquireResponse) (snipeadmission.Permit, error) {
+	switch {
+	case m.GetRefused():
+		return snipeadmission.Permit{}, &snipeadmission.RefusedError{
+			Reason: snipeadmission.Reason(m.GetReason()), RetryAfter: max(milliseconds(m.GetRetryMilliseconds()), 0),
+		}
+	case m.GetWaiting():
+		return snipeadmission.Permit{}, errStillWaiting
+	case !validName(m.GetUpstream()):
+		return snipeadmission.Permit{}, errors.Wrap(errMessage, "permit without an upstream")
+	case m.GetLifetimeMilliseconds() <= 0 || milliseconds(m.GetLifetimeMilliseconds()) > maxPermitLifetime:
+		return snipeadmission.Permit{}, errors.Wrapf(errMessage, "lifetime of %d ms", m.GetLifetimeMilliseconds())
+	}
+	return snipeadmission.Permit{
+		ID: m.GetPermit(), Upstream: m.GetUpstream(), Lifetime: milliseconds(m.GetLifetimeMilliseconds()),
+	}, nil
+}
+
+// encodeResult returns the message for the result of a request with a permit.
+func encodeResult(service string, id uint64, r snipeadmission.Result) *snipeproto.AdmissionResult {
+	m := &snipeproto.AdmissionResult{
+		Service: service, Permit: id, Outcome: int32(r.Outcome), TookMicroseconds: r.Took.Microseconds(), //nolint:gosec // a small number
+		RetryMilliseconds: milliseconds(r.RetryAfter.Milliseconds()).Milliseconds(),
+	}
+	if l := r.Load; l != nil {
+		m.Load = &snipeproto.AdmissionLoad{
+			Running: figure(l.Running), Waiting: figure(l.Waiting), Slots: figure(l.Slots), Pace: l.Pace, AgeMilliseconds: l.Age.Milliseconds(),
+		}
+	}
+	return m
+}
+
+// figure bounds a figure of a load report.
+func figure(n int) int32 { return int32(min(max(n, 0), maxLoadFigure)) }
+
+// encodeRenewals returns the message for the renewal of permits by service, with at most maxResults
+// permits.
+func encodeRenewals(services map[string][]uint64) []*snipeproto.AdmissionRenewal {
+	all := make([]*snipeproto.AdmissionRenewal, 0, len(services))
+	left := maxResults
+	for service, ids := range services {
+		n := min(len(ids), left)
+		left -= n
+		all = append(all, &snipeproto.AdmissionRenewal{Service: service, Permits: ids[:n]})
+	}
+	return all
+}
+
+// decodeRelease returns the results of a message. Its errors wrap errMessage.
+func decodeRelease(m *snipeproto.AdmissionReleaseRequest) ([]snipeadmission.Result, error) {
+	if err := checkSender(m.GetVersion(), m.GetInstance()); err != nil {
+		return nil, err
+	}
+	renewed := len(m.GetRenewals())
+	for _, r := range m.GetRenewals() {
+		if renewed += len(r.GetPermits()); !validName(r.GetService()) {
+			return nil, errors.Wrap(errMessage, "service empty or too long")
+		}
+	}
+	if renewed > 2*maxResults || len(m.GetResults()) > maxResults {
+		return nil, errors.Wrapf(errMessage, "%d results and %d renewals", len(m.GetResults()), renewed)
+	}
+	all := make([]snipeadmission.Result, 0, len(m.GetResults()))
+	for _, r := range m.GetResults() {
+		result, err := decodeResult(r)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, result)
+	}
+	return all, nil
+}
+
+// decodeResult returns the result of a message. A load report that makes no sense is left out,
+// because the permit has to end all the same.
+func decodeResult(m *snipeproto.AdmissionResult) (snipeadmission.Result, error) {
+	outcome := snipeadmission.Outcome(m.GetOutcome())
+	const longest = int64(maxAdmissionTime / time.Microsecond)
+	switch {
+	case !validName(m.GetService()):
+		return snipeadmission.Result{}, errors.Wrap(errMessage, "service empty or too long")
+	case outcome < snipeadmission.OutcomeServed || outcome > snipeadmission.OutcomeSuspect:
+		return snipeadmission.Result{}, errors.Wrapf(errMessage, "outcome %d", outcome)
+	case m.GetTookMicroseconds() < 0 || m.GetTookMicroseconds() > longest:
+		return snipeadmission.Result{}, errors.Wrap(errMessage, "time out of range")
+	case m.GetRetryMilliseconds() < 0 || outOfRange(m.GetRetryMilliseconds()):
+		return snipeadmission.Result{}, errors.Wrap(errMessage, "retry time out of range")
+	}
+	return snipeadmission.Result{
+		Outcome: outcome, Took: time.Duration(m.GetTookMicroseconds()) * time.Microsecond,
+		RetryAfter: milliseconds(m.GetRetryMilliseconds()), Load: decodeLoad(m.GetLoad()),
+	}, nil
+}
+
+// decodeLoad returns a load report, or nil if there is none or its figures make no sense.
+func decodeLoad(m *snipeproto.AdmissionLoad) *snipeadmission.Load {
+	if m == nil || m.GetAgeMilliseconds() < 0 || outOfRange(m.GetAgeMilliseconds()) {
+		return nil
+	}
+	for _, n := range []int32{m.GetRunning(), m.GetWaiting(), m.GetSlots()} {
+		if n < 0 || n > maxLoadFigure {
+			return nil
+		}
+	}
+	if pace := m.GetPace(); math.IsNaN(pace) || pace < 0 || pace > maxLoadFigure {
+		return nil
+	}
+	return &snipeadmission.Load{
+		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()), Pace: m.GetPace(),
+		Age: milliseconds(m.GetAgeMilliseconds()),
+	}
+}
--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -141,7 +141,8 @@
 	kill  context.CancelFunc
 }
 
-func (s *testCluster) start(name string) *instance {
+// start starts an instance, after the given changes of its settings.
+func (s *testCluster) start(name string, changes ...func(*snipeentry.Settings)) *instance {
 	listeners := map[netip.AddrPort]net.Listener{}
 	open := func() netip.AddrPort {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -157,6 +158,9 @@
 		DrainTime: snipejson.Duration(snipeentry.DefaultMaxStaleness), ApplyTime: snipejson.Duration(snipeentry.DefaultMaxStaleness),
 		StopTimeout: snipejson.Duration(8 * time.Second), LogLevel: "info",
 	}
+	for _, change := range changes {
+		change(&settings)
+	}
 	dial := snipelink.Dialer()
 	store := &platform.Store{Address: s.address, Timeout: time.Second, Dial: dial}
 	store.Open()
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -113,6 +113,7 @@
 	mirrors  clients[snipeproto.Mirror]
 	owners   clients[snipeproto.Ownership]
 	quotas   clients[snipeproto.Quota]
+	permits  clients[snipeproto.Admission]
 
 	lock sync.Mutex // guards the fields below
 	// answeredAt is when each owner last answered a report, or was last sent an empty report
@@ -237,6 +238,7 @@
 		mirrors:  clients[snipeproto.Mirror]{Make: snipeproto.NewMirrorProtobufClient, HTTP: h},
 		owners:   clients[snipeproto.Ownership]{Make: snipeproto.NewOwnershipProtobufClient, HTTP: h},
 		quotas:   clients[snipeproto.Quota]{Make: snipeproto.NewQuotaProtobufClient, HTTP: h},
+		permits:  clients[snipeproto.Admission]{Make: snipeproto.NewAdmissionProtobufClient, HTTP: h},
 	}
 }
 
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -72,6 +72,10 @@
 	Power float64
 	// MemoryBytes is the memory that the process may use; 0 sets no limit.
 	MemoryBytes int64
+	// AdmissionShare switches on shared admission for the plain services whose upstreams together
+	// have fewer than AdmissionShare slots for each live instance; 0 switches it off. It is at most
+	// maxAdmissionShare.
+	AdmissionShare float64
 	// LogLevel is the name of a logrus level; "info" if the file does not set it.
 	LogLevel string
 }
@@ -123,6 +127,10 @@
 // than two seconds to notice a stop.
 const minStopTimeout = 4 * time.Second
 
+// maxAdmissionShare bounds AdmissionShare: a service with more slots for each instance is not short
+// of upstreams.
+const maxAdmissionShare = 100
+
 const notPositive = "is not positive"
 
 // invalid returns an error that wraps ErrSettings and names a field and the reason.
@@ -196,6 +204,8 @@
 		return invalid("Power", "is negative")
 	case s.MemoryBytes < 0:
 		return invalid("MemoryBytes", "is negative")
+	case s.AdmissionShare < 0 || s.AdmissionShare > maxAdmissionShare:
+		return invalid("AdmissionShare", "is not between 0 and "+strconv.Itoa(maxAdmissionShare))
 	}
 	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
 		return invalid("LogLevel", err.Error())
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -4,7 +4,7 @@
 // Each of these background tasks runs in its own goroutine: keeping copies of the store's three
 // tables up to date (the operators' declarations, the registry of upstreams, and the ownership
 // rows), renewing the ownership of engines, extending leases during an outage of the store,
-// requesting units of workspace quotas, reading engines that this instance has taken over,
+// requesting units of workspace quotas, renewing permits of shared admission, reading engines that this instance has taken over,
 // exchanging loads and signals with other instances, closing idle connections, the four listeners,
 // and the planned stop. Requests run in the goroutines of net/http.
 //
@@ -129,6 +129,8 @@
 	retryBudgets    *retryBudgets
 	issuer          *snipequota.Issuer
 	account         *snipequota.Account
+	lender          *lender
+	admission       *admission
 	stopState       stopState
 	startupGate     *startupGate
 
@@ -163,6 +165,7 @@
 		return snipetime.Every(ctx, sweepInterval, func(context.Context) {
 			i.links.Sweep()
 			i.forgetUnregistered()
+			i.forgetAdmission()
 		})
 	})
 	i.addTask(ctx, &g, func(ctx context.Context) error {
@@ -171,8 +174,12 @@
 			i.applyOwnLoads()
 			i.spreadAdapters()
 			i.sendSignals(ctx)
+			i.lender.refresh(i.directory.Snapshot())
 		})
 	})
+	if i.Settings.AdmissionShare > 0 {
+		i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, renewInterval, i.admission.renew) })
+	}
 	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, loadsInterval, i.updateLoads) })
 	servers, err := i.listen(ctx, &g)
 	if err != nil {
@@ -250,10 +257,11 @@
 	}
 	i.peers = newPeers(peerClient(i.meter))
 	i.buildQuotas()
+	i.buildAdmission()
 	i.retryBudgets = &retryBudgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
-		Quotas: i.gatewayQuotas(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
+		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
 		Budget: i.retryBudgets.budget, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
 		Chooser: &snipegateway.Chooser{
 			Directory: i.directory, Balancer: i.balancer, Residency: i.residency, Signals: i.signals, Versions: i.catalog,
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -75,6 +75,7 @@
 		c.reached++
 	}
 	if err != nil {
+		c.noteUnreached(ctx, err)
 		return c.handleNoAnswer(ctx, u.ID, err)
 	}
 	defer answer.Close()
@@ -86,6 +87,7 @@
 func (c *call) handleAnswer(ctx context.Context, d Dispatch, answer *snipelink.Answer) error {
 	g, u := c.gateway, d.Upstream
 	v := g.Protocol.Classify(answer.Response, d)
+	c.noteLoad(v.Load)
 	if v.Load != nil {
 		g.Balancer.SetLoad(u.ID, float64(v.Load.Running+v.Load.Waiting))
 	}
@@ -165,6 +167,8 @@
 func (c *call) handleNotRun(answer *snipelink.Answer, d Dispatch, v AnswerState) error {
 	// The answer is read to its end so that the connection can be reused.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBuffered))
+	c.admission.retryAfter = v.Signal.Backoff
+	c.releasePermit(refusalOutcome(v))
 	id := d.Upstream.ID
 	switch {
 	case v.Elsewhere:
@@ -198,6 +202,9 @@
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.gateway.Balancer.RecordAnswer(id, failed)
+	if len(body) < maxBuffered {
+		c.releasePermit(answerOutcome(failed))
+	}
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body}
 	if len(body) == maxBuffered {
 		return c.writeUnbuffered(w, answer)
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -94,6 +94,7 @@
 	lastWriteAt  time.Time
 	longestPause time.Duration
 	status       int
+	admission    permitUse
 	// fallback is an error answer of an upstream, delivered if no later attempt succeeds.
 	fallback *bufferedAnswer
 }
@@ -263,7 +264,7 @@
 			c.refundUnsent(reached)
 			return c.finalError(err)
 		}
-		err = c.attempt(ctx, choice)
+		err = c.attemptWithPermit(ctx, choice)
 		c.refundUnsent(reached)
 		if err == nil {
 			return nil
@@ -282,7 +283,13 @@
 func (c *call) choose(ctx context.Context) (Choice, error) {
 	bounded, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	choice, err := c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.tried, c.maxLoadWait())
+	var choice Choice
+	var err error
+	if c.needsPermit() {
+		choice, err = c.chooseWithPermit(bounded)
+	} else {
+		choice, err = c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.tried, c.maxLoadWait())
+	}
 	c.waited += choice.Waited
 	c.version = choice.Version
 	if choice.Upstream != nil {
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -112,6 +112,9 @@
 		fields["WaitedMilliseconds"] = c.waited.Milliseconds()
 		fields["PromptTokens"], fields["OutputTokens"] = c.PromptTokens, c.OutputTokens
 	}
+	if c.admission.asked {
+		fields["PermitMilliseconds"], fields["Coordinator"] = c.admission.waited.Milliseconds(), c.admission.coordinator
+	}
 	if !c.firstAt.IsZero() {
 		first := c.firstAt.Sub(c.arrived)
 		fields["FirstMilliseconds"] = first.Milliseconds()
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -47,6 +47,8 @@
 	Signals  *snipesignal.Tracker
 	Protocol Protocol
 	Quotas   Quotas
+	// Admission grants the permits that some plain services need.
+	Admission Admission
 	// WaitForStart blocks a request that arrives before routes and upstreams are known. It returns
 	// when they are known, when ctx ends, or at a fixed time shortly after the start.
 	WaitForStart func(ctx context.Context)
--- a/snipegateway/workspace.go
+++ b/snipegateway/workspace.go
@@ -166,6 +166,15 @@
 	return label
 }
 
+// name returns the metric label of a workspace without the quotes.
+func (l *workspaceLabels) name(workspace string) string {
+	name, err := strconv.Unquote(l.label(workspace))
+	if err != nil {
+		return "other" // label quotes all names
+	}
+	return name
+}
+
 // countWorkspace counts the end of a request in its workspace's metrics.
 func (c *call) countWorkspace(outcome string) {
 	if c.workspace == nil {
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -98,6 +98,14 @@
 	QuotaUnreached   = define(216, "QuotaUnreached", logrus.WarnLevel)
 	QuotaReached     = define(217, "QuotaReached", logrus.InfoLevel)
 	HeaderAppeared   = define(218, "HeaderAppeared", logrus.InfoLevel)
+
+	PermitRefused      = define(219, "PermitRefused", logrus.InfoLevel)
+	PermitExpired      = define(220, "PermitExpired", logrus.WarnLevel)
+	CoordinatorChanged = define(221, "CoordinatorChanged", logrus.InfoLevel)
+	CoordinatorLost    = define(222, "CoordinatorLost", logrus.WarnLevel)
+	PacingBegun        = define(223, "PacingBegun", logrus.WarnLevel)
+	PacingEnded        = define(224, "PacingEnded", logrus.InfoLevel)
+	UpstreamPaused     = define(225, "UpstreamPaused", logrus.InfoLevel)
 )
 
 // Events of the catalog, which operators declare, and of the directory of upstreams, 310 to 339.
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -61,6 +61,7 @@
 	announcesLeaving bool
 	// backoff is the pause that refusals ask for; zero if the runner does not refuse.
 	backoff time.Duration
+	places  plainPlaces
 }
 
 // RunCounts returns the number of times that each request ran, by the identifier of the request.
@@ -177,12 +178,15 @@
 // SendHeartbeat sends one heartbeat: it writes the runner's registry entry to a store.
 func (r *Runner) SendHeartbeat(s *RowStore) error {
 	r.lock.Lock()
-	state := "ready"
+	state, slots := "ready", 8
+	if n := cap(r.places.slots); n > 0 {
+		slots = n
+	}
 	if r.draining {
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": r.Service, "addr": r.Address, "zone": r.Zone, "slots": 8, "state": state, "models": r.models(),
+		"service": r.Service, "addr": r.Address, "zone": r.Zone, "slots": slots, "state": state, "models": r.models(),
 		"version": "v1", "seq": r.orders, "coldLeftMs": 0, "born": r.startedAt,
 	}
 	if r.invalidEntry {
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -32,6 +32,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	vacate, ok := r.occupy(q.Context(), w.Header())
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer vacate()
 	r.recordRun(q)
 	r.answer(w, q, body, f)
 }
@@ -54,7 +60,9 @@
 func (r *Runner) answer(w http.ResponseWriter, q *http.Request, body []byte, f RunnerFault) {
 	h := w.Header()
 	h.Set("X-Snipepitch-Server-Seal", r.ID+".1")
-	h.Set("X-Snipepitch-Server-Load", "1,0,8")
+	if h.Get("X-Snipepitch-Server-Load") == "" {
+		h.Set("X-Snipepitch-Server-Load", "1,0,8")
+	}
 	switch f {
 	case RunnerResets:
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/snipestand/runnerplaces.go
@@ -0,0 +1,85 @@
+package snipestand
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// plainPlaces are the slots and the queue of a plain service. Without slots, any number of requests
+// run, and take no time.
+type plainPlaces struct {
+	slots chan struct{}
+	queue int
+	took  time.Duration
+	// inside is the number of requests that run or wait, most the highest such number, and refused
+	// the number of requests for which there was no room.
+	inside, most, refused int
+}
+
+// SetCapacity limits a plain service to a number of requests that run at once, and of those that
+// wait for a slot. Requests take the given time from now on.
+func (r *Runner) SetCapacity(slots, queue int, took time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.places = plainPlaces{slots: make(chan struct{}, slots), queue: queue, took: took}
+}
+
+// Occupancy returns the highest number of requests that ran or waited at the same time, and the
+// number of those that were refused because the queue was full, since SetCapacity.
+func (r *Runner) Occupancy() (most, refused int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.places.most, r.places.refused
+}
+
+// occupy waits for a slot and then for the time of a request, and returns a function that gives the
+// slot back. It returns false, with the header of a refusal, if the queue is full or ctx ends before
+// there is a slot.
+func (r *Runner) occupy(ctx context.Context, h http.Header) (vacate func(), ok bool) {
+	slots, took, ok := r.enter(h)
+	if slots == nil {
+		return func() {}, ok
+	}
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		r.exit()
+		h.Set("X-Snipepitch-Not-Executed", "1")
+		return nil, false
+	}
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+	}
+	return func() { <-slots; r.exit() }, true
+}
+
+// enter takes a place and states the load. It returns no slots if there is no limit or no place.
+func (r *Runner) enter(h http.Header) (slots chan struct{}, took time.Duration, ok bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	p := &r.places
+	limit := cap(p.slots)
+	if limit == 0 {
+		return nil, 0, true
+	}
+	if ok = p.inside < limit+p.queue; ok {
+		p.inside++
+		p.most = max(p.most, p.inside)
+		slots = p.slots
+	} else {
+		p.refused++
+		h.Set("X-Snipepitch-Not-Executed", "1")
+	}
+	running := min(p.inside, limit)
+	h.Set("X-Snipepitch-Server-Load", fmt.Sprintf("%d,%d,%d", running, p.inside-running, limit))
+	return slots, p.took, ok
+}
+
+func (r *Runner) exit() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.places.inside--
+}
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -23,6 +23,8 @@
 	KeyTaken        Kind = "KeyTaken"
 	CatalogOld      Kind = "CatalogOld"
 	QuotaUsed       Kind = "QuotaUsed"
+	PermitDenied    Kind = "PermitDenied"
+	PermitWait      Kind = "PermitWait"
 	NoOwner         Kind = "NoOwner"
 	LoadsQueued     Kind = "LoadsQueued"
 	AdapterEvicted  Kind = "AdapterEvicted"
@@ -85,6 +87,10 @@
 		text := fmt.Sprintf("%d of the %d ms until the answer began were spent waiting for adapter %s",
 			e.WaitedMilliseconds, e.FirstMilliseconds, e.Adapter)
 		return Cause{AdapterWait, text}, s.loadLines()
+	case exceeds(e.FirstMilliseconds, e.TargetMilliseconds) && 2*e.PermitMilliseconds >= e.FirstMilliseconds:
+		text := fmt.Sprintf("%d of the %d ms until the answer began were spent waiting for a permit for service %s%s",
+			e.PermitMilliseconds, e.FirstMilliseconds, e.Service, e.coordinatedBy())
+		return Cause{PermitWait, text}, append(s.admissionLines(), *e)
 	case exceeds(e.FirstMilliseconds, e.TargetMilliseconds):
 		text := fmt.Sprintf("the answer began after %d ms, of which %d were spent waiting for the adapter; an estimated %.0f%% of the upstream's slots were in use",
 			e.FirstMilliseconds, e.WaitedMilliseconds, 100*e.Busy)
@@ -127,6 +133,9 @@
 		return Cause{RoutesUnknown, "the instance had not read any routes yet"}, append(s.lifecycleLines(), *e)
 	case contains("no route for this host"):
 		return Cause{NoRoute, "no declared route matches the host and path of the request"}, end
+	case contains("no permit"):
+		return Cause{PermitDenied, fmt.Sprintf("service %s had too little capacity for the request%s: %s",
+			e.Service, e.coordinatedBy(), e.Error)}, append(s.admissionLines(), *e)
 	case contains("limits are reached"), contains("takes no more requests now"):
 		return Cause{UpstreamClosed, "the upstreams that could serve the request had signaled that they accept no more requests at the time"}, end
 	default:
@@ -225,6 +234,22 @@
 	return s.withEvents(snipelog.AdapterPresent.Number, snipelog.LoadFailed.Number, snipelog.OrderUnknown.Number)
 }
 
+// admissionLines returns the lines that report refused and expired permits, lost coordinators and
+// pacing.
+func (s *Story) admissionLines() []Line {
+	return s.withEvents(snipelog.PermitRefused.Number, snipelog.PermitExpired.Number, snipelog.CoordinatorChanged.Number,
+		snipelog.CoordinatorLost.Number, snipelog.PacingBegun.Number, snipelog.PacingEnded.Number, snipelog.UpstreamPaused.Number)
+}
+
+// coordinatedBy returns a clause about the instance that was asked for the permit, or that there was
+// none.
+func (e *Line) coordinatedBy() string {
+	if e.Coordinator == "" {
+		return ", by this instance's own pacing"
+	}
+	return ", by coordinator " + e.Coordinator
+}
+
 // ownershipLines returns the lines that report changes of the ownership of engines.
 func (s *Story) ownershipLines() []Line {
 	return s.withEvents(snipelog.OwnershipTaken.Number, snipelog.OwnershipLost.Number,
--- a/snipestory/line.go
+++ b/snipestory/line.go
@@ -52,6 +52,10 @@
 	// answer, and Milliseconds the time from its arrival to its end. In the line of a load of an
 	// adapter, Milliseconds is the duration of the load.
 	WaitedMilliseconds int64
+	// PermitMilliseconds is the time that the request waited for permits, Coordinator the instance
+	// that decided on the last one.
+	PermitMilliseconds int64
+	Coordinator        string
 	FirstMilliseconds  int64
 	PauseMilliseconds  int64
 	Milliseconds       int64
--- a/snipestory/snipestory.go
+++ b/snipestory/snipestory.go
@@ -97,6 +97,8 @@
 type requestScope struct {
 	instances, upstreams map[string]bool
 	adapter              string
+	// service is the request's service, and coordinator the instance that was asked for its permits.
+	service, coordinator string
 }
 
 // scopeOf returns the scope of a request from its own lines.
@@ -110,6 +112,9 @@
 		if l.Adapter != "" {
 			s.adapter = l.Adapter
 		}
+		if l.Coordinator != "" {
+			s.service, s.coordinator = l.Service, l.Coordinator
+		}
 	}
 	return s
 }
@@ -117,10 +122,12 @@
 // includes reports whether a change concerns the request. A change that names an adapter must name
 // that of the request. A change of an upstream must, if it names no adapter, be of one that the
 // request was sent to. A change without an upstream must be of an instance that handled the
-// request.
+// request, or one of the request's service at the coordinator of that service.
 func (s requestScope) includes(change Line) bool {
 	adapterMatches := change.Adapter == "" || change.Adapter == s.adapter
 	switch target := change.target(); {
+	case target == "" && s.coordinator != "" && change.Instance == s.coordinator && change.Service == s.service:
+		return true
 	case target == "":
 		return s.instances[change.Instance] && adapterMatches
 	case s.upstreams[target]:
