--- a/snipeadmission/simulation_test.go
+++ b/snipeadmission/simulation_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
 	"snipepitch.example/snipepitch/snipeadmission"
 )
 
