--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -89,7 +89,7 @@
 	v := g.Protocol.Classify(answer.Response, d)
 	c.noteLoad(v.Load)
 	if v.Load != nil {
-		g.Balancer.SetLoad(u.ID, float64(v.Load.Running+v.Load.Waiting))
+		g.Balancer.SetStated(u.ID, snipebalance.StatedLoad(*v.Load))
 	}
 	c.logNewHeaders(u.ID, answer.Response)
 	if v.signalApplies() {
