snipeadmission: tests of load patterns, fairness, faults and named times

RetryAfter is spaced by the rate that is left over for returning callers, at least a quarter of the rate of the upstreams.

--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -13,6 +13,8 @@
 	lookahead = 64
 	// maxRetryAfter bounds the time that a refused caller is told.
 	maxRetryAfter = 5 * time.Second
+	// leastRoom is the part of the rate that is always counted on for returning callers.
+	leastRoom = 4
 	// forever is the wait that stands for no service at all.
 	forever = 24 * time.Hour
 )
@@ -129,7 +131,9 @@
 	at := later(first, now)
 	if rate := c.pool.rate(now); rate > 0 {
 		at = at.Add(c.wait(c.queue.Len(), rate, now))
-		at = later(at, c.lastRetry.Add(seconds(1/rate)))
+		// In the long run the upstreams serve as many returning callers as new ones leave room for.
+		room := max(c.pool.usualRate(now)-c.demand.rate(priorities, now), rate/leastRoom)
+		at = later(at, c.lastRetry.Add(seconds(1/room)))
 	}
 	if latest := now.Add(maxRetryAfter); at.After(latest) {
 		at = latest
--- a/snipeadmission/simulation_test.go
+++ b/snipeadmission/simulation_test.go
@@ -70,6 +70,7 @@
 	seed     uint64
 	admit    admission
 	returns  bool // refused callers come back at the named time
+	patience int  // callers come back at up to this fraction of the time left; 0 means 3, a third
 	noPace   bool
 	shape    func(n int, at time.Duration, r *snipeadmission.Request)
 	fault    func(instance int, at time.Duration) fault
@@ -81,9 +82,10 @@
 
 const (
 	healthy fault = iota
-	dead          // stops for good
-	cutOff        // its messages to the coordinator are lost
-	frozen        // stands still for 3 s
+	dead          // stops for good while it waits for a permit
+	cutOff        // its message to the coordinator is lost when the request ends
+	frozen        // stands still for 3 s while a request runs
+	absent        // asks for nothing, because of an earlier fault
 )
 
 // admission is the way to share the upstreams that is under test. release is nil if the request is
@@ -111,7 +113,7 @@
 }
 
 func newSeeded(seed uint64, rate func(time.Duration) float64) *simulation {
-	s := &simulation{rate: rate, length: 20 * time.Second, seed: seed, slow: map[string][]bool{}}
+	s := &simulation{rate: rate, length: 20 * time.Second, seed: seed, patience: 3, slow: map[string][]bool{}}
 	for i, speed := range []float64{0.7, 1, 1.5} {
 		v := &server{id: string(rune('a' + i)), speed: speed}
 		s.servers = append(s.servers, v)
@@ -120,6 +122,15 @@
 	return s
 }
 
+// slower makes a server slower for good after a time.
+func (s *simulation) slower(i int, factor float64, at time.Duration) {
+	time.AfterFunc(at, func() {
+		s.servers[i].lock.Lock()
+		s.servers[i].speed *= factor
+		s.servers[i].lock.Unlock()
+	})
+}
+
 func (s *simulation) drawSlow() {
 	r := rand.New(rand.NewPCG(s.seed, 9))
 	for _, v := range s.servers {
@@ -273,7 +284,7 @@
 		if o.returns == 1 {
 			o.firstReturn = o.served
 		}
-		if !o.refused || !s.returns || o.retryAfter > time.Until(q.Deadline)/3 {
+		if !o.refused || !s.returns || o.retryAfter > time.Until(q.Deadline)/time.Duration(max(1, s.patience)) {
 			return o
 		}
 		o.returns++
@@ -292,6 +303,9 @@
 		if s.fault != nil {
 			f = s.fault(holder, time.Since(s.begun))
 		}
+		if f == absent {
+			return false
+		}
 		time.Sleep(link)
 		id, release, err := s.admit(ctx, q)
 		if err != nil {
