--- a/snipeadmission/simulation_test.go
+++ b/snipeadmission/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
 	"snipepitch.example/snipepitch/snipeadmission"
 )
 
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -205,7 +205,8 @@
 	}
 	if l := c.admission.load; l != nil {
 		r.Load = &snipeadmission.Load{
-			Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Age: time.Since(c.admission.loadAt),
+			Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Pace: l.Pace,
+			Age: time.Since(c.admission.loadAt),
 		}
 	}
 	p.Release(r)
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -25,6 +25,9 @@
 	forced       = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i1","Event":104,"Name":"StopForced"}`
 	stale        = `{"time":"2026-03-01T10:00:00.100Z","Instance":"i1","Event":482,"Name":"OwnershipStale","Error":"down"}`
 	started      = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i1","Event":100,"Name":"Started"}`
+	denied       = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"search","Waiting":31}`
+	deniedOther  = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"rank","Waiting":3}`
+	lost         = `{"time":"2026-03-01T10:00:01.600Z","Instance":"i1","Event":222,"Name":"CoordinatorLost","Service":"search","Coordinator":"i2"}`
 	startedOther = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i2","Event":100,"Name":"Started"}`
 )
 
@@ -102,6 +105,16 @@
 			[]string{end("211", `"Status":429,"Workspace":"north","Asked":620,"Error":"the workspace's quota is used up"`)},
 			snipestory.QuotaUsed, nil,
 		},
+		"PermitDenied": {
+			[]string{denied, deniedOther, startedOther, end("211", `"Service":"search","Coordinator":"i2","Error":"overloaded (NotRun): no permit: queue full"`)},
+			snipestory.PermitDenied,
+			[]string{"PermitRefused", "End"},
+		},
+		"PermitWait": {
+			[]string{lost, denied, end("210", `"Service":"search","Status":200,"PermitMilliseconds":650,"FirstMilliseconds":800`)},
+			snipestory.PermitWait,
+			[]string{"CoordinatorLost", "End"},
+		},
 		"Limits": {
 			[]string{end("211", `"Error":"overloaded (NotRun): no upstream is left to try: limits are reached"`)},
 			snipestory.UpstreamClosed, nil,
