--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -146,7 +146,8 @@
 	c.lock.Lock()
 	now := time.Now()
 	if c.permits == nil {
-		c.permits, c.lastID = make(map[uint64]*lease), rand.Uint64()
+		// IDs start at random, so that those of two coordinators and of one before a restart differ.
+		c.permits, c.lastID = make(map[uint64]*lease), rand.Uint64() //nolint:gosec // not a secret
 		if c.Lifetime <= 0 {
 			c.Lifetime = defaultLifetime
 		}
--- /dev/null
+++ b/snipeadmission/coordinator_test.go
@@ -0,0 +1,380 @@
+package snipeadmission_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeadmission"
+)
+
+const ms = time.Millisecond
+
+// bench is a Coordinator with upstreams that a test changes.
+type bench struct {
+	*snipeadmission.Coordinator
+	t         *testing.T
+	upstreams []snipeadmission.Upstream
+	lock      sync.Mutex
+	decisions []snipeadmission.Decision
+}
+
+// paused runs a test on the paused clock with a Coordinator of one upstream with one slot, for which
+// two permits may be out.
+func paused(t *testing.T, test func(t *testing.T, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{t: t, upstreams: []snipeadmission.Upstream{{ID: "u", Slots: 1}}}
+		b.Coordinator = &snipeadmission.Coordinator{
+			Upstreams: func() []snipeadmission.Upstream { return b.upstreams },
+			OnDecision: func(d snipeadmission.Decision) {
+				b.lock.Lock()
+				defer b.lock.Unlock()
+				b.decisions = append(b.decisions, d)
+			},
+		}
+		test(t, b)
+	})
+}
+
+// take acquires a permit, which must be granted.
+func (b *bench) take(r snipeadmission.Request) snipeadmission.Permit {
+	b.t.Helper()
+	p, err := b.Acquire(b.t.Context(), r)
+	must.NoError(b.t, err)
+	return p
+}
+
+// fill takes all permits.
+func (b *bench) fill(n int) []snipeadmission.Permit {
+	var all []snipeadmission.Permit
+	for range n {
+		all = append(all, b.take(snipeadmission.Request{Instance: "i"}))
+	}
+	return all
+}
+
+// tryFor reports whether a permit is granted within the time. The permit is released unused.
+func (b *bench) tryFor(d time.Duration) (string, bool) {
+	ctx, cancel := context.WithTimeout(b.t.Context(), d)
+	defer cancel()
+	p, err := b.Acquire(ctx, snipeadmission.Request{Instance: "i"})
+	if err == nil {
+		b.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
+	}
+	return p.Upstream, err == nil
+}
+
+// refused acquires a permit, which must be refused at once.
+func (b *bench) refused(r snipeadmission.Request) *snipeadmission.RefusedError {
+	b.t.Helper()
+	began := time.Now()
+	_, err := b.Acquire(b.t.Context(), r)
+	must.ErrorIs(b.t, err, snipeadmission.ErrRefused)
+	must.Zero(b.t, time.Since(began))
+	var refusal *snipeadmission.RefusedError
+	must.True(b.t, errors.As(err, &refusal))
+	return refusal
+}
+
+// TestLifetime guards against permits that are lost for longer than Lifetime, that end although they
+// are renewed, or that another instance keeps alive.
+func TestLifetime(t *testing.T) {
+	tests := map[string]struct {
+		during func(b *bench, held []snipeadmission.Permit)
+		want   time.Duration // until a third permit is granted
+	}{
+		"Lost":         {func(*bench, []snipeadmission.Permit) {}, time.Second},
+		"Renewed":      {func(b *bench, p []snipeadmission.Permit) { b.Renew("i", []uint64{p[0].ID, p[1].ID, 7}) }, 1500 * ms},
+		"OneRenewed":   {func(b *bench, p []snipeadmission.Permit) { b.Renew("i", []uint64{p[0].ID}) }, time.Second},
+		"OtherRenews":  {func(b *bench, p []snipeadmission.Permit) { b.Renew("j", []uint64{p[0].ID, p[1].ID}) }, time.Second},
+		"Released":     {func(b *bench, p []snipeadmission.Permit) { b.Release(p[0].ID, snipeadmission.Result{}) }, 500 * ms},
+		"InstanceGone": {func(b *bench, _ []snipeadmission.Permit) { b.DropInstance("i") }, 500 * ms},
+		"OtherGone":    {func(b *bench, _ []snipeadmission.Permit) { b.DropInstance("j") }, time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			paused(t, func(t *testing.T, b *bench) {
+				began := time.Now()
+				held := b.fill(2)
+				time.AfterFunc(500*ms, func() { test.during(b, held) })
+				b.take(snipeadmission.Request{Instance: "k"})
+				must.Eq(t, test.want, time.Since(began))
+			})
+		})
+	}
+}
+
+// TestLateRelease guards against a release after the end of a permit that frees a slot twice.
+func TestLateRelease(t *testing.T) {
+	paused(t, func(t *testing.T, b *bench) {
+		held := b.fill(2)
+		time.Sleep(time.Second + ms)
+		must.Eq(t, snipeadmission.Stats{Granted: 2, Expired: 2}, b.Stats())
+		b.fill(2)
+		b.Release(held[0].ID, snipeadmission.Result{})
+		_, ok := b.tryFor(500 * ms)
+		must.False(t, ok)
+		must.Eq(t, snipeadmission.Stats{PermitsOut: 2, Granted: 4, Expired: 2, Unknown: 1, Withdrawn: 1}, b.Stats())
+	})
+}
+
+// TestEndAtGrant guards against a permit or a place in the queue that is lost when the context of a
+// request ends at the moment of its grant.
+func TestEndAtGrant(t *testing.T) {
+	for range 50 {
+		paused(t, func(t *testing.T, b *bench) {
+			held := b.fill(2)
+			time.AfterFunc(100*ms, func() { b.Release(held[0].ID, snipeadmission.Result{}) })
+			_, granted := b.tryFor(100 * ms)
+			synctest.Wait()
+			s := b.Stats()
+			must.Eq(t, 1, s.PermitsOut)
+			must.Zero(t, s.Waiting)
+			must.Eq(t, !granted, s.Withdrawn == 1)
+			b.fill(1)
+		})
+	}
+}
+
+// TestUpstreams guards against permits for upstreams that have left or failed, and against slots of
+// new or changed upstreams that are not used.
+func TestUpstreams(t *testing.T) {
+	release := func(r snipeadmission.Result) func(*bench, []snipeadmission.Permit) {
+		return func(b *bench, p []snipeadmission.Permit) { b.Release(p[0].ID, r) }
+	}
+	load := func(l snipeadmission.Load) *snipeadmission.Load { return &l }
+	tests := map[string]struct {
+		change func(b *bench, held []snipeadmission.Permit)
+		within time.Duration
+		want   string // the upstream of the next permit; empty if there is none within the time
+	}{
+		"Nothing":        {func(*bench, []snipeadmission.Permit) {}, 500 * ms, ""},
+		"Appears":        {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 1, "v", 1) }, 20 * ms, "v"},
+		"Restarts":       {func(b *bench, _ []snipeadmission.Permit) { b.set("v", 1) }, 20 * ms, "v"},
+		"Leaves":         {func(b *bench, p []snipeadmission.Permit) { b.set(); b.Release(p[0].ID, snipeadmission.Result{}) }, 500 * ms, ""},
+		"MoreSlots":      {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 2) }, 20 * ms, "u"},
+		"NonsenseSlots":  {func(b *bench, _ []snipeadmission.Permit) { b.set("u", -5) }, 500 * ms, ""},
+		"NoID":           {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 1, "", 9) }, 500 * ms, ""},
+		"StatesSlots":    {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Running: 2, Slots: 8}) }, 20 * ms, "u"},
+		"StatesNonsense": {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Running: -2, Slots: 8}) }, 500 * ms, ""},
+		"StatesHuge":     {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Slots: 1 << 40}) }, 500 * ms, ""},
+		"StatesNaN": {func(b *bench, _ []snipeadmission.Permit) {
+			b.Observe("u", snipeadmission.Load{Slots: 8, Pace: math.NaN()})
+		}, 500 * ms, ""},
+		"StatesStale": {func(b *bench, _ []snipeadmission.Permit) {
+			b.Observe("u", snipeadmission.Load{Slots: 8, Age: 2 * time.Second})
+		}, 500 * ms, ""},
+		"Released":       {release(snipeadmission.Result{Took: 10 * ms}), 5 * ms, "u"},
+		"Refused":        {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: 100 * ms}), 99 * ms, ""},
+		"RefusedAfter":   {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: 100 * ms}), 120 * ms, "u"},
+		"RefusedFull":    {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, Load: load(snipeadmission.Load{Running: 1, Waiting: 24, Slots: 1})}), 140 * ms, ""},
+		"RefusedForever": {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: time.Hour}), 5 * time.Second, "u"},
+		"Unreachable":    {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable}), 240 * ms, ""},
+		"Suspect":        {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 240 * ms, ""},
+		"SuspectProbed":  {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 1100 * ms, "u"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			paused(t, func(t *testing.T, b *bench) {
+				held := b.fill(2)
+				time.Sleep(ms)
+				test.change(b, held)
+				got, _ := b.tryFor(test.within)
+				must.Eq(t, test.want, got)
+			})
+		})
+	}
+}
+
+// set replaces the upstreams by pairs of ID and slots.
+func (b *bench) set(pairs ...any) {
+	b.upstreams = nil
+	for i := 0; i < len(pairs); i += 2 {
+		b.upstreams = append(b.upstreams, snipeadmission.Upstream{ID: pairs[i].(string), Slots: pairs[i+1].(int)})
+	}
+	b.Refresh()
+}
+
+// TestChoice guards against a slow upstream that is used because it has a free slot, although a fast
+// one ends the request sooner, and against one that is left idle although it would be sooner.
+func TestChoice(t *testing.T) {
+	tests := map[string]struct {
+		paceOfV float64
+		age     time.Duration // of the stated pace
+		want    []string
+	}{
+		"Slower":      {2.5, 0, []string{"u", "u", "u", "u", "u"}},
+		"SlowerFaded": {2.5, time.Second, []string{"u", "u", "u", "u", "v"}},
+		"Equal":       {1, 0, []string{"u", "v", "u", "v", "u"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			paused(t, func(t *testing.T, b *bench) {
+				b.set("u", 4, "v", 4)
+				for range 50 {
+					b.Observe("u", snipeadmission.Load{Pace: 1})
+					b.Observe("v", snipeadmission.Load{Pace: 1})
+				}
+				b.Observe("v", snipeadmission.Load{Pace: test.paceOfV})
+				time.Sleep(test.age)
+				var got []string
+				for range test.want {
+					got = append(got, b.take(snipeadmission.Request{}).Upstream)
+				}
+				must.Eq(t, test.want, got)
+			})
+		})
+	}
+}
+
+// TestForeignLoad guards against permits for slots that requests without a permit of this coordinator
+// take, and against a report of them that counts for ever. The load is that of a second coordinator.
+func TestForeignLoad(t *testing.T) {
+	paused(t, func(t *testing.T, b *bench) {
+		b.set("u", 8)
+		for range 20 {
+			b.Observe("u", snipeadmission.Load{Running: 8, Waiting: 20})
+		}
+		b.fill(1)
+		_, ok := b.tryFor(500 * ms)
+		must.False(t, ok)
+		time.Sleep(500 * ms)
+		b.fill(8)
+	})
+}
+
+// TestPlace guards against a request that loses its place when an upstream refused it or its call
+// ended, and against its return to the upstream that has just refused it.
+func TestPlace(t *testing.T) {
+	paused(t, func(t *testing.T, b *bench) {
+		held := b.fill(2)
+		arrived := time.Now()
+		time.Sleep(100 * ms)
+		order := make(chan string, 2)
+		for _, r := range []snipeadmission.Request{{Instance: "new"}, {Instance: "returned", Arrived: arrived}} {
+			go func() {
+				b.take(r)
+				order <- r.Instance
+			}()
+			synctest.Wait()
+		}
+		for _, p := range held {
+			b.Release(p.ID, snipeadmission.Result{})
+			synctest.Wait()
+		}
+		must.Eq(t, "returned new", fmt.Sprint(<-order, " ", <-order))
+
+		b.set("u", 4, "v", 4)
+		must.Eq(t, "v", b.take(snipeadmission.Request{Excluded: []string{"u"}}).Upstream)
+		began := time.Now()
+		must.Eq(t, "v", b.take(snipeadmission.Request{Excluded: []string{"u", "unknown"}}).Upstream)
+		b.set("u", 4)
+		must.Eq(t, "u", b.take(snipeadmission.Request{Excluded: []string{"u"}}).Upstream)
+		must.Between(t, ms, time.Since(began), 200*ms)
+	})
+}
+
+// TestRefusals guards against a wait of requests that can't be served, and against returning callers
+// that all come at the same moment.
+func TestRefusals(t *testing.T) {
+	in := func(d time.Duration) time.Time { return time.Now().Add(d) }
+	tests := map[string]struct {
+		prepare func(b *bench)
+		request func() snipeadmission.Request
+		want    snipeadmission.Reason
+	}{
+		"NoUpstream": {func(b *bench) { b.set() }, func() snipeadmission.Request { return snipeadmission.Request{} }, snipeadmission.ReasonNoUpstream},
+		"AllPaused": {func(b *bench) {
+			b.Release(b.fill(1)[0].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
+		}, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(100 * ms)} }, snipeadmission.ReasonNoUpstream},
+		"Deadline": {func(b *bench) { b.fill(2) }, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(60 * ms)} }, snipeadmission.ReasonDeadline},
+		"Full": {func(b *bench) {
+			b.MaxWaiting = 1
+			b.fill(2)
+			go b.tryFor(time.Second)
+			synctest.Wait()
+		}, func() snipeadmission.Request { return snipeadmission.Request{} }, snipeadmission.ReasonFull},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			paused(t, func(t *testing.T, b *bench) {
+				test.prepare(b)
+				var last time.Duration
+				for range 5 {
+					e := b.refused(test.request())
+					must.Eq(t, test.want, e.Reason)
+					must.Positive(t, e.RetryAfter)
+					must.Greater(t, last, e.RetryAfter)
+					last = e.RetryAfter
+				}
+				must.Eq(t, uint64(5), b.Stats().Refused)
+				b.lock.Lock()
+				d := b.decisions[len(b.decisions)-1]
+				b.lock.Unlock()
+				must.Eq(t, snipeadmission.EventRefused, d.Event)
+				must.Eq(t, test.want, d.Refusal.Reason)
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// TestPriority guards against a less urgent request that is served first or waits without bound. The
+// load is urgent requests at twice the rate that the upstream serves.
+func TestPriority(t *testing.T) {
+	paused(t, func(t *testing.T, b *bench) {
+		began := time.Now()
+		for time.Since(began) < 3*time.Second {
+			time.Sleep(25 * ms)
+			go func() {
+				p, err := b.Acquire(t.Context(), snipeadmission.Request{Deadline: time.Now().Add(300 * ms)})
+				if err == nil {
+					time.Sleep(50 * ms)
+					b.Release(p.ID, snipeadmission.Result{Took: 50 * ms})
+				}
+			}()
+		}
+		synctest.Wait()
+		must.Positive(t, b.refused(snipeadmission.Request{Priority: 1, Deadline: time.Now().Add(10 * time.Second)}).RetryAfter)
+		time.Sleep(2 * time.Second)
+		must.Zero(t, b.Stats().PermitsOut)
+	})
+}
+
+// BenchmarkCoordinator measures Acquire with Release, with 18 slots taken and a queue of the given
+// length, at the given number of instances.
+func BenchmarkCoordinator(b *testing.B) {
+	for _, waiting := range []int{0, 50, 500} {
+		b.Run(fmt.Sprint("Waiting", waiting), func(b *testing.B) {
+			c := &snipeadmission.Coordinator{Upstreams: func() []snipeadmission.Upstream {
+				return []snipeadmission.Upstream{{ID: "u", Slots: slots}, {ID: "v", Slots: slots}, {ID: "w", Slots: slots}}
+			}, Lifetime: time.Hour}
+			granted := make(chan snipeadmission.Permit, 1000)
+			ask := func(n int) {
+				p, err := c.Acquire(b.Context(), snipeadmission.Request{Instance: "i", Workspace: fmt.Sprint(n % 16), Target: time.Now().Add(time.Hour)})
+				if err == nil {
+					granted <- p
+				}
+			}
+			for n := range waiting + 20 {
+				go ask(n)
+			}
+			for s := c.Stats(); s.Waiting+s.PermitsOut < waiting+20; s = c.Stats() {
+				time.Sleep(time.Millisecond)
+			}
+			b.ResetTimer()
+			for n := range b.N {
+				p := <-granted
+				c.Release(p.ID, snipeadmission.Result{Took: 30 * ms, Load: &snipeadmission.Load{Running: 6, Slots: slots, Pace: 1}})
+				go ask(n)
+			}
+		})
+	}
+}
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -68,9 +68,10 @@
 }
 
 // soonest returns the position of the upstream that is expected to end the request first, given the
-// requests that are assigned to each besides those with permits; -1 if there is none.
+// requests that are assigned to each besides those with permits, and among equals the least used one;
+// -1 if there is none.
 func (c *Coordinator) soonest(w *waiter, assigned []float64, now time.Time) int {
-	best, soonest := -1, math.Inf(1)
+	best, soonest, used := -1, math.Inf(1), 0.0
 	for i, u := range c.pool.list {
 		if u.limit(now) == 0 || w.excludes(u.id, now) {
 			continue
@@ -78,8 +79,9 @@
 		mean, _ := c.pool.service(u, now)
 		slots := min(float64(u.slots), u.limit(now))
 		excess := max(0, u.load(now)+assigned[i]+1-slots)
-		if end := mean * (1 + excess/slots); end < soonest {
-			best, soonest = i, end
+		end, use := mean*(1+excess/slots), u.load(now)/slots
+		if end < soonest || end == soonest && use < used {
+			best, soonest, used = i, end, use
 		}
 	}
 	return best
@@ -127,14 +129,17 @@
 
 // retryAfter returns the time until the queue ends, and later for each further refused caller.
 func (c *Coordinator) retryAfter(now time.Time) time.Duration {
-	first, _ := c.pool.available()
-	at := later(first, now)
+	first, known := c.pool.available()
+	at, spacing := later(first, now), minPause
+	if !known {
+		at = now.Add(firstPause)
+	}
 	if rate := c.pool.rate(now); rate > 0 {
 		at = at.Add(c.wait(c.queue.Len(), rate, now))
 		// In the long run the upstreams serve as many returning callers as new ones leave room for.
-		room := max(c.pool.usualRate(now)-c.demand.rate(priorities, now), rate/leastRoom)
-		at = later(at, c.lastRetry.Add(seconds(1/room)))
+		spacing = seconds(1 / max(c.pool.usualRate(now)-c.demand.rate(priorities, now), rate/leastRoom))
 	}
+	at = later(at, c.lastRetry.Add(spacing))
 	if latest := now.Add(maxRetryAfter); at.After(latest) {
 		at = latest
 	}
--- a/snipeadmission/pacer.go
+++ b/snipeadmission/pacer.go
@@ -162,7 +162,7 @@
 
 func (p *Pacer) random() float64 {
 	if p.Random == nil {
-		return rand.Float64()
+		return rand.Float64() //nolint:gosec // jitter
 	}
 	return p.Random()
 }
