--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -213,7 +213,7 @@
 func (c *Coordinator) expire(id uint64, l *lease, now time.Time) {
 	c.remove(id, l)
 	c.stats.Expired++
-	c.decide(Decision{Event: EventExpired, Permit: c.permit(id, l), LoadAge: l.upstream.reportAge(now)})
+	c.decide(Decision{Event: EventExpired, Request: Request{Instance: l.instance}, Permit: c.permit(id, l), LoadAge: l.upstream.reportAge(now)})
 }
 
 func (c *Coordinator) remove(id uint64, l *lease) {
--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -440,6 +440,7 @@
 		out, _ = first.Lender.stats()
 		must.Eq(t, 0, out)
 		must.Eq(t, 1, first.count("PermitExpired"))
+		must.StrContains(t, first.log.String(), `"Holder":"`+caller.Self.String()+`"`)
 	})
 }
 
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -52,18 +52,22 @@
 	{"an upstream names a limit", announceLimit},
 	{"an upstream says that it leaves", announceLeaving},
 	{"an upstream asks for rest", requestBackoff},
+	{"the coordinator is lost", loseCoordinator},
 }
 
 // The lists of faults have grown, and a seed that once revealed a defect must still draw the same
 // faults. Seeds below firstSeeds therefore draw only from the first firstFaults faults and the
 // first firstUpstreamFaults faults of upstreams. Other seeds below secondSeeds draw from the first
-// secondFaults faults.
+// secondFaults faults, and other seeds below thirdSeeds from the first thirdFaults faults. Seeds from
+// thirdSeeds on use shared admission of the plain service.
 const (
 	firstSeeds          = 1000
 	firstFaults         = 12
 	firstUpstreamFaults = 7
 	secondSeeds         = 4000
 	secondFaults        = 14
+	thirdSeeds          = 8000
+	thirdFaults         = 17
 )
 
 // faultsForSeed returns the faults that a seed draws from.
@@ -73,6 +77,8 @@
 		return faults[:firstFaults]
 	case seed < secondSeeds:
 		return faults[:secondFaults]
+	case seed < thirdSeeds:
+		return faults[:thirdFaults]
 	default:
 		return faults
 	}
@@ -119,9 +125,14 @@
 	i := s.pickInstance(r)
 	i.faultLock.Lock()
 	defer i.faultLock.Unlock()
+	return s.killFor(i, d/4)
+}
+
+// killFor kills an instance, starts it again after d and returns its name. Its faultLock is held.
+func (s *Soak) killFor(i *instance, d time.Duration) string {
 	defer s.disturb(i.name)()
 	i.kill()
-	time.Sleep(d / 4)
+	time.Sleep(d)
 	s.restart(i)
 	return i.name
 }
@@ -157,6 +168,11 @@
 	i := s.pickInstance(r)
 	i.faultLock.Lock()
 	defer i.faultLock.Unlock()
+	return s.freezeFor(i, d)
+}
+
+// freezeFor freezes an instance for d and returns its name. Its faultLock is held.
+func (s *Soak) freezeFor(i *instance, d time.Duration) string {
 	defer s.disturb(i.name)()
 	i.signal(syscall.SIGSTOP)
 	time.Sleep(d)
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -89,6 +89,9 @@
 		StopTimeout: snipejson.Duration(stopTimeout), LogLevel: "info",
 		DrainTime: snipejson.Duration(snipeentry.DefaultMaxStaleness), ApplyTime: snipejson.Duration(snipeentry.DefaultMaxStaleness),
 	}
+	if i.soak.sharesAdmission() {
+		settings.AdmissionShare = soakedShare
+	}
 	for _, other := range i.soak.instances {
 		settings.Seeds = append(settings.Seeds, other.peers)
 	}
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -154,6 +154,9 @@
 		}
 		if n >= engines {
 			r.ID, r.Service, r.Model = fmt.Sprint("p", n), "plain", ""
+			if s.sharesAdmission() {
+				r.SetCapacity(plainSlots, plainQueue, plainTime)
+			}
 		}
 		address, err := serve(ctx, r.Handler())
 		if err != nil {
