--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -13,6 +13,11 @@
 	lookahead = 64
 	// maxRetryAfter bounds the time that a refused caller is told.
 	maxRetryAfter = 5 * time.Second
+	// overload is the ratio of the arrivals to what the upstreams usually serve from which the service
+	// counts as overloaded. Both are estimates: with 1, short congestion at 0.9 of the capacity counted
+	// as overload (97.8% instead of 99.1% within the deadline, the worst of ten seeds); with 1.1,
+	// an overload of 1.2 was often not seen (84% instead of 94% of the served in target).
+	overload = 1.05
 	// leastRoom is the part of the rate that is always counted on for returning callers.
 	leastRoom = 4
 	// forever is the wait that stands for no service at all.
@@ -193,10 +198,10 @@
 	}
 }
 
-// overloaded reports whether the arrivals of the priorities below limit exceed what the upstreams
-// usually serve.
+// overloaded reports whether the arrivals of the priorities below limit clearly exceed what the
+// upstreams usually serve.
 func (c *Coordinator) overloaded(limit int, now time.Time) bool {
-	return c.demand.rate(limit, now) >= c.pool.usualRate(now)
+	return c.demand.rate(limit, now) >= overload*c.pool.usualRate(now)
 }
 
 // misses reports whether a request that waits so long ends after its deadline.
--- a/snipeadmission/load_test.go
+++ b/snipeadmission/load_test.go
@@ -130,23 +130,29 @@
 }
 
 // TestNamedTimes guards against named times at which returning callers are refused again. The load is
-// 400 requests at once, and then those that come back when they were told to.
+// half the capacity, with 600 requests at once that have 5 s left, and then the return of those of
+// them that were told a time within a third of that.
 func TestNamedTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := simulate(t, 1, steady(0.5), func(s *simulation, _ *snipeadmission.Coordinator) {
-			s.length, s.returns = 4*time.Second, true
+			s.length, s.returns = 6*time.Second, true
 			rate := s.rate
+			atOnce := func(at time.Duration) bool { return at > time.Second && at < time.Second+10*time.Millisecond }
 			s.rate = func(at time.Duration) float64 {
-				if at > time.Second && at < time.Second+10*time.Millisecond {
-					return 40_000
+				if atOnce(at) {
+					return 60_000
 				}
 				return rate(at)
 			}
-			s.patience = 2
+			s.shape = func(_ int, at time.Duration, r *snipeadmission.Request) {
+				if atOnce(at) {
+					r.Deadline = time.Now().Add(5 * time.Second)
+				}
+			}
 		})
 		x := s.summary(all)
 		t.Logf("%+v", x)
-		must.Positive(t, x.returned)
+		must.GreaterEq(t, 100, x.returned)
 		must.GreaterEq(t, 0.99, x.firstReturn)
 	})
 }
--- a/snipeadmission/simulation_test.go
+++ b/snipeadmission/simulation_test.go
@@ -69,7 +69,6 @@
 	seed     uint64
 	admit    admission
 	returns  bool // refused callers come back at the named time
-	patience int  // callers come back at up to this fraction of the time left; 0 means 3, a third
 	noPace   bool
 	shape    func(n int, at time.Duration, r *snipeadmission.Request)
 	fault    func(instance int, at time.Duration) fault
@@ -110,7 +109,7 @@
 // newSimulation returns a simulation of three servers of unequal speed. The random numbers are drawn
 // from the seed.
 func newSimulation(seed uint64) *simulation {
-	s := &simulation{length: 20 * time.Second, seed: seed, patience: 3, slow: map[string][]bool{}}
+	s := &simulation{length: 20 * time.Second, seed: seed, slow: map[string][]bool{}}
 	for i, speed := range []float64{0.7, 1, 1.5} {
 		v := &server{id: string(rune('a' + i)), speed: speed}
 		s.servers = append(s.servers, v)
@@ -281,7 +280,7 @@
 		if o.returns == 1 {
 			o.firstReturn = o.served
 		}
-		if !o.refused || !s.returns || o.retryAfter > time.Until(q.Deadline)/time.Duration(max(1, s.patience)) {
+		if !o.refused || !s.returns || o.retryAfter > time.Until(q.Deadline)/3 {
 			return o
 		}
 		o.returns++
