--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -76,6 +76,8 @@
 	// have fewer than AdmissionShare slots for each live instance; 0 switches it off. It is at most
 	// maxAdmissionShare.
 	AdmissionShare float64
+	// IgnorePace has upstreams chosen by their load alone, also where they state their pace.
+	IgnorePace bool
 	// LogLevel is the name of a logrus level; "info" if the file does not set it.
 	LogLevel string
 }
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -1,6 +1,7 @@
 package snipestand
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -61,7 +62,7 @@
 	h := w.Header()
 	h.Set("X-Snipepitch-Server-Seal", r.ID+".1")
 	if h.Get("X-Snipepitch-Server-Load") == "" {
-		h.Set("X-Snipepitch-Server-Load", "1,0,8")
+		h.Set("X-Snipepitch-Server-Load", cmp.Or(r.Load, "1,0,8"))
 	}
 	switch f {
 	case RunnerResets:
