snipeadmission: upstreams without slots and requests whose deadline has passed

Cause: an upstream listed with 0 slots divided by zero, and a request whose deadline had passed got a permit if one was free. Change: 0 slots count as 1; such a request is refused.

--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -134,6 +134,10 @@
 		Priority: r.Priority, Workspace: r.Workspace, Tokens: r.Tokens,
 		Queued: queued, Target: r.Target, Deadline: r.Deadline,
 	}, w)
+	if d := r.Deadline; !d.IsZero() && !d.After(now) {
+		c.refuse(e, ReasonDeadline, now)
+		return w, e
+	}
 	c.grantAll(now)
 	if len(w.decision) == 0 {
 		c.judge(e, now)
--- a/snipeadmission/coordinator_test.go
+++ b/snipeadmission/coordinator_test.go
@@ -161,6 +161,7 @@
 		"Leaves":         {func(b *bench, p []snipeadmission.Permit) { b.set(); b.Release(p[0].ID, snipeadmission.Result{}) }, 500 * ms, ""},
 		"MoreSlots":      {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 2) }, 20 * ms, "u"},
 		"NonsenseSlots":  {func(b *bench, _ []snipeadmission.Permit) { b.set("u", -5) }, 500 * ms, ""},
+		"ZeroSlots":      {func(b *bench, _ []snipeadmission.Permit) { b.set("v", 0) }, 20 * ms, "v"},
 		"NoID":           {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 1, "", 9) }, 500 * ms, ""},
 		"StatesSlots":    {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Running: 2, Slots: 8}) }, 20 * ms, "u"},
 		"StatesNonsense": {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Running: -2, Slots: 8}) }, 500 * ms, ""},
@@ -294,6 +295,7 @@
 		"AllPaused": {func(b *bench) {
 			b.Release(b.fill(1)[0].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
 		}, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(100 * ms)} }, snipeadmission.ReasonNoUpstream},
+		"Passed":   {func(*bench) {}, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(0)} }, snipeadmission.ReasonDeadline},
 		"Deadline": {func(b *bench) { b.fill(2) }, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(60 * ms)} }, snipeadmission.ReasonDeadline},
 		"Full": {func(b *bench) {
 			b.MaxWaiting = 1
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -144,7 +144,7 @@
 		// In the long run the upstreams serve as many returning callers as new ones leave room for.
 		spacing = seconds(1 / max(c.pool.usualRate(now)-c.demand.rate(priorities, now), rate/leastRoom))
 	}
-	at = later(at, c.lastRetry.Add(spacing))
+	at = later(later(at, now.Add(minPause)), c.lastRetry.Add(spacing))
 	if latest := now.Add(maxRetryAfter); at.After(latest) {
 		at = latest
 	}
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -78,7 +78,7 @@
 
 // setSlots takes over the slots that Upstreams states, if they have changed.
 func (u *upstream) setSlots(listed int) {
-	if listed == u.listed {
+	if listed == u.listed && u.slots > 0 {
 		return
 	}
 	u.listed, u.slots = listed, min(max(listed, 1), maxSlots)
