--- a/snipegateway/workspace.go
+++ b/snipegateway/workspace.go
@@ -169,6 +169,15 @@
 // WorkspaceLabel returns the quoted metric label of a workspace.
 func (g *Gateway) WorkspaceLabel(workspace string) string { return g.workspaceLabels.label(workspace) }
 
+// name returns the metric label of a workspace without the quotes.
+func (l *workspaceLabels) name(workspace string) string {
+	name, err := strconv.Unquote(l.label(workspace))
+	if err != nil {
+		return "other" // label quotes all names
+	}
+	return name
+}
+
 // countWorkspace counts the end of a request in its workspace's metrics.
 func (c *call) countWorkspace(outcome string) {
 	if c.workspace == nil {
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -99,11 +99,18 @@
 	QuotaReached     = define(217, "QuotaReached", logrus.InfoLevel)
 	HeaderAppeared   = define(218, "HeaderAppeared", logrus.InfoLevel)
 
-	MemoryHigh       = define(230, "MemoryHigh", logrus.WarnLevel)
-	MemoryFree       = define(231, "MemoryFree", logrus.InfoLevel)
-	RefusedForMemory = define(232, "RefusedForMemory", logrus.InfoLevel)
-	AnswerEnded      = define(233, "AnswerEnded", logrus.WarnLevel)
-	ConnectionsFull  = define(234, "ConnectionsFull", logrus.WarnLevel)
+	PermitRefused      = define(219, "PermitRefused", logrus.InfoLevel)
+	PermitExpired      = define(220, "PermitExpired", logrus.WarnLevel)
+	CoordinatorChanged = define(221, "CoordinatorChanged", logrus.InfoLevel)
+	CoordinatorLost    = define(222, "CoordinatorLost", logrus.WarnLevel)
+	PacingBegun        = define(223, "PacingBegun", logrus.WarnLevel)
+	PacingEnded        = define(224, "PacingEnded", logrus.InfoLevel)
+	UpstreamPaused     = define(225, "UpstreamPaused", logrus.InfoLevel)
+	MemoryHigh         = define(230, "MemoryHigh", logrus.WarnLevel)
+	MemoryFree         = define(231, "MemoryFree", logrus.InfoLevel)
+	RefusedForMemory   = define(232, "RefusedForMemory", logrus.InfoLevel)
+	AnswerEnded        = define(233, "AnswerEnded", logrus.WarnLevel)
+	ConnectionsFull    = define(234, "ConnectionsFull", logrus.WarnLevel)
 )
 
 // Events of the catalog, which operators declare, and of the directory of upstreams, 310 to 339.
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -28,6 +28,9 @@
 	refusedMemory = `{"time":"2026-03-01T10:00:01.990Z","Instance":"i1","Event":232,"Name":"RefusedForMemory","Request":"q1","Held":57000000,"Bound":57600000}`
 	answerEnded   = `{"time":"2026-03-01T10:00:01.990Z","Instance":"i1","Event":233,"Name":"AnswerEnded","Request":"q1","UnreadMilliseconds":1500}`
 	startedOther  = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i2","Event":100,"Name":"Started"}`
+	denied        = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"search","Waiting":31}`
+	deniedOther   = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"rank","Waiting":3}`
+	lost          = `{"time":"2026-03-01T10:00:01.600Z","Instance":"i1","Event":222,"Name":"CoordinatorLost","Service":"search","Coordinator":"i2"}`
 )
 
 // end returns a line that reports the end of request q1 after 800 ms, with the given event and
@@ -114,6 +117,16 @@
 			[]string{end("211", `"Status":429,"Workspace":"north","Asked":620,"Error":"the workspace's quota is used up"`)},
 			snipestory.QuotaUsed, nil,
 		},
+		"PermitDenied": {
+			[]string{denied, deniedOther, startedOther, end("211", `"Service":"search","Coordinator":"i2","Error":"overloaded (NotRun): no permit: queue full"`)},
+			snipestory.PermitDenied,
+			[]string{"PermitRefused", "End"},
+		},
+		"PermitWait": {
+			[]string{lost, denied, end("210", `"Service":"search","Status":200,"PermitMilliseconds":650,"FirstMilliseconds":800`)},
+			snipestory.PermitWait,
+			[]string{"CoordinatorLost", "End"},
+		},
 		"Limits": {
 			[]string{end("211", `"Error":"overloaded (NotRun): no upstream is left to try: limits are reached"`)},
 			snipestory.UpstreamClosed, nil,
