Ensure carries priority, workspace, target and deadline to the owner

Change: AdapterEnsureRequest gets new fields (priority, workspace, target and deadline as remaining milliseconds, prompt tokens); Controller.Ensure and Chooser.Ensure take a Demand. The queue does not use them yet. Requests of different priority no longer share one load request of an instance, because the owner must know of the most urgent one; this costs at most one more message for each priority and load. An older instance's request has no new fields and counts as before; figures out of range are bounded. Tests: the calls of Ensure in existing tests state their wait as a Demand, otherwise unchanged.

--- a/snipeadapter/controller.go
+++ b/snipeadapter/controller.go
@@ -175,10 +175,10 @@
 // Ensure waits until an engine holds an adapter in at least the given version and returns the
 // version that it holds. If the adapter has to be loaded and no load of a sufficient version is
 // pending, Ensure queues one, or returns a BusyError at once if that load is not expected to
-// complete within maxWait. It also fails at once if the engine is unknown, if this instance may not
+// complete within the MaxWait of d. It also fails at once if the engine is unknown, if this instance may not
 // order it, or if it is known not to hold the base model. When ctx ends, Ensure returns the error
 // of ctx; a load that has started continues.
-func (c *Controller) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64, maxWait time.Duration) (int64, error) {
+func (c *Controller) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64, d Demand) (int64, error) {
 	u := c.Upstream(id)
 	if u == nil {
 		return 0, errors.Wrap(ErrUnknownEngine, id)
@@ -190,7 +190,7 @@
 	if !e.serves(a.Model) {
 		return 0, errors.Wrap(ErrNoModel, id)
 	}
-	l, held, err := e.findOrQueue(a, c.target(a, version), version, maxWait)
+	l, held, err := e.findOrQueue(a, c.target(a, version), version, d.bounded())
 	if l == nil {
 		return held, err
 	}
--- a/snipeadapter/controller_test.go
+++ b/snipeadapter/controller_test.go
@@ -206,6 +206,9 @@
 
 const longWait = 10 * time.Second
 
+// within returns the demand of a request that accepts a load of at most maxWait and states no more.
+func within(maxWait time.Duration) snipeadapter.Demand { return snipeadapter.Demand{MaxWait: maxWait} }
+
 // runSimulation runs f in a synctest bubble with an engine and its controller.
 func runSimulation(t *testing.T, seed uint64, f func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, owns *bool)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -231,7 +234,7 @@
 		var all sync.WaitGroup
 		for range 20 {
 			all.Go(func() {
-				_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, longWait)
+				_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, within(longWait))
 				must.NoError(t, err)
 			})
 		}
@@ -264,7 +267,7 @@
 					for range 150 {
 						a := adapter(r.IntN(20))
 						all.Go(func() {
-							_, err := c.Ensure(t.Context(), "e1", a, 0, time.Minute)
+							_, err := c.Ensure(t.Context(), "e1", a, 0, within(time.Minute))
 							lock.Lock()
 							defer lock.Unlock()
 							if err != nil {
@@ -305,7 +308,7 @@
 				for n := range 150 {
 					a := adapter(r.IntN(20))
 					all.Go(func() {
-						_, err := c.Ensure(t.Context(), "e1", a, 0, time.Minute)
+						_, err := c.Ensure(t.Context(), "e1", a, 0, within(time.Minute))
 						must.NoError(t, err)
 					})
 					time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
@@ -333,12 +336,12 @@
 func TestReplacement(t *testing.T) {
 	runSimulation(t, 2, func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, _ *bool) {
 		for n := range slots {
-			_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, longWait)
+			_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, within(longWait))
 			must.NoError(t, err)
 		}
 		time.Sleep(5 * time.Second)
 		c.Refresh(adapter(0), 2)
-		version, err := c.Ensure(t.Context(), "e1", adapter(0), 2, longWait)
+		version, err := c.Ensure(t.Context(), "e1", adapter(0), 2, within(longWait))
 		must.NoError(t, err)
 		must.Eq(t, 2, version)
 		must.False(t, e.exceededSlots())
@@ -350,7 +353,7 @@
 func TestUsedAdaptersAreKept(t *testing.T) {
 	runSimulation(t, 3, func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, _ *bool) {
 		for n := range 40 {
-			_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, longWait)
+			_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, within(longWait))
 			must.NoError(t, err)
 			c.RecordUse("e1", "i1", map[snipecatalog.Adapter]snipeadapter.Use{adapter(0): {Begun: 5}})
 			time.Sleep(300 * time.Millisecond)
@@ -378,7 +381,7 @@
 		t.Run(name, func(t *testing.T) {
 			runSimulation(t, 3, func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, _ *bool) {
 				for n := range slots {
-					_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, longWait)
+					_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, within(longWait))
 					must.NoError(t, err)
 				}
 				for n := range slots - 1 {
@@ -387,7 +390,7 @@
 				c.RecordUse("e1", "i1", uses{adapter(0): {Begun: 1, Running: true}})
 				tt.end(c)
 				time.Sleep(tt.after)
-				_, err := c.Ensure(t.Context(), "e1", adapter(slots), 0, longWait)
+				_, err := c.Ensure(t.Context(), "e1", adapter(slots), 0, within(longWait))
 				must.NoError(t, err)
 				must.Eq(t, tt.stays, e.holds(adapter(0)))
 			})
@@ -405,7 +408,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			runSimulation(t, 9, func(t *testing.T, _ *fakeEngine, c *snipeadapter.Controller, _ *bool) {
-				_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, longWait)
+				_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, within(longWait))
 				must.NoError(t, err)
 				r := rand.New(rand.NewPCG(9, 9))
 				rate := func() float64 { return c.UseRates("e1", 0)[adapter(1)] }
@@ -441,7 +444,7 @@
 // does not hold gets this adapter in the answer.
 func TestUseOfAbsentAdapter(t *testing.T) {
 	runSimulation(t, 10, func(t *testing.T, _ *fakeEngine, c *snipeadapter.Controller, _ *bool) {
-		_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, longWait)
+		_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, within(longWait))
 		must.NoError(t, err)
 		gone := c.RecordUse("e1", "i1", map[snipecatalog.Adapter]snipeadapter.Use{adapter(1): {Begun: 3}, adapter(2): {Begun: 1}})
 		must.Eq(t, []snipecatalog.Adapter{adapter(2)}, gone)
@@ -453,7 +456,7 @@
 func TestEvictions(t *testing.T) {
 	runSimulation(t, 11, func(t *testing.T, _ *fakeEngine, c *snipeadapter.Controller, _ *bool) {
 		ensure := func(n int) {
-			_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, longWait)
+			_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, within(longWait))
 			must.NoError(t, err)
 			time.Sleep(350 * time.Millisecond)
 		}
@@ -483,11 +486,11 @@
 		var all sync.WaitGroup
 		ctx, cancel := context.WithCancel(t.Context())
 		for n := range 40 {
-			all.Go(func() { _, _ = c.Ensure(ctx, "e1", adapter(n), 0, time.Minute) })
+			all.Go(func() { _, _ = c.Ensure(ctx, "e1", adapter(n), 0, within(time.Minute)) })
 		}
 		synctest.Wait()
 		begun := time.Now()
-		_, err := c.Ensure(t.Context(), "e1", adapter(99), 0, time.Second)
+		_, err := c.Ensure(t.Context(), "e1", adapter(99), 0, within(time.Second))
 		var busy *snipeadapter.BusyError
 		must.True(t, errors.As(err, &busy))
 		must.Greater(t, time.Second, busy.Wait)
@@ -503,7 +506,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var all sync.WaitGroup
 		for n := range 30 {
-			all.Go(func() { _, _ = c.Ensure(ctx, "e1", adapter(n), 0, time.Minute) })
+			all.Go(func() { _, _ = c.Ensure(ctx, "e1", adapter(n), 0, within(time.Minute)) })
 		}
 		synctest.Wait()
 		cancel()
@@ -517,7 +520,7 @@
 func TestOrdersRequireFence(t *testing.T) {
 	runSimulation(t, 6, func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, owns *bool) {
 		*owns = false
-		_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, longWait)
+		_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, within(longWait))
 		must.ErrorIs(t, err, snipeadapter.ErrNotOwner)
 		must.Eq(t, 0, e.begun())
 	})
@@ -531,11 +534,11 @@
 		time.Sleep(2 * reportLag)
 		c.Model = func(*snipedirectory.Upstream) string { return model }
 		c.ReadEngine(t.Context(), c.Upstream("e1"))
-		_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, longWait)
+		_, err := c.Ensure(t.Context(), "e1", adapter(1), 0, within(longWait))
 		must.ErrorIs(t, err, snipeadapter.ErrNoModel)
 		time.Sleep(time.Second)
 		must.Eq(t, 1, e.begun())
-		_, err = c.Ensure(t.Context(), "e1", adapter(1), 0, longWait)
+		_, err = c.Ensure(t.Context(), "e1", adapter(1), 0, within(longWait))
 		must.NoError(t, err)
 	})
 }
@@ -557,7 +560,7 @@
 			}
 			time.Sleep(330 * time.Millisecond)
 		}
-		_, err := c.Ensure(t.Context(), "e1", adapter(99), 0, longWait)
+		_, err := c.Ensure(t.Context(), "e1", adapter(99), 0, within(longWait))
 		must.NoError(t, err)
 		must.False(t, e.holds(adapter(idle)))
 	})
@@ -579,7 +582,7 @@
 			c.RecordUse("e1", "i1", map[snipecatalog.Adapter]snipeadapter.Use{adapter(replica): {Begun: 2}})
 			time.Sleep(400 * time.Millisecond)
 		}
-		_, err := c.Ensure(t.Context(), "e1", adapter(99), 0, longWait)
+		_, err := c.Ensure(t.Context(), "e1", adapter(99), 0, within(longWait))
 		must.NoError(t, err)
 		must.False(t, e.holds(adapter(replica)))
 	})
@@ -589,7 +592,7 @@
 func fill(t *testing.T, c *snipeadapter.Controller) {
 	t.Helper()
 	for n := range slots {
-		_, err := c.Ensure(t.Context(), "e1", adapter(n+1), 0, longWait)
+		_, err := c.Ensure(t.Context(), "e1", adapter(n+1), 0, within(longWait))
 		must.NoError(t, err)
 	}
 }
--- a/snipeadapter/due_test.go
+++ b/snipeadapter/due_test.go
@@ -20,7 +20,7 @@
 		var all sync.WaitGroup
 		ensure := func(n, callers int, maxWait time.Duration) {
 			for range callers {
-				all.Go(func() { _, _ = c.Ensure(t.Context(), "e1", adapter(n), 0, maxWait) })
+				all.Go(func() { _, _ = c.Ensure(t.Context(), "e1", adapter(n), 0, within(maxWait)) })
 			}
 			time.Sleep(time.Millisecond)
 		}
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -51,8 +51,8 @@
 // findOrQueue returns the version that the engine already holds if it is at least minVersion, or
 // else a load of at least minVersion, with the caller counted as a waiter. It queues a load of the
 // target version if none is pending; the error is a BusyError if that load is not expected to
-// complete within maxWait. The caller waits for the load or calls removeWaiter.
-func (e *engine) findOrQueue(a snipecatalog.Adapter, target, minVersion int64, maxWait time.Duration) (*load, int64, error) {
+// complete within the MaxWait of d. The caller waits for the load or calls removeWaiter.
+func (e *engine) findOrQueue(a snipecatalog.Adapter, target, minVersion int64, d Demand) (*load, int64, error) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	h := e.held[a]
@@ -63,13 +63,13 @@
 		return nil, h.version, nil
 	}
 	if l := e.loads[a]; l != nil && l.version >= minVersion {
-		l.addWaiter(maxWait)
+		l.addWaiter(d.MaxWait)
 		return l, 0, nil
 	}
-	if wait := e.expectedWait(a); wait > maxWait {
+	if wait := e.expectedWait(a); wait > d.MaxWait {
 		return nil, 0, &BusyError{Wait: wait}
 	}
-	return e.enqueue(a, target, maxWait), 0, nil
+	return e.enqueue(a, target, d.MaxWait), 0, nil
 }
 
 // addWaiter adds a caller that waits up to maxWait for the load. The engine's lock is held.
--- a/snipeadapter/model_test.go
+++ b/snipeadapter/model_test.go
@@ -149,7 +149,7 @@
 						c.ReadEngine(t.Context(), u)
 					}
 					a := adapter(random.IntN(20))
-					go func() { _, _ = c.Ensure(t.Context(), r.id(), a, 0, time.Minute) }()
+					go func() { _, _ = c.Ensure(t.Context(), r.id(), a, 0, within(time.Minute)) }()
 					time.Sleep(100 * time.Millisecond)
 				}
 				f.lock.Lock()
@@ -158,7 +158,7 @@
 				time.Sleep(20 * time.Second)
 				c.ReadEngine(t.Context(), r.current.Load())
 				time.Sleep(2 * modelLoadTime)
-				_, err := c.Ensure(t.Context(), r.id(), adapter(1), 0, time.Minute)
+				_, err := c.Ensure(t.Context(), r.id(), adapter(1), 0, within(time.Minute))
 				must.NoError(t, err)
 				f.lock.Lock()
 				defer f.lock.Unlock()
--- a/snipeadapter/reload_test.go
+++ b/snipeadapter/reload_test.go
@@ -22,11 +22,11 @@
 		e.remember(adapter(reloaded))
 		var all sync.WaitGroup
 		for n := range queued {
-			all.Go(func() { _, _ = c.Ensure(t.Context(), "e1", adapter(n), 0, time.Minute) })
+			all.Go(func() { _, _ = c.Ensure(t.Context(), "e1", adapter(n), 0, within(time.Minute)) })
 		}
 		synctest.Wait()
 		begun := time.Now()
-		_, err := c.Ensure(t.Context(), "e1", adapter(reloaded), 0, reloadTime)
+		_, err := c.Ensure(t.Context(), "e1", adapter(reloaded), 0, within(reloadTime))
 		must.NoError(t, err)
 		must.Less(t, storeLoadTime/2, time.Since(begun))
 		all.Wait()
@@ -40,7 +40,7 @@
 	runSimulation(t, 15, func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, _ *bool) {
 		var all sync.WaitGroup
 		for n := range slots {
-			all.Go(func() { _, _ = c.Ensure(t.Context(), "e1", adapter(n), 0, time.Minute) })
+			all.Go(func() { _, _ = c.Ensure(t.Context(), "e1", adapter(n), 0, within(time.Minute)) })
 		}
 		time.Sleep(storeLoadTime / 2)
 		must.Eq(t, 2, e.begun())
--- a/snipeadapter/restart_test.go
+++ b/snipeadapter/restart_test.go
@@ -106,14 +106,14 @@
 							time.AfterFunc(detectionDelay, func() { r.show(c, start) })
 						}
 						a := adapter(random.IntN(20))
-						all.Go(func() { _, _ = c.Ensure(t.Context(), r.id(), a, 0, time.Minute) })
+						all.Go(func() { _, _ = c.Ensure(t.Context(), r.id(), a, 0, within(time.Minute)) })
 						time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 					}
 					all.Wait()
 					must.False(t, e.exceededSlots())
 					e.setLoss(0, 0)
 					time.Sleep(time.Second)
-					_, err := c.Ensure(t.Context(), r.id(), adapter(1), 0, time.Minute)
+					_, err := c.Ensure(t.Context(), r.id(), adapter(1), 0, within(time.Minute))
 					must.NoError(t, err)
 					must.True(t, e.holds(adapter(1)))
 				})
@@ -144,7 +144,7 @@
 				time.Sleep(2 * reportLag)
 				r := newRegistry(c)
 				r.show(c, tt.shown)
-				_, err := c.Ensure(t.Context(), r.id(), adapter(1), 0, longWait)
+				_, err := c.Ensure(t.Context(), r.id(), adapter(1), 0, within(longWait))
 				if !tt.restarted {
 					must.NoError(t, err)
 					return
@@ -153,7 +153,7 @@
 				must.Eq(t, 0, e.begun())
 				must.Eq(t, "", r.id())
 				r.show(c, tt.reported)
-				_, err = c.Ensure(t.Context(), r.id(), adapter(1), 0, longWait)
+				_, err = c.Ensure(t.Context(), r.id(), adapter(1), 0, within(longWait))
 				must.NoError(t, err)
 			})
 		})
@@ -169,7 +169,7 @@
 		r := newRegistry(c)
 		r.show(c, 2)
 		ensure := func(n int) {
-			_, err := c.Ensure(t.Context(), r.id(), adapter(n), 0, longWait)
+			_, err := c.Ensure(t.Context(), r.id(), adapter(n), 0, within(longWait))
 			must.NoError(t, err)
 			time.Sleep(400 * time.Millisecond)
 		}
@@ -223,7 +223,7 @@
 		}
 		time.Sleep(reportLag)
 		c.ReadEngine(t.Context(), c.Upstream("e1"))
-		_, err := c.Ensure(t.Context(), "e1", adapter(slots), 0, longWait)
+		_, err := c.Ensure(t.Context(), "e1", adapter(slots), 0, within(longWait))
 		must.NoError(t, err)
 		must.Eq(t, slots, e.count())
 	})
--- a/snipeadapter/slotwait_test.go
+++ b/snipeadapter/slotwait_test.go
@@ -31,7 +31,7 @@
 			runSimulation(t, 21, func(t *testing.T, _ *fakeEngine, c *snipeadapter.Controller, _ *bool) {
 				uses := map[snipecatalog.Adapter]snipeadapter.Use{}
 				for n := range slots {
-					_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, longWait)
+					_, err := c.Ensure(t.Context(), "e1", adapter(n), 0, within(longWait))
 					must.NoError(t, err)
 					if n < tt.inFlight {
 						uses[adapter(n)] = snipeadapter.Use{Begun: 1, Running: true}
@@ -40,11 +40,11 @@
 				time.Sleep(500 * time.Millisecond)
 				c.RecordUse("e1", "i1", uses)
 				for n := range tt.queued {
-					go func() { _, _ = c.Ensure(t.Context(), "e1", adapter(slots+1+n), 0, longWait) }()
+					go func() { _, _ = c.Ensure(t.Context(), "e1", adapter(slots+1+n), 0, within(longWait)) }()
 					time.Sleep(time.Millisecond)
 				}
 				begun := time.Now()
-				_, err := c.Ensure(t.Context(), "e1", adapter(slots), 0, maxWait)
+				_, err := c.Ensure(t.Context(), "e1", adapter(slots), 0, within(maxWait))
 				var busy *snipeadapter.BusyError
 				must.Eq(t, tt.busy, errors.As(err, &busy))
 				if tt.busy {
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -56,8 +56,7 @@
 // that the engine accepts no connection.
 func (s *peerServer) Ensure(ctx context.Context, r *snipeproto.AdapterEnsureRequest) (*snipeproto.AdapterEnsureResponse, error) {
 	a := snipecatalog.Adapter{Model: r.GetModel(), Name: r.GetAdapter()}
-	maxWait := time.Duration(r.GetPatienceMilliseconds()) * time.Millisecond
-	version, err := s.controller.Ensure(ctx, r.GetEngine(), a, r.GetVersion(), maxWait)
+	version, err := s.controller.Ensure(ctx, r.GetEngine(), a, r.GetVersion(), decodeDemand(r))
 	var busy *snipeadapter.BusyError
 	switch {
 	case errors.As(err, &busy):
@@ -242,23 +241,22 @@
 
 // ensure waits until an engine holds an adapter in at least the given version, by a request to the
 // engine's owner, and returns the version that the engine holds. It returns a BusyError if the load
-// is not expected to complete within maxWait, an error that wraps ErrNotOwner if no owner is known,
+// is not expected to complete within d.MaxWait, an error that wraps ErrNotOwner if no owner is known,
 // one that wraps ErrUnreached if the engine accepts no connection, and errOwnerUnresponsive,
 // wrapped, if the owner becomes unreachable during the wait.
-func (i *Instance) ensure(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, maxWait time.Duration) (int64, error) {
+func (i *Instance) ensure(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
 	owner, ok := i.holder.View().Owners[u.Address]
 	if !ok {
 		return 0, errors.Wrap(snipeadapter.ErrNotOwner, u.ID)
 	}
 	if owner.Self {
-		return i.controller.Ensure(ctx, u.ID, a, version, maxWait)
+		return i.controller.Ensure(ctx, u.ID, a, version, d)
 	}
 	ctx, cancel := i.peers.trackRequest(ctx, owner.Instance.Peer)
 	defer cancel()
-	answer, err := i.peers.adapters.client(owner.Instance.Peer).Ensure(ctx, &snipeproto.AdapterEnsureRequest{
-		Engine: u.ID, Model: a.Model, Adapter: a.Name, Version: version,
-		PatienceMilliseconds: maxWait.Milliseconds(),
-	})
+	request := &snipeproto.AdapterEnsureRequest{Engine: u.ID, Model: a.Model, Adapter: a.Name, Version: version}
+	encodeDemand(request, d)
+	answer, err := i.peers.adapters.client(owner.Instance.Peer).Ensure(ctx, request)
 	var failure twirp.Error
 	if errors.As(err, &failure) {
 		switch failure.Code() {
--- a/snipeentry/peers_test.go
+++ b/snipeentry/peers_test.go
@@ -40,7 +40,7 @@
 		Newest:   func(snipecatalog.Adapter) int64 { return 0 },
 		Log:      snipelog.Discard(),
 	}
-	_, err := controller.Ensure(t.Context(), engine, held, 0, time.Second)
+	_, err := controller.Ensure(t.Context(), engine, held, 0, snipeadapter.Demand{MaxWait: time.Second})
 	must.NoError(t, err)
 	server := &peerServer{controller: controller, board: &snipebalance.Board{}, replicas: func(a snipecatalog.Adapter, except string) []snipegateway.Replica {
 		must.Eq(t, engine, except)
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -282,6 +282,7 @@
 func (c *call) choose(ctx context.Context) (Choice, error) {
 	bounded, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	c.setDemand()
 	choice, err := c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.tried, c.maxLoadWait())
 	c.waited += choice.Waited
 	c.version = choice.Version
@@ -291,6 +292,14 @@
 	return choice, err
 }
 
+// setDemand sets the fields of the request that the gateway states itself.
+func (c *call) setDemand() {
+	c.Priority, c.Workspace = c.priority(), c.workspaceName()
+	if c.route.Target > 0 {
+		c.Target = c.arrived.Add(c.route.Target)
+	}
+}
+
 // jitter returns a number from 0 to 1, derived from the request's identifier.
 func (c *call) jitter() float64 { return float64(sniperoute.Hash(c.ID)) / math.MaxUint64 }
 
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -48,9 +48,9 @@
 	Signals   *snipesignal.Tracker
 	Versions  *snipecatalog.Cache
 	// Ensure asks an engine's owner to load an adapter, waits for the load and returns the loaded
-	// version. It returns a snipeadapter.BusyError at once if the load would take longer than
-	// maxWait.
-	Ensure func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, maxWait time.Duration) (int64, error)
+	// version. It returns a snipeadapter.BusyError at once if the load would take longer than the
+	// demand's MaxWait, and later if a queued load is displaced.
+	Ensure func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error)
 	// Owned reports whether an engine has an owner that can be reached and may order loads on it.
 	Owned func(u *snipedirectory.Upstream) bool
 
@@ -140,7 +140,7 @@
 	if u != nil && (c.Balancer.Usable(u) || held > 0) {
 		choice := c.newChoice(u, a)
 		if a.Name != "" && c.overloaded(u) {
-			if other, ok := c.offload(ctx, all, a, required, tried, u); ok {
+			if other, ok := c.offload(ctx, all, q, required, tried, u); ok {
 				choice = other
 			}
 		}
@@ -150,7 +150,7 @@
 	if a.Name == "" {
 		return Choice{}, c.refusalError(all, noUpstreamError("no engine holds the model"))
 	}
-	return c.load(ctx, all, a, required, maxWait, untried)
+	return c.load(ctx, all, q, required, maxWait, untried)
 }
 
 // possibleHolders returns the engines of a service that may hold an adapter, or all of its engines
--- a/snipegateway/choose_test.go
+++ b/snipegateway/choose_test.go
@@ -38,7 +38,7 @@
 // loadTime is the time of a load on an otherwise idle engine.
 const loadTime = 250 * time.Millisecond
 
-func (o *fakeOwners) ensure(ctx context.Context, u *snipedirectory.Upstream, _ snipecatalog.Adapter, version int64, maxWait time.Duration) (int64, error) {
+func (o *fakeOwners) ensure(ctx context.Context, u *snipedirectory.Upstream, _ snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
 	o.lock.Lock()
 	o.requested = append(o.requested, u.ID)
 	wait, failure := o.busy[u.ID], o.failures[u.ID]
@@ -46,7 +46,7 @@
 	if failure != nil {
 		return 0, failure
 	}
-	if wait > maxWait {
+	if wait > d.MaxWait {
 		return 0, &snipeadapter.BusyError{Wait: wait}
 	}
 	select {
--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -38,6 +38,9 @@
 	engine  string
 	adapter snipecatalog.Adapter
 	version int64
+	// priority is that of the requests: the owner must know of the most urgent request that waits,
+	// which is not always the first.
+	priority int
 }
 
 // sharedLoad is one load request to an owner, shared by all requests that wait for its result.
@@ -56,8 +59,8 @@
 // that can do so within shortLoadWait, or else the first candidate if it can do so within maxWait.
 // Candidates whose load request failed for another reason than time are passed over. If no engine
 // loads the adapter, the error is that of the last load request.
-func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, maxWait time.Duration, untried snipebalance.Filter) (Choice, error) {
-	start := time.Now()
+func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, q *Request, required int64, maxWait time.Duration, untried snipebalance.Filter) (Choice, error) {
+	a, start := q.Adapter, time.Now()
 	var refusal *snipeerror.CallError
 	var failed []string
 	for _, round := range loadRounds(maxWait) {
@@ -69,7 +72,7 @@
 			if tries == round.tries || len(failed) == maxFailedEngines {
 				break
 			}
-			err := c.requestLoad(ctx, u, a, required, round.maxWait)
+			err := c.requestLoad(ctx, u, a, required, q.demand(ctx, round.maxWait))
 			if err == nil {
 				choice := c.newChoice(u, a)
 				choice.Waited = time.Since(start)
@@ -91,6 +94,19 @@
 	return Choice{}, refusal
 }
 
+// demand returns what an engine's owner is told about the request, which waits for a load of at most
+// maxWait, and no longer than until ctx ends.
+func (q *Request) demand(ctx context.Context, maxWait time.Duration) snipeadapter.Demand {
+	d := snipeadapter.Demand{MaxWait: maxWait, Priority: q.Priority, Workspace: q.Workspace, PromptTokens: q.PromptTokens}
+	if !q.Target.IsZero() {
+		d.Target = max(time.Until(q.Target), time.Millisecond)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		d.Deadline = max(time.Until(deadline), time.Millisecond)
+	}
+	return d
+}
+
 // isBusy reports whether an owner refused a load because it would take too long.
 func isBusy(err error) bool {
 	var busy *snipeadapter.BusyError
@@ -131,11 +147,11 @@
 }
 
 // requestLoad asks an engine's owner to load an adapter and waits for the result or for the end of
-// ctx. Concurrent calls for the same version share one load request, which is canceled when none of
-// them waits any more. The maxWait of the call that started the load request applies to all of
-// them.
-func (c *Chooser) requestLoad(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, maxWait time.Duration) error {
-	l := c.joinLoad(u, a, version, maxWait)
+// ctx. Concurrent calls of one priority for the same version share one load request, which is
+// canceled when none of them waits any more. The demand of the call that started the load request
+// applies to all of them.
+func (c *Chooser) requestLoad(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) error {
+	l := c.joinLoad(u, a, version, d)
 	select {
 	case <-l.done:
 		return l.err
@@ -151,8 +167,8 @@
 
 // joinLoad returns the load request in flight for an adapter on an engine, or starts one, and
 // counts the caller among its waiters. It does not wait.
-func (c *Chooser) joinLoad(u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, maxWait time.Duration) *sharedLoad {
-	key := loadKey{u.ID, a, version}
+func (c *Chooser) joinLoad(u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) *sharedLoad {
+	key := loadKey{u.ID, a, version, d.Priority}
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if l := c.loads[key]; l != nil && l.waiters > 0 {
@@ -165,15 +181,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), loadRequestTimeout)
 	l := &sharedLoad{done: make(chan struct{}), cancel: cancel, waiters: 1}
 	c.loads[key] = l
-	go c.runLoad(ctx, key, l, u, maxWait)
+	go c.runLoad(ctx, key, l, u, d)
 	return l
 }
 
 // runLoad sends a load request, waits for its result, records the result and releases the waiters.
-func (c *Chooser) runLoad(ctx context.Context, key loadKey, l *sharedLoad, u *snipedirectory.Upstream, maxWait time.Duration) {
+func (c *Chooser) runLoad(ctx context.Context, key loadKey, l *sharedLoad, u *snipedirectory.Upstream, d snipeadapter.Demand) {
 	defer l.cancel()
 	start := time.Now()
-	l.version, l.err = c.Ensure(ctx, u, key.adapter, key.version, maxWait)
+	l.version, l.err = c.Ensure(ctx, u, key.adapter, key.version, d)
 	switch {
 	case l.err == nil:
 		c.estimators.forService(u.Service).recordLoad(time.Since(start))
--- a/snipegateway/overload.go
+++ b/snipegateway/overload.go
@@ -85,8 +85,8 @@
 // load. It asks at most maxLoadTries engines, all of which are not overloaded and have at most
 // maxOffloadShare of the holder's requests in flight. It returns false if none of them loads the
 // adapter within offloadTimeout.
-func (c *Chooser) offload(ctx context.Context, all []*snipedirectory.Upstream, a snipecatalog.Adapter, required int64, tried []string, holder *snipedirectory.Upstream) (Choice, bool) {
-	start := time.Now()
+func (c *Chooser) offload(ctx context.Context, all []*snipedirectory.Upstream, q *Request, required int64, tried []string, holder *snipedirectory.Upstream) (Choice, bool) {
+	a, start := q.Adapter, time.Now()
 	maxLoad := maxOffloadShare * c.Balancer.Load(holder)
 	ctx, cancel := context.WithTimeout(ctx, offloadTimeout)
 	defer cancel()
@@ -102,7 +102,7 @@
 		if tries++; tries > maxLoadTries {
 			return Choice{}, false
 		}
-		if err := c.requestLoad(ctx, u, a, required, offloadMaxWait); err == nil {
+		if err := c.requestLoad(ctx, u, a, required, q.demand(ctx, offloadMaxWait)); err == nil {
 			choice := c.newChoice(u, a)
 			choice.Waited = time.Since(start)
 			return choice, true
--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/sniperoute"
@@ -81,7 +82,7 @@
 		if version, held := c.Residency.Holds(other, a); held && version >= required || !c.loadable(other, a) || c.Signals.Limited(other.ID) {
 			continue
 		}
-		c.joinLoad(other, a, required, replicaMaxWait)
+		c.joinLoad(other, a, required, snipeadapter.Demand{MaxWait: replicaMaxWait})
 		missing--
 	}
 }
--- a/snipegateway/request.go
+++ b/snipegateway/request.go
@@ -36,6 +36,13 @@
 	SizeStated bool
 	// Parts are the parts of the prompt in order; nil if the caller states none.
 	Parts []PromptPart
+	// Priority, Workspace and Target are not stated by the caller; the gateway sets them from the
+	// route and the workspace. Priority ranks the request, 0 being the most urgent. Workspace is
+	// empty if the request has none. Target is when the request misses its latency target; zero if
+	// the route has none.
+	Priority  int
+	Workspace string
+	Target    time.Time
 }
 
 // sharedPrefix returns how many tokens the prompt shares with other requests, and the identifier of
--- a/snipegateway/waiting_test.go
+++ b/snipegateway/waiting_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipegateway"
@@ -44,12 +45,12 @@
 				prepare(h, d)
 			}
 			first := ""
-			c.Ensure = func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, maxWait time.Duration) (int64, error) {
+			c.Ensure = func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
 				if first == "" {
 					first = u.ID
 					defer signal(c, u.ID)
 				}
-				return o.ensure(ctx, u, a, version, maxWait)
+				return o.ensure(ctx, u, a, version, d)
 			}
 			must.Eq(t, http.StatusOK, sendRequest(g).Code)
 			must.Len(t, 1, reached)
