Expected times of adapter loads are observed

Cause: storeLoadTime (245 ms) and reloadTime stood for what one deployment's store and engines do; in T and C a load takes 290 ms and more while the store is busy, so that loads were accepted that ended late. Change: a controller keeps moving averages, for the store by how many of its loads are in progress, and for reloads; they begin at the constants, fade back to them with a half-life of 2 s, and follow one observation by at most a factor of two with weight 0.2. A load is polled for earlier where the store was observed to be faster than 245 ms, otherwise as before.

--- a/snipeadapter/controller.go
+++ b/snipeadapter/controller.go
@@ -27,9 +27,10 @@
 	// maxReportAge is how old an engine's report may be. After an order whose outcome is unknown
 	// the controller waits this long, so that the next report shows the order's effect.
 	maxReportAge = 300 * time.Millisecond
-	// storeLoadTime is how long an adapter usually takes to load from the weight store. reloadTime
-	// is how long it takes if the engine has held the adapter recently and still has it in its own
-	// memory. The first poll of a load, whichever it is, is sent after reloadTime.
+	// storeLoadTime is how long an adapter is expected to take to load from the weight store until
+	// loads were observed (see loadTimes). reloadTime is the same for an adapter that the engine has
+	// held recently and still has in its own memory. The first poll of a load, whichever it is, is
+	// sent after reloadTime.
 	storeLoadTime = 245 * time.Millisecond
 	reloadTime    = 25 * time.Millisecond
 	// pollInterval is the time between two polls for the completion of an order.
@@ -80,6 +81,8 @@
 
 	unanswered unansweredLoads
 
+	times loadTimes
+
 	lock    sync.Mutex // guards engines
 	engines map[string]*engine
 }
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -95,10 +95,16 @@
 // expectedWait returns how long a load that is queued now is expected to take. The lock is held.
 func (e *engine) expectedWait(a snipecatalog.Adapter) time.Duration {
 	if e.isReload(a) {
-		return reloadTime + e.expectedSlotWait()
+		return e.controller.times.expectReload() + e.expectedSlotWait()
 	}
 	ahead := len(e.queue) + e.activeStoreLoads
-	return storeLoadTime + time.Duration(ahead/maxActiveStoreLoads)*storeLoadTime + e.expectedSlotWait()
+	return time.Duration(1+ahead/maxActiveStoreLoads)*e.expectedStoreTime() + e.expectedSlotWait()
+}
+
+// expectedStoreTime returns how long the engine's next load from the store is expected to take from
+// its start. The lock is held.
+func (e *engine) expectedStoreTime() time.Duration {
+	return e.controller.times.expectNext(e.activeStoreLoads >= maxActiveStoreLoads)
 }
 
 // isReload reports whether the engine probably has an adapter in its own memory.
@@ -155,7 +161,7 @@
 // would take one slot more than is counted. The lock is held.
 func (e *engine) nextLoad() int {
 	next := -1
-	ready := time.Now().Add(storeLoadTime)
+	ready := time.Now().Add(e.expectedStoreTime())
 	for n, l := range e.queue {
 		if e.activeLoads[l.adapter] {
 			continue
@@ -270,7 +276,7 @@
 		return err
 	}
 	if reply == Taken {
-		if err := e.awaitLoad(ctx, o); err != nil {
+		if err := e.awaitObserved(ctx, l, o); err != nil {
 			// It is not known whether the adapter takes a slot on the engine.
 			e.stateKnown.Store(false)
 			return err
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -220,34 +220,60 @@
 	e.held[held.Adapter] = h
 }
 
+// awaitObserved waits for an accepted load, counts it among those in progress if it comes from the
+// store, and records its time if it is that of an adapter.
+func (e *engine) awaitObserved(ctx context.Context, l *load, o Order) error {
+	times := &e.controller.times
+	if l.reload {
+		took, err := e.awaitLoad(ctx, o, storeLoadTime)
+		if err == nil {
+			times.recordReload(took)
+		}
+		return err
+	}
+	n := times.begin()
+	defer times.end()
+	took, err := e.awaitLoad(ctx, o, min(times.expectStore(n), storeLoadTime))
+	if err == nil && o.Adapter.Name != "" {
+		times.recordStore(n, took)
+	}
+	return err
+}
+
 // awaitLoad polls until an accepted load is complete, the engine refuses the order, this instance
 // may no longer order the engine, or ctx ends. The poll is the order itself: an engine that holds
-// the ordered adapter replies with Holds and does nothing.
-func (e *engine) awaitLoad(ctx context.Context, o Order) error {
+// the ordered adapter replies with Holds and does nothing. storeTime is the least time that a load
+// from the store is expected to take. awaitLoad returns how long the load took. A load that was
+// found complete at the first poll after storeTime counts as a tenth shorter, because it may have
+// ended before; otherwise no time below storeTime would ever be observed.
+func (e *engine) awaitLoad(ctx context.Context, o Order, storeTime time.Duration) (time.Duration, error) {
 	started := time.Now()
-	if !snipetime.Sleep(ctx, reloadTime) {
-		return ctx.Err()
-	}
+	pause := reloadTime
 	for {
+		if !snipetime.Sleep(ctx, pause) {
+			return 0, ctx.Err()
+		}
 		reply, err := e.poll(ctx, o)
+		took := time.Since(started)
+		if reply == Holds && pause > reloadTime {
+			took -= took / 10
+		}
 		if reply == Holds {
-			return nil
+			return took, nil
 		}
 		if err != nil && !errors.Is(err, ErrNoAnswer) {
-			return err
-		}
-		if !snipetime.Sleep(ctx, nextPoll(o, time.Since(started))) {
-			return ctx.Err()
+			return 0, err
 		}
+		pause = nextPoll(o, took, storeTime)
 	}
 }
 
 // nextPoll returns the time from a poll of a load to the next, given the time since the load was
 // accepted. An adapter that is not loaded after twice reloadTime comes from the weight store, so
-// the next poll waits until storeLoadTime has passed.
-func nextPoll(o Order, elapsed time.Duration) time.Duration {
+// the next poll waits until storeTime has passed.
+func nextPoll(o Order, elapsed, storeTime time.Duration) time.Duration {
 	if o.Adapter.Name != "" && elapsed >= 2*reloadTime {
-		return max(storeLoadTime-elapsed, pollInterval)
+		return max(storeTime-elapsed, pollInterval)
 	}
 	return pollInterval
 }
