Adapter loads are ordered by priority and workspace, and displaced ones refused

Change: the queue from the store and that of reloads are snipefair queues. A load has the priority of its most urgent waiter. Within a priority the loads in time for somebody go first, then the workspace that got the fewest loads (a load that several workspaces wait for is charged in parts). Among loads of one priority and workspace the order is as before: most waiters, then the oldest, so that deployments without either keep their order. Each waiter whose load is not expected to be complete before its deadline is refused as soon as this is known; a load that nobody waits for leaves the queue at once. The retry time of a refusal names when such a load would be accepted; before, it was the time in which it would be complete. Replicas, for which nobody waits, go behind all requests. New event 521 LoadRefused, three metrics. Kept: reloads first; another version of an adapter waits for the end of the load in progress.

--- a/snipeadapter/controller.go
+++ b/snipeadapter/controller.go
@@ -12,6 +12,7 @@
 
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipefair"
 	"snipepitch.example/snipepitch/snipelog"
 )
 
@@ -73,6 +74,9 @@
 	// PreviouslyHeld reports whether an engine held an adapter recently and does not hold it now,
 	// so that the engine reloads it without the weight store; nil means never.
 	PreviouslyHeld func(engine string, a snipecatalog.Adapter) bool
+	// Refused is called for each caller whose load is refused for lack of time: displaced is set if
+	// the load was queued before. It must not block; nil means that refusals are only logged.
+	Refused func(priority int, displaced bool)
 	// Holder is this instance's name in orders.
 	Holder string
 	Log    *snipelog.Logger
@@ -122,11 +126,15 @@
 	// inFlightReports holds, for each instance that has requests in flight on the engine, its last
 	// report of their adapters.
 	inFlightReports map[string]inFlightReport
-	// queue are the loads that have not started yet, activeLoads the adapters of those that have,
-	// activeStoreLoads the number of active loads that come from the weight store.
-	queue            []*load
+	// queue are the loads from the weight store that have not started yet, reloads those from the
+	// engine's own memory. deferred are the loads of either kind that wait until the load of another
+	// version of the adapter has ended. activeLoads are the adapters of the loads that have started,
+	// activeStoreLoads those of these loads that come from the weight store.
+	queue, reloads   snipefair.Queue[*load]
+	deferred         []*load
+	queued           int // number of loads that were ever queued
 	activeLoads      map[snipecatalog.Adapter]bool
-	activeStoreLoads int
+	activeStoreLoads map[*load]bool
 	// slotWait is the moving average of how long loads waited for a slot when all were in use; 0
 	// until the first such wait.
 	slotWait time.Duration
@@ -179,8 +187,10 @@
 // version that it holds. If the adapter has to be loaded and no load of a sufficient version is
 // pending, Ensure queues one, or returns a BusyError at once if that load is not expected to
 // complete within the MaxWait of d. It also fails at once if the engine is unknown, if this instance may not
-// order it, or if it is known not to hold the base model. When ctx ends, Ensure returns the error
-// of ctx; a load that has started continues.
+// order it, or if it is known not to hold the base model. While the load is queued, Ensure returns a
+// BusyError as soon as the load is not expected to complete before the Deadline of d, because more
+// urgent loads were queued or those in progress take longer. When ctx ends or the Deadline passes,
+// Ensure returns the error of ctx; a load that has started continues.
 func (c *Controller) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64, d Demand) (int64, error) {
 	u := c.Upstream(id)
 	if u == nil {
@@ -193,20 +203,11 @@
 	if !e.serves(a.Model) {
 		return 0, errors.Wrap(ErrNoModel, id)
 	}
-	l, held, err := e.findOrQueue(a, c.target(a, version), version, d.bounded())
+	l, w, held, err := e.findOrQueue(a, c.target(a, version), version, d.bounded())
 	if l == nil {
 		return held, err
 	}
-	select {
-	case <-l.done:
-	case <-ctx.Done():
-		e.removeWaiter(l)
-		return 0, ctx.Err()
-	}
-	if l.err != nil {
-		return 0, l.err
-	}
-	return l.version, nil
+	return e.await(ctx, l, w)
 }
 
 // target returns the version to load of an adapter that is requested in at least minVersion. It is
@@ -315,7 +316,7 @@
 	e := &engine{
 		controller: c, id: u.ID, name: u.Name, restarted: u.Restarted, discovered: time.Now(), orderLock: make(ctxLock, 1),
 		held: make(map[snipecatalog.Adapter]*heldAdapter), loads: make(map[snipecatalog.Adapter]*load),
-		activeLoads: make(map[snipecatalog.Adapter]bool), inFlightReports: make(map[string]inFlightReport),
+		activeLoads: make(map[snipecatalog.Adapter]bool), activeStoreLoads: make(map[*load]bool), inFlightReports: make(map[string]inFlightReport),
 	}
 	c.engines[u.ID] = e
 	return e
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipefair"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipetime"
 )
@@ -26,6 +26,8 @@
 type BusyError struct {
 	// Wait is how long the load is expected to take.
 	Wait time.Duration
+	// RetryAfter is when such a load is expected to be accepted; zero if not stated.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
@@ -36,12 +38,17 @@
 	adapter  snipecatalog.Adapter
 	version  int64
 	queuedAt time.Time
+	// number increases from each load of the engine to the next.
+	number int
 	// reload reports that the engine probably loads the adapter from its own memory.
 	reload bool
-	// deadline is the latest time until which a caller waits for the load.
-	deadline time.Time
-	// waiters counts the callers that wait for the load. A load without waiters is not started.
-	waiters int
+	// entry is the load's entry in its queue; nil if it is not in one. started is set when the load
+	// starts, and startedAt is when.
+	entry     *snipefair.Entry[*load]
+	started   bool
+	startedAt time.Time
+	// waiters are the callers that wait for the load. A load without waiters is not started.
+	waiters []*waiter
 	// done is closed when the load has ended. err is the load's result, which is set before done
 	// is closed.
 	done chan struct{}
@@ -52,7 +59,7 @@
 // else a load of at least minVersion, with the caller counted as a waiter. It queues a load of the
 // target version if none is pending; the error is a BusyError if that load is not expected to
 // complete within the MaxWait of d. The caller waits for the load or calls removeWaiter.
-func (e *engine) findOrQueue(a snipecatalog.Adapter, target, minVersion int64, d Demand) (*load, int64, error) {
+func (e *engine) findOrQueue(a snipecatalog.Adapter, target, minVersion int64, d Demand) (*load, *waiter, int64, error) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	h := e.held[a]
@@ -60,24 +67,24 @@
 		h.lastUsed = time.Now()
 	}
 	if h != nil && !h.loading && h.version >= minVersion {
-		return nil, h.version, nil
+		return nil, nil, h.version, nil
 	}
 	if l := e.loads[a]; l != nil && l.version >= minVersion {
-		l.addWaiter(d.MaxWait)
-		return l, 0, nil
+		w := e.addWaiter(l, d)
+		e.refuseDisplaced()
+		return l, w, 0, nil
 	}
-	if wait := e.expectedWait(a); wait > d.MaxWait {
-		return nil, 0, &BusyError{Wait: wait}
+	limit := d.MaxWait
+	if d.Deadline > 0 {
+		limit = min(limit, d.Deadline)
 	}
-	return e.enqueue(a, target, d.MaxWait), 0, nil
-}
-
-// addWaiter adds a caller that waits up to maxWait for the load. The engine's lock is held.
-func (l *load) addWaiter(maxWait time.Duration) {
-	l.waiters++
-	if deadline := time.Now().Add(maxWait); deadline.After(l.deadline) {
-		l.deadline = deadline
+	if wait := e.expectedWait(a, d); wait > limit {
+		busy := &BusyError{Wait: wait, RetryAfter: e.retryAfter(wait, limit)}
+		e.logRefusal(a, d.Priority, d.Workspace, busy, limit, false)
+		return nil, nil, 0, busy
 	}
+	l, w := e.enqueue(a, target, d)
+	return l, w, 0, nil
 }
 
 // queueRequired queues a load with a waiter that never leaves, so that the load is not dropped. If a
@@ -86,25 +93,71 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if l := e.loads[a]; l != nil && l.version >= version {
-		l.addWaiter(loadTimeout)
+		e.addWaiter(l, Demand{Target: loadTimeout})
 		return
 	}
-	e.enqueue(a, version, loadTimeout)
+	e.enqueue(a, version, Demand{Target: loadTimeout})
+}
+
+// await waits for a load and returns the version that the engine then holds. It gives up when ctx
+// ends, at the waiter's deadline, and when the load is displaced.
+func (e *engine) await(ctx context.Context, l *load, w *waiter) (int64, error) {
+	var latestStart <-chan time.Time
+	if !w.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, w.deadline)
+		defer cancel()
+		e.lock.Lock()
+		timer := time.NewTimer(time.Until(w.deadline) - e.expectedTime(l))
+		e.lock.Unlock()
+		defer timer.Stop()
+		latestStart = timer.C
+	}
+	for {
+		select {
+		case busy := <-w.refused:
+			return 0, busy
+		case <-l.done:
+			return l.result(w)
+		case <-latestStart:
+			e.recheck(l, w)
+		case <-ctx.Done():
+			e.lock.Lock()
+			defer e.lock.Unlock()
+			e.removeWaiter(l, w)
+			return 0, ctx.Err()
+		}
+	}
 }
 
-// expectedWait returns how long a load that is queued now is expected to take. The lock is held.
-func (e *engine) expectedWait(a snipecatalog.Adapter) time.Duration {
+// result returns the result of a load that has ended. A waiter that was refused gets the refusal
+// instead, also if it was the load's last one, whose refusal has ended the load.
+func (l *load) result(w *waiter) (int64, error) {
+	select {
+	case busy := <-w.refused:
+		return 0, busy
+	default:
+	}
+	if l.err != nil {
+		return 0, l.err
+	}
+	return l.version, nil
+}
+
+// expectedWait returns how long a load that is queued now for a demand is expected to take. The lock
+// is held.
+func (e *engine) expectedWait(a snipecatalog.Adapter, d Demand) time.Duration {
 	if e.isReload(a) {
 		return e.controller.times.expectReload() + e.expectedSlotWait()
 	}
-	ahead := len(e.queue) + e.activeStoreLoads
+	ahead := e.storeLoadsAhead(d)
 	return time.Duration(1+ahead/maxActiveStoreLoads)*e.expectedStoreTime() + e.expectedSlotWait()
 }
 
 // expectedStoreTime returns how long the engine's next load from the store is expected to take from
 // its start. The lock is held.
 func (e *engine) expectedStoreTime() time.Duration {
-	return e.controller.times.expectNext(e.activeStoreLoads >= maxActiveStoreLoads)
+	return e.controller.times.expectNext(len(e.activeStoreLoads) >= maxActiveStoreLoads)
 }
 
 // isReload reports whether the engine probably has an adapter in its own memory.
@@ -114,78 +167,32 @@
 
 // enqueue queues a load, which replaces a pending load of an older version in e.loads, and starts
 // queued loads as far as the limits allow. The lock is held.
-func (e *engine) enqueue(a snipecatalog.Adapter, version int64, maxWait time.Duration) *load {
-	l := &load{adapter: a, version: version, queuedAt: time.Now(), reload: e.isReload(a), done: make(chan struct{})}
-	l.addWaiter(maxWait)
+func (e *engine) enqueue(a snipecatalog.Adapter, version int64, d Demand) (*load, *waiter) {
+	e.queued++
+	l := &load{adapter: a, version: version, queuedAt: time.Now(), number: e.queued, reload: e.isReload(a), done: make(chan struct{})}
+	w := e.addWaiter(l, d)
 	e.loads[a] = l
-	e.queue = append(e.queue, l)
+	e.push(l)
 	e.startLoads()
-	return l
+	return l, w
 }
 
-// removeWaiter records that a caller no longer waits for a load.
-func (e *engine) removeWaiter(l *load) {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	l.waiters--
-}
-
-// startLoads starts queued loads as far as the limits allow. A load without waiters ends with
-// ErrNoWaiter instead. The lock is held.
+// startLoads starts queued loads as far as the limits allow, and refuses those that others displace.
+// The lock is held.
 func (e *engine) startLoads() {
 	for len(e.activeLoads) < maxActiveLoads {
-		next := e.nextLoad()
-		if next < 0 {
-			return
-		}
-		l := e.queue[next]
-		e.queue = slices.Delete(e.queue, next, next+1)
-		if l.waiters <= 0 {
-			e.finish(l, ErrNoWaiter)
-			continue
+		l := e.takeNext()
+		if l == nil {
+			break
 		}
 		if !l.reload {
-			e.activeStoreLoads++
+			e.activeStoreLoads[l] = true
 		}
+		l.started, l.startedAt = true, time.Now()
 		e.activeLoads[l.adapter] = true
 		go e.runLoad(l)
 	}
-}
-
-// nextLoad returns the index of the queued load to start next, or -1 if none can start. Reloads go
-// first because they delay no other load. Then come loads that, if started now, complete before
-// their deadline, then the others. Of equals, the load with the most waiters is first, then the
-// oldest. In plain queue order an overload would make every
-// load late; in this order the loads that are already too late get the remaining capacity. Another
-// version of an adapter waits until the load of the version before it has completed: two at once
-// would take one slot more than is counted. The lock is held.
-func (e *engine) nextLoad() int {
-	next := -1
-	ready := time.Now().Add(e.expectedStoreTime())
-	for n, l := range e.queue {
-		if e.activeLoads[l.adapter] {
-			continue
-		}
-		if l.reload {
-			return n
-		}
-		if e.activeStoreLoads >= maxActiveStoreLoads {
-			continue
-		}
-		if next < 0 || l.precedes(e.queue[next], ready) {
-			next = n
-		}
-	}
-	return next
-}
-
-// precedes reports whether a load starts before an older one. ready is when either of them would be
-// complete if it started now.
-func (l *load) precedes(older *load, ready time.Time) bool {
-	if inTime := l.deadline.After(ready); inTime != older.deadline.After(ready) {
-		return inTime
-	}
-	return l.waiters > older.waiters
+	e.refuseDisplaced()
 }
 
 // finish ends a load with its result. The lock is held.
@@ -218,10 +225,9 @@
 		e.recordLoaded(l)
 	}
 	e.finish(l, err)
-	if !l.reload {
-		e.activeStoreLoads--
-	}
+	delete(e.activeStoreLoads, l)
 	delete(e.activeLoads, l.adapter)
+	e.resumeDeferred(l.adapter)
 	if err == nil {
 		e.queueNewest(l)
 	}
@@ -233,7 +239,7 @@
 func (e *engine) queueNewest(l *load) {
 	newest := e.controller.Newest(l.adapter)
 	if newest > l.version && e.loads[l.adapter] == nil {
-		e.enqueue(l.adapter, newest, loadTimeout)
+		e.enqueue(l.adapter, newest, Demand{Target: loadTimeout})
 	}
 }
 
@@ -241,7 +247,7 @@
 func (e *engine) waiterCount(l *load) int {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	return l.waiters
+	return len(l.waiters)
 }
 
 // recordLoaded records an adapter or a model that the engine now holds. Each waiter of the load
@@ -253,7 +259,7 @@
 	}
 	h := &heldAdapter{version: l.version}
 	h.inheritUse(e.held[l.adapter])
-	h.recordUses(time.Now(), max(l.waiters, 1))
+	h.recordUses(time.Now(), max(len(l.waiters), 1))
 	e.held[l.adapter] = h
 	e.controller.evicted.drop(e.id, l.adapter)
 }
--- a/snipeadapter/slotwait.go
+++ b/snipeadapter/slotwait.go
@@ -27,7 +27,7 @@
 			free++
 		}
 	}
-	ahead := len(e.queue)
+	ahead := e.queue.Len() + e.reloads.Len() + len(e.deferred)
 	for a := range e.activeLoads {
 		if h := e.held[a]; h == nil || !h.loading && !h.replacing {
 			ahead++
--- a/snipeentry/demand.go
+++ b/snipeentry/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"snipepitch.example/snipepitch/snipeadapter"
@@ -33,6 +34,25 @@
 	}
 }
 
+// encodeBusy returns the answer to a request whose load is refused for lack of time.
+func encodeBusy(b *snipeadapter.BusyError) *snipeproto.AdapterEnsureResponse {
+	return &snipeproto.AdapterEnsureResponse{
+		Busy: true, WaitMilliseconds: b.Wait.Milliseconds(), RetryMilliseconds: b.RetryAfter.Milliseconds(),
+	}
+}
+
+// decodeBusy returns the error of an answer that states that the load is refused for lack of time.
+func decodeBusy(r *snipeproto.AdapterEnsureResponse) *snipeadapter.BusyError {
+	return &snipeadapter.BusyError{
+		Wait: max(milliseconds(r.GetWaitMilliseconds()), 0), RetryAfter: max(milliseconds(r.GetRetryMilliseconds()), 0),
+	}
+}
+
+// countLoadRefusal counts the refusal of an adapter load for lack of time.
+func (i *Instance) countLoadRefusal(priority int, displaced bool) {
+	i.meter.Count(`snipepitch_loads_refused_total{priority="` + strconv.Itoa(priority) + `",displaced="` + strconv.FormatBool(displaced) + `"}`)
+}
+
 // milliseconds converts a number of milliseconds of a message, without an overflow.
 func milliseconds(n int64) time.Duration {
 	const limit = math.MaxInt64 / int64(time.Millisecond)
--- a/snipeentry/metrics.go
+++ b/snipeentry/metrics.go
@@ -21,6 +21,8 @@
 	i.meter.Gauge("snipepitch_upstreams", func() float64 { return float64(i.directory.Snapshot().Len()) })
 	i.meter.Gauge("snipepitch_wrong_entries", func() float64 { return float64(i.invalidEntries.Len()) })
 	i.meter.Gauge("snipepitch_limited_upstreams", func() float64 { return float64(i.signals.CountLimited()) })
+	i.meter.Gauge("snipepitch_loads_waiting", func() float64 { return float64(i.controller.Waiting()) })
+	i.meter.Gauge("snipepitch_store_load_expected_seconds", func() float64 { return i.controller.ExpectedStoreTime().Seconds() })
 	i.meter.Gauge("snipepitch_instances", func() float64 { return float64(i.instances()) })
 	for name, f := range map[string]*snipemirror.Follower{
 		"catalog": i.tables.catalog, "directory": i.tables.directory, "ownership": i.tables.ownership,
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -60,7 +60,7 @@
 	var busy *snipeadapter.BusyError
 	switch {
 	case errors.As(err, &busy):
-		return &snipeproto.AdapterEnsureResponse{Busy: true, WaitMilliseconds: busy.Wait.Milliseconds()}, nil
+		return encodeBusy(busy), nil
 	case errors.Is(err, snipeadapter.ErrNotOwner):
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	case errors.Is(err, snipeadapter.ErrUnreached):
@@ -273,7 +273,7 @@
 		return 0, errors.Wrapf(err, "owner %s", owner.Instance.Name)
 	}
 	if answer.GetBusy() {
-		return 0, &snipeadapter.BusyError{Wait: time.Duration(answer.GetWaitMilliseconds()) * time.Millisecond}
+		return 0, decodeBusy(answer)
 	}
 	return answer.GetVersion(), nil
 }
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -240,6 +240,7 @@
 		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
 		Slots:    i.adapterSlots,
 		Model:    i.modelFor, EngineRestarted: i.directory.MarkEnded, PreviouslyHeld: i.residency.PreviouslyHeld,
+		Refused: i.countLoadRefusal,
 		Newest: func(a snipecatalog.Adapter) int64 {
 			version, _ := i.catalog.Newest(a)
 			return version
--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -1,6 +1,7 @@
 package snipegateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -128,13 +129,13 @@
 	return []loadRound{{shortLoadWait, maxLoadTries}, {maxWait, 1}}
 }
 
-// loadRefusal returns the error for a request whose adapter was not loaded, with a retry time: the
-// wait that a busy owner named, otherwise loadRetryAfter.
+// loadRefusal returns the error for a request whose adapter was not loaded, with a retry time: what a
+// busy owner named, otherwise loadRetryAfter.
 func loadRefusal(err error) *snipeerror.CallError {
 	wait := loadRetryAfter
 	var busy *snipeadapter.BusyError
 	if errors.As(err, &busy) {
-		wait = busy.Wait
+		wait = cmp.Or(busy.RetryAfter, busy.Wait)
 	}
 	return snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error()).After(wait)
 }
--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -36,6 +36,12 @@
 	replicaReportTime = 3 * time.Second
 )
 
+// replicaDemand is the demand for a further replica. No request waits for it, so it goes behind those
+// for which one does, and is given up when the next decision about the adapter's replicas is due.
+var replicaDemand = snipeadapter.Demand{
+	MaxWait: replicaMaxWait, Priority: snipeadapter.MaxPriority, Deadline: replicaDecisionInterval,
+}
+
 // Replica is an engine that has recently loaded an adapter, and the version that it loaded.
 type Replica struct {
 	Engine  string
@@ -82,7 +88,7 @@
 		if version, held := c.Residency.Holds(other, a); held && version >= required || !c.loadable(other, a) || c.Signals.Limited(other.ID) {
 			continue
 		}
-		c.joinLoad(other, a, required, snipeadapter.Demand{MaxWait: replicaMaxWait})
+		c.joinLoad(other, a, required, replicaDemand)
 		missing--
 	}
 }
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -150,5 +150,6 @@
 
 	LoadsUnknown       = define(519, "LoadsUnknown", logrus.WarnLevel)
 	LoadsKnown         = define(520, "LoadsKnown", logrus.InfoLevel)
+	LoadRefused        = define(521, "LoadRefused", logrus.InfoLevel)
 	EngineStartedAgain = define(518, "EngineStartedAgain", logrus.WarnLevel)
 )
