Expected waits for loads count how long those in progress have run

Cause: a load behind two others from the store counted as taking twice the time of a load, whenever these began. With a target of 500 ms and loads of 290 ms each request of priority 0 was refused while both places for loads were taken, although on average the first becomes free after a third of that. And the expected wait for an adapter slot counted loads that would start later as before this one, and adapters as in use that would be idle by its start. Change: the expected start follows from the loads in progress and those before it in the queue's order; the slots are counted at that start. The averages of load times keep their value for a second before they fade.

--- a/snipeadapter/controller.go
+++ b/snipeadapter/controller.go
@@ -51,6 +51,9 @@
 	firstVersion = 1
 )
 
+// adapterField is the log field with an adapter's name.
+const adapterField = "Adapter"
+
 // Controller gives orders to the engines that this instance owns. Exported fields are set before
 // the first call; the methods are safe for concurrent use.
 type Controller struct {
--- a/snipeadapter/controller_test.go
+++ b/snipeadapter/controller_test.go
@@ -1,6 +1,7 @@
 package snipeadapter_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -44,8 +45,10 @@
 	lost, late float64
 	crashed    bool
 	loads      int
-	start      int64
-	report     snipeadapter.Report
+	// storeTime is the time of a load from the store; zero for storeLoadTime.
+	storeTime time.Duration
+	start     int64
+	report    snipeadapter.Report
 }
 
 func newFakeEngine(seed uint64) *fakeEngine {
@@ -102,7 +105,7 @@
 	f.loading[o.Adapter] = target
 	f.loads++
 	f.crashed = f.crashed || len(f.held)+len(f.loading) > slots
-	delay := storeLoadTime
+	delay := cmp.Or(f.storeTime, storeLoadTime)
 	if f.inMemory[o.Adapter] {
 		delay = reloadTime
 	}
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -148,10 +148,10 @@
 // is held.
 func (e *engine) expectedWait(a snipecatalog.Adapter, d Demand) time.Duration {
 	if e.isReload(a) {
-		return e.controller.times.expectReload() + e.expectedSlotWait()
+		return e.controller.times.expectReload() + e.expectedSlotWait(e.reloads.Len(), 0)
 	}
-	ahead := e.storeLoadsAhead(d)
-	return time.Duration(1+ahead/maxActiveStoreLoads)*e.expectedStoreTime() + e.expectedSlotWait()
+	ahead, start := e.storeStart(d)
+	return start + e.expectedStoreTime() + e.expectedSlotWait(ahead, start)
 }
 
 // expectedStoreTime returns how long the engine's next load from the store is expected to take from
@@ -216,7 +216,7 @@
 	err := e.performLoad(ctx, l)
 	if err != nil {
 		e.controller.Log.Error(snipelog.LoadFailed, err, e.logFields(snipelog.Fields{
-			"Adapter": l.adapter.Name, "Waiting": e.waiterCount(l),
+			adapterField: l.adapter.Name, "Waiting": e.waiterCount(l),
 		}))
 	}
 	e.lock.Lock()
@@ -289,7 +289,7 @@
 		}
 	}
 	e.controller.Log.Log(snipelog.AdapterPresent, e.logFields(snipelog.Fields{
-		"Adapter": l.adapter.Name, "Version": l.version,
+		adapterField: l.adapter.Name, "Version": l.version,
 		"Milliseconds": time.Since(started).Milliseconds(), "Queued": started.Sub(l.queuedAt).Milliseconds(),
 		"Ordered": orderTime.Milliseconds(),
 	}))
--- a/snipeadapter/loadtime.go
+++ b/snipeadapter/loadtime.go
@@ -13,9 +13,12 @@
 	// maxLoadTimeStep bounds an observation to the expected time divided and multiplied by this
 	// factor, so that one load during a fault does not change the expectation for many.
 	maxLoadTimeStep = 2
-	// loadTimeHalfLife is the time in which the difference between an average and its initial value
-	// fades by half if no load is observed. Without it, an average above all the waits that callers
-	// accept would cause the refusal of each load, and so would never be corrected.
+	// loadTimeHold is how long after the last observation an average keeps its value; without it, the
+	// average would lie below all observations where these are few. loadTimeHalfLife is the time in
+	// which the difference between an average and its initial value then fades by half. If it did
+	// not, an average above all the waits that callers accept would cause the refusal of each load,
+	// and so would never be corrected.
+	loadTimeHold     = time.Second
 	loadTimeHalfLife = 2 * time.Second
 	// storeClasses is the number of averages for loads from the store, by how many are in progress:
 	// 1, 2, up to 4, up to 8, up to 16, and more.
@@ -45,7 +48,8 @@
 	if a.at.IsZero() {
 		return initial
 	}
-	rest := math.Exp2(-float64(now.Sub(a.at)) / float64(loadTimeHalfLife))
+	unobserved := max(now.Sub(a.at)-loadTimeHold, 0)
+	rest := math.Exp2(-float64(unobserved) / float64(loadTimeHalfLife))
 	return initial + time.Duration(rest*float64(a.value-initial))
 }
 
--- a/snipeadapter/loadtime_test.go
+++ b/snipeadapter/loadtime_test.go
@@ -33,7 +33,7 @@
 		"MoreInProgress": {repeat(2, 30, 600*time.Millisecond), 0, 8, 580 * time.Millisecond, 600 * time.Millisecond},
 		"LessInProgress": {repeat(2, 30, 600*time.Millisecond), 0, 1, storeLoadTime, storeLoadTime},
 		"ReloadAsStore":  {repeat(1, 30, reloadTime), 0, 1, storeLoadTime, storeLoadTime},
-		"Faded":          {repeat(1, 30, 2*time.Second), 12 * time.Second, 1, storeLoadTime, 280 * time.Millisecond},
+		"Faded":          {repeat(1, 30, 2*time.Second), 13 * time.Second, 1, storeLoadTime, 280 * time.Millisecond},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -111,7 +111,7 @@
 // outcome.
 func (e *engine) recordReply(ctx context.Context, o *Order, reply Reply, err error) {
 	fields := e.logFields(snipelog.Fields{
-		"Action": o.Action.String(), "Adapter": o.Adapter.Name, "Version": o.Version,
+		"Action": o.Action.String(), adapterField: o.Adapter.Name, "Version": o.Version,
 		"Expect": o.Expect, "Fence": o.Fence, "Reply": reply.String(),
 	})
 	if err != nil {
--- a/snipeadapter/queue.go
+++ b/snipeadapter/queue.go
@@ -194,14 +194,25 @@
 	}
 }
 
-// storeLoadsAhead returns how many loads from the store are in progress or would start before a load
-// for a demand that is queued now. The lock is held.
-func (e *engine) storeLoadsAhead(d Demand) int {
+// storeStart returns how many queued loads from the store would start before a load for a demand that
+// is queued now, and after which time that load would start. Loads in progress count with the time
+// that they are expected to take yet. The lock is held.
+func (e *engine) storeStart(d Demand) (ahead int, start time.Duration) {
 	now := time.Now()
 	probe := &load{queuedAt: now, number: e.queued + 1, waiters: []*waiter{newWaiter(d, now)}}
 	e.push(probe)
 	defer e.removeQueued(probe)
-	return slices.Index(inOrder(&e.queue, now, now.Add(e.expectedStoreTime())), probe) + len(e.activeStoreLoads)
+	took := e.expectedStoreTime()
+	free := e.storeSlotTimes(now, took)
+	for _, l := range inOrder(&e.queue, now, now.Add(took)) {
+		next := earliest(free)
+		if l == probe {
+			return ahead, free[next].Sub(now)
+		}
+		free[next] = free[next].Add(took)
+		ahead++
+	}
+	return ahead, 0
 }
 
 // displacement is a waiter that is refused, and when its load is expected to be complete.
@@ -307,7 +318,7 @@
 		e.controller.Refused(priority, displaced)
 	}
 	e.controller.Log.Log(snipelog.LoadRefused, e.logFields(snipelog.Fields{
-		"Adapter": a.Name, "Priority": priority, "Workspace": workspace, "Displaced": displaced,
+		adapterField: a.Name, "Priority": priority, "Workspace": workspace, "Displaced": displaced,
 		"ExpectedMilliseconds": b.Wait.Milliseconds(), "LimitMilliseconds": limit.Milliseconds(),
 		"RetryMilliseconds": b.RetryAfter.Milliseconds(), "StoreMilliseconds": e.expectedStoreTime().Milliseconds(),
 		"Waiting": e.queue.Len(), "Running": len(e.activeStoreLoads),
--- a/snipeadapter/slotwait.go
+++ b/snipeadapter/slotwait.go
@@ -9,11 +9,11 @@
 	slotWaitWeight = 0.2
 )
 
-// expectedSlotWait returns how long one more load is expected to wait for a slot. The wait is zero
-// if more slots are free or evictable than the loads ahead of it need: those in the queue, and
-// those that have started but do not take a slot yet. It is zero also while the engine's state is
+// expectedSlotWait returns how long a load that would start after a time is expected to wait for a
+// slot then. The wait is zero if more slots are free now or evictable then than the loads ahead of it
+// need: the given number of queued ones, and those that have started but do not take a slot yet. It is zero also while the engine's state is
 // unknown or the engine is not in the directory. The lock is held.
-func (e *engine) expectedSlotWait() time.Duration {
+func (e *engine) expectedSlotWait(ahead int, start time.Duration) time.Duration {
 	u := e.controller.Upstream(e.id)
 	if u == nil || !e.stateKnown.Load() {
 		return 0
@@ -23,11 +23,10 @@
 	now := time.Now()
 	inFlight := e.inFlight(now)
 	for a, h := range e.held {
-		if e.evictable(a, h, inFlight, now) {
+		if e.evictable(a, h, inFlight, now.Add(start)) {
 			free++
 		}
 	}
-	ahead := e.queue.Len() + e.reloads.Len() + len(e.deferred)
 	for a := range e.activeLoads {
 		if h := e.held[a]; h == nil || !h.loading && !h.replacing {
 			ahead++
