A queued load is refused when it would miss the target, not the deadline

Cause: in the peak of the module test (16 instances, 12 engines, 1.3 times their capacity, deadlines of three targets) loads of priority 2 stayed queued for 4 s after urgent ones had displaced them, ended late or were refused then, and took the place of loads that were still in time. A load is accepted only if it is expected to end within the target, so the same holds while it is queued. Change: a waiter that states a deadline is refused as soon as its queued load is expected to end after its target or its deadline. A load that has started goes on until the deadline. Requests without a stated deadline (older instances) stay.

--- a/snipeadapter/controller.go
+++ b/snipeadapter/controller.go
@@ -191,8 +191,9 @@
 // pending, Ensure queues one, or returns a BusyError at once if that load is not expected to
 // complete within the MaxWait of d. It also fails at once if the engine is unknown, if this instance may not
 // order it, or if it is known not to hold the base model. While the load is queued, Ensure returns a
-// BusyError as soon as the load is not expected to complete before the Deadline of d, because more
-// urgent loads were queued or those in progress take longer. When ctx ends or the Deadline passes,
+// BusyError as soon as the load is not expected to complete within the Target of d, or before its
+// Deadline if that is earlier, because more urgent loads were queued or those in progress take
+// longer; not if d states no Deadline. When ctx ends or the Deadline passes,
 // Ensure returns the error of ctx; a load that has started continues.
 func (c *Controller) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64, d Demand) (int64, error) {
 	u := c.Upstream(id)
--- a/snipeadapter/demand.go
+++ b/snipeadapter/demand.go
@@ -29,8 +29,8 @@
 	// Target is the time left until the request's latency target; MaxWait takes its place if it is
 	// zero.
 	Target time.Duration
-	// Deadline is the time left until the request ends unanswered; zero if not stated. A load that is
-	// queued for such a request is never refused later.
+	// Deadline is the time left until the request ends unanswered; zero if not stated. A queued load
+	// is not refused later to a request that states none.
 	Deadline time.Duration
 	// PromptTokens is the size of the request's prompt; zero if not stated.
 	PromptTokens int
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -28,10 +28,18 @@
 	Wait time.Duration
 	// RetryAfter is when such a load is expected to be accepted; zero if not stated.
 	RetryAfter time.Duration
+	// Age is how long ago the owner named the wait; zero if it was asked.
+	Age time.Duration
 }
 
 // Error implements error.
-func (b *BusyError) Error() string { return "too many loads wait: " + b.Wait.String() }
+func (b *BusyError) Error() string {
+	text := "too many loads wait: " + b.Wait.String()
+	if b.Age > 0 {
+		text += ", named " + b.Age.String() + " ago"
+	}
+	return text
+}
 
 // load is the load of an adapter or base model that is queued or in progress.
 type load struct {
@@ -108,7 +116,7 @@
 		ctx, cancel = context.WithDeadline(ctx, w.deadline)
 		defer cancel()
 		e.lock.Lock()
-		timer := time.NewTimer(time.Until(w.deadline) - e.expectedTime(l))
+		timer := time.NewTimer(time.Until(w.useBy) - e.expectedTime(l))
 		e.lock.Unlock()
 		defer timer.Stop()
 		latestStart = timer.C
--- a/snipeadapter/queue.go
+++ b/snipeadapter/queue.go
@@ -14,9 +14,11 @@
 type waiter struct {
 	priority  int
 	workspace string
-	// target is when the caller's request misses its latency target, deadline when it ends; zero if
-	// not stated.
-	target, deadline time.Time
+	// target is when the caller's request misses its latency target, deadline when it ends. useBy is
+	// until when the load must be expected to be complete while it is queued: the target, because it
+	// was accepted on that condition and would delay loads that can still be in time. deadline and
+	// useBy are zero if no deadline is stated.
+	target, useBy, deadline time.Time
 	// refused receives the refusal if the caller's load is displaced.
 	refused chan *BusyError
 }
@@ -26,6 +28,7 @@
 	w := &waiter{priority: d.Priority, workspace: d.Workspace, target: now.Add(d.Target), refused: make(chan *BusyError, 1)}
 	if d.Deadline > 0 {
 		w.deadline = now.Add(d.Deadline)
+		w.useBy = now.Add(min(d.Deadline, max(d.Target, d.MaxWait)))
 	}
 	return w
 }
@@ -223,7 +226,7 @@
 }
 
 // refuseDisplaced refuses each waiter with a deadline whose queued load is not expected to be
-// complete before it. A refused caller can still try elsewhere or return, and a load that is of use
+// complete in time for it. A refused caller can still try elsewhere or return, and a load that is of use
 // to nobody takes no place before others. The lock is held.
 func (e *engine) refuseDisplaced() {
 	now := time.Now()
@@ -235,7 +238,7 @@
 		ready := free[next].Add(took)
 		remaining := len(l.waiters)
 		for _, w := range l.waiters {
-			if !w.deadline.IsZero() && ready.After(w.deadline) {
+			if !w.useBy.IsZero() && ready.After(w.useBy) {
 				all = append(all, displacement{l, w, ready})
 				remaining--
 			}
@@ -281,8 +284,9 @@
 func (e *engine) refuse(d displacement) {
 	now := time.Now()
 	busy := &BusyError{Wait: d.ready.Sub(now)}
-	busy.RetryAfter = e.retryAfter(busy.Wait, d.waiter.deadline.Sub(now))
-	e.logRefusal(d.load.adapter, d.waiter.priority, d.waiter.workspace, busy, d.waiter.deadline.Sub(now), true)
+	limit := d.waiter.useBy.Sub(now)
+	busy.RetryAfter = e.retryAfter(busy.Wait, limit)
+	e.logRefusal(d.load.adapter, d.waiter.priority, d.waiter.workspace, busy, limit, true)
 	d.waiter.refused <- busy
 	e.removeWaiter(d.load, d.waiter)
 }
@@ -293,9 +297,9 @@
 	return max(wait-limit, e.expectedStoreTime()/maxActiveStoreLoads)
 }
 
-// recheck refuses a waiter whose load has not started although it could no longer be complete before
-// the waiter's deadline. Without it, loads that wait behind one that does not end would be refused
-// only at their deadline.
+// recheck refuses a waiter whose load has not started although it could no longer be complete in time
+// for the waiter. Without it, loads that wait behind one that does not end would be refused only at
+// their deadline.
 func (e *engine) recheck(l *load, w *waiter) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
--- a/snipeadapter/queue_test.go
+++ b/snipeadapter/queue_test.go
@@ -55,13 +55,15 @@
 	tests := map[string]struct {
 		urgent    int
 		deadline  time.Duration
+		target    time.Duration
 		displaced bool
 	}{
-		"OneUrgent":      {1, 1200 * time.Millisecond, false},
-		"ManyUrgent":     {6, 1200 * time.Millisecond, true},
-		"LongDeadline":   {6, 10 * time.Second, false},
-		"NoDeadline":     {6, 0, false},
-		"UrgentDeadline": {0, 550 * time.Millisecond, false},
+		"OneUrgent":    {1, 1200 * time.Millisecond, 0, false},
+		"ManyUrgent":   {6, 1200 * time.Millisecond, 0, true},
+		"LongDeadline": {6, 10 * time.Second, 0, true},
+		"LongTarget":   {6, 10 * time.Second, 10 * time.Second, false},
+		"NoDeadline":   {6, 0, 0, false},
+		"NearDeadline": {0, 550 * time.Millisecond, 0, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -70,7 +72,7 @@
 				c.Refused = func(priority int, _ bool) { refusals[priority]++ }
 				var all sync.WaitGroup
 				fillStore(t.Context(), c, &all)
-				low := request(t.Context(), c, &all, 50, snipeadapter.Demand{MaxWait: time.Second, Priority: 2, Deadline: tt.deadline})
+				low := request(t.Context(), c, &all, 50, snipeadapter.Demand{MaxWait: time.Second, Priority: 2, Target: tt.target, Deadline: tt.deadline})
 				for n := range tt.urgent {
 					request(t.Context(), c, &all, n, snipeadapter.Demand{MaxWait: 5 * time.Second, Target: 5 * time.Second})
 				}
@@ -83,7 +85,7 @@
 					return
 				}
 				must.Eq(t, 0, low.took)
-				must.Greater(t, tt.deadline, busy.Wait)
+				must.Greater(t, time.Second, busy.Wait)
 				must.Greater(t, 0, busy.RetryAfter)
 				must.Eq(t, map[int]int{2: 1}, refusals)
 			})
@@ -107,7 +109,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			runSimulation(t, 21, func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, _ *bool) {
+			runSimulation(t, 21, func(t *testing.T, _ *fakeEngine, c *snipeadapter.Controller, _ *bool) {
 				var all sync.WaitGroup
 				fillStore(t.Context(), c, &all)
 				for n := range 6 {
@@ -137,7 +139,7 @@
 		all.Wait()
 		var busy *snipeadapter.BusyError
 		must.True(t, errors.As(waiting.err, &busy))
-		must.Less(t, deadline-storeLoadTime+50*time.Millisecond, waiting.took)
+		must.Less(t, time.Second-storeLoadTime+50*time.Millisecond, waiting.took)
 		must.ErrorIs(t, loading.err, context.DeadlineExceeded)
 		must.Eq(t, deadline, loading.took)
 	})
--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -39,7 +39,8 @@
 // replicaDemand is the demand for a further replica. No request waits for it, so it goes behind those
 // for which one does, and is given up when the next decision about the adapter's replicas is due.
 var replicaDemand = snipeadapter.Demand{
-	MaxWait: replicaMaxWait, Priority: snipeadapter.MaxPriority, Deadline: replicaDecisionInterval,
+	MaxWait: replicaMaxWait, Priority: snipeadapter.MaxPriority,
+	Target: replicaDecisionInterval, Deadline: replicaDecisionInterval,
 }
 
 // Replica is an engine that has recently loaded an adapter, and the version that it loaded.
