Waits that owners named are remembered for 100 ms

Change: an instance remembers for 100 ms by engine and priority which wait an owner named, counted down by its age. A request that is not more urgent and would not wait longer passes the engine over, except for a reload and for a load that this instance already waits for; after three such engines it is refused at once. A refusal names the least of the times to return, and the age of the wait where no owner was asked. The time that a request waited for a load that was displaced counts as a part of the wait that it accepts. A request that shared a load request with a shorter wait asks once more for itself. What one instance hears itself is little, since it sends few requests for loads and a named wait of 490 ms holds for 90 ms against one of 400 ms.

--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -55,6 +55,7 @@
 	Owned func(u *snipedirectory.Upstream) bool
 
 	estimators estimators
+	busyWaits  busyWaits
 
 	lock sync.Mutex // guards the fields below
 	// loads holds the load requests in flight, replicas the new replicas by adapter and engine, and
--- a/snipegateway/choose_test.go
+++ b/snipegateway/choose_test.go
@@ -27,6 +27,7 @@
 type fakeOwners struct {
 	lock      sync.Mutex
 	requested []string
+	demands   []snipeadapter.Demand
 	busy      map[string]time.Duration
 	canceled  int
 	// failures maps engines to the errors of their load requests.
@@ -41,6 +42,7 @@
 func (o *fakeOwners) ensure(ctx context.Context, u *snipedirectory.Upstream, _ snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
 	o.lock.Lock()
 	o.requested = append(o.requested, u.ID)
+	o.demands = append(o.demands, d)
 	wait, failure := o.busy[u.ID], o.failures[u.ID]
 	o.lock.Unlock()
 	if failure != nil {
--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -1,7 +1,6 @@
 package snipegateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -57,42 +56,102 @@
 }
 
 // load has an engine load the adapter, and waits for the load: the first of the best candidates
-// that can do so within shortLoadWait, or else the first candidate if it can do so within maxWait.
-// Candidates whose load request failed for another reason than time are passed over. If no engine
-// loads the adapter, the error is that of the last load request.
+// that can do so within shortLoadWait, or else the first candidate that can do so within maxWait.
+// Candidates that are known to be too busy for the request, and those whose load request failed for
+// another reason than time, are passed over. If no engine loads the adapter for lack of time, the
+// error names the least of the times to return, otherwise it is that of the last load request.
 func (c *Chooser) load(ctx context.Context, all []*snipedirectory.Upstream, q *Request, required int64, maxWait time.Duration, untried snipebalance.Filter) (Choice, error) {
-	a, start := q.Adapter, time.Now()
-	var refusal *snipeerror.CallError
-	var failed []string
+	s := loadSearch{chooser: c, all: all, request: q, required: required, untried: untried}
+	start := time.Now()
 	for _, round := range loadRounds(maxWait) {
-		tries := 0
-		for u := range c.loadCandidates(all, a) {
-			if !untried(u) || !c.loadable(u, a) || slices.Contains(failed, u.ID) {
-				continue
-			}
-			if tries == round.tries || len(failed) == maxFailedEngines {
-				break
-			}
-			err := c.requestLoad(ctx, u, a, required, q.demand(ctx, round.maxWait))
-			if err == nil {
-				choice := c.newChoice(u, a)
-				choice.Waited = time.Since(start)
-				return choice, nil
-			}
-			if refusal = loadRefusal(err); ctx.Err() != nil {
-				return Choice{}, refusal
-			}
-			if isBusy(err) {
-				tries++
-			} else {
-				failed = append(failed, u.ID)
-			}
+		u := s.run(ctx, round)
+		if u != nil {
+			choice := c.newChoice(u, q.Adapter)
+			choice.Waited = time.Since(start)
+			return choice, nil
+		}
+		if ctx.Err() != nil {
+			return Choice{}, loadRefusal(s.lastErr)
+		}
+	}
+	switch {
+	case s.busy != nil:
+		return Choice{}, loadRefusal(s.busy)
+	case s.lastErr != nil:
+		return Choice{}, loadRefusal(s.lastErr)
+	}
+	return Choice{}, c.refusalError(all, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "no engine has an owner").After(loadRetryAfter))
+}
+
+// loadSearch is the search for an engine that loads an adapter for a request.
+type loadSearch struct {
+	chooser  *Chooser
+	all      []*snipedirectory.Upstream
+	request  *Request
+	required int64
+	untried  snipebalance.Filter
+	// failed are the engines whose load requests failed for another reason than time.
+	failed []string
+	// busy is the refusal for lack of time that names the earliest time to return, lastErr the error
+	// of the last load request; nil if there was none.
+	busy    *snipeadapter.BusyError
+	lastErr error
+	// displaced is how long the request has waited for queued loads that were refused later; it
+	// counts as a part of the wait that the request accepts.
+	displaced time.Duration
+}
+
+// run asks the candidates of one round and returns the engine that has loaded the adapter, or nil.
+func (s *loadSearch) run(ctx context.Context, round loadRound) *snipedirectory.Upstream {
+	c, q := s.chooser, s.request
+	tries, passedOver := 0, 0
+	for u := range c.loadCandidates(s.all, q.Adapter) {
+		if !s.untried(u) || !c.loadable(u, q.Adapter) || slices.Contains(s.failed, u.ID) {
+			continue
+		}
+		maxWait := max(round.maxWait-s.displaced, 0)
+		if tries == round.tries || passedOver == maxKnownBusy || len(s.failed) == maxFailedEngines {
+			return nil
+		}
+		if busy := c.knownBusy(u, q, s.required, maxWait); busy != nil {
+			s.busy = sooner(s.busy, busy)
+			passedOver++
+			continue
 		}
+		asked := time.Now()
+		err := c.requestLoad(ctx, u, q.Adapter, s.required, q.demand(ctx, maxWait))
+		if err == nil {
+			return u
+		}
+		s.lastErr = err
+		if ctx.Err() != nil {
+			return nil
+		}
+		if busy := asBusy(err); busy != nil {
+			s.busy = sooner(s.busy, busy)
+			s.displaced += time.Since(asked)
+			tries++
+		} else {
+			s.failed = append(s.failed, u.ID)
+		}
+	}
+	return nil
+}
+
+// knownBusy returns the refusal that an engine's owner is expected to answer, or nil if it should be
+// asked: if no such wait is known, if this instance already waits for that load, and if the engine
+// loads the adapter from its own memory, for which it needs no place in the queue.
+func (c *Chooser) knownBusy(u *snipedirectory.Upstream, q *Request, required int64, maxWait time.Duration) *snipeadapter.BusyError {
+	busy := c.busyWaits.known(u.ID, q.Priority, maxWait)
+	if busy == nil || c.Residency.PreviouslyHeld(u.ID, q.Adapter) {
+		return nil
 	}
-	if refusal == nil {
-		refusal = c.refusalError(all, snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, "no engine has an owner").After(loadRetryAfter))
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.loads[loadKey{u.ID, q.Adapter, required, q.Priority}] != nil {
+		return nil
 	}
-	return Choice{}, refusal
+	return busy
 }
 
 // demand returns what an engine's owner is told about the request, which waits for a load of at most
@@ -108,10 +167,12 @@
 	return d
 }
 
-// isBusy reports whether an owner refused a load because it would take too long.
-func isBusy(err error) bool {
-	var busy *snipeadapter.BusyError
-	return errors.As(err, &busy)
+// asBusy returns the error of an owner that refused a load because it would take too long, or nil.
+func asBusy(err error) *snipeadapter.BusyError {
+	if busy := (*snipeadapter.BusyError)(nil); errors.As(err, &busy) {
+		return busy
+	}
+	return nil
 }
 
 // loadRound is a round of load requests to engines' owners: the longest wait that is accepted, and
@@ -133,9 +194,8 @@
 // busy owner named, otherwise loadRetryAfter.
 func loadRefusal(err error) *snipeerror.CallError {
 	wait := loadRetryAfter
-	var busy *snipeadapter.BusyError
-	if errors.As(err, &busy) {
-		wait = cmp.Or(busy.RetryAfter, busy.Wait)
+	if busy := asBusy(err); busy != nil {
+		wait = retryTime(busy)
 	}
 	return snipeerror.New(snipeerror.ErrLoadFailed, snipeerror.NotRun, err.Error()).After(wait)
 }
@@ -150,9 +210,20 @@
 // requestLoad asks an engine's owner to load an adapter and waits for the result or for the end of
 // ctx. Concurrent calls of one priority for the same version share one load request, which is
 // canceled when none of them waits any more. The demand of the call that started the load request
-// applies to all of them.
+// applies to all of them; a call that would have waited longer than that one asks once more.
 func (c *Chooser) requestLoad(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) error {
-	l := c.joinLoad(u, a, version, d)
+	l, joined := c.joinLoad(u, a, version, d)
+	err := c.awaitLoad(ctx, l)
+	if busy := asBusy(err); joined && busy != nil && busy.Wait <= d.MaxWait {
+		l, _ = c.joinLoad(u, a, version, d)
+		err = c.awaitLoad(ctx, l)
+	}
+	return err
+}
+
+// awaitLoad waits for the result of a load request, which counts the caller among its waiters, or for
+// the end of ctx.
+func (c *Chooser) awaitLoad(ctx context.Context, l *sharedLoad) error {
 	select {
 	case <-l.done:
 		return l.err
@@ -167,23 +238,24 @@
 }
 
 // joinLoad returns the load request in flight for an adapter on an engine, or starts one, and
-// counts the caller among its waiters. It does not wait.
-func (c *Chooser) joinLoad(u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) *sharedLoad {
+// counts the caller among its waiters. joined is set if the load request was in flight before. It does
+// not wait.
+func (c *Chooser) joinLoad(u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) (l *sharedLoad, joined bool) {
 	key := loadKey{u.ID, a, version, d.Priority}
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	if l := c.loads[key]; l != nil && l.waiters > 0 {
 		l.waiters++
-		return l
+		return l, true
 	}
 	if c.loads == nil {
 		c.loads = make(map[loadKey]*sharedLoad)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), loadRequestTimeout)
-	l := &sharedLoad{done: make(chan struct{}), cancel: cancel, waiters: 1}
+	l = &sharedLoad{done: make(chan struct{}), cancel: cancel, waiters: 1}
 	c.loads[key] = l
 	go c.runLoad(ctx, key, l, u, d)
-	return l
+	return l, false
 }
 
 // runLoad sends a load request, waits for its result, records the result and releases the waiters.
@@ -195,6 +267,8 @@
 	case l.err == nil:
 		c.estimators.forService(u.Service).recordLoad(time.Since(start))
 		c.Residency.RecordHeld(key.engine, key.adapter, l.version)
+	case asBusy(l.err) != nil:
+		c.busyWaits.record(key.engine, d.Priority, asBusy(l.err))
 	case errors.Is(l.err, snipeadapter.ErrUnreached):
 		c.Balancer.RecordUnreached(key.engine)
 	}
--- a/snipegateway/overload.go
+++ b/snipegateway/overload.go
@@ -102,6 +102,9 @@
 		if tries++; tries > maxLoadTries {
 			return Choice{}, false
 		}
+		if c.knownBusy(u, q, required, offloadMaxWait) != nil {
+			continue
+		}
 		if err := c.requestLoad(ctx, u, a, required, q.demand(ctx, offloadMaxWait)); err == nil {
 			choice := c.newChoice(u, a)
 			choice.Waited = time.Since(start)
