--- a/snipegateway/loadpeak_test.go
+++ b/snipegateway/loadpeak_test.go
@@ -199,10 +199,22 @@
 		(r.refusalTime / time.Duration(max(r.refused, 1))).Round(time.Millisecond))
 }
 
-// runPeak sends requests of three priorities and four workspaces, each for another adapter, to all
-// instances for 10 s, and returns how those of each priority ended. The owners of the given number of
-// engines are lost after 3 s.
-func runPeak(t *testing.T, seed uint64, perSecond float64, lost int) (results [3]peakResult, messages float64) {
+// peakKind is a kind of requests in a peak.
+type peakKind struct {
+	priority  int
+	workspace string
+}
+
+// add adds the counts of other requests.
+func (r *peakResult) add(o peakResult) {
+	r.inTime, r.late, r.refused, r.expired = r.inTime+o.inTime, r.late+o.late, r.refused+o.refused, r.expired+o.expired
+	r.refusalTime, r.overdue = r.refusalTime+o.refusalTime, max(r.overdue, o.overdue)
+}
+
+// runPeak sends requests of drawn kinds, each for another adapter, to all instances for 10 s, and
+// returns how those of each kind ended. The owners of the given number of engines are lost after 3 s.
+func runPeak(t *testing.T, seed uint64, perSecond float64, lost int, draw func(r *rand.Rand) peakKind) (results map[peakKind]peakResult, messages float64) {
+	results = map[peakKind]peakResult{}
 	synctest.Test(t, func(t *testing.T) {
 		s := newPeakSite()
 		time.AfterFunc(3*time.Second, func() { s.lose(lost) })
@@ -212,10 +224,11 @@
 		n := 0
 		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); n++ {
 			time.Sleep(time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)))
-			c, p := s.choosers[r.IntN(peakInstances)], r.IntN(3)
+			c, k := s.choosers[r.IntN(peakInstances)], draw(r)
+			p := k.priority
 			q := &snipegateway.Request{
 				ID: fmt.Sprint(n), Adapter: snipecatalog.Adapter{Model: "base", Name: fmt.Sprint("a", n)},
-				Priority: p, Workspace: fmt.Sprint("w", r.IntN(4)), Target: time.Now().Add(peakTargets[p]),
+				Priority: p, Workspace: k.workspace, Target: time.Now().Add(peakTargets[p]),
 			}
 			all.Go(func() {
 				begun, deadline := time.Now(), 3*peakTargets[p]
@@ -225,7 +238,8 @@
 				took := time.Since(begun)
 				lock.Lock()
 				defer lock.Unlock()
-				sum := &results[p]
+				sum := results[k]
+				defer func() { results[k] = sum }()
 				sum.overdue = max(sum.overdue, took-deadline)
 				switch {
 				case err == nil && took <= peakTargets[p]:
@@ -253,8 +267,8 @@
 // urgent ones, against requests that ask one busy owner after the other, and against a wait beyond
 // the deadline. It answers 0.7, 1.3 and 2 times as many adapters as 12 engines can load (82 a second),
 // from 16 instances, and the loss of a quarter of the owners while loads wait. Without the order of
-// loads, 0.204 and 0.026 of the requests of priority 0 were in time in Peak0 and Storm0, with 3.86 and
-// 3.98 messages a request.
+// loads, 0.204 and 0.026 of the requests of priority 0 were in time in Peak0 and Storm0 of 20 s, with
+// 3.86 and 3.98 messages a request.
 func TestPeakOfLoads(t *testing.T) {
 	tests := map[string]struct {
 		perSecond, least, messages float64
@@ -268,7 +282,13 @@
 	for name, tt := range tests {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
-				results, messages := runPeak(t, seed, tt.perSecond, tt.lost)
+				kinds, messages := runPeak(t, seed, tt.perSecond, tt.lost, func(r *rand.Rand) peakKind {
+					return peakKind{r.IntN(3), fmt.Sprint("w", r.IntN(4))}
+				})
+				var results [3]peakResult
+				for k, sum := range kinds {
+					results[k.priority].add(sum)
+				}
 				t.Logf("in time, late, refused, expired, time of a refusal: %v, %.2f messages a request", results, messages)
 				must.GreaterEq(t, tt.least, results[0].share())
 				must.LessEq(t, tt.messages, messages)
@@ -279,3 +299,33 @@
 		}
 	}
 }
+
+// TestFairLoadsOverInstances guards against a workspace that sends eight times its usual requests to
+// all instances, within its quota, taking the loads of the others. It answers four workspaces that need
+// 0.6 of what the engines can load, and one of them then eight times its part. The others must get in
+// time at least 0.9 of what they get without it.
+func TestFairLoadsOverInstances(t *testing.T) {
+	const usual = 12.0
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			others := func(factor float64) (sum peakResult) {
+				kinds, _ := runPeak(t, seed, (3+factor)*usual, 0, func(r *rand.Rand) peakKind {
+					if n := r.Float64() * (3 + factor); n < 3 {
+						return peakKind{1, fmt.Sprint("w", int(n)+1)}
+					}
+					return peakKind{1, "w0"}
+				})
+				for k, r := range kinds {
+					if k.workspace != "w0" {
+						sum.add(r)
+					}
+				}
+				return sum
+			}
+			without, with := others(1), others(8)
+			t.Logf("in time, late, refused, expired, time of a refusal: usual %v, with eight times %v", without, with)
+			must.GreaterEq(t, 0.9*without.share(), with.share())
+			must.LessEq(t, time.Millisecond, with.overdue)
+		})
+	}
+}
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -141,7 +141,7 @@
 	contains := func(text string) bool { return strings.Contains(e.Error, text) }
 	switch {
 	case contains("too many loads wait"):
-		return Cause{LoadsQueued, "the engines of adapter " + e.Adapter + " had more loads queued than could end before the deadline of the request"}, append(s.loadLines(), *e)
+		return Cause{LoadsQueued, "the engines of adapter " + e.Adapter + " had more loads queued than could end in time for the request"}, append(s.loadLines(), *e)
 	case contains("no engine has an owner"), contains("no right to order"):
 		return Cause{NoOwner, "no live instance owned the engines of the adapter and could order a load"}, append(s.ownershipLines(), *e)
 	case contains("status 421"), contains("status 503") && e.Adapter != "":
@@ -220,9 +220,10 @@
 // retries returns the lines that report further attempts of the request.
 func (s *Story) retries() []Line { return s.withEvents(snipelog.RequestSentAgain.Number) }
 
-// loadLines returns the lines that report the results of loading the request's adapter.
+// loadLines returns the lines that report the results of loading the request's adapter, or that a load
+// was refused.
 func (s *Story) loadLines() []Line {
-	return s.withEvents(snipelog.AdapterPresent.Number, snipelog.LoadFailed.Number, snipelog.OrderUnknown.Number)
+	return s.withEvents(snipelog.AdapterPresent.Number, snipelog.LoadFailed.Number, snipelog.OrderUnknown.Number, snipelog.LoadRefused.Number)
 }
 
 // ownershipLines returns the lines that report changes of the ownership of engines.
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -19,6 +19,7 @@
 	replace      = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Load","Adapter":"a5","Version":3,"Engine":"u1"}`
 	unloadOther  = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Unload","Adapter":"a6","Engine":"u1"}`
 	present      = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i3","Event":514,"Name":"AdapterPresent","Adapter":"a5","Engine":"u1","Queued":700,"Milliseconds":260}`
+	refusedLoad  = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i3","Event":521,"Name":"LoadRefused","Adapter":"a5","Engine":"u1","Displaced":true}`
 	retried      = `{"time":"2026-03-01T10:00:01.200Z","Instance":"i1","Event":212,"Name":"RequestSentAgain","Request":"q1","After":"x","Tried":["u1"],"Ran":1}`
 	gone         = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u1"}`
 	goneOther    = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u2"}`
@@ -75,6 +76,11 @@
 			snipestory.LoadsQueued,
 			[]string{"AdapterPresent", "End"},
 		},
+		"LoadsQueuedAsNamedBefore": {
+			[]string{refusedLoad, end("211", `"Error":"too many loads wait: 1s, named 40ms ago","Adapter":"a5"`)},
+			snipestory.LoadsQueued,
+			[]string{"LoadRefused", "End"},
+		},
 		"NoOwner": {
 			[]string{stale, end("211", `"Error":"no engine has an owner","Adapter":"a5"`)},
 			snipestory.NoOwner,
