--- a/snipegateway/choose_test.go
+++ b/snipegateway/choose_test.go
@@ -27,6 +27,7 @@
 type fakeOwners struct {
 	lock      sync.Mutex
 	requested []string
+	demands   []snipeadapter.Demand
 	busy      map[string]time.Duration
 	canceled  int
 	// failures maps engines to the errors of their load requests.
@@ -38,15 +39,16 @@
 // loadTime is the time of a load on an otherwise idle engine.
 const loadTime = 250 * time.Millisecond
 
-func (o *fakeOwners) ensure(ctx context.Context, u *snipedirectory.Upstream, _ snipecatalog.Adapter, version int64, maxWait time.Duration) (int64, error) {
+func (o *fakeOwners) ensure(ctx context.Context, u *snipedirectory.Upstream, _ snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
 	o.lock.Lock()
 	o.requested = append(o.requested, u.ID)
+	o.demands = append(o.demands, d)
 	wait, failure := o.busy[u.ID], o.failures[u.ID]
 	o.lock.Unlock()
 	if failure != nil {
 		return 0, failure
 	}
-	if wait > maxWait {
+	if wait > d.MaxWait {
 		return 0, &snipeadapter.BusyError{Wait: wait}
 	}
 	select {
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -31,6 +31,7 @@
 	denied        = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"search","Waiting":31}`
 	deniedOther   = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"rank","Waiting":3}`
 	lost          = `{"time":"2026-03-01T10:00:01.600Z","Instance":"i1","Event":222,"Name":"CoordinatorLost","Service":"search","Coordinator":"i2"}`
+	refusedLoad   = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i3","Event":521,"Name":"LoadRefused","Adapter":"a5","Engine":"u1","Displaced":true}`
 )
 
 // end returns a line that reports the end of request q1 after 800 ms, with the given event and
@@ -90,6 +91,11 @@
 			snipestory.LoadsQueued,
 			[]string{"AdapterPresent", "End"},
 		},
+		"LoadsQueuedAsNamedBefore": {
+			[]string{refusedLoad, end("211", `"Error":"too many loads wait: 1s, named 40ms ago","Adapter":"a5"`)},
+			snipestory.LoadsQueued,
+			[]string{"LoadRefused", "End"},
+		},
 		"NoOwner": {
 			[]string{stale, end("211", `"Error":"no engine has an owner","Adapter":"a5"`)},
 			snipestory.NoOwner,
