--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -24,8 +24,9 @@
 	maxExcluded = 32
 	// maxName bounds the names in messages, in bytes.
 	maxName = 256
-	// maxAdmissionTime bounds the times in messages; it is the longest deadline of a request.
-	maxAdmissionTime = 24 * time.Hour
+	// maxMessageTime bounds the times in messages of other instances; it is the longest deadline of a
+	// request.
+	maxMessageTime = 24 * time.Hour
 	// maxLoadFigure bounds the figures of a load report.
 	maxLoadFigure = 1 << 20
 	// maxPermitLifetime bounds the lifetime of a permit in an answer.
@@ -186,15 +187,15 @@
 // validName reports whether a message may contain a name of a service or an upstream.
 func validName(name string) bool { return name != "" && len(name) <= maxName }
 
-// outOfRange reports whether a time is longer than maxAdmissionTime in either direction.
+// outOfRange reports whether a time is longer than maxMessageTime in either direction.
 func outOfRange(ms int64) bool {
-	const limit = int64(maxAdmissionTime / time.Millisecond)
+	const limit = int64(maxMessageTime / time.Millisecond)
 	return ms > limit || ms < -limit
 }
 
-// milliseconds returns a time of a message, bounded by maxAdmissionTime.
+// milliseconds returns a time of a message of another instance, bounded by maxMessageTime.
 func milliseconds(ms int64) time.Duration {
-	const limit = int64(maxAdmissionTime / time.Millisecond)
+	const limit = int64(maxMessageTime / time.Millisecond)
 	return time.Duration(min(max(ms, -limit), limit)) * time.Millisecond
 }
 
@@ -277,7 +278,7 @@
 // because the permit has to end all the same.
 func decodeResult(m *snipeproto.AdmissionResult) (snipeadmission.Result, error) {
 	outcome := snipeadmission.Outcome(m.GetOutcome())
-	const longest = int64(maxAdmissionTime / time.Microsecond)
+	const longest = int64(maxMessageTime / time.Microsecond)
 	switch {
 	case !validName(m.GetService()):
 		return snipeadmission.Result{}, errors.Wrap(errMessage, "service empty or too long")
--- a/snipeentry/admissionwire_test.go
+++ b/snipeentry/admissionwire_test.go
@@ -193,7 +193,7 @@
 		acquire := &snipeproto.AdmissionAcquireRequest{}
 		if proto.Unmarshal(data, acquire) == nil {
 			if r, err := decodeAcquireRequest(acquire, now); err == nil {
-				must.Between(t, 0, r.Deadline.Sub(now), maxAdmissionTime)
+				must.Between(t, 0, r.Deadline.Sub(now), maxMessageTime)
 				must.LessEq(t, maxExcluded, len(r.Excluded))
 				again, err := decodeAcquireRequest(encodeAcquire(acquire.GetService(), r, now), now)
 				must.NoError(t, err)
--- a/snipeentry/demand.go
+++ b/snipeentry/demand.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"strconv"
-	"time"
 
 	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipeproto"
@@ -52,9 +51,3 @@
 func (i *Instance) countLoadRefusal(priority int, displaced bool) {
 	i.meter.Count(`snipepitch_loads_refused_total{priority="` + strconv.Itoa(priority) + `",displaced="` + strconv.FormatBool(displaced) + `"}`)
 }
-
-// milliseconds converts a number of milliseconds of a message, without an overflow.
-func milliseconds(n int64) time.Duration {
-	const limit = math.MaxInt64 / int64(time.Millisecond)
-	return time.Duration(min(max(n, -limit), limit)) * time.Millisecond
-}
