--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -18,7 +18,7 @@
 	ReplicaRate = 15.0
 	// replicaMaxWait is the longest expected time for the load of a further replica. An engine with
 	// more loads queued would not relieve the others in time.
-	replicaMaxWait = 300 * time.Millisecond
+	replicaMaxWait = offloadMaxWait
 	// replicaDecisionInterval is the least time between two decisions about an adapter's replicas.
 	// The load of an adapter takes 0.3 s, and rates of requests have a half-life of 0.3 s. After a
 	// shorter time, the rates would not reflect the last decision yet.
