--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -24,8 +24,8 @@
 	// not answer: a quarter of all engines may have just failed.
 	maxFailedEngines = 6
 	// shortLoadWait is the longest wait for the load of an adapter on an engine that has no more
-	// loads queued than it runs at once, while the store is busy.
-	shortLoadWait = 550 * time.Millisecond
+	// loads queued than it runs at once.
+	shortLoadWait = 400 * time.Millisecond
 	// loadRequestTimeout bounds one load request to an engine's owner.
 	loadRequestTimeout = 5 * time.Second
 	// loadRetryAfter is the retry time for a request whose adapter could not be loaded: twice the
