Shared admission: permits for the handover, slow upstreams used before a refusal

Change: as many more permits as are being handed over; signed averages of what runs without a permit; one late request goes first in four grants; a free permit is used before a refusal.

--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -44,10 +44,12 @@
 	// lastRetry is the time that was last named to a refused caller.
 	lastRetry time.Time
 	sweptAt   time.Time
-	timer     *time.Timer
-	wakeAt    time.Time // when the timer fires; zero if it does not run
-	stats     Stats
-	decisions []Decision // not yet passed to OnDecision
+	// sinceRescue counts the grants since the last one to a request that was rescued.
+	sinceRescue int
+	timer       *time.Timer
+	wakeAt      time.Time // when the timer fires; zero if it does not run
+	stats       Stats
+	decisions   []Decision // not yet passed to OnDecision
 }
 
 // lease is a permit that is out.
@@ -55,6 +57,7 @@
 	upstream *upstream
 	instance string
 	item     snipefair.Item
+	granted  time.Time
 	ends     time.Time
 	// running is the load of the upstream when the permit was granted, with this one.
 	running int
@@ -263,6 +266,7 @@
 	}
 	c.remove(id, l)
 	c.pool.observe(u, r, l.running, now)
+	u.observeHandover(now.Sub(l.granted), r.Took)
 	switch r.Outcome {
 	case OutcomeServed:
 		u.failures = 0
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -18,6 +18,10 @@
 	// as overload (97.8% instead of 99.1% within the deadline, the worst of ten seeds); with 1.1,
 	// an overload of 1.2 was often not seen (84% instead of 94% of the served in target).
 	overload = 1.05
+	// rescueSpacing is the least number of grants from one late request that goes first to the next.
+	// If each late request went first near its deadline, a short peak would leave a queue in which
+	// all requests wait until they are late.
+	rescueSpacing = 4
 	// leastRoom is the part of the rate that is always counted on for returning callers.
 	leastRoom = 4
 	// forever is the wait that stands for no service at all.
@@ -39,7 +43,7 @@
 // waits when an upstream without a free permit is expected to serve it sooner than the others; it is
 // then counted there, so that the next request finds the place taken.
 func (c *Coordinator) next(now time.Time) (*snipefair.Entry[*waiter], *upstream) {
-	c.queue.Rescue = !c.overloaded(priorities, now)
+	c.queue.Rescue = c.sinceRescue >= rescueSpacing && !c.overloaded(priorities, now)
 	ready := c.pool.ready(now)
 	assigned := make([]float64, len(c.pool.list))
 	if e := c.queue.Peek(now, ready); c.queue.Len() == 1 || c.soonestFree(e.Value, assigned, now) != nil {
@@ -104,10 +108,14 @@
 // grant gives a waiting request a permit for an upstream.
 func (c *Coordinator) grant(e *snipefair.Entry[*waiter], u *upstream, now time.Time) {
 	c.queue.Take(e)
+	c.sinceRescue++
+	if e.Item.Late(now) {
+		c.sinceRescue = 0
+	}
 	w := e.Value
 	c.lastID++
 	u.out++
-	l := &lease{upstream: u, instance: w.request.Instance, item: e.Item, ends: now.Add(c.Lifetime), running: int(u.load(now))}
+	l := &lease{upstream: u, instance: w.request.Instance, item: e.Item, granted: now, ends: now.Add(c.Lifetime), running: int(u.load(now))}
 	c.permits[c.lastID] = l
 	c.stats.Granted++
 	p := c.permit(c.lastID, l)
@@ -192,10 +200,33 @@
 	e.Value.expected = wait
 	switch late := e.Item.Late(now.Add(wait + most)); {
 	case late && c.overloaded(p+1, now):
-		c.refuse(e, ReasonLate, now)
+		c.useOrRefuse(e, ReasonLate, now)
 	case c.misses(e, wait, now):
-		c.refuse(e, ReasonDeadline, now)
+		c.useOrRefuse(e, ReasonDeadline, now)
+	}
+}
+
+// useOrRefuse grants a permit that is free, if the upstream is expected to serve the request before
+// its deadline, and refuses the request otherwise. A slow upstream with a free permit is otherwise
+// left idle for as long as a faster one is expected to end the request sooner, and would not be used
+// at all where requests are refused in place of waiting.
+func (c *Coordinator) useOrRefuse(e *snipefair.Entry[*waiter], reason Reason, now time.Time) {
+	var best *upstream
+	var shortest float64
+	for _, u := range c.pool.list {
+		mean, _ := c.pool.service(u, now)
+		switch {
+		case float64(u.out)+1 > u.limit(now), e.Value.excludes(u.id, now):
+		case !e.Item.Deadline.IsZero() && now.Add(seconds(mean)).After(e.Item.Deadline):
+		case best == nil || mean < shortest:
+			best, shortest = u, mean
+		}
+	}
+	if best == nil {
+		c.refuse(e, reason, now)
+		return
 	}
+	c.grant(e, best, now)
 }
 
 // overloaded reports whether the arrivals of the priorities below limit clearly exceed what the
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -17,9 +17,12 @@
 	forgetAfter, forgetHalf = 2 * time.Second, time.Second
 	// firstGuess is the time of a request before any was observed.
 	firstGuess = 50 * time.Millisecond
-	// excessDivisor sets the permits beyond the slots of an upstream: one for each excessDivisor
-	// slots, at least one. They cover the time from a release to the next arrival.
+	// excessDivisor sets the least number of permits beyond the slots of an upstream: one for each
+	// excessDivisor slots, at least one (see excess).
 	excessDivisor = 8
+	// othersSamples is the number of load reports that count in the average of what runs without a
+	// permit.
+	othersSamples = 16
 	// minPause and maxPause bound the time for which an upstream is left alone; firstPause is the
 	// time after the first failure, which doubles with each further one.
 	minPause, firstPause, maxPause = 10 * time.Millisecond, 250 * time.Millisecond, 4 * time.Second
@@ -60,6 +63,8 @@
 	// latest observation.
 	took       average
 	observedAt time.Time
+	// handover is the time in seconds for which a permit is out beyond the time of its request.
+	handover average
 	// speed is the usual number of requests a second that a slot serves, at speedAt.
 	speed               float64
 	speedAt, knownSince time.Time
@@ -67,8 +72,7 @@
 	pace       float64
 	paces      average
 	reportedAt time.Time
-	// others is the number of requests without a permit of this coordinator that the last load
-	// report showed.
+	// others is the moving average of the requests beyond the permits out that load reports show.
 	others float64
 	// pausedUntil is the time until which the upstream is left alone, after failures in a row. As
 	// long as there are failures, one request at a time is sent to it.
@@ -97,11 +101,10 @@
 	if l.Age >= reportLife || at.Before(u.reportedAt) {
 		return
 	}
-	others := max(0, float64(l.Running+l.Waiting-u.out))
-	// Reports and releases overtake each other by a few requests, so that a single report says
-	// little.
-	u.others = u.othersNow(now)
-	u.others += (others - u.others) / 4
+	// Reports and releases overtake each other by a few requests, so that a single report says little.
+	// Differences below zero count too: otherwise this noise would look like requests of others.
+	u.others *= u.freshness(now)
+	u.others += (float64(l.Running+l.Waiting-u.out) - u.others) / othersSamples
 	u.reportedAt = at
 	if l.Slots > 0 {
 		u.slots = l.Slots
@@ -117,7 +120,11 @@
 	return max(0, 1-float64(now.Sub(u.reportedAt))/float64(reportLife))
 }
 
-func (u *upstream) othersNow(now time.Time) float64 { return u.others * u.freshness(now) }
+// othersNow returns the number of requests without a permit that are expected there. A difference of
+// less than one is taken for noise.
+func (u *upstream) othersNow(now time.Time) float64 {
+	return max(0, u.others*u.freshness(now)-1)
+}
 
 // paceNow returns the expected pace: the one stated last, which fades to the mean.
 func (u *upstream) paceNow(now time.Time) float64 {
@@ -174,7 +181,26 @@
 	case u.failures > 0:
 		return 1
 	}
-	return max(1, float64(u.slots+max(1, u.slots/excessDivisor))-u.othersNow(now))
+	return max(1, float64(u.slots+u.excess())-u.othersNow(now))
+}
+
+// observeHandover records how long a permit was out, and how much of that its request took.
+func (u *upstream) observeHandover(held, took time.Duration) {
+	if took > 0 && held >= took && held <= maxTook {
+		u.handover.observe((held - took).Seconds())
+	}
+}
+
+// excess returns the number of permits beyond the slots, at most as many as there are slots. While a
+// permit is handed over, from the end of a request to the arrival of the next, its slot would be
+// idle: as many more are out as are being handed over when all slots are occupied.
+func (u *upstream) excess() int {
+	least := max(1, u.slots/excessDivisor)
+	if u.handover.count == 0 || u.took.count == 0 {
+		return least
+	}
+	handedOver := math.Ceil(float64(u.slots) * u.handover.mean / u.took.mean)
+	return min(least+int(handedOver), max(least, u.slots))
 }
 
 // load returns the requests that are expected to run or wait there.
