Shared admission: wait for a faster upstream only if it is clearly faster

Change: a request waits for an upstream only if it is expected to end there a quarter sooner than at one with a free permit. Ruled out: treating upstreams as equally fast within a tenth or a quarter (TestChoice, TestAboveCapacity fail), a margin of a half (TestAboveCapacity).

--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -11,6 +11,9 @@
 	// lookahead bounds the waiting requests that are looked at for one free slot, when those before
 	// them wait for a faster upstream.
 	lookahead = 64
+	// waitMargin is how many times sooner than at an upstream with a free permit a request must end at
+	// one that it has to wait for.
+	waitMargin = 1.25
 	// maxRetryAfter bounds the time that a refused caller is told.
 	maxRetryAfter = 5 * time.Second
 	// overload is the ratio of the arrivals to what the upstreams usually serve from which the service
@@ -85,10 +88,8 @@
 		if u.limit(now) == 0 || w.excludes(u.id, now) {
 			continue
 		}
-		mean, _ := c.pool.service(u, now)
-		slots := min(float64(u.slots), u.limit(now))
-		excess := max(0, u.load(now)+assigned[i]+1-slots)
-		end, use := mean*(1+excess/slots), u.load(now)/slots
+		end := c.expectedEnd(u, assigned[i], now)
+		use := u.load(now) / min(float64(u.slots), u.limit(now))
 		if end < soonest || end == soonest && use < used {
 			best, soonest, used = i, end, use
 		}
@@ -96,6 +97,20 @@
 	return best
 }
 
+// expectedEnd returns the expected time of a request at an upstream in seconds. An upstream without a
+// free permit counts as slower than it is: expected times are inexact, and a request that waits for it
+// leaves a slot of another one idle.
+func (c *Coordinator) expectedEnd(u *upstream, assigned float64, now time.Time) float64 {
+	mean, _ := c.pool.service(u, now)
+	slots := min(float64(u.slots), u.limit(now))
+	excess := max(0, u.load(now)+assigned+1-slots)
+	end := mean * (1 + excess/slots)
+	if float64(u.out)+1 > u.limit(now) {
+		end *= waitMargin
+	}
+	return end
+}
+
 func (w *waiter) excludes(id string, now time.Time) bool {
 	for _, x := range w.excluded {
 		if x.upstream == id && now.Before(x.until) {
--- a/snipeentry/demand.go
+++ b/snipeentry/demand.go
@@ -23,8 +23,9 @@
 	r.PromptTokens = int64(d.PromptTokens)
 }
 
-// decodeDemand returns the demand of a request to load an adapter. Figures beyond the range of their
-// types become the nearest that fit; the controller bounds them further.
+// decodeDemand returns the demand of a request to load an adapter. Times beyond maxMessageTime and
+// figures beyond the range of their types become the nearest that fit; the controller bounds them
+// further.
 func decodeDemand(r *snipeproto.AdapterEnsureRequest) snipeadapter.Demand {
 	return snipeadapter.Demand{
 		MaxWait: milliseconds(r.GetPatienceMilliseconds()), Priority: int(r.GetPriority()), Workspace: r.GetWorkspace(),
