Do not close a caller's connection whose request was read

net/http reports a connection as active only after it has read the header of a request. At the bound on connections, one that still counted as idle could be closed then: its request ran and the answer was lost. The connection's read deadline is now set to the past instead, which net/http removes when it has a request, and connections with unread bytes are passed over.

--- a/snipeentry/connections.go
+++ b/snipeentry/connections.go
@@ -4,7 +4,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -30,6 +33,11 @@
 // connectionLimit bounds the open connections of callers. At the bound the connection that is idle
 // for longest, or has sent no request for longest, is closed for a new one; if there is none, the new
 // one is refused. It is safe for concurrent use.
+//
+// The server calls stateChanged only after it has read the header of a request, so that a connection
+// that counts as idle may have one. It is therefore not closed, but its read deadline is set to the
+// past: the server closes a connection on which it still waits for a request, and removes the
+// deadline otherwise. The bound may be exceeded by the connections on which a request has just arrived.
 type connectionLimit struct {
 	most int
 	// refused is called for each refused connection; first is set for the first one of a second.
@@ -60,6 +68,10 @@
 		}
 		l.idle[c] = time.Now()
 	case http.StateActive:
+		if _, ok := l.idle[c]; !ok {
+			// It was to be closed, and would otherwise be when the server watches for its end.
+			_ = c.SetReadDeadline(time.Time{})
+		}
 		delete(l.idle, c)
 	case http.StateClosed, http.StateHijacked:
 		delete(l.idle, c)
@@ -67,24 +79,54 @@
 	}
 }
 
-// add counts a new connection, and reports false if it must be refused. It returns the idle
-// connection to close for it, or nil.
-func (l *connectionLimit) add() (victim net.Conn, ok bool) {
+// add counts a new connection, and reports false if it must be refused. At the bound it ends an idle
+// connection.
+func (l *connectionLimit) add() (ok bool) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	if l.open >= l.most {
-		for c, since := range l.idle {
-			if victim == nil || since.Before(l.idle[victim]) {
-				victim = c
-			}
-		}
-		if victim == nil || time.Since(l.idle[victim]) < minIdleTime {
-			return nil, false
-		}
-		delete(l.idle, victim)
+	if l.open >= l.most && !l.endIdle() {
+		return false
 	}
 	l.open++
-	return victim, true
+	return true
+}
+
+// endIdle ends the connection that is idle for longest, and reports false if there is none. The lock
+// is held.
+func (l *connectionLimit) endIdle() bool {
+	latest := time.Now().Add(-minIdleTime)
+	var victim net.Conn
+	for c, since := range l.idle {
+		if !since.After(latest) && (victim == nil || since.Before(l.idle[victim])) && !hasUnread(c) {
+			victim = c
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	delete(l.idle, victim)
+	_ = victim.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// hasUnread reports whether bytes have arrived on a connection that the server has not read yet, as
+// when the process was stopped for a while.
+func hasUnread(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	// Control, unlike Read, does not wait for the read in progress.
+	_ = raw.Control(func(fd uintptr) {
+		var buffer [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0
 }
 
 // listener returns a listener whose connections count; l itself if the limit is nil.
@@ -108,15 +150,10 @@
 		if err != nil {
 			return nil, err
 		}
-		idle, ok := l.limit.add()
-		if !ok {
-			l.limit.refuse(c)
-			continue
-		}
-		if idle != nil {
-			_ = idle.Close()
+		if l.limit.add() {
+			return c, nil
 		}
-		return c, nil
+		l.limit.refuse(c)
 	}
 }
 
--- a/snipeentry/connections_test.go
+++ b/snipeentry/connections_test.go
@@ -72,6 +72,93 @@
 	}
 }
 
+// TestRequestAtEviction guards against closing a connection whose request was read just as the
+// connection was chosen to be closed for a new one: the request runs, and its answer must arrive.
+func TestRequestAtEviction(t *testing.T) {
+	limit := &connectionLimit{most: 1, refused: func(int, bool) {}}
+	read, accepted := make(chan struct{}), make(chan struct{})
+	first := &atomic.Bool{}
+	server := &http.Server{
+		ReadHeaderTimeout: time.Minute,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if s == http.StateActive && first.CompareAndSwap(false, true) {
+				close(read)
+				<-accepted
+			}
+			limit.stateChanged(c, s)
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(10 * time.Millisecond)
+			if r.Context().Err() != nil {
+				w.WriteHeader(http.StatusTeapot)
+			}
+		}),
+	}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	listener := limit.listener(inner)
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	must.NoError(t, err)
+	go func() { _ = server.Serve(&notifyingListener{listener, 2, accepted}) }()
+	time.Sleep(2 * minIdleTime)
+	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	must.NoError(t, err)
+	<-read
+	second, err := net.Dial("tcp", inner.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = second.Close() })
+	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, a.StatusCode)
+	_ = a.Body.Close()
+	_ = conn.Close()
+}
+
+// TestUnreadRequest guards against closing a connection whose request has arrived, but was not read
+// because the process had been stopped.
+func TestUnreadRequest(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = inner.Close() })
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	conn, err := inner.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	limit := &connectionLimit{most: 1}
+	must.True(t, limit.add())
+	limit.stateChanged(conn, http.StateNew)
+	time.Sleep(minIdleTime)
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
+	must.NoError(t, err)
+	for !hasUnread(conn) {
+		time.Sleep(time.Millisecond)
+	}
+	must.False(t, limit.add())
+	_, err = io.ReadFull(conn, make([]byte, 16))
+	must.NoError(t, err)
+	must.True(t, limit.add())
+}
+
+// notifyingListener closes accepted when it has accepted the given number of connections.
+type notifyingListener struct {
+	net.Listener
+	after    int
+	accepted chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *notifyingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if l.after--; l.after == 0 {
+		close(l.accepted)
+	}
+	return c, err
+}
+
 // TestShares guards against parts of the memory that are together more than the memory: Go's limit, the
 // kernel buffers of all requests that the bound admits, and the program's text.
 func TestShares(t *testing.T) {
