Deliver answers that were read ahead once also under pressure

A caller that had blocked once received nothing more while the instance held more than 3/4 of the bound, because each block counted as read ahead. The first block may now use all of the bound, and is kept while the delivery lasts. Blocks that the caller has taken are no longer reachable through the slice, and the others are released at the end of the delivery instead of the end of the request, which may go on at another upstream.

--- a/snipegateway/delivery.go
+++ b/snipegateway/delivery.go
@@ -126,9 +126,8 @@
 	if ahead == nil {
 		return
 	}
-	close(ahead.quit)
 	d.answer.Interrupt()
-	<-ahead.done
+	ahead.stop()
 }
 
 // blockSize is the size of the blocks in which bytes that were read ahead are held and counted.
@@ -141,6 +140,7 @@
 	quit    chan struct{} // closed to end run
 	done    chan struct{} // closed when run has ended
 	more    chan struct{} // holds a value if there may be something new to read
+	emptied chan struct{} // holds a value if the only block may have become empty
 
 	lock   sync.Mutex // guards the fields below
 	blocks [][]byte   // each has the capacity blockSize; only the last one is not full
@@ -152,6 +152,7 @@
 	return &readAhead{
 		answer: answer, account: a,
 		quit: make(chan struct{}), done: make(chan struct{}), more: make(chan struct{}, 1),
+		emptied: make(chan struct{}, 1),
 	}
 }
 
@@ -170,7 +171,7 @@
 		r.blocks[last] = r.blocks[last][:len(r.blocks[last])+n]
 		r.err = err
 		r.lock.Unlock()
-		r.signal()
+		signal(r.more)
 		if err != nil {
 			return
 		}
@@ -179,20 +180,70 @@
 
 // space returns the free part of the last block, or of a new one. It returns false if quit is closed.
 func (r *readAhead) space() ([]byte, bool) {
+	for {
+		free, grow := r.freeSpace()
+		switch {
+		case free != nil:
+			return free, true
+		case grow(blockSize):
+			r.addBlock()
+			continue
+		}
+		select {
+		case <-r.quit:
+			return nil, false
+		case <-r.emptied:
+		case <-time.After(roomInterval):
+		}
+	}
+}
+
+// freeSpace returns the free part of the last block, or, if there is none, the function that counts
+// another block. The first block is not one that is read ahead: without it, a caller that reads again
+// would receive nothing while nothing may be read ahead.
+func (r *readAhead) freeSpace() (free []byte, grow func(int64) bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if n := len(r.blocks); n > 0 && len(r.blocks[n-1]) < blockSize {
-		b := r.blocks[n-1]
-		return b[len(b):blockSize], true
+	if len(r.blocks) == 0 {
+		return nil, r.account.Grow
+	}
+	if last := r.blocks[len(r.blocks)-1]; len(last) < blockSize {
+		return last[len(last):blockSize], nil
 	}
-	r.lock.Unlock()
-	err := waitForRoom(r.account.GrowAhead, blockSize, r.quit)
+	return nil, r.account.GrowAhead
+}
+
+// addBlock adds a block that was counted, or releases it if the only block was emptied meanwhile.
+func (r *readAhead) addBlock() {
 	r.lock.Lock()
-	if err != nil {
-		return nil, false
+	defer r.lock.Unlock()
+	if n := len(r.blocks); n > 0 && len(r.blocks[n-1]) < blockSize {
+		r.account.Release(blockSize)
+		return
 	}
 	r.blocks = append(r.blocks, make([]byte, 0, blockSize))
-	return r.blocks[len(r.blocks)-1][:blockSize], true
+}
+
+// removeFirst removes the first block, of which all bytes were taken. The last one is kept, empty.
+// The lock is held.
+func (r *readAhead) removeFirst() {
+	r.taken = 0
+	if len(r.blocks) == 1 {
+		r.blocks[0] = r.blocks[0][:0]
+		signal(r.emptied)
+		return
+	}
+	r.blocks[0] = nil // otherwise it would remain in memory with the rest of the slice
+	r.blocks = r.blocks[1:]
+	r.account.Release(blockSize)
+}
+
+// stop ends run, whose read must have been interrupted, and releases all blocks.
+func (r *readAhead) stop() {
+	close(r.quit)
+	<-r.done
+	r.account.Release(int64(len(r.blocks) * blockSize))
+	r.blocks = nil
 }
 
 // waitForRoom blocks until grow reports true, or returns errNoRoom when quit is closed.
@@ -207,9 +258,10 @@
 	return nil
 }
 
-func (r *readAhead) signal() {
+// signal puts a value into a channel with room for one, unless it has one.
+func signal(c chan<- struct{}) {
 	select {
-	case r.more <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -242,8 +294,7 @@
 	n := copy(p, first[r.taken:])
 	r.taken += n
 	if r.taken == blockSize {
-		r.blocks, r.taken = r.blocks[1:], 0
-		r.account.Release(blockSize)
+		r.removeFirst()
 	}
 	if n == 0 {
 		return 0, r.err
--- /dev/null
+++ b/snipegateway/delivery_internal_test.go
@@ -0,0 +1,77 @@
+package snipegateway
+
+import (
+	"bytes"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+	"weak"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipepressure"
+)
+
+// startReadAhead reads an answer ahead whose instance holds the given number of other bytes out of a
+// thousand blocks.
+func startReadAhead(t *testing.T, answer io.Reader, otherBlocks int64) (*readAhead, *snipepressure.Budget) {
+	b := &snipepressure.Budget{Bound: 1000 * blockSize}
+	var other, account snipepressure.Account
+	must.NoError(t, b.Open(&other, "other", 0))
+	must.True(t, other.Grow(otherBlocks*blockSize))
+	must.NoError(t, b.Open(&account, "own", 0))
+	t.Cleanup(account.Close)
+	r := newReadAhead(answer, &account)
+	go r.run()
+	return r, b
+}
+
+// TestReadAheadUnderPressure guards against an answer that is no longer delivered to a caller that
+// reads, because the instance holds so many bytes that nothing may be read ahead.
+func TestReadAheadUnderPressure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		want := strings.Repeat("0123456789", 5*blockSize/10)
+		r, b := startReadAhead(t, strings.NewReader(want), 800)
+		var got bytes.Buffer
+		finished := make(chan error, 1)
+		go func() {
+			_, err := io.Copy(&got, struct{ io.Reader }{r})
+			finished <- err
+		}()
+		time.Sleep(time.Second)
+		select {
+		case err := <-finished:
+			must.NoError(t, err)
+			must.Eq(t, want, got.String())
+		default:
+			t.Error("the answer is not delivered")
+		}
+		r.stop()
+		must.Eq(t, 800*blockSize, b.Held())
+		synctest.Wait()
+	})
+}
+
+// TestReadAheadReleases guards against blocks that the caller has taken but that remain in memory, and
+// against blocks that count after the end of the delivery.
+func TestReadAheadReleases(t *testing.T) {
+	r, b := startReadAhead(t, strings.NewReader(strings.Repeat("x", 9*blockSize-1)), 0)
+	<-r.done
+	var taken []weak.Pointer[byte]
+	for _, block := range r.blocks[:5] {
+		taken = append(taken, weak.Make(&block[0]))
+	}
+	_, err := io.ReadFull(r, make([]byte, 5*blockSize))
+	must.NoError(t, err)
+	runtime.GC()
+	for _, p := range taken {
+		must.Nil(t, p.Value())
+	}
+	must.Eq(t, 4*blockSize, b.Held())
+	r.stop()
+	must.Eq(t, 0, b.Held())
+	runtime.KeepAlive(r)
+}
