Ask again for an adapter whose shared load request ended for another call

Calls of one priority share a load request, and the owner ends it at the deadline of the call that started it. The other calls took that error for a failure of the engine and passed it over.

--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -51,8 +51,24 @@
 	// waiters counts the callers of joinLoad that have not stopped waiting. A caller that does not
 	// wait for the result is counted until the end.
 	waiters int
-	version int64
-	err     error
+	// deadline is until when the owner waits for the load, because the call that started the load
+	// request waits no longer; zero if that call stated no deadline.
+	deadline time.Time
+	version  int64
+	err      error
+}
+
+// deadlineRounding is more than the part of a millisecond by which an owner ends a wait too early,
+// because messages state whole milliseconds.
+const deadlineRounding = 2 * time.Millisecond
+
+// endedForStarter reports whether a load request has failed although it might not have for a call
+// with the given demand, which waits longer than the one that started the load request.
+func (l *sharedLoad) endedForStarter(err error, d snipeadapter.Demand) bool {
+	if busy := asBusy(err); busy != nil {
+		return busy.Wait <= d.MaxWait
+	}
+	return err != nil && !l.deadline.IsZero() && time.Until(l.deadline) < deadlineRounding
 }
 
 // load has an engine load the adapter, and waits for the load: the first of the best candidates
@@ -214,7 +230,7 @@
 func (c *Chooser) requestLoad(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) error {
 	l, joined := c.joinLoad(u, a, version, d)
 	err := c.awaitLoad(ctx, l)
-	if busy := asBusy(err); joined && busy != nil && busy.Wait <= d.MaxWait {
+	if joined && ctx.Err() == nil && l.endedForStarter(err, d) {
 		l, _ = c.joinLoad(u, a, version, d)
 		err = c.awaitLoad(ctx, l)
 	}
@@ -253,6 +269,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), loadRequestTimeout)
 	l = &sharedLoad{done: make(chan struct{}), cancel: cancel, waiters: 1}
+	if d.Deadline > 0 {
+		l.deadline = time.Now().Add(d.Deadline)
+	}
 	c.loads[key] = l
 	go c.runLoad(ctx, key, l, u, d)
 	return l, false
--- a/snipegateway/waiting_test.go
+++ b/snipegateway/waiting_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -58,3 +60,30 @@
 		})
 	}
 }
+
+// TestDeadlineOfOther guards against a request that shares the load request of one with less time, and
+// that passes the engine over when the time of that one has passed.
+func TestDeadlineOfOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &fakeOwners{extraTime: time.Second}
+		c := newChooser(o, 4)
+		c.Ensure = func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
+			ctx, cancel := context.WithTimeout(ctx, d.Deadline) // as the owner does
+			defer cancel()
+			return o.ensure(ctx, u, a, version, d)
+		}
+		var all sync.WaitGroup
+		choose := func(timeout time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			_, err := c.Choose(ctx, service, request, nil, 2*time.Second)
+			return err
+		}
+		all.Go(func() { must.Error(t, choose(300*time.Millisecond)) })
+		time.Sleep(100 * time.Millisecond)
+		all.Go(func() { must.NoError(t, choose(5*time.Second)) })
+		all.Wait()
+		must.Eq(t, o.requested[0], o.requested[1])
+		must.Len(t, 2, o.requested)
+	})
+}
