No panic where a request's time has passed before an owner is asked

If all owners that a request would ask are known to be busy, there is no error of a load request to return when the request's context has ended.

--- a/snipegateway/loading.go
+++ b/snipegateway/loading.go
@@ -86,8 +86,11 @@
 			choice.Waited = time.Since(start)
 			return choice, nil
 		}
-		if ctx.Err() != nil {
-			return Choice{}, loadRefusal(s.lastErr)
+		if err := ctx.Err(); err != nil {
+			if s.lastErr != nil {
+				err = s.lastErr
+			}
+			return Choice{}, loadRefusal(err)
 		}
 	}
 	switch {
--- a/snipegateway/waiting_test.go
+++ b/snipegateway/waiting_test.go
@@ -87,3 +87,18 @@
 		must.Len(t, 2, o.requested)
 	})
 }
+
+// TestEndedBeforeLoad guards against a request whose time has passed before any owner is asked, because
+// those that it would ask are known to be busy.
+func TestEndedBeforeLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &fakeOwners{busy: map[string]time.Duration{"e0": time.Minute, "e1": time.Minute, "e2": time.Minute}}
+		c := newChooser(o, 3)
+		_, err := c.Choose(t.Context(), service, request, nil, latencyTarget)
+		must.Error(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = c.Choose(ctx, service, request, nil, latencyTarget)
+		must.Error(t, err)
+	})
+}
