Do not end answers on what was known before a stop of the process

After a stop of some seconds the time of the last progress and the begin of a write say nothing about the caller, which may have read meanwhile. A late timer also marked the next write as blocked.

--- a/snipegateway/delivery.go
+++ b/snipegateway/delivery.go
@@ -95,11 +95,13 @@
 func (d *delivery) writeBlocked() {
 	d.lock.Lock()
 	defer d.lock.Unlock()
-	if !d.writing || d.blocked {
-		return // the write has ended meanwhile
+	if !d.writing || d.blocked || time.Since(d.began) < blockedAfter {
+		return // the write that the timer was set for has ended meanwhile
 	}
 	d.blocked = true
-	d.call.pressure.Block(d.began)
+	// Not since the write began: if the process was stopped, the timer runs late, and what the caller
+	// has read meanwhile is not known.
+	d.call.pressure.Block(time.Now().Add(-blockedAfter))
 	if d.answer == nil || d.ahead != nil {
 		return
 	}
--- a/snipegateway/delivery_internal_test.go
+++ b/snipegateway/delivery_internal_test.go
@@ -75,3 +75,25 @@
 	must.Eq(t, 0, b.Held())
 	runtime.KeepAlive(r)
 }
+
+// TestLateTimer guards against ending the answer of a caller that reads when the timer of its write runs
+// late, because the process was stopped for longer than a caller may read nothing, and against a write
+// that counts as blocked because of the late timer of the write before it.
+func TestLateTimer(t *testing.T) {
+	for name, age := range map[string]time.Duration{"Stopped": 20 * time.Second, "NextWrite": time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &snipepressure.Budget{Bound: 1000, MaxUnread: 10 * time.Second}
+				c := &call{}
+				ended := false
+				c.pressure.End = func(snipepressure.Decision) { ended = true }
+				must.NoError(t, b.Open(&c.pressure.Account, "own", 0))
+				d := &delivery{call: c, writing: true, began: time.Now().Add(-age)}
+				d.writeBlocked()
+				b.Sweep()
+				must.False(t, ended)
+				must.Eq(t, age >= blockedAfter, d.blocked)
+			})
+		})
+	}
+}
--- a/snipepressure/choose.go
+++ b/snipepressure/choose.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Block records that the request's answer cannot be written because its caller does not read. since
-// is when the write began.
+// is the time from which on the caller has read nothing.
 func (a *Account) Block(since time.Time) {
 	b := a.budget
 	if b == nil {
@@ -41,6 +41,9 @@
 	if now.Before(b.nextScan) {
 		return
 	}
+	if now.Sub(b.progressAt) > maxProgressAge {
+		b.readProgress(now)
+	}
 	for held := b.held.Load() + bytes; held-b.ending > mark; {
 		grace := HighGrace
 		if held-b.ending > b.Bound {
@@ -104,15 +107,11 @@
 	}
 	now := time.Now()
 	b.lock.Lock()
+	b.readProgress(now)
 	for a := range b.blocked {
 		if a.ended.Load() {
 			continue
 		}
-		if a.Progress != nil {
-			if p := a.Progress(); p != a.lastProgress {
-				a.lastProgress, a.unreadSince = p, now
-			}
-		}
 		if b.MaxUnread > 0 && now.Sub(a.unreadSince) >= b.MaxUnread {
 			b.end(a, now, true)
 		}
@@ -126,6 +125,24 @@
 	}
 }
 
+// maxProgressAge is the age of the last reading of the progress from which on it is read before an
+// answer is ended for its bytes. It is more than the interval of Sweep, which is exceeded if the
+// process was stopped.
+const maxProgressAge = HighGrace / 2
+
+// readProgress notes which blocked callers have read since the last reading. The lock is held.
+func (b *Budget) readProgress(now time.Time) {
+	b.progressAt = now
+	for a := range b.blocked {
+		if a.ended.Load() || a.Progress == nil {
+			continue
+		}
+		if p := a.Progress(); p != a.lastProgress {
+			a.lastProgress, a.unreadSince = p, now
+		}
+	}
+}
+
 // freeShare is the fraction of the high mark below which pressure counts as ended, so that a level
 // near the mark is not reported again and again.
 const freeShare = 0.8
--- a/snipepressure/snipepressure.go
+++ b/snipepressure/snipepressure.go
@@ -108,8 +108,10 @@
 	blocked  map[*Account]struct{}
 	ending   int64 // held by accounts that were ended and are not closed yet
 	nextScan time.Time
-	flow     flow
-	level    Level // the level that LevelChanged was last called with
+	// progressAt is when the progress of the blocked accounts was last read.
+	progressAt time.Time
+	flow       flow
+	level      Level // the level that LevelChanged was last called with
 }
 
 // tally counts the bytes of one workspace.
--- a/snipepressure/snipepressure_test.go
+++ b/snipepressure/snipepressure_test.go
@@ -339,3 +339,19 @@
 		})
 	}
 }
+
+// TestReadWhileStopped guards against ending the answer of a caller that has read while the process was
+// stopped, before Sweep has noticed it.
+func TestReadWhileStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &snipepressure.Budget{Bound: bound}
+		r := open(t, b, "a", "r", 800)
+		r.Block(time.Now())
+		b.Sweep()
+		time.Sleep(2 * snipepressure.HighGrace)
+		r.progress++
+		open(t, b, "b", "new", 100).close()
+		must.Nil(t, r.decision)
+		r.close()
+	})
+}
