A slow caller's reading does not count as its upstream's time

A request whose answer is buffered counted as in flight at its upstream until the caller had read the answer, and the time was observed as that of the upstream: slow callers made it seem slow and full. Answers that are not read whole before they are written are no longer observed, and keep their permit.

--- a/snipebalance/flight.go
+++ b/snipebalance/flight.go
@@ -21,8 +21,8 @@
 	occupancy, pending, expected, pace float64
 	waits                              bool
 	paceAge, reportAge                 time.Duration
-	// first is set once the answer's first event has arrived.
-	first bool
+	// first is set once the answer's first event has arrived, ended once the request has ended.
+	first, ended bool
 }
 
 // Expectation is what was expected of a request when it was sent, and the age of what it was based on.
@@ -44,7 +44,7 @@
 }
 
 // Start records that a request is sent to an upstream. The caller calls First at the first event of
-// the answer, and End once.
+// the answer, and End at the request's end.
 func (b *Balancer) Start(u *snipedirectory.Upstream, d Demand) *Flight {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -97,8 +97,12 @@
 }
 
 // End records the request's end. output is the number of output tokens of a whole answer; it is
-// negative if the request got no whole answer.
+// negative if the request got no whole answer. Further calls do nothing.
 func (f *Flight) End(output int) {
+	if f.ended {
+		return
+	}
+	f.ended = true
 	b := f.balancer
 	b.lock.Lock()
 	defer b.lock.Unlock()
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -202,14 +202,16 @@
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.gateway.Balancer.RecordAnswer(id, failed)
-	if len(body) < maxBuffered {
+	complete := len(body) < maxBuffered && !noRoom
+	if complete {
 		c.releasePermit(answerOutcome(failed))
-	}
-	if answer.StatusCode < http.StatusBadRequest {
-		c.output = 0
+		if answer.StatusCode < http.StatusBadRequest {
+			c.output = 0
+		}
+		c.flight.End(c.output) // the time that the caller takes to read is not the upstream's
 	}
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body}
-	if len(body) == maxBuffered || noRoom {
+	if !complete {
 		return c.writeUnbuffered(w, answer)
 	}
 	if failed && c.route.MayRepeat() {
--- a/snipegateway/pressure_test.go
+++ b/snipegateway/pressure_test.go
@@ -279,3 +279,21 @@
 		})
 	}
 }
+
+// TestLoadOfSlowCaller guards against counting a request at its upstream, and into the time that requests
+// take there, until a slow caller has read the answer that the upstream has sent whole.
+func TestLoadOfSlowCaller(t *testing.T) {
+	g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+	synctest.Test(t, func(t *testing.T) {
+		e := startExchange(t, g, 64<<20, false, "answer")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		must.True(t, e.up.all.Load())
+		must.Eq(t, 0, g.Balancer.InFlight("e0"))
+		close(e.caller.reads)
+		<-e.done
+		must.Eq(t, "answer", e.caller.body.String())
+		must.Eq(t, 0, g.Balancer.InFlight("e0"))
+		synctest.Wait()
+	})
+}
