--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -86,6 +86,9 @@
 func (c *call) handleAnswer(ctx context.Context, d Dispatch, answer *snipelink.Answer) error {
 	g, u := c.gateway, d.Upstream
 	v := g.Protocol.Classify(answer.Response, d)
+	if v.Elsewhere {
+		v.Load = nil // it is that of the upstream that has the address now
+	}
 	c.noteLoad(v.Load)
 	if v.Load != nil {
 		g.setStated(u, v.Load)
--- a/snipegateway/expected_test.go
+++ b/snipegateway/expected_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,3 +154,20 @@
 		service: {Name: service, Engine: &snipecatalog.Engine{MemoryTokens: tokens}},
 	}})
 }
+
+// TestLoadOfOther guards against recording the load and the pace of another upstream, which has the
+// address now, for the one to which the request was sent.
+func TestLoadOfOther(t *testing.T) {
+	for name, elsewhere := range map[string]bool{"Own": false, "Other": true} {
+		t.Run(name, func(t *testing.T) {
+			g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+			g.Protocol.Classify = func(*http.Response, snipegateway.Dispatch) snipegateway.AnswerState {
+				return snipegateway.AnswerState{NotRun: true, Elsewhere: elsewhere, Load: &snipegateway.Load{Running: 9, Slots: 9, Pace: 3}}
+			}
+			sendRequest(g)
+			_, _, stated := g.Balancer.Stated("e0")
+			must.Eq(t, !elsewhere, stated)
+			must.Eq(t, !elsewhere, g.Balancer.Paced(service))
+		})
+	}
+}
