--- a/snipeentry/loads.go
+++ b/snipeentry/loads.go
@@ -83,10 +83,10 @@
 	}
 	all := make([]snipebalance.LoadReport, 0, len(answer.GetLoads()))
 	for _, l := range answer.GetLoads() {
-		age := time.Duration(l.GetAgeMilliseconds()) * time.Millisecond
-		r := snipebalance.LoadReport{ID: l.GetEngine(), Load: l.GetLoad(), Age: age, Work: decodeWork(l, i.countIgnoredWork)}
-		all = append(all, r)
-		i.notePaced(r.ID, r.Work)
+		load, w := decodeWork(l, i.countIgnoredWork)
+		age := max(milliseconds(l.GetAgeMilliseconds()), 0)
+		all = append(all, snipebalance.LoadReport{ID: l.GetEngine(), Load: load, Age: age, Work: w})
+		i.notePaced(l.GetEngine(), w)
 	}
 	i.balancer.MergeLoads(all)
 	i.signals.Merge(decodeSignals(answer.GetSignals()))
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -95,7 +95,8 @@
 // engines have loaded the used adapters.
 func (s *peerServer) recordUse(instance string, e *snipeproto.EngineUse, answer *snipeproto.AdapterReportResponse) {
 	engine, uses := e.GetEngine(), decodeUse(e)
-	s.board.ReportWork(engine, instance, e.GetLoad(), decodeWork(e, s.ignoredWork))
+	load, w := decodeWork(e, s.ignoredWork)
+	s.board.ReportWork(engine, instance, load, w)
 	for _, a := range s.controller.RecordUse(engine, instance, uses) {
 		answer.Gone = append(answer.Gone, encodeAdapter(engine, a))
 	}
--- a/snipeentry/report.go
+++ b/snipeentry/report.go
@@ -160,8 +160,8 @@
 		i.residency.RecordAbsent(v.GetEngine(), decodeAdapter(v))
 	}
 	for _, l := range answer.GetLoads() {
-		w := decodeWork(l, i.countIgnoredWork)
-		i.balancer.SetWork(l.GetEngine(), l.GetLoad(), w)
+		load, w := decodeWork(l, i.countIgnoredWork)
+		i.balancer.SetWork(l.GetEngine(), load, w)
 		i.notePaced(l.GetEngine(), w)
 	}
 	for _, other := range answer.GetReplicas() {
--- a/snipeentry/work.go
+++ b/snipeentry/work.go
@@ -10,6 +10,7 @@
 
 // workMessage is implemented by the messages that state the work at an engine.
 type workMessage interface {
+	GetLoad() float64
 	GetRequests() int64
 	GetPendingTokens() int64
 	GetReservedTokens() int64
@@ -17,23 +18,32 @@
 	GetPaceAgeMilliseconds() int64
 }
 
-// decodeWork returns the work of a message. The work of a message that has a figure out of range is
-// unknown, so that only its load counts; ignored is then called unless it is nil.
-func decodeWork(m workMessage, ignored func()) snipebalance.Work {
-	w := snipebalance.Work{
+// maxLoad bounds the load of an engine in a message.
+const maxLoad = 1e9
+
+// decodeWork returns the load of a message and the work that it consists of. If a figure of the work is
+// out of range, the work is unknown, so that only the load counts; if the load is, both count as none.
+// ignored is then called unless it is nil.
+func decodeWork(m workMessage, ignored func()) (load float64, w snipebalance.Work) {
+	load = m.GetLoad()
+	w = snipebalance.Work{
 		Requests: float64(m.GetRequests()), PendingTokens: float64(m.GetPendingTokens()),
 		ReservedTokens: float64(m.GetReservedTokens()), Pace: float64(m.GetPacePercent()) / percent,
 	}
 	if age := m.GetPaceAgeMilliseconds(); age >= 0 && age < time.Minute.Milliseconds() {
 		w.PacedAt = time.Now().Add(-time.Duration(age) * time.Millisecond)
 	}
-	if !w.Valid() {
-		if ignored != nil {
-			ignored()
-		}
-		return snipebalance.Work{}
+	validLoad := load >= 0 && load <= maxLoad // false for NaN
+	if validLoad && w.Valid() {
+		return load, w
+	}
+	if ignored != nil {
+		ignored()
+	}
+	if !validLoad {
+		load = 0
 	}
-	return w
+	return load, snipebalance.Work{}
 }
 
 // percent is the pace of usual speed in a message.
--- a/snipeentry/work_test.go
+++ b/snipeentry/work_test.go
@@ -30,7 +30,8 @@
 		owner := &peerServer{controller: &snipeadapter.Controller{}, board: &snipebalance.Board{}}
 		pass := func() snipebalance.LoadReport {
 			use := sender.encodeUse(u.ID, nil)
-			owner.board.ReportWork(u.ID, "sender", use.GetLoad(), decodeWork(use, nil))
+			load, w := decodeWork(use, nil)
+			owner.board.ReportWork(u.ID, "sender", load, w)
 			time.Sleep(100 * time.Millisecond)
 			total := owner.board.Totals()[u.ID]
 			gatherer.applyReport(&snipeproto.AdapterReportResponse{Loads: []*snipeproto.EngineLoad{encodeLoad(u.ID, total.Load, total.Work)}})
@@ -39,8 +40,9 @@
 			must.NoError(t, err)
 			must.Len(t, 1, answer.GetLoads())
 			l := answer.GetLoads()[0]
-			third.notePaced(u.ID, decodeWork(l, nil))
-			return snipebalance.LoadReport{ID: u.ID, Load: l.GetLoad(), Age: time.Duration(l.GetAgeMilliseconds()) * time.Millisecond, Work: decodeWork(l, nil)}
+			load, w = decodeWork(l, nil)
+			third.notePaced(u.ID, w)
+			return snipebalance.LoadReport{ID: u.ID, Load: load, Age: milliseconds(l.GetAgeMilliseconds()), Work: w}
 		}
 		flight := sender.balancer.Start(u, snipebalance.Demand{PromptTokens: 9000, ReservedTokens: 9200})
 		stated := time.Now()
@@ -63,6 +65,24 @@
 	})
 }
 
+// TestMalformedLoad guards against loads of messages that are no numbers or out of range: sums with them
+// would make an engine seem idle or full until its reports end.
+func TestMalformedLoad(t *testing.T) {
+	for name, load := range map[string]float64{"NaN": math.NaN(), "Infinite": math.Inf(1), "Negative": -5} {
+		t.Run(name, func(t *testing.T) {
+			ignored := 0
+			owner := &peerServer{controller: &snipeadapter.Controller{}, board: &snipebalance.Board{}, ignoredWork: func() { ignored++ }}
+			for instance, l := range map[string]float64{"a": load, "b": 2} {
+				owner.recordUse(instance, &snipeproto.EngineUse{Engine: "e1", Load: l, Requests: 1}, &snipeproto.AdapterReportResponse{})
+			}
+			total := owner.board.Totals()["e1"]
+			must.Eq(t, 2, total.Load)
+			must.Eq(t, 1, total.Work.Requests)
+			must.Eq(t, 1, ignored)
+		})
+	}
+}
+
 // TestDecodeWork guards against figures of a message that would make an engine seem idle or full for
 // ever: they are ignored and counted, and the load of the message still counts.
 func TestDecodeWork(t *testing.T) {
@@ -80,7 +100,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			ignored := 0
-			w := decodeWork(tt.message, func() { ignored++ })
+			load, w := decodeWork(tt.message, func() { ignored++ })
+			must.Eq(t, 3, load)
 			must.Eq(t, tt.ignored, ignored == 1)
 			must.True(t, w.Valid())
 			must.Eq(t, tt.ignored, w == snipebalance.Work{} && name != "Older")
