--- a/snipegateway/waiting_test.go
+++ b/snipegateway/waiting_test.go
@@ -68,7 +68,8 @@
 		o := &fakeOwners{extraTime: time.Second}
 		c := newChooser(o, 4)
 		c.Ensure = func(ctx context.Context, u *snipedirectory.Upstream, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
-			ctx, cancel := context.WithTimeout(ctx, d.Deadline) // as the owner does
+			// As the owner does, which counts the time from the arrival of the message.
+			ctx, cancel := context.WithTimeout(ctx, time.Millisecond+d.Deadline)
 			defer cancel()
 			return o.ensure(ctx, u, a, version, d)
 		}
