Comments, names and pages of the balancer, of loads and of pressure

The pages follow the code: the limits of load requests, offloads and replicas, refusals of queued loads, and what was changed for slow callers. recordEnd is split. No change in behaviour.

--- a/snipeadapter/controller.go
+++ b/snipeadapter/controller.go
@@ -135,7 +135,7 @@
 	// activeStoreLoads those of these loads that come from the weight store.
 	queue, reloads   snipefair.Queue[*load]
 	deferred         []*load
-	queued           int // number of loads that were ever queued
+	lastNumber       int // the number of the load that was queued last
 	activeLoads      map[snipecatalog.Adapter]bool
 	activeStoreLoads map[*load]bool
 	// slotWait is the moving average of how long loads waited for a slot when all were in use; 0
@@ -189,12 +189,14 @@
 // Ensure waits until an engine holds an adapter in at least the given version and returns the
 // version that it holds. If the adapter has to be loaded and no load of a sufficient version is
 // pending, Ensure queues one, or returns a BusyError at once if that load is not expected to
-// complete within the MaxWait of d. It also fails at once if the engine is unknown, if this instance may not
-// order it, or if it is known not to hold the base model. While the load is queued, Ensure returns a
-// BusyError as soon as the load is not expected to complete within the Target of d, or before its
-// Deadline if that is earlier, because more urgent loads were queued or those in progress take
-// longer; not if d states no Deadline. When ctx ends or the Deadline passes,
-// Ensure returns the error of ctx; a load that has started continues.
+// complete within the MaxWait of d. It also fails at once if the engine is unknown, if this instance
+// may not order it, or if it is known not to hold the base model.
+//
+// If d states a Deadline, Ensure returns a BusyError also while the load is queued, as soon as the
+// load is not expected to complete in time, because more urgent loads were queued or those in
+// progress take longer: within the Target of d or its MaxWait, whichever is longer, and before its
+// Deadline. When ctx ends or the Deadline passes, Ensure returns the error of ctx; a load that has
+// started continues.
 func (c *Controller) Ensure(ctx context.Context, id string, a snipecatalog.Adapter, version int64, d Demand) (int64, error) {
 	u := c.Upstream(id)
 	if u == nil {
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -128,7 +128,7 @@
 		case <-l.done:
 			return l.result(w)
 		case <-latestStart:
-			e.recheck(l, w)
+			e.refuseIfQueued(l, w)
 		case <-ctx.Done():
 			e.lock.Lock()
 			defer e.lock.Unlock()
@@ -176,8 +176,8 @@
 // enqueue queues a load, which replaces a pending load of an older version in e.loads, and starts
 // queued loads as far as the limits allow. The lock is held.
 func (e *engine) enqueue(a snipecatalog.Adapter, version int64, d Demand) (*load, *waiter) {
-	e.queued++
-	l := &load{adapter: a, version: version, queuedAt: time.Now(), number: e.queued, reload: e.isReload(a), done: make(chan struct{})}
+	e.lastNumber++
+	l := &load{adapter: a, version: version, queuedAt: time.Now(), number: e.lastNumber, reload: e.isReload(a), done: make(chan struct{})}
 	w := e.addWaiter(l, d)
 	e.loads[a] = l
 	e.push(l)
--- a/snipeadapter/queue.go
+++ b/snipeadapter/queue.go
@@ -14,11 +14,14 @@
 type waiter struct {
 	priority  int
 	workspace string
-	// target is when the caller's request misses its latency target, deadline when it ends. useBy is
-	// until when the load must be expected to be complete while it is queued: the target, because it
-	// was accepted on that condition and would delay loads that can still be in time. deadline and
-	// useBy are zero if no deadline is stated.
-	target, useBy, deadline time.Time
+	// target is when the caller's request misses its latency target.
+	target time.Time
+	// deadline is when the request ends; zero if none is stated.
+	deadline time.Time
+	// useBy is when a queued load must be complete. If it is not expected to be, the caller is
+	// refused, because it could no longer be served in time and its load would delay others. Zero if
+	// no deadline is stated.
+	useBy time.Time
 	// refused receives the refusal if the caller's load is displaced.
 	refused chan *BusyError
 }
@@ -132,8 +135,8 @@
 	return nil
 }
 
-// rank identifies the loads of a queue among which snipefair decides nothing that matters here: those
-// of one priority and workspace that are all in time, or all late.
+// rank identifies loads of a queue that snipefair orders only by the time at which they were queued:
+// those of one priority and workspace that are all in time, or all late.
 type rank struct {
 	priority  int
 	workspace string
@@ -141,10 +144,8 @@
 }
 
 // inOrder returns the loads of a queue in the order in which they start if no others are queued.
-// snipefair decides which priority and workspace is next. Of the loads of one rank, that with the most
-// waiters is first, then the oldest. Where all requests have one priority and no workspace, the loads
-// that are in time for a waiter are thus before the others, and of equals those with the most
-// waiters.
+// snipefair decides which rank is next. Of the loads of one rank, that with the most waiters is first,
+// then the oldest.
 func inOrder(q *snipefair.Queue[*load], now, ready time.Time) []*load {
 	order := make([]*load, 0, q.Len())
 	ranks := make([]rank, 0, q.Len())
@@ -202,7 +203,7 @@
 // that they are expected to take yet. The lock is held.
 func (e *engine) storeStart(d Demand) (ahead int, start time.Duration) {
 	now := time.Now()
-	probe := &load{queuedAt: now, number: e.queued + 1, waiters: []*waiter{newWaiter(d, now)}}
+	probe := &load{queuedAt: now, number: e.lastNumber + 1, waiters: []*waiter{newWaiter(d, now)}}
 	e.push(probe)
 	defer e.removeQueued(probe)
 	took := e.expectedStoreTime()
@@ -297,10 +298,10 @@
 	return max(wait-limit, e.expectedStoreTime()/maxActiveStoreLoads)
 }
 
-// recheck refuses a waiter whose load has not started although it could no longer be complete in time
-// for the waiter. Without it, loads that wait behind one that does not end would be refused only at
-// their deadline.
-func (e *engine) recheck(l *load, w *waiter) {
+// refuseIfQueued refuses a waiter whose load has not started. It is called at the latest start that
+// would be in time for the waiter. Otherwise, waiters of loads behind one that does not end would be
+// refused only at their deadline.
+func (e *engine) refuseIfQueued(l *load, w *waiter) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if !l.started && slices.Contains(l.waiters, w) {
--- a/snipebalance/expected.go
+++ b/snipebalance/expected.go
@@ -14,16 +14,15 @@
 	// pendingLifetime is the age at which the reported prompt tokens of other instances have no
 	// influence any more. Prompts are processed sooner than requests end.
 	pendingLifetime = time.Second
-	// sampleSize is the number of upstreams that are compared for one request, drawn at random. Two
-	// lose a little with few instances, but with 80, whose reports are up to 240 ms old, three made
-	// the 99th percentile a third longer, and sixteen three times as long
+	// sampleSize is the number of upstreams that are compared for one request, drawn at random. With
+	// more, instances whose reports are equally old send their requests to the same few upstreams
 	// (docs/design/uneven-upstreams.md).
 	sampleSize = 2
 	// maxCompared bounds the number that is compared for a request with a preference of its own (see
 	// Cost), which a small sample would usually miss, and for one whose sample has none to use.
 	maxCompared = 16
 	// marginShare and minMargin set how much longer than the shortest one an expected time may be
-	// for its upstream to be chosen: a share of it, and a time.
+	// for its upstream to be chosen: a fraction of the shortest, and at least minMargin.
 	marginShare = 0.1
 	minMargin   = 2 * time.Millisecond
 	// failureTime is the cost of a failure rate of 1. It fades within failureLifetime after the last
@@ -246,7 +245,7 @@
 // expected returns the expected time of a request at an upstream: to its first event, or to its
 // answer if it is plain.
 func (m *model) expected(s *state, u *snipedirectory.Upstream, d *Demand, now time.Time) float64 {
-	return s.speed.pace(now) * m.atUsualPace(s, u, d, now)
+	return s.pace.expected(now) * m.atUsualPace(s, u, d, now)
 }
 
 func (m *model) atUsualPace(s *state, u *snipedirectory.Upstream, d *Demand, now time.Time) float64 {
--- a/snipebalance/flight.go
+++ b/snipebalance/flight.go
@@ -56,8 +56,8 @@
 		balancer: b, upstream: u, demand: d, weight: Weight(d.PromptTokens), sentAt: now,
 		occupancy: min(requests/slots, 1), waits: requests >= slots,
 		pending:  s.pending.total(now, pendingLifetime),
-		expected: m.atUsualPace(s, u, &d, now), pace: s.speed.pace(now),
-		paceAge: age(s.speed.statedAt, now), reportAge: age(s.requests.reportedAt, now),
+		expected: m.atUsualPace(s, u, &d, now), pace: s.pace.expected(now),
+		paceAge: age(s.pace.statedAt, now), reportAge: age(s.requests.reportedAt, now),
 	}
 	s.service = u.Service
 	s.inFlight += f.weight
@@ -92,7 +92,7 @@
 	if !f.waits {
 		b.model(f.upstream.Service).observeFirst(f.occupancy, float64(f.demand.PromptTokens), f.pending, took/f.pace)
 	}
-	s.speed.observe(took/f.expected, now)
+	s.pace.observe(took/f.expected, now)
 	return true
 }
 
@@ -115,7 +115,7 @@
 			s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
 		}
 		if f.demand.Plain && output >= 0 {
-			s.speed.observe(now.Sub(f.sentAt).Seconds()/f.expected, now)
+			s.pace.observe(now.Sub(f.sentAt).Seconds()/f.expected, now)
 		}
 	}
 	if output < 0 {
--- a/snipebalance/model.go
+++ b/snipebalance/model.go
@@ -129,8 +129,8 @@
 	// paceLifetime is the age at which a stated pace has no influence any more. Paces change many
 	// times a second.
 	paceLifetime = time.Second
-	// speedWeight is the weight of the latest request in the mean pace of an upstream.
-	speedWeight = 0.1
+	// paceWeight is the weight of the latest request in the mean pace of an upstream.
+	paceWeight = 0.1
 	// maxStep bounds an observed pace, as a multiple and a fraction of the mean pace.
 	maxStep = 2.0
 	// minMean and maxMean bound the mean pace, so that a wrong model cannot exclude an upstream.
@@ -140,8 +140,8 @@
 	meanLifetime = 10 * time.Second
 )
 
-// speed is the pace of one start of an upstream. The zero value stands for the usual pace.
-type speed struct {
+// paceEstimate is what is known of the pace of one start of an upstream. The zero value stands for the usual pace.
+type paceEstimate struct {
 	// stated is the last stated pace; zero if there is none.
 	stated   float64
 	statedAt time.Time
@@ -150,35 +150,35 @@
 	observedAt time.Time
 }
 
-// state records a stated pace unless a newer one is known.
-func (s *speed) state(pace float64, at time.Time) {
-	if pace > 0 && at.After(s.statedAt) {
-		s.stated, s.statedAt = pace, at
+// recordStated records a stated pace unless a newer one is known.
+func (p *paceEstimate) recordStated(pace float64, at time.Time) {
+	if pace > 0 && at.After(p.statedAt) {
+		p.stated, p.statedAt = pace, at
 	}
 }
 
 // observe records how long a request took as a multiple of the time expected at the usual pace.
-func (s *speed) observe(ratio float64, now time.Time) {
-	mean := s.usual(now)
+func (p *paceEstimate) observe(ratio float64, now time.Time) {
+	mean := p.faded(now)
 	ratio = min(max(ratio, mean/maxStep), mean*maxStep)
-	s.mean = min(max(mean+speedWeight*(ratio-mean), minMean), maxMean)
-	s.observedAt = now
+	p.mean = min(max(mean+paceWeight*(ratio-mean), minMean), maxMean)
+	p.observedAt = now
 }
 
-// usual returns the mean observed pace, which fades to 1.
-func (s *speed) usual(now time.Time) float64 {
-	age := now.Sub(s.observedAt)
-	if s.mean == 0 || age >= meanLifetime {
+// faded returns the mean observed pace, which fades to 1.
+func (p *paceEstimate) faded(now time.Time) float64 {
+	age := now.Sub(p.observedAt)
+	if p.mean == 0 || age >= meanLifetime {
 		return 1
 	}
-	return 1 + (s.mean-1)*float64(meanLifetime-age)/float64(meanLifetime)
+	return 1 + (p.mean-1)*float64(meanLifetime-age)/float64(meanLifetime)
 }
 
-// pace returns the expected pace: the stated one, which fades to the mean.
-func (s *speed) pace(now time.Time) float64 {
-	mean, age := s.usual(now), now.Sub(s.statedAt)
-	if s.stated == 0 || age >= paceLifetime {
+// expected returns the expected pace: the stated one, which fades to the mean.
+func (p *paceEstimate) expected(now time.Time) float64 {
+	mean, age := p.faded(now), now.Sub(p.statedAt)
+	if p.stated == 0 || age >= paceLifetime {
 		return mean
 	}
-	return mean + (s.stated-mean)*float64(paceLifetime-age)/float64(paceLifetime)
+	return mean + (p.stated-mean)*float64(paceLifetime-age)/float64(paceLifetime)
 }
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -70,9 +70,9 @@
 	// service is the upstream's service; empty before the first request.
 	service string
 	// requests, pending and reserved are the requests in flight, the prompt tokens of those without
-	// a first event, and the tokens for which they take memory. speed is the upstream's pace.
+	// a first event, and the tokens for which they take memory.
 	requests, pending, reserved figure
-	speed                       speed
+	pace                        paceEstimate
 	// failures is the moving average of the failure rate: of answers that were failures, and of
 	// requests that got no answer. failedAt is the time of the last failure.
 	failures float64
@@ -282,7 +282,7 @@
 	s := b.state(id)
 	s.stated, s.statedAt = l, now
 	s.requests.report(float64(l.Running+l.Waiting), now)
-	s.speed.state(l.Pace, now)
+	s.pace.recordStated(l.Pace, now)
 }
 
 // Stated returns the load that an upstream last stated to this instance and its age, or false if it
@@ -315,7 +315,7 @@
 	var all []LoadReport
 	for id, s := range b.states {
 		age := now.Sub(s.reportedAt)
-		if s.reported > 0 && age < reportLifetime || now.Sub(s.speed.statedAt) < paceLifetime && !s.reportedAt.IsZero() {
+		if s.reported > 0 && age < reportLifetime || now.Sub(s.pace.statedAt) < paceLifetime && !s.reportedAt.IsZero() {
 			all = append(all, LoadReport{ID: id, Load: s.reported, Age: age, Work: s.reportedWork()})
 		}
 	}
--- a/snipebalance/work.go
+++ b/snipebalance/work.go
@@ -73,9 +73,8 @@
 }
 
 // OwnWork returns the work of this instance's requests at an upstream of a service that states
-// paces, and the last pace that the
-// upstream stated to this instance itself. A pace that another instance reported is not reported
-// again, since its age would exclude the time of each message.
+// paces, and the last pace that the upstream stated to this instance itself. A pace that another
+// instance reported is not reported again, since its age would exclude the time of each message.
 func (b *Balancer) OwnWork(id string) Work {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -105,17 +104,17 @@
 	s.requests.report(w.Requests, at)
 	s.pending.report(w.PendingTokens, at)
 	s.reserved.report(w.ReservedTokens, at)
-	s.speed.state(w.Pace, w.PacedAt)
+	s.pace.recordStated(w.Pace, w.PacedAt)
 }
 
 // reportedWork returns the last reported work of an upstream, or the zero value if only its load is
 // known.
 func (s *state) reportedWork() Work {
-	if s.speed.stated == 0 && s.pending.reported == 0 && s.reserved.reported == 0 {
+	if s.pace.stated == 0 && s.pending.reported == 0 && s.reserved.reported == 0 {
 		return Work{}
 	}
 	return Work{
 		Requests: s.requests.reported, PendingTokens: s.pending.reported, ReservedTokens: s.reserved.reported,
-		Pace: s.speed.stated, PacedAt: s.speed.statedAt,
+		Pace: s.pace.stated, PacedAt: s.pace.statedAt,
 	}
 }
--- a/snipeentry/loads.go
+++ b/snipeentry/loads.go
@@ -92,8 +92,8 @@
 	i.signals.Merge(decodeSignals(answer.GetSignals()))
 }
 
-// Loads implements snipeproto.Adapter. It returns the loads above zero, the recent paces and the signals of upstreams
-// that this instance knows, with their ages.
+// Loads implements snipeproto.Adapter. It returns the loads above zero, the recent paces and the
+// signals of upstreams that this instance knows, with their ages.
 func (s *peerServer) Loads(context.Context, *snipeproto.AdapterLoadsRequest) (*snipeproto.AdapterLoadsResponse, error) {
 	answer := &snipeproto.AdapterLoadsResponse{Signals: encodeSignals(s.signals.CurrentUpdates())}
 	for _, t := range s.balancer.LoadReports() {
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -80,16 +80,7 @@
 // recordEnd logs the end of the request and counts it in the metrics. A request whose caller has
 // disconnected counts as abandoned, whatever err is.
 func (c *call) recordEnd(err error) {
-	event := snipelog.RequestEnded
-	outcome := "Answered"
-	switch {
-	case c.request.Context().Err() != nil && !c.pressure.Ended():
-		event, outcome = snipelog.RequestAbandoned, "Abandoned"
-	case err != nil && snipeerror.From(err).Outcome == snipeerror.NotRun:
-		event, outcome = snipelog.RequestRefused, "Refused"
-	case err != nil:
-		event, outcome = snipelog.RequestFailed, "Failed"
-	}
+	event, outcome := c.endEvent(err)
 	took := time.Since(c.arrived)
 	fields := snipelog.Fields{
 		requestField: c.ID, "Outcome": outcome, "Status": c.status, "Milliseconds": took.Milliseconds(),
@@ -134,6 +125,19 @@
 	c.gateway.Log.Log(event, fields)
 }
 
+// endEvent returns the event and the outcome of the request's end.
+func (c *call) endEvent(err error) (event snipelog.Event, outcome string) {
+	switch {
+	case c.request.Context().Err() != nil && !c.pressure.Ended():
+		return snipelog.RequestAbandoned, "Abandoned"
+	case err != nil && snipeerror.From(err).Outcome == snipeerror.NotRun:
+		return snipelog.RequestRefused, "Refused"
+	case err != nil:
+		return snipelog.RequestFailed, "Failed"
+	}
+	return snipelog.RequestEnded, "Answered"
+}
+
 func roundHundredths(x float64) float64 { return math.Round(100*x) / 100 }
 
 // directoryAge returns the time since the directory of upstreams was read; zero if it never was.
--- a/snipegateway/overload.go
+++ b/snipegateway/overload.go
@@ -18,12 +18,12 @@
 	// the requests in flight there is at most this fraction of the weight at the overloaded engine.
 	// For a service that states paces, the same holds for the expected delay.
 	maxOffloadShare = 0.5
-	// offloadMaxWait is the longest expected time for loading the adapter on another engine, well above
-	// that of a load at an idle store, because owners name the times that they observe, and the
-	// store slows down while it is busy, which is when engines are overloaded.
+	// offloadMaxWait is the longest expected time for loading the adapter on another engine. Owners
+	// name the times that they observe, and engines are overloaded when the store is busy and slower
+	// than usual; a load from an idle store takes 250 ms.
+	offloadMaxWait = 400 * time.Millisecond
 	// offloadTimeout is how long a request waits in all, whichever engines are asked, before it is
 	// sent to the overloaded engine.
-	offloadMaxWait = 400 * time.Millisecond
 	offloadTimeout = 450 * time.Millisecond
 )
 
--- a/snipegateway/pressure.go
+++ b/snipegateway/pressure.go
@@ -19,8 +19,7 @@
 const (
 	// RequestBytes is what a request holds beside its body and its answer: the buffers and the
 	// goroutine of the caller's connection, those of the connection to an upstream, and the headers
-	// twice. With 400 requests the resident memory of a process grew by 36 KiB for each that waits
-	// for its answer, and by 57 KiB for each stream that has begun, garbage included.
+	// twice. A stream that has begun takes 57 KiB of resident memory, garbage included.
 	RequestBytes = 60 << 10
 	// bodyCopies is how often a body is in memory while it is sent to an upstream: once for another
 	// attempt, and once in the message that snipelink writes.
