--- a/snipebalance/flight.go
+++ b/snipebalance/flight.go
@@ -21,8 +21,8 @@
 	occupancy, pending, expected, pace float64
 	waits                              bool
 	paceAge, reportAge                 time.Duration
-	// first is set once the answer's first event has arrived.
-	first bool
+	// first is set once the answer's first event has arrived, ended once the request has ended.
+	first, ended bool
 }
 
 // Expectation is what was expected of a request when it was sent, and the age of what it was based on.
@@ -44,7 +44,7 @@
 }
 
 // Start records that a request is sent to an upstream. The caller calls First at the first event of
-// the answer, and End once.
+// the answer, and End at the request's end.
 func (b *Balancer) Start(u *snipedirectory.Upstream, d Demand) *Flight {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -56,8 +56,8 @@
 		balancer: b, upstream: u, demand: d, weight: Weight(d.PromptTokens), sentAt: now,
 		occupancy: min(requests/slots, 1), waits: requests >= slots,
 		pending:  s.pending.total(now, pendingLifetime),
-		expected: m.atUsualPace(s, u, &d, now), pace: s.speed.pace(now),
-		paceAge: age(s.speed.statedAt, now), reportAge: age(s.requests.reportedAt, now),
+		expected: m.atUsualPace(s, u, &d, now), pace: s.pace.expected(now),
+		paceAge: age(s.pace.statedAt, now), reportAge: age(s.requests.reportedAt, now),
 	}
 	s.service = u.Service
 	s.inFlight += f.weight
@@ -92,13 +92,17 @@
 	if !f.waits {
 		b.model(f.upstream.Service).observeFirst(f.occupancy, float64(f.demand.PromptTokens), f.pending, took/f.pace)
 	}
-	s.speed.observe(took/f.expected, now)
+	s.pace.observe(took/f.expected, now)
 	return true
 }
 
 // End records the request's end. output is the number of output tokens of a whole answer; it is
-// negative if the request got no whole answer.
+// negative if the request got no whole answer. Further calls do nothing.
 func (f *Flight) End(output int) {
+	if f.ended {
+		return
+	}
+	f.ended = true
 	b := f.balancer
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -111,7 +115,7 @@
 			s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
 		}
 		if f.demand.Plain && output >= 0 {
-			s.speed.observe(now.Sub(f.sentAt).Seconds()/f.expected, now)
+			s.pace.observe(now.Sub(f.sentAt).Seconds()/f.expected, now)
 		}
 	}
 	if output < 0 {
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -86,6 +86,9 @@
 func (c *call) handleAnswer(ctx context.Context, d Dispatch, answer *snipelink.Answer) error {
 	g, u := c.gateway, d.Upstream
 	v := g.Protocol.Classify(answer.Response, d)
+	if v.Elsewhere {
+		v.Load = nil // it is that of the upstream that has the address now
+	}
 	c.noteLoad(v.Load)
 	if v.Load != nil {
 		g.setStated(u, v.Load)
@@ -202,14 +205,16 @@
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.gateway.Balancer.RecordAnswer(id, failed)
-	if len(body) < maxBuffered {
+	complete := len(body) < maxBuffered && !noRoom
+	if complete {
 		c.releasePermit(answerOutcome(failed))
-	}
-	if answer.StatusCode < http.StatusBadRequest {
-		c.output = 0
+		if answer.StatusCode < http.StatusBadRequest {
+			c.output = 0
+		}
+		c.flight.End(c.output) // the time that the caller takes to read is not the upstream's
 	}
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body}
-	if len(body) == maxBuffered || noRoom {
+	if !complete {
 		return c.writeUnbuffered(w, answer)
 	}
 	if failed && c.route.MayRepeat() {
