Shared admission: no permit for a small fraction of a handover

Change: a fraction below an eighth counts as none. The quotient is bounded before its conversion, which could otherwise overflow.

--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -193,14 +193,15 @@
 
 // excess returns the number of permits beyond the slots, at most as many as there are slots. While a
 // permit is handed over, from the end of a request to the arrival of the next, its slot would be
-// idle: as many more are out as are being handed over when all slots are occupied.
+// idle: as many more are out as are being handed over when all slots are occupied. A fraction below
+// an eighth counts as none, so that a short link adds no permit to an upstream of few slots.
 func (u *upstream) excess() int {
 	least := max(1, u.slots/excessDivisor)
 	if u.handover.count == 0 || u.took.count == 0 {
 		return least
 	}
-	handedOver := math.Ceil(float64(u.slots) * u.handover.mean / u.took.mean)
-	return min(least+int(handedOver), max(least, u.slots))
+	handedOver := min(float64(u.slots)*u.handover.mean/u.took.mean, float64(u.slots))
+	return min(least+int(math.Ceil(handedOver-1.0/excessDivisor)), max(least, u.slots))
 }
 
 // load returns the requests that are expected to run or wait there.
