Shared admission: notice a lost coordinator also by requests with short deadlines

Cause: a call for a permit lasted 350 ms also if its request ended before, so that a request waited beyond its deadline, and the loss was recorded only if the request had not ended. With deadlines below 350 ms, a frozen coordinator was never lost and all requests failed. Change: the call goes on in a goroutine that records the loss and gives a permit back; the request returns at its deadline. TestLossBeyondDeadline fails without it.

--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -135,17 +135,13 @@
 		case ctx.Err() != nil:
 			releaseUnused(permit)
 		case err == nil, errors.Is(err, snipeadmission.ErrRefused):
-			a.noteAnswer(service, to)
 			return permit, denied(a.name(to), err)
 		case errors.Is(err, errStillWaiting):
-			a.noteAnswer(service, to)
 			// The upstreams were avoided for the time in which their queues empty.
 			r.Arrived, r.Excluded = arrivedBy(r, begun), nil
 		case errors.Is(err, errNotCoordinating):
-			a.noteLost(service, to, true, err)
 			declined++
 		default:
-			a.noteLost(service, to, false, err)
 			lost++
 		}
 	}
@@ -230,21 +226,49 @@
 
 func mayCoordinate(i snipeowner.Instance) bool { return !i.Leaving && !i.Standby }
 
-// ask asks one instance, which may be this one, for a permit. It returns errStillWaiting after
-// permitWait. The call to another instance is not ended by ctx, so that the connection stays in use
-// and a permit that is granted meanwhile is given back; it takes permitTimeout at most.
+// ask asks one instance, which may be this one, for a permit, and records whether it answered. It
+// returns errStillWaiting after permitWait, and the error of ctx if that ends first. A call to
+// another instance then goes on without the request, for permitTimeout at most, so that a lost
+// coordinator is noticed and a permit that is granted meanwhile is given back.
 func (a *admission) ask(ctx context.Context, to netip.AddrPort, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
 	if to == a.Self {
 		p, err := a.Lender.acquire(ctx, service, r)
+		if ctx.Err() == nil {
+			a.noteCall(service, to, err)
+		}
 		if err != nil {
 			return nil, err
 		}
 		return a.hold(to, service, p), nil
 	}
+	type answer struct {
+		permit *snipegateway.Permit
+		err    error
+	}
+	answers := make(chan answer)
+	go func() {
+		permit, err := a.call(context.WithoutCancel(ctx), to, service, r)
+		a.noteCall(service, to, err)
+		select {
+		case answers <- answer{permit, err}:
+		case <-ctx.Done():
+			releaseUnused(permit)
+		}
+	}()
+	select {
+	case got := <-answers:
+		return got.permit, got.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// call asks another instance for a permit. It takes permitTimeout at most.
+func (a *admission) call(ctx context.Context, to netip.AddrPort, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
 	asked := time.Now()
-	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), permitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	answer, err := a.Client(to).Acquire(bounded, encodeAcquire(service, r, asked))
+	answer, err := a.Client(to).Acquire(ctx, encodeAcquire(service, r, asked))
 	if err != nil {
 		return nil, declined(err)
 	}
@@ -261,6 +285,16 @@
 	return permit, nil
 }
 
+// noteCall records the end of a call for a permit: the instance answered, declined or is lost.
+func (a *admission) noteCall(service string, to netip.AddrPort, err error) {
+	switch {
+	case err == nil, errors.Is(err, snipeadmission.ErrRefused), errors.Is(err, errStillWaiting):
+		a.noteAnswer(service, to)
+	default:
+		a.noteLost(service, to, errors.Is(err, errNotCoordinating), err)
+	}
+}
+
 // denied returns a refusal with the instance that refused, and any other error as it is.
 func denied(coordinator string, err error) error {
 	var refused *snipeadmission.RefusedError
--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -363,6 +363,33 @@
 	}
 }
 
+// TestLossBeyondDeadline guards against requests that wait beyond their deadlines for a frozen
+// coordinator, and against a coordinator that never counts as lost because the deadlines of all
+// requests are shorter than a call for a permit.
+func TestLossBeyondDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newAdmissionNetwork(4, 4)
+		order := w.ranked()
+		caller := order[3]
+		order[0].set(func(n *admissionNode) { n.frozen = true })
+		const deadline = 200 * time.Millisecond
+		for n := range 4 {
+			begun := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			p, err := caller.acquire(ctx, plainService, snipeadmission.Request{Deadline: begun.Add(permitTimeout / 2)})
+			cancel()
+			must.LessEq(t, deadline, time.Since(begun))
+			if n < 2 {
+				must.ErrorIs(t, err, context.DeadlineExceeded)
+				continue
+			}
+			must.NoError(t, err)
+			must.Eq(t, caller.name(order[1].Self), p.Coordinator)
+			releaseUnused(p)
+		}
+	})
+}
+
 // TestProbeOfLostCoordinator guards against requests that all wait for a lost coordinator each time
 // that its pause has passed: one of them finds out whether it answers.
 func TestProbeOfLostCoordinator(t *testing.T) {
