Shared admission: keep the place of a request whose coordinator is lost

Cause: only a call that ended with "still waiting" passed the time of arrival on. A request whose call was lost began to wait anew at the next instance, up to 350 ms later, against the design. TestPlaceAfterLoss fails without the change.

--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -142,6 +142,7 @@
 		case errors.Is(err, errNotCoordinating):
 			declined++
 		default:
+			r.Arrived = arrivedBy(r, begun)
 			lost++
 		}
 	}
--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -390,6 +390,33 @@
 	})
 }
 
+// recordingClient records the ages of the requests that it asks permits for.
+type recordingClient struct {
+	snipeproto.Admission
+	ages *[]int64
+}
+
+// Acquire implements snipeproto.Admission.
+func (c recordingClient) Acquire(ctx context.Context, m *snipeproto.AdmissionAcquireRequest) (*snipeproto.AdmissionAcquireResponse, error) {
+	*c.ages = append(*c.ages, m.GetAgeMilliseconds())
+	return c.Admission.Acquire(ctx, m)
+}
+
+// TestPlaceAfterLoss guards against a request that loses its place when its coordinator is lost.
+func TestPlaceAfterLoss(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newAdmissionNetwork(4, 4)
+		order := w.ranked()
+		caller, reach := order[3], order[3].Client
+		var ages []int64
+		caller.Client = func(to netip.AddrPort) snipeproto.Admission { return recordingClient{reach(to), &ages} }
+		order[0].set(func(n *admissionNode) { n.frozen = true })
+		_, err := caller.run(t.Context(), 0)
+		must.NoError(t, err)
+		must.Eq(t, []int64{0, permitTimeout.Milliseconds()}, ages)
+	})
+}
+
 // TestProbeOfLostCoordinator guards against requests that all wait for a lost coordinator each time
 // that its pause has passed: one of them finds out whether it answers.
 func TestProbeOfLostCoordinator(t *testing.T) {
