Shared admission: one lost renewal ends no permit

Cause: a permit granted just after a renewal was first renewed after nearly two intervals, at 2/3 of its lifetime. If that message was lost, the next one came when the permit had ended. Change: permits are renewed from the age of half an interval on. TestLostRenewal fails without it.

--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -417,6 +417,31 @@
 	})
 }
 
+// TestLostRenewal guards against permits that end although their requests still run because one
+// renewal was lost, at any time between two renewals at which they are granted.
+func TestLostRenewal(t *testing.T) {
+	for lost := range 4 {
+		for phase := range 6 {
+			inBubble(t, func(t *testing.T) {
+				w := newAdmissionNetwork(3, 1)
+				first, caller := w.ranked()[0], w.ranked()[2]
+				var all sync.WaitGroup
+				all.Go(func() { _, _ = caller.run(t.Context(), 1800*time.Millisecond) })
+				time.Sleep(time.Duration(phase)*renewInterval/6 + linkDelay)
+				for n := range 6 {
+					first.set(func(node *admissionNode) { node.cutOff[caller] = n == lost })
+					caller.renew(t.Context())
+					synctest.Wait()
+					first.set(func(n *admissionNode) { n.cutOff[caller] = false })
+					time.Sleep(renewInterval)
+				}
+				all.Wait()
+				must.Eq(t, 0, first.count("PermitExpired"), must.Sprint(lost, phase))
+			})
+		}
+	}
+}
+
 // TestProbeOfLostCoordinator guards against requests that all wait for a lost coordinator each time
 // that its pause has passed: one of them finds out whether it answers.
 func TestProbeOfLostCoordinator(t *testing.T) {
--- a/snipeentry/permits.go
+++ b/snipeentry/permits.go
@@ -13,8 +13,10 @@
 
 const (
 	// renewInterval is the time between two renewals of the permits of requests that still run: a
-	// third of the default lifetime, so that one lost renewal ends no permit.
+	// third of the default lifetime. A permit is renewed from the age of renewAge on, for the second
+	// time at 5/6 of its lifetime at the latest, so that one lost renewal ends no permit.
 	renewInterval = time.Second / 3
+	renewAge      = renewInterval / 2
 	// releaseTimeout bounds one message that gives permits back. It is not repeated: the permits end
 	// by themselves after their lifetime.
 	releaseTimeout = time.Second
@@ -66,9 +68,9 @@
 	delete(p.granted, h)
 }
 
-// long returns the permits that were granted at least renewInterval ago, by coordinator and service.
+// long returns the permits that were granted at least renewAge ago, by coordinator and service.
 func (p *permits) long() map[netip.AddrPort]map[string][]uint64 {
-	before := time.Now().Add(-renewInterval)
+	before := time.Now().Add(-renewAge)
 	var all map[netip.AddrPort]map[string][]uint64
 	p.lock.Lock()
 	defer p.lock.Unlock()
@@ -148,7 +150,7 @@
 	_, _ = a.Client(to).Release(ctx, r)
 }
 
-// renew renews the permits of requests that have run for renewInterval, by one message to each
+// renew renews the permits of requests that have run for renewAge, by one message to each
 // coordinator, and does not wait for the answers.
 func (a *admission) renew(ctx context.Context) {
 	for to, services := range a.permits.long() {
