Shared admission: no message that its receiver refuses for a caller's figures

Cause: the sum of two sizes that a caller states could overflow to a negative number of tokens. The coordinator refused the message as invalid, which counted as its loss: one such request made an instance pace all requests of the service for three seconds. Times beyond 24 hours had the same effect, and an invalid result in a message kept all permits of that message. Change: sizes are added as floating-point numbers, and figures are bounded when messages are encoded. TestExtremesAccepted and TestHugePermitRequest fail without it.

--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -97,12 +97,16 @@
 	return err
 }
 
-// encodeAcquire returns the message that asks for a permit.
+// encodeAcquire returns the message that asks for a permit. Figures that its receiver would not
+// accept are bounded.
 func encodeAcquire(service string, r snipeadmission.Request, now time.Time) *snipeproto.AdmissionAcquireRequest {
 	m := &snipeproto.AdmissionAcquireRequest{
 		Version: admissionVersion, Instance: r.Instance, Service: service, Workspace: shortened(r.Workspace),
-		Priority: int32(min(max(r.Priority, 0), maxPriority)), Tokens: r.Tokens,
-		DeadlineMilliseconds: max(r.Deadline.Sub(now).Milliseconds(), 0),
+		Priority:             int32(min(max(r.Priority, 0), maxPriority)),
+		DeadlineMilliseconds: max(boundedMilliseconds(r.Deadline.Sub(now)), 0),
+	}
+	if r.Tokens >= 0 && r.Tokens <= math.MaxFloat64 {
+		m.Tokens = r.Tokens
 	}
 	for _, id := range r.Excluded {
 		if validName(id) && len(m.Excluded) < maxExcluded {
@@ -110,10 +114,10 @@
 		}
 	}
 	if !r.Arrived.IsZero() {
-		m.AgeMilliseconds = max(now.Sub(r.Arrived).Milliseconds(), 1)
+		m.AgeMilliseconds = max(boundedMilliseconds(now.Sub(r.Arrived)), 1)
 	}
 	if !r.Target.IsZero() {
-		m.Targeted, m.TargetMilliseconds = true, r.Target.Sub(now).Milliseconds()
+		m.Targeted, m.TargetMilliseconds = true, boundedMilliseconds(r.Target.Sub(now))
 	}
 	return m
 }
@@ -199,6 +203,11 @@
 	return time.Duration(min(max(ms, -limit), limit)) * time.Millisecond
 }
 
+// boundedMilliseconds returns a time for a message, bounded by maxMessageTime.
+func boundedMilliseconds(d time.Duration) int64 {
+	return min(max(d, -maxMessageTime), maxMessageTime).Milliseconds()
+}
+
 // decodeAcquire returns the permit of an answer, errStillWaiting, or the refusal. A negative retry
 // time counts as none.
 func decodeAcquire(m *snipeproto.AdmissionAcquireResponse) (snipeadmission.Permit, error) {
@@ -222,8 +231,9 @@
 // encodeResult returns the message for the result of a request with a permit.
 func encodeResult(service string, id uint64, r snipeadmission.Result) *snipeproto.AdmissionResult {
 	m := &snipeproto.AdmissionResult{
-		Service: service, Permit: id, Outcome: int32(r.Outcome), TookMicroseconds: r.Took.Microseconds(), //nolint:gosec // a small number
-		RetryMilliseconds: milliseconds(r.RetryAfter.Milliseconds()).Milliseconds(),
+		Service: service, Permit: id, Outcome: int32(r.Outcome), //nolint:gosec // a small number
+		TookMicroseconds:  min(max(r.Took, 0), maxMessageTime).Microseconds(),
+		RetryMilliseconds: max(boundedMilliseconds(r.RetryAfter), 0),
 	}
 	if l := r.Load; l != nil {
 		m.Load = &snipeproto.AdmissionLoad{
--- a/snipeentry/admissionwire_test.go
+++ b/snipeentry/admissionwire_test.go
@@ -172,6 +172,21 @@
 	must.Eq(t, now, r.Deadline)
 }
 
+// TestExtremesAccepted guards against messages that their receiver refuses because of figures of a
+// caller or the catalog, which would keep a permit or count as the loss of the coordinator.
+func TestExtremesAccepted(t *testing.T) {
+	now, far := time.Now(), 100*time.Hour
+	for _, tokens := range []float64{-2, math.NaN(), math.Inf(1), math.Inf(-1), math.MaxFloat64} {
+		for _, d := range []time.Duration{-far, 0, far, math.MaxInt64} {
+			r := snipeadmission.Request{Instance: senderAddress, Tokens: tokens, Arrived: now.Add(-d), Target: now.Add(d), Deadline: now.Add(d)}
+			_, err := decodeAcquireRequest(encodeAcquire(plainService, r, now), now)
+			must.NoError(t, err, must.Sprint(tokens, d))
+			_, err = decodeResult(encodeResult(plainService, 1, snipeadmission.Result{Took: d, RetryAfter: d}))
+			must.NoError(t, err, must.Sprint(d))
+		}
+	}
+}
+
 // FuzzAdmission guards against messages that cause a panic, are taken over with figures out of range,
 // or change when they are encoded again.
 func FuzzAdmission(f *testing.F) {
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -110,7 +110,7 @@
 // permitRequest returns the request for a permit that avoids the excluded upstreams.
 func (c *call) permitRequest(excluded []string) snipeadmission.Request {
 	r := snipeadmission.Request{
-		Workspace: c.workspaceName(), Priority: c.priority(), Tokens: float64(c.PromptTokens + c.OutputTokens),
+		Workspace: c.workspaceName(), Priority: c.priority(), Tokens: float64(c.PromptTokens) + float64(c.OutputTokens),
 		Deadline: c.deadline, Excluded: excluded,
 	}
 	if c.admission.asked {
--- a/snipegateway/admission_test.go
+++ b/snipegateway/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -249,6 +250,18 @@
 	must.SliceEmpty(t, f.requests)
 }
 
+// TestHugePermitRequest guards against sizes that callers state whose sum overflows.
+func TestHugePermitRequest(t *testing.T) {
+	g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+	g.Protocol.Decode = func(*http.Request) (snipegateway.Request, error) {
+		return snipegateway.Request{ID: "1", PromptTokens: math.MaxInt, OutputTokens: math.MaxInt}, nil
+	}
+	f := &fakePermits{upstreams: []string{"e0"}}
+	g.Admission = f.admission()
+	must.Eq(t, http.StatusOK, sendRequest(g).Code)
+	must.Positive(t, f.requests[0].Tokens)
+}
+
 // TestPermitRequest guards against a request for a permit without the priority, the workspace's
 // tokens, the target or the deadline, and against results without time or load.
 func TestPermitRequest(t *testing.T) {
