Shared admission: instances of other versions decline, they are not lost

Cause: an earlier version answers a call for a permit with bad_route, a later one may answer with invalid_argument. Both counted as lost coordinators, so that with two such instances at the head of the order all requests were paced during a rolling update, although another instance could coordinate. TestOtherVersions fails without the change.

--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"snipepitch.example/snipepitch/snipeadmission"
@@ -784,6 +785,42 @@
 	})
 }
 
+// failingClient answers each request for a permit with an error.
+type failingClient struct {
+	snipeproto.Admission
+	err error
+}
+
+// Acquire implements snipeproto.Admission.
+func (c failingClient) Acquire(context.Context, *snipeproto.AdmissionAcquireRequest) (*snipeproto.AdmissionAcquireResponse, error) {
+	return nil, c.err
+}
+
+// TestOtherVersions guards against instances of another version that count as lost coordinators, so
+// that requests are paced although an instance of this version could coordinate. Earlier versions
+// do not know the service, later ones may refuse the message.
+func TestOtherVersions(t *testing.T) {
+	for _, code := range []twirp.ErrorCode{twirp.BadRoute, twirp.InvalidArgument} {
+		t.Run(string(code), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := newAdmissionNetwork(4, 4)
+				order := w.ranked()
+				caller, reach := order[3], order[3].Client
+				caller.Client = func(to netip.AddrPort) snipeproto.Admission {
+					if to == order[2].Self {
+						return reach(to)
+					}
+					return failingClient{err: twirp.NewError(code, "other version")}
+				}
+				p, err := caller.run(t.Context(), 0)
+				must.NoError(t, err)
+				must.Eq(t, caller.name(order[2].Self), p.Coordinator)
+				must.Eq(t, 0, caller.count("CoordinatorLost"))
+			})
+		})
+	}
+}
+
 // TestForgetService guards against state of services that are no longer declared.
 func TestForgetService(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -88,13 +88,20 @@
 	return twirp.NewError(twirp.InvalidArgument, err.Error())
 }
 
-// declined returns errNotCoordinating if a call was answered with FailedPrecondition, or else err.
+// declined returns errNotCoordinating if a call was answered by an instance that does not coordinate
+// the service, or is of another version: an earlier one does not know the call, a later one may
+// refuse the message. Otherwise it returns err.
 func declined(err error) error {
 	var failure twirp.Error
-	if errors.As(err, &failure) && failure.Code() == twirp.FailedPrecondition {
-		return errNotCoordinating
+	if !errors.As(err, &failure) {
+		return err
+	}
+	switch failure.Code() {
+	case twirp.FailedPrecondition, twirp.BadRoute, twirp.InvalidArgument:
+		return errors.Wrap(errNotCoordinating, failure.Msg())
+	default:
+		return err
 	}
-	return err
 }
 
 // encodeAcquire returns the message that asks for a permit. Figures that its receiver would not
