snipefair: bound the tokens that an item is charged

Cause: callers state the tokens, up to 2^63. After such requests of one workspace, that waited alone, the others start at its counter, where a usual number of tokens is below the precision: all counters stay equal and fair order ends for that priority. With infinite sums they are never equal to anything lower again. Change: at most 2^30 tokens count. TestIdle/HugeTokens fails without it.

--- a/snipefair/queue.go
+++ b/snipefair/queue.go
@@ -33,13 +33,18 @@
 // maxIdleLevels is the number of priorities without waiting items whose counters are kept.
 const maxIdleLevels = 16
 
+// maxWork bounds the tokens that an item is charged. A counter that grows by absurd numbers would no
+// longer change when usual ones are added.
+const maxWork = 1 << 30
+
 // Item describes something that waits. Tokens is what the workspace is charged for it when it is
 // popped. Items without a workspace belong to one common workspace without a name.
 type Item struct {
 	// Priority is the urgency; 0 is the most urgent.
 	Priority  int
 	Workspace string
-	// Tokens is the amount of work. Values that are not positive and finite count as 1.
+	// Tokens is the amount of work. Values that are not positive and finite count as 1, and those
+	// above maxWork as maxWork.
 	Tokens float64
 	// Queued is when the item began to wait.
 	Queued time.Time
@@ -57,7 +62,7 @@
 // Work returns the tokens that the item is charged.
 func (i *Item) Work() float64 {
 	if i.Tokens > 0 && !math.IsInf(i.Tokens, 1) {
-		return i.Tokens
+		return min(i.Tokens, maxWork)
 	}
 	return 1
 }
--- a/snipefair/queue_test.go
+++ b/snipefair/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -81,8 +82,9 @@
 }
 
 // TestIdle guards against a workspace that saves up service while it is idle and then shuts out the
-// others, against one that loses its debt by being idle for a moment, and against counters of one
-// priority that disturb the order of another.
+// others, against one that loses its debt by being idle for a moment, against counters of one
+// priority that disturb the order of another, and against an absurd number of tokens, after which all
+// workspaces count as equal.
 func TestIdle(t *testing.T) {
 	tests := map[string]struct {
 		before, after []item
@@ -98,6 +100,11 @@
 			after:  []item{{"b1", 0, "b", 10, 1, 0}, {"a1", 0, "a", 10, 0, 0}, {"b2", 0, "b", 10, 2, 0}},
 			want:   "b1 b2 a1",
 		},
+		"HugeTokens": {
+			before: []item{{"h", 0, "h", math.MaxFloat64, 0, 0}, {"h", 0, "h", math.MaxFloat64, 0, 0}, {"h", 0, "h", 1, 0, 0}},
+			after:  []item{{"a1", 0, "a", 10, 1, 0}, {"a2", 0, "a", 10, 2, 0}, {"b1", 0, "b", 10, 3, 0}},
+			want:   "a1 b1 a2",
+		},
 		"OtherPriority": {
 			before: []item{{"a", 0, "a", 90, 0, 0}, {"b", 0, "b", 90, 0, 0}},
 			after:  []item{{"l", 1, "l", 1, 0, 0}, {"b1", 1, "b", 1, 0, 0}, {"a1", 1, "a", 1, 1, 0}},
