Shared admission: keep the permit while an answer without room is passed on

Cause: where the memory bound left no room to buffer an answer, the permit was given back although the upstream still sent the rest: its slot was lent again while it was taken, and the time of the request was recorded too short. TestPermitWithoutRoom fails without the change.

--- a/snipegateway/admission_test.go
+++ b/snipegateway/admission_test.go
@@ -19,6 +19,7 @@
 	"snipepitch.example/snipepitch/snipeadmission"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipegateway"
+	"snipepitch.example/snipepitch/snipepressure"
 	"snipepitch.example/snipepitch/sniperetry"
 	"snipepitch.example/snipepitch/snipesignal"
 )
@@ -218,6 +219,30 @@
 	must.True(t, w.releasedFirst)
 }
 
+// TestPermitWithoutRoom guards against a permit that is given back while the upstream still sends its
+// answer, because the instance has no room to buffer the answer.
+func TestPermitWithoutRoom(t *testing.T) {
+	g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+	g.Pressure = &snipepressure.Budget{Bound: 1_000_000}
+	var other snipepressure.Account
+	must.NoError(t, g.Pressure.Open(&other, "other", 0))
+	must.True(t, other.Grow(700_000))
+	f := &fakePermits{upstreams: []string{"e0"}}
+	g.Admission = f.admission()
+	var early atomic.Bool
+	answerWith(t, g, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 400_000))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(100 * time.Millisecond)
+		early.Store(len(f.outcomes()) > 0)
+		_, _ = w.Write(make([]byte, 1000))
+	})
+	w := sendRequest(g)
+	must.Eq(t, 401_000, w.Body.Len())
+	must.False(t, early.Load())
+	must.Eq(t, []snipeadmission.Outcome{snipeadmission.OutcomeServed}, f.outcomes())
+}
+
 // slowRecorder records whether the permit was released before the answer was written.
 type slowRecorder struct {
 	*httptest.ResponseRecorder
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -202,7 +202,7 @@
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.gateway.Balancer.RecordAnswer(id, failed)
-	if len(body) < maxBuffered {
+	if len(body) < maxBuffered && !noRoom {
 		c.releasePermit(answerOutcome(failed))
 	}
 	if answer.StatusCode < http.StatusBadRequest {
