Shared admission: tell the coordinator that an upstream is suspect

Cause: OutcomeSuspect was never sent. An upstream that breaks off each request has free slots all the time and got most of the permits, while the instances' own choice avoids it. Change: the outcome of a failed attempt is OutcomeSuspect where the instance suspects the upstream (three requests without an answer in a row). TestSuspectUpstream fails without it.

--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -166,16 +166,16 @@
 	c.admission.load, c.admission.unreached, c.admission.retryAfter = nil, false, 0
 	reached := c.reached
 	err = errAttemptAborted
-	defer func() { c.releasePermit(c.permitOutcome(err, reached)) }()
+	defer func() { c.releasePermit(c.permitOutcome(err, reached, choice.Upstream)) }()
 	return c.attempt(ctx, choice)
 }
 
 // errAttemptAborted is the error of an attempt that panicked.
 var errAttemptAborted = errors.New("the attempt was aborted")
 
-// permitOutcome returns the outcome of an attempt that ended with err. reached is the value of
+// permitOutcome returns the outcome of an attempt at u that ended with err. reached is the value of
 // c.reached before the attempt.
-func (c *call) permitOutcome(err error, reached int) snipeadmission.Outcome {
+func (c *call) permitOutcome(err error, reached int, u *snipedirectory.Upstream) snipeadmission.Outcome {
 	switch {
 	case c.admission.unreached:
 		return snipeadmission.OutcomeUnreachable
@@ -185,6 +185,8 @@
 		return snipeadmission.OutcomeServed
 	case c.request.Context().Err() != nil, errors.Is(err, snipeerror.ErrCanceled):
 		return snipeadmission.OutcomeCanceled
+	case !c.gateway.Balancer.Usable(u):
+		return snipeadmission.OutcomeSuspect
 	default:
 		return snipeadmission.OutcomeFailed
 	}
--- a/snipegateway/admission_test.go
+++ b/snipegateway/admission_test.go
@@ -243,6 +243,20 @@
 	must.Eq(t, []snipeadmission.Outcome{snipeadmission.OutcomeServed}, f.outcomes())
 }
 
+// TestSuspectUpstream guards against permits for an upstream that breaks off each request: its slots
+// are always free, so that it would get most of the requests.
+func TestSuspectUpstream(t *testing.T) {
+	g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+	f := &fakePermits{upstreams: []string{"e0"}}
+	g.Admission = f.admission()
+	answerWith(t, g, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for range 3 {
+		sendRequest(g)
+	}
+	failed := snipeadmission.OutcomeFailed
+	must.Eq(t, []snipeadmission.Outcome{failed, failed, snipeadmission.OutcomeSuspect}, f.outcomes())
+}
+
 // slowRecorder records whether the permit was released before the answer was written.
 type slowRecorder struct {
 	*httptest.ResponseRecorder
