Shared admission: a waiting request counts once at the upstream that it waits for

Cause: the first request in the queue was looked at twice and counted twice at the upstream without a free permit, which sent a request behind it to a slow upstream too early. TestAssigned fails without the change.

--- a/snipeadmission/coordinator_test.go
+++ b/snipeadmission/coordinator_test.go
@@ -235,6 +235,30 @@
 	}
 }
 
+// TestAssigned guards against a waiting request that counts twice at the upstream that it waits for,
+// which sends those behind it to a slow upstream. The first six requests are sooner at u, also in its
+// queue, and so is the seventh; the eighth is sooner at v.
+func TestAssigned(t *testing.T) {
+	paused(t, func(t *testing.T, b *bench) {
+		b.set("u", 4, "v", 4)
+		b.Observe("u", snipeadmission.Load{Pace: 1})
+		b.Observe("v", snipeadmission.Load{Pace: 1.9})
+		b.fill(5)
+		got := make(chan string, 3)
+		for range 3 {
+			must.Eq(t, 0, len(got))
+			go func() {
+				p, _ := b.Acquire(t.Context(), snipeadmission.Request{})
+				got <- p.Upstream
+			}()
+			synctest.Wait()
+		}
+		must.Eq(t, "v", <-got)
+		must.Eq(t, 0, len(got))
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // TestForeignLoad guards against permits for slots that requests without a permit of this coordinator
 // take, and against a report of them that counts for ever. The load is that of a second coordinator.
 func TestForeignLoad(t *testing.T) {
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -46,9 +46,11 @@
 	c.queue.Rescue = c.sinceRescue >= rescueSpacing && !c.overloaded(priorities, now)
 	ready := c.pool.ready(now)
 	assigned := make([]float64, len(c.pool.list))
-	if e := c.queue.Peek(now, ready); c.queue.Len() == 1 || c.soonestFree(e.Value, assigned, now) != nil {
-		return e, c.soonestFree(e.Value, assigned, now)
+	first := c.queue.Peek(now, ready)
+	if u := c.soonestFree(first.Value, assigned, now); u != nil || c.queue.Len() == 1 {
+		return first, u
 	}
+	clear(assigned)
 	seen := 0
 	for e := range c.queue.InOrder(now, ready) {
 		if u := c.soonestFree(e.Value, assigned, now); u != nil {
