Pacer: space the requests that wait for the end of a pause

Cause: the send slots of requests that wait for a paused upstream were spaced from the present time on, so that all that fell before the end of the pause were sent at that moment. Change: they are spaced from the time on at which each may be sent. TestPacerAfterPause fails without it.

--- a/snipeadmission/pacer.go
+++ b/snipeadmission/pacer.go
@@ -135,8 +135,7 @@
 	}
 	s := p.paces[best.id]
 	interval := seconds(1 / s.rate)
-	oldest := now.Add(-burst * interval)
-	s.next = later(s.next, oldest).Add(time.Duration((0.5 + p.random()) * float64(interval)))
+	s.next = later(s.next, send.Add(-burst*interval)).Add(time.Duration((0.5 + p.random()) * float64(interval)))
 	best.out++
 	p.stats.Waiting++
 	return best, send, d
--- a/snipeadmission/pacer_test.go
+++ b/snipeadmission/pacer_test.go
@@ -96,6 +96,30 @@
 	})
 }
 
+// TestPacerAfterPause guards against all requests that wait for the end of an upstream's pause being
+// sent at that moment.
+func TestPacerAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, began := pacer("u"), time.Now()
+		id, err := p.Acquire(t.Context(), snipeadmission.Request{})
+		must.NoError(t, err)
+		p.Release(id, snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: 3 * time.Second})
+		var atOnce atomic.Int32
+		for range 30 {
+			go func() {
+				_, err := p.Acquire(t.Context(), snipeadmission.Request{})
+				must.NoError(t, err)
+				if time.Since(began) < 3*time.Second+50*ms {
+					atOnce.Add(1)
+				}
+			}()
+		}
+		time.Sleep(10 * time.Second)
+		must.Between(t, 1, atOnce.Load(), 3)
+		must.Eq(t, uint64(31), p.Stats().Granted)
+	})
+}
+
 // TestPacerUpstreams guards against requests to an upstream that has left, to one that has just
 // refused the request, and without any upstream.
 func TestPacerUpstreams(t *testing.T) {
