Shared admission: no permit for a caller that gave up during a freeze

Cause: a coordinator that goes on after a freeze granted permits to calls that had ended at their callers, each of which held a slot for a second, and its own requests were sent with permits that might have ended. TestPermitAfterFreeze fails without the change.

--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -553,6 +553,28 @@
 	})
 }
 
+// TestPermitAfterFreeze guards against permits of requests that have given up while the coordinator's
+// process was frozen, and for itself against a request that is sent with a permit that has ended.
+func TestPermitAfterFreeze(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newAdmissionNetwork(1, 1)
+		l := w.nodes[0].Lender
+		freeze := 2 * time.Second
+		l.Upstreams = func(service string) []*snipedirectory.Upstream {
+			time.Sleep(freeze)
+			freeze = 0
+			return w.service(service)
+		}
+		r := snipeadmission.Request{Instance: w.nodes[0].Self.String(), Deadline: time.Now().Add(time.Minute)}
+		_, err := l.acquire(t.Context(), plainService, r)
+		must.ErrorIs(t, err, errStillWaiting)
+		out, _ := l.stats()
+		must.Eq(t, 0, out)
+		_, err = l.acquire(t.Context(), plainService, r)
+		must.NoError(t, err)
+	})
+}
+
 // TestHolderGone guards against slots that stay lent until the permits end although the view of the
 // live instances shows that their holder is gone.
 func TestHolderGone(t *testing.T) {
--- a/snipeentry/lender.go
+++ b/snipeentry/lender.go
@@ -83,12 +83,13 @@
 }
 
 // acquire waits for a permit, for permitWait at most, and then returns errStillWaiting. If ctx ends,
-// it returns its error, and takes back a permit that was granted at the same moment. An
+// it returns its error. It takes back a permit that was granted when the caller had given up. An
 // instance that is stopping, or does not know the service, returns errNotCoordinating.
 func (l *lender) acquire(ctx context.Context, service string, r snipeadmission.Request) (snipeadmission.Permit, error) {
 	if l.Stopping() {
 		return snipeadmission.Permit{}, errNotCoordinating
 	}
+	asked := time.Now()
 	c := l.coordinator(service)
 	if c == nil {
 		return snipeadmission.Permit{}, errors.Wrap(errNotCoordinating, "no upstream of "+service+" is known")
@@ -96,11 +97,14 @@
 	bounded, cancel := context.WithTimeout(ctx, permitWait)
 	defer cancel()
 	p, err := c.Acquire(bounded, r)
+	// After permitTimeout, which passes here only if the process stood still, the caller has given up.
+	givenUp := ctx.Err() != nil || time.Since(asked) >= permitTimeout
+	if err == nil && givenUp {
+		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
+		err = errStillWaiting
+	}
 	switch {
 	case ctx.Err() != nil:
-		if err == nil {
-			c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
-		}
 		return snipeadmission.Permit{}, ctx.Err()
 	case err != nil && bounded.Err() != nil && !errors.Is(err, snipeadmission.ErrRefused):
 		return snipeadmission.Permit{}, errStillWaiting
