--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"snipepitch.example/snipepitch/snipeadmission"
@@ -363,6 +364,85 @@
 	}
 }
 
+// TestLossBeyondDeadline guards against requests that wait beyond their deadlines for a frozen
+// coordinator, and against a coordinator that never counts as lost because the deadlines of all
+// requests are shorter than a call for a permit.
+func TestLossBeyondDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newAdmissionNetwork(4, 4)
+		order := w.ranked()
+		caller := order[3]
+		order[0].set(func(n *admissionNode) { n.frozen = true })
+		const deadline = 200 * time.Millisecond
+		for n := range 4 {
+			begun := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			p, err := caller.acquire(ctx, plainService, snipeadmission.Request{Deadline: begun.Add(deadline)})
+			cancel()
+			must.LessEq(t, deadline, time.Since(begun))
+			if n < 2 {
+				must.ErrorIs(t, err, context.DeadlineExceeded)
+				continue
+			}
+			must.NoError(t, err)
+			must.Eq(t, caller.name(order[1].Self), p.Coordinator)
+			releaseUnused(p)
+		}
+	})
+}
+
+// recordingClient records the ages of the requests that it asks permits for.
+type recordingClient struct {
+	snipeproto.Admission
+	ages *[]int64
+}
+
+// Acquire implements snipeproto.Admission.
+func (c recordingClient) Acquire(ctx context.Context, m *snipeproto.AdmissionAcquireRequest) (*snipeproto.AdmissionAcquireResponse, error) {
+	*c.ages = append(*c.ages, m.GetAgeMilliseconds())
+	return c.Admission.Acquire(ctx, m)
+}
+
+// TestPlaceAfterLoss guards against a request that loses its place when its coordinator is lost.
+func TestPlaceAfterLoss(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newAdmissionNetwork(4, 4)
+		order := w.ranked()
+		caller, reach := order[3], order[3].Client
+		var ages []int64
+		caller.Client = func(to netip.AddrPort) snipeproto.Admission { return recordingClient{reach(to), &ages} }
+		order[0].set(func(n *admissionNode) { n.frozen = true })
+		_, err := caller.run(t.Context(), 0)
+		must.NoError(t, err)
+		must.Eq(t, []int64{0, permitTimeout.Milliseconds()}, ages)
+	})
+}
+
+// TestLostRenewal guards against permits that end although their requests still run because one
+// renewal was lost, at any time between two renewals at which they are granted.
+func TestLostRenewal(t *testing.T) {
+	for lost := range 4 {
+		for phase := range 6 {
+			inBubble(t, func(t *testing.T) {
+				w := newAdmissionNetwork(3, 1)
+				first, caller := w.ranked()[0], w.ranked()[2]
+				var all sync.WaitGroup
+				all.Go(func() { _, _ = caller.run(t.Context(), 1800*time.Millisecond) })
+				time.Sleep(time.Duration(phase)*renewInterval/6 + linkDelay)
+				for n := range 6 {
+					first.set(func(node *admissionNode) { node.cutOff[caller] = n == lost })
+					caller.renew(t.Context())
+					synctest.Wait()
+					first.set(func(n *admissionNode) { n.cutOff[caller] = false })
+					time.Sleep(renewInterval)
+				}
+				all.Wait()
+				must.Eq(t, 0, first.count("PermitExpired"), must.Sprint(lost, phase))
+			})
+		}
+	}
+}
+
 // TestProbeOfLostCoordinator guards against requests that all wait for a lost coordinator each time
 // that its pause has passed: one of them finds out whether it answers.
 func TestProbeOfLostCoordinator(t *testing.T) {
@@ -473,6 +553,28 @@
 	})
 }
 
+// TestPermitAfterFreeze guards against permits of requests that have given up while the coordinator's
+// process was frozen, and for itself against a request that is sent with a permit that has ended.
+func TestPermitAfterFreeze(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newAdmissionNetwork(1, 1)
+		l := w.nodes[0].Lender
+		freeze := 2 * time.Second
+		l.Upstreams = func(service string) []*snipedirectory.Upstream {
+			time.Sleep(freeze)
+			freeze = 0
+			return w.service(service)
+		}
+		r := snipeadmission.Request{Instance: w.nodes[0].Self.String(), Deadline: time.Now().Add(time.Minute)}
+		_, err := l.acquire(t.Context(), plainService, r)
+		must.ErrorIs(t, err, errStillWaiting)
+		out, _ := l.stats()
+		must.Eq(t, 0, out)
+		_, err = l.acquire(t.Context(), plainService, r)
+		must.NoError(t, err)
+	})
+}
+
 // TestHolderGone guards against slots that stay lent until the permits end although the view of the
 // live instances shows that their holder is gone.
 func TestHolderGone(t *testing.T) {
@@ -705,6 +807,42 @@
 	})
 }
 
+// failingClient answers each request for a permit with an error.
+type failingClient struct {
+	snipeproto.Admission
+	err error
+}
+
+// Acquire implements snipeproto.Admission.
+func (c failingClient) Acquire(context.Context, *snipeproto.AdmissionAcquireRequest) (*snipeproto.AdmissionAcquireResponse, error) {
+	return nil, c.err
+}
+
+// TestOtherVersions guards against instances of another version that count as lost coordinators, so
+// that requests are paced although an instance of this version could coordinate. Earlier versions
+// do not know the service, later ones may refuse the message.
+func TestOtherVersions(t *testing.T) {
+	for _, code := range []twirp.ErrorCode{twirp.BadRoute, twirp.InvalidArgument} {
+		t.Run(string(code), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := newAdmissionNetwork(4, 4)
+				order := w.ranked()
+				caller, reach := order[3], order[3].Client
+				caller.Client = func(to netip.AddrPort) snipeproto.Admission {
+					if to == order[2].Self {
+						return reach(to)
+					}
+					return failingClient{err: twirp.NewError(code, "other version")}
+				}
+				p, err := caller.run(t.Context(), 0)
+				must.NoError(t, err)
+				must.Eq(t, caller.name(order[2].Self), p.Coordinator)
+				must.Eq(t, 0, caller.count("CoordinatorLost"))
+			})
+		})
+	}
+}
+
 // TestForgetService guards against state of services that are no longer declared.
 func TestForgetService(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/snipegateway/admission_test.go
+++ b/snipegateway/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +19,7 @@
 	"snipepitch.example/snipepitch/snipeadmission"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipegateway"
+	"snipepitch.example/snipepitch/snipepressure"
 	"snipepitch.example/snipepitch/sniperetry"
 	"snipepitch.example/snipepitch/snipesignal"
 )
@@ -217,6 +219,44 @@
 	must.True(t, w.releasedFirst)
 }
 
+// TestPermitWithoutRoom guards against a permit that is given back while the upstream still sends its
+// answer, because the instance has no room to buffer the answer.
+func TestPermitWithoutRoom(t *testing.T) {
+	g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+	g.Pressure = &snipepressure.Budget{Bound: 1_000_000}
+	var other snipepressure.Account
+	must.NoError(t, g.Pressure.Open(&other, "other", 0))
+	must.True(t, other.Grow(700_000))
+	f := &fakePermits{upstreams: []string{"e0"}}
+	g.Admission = f.admission()
+	var early atomic.Bool
+	answerWith(t, g, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 400_000))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(100 * time.Millisecond)
+		early.Store(len(f.outcomes()) > 0)
+		_, _ = w.Write(make([]byte, 1000))
+	})
+	w := sendRequest(g)
+	must.Eq(t, 401_000, w.Body.Len())
+	must.False(t, early.Load())
+	must.Eq(t, []snipeadmission.Outcome{snipeadmission.OutcomeServed}, f.outcomes())
+}
+
+// TestSuspectUpstream guards against permits for an upstream that breaks off each request: its slots
+// are always free, so that it would get most of the requests.
+func TestSuspectUpstream(t *testing.T) {
+	g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+	f := &fakePermits{upstreams: []string{"e0"}}
+	g.Admission = f.admission()
+	answerWith(t, g, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for range 3 {
+		sendRequest(g)
+	}
+	failed := snipeadmission.OutcomeFailed
+	must.Eq(t, []snipeadmission.Outcome{failed, failed, snipeadmission.OutcomeSuspect}, f.outcomes())
+}
+
 // slowRecorder records whether the permit was released before the answer was written.
 type slowRecorder struct {
 	*httptest.ResponseRecorder
@@ -249,6 +289,18 @@
 	must.SliceEmpty(t, f.requests)
 }
 
+// TestHugePermitRequest guards against sizes that callers state whose sum overflows.
+func TestHugePermitRequest(t *testing.T) {
+	g, _ := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+	g.Protocol.Decode = func(*http.Request) (snipegateway.Request, error) {
+		return snipegateway.Request{ID: "1", PromptTokens: math.MaxInt, OutputTokens: math.MaxInt}, nil
+	}
+	f := &fakePermits{upstreams: []string{"e0"}}
+	g.Admission = f.admission()
+	must.Eq(t, http.StatusOK, sendRequest(g).Code)
+	must.Positive(t, f.requests[0].Tokens)
+}
+
 // TestPermitRequest guards against a request for a permit without the priority, the workspace's
 // tokens, the target or the deadline, and against results without time or load.
 func TestPermitRequest(t *testing.T) {
