--- a/snipeadmission/handover_test.go
+++ b/snipeadmission/handover_test.go
@@ -1,6 +1,7 @@
 package snipeadmission_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -25,13 +26,10 @@
 func (b *bench) free() int {
 	b.t.Helper()
 	for n := 0; ; n++ {
-		granted := false
-		go func() {
-			_, err := b.Acquire(b.t.Context(), snipeadmission.Request{Instance: "i"})
-			granted = err == nil
-		}()
-		time.Sleep(ms)
-		if !granted {
+		ctx, cancel := context.WithTimeout(b.t.Context(), ms)
+		_, err := b.Acquire(ctx, snipeadmission.Request{Instance: "i"})
+		cancel()
+		if err != nil {
 			return n
 		}
 	}
