--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -44,12 +44,12 @@
 	// lastRetry is the time that was last named to a refused caller.
 	lastRetry time.Time
 	sweptAt   time.Time
-	// sinceRescue counts the grants since the last one to a request that was rescued.
-	sinceRescue int
-	timer       *time.Timer
-	wakeAt      time.Time // when the timer fires; zero if it does not run
-	stats       Stats
-	decisions   []Decision // not yet passed to OnDecision
+	// sinceLate counts the grants since the last one to a late request (see lateSpacing).
+	sinceLate int
+	timer     *time.Timer
+	wakeAt    time.Time // when the timer fires; zero if it does not run
+	stats     Stats
+	decisions []Decision // not yet passed to OnDecision
 }
 
 // lease is a permit that is out.
@@ -275,14 +275,14 @@
 	case OutcomeRefused:
 		c.queue.Charge(l.item.Priority, l.item.Workspace, -l.item.Work())
 		mean, _ := c.pool.service(u, now)
-		c.paused(u, u.refused(r, seconds(mean), now), now)
+		c.decidePause(u, u.pauseAfterRefusal(r, seconds(mean), now), now)
 	case OutcomeUnreachable, OutcomeSuspect:
-		c.paused(u, u.fail(now), now)
+		c.decidePause(u, u.pauseAfterFailure(now), now)
 	}
 	c.grantAll(now)
 }
 
-func (c *Coordinator) paused(u *upstream, pause time.Duration, now time.Time) {
+func (c *Coordinator) decidePause(u *upstream, pause time.Duration, now time.Time) {
 	c.decide(Decision{Event: EventPaused, Permit: Permit{Upstream: u.id}, Pause: pause, LoadAge: u.reportAge(now)})
 }
 
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -13,17 +13,17 @@
 	lookahead = 64
 	// maxRetryAfter bounds the time that a refused caller is told.
 	maxRetryAfter = 5 * time.Second
-	// overload is the ratio of the arrivals to what the upstreams usually serve from which the service
-	// counts as overloaded. Both are estimates: with 1, short congestion at 0.9 of the capacity counted
-	// as overload (97.8% instead of 99.1% within the deadline, the worst of ten seeds); with 1.1,
-	// an overload of 1.2 was often not seen (84% instead of 94% of the served in target).
-	overload = 1.05
-	// rescueSpacing is the least number of grants from one late request that goes first to the next.
-	// If each late request went first near its deadline, a short peak would leave a queue in which
-	// all requests wait until they are late.
-	rescueSpacing = 4
-	// leastRoom is the part of the rate that is always counted on for returning callers.
-	leastRoom = 4
+	// overloadRatio is the ratio of the arrivals to what the upstreams usually serve from which the
+	// service counts as overloaded. Both are estimates: with 1, short congestion below the capacity
+	// would count as overload; with 1.1, an overload by a fifth would often not be seen.
+	overloadRatio = 1.05
+	// lateSpacing is the least number of grants from one late request that goes first to the next. If
+	// each late request went first near its deadline, a short peak would leave a queue in which all
+	// requests wait until they are late.
+	lateSpacing = 4
+	// minRoomDivisor sets the least part of the rate that is counted on for returning callers: one
+	// minRoomDivisor-th.
+	minRoomDivisor = 4
 	// forever is the wait that stands for no service at all.
 	forever = 24 * time.Hour
 )
@@ -43,7 +43,7 @@
 // waits when an upstream without a free permit is expected to serve it sooner than the others; it is
 // then counted there, so that the next request finds the place taken.
 func (c *Coordinator) next(now time.Time) (*snipefair.Entry[*waiter], *upstream) {
-	c.queue.Rescue = c.sinceRescue >= rescueSpacing && !c.overloaded(priorities, now)
+	c.queue.Rescue = c.sinceLate >= lateSpacing && !c.overloaded(priorities, now)
 	ready := c.pool.ready(now)
 	assigned := make([]float64, len(c.pool.list))
 	first := c.queue.Peek(now, ready)
@@ -110,9 +110,9 @@
 // grant gives a waiting request a permit for an upstream.
 func (c *Coordinator) grant(e *snipefair.Entry[*waiter], u *upstream, now time.Time) {
 	c.queue.Take(e)
-	c.sinceRescue++
+	c.sinceLate++
 	if e.Item.Late(now) {
-		c.sinceRescue = 0
+		c.sinceLate = 0
 	}
 	w := e.Value
 	c.lastID++
@@ -152,7 +152,7 @@
 	if rate := c.pool.rate(now); rate > 0 {
 		at = at.Add(c.wait(c.queue.Len(), rate, now))
 		// In the long run the upstreams serve as many returning callers as new ones leave room for.
-		spacing = seconds(1 / max(c.pool.usualRate(now)-c.demand.rate(priorities, now), rate/leastRoom))
+		spacing = seconds(1 / max(c.pool.usualRate(now)-c.demand.rate(priorities, now), rate/minRoomDivisor))
 	}
 	at = later(later(at, now.Add(minPause)), c.lastRetry.Add(spacing))
 	if latest := now.Add(maxRetryAfter); at.After(latest) {
@@ -182,7 +182,7 @@
 		return
 	}
 	mean, deviation := c.pool.typical(now)
-	most := mean + time.Duration(mostDeviations*float64(deviation))
+	most := mean + time.Duration(newDeviations*float64(deviation))
 	c.check(e, c.queue.Ahead(e, now, c.pool.ready(now)), most, now)
 }
 
@@ -234,7 +234,7 @@
 // overloaded reports whether the arrivals of the priorities below limit clearly exceed what the
 // upstreams usually serve.
 func (c *Coordinator) overloaded(limit int, now time.Time) bool {
-	return c.demand.rate(limit, now) >= overload*c.pool.usualRate(now)
+	return c.demand.rate(limit, now) >= overloadRatio*c.pool.usualRate(now)
 }
 
 // misses reports whether a request that waits so long ends after its deadline.
--- a/snipeadmission/pacer.go
+++ b/snipeadmission/pacer.go
@@ -218,10 +218,10 @@
 	case OutcomeRefused:
 		s.slow(now)
 		mean, _ := p.pool.service(u, now)
-		return u.refused(r, seconds(mean), now)
+		return u.pauseAfterRefusal(r, seconds(mean), now)
 	case OutcomeUnreachable, OutcomeSuspect:
 		s.slow(now)
-		return u.fail(now)
+		return u.pauseAfterFailure(now)
 	}
 	return 0
 }
--- a/snipeadmission/pool.go
+++ b/snipeadmission/pool.go
@@ -10,11 +10,10 @@
 const (
 	// refreshInterval is the least time between two looks at the upstreams.
 	refreshInterval = 10 * time.Millisecond
-	// mostDeviations is the number of mean deviations above the mean within which nearly all requests
-	// end, as a new request is judged. A request that waits is late only if it would miss its target
-	// in lateDeviations. The expected wait is inexact: with 3 and 1.5, a fifth of the refusals at 1.2
-	// of the capacity came after a wait, with 4 and 1 a twentieth.
-	mostDeviations, lateDeviations = 4, 1
+	// newDeviations is the number of mean deviations above the mean within which a new request is
+	// assumed to end, and waitingDeviations that for a request that waits. New requests are judged more
+	// strictly, because the expected wait is inexact and a refusal should not come after a wait.
+	newDeviations, waitingDeviations = 4, 1
 	// speedLife is the time constant of the usual speed of an upstream. It is longer than the periods
 	// for which an upstream is slow.
 	speedLife = 5 * time.Second
@@ -163,7 +162,7 @@
 // is earlier is late.
 func (p *pool) ready(now time.Time) time.Time {
 	mean, deviation := p.typical(now)
-	return now.Add(mean + time.Duration(lateDeviations*float64(deviation)))
+	return now.Add(mean + time.Duration(waitingDeviations*float64(deviation)))
 }
 
 // available returns the earliest time at which an upstream is no longer left alone, and whether any
@@ -192,12 +191,4 @@
 	return oldest
 }
 
-// reportAge returns the age of the last load report, or -1 if there is none.
-func (u *upstream) reportAge(now time.Time) time.Duration {
-	if u.reportedAt.IsZero() {
-		return -1
-	}
-	return now.Sub(u.reportedAt)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -8,8 +8,8 @@
 const (
 	// reportLife is how long a load report counts; its weight falls evenly to zero.
 	reportLife = time.Second
-	// meanWeight is the weight of the latest observation in moving averages. With 0.05 the mean of
-	// service times with a spread of 0.5 is off by about a tenth.
+	// meanWeight is the weight of the latest observation in moving averages. Service times vary, so that
+	// a higher weight would follow single requests.
 	meanWeight = 0.05
 	// forgetAfter is the time without an observation after which the observed time of an upstream
 	// moves towards the mean of all, by half in each further forgetHalf. Otherwise an upstream that
@@ -18,7 +18,8 @@
 	// firstGuess is the time of a request before any was observed.
 	firstGuess = 50 * time.Millisecond
 	// excessDivisor sets the least number of permits beyond the slots of an upstream: one for each
-	// excessDivisor slots, at least one (see excess).
+	// excessDivisor slots, at least one (see excess). An upstream that is full is left alone until this
+	// part of its queue is served.
 	excessDivisor = 8
 	// othersSamples is the number of load reports that count in the average of what runs without a
 	// permit.
@@ -72,7 +73,8 @@
 	pace       float64
 	paces      average
 	reportedAt time.Time
-	// others is the moving average of the requests beyond the permits out that load reports show.
+	// others is the moving average of the requests beyond the permits out that load reports show;
+	// negative if they show fewer.
 	others float64
 	// pausedUntil is the time until which the upstream is left alone, after failures in a row. As
 	// long as there are failures, one request at a time is sent to it.
@@ -115,6 +117,14 @@
 	}
 }
 
+// reportAge returns the age of the last load report, or -1 if there is none.
+func (u *upstream) reportAge(now time.Time) time.Duration {
+	if u.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(u.reportedAt)
+}
+
 // freshness returns the weight of the last load report, from 1 to 0.
 func (u *upstream) freshness(now time.Time) float64 {
 	return max(0, 1-float64(now.Sub(u.reportedAt))/float64(reportLife))
@@ -141,8 +151,8 @@
 	if took <= 0 || took > maxTook {
 		return
 	}
-	crowd := 1 + max(0, float64(running-u.slots))/float64(u.slots)
-	v := took.Seconds() / crowd / u.paceNow(now)
+	queueing := 1 + max(0, float64(running-u.slots))/float64(u.slots)
+	v := took.Seconds() / queueing / u.paceNow(now)
 	if cutOff && v < u.took.mean {
 		return
 	}
@@ -150,17 +160,17 @@
 	u.observedAt = now
 }
 
-// fail leaves the upstream alone for a time that doubles with each failure in a row.
-func (u *upstream) fail(now time.Time) time.Duration {
+// pauseAfterFailure leaves the upstream alone for a time that doubles with each failure in a row.
+func (u *upstream) pauseAfterFailure(now time.Time) time.Duration {
 	pause := min(firstPause<<min(u.failures, 4), maxPause)
 	u.failures++
 	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
 	return pause
 }
 
-// refused leaves the upstream alone until its queue has become shorter: for the time that it named,
+// pauseAfterRefusal leaves the upstream alone until its queue has become shorter: for the time that it named,
 // or else until it has served an eighth of what waits there.
-func (u *upstream) refused(r Result, service time.Duration, now time.Time) time.Duration {
+func (u *upstream) pauseAfterRefusal(r Result, service time.Duration, now time.Time) time.Duration {
 	pause := r.RetryAfter
 	if pause <= 0 {
 		pause = service
--- a/snipeentry/lender.go
+++ b/snipeentry/lender.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -18,10 +17,6 @@
 	"snipepitch.example/snipepitch/snipeowner"
 )
 
-// maxDecisionLines bounds the lines a second that a coordinator logs about the decisions for one
-// service.
-const maxDecisionLines = 10
-
 // lender coordinates services: it grants the permits that instances, this one included, ask it for.
 // It grants them even if another instance should coordinate by this instance's own view, since
 // views may differ for a while. Exported fields are set before the first call. It is safe for
@@ -46,7 +41,7 @@
 // coordinator returns the coordinator of a plain service, and creates it on the first call. It
 // returns nil if no plain service has this name, or none of its upstreams is known.
 func (l *lender) coordinator(service string) *snipeadmission.Coordinator {
-	if !l.Plain(service) || !slices.ContainsFunc(l.Upstreams(service), staying) {
+	if !l.Plain(service) || len(lendable(l.Upstreams(service))) == 0 {
 		return nil
 	}
 	l.lock.Lock()
@@ -66,8 +61,6 @@
 	return c
 }
 
-func staying(u *snipedirectory.Upstream) bool { return !u.Leaving }
-
 // known returns the coordinator of a service if permits were asked for here, or else nil.
 func (l *lender) known(service string) *snipeadmission.Coordinator {
 	l.lock.Lock()
@@ -167,81 +160,3 @@
 	}
 	return out, waiting
 }
-
-// decisionLog logs and counts the decisions about one service. It is safe for concurrent use.
-type decisionLog struct {
-	Service string
-	Log     *snipelog.Logger
-	Meter   *snipemeter.Meter
-
-	lock sync.Mutex // guards the fields below
-	// second is the second that lines are counted in, lines their number, and suppressed the number
-	// of lines left out since the last one.
-	second            int64
-	lines, suppressed int
-}
-
-// admit reports whether a line may be logged now, and how many were left out before it.
-func (d *decisionLog) admit(now time.Time) (suppressed int, ok bool) {
-	d.lock.Lock()
-	defer d.lock.Unlock()
-	if s := now.Unix(); s != d.second {
-		d.second, d.lines = s, 0
-	}
-	if d.lines >= maxDecisionLines {
-		d.suppressed++
-		return 0, false
-	}
-	d.lines++
-	suppressed = d.suppressed
-	d.suppressed = 0
-	return suppressed, true
-}
-
-// record logs and counts a decision. Grants are neither logged nor counted here.
-func (d *decisionLog) record(n snipeadmission.Decision) {
-	if n.Event == snipeadmission.EventGranted {
-		return
-	}
-	d.count(n)
-	suppressed, ok := d.admit(time.Now())
-	if !ok {
-		return
-	}
-	fields := snipelog.Fields{
-		serviceField: d.Service, "Waiting": n.Waiting, "LoadAgeMilliseconds": loadAge(n.LoadAge), "Suppressed": suppressed,
-	}
-	switch n.Event {
-	case snipeadmission.EventRefused:
-		fields["ExpectedMilliseconds"] = n.ExpectedWait.Milliseconds()
-		fields["Holder"], fields["Priority"], fields["Workspace"] = n.Request.Instance, n.Request.Priority, n.Request.Workspace
-		if n.Refusal != nil {
-			fields["Reason"], fields["RetryMilliseconds"] = n.Refusal.Reason.String(), n.Refusal.RetryAfter.Milliseconds()
-		}
-		d.Log.Log(snipelog.PermitRefused, fields)
-	case snipeadmission.EventExpired:
-		fields["Holder"], fields["Upstream"] = n.Request.Instance, n.Permit.Upstream
-		d.Log.Log(snipelog.PermitExpired, fields)
-	case snipeadmission.EventPaused:
-		fields["Upstream"], fields["PauseMilliseconds"] = n.Permit.Upstream, n.Pause.Milliseconds()
-		d.Log.Log(snipelog.UpstreamPaused, fields)
-	}
-}
-
-// count counts a decision in the metrics.
-func (d *decisionLog) count(n snipeadmission.Decision) {
-	switch n.Event {
-	case snipeadmission.EventRefused:
-		d.Meter.Count("snipepitch_admission_refused_total{service=" + strconv.Quote(d.Service) + "}")
-	case snipeadmission.EventExpired:
-		d.Meter.Count("snipepitch_admission_expired_total{service=" + strconv.Quote(d.Service) + "}")
-	}
-}
-
-// loadAge returns an age in milliseconds, or -1 if there is none.
-func loadAge(d time.Duration) int64 {
-	if d < 0 {
-		return -1
-	}
-	return d.Milliseconds()
-}
--- a/snipeentry/permits.go
+++ b/snipeentry/permits.go
@@ -68,8 +68,8 @@
 	delete(p.granted, h)
 }
 
-// long returns the permits that were granted at least renewAge ago, by coordinator and service.
-func (p *permits) long() map[netip.AddrPort]map[string][]uint64 {
+// dueForRenewal returns the permits that were granted at least renewAge ago, by coordinator and service.
+func (p *permits) dueForRenewal() map[netip.AddrPort]map[string][]uint64 {
 	before := time.Now().Add(-renewAge)
 	var all map[netip.AddrPort]map[string][]uint64
 	p.lock.Lock()
@@ -153,7 +153,7 @@
 // renew renews the permits of requests that have run for renewAge, by one message to each
 // coordinator, and does not wait for the answers.
 func (a *admission) renew(ctx context.Context) {
-	for to, services := range a.permits.long() {
+	for to, services := range a.permits.dueForRenewal() {
 		if to == a.Self {
 			for service, ids := range services {
 				a.Lender.renew(a.Self.String(), service, ids)
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -107,18 +107,16 @@
 	return Choice{}, noUpstreamError("no upstream with a permit can be used")
 }
 
-// permitRequest returns the request for a permit that avoids the excluded upstreams.
+// permitRequest returns the request for a permit that avoids the excluded upstreams. setDemand was
+// called before.
 func (c *call) permitRequest(excluded []string) snipeadmission.Request {
 	r := snipeadmission.Request{
-		Workspace: c.workspaceName(), Priority: c.priority(), Tokens: float64(c.PromptTokens) + float64(c.OutputTokens),
-		Deadline: c.deadline, Excluded: excluded,
+		Workspace: c.Workspace, Priority: c.Priority, Tokens: float64(c.PromptTokens) + float64(c.OutputTokens),
+		Target: c.Target, Deadline: c.deadline, Excluded: excluded,
 	}
 	if c.admission.asked {
 		r.Arrived = c.arrived // it keeps its place and does not count as another arrival
 	}
-	if c.route.Target > 0 {
-		r.Target = c.arrived.Add(c.route.Target)
-	}
 	return r
 }
 
@@ -154,7 +152,7 @@
 	if c.workspace != nil {
 		workspace = c.gateway.workspaceLabels.name(c.workspace.Name)
 	}
-	c.gateway.Meter.Observe(waitMetric, workspace, strconv.Itoa(c.priority()), d)
+	c.gateway.Meter.Observe(waitMetric, workspace, strconv.Itoa(c.Priority), d)
 }
 
 // attemptWithPermit makes an attempt and gives back its permit, if it has one, also if the attempt
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -202,14 +202,15 @@
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.gateway.Balancer.RecordAnswer(id, failed)
-	if len(body) < maxBuffered && !noRoom {
+	whole := len(body) < maxBuffered && !noRoom
+	if whole {
 		c.releasePermit(answerOutcome(failed))
 	}
 	if answer.StatusCode < http.StatusBadRequest {
 		c.output = 0
 	}
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body}
-	if len(body) == maxBuffered || noRoom {
+	if !whole {
 		return c.writeUnbuffered(w, answer)
 	}
 	if failed && c.route.MayRepeat() {
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -77,19 +77,24 @@
 	}
 }
 
-// recordEnd logs the end of the request and counts it in the metrics. A request whose caller has
-// disconnected counts as abandoned, whatever err is.
-func (c *call) recordEnd(err error) {
-	event := snipelog.RequestEnded
-	outcome := "Answered"
+// endEvent returns the log event and the outcome of a request that ended with err. A request whose
+// caller has disconnected counts as abandoned, whatever err is.
+func (c *call) endEvent(err error) (event snipelog.Event, outcome string) {
 	switch {
 	case c.request.Context().Err() != nil && !c.pressure.Ended():
-		event, outcome = snipelog.RequestAbandoned, "Abandoned"
-	case err != nil && snipeerror.From(err).Outcome == snipeerror.NotRun:
-		event, outcome = snipelog.RequestRefused, "Refused"
-	case err != nil:
-		event, outcome = snipelog.RequestFailed, "Failed"
+		return snipelog.RequestAbandoned, "Abandoned"
+	case err == nil:
+		return snipelog.RequestEnded, "Answered"
+	case snipeerror.From(err).Outcome == snipeerror.NotRun:
+		return snipelog.RequestRefused, "Refused"
+	default:
+		return snipelog.RequestFailed, "Failed"
 	}
+}
+
+// recordEnd logs the end of the request and counts it in the metrics.
+func (c *call) recordEnd(err error) {
+	event, outcome := c.endEvent(err)
 	took := time.Since(c.arrived)
 	fields := snipelog.Fields{
 		requestField: c.ID, "Outcome": outcome, "Status": c.status, "Milliseconds": took.Milliseconds(),
