--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -80,6 +80,8 @@
 	change(n)
 }
 
+func (n *admissionNode) freeze(on bool) { n.set(func(n *admissionNode) { n.frozen = on }) }
+
 func (n *admissionNode) isStopping() bool {
 	n.lock.Lock()
 	defer n.lock.Unlock()
@@ -188,12 +190,25 @@
 func (w *admissionNetwork) permitsOut() int {
 	sum := 0
 	for _, n := range w.nodes {
-		out, _ := n.Lender.stats()
-		sum += out
+		sum += n.out()
 	}
 	return sum
 }
 
+// out returns the permits that an instance has lent.
+func (n *admissionNode) out() int {
+	out, _ := n.Lender.stats()
+	return out
+}
+
+// mustSettle checks that all permits have been given back after the messages in flight.
+func (w *admissionNetwork) mustSettle(t *testing.T) {
+	t.Helper()
+	synctest.Wait()
+	time.Sleep(10 * time.Millisecond)
+	must.Eq(t, 0, w.permitsOut())
+}
+
 // memoryClient passes messages to another instance, encoded and decoded as on the wire.
 type memoryClient struct{ from, to *admissionNode }
 
@@ -281,6 +296,15 @@
 	})
 }
 
+// inNetwork runs a test in a bubble with a network and its instances in the order in which they
+// coordinate.
+func inNetwork(t *testing.T, instances, slots int, test func(t *testing.T, w *admissionNetwork, order []*admissionNode)) {
+	inBubble(t, func(t *testing.T) {
+		w := newAdmissionNetwork(instances, slots)
+		test(t, w, w.ranked())
+	})
+}
+
 // TestPermitsShared guards against more requests at an upstream than its slots and the excess, and
 // against permits that are not given back.
 func TestPermitsShared(t *testing.T) {
@@ -295,9 +319,7 @@
 			time.Sleep(8 * time.Millisecond)
 		}
 		all.Wait()
-		synctest.Wait()
-		time.Sleep(10 * time.Millisecond)
-		must.Eq(t, 0, w.permitsOut())
+		w.mustSettle(t)
 		for id, most := range w.most {
 			must.LessEq(t, 5, most, must.Sprint(id))
 		}
@@ -319,8 +341,8 @@
 			5 * time.Millisecond,
 		},
 		"Freezes": {
-			func(n, _ *admissionNode) { n.set(func(n *admissionNode) { n.frozen = true }) },
-			func(n, _ *admissionNode) { n.set(func(n *admissionNode) { n.frozen = false }) },
+			func(n, _ *admissionNode) { n.freeze(true) },
+			func(n, _ *admissionNode) { n.freeze(false) },
 			permitTimeout + 5*time.Millisecond,
 		},
 		"CutOff": {
@@ -331,9 +353,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, func(t *testing.T) {
-				w := newAdmissionNetwork(4, 4)
-				order := w.ranked()
+			inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 				first, second, caller := order[0], order[1], order[3]
 				p, err := caller.run(t.Context(), serviceTime)
 				must.NoError(t, err)
@@ -368,11 +388,9 @@
 // coordinator, and against a coordinator that never counts as lost because the deadlines of all
 // requests are shorter than a call for a permit.
 func TestLossBeyondDeadline(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(4, 4)
-		order := w.ranked()
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		caller := order[3]
-		order[0].set(func(n *admissionNode) { n.frozen = true })
+		order[0].freeze(true)
 		const deadline = 200 * time.Millisecond
 		for n := range 4 {
 			begun := time.Now()
@@ -405,13 +423,11 @@
 
 // TestPlaceAfterLoss guards against a request that loses its place when its coordinator is lost.
 func TestPlaceAfterLoss(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(4, 4)
-		order := w.ranked()
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		caller, reach := order[3], order[3].Client
 		var ages []int64
 		caller.Client = func(to netip.AddrPort) snipeproto.Admission { return recordingClient{reach(to), &ages} }
-		order[0].set(func(n *admissionNode) { n.frozen = true })
+		order[0].freeze(true)
 		_, err := caller.run(t.Context(), 0)
 		must.NoError(t, err)
 		must.Eq(t, []int64{0, permitTimeout.Milliseconds()}, ages)
@@ -446,11 +462,9 @@
 // TestProbeOfLostCoordinator guards against requests that all wait for a lost coordinator each time
 // that its pause has passed: one of them finds out whether it answers.
 func TestProbeOfLostCoordinator(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(4, 4)
-		order := w.ranked()
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		caller := order[3]
-		order[0].set(func(n *admissionNode) { n.frozen = true })
+		order[0].freeze(true)
 		_, err := caller.run(t.Context(), 0)
 		must.NoError(t, err)
 		time.Sleep(lostPause)
@@ -471,13 +485,11 @@
 // TestPacing guards against requests that are sent without a right, refused, or wait for long when
 // no coordinator can be reached, and against pacing that does not end.
 func TestPacing(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(4, 4)
-		order := w.ranked()
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		caller := order[3]
 		cutOff := func(on bool) {
 			for _, n := range order[:3] {
-				n.set(func(n *admissionNode) { n.frozen = on })
+				n.freeze(on)
 			}
 		}
 		cutOff(true)
@@ -505,20 +517,16 @@
 // TestLostAnswer guards against a slot that stays lent for longer than the permit's lifetime because
 // the answer with the permit was lost.
 func TestLostAnswer(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(3, 1)
-		order := w.ranked()
+	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		first, caller := order[0], order[2]
 		first.set(func(n *admissionNode) { n.lossy = true })
 		begun := time.Now()
 		p, err := caller.run(t.Context(), 0)
 		must.NoError(t, err)
 		must.Eq(t, caller.name(order[1].Self), p.Coordinator)
-		out, _ := first.Lender.stats()
-		must.Eq(t, 1, out)
+		must.Eq(t, 1, first.out())
 		time.Sleep(time.Second + permitWait - time.Since(begun))
-		out, _ = first.Lender.stats()
-		must.Eq(t, 0, out)
+		must.Eq(t, 0, first.out())
 		must.Eq(t, 1, first.count("PermitExpired"))
 		must.StrContains(t, first.log.String(), `"Holder":"`+caller.Self.String()+`"`)
 	})
@@ -528,9 +536,7 @@
 // the instance that holds the permits has stopped answering, and against permits that end although
 // their requests still run.
 func TestHolderFreezes(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(3, 1)
-		order := w.ranked()
+	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		first, caller := order[0], order[2]
 		ctx, stop := context.WithCancel(t.Context())
 		var all sync.WaitGroup
@@ -542,13 +548,11 @@
 		})
 		all.Go(func() { _, _ = caller.run(t.Context(), 10*time.Second) })
 		time.Sleep(5 * time.Second)
-		out, _ := first.Lender.stats()
-		must.Eq(t, 1, out)
+		must.Eq(t, 1, first.out())
 		must.Eq(t, 0, first.count("PermitExpired"))
 		stop()
 		time.Sleep(time.Second + renewInterval)
-		out, _ = first.Lender.stats()
-		must.Eq(t, 0, out)
+		must.Eq(t, 0, first.out())
 		all.Wait()
 	})
 }
@@ -578,21 +582,17 @@
 // TestHolderGone guards against slots that stay lent until the permits end although the view of the
 // live instances shows that their holder is gone.
 func TestHolderGone(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(3, 1)
-		order := w.ranked()
+	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		first, holder := order[0], order[2]
 		first.Lender.forget(first.view().Live)
 		_, err := holder.acquire(t.Context(), plainService, snipeadmission.Request{Deadline: time.Now().Add(requestDeadline)})
 		must.NoError(t, err)
-		out, _ := first.Lender.stats()
-		must.Eq(t, 1, out)
+		must.Eq(t, 1, first.out())
 		first.set(func(n *admissionNode) {
 			n.members = slices.DeleteFunc(slices.Clone(n.members), func(m snipeowner.Instance) bool { return m.Peer == holder.Self })
 		})
 		first.Lender.forget(first.view().Live)
-		out, _ = first.Lender.stats()
-		must.Eq(t, 0, out)
+		must.Eq(t, 0, first.out())
 	})
 }
 
@@ -651,9 +651,7 @@
 				must.NoError(t, err)
 			})
 			all.Wait()
-			synctest.Wait()
-			time.Sleep(10 * time.Millisecond)
-			must.Eq(t, 0, w.permitsOut())
+			w.mustSettle(t)
 		}
 	})
 }
@@ -661,9 +659,7 @@
 // TestCoordinatorStops guards against requests that are lost or refused because they wait in the
 // queue of a coordinator whose planned stop begins, and against a loss that is logged for it.
 func TestCoordinatorStops(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(4, 1)
-		order := w.ranked()
+	inNetwork(t, 4, 1, func(t *testing.T, w *admissionNetwork, order []*admissionNode) {
 		first, caller := order[0], order[3]
 		var all sync.WaitGroup
 		for _, n := range []*admissionNode{first, caller} {
@@ -680,9 +676,7 @@
 		must.NoError(t, err)
 		must.Eq(t, caller.name(order[1].Self), p.Coordinator)
 		all.Wait()
-		synctest.Wait()
-		time.Sleep(10 * time.Millisecond)
-		must.Eq(t, 0, w.permitsOut())
+		w.mustSettle(t)
 		must.Eq(t, 0, caller.count("CoordinatorLost"))
 		must.Eq(t, 0, first.count("CoordinatorLost"))
 	})
@@ -692,9 +686,7 @@
 // instance, while two views of the live instances name two coordinators. Each of the two lends all
 // slots at most.
 func TestTwoCoordinators(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(6, 4)
-		order := w.ranked()
+	inNetwork(t, 6, 4, func(t *testing.T, w *admissionNetwork, order []*admissionNode) {
 		for _, n := range order[3:] {
 			n.set(func(n *admissionNode) {
 				n.members = slices.DeleteFunc(slices.Clone(n.members), func(m snipeowner.Instance) bool { return m.Peer == order[0].Self })
@@ -709,9 +701,7 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 		all.Wait()
-		synctest.Wait()
-		time.Sleep(10 * time.Millisecond)
-		must.Eq(t, 0, w.permitsOut())
+		w.mustSettle(t)
 		must.Eq(t, order[:2], lenders(order))
 		for _, most := range w.most {
 			must.LessEq(t, 10, most)
@@ -796,9 +786,7 @@
 // TestDeclinedByUnready guards against refusals by a coordinator that does not know the upstreams
 // of the service yet: the next instance is asked.
 func TestDeclinedByUnready(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(3, 4)
-		order := w.ranked()
+	inNetwork(t, 3, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 		order[0].Lender.Upstreams = func(string) []*snipedirectory.Upstream { return nil }
 		p, err := order[2].run(t.Context(), 0)
 		must.NoError(t, err)
@@ -824,9 +812,7 @@
 func TestOtherVersions(t *testing.T) {
 	for _, code := range []twirp.ErrorCode{twirp.BadRoute, twirp.InvalidArgument} {
 		t.Run(string(code), func(t *testing.T) {
-			inBubble(t, func(t *testing.T) {
-				w := newAdmissionNetwork(4, 4)
-				order := w.ranked()
+			inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
 				caller, reach := order[3], order[3].Client
 				caller.Client = func(to netip.AddrPort) snipeproto.Admission {
 					if to == order[2].Self {
