Shared admission: several failures at the same time lengthen a pause once

Cause: each failed request doubled the pause of its upstream, also those that were sent before the pause. Six refused connections at the same moment paused an upstream for 4 s in place of 250 ms. TestFailuresAtOnce fails without the change.

--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -282,7 +282,11 @@
 	c.grantAll(now)
 }
 
+// decidePause keeps the decision to leave an upstream alone, if there is one.
 func (c *Coordinator) decidePause(u *upstream, pause time.Duration, now time.Time) {
+	if pause <= 0 {
+		return
+	}
 	c.decide(Decision{Event: EventPaused, Permit: Permit{Upstream: u.id}, Pause: pause, LoadAge: u.reportAge(now)})
 }
 
--- a/snipeadmission/coordinator_test.go
+++ b/snipeadmission/coordinator_test.go
@@ -194,6 +194,24 @@
 	}
 }
 
+// TestFailuresAtOnce guards against an upstream that is left alone for seconds because several requests
+// failed there at the same time: only failures after a pause lengthen it.
+func TestFailuresAtOnce(t *testing.T) {
+	paused(t, func(t *testing.T, b *bench) {
+		b.set("u", 8)
+		for _, p := range b.fill(6) {
+			b.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
+		}
+		began := time.Now()
+		p := b.take(snipeadmission.Request{})
+		must.Between(t, 250*ms, time.Since(began), 260*ms)
+		b.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
+		began = time.Now()
+		b.take(snipeadmission.Request{})
+		must.Between(t, 500*ms, time.Since(began), 510*ms)
+	})
+}
+
 // set replaces the upstreams by pairs of ID and slots.
 func (b *bench) set(pairs ...any) {
 	b.upstreams = nil
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -160,8 +160,12 @@
 	u.observedAt = now
 }
 
-// pauseAfterFailure leaves the upstream alone for a time that doubles with each failure in a row.
+// pauseAfterFailure leaves the upstream alone for a time that doubles with each failure in a row, and
+// returns that time. It returns 0 for the failure of a request that was sent before the pause.
 func (u *upstream) pauseAfterFailure(now time.Time) time.Duration {
+	if u.failures > 0 && now.Before(u.pausedUntil) {
+		return 0
+	}
 	pause := min(firstPause<<min(u.failures, 4), maxPause)
 	u.failures++
 	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
