Shared admission: only where upstreams state their pace

They are to be served as before, and their upstreams state no pace. Change: a service without a pace needs no permits; the plain stand-in with places states one.

--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -64,9 +64,11 @@
 	// Self is the address of this instance for other instances, Share is Settings.AdmissionShare.
 	Self  netip.AddrPort
 	Share float64
-	// Plain reports whether a service is declared as one that runs no models, Upstreams returns the
-	// upstreams of a service, and View the live instances.
+	// Plain reports whether a service is declared as one that runs no models, and Paced whether its
+	// upstreams state a pace. Upstreams returns the upstreams of a service, and View the live
+	// instances.
 	Plain     func(service string) bool
+	Paced     func(service string) bool
 	Upstreams func(service string) []*snipedirectory.Upstream
 	View      func() *snipeowner.View
 	// Lender grants the permits of the services that this instance coordinates. Client returns the
@@ -102,9 +104,10 @@
 }
 
 // applies reports whether requests to a service need permits: it is a plain service with fewer than
-// Share slots for each live instance. Upstreams that are leaving do not count.
+// Share slots for each live instance, whose upstreams state their pace. Upstreams that are leaving do
+// not count. Without a pace, a coordinator would know too late which upstream is slow now.
 func (a *admission) applies(service string) bool {
-	if a.Share <= 0 || !validName(service) || !a.Plain(service) {
+	if a.Share <= 0 || !validName(service) || !a.Plain(service) || !a.Paced(service) {
 		return false
 	}
 	limit, slots := a.Share*float64(len(a.View().Live)), 0
@@ -428,7 +431,7 @@
 		Plain: i.plain, Upstreams: i.serviceUpstreams, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
 	}
 	i.admission = &admission{
-		Self: i.Settings.Peers, Share: i.Settings.AdmissionShare, Plain: i.plain, Upstreams: i.serviceUpstreams,
+		Self: i.Settings.Peers, Share: i.Settings.AdmissionShare, Plain: i.plain, Paced: i.balancer.Paced, Upstreams: i.serviceUpstreams,
 		View: i.holder.View, Lender: i.lender, Client: i.peers.permits.client, Log: i.Log, Meter: i.meter,
 	}
 	i.meter.Gauge("snipepitch_admission_permits_out", func() float64 { out, _ := i.lender.stats(); return float64(out) })
--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -115,7 +115,7 @@
 		meter := snipemeter.New()
 		plain := func(service string) bool { return service == plainService }
 		node.admission = &admission{
-			Self: members[n].Peer, Share: 100, Plain: plain, Upstreams: w.service, View: node.view, Log: log, Meter: meter,
+			Self: members[n].Peer, Share: 100, Plain: plain, Paced: plain, Upstreams: w.service, View: node.view, Log: log, Meter: meter,
 			Client: func(to netip.AddrPort) snipeproto.Admission { return &memoryClient{from: node, to: w.node(to)} },
 			Lender: &lender{Plain: plain, Upstreams: w.service, Stopping: node.isStopping, Log: log, Meter: meter},
 		}
@@ -748,7 +748,8 @@
 }
 
 // TestAdmissionApplies guards against shared admission of services that run models, have enough
-// slots, or have no upstream, and against its use when it is switched off.
+// slots, have no upstream, or whose upstreams state no pace, and against its use when it is switched
+// off.
 func TestAdmissionApplies(t *testing.T) {
 	tests := map[string]struct {
 		service string
@@ -778,6 +779,10 @@
 		})
 	}
 	w := newAdmissionNetwork(12, 1)
+	must.True(t, w.nodes[0].applies(plainService))
+	w.nodes[0].Paced = func(string) bool { return false }
+	must.False(t, w.nodes[0].applies(plainService), must.Sprint("no upstream states a pace"))
+	w = newAdmissionNetwork(12, 1)
 	w.leave("p1")
 	w.leave("p2")
 	must.False(t, w.nodes[0].applies(plainService), must.Sprint("no upstream is left"))
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -72,9 +72,9 @@
 	Power float64
 	// MemoryBytes is the memory that the process may use; 0 sets no limit.
 	MemoryBytes int64
-	// AdmissionShare switches on shared admission for the plain services whose upstreams together
-	// have fewer than AdmissionShare slots for each live instance; 0 switches it off. It is at most
-	// maxAdmissionShare.
+	// AdmissionShare switches on shared admission for the plain services whose upstreams state a pace
+	// and together have fewer than AdmissionShare slots for each live instance; 0 switches it off. It
+	// is at most maxAdmissionShare.
 	AdmissionShare float64
 	// IgnorePace has upstreams chosen by their load alone, also where they state their pace.
 	IgnorePace bool
--- a/snipestand/runnerplaces.go
+++ b/snipestand/runnerplaces.go
@@ -74,7 +74,7 @@
 		h.Set("X-Snipepitch-Not-Executed", "1")
 	}
 	running := min(p.inside, limit)
-	h.Set("X-Snipepitch-Server-Load", fmt.Sprintf("%d,%d,%d", running, p.inside-running, limit))
+	h.Set("X-Snipepitch-Server-Load", fmt.Sprintf("%d,%d,%d,100", running, p.inside-running, limit))
 	return slots, p.took, ok
 }
 
