A queued load that gets another caller keeps its workspace's turn

The load was removed from the queue and pushed again. If it was the only one of its workspace, the workspace then started again behind the others.

--- a/snipeadapter/queue.go
+++ b/snipeadapter/queue.go
@@ -97,9 +97,10 @@
 
 // updatePlace moves a queued load to the place that its waiters give it. The lock is held.
 func (e *engine) updatePlace(l *load) {
-	if l.entry != nil && l.entry.Item != l.item() {
-		e.queueOf(l).Remove(l.entry)
+	if previous := l.entry; previous != nil && previous.Item != l.item() {
+		// Pushed first: a workspace with nothing in the queue would start again behind the others.
 		e.push(l)
+		e.queueOf(l).Remove(previous)
 	}
 }
 
