--- a/snipebalance/expected_test.go
+++ b/snipebalance/expected_test.go
@@ -77,58 +77,52 @@
 // one of them worse. It guards against a prompt that counts after it was processed, and against stale
 // paces and reports that keep an engine idle.
 func TestPickExpected(t *testing.T) {
-	long := snipebalance.Demand{PromptTokens: longPrompt}
-	stated := snipebalance.StatedLoad{Running: 1, Slots: 16, Pace: 2}
+	type (
+		balancer = *snipebalance.Balancer
+		demand   = snipebalance.Demand
+		work     = snipebalance.Work
+		upstream = *snipedirectory.Upstream
+	)
+	long, memory := demand{PromptTokens: longPrompt}, demand{ReservedTokens: 500, MemoryTokens: 1000}
+	othersPrompt, othersMemory := work{Requests: 1, PendingTokens: longPrompt}, work{Requests: 1, ReservedTokens: 800}
+	slow := func(b balancer, _ upstream) {
+		b.SetStated("a", snipebalance.StatedLoad{Running: 1, Slots: 16, Pace: 2})
+	}
 	tests := map[string]struct {
-		before func(b *snipebalance.Balancer, all []*snipedirectory.Upstream)
-		demand snipebalance.Demand
+		before func(b balancer, a upstream)
+		after  time.Duration // from before to the choice
+		demand demand
 		want   string // of a and b; empty if each may be picked
 	}{
-		"Idle":            {func(*snipebalance.Balancer, []*snipedirectory.Upstream) {}, long, ""},
-		"PendingPrompt":   {func(b *snipebalance.Balancer, all []*snipedirectory.Upstream) { b.Start(all[0], long) }, snipebalance.Demand{}, "b"},
-		"ProcessedPrompt": {func(b *snipebalance.Balancer, all []*snipedirectory.Upstream) { b.Start(all[0], long).First() }, snipebalance.Demand{}, ""},
-		"EndedRequest":    {func(b *snipebalance.Balancer, all []*snipedirectory.Upstream) { b.Start(all[0], long).End(-1) }, snipebalance.Demand{}, ""},
-		"OthersPrompt": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
-			b.SetWork("a", 10, snipebalance.Work{Requests: 1, PendingTokens: longPrompt})
-		}, snipebalance.Demand{}, "b"},
-		"StaleReport": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
-			b.SetWork("a", 10, snipebalance.Work{Requests: 1, PendingTokens: longPrompt})
-			time.Sleep(2 * time.Second)
-		}, snipebalance.Demand{}, ""},
-		"SlowPace": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) { b.SetStated("a", stated) }, long, "b"},
-		"StalePace": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
-			b.SetStated("a", stated)
-			time.Sleep(2 * time.Second)
-		}, long, ""},
-		"FullSlots": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
+		"Idle":            {func(balancer, upstream) {}, 0, long, ""},
+		"PendingPrompt":   {func(b balancer, a upstream) { b.Start(a, long) }, 0, demand{}, "b"},
+		"ProcessedPrompt": {func(b balancer, a upstream) { b.Start(a, long).First() }, 0, demand{}, ""},
+		"EndedRequest":    {func(b balancer, a upstream) { b.Start(a, long).End(-1) }, 0, demand{}, ""},
+		"OthersPrompt":    {func(b balancer, _ upstream) { b.SetWork("a", 10, othersPrompt) }, 0, demand{}, "b"},
+		"StaleReport":     {func(b balancer, _ upstream) { b.SetWork("a", 10, othersPrompt) }, 2 * time.Second, demand{}, ""},
+		"SlowPace":        {slow, 0, long, "b"},
+		"StalePace":       {slow, 2 * time.Second, long, ""},
+		"FullSlots": {func(b balancer, _ upstream) {
 			b.SetStated("a", snipebalance.StatedLoad{Running: 16, Waiting: 4, Slots: 16})
-		}, snipebalance.Demand{Plain: true}, "b"},
-		"Failing": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) { b.RecordAnswer("a", true) }, long, "b"},
-		"Suspect": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) { b.RecordUnreached("a") }, long, "b"},
-		"Recovers": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
-			b.RecordAnswer("a", true)
-			time.Sleep(4 * time.Second)
-		}, long, ""},
-		"MemoryTaken": {func(b *snipebalance.Balancer, all []*snipedirectory.Upstream) {
-			b.Start(all[0], snipebalance.Demand{ReservedTokens: 600}).First()
-		}, snipebalance.Demand{ReservedTokens: 500, MemoryTokens: 1000}, "b"},
-		"MemoryOfOthers": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
-			b.SetWork("a", 1, snipebalance.Work{Requests: 1, ReservedTokens: 800})
-		}, snipebalance.Demand{ReservedTokens: 500, MemoryTokens: 1000}, "b"},
-		"AllMemoryTaken": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
-			b.SetWork("a", 1, snipebalance.Work{Requests: 1, ReservedTokens: 800})
-			b.SetWork("b", 1, snipebalance.Work{Requests: 1, ReservedTokens: 800})
-		}, snipebalance.Demand{ReservedTokens: 500, MemoryTokens: 1000}, ""},
-		"MemoryUnknown": {func(b *snipebalance.Balancer, _ []*snipedirectory.Upstream) {
-			b.SetWork("a", 0, snipebalance.Work{ReservedTokens: 800})
-		}, snipebalance.Demand{ReservedTokens: 500}, ""},
+		}, 0, demand{Plain: true}, "b"},
+		"Failing":        {func(b balancer, _ upstream) { b.RecordAnswer("a", true) }, 0, long, "b"},
+		"Recovers":       {func(b balancer, _ upstream) { b.RecordAnswer("a", true) }, 4 * time.Second, long, ""},
+		"Suspect":        {func(b balancer, _ upstream) { b.RecordUnreached("a") }, 0, long, "b"},
+		"MemoryTaken":    {func(b balancer, a upstream) { b.Start(a, demand{ReservedTokens: 600}).First() }, 0, memory, "b"},
+		"MemoryOfOthers": {func(b balancer, _ upstream) { b.SetWork("a", 1, othersMemory) }, 0, memory, "b"},
+		"AllMemoryTaken": {func(b balancer, _ upstream) {
+			b.SetWork("a", 1, othersMemory)
+			b.SetWork("b", 1, othersMemory)
+		}, 0, memory, ""},
+		"MemoryUnknown": {func(b balancer, _ upstream) { b.SetWork("a", 0, work{ReservedTokens: 800}) }, 0, demand{ReservedTokens: 500}, ""},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := &snipebalance.Balancer{Domain: "here", Random: rand.New(rand.NewPCG(1, 2)).Float64}
 				all := engines()
-				tt.before(b, all)
+				tt.before(b, all[0])
+				time.Sleep(tt.after)
 				picked := make(map[string]int)
 				for range 100 {
 					u, _ := b.PickExpected(all[:2], every, nil, tt.demand)
--- a/snipeentry/connections_test.go
+++ b/snipeentry/connections_test.go
@@ -14,6 +14,40 @@
 	"snipepitch.example/snipepitch/snipegateway"
 )
 
+func listenLocal(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func dialLocal(t *testing.T, l net.Listener) net.Conn {
+	conn, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	return conn
+}
+
+func serveLimited(t *testing.T, s *http.Server, l net.Listener) {
+	s.ReadHeaderTimeout = time.Minute
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+}
+
+// send sends a request on a connection, answer reads the answer.
+func send(t *testing.T, conn net.Conn, path string) {
+	_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+	must.NoError(t, err)
+}
+
+func answer(t *testing.T, r *bufio.Reader) *http.Response {
+	a, err := http.ReadResponse(r, nil)
+	must.NoError(t, err)
+	_ = a.Body.Close()
+	return a
+}
+
 // TestConnectionLimit guards against connections above the bound, against closing a connection that has a
 // request, and against a refusal whose request runs or that names no time to return.
 func TestConnectionLimit(t *testing.T) {
@@ -21,51 +55,39 @@
 	limit := &connectionLimit{most: 2, refused: func(int, bool) { refused.Add(1) }}
 	runs := &atomic.Int32{}
 	release := make(chan struct{})
-	server := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: limit.stateChanged, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ConnState: limit.stateChanged, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		if r.URL.Path == "/wait" {
 			<-release
 		}
 	})}
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	go func() { _ = server.Serve(limit.listener(inner)) }()
-	t.Cleanup(func() { _ = server.Close() })
+	inner := listenLocal(t)
+	serveLimited(t, server, limit.listener(inner))
 	request := func(path string) *bufio.Reader {
-		conn, err := net.Dial("tcp", inner.Addr().String())
-		must.NoError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
-		must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
-		_, err = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
-		must.NoError(t, err)
+		conn := dialLocal(t, inner)
+		send(t, conn, path)
 		return bufio.NewReader(conn)
 	}
-	status := func(r *bufio.Reader) *http.Response {
-		a, err := http.ReadResponse(r, nil)
-		must.NoError(t, err)
-		_ = a.Body.Close()
-		return a
-	}
 	busy := request("/wait")
 	idle := request("/")
-	must.Eq(t, http.StatusOK, status(idle).StatusCode)
+	must.Eq(t, http.StatusOK, answer(t, idle).StatusCode)
 	time.Sleep(2 * minIdleTime)
 	third := request("/wait") // takes the place of the idle connection
-	_, err = idle.ReadByte()
+	_, err := idle.ReadByte()
 	must.ErrorIs(t, err, io.EOF)
 	for runs.Load() < 3 {
 		time.Sleep(time.Millisecond)
 	}
 	fourth := request("/") // both have a request
-	a := status(fourth)
+	a := answer(t, fourth)
 	must.Eq(t, http.StatusServiceUnavailable, a.StatusCode)
 	must.Eq(t, "1.000", a.Header.Get("Retry-After"))
 	must.Eq(t, 1, refused.Load())
 	must.Eq(t, 2, limit.count())
 	must.Eq(t, 3, runs.Load())
 	close(release)
-	must.Eq(t, http.StatusOK, status(busy).StatusCode)
-	must.Eq(t, http.StatusOK, status(third).StatusCode)
+	must.Eq(t, http.StatusOK, answer(t, busy).StatusCode)
+	must.Eq(t, http.StatusOK, answer(t, third).StatusCode)
 	must.NoError(t, server.Close())
 	for limit.count() > 0 {
 		time.Sleep(time.Millisecond)
@@ -79,7 +101,6 @@
 	read, accepted := make(chan struct{}), make(chan struct{})
 	first := &atomic.Bool{}
 	server := &http.Server{
-		ReadHeaderTimeout: time.Minute,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if s == http.StateActive && first.CompareAndSwap(false, true) {
 				close(read)
@@ -94,37 +115,21 @@
 			}
 		}),
 	}
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	listener := limit.listener(inner)
-	t.Cleanup(func() { _ = server.Close() })
-	conn, err := net.Dial("tcp", inner.Addr().String())
-	must.NoError(t, err)
-	go func() { _ = server.Serve(&notifyingListener{listener, 2, accepted}) }()
+	inner := listenLocal(t)
+	conn := dialLocal(t, inner)
+	serveLimited(t, server, &notifyingListener{limit.listener(inner), 2, accepted})
 	time.Sleep(2 * minIdleTime)
-	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
-	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-	must.NoError(t, err)
+	send(t, conn, "/")
 	<-read
-	second, err := net.Dial("tcp", inner.Addr().String())
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = second.Close() })
-	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	must.NoError(t, err)
-	must.Eq(t, http.StatusOK, a.StatusCode)
-	_ = a.Body.Close()
-	_ = conn.Close()
+	dialLocal(t, inner)
+	must.Eq(t, http.StatusOK, answer(t, bufio.NewReader(conn)).StatusCode)
 }
 
 // TestUnreadRequest guards against closing a connection whose request has arrived, but was not read
 // because the process had been stopped.
 func TestUnreadRequest(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = inner.Close() })
-	caller, err := net.Dial("tcp", inner.Addr().String())
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = caller.Close() })
+	inner := listenLocal(t)
+	caller := dialLocal(t, inner)
 	conn, err := inner.Accept()
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
@@ -132,13 +137,12 @@
 	must.True(t, limit.add())
 	limit.stateChanged(conn, http.StateNew)
 	time.Sleep(minIdleTime)
-	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
-	must.NoError(t, err)
+	send(t, caller, "/")
 	for !hasUnread(conn) {
 		time.Sleep(time.Millisecond)
 	}
 	must.False(t, limit.add())
-	_, err = io.ReadFull(conn, make([]byte, 16))
+	_, err = http.ReadRequest(bufio.NewReader(conn))
 	must.NoError(t, err)
 	must.True(t, limit.add())
 }
