Shared admission: permits beyond the slots follow the load reports

The time of a request as its instance measures it holds the way to the upstream and back, so that the handover was taken for shorter than it is. Change: while requests wait, a report with free slots adds an eighth of a permit, one with a long queue takes it back, a refusal halves the excess.

--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -57,7 +57,6 @@
 	upstream *upstream
 	instance string
 	item     snipefair.Item
-	granted  time.Time
 	ends     time.Time
 	// running is the load of the upstream when the permit was granted, with this one.
 	running int
@@ -266,7 +265,6 @@
 	}
 	c.remove(id, l)
 	c.pool.observe(u, r, l.running, now)
-	u.observeHandover(now.Sub(l.granted), r.Took)
 	switch r.Outcome {
 	case OutcomeServed:
 		u.failures = 0
@@ -296,7 +294,9 @@
 		c.stats.Ignored++
 		return
 	}
-	u.report(l, now)
+	if u.report(l, now) {
+		u.adapt(l, c.queue.Len())
+	}
 }
 
 // Observe records a load report that did not come with a result, for example of a health check.
--- a/snipeadmission/handover_test.go
+++ b/snipeadmission/excess_test.go
@@ -1,7 +1,6 @@
 package snipeadmission_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -22,46 +21,52 @@
 	}
 }
 
-// free returns how many permits are granted without a wait.
-func (b *bench) free() int {
-	b.t.Helper()
-	for n := 0; ; n++ {
-		ctx, cancel := context.WithTimeout(b.t.Context(), ms)
-		_, err := b.Acquire(ctx, snipeadmission.Request{Instance: "i"})
-		cancel()
-		if err != nil {
-			return n
-		}
+// TestExcess guards against slots that stand idle between two requests, because the release of a
+// permit and the next request take a while to arrive, and against a queue at the upstream that is
+// longer than that needs, or at which it refuses requests.
+func TestExcess(t *testing.T) {
+	report := func(waiting int) snipeadmission.Result {
+		return snipeadmission.Result{Took: 30 * ms, Load: &snipeadmission.Load{Running: 5 + min(waiting, 1), Waiting: waiting, Slots: 6, Pace: 1}}
 	}
-}
-
-// TestHandover guards against slots that stand idle between two requests, because the release of a
-// permit and the next request take a while to arrive, and against permits that are withheld because
-// releases and load reports overtake each other.
-func TestHandover(t *testing.T) {
+	refused := report(0)
+	refused.Outcome, refused.RetryAfter = snipeadmission.OutcomeRefused, ms
 	tests := map[string]struct {
-		handover time.Duration
-		loads    []snipeadmission.Load
-		want     int
+		results []snipeadmission.Result // each of them twenty-four times
+		queue   int
+		want    int
 	}{
-		"None":        {0, nil, 7},
-		"Slow":        {10 * ms, nil, 9},
-		"Longer":      {500 * ms, nil, 12},
-		"Overtaken":   {0, []snipeadmission.Load{{Running: 3}, {}}, 7},
-		"WithoutSome": {0, []snipeadmission.Load{{Running: 4}}, 5},
+		"IdleSlots":   {[]snipeadmission.Result{report(0)}, 20, 10},
+		"OnlyIdle":    {[]snipeadmission.Result{report(0), report(0), report(0)}, 20, 12},
+		"ShortQueue":  {[]snipeadmission.Result{report(1)}, 20, 7},
+		"NobodyWaits": {[]snipeadmission.Result{report(0)}, 0, 0},
+		"LongQueue":   {[]snipeadmission.Result{report(0), report(2)}, 20, 7},
+		"Refused":     {[]snipeadmission.Result{report(0), refused}, 20, 7},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			paused(t, func(t *testing.T, b *bench) {
 				b.upstreams = []snipeadmission.Upstream{{ID: "u", Slots: 6}}
-				for n := range 60 {
-					var l *snipeadmission.Load
-					if len(tt.loads) > 0 {
-						l = &tt.loads[n%len(tt.loads)]
+				granted := make(chan uint64, 1000)
+				acquire := func() {
+					if p, err := b.Acquire(t.Context(), snipeadmission.Request{Instance: "i"}); err == nil {
+						granted <- p.ID
 					}
-					b.observe(1, "u", nil, 30*ms, tt.handover, l)
 				}
-				must.Eq(t, tt.want, b.free())
+				for range tt.queue {
+					go acquire()
+				}
+				for _, r := range tt.results {
+					for range 24 {
+						go acquire()
+						time.Sleep(2 * ms)
+						b.Release(<-granted, r)
+					}
+				}
+				time.Sleep(50 * ms)
+				must.Eq(t, tt.want, b.Stats().PermitsOut)
+				for range tt.queue {
+					b.Release(<-granted, snipeadmission.Result{})
+				}
 			})
 		})
 	}
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -132,7 +132,7 @@
 	w := e.Value
 	c.lastID++
 	u.out++
-	l := &lease{upstream: u, instance: w.request.Instance, item: e.Item, granted: now, ends: now.Add(c.Lifetime), running: int(u.load(now))}
+	l := &lease{upstream: u, instance: w.request.Instance, item: e.Item, ends: now.Add(c.Lifetime), running: int(u.load(now))}
 	c.permits[c.lastID] = l
 	c.stats.Granted++
 	p := c.permit(c.lastID, l)
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -18,9 +18,12 @@
 	// firstGuess is the time of a request before any was observed.
 	firstGuess = 50 * time.Millisecond
 	// excessDivisor sets the least number of permits beyond the slots of an upstream: one for each
-	// excessDivisor slots, at least one (see excess). An upstream that is full is left alone until this
+	// excessDivisor slots, at least one (see adapt). An upstream that is full is left alone until this
 	// part of its queue is served.
 	excessDivisor = 8
+	// excessStep is how much one load report changes the permits beyond the slots. Single reports say
+	// little, since requests are in transit.
+	excessStep = 0.125
 	// othersSamples is the number of load reports that count in the average of what runs without a
 	// permit.
 	othersSamples = 16
@@ -64,8 +67,8 @@
 	// latest observation.
 	took       average
 	observedAt time.Time
-	// handover is the time in seconds for which a permit is out beyond the time of its request.
-	handover average
+	// excess is the number of permits beyond the slots, of which the whole part counts (see adapt).
+	excess float64
 	// speed is the usual number of requests a second that a slot serves, at speedAt.
 	speed               float64
 	speedAt, knownSince time.Time
@@ -97,11 +100,11 @@
 		(l.Pace == 0 || l.Pace >= minPace && l.Pace <= maxPace)
 }
 
-// report takes over a valid load report. An older one than the last is ignored.
-func (u *upstream) report(l Load, now time.Time) {
+// report takes over a valid load report, and returns false if it is older than the last one.
+func (u *upstream) report(l Load, now time.Time) bool {
 	at := now.Add(-l.Age)
 	if l.Age >= reportLife || at.Before(u.reportedAt) {
-		return
+		return false
 	}
 	// Reports and releases overtake each other by a few requests, so that a single report says little.
 	// Differences below zero count too: otherwise this noise would look like requests of others.
@@ -115,6 +118,7 @@
 		u.pace = l.Pace
 		u.paces.observe(l.Pace)
 	}
+	return true
 }
 
 // reportAge returns the age of the last load report, or -1 if there is none.
@@ -172,8 +176,8 @@
 	return pause
 }
 
-// pauseAfterRefusal leaves the upstream alone until its queue has become shorter: for the time that it named,
-// or else until it has served an eighth of what waits there.
+// pauseAfterRefusal leaves the upstream alone until its queue has become shorter: for the time that it
+// named, or else until it has served an eighth of what waits there. Afterwards fewer permits are out.
 func (u *upstream) pauseAfterRefusal(r Result, service time.Duration, now time.Time) time.Duration {
 	pause := r.RetryAfter
 	if pause <= 0 {
@@ -183,6 +187,7 @@
 		}
 	}
 	pause = min(max(pause, minPause), maxPause)
+	u.excess /= 2
 	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
 	return pause
 }
@@ -195,27 +200,29 @@
 	case u.failures > 0:
 		return 1
 	}
-	return max(1, float64(u.slots+u.excess())-u.othersNow(now))
+	return max(1, float64(u.slots+u.excessNow())-u.othersNow(now))
 }
 
-// observeHandover records how long a permit was out, and how much of that its request took.
-func (u *upstream) observeHandover(held, took time.Duration) {
-	if took > 0 && held >= took && held <= maxTook {
-		u.handover.observe((held - took).Seconds())
-	}
-}
+// leastExcess returns the least number of permits beyond the slots.
+func (u *upstream) leastExcess() float64 { return max(1, float64(u.slots/excessDivisor)) }
 
-// excess returns the number of permits beyond the slots, at most as many as there are slots. While a
-// permit is handed over, from the end of a request to the arrival of the next, its slot would be
-// idle: as many more are out as are being handed over when all slots are occupied. A fraction below
-// an eighth counts as none, so that a short link adds no permit to an upstream of few slots.
-func (u *upstream) excess() int {
-	least := max(1, u.slots/excessDivisor)
-	if u.handover.count == 0 || u.took.count == 0 {
-		return least
+// excessNow returns the number of permits beyond the slots. They keep a short queue at the upstream:
+// from the end of a request until its release is known here and the next request has arrived there, its
+// slot would be idle otherwise.
+func (u *upstream) excessNow() int { return int(max(u.excess, u.leastExcess())) }
+
+// adapt changes the permits beyond the slots after a load report. While requests wait here, there are
+// more as long as the upstream has free slots, and fewer when more requests wait there than are needed.
+func (u *upstream) adapt(l Load, waiting int) {
+	least := u.leastExcess()
+	u.excess = max(u.excess, least)
+	switch {
+	case float64(l.Waiting) > least:
+		u.excess -= excessStep
+	case waiting > 0 && l.Waiting == 0 && l.Running < u.slots:
+		u.excess += excessStep
 	}
-	handedOver := min(float64(u.slots)*u.handover.mean/u.took.mean, float64(u.slots))
-	return min(least+int(math.Ceil(handedOver-1.0/excessDivisor)), max(least, u.slots))
+	u.excess = min(max(u.excess, least), max(least, float64(u.slots)))
 }
 
 // load returns the requests that are expected to run or wait there.
