--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -11,6 +11,10 @@
 	// lookahead bounds the waiting requests that are looked at for one free slot, when those before
 	// them wait for a faster upstream.
 	lookahead = 64
+	// maxReserved bounds the share of the time until its target that is reserved for a new request to be
+	// served. Where times vary much, requests with an early target could not wait at all otherwise, and
+	// those with later targets would take all slots.
+	maxReserved = 0.75
 	// waitMargin is how many times sooner than at an upstream with a free permit a request must end at
 	// one that it has to wait for.
 	waitMargin = 1.25
@@ -198,6 +202,9 @@
 	}
 	mean, deviation := c.pool.typical(now)
 	most := mean + time.Duration(newDeviations*float64(deviation))
+	if left := e.Item.Target.Sub(now); !e.Item.Target.IsZero() {
+		most = min(most, max(mean, time.Duration(maxReserved*float64(left))))
+	}
 	c.check(e, c.queue.Ahead(e, now, c.pool.ready(now)), most, now)
 }
 
