--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -267,14 +267,19 @@
 	c.pool.observe(u, r, l.running, now)
 	switch r.Outcome {
 	case OutcomeServed:
-		u.failures = 0
+		u.failures, u.servedAt = 0, now
 	case OutcomeUnused:
 		c.queue.Charge(l.item.Priority, l.item.Workspace, -l.item.Work())
 	case OutcomeRefused:
 		c.queue.Charge(l.item.Priority, l.item.Workspace, -l.item.Work())
 		mean, _ := c.pool.service(u, now)
 		c.decidePause(u, u.pauseAfterRefusal(r, seconds(mean), now), now)
-	case OutcomeUnreachable, OutcomeSuspect:
+	case OutcomeSuspect:
+		// Other instances may be served there, which shows that it is not broken for all.
+		if now.Sub(u.servedAt) >= firstPause {
+			c.decidePause(u, u.pauseAfterFailure(now), now)
+		}
+	case OutcomeUnreachable:
 		c.decidePause(u, u.pauseAfterFailure(now), now)
 	}
 	c.grantAll(now)
--- a/snipeadmission/coordinator_test.go
+++ b/snipeadmission/coordinator_test.go
@@ -179,6 +179,10 @@
 		"RefusedForever": {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: time.Hour}), 5 * time.Second, "u"},
 		"Unreachable":    {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable}), 240 * ms, ""},
 		"Suspect":        {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 240 * ms, ""},
+		"SuspectForOne": {func(b *bench, p []snipeadmission.Permit) {
+			b.Release(p[0].ID, snipeadmission.Result{Took: 10 * ms})
+			b.Release(p[1].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect})
+		}, 5 * ms, "u"},
 		"SuspectProbed":  {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 1100 * ms, "u"},
 	}
 	for name, test := range tests {
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -83,6 +83,8 @@
 	// long as there are failures, one request at a time is sent to it.
 	pausedUntil time.Time
 	failures    int
+	// servedAt is when the coordinator last learned of a request that was served there.
+	servedAt time.Time
 }
 
 // setSlots takes over the slots that Upstreams states, if they have changed.
