--- a/snipeadmission/coordinator_test.go
+++ b/snipeadmission/coordinator_test.go
@@ -183,7 +183,7 @@
 			b.Release(p[0].ID, snipeadmission.Result{Took: 10 * ms})
 			b.Release(p[1].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect})
 		}, 5 * ms, "u"},
-		"SuspectProbed":  {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 1100 * ms, "u"},
+		"SuspectProbed": {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 1100 * ms, "u"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -14,7 +14,7 @@
 	// maxReserved bounds the share of the time until its target that is reserved for a new request to be
 	// served. Where times vary much, requests with an early target could not wait at all otherwise, and
 	// those with later targets would take all slots.
-	maxReserved = 0.75
+	maxReserved = 0.85
 	// waitMargin is how many times sooner than at an upstream with a free permit a request must end at
 	// one that it has to wait for.
 	waitMargin = 1.25
