--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -194,7 +194,9 @@
 	return seconds(needed / rate)
 }
 
-// judge refuses a request that has just been queued if it can't be served before its deadline.
+// judge refuses a request that has just been queued if it can't be served before its deadline. The time
+// that it reserves for the request itself is one within which nearly all end, but at most maxReserved of
+// the time until its target.
 func (c *Coordinator) judge(e *snipefair.Entry[*waiter], now time.Time) {
 	if c.queue.Len() > c.MaxWaiting {
 		c.refuse(e, ReasonFull, now)
