--- /dev/null
+++ b/snipebalance/health.go
@@ -0,0 +1,66 @@
+package snipebalance
+
+import (
+	"time"
+)
+
+// RecordAnswer records an answer, and whether it was a failure. Any answer, also a failure, ends a
+// suspicion and resets the count of requests without an answer.
+func (b *Balancer) RecordAnswer(id string, failed bool) {
+	b.lock.Lock()
+	s := b.state(id)
+	s.failures *= failureDecay
+	if failed {
+		s.failures += 1 - failureDecay
+		s.failedAt = time.Now()
+	}
+	wasSuspect := s.suspicion > 0
+	s.unanswered, s.suspicion, s.suspectUntil = 0, 0, time.Time{}
+	b.lock.Unlock()
+	if wasSuspect {
+		b.notify(id, false)
+	}
+}
+
+// RecordUnreached records that a connection to an upstream, or to the owner of an engine, could not
+// be opened. This makes the upstream suspect at once.
+func (b *Balancer) RecordUnreached(id string) { b.recordFailure(id, true) }
+
+// RecordReplaced records that another upstream answered at the address of this one, so that this
+// one is gone for good. This one is then suspect for replacedSuspicion.
+func (b *Balancer) RecordReplaced(id string) {
+	b.lock.Lock()
+	b.state(id).suspectUntil = time.Now().Add(replacedSuspicion)
+	b.lock.Unlock()
+	b.notify(id, true)
+}
+
+// RecordUnanswered records that a request got no usable answer. The upstream
+// becomes suspect after maxUnanswered failures in a row.
+func (b *Balancer) RecordUnanswered(id string) { b.recordFailure(id, false) }
+
+// recordFailure counts a failure, which makes the upstream suspect if atOnce is set, and otherwise
+// from the maxUnanswered-th failure in a row on. Each failure that does so doubles the time
+// for which the upstream is suspect, up to maxSuspicion.
+func (b *Balancer) recordFailure(id string, atOnce bool) {
+	b.lock.Lock()
+	s := b.state(id)
+	s.unanswered++
+	s.failures = s.failures*failureDecay + 1 - failureDecay
+	s.failedAt = time.Now()
+	suspect := atOnce || s.unanswered >= maxUnanswered
+	if suspect {
+		s.suspicion = min(max(2*s.suspicion, minSuspicion), maxSuspicion)
+		s.suspectUntil = time.Now().Add(s.suspicion)
+	}
+	b.lock.Unlock()
+	if suspect {
+		b.notify(id, true)
+	}
+}
+
+func (b *Balancer) notify(id string, suspect bool) {
+	if b.Suspect != nil {
+		b.Suspect(id, suspect)
+	}
+}
--- a/snipeentry/connections.go
+++ b/snipeentry/connections.go
@@ -24,7 +24,7 @@
 	// lingerBuffer is the receive buffer of a refused connection; the kernel raises it to its least.
 	lingerBuffer = 2 << 10
 	// maxLingering bounds the refused connections that are half open; the next ones are reset.
-	// 256 were too few for 3,600 callers that connect at once. Each takes some 7 KB.
+	// They let a start of thousands of callers be refused with an answer, and take some 7 KB each.
 	maxLingering = 1024
 	// refusalLogInterval is the least time between two log lines about refused connections.
 	refusalLogInterval = time.Second
