Order of declarations in the files that were split

Ruled out: moving declarations between files again, which would hide the history of each.

Change: types before their methods, exported before unexported where the reading follows the calls, constants of a file in one block. coordinators names coordinatorPower in place of repeating its value. No code changes.

--- a/snipebalance/board.go
+++ b/snipebalance/board.go
@@ -24,6 +24,13 @@
 	at   time.Time
 }
 
+// Total is the load of an upstream, summed over all instances, and the work that it consists of; the
+// latter is the zero value if no instance has reported it.
+type Total struct {
+	Load float64
+	Work Work
+}
+
 // Report records the weight of an instance's requests in flight at an upstream. It replaces the
 // previous report of the instance.
 func (b *Board) Report(upstream, instance string, load float64) {
@@ -44,13 +51,6 @@
 	b.reports[upstream][instance] = report{load, w, time.Now()}
 }
 
-// Total is the load of an upstream, summed over all instances, and the work that it consists of; the
-// latter is the zero value if no instance has reported it.
-type Total struct {
-	Load float64
-	Work Work
-}
-
 // Loads returns the total load of each upstream for which there are reports, and drops the reports
 // that are older than boardLifetime.
 func (b *Board) Loads() map[string]float64 {
--- a/snipebalance/expected.go
+++ b/snipebalance/expected.go
@@ -29,6 +29,10 @@
 	// failure, because an upstream that receives no requests cannot lower its rate.
 	failureTime     = 900 * time.Millisecond
 	failureLifetime = 3 * time.Second
+	// exceededRank and suspectRank are added to the rank of a candidate whose memory the request would
+	// exceed, and of one that is suspect.
+	exceededRank = 1
+	suspectRank  = 2
 )
 
 // Demand is what one request takes of an upstream.
@@ -50,16 +54,11 @@
 // candidate is an upstream with what a choice compares.
 type candidate struct {
 	upstream *snipedirectory.Upstream
-	// rank is the sum of suspectRank and exceededRank as far as they apply; the lowest goes first.
+	// rank is the sum of exceededRank and suspectRank as far as they apply; the lowest goes first.
 	rank int
 	cost float64 // seconds
 }
 
-const (
-	exceededRank = 1
-	suspectRank  = 2
-)
-
 // Paced reports whether upstreams of a service state paces, so that PickExpected applies.
 func (b *Balancer) Paced(service string) bool {
 	b.lock.Lock()
@@ -72,6 +71,17 @@
 	return m != nil && now.Sub(m.statedAt) < pacedLifetime
 }
 
+// NotePaced records that an upstream of a service has stated a pace. It does nothing if IgnorePace is
+// set.
+func (b *Balancer) NotePaced(service string) {
+	if b.IgnorePace {
+		return
+	}
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.model(service).statedAt = time.Now()
+}
+
 // PickExpected returns an upstream with a short expected time to the first event of a request, or to
 // its answer if it is plain. The conditions are those of Pick. Upstreams whose memory the request
 // would exceed are picked only if this is so for all. usable is the number of upstreams compared that
@@ -125,6 +135,10 @@
 	return found
 }
 
+func (b *Balancer) eligible(u *snipedirectory.Upstream, allowed Filter) bool {
+	return !u.Leaving && allowed(u) && b.open(u.ID)
+}
+
 func contains(found []candidate, u *snipedirectory.Upstream) bool {
 	for n := range found {
 		if found[n].upstream == u {
@@ -134,22 +148,6 @@
 	return false
 }
 
-func (b *Balancer) eligible(u *snipedirectory.Upstream, allowed Filter) bool {
-	return !u.Leaving && allowed(u) && b.open(u.ID)
-}
-
-func (b *Balancer) random() float64 {
-	if b.Random != nil {
-		return b.Random()
-	}
-	return rand.Float64() //nolint:gosec // spreads load and protects nothing
-}
-
-// better reports whether a candidate goes before another.
-func (c *candidate) better(other *candidate) bool {
-	return c.rank < other.rank || c.rank == other.rank && c.cost < other.cost
-}
-
 // keepBest adds a candidate to a list that holds at most maxCompared, in place of the worst.
 func keepBest(found []candidate, c candidate) []candidate {
 	if len(found) < maxCompared {
@@ -180,6 +178,11 @@
 	return best, usable
 }
 
+// better reports whether a candidate goes before another.
+func (c *candidate) better(other *candidate) bool {
+	return c.rank < other.rank || c.rank == other.rank && c.cost < other.cost
+}
+
 // draw picks at random among the candidates whose cost is within the margin of the best.
 func (b *Balancer) draw(found []candidate, best candidate) *snipedirectory.Upstream {
 	limit := best.cost + max(marginShare*best.cost, minMargin.Seconds())
@@ -200,6 +203,13 @@
 	return best.upstream
 }
 
+func (b *Balancer) random() float64 {
+	if b.Random != nil {
+		return b.Random()
+	}
+	return rand.Float64() //nolint:gosec // spreads load and protects nothing
+}
+
 // candidate returns an upstream with its expected time and the costs of distance, failures and the
 // request's own preference, as times. The lock must be held.
 func (b *Balancer) candidate(u *snipedirectory.Upstream, extra Cost, d *Demand, now time.Time) candidate {
@@ -229,17 +239,17 @@
 // idle is the state of an upstream of which nothing is recorded. It is never changed.
 var idle state
 
-// exceeds reports whether the request would exceed the memory of an upstream.
-func (d *Demand) exceeds(s *state, now time.Time) bool {
-	return d.MemoryTokens > 0 && s.reserved.total(now, reportLifetime)+d.ReservedTokens > float64(d.MemoryTokens)
-}
-
-// full returns the time that an upstream whose slots are all occupied takes longer than an idle one.
-func (m *model) full(d *Demand) float64 {
-	if d.Plain {
-		return m.requestTime
+// model returns the model of a service and creates it if needed. The lock must be held.
+func (b *Balancer) model(service string) *model {
+	m := b.models[service]
+	if m == nil {
+		if b.models == nil {
+			b.models = make(map[string]*model)
+		}
+		m = newModel()
+		b.models[service] = m
 	}
-	return m.base
+	return m
 }
 
 // expected returns the expected time of a request at an upstream: to its first event, or to its
@@ -259,26 +269,17 @@
 	return wait + m.firstEvent(min(requests/slots, 1), pending+float64(d.PromptTokens))
 }
 
-// ExpectedDelay returns how much longer a request is expected to take at an engine than at an idle
-// one of the usual pace.
-func (b *Balancer) ExpectedDelay(u *snipedirectory.Upstream) time.Duration {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	s := b.states[u.ID]
-	if s == nil {
-		return 0
+// full returns the time that an upstream whose slots are all occupied takes longer than an idle one.
+func (m *model) full(d *Demand) float64 {
+	if d.Plain {
+		return m.requestTime
 	}
-	m := b.model(u.Service)
-	seconds := m.expected(s, u, &Demand{}, time.Now()) - m.firstEvent(0, 0)
-	return time.Duration(max(seconds, 0) * float64(time.Second))
+	return m.base
 }
 
-// ExceededChoices returns the number of choices of an upstream whose memory the request exceeds, for
-// lack of a better one.
-func (b *Balancer) ExceededChoices() uint64 {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	return b.exceeded
+// exceeds reports whether the request would exceed the memory of an upstream.
+func (d *Demand) exceeds(s *state, now time.Time) bool {
+	return d.MemoryTokens > 0 && s.reserved.total(now, reportLifetime)+d.ReservedTokens > float64(d.MemoryTokens)
 }
 
 // Exceeds reports whether a request would exceed the memory of an engine.
@@ -289,28 +290,26 @@
 	return s != nil && d.exceeds(s, time.Now())
 }
 
-// model returns the model of a service and creates it if needed. The lock must be held.
-func (b *Balancer) model(service string) *model {
-	m := b.models[service]
-	if m == nil {
-		if b.models == nil {
-			b.models = make(map[string]*model)
-		}
-		m = newModel()
-		b.models[service] = m
-	}
-	return m
+// ExceededChoices returns the number of choices of an upstream whose memory the request exceeds, for
+// lack of a better one.
+func (b *Balancer) ExceededChoices() uint64 {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.exceeded
 }
 
-// NotePaced records that an upstream of a service has stated a pace. It does nothing if IgnorePace is
-// set.
-func (b *Balancer) NotePaced(service string) {
-	if b.IgnorePace {
-		return
-	}
+// ExpectedDelay returns how much longer a request is expected to take at an engine than at an idle
+// one of the usual pace.
+func (b *Balancer) ExpectedDelay(u *snipedirectory.Upstream) time.Duration {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	b.model(service).statedAt = time.Now()
+	s := b.states[u.ID]
+	if s == nil {
+		return 0
+	}
+	m := b.model(u.Service)
+	seconds := m.expected(s, u, &Demand{}, time.Now()) - m.firstEvent(0, 0)
+	return time.Duration(max(seconds, 0) * float64(time.Second))
 }
 
 // MeanOutput returns the mean number of output tokens of a service's answers.
--- a/snipebalance/flight.go
+++ b/snipebalance/flight.go
@@ -6,6 +6,9 @@
 	"snipepitch.example/snipepitch/snipedirectory"
 )
 
+// maxAge stands for the age of what was never reported.
+const maxAge = time.Hour
+
 // Flight is a request that was sent to an upstream. Its methods are called by one goroutine.
 type Flight struct {
 	balancer *Balancer
@@ -35,14 +38,6 @@
 	PaceAge, ReportAge time.Duration
 }
 
-// Expectation returns what was expected when the request was sent.
-func (f *Flight) Expectation() Expectation {
-	return Expectation{
-		Time: time.Duration(f.expected * f.pace * float64(time.Second)), Pace: f.pace,
-		PaceAge: f.paceAge, ReportAge: f.reportAge,
-	}
-}
-
 // Start records that a request is sent to an upstream. The caller calls First at the first event of
 // the answer, and End at the request's end.
 func (b *Balancer) Start(u *snipedirectory.Upstream, d Demand) *Flight {
@@ -67,11 +62,16 @@
 	return f
 }
 
-// maxAge stands for the age of what was never reported.
-const maxAge = time.Hour
-
 func age(at, now time.Time) time.Duration { return min(now.Sub(at), maxAge) }
 
+// Expectation returns what was expected when the request was sent.
+func (f *Flight) Expectation() Expectation {
+	return Expectation{
+		Time: time.Duration(f.expected * f.pace * float64(time.Second)), Pace: f.pace,
+		PaceAge: f.paceAge, ReportAge: f.reportAge,
+	}
+}
+
 // First records the first event of the answer: the prompt is processed, and delays no other request
 // any more. Further calls do nothing. It returns true for the first call.
 func (f *Flight) First() bool {
--- a/snipebalance/health.go
+++ b/snipebalance/health.go
@@ -22,6 +22,10 @@
 	}
 }
 
+// RecordUnanswered records that a request got no usable answer. The upstream becomes suspect after
+// maxUnanswered failures in a row.
+func (b *Balancer) RecordUnanswered(id string) { b.recordFailure(id, false) }
+
 // RecordUnreached records that a connection to an upstream, or to the owner of an engine, could not
 // be opened. This makes the upstream suspect at once.
 func (b *Balancer) RecordUnreached(id string) { b.recordFailure(id, true) }
@@ -35,13 +39,9 @@
 	b.notify(id, true)
 }
 
-// RecordUnanswered records that a request got no usable answer. The upstream
-// becomes suspect after maxUnanswered failures in a row.
-func (b *Balancer) RecordUnanswered(id string) { b.recordFailure(id, false) }
-
 // recordFailure counts a failure, which makes the upstream suspect if atOnce is set, and otherwise
-// from the maxUnanswered-th failure in a row on. Each failure that does so doubles the time
-// for which the upstream is suspect, up to maxSuspicion.
+// from the maxUnanswered-th failure in a row on. Each failure that does so doubles the time for which
+// the upstream is suspect, up to maxSuspicion.
 func (b *Balancer) recordFailure(id string, atOnce bool) {
 	b.lock.Lock()
 	s := b.state(id)
--- a/snipebalance/load.go
+++ b/snipebalance/load.go
@@ -4,6 +4,24 @@
 	"time"
 )
 
+// StatedLoad is the load that an upstream states in an answer: the requests that it runs, those
+// that wait in its queue, how many it can run at once, and its pace.
+type StatedLoad struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes there at this moment, as a multiple of the usual time; zero if it
+	// is not stated.
+	Pace float64
+}
+
+// LoadReport is the reported load of an upstream, the work that it consists of as far as it is known,
+// and the age of the report.
+type LoadReport struct {
+	ID   string
+	Load float64
+	Age  time.Duration
+	Work Work
+}
+
 // SetLoad records the load of an upstream, as the upstream itself or a Board reports it now. It
 // replaces the previous report. The load includes this instance's requests in flight.
 func (b *Balancer) SetLoad(id string, load float64) {
@@ -17,15 +35,6 @@
 	s.reported, s.inFlightThen, s.reportedAt = load, s.inFlight, at
 }
 
-// StatedLoad is the load that an upstream states in an answer: the requests that it runs, those
-// that wait in its queue, how many it can run at once, and its pace.
-type StatedLoad struct {
-	Running, Waiting, Slots int
-	// Pace is how long work takes there at this moment, as a multiple of the usual time; zero if it
-	// is not stated.
-	Pace float64
-}
-
 // SetStated records the load that an upstream states now. It replaces the load of the previous
 // report (see SetLoad).
 func (b *Balancer) SetStated(id string, l StatedLoad) {
@@ -51,15 +60,6 @@
 	return s.stated, time.Since(s.statedAt), true
 }
 
-// LoadReport is the reported load of an upstream, the work that it consists of as far as it is known,
-// and the age of the report.
-type LoadReport struct {
-	ID   string
-	Load float64
-	Age  time.Duration
-	Work Work
-}
-
 // LoadReports returns the last report of each upstream whose reported load is above zero, if the
 // report is younger than reportLifetime, and of each whose stated pace is younger than paceLifetime.
 func (b *Balancer) LoadReports() []LoadReport {
--- a/snipebalance/work.go
+++ b/snipebalance/work.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// maxFigure bounds the figures of a valid Work.
+const maxFigure = 1e12
+
 // Work is the work in flight at an upstream, or the part of it that one instance has sent there.
 // The zero value means that it is not known: instances of an earlier version report only its weight.
 type Work struct {
@@ -16,9 +19,6 @@
 	PacedAt time.Time
 }
 
-// maxFigure bounds the figures of a valid Work.
-const maxFigure = 1e12
-
 // Valid reports whether all figures are in range, which those of a message may not be.
 func (w Work) Valid() bool {
 	for _, f := range []float64{w.Requests, w.PendingTokens, w.ReservedTokens, w.Pace} {
--- a/snipeentry/coordinator.go
+++ b/snipeentry/coordinator.go
@@ -50,8 +50,8 @@
 }
 
 // coordinators returns the instances that may coordinate a service, best first: the live ones that
-// are neither leaving nor on standby and have at least half of the highest Power, by rendezvous
-// hash.
+// are neither leaving nor on standby and have at least coordinatorPower of the highest Power, by
+// rendezvous hash.
 func (a *admission) coordinators(service string) []netip.AddrPort {
 	type candidate struct {
 		peer  netip.AddrPort
@@ -91,14 +91,6 @@
 	}
 }
 
-// name returns the name of an instance, or its address if it is no longer live.
-func (a *admission) name(peer netip.AddrPort) string {
-	if i, ok := a.View().Live[peer]; ok {
-		return i.Name
-	}
-	return peer.String()
-}
-
 // noteAnswer records that an instance answered a call for a permit.
 func (a *admission) noteAnswer(service string, from netip.AddrPort) {
 	a.lock.Lock()
@@ -132,3 +124,11 @@
 	a.Meter.Count("snipepitch_admission_coordinators_lost_total")
 	a.Log.Error(snipelog.CoordinatorLost, err, snipelog.Fields{serviceField: service, coordinatorField: a.name(to)})
 }
+
+// name returns the name of an instance, or its address if it is no longer live.
+func (a *admission) name(peer netip.AddrPort) string {
+	if i, ok := a.View().Live[peer]; ok {
+		return i.Name
+	}
+	return peer.String()
+}
--- a/snipeentry/loads.go
+++ b/snipeentry/loads.go
@@ -27,6 +27,9 @@
 	loadsInterval = 160 * time.Millisecond
 	// loadsTimeout bounds one request for loads. A later answer is of no use.
 	loadsTimeout = 150 * time.Millisecond
+	// loadsRetryPause is the time after the last failed request for loads after which the first
+	// instance by rank is asked again. Until then, instances of lower rank are asked in its place.
+	loadsRetryPause = 3 * time.Second
 )
 
 // gathersLoads reports whether one instance of each domain gathers the loads.
@@ -92,22 +95,6 @@
 	i.signals.Merge(decodeSignals(answer.GetSignals()))
 }
 
-// Loads implements snipeproto.Adapter. It returns the loads above zero, the recent paces and the
-// signals of upstreams that this instance knows, with their ages.
-func (s *peerServer) Loads(context.Context, *snipeproto.AdapterLoadsRequest) (*snipeproto.AdapterLoadsResponse, error) {
-	answer := &snipeproto.AdapterLoadsResponse{Signals: encodeSignals(s.signals.CurrentUpdates())}
-	for _, t := range s.balancer.LoadReports() {
-		l := encodeLoad(t.ID, t.Load, t.Work)
-		l.AgeMilliseconds = t.Age.Milliseconds()
-		answer.Loads = append(answer.Loads, l)
-	}
-	return answer, nil
-}
-
-// loadsRetryPause is the time after the last failed request for loads after which the first
-// instance by rank is asked again. Until then, instances of lower rank are asked in its place.
-const loadsRetryPause = 3 * time.Second
-
 // loadsReaderRank returns the rank, from 0, of the instance to ask for loads: loadsFailures, which
 // it sets to 0 if the last failure was at least loadsRetryPause ago. The rank may exceed the number
 // of the domain's instances; the caller then starts over at the first.
@@ -140,3 +127,15 @@
 	p.firstLoadsReaderLost = p.firstLoadsReaderLost && rank > 0
 	return changed
 }
+
+// Loads implements snipeproto.Adapter. It returns the loads above zero, the recent paces and the
+// signals of upstreams that this instance knows, with their ages.
+func (s *peerServer) Loads(context.Context, *snipeproto.AdapterLoadsRequest) (*snipeproto.AdapterLoadsResponse, error) {
+	answer := &snipeproto.AdapterLoadsResponse{Signals: encodeSignals(s.signals.CurrentUpdates())}
+	for _, t := range s.balancer.LoadReports() {
+		l := encodeLoad(t.ID, t.Load, t.Work)
+		l.AgeMilliseconds = t.Age.Milliseconds()
+		answer.Loads = append(answer.Loads, l)
+	}
+	return answer, nil
+}
--- a/snipepressure/choose.go
+++ b/snipepressure/choose.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+const (
+	// maxProgressAge is the age of the last reading of the progress from which on it is read before an
+	// answer is ended for its bytes. It is more than the interval of Sweep, which is exceeded if the
+	// process was stopped.
+	maxProgressAge = HighGrace / 2
+	// freeShare is the fraction of the high mark below which pressure counts as ended, so that a level
+	// near the mark is not reported again and again.
+	freeShare = 0.8
+)
+
 // Block records that the request's answer cannot be written because its caller does not read. since
 // is the time from which on the caller has read nothing.
 func (a *Account) Block(since time.Time) {
@@ -32,6 +42,59 @@
 	b.lock.Unlock()
 }
 
+// Sweep reads the progress of all blocked answers, ends those that are unread for MaxUnread, and
+// reports a change of the level. It is called a few times a second.
+func (b *Budget) Sweep() {
+	if !b.Active() {
+		return
+	}
+	now := time.Now()
+	b.lock.Lock()
+	b.readProgress(now)
+	for a := range b.blocked {
+		if a.ended.Load() {
+			continue
+		}
+		if b.MaxUnread > 0 && now.Sub(a.unreadSince) >= b.MaxUnread {
+			b.end(a, now, true)
+		}
+	}
+	b.flow.rate(now, b.freed.Load())
+	level, changed := b.nextLevel()
+	b.lock.Unlock()
+	b.makeRoom(0, b.high())
+	if changed && b.LevelChanged != nil {
+		b.LevelChanged(level, b.Held())
+	}
+}
+
+// nextLevel updates the reported level. The lock is held.
+func (b *Budget) nextLevel() (level Level, changed bool) {
+	held, high := b.held.Load(), b.high()
+	switch {
+	case b.level == Free && held >= high:
+		b.level = High
+	case b.level == High && float64(held) < freeShare*float64(high):
+		b.level = Free
+	default:
+		return b.level, false
+	}
+	return b.level, true
+}
+
+// readProgress notes which blocked callers have read since the last reading. The lock is held.
+func (b *Budget) readProgress(now time.Time) {
+	b.progressAt = now
+	for a := range b.blocked {
+		if a.ended.Load() || a.Progress == nil {
+			continue
+		}
+		if p := a.Progress(); p != a.lastProgress {
+			a.lastProgress, a.unreadSince = p, now
+		}
+	}
+}
+
 // makeRoom ends blocked answers until the given bytes would fit below a mark. Up to the bound, only
 // answers that were unread for HighGrace are ended.
 func (b *Budget) makeRoom(bytes, mark int64) {
@@ -84,6 +147,9 @@
 	return a.unreadSince.Before(other.unreadSince)
 }
 
+// live returns what a workspace holds without its accounts that were ended. The lock is held.
+func (t *tally) live() int64 { return t.held.Load() - t.ending }
+
 // end ends an account. The lock is held.
 func (b *Budget) end(a *Account, now time.Time, expired bool) {
 	a.ended.Store(true)
@@ -95,68 +161,3 @@
 		Released: a.endingBytes, Unread: now.Sub(a.unreadSince), Expired: expired,
 	})
 }
-
-// live returns what a workspace holds without its accounts that were ended. The lock is held.
-func (t *tally) live() int64 { return t.held.Load() - t.ending }
-
-// Sweep reads the progress of all blocked answers, ends those that are unread for MaxUnread, and
-// reports a change of the level. It is called a few times a second.
-func (b *Budget) Sweep() {
-	if !b.Active() {
-		return
-	}
-	now := time.Now()
-	b.lock.Lock()
-	b.readProgress(now)
-	for a := range b.blocked {
-		if a.ended.Load() {
-			continue
-		}
-		if b.MaxUnread > 0 && now.Sub(a.unreadSince) >= b.MaxUnread {
-			b.end(a, now, true)
-		}
-	}
-	b.flow.rate(now, b.freed.Load())
-	level, changed := b.nextLevel()
-	b.lock.Unlock()
-	b.makeRoom(0, b.high())
-	if changed && b.LevelChanged != nil {
-		b.LevelChanged(level, b.Held())
-	}
-}
-
-// maxProgressAge is the age of the last reading of the progress from which on it is read before an
-// answer is ended for its bytes. It is more than the interval of Sweep, which is exceeded if the
-// process was stopped.
-const maxProgressAge = HighGrace / 2
-
-// readProgress notes which blocked callers have read since the last reading. The lock is held.
-func (b *Budget) readProgress(now time.Time) {
-	b.progressAt = now
-	for a := range b.blocked {
-		if a.ended.Load() || a.Progress == nil {
-			continue
-		}
-		if p := a.Progress(); p != a.lastProgress {
-			a.lastProgress, a.unreadSince = p, now
-		}
-	}
-}
-
-// freeShare is the fraction of the high mark below which pressure counts as ended, so that a level
-// near the mark is not reported again and again.
-const freeShare = 0.8
-
-// nextLevel updates the reported level. The lock is held.
-func (b *Budget) nextLevel() (level Level, changed bool) {
-	held, high := b.held.Load(), b.high()
-	switch {
-	case b.level == Free && held >= high:
-		b.level = High
-	case b.level == High && float64(held) < freeShare*float64(high):
-		b.level = Free
-	default:
-		return b.level, false
-	}
-	return b.level, true
-}
--- a/snipeslot/use.go
+++ b/snipeslot/use.go
@@ -70,26 +70,6 @@
 	}
 }
 
-// await waits until a load has ended; the result of the load is in e.err. It
-// returns a *LateError as soon as the load is expected to end after the
-// deadline of ctx.
-func (e *entry) await(ctx context.Context) error {
-	deadline, bounded := ctx.Deadline()
-	for {
-		ready, changed := e.demand.Expected()
-		if bounded && ready.After(deadline) {
-			return &LateError{After: time.Until(ready)}
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-e.done:
-			return nil
-		case <-changed:
-		}
-	}
-}
-
 // useOrWait counts a use of a resident adapter and returns a nil channel.
 // Otherwise it starts a load if none is queued or in progress, counts a waiter
 // for it and returns a channel that is closed when the load ends. The entry is
@@ -114,6 +94,26 @@
 	return e, e.done
 }
 
+// await waits until a load has ended; the result of the load is in e.err. It
+// returns a *LateError as soon as the load is expected to end after the
+// deadline of ctx.
+func (e *entry) await(ctx context.Context) error {
+	deadline, bounded := ctx.Deadline()
+	for {
+		ready, changed := e.demand.Expected()
+		if bounded && ready.After(deadline) {
+			return &LateError{After: time.Until(ready)}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.done:
+			return nil
+		case <-changed:
+		}
+	}
+}
+
 // leave ends a wait. A queued load that has no more waiters is canceled.
 func (s *Slots) leave(e *entry, c snipecall.Class) {
 	s.lock.Lock()
