Plain words in comments and tests of the new code

Cause: some comments gave a benchmark's or a measurement's figure as the reason of a constant (the resident memory of a stream, the kernel memory of a refused connection, the cost of a queue), some used figurative words (left alone, stood still, sound callers, walk, told), and two used the platform's words (requester, runner). The time constants of snipeadmission were called lives, beside the lifetimes of snipebalance, which end at a fixed age.

Ruled out: renaming snipestand.Runner and log lines of the soak.

Change: comments, unexported names and names of subtests. An upstream without permits is paused, as its log event says. The assumed time of a request is initialTime, as in snipebalance. The test of memory names its workspaces slow and reader.

--- a/cmd/snipepitchd/pressure_test.go
+++ b/cmd/snipepitchd/pressure_test.go
@@ -39,15 +39,15 @@
 	unreadTime = 3 * time.Second
 	// slowCallers is the number of slow callers of each kind.
 	slowCallers = 900
-	// pressTime is how long the slow callers press.
-	pressTime = 8 * time.Second
-	// soundTime is the time that a caller that reads gives each request.
-	soundTime   = 4 * time.Second
-	attemptID   = "X-Snipepitch-Attempt-Id"
-	modelHeader = "X-Snipepitch-Model: base\r\n"
+	// loadTime is how long the slow callers send requests.
+	loadTime = 8 * time.Second
+	// readerTimeout is the time that a caller that reads gives each request.
+	readerTimeout = 4 * time.Second
+	attemptID     = "X-Snipepitch-Attempt-Id"
+	modelHeader   = "X-Snipepitch-Model: base\r\n"
 )
 
-// upstreams is the upstreams' side of the test: runners that record which requests ran.
+// upstreams is the upstreams' side of the test: stand-ins that record which requests ran.
 type upstreams struct {
 	store *snipestand.RowStore
 	lock  sync.Mutex // guards ran
@@ -62,7 +62,7 @@
 	u.ran[q.Header.Get(attemptID)] = true
 }
 
-// handler answers the paths of slow callers, and passes all other requests to the runner.
+// handler answers the paths of slow callers, and passes all other requests to the stand-in.
 func (u *upstreams) handler(r *snipestand.Runner) http.Handler {
 	inner := r.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -144,7 +144,7 @@
 				"slots": 8, "adapterSlots": 4, "models": []any{map[string]any{"name": "base", "adapters": 50}},
 			}},
 		},
-		"tenants": []any{workspace("slow"), workspace("sound")},
+		"tenants": []any{workspace("slow"), workspace("reader")},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
 	}))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -249,7 +249,7 @@
 	text, err := io.ReadAll(a.Body)
 	must.NoError(t, err)
 	for _, name := range []string{
-		`snipepitch_held_bytes{workspace="slow"}`, `snipepitch_held_bytes{workspace="sound"}`, "snipepitch_held_bytes_bound 51840000",
+		`snipepitch_held_bytes{workspace="slow"}`, `snipepitch_held_bytes{workspace="reader"}`, "snipepitch_held_bytes_bound 51840000",
 		`snipepitch_memory_refusals_total{workspace="slow"}`, `snipepitch_answers_ended_total{workspace="slow",reason="Pressure"}`,
 		"snipepitch_caller_connections", "snipepitch_connections_refused_total",
 	} {
@@ -354,8 +354,8 @@
 	}
 }
 
-// press is one slow caller: it calls again and again, and does not read the answers.
-func (c *callers) press(ctx context.Context, target, header string, body int) {
+// sendUnread is one slow caller: it repeats a request until ctx ends, and does not read the answers.
+func (c *callers) sendUnread(ctx context.Context, target, header string, body int) {
 	for ctx.Err() == nil {
 		status, retry, a, closeConn := c.call(ctx, target, header, body)
 		if status == http.StatusOK {
@@ -379,19 +379,19 @@
 	}
 }
 
-// sound counts the requests of callers that read.
-type sound struct{ served, unserved, tries atomic.Int32 }
+// reader counts the requests of callers that read.
+type reader struct{ served, unserved, tries atomic.Int32 }
 
 // String returns the counts.
-func (s *sound) String() string {
+func (s *reader) String() string {
 	return fmt.Sprintf("%d served in %d tries, %d not", s.served.Load(), s.tries.Load(), s.unserved.Load())
 }
 
-// serveSound sends small requests one after the other until ctx ends. Each is tried again when its
-// refusal says, for soundTime in all.
-func (c *callers) serveSound(ctx context.Context, header string, s *sound) {
+// serveReader sends small requests one after the other until ctx ends. Each is tried again when its
+// refusal says, for readerTimeout in all.
+func (c *callers) serveReader(ctx context.Context, header string, s *reader) {
 	for ctx.Err() == nil {
-		deadline := time.Now().Add(soundTime)
+		deadline := time.Now().Add(readerTimeout)
 		for {
 			s.tries.Add(1)
 			status, retry, _, closeConn := c.call(ctx, "/often/x", header, 0)
@@ -413,10 +413,10 @@
 	}
 }
 
-// TestSlowReaders guards against a process that exceeds its memory and is killed, against sound
-// callers that get nothing while others do not read, and against refusals of requests that ran. Thousands
-// of callers do not read answers, buffered or streamed, send bodies to upstreams that do not read them, or
-// send nothing on their connections.
+// TestSlowReaders guards against a process that exceeds its memory and is killed, against callers that
+// read and get nothing while others do not read, and against refusals of requests that ran. Thousands
+// of callers do not read answers, buffered or streamed, send bodies to upstreams that do not read them,
+// or send nothing on their connections.
 func TestSlowReaders(t *testing.T) {
 	u, store := startUpstreams(t)
 	p := startProcess(t, store)
@@ -428,7 +428,7 @@
 		_ = a.Body.Close()
 		return a.StatusCode == http.StatusOK
 	}), wait.Timeout(20*time.Second), wait.Gap(20*time.Millisecond)))
-	ctx, cancel := context.WithTimeout(t.Context(), pressTime)
+	ctx, cancel := context.WithTimeout(t.Context(), loadTime)
 	defer cancel()
 	c := &callers{address: p.callers, refused: map[string]bool{}}
 	start := p.resident()
@@ -436,9 +436,9 @@
 	var m peak
 	all.Go(func() { m = p.watch(ctx) })
 	for range slowCallers {
-		all.Go(func() { c.press(ctx, "/often/big", key("slow"), 0) })
-		all.Go(func() { c.press(ctx, "/final/big", key("slow")+modelHeader, 0) })
-		all.Go(func() { c.press(ctx, "/stuck/unread", key("slow"), bodyBytes) })
+		all.Go(func() { c.sendUnread(ctx, "/often/big", key("slow"), 0) })
+		all.Go(func() { c.sendUnread(ctx, "/final/big", key("slow")+modelHeader, 0) })
+		all.Go(func() { c.sendUnread(ctx, "/stuck/unread", key("slow"), bodyBytes) })
 		all.Go(func() {
 			if conn, err := net.Dial("tcp", c.address); err == nil {
 				<-ctx.Done()
@@ -446,10 +446,10 @@
 			}
 		})
 	}
-	other, same := &sound{}, &sound{}
+	other, same := &reader{}, &reader{}
 	for range 4 {
-		all.Go(func() { c.serveSound(ctx, key("sound"), other) })
-		all.Go(func() { c.serveSound(ctx, key("slow"), same) })
+		all.Go(func() { c.serveReader(ctx, key("reader"), other) })
+		all.Go(func() { c.serveReader(ctx, key("slow"), same) })
 	}
 	all.Wait()
 	select {
@@ -459,7 +459,7 @@
 	}
 	text, err := os.ReadFile(p.log)
 	must.NoError(t, err)
-	t.Logf("memory before %d, peak %+v of %d; sound callers of another workspace: %s; of the same: %s; %d refused, %d broken, %d ended, %d cut off by upstreams, connections full %d times",
+	t.Logf("memory before %d, peak %+v of %d; callers that read, of another workspace: %s; of the same: %s; %d refused, %d broken, %d ended, %d cut off by upstreams, connections full %d times",
 		start, m, int64(memoryBytes), other, same, len(c.refused), c.broken.Load(),
 		bytes.Count(text, []byte(`"Name":"AnswerEnded"`)), u.cut.Load(), bytes.Count(text, []byte(`"Name":"ConnectionsFull"`)))
 	if keep := os.Getenv("KEEP_LOG"); keep != "" {
--- a/snipeadmission/admission.go
+++ b/snipeadmission/admission.go
@@ -43,7 +43,7 @@
 	// ReasonLate means that the target cannot be met and that the capacity left over for late
 	// requests does not reach the request before its deadline.
 	ReasonLate
-	// ReasonNoUpstream means that no upstream is known or that all are left alone until after the
+	// ReasonNoUpstream means that no upstream is known or that all are paused until after the
 	// deadline.
 	ReasonNoUpstream
 	// ReasonFull means that MaxWaiting requests wait.
@@ -150,7 +150,7 @@
 	EventGranted Event = iota
 	EventRefused
 	EventExpired // the permit ended without a renewal or its instance is gone
-	EventPaused  // the upstream is left alone
+	EventPaused  // no permit is granted for the upstream until the end of Pause
 )
 
 // Decision is a decision of a Coordinator or Pacer with its inputs.
@@ -167,7 +167,7 @@
 	Waited, ExpectedWait time.Duration
 	// Waiting is the length of the queue.
 	Waiting int
-	// Pause is the time for which the upstream is left alone.
+	// Pause is the time for which no permit is granted for the upstream.
 	Pause time.Duration
 	// LoadAge is the age of the load report of the upstream, or of the oldest report of all
 	// upstreams for a refusal; negative if there is none.
--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -285,7 +285,7 @@
 	c.grantAll(now)
 }
 
-// decidePause keeps the decision to leave an upstream alone, if there is one.
+// decidePause keeps the decision to pause an upstream, if there is one.
 func (c *Coordinator) decidePause(u *upstream, pause time.Duration, now time.Time) {
 	if pause <= 0 {
 		return
--- a/snipeadmission/coordinator_test.go
+++ b/snipeadmission/coordinator_test.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// TestFailuresAtOnce guards against an upstream that is left alone for seconds because several requests
+// TestFailuresAtOnce guards against an upstream that is paused for seconds because several requests
 // failed there at the same time: only failures after a pause lengthen it.
 func TestFailuresAtOnce(t *testing.T) {
 	paused(t, func(t *testing.T, b *bench) {
--- a/snipeadmission/demand.go
+++ b/snipeadmission/demand.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// demandLife is the time constant of the observed rate of arrivals. It is longer than the random
+	// demandTimeConstant is the time constant of the observed rate of arrivals. It is longer than the random
 	// variation of arrivals and shorter than bursts that last for seconds.
-	demandLife = 1500 * time.Millisecond
+	demandTimeConstant = 1500 * time.Millisecond
 	// priorities is the number of priorities with a rate of their own; less urgent ones share the
 	// last.
 	priorities = 8
@@ -16,7 +16,7 @@
 
 // demand is the observed rate of arrivals by priority.
 type demand struct {
-	weights [priorities]float64 // arrivals, each of which fades with demandLife
+	weights [priorities]float64 // arrivals, each of which fades with demandTimeConstant
 	at      time.Time
 	since   time.Time
 }
@@ -33,7 +33,7 @@
 	if d.since.IsZero() {
 		d.since = now
 	} else {
-		keep := math.Exp(-float64(now.Sub(d.at)) / float64(demandLife))
+		keep := math.Exp(-float64(now.Sub(d.at)) / float64(demandTimeConstant))
 		for i := range d.weights {
 			d.weights[i] *= keep
 		}
@@ -50,6 +50,6 @@
 	}
 	// The weights of arrivals at a steady rate since the start add up to less than those of arrivals
 	// since ever.
-	covered := 1 - math.Exp(-float64(now.Sub(d.since)+100*time.Millisecond)/float64(demandLife))
-	return sum / demandLife.Seconds() / covered
+	covered := 1 - math.Exp(-float64(now.Sub(d.since)+100*time.Millisecond)/float64(demandTimeConstant))
+	return sum / demandTimeConstant.Seconds() / covered
 }
--- a/snipeadmission/load_test.go
+++ b/snipeadmission/load_test.go
@@ -157,28 +157,28 @@
 	})
 }
 
-// TestComparison logs the figures of the design note: the naive walk, each instance on its own with a
-// Pacer, and permits by a coordinator. It guards against a Coordinator that is worse than either.
+// TestComparison guards against a Coordinator with which fewer requests meet their target than without
+// a queue, or with a Pacer for each instance.
 func TestComparison(t *testing.T) {
-	ways := map[string]func(*simulation) admission{"walk": walk, "pacer": pacers}
+	alternatives := map[string]func(*simulation) admission{"in turn": tryInTurn, "pacer": pacers}
 	for _, share := range []float64{0.9, 1.2} {
-		inTarget := func(way string) float64 {
+		inTarget := func(name string) float64 {
 			var x summary
 			synctest.Test(t, func(t *testing.T) {
 				s, _ := simulate(t, 1, steady(share), func(s *simulation, _ *snipeadmission.Coordinator) {
 					s.returns, s.length = true, 6*time.Second
-					if ways[way] != nil {
-						s.admit = ways[way](s)
+					if alternatives[name] != nil {
+						s.admit = alternatives[name](s)
 					}
 				})
 				x = s.summary(all)
-				t.Logf("%s at %v: %+v", way, share, x)
+				t.Logf("%s at %v: %+v", name, share, x)
 			})
 			return x.inTarget
 		}
 		best := inTarget("coordinator")
-		for way := range ways {
-			must.Greater(t, inTarget(way), best)
+		for name := range alternatives {
+			must.Greater(t, inTarget(name), best)
 		}
 	}
 }
--- a/snipeadmission/pacer.go
+++ b/snipeadmission/pacer.go
@@ -193,7 +193,7 @@
 	}
 }
 
-// record records a result, and returns the time for which the upstream is left alone.
+// record records a result, and returns the time for which the upstream is paused; 0 if it is not.
 func (p *Pacer) record(upstream string, r Result) time.Duration {
 	p.lock.Lock()
 	defer p.lock.Unlock()
--- a/snipeadmission/pacer_test.go
+++ b/snipeadmission/pacer_test.go
@@ -14,7 +14,7 @@
 )
 
 // pacer returns a Pacer without jitter for an upstream of six slots that ten instances share: 12
-// requests a second at the first guess of 50 ms a request.
+// requests a second at the assumed time of 50 ms a request.
 func pacer(upstreams ...string) *snipeadmission.Pacer {
 	return &snipeadmission.Pacer{
 		Upstreams: func() []snipeadmission.Upstream {
--- a/snipeadmission/pool.go
+++ b/snipeadmission/pool.go
@@ -14,9 +14,9 @@
 	// assumed to end, and waitingDeviations that for a request that waits. New requests are judged more
 	// strictly, because the expected wait is inexact and a refusal should not come after a wait.
 	newDeviations, waitingDeviations = 4, 1
-	// speedLife is the time constant of the usual speed of an upstream. It is longer than the periods
+	// speedTimeConstant is the time constant of the usual speed of an upstream. It is longer than the periods
 	// for which an upstream is slow.
-	speedLife = 5 * time.Second
+	speedTimeConstant = 5 * time.Second
 )
 
 // pool is the set of upstreams of a service.
@@ -76,7 +76,7 @@
 // service returns the expected time of a request in seconds at the upstream, and its mean distance
 // from that.
 func (p *pool) service(u *upstream, now time.Time) (mean, deviation float64) {
-	base := firstGuess.Seconds()
+	base := initialTime.Seconds()
 	if p.mean.count > 0 {
 		base = p.mean.mean
 	}
@@ -122,8 +122,8 @@
 	for _, u := range p.list {
 		mean, _ := p.service(u, now)
 		known, passed := now.Sub(u.knownSince), now.Sub(u.speedAt)
-		w := 1 - math.Exp(-float64(passed)/float64(speedLife))
-		if known < speedLife {
+		w := 1 - math.Exp(-float64(passed)/float64(speedTimeConstant))
+		if known < speedTimeConstant {
 			w = max(w, min(1, float64(passed)/float64(known+refreshInterval)))
 		}
 		u.speed += w * (1/mean - u.speed)
@@ -153,7 +153,7 @@
 		}
 	}
 	if rate == 0 {
-		return firstGuess, firstGuess / 2
+		return initialTime, initialTime / 2
 	}
 	return seconds(slots / rate), seconds(distance / rate)
 }
@@ -165,7 +165,7 @@
 	return now.Add(mean + time.Duration(waitingDeviations*float64(deviation)))
 }
 
-// available returns the earliest time at which an upstream is no longer left alone, and whether any
+// available returns the earliest time at which an upstream is not paused, and whether any
 // upstream is known.
 func (p *pool) available() (time.Time, bool) {
 	var first time.Time
--- a/snipeadmission/simulation_test.go
+++ b/snipeadmission/simulation_test.go
@@ -82,7 +82,7 @@
 	healthy fault = iota
 	dead          // stops for good while it waits for a permit
 	cutOff        // its message to the coordinator is lost when the request ends
-	frozen        // stands still for 3 s while a request runs
+	frozen        // is stopped for 3 s while a request runs
 	absent        // asks for nothing, because of an earlier fault
 )
 
@@ -363,9 +363,9 @@
 	}
 }
 
-// walk returns the admission without a queue: each instance tries the upstreams one after another in
-// a random order, and refuses when all have refused.
-func walk(s *simulation) admission {
+// tryInTurn returns the admission without a queue: each instance tries the upstreams one after
+// another in a random order, and refuses when all have refused.
+func tryInTurn(s *simulation) admission {
 	r := rand.New(rand.NewPCG(s.seed, 4))
 	var lock sync.Mutex
 	return func(_ context.Context, q snipeadmission.Request) (string, func(snipeadmission.Result), error) {
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// reportLife is how long a load report counts; its weight falls evenly to zero.
-	reportLife = time.Second
+	// reportLifetime is how long a load report counts; its weight falls evenly to zero.
+	reportLifetime = time.Second
 	// meanWeight is the weight of the latest observation in moving averages. Service times vary, so that
 	// a higher weight would follow single requests.
 	meanWeight = 0.05
@@ -15,10 +15,10 @@
 	// moves towards the mean of all, by half in each further forgetHalf. Otherwise an upstream that
 	// was slow once would get no request that shows that it no longer is.
 	forgetAfter, forgetHalf = 2 * time.Second, time.Second
-	// firstGuess is the time of a request before any was observed.
-	firstGuess = 50 * time.Millisecond
+	// initialTime is the assumed time of a request until one has been observed.
+	initialTime = 50 * time.Millisecond
 	// excessDivisor sets the least number of permits beyond the slots of an upstream: one for each
-	// excessDivisor slots, at least one (see adapt). An upstream that is full is left alone until this
+	// excessDivisor slots, at least one (see adapt). An upstream that is full is paused until this
 	// part of its queue is served.
 	excessDivisor = 8
 	// excessStep is how much one load report changes the permits beyond the slots. Single reports say
@@ -27,8 +27,8 @@
 	// othersSamples is the number of load reports that count in the average of what runs without a
 	// permit.
 	othersSamples = 16
-	// minPause and maxPause bound the time for which an upstream is left alone; firstPause is the
-	// time after the first failure, which doubles with each further one.
+	// minPause and maxPause bound the time for which an upstream is paused; firstPause is the time
+	// after the first failure, which doubles with each further one.
 	minPause, firstPause, maxPause = 10 * time.Millisecond, 250 * time.Millisecond, 4 * time.Second
 	// maxSlots, minPace and maxPace bound what a load report may state; maxTook bounds the time of a
 	// request that counts as an observation.
@@ -43,7 +43,7 @@
 	count           int
 }
 
-// observe adds a value. The first values weigh more, so that the average does not hang on the first.
+// observe adds a value. The first values weigh more, so that the average does not depend on the first alone.
 func (a *average) observe(v float64) {
 	a.count++
 	w := max(meanWeight, 1/float64(a.count))
@@ -79,8 +79,8 @@
 	// others is the moving average of the requests beyond the permits out that load reports show;
 	// negative if they show fewer.
 	others float64
-	// pausedUntil is the time until which the upstream is left alone, after failures in a row. As
-	// long as there are failures, one request at a time is sent to it.
+	// pausedUntil is the end of the pause after a refusal or after failures in a row: until then, no
+	// request is sent to the upstream. As long as there are failures, one request at a time is.
 	pausedUntil time.Time
 	failures    int
 	// servedAt is when the coordinator last learned of a request that was served there.
@@ -105,7 +105,7 @@
 // report takes over a valid load report, and returns false if it is older than the last one.
 func (u *upstream) report(l Load, now time.Time) bool {
 	at := now.Add(-l.Age)
-	if l.Age >= reportLife || at.Before(u.reportedAt) {
+	if l.Age >= reportLifetime || at.Before(u.reportedAt) {
 		return false
 	}
 	// Reports and releases overtake each other by a few requests, so that a single report says little.
@@ -133,7 +133,7 @@
 
 // freshness returns the weight of the last load report, from 1 to 0.
 func (u *upstream) freshness(now time.Time) float64 {
-	return max(0, 1-float64(now.Sub(u.reportedAt))/float64(reportLife))
+	return max(0, 1-float64(now.Sub(u.reportedAt))/float64(reportLifetime))
 }
 
 // othersNow returns the number of requests without a permit that are expected there. A difference of
@@ -166,7 +166,7 @@
 	u.observedAt = now
 }
 
-// pauseAfterFailure leaves the upstream alone for a time that doubles with each failure in a row, and
+// pauseAfterFailure pauses the upstream for a time that doubles with each failure in a row, and
 // returns that time. It returns 0 for the failure of a request that was sent before the pause.
 func (u *upstream) pauseAfterFailure(now time.Time) time.Duration {
 	if u.failures > 0 && now.Before(u.pausedUntil) {
@@ -178,7 +178,7 @@
 	return pause
 }
 
-// pauseAfterRefusal leaves the upstream alone until its queue has become shorter: for the time that it
+// pauseAfterRefusal pauses the upstream until its queue has become shorter: for the time that it
 // named, or else until it has served an eighth of what waits there. Afterwards fewer permits are out.
 func (u *upstream) pauseAfterRefusal(r Result, service time.Duration, now time.Time) time.Duration {
 	pause := r.RetryAfter
--- a/snipebalance/board_test.go
+++ b/snipebalance/board_test.go
@@ -40,7 +40,7 @@
 	tests := map[string]struct {
 		shared      bool    // whether the balancers receive the totals of the board
 		least, most float64 // load of the busiest upstream as a multiple of the mean
-	}{"Told": {true, 1, 1.15}, "Alone": {false, 1.8, count}}
+	}{"Shared": {true, 1, 1.15}, "Alone": {false, 1.8, count}}
 	var all []*snipedirectory.Upstream
 	for n := range count {
 		all = append(all, &snipedirectory.Upstream{ID: fmt.Sprint("e", n), Slots: 24})
--- a/snipebalance/expected_test.go
+++ b/snipebalance/expected_test.go
@@ -28,12 +28,12 @@
 	return b.Pick([]*snipedirectory.Upstream{all[n], all[m]}, every, nil)
 }
 
-// TestUnevenEngines answers the load of deployment T: engines whose speeds differ by a factor of two
-// and change every 100 ms, and 80 instances with reports that are 80 to 240 ms old. It guards against
-// a choice that sends all instances to the engine that was idle at the last report, and against long
-// prompts that meet on one engine. The choice by expected time must take at most 0.7 of the times of
-// the one by occupancy, and the stated shares of those of the better of two random engines. Where
-// paces are drawn anew, the 99th percentile differs more between seeds than between these two.
+// TestUnevenEngines guards against a choice that sends the requests of all instances to the engine that
+// was idle at the last report, and against long prompts that meet on one engine. The engines' speeds
+// differ by a factor of two and change every 100 ms, and the reports are 80 to 240 ms old. The choice
+// by expected time must take at most 0.7 of the times of the one by occupancy, and the stated shares
+// of those of the better of two random engines. The bound for redrawn paces is wider, because the 99th
+// percentile varies between seeds there.
 func TestUnevenEngines(t *testing.T) {
 	const slow, fast, seeds = 1.34, 0.67, 3
 	tests := map[string]struct {
@@ -50,7 +50,7 @@
 			f := tt.farm
 			f.slots, f.slow, f.fast, f.stated = 16, slow, fast, true
 			times := make(map[string][2]time.Duration)
-			for kind, pick := range map[string]way{"Expected": byExpected, "Occupancy": byOccupancy, "TwoRandom": byTwoRandom} {
+			for kind, pick := range map[string]picker{"Expected": byExpected, "Occupancy": byOccupancy, "TwoRandom": byTwoRandom} {
 				f.pick = pick
 				median, high := f.percentiles(t, seeds)
 				times[kind] = [2]time.Duration{median, high}
@@ -216,8 +216,7 @@
 	})
 }
 
-// BenchmarkPickExpected measures the choice among 600 upstreams, which is to take less than 2 us,
-// from a sample and, where no sampled one may be used, from all.
+// BenchmarkPickExpected measures the choice among 600 upstreams from a sample and, where no sampled one may be used, from all.
 func BenchmarkPickExpected(b *testing.B) {
 	balancer := &snipebalance.Balancer{}
 	all := make([]*snipedirectory.Upstream, 600)
--- a/snipebalance/farm_test.go
+++ b/snipebalance/farm_test.go
@@ -16,7 +16,7 @@
 
 // farm is a service of engines behind many instances, on the paused clock. An engine processes its
 // prompts one after another and runs a bounded number of requests at once; its pace changes every
-// paceChange. Instances report their work every reportEvery to a board, and learn of its totals every
+// paceChange. Instances report their work every reportEvery to a board, and shareTotals of its totals every
 // totalsEvery, in the state of totalsAge before.
 type farm struct {
 	engines, instances, slots int
@@ -25,7 +25,7 @@
 	fast, slow                float64 // range of the paces
 	steps                     bool    // paces change by steps, and are not drawn anew
 	stated                    bool    // whether the engines state their pace
-	pick                      way
+	pick                      picker
 
 	random    *rand.Rand
 	servers   []*engine
@@ -40,8 +40,8 @@
 	took      []time.Duration
 }
 
-// way is a way to choose an upstream.
-type way func(b *snipebalance.Balancer, all []*snipedirectory.Upstream, d snipebalance.Demand) *snipedirectory.Upstream
+// picker is a method of choosing an upstream.
+type picker func(b *snipebalance.Balancer, all []*snipedirectory.Upstream, d snipebalance.Demand) *snipedirectory.Upstream
 
 const (
 	paceChange  = 100 * time.Millisecond
@@ -101,7 +101,7 @@
 		f.build(seed)
 		f.at(f.begun, f.arrive)
 		f.at(f.begun, f.report)
-		f.at(f.begun, f.learn)
+		f.at(f.begun, f.shareTotals)
 		for len(f.events) > 0 {
 			e := heap.Pop(&f.events).(event)
 			time.Sleep(time.Until(e.at))
@@ -219,8 +219,8 @@
 	}
 }
 
-// learn tells all instances the totals, and takes those for the next time totalsAge before it.
-func (f *farm) learn() {
+// shareTotals passes the totals to all instances, and takes those for the next time totalsAge before it.
+func (f *farm) shareTotals() {
 	now := time.Now()
 	var all []snipebalance.LoadReport
 	for id, total := range f.totals {
@@ -233,6 +233,6 @@
 	}
 	if now.Sub(f.begun) < farmTime {
 		f.at(now.Add(totalsEvery-totalsAge), func() { f.totals = f.board.Totals() })
-		f.at(now.Add(totalsEvery), f.learn)
+		f.at(now.Add(totalsEvery), f.shareTotals)
 	}
 }
--- a/snipebalance/snipebalance_test.go
+++ b/snipebalance/snipebalance_test.go
@@ -31,8 +31,8 @@
 		"Near":      {func(*snipebalance.Balancer) {}, "near"},
 		"OwnLoad":   {func(b *snipebalance.Balancer) { b.Begin("near", 2) }, "far"},
 		"Ended":     {func(b *snipebalance.Balancer) { b.Begin("near", 2)() }, "near"},
-		"ToldLoad":  {func(b *snipebalance.Balancer) { b.SetLoad("near", 5) }, "far"},
-		"OldTold":   {func(b *snipebalance.Balancer) { b.SetLoad("near", 5); time.Sleep(3 * time.Second) }, "near"},
+		"Reported":  {func(b *snipebalance.Balancer) { b.SetLoad("near", 5) }, "far"},
+		"OldReport": {func(b *snipebalance.Balancer) { b.SetLoad("near", 5); time.Sleep(3 * time.Second) }, "near"},
 		"Unreached": {func(b *snipebalance.Balancer) { b.RecordUnreached("near") }, "far"},
 		"Recovered": {func(b *snipebalance.Balancer) {
 			b.RecordUnreached("near")
@@ -104,6 +104,7 @@
 	must.True(t, b.Usable(u))
 }
 
+// BenchmarkPick measures the choice among 600 upstreams.
 func BenchmarkPick(b *testing.B) {
 	balancer := &snipebalance.Balancer{}
 	all := make([]*snipedirectory.Upstream, 600)
--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -212,7 +212,7 @@
 	}
 	permit := a.hold(to, service, p)
 	if time.Since(asked) >= p.Lifetime {
-		// The permit may have ended while this instance stood still.
+		// The permit may have ended while this process was stopped.
 		releaseUnused(permit)
 		return nil, errStillWaiting
 	}
--- a/snipeentry/connections.go
+++ b/snipeentry/connections.go
@@ -19,12 +19,13 @@
 	minIdleTime = 200 * time.Millisecond
 	// lingerTime is how long a refused connection stays half open. A close while bytes of the request
 	// arrive would reset the connection, and the caller would lose the answer.
-	// 100 ms are many round trips.
+	// It is many round trips.
 	lingerTime = 100 * time.Millisecond
 	// lingerBuffer is the receive buffer of a refused connection; the kernel raises it to its least.
 	lingerBuffer = 2 << 10
 	// maxLingering bounds the refused connections that are half open; the next ones are reset.
-	// They let a start of thousands of callers be refused with an answer, and take some 7 KB each.
+	// It allows thousands of callers that connect at once to be refused with an answer; each of these
+	// connections takes kernel memory.
 	maxLingering = 1024
 	// refusalLogInterval is the least time between two log lines about refused connections.
 	refusalLogInterval = time.Second
--- a/snipeentry/lender.go
+++ b/snipeentry/lender.go
@@ -90,7 +90,7 @@
 	bounded, cancel := context.WithTimeout(ctx, permitWait)
 	defer cancel()
 	p, err := c.Acquire(bounded, r)
-	// After permitTimeout, which passes here only if the process stood still, the caller has given up.
+	// After permitTimeout, which passes here only if the process was stopped, the caller has given up.
 	givenUp := ctx.Err() != nil || time.Since(asked) >= permitTimeout
 	if err == nil && givenUp {
 		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
--- a/snipeentry/relay.go
+++ b/snipeentry/relay.go
@@ -223,7 +223,7 @@
 		}
 		changes = append(changes, change)
 	}
-	// The requester may time out before the store answers. The write is completed anyway, since the
+	// The asking instance may time out before the store answers. The write is completed anyway, since the
 	// store's answer also shows this instance whether the store is reachable.
 	version, err := s.relay.writeDirect(context.WithoutCancel(ctx), r.GetOperation(), changes)
 	switch {
--- a/snipefair/queue.go
+++ b/snipefair/queue.go
@@ -20,7 +20,7 @@
 //
 // No sorted order is kept, because whether an item is late depends on the time at which it would be
 // served, and the caller's estimate of that may move backwards. Pop looks at each waiting item once;
-// InOrder and Ahead sort them. BenchmarkQueue shows the cost with 1,000 waiting items.
+// InOrder and Ahead sort them.
 package snipefair
 
 import (
--- a/snipefair/queue_test.go
+++ b/snipefair/queue_test.go
@@ -66,16 +66,16 @@
 			for _, i := range test.items {
 				i.push(q)
 			}
-			var foretold, popped []string
+			var predicted, popped []string
 			for e := range q.InOrder(at(test.now), at(test.ready)) {
-				must.Eq(t, len(foretold), q.Ahead(e, at(test.now), at(test.ready)))
-				foretold = append(foretold, e.Value)
+				must.Eq(t, len(predicted), q.Ahead(e, at(test.now), at(test.ready)))
+				predicted = append(predicted, e.Value)
 			}
 			for e := q.Pop(at(test.now), at(test.ready)); e != nil; e = q.Pop(at(test.now), at(test.ready)) {
 				popped = append(popped, e.Value)
 			}
 			must.Eq(t, test.want, strings.Join(popped, " "))
-			must.Eq(t, popped, foretold)
+			must.Eq(t, popped, predicted)
 			must.Zero(t, q.Len())
 		})
 	}
@@ -142,9 +142,9 @@
 	must.Eq(t, "a", q.Pop(start, start).Value)
 }
 
-// TestRandomOrder guards against lost or doubled entries, against an order that InOrder foretells
-// otherwise than Pop, and against a less urgent entry before a more urgent one, under a random mix of
-// all calls.
+// TestRandomOrder guards against lost or doubled entries, against an order of InOrder that differs from
+// that of Pop, and against a less urgent entry before a more urgent one, under a random mix of all
+// calls.
 func TestRandomOrder(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
 	q := &snipefair.Queue[int]{MaxDisplacement: 700 * time.Millisecond}
@@ -156,12 +156,12 @@
 			i := snipefair.Item{Priority: r.IntN(3), Workspace: fmt.Sprint(r.IntN(5)), Tokens: float64(r.IntN(9)), Queued: now, Target: at(time.Duration(n + r.IntN(300))), Deadline: at(time.Duration(n + 800))}
 			waiting[n] = q.Push(i, n)
 		case 3:
-			var foretold *snipefair.Entry[int]
-			for foretold = range q.InOrder(now, ready) {
+			var predicted *snipefair.Entry[int]
+			for predicted = range q.InOrder(now, ready) {
 				break
 			}
 			e := q.Pop(now, ready)
-			must.Eq(t, foretold, e)
+			must.Eq(t, predicted, e)
 			if e == nil {
 				break
 			}
--- a/snipegateway/pressure.go
+++ b/snipegateway/pressure.go
@@ -19,7 +19,7 @@
 const (
 	// RequestBytes is what a request holds beside its body and its answer: the buffers and the
 	// goroutine of the caller's connection, those of the connection to an upstream, and the headers
-	// twice. A stream that has begun takes 57 KiB of resident memory, garbage included.
+	// twice, garbage included.
 	RequestBytes = 60 << 10
 	// bodyCopies is how often a body is in memory while it is sent to an upstream: once for another
 	// attempt, and once in the message that snipelink writes.
--- a/snipeweight/queue.go
+++ b/snipeweight/queue.go
@@ -38,8 +38,8 @@
 	smoothing = 0.2
 )
 
-// ID identifies a request across its polls: the name of the requester and the
-// requester's number for the request.
+// ID identifies a request across its polls: the name of the instance that asks and its number for
+// the request.
 type ID struct {
 	Asker  string
 	Number uint64
@@ -302,7 +302,7 @@
 }
 
 // precedes reports whether a is granted before b: the request of higher cost
-// first, equal ones by age, requester and number. q.lock is held.
+// first, equal ones by age, instance and number. q.lock is held.
 func (q *Queue) precedes(a, b *queuedAsk, now time.Time) bool {
 	x, y := q.cost(a, now), q.cost(b, now)
 	switch {
--- a/snipeweight/queue_test.go
+++ b/snipeweight/queue_test.go
@@ -68,13 +68,13 @@
 		s := &store{}
 		var all sync.WaitGroup
 		start := time.Now()
-		requesters := map[int]*Permits{}
+		instances := map[int]*Permits{}
 		for n := range 9 {
-			requesters[n] = newPermits(fmt.Sprint("i", n), Local("i0", q))
+			instances[n] = newPermits(fmt.Sprint("i", n), Local("i0", q))
 		}
 		for n := range 45 {
 			all.Go(func() {
-				must.NoError(t, s.load(t, requesters[n%9], fmt.Sprint(n), snipecall.Standard, false))
+				must.NoError(t, s.load(t, instances[n%9], fmt.Sprint(n), snipecall.Standard, false))
 			})
 		}
 		all.Wait()
@@ -162,7 +162,7 @@
 	})
 }
 
-// TestHolderStopsAnswering checks that a requester uses the next holder when the
+// TestHolderStopsAnswering checks that an instance uses the next holder when the
 // polls of the current one begin to fail in the middle of a wait.
 func TestHolderStopsAnswering(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -187,7 +187,7 @@
 	})
 }
 
-// TestPermissionExpires checks that loads continue after a requester has died
+// TestPermissionExpires checks that loads continue after an instance that asked has died
 // with a permission or with a queued request of high weight.
 func TestPermissionExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/snipeweight/remote.go
+++ b/snipeweight/remote.go
@@ -12,7 +12,7 @@
 	"snipepitch.example/snipepitch/snipeproto"
 )
 
-// maxPoll and maxHold bound the times that a requester may set.
+// maxPoll and maxHold bound the times that a request may state.
 const (
 	maxPoll = 10 * time.Second
 	maxHold = time.Minute
@@ -78,7 +78,7 @@
 }
 
 // Ask implements snipeproto.Weight: it makes one poll at the queue. It fails if the
-// requester has no name, or a duration or the weight is out of range.
+// requesting instance has no name, or a duration or the weight is out of range.
 func (s *Server) Ask(ctx context.Context, r *snipeproto.WeightAskRequest) (*snipeproto.WeightAskResponse, error) {
 	length := time.Duration(r.GetPollMilliseconds()) * time.Millisecond
 	hold := time.Duration(r.GetHoldMilliseconds()) * time.Millisecond
--- a/snipeweight/snipeweight.go
+++ b/snipeweight/snipeweight.go
@@ -14,7 +14,7 @@
 //     store down, but this is safe: each keeps within the limits it computes.
 //     During a network partition, each side uses a share of the budget in
 //     proportion to its live instances.
-//   - When the holder does not answer, the requester uses the next instance of
+//   - When the holder does not answer, the requesting instance uses the next instance of
 //     the ranking, where its request is queued as a new one.
 //   - While a load runs, its permission is renewed every second at the current
 //     holder. A permission whose answer or end was lost therefore expires after
@@ -96,7 +96,7 @@
 // Permits requests permissions for the loads of one instance. Exported fields
 // are set before the first call.
 type Permits struct {
-	// Self identifies the instance as a requester. It is unique to each start of
+	// Self identifies the instance in its requests. It is unique to each start of
 	// the process.
 	Self string
 	// Holders returns the live instances in the order of their rank as the holder:
