State the failure that each remaining test guards against

Cause: 22 tests had no comment, so that a reader had to infer from their tables what must not happen.

Ruled out: new tests or cases; the tests themselves are unchanged.

Checks: go test of the packages.

--- a/snipecaller/snipecaller_test.go
+++ b/snipecaller/snipecaller_test.go
@@ -60,6 +60,8 @@
 	}
 }
 
+// TestRefusals guards against invalid requests that are accepted, and against a refusal with another status,
+// kind or reason.
 func TestRefusals(t *testing.T) {
 	cases := map[string]struct {
 		body   string
--- a/snipecapacity/snipecapacity_test.go
+++ b/snipecapacity/snipecapacity_test.go
@@ -21,6 +21,7 @@
 	must.Eq(t, want, string(page))
 }
 
+// TestFit guards against a wrong line, and against one that is fitted to too few sizes.
 func TestFit(t *testing.T) {
 	tests := map[string]struct {
 		points []Point
--- a/snipemember/member_test.go
+++ b/snipemember/member_test.go
@@ -102,6 +102,8 @@
 	return total
 }
 
+// TestMembership guards against an instance that counts as dead although some others reach it, and against
+// one that counts as live after it was killed.
 func TestMembership(t *testing.T) {
 	const size = 24
 	tests := map[string]struct {
@@ -179,6 +181,8 @@
 	}
 }
 
+// TestAnnounce guards against announcements that do not reach all instances in time, outlive their time,
+// or are too large.
 func TestAnnounce(t *testing.T) {
 	const size = 60
 	tests := map[string]struct {
--- a/snipepeer/snipepeer_test.go
+++ b/snipepeer/snipepeer_test.go
@@ -98,6 +98,8 @@
 	return want
 }
 
+// TestForwardResumes guards against chunks that are lost, doubled or out of order when the connection
+// between two instances breaks or becomes silent, and against calls that stay in flight at the owner.
 func TestForwardResumes(t *testing.T) {
 	cases := map[string]func(f *fixture){
 		"no fault":          func(*fixture) {},
@@ -183,6 +185,8 @@
 	})
 }
 
+// TestForwardFails guards against a failure of a hop that is reported as another kind, or with an outcome
+// that would permit a retry of a call that may have run.
 func TestForwardFails(t *testing.T) {
 	cases := map[string]struct {
 		prepare func(f *fixture, c *snipecall.Call)
--- a/snipequarantine/wire_test.go
+++ b/snipequarantine/wire_test.go
@@ -52,6 +52,7 @@
 	must.True(t, r.IsSuspect(Fingerprint{2}))
 }
 
+// TestWireRejects guards against messages that are accepted although they are invalid.
 func TestWireRejects(t *testing.T) {
 	_, client := newRemote(t)
 	good := Attempt{ID: "a", Upstream: "u"}
--- a/snipereplay/report_test.go
+++ b/snipereplay/report_test.go
@@ -26,6 +26,7 @@
 	)
 }
 
+// TestReport guards against a report that miscounts the outcomes of calls, or leaves out a breach.
 func TestReport(t *testing.T) {
 	p := snipereplay.NewReport(results(time.Millisecond))
 	must.Eq(t, [5]int{103, 100, 1, 2, 1}, [5]int{p.Calls, p.Answered, p.Stated, p.Refused, p.Breaches})
@@ -36,6 +37,7 @@
 	must.StrContains(t, out.String(), `BREACH team t model  service s key "k" prompt "p": executed 2 times`)
 }
 
+// TestPlots guards against plots with a wrong scale, and against a failure for a run without answers.
 func TestPlots(t *testing.T) {
 	p := snipereplay.NewReport(results(time.Millisecond))
 	var text, svg strings.Builder
--- a/snipering/snipering_test.go
+++ b/snipering/snipering_test.go
@@ -9,6 +9,7 @@
 	"snipepitch.example/snipepitch/snipering"
 )
 
+// TestRing guards against a ring that loses, reorders or takes more values than it has room for.
 func TestRing(t *testing.T) {
 	r := snipering.New[int](2)
 	_, ok := r.TryPop()
--- a/snipestand/plan_test.go
+++ b/snipestand/plan_test.go
@@ -45,6 +45,7 @@
 	}
 }
 
+// TestPlanRefuses guards against a plan for a shape that has no room for its faults.
 func TestPlanRefuses(t *testing.T) {
 	tests := map[string]snipestand.PlanShape{
 		"no instance": {Length: time.Minute, Engines: 1, Services: 1},
@@ -58,6 +59,7 @@
 	}
 }
 
+// TestWritePlan guards against a change of the format in which plans are kept.
 func TestWritePlan(t *testing.T) {
 	var out strings.Builder
 	must.NoError(t, snipestand.WritePlan(&out, []snipestand.Step{{At: time.Second, Action: "cut", Target: "peer1", Argument: "both"}}))
--- a/snipetree/store_test.go
+++ b/snipetree/store_test.go
@@ -48,6 +48,7 @@
 	return s.Current().Revision
 }
 
+// TestApplyRefuses guards against an edit that is accepted although its document is invalid.
 func TestApplyRefuses(t *testing.T) {
 	tests := map[string]struct {
 		team string
@@ -71,6 +72,7 @@
 	}
 }
 
+// TestApplyRefusesCrossBranch guards against an edit that contradicts another branch.
 func TestApplyRefusesCrossBranch(t *testing.T) {
 	key := strings.Repeat("ab", 32)
 	tests := map[string]struct {
@@ -100,6 +102,7 @@
 	}
 }
 
+// TestApplyConflict guards against an edit that overwrites one that its operator has not seen.
 func TestApplyConflict(t *testing.T) {
 	table := tableWithPlatform(t)
 	one, two := newStore(table), newStore(table)
@@ -212,6 +215,8 @@
 	must.NoError(t, err)
 }
 
+// TestRacingOperators guards against concurrent edits of one branch that are both accepted, and of several
+// branches that refuse each other.
 func TestRacingOperators(t *testing.T) {
 	const operators = 8
 	tests := map[string]struct {
@@ -250,6 +255,8 @@
 	}
 }
 
+// TestRollback guards against a rollback that overwrites a newer edit, restores another version, or leaves
+// no entry in the history.
 func TestRollback(t *testing.T) {
 	table := tableWithPlatform(t)
 	s := newStore(table)
--- a/snipeupstream/engine_test.go
+++ b/snipeupstream/engine_test.go
@@ -146,6 +146,8 @@
 
 var complete = []string{"1 t1", "2 t2", "3 t3", "4 t4", "5 end"}
 
+// TestAnswerIsCompleteAndInOrder guards against chunks that are lost, doubled or out of order when a stream
+// breaks and is resumed.
 func TestAnswerIsCompleteAndInOrder(t *testing.T) {
 	cases := map[string][]func(http.ResponseWriter, *http.Request){
 		"no fault":              {stream(1, 2, 3, 4, 5)},
@@ -175,6 +177,8 @@
 	}
 }
 
+// TestAnswerFails guards against an answer of another adapter or request that is passed on, and against a
+// failure with a wrong outcome.
 func TestAnswerFails(t *testing.T) {
 	mismatch := func(w http.ResponseWriter, _ *http.Request) {
 		send(w, 1, chunk(1, testAlias))
@@ -355,6 +359,8 @@
 	})
 }
 
+// TestRequestBody guards against a body in which the caller names another model or priority than the one
+// that was checked.
 func TestRequestBody(t *testing.T) {
 	cases := map[string]struct {
 		body   string
--- a/snipeupstream/report_test.go
+++ b/snipeupstream/report_test.go
@@ -36,6 +36,7 @@
 	return &Engine{Name: "e1", Address: address, Pooled: server.Client(), Fresh: server.Client(), Progress: time.Minute}
 }
 
+// TestReport guards against a report that is misread, and against a partial one that counts as whole.
 func TestReport(t *testing.T) {
 	for name, c := range map[string]struct {
 		status int
--- a/snipeupstream/service_test.go
+++ b/snipeupstream/service_test.go
@@ -37,6 +37,7 @@
 // abort closes the connection without an answer.
 func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// TestService guards against a call that is executed twice, and against a failure with a wrong outcome.
 func TestService(t *testing.T) {
 	type steps = []func(http.ResponseWriter, *http.Request)
 	cases := map[string]struct {
