snipebalance: one type for what is in flight

Ruled out: one function for the four places where a value fades with its age, because another order of the operations would round differently.

Change: the weight is a quantity like the others (formerly figure, a word that said little), with remove for what has ended; Pick uses eligible as PickExpected does. The formula is the same, term by term.

Checks: go test ./snipebalance; BenchmarkPick and BenchmarkPickExpected without allocations, as before; make lint.

--- a/snipebalance/expected.go
+++ b/snipebalance/expected.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"snipepitch.example/snipepitch/snipedirectory"
@@ -128,26 +129,13 @@
 	}
 	for n := 0; n < 2*size && len(found) < size; n++ {
 		u := all[int(b.random()*float64(len(all)))]
-		if b.eligible(u, allowed) && !contains(found, u) {
+		if b.eligible(u, allowed) && !slices.ContainsFunc(found, func(c candidate) bool { return c.upstream == u }) {
 			found = append(found, b.candidate(u, extra, d, now))
 		}
 	}
 	return found
 }
 
-func (b *Balancer) eligible(u *snipedirectory.Upstream, allowed Filter) bool {
-	return !u.Leaving && allowed(u) && b.open(u.ID)
-}
-
-func contains(found []candidate, u *snipedirectory.Upstream) bool {
-	for n := range found {
-		if found[n].upstream == u {
-			return true
-		}
-	}
-	return false
-}
-
 // keepBest adds a candidate to a list that holds at most maxCompared, in place of the worst.
 func keepBest(found []candidate, c candidate) []candidate {
 	if len(found) < maxCompared {
--- a/snipebalance/flight.go
+++ b/snipebalance/flight.go
@@ -55,7 +55,7 @@
 		paceAge: age(s.pace.statedAt, now), reportAge: age(s.requests.reportedAt, now),
 	}
 	s.service = u.Service
-	s.inFlight += f.weight
+	s.weight.own += f.weight
 	s.requests.own++
 	s.pending.own += float64(d.PromptTokens)
 	s.reserved.own += d.ReservedTokens
@@ -84,7 +84,7 @@
 	defer b.lock.Unlock()
 	now := time.Now()
 	s := b.state(f.upstream.ID)
-	s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
+	s.pending.remove(float64(f.demand.PromptTokens))
 	if f.demand.Plain {
 		return true
 	}
@@ -108,11 +108,11 @@
 	defer b.lock.Unlock()
 	now := time.Now()
 	if s := b.states[f.upstream.ID]; s != nil {
-		s.inFlight = max(s.inFlight-f.weight, 0)
-		s.requests.own = max(s.requests.own-1, 0)
-		s.reserved.own = max(s.reserved.own-f.demand.ReservedTokens, 0)
+		s.weight.remove(f.weight)
+		s.requests.remove(1)
+		s.reserved.remove(f.demand.ReservedTokens)
 		if !f.first {
-			s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
+			s.pending.remove(float64(f.demand.PromptTokens))
 		}
 		if f.demand.Plain && output >= 0 {
 			s.pace.observe(now.Sub(f.sentAt).Seconds()/f.expected, now)
--- a/snipebalance/load.go
+++ b/snipebalance/load.go
@@ -31,8 +31,7 @@
 }
 
 func (b *Balancer) setLoad(id string, load float64, at time.Time) {
-	s := b.state(id)
-	s.reported, s.inFlightThen, s.reportedAt = load, s.inFlight, at
+	b.state(id).weight.report(load, at)
 }
 
 // SetStated records the load that an upstream states now. It replaces the load of the previous
@@ -68,9 +67,10 @@
 	now := time.Now()
 	var all []LoadReport
 	for id, s := range b.states {
-		age := now.Sub(s.reportedAt)
-		if s.reported > 0 && age < reportLifetime || now.Sub(s.pace.statedAt) < paceLifetime && !s.reportedAt.IsZero() {
-			all = append(all, LoadReport{ID: id, Load: s.reported, Age: age, Work: s.reportedWork()})
+		w := &s.weight
+		age := now.Sub(w.reportedAt)
+		if w.reported > 0 && age < reportLifetime || now.Sub(s.pace.statedAt) < paceLifetime && !w.reportedAt.IsZero() {
+			all = append(all, LoadReport{ID: id, Load: w.reported, Age: age, Work: s.reportedWork()})
 		}
 	}
 	return all
@@ -86,7 +86,7 @@
 	named := make(map[string]bool, len(all))
 	for _, t := range all {
 		named[t.ID] = true
-		if at := now.Add(-t.Age); at.After(b.state(t.ID).reportedAt) {
+		if at := now.Add(-t.Age); at.After(b.state(t.ID).weight.reportedAt) {
 			b.setLoad(t.ID, t.Load, at)
 			b.setWork(t.ID, t.Work.orLoad(t.Load), at)
 		}
@@ -94,7 +94,7 @@
 	for id, s := range b.states {
 		// The other instance reports no load for the upstream, but not since when. A load that was
 		// recorded here more recently than minClearAge is therefore kept.
-		if !named[id] && s.reported > 0 && now.Sub(s.reportedAt) > minClearAge {
+		if !named[id] && s.weight.reported > 0 && now.Sub(s.weight.reportedAt) > minClearAge {
 			b.setLoad(id, 0, now)
 			b.setWork(id, Work{}, now)
 		}
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -57,13 +57,8 @@
 
 // state is the recorded load and health of one upstream.
 type state struct {
-	// inFlight is the weight of this instance's requests in flight.
-	inFlight float64
-	// reported is the last reported load, and inFlightThen the value of inFlight at that time,
-	// which the reported load includes.
-	reported     float64
-	inFlightThen float64
-	reportedAt   time.Time
+	// weight is the load: the weight of the requests in flight.
+	weight quantity
 	// stated is the last load that the upstream stated with an answer, at statedAt.
 	stated   StatedLoad
 	statedAt time.Time
@@ -71,7 +66,7 @@
 	service string
 	// requests, pending and reserved are the requests in flight, the prompt tokens of those without
 	// a first event, and the tokens for which they take memory.
-	requests, pending, reserved figure
+	requests, pending, reserved quantity
 	pace                        paceEstimate
 	// failures is the moving average of the failure rate: of answers that were failures, and of
 	// requests that got no answer. failedAt is the time of the last failure.
@@ -135,7 +130,7 @@
 	var bestCost float64
 	bestSuspect := true
 	for _, u := range all {
-		if u.Leaving || !allowed(u) || !b.open(u.ID) {
+		if !b.eligible(u, allowed) {
 			continue
 		}
 		cost, suspect := b.cost(u, now)
@@ -149,6 +144,11 @@
 	return best
 }
 
+// eligible reports whether a request may be sent to an upstream, suspect or not.
+func (b *Balancer) eligible(u *snipedirectory.Upstream, allowed Filter) bool {
+	return !u.Leaving && allowed(u) && b.open(u.ID)
+}
+
 func (b *Balancer) open(id string) bool { return b.Open == nil || b.Open(id) }
 
 // Usable reports whether an upstream accepts requests and is neither leaving nor suspect.
@@ -188,12 +188,7 @@
 	if s == nil {
 		return 0
 	}
-	load := s.inFlight
-	if age := now.Sub(s.reportedAt); age < reportLifetime {
-		others := max(s.reported-s.inFlightThen, 0)
-		load += others * float64(reportLifetime-age) / float64(reportLifetime)
-	}
-	return load
+	return s.weight.total(now, reportLifetime)
 }
 
 // cost returns the cost of an upstream, as a fraction of its slots, and whether the upstream is
@@ -227,15 +222,15 @@
 func (b *Balancer) Begin(id string, weight float64) (end func()) {
 	b.lock.Lock()
 	s := b.state(id)
-	s.inFlight += weight
+	s.weight.own += weight
 	s.requests.own++
 	b.lock.Unlock()
 	return func() {
 		b.lock.Lock()
 		defer b.lock.Unlock()
 		if s := b.states[id]; s != nil {
-			s.inFlight = max(s.inFlight-weight, 0)
-			s.requests.own = max(s.requests.own-1, 0)
+			s.weight.remove(weight)
+			s.requests.remove(1)
 		}
 	}
 }
@@ -245,7 +240,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	if s := b.states[id]; s != nil {
-		return s.inFlight
+		return s.weight.own
 	}
 	return 0
 }
--- a/snipebalance/work.go
+++ b/snipebalance/work.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxFigure bounds the figures of a valid Work.
-const maxFigure = 1e12
+// maxQuantity bounds the quantities of a valid Work.
+const maxQuantity = 1e12
 
 // Work is the work in flight at an upstream, or the part of it that one instance has sent there.
 // The zero value means that it is not known: instances of an earlier version report only its weight.
@@ -19,10 +19,10 @@
 	PacedAt time.Time
 }
 
-// Valid reports whether all figures are in range, which those of a message may not be.
+// Valid reports whether all quantities are in range, which those of a message may not be.
 func (w Work) Valid() bool {
 	for _, f := range []float64{w.Requests, w.PendingTokens, w.ReservedTokens, w.Pace} {
-		if !(f >= 0 && f <= maxFigure) { // also for a value that is no number
+		if !(f >= 0 && f <= maxQuantity) { // also for a value that is no number
 			return false
 		}
 	}
@@ -49,27 +49,31 @@
 	return w
 }
 
-// figure is one quantity of the work at an upstream: the part that this instance has sent there, and
-// the last reported total.
-type figure struct {
+// quantity is one quantity of what is in flight at an upstream: the part that this instance has sent
+// there, and the last reported total.
+type quantity struct {
 	own float64
 	// ownThen is the value of own at the time of the report, which the reported total includes.
 	reported, ownThen float64
 	reportedAt        time.Time
 }
 
-func (f *figure) report(total float64, at time.Time) {
-	f.reported, f.ownThen, f.reportedAt = total, f.own, at
+// remove subtracts what has ended from the part of this instance.
+func (q *quantity) remove(n float64) { q.own = max(q.own-n, 0) }
+
+// report records a total as reported at a time.
+func (q *quantity) report(total float64, at time.Time) {
+	q.reported, q.ownThen, q.reportedAt = total, q.own, at
 }
 
 // total estimates the quantity of all instances. The others' part decreases with the age of the
 // report, and is zero from the given lifetime on.
-func (f *figure) total(now time.Time, lifetime time.Duration) float64 {
-	age := now.Sub(f.reportedAt)
+func (q *quantity) total(now time.Time, lifetime time.Duration) float64 {
+	age := now.Sub(q.reportedAt)
 	if age >= lifetime {
-		return f.own
+		return q.own
 	}
-	return f.own + max(f.reported-f.ownThen, 0)*float64(lifetime-age)/float64(lifetime)
+	return q.own + max(q.reported-q.ownThen, 0)*float64(lifetime-age)/float64(lifetime)
 }
 
 // OwnWork returns the work of this instance's requests at an upstream of a service that states
