--- a/snipeinstance/members.go
+++ b/snipeinstance/members.go
@@ -14,13 +14,13 @@
 	"snipepitch.example/snipepitch/snipeupstream"
 )
 
-// buildMembers creates the membership node of this instance.
+// buildMembers creates the membership of this instance.
 func (i *Instance) buildMembers(table snipeplatform.Table) {
 	c := i.Config
 	// Each request opens a new connection: a pooled one may be dead without an error, so it does
 	// not show whether the peer can be reached.
 	fresh := snipeupstream.NewFresh(i.peerDial("Members"))
-	i.members = &snipemember.Node{
+	i.members = &snipemember.Membership{
 		Self:     snipemember.Member{Name: c.Name, Address: c.Announced(), Domain: c.Domain},
 		HTTP:     &snipepeer.SecretClient{Client: fresh, Secret: c.PeerSecret},
 		Seeds:    func(ctx context.Context) ([]snipemember.Seed, error) { return i.seeds(ctx, table) },
--- a/snipeinstance/snipeinstance.go
+++ b/snipeinstance/snipeinstance.go
@@ -84,7 +84,7 @@
 	replicas replicas
 	// certificates holds the TLS certificates by listener name.
 	certificates map[string]*snipecert.Reloader
-	members      *snipemember.Node
+	members      *snipemember.Membership
 	// rowSeeds are the seeds from the last read of the lease rows, rowSeedsRead is the time of that
 	// read. Only the goroutine of members accesses them.
 	rowSeeds     []snipemember.Seed
--- a/snipelease/lease_test.go
+++ b/snipelease/lease_test.go
@@ -40,13 +40,13 @@
 	table   *snipestand.Table
 	engines []string
 
-	lock    sync.Mutex // guards the fields below and the nodes' fields
-	nodes   []*node
-	running sync.WaitGroup
+	lock      sync.Mutex // guards the fields below and the instances' fields
+	instances []*instance
+	running   sync.WaitGroup
 }
 
-// node is one instance.
-type node struct {
+// instance is one instance of a cluster.
+type instance struct {
 	holder      *snipelease.Holder
 	cancel      context.CancelFunc
 	member      snipemember.Member
@@ -79,8 +79,8 @@
 // start starts an instance. A running instance of the same name keeps running.
 func (c *cluster) start(name string) {
 	c.lock.Lock()
-	n := &node{digests: map[string]expiringDigest{}}
-	index := len(c.nodes)
+	n := &instance{digests: map[string]expiringDigest{}}
+	index := len(c.instances)
 	n.member = snipemember.Member{
 		Name: name, Incarnation: uint64(time.Now().UnixMilli()),
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index)}), 1),
@@ -95,7 +95,7 @@
 		Busy:      func(string) bool { return c.get(&n.busy) },
 		Operation: rand.Text, Random: random.Float64, Log: snipelog.Discard(),
 	}
-	c.nodes = append(c.nodes, n)
+	c.instances = append(c.instances, n)
 	c.lock.Unlock()
 	c.run(index)
 }
@@ -114,7 +114,7 @@
 
 // members returns the membership as n observes it: deaths after deathDetection, isolation and
 // announcements at once.
-func (c *cluster) members(n *node) snipelease.Members {
+func (c *cluster) members(n *instance) snipelease.Members {
 	return snipelease.Members{
 		All: func() ([]snipemember.Member, bool) { return c.membersSeenBy(n), true },
 		Announce: func(topic, key string, data []byte, ttl time.Duration) {
@@ -129,10 +129,10 @@
 }
 
 // lastContact returns the time of n's last contact with another instance.
-func (c *cluster) lastContact(n *node) time.Time {
+func (c *cluster) lastContact(n *instance) time.Time {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	for _, o := range c.nodes {
+	for _, o := range c.instances {
 		if o != n && o.died.IsZero() && !o.isolated && !n.isolated {
 			n.lastContact = time.Now()
 		}
@@ -140,12 +140,12 @@
 	return n.lastContact
 }
 
-func (c *cluster) membersSeenBy(n *node) []snipemember.Member {
+func (c *cluster) membersSeenBy(n *instance) []snipemember.Member {
 	c.lastContact(n)
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	byName := map[string]snipemember.Member{}
-	for _, o := range c.nodes {
+	for _, o := range c.instances {
 		m := o.member
 		if dead := !o.died.IsZero() && time.Since(o.died) > deathDetection; dead || (n.isolated || o.isolated) && o != n {
 			m.Status = snipemember.Dead
@@ -161,11 +161,11 @@
 	return all
 }
 
-func (c *cluster) digestsSeenBy(n *node, topic string) []snipemember.Digest {
+func (c *cluster) digestsSeenBy(n *instance, topic string) []snipemember.Digest {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	var all []snipemember.Digest
-	for _, o := range c.nodes {
+	for _, o := range c.instances {
 		for _, d := range o.digests {
 			if d.Topic == topic && time.Now().Before(d.expires) && (o == n || !n.isolated && !o.isolated) {
 				all = append(all, d.Digest)
@@ -176,7 +176,7 @@
 }
 
 // tableOf returns the table with the faults of n's connection to it.
-func (c *cluster) tableOf(n *node) snipeplatform.Table {
+func (c *cluster) tableOf(n *instance) snipeplatform.Table {
 	client := c.table.Client()
 	down := func(ctx context.Context) error {
 		if c.get(&n.tableCut) {
@@ -217,7 +217,7 @@
 func (c *cluster) run(index int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	n := c.nodes[index]
+	n := c.instances[index]
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n.cancel = cancel
 	c.running.Go(func() { must.NoError(c.t, n.holder.Run(ctx)) })
@@ -226,8 +226,8 @@
 func (c *cluster) kill(index int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.nodes[index].cancel()
-	c.nodes[index].died = time.Now()
+	c.instances[index].cancel()
+	c.instances[index].died = time.Now()
 }
 
 // freeze stops an instance's holder while the membership still reports the instance alive. run
@@ -235,19 +235,19 @@
 func (c *cluster) freeze(index int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.nodes[index].cancel()
+	c.instances[index].cancel()
 }
 
 func (c *cluster) leave(index int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.nodes[index].member.Leaving = true
-	c.nodes[index].holder.Leave()
+	c.instances[index].member.Leaving = true
+	c.instances[index].holder.Leave()
 }
 
 func (c *cluster) stop() {
 	c.lock.Lock()
-	for _, n := range c.nodes {
+	for _, n := range c.instances {
 		n.cancel()
 	}
 	c.lock.Unlock()
@@ -258,9 +258,9 @@
 // fencing number among them.
 func (c *cluster) owners(engine string) (all []int, fence uint64) {
 	c.lock.Lock()
-	nodes := c.nodes
+	instances := c.instances
 	c.lock.Unlock()
-	for n, o := range nodes {
+	for n, o := range instances {
 		if number, ok := o.holder.Fence(engine); ok && c.alive(o) {
 			all = append(all, n)
 			fence = max(fence, number)
@@ -269,7 +269,7 @@
 	return all, fence
 }
 
-func (c *cluster) alive(n *node) bool {
+func (c *cluster) alive(n *instance) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	return n.died.IsZero()
@@ -315,7 +315,7 @@
 
 func (c *cluster) setTableDown(down bool) { c.table.SetFault(snipestand.TableFault{Down: down}) }
 
-func (c *cluster) ownedBy(index int) int { return len(c.nodes[index].holder.Owned()) }
+func (c *cluster) ownedBy(index int) int { return len(c.instances[index].holder.Owned()) }
 
 // TestOwnership applies a fault to a cluster in which each engine has an owner. It guards against an
 // engine with two owners, one that stays without an owner, and more changes of owner than needed.
@@ -345,30 +345,30 @@
 			c.advance(time.Minute)
 			c.run(2)
 		}, renew, 10},
-		"cut from the table":               {func(c *cluster) { c.set(&c.nodes[2].tableCut, true) }, takeoverTime + renew, 5},
-		"cut from the table, replies only": {func(c *cluster) { c.set(&c.nodes[2].repliesLost, true) }, 2 * takeoverTime, 5},
+		"cut from the table":               {func(c *cluster) { c.set(&c.instances[2].tableCut, true) }, takeoverTime + renew, 5},
+		"cut from the table, replies only": {func(c *cluster) { c.set(&c.instances[2].repliesLost, true) }, 2 * takeoverTime, 5},
 		"cut from all": {func(c *cluster) {
-			c.set(&c.nodes[2].tableCut, true)
-			c.set(&c.nodes[2].isolated, true)
+			c.set(&c.instances[2].tableCut, true)
+			c.set(&c.instances[2].isolated, true)
 		}, takeoverTime + renew, 5},
 		"hung, though the membership hears it": {func(c *cluster) { c.freeze(2); c.advance(2 * time.Minute) }, takeoverTime + time.Minute, 5},
 		"cut from the peers only": {func(c *cluster) {
-			c.set(&c.nodes[2].isolated, true)
+			c.set(&c.instances[2].isolated, true)
 			c.advance(5 * time.Minute)
 		}, renew, 0},
 		"cut from all for long, then healed, table slow": {func(c *cluster) {
-			c.set(&c.nodes[2].tableCut, true)
-			c.set(&c.nodes[2].isolated, true)
+			c.set(&c.instances[2].tableCut, true)
+			c.set(&c.instances[2].isolated, true)
 			c.advance(10 * time.Minute)
 			c.table.SetFault(snipestand.TableFault{Delay: 300 * time.Millisecond})
-			c.set(&c.nodes[2].tableCut, false)
-			c.set(&c.nodes[2].isolated, false)
+			c.set(&c.instances[2].tableCut, false)
+			c.set(&c.instances[2].isolated, false)
 			c.advance(time.Minute)
 		}, renew, 5},
 		"short cut": {func(c *cluster) {
-			c.set(&c.nodes[2].tableCut, true)
+			c.set(&c.instances[2].tableCut, true)
 			c.advance(renew)
-			c.set(&c.nodes[2].tableCut, false)
+			c.set(&c.instances[2].tableCut, false)
 		}, 2 * renew, 0},
 		"outage": {func(c *cluster) {
 			c.setTableDown(true)
@@ -393,13 +393,13 @@
 			c.advance(2 * takeoverTime)
 			c.setTableDown(true)
 			c.advance(time.Minute)
-			c.set(&c.nodes[2].isolated, true)
+			c.set(&c.instances[2].isolated, true)
 			c.lock.Lock()
-			c.nodes[2].died = time.Time{}
+			c.instances[2].died = time.Time{}
 			c.lock.Unlock()
 			c.run(2)
 			c.advance(time.Minute)
-			c.set(&c.nodes[2].isolated, false)
+			c.set(&c.instances[2].isolated, false)
 			c.setTableDown(false)
 		}, takeoverTime, 20},
 		"flapping table":  {func(c *cluster) { c.faultTable(snipestand.TableFault{Flap: 3 * time.Second}) }, renew, 0},
@@ -450,7 +450,7 @@
 				c.advance(tc.wait)
 				must.Eq(t, engines, c.ownedEngines())
 				must.LessEq(t, tc.moves, c.ownerChanges()-before)
-				for n, o := range c.nodes {
+				for n, o := range c.instances {
 					if c.alive(o) && name != "all but one killed" {
 						must.LessEq(t, 10, c.ownedBy(n))
 					}
@@ -476,15 +476,15 @@
 		defer c.stop()
 		c.advance(time.Minute)
 		before := c.ownedBy(1)
-		c.set(&c.nodes[1].busy, true)
+		c.set(&c.instances[1].busy, true)
 		c.leave(1)
 		c.advance(time.Minute)
 		must.Eq(t, before, c.ownedBy(1))
 		must.Eq(t, 6-before, c.ownedEngines())
-		for _, e := range c.nodes[1].holder.Owned() {
-			must.True(t, c.nodes[0].holder.View().Owners[e].HandingOver)
+		for _, e := range c.instances[1].holder.Owned() {
+			must.True(t, c.instances[0].holder.View().Owners[e].HandingOver)
 		}
-		c.set(&c.nodes[1].busy, false)
+		c.set(&c.instances[1].busy, false)
 		c.advance(2 * time.Second)
 		must.Eq(t, 6, c.ownedEngines())
 		must.Zero(t, c.ownedBy(1))
@@ -502,8 +502,8 @@
 	}{
 		"within the lease":          {func(*cluster) {}, true, true},
 		"outage":                    {func(c *cluster) { c.setTableDown(true); c.advance(time.Minute) }, true, false},
-		"cut off alone":             {func(c *cluster) { c.set(&c.nodes[0].tableCut, true); c.advance(duration + time.Second) }, false, true},
-		"cut off alone, taken over": {func(c *cluster) { c.set(&c.nodes[0].tableCut, true); c.advance(2 * takeoverTime) }, false, false},
+		"cut off alone":             {func(c *cluster) { c.set(&c.instances[0].tableCut, true); c.advance(duration + time.Second) }, false, true},
+		"cut off alone, taken over": {func(c *cluster) { c.set(&c.instances[0].tableCut, true); c.advance(2 * takeoverTime) }, false, false},
 		"frozen":                    {func(c *cluster) { c.freeze(0); c.advance(2 * duration) }, false, true},
 		"outage, frozen": {func(c *cluster) {
 			c.setTableDown(true)
@@ -518,7 +518,7 @@
 				c := newCluster(t, 3, 6)
 				defer c.stop()
 				c.advance(time.Minute)
-				h := c.nodes[0].holder
+				h := c.instances[0].holder
 				engine := h.Owned()[0]
 				fence, ok := h.Fence(engine)
 				must.True(t, ok)
--- a/snipelease/random_test.go
+++ b/snipelease/random_test.go
@@ -19,20 +19,20 @@
 }
 
 var faults = []fault{
-	{"cut from the table", func(c *cluster, n int, on bool) { c.set(&c.nodes[n].tableCut, on) }},
-	{"replies lost", func(c *cluster, n int, on bool) { c.set(&c.nodes[n].repliesLost, on) }},
-	{"replies late", func(c *cluster, n int, on bool) { c.set(&c.nodes[n].repliesLate, on) }},
+	{"cut from the table", func(c *cluster, n int, on bool) { c.set(&c.instances[n].tableCut, on) }},
+	{"replies lost", func(c *cluster, n int, on bool) { c.set(&c.instances[n].repliesLost, on) }},
+	{"replies late", func(c *cluster, n int, on bool) { c.set(&c.instances[n].repliesLate, on) }},
 	{"cut from the peers", func(c *cluster, n int, on bool) {
-		c.set(&c.nodes[n].isolated, on)
+		c.set(&c.instances[n].isolated, on)
 		// After isolatedTakeoverDelay (2 minutes) an isolated instance may take engines over while
 		// the other instances extend their ownerships in an outage. The design does not exclude two
 		// owners then, so the isolation ends earlier.
-		time.AfterFunc(100*time.Second, func() { c.set(&c.nodes[n].isolated, false) })
+		time.AfterFunc(100*time.Second, func() { c.set(&c.instances[n].isolated, false) })
 	}},
-	{"busy", func(c *cluster, n int, on bool) { c.set(&c.nodes[n].busy, on) }},
+	{"busy", func(c *cluster, n int, on bool) { c.set(&c.instances[n].busy, on) }},
 	{"frozen", func(c *cluster, n int, on bool) {
 		c.freeze(n)
-		if !on && c.alive(c.nodes[n]) {
+		if !on && c.alive(c.instances[n]) {
 			c.run(n)
 		}
 	}},
--- a/snipelease/snipelease.go
+++ b/snipelease/snipelease.go
@@ -149,7 +149,7 @@
 	// All returns all known instances, also those that are dead or have left, and whether this
 	// instance has joined the membership.
 	All func() (all []snipemember.Member, joined bool)
-	// Announce and Digests send and return announcements; see snipemember.Node.
+	// Announce and Digests send and return announcements; see snipemember.Membership.
 	Announce func(topic, key string, data []byte, ttl time.Duration)
 	Digests  func(topic string) []snipemember.Digest
 	// LastContact returns the time of the last contact with another instance.
--- a/snipemember/digest.go
+++ b/snipemember/digest.go
@@ -40,7 +40,7 @@
 // digestKey identifies a digest: a later version replaces an earlier one with the same key.
 type digestKey struct{ origin, topic, key string }
 
-// queueName returns the name of a changed digest in Node.queue.
+// queueName returns the name of a changed digest in Membership.queue.
 func (k digestKey) queueName() string { return "d/" + k.origin + "/" + k.topic + "/" + k.key }
 
 // digest is a Digest and the time at which it is removed here.
@@ -55,7 +55,7 @@
 // announcement under the same topic and key replaces an earlier one. Announcing the same data again
 // while more than half of ttl is left sends nothing. An announcement that exceeds a bound is not
 // sent; its refusal is logged. Announce does not wait for the announcement to be sent.
-func (n *Node) Announce(topic, key string, data []byte, ttl time.Duration) {
+func (n *Membership) Announce(topic, key string, data []byte, ttl time.Duration) {
 	n.start()
 	if len(data) > MaxData || len(topic) > MaxName || len(key) > MaxName || ttl <= 0 || ttl > MaxTTL {
 		n.Log.Log(snipelog.DigestRefused, snipelog.Fields{"Topic": topic, "Bytes": len(data)})
@@ -83,7 +83,7 @@
 }
 
 // digestCount returns the number of digests of an origin that are known here. The lock is held.
-func (n *Node) digestCount(origin string) int {
+func (n *Membership) digestCount(origin string) int {
 	total := 0
 	for k := range n.digests {
 		if k.origin == origin {
@@ -95,7 +95,7 @@
 
 // Digests returns the digests of a topic that have not expired, including those of this instance,
 // ordered by origin and key.
-func (n *Node) Digests(topic string) []Digest {
+func (n *Membership) Digests(topic string) []Digest {
 	n.start()
 	now := time.Now()
 	n.lock.Lock()
@@ -114,7 +114,7 @@
 
 // mergeDigest merges a received digest and reports whether it was new. A digest of another instance
 // that exceeds MaxOriginDigests or MaxDigests is dropped. The lock is held.
-func (n *Node) mergeDigest(d *digest) bool {
+func (n *Membership) mergeDigest(d *digest) bool {
 	id := d.id()
 	old, known := n.digests[id]
 	if known && old.Version >= d.Version {
@@ -138,7 +138,7 @@
 
 // reannounce gives this instance's own digest a version above all earlier ones and queues it. It
 // does nothing if this process has announced no such digest. The lock is held.
-func (n *Node) reannounce(id digestKey) {
+func (n *Membership) reannounce(id digestKey) {
 	own, ok := n.digests[id]
 	if !ok {
 		return
--- a/snipemember/measure_test.go
+++ b/snipemember/measure_test.go
@@ -17,11 +17,11 @@
 // with headers of 52 bytes.
 const connectionOverhead = 10 * 52
 
-// spreadTime waits until a fraction of the nodes has a digest of the topic, for up to one minute,
+// spreadTime waits until a fraction of the instances has a digest of the topic, for up to one minute,
 // and returns the time that this took.
 func (c *cluster) spreadTime(topic string, fraction float64) time.Duration {
 	began := time.Now()
-	for float64(c.nodesWith(topic)) < fraction*float64(len(c.nodes)) && time.Since(began) < time.Minute {
+	for float64(c.countWith(topic)) < fraction*float64(len(c.instances)) && time.Since(began) < time.Minute {
 		time.Sleep(10 * time.Millisecond)
 	}
 	return time.Since(began)
@@ -31,12 +31,12 @@
 // and instance. over is the time since that call.
 func (c *cluster) rates(over time.Duration) (messages, bytes, wire float64) {
 	requests, total := 0, 0
-	for n := range c.nodes {
+	for n := range c.instances {
 		t := c.network.Traffic(address(n))
 		requests += t.Requests
 		total += t.Bytes
 	}
-	per := float64(len(c.nodes)) * over.Seconds()
+	per := float64(len(c.instances)) * over.Seconds()
 	// A request is counted both at its sender and at its receiver, and the headers of its packets
 	// count at both.
 	return float64(requests) / per, float64(total) / per, float64(total+requests*connectionOverhead) / per
@@ -63,19 +63,19 @@
 	c.rates(span)
 	time.Sleep(span)
 	messages, idle, idleWire := c.rates(span)
-	c.nodes[0].Announce("Once", "k", make([]byte, 100), time.Hour)
+	c.instances[0].Announce("Once", "k", make([]byte, 100), time.Hour)
 	most := c.spreadTime("Once", 0.95)
 	all := most + c.spreadTime("Once", 1)
 	time.Sleep(span / 2)
 	c.rates(span)
 	for n := range int(span / time.Second) {
-		c.nodes[n%size].Announce("Many", fmt.Sprint(n), make([]byte, 100), 2*time.Minute)
+		c.instances[n%size].Announce("Many", fmt.Sprint(n), make([]byte, 100), 2*time.Minute)
 		time.Sleep(time.Second)
 	}
 	_, busy, busyWire := c.rates(span)
 	c.kill(size - 1)
 	began := time.Now()
-	for c.nodesReporting(size-1, snipemember.Dead) < size-1 && time.Since(began) < 5*time.Minute {
+	for c.countReporting(size-1, snipemember.Dead) < size-1 && time.Since(began) < 5*time.Minute {
 		time.Sleep(100 * time.Millisecond)
 	}
 	fmt.Fprintf(os.Stdout, "Row: | %d | %.2f | %.0f | %.0f | %.0f | %.0f | %d | %d | %.1f |\n",
--- a/snipemember/member_test.go
+++ b/snipemember/member_test.go
@@ -19,13 +19,13 @@
 	"snipepitch.example/snipepitch/snipestand"
 )
 
-// cluster is a set of nodes on one in-memory network.
+// cluster is a set of instances on one in-memory network.
 type cluster struct {
-	t       *testing.T
-	network *snipestand.PeerNetwork
-	nodes   []*snipemember.Node
-	cancels []context.CancelFunc
-	running sync.WaitGroup
+	t         *testing.T
+	network   *snipestand.PeerNetwork
+	instances []*snipemember.Membership
+	cancels   []context.CancelFunc
+	running   sync.WaitGroup
 	// seedsDown makes reading the platform's list fail.
 	seedsDown atomic.Bool
 }
@@ -46,7 +46,7 @@
 
 func (c *cluster) start(n int) {
 	random, lock := rand.New(rand.NewSource(int64(n+1))), sync.Mutex{}
-	node := &snipemember.Node{
+	i := &snipemember.Membership{
 		Self: snipemember.Member{Name: name(n), Address: address(n), Domain: "d"},
 		HTTP: c.network.From(address(n)), Seeds: c.seeds,
 		Interval: snipemember.DefaultInterval, Timeout: snipemember.DefaultTimeout,
@@ -57,14 +57,14 @@
 		},
 		Log: snipelog.Discard(),
 	}
-	c.network.Listen(address(n), node.Handler())
+	c.network.Listen(address(n), i.Handler())
 	ctx, cancel := context.WithCancel(c.t.Context())
-	if n < len(c.nodes) {
-		c.nodes[n], c.cancels[n] = node, cancel
+	if n < len(c.instances) {
+		c.instances[n], c.cancels[n] = i, cancel
 	} else {
-		c.nodes, c.cancels = append(c.nodes, node), append(c.cancels, cancel)
+		c.instances, c.cancels = append(c.instances, i), append(c.cancels, cancel)
 	}
-	c.running.Go(func() { must.NoError(c.t, node.Run(ctx)) })
+	c.running.Go(func() { must.NoError(c.t, i.Run(ctx)) })
 }
 
 func (c *cluster) kill(n int) {
@@ -79,22 +79,22 @@
 	c.running.Wait()
 }
 
-// nodesReporting returns the number of nodes, without node n itself, that report node n with the
-// given status.
-func (c *cluster) nodesReporting(n int, s snipemember.Status) int {
+// countReporting returns the number of instances, without instance n itself, that report instance n
+// with the given status.
+func (c *cluster) countReporting(n int, s snipemember.Status) int {
 	total := 0
-	for i, node := range c.nodes {
-		if m, ok := node.Member(name(n)); i != n && ok && m.Status == s {
+	for i, other := range c.instances {
+		if m, ok := other.Member(name(n)); i != n && ok && m.Status == s {
 			total++
 		}
 	}
 	return total
 }
 
-// nodesWith returns the number of nodes that have a digest of the topic.
-func (c *cluster) nodesWith(topic string) int {
+// countWith returns the number of instances that have a digest of the topic.
+func (c *cluster) countWith(topic string) int {
 	total := 0
-	for _, n := range c.nodes {
+	for _, n := range c.instances {
 		if len(n.Digests(topic)) > 0 {
 			total++
 		}
@@ -102,8 +102,8 @@
 	return total
 }
 
-// TestMembership guards against an instance that counts as dead although some others reach it, and against
-// one that counts as live after it was killed.
+// TestMembership guards against an instance that counts as dead although some others reach it, and
+// against one that counts as live after it was killed.
 func TestMembership(t *testing.T) {
 	const size = 24
 	tests := map[string]struct {
@@ -134,7 +134,7 @@
 		"cut from all, then healed": {func(c *cluster) {
 			c.isolate(true)
 			time.Sleep(time.Minute)
-			must.Eq(c.t, size-1, c.nodesReporting(5, snipemember.Dead))
+			must.Eq(c.t, size-1, c.countReporting(5, snipemember.Dead))
 			c.isolate(false)
 		}, 2 * time.Minute, 0, size - 1},
 		"flapping": {func(c *cluster) {
@@ -143,7 +143,7 @@
 				time.Sleep(1500 * time.Millisecond)
 				c.isolate(false)
 				time.Sleep(1500 * time.Millisecond)
-				must.Eq(c.t, 0, c.nodesReporting(5, snipemember.Dead))
+				must.Eq(c.t, 0, c.countReporting(5, snipemember.Dead))
 			}
 		}, 30 * time.Second, 0, size - 1},
 		"replaced under its name": {func(c *cluster) {
@@ -162,12 +162,12 @@
 				}
 				time.Sleep(20 * time.Second)
 				for n := range size {
-					must.Eq(t, size-1, c.nodesReporting(n, snipemember.Alive), must.Sprintf("instance %d", n))
+					must.Eq(t, size-1, c.countReporting(n, snipemember.Alive), must.Sprintf("instance %d", n))
 				}
 				tc.fault(c)
 				time.Sleep(tc.wait)
-				must.Eq(t, tc.dead, c.nodesReporting(5, snipemember.Dead))
-				must.Eq(t, tc.live, c.nodesReporting(5, snipemember.Alive)+c.nodesReporting(5, snipemember.Suspect))
+				must.Eq(t, tc.dead, c.countReporting(5, snipemember.Dead))
+				must.Eq(t, tc.live, c.countReporting(5, snipemember.Alive)+c.countReporting(5, snipemember.Suspect))
 			})
 		})
 	}
@@ -175,7 +175,7 @@
 
 // isolate cuts the links between instance 5 and all others, or restores them.
 func (c *cluster) isolate(cut bool) {
-	for i := range c.nodes {
+	for i := range c.instances {
 		c.network.Cut(address(i), address(5), cut)
 		c.network.Cut(address(5), address(i), cut)
 	}
@@ -193,7 +193,7 @@
 		"all within three seconds": {func(*cluster) {}, 3 * time.Second, size},
 		"most within a quarter of one": {func(c *cluster) {
 			time.Sleep(250 * time.Millisecond)
-			must.Greater(c.t, size*9/10, c.nodesWith("Topic"))
+			must.Greater(c.t, size*9/10, c.countWith("Topic"))
 		}, 3 * time.Second, size},
 		"expires": {func(*cluster) {}, 11 * time.Second, 0},
 		"reaches one that starts later": {func(c *cluster) {
@@ -201,8 +201,8 @@
 			c.start(size)
 		}, 3 * time.Second, size + 1},
 		"too large is refused": {func(c *cluster) {
-			c.nodes[0].Announce("Big", "k", make([]byte, snipemember.MaxData+1), time.Minute)
-			must.Eq(c.t, 0, c.nodesWith("Big"))
+			c.instances[0].Announce("Big", "k", make([]byte, snipemember.MaxData+1), time.Minute)
+			must.Eq(c.t, 0, c.countWith("Big"))
 		}, 3 * time.Second, size},
 	}
 	for title, tc := range tests {
@@ -214,10 +214,10 @@
 					c.start(n)
 				}
 				time.Sleep(30 * time.Second)
-				c.nodes[7].Announce("Topic", "key", []byte("data"), 10*time.Second)
+				c.instances[7].Announce("Topic", "key", []byte("data"), 10*time.Second)
 				tc.do(c)
 				time.Sleep(tc.wait)
-				must.Eq(t, tc.receivers, c.nodesWith("Topic"))
+				must.Eq(t, tc.receivers, c.countWith("Topic"))
 			})
 		})
 	}
@@ -234,10 +234,10 @@
 		}
 		time.Sleep(10 * time.Second)
 		for _, data := range []string{"one", "two", "three"} {
-			c.nodes[3].Announce("Topic", "key", []byte(data), time.Minute)
+			c.instances[3].Announce("Topic", "key", []byte(data), time.Minute)
 		}
 		time.Sleep(5 * time.Second)
-		for _, n := range c.nodes {
+		for _, n := range c.instances {
 			all := n.Digests("Topic")
 			must.Len(t, 1, all)
 			must.Eq(t, "three", string(all[0].Data))
@@ -245,9 +245,9 @@
 		c.kill(3)
 		time.Sleep(time.Second)
 		c.start(3)
-		c.nodes[3].Announce("Topic", "key", []byte("four"), time.Minute)
+		c.instances[3].Announce("Topic", "key", []byte("four"), time.Minute)
 		time.Sleep(20 * time.Second)
-		for _, n := range c.nodes {
+		for _, n := range c.instances {
 			must.Eq(t, "four", string(n.Digests("Topic")[0].Data))
 		}
 	})
@@ -266,9 +266,9 @@
 		c.seedsDown.Store(true)
 		c.start(4)
 		time.Sleep(15 * time.Second)
-		must.Eq(t, 0, c.nodesReporting(4, snipemember.Alive))
+		must.Eq(t, 0, c.countReporting(4, snipemember.Alive))
 		c.seedsDown.Store(false)
 		time.Sleep(15 * time.Second)
-		must.Eq(t, 4, c.nodesReporting(4, snipemember.Alive))
+		must.Eq(t, 4, c.countReporting(4, snipemember.Alive))
 	})
 }
--- a/snipemember/merge.go
+++ b/snipemember/merge.go
@@ -10,7 +10,7 @@
 // mergeMember merges a received state of one member and reports whether it changed anything. A new
 // state is queued for other peers, unless it is that of an unknown member that is dead or has left.
 // The lock is held.
-func (n *Node) mergeMember(m Member) bool {
+func (n *Membership) mergeMember(m Member) bool {
 	if m.Name == n.self.Name {
 		return n.refute(m)
 	}
@@ -30,7 +30,7 @@
 
 // setState stores and logs a state that supersedes old, which is nil for a new member. The lock is
 // held.
-func (n *Node) setState(m Member, old *peer) {
+func (n *Membership) setState(m Member, old *peer) {
 	p := &peer{Member: m}
 	fields := snipelog.Fields{"Member": m.Name, "Incarnation": m.Incarnation}
 	switch m.Status {
@@ -53,7 +53,7 @@
 
 // suspicionTimeout returns the time that a suspect has to refute. It grows with the logarithm of
 // the number of members, as does the time in which an update reaches all of them. The lock is held.
-func (n *Node) suspicionTimeout() time.Duration {
+func (n *Membership) suspicionTimeout() time.Duration {
 	return suspectFactor * n.Interval * time.Duration(1+bits.Len(uint(len(n.peers)))/3)
 }
 
@@ -61,7 +61,7 @@
 // instance, or the same one with a status other than Alive, refute raises the instance's
 // incarnation above it and reports true. An instance that has left refutes nothing. The lock is
 // held.
-func (n *Node) refute(m Member) bool {
+func (n *Membership) refute(m Member) bool {
 	same := m.Status == n.self.Status && m.Address == n.self.Address && m.Leaving == n.self.Leaving
 	if m.Incarnation < n.self.Incarnation || same && m.Incarnation == n.self.Incarnation {
 		return false
@@ -78,7 +78,7 @@
 // markSuspect marks an alive member as suspect after it could not be reached. isolated reports that
 // no relay (a peer that was asked to probe the member) has answered either. This instance may then
 // be the one that is cut off, so the suspect gets isolatedFactor times as long to refute.
-func (n *Node) markSuspect(name string, isolated bool) {
+func (n *Membership) markSuspect(name string, isolated bool) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	p, ok := n.peers[name]
@@ -96,7 +96,7 @@
 
 // expire declares suspects dead after their deadline, and removes expired digests and, after
 // tombstoneTTL, members that are dead or have left.
-func (n *Node) expire() {
+func (n *Membership) expire() {
 	now := time.Now()
 	n.lock.Lock()
 	defer n.lock.Unlock()
--- a/snipemember/news.go
+++ b/snipemember/news.go
@@ -33,24 +33,24 @@
 
 // enqueueMember queues a member's current state to be sent, with no transmissions counted. The lock
 // is held.
-func (n *Node) enqueueMember(name string) {
+func (n *Membership) enqueueMember(name string) {
 	n.queue[memberPrefix+name] = &queuedUpdate{member: name}
 }
 
 // enqueueDigest queues a digest to be sent, with no transmissions counted. The lock is held.
-func (n *Node) enqueueDigest(k digestKey) {
+func (n *Membership) enqueueDigest(k digestKey) {
 	n.queue[k.queueName()] = &queuedUpdate{digest: k}
 }
 
 // retransmitLimit returns how often each instance that receives a change sends it on. The lock is
 // held.
-func (n *Node) retransmitLimit() int {
+func (n *Membership) retransmitLimit() int {
 	return min(maxRetransmits, 1+bits.Len(uint(len(n.peers))))
 }
 
 // hasFreshUpdates reports whether a queued change has been sent fewer than pushFanout times, or
 // fewer than retransmitLimit times if that is less.
-func (n *Node) hasFreshUpdates() bool {
+func (n *Membership) hasFreshUpdates() bool {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	for _, q := range n.queue {
@@ -69,7 +69,7 @@
 
 // nextBatch returns the changes that were sent least often so far, up to maxUpdateBytes, without
 // those that the peer has just sent itself at the same version. It does not count them as sent.
-func (n *Node) nextBatch(received *snipeproto.News) updateBatch {
+func (n *Membership) nextBatch(received *snipeproto.News) updateBatch {
 	skip := versionsOf(received)
 	n.lock.Lock()
 	defer n.lock.Unlock()
@@ -99,7 +99,7 @@
 // answered: an instance that is cut off for a while must not use up its retransmissions. The
 // changes in an answer to a probe are counted at once, as the sender does not learn whether the
 // answer arrives.
-func (n *Node) markSent(b updateBatch) {
+func (n *Membership) markSent(b updateBatch) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	for _, name := range b.names {
@@ -133,7 +133,7 @@
 
 // queuedVersion returns the version of a queued change, or zero if its member or digest was
 // removed. The lock is held.
-func (n *Node) queuedVersion(q *queuedUpdate) updateVersion {
+func (n *Membership) queuedVersion(q *queuedUpdate) updateVersion {
 	if q.member == n.self.Name {
 		return updateVersion{n.self.Incarnation, n.self.Status}
 	}
@@ -148,7 +148,7 @@
 
 // appendQueued appends a change to out if it fits into left bytes. It returns the change's size, or
 // 0 if nothing was appended. The lock is held.
-func (n *Node) appendQueued(out *snipeproto.News, q *queuedUpdate, left int) int {
+func (n *Membership) appendQueued(out *snipeproto.News, q *queuedUpdate, left int) int {
 	if q.member != "" {
 		m := n.self
 		if p, ok := n.peers[q.member]; ok {
@@ -177,7 +177,7 @@
 
 // applyUpdates merges the updates of a peer and wakes the pusher when one was new. It leaves out
 // invalid updates, and records a contact also if there are no updates.
-func (n *Node) applyUpdates(updates *snipeproto.News) {
+func (n *Membership) applyUpdates(updates *snipeproto.News) {
 	changed := false
 	n.lock.Lock()
 	for _, state := range updates.GetMembers() {
--- a/snipemember/run.go
+++ b/snipemember/run.go
@@ -13,7 +13,7 @@
 
 // Run takes part in the membership until ctx ends: it joins, then probes, pushes and syncs. It does
 // not announce the end of the instance; see AnnounceLeft.
-func (n *Node) Run(ctx context.Context) error {
+func (n *Membership) Run(ctx context.Context) error {
 	n.start()
 	var wait sync.WaitGroup
 	wait.Go(func() { n.runPushes(ctx) })
@@ -37,7 +37,7 @@
 
 // step does the work that is due in one interval. It reads the platform's list every
 // seedsRounds rounds, or every reconnectRounds while no live peer is known.
-func (n *Node) step(ctx context.Context, round int) {
+func (n *Membership) step(ctx context.Context, round int) {
 	n.expire()
 	n.probeNext(ctx)
 	if round%seedsRounds == 0 || len(n.randomPeers(1, "")) == 0 && round%reconnectRounds == 0 {
@@ -56,7 +56,7 @@
 // runPushes pushes new changes within pushDelay, as far as a budget of requests allows: it grows by
 // pushRefillRate in each interval, up to pushBurst. Changes that the budget does not allow are sent
 // with the next probes or when the budget has grown.
-func (n *Node) runPushes(ctx context.Context) {
+func (n *Membership) runPushes(ctx context.Context) {
 	budget, refilled := float64(pushBurst), time.Now()
 	for {
 		select {
@@ -84,7 +84,7 @@
 
 // push probes up to count random live peers to send them updates, waits until each has answered or
 // Timeout has passed, and returns the number of peers probed.
-func (n *Node) push(ctx context.Context, count int) int {
+func (n *Membership) push(ctx context.Context, count int) int {
 	peers := n.randomPeers(count, "")
 	var wait sync.WaitGroup
 	for _, m := range peers {
@@ -95,13 +95,13 @@
 }
 
 // client returns a client of a peer's service.
-func (n *Node) client(address netip.AddrPort) snipeproto.Member {
+func (n *Membership) client(address netip.AddrPort) snipeproto.Member {
 	return snipeproto.NewMemberProtobufClient("http://"+address.String(), n.HTTP)
 }
 
 // probe sends a probe with updates to a peer and applies the updates in its answer. It reports
 // whether the peer answered in time and under that name.
-func (n *Node) probe(ctx context.Context, name string, address netip.AddrPort) bool {
+func (n *Membership) probe(ctx context.Context, name string, address netip.AddrPort) bool {
 	bounded, cancel := context.WithTimeout(ctx, n.Timeout)
 	defer cancel()
 	b := n.nextBatch(nil)
@@ -116,7 +116,7 @@
 
 // probeNext probes the next peer of the shuffled order. When that peer does not answer, probeNext
 // asks a few other peers, the relays, to probe it, and marks it as suspect when none reaches it.
-func (n *Node) probeNext(ctx context.Context) {
+func (n *Membership) probeNext(ctx context.Context) {
 	m, ok := n.nextPeer()
 	if !ok || n.probe(ctx, m.Name, m.Address) || ctx.Err() != nil {
 		return
@@ -129,7 +129,7 @@
 
 // nextPeer returns the next live peer of the order, which is shuffled again when it is exhausted:
 // every peer is probed within two passes through the order. It reports false if no peer is live.
-func (n *Node) nextPeer() (Member, bool) {
+func (n *Membership) nextPeer() (Member, bool) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	for range 2 {
@@ -149,7 +149,7 @@
 
 // probeByRelays asks a few other peers to probe m. It returns whether one of them reached m, and
 // how many of them answered at all.
-func (n *Node) probeByRelays(ctx context.Context, m Member) (reached bool, answered int) {
+func (n *Membership) probeByRelays(ctx context.Context, m Member) (reached bool, answered int) {
 	bounded, cancel := context.WithTimeout(ctx, 2*n.Timeout)
 	defer cancel()
 	address, _ := m.Address.MarshalBinary()
@@ -175,7 +175,7 @@
 // reconnect syncs with one instance that is considered dead, or is listed by the platform and
 // unknown here. After a partition, nothing else would connect the separated groups of instances
 // again.
-func (n *Node) reconnect(ctx context.Context) {
+func (n *Membership) reconnect(ctx context.Context) {
 	n.lock.Lock()
 	var candidates []Seed
 	for _, s := range n.seeds {
@@ -195,7 +195,7 @@
 }
 
 // readSeeds reads the platform's list. When that fails the previous list stays in use.
-func (n *Node) readSeeds(ctx context.Context) {
+func (n *Membership) readSeeds(ctx context.Context) {
 	seeds, err := n.Seeds(ctx)
 	if err != nil {
 		n.Log.Error(snipelog.SeedsReadFailed, err, nil)
@@ -208,7 +208,7 @@
 
 // join fetches all members and digests that a few listed instances know. It tries the listed
 // instances one after the other, in a random order, until maxJoinSyncs have answered.
-func (n *Node) join(ctx context.Context) {
+func (n *Membership) join(ctx context.Context) {
 	n.lock.Lock()
 	var others []Seed
 	for _, s := range n.seeds {
--- a/snipemember/snipemember.go
+++ b/snipemember/snipemember.go
@@ -125,10 +125,10 @@
 	deadline time.Time
 }
 
-// Node is this instance's part of the membership. Its exported fields are set before Run. Its
-// methods are safe for concurrent use.
-type Node struct {
-	// Self is this instance; the node sets its status, and its incarnation from the clock.
+// Membership is this instance's view of the membership and its part in the protocol. Its exported
+// fields are set before Run. Its methods are safe for concurrent use.
+type Membership struct {
+	// Self is this instance; Membership sets its status, and its incarnation from the clock.
 	Self Member
 	// HTTP sends requests to peers. It must open a new connection for each request: an existing
 	// connection may have failed silently, so its state proves nothing about the peer.
@@ -139,7 +139,7 @@
 	Interval, Timeout time.Duration
 	// Random returns a number from 0 to n-1.
 	Random func(n int) int
-	// Log receives the node's events.
+	// Log receives the events.
 	Log *snipelog.Logger
 
 	started  sync.Once
@@ -157,8 +157,8 @@
 	seedsRead   bool
 }
 
-// start initializes the node on its first call, so that its methods can be called before Run.
-func (n *Node) start() {
+// start initializes the Membership on its first call, so that its methods can be called before Run.
+func (n *Membership) start() {
 	n.started.Do(func() {
 		n.pushWake = make(chan struct{}, 1)
 		n.lock.Lock()
@@ -176,9 +176,9 @@
 }
 
 // Handler returns the handler of peers' requests; the caller checks the peer secret.
-func (n *Node) Handler() http.Handler {
+func (n *Membership) Handler() http.Handler {
 	n.start()
-	return snipeproto.NewMemberServer(&server{node: n})
+	return snipeproto.NewMemberServer(&server{membership: n})
 }
 
 // PathPrefix is the path at which Handler is mounted.
@@ -186,7 +186,7 @@
 
 // Members returns all known members sorted by name. They include this instance, and members that
 // are dead or have left and are not yet forgotten.
-func (n *Node) Members() []Member {
+func (n *Membership) Members() []Member {
 	n.start()
 	n.lock.Lock()
 	defer n.lock.Unlock()
@@ -200,7 +200,7 @@
 }
 
 // Member returns the member with the given name, and whether it is known.
-func (n *Node) Member(name string) (Member, bool) {
+func (n *Membership) Member(name string) (Member, bool) {
 	n.start()
 	n.lock.Lock()
 	defer n.lock.Unlock()
@@ -216,7 +216,7 @@
 
 // Joined reports whether this instance knows another member, or has read the platform's list and
 // found no other instance in it.
-func (n *Node) Joined() bool {
+func (n *Membership) Joined() bool {
 	n.start()
 	n.lock.Lock()
 	defer n.lock.Unlock()
@@ -231,9 +231,9 @@
 	return n.seedsRead
 }
 
-// LastContact returns when another instance last answered or sent a request, or the node's start if
-// none has done so.
-func (n *Node) LastContact() time.Time {
+// LastContact returns when another instance last answered or sent a request, or when this one
+// started if none has done so.
+func (n *Membership) LastContact() time.Time {
 	n.start()
 	n.lock.Lock()
 	defer n.lock.Unlock()
@@ -242,7 +242,7 @@
 
 // Leave announces that a planned stop has begun, by a higher incarnation. The member stays alive.
 // Leave does not wait for the announcement to be sent.
-func (n *Node) Leave() {
+func (n *Membership) Leave() {
 	n.start()
 	n.lock.Lock()
 	n.self.Leaving = true
@@ -255,7 +255,7 @@
 // AnnounceLeft sets this instance's status to Left, pushes it to a few random live peers, and waits
 // for their answers, at most for Timeout. The other instances receive the status from these peers;
 // if none of them answers, it may reach no instance.
-func (n *Node) AnnounceLeft(ctx context.Context) {
+func (n *Membership) AnnounceLeft(ctx context.Context) {
 	n.start()
 	n.lock.Lock()
 	n.self.Status = Left
@@ -265,7 +265,7 @@
 }
 
 // wakePusher wakes the goroutine that pushes changes.
-func (n *Node) wakePusher() {
+func (n *Membership) wakePusher() {
 	select {
 	case n.pushWake <- struct{}{}:
 	default:
@@ -273,7 +273,7 @@
 }
 
 // livePeers returns the live peers in a random order. The lock is held.
-func (n *Node) livePeers() []Member {
+func (n *Membership) livePeers() []Member {
 	var all []Member
 	for _, p := range n.peers {
 		if p.Live() {
@@ -286,14 +286,14 @@
 }
 
 // shuffle puts count elements into a random order.
-func (n *Node) shuffle(count int, swap func(i, j int)) {
+func (n *Membership) shuffle(count int, swap func(i, j int)) {
 	for i := count - 1; i > 0; i-- {
 		swap(i, n.Random(i+1))
 	}
 }
 
 // randomPeers returns up to count random live peers other than the one named except.
-func (n *Node) randomPeers(count int, except string) []Member {
+func (n *Membership) randomPeers(count int, except string) []Member {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	var chosen []Member
@@ -306,7 +306,7 @@
 }
 
 // recordContact records that a peer answered or sent a request.
-func (n *Node) recordContact() {
+func (n *Membership) recordContact() {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	n.lastContact = time.Now()
--- a/snipemember/sync.go
+++ b/snipemember/sync.go
@@ -32,7 +32,7 @@
 }
 
 // bucketSums returns one sum for each bucket: the XOR of the hashes of its known states.
-func (n *Node) bucketSums() []uint64 {
+func (n *Membership) bucketSums() []uint64 {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	sums := make([]uint64, buckets)
@@ -48,7 +48,7 @@
 }
 
 // bucketContents returns all known states in the wanted buckets.
-func (n *Node) bucketContents(wanted []uint32) *snipeproto.News {
+func (n *Membership) bucketContents(wanted []uint32) *snipeproto.News {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	out := &snipeproto.News{}
@@ -72,7 +72,7 @@
 // differ, and reports whether the peer answered. With introduce it sends only this instance's own
 // state in addition to the sums, as the peer may not know this instance, and fetches the contents
 // of the peer's differing buckets without sending its own.
-func (n *Node) sync(ctx context.Context, address netip.AddrPort, introduce bool) bool {
+func (n *Membership) sync(ctx context.Context, address netip.AddrPort, introduce bool) bool {
 	bounded, cancel := context.WithTimeout(ctx, 2*n.Timeout)
 	defer cancel()
 	in := &snipeproto.SyncRequest{Sums: n.bucketSums()}
@@ -96,24 +96,24 @@
 }
 
 // selfUpdate returns this instance's own state as an update.
-func (n *Node) selfUpdate() *snipeproto.News {
+func (n *Membership) selfUpdate() *snipeproto.News {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	return &snipeproto.News{Members: []*snipeproto.MemberState{encodeMember(n.self)}}
 }
 
 // server serves the requests of peers.
-type server struct{ node *Node }
+type server struct{ membership *Membership }
 
 // Probe implements snipeproto.Member. It refuses a probe that is meant for an instance of another
 // name.
 func (s *server) Probe(_ context.Context, in *snipeproto.ProbeRequest) (*snipeproto.ProbeResponse, error) {
-	if in.GetTarget() != s.node.Self.Name {
-		return nil, twirp.NotFound.Errorf("this is %s", s.node.Self.Name)
+	if in.GetTarget() != s.membership.Self.Name {
+		return nil, twirp.NotFound.Errorf("this is %s", s.membership.Self.Name)
 	}
-	s.node.applyUpdates(in.GetNews())
-	b := s.node.nextBatch(in.GetNews())
-	s.node.markSent(b)
+	s.membership.applyUpdates(in.GetNews())
+	b := s.membership.nextBatch(in.GetNews())
+	s.membership.markSent(b)
 	return &snipeproto.ProbeResponse{News: b.updates}, nil
 }
 
@@ -123,24 +123,24 @@
 	if err != nil {
 		return nil, twirp.InvalidArgument.Error(err.Error())
 	}
-	s.node.recordContact()
-	reached := s.node.probe(ctx, in.GetTarget(), address)
+	s.membership.recordContact()
+	reached := s.membership.probe(ctx, in.GetTarget(), address)
 	return &snipeproto.RelayResponse{Reached: reached}, nil
 }
 
 // Sync implements snipeproto.Member. It applies the updates and, if the request has sums, returns
 // the differing buckets with all states that this instance knows in them.
 func (s *server) Sync(_ context.Context, in *snipeproto.SyncRequest) (*snipeproto.SyncResponse, error) {
-	s.node.applyUpdates(in.GetNews())
+	s.membership.applyUpdates(in.GetNews())
 	out := &snipeproto.SyncResponse{}
 	if len(in.GetSums()) != buckets {
 		return out, nil
 	}
-	for n, sum := range s.node.bucketSums() {
+	for n, sum := range s.membership.bucketSums() {
 		if sum != in.GetSums()[n] {
 			out.Differ = append(out.Differ, uint32(n))
 		}
 	}
-	out.News = s.node.bucketContents(out.GetDiffer())
+	out.News = s.membership.bucketContents(out.GetDiffer())
 	return out, nil
 }
--- a/snipequota/cluster_test.go
+++ b/snipequota/cluster_test.go
@@ -27,9 +27,9 @@
 	t    *testing.T
 	rand *rand.Rand
 
-	lock    sync.Mutex // guards the fields below
-	current *snipecatalog.Workspace
-	nodes   []*node
+	lock      sync.Mutex // guards the fields below
+	current   *snipecatalog.Workspace
+	instances []*instance
 	// calls counts the calls to an issuer.
 	calls int
 	began time.Time
@@ -43,8 +43,8 @@
 	units float64
 }
 
-// node is one instance.
-type node struct {
+// instance is one instance of a cluster.
+type instance struct {
 	account *snipequota.Account
 	issuer  *snipequota.Issuer
 	stop    context.CancelFunc
@@ -61,16 +61,16 @@
 // detectionDelay is how long a stopped instance still counts as live.
 const detectionDelay = 4 * time.Second
 
-func newCluster(t *testing.T, seed uint64, instances int, quota snipecatalog.Quota) *cluster {
+func newCluster(t *testing.T, seed uint64, size int, quota snipecatalog.Quota) *cluster {
 	c := &cluster{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
 		current: &snipecatalog.Workspace{Name: "w", Quota: quota},
 	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	for n := range instances {
+	for n := range size {
 		// Callers are spread by a hash, so some instances get several times as many as others.
-		c.nodes = append(c.nodes, &node{weight: c.rand.ExpFloat64()})
+		c.instances = append(c.instances, &instance{weight: c.rand.ExpFloat64()})
 		c.start(n)
 	}
 	return c
@@ -78,7 +78,7 @@
 
 // start starts an instance without any state.
 func (c *cluster) start(n int) {
-	d := c.nodes[n]
+	d := c.instances[n]
 	d.issuer = &snipequota.Issuer{
 		Quota:     func(string) snipecatalog.Quota { return c.workspace().Quota },
 		Instances: func() []string { return c.live() }, Bounds: bounds,
@@ -100,8 +100,8 @@
 func (c *cluster) kill(n int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.nodes[n].stop()
-	c.nodes[n].down = time.Now()
+	c.instances[n].stop()
+	c.instances[n].down = time.Now()
 }
 
 // restart starts an instance again, without its previous state.
@@ -113,8 +113,8 @@
 
 // stopAll stops all instances.
 func (c *cluster) stopAll() {
-	for n := range c.nodes {
-		c.update(n, func(d *node) { d.stop() })
+	for n := range c.instances {
+		c.update(n, func(d *instance) { d.stop() })
 	}
 	time.Sleep(time.Second)
 }
@@ -138,7 +138,7 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	var all []string
-	for n, d := range c.nodes {
+	for n, d := range c.instances {
 		if d.down.IsZero() || time.Since(d.down) < detectionDelay {
 			all = append(all, fmt.Sprint(n))
 		}
@@ -153,7 +153,7 @@
 		return nil, err
 	}
 	c.lock.Lock()
-	from, to := c.nodes[n], c.nodes[first]
+	from, to := c.instances[n], c.instances[first]
 	issuer := to.issuer
 	reached := from == to || from.partition == to.partition && !from.frozen && !to.frozen
 	down := !to.down.IsZero()
@@ -181,17 +181,17 @@
 // take uses the accounts of this package.
 func (c *cluster) take(n int, units float64) bool {
 	c.lock.Lock()
-	account := c.nodes[n].account
+	account := c.instances[n].account
 	c.lock.Unlock()
 	_, ok := account.Take(c.t.Context(), c.workspace(), units)
 	return ok
 }
 
 // update changes an instance under the lock.
-func (c *cluster) update(n int, f func(d *node)) {
+func (c *cluster) update(n int, f func(d *instance)) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	f(c.nodes[n])
+	f(c.instances[n])
 }
 
 // send sends requests of the given sizes for d, at a rate in units per second, to the running
@@ -227,13 +227,13 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	sum := 0.0
-	for _, d := range c.nodes {
+	for _, d := range c.instances {
 		if d.down.IsZero() && !d.frozen {
 			sum += d.weight
 		}
 	}
 	at := c.rand.Float64() * sum
-	for n, d := range c.nodes {
+	for n, d := range c.instances {
 		if !d.down.IsZero() || d.frozen {
 			continue
 		}
--- a/snipequota/faults_test.go
+++ b/snipequota/faults_test.go
@@ -40,12 +40,12 @@
 func (c *cluster) inject(f fault, n, partition int) {
 	switch f {
 	case partitioned:
-		c.update(n, func(d *node) { d.partition = partition })
+		c.update(n, func(d *instance) { d.partition = partition })
 	case reconnected:
-		c.update(n, func(d *node) { d.partition = 0 })
+		c.update(n, func(d *instance) { d.partition = 0 })
 	case frozen:
-		c.update(n, func(d *node) { d.frozen = true })
-		time.AfterFunc(time.Second, func() { c.update(n, func(d *node) { d.frozen = false }) })
+		c.update(n, func(d *instance) { d.frozen = true })
+		time.AfterFunc(time.Second, func() { c.update(n, func(d *instance) { d.frozen = false }) })
 	case killed:
 		c.kill(n)
 		time.AfterFunc(time.Second, func() { c.restart(n) })
@@ -108,7 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 5, 3, small)
 		defer c.stopAll()
-		a := c.nodes[1].account
+		a := c.instances[1].account
 		took := func() int {
 			n := 0
 			for range 100 {
@@ -144,7 +144,7 @@
 		c.setQuota(small)
 		must.True(t, c.take(1, 1000))
 		calls := c.callCount()
-		c.nodes[1].account.Return(old, 1000)
+		c.instances[1].account.Return(old, 1000)
 		must.True(t, c.take(1, 1000))
 		must.Eq(t, calls, c.callCount())
 	})
--- a/snipequota/methods_test.go
+++ b/snipequota/methods_test.go
@@ -25,9 +25,9 @@
 		at    time.Time
 	}
 	var lock sync.Mutex
-	shares := make([]state, len(c.nodes))
+	shares := make([]state, len(c.instances))
 	return func(n int, units float64) bool {
-		q, sharers := c.workspace().Quota, float64(len(c.nodes))
+		q, sharers := c.workspace().Quota, float64(len(c.instances))
 		lock.Lock()
 		defer lock.Unlock()
 		p := &shares[n]
@@ -113,8 +113,8 @@
 	}},
 	"CallersMove": {large, func(c *cluster, take takeFunc) {
 		c.send(take, 6*time.Second, 0.8*large.PerSecond, c.sizes(700))
-		for n := range c.nodes {
-			c.update(n, func(d *node) { d.weight = c.rand.ExpFloat64() * c.rand.ExpFloat64() })
+		for n := range c.instances {
+			c.update(n, func(d *instance) { d.weight = c.rand.ExpFloat64() * c.rand.ExpFloat64() })
 		}
 		c.send(take, 10*time.Second, 0.8*large.PerSecond, c.sizes(700))
 	}},
@@ -123,27 +123,27 @@
 	}},
 	"AllKilled": {large, func(c *cluster, take takeFunc) {
 		c.send(take, 5*time.Second, 4*large.PerSecond, c.sizes(700))
-		for n := range c.nodes {
+		for n := range c.instances {
 			c.kill(n)
 		}
-		for n := range c.nodes {
+		for n := range c.instances {
 			c.restart(n)
 		}
 		c.send(take, 8*time.Second, 4*large.PerSecond, c.sizes(700))
 	}},
 	"ThirdCut": {large, func(c *cluster, take takeFunc) {
 		c.send(take, 5*time.Second, 0.55*large.PerSecond, c.sizes(700))
-		for n := range len(c.nodes) / 3 {
-			c.update(n, func(d *node) { d.partition = 1 + n%2 })
+		for n := range len(c.instances) / 3 {
+			c.update(n, func(d *instance) { d.partition = 1 + n%2 })
 		}
 		c.send(take, 8*time.Second, 0.55*large.PerSecond, c.sizes(700))
 		c.send(take, 6*time.Second, 4*large.PerSecond, c.sizes(700))
 	}},
 	"IssuerFrozen": {large, func(c *cluster, take takeFunc) {
 		c.send(take, 5*time.Second, 0.55*large.PerSecond, c.sizes(700))
-		c.update(0, func(d *node) { d.frozen = true })
+		c.update(0, func(d *instance) { d.frozen = true })
 		c.send(take, 6*time.Second, 2*large.PerSecond, c.sizes(700))
-		c.update(0, func(d *node) { d.frozen = false })
+		c.update(0, func(d *instance) { d.frozen = false })
 		c.send(take, 6*time.Second, 2*large.PerSecond, c.sizes(700))
 	}},
 	"Replaced": {large, func(c *cluster, take takeFunc) {
@@ -158,7 +158,7 @@
 
 // partitionOf returns the network partition of an instance.
 func (c *cluster) partitionOf(n int) (partition int) {
-	c.update(n, func(d *node) { partition = d.partition })
+	c.update(n, func(d *instance) { partition = d.partition })
 	return partition
 }
 
