--- a/cmd/snipepitchd/pressure_test.go
+++ b/cmd/snipepitchd/pressure_test.go
@@ -459,7 +459,7 @@
 	}
 	text, err := os.ReadFile(p.log)
 	must.NoError(t, err)
-	t.Logf("memory before %d, peak %+v of %d; callers that read, of another workspace: %s; of the same: %s; %d refused, %d broken, %d ended, %d cut off by upstreams, connections full %d times",
+	t.Logf("memory before %d, peak %+v of %d; fast callers of another workspace: %s; of the same: %s; %d refused, %d broken, %d ended, %d cut off by upstreams, connections full %d times",
 		start, m, int64(memoryBytes), other, same, len(c.refused), c.broken.Load(),
 		bytes.Count(text, []byte(`"Name":"AnswerEnded"`)), u.cut.Load(), bytes.Count(text, []byte(`"Name":"ConnectionsFull"`)))
 	if keep := os.Getenv("KEEP_LOG"); keep != "" {
