snipeadmission: shorter table of the tests of upstreams

Cause: each of 22 rows spelled out a function literal and the package's types, so that the row's difference was hard to see; the fixture was called bench, beside real benchmarks.

Ruled out: dropping rows or changing bounds; the 22 rows are the same.

Change: set and observe as release has it, and short names of types within the test; the fixture is testCoordinator.

Checks: make lint; go test ./snipeadmission.

--- a/snipeadmission/coordinator_test.go
+++ b/snipeadmission/coordinator_test.go
@@ -17,8 +17,8 @@
 
 const ms = time.Millisecond
 
-// bench is a Coordinator with upstreams that a test changes.
-type bench struct {
+// testCoordinator is a Coordinator with upstreams that a test changes.
+type testCoordinator struct {
 	*snipeadmission.Coordinator
 	t         *testing.T
 	upstreams []snipeadmission.Upstream
@@ -28,58 +28,58 @@
 
 // paused runs a test on the paused clock with a Coordinator of one upstream with one slot, for which
 // two permits may be out.
-func paused(t *testing.T, test func(t *testing.T, b *bench)) {
+func paused(t *testing.T, test func(t *testing.T, c *testCoordinator)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bench{t: t, upstreams: []snipeadmission.Upstream{{ID: "u", Slots: 1}}}
-		b.Coordinator = &snipeadmission.Coordinator{
-			Upstreams: func() []snipeadmission.Upstream { return b.upstreams },
+		c := &testCoordinator{t: t, upstreams: []snipeadmission.Upstream{{ID: "u", Slots: 1}}}
+		c.Coordinator = &snipeadmission.Coordinator{
+			Upstreams: func() []snipeadmission.Upstream { return c.upstreams },
 			OnDecision: func(d snipeadmission.Decision) {
-				b.lock.Lock()
-				defer b.lock.Unlock()
-				b.decisions = append(b.decisions, d)
+				c.lock.Lock()
+				defer c.lock.Unlock()
+				c.decisions = append(c.decisions, d)
 			},
 		}
-		test(t, b)
+		test(t, c)
 	})
 }
 
 // take acquires a permit, which must be granted.
-func (b *bench) take(r snipeadmission.Request) snipeadmission.Permit {
-	b.t.Helper()
-	p, err := b.Acquire(b.t.Context(), r)
-	must.NoError(b.t, err)
+func (c *testCoordinator) take(r snipeadmission.Request) snipeadmission.Permit {
+	c.t.Helper()
+	p, err := c.Acquire(c.t.Context(), r)
+	must.NoError(c.t, err)
 	return p
 }
 
 // fill takes all permits.
-func (b *bench) fill(n int) []snipeadmission.Permit {
+func (c *testCoordinator) fill(n int) []snipeadmission.Permit {
 	var all []snipeadmission.Permit
 	for range n {
-		all = append(all, b.take(snipeadmission.Request{Instance: "i"}))
+		all = append(all, c.take(snipeadmission.Request{Instance: "i"}))
 	}
 	return all
 }
 
 // tryFor reports whether a permit is granted within the time. The permit is released unused.
-func (b *bench) tryFor(d time.Duration) (string, bool) {
-	ctx, cancel := context.WithTimeout(b.t.Context(), d)
+func (c *testCoordinator) tryFor(d time.Duration) (string, bool) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), d)
 	defer cancel()
-	p, err := b.Acquire(ctx, snipeadmission.Request{Instance: "i"})
+	p, err := c.Acquire(ctx, snipeadmission.Request{Instance: "i"})
 	if err == nil {
-		b.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
+		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
 	}
 	return p.Upstream, err == nil
 }
 
 // refused acquires a permit, which must be refused at once.
-func (b *bench) refused(r snipeadmission.Request) *snipeadmission.RefusedError {
-	b.t.Helper()
+func (c *testCoordinator) refused(r snipeadmission.Request) *snipeadmission.RefusedError {
+	c.t.Helper()
 	began := time.Now()
-	_, err := b.Acquire(b.t.Context(), r)
-	must.ErrorIs(b.t, err, snipeadmission.ErrRefused)
-	must.Zero(b.t, time.Since(began))
+	_, err := c.Acquire(c.t.Context(), r)
+	must.ErrorIs(c.t, err, snipeadmission.ErrRefused)
+	must.Zero(c.t, time.Since(began))
 	var refusal *snipeadmission.RefusedError
-	must.True(b.t, errors.As(err, &refusal))
+	must.True(c.t, errors.As(err, &refusal))
 	return refusal
 }
 
@@ -87,24 +87,24 @@
 // are renewed, or that another instance keeps alive.
 func TestLifetime(t *testing.T) {
 	tests := map[string]struct {
-		during func(b *bench, held []snipeadmission.Permit)
+		during func(c *testCoordinator, held []snipeadmission.Permit)
 		want   time.Duration // until a third permit is granted
 	}{
-		"Lost":         {func(*bench, []snipeadmission.Permit) {}, time.Second},
-		"Renewed":      {func(b *bench, p []snipeadmission.Permit) { b.Renew("i", []uint64{p[0].ID, p[1].ID, 7}) }, 1500 * ms},
-		"OneRenewed":   {func(b *bench, p []snipeadmission.Permit) { b.Renew("i", []uint64{p[0].ID}) }, time.Second},
-		"OtherRenews":  {func(b *bench, p []snipeadmission.Permit) { b.Renew("j", []uint64{p[0].ID, p[1].ID}) }, time.Second},
-		"Released":     {func(b *bench, p []snipeadmission.Permit) { b.Release(p[0].ID, snipeadmission.Result{}) }, 500 * ms},
-		"InstanceGone": {func(b *bench, _ []snipeadmission.Permit) { b.DropInstance("i") }, 500 * ms},
-		"OtherGone":    {func(b *bench, _ []snipeadmission.Permit) { b.DropInstance("j") }, time.Second},
+		"Lost":         {func(*testCoordinator, []snipeadmission.Permit) {}, time.Second},
+		"Renewed":      {func(c *testCoordinator, p []snipeadmission.Permit) { c.Renew("i", []uint64{p[0].ID, p[1].ID, 7}) }, 1500 * ms},
+		"OneRenewed":   {func(c *testCoordinator, p []snipeadmission.Permit) { c.Renew("i", []uint64{p[0].ID}) }, time.Second},
+		"OtherRenews":  {func(c *testCoordinator, p []snipeadmission.Permit) { c.Renew("j", []uint64{p[0].ID, p[1].ID}) }, time.Second},
+		"Released":     {func(c *testCoordinator, p []snipeadmission.Permit) { c.Release(p[0].ID, snipeadmission.Result{}) }, 500 * ms},
+		"InstanceGone": {func(c *testCoordinator, _ []snipeadmission.Permit) { c.DropInstance("i") }, 500 * ms},
+		"OtherGone":    {func(c *testCoordinator, _ []snipeadmission.Permit) { c.DropInstance("j") }, time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			paused(t, func(t *testing.T, b *bench) {
+			paused(t, func(t *testing.T, c *testCoordinator) {
 				began := time.Now()
-				held := b.fill(2)
-				time.AfterFunc(500*ms, func() { test.during(b, held) })
-				b.take(snipeadmission.Request{Instance: "k"})
+				held := c.fill(2)
+				time.AfterFunc(500*ms, func() { test.during(c, held) })
+				c.take(snipeadmission.Request{Instance: "k"})
 				must.Eq(t, test.want, time.Since(began))
 			})
 		})
@@ -113,15 +113,15 @@
 
 // TestLateRelease guards against a release after the end of a permit that frees a slot twice.
 func TestLateRelease(t *testing.T) {
-	paused(t, func(t *testing.T, b *bench) {
-		held := b.fill(2)
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		held := c.fill(2)
 		time.Sleep(time.Second + ms)
-		must.Eq(t, snipeadmission.Stats{Granted: 2, Expired: 2}, b.Stats())
-		b.fill(2)
-		b.Release(held[0].ID, snipeadmission.Result{})
-		_, ok := b.tryFor(500 * ms)
+		must.Eq(t, snipeadmission.Stats{Granted: 2, Expired: 2}, c.Stats())
+		c.fill(2)
+		c.Release(held[0].ID, snipeadmission.Result{})
+		_, ok := c.tryFor(500 * ms)
 		must.False(t, ok)
-		must.Eq(t, snipeadmission.Stats{PermitsOut: 2, Granted: 4, Expired: 2, Unknown: 1, Withdrawn: 1}, b.Stats())
+		must.Eq(t, snipeadmission.Stats{PermitsOut: 2, Granted: 4, Expired: 2, Unknown: 1, Withdrawn: 1}, c.Stats())
 	})
 }
 
@@ -129,16 +129,16 @@
 // request ends at the moment of its grant.
 func TestEndAtGrant(t *testing.T) {
 	for range 50 {
-		paused(t, func(t *testing.T, b *bench) {
-			held := b.fill(2)
-			time.AfterFunc(100*ms, func() { b.Release(held[0].ID, snipeadmission.Result{}) })
-			_, granted := b.tryFor(100 * ms)
+		paused(t, func(t *testing.T, c *testCoordinator) {
+			held := c.fill(2)
+			time.AfterFunc(100*ms, func() { c.Release(held[0].ID, snipeadmission.Result{}) })
+			_, granted := c.tryFor(100 * ms)
 			synctest.Wait()
-			s := b.Stats()
+			s := c.Stats()
 			must.Eq(t, 1, s.PermitsOut)
 			must.Zero(t, s.Waiting)
 			must.Eq(t, !granted, s.Withdrawn == 1)
-			b.fill(1)
+			c.fill(1)
 		})
 	}
 }
@@ -146,52 +146,58 @@
 // TestUpstreams guards against permits for upstreams that have left or failed, and against slots of
 // new or changed upstreams that are not used.
 func TestUpstreams(t *testing.T) {
-	release := func(r snipeadmission.Result) func(*bench, []snipeadmission.Permit) {
-		return func(b *bench, p []snipeadmission.Permit) { b.Release(p[0].ID, r) }
+	type (
+		change = func(c *testCoordinator, held []snipeadmission.Permit)
+		load   = snipeadmission.Load
+		result = snipeadmission.Result
+	)
+	release := func(r result) change {
+		return func(c *testCoordinator, p []snipeadmission.Permit) { c.Release(p[0].ID, r) }
+	}
+	set := func(pairs ...any) change {
+		return func(c *testCoordinator, _ []snipeadmission.Permit) { c.set(pairs...) }
+	}
+	observe := func(l load) change {
+		return func(c *testCoordinator, _ []snipeadmission.Permit) { c.Observe("u", l) }
 	}
-	load := func(l snipeadmission.Load) *snipeadmission.Load { return &l }
 	tests := map[string]struct {
-		change func(b *bench, held []snipeadmission.Permit)
+		change change
 		within time.Duration
 		want   string // the upstream of the next permit; empty if there is none within the time
 	}{
-		"Nothing":        {func(*bench, []snipeadmission.Permit) {}, 500 * ms, ""},
-		"Appears":        {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 1, "v", 1) }, 20 * ms, "v"},
-		"Restarts":       {func(b *bench, _ []snipeadmission.Permit) { b.set("v", 1) }, 20 * ms, "v"},
-		"Leaves":         {func(b *bench, p []snipeadmission.Permit) { b.set(); b.Release(p[0].ID, snipeadmission.Result{}) }, 500 * ms, ""},
-		"MoreSlots":      {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 2) }, 20 * ms, "u"},
-		"NonsenseSlots":  {func(b *bench, _ []snipeadmission.Permit) { b.set("u", -5) }, 500 * ms, ""},
-		"ZeroSlots":      {func(b *bench, _ []snipeadmission.Permit) { b.set("v", 0) }, 20 * ms, "v"},
-		"NoID":           {func(b *bench, _ []snipeadmission.Permit) { b.set("u", 1, "", 9) }, 500 * ms, ""},
-		"StatesSlots":    {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Running: 2, Slots: 8}) }, 20 * ms, "u"},
-		"StatesNonsense": {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Running: -2, Slots: 8}) }, 500 * ms, ""},
-		"StatesHuge":     {func(b *bench, _ []snipeadmission.Permit) { b.Observe("u", snipeadmission.Load{Slots: 1 << 40}) }, 500 * ms, ""},
-		"StatesNaN": {func(b *bench, _ []snipeadmission.Permit) {
-			b.Observe("u", snipeadmission.Load{Slots: 8, Pace: math.NaN()})
-		}, 500 * ms, ""},
-		"StatesStale": {func(b *bench, _ []snipeadmission.Permit) {
-			b.Observe("u", snipeadmission.Load{Slots: 8, Age: 2 * time.Second})
-		}, 500 * ms, ""},
-		"Released":       {release(snipeadmission.Result{Took: 10 * ms}), 5 * ms, "u"},
-		"Refused":        {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: 100 * ms}), 99 * ms, ""},
-		"RefusedAfter":   {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: 100 * ms}), 120 * ms, "u"},
-		"RefusedFull":    {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, Load: load(snipeadmission.Load{Running: 1, Waiting: 24, Slots: 1})}), 140 * ms, ""},
-		"RefusedForever": {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: time.Hour}), 5 * time.Second, "u"},
-		"Unreachable":    {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable}), 240 * ms, ""},
-		"Suspect":        {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 240 * ms, ""},
-		"SuspectForOne": {func(b *bench, p []snipeadmission.Permit) {
-			b.Release(p[0].ID, snipeadmission.Result{Took: 10 * ms})
-			b.Release(p[1].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect})
+		"Nothing":        {func(*testCoordinator, []snipeadmission.Permit) {}, 500 * ms, ""},
+		"Appears":        {set("u", 1, "v", 1), 20 * ms, "v"},
+		"Restarts":       {set("v", 1), 20 * ms, "v"},
+		"Leaves":         {func(c *testCoordinator, p []snipeadmission.Permit) { c.set(); c.Release(p[0].ID, result{}) }, 500 * ms, ""},
+		"MoreSlots":      {set("u", 2), 20 * ms, "u"},
+		"NonsenseSlots":  {set("u", -5), 500 * ms, ""},
+		"ZeroSlots":      {set("v", 0), 20 * ms, "v"},
+		"NoID":           {set("u", 1, "", 9), 500 * ms, ""},
+		"StatesSlots":    {observe(load{Running: 2, Slots: 8}), 20 * ms, "u"},
+		"StatesNonsense": {observe(load{Running: -2, Slots: 8}), 500 * ms, ""},
+		"StatesHuge":     {observe(load{Slots: 1 << 40}), 500 * ms, ""},
+		"StatesNaN":      {observe(load{Slots: 8, Pace: math.NaN()}), 500 * ms, ""},
+		"StatesStale":    {observe(load{Slots: 8, Age: 2 * time.Second}), 500 * ms, ""},
+		"Released":       {release(result{Took: 10 * ms}), 5 * ms, "u"},
+		"Refused":        {release(result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: 100 * ms}), 99 * ms, ""},
+		"RefusedAfter":   {release(result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: 100 * ms}), 120 * ms, "u"},
+		"RefusedFull":    {release(result{Outcome: snipeadmission.OutcomeRefused, Load: &load{Running: 1, Waiting: 24, Slots: 1}}), 140 * ms, ""},
+		"RefusedForever": {release(result{Outcome: snipeadmission.OutcomeRefused, RetryAfter: time.Hour}), 5 * time.Second, "u"},
+		"Unreachable":    {release(result{Outcome: snipeadmission.OutcomeUnreachable}), 240 * ms, ""},
+		"Suspect":        {release(result{Outcome: snipeadmission.OutcomeSuspect}), 240 * ms, ""},
+		"SuspectForOne": {func(c *testCoordinator, p []snipeadmission.Permit) {
+			c.Release(p[0].ID, result{Took: 10 * ms})
+			c.Release(p[1].ID, result{Outcome: snipeadmission.OutcomeSuspect})
 		}, 5 * ms, "u"},
-		"SuspectProbed": {release(snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect}), 1100 * ms, "u"},
+		"SuspectProbed": {release(result{Outcome: snipeadmission.OutcomeSuspect}), 1100 * ms, "u"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			paused(t, func(t *testing.T, b *bench) {
-				held := b.fill(2)
+			paused(t, func(t *testing.T, c *testCoordinator) {
+				held := c.fill(2)
 				time.Sleep(ms)
-				test.change(b, held)
-				got, _ := b.tryFor(test.within)
+				test.change(c, held)
+				got, _ := c.tryFor(test.within)
 				must.Eq(t, test.want, got)
 			})
 		})
@@ -201,28 +207,28 @@
 // TestFailuresAtOnce guards against an upstream that is paused for seconds because several requests
 // failed there at the same time: only failures after a pause lengthen it.
 func TestFailuresAtOnce(t *testing.T) {
-	paused(t, func(t *testing.T, b *bench) {
-		b.set("u", 8)
-		for _, p := range b.fill(6) {
-			b.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		c.set("u", 8)
+		for _, p := range c.fill(6) {
+			c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
 		}
 		began := time.Now()
-		p := b.take(snipeadmission.Request{})
+		p := c.take(snipeadmission.Request{})
 		must.Between(t, 250*ms, time.Since(began), 260*ms)
-		b.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
+		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
 		began = time.Now()
-		b.take(snipeadmission.Request{})
+		c.take(snipeadmission.Request{})
 		must.Between(t, 500*ms, time.Since(began), 510*ms)
 	})
 }
 
 // set replaces the upstreams by pairs of ID and slots.
-func (b *bench) set(pairs ...any) {
-	b.upstreams = nil
+func (c *testCoordinator) set(pairs ...any) {
+	c.upstreams = nil
 	for i := 0; i < len(pairs); i += 2 {
-		b.upstreams = append(b.upstreams, snipeadmission.Upstream{ID: pairs[i].(string), Slots: pairs[i+1].(int)})
+		c.upstreams = append(c.upstreams, snipeadmission.Upstream{ID: pairs[i].(string), Slots: pairs[i+1].(int)})
 	}
-	b.Refresh()
+	c.Refresh()
 }
 
 // TestChoice guards against a slow upstream that is used because it has a free slot, although a fast
@@ -239,17 +245,17 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			paused(t, func(t *testing.T, b *bench) {
-				b.set("u", 4, "v", 4)
+			paused(t, func(t *testing.T, c *testCoordinator) {
+				c.set("u", 4, "v", 4)
 				for range 50 {
-					b.Observe("u", snipeadmission.Load{Pace: 1})
-					b.Observe("v", snipeadmission.Load{Pace: 1})
+					c.Observe("u", snipeadmission.Load{Pace: 1})
+					c.Observe("v", snipeadmission.Load{Pace: 1})
 				}
-				b.Observe("v", snipeadmission.Load{Pace: test.paceOfV})
+				c.Observe("v", snipeadmission.Load{Pace: test.paceOfV})
 				time.Sleep(test.age)
 				var got []string
 				for range test.want {
-					got = append(got, b.take(snipeadmission.Request{}).Upstream)
+					got = append(got, c.take(snipeadmission.Request{}).Upstream)
 				}
 				must.Eq(t, test.want, got)
 			})
@@ -261,16 +267,16 @@
 // which sends those behind it to a slow upstream. The first six requests are sooner at u, also in its
 // queue by more than the margin for a wait, and so is the seventh; the eighth is sent to v.
 func TestAssigned(t *testing.T) {
-	paused(t, func(t *testing.T, b *bench) {
-		b.set("u", 4, "v", 4)
-		b.Observe("u", snipeadmission.Load{Pace: 1})
-		b.Observe("v", snipeadmission.Load{Pace: 2.3})
-		b.fill(5)
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		c.set("u", 4, "v", 4)
+		c.Observe("u", snipeadmission.Load{Pace: 1})
+		c.Observe("v", snipeadmission.Load{Pace: 2.3})
+		c.fill(5)
 		got := make(chan string, 3)
 		for range 3 {
 			must.Eq(t, 0, len(got))
 			go func() {
-				p, _ := b.Acquire(t.Context(), snipeadmission.Request{})
+				p, _ := c.Acquire(t.Context(), snipeadmission.Request{})
 				got <- p.Upstream
 			}()
 			synctest.Wait()
@@ -284,46 +290,46 @@
 // TestForeignLoad guards against permits for slots that requests without a permit of this coordinator
 // take, and against a report of them that counts for ever. The load is that of a second coordinator.
 func TestForeignLoad(t *testing.T) {
-	paused(t, func(t *testing.T, b *bench) {
-		b.set("u", 8)
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		c.set("u", 8)
 		for range 20 {
-			b.Observe("u", snipeadmission.Load{Running: 8, Waiting: 20})
+			c.Observe("u", snipeadmission.Load{Running: 8, Waiting: 20})
 		}
-		b.fill(1)
-		_, ok := b.tryFor(500 * ms)
+		c.fill(1)
+		_, ok := c.tryFor(500 * ms)
 		must.False(t, ok)
 		time.Sleep(500 * ms)
-		b.fill(8)
+		c.fill(8)
 	})
 }
 
 // TestPlace guards against a request that loses its place when an upstream refused it or its call
 // ended, and against its return to the upstream that has just refused it.
 func TestPlace(t *testing.T) {
-	paused(t, func(t *testing.T, b *bench) {
-		held := b.fill(2)
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		held := c.fill(2)
 		arrived := time.Now()
 		time.Sleep(100 * ms)
 		order := make(chan string, 2)
 		for _, r := range []snipeadmission.Request{{Instance: "new"}, {Instance: "returned", Arrived: arrived}} {
 			go func() {
-				b.take(r)
+				c.take(r)
 				order <- r.Instance
 			}()
 			synctest.Wait()
 		}
 		for _, p := range held {
-			b.Release(p.ID, snipeadmission.Result{})
+			c.Release(p.ID, snipeadmission.Result{})
 			synctest.Wait()
 		}
 		must.Eq(t, "returned new", fmt.Sprint(<-order, " ", <-order))
 
-		b.set("u", 4, "v", 4)
-		must.Eq(t, "v", b.take(snipeadmission.Request{Excluded: []string{"u"}}).Upstream)
+		c.set("u", 4, "v", 4)
+		must.Eq(t, "v", c.take(snipeadmission.Request{Excluded: []string{"u"}}).Upstream)
 		began := time.Now()
-		must.Eq(t, "v", b.take(snipeadmission.Request{Excluded: []string{"u", "unknown"}}).Upstream)
-		b.set("u", 4)
-		must.Eq(t, "u", b.take(snipeadmission.Request{Excluded: []string{"u"}}).Upstream)
+		must.Eq(t, "v", c.take(snipeadmission.Request{Excluded: []string{"u", "unknown"}}).Upstream)
+		c.set("u", 4)
+		must.Eq(t, "u", c.take(snipeadmission.Request{Excluded: []string{"u"}}).Upstream)
 		must.Between(t, ms, time.Since(began), 200*ms)
 	})
 }
@@ -333,39 +339,39 @@
 func TestRefusals(t *testing.T) {
 	in := func(d time.Duration) time.Time { return time.Now().Add(d) }
 	tests := map[string]struct {
-		prepare func(b *bench)
+		prepare func(c *testCoordinator)
 		request func() snipeadmission.Request
 		want    snipeadmission.Reason
 	}{
-		"NoUpstream": {func(b *bench) { b.set() }, func() snipeadmission.Request { return snipeadmission.Request{} }, snipeadmission.ReasonNoUpstream},
-		"AllPaused": {func(b *bench) {
-			b.Release(b.fill(1)[0].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
+		"NoUpstream": {func(c *testCoordinator) { c.set() }, func() snipeadmission.Request { return snipeadmission.Request{} }, snipeadmission.ReasonNoUpstream},
+		"AllPaused": {func(c *testCoordinator) {
+			c.Release(c.fill(1)[0].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnreachable})
 		}, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(100 * ms)} }, snipeadmission.ReasonNoUpstream},
-		"Passed":   {func(*bench) {}, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(0)} }, snipeadmission.ReasonDeadline},
-		"Deadline": {func(b *bench) { b.fill(2) }, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(60 * ms)} }, snipeadmission.ReasonDeadline},
-		"Full": {func(b *bench) {
-			b.MaxWaiting = 1
-			b.fill(2)
-			go b.tryFor(time.Second)
+		"Passed":   {func(*testCoordinator) {}, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(0)} }, snipeadmission.ReasonDeadline},
+		"Deadline": {func(c *testCoordinator) { c.fill(2) }, func() snipeadmission.Request { return snipeadmission.Request{Deadline: in(60 * ms)} }, snipeadmission.ReasonDeadline},
+		"Full": {func(c *testCoordinator) {
+			c.MaxWaiting = 1
+			c.fill(2)
+			go c.tryFor(time.Second)
 			synctest.Wait()
 		}, func() snipeadmission.Request { return snipeadmission.Request{} }, snipeadmission.ReasonFull},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			paused(t, func(t *testing.T, b *bench) {
-				test.prepare(b)
+			paused(t, func(t *testing.T, c *testCoordinator) {
+				test.prepare(c)
 				var last time.Duration
 				for range 5 {
-					e := b.refused(test.request())
+					e := c.refused(test.request())
 					must.Eq(t, test.want, e.Reason)
 					must.Positive(t, e.RetryAfter)
 					must.Greater(t, last, e.RetryAfter)
 					last = e.RetryAfter
 				}
-				must.Eq(t, uint64(5), b.Stats().Refused)
-				b.lock.Lock()
-				d := b.decisions[len(b.decisions)-1]
-				b.lock.Unlock()
+				must.Eq(t, uint64(5), c.Stats().Refused)
+				c.lock.Lock()
+				d := c.decisions[len(c.decisions)-1]
+				c.lock.Unlock()
 				must.Eq(t, snipeadmission.EventRefused, d.Event)
 				must.Eq(t, test.want, d.Refusal.Reason)
 				time.Sleep(2 * time.Second)
@@ -377,22 +383,22 @@
 // TestPriority guards against a less urgent request that is served first or waits without bound. The
 // load is urgent requests at twice the rate that the upstream serves.
 func TestPriority(t *testing.T) {
-	paused(t, func(t *testing.T, b *bench) {
+	paused(t, func(t *testing.T, c *testCoordinator) {
 		began := time.Now()
 		for time.Since(began) < 3*time.Second {
 			time.Sleep(25 * ms)
 			go func() {
-				p, err := b.Acquire(t.Context(), snipeadmission.Request{Deadline: time.Now().Add(300 * ms)})
+				p, err := c.Acquire(t.Context(), snipeadmission.Request{Deadline: time.Now().Add(300 * ms)})
 				if err == nil {
 					time.Sleep(50 * ms)
-					b.Release(p.ID, snipeadmission.Result{Took: 50 * ms})
+					c.Release(p.ID, snipeadmission.Result{Took: 50 * ms})
 				}
 			}()
 		}
 		synctest.Wait()
-		must.Positive(t, b.refused(snipeadmission.Request{Priority: 1, Deadline: time.Now().Add(10 * time.Second)}).RetryAfter)
+		must.Positive(t, c.refused(snipeadmission.Request{Priority: 1, Deadline: time.Now().Add(10 * time.Second)}).RetryAfter)
 		time.Sleep(2 * time.Second)
-		must.Zero(t, b.Stats().PermitsOut)
+		must.Zero(t, c.Stats().PermitsOut)
 	})
 }
 
--- a/snipeadmission/excess_test.go
+++ b/snipeadmission/excess_test.go
@@ -11,13 +11,13 @@
 
 // observe makes the Coordinator observe requests at an upstream: their time, the further time until
 // their release arrives, and the load that they report.
-func (b *bench) observe(n int, upstream string, avoid []string, took, handover time.Duration, l *snipeadmission.Load) {
-	b.t.Helper()
+func (c *testCoordinator) observe(n int, upstream string, avoid []string, took, handover time.Duration, l *snipeadmission.Load) {
+	c.t.Helper()
 	for range n {
-		p := b.take(snipeadmission.Request{Instance: "i", Excluded: avoid})
-		must.Eq(b.t, upstream, p.Upstream)
+		p := c.take(snipeadmission.Request{Instance: "i", Excluded: avoid})
+		must.Eq(c.t, upstream, p.Upstream)
 		time.Sleep(took + handover)
-		b.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeServed, Took: took, Load: l})
+		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeServed, Took: took, Load: l})
 	}
 }
 
@@ -44,11 +44,11 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			paused(t, func(t *testing.T, b *bench) {
-				b.upstreams = []snipeadmission.Upstream{{ID: "u", Slots: 6}}
+			paused(t, func(t *testing.T, c *testCoordinator) {
+				c.upstreams = []snipeadmission.Upstream{{ID: "u", Slots: 6}}
 				granted := make(chan uint64, 1000)
 				acquire := func() {
-					if p, err := b.Acquire(t.Context(), snipeadmission.Request{Instance: "i"}); err == nil {
+					if p, err := c.Acquire(t.Context(), snipeadmission.Request{Instance: "i"}); err == nil {
 						granted <- p.ID
 					}
 				}
@@ -59,13 +59,13 @@
 					for range 24 {
 						go acquire()
 						time.Sleep(2 * ms)
-						b.Release(<-granted, r)
+						c.Release(<-granted, r)
 					}
 				}
 				time.Sleep(50 * ms)
-				must.Eq(t, tt.want, b.Stats().PermitsOut)
+				must.Eq(t, tt.want, c.Stats().PermitsOut)
 				for range tt.queue {
-					b.Release(<-granted, snipeadmission.Result{})
+					c.Release(<-granted, snipeadmission.Result{})
 				}
 			})
 		})
@@ -76,23 +76,23 @@
 // request is refused. Otherwise it would stay idle, since a fast upstream is expected to end each
 // request sooner, and no request would show that it is fast again.
 func TestFreeBeforeRefusal(t *testing.T) {
-	paused(t, func(t *testing.T, b *bench) {
-		b.upstreams = []snipeadmission.Upstream{{ID: "fast", Slots: 1}, {ID: "slow", Slots: 1}}
-		b.observe(20, "fast", []string{"slow"}, 30*ms, 0, nil)
-		b.observe(20, "slow", []string{"fast"}, 300*ms, 0, nil)
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		c.upstreams = []snipeadmission.Upstream{{ID: "fast", Slots: 1}, {ID: "slow", Slots: 1}}
+		c.observe(20, "fast", []string{"slow"}, 30*ms, 0, nil)
+		c.observe(20, "slow", []string{"fast"}, 300*ms, 0, nil)
 		for range 150 { // more arrivals than both serve
-			b.Release(b.take(snipeadmission.Request{Instance: "i"}).ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
+			c.Release(c.take(snipeadmission.Request{Instance: "i"}).ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
 			time.Sleep(10 * ms)
 		}
-		b.observe(5, "fast", []string{"slow"}, 30*ms, 0, nil)
+		c.observe(5, "fast", []string{"slow"}, 30*ms, 0, nil)
 		for range 2 {
-			must.Eq(t, "fast", b.take(snipeadmission.Request{Instance: "i", Excluded: []string{"slow"}}).Upstream)
+			must.Eq(t, "fast", c.take(snipeadmission.Request{Instance: "i", Excluded: []string{"slow"}}).Upstream)
 		}
 		began := time.Now()
-		p := b.take(snipeadmission.Request{Instance: "i", Target: began.Add(40 * ms), Deadline: began.Add(2 * time.Second)})
+		p := c.take(snipeadmission.Request{Instance: "i", Target: began.Add(40 * ms), Deadline: began.Add(2 * time.Second)})
 		must.Eq(t, "slow", p.Upstream)
 		must.Eq(t, 0, time.Since(began))
-		_, err := b.Acquire(t.Context(), snipeadmission.Request{Instance: "i", Target: time.Now().Add(40 * ms), Deadline: time.Now().Add(100 * ms)})
+		_, err := c.Acquire(t.Context(), snipeadmission.Request{Instance: "i", Target: time.Now().Add(40 * ms), Deadline: time.Now().Add(100 * ms)})
 		must.ErrorIs(t, err, snipeadmission.ErrRefused)
 	})
 }
