--- a/snipeadapter/evict.go
+++ b/snipeadapter/evict.go
@@ -12,6 +12,19 @@
 	"snipepitch.example/snipepitch/snipetime"
 )
 
+const (
+	// foreignLoadAge is how long after a read of the engine that showed an adapter as loading the read
+	// is repeated. Shorter: the adapter may still be loading, since two loads take this long, and a read
+	// costs as much as an order. Longer: the adapter cannot be evicted for longer.
+	foreignLoadAge = 500 * time.Millisecond
+	// missedUses limits the rate assumed for an adapter that is idle for time t to missedUses/t:
+	// the end of demand shows after three times the interval between its requests.
+	missedUses = 3
+	// replicatedFactor scales the value of an adapter that other engines hold too: its loss costs a
+	// few refusals until callers know of it, but no load.
+	replicatedFactor = 0.05
+)
+
 // freeSlot unloads adapters, those of least value first, until a slot is free. If the engine is
 // full and foreignLoadsDue is true, freeSlot reads the engine again first. The error wraps errInUse
 // if no adapter can be evicted now. The caller holds orderLock.
@@ -55,11 +68,6 @@
 	return false
 }
 
-// foreignLoadAge is how long after a read of the engine that showed an adapter as loading the read
-// is repeated. Shorter: the adapter may still be loading, since two loads take this long, and a read
-// costs as much as an order. Longer: the adapter cannot be evicted for longer.
-const foreignLoadAge = 500 * time.Millisecond
-
 // unload unloads an adapter and waits until its slot is free. If the outcome is unknown, it reads
 // the engine again and returns nil, so that the caller checks for a free slot again. The caller
 // holds orderLock: the engine accepts no other order meanwhile.
@@ -115,14 +123,6 @@
 	return taken
 }
 
-// evictable reports whether an adapter can be evicted: it was not used for minIdle, no request for
-// it is in flight, and neither it nor a newer version is loading. An adapter whose newer version is
-// still queued can be evicted: otherwise, if all adapters had a newer version queued, none of these
-// loads would get a slot. The lock is held.
-func (e *engine) evictable(a snipecatalog.Adapter, h *heldAdapter, inFlight map[snipecatalog.Adapter]bool, now time.Time) bool {
-	return !h.loading && !h.replacing && !e.activeLoads[a] && !inFlight[a] && now.Sub(h.lastUsed) >= minIdle
-}
-
 // leastValuable returns the evictable adapter whose loss costs least, and false if none is
 // evictable. The lock is held.
 func (e *engine) leastValuable(u *snipedirectory.Upstream) (snipecatalog.Adapter, bool) {
@@ -142,14 +142,13 @@
 	return least, found
 }
 
-const (
-	// missedUses limits the rate assumed for an adapter that is idle for time t to missedUses/t:
-	// the end of demand shows after three times the interval between its requests.
-	missedUses = 3
-	// replicatedFactor scales the value of an adapter that other engines hold too: its loss costs a
-	// few refusals until callers know of it, but no load.
-	replicatedFactor = 0.05
-)
+// evictable reports whether an adapter can be evicted: it was not used for minIdle, no request for
+// it is in flight, and neither it nor a newer version is loading. An adapter whose newer version is
+// still queued can be evicted: otherwise, if all adapters had a newer version queued, none of these
+// loads would get a slot. The lock is held.
+func (e *engine) evictable(a snipecatalog.Adapter, h *heldAdapter, inFlight map[snipecatalog.Adapter]bool, now time.Time) bool {
+	return !h.loading && !h.replacing && !e.activeLoads[a] && !inFlight[a] && now.Sub(h.lastUsed) >= minIdle
+}
 
 // value returns the cost of evicting an adapter: its decaying use count, limited by the time since
 // its last use, and scaled by replicatedFactor if other engines can serve it instead.
