snipecatalog: one lookup of a service's engine declaration

Cause: snipeentry and snipegateway checked four times that a catalog is known, declares a service, and declares it as one that runs models.

Ruled out: the same for Instance.plain, which must tell an undeclared service from a plain one.

Change: Catalog.Engine, also for a nil catalog; the callers use it. No behaviour changes.

--- a/snipecatalog/snipecatalog.go
+++ b/snipecatalog/snipecatalog.go
@@ -154,6 +154,15 @@
 	return c.indexWorkspaces()
 }
 
+// Engine returns what the catalog declares of the engines of a service. It returns nil if the service
+// runs no models or is not declared, and for a nil catalog.
+func (c *Catalog) Engine(service string) *Engine {
+	if c == nil || c.Services[service] == nil {
+		return nil
+	}
+	return c.Services[service].Engine
+}
+
 // Lookup returns the host's route with the longest prefix of path; nil if no route matches.
 func (c *Catalog) Lookup(host, path string) *Route {
 	var best *Route
--- a/snipeentry/engines.go
+++ b/snipeentry/engines.go
@@ -37,19 +37,18 @@
 // adapterSlots returns how many adapters an engine can hold, or 0 if no catalog is known or it does
 // not declare the engine's service as one that runs models.
 func (i *Instance) adapterSlots(u *snipedirectory.Upstream) int {
-	c := i.catalog.Catalog()
-	if c == nil || c.Services[u.Service] == nil || c.Services[u.Service].Engine == nil {
-		return 0
+	if e := i.catalog.Catalog().Engine(u.Service); e != nil {
+		return e.AdapterSlots
 	}
-	return c.Services[u.Service].Engine.AdapterSlots
+	return 0
 }
 
 // modelFor returns the base model that an engine should load: the model that the fewest engines of
 // its service hold, or "" if the engine holds a model already, if no catalog is known, or if the
 // catalog does not declare its service as one that runs models.
 func (i *Instance) modelFor(u *snipedirectory.Upstream) string {
-	c := i.catalog.Catalog()
-	if c == nil || len(u.Models) > 0 || c.Services[u.Service] == nil || c.Services[u.Service].Engine == nil {
+	engine := i.catalog.Catalog().Engine(u.Service)
+	if engine == nil || len(u.Models) > 0 {
 		return ""
 	}
 	held := make(map[string]int)
@@ -59,7 +58,7 @@
 		}
 	}
 	rarest := ""
-	for _, m := range c.Services[u.Service].Engine.Models {
+	for _, m := range engine.Models {
 		if rarest == "" || held[m.Name] < held[rarest] {
 			rarest = m.Name
 		}
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -148,7 +148,7 @@
 		return err
 	}
 	c.service = c.route.Backend(sniperoute.Hash(c.ID))
-	if s := c.catalog.Services[c.service]; s == nil || s.Engine == nil {
+	if c.catalog.Engine(c.service) == nil {
 		// A plain service holds no models, so the model named by the caller is ignored.
 		c.Adapter = snipecatalog.Adapter{}
 	}
--- a/snipegateway/expected.go
+++ b/snipegateway/expected.go
@@ -58,11 +58,10 @@
 // memoryTokens returns the tokens for which an engine of a service has memory; zero if the catalog
 // does not state it.
 func (c *Chooser) memoryTokens(service string) int {
-	catalog := c.Versions.Catalog()
-	if catalog == nil || catalog.Services[service] == nil || catalog.Services[service].Engine == nil {
-		return 0
+	if e := c.Versions.Catalog().Engine(service); e != nil {
+		return e.MemoryTokens
 	}
-	return catalog.Services[service].Engine.MemoryTokens
+	return 0
 }
 
 // slowerThanLoad reports whether a request is expected to be delayed at an engine for at least as
