Tests of shared admission: instances, shared setup

Cause: the tests said node for an instance, and five of them set up the network that inNetwork sets up; the removal of an instance from a view was written three times.

Ruled out: dropping cases or changing bounds.

--- a/snipeentry/admission_test.go
+++ b/snipeentry/admission_test.go
@@ -38,7 +38,7 @@
 // admissionNetwork is a number of instances that share the upstreams of one service. Their messages
 // are passed in memory.
 type admissionNetwork struct {
-	nodes []*admissionNode
+	instances []*admissionInstance
 
 	lock      sync.Mutex // guards the fields below
 	upstreams []*snipedirectory.Upstream
@@ -46,8 +46,8 @@
 	most      map[string]int // the highest number that ran, by upstream
 }
 
-// admissionNode is one instance.
-type admissionNode struct {
+// admissionInstance is one instance.
+type admissionInstance struct {
 	*admission
 	network *admissionNetwork
 	log     bytes.Buffer
@@ -56,39 +56,46 @@
 	// ended instances refuse connections, frozen ones do not answer, and lossy ones handle messages
 	// whose answers are lost. cutOff holds the instances whose messages do not arrive here.
 	ended, frozen, lossy, stopping bool
-	cutOff                         map[*admissionNode]bool
+	cutOff                         map[*admissionInstance]bool
 	members                        []snipeowner.Instance // the instances of its view
 }
 
 // Write implements io.Writer for the log.
-func (n *admissionNode) Write(p []byte) (int, error) {
+func (n *admissionInstance) Write(p []byte) (int, error) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	return n.log.Write(p)
 }
 
-func (n *admissionNode) count(event string) int {
+func (n *admissionInstance) count(event string) int {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	return strings.Count(n.log.String(), `"Name":"`+event+`"`)
 }
 
 // set changes the state of an instance.
-func (n *admissionNode) set(change func(n *admissionNode)) {
+func (n *admissionInstance) set(change func(n *admissionInstance)) {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	change(n)
 }
 
-func (n *admissionNode) freeze(on bool) { n.set(func(n *admissionNode) { n.frozen = on }) }
+func (n *admissionInstance) freeze(on bool) { n.set(func(n *admissionInstance) { n.frozen = on }) }
 
-func (n *admissionNode) isStopping() bool {
+// drop removes another instance from the instance's view.
+func (n *admissionInstance) drop(peer netip.AddrPort) {
+	n.set(func(n *admissionInstance) {
+		n.members = slices.DeleteFunc(slices.Clone(n.members), func(m snipeowner.Instance) bool { return m.Peer == peer })
+	})
+}
+
+func (n *admissionInstance) isStopping() bool {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	return n.stopping
 }
 
-func (n *admissionNode) view() *snipeowner.View {
+func (n *admissionInstance) view() *snipeowner.View {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	v := &snipeowner.View{Live: make(map[netip.AddrPort]snipeowner.Instance), Ranked: n.members}
@@ -100,26 +107,26 @@
 
 // newAdmissionNetwork returns instances that share two upstreams with the given number of slots. It
 // is called in a bubble of synctest.
-func newAdmissionNetwork(instances, slots int) *admissionNetwork {
+func newAdmissionNetwork(count, slots int) *admissionNetwork {
 	w := &admissionNetwork{running: map[string]int{}, most: map[string]int{}}
 	for _, id := range []string{"p1", "p2"} {
 		w.upstreams = append(w.upstreams, &snipedirectory.Upstream{ID: id, Service: plainService, Slots: slots})
 	}
 	var members []snipeowner.Instance
-	for n := range instances {
+	for n := range count {
 		members = append(members, member(n))
 	}
-	for n := range instances {
-		node := &admissionNode{network: w, members: members, cutOff: map[*admissionNode]bool{}}
-		log := snipelog.New(node, logrus.InfoLevel, members[n].Name)
+	for n := range count {
+		i := &admissionInstance{network: w, members: members, cutOff: map[*admissionInstance]bool{}}
+		log := snipelog.New(i, logrus.InfoLevel, members[n].Name)
 		meter := snipemeter.New()
 		plain := func(service string) bool { return service == plainService }
-		node.admission = &admission{
-			Self: members[n].Peer, Share: 100, Plain: plain, Paced: plain, Upstreams: w.service, View: node.view, Log: log, Meter: meter,
-			Client: func(to netip.AddrPort) snipeproto.Admission { return &memoryClient{from: node, to: w.node(to)} },
-			Lender: &lender{Plain: plain, Upstreams: w.service, Stopping: node.isStopping, Log: log, Meter: meter},
+		i.admission = &admission{
+			Self: members[n].Peer, Share: 100, Plain: plain, Paced: plain, Upstreams: w.service, View: i.view, Log: log, Meter: meter,
+			Client: func(to netip.AddrPort) snipeproto.Admission { return &memoryClient{from: i, to: w.at(to)} },
+			Lender: &lender{Plain: plain, Upstreams: w.service, Stopping: i.isStopping, Log: log, Meter: meter},
 		}
-		w.nodes = append(w.nodes, node)
+		w.instances = append(w.instances, i)
 	}
 	return w
 }
@@ -130,15 +137,15 @@
 	return w.upstreams
 }
 
-func (w *admissionNetwork) node(peer netip.AddrPort) *admissionNode {
-	return w.nodes[slices.IndexFunc(w.nodes, func(n *admissionNode) bool { return n.Self == peer })]
+func (w *admissionNetwork) at(peer netip.AddrPort) *admissionInstance {
+	return w.instances[slices.IndexFunc(w.instances, func(n *admissionInstance) bool { return n.Self == peer })]
 }
 
 // ranked returns the instances in the order in which they coordinate.
-func (w *admissionNetwork) ranked() []*admissionNode {
-	var all []*admissionNode
-	for _, peer := range w.nodes[0].coordinators(plainService) {
-		all = append(all, w.node(peer))
+func (w *admissionNetwork) ranked() []*admissionInstance {
+	var all []*admissionInstance
+	for _, peer := range w.instances[0].coordinators(plainService) {
+		all = append(all, w.at(peer))
 	}
 	return all
 }
@@ -172,7 +179,7 @@
 }
 
 // run acquires a permit for one request, runs it for d, and releases it.
-func (n *admissionNode) run(ctx context.Context, d time.Duration) (*snipegateway.Permit, error) {
+func (n *admissionInstance) run(ctx context.Context, d time.Duration) (*snipegateway.Permit, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestDeadline)
 	defer cancel()
 	p, err := n.acquire(ctx, plainService, snipeadmission.Request{Workspace: "w", Deadline: time.Now().Add(requestDeadline)})
@@ -189,14 +196,14 @@
 // permitsOut returns the permits that all instances have lent.
 func (w *admissionNetwork) permitsOut() int {
 	sum := 0
-	for _, n := range w.nodes {
+	for _, n := range w.instances {
 		sum += n.out()
 	}
 	return sum
 }
 
 // out returns the permits that an instance has lent.
-func (n *admissionNode) out() int {
+func (n *admissionInstance) out() int {
 	out, _ := n.Lender.stats()
 	return out
 }
@@ -210,7 +217,7 @@
 }
 
 // memoryClient passes messages to another instance, encoded and decoded as on the wire.
-type memoryClient struct{ from, to *admissionNode }
+type memoryClient struct{ from, to *admissionInstance }
 
 var errConnectionRefused = errors.New("connection refused")
 
@@ -298,9 +305,9 @@
 
 // inNetwork runs a test in a bubble with a network and its instances in the order in which they
 // coordinate.
-func inNetwork(t *testing.T, instances, slots int, test func(t *testing.T, w *admissionNetwork, order []*admissionNode)) {
+func inNetwork(t *testing.T, count, slots int, test func(t *testing.T, w *admissionNetwork, order []*admissionInstance)) {
 	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(instances, slots)
+		w := newAdmissionNetwork(count, slots)
 		test(t, w, w.ranked())
 	})
 }
@@ -308,12 +315,11 @@
 // TestPermitsShared guards against more requests at an upstream than its slots and the excess, and
 // against permits that are not given back.
 func TestPermitsShared(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(8, 4)
+	inNetwork(t, 8, 4, func(t *testing.T, w *admissionNetwork, _ []*admissionInstance) {
 		var all sync.WaitGroup
 		for n := range 160 {
 			all.Go(func() {
-				_, err := w.nodes[n%8].run(t.Context(), serviceTime)
+				_, err := w.instances[n%8].run(t.Context(), serviceTime)
 				must.NoError(t, err)
 			})
 			time.Sleep(8 * time.Millisecond)
@@ -331,29 +337,29 @@
 // request, and against a coordinator that is not asked again when it answers again.
 func TestCoordinatorFails(t *testing.T) {
 	tests := map[string]struct {
-		fail, recover func(n, caller *admissionNode)
+		fail, recover func(n, caller *admissionInstance)
 		// wait is the longest wait of the first request after the failure.
 		wait time.Duration
 	}{
 		"Ends": {
-			func(n, _ *admissionNode) { n.set(func(n *admissionNode) { n.ended = true }) },
-			func(n, _ *admissionNode) { n.set(func(n *admissionNode) { n.ended = false }) },
+			func(n, _ *admissionInstance) { n.set(func(n *admissionInstance) { n.ended = true }) },
+			func(n, _ *admissionInstance) { n.set(func(n *admissionInstance) { n.ended = false }) },
 			5 * time.Millisecond,
 		},
 		"Freezes": {
-			func(n, _ *admissionNode) { n.freeze(true) },
-			func(n, _ *admissionNode) { n.freeze(false) },
+			func(n, _ *admissionInstance) { n.freeze(true) },
+			func(n, _ *admissionInstance) { n.freeze(false) },
 			permitTimeout + 5*time.Millisecond,
 		},
 		"CutOff": {
-			func(n, caller *admissionNode) { n.set(func(n *admissionNode) { n.cutOff[caller] = true }) },
-			func(n, caller *admissionNode) { n.set(func(n *admissionNode) { n.cutOff[caller] = false }) },
+			func(n, caller *admissionInstance) { n.set(func(n *admissionInstance) { n.cutOff[caller] = true }) },
+			func(n, caller *admissionInstance) { n.set(func(n *admissionInstance) { n.cutOff[caller] = false }) },
 			permitTimeout + 5*time.Millisecond,
 		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+			inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 				first, second, caller := order[0], order[1], order[3]
 				p, err := caller.run(t.Context(), serviceTime)
 				must.NoError(t, err)
@@ -388,7 +394,7 @@
 // coordinator, and against a coordinator that never counts as lost because the deadlines of all
 // requests are shorter than a call for a permit.
 func TestLossBeyondDeadline(t *testing.T) {
-	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		caller := order[3]
 		order[0].freeze(true)
 		const deadline = 200 * time.Millisecond
@@ -423,7 +429,7 @@
 
 // TestPlaceAfterLoss guards against a request that loses its place when its coordinator is lost.
 func TestPlaceAfterLoss(t *testing.T) {
-	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		caller, reach := order[3], order[3].Client
 		var ages []int64
 		caller.Client = func(to netip.AddrPort) snipeproto.Admission { return recordingClient{reach(to), &ages} }
@@ -446,10 +452,10 @@
 				all.Go(func() { _, _ = caller.run(t.Context(), 1800*time.Millisecond) })
 				time.Sleep(time.Duration(phase)*renewInterval/6 + linkDelay)
 				for n := range 6 {
-					first.set(func(node *admissionNode) { node.cutOff[caller] = n == lost })
+					first.set(func(i *admissionInstance) { i.cutOff[caller] = n == lost })
 					caller.renew(t.Context())
 					synctest.Wait()
-					first.set(func(n *admissionNode) { n.cutOff[caller] = false })
+					first.set(func(n *admissionInstance) { n.cutOff[caller] = false })
 					time.Sleep(renewInterval)
 				}
 				all.Wait()
@@ -462,7 +468,7 @@
 // TestProbeOfLostCoordinator guards against requests that all wait for a lost coordinator each time
 // that its pause has passed: one of them finds out whether it answers.
 func TestProbeOfLostCoordinator(t *testing.T) {
-	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		caller := order[3]
 		order[0].freeze(true)
 		_, err := caller.run(t.Context(), 0)
@@ -485,7 +491,7 @@
 // TestPacing guards against requests that are sent without a right, refused, or wait for long when
 // no coordinator can be reached, and against pacing that does not end.
 func TestPacing(t *testing.T) {
-	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		caller := order[3]
 		cutOff := func(on bool) {
 			for _, n := range order[:3] {
@@ -517,9 +523,9 @@
 // TestLostAnswer guards against a slot that stays lent for longer than the permit's lifetime because
 // the answer with the permit was lost.
 func TestLostAnswer(t *testing.T) {
-	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		first, caller := order[0], order[2]
-		first.set(func(n *admissionNode) { n.lossy = true })
+		first.set(func(n *admissionInstance) { n.lossy = true })
 		begun := time.Now()
 		p, err := caller.run(t.Context(), 0)
 		must.NoError(t, err)
@@ -536,7 +542,7 @@
 // the instance that holds the permits has stopped answering, and against permits that end although
 // their requests still run.
 func TestHolderFreezes(t *testing.T) {
-	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		first, caller := order[0], order[2]
 		ctx, stop := context.WithCancel(t.Context())
 		var all sync.WaitGroup
@@ -560,16 +566,15 @@
 // TestPermitAfterFreeze guards against permits of requests that have given up while the coordinator's
 // process was frozen, and for itself against a request that is sent with a permit that has ended.
 func TestPermitAfterFreeze(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(1, 1)
-		l := w.nodes[0].Lender
+	inNetwork(t, 1, 1, func(t *testing.T, w *admissionNetwork, _ []*admissionInstance) {
+		l := w.instances[0].Lender
 		freeze := 2 * time.Second
 		l.Upstreams = func(service string) []*snipedirectory.Upstream {
 			time.Sleep(freeze)
 			freeze = 0
 			return w.service(service)
 		}
-		r := snipeadmission.Request{Instance: w.nodes[0].Self.String(), Deadline: time.Now().Add(time.Minute)}
+		r := snipeadmission.Request{Instance: w.instances[0].Self.String(), Deadline: time.Now().Add(time.Minute)}
 		_, err := l.acquire(t.Context(), plainService, r)
 		must.ErrorIs(t, err, errStillWaiting)
 		out, _ := l.stats()
@@ -582,15 +587,13 @@
 // TestHolderGone guards against slots that stay lent until the permits end although the view of the
 // live instances shows that their holder is gone.
 func TestHolderGone(t *testing.T) {
-	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 3, 1, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		first, holder := order[0], order[2]
 		first.Lender.forget(first.view().Live)
 		_, err := holder.acquire(t.Context(), plainService, snipeadmission.Request{Deadline: time.Now().Add(requestDeadline)})
 		must.NoError(t, err)
 		must.Eq(t, 1, first.out())
-		first.set(func(n *admissionNode) {
-			n.members = slices.DeleteFunc(slices.Clone(n.members), func(m snipeowner.Instance) bool { return m.Peer == holder.Self })
-		})
+		first.drop(holder.Self)
 		first.Lender.forget(first.view().Live)
 		must.Eq(t, 0, first.out())
 	})
@@ -599,16 +602,15 @@
 // TestUpstreamLeavesWithPermits guards against permits for an upstream that has left, and against
 // requests that wait on although another upstream has room.
 func TestUpstreamLeavesWithPermits(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(3, 2)
-		caller := w.ranked()[2]
+	inNetwork(t, 3, 2, func(t *testing.T, w *admissionNetwork, order []*admissionInstance) {
+		caller := order[2]
 		var all sync.WaitGroup
 		for range 6 {
 			all.Go(func() { _, _ = caller.run(t.Context(), serviceTime) })
 		}
 		time.Sleep(serviceTime / 2)
 		w.leave("p1")
-		for _, n := range w.nodes {
+		for _, n := range w.instances {
 			n.Lender.refresh(&snipedirectory.Snapshot{})
 		}
 		for range 20 {
@@ -628,9 +630,8 @@
 // TestCallerLeavesWhileWaiting guards against a permit for a request whose caller has left, and
 // against such a request's place in the queue that blocks those behind it.
 func TestCallerLeavesWhileWaiting(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(3, 1)
-		for _, caller := range w.ranked() {
+	inNetwork(t, 3, 1, func(t *testing.T, w *admissionNetwork, order []*admissionInstance) {
+		for _, caller := range order {
 			var all sync.WaitGroup
 			for range 8 { // four permits are out, two of them for places in the upstreams' queues
 				all.Go(func() {
@@ -659,10 +660,10 @@
 // TestCoordinatorStops guards against requests that are lost or refused because they wait in the
 // queue of a coordinator whose planned stop begins, and against a loss that is logged for it.
 func TestCoordinatorStops(t *testing.T) {
-	inNetwork(t, 4, 1, func(t *testing.T, w *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 4, 1, func(t *testing.T, w *admissionNetwork, order []*admissionInstance) {
 		first, caller := order[0], order[3]
 		var all sync.WaitGroup
-		for _, n := range []*admissionNode{first, caller} {
+		for _, n := range []*admissionInstance{first, caller} {
 			for range 6 {
 				all.Go(func() {
 					_, err := n.run(t.Context(), 100*time.Millisecond)
@@ -671,7 +672,7 @@
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
-		first.set(func(n *admissionNode) { n.stopping = true })
+		first.set(func(n *admissionInstance) { n.stopping = true })
 		p, err := caller.run(t.Context(), 0)
 		must.NoError(t, err)
 		must.Eq(t, caller.name(order[1].Self), p.Coordinator)
@@ -686,11 +687,9 @@
 // instance, while two views of the live instances name two coordinators. Each of the two lends all
 // slots at most.
 func TestTwoCoordinators(t *testing.T) {
-	inNetwork(t, 6, 4, func(t *testing.T, w *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 6, 4, func(t *testing.T, w *admissionNetwork, order []*admissionInstance) {
 		for _, n := range order[3:] {
-			n.set(func(n *admissionNode) {
-				n.members = slices.DeleteFunc(slices.Clone(n.members), func(m snipeowner.Instance) bool { return m.Peer == order[0].Self })
-			})
+			n.drop(order[0].Self)
 		}
 		var all sync.WaitGroup
 		for i := range 60 {
@@ -710,9 +709,9 @@
 }
 
 // lenders returns the instances among those given that have lent permits.
-func lenders(nodes []*admissionNode) []*admissionNode {
-	var all []*admissionNode
-	for _, n := range nodes {
+func lenders(instances []*admissionInstance) []*admissionInstance {
+	var all []*admissionInstance
+	for _, n := range instances {
 		if n.Lender.known(plainService) != nil {
 			all = append(all, n)
 		}
@@ -724,11 +723,11 @@
 // and against a coordinator that changes when another instance ends.
 func TestWhoCoordinates(t *testing.T) {
 	w := newAdmissionNetwork(20, 4)
-	a := w.nodes[0]
+	a := w.instances[0]
 	before := a.coordinators(plainService)
 	must.SliceLen(t, 15, before) // member gives these the highest Power
-	others := slices.Clone(a.members)
-	a.members = slices.DeleteFunc(slices.Clone(others), func(m snipeowner.Instance) bool { return m.Peer == before[3] })
+	all := a.members
+	a.drop(before[3])
 	must.Eq(t, before[0], a.coordinators(plainService)[0])
 	for name, change := range map[string]func(m *snipeowner.Instance){
 		"Leaving": func(m *snipeowner.Instance) { m.Leaving = true },
@@ -736,7 +735,7 @@
 		"Weak":    func(m *snipeowner.Instance) { m.Power = 0.3 },
 	} {
 		t.Run(name, func(t *testing.T) {
-			a.members = slices.Clone(others)
+			a.members = slices.Clone(all)
 			for n := range a.members {
 				if a.members[n].Peer == before[0] {
 					change(&a.members[n])
@@ -773,25 +772,25 @@
 			if tt.leaving {
 				w.leave("p1")
 			}
-			a := w.nodes[0]
+			a := w.instances[0]
 			a.Share = tt.share
 			must.Eq(t, tt.want, a.applies(tt.service))
 		})
 	}
 	w := newAdmissionNetwork(12, 1)
-	must.True(t, w.nodes[0].applies(plainService))
-	w.nodes[0].Paced = func(string) bool { return false }
-	must.False(t, w.nodes[0].applies(plainService), must.Sprint("no upstream states a pace"))
+	must.True(t, w.instances[0].applies(plainService))
+	w.instances[0].Paced = func(string) bool { return false }
+	must.False(t, w.instances[0].applies(plainService), must.Sprint("no upstream states a pace"))
 	w = newAdmissionNetwork(12, 1)
 	w.leave("p1")
 	w.leave("p2")
-	must.False(t, w.nodes[0].applies(plainService), must.Sprint("no upstream is left"))
+	must.False(t, w.instances[0].applies(plainService), must.Sprint("no upstream is left"))
 }
 
 // TestDeclinedByUnready guards against refusals by a coordinator that does not know the upstreams
 // of the service yet: the next instance is asked.
 func TestDeclinedByUnready(t *testing.T) {
-	inNetwork(t, 3, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+	inNetwork(t, 3, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 		order[0].Lender.Upstreams = func(string) []*snipedirectory.Upstream { return nil }
 		p, err := order[2].run(t.Context(), 0)
 		must.NoError(t, err)
@@ -817,7 +816,7 @@
 func TestOtherVersions(t *testing.T) {
 	for _, code := range []twirp.ErrorCode{twirp.BadRoute, twirp.InvalidArgument} {
 		t.Run(string(code), func(t *testing.T) {
-			inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionNode) {
+			inNetwork(t, 4, 4, func(t *testing.T, _ *admissionNetwork, order []*admissionInstance) {
 				caller, reach := order[3], order[3].Client
 				caller.Client = func(to netip.AddrPort) snipeproto.Admission {
 					if to == order[2].Self {
@@ -836,9 +835,8 @@
 
 // TestForgetService guards against state of services that are no longer declared.
 func TestForgetService(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		w := newAdmissionNetwork(1, 4)
-		n := w.nodes[0]
+	inNetwork(t, 1, 4, func(t *testing.T, w *admissionNetwork, _ []*admissionInstance) {
+		n := w.instances[0]
 		_, err := n.run(t.Context(), 0)
 		must.NoError(t, err)
 		must.NotNil(t, n.Lender.known(plainService))
--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -244,14 +244,14 @@
 	}
 	if l := r.Load; l != nil {
 		m.Load = &snipeproto.AdmissionLoad{
-			Running: figure(l.Running), Waiting: figure(l.Waiting), Slots: figure(l.Slots), Pace: l.Pace, AgeMilliseconds: l.Age.Milliseconds(),
+			Running: boundedFigure(l.Running), Waiting: boundedFigure(l.Waiting), Slots: boundedFigure(l.Slots), Pace: l.Pace, AgeMilliseconds: l.Age.Milliseconds(),
 		}
 	}
 	return m
 }
 
-// figure bounds a figure of a load report.
-func figure(n int) int32 { return int32(min(max(n, 0), maxLoadFigure)) }
+// boundedFigure returns a figure of a load report for a message, bounded by maxLoadFigure.
+func boundedFigure(n int) int32 { return int32(min(max(n, 0), maxLoadFigure)) }
 
 // encodeRenewals returns the message for the renewal of permits by service, with at most maxResults
 // permits.
--- a/snipeentry/admissionwire_test.go
+++ b/snipeentry/admissionwire_test.go
@@ -56,16 +56,16 @@
 			inBubble(t, func(t *testing.T) {
 				w := newAdmissionNetwork(1, 4)
 				m := goodAcquire()
-				_, err := (&admissionServer{w.nodes[0].Lender}).Acquire(t.Context(), m)
+				_, err := (&admissionServer{w.instances[0].Lender}).Acquire(t.Context(), m)
 				must.NoError(t, err)
-				out, _ := w.nodes[0].Lender.stats()
+				out, _ := w.instances[0].Lender.stats()
 				tt.change(m)
-				_, err = (&admissionServer{w.nodes[0].Lender}).Acquire(t.Context(), m)
+				_, err = (&admissionServer{w.instances[0].Lender}).Acquire(t.Context(), m)
 				var failure twirp.Error
 				must.True(t, errors.As(err, &failure))
 				must.Eq(t, twirp.InvalidArgument, failure.Code())
 				must.StrContains(t, failure.Msg(), tt.want)
-				after, _ := w.nodes[0].Lender.stats()
+				after, _ := w.instances[0].Lender.stats()
 				must.Eq(t, out, after)
 			})
 		})
@@ -102,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
 				w := newAdmissionNetwork(1, 4)
-				server := &admissionServer{w.nodes[0].Lender}
+				server := &admissionServer{w.instances[0].Lender}
 				granted, err := server.Acquire(t.Context(), goodAcquire())
 				must.NoError(t, err)
 				m := &message{Version: admissionVersion, Instance: senderAddress, Results: []*snipeproto.AdmissionResult{
@@ -111,7 +111,7 @@
 				tt.change(m)
 				_, err = server.Release(t.Context(), m)
 				must.StrContains(t, err.Error(), tt.want)
-				out, _ := w.nodes[0].Lender.stats()
+				out, _ := w.instances[0].Lender.stats()
 				must.Eq(t, 1, out)
 			})
 		})
