Shared admission: the queue at the upstream alone tells how many permits it needs

Change: no request waiting at the upstream adds permits while requests wait at the coordinator, as many waiting as the least excess take them back.

--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -214,14 +214,15 @@
 func (u *upstream) excessNow() int { return int(max(u.excess, u.leastExcess())) }
 
 // adapt changes the permits beyond the slots after a load report. While requests wait here, there are
-// more as long as the upstream has free slots, and fewer when more requests wait there than are needed.
+// more as long as none waits at the upstream, and fewer when as many wait there as the least excess. The
+// number of running requests does not tell of free slots: it may include the one that has just ended.
 func (u *upstream) adapt(l Load, waiting int) {
 	least := u.leastExcess()
 	u.excess = max(u.excess, least)
 	switch {
-	case float64(l.Waiting) > least:
+	case float64(l.Waiting) >= least:
 		u.excess -= excessStep
-	case waiting > 0 && l.Waiting == 0 && l.Running < u.slots:
+	case waiting > 0 && l.Waiting == 0:
 		u.excess += excessStep
 	}
 	u.excess = min(max(u.excess, least), max(least, float64(u.slots)))
