--- a/snipebalance/flight.go
+++ b/snipebalance/flight.go
@@ -6,6 +6,9 @@
 	"snipepitch.example/snipepitch/snipedirectory"
 )
 
+// maxAge stands for the age of what was never reported.
+const maxAge = time.Hour
+
 // Flight is a request that was sent to an upstream. Its methods are called by one goroutine.
 type Flight struct {
 	balancer *Balancer
@@ -35,14 +38,6 @@
 	PaceAge, ReportAge time.Duration
 }
 
-// Expectation returns what was expected when the request was sent.
-func (f *Flight) Expectation() Expectation {
-	return Expectation{
-		Time: time.Duration(f.expected * f.pace * float64(time.Second)), Pace: f.pace,
-		PaceAge: f.paceAge, ReportAge: f.reportAge,
-	}
-}
-
 // Start records that a request is sent to an upstream. The caller calls First at the first event of
 // the answer, and End at the request's end.
 func (b *Balancer) Start(u *snipedirectory.Upstream, d Demand) *Flight {
@@ -60,18 +55,23 @@
 		paceAge: age(s.pace.statedAt, now), reportAge: age(s.requests.reportedAt, now),
 	}
 	s.service = u.Service
-	s.inFlight += f.weight
+	s.weight.own += f.weight
 	s.requests.own++
 	s.pending.own += float64(d.PromptTokens)
 	s.reserved.own += d.ReservedTokens
 	return f
 }
 
-// maxAge stands for the age of what was never reported.
-const maxAge = time.Hour
-
 func age(at, now time.Time) time.Duration { return min(now.Sub(at), maxAge) }
 
+// Expectation returns what was expected when the request was sent.
+func (f *Flight) Expectation() Expectation {
+	return Expectation{
+		Time: time.Duration(f.expected * f.pace * float64(time.Second)), Pace: f.pace,
+		PaceAge: f.paceAge, ReportAge: f.reportAge,
+	}
+}
+
 // First records the first event of the answer: the prompt is processed, and delays no other request
 // any more. Further calls do nothing. It returns true for the first call.
 func (f *Flight) First() bool {
@@ -84,7 +84,7 @@
 	defer b.lock.Unlock()
 	now := time.Now()
 	s := b.state(f.upstream.ID)
-	s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
+	s.pending.remove(float64(f.demand.PromptTokens))
 	if f.demand.Plain {
 		return true
 	}
@@ -108,11 +108,11 @@
 	defer b.lock.Unlock()
 	now := time.Now()
 	if s := b.states[f.upstream.ID]; s != nil {
-		s.inFlight = max(s.inFlight-f.weight, 0)
-		s.requests.own = max(s.requests.own-1, 0)
-		s.reserved.own = max(s.reserved.own-f.demand.ReservedTokens, 0)
+		s.weight.remove(f.weight)
+		s.requests.remove(1)
+		s.reserved.remove(f.demand.ReservedTokens)
 		if !f.first {
-			s.pending.own = max(s.pending.own-float64(f.demand.PromptTokens), 0)
+			s.pending.remove(float64(f.demand.PromptTokens))
 		}
 		if f.demand.Plain && output >= 0 {
 			s.pace.observe(now.Sub(f.sentAt).Seconds()/f.expected, now)
