Failing test: a request that crashes upstreams is sent on without bound

The stand-in's runner crashes when it begins to run a request with a given text: its listener and connections close, its registry entry expires 3 s later, and after a downtime it serves at the same address under a new identifier. CrashBreaches judges a request by what reaches runners later than a bound after its third crash.

TestCrashingRequestRefused: three instances, eight engines, four plain upstreams, a copy every 300 ms, 40 innocent requests a second.

--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -65,18 +65,28 @@
 // newTestCluster starts a store, two engines and two plain upstreams, which write their registry
 // entries until the test ends. event is the interval between the events of a stream.
 func newTestCluster(t *testing.T, event time.Duration) *testCluster {
-	s := &testCluster{t: t, store: snipestand.NewRowStore(), runners: map[string]*snipestand.Runner{}}
-	s.address = serve(t, s.store.Handler())
-	for _, r := range []*snipestand.Runner{
+	runners := []*snipestand.Runner{
 		{ID: "e1", Service: "engines", Model: "base"},
 		{ID: "e2", Service: "engines", Model: "base"},
 		{ID: "p1", Service: "plain"},
 		{ID: "p2", Service: "plain"},
-	} {
+	}
+	return startTestCluster(t, event, runners, func(r *snipestand.Runner) {
+		r.Address = serve(t, r.Handler()).String()
+	})
+}
+
+// startTestCluster starts a store and the given upstreams, which write their registry entries until
+// the test ends. start starts an upstream and sets its address. event is the interval between the
+// events of a stream.
+func startTestCluster(t *testing.T, event time.Duration, runners []*snipestand.Runner, start func(r *snipestand.Runner)) *testCluster {
+	s := &testCluster{t: t, store: snipestand.NewRowStore(), runners: map[string]*snipestand.Runner{}}
+	s.address = serve(t, s.store.Handler())
+	for _, r := range runners {
 		r.Slots, r.LoadDuration, r.EventInterval, r.Events = 4, 30*time.Millisecond, event, 6
 		r.Faults = &s.faults
 		s.runners[r.ID] = r
-		r.Address = serve(t, r.Handler()).String()
+		start(r)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var heartbeats sync.WaitGroup
--- /dev/null
+++ b/snipeentry/crash_test.go
@@ -0,0 +1,163 @@
+package snipeentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+const (
+	// crashText is the text in a body that crashes the upstreams of a crash cluster.
+	crashText = "crash the upstream"
+	// crashDowntime is how long an upstream is down after a crash.
+	crashDowntime = 1500 * time.Millisecond
+	// crashBound is the time after the third crash from which on a request that crashes upstreams
+	// must not be sent on.
+	crashBound = 3 * time.Second
+	// crashPause is the time between two copies of the request that crashes upstreams, innocentPause
+	// that between two others.
+	crashPause    = 300 * time.Millisecond
+	innocentPause = 25 * time.Millisecond
+	// repeatedBodies is the number of bodies that a quarter of the other requests share.
+	repeatedBodies = 5
+	// recoveryTime is when after the third crash all upstreams serve again: the request that crashes
+	// them is refused by then, and the last one that it crashed has started again.
+	recoveryTime = crashBound + crashDowntime + 2*time.Second
+)
+
+// newCrashCluster starts eight engines and four plain upstreams that crash when they run a request
+// whose body contains crashText.
+func newCrashCluster(t *testing.T) *testCluster {
+	var runners []*snipestand.Runner
+	for n := range 8 {
+		runners = append(runners, &snipestand.Runner{ID: fmt.Sprint("e", n), Service: "engines", Model: "base"})
+	}
+	for n := range 4 {
+		runners = append(runners, &snipestand.Runner{ID: fmt.Sprint("p", n), Service: "plain"})
+	}
+	return startTestCluster(t, 5*time.Millisecond, runners, func(r *snipestand.Runner) {
+		server := &snipestand.RunnerServer{Runner: r, CrashText: crashText, Downtime: crashDowntime}
+		must.NoError(t, server.Start())
+		t.Cleanup(server.Close)
+	})
+}
+
+// crashRecord returns the times at which requests with crashText reached upstreams and at which
+// upstreams crashed, in order.
+func (s *testCluster) crashRecord() (arrivals, crashes []time.Time) {
+	for _, r := range s.runners {
+		a, c := r.CrashRecord()
+		arrivals, crashes = append(arrivals, a...), append(crashes, c...)
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	slices.SortFunc(crashes, time.Time.Compare)
+	return arrivals, crashes
+}
+
+// timedReply is a reply and when its request was sent.
+type timedReply struct {
+	reply
+	at time.Time
+}
+
+// replies collects replies. It is safe for concurrent use.
+type replies struct {
+	lock sync.Mutex // guards all
+	all  []timedReply
+}
+
+func (r *replies) add(t timedReply) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.all = append(r.all, t)
+}
+
+// answeredFrom returns how many of the requests that were sent after a time were answered with status
+// 200, and how many there were.
+func (r *replies) answeredFrom(from time.Time) (answered, all int) {
+	for _, a := range r.all {
+		if !a.at.After(from) {
+			continue
+		}
+		all++
+		if a.status == http.StatusOK {
+			answered++
+		}
+	}
+	return answered, all
+}
+
+// sendCrashing sends a request that crashes upstreams to the instances in turn, beside innocent
+// requests, a quarter of which have one of repeatedBodies bodies. It returns all replies.
+func sendCrashing(t *testing.T, instances []*instance, target string, length time.Duration, header ...string) (crashing, innocent *replies) {
+	crashing, innocent = &replies{}, &replies{}
+	var all sync.WaitGroup
+	post := func(to *replies, n int, body string) {
+		i := instances[n%len(instances)]
+		all.Go(func() {
+			at := time.Now()
+			a, _ := send(t, i.url, http.MethodPost, target, body, header...)
+			to.add(timedReply{a, at})
+		})
+	}
+	begun := time.Now()
+	nextCrash, copies := begun, 0
+	for n := 0; time.Since(begun) < length; n++ {
+		if now := time.Now(); !now.Before(nextCrash) {
+			nextCrash = nextCrash.Add(crashPause)
+			post(crashing, copies, crashText)
+			copies++
+		}
+		body := "innocent " + strconv.Itoa(n)
+		if n%4 == 0 {
+			body = "repeated " + strconv.Itoa(n/4%repeatedBodies)
+		}
+		post(innocent, n, body)
+		time.Sleep(innocentPause)
+	}
+	all.Wait()
+	return crashing, innocent
+}
+
+// TestCrashingRequestRefused guards against instances that send a request on without bound although
+// it crashes each upstream that runs it, and against innocent callers that are refused for it.
+func TestCrashingRequestRefused(t *testing.T) {
+	tests := map[string]struct {
+		target string
+		header []string
+	}{
+		"Often":     {"/often/x", nil},
+		"Once":      {"/once/x", nil},
+		"Resumable": {"/draft/x", []string{modelHeader, "base"}},
+		"Final":     {"/final/x", []string{modelHeader, "base"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCrashCluster(t)
+			s.declare(1)
+			instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
+			for _, i := range instances {
+				waitServing(t, i)
+			}
+			waitPeersKnown(t, instances)
+			_, innocent := sendCrashing(t, instances, tt.target, 12*time.Second, tt.header...)
+			arrivals, crashes := s.crashRecord()
+			must.GreaterEq(t, 3, len(crashes), must.Sprint("the request crashes upstreams"))
+			answered, all := innocent.answeredFrom(crashes[2].Add(recoveryTime))
+			t.Logf("%d crashes, %d arrivals, %d of %d innocent requests answered", len(crashes), len(arrivals), answered, all)
+			breaches := snipestand.CrashBreaches(arrivals, crashes, crashBound, nil)
+			test.SliceEmpty(t, breaches, test.Sprint(breaches))
+			test.Eq(t, all, answered, test.Sprint("innocent requests that were answered"))
+		})
+	}
+}
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -64,6 +64,7 @@
 	// backoff is the pause that refusals ask for; zero if the runner does not refuse.
 	backoff time.Duration
 	places  plainPlaces
+	crashes crashes
 }
 
 // RunCounts returns the number of times that each request ran, by the identifier of the request.
@@ -177,8 +178,12 @@
 	r.newest[adapter] = version
 }
 
-// SendHeartbeat sends one heartbeat: it writes the runner's registry entry to a store.
+// SendHeartbeat sends one heartbeat: it writes the runner's registry entry to a store. A runner that
+// has crashed sends none until it has started again.
 func (r *Runner) SendHeartbeat(s *RowStore) error {
+	if down, err := r.removeEndedEntries(s); down || err != nil {
+		return err
+	}
 	r.lock.Lock()
 	state, slots := "ready", 8
 	if n := cap(r.places.slots); n > 0 {
@@ -194,8 +199,9 @@
 	if r.invalidEntry {
 		entry["slots"] = "many"
 	}
+	id := r.id()
 	r.lock.Unlock()
-	return s.Put("servers", r.ID, entry)
+	return s.Put("servers", id, entry)
 }
 
 // adapterNames returns the adapters that the runner holds, each as NAME@VERSION. The lock is held.
@@ -219,15 +225,16 @@
 
 // Handler returns the handler of the runner's calls. It must be called once, before the first
 // request: it discards held adapters and the counts of runs. The handler answers 421 to a request
-// that names another identifier than ID.
+// that names another identifier than that of the runner's current start.
 func (r *Runner) Handler() http.Handler {
 	r.lock.Lock()
 	r.held, r.loading, r.runCounts = map[string]int64{}, map[string]int64{}, map[string]int{}
 	r.startedAt = time.Now().UnixMilli()
 	r.lock.Unlock()
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		if want := q.Header.Get("X-Snipepitch-Expect-Instance"); want != "" && want != r.ID {
-			w.Header().Set("X-Snipepitch-Instance-Id", r.ID)
+		id := r.CurrentID()
+		if want := q.Header.Get("X-Snipepitch-Expect-Instance"); want != "" && want != id {
+			w.Header().Set("X-Snipepitch-Instance-Id", id)
 			r.echoAttemptID(w, q)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -17,6 +17,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	r.recordCrashArrival(body)
 	r.echoAttemptID(w, q)
 	if r.signal(w.Header(), q) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -29,7 +30,7 @@
 		return
 	}
 	if !r.holds(q) {
-		w.Header().Set("X-Snipepitch-Instance-Id", r.ID)
+		w.Header().Set("X-Snipepitch-Instance-Id", r.CurrentID())
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -40,6 +41,10 @@
 	}
 	defer vacate()
 	r.recordRun(q)
+	if r.crashesRunner(body) {
+		r.crash()
+		panic(http.ErrAbortHandler)
+	}
 	r.answer(w, q, body, f)
 }
 
--- /dev/null
+++ b/snipestand/runnercrash.go
@@ -0,0 +1,195 @@
+package snipestand
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// entryLifetime is how long the registry entry of a crashed runner stays, as the platform removes
+// entries that are no longer renewed.
+const entryLifetime = 3 * time.Second
+
+// crashes emulates requests that crash the runner.
+type crashes struct {
+	// text crashes the runner if the body of a request that it begins to run contains it; empty for none.
+	text []byte
+	// stop ends the process of the runner.
+	stop func()
+	// starts counts the starts after the first one. down is set between a crash and the next start.
+	starts int
+	down   bool
+	// endedEntries holds when each start ended whose registry entry has not been removed yet.
+	endedEntries map[string]time.Time
+	// arrivals are the times at which requests with the text arrived, times those of the crashes.
+	arrivals, times []time.Time
+}
+
+// id returns the identifier of the runner's current start. The lock is held.
+func (r *Runner) id() string {
+	if r.crashes.starts == 0 {
+		return r.ID
+	}
+	return fmt.Sprint(r.ID, "-", r.crashes.starts)
+}
+
+// CurrentID returns the identifier of the runner's current start.
+func (r *Runner) CurrentID() string {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.id()
+}
+
+// CrashRecord returns the times at which requests that crash the runner arrived, and the times at
+// which it crashed.
+func (r *Runner) CrashRecord() (arrivals, times []time.Time) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return append(arrivals, r.crashes.arrivals...), append(times, r.crashes.times...)
+}
+
+// crashesRunner reports whether a body contains the text that crashes the runner.
+func (r *Runner) crashesRunner(body []byte) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return len(r.crashes.text) > 0 && bytes.Contains(body, r.crashes.text)
+}
+
+// recordCrashArrival records the arrival of a request that crashes the runner if it is run.
+func (r *Runner) recordCrashArrival(body []byte) {
+	if !r.crashesRunner(body) {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.crashes.arrivals = append(r.crashes.arrivals, time.Now())
+}
+
+// crash ends the runner's process, together with all requests that it runs.
+func (r *Runner) crash() {
+	r.lock.Lock()
+	if r.crashes.down {
+		r.lock.Unlock()
+		return
+	}
+	now := time.Now()
+	r.crashes.down = true
+	r.crashes.times = append(r.crashes.times, now)
+	if r.crashes.endedEntries == nil {
+		r.crashes.endedEntries = make(map[string]time.Time)
+	}
+	r.crashes.endedEntries[r.id()] = now
+	stop := r.crashes.stop
+	r.lock.Unlock()
+	stop()
+}
+
+// startAgain emulates the start after a crash: the runner has a new identifier and no adapters.
+func (r *Runner) startAgain() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.startedAt = max(time.Now().UnixMilli(), r.startedAt+1)
+	r.crashes.starts++
+	r.crashes.down, r.orders = false, 0
+	clear(r.held)
+	clear(r.loading)
+}
+
+// removeEndedEntries removes the registry entries of starts that ended more than entryLifetime ago,
+// and reports whether the runner is down.
+func (r *Runner) removeEndedEntries(s *RowStore) (down bool, err error) {
+	r.lock.Lock()
+	down = r.crashes.down
+	var ended []string
+	for id, at := range r.crashes.endedEntries {
+		if time.Since(at) >= entryLifetime {
+			ended = append(ended, id)
+			delete(r.crashes.endedEntries, id)
+		}
+	}
+	r.lock.Unlock()
+	for _, id := range ended {
+		if err := s.Put("servers", id, nil); err != nil {
+			return down, err
+		}
+	}
+	return down, nil
+}
+
+// RunnerServer serves a runner on loopback and crashes it when it begins to run a request whose body
+// contains a text. The runner serves again at the same address after Downtime.
+type RunnerServer struct {
+	Runner *Runner
+	// CrashText is the text; empty if no request crashes the runner.
+	CrashText string
+	Downtime  time.Duration
+
+	address string
+	handler http.Handler
+
+	lock   sync.Mutex // guards the fields below
+	server *http.Server
+	closed bool
+}
+
+// Start begins to serve on an unused port, and sets the runner's address.
+func (s *RunnerServer) Start() error {
+	s.handler, s.address = s.Runner.Handler(), loopback
+	s.Runner.crashes.text, s.Runner.crashes.stop = []byte(s.CrashText), s.restart
+	if err := s.listen(); err != nil {
+		return err
+	}
+	s.Runner.Address = s.address
+	return nil
+}
+
+// Close ends the server and all of its connections.
+func (s *RunnerServer) Close() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.closed = true
+	_ = s.server.Close()
+}
+
+// loopback is the address of an unused port.
+const loopback = "127.0.0.1:0"
+
+// listen opens the listener and serves it, unless the server was closed.
+func (s *RunnerServer) listen() error {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.closed {
+		return nil
+	}
+	var config net.ListenConfig
+	l, err := config.Listen(context.Background(), "tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.address = l.Addr().String()
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute}
+	s.server = server
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// restart closes the listener and all connections, and serves again after Downtime.
+func (s *RunnerServer) restart() {
+	s.lock.Lock()
+	_ = s.server.Close()
+	s.lock.Unlock()
+	time.AfterFunc(s.Downtime, func() {
+		s.Runner.startAgain()
+		for s.listen() != nil {
+			time.Sleep(portRetryInterval)
+		}
+	})
+}
+
+// portRetryInterval is the time between two attempts to listen at the address of a runner that
+// starts again: a connection of another process may use the port for a moment.
+const portRetryInterval = 20 * time.Millisecond
