Log which requests were running at an upstream that crashed

After a broken answer the instance opens a connection to the upstream. UpstreamCrashed (334) names it, RequestBroke (235) each request that was running there, with a fingerprint of workspace, method, host, target, adapter and body. The fingerprint is computed for broken answers alone.

--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -166,6 +166,7 @@
 		Table: s.address, OrderGap: snipejson.Duration(200 * time.Millisecond), RetryShare: 0.2, RetrySlack: 100,
 		RetrySpan: snipejson.Duration(snipeentry.DefaultRetrySpan), QuotaSpan: snipejson.Duration(snipeentry.DefaultQuotaSpan),
 		DrainTime: snipejson.Duration(snipeentry.DefaultMaxStaleness), ApplyTime: snipejson.Duration(snipeentry.DefaultMaxStaleness),
+		CrashTime:   snipejson.Duration(snipeentry.DefaultCrashTime),
 		StopTimeout: snipejson.Duration(8 * time.Second), LogLevel: "info",
 	}
 	for _, change := range changes {
--- /dev/null
+++ b/snipeentry/crashdetector.go
@@ -0,0 +1,158 @@
+package snipeentry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipequarantine"
+)
+
+const (
+	// maxBroken bounds the broken answers of one upstream that wait for evidence. An upstream accepts
+	// a few hundred requests at once from all instances together.
+	maxBroken = 512
+	// endedRetention is how long an upstream is remembered as ended. Broken answers are noticed within
+	// seconds of the end.
+	endedRetention = time.Minute
+)
+
+// brokenAnswer is an answer that broke off or never began after the request was sent.
+type brokenAnswer struct {
+	upstream    *snipedirectory.Upstream
+	fingerprint snipequarantine.Fingerprint
+	request     string
+	at          time.Time
+}
+
+// crashDetector finds out whether the upstream of a broken answer has ended. An answer also breaks off
+// when a connection is reset, or when an upstream spoils it and goes on. An upstream has ended if it
+// refuses a connection right after that, or if its start leaves the registry within ConfirmTime. The
+// end of an upstream that announced that it is leaving is no crash.
+//
+// Exported fields are set before the first call. It is safe for concurrent use.
+type crashDetector struct {
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Leaving reports whether an upstream has announced that it is leaving.
+	Leaving func(id string) bool
+	// Crashed is called for each request that was running at an upstream that crashed.
+	Crashed     func(upstream string, f snipequarantine.Fingerprint)
+	ConfirmTime time.Duration
+	Log         *snipelog.Logger
+
+	lock      sync.Mutex // guards the fields below
+	upstreams map[string]*brokenUpstream
+}
+
+// brokenUpstream is one start of an upstream of which an answer has broken off.
+type brokenUpstream struct {
+	broken  []brokenAnswer // those without evidence that the upstream has ended
+	dialing bool
+	endedAt time.Time // zero while there is no such evidence
+}
+
+// Broke records a broken answer. It does not block.
+func (d *crashDetector) Broke(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string) {
+	b := brokenAnswer{u, f, request, time.Now()}
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	s := d.upstreams[u.ID]
+	if s == nil {
+		s = &brokenUpstream{}
+		if d.upstreams == nil {
+			d.upstreams = make(map[string]*brokenUpstream)
+		}
+		d.upstreams[u.ID] = s
+	}
+	switch {
+	case !s.endedAt.IsZero():
+		go d.report([]brokenAnswer{b})
+		return
+	case len(s.broken) < maxBroken:
+		s.broken = append(s.broken, b)
+	}
+	if !s.dialing {
+		s.dialing = true
+		go d.dial(u)
+	}
+}
+
+// dial records that the upstream has ended if it refuses a connection.
+func (d *crashDetector) dial(u *snipedirectory.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := d.Dial(ctx, u.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	d.lock.Lock()
+	if s := d.upstreams[u.ID]; s != nil {
+		s.dialing = false
+	}
+	d.lock.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		d.ended(u.ID, "Connection")
+	}
+}
+
+// Gone records that the registry no longer lists a start of an upstream.
+func (d *crashDetector) Gone(id string) { d.ended(id, "Registry") }
+
+// ended records that an upstream has ended, and reports the answers that broke off within ConfirmTime
+// before. It does nothing if no answer of the upstream has broken off.
+func (d *crashDetector) ended(id, source string) {
+	now := time.Now()
+	d.lock.Lock()
+	s := d.upstreams[id]
+	if s == nil || !s.endedAt.IsZero() {
+		d.lock.Unlock()
+		return
+	}
+	s.endedAt = now
+	broken := slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > d.ConfirmTime })
+	s.broken = nil
+	d.lock.Unlock()
+	if len(broken) == 0 || d.Leaving(id) {
+		return
+	}
+	d.Log.Log(snipelog.UpstreamCrashed, snipelog.Fields{
+		upstreamField: id, "Address": broken[0].upstream.Address, "Requests": len(broken), sourceField: source,
+	})
+	go d.report(broken)
+}
+
+// report reports requests that were running at an upstream that has ended.
+func (d *crashDetector) report(all []brokenAnswer) {
+	for _, b := range all {
+		if d.Leaving(b.upstream.ID) {
+			continue
+		}
+		d.Log.Log(snipelog.RequestBroke, snipelog.Fields{
+			"Request": b.request, upstreamField: b.upstream.ID, "Fingerprint": b.fingerprint.String(),
+		})
+		d.Crashed(b.upstream.ID, b.fingerprint)
+	}
+}
+
+// Sweep forgets the upstreams that have not ended within ConfirmTime, and those that ended longer than
+// endedRetention ago.
+func (d *crashDetector) Sweep() {
+	now := time.Now()
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for id, s := range d.upstreams {
+		s.broken = slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > d.ConfirmTime })
+		ended := !s.endedAt.IsZero()
+		if ended && now.Sub(s.endedAt) > endedRetention || !ended && !s.dialing && len(s.broken) == 0 {
+			delete(d.upstreams, id)
+		}
+	}
+}
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -278,7 +278,8 @@
 
 // upstreamChanged logs that an upstream appeared, is leaving or is gone. It also closes the idle
 // connections to a gone upstream and drops the upstream's state in the residency, the balancer and
-// the controller; forgetUnregistered drops the state of its signals.
+// the controller; forgetUnregistered drops the state of its signals. The end of an upstream that was
+// not leaving is evidence of a crash.
 func (i *Instance) upstreamChanged(u *snipedirectory.Upstream, e snipedirectory.Event) {
 	fields := snipelog.Fields{upstreamField: u.ID, "Service": u.Service, "Address": u.Address, positionField: u.Position}
 	switch e {
@@ -295,6 +296,7 @@
 		i.Log.Log(snipelog.UpstreamLeaving, fields)
 	case snipedirectory.Gone:
 		i.Log.Log(snipelog.UpstreamGone, fields)
+		i.crashDetector.Gone(u.ID)
 		i.links.Forget(u.Address)
 		i.residency.Forget(u.ID)
 		i.balancer.Forget(u.ID)
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -67,6 +67,9 @@
 	// Both are DefaultMaxStaleness if the file does not set them.
 	DrainTime snipejson.Duration
 	ApplyTime snipejson.Duration
+	// CrashTime is the time within which all instances refuse a request after it has crashed the third
+	// upstream; DefaultCrashTime if the file does not set it.
+	CrashTime snipejson.Duration
 	// Power is the fraction of a core that the process gets on its machine. Tasks that a few
 	// instances do for all go to the instances with the most power; instances with 0 come last.
 	Power float64
@@ -100,6 +103,7 @@
 	s := Settings{
 		LogLevel: "info", RetrySpan: snipejson.Duration(DefaultRetrySpan), QuotaSpan: snipejson.Duration(DefaultQuotaSpan),
 		DrainTime: snipejson.Duration(DefaultMaxStaleness), ApplyTime: snipejson.Duration(DefaultMaxStaleness),
+		CrashTime: snipejson.Duration(DefaultCrashTime),
 	}
 	if err := snipejson.Decode(data, &s); err != nil {
 		return Settings{}, errors.Wrapf(ErrSettings, "%s: %v", path, err)
@@ -121,6 +125,13 @@
 // which the tables are read are designed for it.
 const DefaultMaxStaleness = 2 * time.Second
 
+// DefaultCrashTime is the default of Settings.CrashTime.
+const DefaultCrashTime = 3 * time.Second
+
+// minCrashTime is the least CrashTime: the end of an upstream is known after dialTimeout at the
+// latest, and a fraction of the time remains for each message about it.
+const minCrashTime = time.Second
+
 // maxStaleness returns the time within which an instance must know of a change in the store: the
 // shorter of DrainTime and ApplyTime.
 func (s Settings) maxStaleness() time.Duration { return min(s.DrainTime.Value(), s.ApplyTime.Value()) }
@@ -168,6 +179,8 @@
 		return invalid("DrainTime", notPositive)
 	case s.ApplyTime <= 0:
 		return invalid("ApplyTime", notPositive)
+	case s.CrashTime.Value() < minCrashTime:
+		return invalid("CrashTime", "is shorter than "+minCrashTime.String())
 	}
 	return nil
 }
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -127,6 +127,7 @@
 	gateway         *snipegateway.Gateway
 	signals         *snipesignal.Tracker
 	peers           *peers
+	crashDetector   *crashDetector
 	retryBudgets    *retryBudgets
 	issuer          *snipequota.Issuer
 	account         *snipequota.Account
@@ -169,6 +170,7 @@
 			i.links.Sweep()
 			i.forgetUnregistered()
 			i.forgetAdmission()
+			i.crashDetector.Sweep()
 		})
 	})
 	i.addTask(ctx, &g, func(ctx context.Context) error {
@@ -262,12 +264,13 @@
 	}
 	i.peers = newPeers(peerClient(i.meter))
 	i.buildQuotas()
+	i.buildCrashes()
 	i.buildPressure()
 	i.buildAdmission()
 	i.retryBudgets = &retryBudgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
-		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
+		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Crashes: i.gatewayCrashes(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
 		Budget: i.retryBudgets.budget, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
 		Pressure: i.pressure, SocketBytes: s.socketBytes(),
 		Chooser: &snipegateway.Chooser{
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -36,7 +36,7 @@
 func (c *call) attempt(ctx context.Context, choice Choice) error {
 	u := choice.Upstream
 	g := c.gateway
-	c.tried = append(c.tried, u.ID)
+	c.tried, c.upstream = append(c.tried, u.ID), u
 	if now := g.Chooser.Directory.Snapshot().ByID(u.ID); now == nil || now.Leaving {
 		// The upstream may have left while the request waited for its adapter to load.
 		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream is leaving")
@@ -160,6 +160,7 @@
 		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.MayHaveRun, err.Error())
 	}
 	b.RecordUnanswered(id)
+	c.noteBroken(ctx)
 	return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, err.Error())
 }
 
@@ -201,6 +202,7 @@
 	noRoom := errors.Is(err, errNoRoom)
 	if err != nil && !noRoom {
 		c.gateway.Balancer.RecordUnanswered(id)
+		c.noteBroken(ctx)
 		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, err.Error())
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
@@ -215,7 +217,7 @@
 	}
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body}
 	if !complete {
-		return c.writeUnbuffered(w, answer)
+		return c.writeUnbuffered(ctx, w, answer)
 	}
 	if failed && c.route.MayRepeat() {
 		c.fallback = w
@@ -239,7 +241,7 @@
 
 // writeUnbuffered writes an answer that is too long to be buffered: first w, which holds what has
 // been read, then the rest of the answer as it arrives.
-func (c *call) writeUnbuffered(w *bufferedAnswer, answer *snipelink.Answer) error {
+func (c *call) writeUnbuffered(ctx context.Context, w *bufferedAnswer, answer *snipelink.Answer) error {
 	c.setHeader(w.status, w.header)
 	c.writer.WriteHeader(w.status)
 	body, stop := c.startDelivery(answer)
@@ -252,6 +254,7 @@
 		to = callWriter{c}
 	}
 	if _, err := io.Copy(to, body); err != nil {
+		c.noteBroken(ctx)
 		return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, err.Error())
 	}
 	return nil
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -12,8 +12,10 @@
 
 	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
 )
 
@@ -68,6 +70,10 @@
 	cost      float64
 	units     float64
 
+	// upstream is the upstream of the last attempt, digest the fingerprint of the request once it was
+	// needed.
+	upstream *snipedirectory.Upstream
+	digest   *snipequarantine.Fingerprint
 	// tried lists the upstreams that were tried. reached counts the upstreams that the request was
 	// sent to, at least in part, and mayHaveRun counts the upstreams that may have run it.
 	tried      []string
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -50,6 +50,8 @@
 	Quotas   Quotas
 	// Admission grants the permits that some plain services need.
 	Admission Admission
+	// Crashes observes the requests that crash upstreams.
+	Crashes Crashes
 	// WaitForStart blocks a request that arrives before routes and upstreams are known. It returns
 	// when they are known, when ctx ends, or at a fixed time shortly after the start.
 	WaitForStart func(ctx context.Context)
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -62,6 +62,7 @@
 		case errors.Is(err, io.EOF):
 			return c.finishStream(id, answer, pending)
 		case err != nil:
+			c.noteBroken(ctx)
 			return c.streamError(ctx, id, err)
 		case len(pending) > maxEvent:
 			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "event too long")
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -111,6 +111,7 @@
 	RefusedForMemory   = define(232, "RefusedForMemory", logrus.InfoLevel)
 	AnswerEnded        = define(233, "AnswerEnded", logrus.WarnLevel)
 	ConnectionsFull    = define(234, "ConnectionsFull", logrus.WarnLevel)
+	RequestBroke       = define(235, "RequestBroke", logrus.WarnLevel)
 )
 
 // Events of the catalog, which operators declare, and of the directory of upstreams, 310 to 339.
@@ -134,6 +135,7 @@
 	UpstreamFree     = define(331, "UpstreamFree", logrus.InfoLevel)
 	SignalWrong      = define(332, "SignalWrong", logrus.WarnLevel)
 	UpstreamRests    = define(333, "UpstreamRests", logrus.WarnLevel)
+	UpstreamCrashed  = define(334, "UpstreamCrashed", logrus.WarnLevel)
 )
 
 // Events of the ownership of engines, which is the right to send them orders, 480 to 499.
--- a/snipequarantine/snipequarantine.go
+++ b/snipequarantine/snipequarantine.go
@@ -58,13 +58,20 @@
 // FingerprintOf returns the fingerprint of a call: a hash of the team, the target and
 // the body. The target is the adapter, or the service with method and path.
 func FingerprintOf(c *snipecall.Call) Fingerprint {
-	h := sha256.New()
-	target := c.Adapter.String()
 	if c.Service != "" {
-		target = c.Service + "\x00" + c.Method + "\x00" + c.Path
+		return NewFingerprint(c.Body, c.Team, c.Service, c.Method, c.Path)
+	}
+	return NewFingerprint(c.Body, c.Team, c.Adapter.String())
+}
+
+// NewFingerprint returns a hash of a body and of the fields that identify, beside it, what an
+// upstream runs. The fields must not contain the zero byte.
+func NewFingerprint(body []byte, fields ...string) Fingerprint {
+	h := sha256.New()
+	for _, field := range fields {
+		h.Write([]byte(field + "\x00"))
 	}
-	h.Write([]byte(c.Team + "\x00" + target + "\x00"))
-	h.Write(c.Body)
+	h.Write(body)
 	var sum [sha256.Size]byte
 	return Fingerprint(h.Sum(sum[:0])[:fingerprintSize])
 }
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -274,7 +274,7 @@
 		snipelog.CatalogStale.Number, snipelog.DirectoryStale.Number)
 }
 
-// upstreamFailures returns the lines that report that the last upstream that was tried became
+// upstreamFailures returns the lines that report that the last upstream that was tried crashed, became
 // suspect or ended, at most the given time before or after the end of the request. It returns nil
 // if no upstream was tried.
 func (s *Story) upstreamFailures(within time.Duration) []Line {
@@ -282,7 +282,7 @@
 		return nil
 	}
 	last := s.End.Tried[len(s.End.Tried)-1]
-	failures := s.withEvents(snipelog.UpstreamSuspect.Number, snipelog.UpstreamGone.Number)
+	failures := s.withEvents(snipelog.UpstreamCrashed.Number, snipelog.UpstreamSuspect.Number, snipelog.UpstreamGone.Number)
 	return slices.DeleteFunc(failures, func(l Line) bool {
 		return l.Upstream != last || s.End.Time.Sub(l.Time).Abs() > within
 	})
