Refuse a request after it has crashed three upstreams

Cause: an entry instance kept nothing of what a request did to upstreams. Each arrival was a new request to the instance that it reached.

Change: snipequarantine.Exchange. Instances report each crash with the fingerprints of what was running there to two coordinators of the fingerprint. From the second crash on all instances watch the fingerprint, and an answer clears it; from the third on, after a third of CrashTime without an answer, all refuse it for an hour with 503 and Retry-After. The refusal is a row in the store, for a stop of all instances. No message is sent for a request that crashes nothing.

--- a/snipeentry/crash.go
+++ b/snipeentry/crash.go
@@ -1,22 +1,63 @@
 package snipeentry
 
 import (
+	"context"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelink"
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeproto"
 	"snipepitch.example/snipepitch/snipequarantine"
 )
 
-// buildCrashes creates what observes the requests that crash upstreams.
+// fingerprintField is the log field for the fingerprint of a request.
+const fingerprintField = "Fingerprint"
+
+// buildCrashes creates what observes the requests that crash upstreams, and what shares it with the
+// other instances.
 func (i *Instance) buildCrashes() {
+	i.crashes = &snipequarantine.Exchange{
+		Self: memberID(i.Settings.Peers, i.Incarnation), Members: i.crashMembers, Candidates: i.crashCandidates,
+		Report: i.sendCrashReport, Announce: i.sendCrashAnnouncement, Changed: i.suspectChanged,
+		SpreadTime: i.Settings.CrashTime.Value(),
+	}
 	i.crashDetector = &crashDetector{
-		Dial: snipelink.Dialer(), Leaving: i.upstreamLeaving, ConfirmTime: i.Settings.CrashTime.Value(), Log: i.Log,
-		Crashed: func(string, snipequarantine.Fingerprint) {},
+		Dial: snipelink.Dialer(), Leaving: i.upstreamLeaving, ConfirmTime: i.Settings.CrashTime.Value(), Log: i.Log, Meter: i.meter,
+		Crashed: i.crashes.Crashed,
+	}
+	i.quarantineStore = &quarantineStore{
+		Read: i.source(quarantineTable).Read, Write: i.write, Operation: i.Operation, Restore: i.crashes.Restore,
+		Wrong: i.countWrongCrashMessage,
 	}
+	i.meter.Gauge(`snipepitch_quarantined_fingerprints{state="Refused"}`, func() float64 {
+		refused, _ := i.crashes.Suspects.Count()
+		return float64(refused)
+	})
+	i.meter.Gauge(`snipepitch_quarantined_fingerprints{state="Watched"}`, func() float64 {
+		_, watched := i.crashes.Suspects.Count()
+		return float64(watched)
+	})
 }
 
-// gatewayCrashes returns the functions by which the gateway reports broken answers.
+// gatewayCrashes returns the functions by which the gateway reports broken answers and asks which
+// requests are refused.
 func (i *Instance) gatewayCrashes() snipegateway.Crashes {
-	return snipegateway.Crashes{Broke: i.crashDetector.Broke}
+	return snipegateway.Crashes{
+		Broke: i.crashDetector.Broke, Suspects: &i.crashes.Suspects, Answered: i.crashes.Answered,
+		Refused: func() { i.meter.Count("snipepitch_quarantine_refusals_total") },
+	}
+}
+
+// stepCrashes begins what is due to be sent to other instances and to the store.
+func (i *Instance) stepCrashes(ctx context.Context) {
+	i.crashes.Step(ctx)
+	i.quarantineStore.step(ctx)
 }
 
 // upstreamLeaving reports whether an upstream has announced that it is leaving, in the registry or in
@@ -25,3 +66,157 @@
 	u := i.directory.Snapshot().ByID(id)
 	return u != nil && u.Leaving || i.signals.Leaving(id)
 }
+
+// suspectChanged logs a decision about a fingerprint. The instance that made it stores it; of a
+// decision whose time is over, a coordinator removes the row.
+func (i *Instance) suspectChanged(s snipequarantine.Suspect, source snipequarantine.Source) {
+	fields := snipelog.Fields{
+		fingerprintField: s.Fingerprint.String(), sourceField: source, "Round": s.Round,
+		"Crashed": s.Upstreams, "LeftSeconds": int64(s.Left.Seconds()),
+	}
+	stores := source == snipequarantine.Own || source == snipequarantine.Timer && i.crashes.Coordinates(s.Fingerprint)
+	switch {
+	case s.Left <= 0:
+		i.Log.Log(snipelog.FingerprintReleased, fields)
+		if s.Refused && stores {
+			i.quarantineStore.Remove(s.Fingerprint)
+		}
+	case s.Refused:
+		i.Log.Log(snipelog.FingerprintRefused, fields)
+		if stores {
+			i.quarantineStore.Put(s)
+		}
+	default:
+		i.Log.Log(snipelog.FingerprintWatched, fields)
+	}
+}
+
+// memberID returns the identifier of one start of an instance: the address at which other instances
+// reach it, and its incarnation.
+func memberID(peer netip.AddrPort, incarnation string) string {
+	return peer.String() + "/" + incarnation
+}
+
+// memberAddress returns the address in an identifier of memberID.
+func memberAddress(id string) netip.AddrPort {
+	address, _, _ := strings.Cut(id, "/")
+	parsed, _ := netip.ParseAddrPort(address) // the zero address reaches nobody
+	return parsed
+}
+
+// crashMembers returns the live instances that are not leaving.
+func (i *Instance) crashMembers() []snipequarantine.Member {
+	return i.membersWhere(func(other snipeowner.Instance) bool { return !other.Leaving })
+}
+
+// crashCandidates returns the instances that may coordinate fingerprints. Instances on standby renew
+// their rows seldom, so that the loss of one is noticed late.
+func (i *Instance) crashCandidates() []snipequarantine.Member { return i.membersWhere(mayCoordinate) }
+
+func (i *Instance) membersWhere(allowed func(snipeowner.Instance) bool) []snipequarantine.Member {
+	ranked := i.holder.View().Ranked
+	members := make([]snipequarantine.Member, 0, len(ranked))
+	for _, other := range ranked {
+		if allowed(other) {
+			members = append(members, snipequarantine.NewMember(memberID(other.Peer, other.Incarnation), other.Domain))
+		}
+	}
+	return members
+}
+
+// sendCrashReport sends a report to another instance.
+func (i *Instance) sendCrashReport(ctx context.Context, member string, r snipequarantine.Report) ([]snipequarantine.Suspect, error) {
+	answer, err := i.peers.crashes.client(memberAddress(member)).Report(ctx, encodeCrashReport(r))
+	if err != nil {
+		return nil, errors.Wrap(err, "report crashes")
+	}
+	return i.decodeSuspects(answer.GetSuspects()), nil
+}
+
+// sendCrashAnnouncement sends decisions to another instance.
+func (i *Instance) sendCrashAnnouncement(ctx context.Context, member string, decisions []snipequarantine.Suspect) error {
+	r := &snipeproto.CrashAnnounceRequest{Suspects: encodeSuspects(decisions)}
+	_, err := i.peers.crashes.client(memberAddress(member)).Announce(ctx, r)
+	return errors.Wrap(err, "announce suspects")
+}
+
+// crashServer serves the messages of other instances about requests that crash upstreams.
+type crashServer struct{ *Instance }
+
+// Report implements snipeproto.Crash.
+func (s *crashServer) Report(_ context.Context, r *snipeproto.CrashReportRequest) (*snipeproto.CrashReportResponse, error) {
+	decisions := s.crashes.HandleReport(s.decodeCrashReport(r))
+	return &snipeproto.CrashReportResponse{Suspects: encodeSuspects(decisions)}, nil
+}
+
+// Announce implements snipeproto.Crash.
+func (s *crashServer) Announce(_ context.Context, r *snipeproto.CrashAnnounceRequest) (*snipeproto.CrashAnnounceResponse, error) {
+	s.crashes.HandleAnnouncement(s.decodeSuspects(r.GetSuspects()))
+	return &snipeproto.CrashAnnounceResponse{}, nil
+}
+
+// countWrongCrashMessage counts a part of a message or a row that was ignored as invalid.
+func (i *Instance) countWrongCrashMessage() { i.meter.Count("snipepitch_crash_wrong_messages_total") }
+
+func encodeCrashReport(r snipequarantine.Report) *snipeproto.CrashReportRequest {
+	m := &snipeproto.CrashReportRequest{}
+	for _, c := range r.Crashes {
+		m.Crashes = append(m.Crashes, &snipeproto.UpstreamCrash{Fingerprint: c.Fingerprint[:], Upstream: c.Upstream, Round: c.Round})
+	}
+	for _, a := range r.Answers {
+		m.Answers = append(m.Answers, &snipeproto.CrashAnswer{Fingerprint: a.Fingerprint[:], Round: a.Round})
+	}
+	return m
+}
+
+// decodeCrashReport returns the valid parts of a report and counts the others.
+func (i *Instance) decodeCrashReport(m *snipeproto.CrashReportRequest) snipequarantine.Report {
+	var r snipequarantine.Report
+	for _, c := range m.GetCrashes() {
+		d := snipequarantine.UpstreamCrash{Upstream: c.GetUpstream(), Round: c.GetRound()}
+		var err error
+		if d.Fingerprint, err = snipequarantine.FingerprintFrom(c.GetFingerprint()); err != nil || d.Check() != nil {
+			i.countWrongCrashMessage()
+			continue
+		}
+		r.Crashes = append(r.Crashes, d)
+	}
+	for _, a := range m.GetAnswers() {
+		f, err := snipequarantine.FingerprintFrom(a.GetFingerprint())
+		if err != nil || !snipequarantine.ValidRound(a.GetRound()) {
+			i.countWrongCrashMessage()
+			continue
+		}
+		r.Answers = append(r.Answers, snipequarantine.Answer{Fingerprint: f, Round: a.GetRound()})
+	}
+	return r
+}
+
+func encodeSuspects(all []snipequarantine.Suspect) []*snipeproto.CrashSuspect {
+	encoded := make([]*snipeproto.CrashSuspect, 0, len(all))
+	for _, s := range all {
+		encoded = append(encoded, &snipeproto.CrashSuspect{
+			Fingerprint: s.Fingerprint[:], Round: s.Round, Refused: s.Refused,
+			LeftMilliseconds: s.Left.Milliseconds(), Upstreams: s.Upstreams,
+		})
+	}
+	return encoded
+}
+
+// decodeSuspects returns the valid decisions of a message and counts the others.
+func (i *Instance) decodeSuspects(all []*snipeproto.CrashSuspect) []snipequarantine.Suspect {
+	decoded := make([]snipequarantine.Suspect, 0, len(all))
+	for _, m := range all {
+		s := snipequarantine.Suspect{
+			Round: m.GetRound(), Refused: m.GetRefused(),
+			Left: time.Duration(m.GetLeftMilliseconds()) * time.Millisecond, Upstreams: m.GetUpstreams(),
+		}
+		var err error
+		if s.Fingerprint, err = snipequarantine.FingerprintFrom(m.GetFingerprint()); err != nil || s.Check() != nil {
+			i.countWrongCrashMessage()
+			continue
+		}
+		decoded = append(decoded, s)
+	}
+	return decoded
+}
--- a/snipeentry/crashdetector.go
+++ b/snipeentry/crashdetector.go
@@ -13,6 +13,7 @@
 
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipequarantine"
 )
 
@@ -47,6 +48,7 @@
 	Crashed     func(upstream string, f snipequarantine.Fingerprint)
 	ConfirmTime time.Duration
 	Log         *snipelog.Logger
+	Meter       *snipemeter.Meter
 
 	lock      sync.Mutex // guards the fields below
 	upstreams map[string]*brokenUpstream
@@ -123,6 +125,7 @@
 	if len(broken) == 0 || d.Leaving(id) {
 		return
 	}
+	d.Meter.Count("snipepitch_upstream_crashes_total")
 	d.Log.Log(snipelog.UpstreamCrashed, snipelog.Fields{
 		upstreamField: id, "Address": broken[0].upstream.Address, "Requests": len(broken), sourceField: source,
 	})
@@ -136,7 +139,7 @@
 			continue
 		}
 		d.Log.Log(snipelog.RequestBroke, snipelog.Fields{
-			"Request": b.request, upstreamField: b.upstream.ID, "Fingerprint": b.fingerprint.String(),
+			"Request": b.request, upstreamField: b.upstream.ID, fingerprintField: b.fingerprint.String(),
 		})
 		d.Crashed(b.upstream.ID, b.fingerprint)
 	}
--- a/snipeentry/crashdetector_test.go
+++ b/snipeentry/crashdetector_test.go
@@ -16,6 +16,7 @@
 
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipequarantine"
 )
 
@@ -52,7 +53,7 @@
 					},
 					Leaving: func(string) bool { return tt.leaving }, ConfirmTime: 3 * time.Second,
 					Crashed: func(string, snipequarantine.Fingerprint) { crashes.Add(1) },
-					Log:     snipelog.New(io.Discard, logrus.InfoLevel, "test"),
+					Log:     snipelog.New(io.Discard, logrus.InfoLevel, "test"), Meter: snipemeter.New(),
 				}
 				u := &snipedirectory.Upstream{ID: "e1", Address: netip.MustParseAddrPort("10.1.0.1:80")}
 				d.Broke(u, snipequarantine.Fingerprint{1}, "r1")
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -116,6 +116,7 @@
 	owners   clients[snipeproto.Ownership]
 	quotas   clients[snipeproto.Quota]
 	permits  clients[snipeproto.Admission]
+	crashes  clients[snipeproto.Crash]
 
 	lock sync.Mutex // guards the fields below
 	// answeredAt is when each owner last answered a report, or was last sent an empty report
@@ -241,6 +242,7 @@
 		owners:   clients[snipeproto.Ownership]{Make: snipeproto.NewOwnershipProtobufClient, HTTP: h},
 		quotas:   clients[snipeproto.Quota]{Make: snipeproto.NewQuotaProtobufClient, HTTP: h},
 		permits:  clients[snipeproto.Admission]{Make: snipeproto.NewAdmissionProtobufClient, HTTP: h},
+		crashes:  clients[snipeproto.Crash]{Make: snipeproto.NewCrashProtobufClient, HTTP: h},
 	}
 }
 
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -40,6 +40,7 @@
 	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeplatform"
 	"snipepitch.example/snipepitch/snipepressure"
+	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/snipequota"
 	"snipepitch.example/snipepitch/snipesignal"
 	"snipepitch.example/snipepitch/snipetime"
@@ -127,7 +128,9 @@
 	gateway         *snipegateway.Gateway
 	signals         *snipesignal.Tracker
 	peers           *peers
+	crashes         *snipequarantine.Exchange
 	crashDetector   *crashDetector
+	quarantineStore *quarantineStore
 	retryBudgets    *retryBudgets
 	issuer          *snipequota.Issuer
 	account         *snipequota.Account
@@ -179,6 +182,7 @@
 			i.applyOwnLoads()
 			i.spreadAdapters()
 			i.sendSignals(ctx)
+			i.stepCrashes(ctx)
 			i.lender.refresh(i.directory.Snapshot())
 		})
 	})
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -48,6 +48,9 @@
 	if err := c.recheckKey(); err != nil {
 		return err
 	}
+	if err := c.checkQuarantine(); err != nil {
+		return err
+	}
 	returnSlot, ok := g.Signals.Take(u.ID)
 	if !ok {
 		return snipeerror.New(snipeerror.ErrOverloaded, c.outcome(), "the upstream takes no more requests now")
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -284,6 +284,9 @@
 // serve tries upstreams until one has answered or no further attempt is allowed.
 func (c *call) serve(ctx context.Context) error {
 	for {
+		if err := c.checkQuarantine(); err != nil {
+			return c.finalError(err)
+		}
 		reached := c.reached
 		choice, err := c.choose(ctx)
 		if err != nil {
@@ -293,6 +296,7 @@
 		err = c.attemptWithPermit(ctx, choice)
 		c.refundUnsent(reached)
 		if err == nil {
+			c.noteAnswered()
 			return nil
 		}
 		if retry := c.decideRetry(ctx, err); !retry {
@@ -350,13 +354,13 @@
 func (c *call) decideRetry(ctx context.Context, err error) bool {
 	f := snipeerror.From(err)
 	switch {
-	case errors.Is(f, snipeerror.ErrUnauthenticated):
+	case errors.Is(f, snipeerror.ErrUnauthenticated), errors.Is(f, snipeerror.ErrQuarantined):
 		return false
 	case ctx.Err() != nil, time.Until(c.deadline) < minTimeLeft:
 		return false
 	case c.reached >= maxSends, len(c.tried) >= maxTries:
 		return false
-	case f.Outcome == snipeerror.MayHaveRun && !c.route.MayRepeat():
+	case f.Outcome == snipeerror.MayHaveRun && (!c.route.MayRepeat() || c.suspect()):
 		return false
 	case c.mayHaveRun >= c.route.MaxAttempts:
 		return false
--- a/snipegateway/crash.go
+++ b/snipegateway/crash.go
@@ -2,16 +2,25 @@
 
 import (
 	"context"
+	"net/http"
 
 	"snipepitch.example/snipepitch/snipedirectory"
+	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipequarantine"
 )
 
-// Crashes observes which requests crash upstreams. Functions that are nil are not called.
+// Crashes observes which requests crash upstreams, and holds which are refused for it. The zero value
+// observes and refuses nothing.
 type Crashes struct {
 	// Broke is called for an answer that broke off or never began after the request was sent. It does
 	// not block, and finds out whether the upstream has ended.
 	Broke func(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string)
+	// Suspects are the fingerprints that are watched or refused.
+	Suspects *snipequarantine.Suspects
+	// Answered is called if a request of a suspect was answered.
+	Answered func(f snipequarantine.Fingerprint)
+	// Refused is called for each request that is refused.
+	Refused func()
 }
 
 // fingerprint returns the fingerprint of the request: a hash of its workspace, method, host, target,
@@ -32,3 +41,32 @@
 		broke(c.upstream, c.fingerprint(), c.ID)
 	}
 }
+
+// suspect reports whether the request has the fingerprint of a suspect.
+func (c *call) suspect() bool {
+	s := c.gateway.Crashes.Suspects
+	return s != nil && !s.Empty() && s.Known(c.fingerprint())
+}
+
+// noteAnswered reports that the request was answered, if it is a suspect. A status of 500 or above is
+// no evidence that an upstream can run the request.
+func (c *call) noteAnswered() {
+	if c.status < http.StatusInternalServerError && c.suspect() {
+		c.gateway.Crashes.Answered(c.fingerprint())
+	}
+}
+
+// checkQuarantine returns an error if requests of this fingerprint are refused because they crash
+// upstreams. It is called before an upstream is chosen, and again right before each attempt, since the
+// request may have waited.
+func (c *call) checkQuarantine() error {
+	if !c.suspect() {
+		return nil
+	}
+	left, refused := c.gateway.Crashes.Suspects.Refused(c.fingerprint())
+	if !refused {
+		return nil
+	}
+	c.gateway.Crashes.Refused()
+	return snipeerror.New(snipeerror.ErrQuarantined, c.outcome(), "requests like this one crash upstreams").After(left)
+}
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -28,7 +28,7 @@
 	}
 	// A retry time from the upstreams' own signals is more accurate than one derived from the
 	// target.
-	stated := errors.Is(f, snipeerror.ErrOverloaded) && f.RetryAfter > 0
+	stated := (errors.Is(f, snipeerror.ErrOverloaded) || errors.Is(f, snipeerror.ErrQuarantined)) && f.RetryAfter > 0
 	if f.Outcome == snipeerror.NotRun && !stated && (f.RetryAfter == 0 || c.fullUpstreams > 0) {
 		f = f.After(c.retryAfter())
 	}
@@ -104,6 +104,9 @@
 		fields["WaitedMilliseconds"] = c.waited.Milliseconds()
 		fields["PromptTokens"], fields["OutputTokens"] = c.PromptTokens, c.OutputTokens
 	}
+	if c.digest != nil {
+		fields["Fingerprint"] = c.digest.String()
+	}
 	if c.admission.asked {
 		fields["PermitMilliseconds"], fields["Coordinator"] = c.admission.waited.Milliseconds(), c.admission.coordinator
 	}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -112,6 +112,10 @@
 	AnswerEnded        = define(233, "AnswerEnded", logrus.WarnLevel)
 	ConnectionsFull    = define(234, "ConnectionsFull", logrus.WarnLevel)
 	RequestBroke       = define(235, "RequestBroke", logrus.WarnLevel)
+
+	FingerprintWatched  = define(236, "FingerprintWatched", logrus.WarnLevel)
+	FingerprintRefused  = define(237, "FingerprintRefused", logrus.WarnLevel)
+	FingerprintReleased = define(238, "FingerprintReleased", logrus.InfoLevel)
 )
 
 // Events of the catalog, which operators declare, and of the directory of upstreams, 310 to 339.
--- a/snipeproto/lease.twirp.go
+++ b/snipeproto/lease.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *leaseServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *leaseServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Lease")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 233 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x90, 0xc1, 0x4a, 0x03, 0x31,
 	0x10, 0x86, 0x59, 0xdb, 0x2e, 0x76, 0xf6, 0xa2, 0x83, 0x94, 0xa5, 0x28, 0x2c, 0x7b, 0x0a, 0x1e,
--- a/snipeproto/member.twirp.go
+++ b/snipeproto/member.twirp.go
@@ -1065,7 +1065,7 @@
 }
 
 func (s *memberServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *memberServer) ProtocGenTwirpVersion() string {
@@ -1079,7 +1079,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Member")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 577 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0xc1, 0x6e, 0xd3, 0x40,
 	0x10, 0xc5, 0x89, 0xe3, 0x34, 0x63, 0x07, 0x45, 0xab, 0xaa, 0x2c, 0x3d, 0x59, 0x16, 0x07, 0xd3,
--- a/snipeproto/mirror.twirp.go
+++ b/snipeproto/mirror.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *mirrorServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *mirrorServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Mirror")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 354 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x92, 0xb1, 0x4f, 0xe3, 0x30,
 	0x14, 0xc6, 0xe5, 0x4b, 0xda, 0x6b, 0xdf, 0x55, 0xba, 0x9e, 0x0f, 0x50, 0xd4, 0x01, 0xa2, 0x4c,
--- a/snipeproto/operator.twirp.go
+++ b/snipeproto/operator.twirp.go
@@ -3026,7 +3026,7 @@
 }
 
 func (s *operatorServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *operatorServer) ProtocGenTwirpVersion() string {
@@ -3040,7 +3040,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Operator")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 988 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0xdd, 0x72, 0x1b, 0x35,
 	0x14, 0x1e, 0x77, 0xd7, 0x8e, 0x7d, 0x6c, 0x37, 0xa9, 0xe2, 0x86, 0xad, 0x3b, 0x04, 0x57, 0x33,
--- a/snipeproto/ownership.twirp.go
+++ b/snipeproto/ownership.twirp.go
@@ -786,7 +786,7 @@
 }
 
 func (s *ownershipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *ownershipServer) ProtocGenTwirpVersion() string {
@@ -800,7 +800,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Ownership")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 351 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0xcf, 0x4e, 0xe3, 0x30,
 	0x10, 0xc6, 0x95, 0xa6, 0x7f, 0x36, 0xb3, 0x2b, 0x75, 0x65, 0x41, 0x1b, 0x15, 0x0e, 0x21, 0x70,
--- a/snipeproto/quarantine.twirp.go
+++ b/snipeproto/quarantine.twirp.go
@@ -1066,7 +1066,7 @@
 }
 
 func (s *quarantineServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor7, 0
+	return twirpFileDescriptor8, 0
 }
 
 func (s *quarantineServer) ProtocGenTwirpVersion() string {
@@ -1080,7 +1080,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Quarantine")
 }
 
-var twirpFileDescriptor7 = []byte{
+var twirpFileDescriptor8 = []byte{
 	// 439 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x53, 0x4d, 0x8f, 0xd3, 0x30,
 	0x14, 0x54, 0xd2, 0xed, 0xd7, 0xdb, 0x76, 0xd5, 0x35, 0x08, 0x99, 0x08, 0xa4, 0x28, 0xa7, 0x08,
--- a/snipeproto/quota.twirp.go
+++ b/snipeproto/quota.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *quotaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor8, 0
+	return twirpFileDescriptor9, 0
 }
 
 func (s *quotaServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Quota")
 }
 
-var twirpFileDescriptor8 = []byte{
+var twirpFileDescriptor9 = []byte{
 	// 393 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0x41, 0x8f, 0xd3, 0x30,
 	0x10, 0x85, 0xe5, 0xb6, 0x29, 0xed, 0xec, 0x81, 0x5d, 0xab, 0x5a, 0x59, 0x2b, 0x40, 0x51, 0x4e,
--- a/snipeproto/settings.twirp.go
+++ b/snipeproto/settings.twirp.go
@@ -786,7 +786,7 @@
 }
 
 func (s *settingsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor9, 0
+	return twirpFileDescriptor10, 0
 }
 
 func (s *settingsServer) ProtocGenTwirpVersion() string {
@@ -800,7 +800,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Settings")
 }
 
-var twirpFileDescriptor9 = []byte{
+var twirpFileDescriptor10 = []byte{
 	// 281 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0x41, 0x4b, 0xf3, 0x40,
 	0x10, 0x86, 0xc9, 0xf7, 0x95, 0xda, 0x8c, 0xa5, 0xca, 0x2a, 0x12, 0xa2, 0x60, 0xc8, 0x29, 0x88,
--- a/snipeproto/status.twirp.go
+++ b/snipeproto/status.twirp.go
@@ -785,7 +785,7 @@
 }
 
 func (s *statusServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor10, 0
+	return twirpFileDescriptor11, 0
 }
 
 func (s *statusServer) ProtocGenTwirpVersion() string {
@@ -799,7 +799,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Status")
 }
 
-var twirpFileDescriptor10 = []byte{
+var twirpFileDescriptor11 = []byte{
 	// 277 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x51, 0x3d, 0x4f, 0xc3, 0x30,
 	0x14, 0x54, 0x9a, 0xaa, 0x24, 0x2f, 0xe5, 0xcb, 0x0b, 0x56, 0xca, 0x10, 0x65, 0xb2, 0x18, 0x82,
--- /dev/null
+++ b/snipequarantine/ledger.go
@@ -0,0 +1,158 @@
+package snipequarantine
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+const (
+	// watchedFrom is the number of crashes from which a fingerprint is watched, refusedFrom that
+	// from which it is refused.
+	watchedFrom, refusedFrom = 2, 3
+	// maxLedgerRecords bounds the fingerprints in a Ledger. A crash makes a record of each request
+	// that was in flight at the upstream, and most of these are innocent.
+	maxLedgerRecords = 8192
+)
+
+// UpstreamCrash reports that an upstream ended while it ran a request of a fingerprint.
+type UpstreamCrash struct {
+	Fingerprint Fingerprint
+	// Upstream identifies one start of the upstream.
+	Upstream string
+	// Round is the round of the fingerprint as the reporting instance knows it.
+	Round uint64
+}
+
+// Ledger counts the crashes of the fingerprints that one instance coordinates, and decides which of
+// these are watched and refused. Exported fields are set before the first call. It is safe for
+// concurrent use.
+//
+// An innocent request may be at several upstreams that crash. Three rules protect it. A fingerprint
+// is refused no sooner than ObserveTime after all instances were told to watch it, so that a request
+// that is sent often is answered by then, which clears it. Several copies at one upstream count
+// once. Crashes that a refused fingerprint explains are not enough for another one: it
+// needs a crash that none explains, or one crash more.
+type Ledger struct {
+	// ObserveTime is how long a fingerprint is watched at least before it is refused.
+	ObserveTime time.Duration
+
+	lock    sync.Mutex // guards the fields below
+	records map[Fingerprint]*crashRecord
+	// explained holds the starts of upstreams at which a refused fingerprint was running when they
+	// ended, and when it was refused.
+	explained map[string]time.Time
+}
+
+// crashRecord holds the starts of upstreams that ended while they ran one fingerprint.
+type crashRecord struct {
+	upstreams map[string]bool
+	lastAt    time.Time
+	watchedAt time.Time // zero until the fingerprint is watched
+}
+
+// Record counts a crash.
+func (l *Ledger) Record(c UpstreamCrash) {
+	now := time.Now()
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	r := l.records[c.Fingerprint]
+	if r == nil {
+		r = l.add(c.Fingerprint)
+	}
+	r.upstreams[c.Upstream], r.lastAt = true, now
+}
+
+// add adds a record. If there are maxLedgerRecords, it replaces the one with the oldest crash. The
+// lock is held.
+func (l *Ledger) add(f Fingerprint) *crashRecord {
+	if l.records == nil {
+		l.records = make(map[Fingerprint]*crashRecord)
+	}
+	if len(l.records) >= maxLedgerRecords {
+		delete(l.records, l.oldest())
+	}
+	r := &crashRecord{upstreams: make(map[string]bool)}
+	l.records[f] = r
+	return r
+}
+
+// oldest returns the fingerprint whose last crash is the longest ago. The lock is held.
+func (l *Ledger) oldest() (f Fingerprint) {
+	var at time.Time
+	for candidate, r := range l.records {
+		if at.IsZero() || r.lastAt.Before(at) {
+			f, at = candidate, r.lastAt
+		}
+	}
+	return f
+}
+
+// Clear removes the crashes of a fingerprint, because one of its requests was answered, and reports
+// whether the fingerprint was watched.
+func (l *Ledger) Clear(f Fingerprint) (watched bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	r := l.records[f]
+	delete(l.records, f)
+	return r != nil && !r.watchedAt.IsZero()
+}
+
+// Explain records the upstreams that a refused fingerprint has crashed, and drops the fingerprint's
+// own record.
+func (l *Ledger) Explain(s Suspect) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	delete(l.records, s.Fingerprint)
+	l.explain(s.Upstreams)
+}
+
+// explain is Explain for the upstreams alone. The lock is held.
+func (l *Ledger) explain(upstreams []string) {
+	now := time.Now()
+	if l.explained == nil {
+		l.explained = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(l.explained, func(_ string, at time.Time) bool { return now.Sub(at) >= SuspectTime })
+	for _, u := range upstreams {
+		l.explained[u] = now
+	}
+}
+
+// Decide returns the fingerprints that are to be watched or refused from now on. It forgets crashes
+// that are older than SuspectTime.
+func (l *Ledger) Decide() []Suspect {
+	now := time.Now()
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	var decided []Suspect
+	for f, r := range l.records {
+		switch {
+		case now.Sub(r.lastAt) >= SuspectTime:
+			delete(l.records, f)
+		case len(r.upstreams) < watchedFrom:
+		case r.watchedAt.IsZero():
+			r.watchedAt = now
+			decided = append(decided, Suspect{Fingerprint: f, Left: SuspectTime, Upstreams: firstUpstreams(r.upstreams)})
+		case now.Sub(r.watchedAt) >= l.ObserveTime && l.convicts(r):
+			delete(l.records, f)
+			s := Suspect{Fingerprint: f, Refused: true, Left: SuspectTime, Upstreams: firstUpstreams(r.upstreams)}
+			l.explain(s.Upstreams)
+			decided = append(decided, s)
+		}
+	}
+	return decided
+}
+
+// convicts reports whether a fingerprint has crashed enough upstreams. The lock is held.
+func (l *Ledger) convicts(r *crashRecord) bool {
+	if len(r.upstreams) != refusedFrom {
+		return len(r.upstreams) > refusedFrom
+	}
+	for u := range r.upstreams {
+		if _, ok := l.explained[u]; !ok {
+			return true
+		}
+	}
+	return false
+}
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -38,6 +38,7 @@
 	StopCut         Kind = "StopCut"
 	DeadlinePassed  Kind = "DeadlinePassed"
 	MemoryFull      Kind = "MemoryFull"
+	Quarantined     Kind = "Quarantined"
 	ReaderSlow      Kind = "ReaderSlow"
 	AdapterWait     Kind = "AdapterWait"
 	UpstreamWait    Kind = "UpstreamWait"
@@ -141,6 +142,8 @@
 		return Cause{NoRoute, "no declared route matches the host and path of the request"}, end
 	case contains("holds as many bytes"):
 		return Cause{MemoryFull, "the instance held as many bytes for requests as its memory allows"}, append(s.withEvents(snipelog.RefusedForMemory.Number), *e)
+	case contains("crash upstreams"):
+		return Cause{Quarantined, "requests of fingerprint " + e.Fingerprint + " crash the upstreams that run them and are refused"}, append(s.fingerprintLines(), *e)
 	case contains("no permit"):
 		return Cause{PermitDenied, fmt.Sprintf("service %s had too little capacity for the request%s: %s",
 			e.Service, e.coordinatedBy(), e.Error)}, append(s.admissionLines(), *e)
@@ -210,6 +213,8 @@
 	failures := s.upstreamFailures(failureWindow)
 	stops := s.withEvents(snipelog.StopForced.Number)
 	switch {
+	case strings.Contains(e.Error, "crash upstreams"):
+		return Cause{Quarantined, "the request crashed an upstream, and requests of its fingerprint " + e.Fingerprint + " are refused"}, append(s.fingerprintLines(), *e)
 	case strings.Contains(e.Error, "had read nothing"):
 		return Cause{ReaderSlow, "the instance ended the answer: " + e.Error}, append(s.withEvents(snipelog.AnswerEnded.Number), *e)
 	case len(stops) > 0:
@@ -236,6 +241,14 @@
 	return found
 }
 
+// fingerprintLines returns the lines that report crashes by the request, and decisions about its
+// fingerprint.
+func (s *Story) fingerprintLines() []Line {
+	lines := s.withEvents(snipelog.RequestBroke.Number, snipelog.FingerprintWatched.Number,
+		snipelog.FingerprintRefused.Number, snipelog.FingerprintReleased.Number)
+	return slices.DeleteFunc(lines, func(l Line) bool { return l.Fingerprint != s.End.Fingerprint })
+}
+
 // retries returns the lines that report further attempts of the request.
 func (s *Story) retries() []Line { return s.withEvents(snipelog.RequestSentAgain.Number) }
 
--- a/snipestory/snipestory.go
+++ b/snipestory/snipestory.go
@@ -99,6 +99,8 @@
 	adapter              string
 	// service is the request's service, and coordinator the instance that was asked for its permits.
 	service, coordinator string
+	// fingerprint is the request's fingerprint; empty if it needed none.
+	fingerprint string
 }
 
 // scopeOf returns the scope of a request from its own lines.
@@ -112,6 +114,9 @@
 		if l.Adapter != "" {
 			s.adapter = l.Adapter
 		}
+		if l.Fingerprint != "" {
+			s.fingerprint = l.Fingerprint
+		}
 		if l.Coordinator != "" {
 			s.service, s.coordinator = l.Service, l.Coordinator
 		}
@@ -121,11 +126,13 @@
 
 // includes reports whether a change concerns the request. A change that names an adapter must name
 // that of the request. A change of an upstream must, if it names no adapter, be of one that the
-// request was sent to. A change without an upstream must be of an instance that handled the
+// request was sent to. A decision about a fingerprint must be about that of the request. A change without an upstream must be of an instance that handled the
 // request, or one of the request's service at the coordinator of that service.
 func (s requestScope) includes(change Line) bool {
 	adapterMatches := change.Adapter == "" || change.Adapter == s.adapter
 	switch target := change.target(); {
+	case change.Fingerprint != "":
+		return change.Fingerprint == s.fingerprint
 	case target == "" && s.coordinator != "" && change.Instance == s.coordinator && change.Service == s.service:
 		return true
 	case target == "":
