Soak: requests that crash upstreams

The audit counts what reaches upstreams later than 3 s after the third crash, through instances that were not disturbed in the 3 s before. A crash takes the upstream's link down, so that new connections are refused (CutDown); the upstream is back after 1.2 s under a new identifier.

--- a/snipeentry/crash_test.go
+++ b/snipeentry/crash_test.go
@@ -51,16 +51,16 @@
 	})
 }
 
-// crashRecord returns the times at which requests with crashText reached upstreams and at which
-// upstreams crashed, in order.
-func (s *testCluster) crashRecord() (arrivals, crashes []time.Time) {
+// crashRecords returns what upstreams have observed of requests with crashText, and the times of the
+// crashes in order.
+func (s *testCluster) crashRecords() (all []snipestand.CrashRecord, crashes []time.Time) {
 	for _, r := range s.runners {
-		a, c := r.CrashRecord()
-		arrivals, crashes = append(arrivals, a...), append(crashes, c...)
+		record := r.CrashesOn(crashText)
+		all = append(all, record)
+		crashes = append(crashes, record.Crashes...)
 	}
-	slices.SortFunc(arrivals, time.Time.Compare)
 	slices.SortFunc(crashes, time.Time.Compare)
-	return arrivals, crashes
+	return all, crashes
 }
 
 // timedReply is a reply and when its request was sent.
@@ -151,11 +151,11 @@
 			}
 			waitPeersKnown(t, instances)
 			_, innocent := sendCrashing(t, instances, tt.target, 12*time.Second, tt.header...)
-			arrivals, crashes := s.crashRecord()
+			records, crashes := s.crashRecords()
 			must.GreaterEq(t, 3, len(crashes), must.Sprint("the request crashes upstreams"))
 			answered, all := innocent.answeredFrom(crashes[2].Add(recoveryTime))
-			t.Logf("%d crashes, %d arrivals, %d of %d innocent requests answered", len(crashes), len(arrivals), answered, all)
-			breaches := snipestand.CrashBreaches(arrivals, crashes, crashBound, nil)
+			t.Logf("%d crashes, %d of %d innocent requests answered", len(crashes), answered, all)
+			breaches := snipestand.CrashBreaches(records, crashBound, nil)
 			test.SliceEmpty(t, breaches, test.Sprint(breaches))
 			test.Eq(t, all, answered, test.Sprint("innocent requests that were answered"))
 		})
--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -162,6 +162,7 @@
 		s.auditSignals(r)
 		s.auditOrders(r.ID, r)
 	}
+	s.auditCrashes()
 	for id, o := range s.outcomes {
 		if o.unknownKey && ran[id] > 0 {
 			s.breach("nothing runs without a key", "%s %s ran", o.kind, id)
--- /dev/null
+++ b/snipesoak/crash.go
@@ -0,0 +1,109 @@
+package snipesoak
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	random "math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+const (
+	// crashTime is the instances' CrashTime setting.
+	crashTime = 3 * time.Second
+	// crashPause is the time between two copies of a request that crashes upstreams. They are sent for
+	// extraCrashLength longer than other faults last, so that the audit can check the bound.
+	crashPause       = 300 * time.Millisecond
+	extraCrashLength = 8 * time.Second
+	// crashDowntime is how long an upstream is down after a crash.
+	crashDowntime = 1200 * time.Millisecond
+	// mendInterval is the time between two attempts to open the link of an upstream that starts again.
+	mendInterval = 20 * time.Millisecond
+)
+
+// crashUpstreams sends a request that crashes the upstreams that run it, again and again, to random
+// instances.
+func crashUpstreams(s *Soak, r *random.Rand, d time.Duration) string {
+	kind, text := requestKinds[r.IntN(len(requestKinds))], "crash "+rand.Text()
+	for n, u := range s.runners {
+		link := s.cutter.Links[s.Instances+n].Listen
+		u.CrashOn(text, func() { s.crashRunner(u, link) })
+	}
+	s.lock.Lock()
+	s.crashTexts = append(s.crashTexts, text)
+	s.lock.Unlock()
+	var all sync.WaitGroup
+	for end := time.Now().Add(d + extraCrashLength); time.Now().Before(end); time.Sleep(crashPause) {
+		i := s.pickInstance(r)
+		all.Go(func() { s.sendCrashing(i, kind, text) })
+	}
+	all.Wait()
+	return kind.prefix
+}
+
+// sendCrashing sends a copy of a request that crashes upstreams. It checks only that the caller is not
+// told that the request was answered: the audit checks the rest.
+func (s *Soak) sendCrashing(i *instance, k requestKind, text string) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	id := rand.Text()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.callers.String()+k.prefix+"crash", strings.NewReader(text))
+	if err != nil {
+		s.breach("the soak itself", "%v", err)
+		return
+	}
+	q.GetBody = nil // prevents retries by net/http
+	q.Host = host
+	model := ""
+	if k.stream {
+		model = "base/a0"
+	}
+	snipestand.CallerHeader(q.Header, id, key, requestTimeout, model)
+	s.lock.Lock()
+	s.senders[id] = i.name
+	s.lock.Unlock()
+	answer, err := client.Do(q)
+	if err != nil {
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, err = io.Copy(io.Discard, answer.Body)
+	if err == nil && answer.StatusCode == http.StatusOK {
+		s.breach("what crashed is not answered", "%s", id)
+	}
+}
+
+// crashRunner takes the link of an upstream down, and lets the upstream start again after
+// crashDowntime.
+func (s *Soak) crashRunner(u *runner, link netip.AddrPort) {
+	if err := s.cutter.Cut(link, snipestand.CutDown); err != nil {
+		s.breach("the soak itself", "crash: %v", err)
+	}
+	time.AfterFunc(crashDowntime, func() {
+		u.StartAgain()
+		for s.cutter.Cut(link, snipestand.CutNone) != nil {
+			time.Sleep(mendInterval)
+		}
+	})
+}
+
+// auditCrashes checks that each request that crashed upstreams was refused in time. Requests through
+// an instance that was disturbed less than disturbanceGrace before are excused.
+func (s *Soak) auditCrashes() {
+	excused := func(a snipestand.CrashArrival) bool { return s.disturbed(s.senders[a.ID], a.At) }
+	for _, text := range s.crashTexts {
+		var records []snipestand.CrashRecord
+		for _, r := range s.runners {
+			records = append(records, r.CrashesOn(text))
+		}
+		for _, breach := range snipestand.CrashBreaches(records, crashTime, excused) {
+			s.breach("what crashes upstreams is refused", "%s: %s", text, breach)
+		}
+	}
+}
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -53,13 +53,15 @@
 	{"an upstream says that it leaves", announceLeaving},
 	{"an upstream asks for rest", requestBackoff},
 	{"the coordinator is lost", loseCoordinator},
+	{"a request crashes upstreams", crashUpstreams},
 }
 
 // The lists of faults have grown, and a seed that once revealed a defect must still draw the same
 // faults. Seeds below firstSeeds therefore draw only from the first firstFaults faults and the
 // first firstUpstreamFaults faults of upstreams. Other seeds below secondSeeds draw from the first
-// secondFaults faults, and other seeds below thirdSeeds from the first thirdFaults faults. Seeds from
-// thirdSeeds on use shared admission of the plain service.
+// secondFaults faults, other seeds below thirdSeeds from the first thirdFaults faults, and other seeds
+// below fourthSeeds from the first fourthFaults faults. Seeds from thirdSeeds on use shared admission of
+// the plain service, and seeds from fourthSeeds on begin with a request that crashes upstreams.
 const (
 	firstSeeds          = 1000
 	firstFaults         = 12
@@ -68,6 +70,8 @@
 	secondFaults        = 14
 	thirdSeeds          = 8000
 	thirdFaults         = 17
+	fourthSeeds         = 12000
+	fourthFaults        = 18
 )
 
 // faultsForSeed returns the faults that a seed draws from.
@@ -79,6 +83,8 @@
 		return faults[:secondFaults]
 	case seed < thirdSeeds:
 		return faults[:thirdFaults]
+	case seed < fourthSeeds:
+		return faults[:fourthFaults]
 	default:
 		return faults
 	}
@@ -98,8 +104,12 @@
 	r := rand.New(rand.NewPCG(s.Seed, 77)) //nolint:gosec // the same faults for the same seed
 	var running sync.WaitGroup
 	all := faultsForSeed(s.Seed)
+	next := func() fault { return all[r.IntN(len(all))] }
+	if s.Seed >= fourthSeeds {
+		next = startingWith(faults[fourthFaults], next)
+	}
 	for end := time.Now().Add(s.Length); time.Now().Before(end) && ctx.Err() == nil; {
-		f := all[r.IntN(len(all))]
+		f := next()
 		d := minFaultLength + time.Duration(r.Int64N(int64(maxFaultLength-minFaultLength)))
 		random := rand.New(rand.NewPCG(r.Uint64(), 1)) //nolint:gosec // as above
 		running.Go(func() {
@@ -112,6 +122,18 @@
 	running.Wait()
 }
 
+// startingWith returns a function that returns first once, and then what next returns.
+func startingWith(first fault, next func() fault) func() fault {
+	begun := false
+	return func() fault {
+		if begun {
+			return next()
+		}
+		begun = true
+		return first
+	}
+}
+
 func (s *Soak) pickInstance(r *rand.Rand) *instance { return s.instances[r.IntN(len(s.instances))] }
 
 // restart starts an instance whose process has ended.
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -88,6 +88,7 @@
 		RetrySpan: snipejson.Duration(snipeentry.DefaultRetrySpan), QuotaSpan: snipejson.Duration(snipeentry.DefaultQuotaSpan),
 		StopTimeout: snipejson.Duration(stopTimeout), LogLevel: "info",
 		DrainTime: snipejson.Duration(snipeentry.DefaultMaxStaleness), ApplyTime: snipejson.Duration(snipeentry.DefaultMaxStaleness),
+		CrashTime: snipejson.Duration(crashTime),
 	}
 	if i.soak.sharesAdmission() {
 		settings.AdmissionShare = soakedShare
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -65,6 +65,8 @@
 	// request's identifier. disturbances is keyed by the names of instances and upstreams.
 	senders      map[string]string
 	disturbances map[string][]disturbance
+	// crashTexts are the texts in the bodies of the requests that crash upstreams.
+	crashTexts []string
 	// answered counts the requests that were answered in full with status 200.
 	answered int
 }
--- a/snipestand/crashrule.go
+++ b/snipestand/crashrule.go
@@ -14,17 +14,19 @@
 )
 
 // CrashBreaches returns a description of the breach if a request that crashes the runners that run it
-// reached runners more than maxLateSends times later than bound after the third crash. Arrivals that
-// excused reports are not counted; a nil excused reports none.
-func CrashBreaches(arrivals, crashes []time.Time, bound time.Duration, excused func(at time.Time) bool) []string {
+// reached runners more than maxLateSends times later than bound after the third crash. all holds the
+// records of the runners. Arrivals that excused reports are not counted; a nil excused reports none.
+func CrashBreaches(all []CrashRecord, bound time.Duration, excused func(a CrashArrival) bool) []string {
+	crashes := crashTimes(all)
 	if len(crashes) < crashLimit {
 		return nil
 	}
-	sorted := slices.SortedFunc(slices.Values(crashes), time.Time.Compare)
-	third, late := sorted[crashLimit-1], 0
-	for _, at := range arrivals {
-		if at.Sub(third) > bound && (excused == nil || !excused(at)) {
-			late++
+	third, late := crashes[crashLimit-1], 0
+	for _, r := range all {
+		for _, a := range r.Arrivals {
+			if a.At.Sub(third) > bound && (excused == nil || !excused(a)) {
+				late++
+			}
 		}
 	}
 	if late <= maxLateSends {
@@ -33,3 +35,13 @@
 	return []string{fmt.Sprintf("a request that had crashed %d upstreams reached upstreams %d times more, later than %s after; %d crashed in all",
 		crashLimit, late, bound, len(crashes))}
 }
+
+// crashTimes returns the times of all crashes in order.
+func crashTimes(all []CrashRecord) []time.Time {
+	var times []time.Time
+	for _, r := range all {
+		times = append(times, r.Crashes...)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
--- a/snipestand/cutter.go
+++ b/snipestand/cutter.go
@@ -27,8 +27,10 @@
 	// CutStale makes the connections that are open now silent permanently, while new
 	// connections work. The mode of the link stays as it was.
 	CutStale CutMode = "stale"
-	// CutRefuse closes all connections and refuses new ones.
+	// CutRefuse closes all connections and new ones as soon as they are accepted.
 	CutRefuse CutMode = "refuse"
+	// CutDown closes the listener and all connections, as the end of the process at the target does.
+	CutDown CutMode = "down"
 )
 
 // ErrBadCut reports an unknown link or mode.
@@ -55,10 +57,11 @@
 
 // linkState is the state of one link.
 type linkState struct {
-	link    Link
-	mode    CutMode
-	changed chan struct{} // closed and replaced at each change of mode or staleness
-	open    map[*cutConnection]bool
+	link     Link
+	listener net.Listener // closed if the mode is CutDown
+	mode     CutMode
+	changed  chan struct{} // closed and replaced at each change of mode or staleness
+	open     map[*cutConnection]bool
 }
 
 // cutConnection is one connection through the cutter. A stale one no longer forwards anything.
@@ -84,7 +87,7 @@
 		}
 		l.Listen = listener.Addr().(*net.TCPAddr).AddrPort()
 		c.Links[n] = l
-		s := &linkState{link: l, mode: CutNone, changed: make(chan struct{}), open: map[*cutConnection]bool{}}
+		s := &linkState{link: l, listener: listener, mode: CutNone, changed: make(chan struct{}), open: map[*cutConnection]bool{}}
 		c.state[l.Listen] = s
 		go c.accept(listener, s)
 	}
@@ -118,28 +121,61 @@
 	}
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	switch mode {
-	case CutNone, CutBoth, CutForward, CutBack:
-		s.mode = mode
-	case CutStale:
+	if err := c.setMode(s, mode); err != nil {
+		return err
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+// setMode is Cut for a known link. The lock is held.
+func (c *Cutter) setMode(s *linkState, mode CutMode) error {
+	if mode == CutStale {
 		for k := range s.open {
 			k.stale = true
 		}
-	case CutRefuse:
-		s.mode = mode
-		for k := range s.open {
-			k.close()
+		return nil
+	}
+	if s.mode == CutDown && mode != CutDown {
+		if err := c.listenAgain(s); err != nil {
+			return err
 		}
+	}
+	switch mode {
+	case CutNone, CutBoth, CutForward, CutBack:
+	case CutDown:
+		_ = s.listener.Close()
+		s.closeAll()
+	case CutRefuse:
+		s.closeAll()
 	default:
 		return errors.Wrapf(ErrBadCut, "mode %q", mode)
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.mode = mode
+	return nil
+}
+
+// closeAll closes all connections of a link. The lock is held.
+func (s *linkState) closeAll() {
+	for k := range s.open {
+		k.close()
+	}
+}
+
+// listenAgain opens the listener of a link that was down. The lock is held.
+func (c *Cutter) listenAgain(s *linkState) error {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.link.Listen))
+	if err != nil {
+		return errors.Wrapf(err, "link %s", s.link.Listen)
+	}
+	s.listener = listener
+	go c.accept(listener, s)
 	return nil
 }
 
 // accept serves the connections of a link until its listener is closed.
-func (c *Cutter) accept(l *net.TCPListener, s *linkState) {
+func (c *Cutter) accept(l net.Listener, s *linkState) {
 	for {
 		client, err := l.Accept()
 		if err != nil {
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	r.recordCrashArrival(body)
+	r.recordCrashArrival(q, body)
 	r.echoAttemptID(w, q)
 	if r.signal(w.Header(), q) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -41,8 +41,7 @@
 	}
 	defer vacate()
 	r.recordRun(q)
-	if r.crashesRunner(body) {
-		r.crash()
+	if r.crashIfFatal(body) {
 		panic(http.ErrAbortHandler)
 	}
 	r.answer(w, q, body, f)
--- a/snipestand/runnercrash.go
+++ b/snipestand/runnercrash.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,8 +17,9 @@
 
 // crashes emulates requests that crash the runner.
 type crashes struct {
-	// text crashes the runner if the body of a request that it begins to run contains it; empty for none.
-	text []byte
+	// records holds a record for each text that crashes the runner if the body of a request that it
+	// begins to run contains it.
+	records map[string]*CrashRecord
 	// stop ends the process of the runner.
 	stop func()
 	// starts counts the starts after the first one. down is set between a crash and the next start.
@@ -25,8 +27,42 @@
 	down   bool
 	// endedEntries holds when each start ended whose registry entry has not been removed yet.
 	endedEntries map[string]time.Time
-	// arrivals are the times at which requests with the text arrived, times those of the crashes.
-	arrivals, times []time.Time
+}
+
+// CrashRecord holds what a runner has observed of the requests that contain one text.
+type CrashRecord struct {
+	// Arrivals are the requests, in the order of their arrival.
+	Arrivals []CrashArrival
+	// Crashes are the times at which one of them crashed the runner.
+	Crashes []time.Time
+}
+
+// CrashArrival is the arrival of a request, with its identifier.
+type CrashArrival struct {
+	ID string
+	At time.Time
+}
+
+// CrashOn makes requests with a text in their bodies crash the runner. A crash calls stop, which ends
+// the runner's process; StartAgain must follow.
+func (r *Runner) CrashOn(text string, stop func()) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.crashes.records == nil {
+		r.crashes.records = make(map[string]*CrashRecord)
+	}
+	r.crashes.records[text], r.crashes.stop = &CrashRecord{}, stop
+}
+
+// CrashesOn returns a copy of the record of a text.
+func (r *Runner) CrashesOn(text string) CrashRecord {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	record := r.crashes.records[text]
+	if record == nil {
+		return CrashRecord{}
+	}
+	return CrashRecord{slices.Clone(record.Arrivals), slices.Clone(record.Crashes)}
 }
 
 // id returns the identifier of the runner's current start. The lock is held.
@@ -44,41 +80,37 @@
 	return r.id()
 }
 
-// CrashRecord returns the times at which requests that crash the runner arrived, and the times at
-// which it crashed.
-func (r *Runner) CrashRecord() (arrivals, times []time.Time) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return append(arrivals, r.crashes.arrivals...), append(times, r.crashes.times...)
-}
-
-// crashesRunner reports whether a body contains the text that crashes the runner.
-func (r *Runner) crashesRunner(body []byte) bool {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	return len(r.crashes.text) > 0 && bytes.Contains(body, r.crashes.text)
+// crashRecord returns the record of the text that a body contains, or nil. The lock is held.
+func (r *Runner) crashRecord(body []byte) *CrashRecord {
+	for text, record := range r.crashes.records {
+		if bytes.Contains(body, []byte(text)) {
+			return record
+		}
+	}
+	return nil
 }
 
 // recordCrashArrival records the arrival of a request that crashes the runner if it is run.
-func (r *Runner) recordCrashArrival(body []byte) {
-	if !r.crashesRunner(body) {
-		return
-	}
+func (r *Runner) recordCrashArrival(q *http.Request, body []byte) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	r.crashes.arrivals = append(r.crashes.arrivals, time.Now())
+	if record := r.crashRecord(body); record != nil {
+		record.Arrivals = append(record.Arrivals, CrashArrival{q.Header.Get("X-Snipepitch-Attempt-Id"), time.Now()})
+	}
 }
 
-// crash ends the runner's process, together with all requests that it runs.
-func (r *Runner) crash() {
+// crashIfFatal ends the runner's process, together with all requests that it runs, if the body of a
+// request that begins to run crashes it. It reports whether the request must not be answered.
+func (r *Runner) crashIfFatal(body []byte) bool {
 	r.lock.Lock()
-	if r.crashes.down {
+	record := r.crashRecord(body)
+	if record == nil || r.crashes.down {
 		r.lock.Unlock()
-		return
+		return record != nil
 	}
 	now := time.Now()
 	r.crashes.down = true
-	r.crashes.times = append(r.crashes.times, now)
+	record.Crashes = append(record.Crashes, now)
 	if r.crashes.endedEntries == nil {
 		r.crashes.endedEntries = make(map[string]time.Time)
 	}
@@ -86,10 +118,11 @@
 	stop := r.crashes.stop
 	r.lock.Unlock()
 	stop()
+	return true
 }
 
-// startAgain emulates the start after a crash: the runner has a new identifier and no adapters.
-func (r *Runner) startAgain() {
+// StartAgain emulates the start after a crash: the runner has a new identifier and no adapters.
+func (r *Runner) StartAgain() {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.startedAt = max(time.Now().UnixMilli(), r.startedAt+1)
@@ -139,7 +172,9 @@
 // Start begins to serve on an unused port, and sets the runner's address.
 func (s *RunnerServer) Start() error {
 	s.handler, s.address = s.Runner.Handler(), loopback
-	s.Runner.crashes.text, s.Runner.crashes.stop = []byte(s.CrashText), s.restart
+	if s.CrashText != "" {
+		s.Runner.CrashOn(s.CrashText, s.restart)
+	}
 	if err := s.listen(); err != nil {
 		return err
 	}
@@ -183,7 +218,7 @@
 	_ = s.server.Close()
 	s.lock.Unlock()
 	time.AfterFunc(s.Downtime, func() {
-		s.Runner.startAgain()
+		s.Runner.StartAgain()
 		for s.listen() != nil {
 			time.Sleep(portRetryInterval)
 		}
