Crashing requests: isolated instances, old versions, shorter watches

Corner cases of the refusal, found by reading it again:

- an instance that is cut off from all others but not from the store missed their decisions; it reads the rows while nobody receives what it observed;
- an instance of an older version was sent the same message each 0.4 s; its start is passed over for a minute now;
- an upstream that leaves the registry without an announcement and ends later counted as crashed;
- a time beyond the range of a duration in a message released a fingerprint (found by TestCrashMessages);
- the ledger looked at all records in each step, now only at those with two crashes.

--- a/snipeentry/crash.go
+++ b/snipeentry/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
 
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelink"
@@ -57,14 +58,18 @@
 // stepCrashes begins what is due to be sent to other instances and to the store.
 func (i *Instance) stepCrashes(ctx context.Context) {
 	i.crashes.Step(ctx)
+	if i.crashes.Isolated() {
+		i.quarantineStore.ReadAgain()
+	}
 	i.quarantineStore.step(ctx)
 }
 
 // upstreamLeaving reports whether an upstream has announced that it is leaving, in the registry or in
-// an answer.
+// an answer, or has left the registry. Some upstreams leave it without an announcement and go on for a
+// time; the entry of one that crashed stays for seconds.
 func (i *Instance) upstreamLeaving(id string) bool {
 	u := i.directory.Snapshot().ByID(id)
-	return u != nil && u.Leaving || i.signals.Leaving(id)
+	return u == nil || u.Leaving || i.signals.Leaving(id)
 }
 
 // suspectChanged logs a decision about a fingerprint. The instance that made it stores it; of a
@@ -128,7 +133,7 @@
 func (i *Instance) sendCrashReport(ctx context.Context, member string, r snipequarantine.Report) ([]snipequarantine.Suspect, error) {
 	answer, err := i.peers.crashes.client(memberAddress(member)).Report(ctx, encodeCrashReport(r))
 	if err != nil {
-		return nil, errors.Wrap(err, "report crashes")
+		return nil, crashMessageError(err)
 	}
 	return i.decodeSuspects(answer.GetSuspects()), nil
 }
@@ -137,7 +142,17 @@
 func (i *Instance) sendCrashAnnouncement(ctx context.Context, member string, decisions []snipequarantine.Suspect) error {
 	r := &snipeproto.CrashAnnounceRequest{Suspects: encodeSuspects(decisions)}
 	_, err := i.peers.crashes.client(memberAddress(member)).Announce(ctx, r)
-	return errors.Wrap(err, "announce suspects")
+	return crashMessageError(err)
+}
+
+// crashMessageError returns the error of a message to another instance; it wraps
+// snipequarantine.ErrUnsupported if the instance runs a version that does not know the message.
+func crashMessageError(err error) error {
+	var failure twirp.Error
+	if errors.As(err, &failure) && failure.Code() == twirp.BadRoute {
+		return errors.Wrap(snipequarantine.ErrUnsupported, failure.Msg())
+	}
+	return err
 }
 
 // crashServer serves the messages of other instances about requests that crash upstreams.
@@ -207,12 +222,8 @@
 func (i *Instance) decodeSuspects(all []*snipeproto.CrashSuspect) []snipequarantine.Suspect {
 	decoded := make([]snipequarantine.Suspect, 0, len(all))
 	for _, m := range all {
-		s := snipequarantine.Suspect{
-			Round: m.GetRound(), Refused: m.GetRefused(),
-			Left: time.Duration(m.GetLeftMilliseconds()) * time.Millisecond, Upstreams: m.GetUpstreams(),
-		}
-		var err error
-		if s.Fingerprint, err = snipequarantine.FingerprintFrom(m.GetFingerprint()); err != nil || s.Check() != nil {
+		s, err := decodeSuspect(m)
+		if err != nil {
 			i.countWrongCrashMessage()
 			continue
 		}
@@ -220,3 +231,21 @@
 	}
 	return decoded
 }
+
+// decodeSuspect returns the decision of a message. Its errors wrap those of snipequarantine.
+func decodeSuspect(m *snipeproto.CrashSuspect) (snipequarantine.Suspect, error) {
+	f, err := snipequarantine.FingerprintFrom(m.GetFingerprint())
+	if err != nil {
+		return snipequarantine.Suspect{}, err
+	}
+	ms := m.GetLeftMilliseconds()
+	if ms > snipequarantine.SuspectTime.Milliseconds() {
+		// As a time.Duration it may be negative, which would release the fingerprint.
+		return snipequarantine.Suspect{}, errors.Wrapf(snipequarantine.ErrSuspect, "refused for %d ms", ms)
+	}
+	s := snipequarantine.Suspect{
+		Fingerprint: f, Round: m.GetRound(), Refused: m.GetRefused(),
+		Left: time.Duration(max(ms, 0)) * time.Millisecond, Upstreams: m.GetUpstreams(),
+	}
+	return s, s.Check()
+}
--- a/snipeentry/crash_test.go
+++ b/snipeentry/crash_test.go
@@ -161,3 +161,39 @@
 		})
 	}
 }
+
+// TestRefusalOutlastsStop guards against a request that crashes upstreams again after all instances
+// were killed at once, and against a refusal that does not say when to come back.
+func TestRefusalOutlastsStop(t *testing.T) {
+	t.Parallel()
+	s := newCrashCluster(t)
+	s.declare(1)
+	instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
+	for _, i := range instances {
+		waitServing(t, i)
+	}
+	waitPeersKnown(t, instances)
+	sendCopy := func(i *instance) reply {
+		a, _ := send(t, i.url, http.MethodPost, "/often/x", crashText)
+		return a
+	}
+	isRefused := func(i *instance) bool {
+		after, err := strconv.ParseFloat(sendCopy(i).header.Get("Retry-After"), 64)
+		return err == nil && after > 3000
+	}
+	for _, i := range instances {
+		eventually(t, func() bool { return isRefused(i) })
+	}
+	eventually(t, func() bool { return s.store.Rows("quarantine") == 1 })
+	_, before := s.crashRecords()
+	for _, i := range instances {
+		i.kill()
+		t.Log("killed:", <-i.ended)
+	}
+	again := s.start("four")
+	waitServing(t, again)
+	must.True(t, isRefused(again))
+	must.Eq(t, http.StatusServiceUnavailable, sendCopy(again).status)
+	_, after := s.crashRecords()
+	must.Eq(t, len(before), len(after), must.Sprint("crashes"))
+}
--- a/snipeentry/crashdetector.go
+++ b/snipeentry/crashdetector.go
@@ -37,12 +37,12 @@
 // crashDetector finds out whether the upstream of a broken answer has ended. An answer also breaks off
 // when a connection is reset, or when an upstream spoils it and goes on. An upstream has ended if it
 // refuses a connection right after that, or if its start leaves the registry within ConfirmTime. The
-// end of an upstream that announced that it is leaving is no crash.
+// end of an upstream that was leaving when the answer broke off is no crash.
 //
 // Exported fields are set before the first call. It is safe for concurrent use.
 type crashDetector struct {
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-	// Leaving reports whether an upstream has announced that it is leaving.
+	// Leaving reports whether an upstream is leaving or has left the registry.
 	Leaving func(id string) bool
 	// Crashed is called for each request that was running at an upstream that crashed.
 	Crashed     func(upstream string, f snipequarantine.Fingerprint)
@@ -63,6 +63,9 @@
 
 // Broke records a broken answer. It does not block.
 func (d *crashDetector) Broke(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string) {
+	if d.Leaving(u.ID) {
+		return
+	}
 	b := brokenAnswer{u, f, request, time.Now()}
 	d.lock.Lock()
 	defer d.lock.Unlock()
@@ -106,7 +109,11 @@
 }
 
 // Gone records that the registry no longer lists a start of an upstream.
-func (d *crashDetector) Gone(id string) { d.ended(id, "Registry") }
+func (d *crashDetector) Gone(u *snipedirectory.Upstream) {
+	if !u.Leaving {
+		d.ended(u.ID, "Registry")
+	}
+}
 
 // ended records that an upstream has ended, and reports the answers that broke off within ConfirmTime
 // before. It does nothing if no answer of the upstream has broken off.
@@ -122,7 +129,7 @@
 	broken := slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > d.ConfirmTime })
 	s.broken = nil
 	d.lock.Unlock()
-	if len(broken) == 0 || d.Leaving(id) {
+	if len(broken) == 0 {
 		return
 	}
 	d.Meter.Count("snipepitch_upstream_crashes_total")
@@ -135,9 +142,6 @@
 // report reports requests that were running at an upstream that has ended.
 func (d *crashDetector) report(all []brokenAnswer) {
 	for _, b := range all {
-		if d.Leaving(b.upstream.ID) {
-			continue
-		}
 		d.Log.Log(snipelog.RequestBroke, snipelog.Fields{
 			"Request": b.request, upstreamField: b.upstream.ID, fingerprintField: b.fingerprint.String(),
 		})
--- a/snipeentry/crashdetector_test.go
+++ b/snipeentry/crashdetector_test.go
@@ -24,8 +24,9 @@
 // being counted as crashes, and against crashes that are not noticed.
 func TestCrashDetector(t *testing.T) {
 	tests := map[string]struct {
-		dial    error
-		leaving bool
+		dial error
+		// leaving is set if the upstream was leaving when the answers broke off, left if it began later.
+		leaving, left bool
 		// gone is when the upstream leaves the registry; zero if it stays.
 		gone    time.Duration
 		crashes int64
@@ -37,6 +38,7 @@
 		"gone long after":              {gone: 5 * time.Second},
 		"refuses and was leaving":      {dial: syscall.ECONNREFUSED, leaving: true},
 		"gone and was leaving":         {gone: time.Second, leaving: true},
+		"gone, has begun to leave":     {gone: time.Second, left: true},
 		"refuses, and is gone as well": {dial: syscall.ECONNREFUSED, gone: time.Second, crashes: 2},
 	}
 	for name, tt := range tests {
@@ -61,7 +63,8 @@
 				synctest.Wait()
 				if tt.gone > 0 {
 					time.Sleep(tt.gone)
-					d.Gone(u.ID)
+					u.Leaving = tt.left
+					d.Gone(u)
 				}
 				synctest.Wait()
 				must.Eq(t, tt.crashes, crashes.Load())
--- a/snipeentry/feed.go
+++ b/snipeentry/feed.go
@@ -296,7 +296,7 @@
 		i.Log.Log(snipelog.UpstreamLeaving, fields)
 	case snipedirectory.Gone:
 		i.Log.Log(snipelog.UpstreamGone, fields)
-		i.crashDetector.Gone(u.ID)
+		i.crashDetector.Gone(u)
 		i.links.Forget(u.Address)
 		i.residency.Forget(u.ID)
 		i.balancer.Forget(u.ID)
--- a/snipeentry/quarantinestore.go
+++ b/snipeentry/quarantinestore.go
@@ -31,7 +31,8 @@
 }
 
 // quarantineStore keeps the refused fingerprints in the store, so that they outlast a stop of all
-// instances. They are read once, at the start; later decisions are exchanged by the instances. Exported
+// instances. They are read at the start, and by an instance that is cut off from the others; decisions
+// are exchanged by the instances otherwise. Exported
 // fields are set before the first call. It is safe for concurrent use.
 type quarantineStore struct {
 	Read      func(ctx context.Context) (snipemirror.Page, error)
@@ -74,6 +75,13 @@
 	delete(q.added, f)
 }
 
+// ReadAgain has the rows read once more.
+func (q *quarantineStore) ReadAgain() {
+	q.lock.Lock()
+	defer q.lock.Unlock()
+	q.restored = false
+}
+
 // step begins the next call to the store if one is due, and does not wait for it.
 func (q *quarantineStore) step(ctx context.Context) {
 	now := time.Now()
--- a/snipequarantine/exchange.go
+++ b/snipequarantine/exchange.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -15,6 +17,12 @@
 	messageDivisor = 10
 	retryDivisor   = 8
 	roundDivisor   = 8
+
+	isolationTimeDivisor = 4
+
+	// unsupportedPause is how long a member is sent nothing that does not serve these messages. The
+	// next start of it is another member.
+	unsupportedPause = time.Minute
 	// evidenceTime is how long an instance keeps what it has reported, to report it again to members
 	// that become coordinators.
 	evidenceTime = time.Minute
@@ -25,6 +33,10 @@
 	maxSending = 512
 )
 
+// ErrUnsupported is returned by Exchange.Report and Exchange.Announce for a member that does not serve
+// these messages, since it runs an older version.
+var ErrUnsupported = errors.New("the instance does not take part")
+
 // Report is what an instance has observed of the fingerprints that the receiver coordinates.
 type Report struct {
 	Crashes []UpstreamCrash
@@ -209,8 +221,13 @@
 // takeOver begins to announce the refusals of the fingerprints of which this instance has become a
 // coordinator.
 func (e *Exchange) takeOver() {
-	for _, s := range e.Suspects.ListRefused() {
-		if !e.announcements.has(s.Fingerprint) && e.Coordinates(s.Fingerprint) {
+	refused := e.Suspects.ListRefused()
+	if len(refused) == 0 {
+		return
+	}
+	candidates := e.Candidates()
+	for _, s := range refused {
+		if !e.announcements.has(s.Fingerprint) && e.isCoordinator(s.Fingerprint, candidates) {
 			e.announcements.put(s)
 		}
 	}
@@ -218,7 +235,22 @@
 
 // Coordinates reports whether this instance is a coordinator of a fingerprint.
 func (e *Exchange) Coordinates(f Fingerprint) bool {
-	return slices.ContainsFunc(Coordinators(f, e.Candidates()), func(m Member) bool { return m.ID == e.Self })
+	return e.isCoordinator(f, e.Candidates())
+}
+
+func (e *Exchange) isCoordinator(f Fingerprint, candidates []Member) bool {
+	return slices.ContainsFunc(Coordinators(f, candidates), func(m Member) bool { return m.ID == e.Self })
+}
+
+// Isolated reports whether this instance has observed a crash that no other instance has received for
+// SpreadTime/4, so that decisions do not reach it either.
+func (e *Exchange) Isolated() bool {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	isOther := func(member string) bool { return member != e.Self }
+	return slices.ContainsFunc(e.evidence, func(v *evidence) bool {
+		return time.Since(v.observedAt) >= e.SpreadTime/isolationTimeDivisor && !slices.ContainsFunc(v.receivedBy, isOther)
+	})
 }
 
 // sendReports sends each coordinator the evidence that it has not received.
@@ -335,7 +367,10 @@
 	defer e.lock.Unlock()
 	delete(e.sending, member)
 	maps.DeleteFunc(e.failedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrUnsupported):
+		e.failedUntil[member] = now.Add(unsupportedPause)
+	case err != nil:
 		e.failedUntil[member] = now.Add(e.SpreadTime / retryDivisor)
 	}
 }
--- a/snipequarantine/exchange_test.go
+++ b/snipequarantine/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,18 +31,20 @@
 type fleet struct {
 	exchanges map[string]*snipequarantine.Exchange
 	members   []snipequarantine.Member
-	// lost is the share of messages that are lost; down are instances that neither send nor answer.
-	lost float64
-	down map[string]bool
+	// lost is the share of messages that are lost; down are instances that neither send nor answer, old
+	// those that do not know the messages.
+	lost      float64
+	down, old map[string]bool
 
 	lock     sync.Mutex // guards the fields below
 	random   *rand.Rand
 	messages int
+	toOld    int // messages to instances in old
 }
 
-func newFleet(instances int, seed uint64) *fleet {
+func newFleet(instances int) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 0)), exchanges: map[string]*snipequarantine.Exchange{}, down: map[string]bool{},
+		random: rand.New(rand.NewPCG(1, 0)), exchanges: map[string]*snipequarantine.Exchange{}, down: map[string]bool{}, old: map[string]bool{},
 	}
 	for n := range instances {
 		f.members = append(f.members, snipequarantine.NewMember(fmt.Sprint("i", n), fmt.Sprint("domain", n%3)))
@@ -79,7 +82,13 @@
 func (f *fleet) deliver(ctx context.Context, member string) error {
 	f.lock.Lock()
 	f.messages++
+	if f.old[member] {
+		f.toOld++
+	}
 	f.lock.Unlock()
+	if f.old[member] {
+		return snipequarantine.ErrUnsupported
+	}
 	if f.down[member] || f.chance(f.lost) {
 		<-ctx.Done()
 		return errLost
@@ -241,7 +250,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const length = 20 * time.Second
-				f := newFleet(tt.instances, 1)
+				f := newFleet(tt.instances)
 				f.lost = tt.lost
 				for n := range tt.down {
 					f.down[f.members[n].ID] = true
@@ -258,3 +267,109 @@
 		})
 	}
 }
+
+// refuseByAll runs a fleet until all of its instances refuse a fingerprint that crashed three upstreams,
+// whose names begin with a prefix.
+func refuseByAll(t *testing.T, f *fleet, p snipequarantine.Fingerprint, prefix string) {
+	for n := range 3 {
+		f.any().Crashed(fmt.Sprint(prefix, n), p)
+	}
+	f.run(t, spreadTime, func(time.Duration) {})
+	must.Eq(t, len(f.members), f.countRefusing(p))
+}
+
+// countRefusing returns how many instances refuse a fingerprint.
+func (f *fleet) countRefusing(p snipequarantine.Fingerprint) int {
+	n := 0
+	for _, m := range f.members {
+		if _, refused := f.exchanges[m.ID].Suspects.Refused(p); refused {
+			n++
+		}
+	}
+	return n
+}
+
+// TestExchangeMembers guards against instances that start after a refusal and do not refuse, also if
+// its coordinators have ended since.
+func TestExchangeMembers(t *testing.T) {
+	tests := map[string]func(f *fleet, p snipequarantine.Fingerprint){
+		"a new instance": func(*fleet, snipequarantine.Fingerprint) {},
+		"after the coordinators have ended": func(f *fleet, p snipequarantine.Fingerprint) {
+			for _, c := range snipequarantine.Coordinators(p, f.members) {
+				f.members = slices.DeleteFunc(f.members, func(m snipequarantine.Member) bool { return m.ID == c.ID })
+			}
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, p := newFleet(9), fingerprint("crasher")
+				refuseByAll(t, f, p, "u")
+				change(f, p)
+				f.members = append(f.members, snipequarantine.NewMember("new", "domain0"))
+				f.start("new")
+				f.run(t, spreadTime, func(time.Duration) {})
+				must.Eq(t, len(f.members), f.countRefusing(p))
+			})
+		})
+	}
+}
+
+// TestExchangeReleases guards against a fingerprint that stays refused at some instances after one of
+// its requests was answered, and against one that cannot be refused a second time.
+func TestExchangeReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p := newFleet(9), fingerprint("innocent")
+		refuseByAll(t, f, p, "first")
+		f.any().Answered(p)
+		f.run(t, spreadTime, func(time.Duration) {})
+		must.Zero(t, f.countRefusing(p))
+		refuseByAll(t, f, p, "second")
+		time.Sleep(snipequarantine.SuspectTime)
+		f.run(t, stepInterval, func(time.Duration) {})
+		must.Zero(t, f.countRefusing(p))
+	})
+}
+
+// TestExchangeOldVersions guards against a bound that does not hold among new instances while half of
+// the instances run a version that does not take part, and against messages to these all the time.
+func TestExchangeOldVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, p := newFleet(8), fingerprint("crasher")
+		for n := range 4 {
+			f.old[f.members[n].ID] = true
+		}
+		for n := range 3 {
+			f.exchanges["i7"].Crashed(fmt.Sprint("u", n), p)
+		}
+		f.run(t, 2*spreadTime, func(time.Duration) {})
+		must.Eq(t, 4, f.countRefusing(p))
+		must.LessEq(t, 4*len(f.members), f.toOld)
+	})
+}
+
+// TestExchangeIsolated guards against an instance that is cut off from all others and does not notice
+// it, so that it misses their decisions, and against one that takes itself for cut off without a cause.
+func TestExchangeIsolated(t *testing.T) {
+	tests := map[string]struct {
+		down     int
+		isolated bool
+	}{
+		"all others are down": {6, true}, "one other is down": {1, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(7)
+				for n := range tt.down {
+					f.down[f.members[n].ID] = true
+				}
+				e := f.exchanges["i6"]
+				must.False(t, e.Isolated())
+				e.Crashed("u1", fingerprint("any"))
+				f.run(t, spreadTime, func(time.Duration) {})
+				must.Eq(t, tt.isolated, e.Isolated())
+			})
+		})
+	}
+}
--- a/snipequarantine/ledger.go
+++ b/snipequarantine/ledger.go
@@ -10,6 +10,9 @@
 	// watchedFrom is the number of crashes from which a fingerprint is watched, refusedFrom that
 	// from which it is refused.
 	watchedFrom, refusedFrom = 2, 3
+	// watchTime is how long a fingerprint is watched after a crash. All requests need a fingerprint
+	// meanwhile.
+	watchTime = time.Minute
 	// maxLedgerRecords bounds the fingerprints in a Ledger. A crash makes a record of each request
 	// that was in flight at the upstream, and most of these are innocent.
 	maxLedgerRecords = 8192
@@ -39,6 +42,8 @@
 
 	lock    sync.Mutex // guards the fields below
 	records map[Fingerprint]*crashRecord
+	// candidates are the records with watchedFrom crashes or more.
+	candidates map[Fingerprint]*crashRecord
 	// explained holds the starts of upstreams at which a refused fingerprint was running when they
 	// ended, and when it was refused.
 	explained map[string]time.Time
@@ -48,29 +53,45 @@
 type crashRecord struct {
 	upstreams map[string]bool
 	lastAt    time.Time
-	watchedAt time.Time // zero until the fingerprint is watched
+	watchedAt time.Time // zero while the fingerprint is not watched
 }
 
-// Record counts a crash.
+// Record counts a crash. It forgets earlier crashes that are older than SuspectTime.
 func (l *Ledger) Record(c UpstreamCrash) {
 	now := time.Now()
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	r := l.records[c.Fingerprint]
+	if r != nil && now.Sub(r.lastAt) >= SuspectTime {
+		l.remove(c.Fingerprint)
+		r = nil
+	}
 	if r == nil {
 		r = l.add(c.Fingerprint)
 	}
+	if now.Sub(r.watchedAt) >= watchTime {
+		r.watchedAt = time.Time{}
+	}
 	r.upstreams[c.Upstream], r.lastAt = true, now
+	if len(r.upstreams) >= watchedFrom {
+		l.candidates[c.Fingerprint] = r
+	}
+}
+
+// remove removes the record of a fingerprint. The lock is held.
+func (l *Ledger) remove(f Fingerprint) {
+	delete(l.records, f)
+	delete(l.candidates, f)
 }
 
 // add adds a record. If there are maxLedgerRecords, it replaces the one with the oldest crash. The
 // lock is held.
 func (l *Ledger) add(f Fingerprint) *crashRecord {
 	if l.records == nil {
-		l.records = make(map[Fingerprint]*crashRecord)
+		l.records, l.candidates = make(map[Fingerprint]*crashRecord), make(map[Fingerprint]*crashRecord)
 	}
 	if len(l.records) >= maxLedgerRecords {
-		delete(l.records, l.oldest())
+		l.remove(l.oldest())
 	}
 	r := &crashRecord{upstreams: make(map[string]bool)}
 	l.records[f] = r
@@ -94,7 +115,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	r := l.records[f]
-	delete(l.records, f)
+	l.remove(f)
 	return r != nil && !r.watchedAt.IsZero()
 }
 
@@ -103,7 +124,7 @@
 func (l *Ledger) Explain(s Suspect) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	delete(l.records, s.Fingerprint)
+	l.remove(s.Fingerprint)
 	l.explain(s.Upstreams)
 }
 
@@ -119,23 +140,19 @@
 	}
 }
 
-// Decide returns the fingerprints that are to be watched or refused from now on. It forgets crashes
-// that are older than SuspectTime.
+// Decide returns the fingerprints that are to be watched or refused from now on.
 func (l *Ledger) Decide() []Suspect {
 	now := time.Now()
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	var decided []Suspect
-	for f, r := range l.records {
+	for f, r := range l.candidates {
 		switch {
-		case now.Sub(r.lastAt) >= SuspectTime:
-			delete(l.records, f)
-		case len(r.upstreams) < watchedFrom:
 		case r.watchedAt.IsZero():
 			r.watchedAt = now
-			decided = append(decided, Suspect{Fingerprint: f, Left: SuspectTime, Upstreams: firstUpstreams(r.upstreams)})
+			decided = append(decided, Suspect{Fingerprint: f, Left: watchTime, Upstreams: firstUpstreams(r.upstreams)})
 		case now.Sub(r.watchedAt) >= l.ObserveTime && l.convicts(r):
-			delete(l.records, f)
+			l.remove(f)
 			s := Suspect{Fingerprint: f, Refused: true, Left: SuspectTime, Upstreams: firstUpstreams(r.upstreams)}
 			l.explain(s.Upstreams)
 			decided = append(decided, s)
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -31,6 +31,8 @@
 	denied        = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"search","Waiting":31}`
 	deniedOther   = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i2","Event":219,"Name":"PermitRefused","Service":"rank","Waiting":3}`
 	lost          = `{"time":"2026-03-01T10:00:01.600Z","Instance":"i1","Event":222,"Name":"CoordinatorLost","Service":"search","Coordinator":"i2"}`
+	refusedPrint  = `{"time":"2026-03-01T10:00:00.300Z","Instance":"i1","Event":237,"Name":"FingerprintRefused","Fingerprint":"f1"}`
+	refusedOther  = `{"time":"2026-03-01T10:00:00.300Z","Instance":"i1","Event":237,"Name":"FingerprintRefused","Fingerprint":"f2"}`
 	refusedLoad   = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i3","Event":521,"Name":"LoadRefused","Adapter":"a5","Engine":"u1","Displaced":true}`
 )
 
@@ -57,6 +59,11 @@
 			snipestory.MemoryFull,
 			[]string{"RefusedForMemory", "End"},
 		},
+		"Quarantined": {
+			[]string{refusedPrint, refusedOther, end("211", `"Status":503,"Fingerprint":"f1","Error":"quarantined (NotRun): requests like this one crash upstreams"`)},
+			snipestory.Quarantined,
+			[]string{"FingerprintRefused", "End"},
+		},
 		"ReaderSlow": {
 			[]string{answerEnded, forced, end("213", `"Status":200,"Error":"canceled by the caller (MayHaveRun): the caller had read nothing for 1500 ms and the instance holds as many bytes as it may"`)},
 			snipestory.ReaderSlow,
