snipequarantine: late messages of earlier rounds, and smaller files

Read as a newcomer would: a release that arrives twice removed a newer announcement, and a crash of an earlier round was counted again by a new coordinator. Both are ignored now. A CrashTime that is too short for a lost message is accepted and said on the settings' page, instead of keeping the instance from starting. exchange.go and crash.go are split; the package comment names both ways.

--- a/snipeentry/crash.go
+++ b/snipeentry/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"strings"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
@@ -172,80 +171,3 @@
 
 // countWrongCrashMessage counts a part of a message or a row that was ignored as invalid.
 func (i *Instance) countWrongCrashMessage() { i.meter.Count("snipepitch_crash_wrong_messages_total") }
-
-func encodeCrashReport(r snipequarantine.Report) *snipeproto.CrashReportRequest {
-	m := &snipeproto.CrashReportRequest{}
-	for _, c := range r.Crashes {
-		m.Crashes = append(m.Crashes, &snipeproto.UpstreamCrash{Fingerprint: c.Fingerprint[:], Upstream: c.Upstream, Round: c.Round})
-	}
-	for _, a := range r.Answers {
-		m.Answers = append(m.Answers, &snipeproto.CrashAnswer{Fingerprint: a.Fingerprint[:], Round: a.Round})
-	}
-	return m
-}
-
-// decodeCrashReport returns the valid parts of a report and counts the others.
-func (i *Instance) decodeCrashReport(m *snipeproto.CrashReportRequest) snipequarantine.Report {
-	var r snipequarantine.Report
-	for _, c := range m.GetCrashes() {
-		d := snipequarantine.UpstreamCrash{Upstream: c.GetUpstream(), Round: c.GetRound()}
-		var err error
-		if d.Fingerprint, err = snipequarantine.FingerprintFrom(c.GetFingerprint()); err != nil || d.Check() != nil {
-			i.countWrongCrashMessage()
-			continue
-		}
-		r.Crashes = append(r.Crashes, d)
-	}
-	for _, a := range m.GetAnswers() {
-		f, err := snipequarantine.FingerprintFrom(a.GetFingerprint())
-		if err != nil || !snipequarantine.ValidRound(a.GetRound()) {
-			i.countWrongCrashMessage()
-			continue
-		}
-		r.Answers = append(r.Answers, snipequarantine.Answer{Fingerprint: f, Round: a.GetRound()})
-	}
-	return r
-}
-
-func encodeSuspects(all []snipequarantine.Suspect) []*snipeproto.CrashSuspect {
-	encoded := make([]*snipeproto.CrashSuspect, 0, len(all))
-	for _, s := range all {
-		encoded = append(encoded, &snipeproto.CrashSuspect{
-			Fingerprint: s.Fingerprint[:], Round: s.Round, Refused: s.Refused,
-			LeftMilliseconds: s.Left.Milliseconds(), Upstreams: s.Upstreams,
-		})
-	}
-	return encoded
-}
-
-// decodeSuspects returns the valid decisions of a message and counts the others.
-func (i *Instance) decodeSuspects(all []*snipeproto.CrashSuspect) []snipequarantine.Suspect {
-	decoded := make([]snipequarantine.Suspect, 0, len(all))
-	for _, m := range all {
-		s, err := decodeSuspect(m)
-		if err != nil {
-			i.countWrongCrashMessage()
-			continue
-		}
-		decoded = append(decoded, s)
-	}
-	return decoded
-}
-
-// decodeSuspect returns the decision of a message. Its errors wrap those of snipequarantine.
-func decodeSuspect(m *snipeproto.CrashSuspect) (snipequarantine.Suspect, error) {
-	f, err := snipequarantine.FingerprintFrom(m.GetFingerprint())
-	if err != nil {
-		return snipequarantine.Suspect{}, err
-	}
-	ms := m.GetLeftMilliseconds()
-	if ms > snipequarantine.SuspectTime.Milliseconds() {
-		// As a time.Duration it may be negative, which would release the fingerprint.
-		return snipequarantine.Suspect{}, errors.Wrapf(snipequarantine.ErrSuspect, "refused for %d ms", ms)
-	}
-	s := snipequarantine.Suspect{
-		Fingerprint: f, Round: m.GetRound(), Refused: m.GetRefused(),
-		Left: time.Duration(max(ms, 0)) * time.Millisecond, Upstreams: m.GetUpstreams(),
-	}
-	return s, s.Check()
-}
--- a/snipeentry/settings.go
+++ b/snipeentry/settings.go
@@ -68,7 +68,8 @@
 	DrainTime snipejson.Duration
 	ApplyTime snipejson.Duration
 	// CrashTime is the time within which all instances refuse a request after it has crashed the third
-	// upstream; DefaultCrashTime if the file does not set it.
+	// upstream; DefaultCrashTime if the file does not set it. If it is shorter than two seconds, it may
+	// be exceeded when a message between instances is lost.
 	CrashTime snipejson.Duration
 	// Power is the fraction of a core that the process gets on its machine. Tasks that a few
 	// instances do for all go to the instances with the most power; instances with 0 come last.
@@ -128,10 +129,6 @@
 // DefaultCrashTime is the default of Settings.CrashTime.
 const DefaultCrashTime = 3 * time.Second
 
-// minCrashTime is the least CrashTime: the end of an upstream is known after dialTimeout at the
-// latest, and a fraction of the time remains for each message about it.
-const minCrashTime = time.Second
-
 // maxStaleness returns the time within which an instance must know of a change in the store: the
 // shorter of DrainTime and ApplyTime.
 func (s Settings) maxStaleness() time.Duration { return min(s.DrainTime.Value(), s.ApplyTime.Value()) }
@@ -179,8 +176,8 @@
 		return invalid("DrainTime", notPositive)
 	case s.ApplyTime <= 0:
 		return invalid("ApplyTime", notPositive)
-	case s.CrashTime.Value() < minCrashTime:
-		return invalid("CrashTime", "is shorter than "+minCrashTime.String())
+	case s.CrashTime <= 0:
+		return invalid("CrashTime", notPositive)
 	}
 	return nil
 }
--- a/snipequarantine/exchange.go
+++ b/snipequarantine/exchange.go
@@ -2,23 +2,22 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 const (
-	// Fractions of Exchange.SpreadTime. A crash is known to its coordinators and a decision to all
-	// instances within a few messages, so that most of the time is left to watch a fingerprint.
-	observeDivisor = 3
-	messageDivisor = 10
-	retryDivisor   = 8
-	roundDivisor   = 8
-
-	isolationTimeDivisor = 4
+	// These divide Exchange.SpreadTime. They yield the time for which a fingerprint is watched before
+	// it is refused, the timeout of a message, the pause after a message that failed, the time
+	// between two rounds of announcements, and the age from which on evidence that no other member has
+	// received shows that this one is isolated. A report and an announcement that are lost once each
+	// fit in beside the watch.
+	observeDivisor  = 3
+	messageDivisor  = 10
+	retryDivisor    = 8
+	roundDivisor    = 8
+	isolatedDivisor = 4
 
 	// unsupportedPause is how long a member is sent nothing that does not serve these messages. The
 	// next start of it is another member.
@@ -33,23 +32,6 @@
 	maxSending = 512
 )
 
-// ErrUnsupported is returned by Exchange.Report and Exchange.Announce for a member that does not serve
-// these messages, since it runs an older version.
-var ErrUnsupported = errors.New("the instance does not take part")
-
-// Report is what an instance has observed of the fingerprints that the receiver coordinates.
-type Report struct {
-	Crashes []UpstreamCrash
-	Answers []Answer
-}
-
-// Answer reports that a request of a fingerprint was answered.
-type Answer struct {
-	Fingerprint Fingerprint
-	// Round is the round of the fingerprint as the reporting instance knows it.
-	Round uint64
-}
-
 // Source is where a decision about a fingerprint came from.
 type Source string
 
@@ -108,14 +90,6 @@
 	nextRound time.Time
 }
 
-// evidence is an observation and the members that have received it.
-type evidence struct {
-	UpstreamCrash
-	answered   bool
-	observedAt time.Time
-	receivedBy []string
-}
-
 func (e *Exchange) setUp() {
 	e.initialize.Do(func() { e.ledger.ObserveTime = e.SpreadTime / observeDivisor })
 }
@@ -158,7 +132,7 @@
 }
 
 // Step decides as a coordinator, and begins to send the messages that are due. It does not wait for
-// their answers. It is to be called every SpreadTime/30 or more often.
+// their answers. It is to be called at intervals that are short compared with SpreadTime.
 func (e *Exchange) Step(ctx context.Context) {
 	e.setUp()
 	for _, s := range e.Suspects.Expire() {
@@ -249,144 +223,22 @@
 	defer e.lock.Unlock()
 	isOther := func(member string) bool { return member != e.Self }
 	return slices.ContainsFunc(e.evidence, func(v *evidence) bool {
-		return time.Since(v.observedAt) >= e.SpreadTime/isolationTimeDivisor && !slices.ContainsFunc(v.receivedBy, isOther)
+		return time.Since(v.observedAt) >= e.SpreadTime/isolatedDivisor && !slices.ContainsFunc(v.receivedBy, isOther)
 	})
 }
 
-// sendReports sends each coordinator the evidence that it has not received.
-func (e *Exchange) sendReports(ctx context.Context) {
-	for member, all := range e.dueReports() {
-		if member == e.Self {
-			e.learn(e.HandleReport(newReport(all)))
-			e.noteReceived(member, all)
-			continue
-		}
-		e.send(ctx, member, func(ctx context.Context) error {
-			decisions, err := e.Report(ctx, member, newReport(all))
-			if err != nil {
-				return err
-			}
-			e.noteReceived(member, all)
-			e.learn(decisions)
-			return nil
-		})
-	}
-}
-
-// dueReports returns the evidence to send, by coordinator, and forgets what is older than evidenceTime.
-// Members that did not answer are passed over for a while, so that others coordinate.
-func (e *Exchange) dueReports() map[string][]*evidence {
-	now := time.Now()
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	e.evidence = slices.DeleteFunc(e.evidence, func(v *evidence) bool { return now.Sub(v.observedAt) >= evidenceTime })
-	if len(e.evidence) == 0 {
-		return nil
-	}
-	failed := func(m Member) bool { return now.Before(e.failedUntil[m.ID]) }
-	reachable := slices.DeleteFunc(slices.Clone(e.Candidates()), failed)
-	reports := make(map[string][]*evidence)
-	for _, v := range e.evidence {
-		for _, m := range Coordinators(v.Fingerprint, reachable) {
-			if !slices.Contains(v.receivedBy, m.ID) && len(reports[m.ID]) < maxMessageEntries {
-				reports[m.ID] = append(reports[m.ID], v)
-			}
-		}
-	}
-	return reports
-}
-
-// newReport returns the message for evidence.
-func newReport(all []*evidence) Report {
-	var r Report
-	for _, v := range all {
-		if v.answered {
-			r.Answers = append(r.Answers, Answer{v.Fingerprint, v.Round})
-		} else {
-			r.Crashes = append(r.Crashes, v.UpstreamCrash)
-		}
-	}
-	return r
-}
-
-// noteReceived records that a member has received evidence.
-func (e *Exchange) noteReceived(member string, all []*evidence) {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	for _, v := range all {
-		v.receivedBy = append(v.receivedBy, member)
-	}
-}
-
-// sendAnnouncements sends each member the decisions that it has not confirmed.
-func (e *Exchange) sendAnnouncements(ctx context.Context) {
-	if e.announcements.empty() {
-		return
-	}
-	others := slices.DeleteFunc(slices.Clone(e.Members()), func(m Member) bool { return m.ID == e.Self })
-	for _, m := range others {
-		decisions := e.announcements.due(m.ID)
-		if len(decisions) == 0 {
-			continue
-		}
-		decisions = decisions[:min(len(decisions), maxMessageEntries)]
-		e.send(ctx, m.ID, func(ctx context.Context) error {
-			if err := e.Announce(ctx, m.ID, decisions); err != nil {
-				return err
-			}
-			e.announcements.confirm(m.ID, decisions)
-			return nil
-		})
-	}
-	e.announcements.forgetConfirmed(others)
-}
-
-// send sends a message to a member in the background, unless another one is in progress, the last
-// one failed a short time ago, or maxSending messages are in progress.
-func (e *Exchange) send(ctx context.Context, member string, message func(ctx context.Context) error) {
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	if len(e.sending) >= maxSending || e.sending[member] || time.Now().Before(e.failedUntil[member]) {
-		return
-	}
-	if e.sending == nil {
-		e.sending, e.failedUntil = make(map[string]bool), make(map[string]time.Time)
-	}
-	e.sending[member] = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, e.SpreadTime/messageDivisor)
-		defer cancel()
-		e.noteSent(member, message(ctx))
-	}()
-}
-
-// noteSent records the end of a message.
-func (e *Exchange) noteSent(member string, err error) {
-	now := time.Now()
-	e.lock.Lock()
-	defer e.lock.Unlock()
-	delete(e.sending, member)
-	maps.DeleteFunc(e.failedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
-	switch {
-	case errors.Is(err, ErrUnsupported):
-		e.failedUntil[member] = now.Add(unsupportedPause)
-	case err != nil:
-		e.failedUntil[member] = now.Add(e.SpreadTime / retryDivisor)
-	}
-}
-
 // HandleReport records what another instance, or this one, has observed, and returns the decisions
 // about the reported fingerprints.
 func (e *Exchange) HandleReport(r Report) []Suspect {
 	e.setUp()
 	for _, c := range r.Crashes {
-		e.Suspects.Raise(c.Fingerprint, c.Round)
-		if _, refused := e.Suspects.Refused(c.Fingerprint); !refused {
+		e.raise(c.Fingerprint, c.Round)
+		if _, refused := e.Suspects.Refused(c.Fingerprint); !refused && c.Round == e.Suspects.Round(c.Fingerprint) {
 			e.ledger.Record(c)
 		}
 	}
 	for _, a := range r.Answers {
-		e.Suspects.Raise(a.Fingerprint, a.Round)
+		e.raise(a.Fingerprint, a.Round)
 		e.clear(a.Fingerprint)
 	}
 	for _, s := range e.ledger.Decide() {
@@ -401,6 +253,17 @@
 	return decisions
 }
 
+// raise records that a round of a fingerprint has begun. If it is a new one, what was counted and decided
+// in earlier rounds is void.
+func (e *Exchange) raise(f Fingerprint, round uint64) {
+	if round <= e.Suspects.Round(f) {
+		return
+	}
+	e.Suspects.Raise(f, round)
+	e.ledger.Clear(f)
+	e.announcements.remove(f)
+}
+
 // clear releases a fingerprint of which a request was answered.
 func (e *Exchange) clear(f Fingerprint) {
 	watched := e.ledger.Clear(f)
@@ -415,12 +278,13 @@
 // HandleAnnouncement records decisions of another instance.
 func (e *Exchange) HandleAnnouncement(decisions []Suspect) {
 	for _, s := range decisions {
+		newRound := s.Round > e.Suspects.Round(s.Fingerprint)
 		e.apply(s, Other)
-		switch {
-		case s.Left <= 0:
+		if newRound {
 			e.ledger.Clear(s.Fingerprint)
 			e.announcements.remove(s.Fingerprint)
-		case s.Refused:
+		}
+		if s.Refused && s.Left > 0 {
 			e.ledger.Explain(s)
 		}
 	}
--- a/snipequarantine/snipequarantine.go
+++ b/snipequarantine/snipequarantine.go
@@ -1,6 +1,9 @@
-// Package snipequarantine limits the damage of calls that crash upstreams: each
-// fingerprint causes at most two crashes in the whole system, and no call that crashes
-// nothing is quarantined.
+// Package snipequarantine limits the damage of calls that crash upstreams, and quarantines no call
+// that crashes nothing. It does so in two ways. With Registry, Guard and Isolation each
+// fingerprint causes at most two crashes in the whole system; each attempt is registered before it
+// starts. With Exchange (see there), which entry instances use, a fingerprint may crash three
+// upstreams, and no message is sent for calls that crash nothing. The rest of this comment is about
+// the first way.
 //
 // Design. A fingerprint is a hash of a team, an adapter (or a service with method and
 // path) and a body. Each fingerprint has two coordinators: the instance that ranks
