--- a/snipeentry/crash.go
+++ b/snipeentry/crash.go
@@ -78,7 +78,7 @@
 		fingerprintField: s.Fingerprint.String(), sourceField: source, "Round": s.Round,
 		"Crashed": s.Upstreams, "LeftSeconds": int64(s.Left.Seconds()),
 	}
-	stores := source == snipequarantine.Own || source == snipequarantine.Timer && i.crashes.Coordinates(s.Fingerprint)
+	stores := source == snipequarantine.SourceOwn || source == snipequarantine.SourceTime && i.crashes.Coordinates(s.Fingerprint)
 	switch {
 	case s.Left <= 0:
 		i.Log.Log(snipelog.FingerprintReleased, fields)
--- a/snipequarantine/exchange.go
+++ b/snipequarantine/exchange.go
@@ -37,14 +37,14 @@
 
 // Sources of a decision.
 const (
-	// Own is this instance as a coordinator.
-	Own Source = "Own"
-	// Other is another instance.
-	Other Source = "Instance"
-	// Stored is the store, read at the start.
-	Stored Source = "Store"
-	// Timer is the end of a decision's time.
-	Timer Source = "Time"
+	// SourceOwn is this instance as a coordinator.
+	SourceOwn Source = "Own"
+	// SourceInstance is another instance.
+	SourceInstance Source = "Instance"
+	// SourceStore is the store.
+	SourceStore Source = "Store"
+	// SourceTime is the end of a decision's time.
+	SourceTime Source = "Time"
 )
 
 // Exchange shares among the entry instances which requests crash upstreams. Exported fields are set
@@ -96,7 +96,7 @@
 
 // Crashed records that an upstream ended while it ran a request of this instance. Step reports it.
 func (e *Exchange) Crashed(upstream string, f Fingerprint) {
-	c := UpstreamCrash{Fingerprint: f, Upstream: upstream, Round: e.Suspects.Round(f)}
+	c := UpstreamCrash{Fingerprint: f, Upstream: upstream, Round: e.Suspects.round(f)}
 	e.add(&evidence{UpstreamCrash: c, observedAt: time.Now()})
 }
 
@@ -118,7 +118,7 @@
 	}
 	e.answeredAt[f] = now
 	e.lock.Unlock()
-	e.add(&evidence{UpstreamCrash: UpstreamCrash{Fingerprint: f, Round: e.Suspects.Round(f)}, answered: true, observedAt: now})
+	e.add(&evidence{UpstreamCrash: UpstreamCrash{Fingerprint: f, Round: e.Suspects.round(f)}, answered: true, observedAt: now})
 }
 
 // add adds evidence, and drops the oldest beyond maxEvidence.
@@ -135,9 +135,9 @@
 // their answers. It is to be called at intervals that are short compared with SpreadTime.
 func (e *Exchange) Step(ctx context.Context) {
 	e.setUp()
-	for _, s := range e.Suspects.Expire() {
+	for _, s := range e.Suspects.expire() {
 		e.announcements.remove(s.Fingerprint)
-		e.Changed(s.released(), Timer)
+		e.Changed(s.released(), SourceTime)
 	}
 	for _, s := range e.ledger.Decide() {
 		e.decide(s)
@@ -180,7 +180,7 @@
 // decide records and announces a decision of this instance, in the current round if it is no release.
 func (e *Exchange) decide(s Suspect) {
 	if s.Left > 0 {
-		s.Round = e.Suspects.Round(s.Fingerprint)
+		s.Round = e.Suspects.round(s.Fingerprint)
 	}
 	changed := e.Suspects.Apply(s)
 	e.announcements.put(s)
@@ -188,14 +188,14 @@
 	e.nextRound = time.Time{}
 	e.lock.Unlock()
 	if changed {
-		e.Changed(s, Own)
+		e.Changed(s, SourceOwn)
 	}
 }
 
 // takeOver begins to announce the refusals of the fingerprints of which this instance has become a
 // coordinator.
 func (e *Exchange) takeOver() {
-	refused := e.Suspects.ListRefused()
+	refused := e.Suspects.listRefused()
 	if len(refused) == 0 {
 		return
 	}
@@ -232,13 +232,13 @@
 func (e *Exchange) HandleReport(r Report) []Suspect {
 	e.setUp()
 	for _, c := range r.Crashes {
-		e.raise(c.Fingerprint, c.Round)
-		if _, refused := e.Suspects.Refused(c.Fingerprint); !refused && c.Round == e.Suspects.Round(c.Fingerprint) {
+		e.startRound(c.Fingerprint, c.Round)
+		if _, refused := e.Suspects.Refused(c.Fingerprint); !refused && c.Round == e.Suspects.round(c.Fingerprint) {
 			e.ledger.Record(c)
 		}
 	}
 	for _, a := range r.Answers {
-		e.raise(a.Fingerprint, a.Round)
+		e.startRound(a.Fingerprint, a.Round)
 		e.clear(a.Fingerprint)
 	}
 	for _, s := range e.ledger.Decide() {
@@ -253,13 +253,13 @@
 	return decisions
 }
 
-// raise records that a round of a fingerprint has begun. If it is a new one, what was counted and decided
+// startRound records that a round of a fingerprint has begun. If it is a new one, what was counted and decided
 // in earlier rounds is void.
-func (e *Exchange) raise(f Fingerprint, round uint64) {
-	if round <= e.Suspects.Round(f) {
+func (e *Exchange) startRound(f Fingerprint, round uint64) {
+	if round <= e.Suspects.round(f) {
 		return
 	}
-	e.Suspects.Raise(f, round)
+	e.Suspects.startRound(f, round)
 	e.ledger.Clear(f)
 	e.announcements.remove(f)
 }
@@ -271,15 +271,15 @@
 	if !known && !watched {
 		return
 	}
-	s.Fingerprint, s.Round, s.Left = f, e.Suspects.Round(f)+1, 0
+	s.Fingerprint, s.Round, s.Left = f, e.Suspects.round(f)+1, 0
 	e.decide(s)
 }
 
 // HandleAnnouncement records decisions of another instance.
 func (e *Exchange) HandleAnnouncement(decisions []Suspect) {
 	for _, s := range decisions {
-		newRound := s.Round > e.Suspects.Round(s.Fingerprint)
-		e.apply(s, Other)
+		newRound := s.Round > e.Suspects.round(s.Fingerprint)
+		e.apply(s, SourceInstance)
 		if newRound {
 			e.ledger.Clear(s.Fingerprint)
 			e.announcements.remove(s.Fingerprint)
@@ -293,13 +293,13 @@
 // learn records the decisions in the answer to a report.
 func (e *Exchange) learn(decisions []Suspect) {
 	for _, s := range decisions {
-		e.apply(s, Other)
+		e.apply(s, SourceInstance)
 	}
 }
 
 // Restore records a refusal that was read from the store.
 func (e *Exchange) Restore(s Suspect) {
-	e.apply(s, Stored)
+	e.apply(s, SourceStore)
 	e.ledger.Explain(s)
 }
 
--- a/snipequarantine/suspect.go
+++ b/snipequarantine/suspect.go
@@ -137,7 +137,7 @@
 	defer s.lock.Unlock()
 	defer func() { s.count.Store(int64(len(s.all))) }()
 	before, wasKnown := s.all[x.Fingerprint]
-	s.raise(x.Fingerprint, x.Round, now)
+	s.startRoundLocked(x.Fingerprint, x.Round, now)
 	if x.Left <= 0 {
 		return wasKnown && before.Round < x.Round
 	}
@@ -152,25 +152,25 @@
 	return !wasKnown || before.Refused != x.Refused
 }
 
-// Round returns the current round of a fingerprint.
-func (s *Suspects) Round(f Fingerprint) uint64 {
+// round returns the current round of a fingerprint.
+func (s *Suspects) round(f Fingerprint) uint64 {
 	s.lock.RLock()
 	defer s.lock.RUnlock()
 	return s.released[f].round
 }
 
-// Raise records that a round of a fingerprint has begun, which releases what was decided in an earlier
+// startRound records that a round of a fingerprint has begun, which releases what was decided in an earlier
 // one.
-func (s *Suspects) Raise(f Fingerprint, round uint64) {
+func (s *Suspects) startRound(f Fingerprint, round uint64) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	s.raise(f, round, time.Now())
+	s.startRoundLocked(f, round, time.Now())
 	s.count.Store(int64(len(s.all)))
 }
 
-// raise is Raise with the lock held. If maxSuspects releases are remembered, those older than
+// startRoundLocked is startRound with the lock held. If maxSuspects releases are remembered, those older than
 // SuspectTime are forgotten, and further ones are not remembered.
-func (s *Suspects) raise(f Fingerprint, round uint64, now time.Time) {
+func (s *Suspects) startRoundLocked(f Fingerprint, round uint64, now time.Time) {
 	if round <= s.released[f].round {
 		return
 	}
@@ -188,8 +188,8 @@
 	}
 }
 
-// Expire removes the suspects whose time is over and returns them.
-func (s *Suspects) Expire() []Suspect {
+// expire removes the suspects whose time is over and returns them.
+func (s *Suspects) expire() []Suspect {
 	if s.Empty() {
 		return nil
 	}
@@ -207,8 +207,8 @@
 	return expired
 }
 
-// ListRefused returns the suspects whose requests are refused, with the time that is left.
-func (s *Suspects) ListRefused() []Suspect {
+// listRefused returns the suspects whose requests are refused, with the time that is left.
+func (s *Suspects) listRefused() []Suspect {
 	if s.Empty() {
 		return nil
 	}
