--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -68,26 +68,19 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	id := rand.Text()
-	body := "order " + id
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.callers.String()+k.prefix+id, strings.NewReader(body))
-	if err != nil {
-		s.breach("the soak itself", "%v", err)
-		return false
-	}
-	q.GetBody = nil // prevents retries by net/http
-	q.Host = host
-	model := ""
+	adapter := 0
 	if k.stream {
-		model = fmt.Sprint("base/a", r.IntN(adapters))
+		adapter = r.IntN(adapters)
 	}
 	callerKey := key
 	if unknownKey {
 		callerKey = wrongKey
 	}
-	snipestand.CallerHeader(q.Header, id, callerKey, requestTimeout, model)
-	s.lock.Lock()
-	s.senders[id] = i.name
-	s.lock.Unlock()
+	q, err := s.newRequest(ctx, i, k, sent{id: id, path: id, body: "order " + id, key: callerKey, adapter: adapter})
+	if err != nil {
+		s.breach("the soak itself", "%v", err)
+		return false
+	}
 	answer, err := client.Do(q)
 	if err != nil {
 		return false
@@ -98,6 +91,31 @@
 	return err == nil && answer.StatusCode == http.StatusOK
 }
 
+// sent is what a caller sends beside the kind of its request.
+type sent struct {
+	id, path, body, key string
+	adapter             int // of requests for an engine
+}
+
+// newRequest returns a request to an instance and records the instance as its sender.
+func (s *Soak) newRequest(ctx context.Context, i *instance, k requestKind, c sent) (*http.Request, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.callers.String()+k.prefix+c.path, strings.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	q.GetBody = nil // prevents retries by net/http
+	q.Host = host
+	model := ""
+	if k.stream {
+		model = fmt.Sprint("base/a", c.adapter)
+	}
+	snipestand.CallerHeader(q.Header, c.id, c.key, requestTimeout, model)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.senders[c.id] = i.name
+	return q, nil
+}
+
 // checkAnswer checks one answer and records its outcome. readErr is the error from reading the
 // body.
 func (s *Soak) checkAnswer(id string, o outcome, answer *http.Response, body string, readErr error) {
--- a/snipesoak/crash.go
+++ b/snipesoak/crash.go
@@ -7,7 +7,6 @@
 	random "math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -53,21 +52,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	id := rand.Text()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.callers.String()+k.prefix+"crash", strings.NewReader(text))
+	q, err := s.newRequest(ctx, i, k, sent{id: id, path: "crash", body: text, key: key})
 	if err != nil {
 		s.breach("the soak itself", "%v", err)
 		return
 	}
-	q.GetBody = nil // prevents retries by net/http
-	q.Host = host
-	model := ""
-	if k.stream {
-		model = "base/a0"
-	}
-	snipestand.CallerHeader(q.Header, id, key, requestTimeout, model)
-	s.lock.Lock()
-	s.senders[id] = i.name
-	s.lock.Unlock()
 	answer, err := client.Do(q)
 	if err != nil {
 		return
