Soak: a backoff ends with the start of the upstream that requested it

Trace: p4-1 asked one2 for 2.5 s at 04:12.889 and crashed; its successor p4-2 appeared at 04:15.008 and got three requests at 15.066, 15.100 and 15.174, before 15.389, and answered all of them. p4-1 got none. State of an upstream is kept for one start of it (snipesignal), and a new start that wants a backoff asks for it itself, so the case is allowed. Starts that end in a crash are new to the soak. The check now compares the start too and is otherwise as before; a case of TestBackoffBreaches holds it. A runner that starts after a crash announces neither a limit nor leaving, as one that is restarted.

--- a/snipestand/backoffrule.go
+++ b/snipestand/backoffrule.go
@@ -15,8 +15,9 @@
 
 // BackoffBreaches returns a description of each breached backoff, the pause that a refusal asks of
 // the instance that sent the refused request. A backoff is breached if more than maxInBackoff
-// requests of that instance reach the runner from backoffNoticeTime on until the backoff ends. The parameters
-// sender and excused are those of LimitBreaches.
+// requests of that instance reach the runner from backoffNoticeTime on until the backoff ends. It ends
+// with the start of the runner that requested it: the next start is another upstream, which requests a
+// backoff of its own. The parameters sender and excused are those of LimitBreaches.
 func BackoffBreaches(all []Arrival, sender func(id string) string, excused func(instance string, at time.Time) bool) []string {
 	var breaches []string
 	for n, refused := range all {
@@ -27,7 +28,7 @@
 		arrived := 0
 		for _, a := range all[n+1:] {
 			since := a.At.Sub(refused.At)
-			if since > refused.Backoff {
+			if since > refused.Backoff || a.Start != refused.Start {
 				break
 			}
 			if since >= backoffNoticeTime && sender(a.ID) == from && (excused == nil || !excused(from, a.At)) {
--- a/snipestand/backoffrule_test.go
+++ b/snipestand/backoffrule_test.go
@@ -9,8 +9,8 @@
 )
 
 // TestBackoffBreaches checks which requests BackoffBreaches counts: those of the refused instance, from
-// half a second after the refusal until the end of the backoff that the refusal requested. Two of
-// them are allowed, and excused requests do not count.
+// half a second after the refusal until the end of the backoff that the refusal requested, or of the
+// start of the runner. Two of them are allowed, and excused requests do not count.
 func TestBackoffBreaches(t *testing.T) {
 	const backoff = 3 * time.Second
 	// at returns a refused request of instance a, and requests that an instance sends at the given
@@ -22,12 +22,17 @@
 		}
 		return all
 	}
+	startedAgain := at("a", 600, 700, 800, 900)
+	for n := range startedAgain[1:] {
+		startedAgain[n+1].Start = 1
+	}
 	tests := map[string]struct {
 		arrivals []Arrival
 		excused  bool
 		want     int
 	}{
 		"None":    {nil, false, 0},
+		"Started": {startedAgain, false, 0},
 		"Two":     {at("a", 600, 700), false, 0},
 		"Three":   {at("a", 600, 700, 2900), false, 1},
 		"Early":   {at("a", 100, 200, 300, 400, 600), false, 0},
--- a/snipestand/runnercrash.go
+++ b/snipestand/runnercrash.go
@@ -121,13 +121,14 @@
 	return true
 }
 
-// StartAgain emulates the start after a crash: the runner has a new identifier and no adapters.
+// StartAgain emulates the start after a crash: the runner has a new identifier and no adapters, and
+// announces neither a limit nor that it is leaving.
 func (r *Runner) StartAgain() {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.startedAt = max(time.Now().UnixMilli(), r.startedAt+1)
 	r.crashes.starts++
-	r.crashes.down, r.orders = false, 0
+	r.crashes.down, r.orders, r.limited, r.announcesLeaving = false, 0, false, false
 	clear(r.held)
 	clear(r.loading)
 }
--- a/snipestand/runnersignal.go
+++ b/snipestand/runnersignal.go
@@ -11,6 +11,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Start identifies the start of the runner that the request reached.
+	Start int64
 	// Limit is the number of requests per second that the runner accepts; valid if Limited.
 	Limit   float64
 	Limited bool
@@ -63,7 +65,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.arrivals = append(r.arrivals, Arrival{
-		ID: q.Header.Get("X-Snipepitch-Attempt-Id"), At: time.Now(), Limit: r.limit, Limited: r.limited, Leaving: r.announcesLeaving, Backoff: r.backoff,
+		ID: q.Header.Get("X-Snipepitch-Attempt-Id"), At: time.Now(), Start: r.startedAt, Limit: r.limit, Limited: r.limited, Leaving: r.announcesLeaving, Backoff: r.backoff,
 	})
 	if r.announcesLeaving {
 		h.Set("Server-Leaving", "1")
