--- a/snipestand/backoffrule.go
+++ b/snipestand/backoffrule.go
@@ -25,19 +25,29 @@
 		if refused.Backoff == 0 || excused != nil && excused(from, refused.At) {
 			continue
 		}
-		arrived := 0
-		for _, a := range all[n+1:] {
-			since := a.At.Sub(refused.At)
-			if since > refused.Backoff || a.Start != refused.Start {
-				break
-			}
-			if since >= backoffNoticeTime && sender(a.ID) == from && (excused == nil || !excused(from, a.At)) {
-				arrived++
-			}
+		counts := func(a Arrival) bool {
+			return sender(a.ID) == from && (excused == nil || !excused(from, a.At))
 		}
+		arrived := countInBackoff(refused, all[n+1:], counts)
 		if arrived > maxInBackoff {
 			breaches = append(breaches, fmt.Sprintf("%d requests of %s in the backoff of %s that the answer to %s requested", arrived, from, refused.Backoff, refused.ID))
 		}
 	}
 	return breaches
 }
+
+// countInBackoff returns how many of the later arrivals that counts reports came in the backoff that a
+// refusal requested, from backoffNoticeTime on.
+func countInBackoff(refused Arrival, later []Arrival, counts func(a Arrival) bool) int {
+	n := 0
+	for _, a := range later {
+		since := a.At.Sub(refused.At)
+		if since > refused.Backoff || a.Start != refused.Start {
+			break
+		}
+		if since >= backoffNoticeTime && counts(a) {
+			n++
+		}
+	}
+	return n
+}
