Comments: age and gap are said without measuring

Two comments of older code read as if they told of a measurement; they define how the age of an observation and the speed of an upstream are counted. No code has changed, and no test was run for it but the build.

--- a/snipeadapter/residency.go
+++ b/snipeadapter/residency.go
@@ -40,7 +40,7 @@
 type Residency struct {
 	lock    sync.RWMutex // guards the fields below
 	engines map[string]*engineView
-	// read is when the directory was last read. The age of an observation is measured up to this
+	// read is when the directory was last read. The age of an observation counts up to this
 	// time, so an observation stays in force until the directory must include it, however long the
 	// directory cannot be read.
 	read time.Time
--- a/snipehealth/snipehealth.go
+++ b/snipehealth/snipehealth.go
@@ -9,7 +9,7 @@
 // instance has detected with those announced by others, and MarkUnusable applies
 // them to the choice of an upstream.
 //
-// The speed of an upstream is measured by its gap, the average time between two
+// The speed of an upstream is judged by its gap, the average time between two
 // chunks of an answer. The gaps of upstreams of one group can be compared: engines
 // of one base model, or upstreams of one service.
 //
