--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -172,6 +172,18 @@
 	for _, change := range changes {
 		change(&settings)
 	}
+	return s.run(settings, func(_ context.Context, a netip.AddrPort) (net.Listener, error) { return listeners[a], nil })
+}
+
+// restart kills an instance and starts another process of it with the same settings.
+func (s *testCluster) restart(i *instance) *instance {
+	i.kill()
+	s.t.Log("killed:", <-i.ended)
+	return s.run(i.Settings, nil)
+}
+
+// run runs an instance with the given settings. listen opens its listeners; nil means TCP.
+func (s *testCluster) run(settings snipeentry.Settings, listen func(context.Context, netip.AddrPort) (net.Listener, error)) *instance {
 	dial := snipelink.Dialer()
 	store := &platform.Store{Address: s.address, Timeout: time.Second, Dial: dial}
 	store.Open()
@@ -182,10 +194,8 @@
 	i := &instance{
 		Instance: &snipeentry.Instance{
 			Settings: settings, Incarnation: rand.Text(), Operation: rand.Text,
-			Log: snipelog.New(s, logrus.InfoLevel, name),
-			Listen: func(_ context.Context, a netip.AddrPort) (net.Listener, error) {
-				return listeners[a], nil
-			},
+			Log:    snipelog.New(s, logrus.InfoLevel, settings.Name),
+			Listen: listen,
 			Platform: snipeentry.Platform{
 				Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
 				Source: store.Source, Write: store.WriteRows, Engine: engines.Engine(),
