Retry budget: what it refuses, what is left, and why a request was not sent again

Cause: no metric counted retries, retries that the budget refused, or what is left of it; the end line of a request did not say which of five reasons kept it from being sent again; no line told by how many instances the slack is divided.

--- a/snipeentry/budget.go
+++ b/snipeentry/budget.go
@@ -1,9 +1,12 @@
 package snipeentry
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/sniperetry"
 )
 
@@ -27,8 +30,32 @@
 	span      time.Duration // the length of the window
 	instances func() int    // returns the number of live instances
 
-	lock sync.Mutex // guards all
+	// Log and Meter take what operators see of the budgets.
+	Log   *snipelog.Logger
+	Meter *snipemeter.Meter
+
+	lock sync.Mutex // guards the fields below
 	all  map[string]*sniperetry.Window
+	// logged is the part of the slack in the last line of the log.
+	logged slackPart
+}
+
+// slackPart is an instance's part of the slack of each service.
+type slackPart struct {
+	instances int
+	retries   float64
+}
+
+// report logs the instance's part of the slack if it has changed since the last call.
+func (b *retryBudgets) report() {
+	part := slackPart{b.instances(), b.slackShare()}
+	b.lock.Lock()
+	changed := part != b.logged
+	b.logged = part
+	b.lock.Unlock()
+	if changed {
+		b.Log.Log(snipelog.RetrySlackChanged, snipelog.Fields{"Instances": part.instances, "Retries": part.retries, "InForce": part.retries > 0})
+	}
 }
 
 // budget returns a service's budget, and creates it on the first call for the service.
@@ -43,6 +70,7 @@
 	}
 	made := &sniperetry.Window{Share: retrySafetyFactor * b.share, Slack: b.slackShare, Span: b.span}
 	b.all[service] = made
+	b.Meter.Gauge("snipepitch_retries_left{service="+strconv.Quote(service)+"}", made.Left)
 	return made
 }
 
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -174,6 +174,7 @@
 			i.forgetUnregistered()
 			i.forgetAdmission()
 			i.crashDetector.Sweep()
+			i.retryBudgets.report()
 		})
 	})
 	i.addTask(ctx, &g, func(ctx context.Context) error {
@@ -271,7 +272,7 @@
 	i.buildCrashes()
 	i.buildPressure()
 	i.buildAdmission()
-	i.retryBudgets = &retryBudgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances}
+	i.retryBudgets = &retryBudgets{share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), instances: i.instances, Log: i.Log, Meter: i.meter}
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
 		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Crashes: i.gatewayCrashes(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -28,12 +28,6 @@
 	// minTimeLeft is the time until the deadline that another attempt needs: with less, it would
 	// not be answered in time.
 	minTimeLeft = 30 * time.Millisecond
-	// maxSends bounds the upstreams that receive a request, including those that refuse it without
-	// running it.
-	maxSends = 4
-	// maxTries bounds the upstreams that are tried, including those that cannot be connected to: a
-	// quarter of all upstreams may have just failed.
-	maxTries = 12
 	// loadWaitShare bounds the expected time in which an adapter is loaded for a request, in
 	// multiples of the route's latency target. A load that takes longer comes too late for its
 	// request, and would delay other loads that can still finish in time.
@@ -84,6 +78,8 @@
 	fullUpstreams int
 	// budgetSpent is set while the current attempt is a retry that was charged to the retry budget.
 	budgetSpent bool
+	// retryDenial is why the request was not sent again after its last attempt.
+	retryDenial retryDenial
 	// version is the adapter version expected at the last chosen upstream, and waited is how long
 	// the request has waited for adapters to load, over all attempts that chose an upstream.
 	version int64
@@ -299,7 +295,7 @@
 			c.noteAnswered()
 			return nil
 		}
-		if retry := c.decideRetry(ctx, err); !retry {
+		if c.retryDenial = c.decideRetry(ctx, err); c.retryDenial != retryAllowed {
 			return c.finalError(err)
 		}
 		c.gateway.Log.Log(snipelog.RequestSentAgain, snipelog.Fields{
@@ -347,39 +343,3 @@
 func (c *call) maxLoadWait() time.Duration {
 	return min(time.Until(c.deadline), loadWaitShare*c.route.Target)
 }
-
-// decideRetry reports whether the request is sent again after an attempt that ended with err. If
-// so, it charges the retry to the service's retry budget, unless no upstream has received the
-// request.
-func (c *call) decideRetry(ctx context.Context, err error) bool {
-	f := snipeerror.From(err)
-	switch {
-	case errors.Is(f, snipeerror.ErrUnauthenticated), errors.Is(f, snipeerror.ErrQuarantined):
-		return false
-	case ctx.Err() != nil, time.Until(c.deadline) < minTimeLeft:
-		return false
-	case c.reached >= maxSends, len(c.tried) >= maxTries:
-		return false
-	case f.Outcome == snipeerror.MayHaveRun && (!c.route.MayRepeat() || c.suspect()):
-		return false
-	case c.mayHaveRun >= c.route.MaxAttempts:
-		return false
-	case c.answerStarted && !c.route.Resumable:
-		return false
-	case c.reached == 0:
-		// No upstream has received the request, so sending it is no retry for any of them and needs
-		// no budget.
-		return true
-	}
-	c.budgetSpent = c.gateway.Budget(c.service).Spend()
-	return c.budgetSpent
-}
-
-// refundUnsent refunds a retry that was charged to the retry budget if its attempt reached no
-// upstream; reached is the value of c.reached before the attempt.
-func (c *call) refundUnsent(reached int) {
-	if c.budgetSpent && c.reached == reached {
-		c.gateway.Budget(c.service).Refund()
-	}
-	c.budgetSpent = false
-}
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -96,6 +96,9 @@
 		fields["Busy"], fields["Holders"] = roundHundredths(c.busy), c.holders
 		c.addExpectation(fields)
 	}
+	if c.retryDenial != retryAllowed {
+		fields["NotSentAgain"] = c.retryDenial
+	}
 	if c.workspace != nil {
 		fields["Workspace"], fields["Asked"], fields["Units"] = c.workspace.Name, c.cost, c.units
 	}
--- /dev/null
+++ b/snipegateway/retry.go
@@ -0,0 +1,87 @@
+package snipegateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipeerror"
+)
+
+const (
+	// maxSends bounds the upstreams that receive a request, including those that refuse it without
+	// running it.
+	maxSends = 4
+	// maxTries bounds the upstreams that are tried, including those that cannot be connected to: a
+	// quarter of all upstreams may have just failed.
+	maxTries = 12
+)
+
+// retryDenial is why a request is not sent again, as a value of the log field NotSentAgain.
+type retryDenial string
+
+// The reasons not to send a request again.
+const (
+	// retryAllowed is no reason: the request is sent again.
+	retryAllowed retryDenial = ""
+	// retryUseless stands for a failure that another upstream would not avoid.
+	retryUseless retryDenial = "Useless"
+	// retryLate stands for too little time left, or a caller that has disconnected.
+	retryLate retryDenial = "Late"
+	// retryAttemptsUsed stands for the bounds on the attempts of one request.
+	retryAttemptsUsed retryDenial = "Attempts"
+	// retryUnsafe stands for a request that may have run, or whose answer has begun, and that must not
+	// be repeated.
+	retryUnsafe retryDenial = "Unsafe"
+	// retryBudgetUsed stands for the retry budget of the service.
+	retryBudgetUsed retryDenial = "Budget"
+)
+
+// decideRetry returns why the request is not sent again after an attempt that ended with err, or
+// retryAllowed. A retry is charged to the service's retry budget, unless no upstream has received the
+// request.
+func (c *call) decideRetry(ctx context.Context, err error) retryDenial {
+	f := snipeerror.From(err)
+	switch {
+	case errors.Is(f, snipeerror.ErrUnauthenticated), errors.Is(f, snipeerror.ErrQuarantined):
+		return retryUseless
+	case ctx.Err() != nil, time.Until(c.deadline) < minTimeLeft:
+		return retryLate
+	case c.reached >= maxSends, len(c.tried) >= maxTries:
+		return retryAttemptsUsed
+	case f.Outcome == snipeerror.MayHaveRun && (!c.route.MayRepeat() || c.suspect()):
+		return retryUnsafe
+	case c.mayHaveRun >= c.route.MaxAttempts:
+		return retryAttemptsUsed
+	case c.answerStarted && !c.route.Resumable:
+		return retryUnsafe
+	case c.reached == 0:
+		// No upstream has received the request, so sending it is no retry for any of them and needs
+		// no budget.
+		return retryAllowed
+	}
+	if c.budgetSpent = c.gateway.Budget(c.service).Spend(); !c.budgetSpent {
+		c.countRetry("Refused")
+		return retryBudgetUsed
+	}
+	return retryAllowed
+}
+
+// refundUnsent refunds a retry that was charged to the retry budget if its attempt reached no
+// upstream; reached is the value of c.reached before the attempt.
+func (c *call) refundUnsent(reached int) {
+	if c.budgetSpent && c.reached == reached {
+		c.gateway.Budget(c.service).Refund()
+	}
+	if c.budgetSpent && c.reached > reached {
+		c.countRetry("Sent")
+	}
+	c.budgetSpent = false
+}
+
+// countRetry counts a retry that was sent, or that the budget refused.
+func (c *call) countRetry(outcome string) {
+	c.gateway.Meter.Count("snipepitch_retries_total{service=" + strconv.Quote(c.service) + ",outcome=" + strconv.Quote(outcome) + "}")
+}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -116,6 +116,8 @@
 	FingerprintWatched  = define(236, "FingerprintWatched", logrus.WarnLevel)
 	FingerprintRefused  = define(237, "FingerprintRefused", logrus.WarnLevel)
 	FingerprintReleased = define(238, "FingerprintReleased", logrus.InfoLevel)
+
+	RetrySlackChanged = define(239, "RetrySlackChanged", logrus.InfoLevel)
 )
 
 // Events of the catalog, which operators declare, and of the directory of upstreams, 310 to 339.
--- a/sniperetry/window.go
+++ b/sniperetry/window.go
@@ -1,6 +1,7 @@
 package sniperetry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -56,6 +57,22 @@
 func (w *Window) Spend() bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
+	if w.left() < 1 {
+		return false
+	}
+	w.slots[w.current%windowSlots].retries++
+	return true
+}
+
+// Left returns how many retries may be sent now.
+func (w *Window) Left() float64 {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return math.Floor(max(w.left(), 0))
+}
+
+// left returns by how much the retries are below the bound. The lock is held.
+func (w *Window) left() float64 {
 	now := time.Now()
 	w.advance(now)
 	requests, retries := 0, 0
@@ -67,11 +84,7 @@
 		}
 	}
 	slackShare := min(max(float64(now.Sub(w.started))/float64(w.Span), initialSlack), 1)
-	if float64(retries+1) > w.Share*float64(requests)+slackShare*w.Slack() {
-		return false
-	}
-	w.slots[w.current%windowSlots].retries++
-	return true
+	return w.Share*float64(requests) + slackShare*w.Slack() - float64(retries)
 }
 
 // Refund takes back one retry of the current interval. It does nothing if the current
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -63,8 +63,21 @@
 // does not explain it.
 const evictionWindow = 4 * time.Second
 
+// budgetUsed is the value of Line.NotSentAgain for a request that the retry budget refused.
+const budgetUsed = "Budget"
+
 // explain returns the cause of the outcome of a request and the lines that support it.
 func explain(s *Story) (Cause, []Line) {
+	cause, lines := s.explainEnd()
+	if s.End != nil && s.End.NotSentAgain == budgetUsed {
+		cause.Text += "; the request was not sent again because the retry budget of service " + s.End.Service + " was used up"
+		lines = append(s.withEvents(snipelog.RetrySlackChanged.Number), lines...)
+	}
+	return cause, lines
+}
+
+// explainEnd returns the cause of the outcome of a request by the line of its end.
+func (s *Story) explainEnd() (Cause, []Line) {
 	if s.End == nil {
 		return Cause{Unknown, "no line reports the end of the request: the instance was killed, or the line was dropped"}, s.lifecycleLines()
 	}
--- a/snipestory/line.go
+++ b/snipestory/line.go
@@ -32,6 +32,8 @@
 	Tried []string
 	Ran   int
 	After string
+	// NotSentAgain is why the request was not sent again after its last attempt; empty if it did not fail.
+	NotSentAgain string
 	// Busy is the estimated fraction of occupied slots at the last upstream when it was chosen. Holders is the number of usable upstreams that it was chosen from.
 	Busy         float64
 	Holders      int
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -19,6 +19,7 @@
 	replace       = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Load","Adapter":"a5","Version":3,"Engine":"u1"}`
 	unloadOther   = `{"time":"2026-03-01T10:00:00.950Z","Instance":"i3","Event":510,"Name":"OrderGiven","Action":"Unload","Adapter":"a6","Engine":"u1"}`
 	present       = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i3","Event":514,"Name":"AdapterPresent","Adapter":"a5","Engine":"u1","Queued":700,"Milliseconds":260}`
+	slackChanged  = `{"time":"2026-03-01T10:00:01.100Z","Instance":"i1","Event":239,"Name":"RetrySlackChanged","Instances":9,"InForce":false}`
 	retried       = `{"time":"2026-03-01T10:00:01.200Z","Instance":"i1","Event":212,"Name":"RequestSentAgain","Request":"q1","After":"x","Tried":["u1"],"Ran":1}`
 	gone          = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u1"}`
 	goneOther     = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u2"}`
@@ -43,6 +44,35 @@
 		`,"Name":"End","Request":"q1","Milliseconds":800,"TargetMilliseconds":600,"PauseTargetMilliseconds":400,` + fields + `}`
 }
 
+// TestBudgetUsed guards against an explanation that does not tell that the retry budget kept a request
+// from being sent again, or that names the budget where another reason did.
+func TestBudgetUsed(t *testing.T) {
+	tests := map[string]struct {
+		denial   string
+		named    bool
+		evidence []string
+	}{
+		"Budget": {"Budget", true, []string{"RetrySlackChanged", "End"}},
+		"Unsafe": {"Unsafe", false, []string{"End"}},
+		"None":   {"", false, []string{"End"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			log := snipestory.NewLog("q1")
+			lines := []string{slackChanged, end("213", `"Service":"s1","Error":"status 500","NotSentAgain":"`+tt.denial+`"`)}
+			must.NoError(t, log.Read(strings.NewReader(strings.Join(lines, "\n"))))
+			story, err := log.Reconstruct()
+			must.NoError(t, err)
+			must.Eq(t, tt.named, strings.Contains(story.Cause.Text, "retry budget of service s1"))
+			var names []string
+			for _, l := range story.Evidence {
+				names = append(names, l.Name)
+			}
+			must.Eq(t, tt.evidence, names)
+		})
+	}
+}
+
 // TestCauses guards against a wrong cause for a request, or evidence that does not support the
 // cause, when lines of other requests, adapters, engines and instances are in the logs too.
 func TestCauses(t *testing.T) {
