Crashing requests: upstreams whose address does not refuse connections

Cause: a crash was found out by a refused connection or by the end of the registry entry within 3 s. Both depend on the machine. An answer without the upstream's signature was not reported at all.

Change: further evidence of an end. The address accepts a connection and closes it without a reset (a reset is what an upstream does with too many connections); another start answers there (421); the registry lists another start at the address, up to 10 s later. Answers without a signature count as broken.

TestCrashDetector: "accepts connections" now keeps the connection open. Before, its stand-in closed it at once, which is the new case "closes connections".

--- a/snipeentry/crash.go
+++ b/snipeentry/crash.go
@@ -49,7 +49,7 @@
 // requests are refused.
 func (i *Instance) gatewayCrashes() snipegateway.Crashes {
 	return snipegateway.Crashes{
-		Broke: i.crashDetector.Broke, Suspects: &i.crashes.Suspects, Answered: i.crashes.Answered,
+		Broke: i.crashDetector.Broke, Replaced: i.crashDetector.Replaced, Suspects: &i.crashes.Suspects, Answered: i.crashes.Answered,
 		Refused: func() { i.meter.Count("snipepitch_quarantine_refusals_total") },
 	}
 }
--- a/snipeentry/crash_test.go
+++ b/snipeentry/crash_test.go
@@ -35,8 +35,8 @@
 )
 
 // newCrashCluster starts eight engines and four plain upstreams that crash when they run a request
-// whose body contains crashText.
-func newCrashCluster(t *testing.T) *testCluster {
+// whose body contains crashText. whileDown is what their addresses do until they start again.
+func newCrashCluster(t *testing.T, whileDown snipestand.DownMode) *testCluster {
 	var runners []*snipestand.Runner
 	for n := range 8 {
 		runners = append(runners, &snipestand.Runner{ID: fmt.Sprint("e", n), Service: "engines", Model: "base"})
@@ -45,7 +45,7 @@
 		runners = append(runners, &snipestand.Runner{ID: fmt.Sprint("p", n), Service: "plain"})
 	}
 	return startTestCluster(t, 5*time.Millisecond, runners, func(r *snipestand.Runner) {
-		server := &snipestand.RunnerServer{Runner: r, CrashText: crashText, Downtime: crashDowntime}
+		server := &snipestand.RunnerServer{Runner: r, CrashText: crashText, Downtime: crashDowntime, WhileDown: whileDown}
 		must.NoError(t, server.Start())
 		t.Cleanup(server.Close)
 	})
@@ -132,19 +132,28 @@
 // it crashes each upstream that runs it, and against innocent callers that are refused for it.
 func TestCrashingRequestRefused(t *testing.T) {
 	tests := map[string]struct {
-		target string
-		header []string
+		target    string
+		whileDown snipestand.DownMode
+		header    []string
 	}{
-		"Often":     {"/often/x", nil},
-		"Once":      {"/once/x", nil},
-		"Resumable": {"/draft/x", []string{modelHeader, "base"}},
-		"Final":     {"/final/x", []string{modelHeader, "base"}},
-		"Adapter":   {"/draft/x", []string{modelHeader, "base/a1"}},
+		"Often":       {"/often/x", snipestand.DownRefuses, nil},
+		"Once":        {"/once/x", snipestand.DownRefuses, nil},
+		"Resumable":   {"/draft/x", snipestand.DownRefuses, []string{modelHeader, "base"}},
+		"Final":       {"/final/x", snipestand.DownRefuses, []string{modelHeader, "base"}},
+		"Adapter":     {"/draft/x", snipestand.DownRefuses, []string{modelHeader, "base/a1"}},
+		"OftenCloses": {"/often/x", snipestand.DownCloses, nil},
+		"FinalCloses": {"/final/x", snipestand.DownCloses, []string{modelHeader, "base"}},
+		"OftenResets": {"/often/x", snipestand.DownResets, nil},
+		"FinalResets": {"/final/x", snipestand.DownResets, []string{modelHeader, "base"}},
+		"OftenSilent": {"/often/x", snipestand.DownSilent, nil},
+		"FinalSilent": {"/final/x", snipestand.DownSilent, []string{modelHeader, "base"}},
+		"OftenFails":  {"/often/x", snipestand.DownFails, nil},
+		"FinalFails":  {"/final/x", snipestand.DownFails, []string{modelHeader, "base"}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newCrashCluster(t)
+			s := newCrashCluster(t, tt.whileDown)
 			s.declare(1)
 			instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
 			for _, i := range instances {
@@ -175,7 +184,7 @@
 // were killed at once, and against a refusal that does not say when to come back.
 func TestRefusalOutlastsStop(t *testing.T) {
 	t.Parallel()
-	s := newCrashCluster(t)
+	s := newCrashCluster(t, snipestand.DownRefuses)
 	s.declare(1)
 	instances := []*instance{s.start("one"), s.start("two"), s.start("three")}
 	for _, i := range instances {
--- a/snipeentry/crashdetector.go
+++ b/snipeentry/crashdetector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"slices"
@@ -24,6 +25,11 @@
 	// endedRetention is how long an upstream is remembered as ended. Broken answers are noticed within
 	// seconds of the end.
 	endedRetention = time.Minute
+	// replacedTime is the longest time between a broken answer and the next start of its upstream at
+	// which the upstream counts as crashed. Upstreams are back after some seconds.
+	replacedTime = 10 * time.Second
+	// closeWait is how long a new connection is watched for being closed by the other side.
+	closeWait = 300 * time.Millisecond
 )
 
 // brokenAnswer is an answer that broke off or never began after the request was sent.
@@ -35,9 +41,15 @@
 }
 
 // crashDetector finds out whether the upstream of a broken answer has ended. An answer also breaks off
-// when a connection is reset, or when an upstream spoils it and goes on. An upstream has ended if it
-// refuses a connection right after that, or if its start leaves the registry within ConfirmTime. The
-// end of an upstream that was leaving when the answer broke off is no crash.
+// when a connection is reset, or when an upstream spoils it and goes on. An upstream has ended
+//
+//   - if its address refuses a connection right after that, or accepts one and closes it, as where
+//     another process holds the socket. A reset is no evidence: an upstream resets connections that
+//     are too many for it;
+//   - if its start leaves the registry within ConfirmTime;
+//   - if another start serves at its address within replacedTime, by the registry or by an answer.
+//
+// The end of an upstream that was leaving when the answer broke off is no crash.
 //
 // Exported fields are set before the first call. It is safe for concurrent use.
 type crashDetector struct {
@@ -56,6 +68,7 @@
 
 // brokenUpstream is one start of an upstream of which an answer has broken off.
 type brokenUpstream struct {
+	address netip.AddrPort
 	broken  []brokenAnswer // those without evidence that the upstream has ended
 	dialing bool
 	endedAt time.Time // zero while there is no such evidence
@@ -71,7 +84,7 @@
 	defer d.lock.Unlock()
 	s := d.upstreams[u.ID]
 	if s == nil {
-		s = &brokenUpstream{}
+		s = &brokenUpstream{address: u.Address}
 		if d.upstreams == nil {
 			d.upstreams = make(map[string]*brokenUpstream)
 		}
@@ -90,12 +103,14 @@
 	}
 }
 
-// dial records that the upstream has ended if it refuses a connection.
+// dial records that the upstream has ended if its address refuses a connection or closes it at once.
 func (d *crashDetector) dial(u *snipedirectory.Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := d.Dial(ctx, u.Address)
+	over := errors.Is(err, syscall.ECONNREFUSED)
 	if err == nil {
+		over = closesAtOnce(conn)
 		_ = conn.Close()
 	}
 	d.lock.Lock()
@@ -103,21 +118,54 @@
 		s.dialing = false
 	}
 	d.lock.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		d.ended(u.ID, "Connection")
+	if over {
+		d.ended(u.ID, "Connection", d.ConfirmTime)
+	}
+}
+
+// closesAtOnce reports whether the other side closes a connection, without a reset, within closeWait.
+func closesAtOnce(conn net.Conn) bool {
+	if conn.SetReadDeadline(time.Now().Add(closeWait)) != nil {
+		return false
 	}
+	_, err := conn.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
 }
 
 // Gone records that the registry no longer lists a start of an upstream.
 func (d *crashDetector) Gone(u *snipedirectory.Upstream) {
 	if !u.Leaving {
-		d.ended(u.ID, "Registry")
+		d.ended(u.ID, "Registry", d.ConfirmTime)
+	}
+}
+
+// Appeared records that the registry lists a start of an upstream. It has replaced those at its address.
+func (d *crashDetector) Appeared(u *snipedirectory.Upstream) {
+	for _, id := range d.others(u) {
+		d.ended(id, "Successor", replacedTime)
 	}
 }
 
-// ended records that an upstream has ended, and reports the answers that broke off within ConfirmTime
+// others returns the starts other than the given one that had its address and whose answers have broken
+// off.
+func (d *crashDetector) others(u *snipedirectory.Upstream) []string {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	var ids []string
+	for id, s := range d.upstreams {
+		if s.address == u.Address && id != u.ID {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Replaced records that another upstream has answered at the address of an upstream.
+func (d *crashDetector) Replaced(u *snipedirectory.Upstream) { d.ended(u.ID, "Answer", replacedTime) }
+
+// ended records that an upstream has ended, and reports the answers that broke off within the given time
 // before. It does nothing if no answer of the upstream has broken off.
-func (d *crashDetector) ended(id, source string) {
+func (d *crashDetector) ended(id, source string, within time.Duration) {
 	now := time.Now()
 	d.lock.Lock()
 	s := d.upstreams[id]
@@ -126,7 +174,7 @@
 		return
 	}
 	s.endedAt = now
-	broken := slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > d.ConfirmTime })
+	broken := slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > within })
 	s.broken = nil
 	d.lock.Unlock()
 	if len(broken) == 0 {
@@ -149,14 +197,14 @@
 	}
 }
 
-// Sweep forgets the upstreams that have not ended within ConfirmTime, and those that ended longer than
-// endedRetention ago.
+// Sweep forgets the upstreams that have not ended within ConfirmTime and replacedTime, and those that ended
+// longer than endedRetention ago.
 func (d *crashDetector) Sweep() {
 	now := time.Now()
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for id, s := range d.upstreams {
-		s.broken = slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > d.ConfirmTime })
+		s.broken = slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > max(d.ConfirmTime, replacedTime) })
 		ended := !s.endedAt.IsZero()
 		if ended && now.Sub(s.endedAt) > endedRetention || !ended && !s.dialing && len(s.broken) == 0 {
 			delete(d.upstreams, id)
--- a/snipeentry/crashdetector_test.go
+++ b/snipeentry/crashdetector_test.go
@@ -25,14 +25,31 @@
 func TestCrashDetector(t *testing.T) {
 	tests := map[string]struct {
 		dial error
+		// closes and resets are set if an accepted connection is closed or reset; otherwise it stays open.
+		closes, resets bool
 		// leaving is set if the upstream was leaving when the answers broke off, left if it began later.
 		leaving, left bool
 		// gone is when the upstream leaves the registry; zero if it stays.
-		gone    time.Duration
+		gone time.Duration
+		// replaced is when another start answers at the address, appeared when the registry lists it, and
+		// elsewhere when it lists a start at another address; zero for never.
+		replaced, appeared, elsewhere time.Duration
+
 		crashes int64
 	}{
 		"refuses connections":          {dial: syscall.ECONNREFUSED, crashes: 2},
 		"accepts connections":          {},
+		"closes connections":           {closes: true, crashes: 2},
+		"resets connections":           {resets: true},
+		"closes and was leaving":       {closes: true, leaving: true},
+		"resets, replaced":             {resets: true, replaced: 4 * time.Second, crashes: 2},
+		"replaced soon after":          {replaced: 2 * time.Second, crashes: 2},
+		"replaced long after":          {replaced: 11 * time.Second},
+		"replaced and was leaving":     {replaced: 2 * time.Second, leaving: true},
+		"successor appeared":           {appeared: 5 * time.Second, crashes: 2},
+		"successor long after":         {appeared: 11 * time.Second},
+		"another appeared":             {elsewhere: time.Second},
+		"closes, and is replaced":      {closes: true, replaced: 2 * time.Second, crashes: 2},
 		"does not answer":              {dial: context.DeadlineExceeded},
 		"gone soon after":              {gone: time.Second, crashes: 2},
 		"gone long after":              {gone: 5 * time.Second},
@@ -50,8 +67,7 @@
 						if tt.dial != nil {
 							return nil, tt.dial
 						}
-						a, b := net.Pipe()
-						return a, b.Close()
+						return newProbe(tt.closes, tt.resets), nil
 					},
 					Leaving: func(string) bool { return tt.leaving }, ConfirmTime: 3 * time.Second,
 					Crashed: func(string, snipequarantine.Fingerprint) { crashes.Add(1) },
@@ -66,6 +82,18 @@
 					u.Leaving = tt.left
 					d.Gone(u)
 				}
+				if tt.replaced > 0 {
+					time.Sleep(tt.replaced)
+					d.Replaced(u)
+				}
+				if tt.appeared > 0 {
+					time.Sleep(tt.appeared)
+					d.Appeared(&snipedirectory.Upstream{ID: "e2", Address: u.Address})
+				}
+				if tt.elsewhere > 0 {
+					time.Sleep(tt.elsewhere)
+					d.Appeared(&snipedirectory.Upstream{ID: "e2", Address: netip.MustParseAddrPort("10.1.0.2:80")})
+				}
 				synctest.Wait()
 				must.Eq(t, tt.crashes, crashes.Load())
 				time.Sleep(2 * endedRetention)
@@ -75,3 +103,29 @@
 		})
 	}
 }
+
+// probeConn is the connection of a probe. Its reads return an error at once, or when it is closed.
+type probeConn struct {
+	net.Conn
+	readError error
+}
+
+func (c probeConn) Read(p []byte) (int, error) {
+	if c.readError != nil {
+		return 0, c.readError
+	}
+	return c.Conn.Read(p)
+}
+
+// newProbe returns a connection that the other side closes, resets, or keeps open.
+func newProbe(closes, resets bool) net.Conn {
+	a, _ := net.Pipe()
+	switch {
+	case closes:
+		return probeConn{a, io.EOF}
+	case resets:
+		return probeConn{a, syscall.ECONNRESET}
+	default:
+		return probeConn{a, nil}
+	}
+}
--- a/snipeentry/tables.go
+++ b/snipeentry/tables.go
@@ -284,6 +284,7 @@
 	fields := snipelog.Fields{upstreamField: u.ID, "Service": u.Service, "Address": u.Address, positionField: u.Position}
 	switch e {
 	case snipedirectory.Appeared:
+		i.crashDetector.Appeared(u)
 		// The first read is logged as one line with the number of upstreams.
 		if i.directory.Snapshot() != nil {
 			i.Log.Log(snipelog.UpstreamAppeared, fields)
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -110,6 +110,8 @@
 	c.mayHaveRun++
 	if !v.Signed {
 		g.Balancer.RecordUnanswered(u.ID)
+		// A forwarder answers so in the place of an upstream that has ended.
+		c.noteBroken(ctx)
 		g.Log.Log(snipelog.AnswerDiscarded, snipelog.Fields{requestField: c.ID, "Upstream": u.ID, "Status": answer.StatusCode})
 		return snipeerror.New(snipeerror.ErrMismatch, snipeerror.MayHaveRun, "the upstream's answer has no receipt")
 	}
@@ -183,6 +185,7 @@
 	switch {
 	case v.Elsewhere:
 		c.gateway.Balancer.RecordReplaced(id)
+		c.noteReplaced()
 	case v.Signal.Backoff > 0:
 		// The engine has no free slot, but keeps its adapters during its backoff.
 	case c.Adapter.Name != "":
--- a/snipegateway/crash.go
+++ b/snipegateway/crash.go
@@ -15,6 +15,8 @@
 	// Broke is called for an answer that broke off or never began after the request was sent. It does
 	// not block, and finds out whether the upstream has ended.
 	Broke func(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string)
+	// Replaced is called if another upstream has answered at the address of an upstream.
+	Replaced func(u *snipedirectory.Upstream)
 	// Suspects are the fingerprints that are watched or refused.
 	Suspects *snipequarantine.Suspects
 	// Answered is called if a request of a suspect was answered.
@@ -42,6 +44,13 @@
 	}
 }
 
+// noteReplaced reports that another upstream has answered at the address of the last upstream.
+func (c *call) noteReplaced() {
+	if replaced := c.gateway.Crashes.Replaced; replaced != nil {
+		replaced(c.upstream)
+	}
+}
+
 // suspect reports whether the request has the fingerprint of a suspect.
 func (c *call) suspect() bool {
 	s := c.gateway.Crashes.Suspects
--- a/snipestand/runnercrash.go
+++ b/snipestand/runnercrash.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 )
 
@@ -153,79 +150,3 @@
 	}
 	return down, nil
 }
-
-// RunnerServer serves a runner on loopback and crashes it when it begins to run a request whose body
-// contains a text. The runner serves again at the same address after Downtime.
-type RunnerServer struct {
-	Runner *Runner
-	// CrashText is the text; empty if no request crashes the runner.
-	CrashText string
-	Downtime  time.Duration
-
-	address string
-	handler http.Handler
-
-	lock   sync.Mutex // guards the fields below
-	server *http.Server
-	closed bool
-}
-
-// Start begins to serve on an unused port, and sets the runner's address.
-func (s *RunnerServer) Start() error {
-	s.handler, s.address = s.Runner.Handler(), loopback
-	if s.CrashText != "" {
-		s.Runner.CrashOn(s.CrashText, s.restart)
-	}
-	if err := s.listen(); err != nil {
-		return err
-	}
-	s.Runner.Address = s.address
-	return nil
-}
-
-// Close ends the server and all of its connections.
-func (s *RunnerServer) Close() {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	s.closed = true
-	_ = s.server.Close()
-}
-
-// loopback is the address of an unused port.
-const loopback = "127.0.0.1:0"
-
-// listen opens the listener and serves it, unless the server was closed.
-func (s *RunnerServer) listen() error {
-	s.lock.Lock()
-	defer s.lock.Unlock()
-	if s.closed {
-		return nil
-	}
-	var config net.ListenConfig
-	l, err := config.Listen(context.Background(), "tcp", s.address)
-	if err != nil {
-		return err
-	}
-	s.address = l.Addr().String()
-	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute}
-	s.server = server
-	go func() { _ = server.Serve(l) }()
-	return nil
-}
-
-// restart closes the listener and all connections, and serves again after Downtime.
-func (s *RunnerServer) restart() {
-	s.lock.Lock()
-	_ = s.server.Close()
-	s.lock.Unlock()
-	time.AfterFunc(s.Downtime, func() {
-		s.Runner.StartAgain()
-		for s.listen() != nil {
-			time.Sleep(portRetryInterval)
-		}
-	})
-}
-
-// portRetryInterval is the time between two attempts to listen at the address of a runner that
-// starts again: a connection of another process may use the port for a moment.
-const portRetryInterval = 20 * time.Millisecond
