--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -8,8 +8,11 @@
 	random "math/rand/v2"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"snipepitch.example/snipepitch/snipestand"
 )
 
@@ -24,6 +27,14 @@
 
 func (k requestKind) String() string { return k.prefix }
 
+// service returns the service of the kind's route.
+func (k requestKind) service() string {
+	if k.stream {
+		return engineService
+	}
+	return plainService
+}
+
 var requestKinds = []requestKind{
 	{"/once/", true, false}, {"/often/", false, false}, {"/draft/", false, true}, {"/final/", true, true},
 }
@@ -54,13 +65,18 @@
 // makes the random source of each caller different.
 func (s *Soak) runCaller(ctx context.Context, n int) {
 	r := random.New(random.NewPCG(s.Seed, uint64(n)+1)) //nolint:gosec // the same calls for the same seed
+	kinds := s.callerKinds()
 	for ctx.Err() == nil {
-		i, k := s.instances[r.IntN(len(s.instances))], requestKinds[r.IntN(len(requestKinds))]
+		targets := *s.targets.Load()
+		i, k := targets[r.IntN(len(targets))], kinds[r.IntN(len(kinds))]
 		s.send(ctx, i, k, r, r.IntN(wrongKeyOneIn) == 0)
+		if s.Seed >= fifthSeeds {
+			time.Sleep(retryPause)
+		}
 	}
 }
 
-var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerCount, DisableCompression: true}}
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: retryCallers, DisableCompression: true}}
 
 // send sends a request, checks its answer and reports whether it was served, that is answered in
 // full with status 200. A request without an answer leaves no outcome for the audit.
@@ -70,7 +86,7 @@
 	id := rand.Text()
 	adapter := 0
 	if k.stream {
-		adapter = r.IntN(adapters)
+		adapter = r.IntN(s.adapterCount())
 	}
 	callerKey := key
 	if unknownKey {
@@ -81,7 +97,7 @@
 		s.breach("the soak itself", "%v", err)
 		return false
 	}
-	answer, err := client.Do(q)
+	answer, err := s.do(q, k)
 	if err != nil {
 		return false
 	}
@@ -91,6 +107,23 @@
 	return err == nil && answer.StatusCode == http.StatusOK
 }
 
+// refusedPause is how long a caller waits after an instance has refused its connection.
+const refusedPause = 20 * time.Millisecond
+
+// do sends a request and records when, unless the instance accepts no connection.
+func (s *Soak) do(q *http.Request, k requestKind) (*http.Response, error) {
+	at := time.Now()
+	answer, err := client.Do(q)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		time.Sleep(refusedPause)
+		return nil, err
+	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.sentTimes[k.service()] = append(s.sentTimes[k.service()], at)
+	return answer, err
+}
+
 // sent is what a caller sends beside the kind of its request.
 type sent struct {
 	id, path, body, key string
@@ -181,6 +214,7 @@
 		s.auditOrders(r.ID, r)
 	}
 	s.auditCrashes()
+	s.auditRetries()
 	for id, o := range s.outcomes {
 		if o.unknownKey && ran[id] > 0 {
 			s.breach("nothing runs without a key", "%s %s ran", o.kind, id)
--- a/snipesoak/crash.go
+++ b/snipesoak/crash.go
@@ -57,7 +57,7 @@
 		s.breach("the soak itself", "%v", err)
 		return
 	}
-	answer, err := client.Do(q)
+	answer, err := s.do(q, k)
 	if err != nil {
 		return
 	}
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,14 +55,17 @@
 	{"an upstream asks for rest", requestBackoff},
 	{"the coordinator is lost", loseCoordinator},
 	{"a request crashes upstreams", crashUpstreams},
+	{"upstreams fail all requests", failUpstreams},
 }
 
 // The lists of faults have grown, and a seed that once revealed a defect must still draw the same
 // faults. Seeds below firstSeeds therefore draw only from the first firstFaults faults and the
 // first firstUpstreamFaults faults of upstreams. Other seeds below secondSeeds draw from the first
 // secondFaults faults, other seeds below thirdSeeds from the first thirdFaults faults, and other seeds
-// below fourthSeeds from the first fourthFaults faults. Seeds from thirdSeeds on use shared admission of
-// the plain service, and seeds from fourthSeeds on begin with a request that crashes upstreams.
+// below fourthSeeds from the first fourthFaults faults, and other seeds below fifthSeeds from the first
+// fifthFaults faults. Seeds from thirdSeeds on use shared admission of the plain service, but not those
+// from fifthSeeds on. Seeds from fourthSeeds on begin with the last fault of their list. Seeds from fifthSeeds on draw
+// spenderFaults more often.
 const (
 	firstSeeds          = 1000
 	firstFaults         = 12
@@ -72,6 +76,8 @@
 	thirdFaults         = 17
 	fourthSeeds         = 12000
 	fourthFaults        = 18
+	fifthSeeds          = 16000
+	fifthFaults         = 19
 )
 
 // faultsForSeed returns the faults that a seed draws from.
@@ -85,8 +91,10 @@
 		return faults[:thirdFaults]
 	case seed < fourthSeeds:
 		return faults[:fourthFaults]
+	case seed < fifthSeeds:
+		return faults[:fifthFaults]
 	default:
-		return faults
+		return slices.Concat(spenderFaults, spenderFaults, spenderFaults, faults)
 	}
 }
 
@@ -106,7 +114,7 @@
 	all := faultsForSeed(s.Seed)
 	next := func() fault { return all[r.IntN(len(all))] }
 	if s.Seed >= fourthSeeds {
-		next = startingWith(faults[fourthFaults], next)
+		next = startingWith(all[len(all)-1], next)
 	}
 	for end := time.Now().Add(s.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		f := next()
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -84,8 +84,8 @@
 func (i *instance) start() error {
 	settings := snipeentry.Settings{
 		Name: i.name, Domain: "here", Callers: i.callers, Ready: i.ready, Peers: i.peers, Metrics: i.metrics,
-		Table: i.store, OrderGap: snipejson.Duration(orderGap), RetryShare: 1, RetrySlack: 1000,
-		RetrySpan: snipejson.Duration(snipeentry.DefaultRetrySpan), QuotaSpan: snipejson.Duration(snipeentry.DefaultQuotaSpan),
+		Table: i.store, OrderGap: snipejson.Duration(orderGap), RetryShare: retryBound.Share, RetrySlack: retryBound.Slack,
+		RetrySpan: snipejson.Duration(retryBound.Span), QuotaSpan: snipejson.Duration(snipeentry.DefaultQuotaSpan),
 		StopTimeout: snipejson.Duration(stopTimeout), LogLevel: "info",
 		DrainTime: snipejson.Duration(snipeentry.DefaultMaxStaleness), ApplyTime: snipejson.Duration(snipeentry.DefaultMaxStaleness),
 		CrashTime: snipejson.Duration(crashTime),
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -21,6 +21,7 @@
 	"net/netip"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,7 +42,9 @@
 	Program string
 	Folder  string
 	// Length is how long new faults are begun.
-	Length    time.Duration
+	Length time.Duration
+	// Instances is the number of processes. Run raises it to retryInstances for seeds that judge the
+	// retries of failing upstreams.
 	Instances int
 	// Out takes a line for each fault and for each stall of the soak's own process.
 	Out io.Writer
@@ -53,8 +56,10 @@
 	links       map[string]netip.AddrPort
 	instances   []*instance
 	callerLoops sync.WaitGroup
-	stalls      *stallMonitor
-	version     int
+	// targets are the instances that callers send requests to.
+	targets atomic.Pointer[[]*instance]
+	stalls  *stallMonitor
+	version int
 
 	lock     sync.Mutex // guards the fields below
 	breaches []Breach
@@ -65,6 +70,9 @@
 	// request's identifier. disturbances is keyed by the names of instances and upstreams.
 	senders      map[string]string
 	disturbances map[string][]disturbance
+	// sentTimes holds the times at which requests were sent to instances that accepted the connection,
+	// by the service of their route.
+	sentTimes map[string][]time.Time
 	// crashTexts are the texts in the bodies of the requests that crash upstreams.
 	crashTexts []string
 	// answered counts the requests that were answered in full with status 200.
@@ -73,6 +81,8 @@
 
 const (
 	host = "calls.example"
+	// engineService and plainService are the services of the upstreams.
+	engineService, plainService = "engines", "plain"
 	// engines and plainUpstreams are the numbers of upstreams of the two services.
 	engines, plainUpstreams = 3, 2
 	// events is the number of events in a streamed answer.
@@ -105,9 +115,12 @@
 // every instance served every kind of request before the first fault.
 func (s *Soak) Run(ctx context.Context) ([]Breach, int, error) {
 	s.outcomes, s.resumed, s.links = map[string]outcome{}, map[string][]time.Time{}, map[string]netip.AddrPort{}
-	s.senders, s.disturbances = map[string]string{}, map[string][]disturbance{}
+	s.senders, s.disturbances, s.sentTimes = map[string]string{}, map[string][]disturbance{}, map[string][]time.Time{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if s.Seed >= fifthSeeds {
+		s.Instances = max(s.Instances, retryInstances)
+	}
 	s.stalls = &stallMonitor{Out: s.Out}
 	go s.stalls.run(ctx)
 	if err := s.setUp(ctx); err != nil {
@@ -117,8 +130,9 @@
 	if err := s.awaitRecovery(ctx); err != nil {
 		return nil, 0, errors.Wrap(err, "before the first fault")
 	}
+	s.targets.Store(&s.instances)
 	calling, stop := context.WithCancel(ctx)
-	for n := range callerCount {
+	for n := range s.callers() {
 		s.callerLoops.Go(func() { s.runCaller(calling, n) })
 	}
 	s.injectFaults(ctx)
@@ -150,12 +164,12 @@
 	}
 	for n := range engines + plainUpstreams {
 		r := &snipestand.Runner{
-			ID: fmt.Sprint("e", n), Service: "engines", Model: "base", Slots: slots, Faults: &s.faults,
+			ID: fmt.Sprint("e", n), Service: engineService, Model: "base", Slots: slots, Faults: &s.faults,
 			LoadDuration: 60 * time.Millisecond, EventInterval: 5 * time.Millisecond, Events: events,
 			LateOrderDelay: lateOrderDelay,
 		}
 		if n >= engines {
-			r.ID, r.Service, r.Model = fmt.Sprint("p", n), "plain", ""
+			r.ID, r.Service, r.Model = fmt.Sprint("p", n), plainService, ""
 			if s.sharesAdmission() {
 				r.SetCapacity(plainSlots, plainQueue, plainTime)
 			}
@@ -242,12 +256,12 @@
 	return s.store.Declare(snipestand.Declared{
 		Version: s.version,
 		Routes: []snipestand.DeclaredRoute{
-			route("/once/", snipestand.RouteNonIdempotent, "plain", false), route("/often/", snipestand.RouteIdempotent, "plain", false),
-			route("/draft/", snipestand.RouteStream, "engines", true), route("/final/", snipestand.RouteStream, "engines", false),
+			route("/once/", snipestand.RouteNonIdempotent, plainService, false), route("/often/", snipestand.RouteIdempotent, plainService, false),
+			route("/draft/", snipestand.RouteStream, engineService, true), route("/final/", snipestand.RouteStream, engineService, false),
 		},
 		Services: []snipestand.DeclaredService{
-			{Name: "plain"},
-			{Name: "engines", Engine: &snipestand.DeclaredEngine{
+			{Name: plainService},
+			{Name: engineService, Engine: &snipestand.DeclaredEngine{
 				AdapterSlots: slots, Models: []snipestand.DeclaredModel{{Name: "base"}},
 			}},
 		},
