--- a/snipestand/forwarder.go
+++ b/snipestand/forwarder.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -30,10 +31,11 @@
 // forwarder holds the socket of a runner across its crashes, and passes connections on to its current
 // start.
 type forwarder struct {
-	mode DownMode
+	address netip.AddrPort
+	mode    DownMode
 
 	lock    sync.Mutex       // guards the fields below
-	current *forwardListener // nil while the runner is down
+	current *networkListener // nil while the runner is down
 	held    []net.Conn       // connections that were accepted while it was down
 }
 
@@ -47,7 +49,7 @@
 		f.lock.Lock()
 		to := f.current
 		f.lock.Unlock()
-		if to == nil || !to.forward(conn) {
+		if to == nil || !to.offer(conn) {
 			f.answerDown(conn)
 		}
 	}
@@ -62,7 +64,7 @@
 		_ = conn.Close()
 	}
 	f.held = nil
-	f.current = &forwardListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	f.current = newNetworkListener(f.address)
 	return f.current
 }
 
@@ -105,39 +107,3 @@
 	// An error from writing shows at the client as well.
 	_, _ = io.WriteString(conn, "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 }
-
-// forwardListener is the listener of one start of a runner.
-type forwardListener struct {
-	conns  chan net.Conn
-	once   sync.Once
-	closed chan struct{}
-}
-
-// forward passes a connection on and reports whether the start is still there.
-func (l *forwardListener) forward(conn net.Conn) bool {
-	select {
-	case l.conns <- conn:
-		return true
-	case <-l.closed:
-		return false
-	}
-}
-
-// Accept implements net.Listener.
-func (l *forwardListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *forwardListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *forwardListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/snipestand/network.go
+++ b/snipestand/network.go
@@ -30,7 +30,7 @@
 	if n.listeners == nil {
 		n.listeners = map[string]*networkListener{}
 	}
-	l := &networkListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	l := newNetworkListener(address)
 	n.listeners[address.String()] = l
 	return l
 }
@@ -88,7 +88,7 @@
 	n.ends = nil
 }
 
-// networkListener is a listener of a Network.
+// networkListener is a listener that accepts the connections that are passed to it.
 type networkListener struct {
 	address  netip.AddrPort
 	accepted chan net.Conn
@@ -96,6 +96,20 @@
 	closed   chan struct{}
 }
 
+func newNetworkListener(address netip.AddrPort) *networkListener {
+	return &networkListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// offer passes a connection to Accept, and reports false if the listener is closed.
+func (l *networkListener) offer(conn net.Conn) bool {
+	select {
+	case l.accepted <- conn:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
 func (l *networkListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accepted:
--- a/snipestand/runnerserver.go
+++ b/snipestand/runnerserver.go
@@ -86,7 +86,7 @@
 	if s.WhileDown == DownRefuses {
 		return l, nil
 	}
-	s.front, s.forwarder = l, &forwarder{mode: s.WhileDown}
+	s.front, s.forwarder = l, &forwarder{address: l.Addr().(*net.TCPAddr).AddrPort(), mode: s.WhileDown}
 	go s.forwarder.run(l)
 	return s.forwarder.begin(), nil
 }
