Retry budget: a reserved retry is released however its request ends

Found by reading: a request that was refused for its fingerprint between the decision to send it again and the next attempt kept its reservation for ever, so that the service would have lost one retry of its budget for each such request. TestReservationReleased fails without the change.

--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -278,8 +278,10 @@
 	return out
 }
 
-// serve tries upstreams until one has answered or no further attempt is allowed.
+// serve tries upstreams until one has answered or no further attempt is allowed. It releases a retry that
+// was reserved and not sent.
 func (c *call) serve(ctx context.Context) error {
+	defer func() { c.settleRetry(c.reached) }()
 	for {
 		if err := c.checkQuarantine(); err != nil {
 			return c.finalError(err)
