Crashing requests: innocent ones are not blamed by evidence that comes late

Cause: where only the next start of an upstream tells that it has crashed, its broken answers are reported seconds later. Copies that were answered in between did not count for them, and requests that were sent to the address after the crash, and never reached the upstream, were reported as well.

Change: a request that was sent to an upstream after it had broken an answer, and given none since, is not reported; neither is one whose fingerprint this instance saw answered after it broke. TestCrashDetectorInnocent holds both.

--- a/snipeentry/crash.go
+++ b/snipeentry/crash.go
@@ -45,11 +45,21 @@
 	})
 }
 
+// crashAnswered records that a request of a fingerprint was answered, at the detector and, if the
+// fingerprint is a suspect, at the other instances.
+func (i *Instance) crashAnswered(f snipequarantine.Fingerprint) {
+	i.crashDetector.Answered(f)
+	if i.crashes.Suspects.Known(f) {
+		i.crashes.Answered(f)
+	}
+}
+
 // gatewayCrashes returns the functions by which the gateway reports broken answers and asks which
 // requests are refused.
 func (i *Instance) gatewayCrashes() snipegateway.Crashes {
 	return snipegateway.Crashes{
-		Broke: i.crashDetector.Broke, Replaced: i.crashDetector.Replaced, Suspects: &i.crashes.Suspects, Answered: i.crashes.Answered,
+		Broke: i.crashDetector.Broke, Replaced: i.crashDetector.Replaced, Waiting: i.crashDetector.Waiting, Lives: i.crashDetector.Lives,
+		Suspects: &i.crashes.Suspects, Answered: i.crashAnswered,
 		Refused: func() { i.meter.Count("snipepitch_quarantine_refusals_total") },
 	}
 }
--- a/snipeentry/crashdetector.go
+++ b/snipeentry/crashdetector.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,6 +52,10 @@
 //
 // The end of an upstream that was leaving when the answer broke off is no crash.
 //
+// The evidence may come seconds after the crash. Two kinds of requests are therefore left out: those that
+// were sent to an upstream after it had broken an answer and given none since, because it may have ended
+// before they reached it, and those of a fingerprint that was answered after it broke.
+//
 // Exported fields are set before the first call. It is safe for concurrent use.
 type crashDetector struct {
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
@@ -62,6 +67,9 @@
 	Log         *snipelog.Logger
 	Meter       *snipemeter.Meter
 
+	// waiting is the number of broken answers that wait for evidence.
+	waiting atomic.Int64
+
 	lock      sync.Mutex // guards the fields below
 	upstreams map[string]*brokenUpstream
 }
@@ -71,11 +79,13 @@
 	address netip.AddrPort
 	broken  []brokenAnswer // those without evidence that the upstream has ended
 	dialing bool
-	endedAt time.Time // zero while there is no such evidence
+	// brokeAt is when the first answer broke since the upstream last answered.
+	brokeAt time.Time
+	endedAt time.Time // zero while there is no evidence that it has ended
 }
 
-// Broke records a broken answer. It does not block.
-func (d *crashDetector) Broke(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string) {
+// Broke records a broken answer to a request that was sent at the given time. It does not block.
+func (d *crashDetector) Broke(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string, sentAt time.Time) {
 	if d.Leaving(u.ID) {
 		return
 	}
@@ -90,12 +100,18 @@
 		}
 		d.upstreams[u.ID] = s
 	}
+	if s.brokeAt.IsZero() {
+		s.brokeAt = b.at
+	}
 	switch {
+	case sentAt.After(s.brokeAt):
+		// The upstream may have ended before the request reached it.
 	case !s.endedAt.IsZero():
 		go d.report([]brokenAnswer{b})
 		return
 	case len(s.broken) < maxBroken:
 		s.broken = append(s.broken, b)
+		d.waiting.Add(1)
 	}
 	if !s.dialing {
 		s.dialing = true
@@ -132,6 +148,35 @@
 	return errors.Is(err, io.EOF)
 }
 
+// Waiting reports whether any broken answer waits for evidence.
+func (d *crashDetector) Waiting() bool { return d.waiting.Load() > 0 }
+
+// Lives records that an upstream has begun to answer.
+func (d *crashDetector) Lives(id string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if s := d.upstreams[id]; s != nil {
+		s.brokeAt = time.Time{}
+	}
+}
+
+// Answered records that a request of a fingerprint was answered: those that broke before are no longer
+// reported.
+func (d *crashDetector) Answered(f snipequarantine.Fingerprint) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	for _, s := range d.upstreams {
+		d.drop(s, func(b brokenAnswer) bool { return b.fingerprint == f })
+	}
+}
+
+// drop removes broken answers of an upstream. The lock is held.
+func (d *crashDetector) drop(s *brokenUpstream, which func(b brokenAnswer) bool) {
+	before := len(s.broken)
+	s.broken = slices.DeleteFunc(s.broken, which)
+	d.waiting.Add(int64(len(s.broken) - before))
+}
+
 // Gone records that the registry no longer lists a start of an upstream.
 func (d *crashDetector) Gone(u *snipedirectory.Upstream) {
 	if !u.Leaving {
@@ -174,7 +219,9 @@
 		return
 	}
 	s.endedAt = now
-	broken := slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > within })
+	d.drop(s, func(b brokenAnswer) bool { return now.Sub(b.at) > within })
+	broken := s.broken
+	d.waiting.Add(-int64(len(broken)))
 	s.broken = nil
 	d.lock.Unlock()
 	if len(broken) == 0 {
@@ -204,7 +251,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	for id, s := range d.upstreams {
-		s.broken = slices.DeleteFunc(s.broken, func(b brokenAnswer) bool { return now.Sub(b.at) > max(d.ConfirmTime, replacedTime) })
+		d.drop(s, func(b brokenAnswer) bool { return now.Sub(b.at) > max(d.ConfirmTime, replacedTime) })
 		ended := !s.endedAt.IsZero()
 		if ended && now.Sub(s.endedAt) > endedRetention || !ended && !s.dialing && len(s.broken) == 0 {
 			delete(d.upstreams, id)
--- a/snipeentry/crashdetector_test.go
+++ b/snipeentry/crashdetector_test.go
@@ -74,8 +74,8 @@
 					Log:     snipelog.New(io.Discard, logrus.InfoLevel, "test"), Meter: snipemeter.New(),
 				}
 				u := &snipedirectory.Upstream{ID: "e1", Address: netip.MustParseAddrPort("10.1.0.1:80")}
-				d.Broke(u, snipequarantine.Fingerprint{1}, "r1")
-				d.Broke(u, snipequarantine.Fingerprint{2}, "r2")
+				d.Broke(u, snipequarantine.Fingerprint{1}, "r1", time.Now().Add(-time.Second))
+				d.Broke(u, snipequarantine.Fingerprint{2}, "r2", time.Now().Add(-time.Second))
 				synctest.Wait()
 				if tt.gone > 0 {
 					time.Sleep(tt.gone)
@@ -99,6 +99,55 @@
 				time.Sleep(2 * endedRetention)
 				d.Sweep()
 				must.MapEmpty(t, d.upstreams)
+				must.False(t, d.Waiting())
+			})
+		})
+	}
+}
+
+// TestCrashDetectorInnocent guards against requests that are blamed for a crash, found out seconds later,
+// although the upstream had ended before they were sent, or although copies of them were answered since.
+func TestCrashDetectorInnocent(t *testing.T) {
+	innocent := snipequarantine.Fingerprint{2}
+	tests := map[string]struct {
+		between func(d *crashDetector, u *snipedirectory.Upstream)
+		blamed  bool
+	}{
+		"InFlight": {func(d *crashDetector, u *snipedirectory.Upstream) {
+			d.Broke(u, innocent, "r2", time.Now().Add(-2*time.Second))
+		}, true},
+		"SentAfter": {func(d *crashDetector, u *snipedirectory.Upstream) { d.Broke(u, innocent, "r2", time.Now()) }, false},
+		"AnsweredSince": {func(d *crashDetector, u *snipedirectory.Upstream) {
+			d.Broke(u, innocent, "r2", time.Now().Add(-2*time.Second))
+			d.Answered(innocent)
+		}, false},
+		"UpstreamLived": {func(d *crashDetector, u *snipedirectory.Upstream) {
+			d.Lives(u.ID)
+			d.Broke(u, innocent, "r2", time.Now())
+		}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var blamed atomic.Int64
+				d := &crashDetector{
+					Dial:    func(context.Context, netip.AddrPort) (net.Conn, error) { return newProbe(false, false), nil },
+					Leaving: func(string) bool { return false }, ConfirmTime: 3 * time.Second,
+					Crashed: func(_ string, f snipequarantine.Fingerprint) {
+						if f == innocent {
+							blamed.Add(1)
+						}
+					},
+					Log: snipelog.New(io.Discard, logrus.InfoLevel, "test"), Meter: snipemeter.New(),
+				}
+				u := &snipedirectory.Upstream{ID: "e1", Address: netip.MustParseAddrPort("10.1.0.1:80")}
+				d.Broke(u, snipequarantine.Fingerprint{1}, "r1", time.Now().Add(-time.Second))
+				time.Sleep(time.Second)
+				tt.between(d, u)
+				d.Replaced(u)
+				synctest.Wait()
+				must.Eq(t, tt.blamed, blamed.Load() == 1)
+				time.Sleep(time.Minute)
 			})
 		})
 	}
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -115,6 +115,7 @@
 		g.Log.Log(snipelog.AnswerDiscarded, snipelog.Fields{requestField: c.ID, "Upstream": u.ID, "Status": answer.StatusCode})
 		return snipeerror.New(snipeerror.ErrMismatch, snipeerror.MayHaveRun, "the upstream's answer has no receipt")
 	}
+	c.noteLives()
 	return c.deliver(ctx, u.ID, answer)
 }
 
--- a/snipegateway/crash.go
+++ b/snipegateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipeerror"
@@ -14,12 +15,17 @@
 type Crashes struct {
 	// Broke is called for an answer that broke off or never began after the request was sent. It does
 	// not block, and finds out whether the upstream has ended.
-	Broke func(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string)
+	Broke func(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string, sentAt time.Time)
+	// Waiting reports whether any broken answer waits for the finding; only then are Lives and Answered
+	// called for requests of fingerprints that are no suspects.
+	Waiting func() bool
+	// Lives is called when an upstream begins to answer.
+	Lives func(id string)
 	// Replaced is called if another upstream has answered at the address of an upstream.
 	Replaced func(u *snipedirectory.Upstream)
 	// Suspects are the fingerprints that are watched or refused.
 	Suspects *snipequarantine.Suspects
-	// Answered is called if a request of a suspect was answered.
+	// Answered is called if a request was answered.
 	Answered func(f snipequarantine.Fingerprint)
 	// Refused is called for each request that is refused.
 	Refused func()
@@ -40,7 +46,7 @@
 // if ctx has ended, because the end of ctx may have caused it.
 func (c *call) noteBroken(ctx context.Context) {
 	if broke := c.gateway.Crashes.Broke; broke != nil && ctx.Err() == nil {
-		broke(c.upstream, c.fingerprint(), c.ID)
+		broke(c.upstream, c.fingerprint(), c.ID, c.sentAt)
 	}
 }
 
@@ -57,10 +63,23 @@
 	return s != nil && !s.Empty() && s.Known(c.fingerprint())
 }
 
-// noteAnswered reports that the request was answered, if it is a suspect. A status of 500 or above is
-// no evidence that an upstream can run the request.
+// brokenWait reports whether any broken answer waits for the finding whether its upstream has ended.
+func (c *call) brokenWait() bool {
+	waiting := c.gateway.Crashes.Waiting
+	return waiting != nil && waiting()
+}
+
+// noteLives reports that the last upstream has begun to answer, if any broken answer waits.
+func (c *call) noteLives() {
+	if c.brokenWait() {
+		c.gateway.Crashes.Lives(c.upstream.ID)
+	}
+}
+
+// noteAnswered reports that the request was answered, if it is a suspect or any broken answer waits. A
+// status of 500 or above is no evidence that an upstream can run the request.
 func (c *call) noteAnswered() {
-	if c.status < http.StatusInternalServerError && c.suspect() {
+	if c.status < http.StatusInternalServerError && (c.suspect() || c.brokenWait()) {
 		c.gateway.Crashes.Answered(c.fingerprint())
 	}
 }
