--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -180,6 +180,7 @@
 	})
 	i.addTask(ctx, &g, func(ctx context.Context) error {
 		return snipetime.Every(ctx, reportInterval, func(ctx context.Context) {
+			i.stalls.beat(time.Now())
 			i.reportUses(ctx)
 			i.applyOwnLoads()
 			i.spreadAdapters()
@@ -188,9 +189,6 @@
 			i.lender.refresh(i.directory.Snapshot())
 		})
 	})
-	i.addTask(ctx, &g, func(ctx context.Context) error {
-		return snipetime.Every(ctx, beatInterval, func(context.Context) { i.stalls.beat(time.Now()) })
-	})
 	if i.Settings.AdmissionShare > 0 {
 		i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, renewInterval, i.admission.renew) })
 	}
--- a/snipeentry/stall.go
+++ b/snipeentry/stall.go
@@ -6,9 +6,8 @@
 )
 
 const (
-	// beatInterval is the time between two beats of a stallDetector.
-	beatInterval = 50 * time.Millisecond
-	// minStall is the shortest time without a beat that counts as a stall.
+	// minStall is the shortest time without a beat that counts as a stall; there is one beat in each
+	// reportInterval.
 	minStall = retryDelay
 	// stallBacklog is how long after a stall requests are read that callers had sent during it.
 	stallBacklog = 500 * time.Millisecond
@@ -23,7 +22,7 @@
 	resumedAt time.Time
 }
 
-// beat records that the process runs. It is called every beatInterval.
+// beat records that the process runs. It is called every reportInterval.
 func (d *stallDetector) beat(now time.Time) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
--- a/sniperetry/bench_test.go
+++ b/sniperetry/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
@@ -26,3 +27,14 @@
 		retryable(c, err)
 	}
 }
+
+// BenchmarkWindow measures the accounting of one request and of one retry that is reserved and sent.
+func BenchmarkWindow(b *testing.B) {
+	w := &Window{Share: 1, Slack: func() float64 { return 1e9 }, Span: 10 * time.Second, Delay: 200 * time.Millisecond}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.CountRequest(time.Now())
+		w.Reserve()
+		w.Spend()
+	}
+}
