Software versions of upstreams and resumed streams in logs, metrics and snipectl explain

Cause: no line or metric could tell the hypotheses of the incident apart: the registry's version was checked and dropped, and Resumes was not read. Change: Upstream.Software, Request.Resumes; SoftwareTried, LastEvent and Resumes in the end line, Software in the lines of upstreams, snipepitch_upstreams_by_software and snipepitch_streams_resumed_total; snipectl explain names the attempts of one stream from either of them. No decision is changed.

--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -32,6 +32,7 @@
 
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipesoftware"
 )
 
 // Resident is an adapter version that an engine holds.
@@ -59,7 +60,9 @@
 	RankKey uint64
 	// Domain is the upstream's failure domain.
 	Domain string
-	Slots  int
+	// Software is the version of the software that the upstream runs.
+	Software snipesoftware.Version
+	Slots    int
 	// Leaving upstreams take no new work. Remaining is the time until the upstream is gone;
 	// 0 if it reports none.
 	Leaving   bool
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -148,6 +148,7 @@
 	connections     *connectionLimit // nil for no bound
 
 	invalidEntries invalidEntries
+	softwareGauges softwareGauges
 	// ownershipUnreadable is set while the ownership rows, from which other instances are
 	// discovered, cannot be read.
 	ownershipUnreadable atomic.Bool
--- a/snipeentry/tables.go
+++ b/snipeentry/tables.go
@@ -281,10 +281,13 @@
 // the controller; forgetUnregistered drops the state of its signals. The end of an upstream that was
 // not leaving is evidence of a crash.
 func (i *Instance) upstreamChanged(u *snipedirectory.Upstream, e snipedirectory.Event) {
-	fields := snipelog.Fields{upstreamField: u.ID, "Service": u.Service, "Address": u.Address, positionField: u.Position}
+	fields := snipelog.Fields{
+		upstreamField: u.ID, "Service": u.Service, "Address": u.Address, "Software": u.Software, positionField: u.Position,
+	}
 	switch e {
 	case snipedirectory.Appeared:
 		i.crashDetector.Appeared(u)
+		i.countSoftware(u)
 		// The first read is logged as one line with the number of upstreams.
 		if i.directory.Snapshot() != nil {
 			i.Log.Log(snipelog.UpstreamAppeared, fields)
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -38,7 +38,8 @@
 func (c *call) attempt(ctx context.Context, choice Choice) error {
 	u := choice.Upstream
 	g := c.gateway
-	c.tried, c.upstream = append(c.tried, u.ID), u
+	c.upstream = u
+	c.noteTried(u.ID, u.Software)
 	if now := g.Chooser.Directory.Snapshot().ByID(u.ID); now == nil || now.Leaving {
 		// The upstream may have left while the request waited for its adapter to load.
 		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream is leaving")
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -16,6 +16,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
+	"snipepitch.example/snipepitch/snipesoftware"
 )
 
 const (
@@ -64,7 +65,9 @@
 	digest   *snipequarantine.Fingerprint
 	// tried lists the upstreams that were tried. reached counts the upstreams that the request was
 	// sent to, at least in part, and mayHaveRun counts the upstreams that may have run it.
-	tried      []string
+	tried []string
+	// software holds the software version of each upstream in tried; empty where it is not known.
+	software   []snipesoftware.Version
 	reached    int
 	mayHaveRun int
 	// hop is set if another instance passes the request on, peer is the instance that it was passed on to in
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -112,6 +112,7 @@
 		fields["PromptTokens"], fields["OutputTokens"] = c.PromptTokens, c.OutputTokens
 	}
 	c.logHop(fields)
+	c.logSoftware(fields)
 	if c.framing != "" {
 		fields["Framing"], fields["Leftover"] = c.framing, c.leftover
 	}
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -145,7 +145,7 @@
 	answer.Header.Del(hopIDHeader)
 	if result.Answer {
 		c.countHop("Answered")
-		c.noteHopUpstream(result.Upstream)
+		c.noteHopUpstream(result)
 		c.mayHaveRun++
 		c.framing = answer.Framing()
 		return c.deliver(ctx, "", answer)
@@ -154,9 +154,9 @@
 }
 
 // noteHopUpstream records the upstream that a peer has sent the request to.
-func (c *call) noteHopUpstream(id string) {
+func (c *call) noteHopUpstream(r hopResult) {
 	c.noteHopSent()
-	c.tried = append(c.tried, id)
+	c.noteTried(r.Upstream, r.Software)
 	c.gateway.Hops.peers.noteReached(c.service)
 }
 
@@ -181,7 +181,7 @@
 	}
 	c.countHop("Failed")
 	if result.Upstream != "" {
-		c.noteHopUpstream(result.Upstream)
+		c.noteHopUpstream(result)
 	}
 	if failure.Outcome == snipeerror.MayHaveRun {
 		c.mayHaveRun++
--- a/snipegateway/hopmessage.go
+++ b/snipegateway/hopmessage.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"snipepitch.example/snipepitch/snipesoftware"
 )
 
 const (
@@ -58,6 +60,8 @@
 	Answer bool `json:",omitempty"`
 	// Upstream is the upstream that has received the request; empty if none has.
 	Upstream string `json:",omitempty"`
+	// Software is the software version of Upstream; empty if it is not known.
+	Software snipesoftware.Version `json:",omitempty"`
 	// Declined is set if the peer has made no attempt, so that another peer may be asked, Unreachable if that
 	// is because it can open no connection to the service.
 	Declined    bool `json:",omitempty"`
--- a/snipegateway/request.go
+++ b/snipegateway/request.go
@@ -27,6 +27,9 @@
 	// LastEvent is the identifier of the last event that the caller has received of the stream
 	// that it resumes; empty if the caller resumes none.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that it
+	// resumes; empty if the caller names none.
+	Resumes string
 	// Adapter is the adapter that the request is for; its Model is empty for plain services.
 	Adapter snipecatalog.Adapter
 	// PromptTokens and OutputTokens are the sizes of the prompt and the output; zero if not stated.
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -51,6 +51,7 @@
 					return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "the stream went on at another event")
 				}
 				resuming = false
+				c.countResumed(resumedHere, streamGoesOn)
 			}
 			if werr := c.writeEvents(answer, events, summary); werr != nil {
 				return werr
@@ -91,6 +92,9 @@
 	if !c.peer.IsValid() {
 		c.gateway.Chooser.estimators.forService(c.service).recordFirstChunk(time.Since(c.sentAt), c.busy)
 	}
+	if c.LastEvent != "" {
+		c.countResumed(resumedByCaller, streamGoesOn)
+	}
 	c.setHeader(http.StatusOK, endToEnd(answer.Header))
 	c.setFraming(answer.Framing(), unknownLength)
 	c.streaming = true
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -1,6 +1,7 @@
 package snipestand
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -21,6 +22,8 @@
 	Service string
 	Address string
 	Zone    string
+	// Software is the version of the runner's software; "v1" if it is empty.
+	Software string
 	// Model is the base model that the runner holds, Slots the number of adapters that it can hold.
 	Model string
 	Slots int
@@ -194,7 +197,7 @@
 	}
 	entry := map[string]any{
 		"service": r.Service, "addr": r.Address, "zone": r.Zone, "slots": slots, "state": state, "models": r.models(),
-		"version": "v1", "seq": r.orders, "coldLeftMs": 0, "born": r.startedAt,
+		"version": r.softwareVersion(), "seq": r.orders, "coldLeftMs": 0, "born": r.startedAt,
 	}
 	if r.invalidEntry {
 		entry["slots"] = "many"
@@ -204,6 +207,9 @@
 	return s.Put("servers", id, entry)
 }
 
+// softwareVersion returns the version of the runner's software.
+func (r *Runner) softwareVersion() string { return cmp.Or(r.Software, "v1") }
+
 // adapterNames returns the adapters that the runner holds, each as NAME@VERSION. The lock is held.
 func (r *Runner) adapterNames() []string {
 	all := []string{}
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -77,7 +77,28 @@
 		cause.Text += "; instance " + s.End.Instance + " did not reach service " + s.End.Service + " and passed the request on to " + s.End.Peer
 		lines = append(lines, s.withEvents(snipelog.ServiceUnreached.Number, snipelog.HopEnded.Number)...)
 	}
-	return cause, lines
+	cause.Text += s.resumptionClause()
+	return cause, append(lines, s.Resumed...)
+}
+
+// resumptionClause returns a clause about the stream that the request resumes, and about the attempts that
+// resume its own; empty if there are none.
+func (s *Story) resumptionClause() string {
+	var clause strings.Builder
+	if s.End != nil && s.End.LastEvent != "" {
+		first := s.End.Resumes
+		if first == "" {
+			first = "an attempt that it does not name"
+		}
+		fmt.Fprintf(&clause, "; the request resumes after event %s the stream of %s", s.End.LastEvent, first)
+	}
+	if s.End != nil && len(s.End.SoftwareTried) > 0 && (s.End.LastEvent != "" || len(s.End.Tried) > 1) {
+		fmt.Fprintf(&clause, "; the upstreams tried ran the software %s", strings.Join(s.End.SoftwareTried, ", "))
+	}
+	for _, l := range s.Resumed {
+		fmt.Fprintf(&clause, "; attempt %s resumed its stream at instance %s, with status %d", l.Request, l.Instance, l.Status)
+	}
+	return clause.String()
 }
 
 // explainEnd returns the cause of the outcome of a request by the line of its end.
--- a/snipestory/line.go
+++ b/snipestory/line.go
@@ -34,6 +34,11 @@
 	After string
 	// NotSentAgain is why the request was not sent again after its last attempt; empty if it did not fail.
 	NotSentAgain string
+	// SoftwareTried holds the software versions of the upstreams in Tried. Resumes is the attempt that brought the
+	// first event of the stream that the request resumes, LastEvent the last event that its caller had.
+	SoftwareTried []string
+	Resumes       string
+	LastEvent     string
 	// Busy is the estimated fraction of occupied slots at the last upstream when it was chosen. Holders is the number of usable upstreams that it was chosen from.
 	Busy         float64
 	Holders      int
--- a/snipestory/read.go
+++ b/snipestory/read.go
@@ -21,6 +21,8 @@
 	id           string
 	requestLines []Line
 	changes      []Line
+	// resumed holds the ends of the attempts that resume the stream of the request.
+	resumed []Line
 	// Skipped counts the lines that were skipped because they are invalid, too long, or beyond
 	// maxChanges.
 	Skipped int
@@ -78,6 +80,8 @@
 		l.Skipped++
 	case line.Request == l.id:
 		l.requestLines = append(l.requestLines, line)
+	case line.Resumes == l.id && isEnd(line.Event):
+		l.resumed = append(l.resumed, line)
 	case line.Request != "":
 		// The line belongs to another request.
 	case len(l.changes) < maxChanges:
--- a/snipestory/snipestory.go
+++ b/snipestory/snipestory.go
@@ -45,6 +45,8 @@
 	ID string
 	// Lines holds the lines of the request and the changes that concern it, in the order of time.
 	Lines []Line
+	// Resumed holds the ends of the attempts that resumed the stream of the request, in the order of time.
+	Resumed []Line
 	// End is the last line that reports an end of the request; nil if there is none.
 	End *Line
 	// Cause is the cause of the outcome.
@@ -61,7 +63,8 @@
 	}
 	requestLines := slices.Clone(l.requestLines)
 	slices.SortStableFunc(requestLines, byTime)
-	s := &Story{ID: l.id}
+	s := &Story{ID: l.id, Resumed: slices.Clone(l.resumed)}
+	slices.SortStableFunc(s.Resumed, byTime)
 	for _, line := range requestLines {
 		if isEnd(line.Event) {
 			s.End = &line
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -304,3 +304,27 @@
 		must.False(t, line.Time.IsZero())
 	})
 }
+
+// TestResumptionExplained guards against an explanation from which the attempts of one stream cannot be found, from
+// the attempt that began it or from one that took it up.
+func TestResumptionExplained(t *testing.T) {
+	const later = `{"time":"2026-03-01T10:00:02.500Z","Instance":"i4","Event":211,"Name":"RequestRefused","Request":"q8","Resumes":"q1","LastEvent":"7","Status":503}`
+	tests := map[string]struct {
+		end  string
+		text string
+	}{
+		"FirstAttempt": {end("214", `"Status":200,"Tried":["u1"],"SoftwareTried":["s1"]`), "attempt q8 resumed its stream at instance i4, with status 503"},
+		"LaterAttempt": {end("210", `"Status":200,"Tried":["u1"],"SoftwareTried":["s1"],"LastEvent":"7","Resumes":"q0"`), "resumes after event 7 the stream of q0; the upstreams tried ran the software s1"},
+		"Unnamed":      {end("210", `"Status":200,"LastEvent":"7"`), "the stream of an attempt that it does not name"},
+		"WithinAnswer": {end("210", `"Status":200,"Tried":["u1","u2"],"SoftwareTried":["s1","s2"]`), "the upstreams tried ran the software s1, s2"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			log := snipestory.NewLog("q1")
+			must.NoError(t, log.Read(strings.NewReader(tt.end+"\n"+later)))
+			story, err := log.Reconstruct()
+			must.NoError(t, err)
+			must.StrContains(t, story.Cause.Text, tt.text)
+		})
+	}
+}
