--- a/snipeentry/cutlinks_test.go
+++ b/snipeentry/cutlinks_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// closeTo closes the open connections to an address.
+func (c *cutLinks) closeTo(address netip.AddrPort) {
+	c.lock.Lock()
+	var all []*cutConn
+	for k := range c.opened {
+		if k.address == address {
+			all = append(all, k)
+		}
+	}
+	c.lock.Unlock()
+	for _, k := range all {
+		_ = k.TCPConn.Close()
+	}
+}
+
 // Read implements net.Conn.
 func (k *cutConn) Read(p []byte) (int, error) {
 	for {
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -22,7 +22,8 @@
 	Service string
 	Address string
 	Zone    string
-	// Software is the version of the runner's software; "v1" if it is empty.
+	// Software is the version of the runner's software, which each event of a stream states; "v1", which no
+	// event states, if it is empty.
 	Software string
 	// Model is the base model that the runner holds, Slots the number of adapters that it can hold.
 	Model string
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -105,7 +105,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.TrimSpace(fmt.Sprintf("token %d %s", n, r.Software)))
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-time.After(r.EventInterval):
