Streams go on only at the software version that began them

Cause: the registry's software version was checked and dropped; every choice of an upstream, the first as well as those that resume a stream, was blind to it, and an instance that is asked for the rest of a stream had no way to know who began it. Class: state that must outlive an instance is held by nobody.

A stream is bound with its first event. The versions of a service are announced in a row of the ownership table before streams begin at them; while there is one, all streams go on with no message. Otherwise the instance that begins a stream tells its origin to two others, and one that takes it up asks. What is not known is refused at once, as not run.

--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -14,7 +14,8 @@
 //     last recorded.
 //   - Each start of an upstream is a separate upstream, even if the name and the address
 //     are the same: it holds none of the adapters of the previous start, and nothing that
-//     was learned about the previous start applies to it. Start times are compared for
+//     was learned about the previous start applies to it. An entry with another software
+//     version is that of another start. Start times are compared for
 //     equality only, because the clocks that set them can jump.
 //   - An entry that cannot be decoded yields no usable upstream, whatever the previous
 //     entry contained.
@@ -305,7 +306,7 @@
 	delete(k.endedStarts, u.Name)
 	delete(k.lapsed, u.Name)
 	old := k.byName[u.Name]
-	if old != nil && old.ID != u.ID {
+	if old != nil && (old.ID != u.ID || old.Software != u.Software) {
 		k.remove(b, u.Name)
 		u.Restarted, old = true, nil
 	}
--- a/snipeentry/metrics.go
+++ b/snipeentry/metrics.go
@@ -50,11 +50,17 @@
 	return snipemirror.Source{
 		Read: func(ctx context.Context) (snipemirror.Page, error) {
 			i.meter.Count(storeCallCounter("Read"))
-			return s.Read(ctx)
+			sent := time.Now()
+			page, err := s.Read(ctx)
+			page.Confirmed = sent
+			return page, err
 		},
 		Watch: func(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
 			i.meter.Count(storeCallCounter("Watch"))
-			return s.Watch(ctx, after, wait)
+			sent := time.Now()
+			page, err := s.Watch(ctx, after, wait)
+			page.Confirmed = sent
+			return page, err
 		},
 	}
 }
--- a/snipeentry/mirror.go
+++ b/snipeentry/mirror.go
@@ -54,6 +54,7 @@
 // are none yet, it waits for one for the requested time, at most maxWatchWait. Position 0 requests
 // all rows, which may come from a compressed page up to packedPageLife old.
 func (s *mirrorServer) Watch(ctx context.Context, r *snipeproto.MirrorWatchRequest) (*snipeproto.MirrorWatchResponse, error) {
+	arrived := time.Now()
 	m := s.mirrors[r.GetTable()]
 	if m == nil {
 		return nil, twirp.NotFoundError("no copy of this table")
@@ -61,7 +62,7 @@
 	if r.GetAfter() == 0 {
 		if p, ok := s.cachedPage(r.GetTable()); ok {
 			p.page.Age += time.Since(p.madeAt)
-			return encodePage(p.page, p.rows), nil
+			return encodePage(p.page, p.rows, arrived), nil
 		}
 	}
 	wait := min(time.Duration(r.GetWaitMilliseconds())*time.Millisecond, maxWatchWait)
@@ -70,7 +71,7 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	if len(page.Rows) < minPackedRows {
-		return encodePage(page, nil), nil
+		return encodePage(page, nil, arrived), nil
 	}
 	rows, err := packRows(page.Rows)
 	if err != nil {
@@ -80,7 +81,7 @@
 	if page.Complete {
 		s.cachePage(r.GetTable(), packedPage{page, rows, time.Now()})
 	}
-	return encodePage(page, rows), nil
+	return encodePage(page, rows, arrived), nil
 }
 
 // cachedPage returns the compressed page of a whole table if it is younger than packedPageLife.
@@ -101,22 +102,32 @@
 	s.packedPages[table] = p
 }
 
-// encodePage returns the message for a page. packed holds the page's rows in compressed form, or is
-// nil if p.Rows holds them.
-func encodePage(p snipemirror.Page, packed []byte) *snipeproto.MirrorWatchResponse {
-	return &snipeproto.MirrorWatchResponse{
+// encodePage returns the message for a page that was requested by a message that arrived at a time.
+// packed holds the page's rows in compressed form, or is nil if p.Rows holds them.
+func encodePage(p snipemirror.Page, packed []byte, arrived time.Time) *snipeproto.MirrorWatchResponse {
+	m := &snipeproto.MirrorWatchResponse{
 		Position: p.Position, Whole: p.Complete, Rows: encodeRows(p.Rows), Packed: packed,
 		// Rounded up, so that a copy does not look younger with each instance that passes it on.
 		AgeMilliseconds: (p.Age + time.Millisecond - 1).Milliseconds(),
 	}
+	if !p.Confirmed.IsZero() {
+		// One less because the division rounds a positive number down and a negative one up.
+		confirmed := p.Confirmed.Sub(arrived).Milliseconds() - 1
+		m.ConfirmedMilliseconds = &confirmed
+	}
+	return m
 }
 
-// decodePage returns the page of a message, whose rows may be compressed.
-func decodePage(m *snipeproto.MirrorWatchResponse) (snipemirror.Page, error) {
+// decodePage returns the page of a message, whose rows may be compressed. The message answers one that
+// was sent at a time.
+func decodePage(m *snipeproto.MirrorWatchResponse, sent time.Time) (snipemirror.Page, error) {
 	p := snipemirror.Page{
 		Position: m.GetPosition(), Complete: m.GetWhole(), Rows: decodeRows(m.GetRows()),
 		Age: time.Duration(m.GetAgeMilliseconds()) * time.Millisecond,
 	}
+	if m.ConfirmedMilliseconds != nil {
+		p.Confirmed = sent.Add(time.Duration(m.GetConfirmedMilliseconds()) * time.Millisecond)
+	}
 	if len(m.GetPacked()) == 0 {
 		return p, nil
 	}
--- a/snipeentry/mirror_test.go
+++ b/snipeentry/mirror_test.go
@@ -49,11 +49,11 @@
 		must.Eq(t, (packedPageLife / 2).Milliseconds(), second.GetAgeMilliseconds())
 
 		follower := snipemirror.New()
-		page, err := decodePage(second)
+		page, err := decodePage(second, time.Now())
 		must.NoError(t, err)
 		must.True(t, page.Complete)
 		must.Len(t, count, follower.Apply(page))
-		page, err = decodePage(watch(page.Position))
+		page, err = decodePage(watch(page.Position), time.Now())
 		must.NoError(t, err)
 		must.Len(t, 1, page.Rows)
 		must.Len(t, 1, follower.Apply(page))
--- a/snipeentry/peercopy.go
+++ b/snipeentry/peercopy.go
@@ -33,13 +33,14 @@
 	return func(ctx context.Context, after uint64, wait time.Duration) (snipemirror.Page, error) {
 		ctx, cancel := context.WithTimeout(ctx, wait+copyReadSlack)
 		defer cancel()
+		sent := time.Now()
 		answer, err := client.Watch(ctx, &snipeproto.MirrorWatchRequest{
 			Table: table, After: after, WaitMilliseconds: wait.Milliseconds(),
 		})
 		if err != nil {
 			return snipemirror.Page{}, err
 		}
-		return decodePage(answer)
+		return decodePage(answer, sent)
 	}, true
 }
 
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -118,6 +118,7 @@
 	quotas   clients[snipeproto.Quota]
 	permits  clients[snipeproto.Admission]
 	crashes  clients[snipeproto.Crash]
+	streams  clients[snipeproto.Stream]
 
 	lock sync.Mutex // guards the fields below
 	// answeredAt is when each owner last answered a report, or was last sent an empty report
@@ -244,6 +245,7 @@
 		quotas:   clients[snipeproto.Quota]{Make: snipeproto.NewQuotaProtobufClient, HTTP: h},
 		permits:  clients[snipeproto.Admission]{Make: snipeproto.NewAdmissionProtobufClient, HTTP: h},
 		crashes:  clients[snipeproto.Crash]{Make: snipeproto.NewCrashProtobufClient, HTTP: h},
+		streams:  clients[snipeproto.Stream]{Make: snipeproto.NewStreamProtobufClient, HTTP: h},
 	}
 }
 
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -44,6 +44,7 @@
 	"snipepitch.example/snipepitch/snipequota"
 	"snipepitch.example/snipepitch/snipereach"
 	"snipepitch.example/snipepitch/snipesignal"
+	"snipepitch.example/snipepitch/snipesoftware"
 	"snipepitch.example/snipepitch/snipetime"
 )
 
@@ -149,6 +150,9 @@
 
 	invalidEntries invalidEntries
 	softwareGauges softwareGauges
+	releases       *snipesoftware.Releases
+	streams        *snipesoftware.Exchange
+	announcer      softwareAnnouncer
 	// ownershipUnreadable is set while the ownership rows, from which other instances are
 	// discovered, cannot be read.
 	ownershipUnreadable atomic.Bool
@@ -193,6 +197,8 @@
 			i.spreadAdapters()
 			i.sendSignals(ctx)
 			i.stepCrashes(ctx)
+			i.streams.Step()
+			i.announceSoftware(ctx)
 			i.lender.refresh(i.directory.Snapshot())
 		})
 	})
@@ -262,11 +268,28 @@
 		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), DivisionSpan: s.RetrySpan.Value(), Clock: bootClock,
 		Operation: i.Operation, RenewalEnded: i.noteRenewal, Log: i.Log,
 	}
+	i.buildSoftware()
 	i.buildTables()
 	i.holder.RequestExtension, i.holder.RowsAge = i.requestExtension, i.tables.ownership.Mirror.Age
 	i.registerGauges()
+	i.buildController()
+	i.peers = newPeers(peerClient(i.meter))
+	i.buildQuotas()
+	i.buildCrashes()
+	i.buildPressure()
+	i.buildAdmission()
+	i.retryBudgets = &retryBudgets{
+		share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), Log: i.Log, Meter: i.meter,
+		division: func() snipeowner.Division { return i.holder.View().Division }, clock: bootClock,
+		sentBefore: i.stalls.sentBefore,
+	}
+	i.buildGateway()
+}
+
+// buildController creates what orders loads at the engines that this instance owns.
+func (i *Instance) buildController() {
 	i.controller = &snipeadapter.Controller{
-		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: s.Name, Log: i.Log,
+		Engine: i.Platform.Engine, Fence: i.holder.Fence, Holder: i.Settings.Name, Log: i.Log,
 		Upstream: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
 		Slots:    i.adapterSlots,
 		Model:    i.modelFor, EngineRestarted: i.directory.MarkEnded, PreviouslyHeld: i.residency.PreviouslyHeld,
@@ -279,19 +302,14 @@
 	i.controller.Redundant = func(u *snipedirectory.Upstream, a snipecatalog.Adapter, perSecond float64) bool {
 		return i.gateway.Chooser.CanEvict(u, a, perSecond)
 	}
-	i.peers = newPeers(peerClient(i.meter))
-	i.buildQuotas()
-	i.buildCrashes()
-	i.buildPressure()
-	i.buildAdmission()
-	i.retryBudgets = &retryBudgets{
-		share: s.RetryShare, slack: s.RetrySlack, span: s.RetrySpan.Value(), Log: i.Log, Meter: i.meter,
-		division: func() snipeowner.Division { return i.holder.View().Division }, clock: bootClock,
-		sentBefore: i.stalls.sentBefore,
-	}
+}
+
+// buildGateway creates what serves requests.
+func (i *Instance) buildGateway() {
+	s := i.Settings
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
-		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Crashes: i.gatewayCrashes(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
+		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Crashes: i.gatewayCrashes(), Software: i.gatewaySoftware(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
 		Hops:   snipegateway.Hops{Unreachable: i.reach.Unreachable, Peers: i.hopPeers, Links: i.hopLinks, Self: s.Name},
 		Budget: i.retryBudgets.budget, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
 		Pressure: i.pressure, SocketBytes: s.socketBytes(),
--- a/snipeentry/software_test.go
+++ b/snipeentry/software_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -55,7 +56,7 @@
 }
 
 // startOne starts an instance in a failure domain of its own, which knows those that were started before.
-func (s *softwareCluster) startOne(n int) *instance {
+func (s *softwareCluster) startOne(n int) {
 	l := &cutLinks{}
 	s.dial = l.dial
 	var seeds []netip.AddrPort
@@ -66,7 +67,6 @@
 		settings.Domain, settings.Seeds = "d"+strconv.Itoa(n%3), seeds
 	})
 	s.links, s.instances = append(s.links, l), append(s.instances, i)
-	return i
 }
 
 // waitVersions waits until streams begin at each version, through each of the instances.
@@ -240,3 +240,43 @@
 		l.closeTo(address)
 	}
 }
+
+// TestTakenUpByOthers guards against a stream that somebody else takes up, and against an answer from which more can be
+// learned than from one to nonsense.
+func TestTakenUpByOthers(t *testing.T) {
+	t.Parallel()
+	s := startSoftwareCluster(t, 2, "v1", "v2")
+	first := s.caller()
+	first.readUntil(s.instances[0], 10)
+	must.NotEq(t, "", first.first)
+	tests := map[string]struct {
+		target, model, resumes, lastEvent string
+		status                            int
+	}{
+		"Mine":         {"/draft/x", "base", first.first, "10", http.StatusOK},
+		"OtherAdapter": {"/draft/x", "base/a1", first.first, "10", http.StatusServiceUnavailable},
+		"Nonsense":     {"/draft/x", "base", "nonsense", "10", http.StatusServiceUnavailable},
+		"NotNamed":     {"/draft/x", "base", "", "10", http.StatusServiceUnavailable},
+		"TooLong":      {"/draft/x", "base", strings.Repeat("x", 300), "10", http.StatusBadRequest},
+		"NothingHad":   {"/draft/x", "base", first.first, "", http.StatusOK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			header := []string{modelHeader, tt.model}
+			if tt.resumes != "" {
+				header = append(header, "Resumes", tt.resumes)
+			}
+			if tt.lastEvent != "" {
+				header = append(header, "Last-Event-Id", tt.lastEvent)
+			}
+			begun := time.Now()
+			a, id := send(t, s.instances[1].url, http.MethodPost, tt.target, "text", header...)
+			must.Eq(t, tt.status, a.status, must.Sprint(a.body))
+			if tt.status != http.StatusOK {
+				must.Less(t, refusalTime, time.Since(begun))
+				must.Eq(t, "", a.header.Get("Retry-After"))
+				must.Eq(t, 0, s.total(id))
+			}
+		})
+	}
+}
--- a/snipeentry/tables.go
+++ b/snipeentry/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -138,7 +139,8 @@
 	}
 
 	t.ownership = i.follower(snipeowner.Partition, ownershipInterval, directoryWait, ownershipCopyAges)
-	t.ownership.Changed = func([]snipemirror.Row, uint64) {
+	t.ownership.Changed = func(rows []snipemirror.Row, _ uint64) {
+		i.applySoftware(rows)
 		if i.noPeersKnown() {
 			i.holder.RequestRead()
 		}
@@ -254,6 +256,9 @@
 	}
 	all := make([]snipeplatform.Row, 0, len(rows))
 	for _, r := range rows {
+		if strings.HasPrefix(r.Key, softwarePrefix) {
+			continue
+		}
 		key := snipeplatform.Key{Partition: partition, Sort: r.Key}
 		all = append(all, snipeplatform.Row{Key: key, Version: r.Version, Data: r.Value})
 	}
--- a/snipeerror/snipeerror.go
+++ b/snipeerror/snipeerror.go
@@ -37,6 +37,9 @@
 	ErrStopping        = errors.New("instance stopping")
 	ErrNotOwner        = errors.New("not the owner")
 	ErrCanceled        = errors.New("canceled by the caller")
+	// ErrNotResumable means that a stream cannot go on: its software version is not known, or no
+	// upstream runs it.
+	ErrNotResumable = errors.New("stream cannot go on")
 )
 
 // Outcome reports whether the call may have been executed.
@@ -80,6 +83,7 @@
 	{ErrStopping, "Stopping", http.StatusServiceUnavailable},
 	{ErrNotOwner, "NotOwner", http.StatusMisdirectedRequest},
 	{ErrCanceled, "Canceled", http.StatusRequestTimeout},
+	{ErrNotResumable, "NotResumable", http.StatusServiceUnavailable},
 }
 
 // CallError is the error that a failed call ends with.
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -85,7 +85,7 @@
 func (c *call) chooseWithPermit(ctx context.Context) (Choice, error) {
 	begun := time.Now()
 	defer func() { c.observePermitWait(time.Since(begun)) }()
-	excluded := slices.Clone(c.allTried())
+	excluded := slices.Concat(c.allTried(), c.otherSoftware())
 	for range maxPermits {
 		r := c.permitRequest(excluded)
 		c.admission.asked = true
@@ -124,12 +124,23 @@
 // accepts no requests now.
 func (c *call) usableUpstream(id string) *snipedirectory.Upstream {
 	u := c.gateway.Chooser.Directory.Snapshot().ByID(id)
-	if u == nil || u.Leaving || !c.gateway.Signals.Open(id) {
+	if u == nil || u.Leaving || !c.software.allows(u) || !c.gateway.Signals.Open(id) {
 		return nil
 	}
 	return u
 }
 
+// otherSoftware returns the upstreams of the service whose software versions may not answer the request.
+func (c *call) otherSoftware() []string {
+	var ids []string
+	for _, u := range c.gateway.Chooser.Directory.Snapshot().Service(c.service) {
+		if !c.software.allows(u) {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
 // permitError returns the error that ends a request that got no permit.
 func (c *call) permitError(ctx context.Context, err error) error {
 	var denied *DeniedError
--- a/snipegateway/admit.go
+++ b/snipegateway/admit.go
@@ -34,7 +34,7 @@
 	if err := c.identify(); err != nil {
 		return err
 	}
-	c.service = c.route.Backend(sniperoute.Hash(c.ID))
+	c.service = c.route.Backend(sniperoute.Hash(c.streamAttempt()))
 	if c.catalog.Engine(c.service) == nil {
 		// A plain service holds no models, so the model named by the caller is ignored.
 		c.Adapter = snipecatalog.Adapter{}
@@ -54,6 +54,10 @@
 		c.returnQuota()
 		return err
 	}
+	if err := c.setSoftwareRule(c.request.Context()); err != nil {
+		c.returnQuota()
+		return err
+	}
 	c.header = endToEnd(c.request.Header)
 	if c.catalog.RequiresKeys() {
 		c.header.Del(keyHeader)
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -39,10 +39,12 @@
 	u := choice.Upstream
 	g := c.gateway
 	c.upstream = u
-	c.noteTried(u.ID, u.Software)
+	c.noteTried(u.ID, &u.Software)
 	if now := g.Chooser.Directory.Snapshot().ByID(u.ID); now == nil || now.Leaving {
 		// The upstream may have left while the request waited for its adapter to load.
 		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream is leaving")
+	} else if !c.software.allows(now) {
+		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream runs another software version now")
 	}
 	if err := c.checkBeforeSend(); err != nil {
 		return err
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -66,10 +66,13 @@
 	// tried lists the upstreams that were tried. reached counts the upstreams that the request was
 	// sent to, at least in part, and mayHaveRun counts the upstreams that may have run it.
 	tried []string
-	// software holds the software version of each upstream in tried; empty where it is not known.
-	software   []snipesoftware.Version
-	reached    int
-	mayHaveRun int
+	// softwareTried holds the software version of each upstream in tried, empty where it is not known, and
+	// lastSoftware that of the last one, nil if it is not known.
+	softwareTried  []snipesoftware.Version
+	lastSoftware   *snipesoftware.Version
+	streamSoftware streamSoftware
+	reached        int
+	mayHaveRun     int
 	// hop is set if another instance passes the request on, peer is the instance that it was passed on to in
 	// its last attempt.
 	hop  *hopRequest
@@ -141,6 +144,7 @@
 		}
 		c.returnQuota()
 	}
+	c.endStreamSoftware()
 	err = c.endedError(err)
 	if err != nil && c.request.Context().Err() == nil && !c.answerStarted {
 		c.writeError(snipeerror.From(err))
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -73,14 +73,15 @@
 // maxWait. Its errors carry a retry time for the caller.
 func (c *Chooser) Choose(ctx context.Context, service string, q *Request, tried []string, maxWait time.Duration) (Choice, error) {
 	directory := c.Directory.Snapshot()
-	all := directory.Service(service)
-	if len(all) == 0 {
-		return Choice{}, noUpstreamError("the service has no upstream")
+	registered := directory.Service(service)
+	all := q.software.filter(registered)
+	if err := q.software.check(registered, all); err != nil {
+		return Choice{}, err
 	}
 	if q.Adapter.Model == "" {
 		return c.choosePlain(all, notTried(tried))
 	}
-	return c.chooseEngine(ctx, directory, service, q, maxWait, tried)
+	return c.chooseEngine(ctx, directory, all, q, maxWait, tried)
 }
 
 // notTried returns a filter that accepts the upstreams that are not in tried.
@@ -123,14 +124,10 @@
 // chooseEngine returns an engine that holds the request's adapter, or has an engine load it. If the
 // best holder is overloaded, another engine may load the adapter for the request (see offload). A
 // suspect holder is chosen only if there are usable ones, all of which were tried; otherwise the
-// adapter is loaded on another engine.
-func (c *Chooser) chooseEngine(ctx context.Context, directory *snipedirectory.Snapshot, service string, q *Request, maxWait time.Duration, tried []string) (Choice, error) {
+// adapter is loaded on another engine. All are the engines of one service that may answer the request.
+func (c *Chooser) chooseEngine(ctx context.Context, directory *snipedirectory.Snapshot, all []*snipedirectory.Upstream, q *Request, maxWait time.Duration, tried []string) (Choice, error) {
 	a, untried := q.Adapter, notTried(tried)
-	all := directory.Service(service)
-	holders := c.possibleHolders(directory, service, a)
-	if sampled := sample(holders, q.ID); a.Name == "" && c.countUsable(sampled, untried) > 0 {
-		holders = sampled
-	}
+	holders := c.possibleHolders(directory, all, q, untried)
 	required := c.Versions.Required(a, versionGrace)
 	holds := func(u *snipedirectory.Upstream) bool {
 		version, ok := c.Residency.Holds(u, a)
@@ -138,7 +135,7 @@
 	}
 	held := c.countUsable(holders, holds)
 	eligible := func(u *snipedirectory.Upstream) bool { return holds(u) && untried(u) }
-	u := c.pickEngine(service, holders, eligible, q)
+	u := c.pickEngine(all[0].Service, holders, eligible, q)
 	if u != nil && (c.Balancer.Usable(u) || held > 0) {
 		choice := c.newChoice(u, a)
 		if a.Name != "" && c.overloaded(u) {
@@ -155,12 +152,20 @@
 	return c.load(ctx, all, q, required, maxWait, untried)
 }
 
-// possibleHolders returns the engines of a service that may hold an adapter, or all of its engines
-// for a base model.
-func (c *Chooser) possibleHolders(directory *snipedirectory.Snapshot, service string, a snipecatalog.Adapter) []*snipedirectory.Upstream {
-	if a.Name == "" {
-		return directory.Service(service)
+// possibleHolders returns the engines, among all that may answer a request, that may hold its adapter. For
+// a base model they are all of them, or a sample.
+func (c *Chooser) possibleHolders(directory *snipedirectory.Snapshot, all []*snipedirectory.Upstream, q *Request, untried snipebalance.Filter) []*snipedirectory.Upstream {
+	if q.Adapter.Name != "" {
+		return q.software.filter(c.adapterHolders(directory, all[0].Service, q.Adapter))
+	}
+	if sampled := sample(all, q.ID); c.countUsable(sampled, untried) > 0 {
+		return sampled
 	}
+	return all
+}
+
+// adapterHolders returns the engines of a service that may hold an adapter.
+func (c *Chooser) adapterHolders(directory *snipedirectory.Snapshot, service string, a snipecatalog.Adapter) []*snipedirectory.Upstream {
 	return enginesByID(directory, service, c.Residency.Holders(a, make([]string, 0, typicalHolders)))
 }
 
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -29,7 +29,7 @@
 	// A retry time from the upstreams' own signals is more accurate than one derived from the
 	// target.
 	stated := (errors.Is(f, snipeerror.ErrOverloaded) || errors.Is(f, snipeerror.ErrQuarantined)) && f.RetryAfter > 0
-	if f.Outcome == snipeerror.NotRun && !stated && (f.RetryAfter == 0 || c.fullUpstreams > 0) {
+	if f.Outcome == snipeerror.NotRun && !stated && !errors.Is(f, snipeerror.ErrNotResumable) && (f.RetryAfter == 0 || c.fullUpstreams > 0) {
 		f = f.After(c.retryAfter())
 	}
 	return f
@@ -126,6 +126,7 @@
 		fields["FirstMilliseconds"] = c.firstAt.Sub(c.arrived).Milliseconds()
 		fields["PauseMilliseconds"] = c.longestPause.Milliseconds()
 	}
+	c.countRefusedStream(err)
 	if c.hop != nil {
 		c.countServedHop(outcome)
 	} else {
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -124,7 +124,7 @@
 	header.Set(hopHeader, encodeHop(&hopRequest{
 		From: c.gateway.Hops.Self, Method: c.request.Method, Target: []byte(c.request.RequestURI), Host: []byte(c.request.Host),
 		ElapsedMilliseconds: time.Since(c.arrived).Milliseconds(), Catalog: c.catalog.Version,
-		Workspace: c.workspaceName(), LastEvent: []byte(c.lastEvent), Tried: c.tried,
+		Workspace: c.workspaceName(), LastEvent: []byte(c.lastEvent), Software: c.boundSoftware(), Tried: c.tried,
 	}))
 	if len(header.Values("User-Agent")) == 0 {
 		header.Set("User-Agent", "") // otherwise net/http sends its own name
--- a/snipegateway/hopmessage.go
+++ b/snipegateway/hopmessage.go
@@ -38,6 +38,8 @@
 	Workspace string `json:",omitempty"`
 	// LastEvent is the event after which a stream is resumed.
 	LastEvent []byte `json:",omitempty"`
+	// Software is the software version at which the stream began; nil if it has not begun.
+	Software *snipesoftware.Version `json:",omitempty"`
 	// Tried holds the upstreams that have received the request before.
 	Tried []string `json:",omitempty"`
 }
@@ -60,8 +62,8 @@
 	Answer bool `json:",omitempty"`
 	// Upstream is the upstream that has received the request; empty if none has.
 	Upstream string `json:",omitempty"`
-	// Software is the software version of Upstream; empty if it is not known.
-	Software snipesoftware.Version `json:",omitempty"`
+	// Software is the software version of Upstream; nil if it is not known.
+	Software *snipesoftware.Version `json:",omitempty"`
 	// Declined is set if the peer has made no attempt, so that another peer may be asked, Unreachable if that
 	// is because it can open no connection to the service.
 	Declined    bool `json:",omitempty"`
--- a/snipegateway/hopserver.go
+++ b/snipegateway/hopserver.go
@@ -70,7 +70,7 @@
 	}
 	result := hopResult{Answer: answer, Declined: c.declined, Unreachable: c.declined && c.unreachableHere()}
 	if c.reached > 0 {
-		result.Upstream, result.Software = c.tried[len(c.tried)-1], c.software[len(c.software)-1]
+		result.Upstream, result.Software = c.tried[len(c.tried)-1], c.lastSoftware
 	}
 	c.writer.Header().Set(hopHeader, encodeHop(&result))
 }
--- a/snipegateway/replicas.go
+++ b/snipegateway/replicas.go
@@ -101,7 +101,7 @@
 	required := c.Versions.Required(a, versionGrace)
 	key := rankKey(a)
 	var highest uint64
-	for _, u := range c.possibleHolders(directory, service, a) {
+	for _, u := range c.adapterHolders(directory, service, a) {
 		version, ok := c.Residency.Holds(u, a)
 		if !ok || version < required || !c.Balancer.Usable(u) {
 			continue
--- a/snipegateway/request.go
+++ b/snipegateway/request.go
@@ -48,6 +48,8 @@
 	Priority  int
 	Workspace string
 	Target    time.Time
+	// software decides which software versions may answer the request.
+	software softwareRule
 }
 
 // sharedPrefix returns how many tokens the prompt shares with other requests, and the identifier of
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -23,7 +23,8 @@
 //   - Where operators declare workspaces, a request without the key of a workspace runs only on
 //     public routes. The key is sent to no upstream and written to no log line.
 //   - The events of a stream reach the caller whole, in order and once each, also when the stream
-//     is resumed at another upstream.
+//     is resumed at another upstream. It is resumed only at the software version that began it, here
+//     and when its caller takes it up with another attempt.
 package snipegateway
 
 import (
@@ -55,6 +56,8 @@
 	Admission Admission
 	// Crashes observes the requests that crash upstreams.
 	Crashes Crashes
+	// Software tells at which software versions streams may begin and go on.
+	Software Software
 	// WaitForStart blocks a request that arrives before routes and upstreams are known. It returns
 	// when they are known, when ctx ends, or at a fixed time shortly after the start.
 	WaitForStart func(ctx context.Context)
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -95,6 +95,7 @@
 	if c.LastEvent != "" {
 		c.countResumed(resumedByCaller, streamGoesOn)
 	}
+	c.beginStream()
 	c.setHeader(http.StatusOK, endToEnd(answer.Header))
 	c.setFraming(answer.Framing(), unknownLength)
 	c.streaming = true
@@ -150,4 +151,6 @@
 }
 
 // canResume reports whether another upstream can go on with the answer that the caller has begun to receive.
-func (c *call) canResume() bool { return c.route.Resumable && c.streaming && !c.unnumbered }
+func (c *call) canResume() bool {
+	return c.route.Resumable && c.streaming && !c.unnumbered && !c.streamSoftware.unknown
+}
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -145,6 +145,9 @@
 	SignalWrong      = define(332, "SignalWrong", logrus.WarnLevel)
 	UpstreamRests    = define(333, "UpstreamRests", logrus.WarnLevel)
 	UpstreamCrashed  = define(334, "UpstreamCrashed", logrus.WarnLevel)
+	// Software versions of upstreams.
+	SoftwareAnnounced    = define(337, "SoftwareAnnounced", logrus.InfoLevel)
+	SoftwareNotAnnounced = define(338, "SoftwareNotAnnounced", logrus.WarnLevel)
 )
 
 // Events of the ownership of engines, which is the right to send them orders, 480 to 499.
--- a/snipemirror/snipemirror.go
+++ b/snipemirror/snipemirror.go
@@ -69,6 +69,9 @@
 	Complete bool
 	// Age is the time since the store itself was read; zero for a page from the store.
 	Age time.Duration
+	// Confirmed is a time at which the store held the rows, or newer ones: a lower bound, unlike Age,
+	// also if the page was delayed on its way. Zero if it is not known.
+	Confirmed time.Time
 }
 
 // tombstoneAge is the least time for which tombstones are kept. A follower whose position is
@@ -93,6 +96,7 @@
 	historyStart uint64 // changes up to this version are no longer known one by one
 	known        bool   // a page was applied
 	readAt       time.Time
+	confirmed    time.Time
 	changed      chan struct{} // closed and replaced when a page is applied
 }
 
@@ -117,6 +121,14 @@
 	return time.Since(m.readAt)
 }
 
+// Confirmed returns the latest time at which the store is known to have held no newer rows than this
+// copy; see Page.Confirmed.
+func (m *Mirror) Confirmed() time.Time {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.confirmed
+}
+
 // Counts returns the numbers of rows in all pages applied so far, and of those that changed
 // this mirror, including the rows that a complete page no longer contained.
 func (m *Mirror) Counts() (read, changed uint64) {
@@ -206,6 +218,9 @@
 	if read := time.Now().Add(-p.Age); read.After(m.readAt) {
 		m.readAt = read
 	}
+	if p.Confirmed.After(m.confirmed) {
+		m.confirmed = p.Confirmed
+	}
 	m.prune()
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -301,7 +316,7 @@
 	if !m.known {
 		return Page{}, m.changed, snipeplatform.ErrNotRead
 	}
-	p := Page{Position: m.position, Age: time.Since(m.readAt)}
+	p := Page{Position: m.position, Age: time.Since(m.readAt), Confirmed: m.confirmed}
 	if after < m.historyStart {
 		p.Complete = true
 		after = 0
--- a/snipeproto/weight.twirp.go
+++ b/snipeproto/weight.twirp.go
@@ -1065,7 +1065,7 @@
 }
 
 func (s *weightServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor12, 0
+	return twirpFileDescriptor13, 0
 }
 
 func (s *weightServer) ProtocGenTwirpVersion() string {
@@ -1079,7 +1079,7 @@
 	return baseServicePath(s.pathPrefix, "snipepitch", "Weight")
 }
 
-var twirpFileDescriptor12 = []byte{
+var twirpFileDescriptor13 = []byte{
 	// 390 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x53, 0x4d, 0x8f, 0xd3, 0x30,
 	0x10, 0x95, 0x49, 0x9a, 0x86, 0x11, 0x87, 0xd6, 0x14, 0x64, 0x55, 0x50, 0xa2, 0x9c, 0x22, 0x90,
