Soak: engines of several software versions, streams that callers take up, releases

Judged: each event once and in order, one version a stream, and the share of streams taken up that go on against that of new ones that begin.

--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -23,6 +23,8 @@
 	once bool
 	// stream is set for requests to an engine whose answer is a stream of events.
 	stream bool
+	// resumable is set for streams that may be taken up after their last event.
+	resumable bool
 }
 
 func (k requestKind) String() string { return k.prefix }
@@ -36,7 +38,10 @@
 }
 
 var requestKinds = []requestKind{
-	{"/once/", true, false}, {"/often/", false, false}, {"/draft/", false, true}, {"/final/", true, true},
+	{"/once/", true, false, false},
+	{"/often/", false, false, false},
+	{"/draft/", false, true, true},
+	{"/final/", true, true, false},
 }
 
 // The callers' workspace and its key. One request in wrongKeyOneIn is sent with wrongKey,
@@ -69,6 +74,10 @@
 	for ctx.Err() == nil {
 		targets := *s.targets.Load()
 		i, k := targets[r.IntN(len(targets))], kinds[r.IntN(len(kinds))]
+		if s.judgesVersions() && (k.resumable || n%2 == 0) {
+			s.readStream(ctx, i, r)
+			continue
+		}
 		s.send(ctx, i, k, r, r.IntN(wrongKeyOneIn) == 0)
 		if s.judgesRetries() {
 			time.Sleep(retryPause)
@@ -182,7 +191,7 @@
 func (s *Soak) checkBody(id string, k requestKind, answer *http.Response, body string, readErr error) {
 	want := "POST " + k.prefix + id + " order " + id
 	if k.stream {
-		want = streamBody()
+		want, body = s.streamBody(), withoutSoftware(body)
 	}
 	switch proved := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0; {
 	case readErr != nil:
@@ -205,10 +214,10 @@
 // eventEnd ends each event of a stream.
 const eventEnd = "\n\n"
 
-// streamBody returns the whole body of a streamed answer.
-func streamBody() string {
+// streamBody returns the whole body of a streamed answer, without software versions.
+func (s *Soak) streamBody() string {
 	var b strings.Builder
-	for n := 1; n <= events; n++ {
+	for n := 1; n <= s.streamEvents(); n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
 	}
 	return b.String()
@@ -228,6 +237,7 @@
 	}
 	s.auditCrashes()
 	s.auditRetries()
+	s.auditStreams()
 	for id, o := range s.outcomes {
 		if o.unknownKey && ran[id] > 0 {
 			s.breach("nothing runs without a key", "%s %s ran", o.kind, id)
--- a/snipesoak/seeds.go
+++ b/snipesoak/seeds.go
@@ -18,6 +18,9 @@
 	judgesRetries bool
 	// unframed adds unframedFault.
 	unframed bool
+	// versions has engines run several software versions, streams last long enough to break off, and callers take
+	// them up. It adds releaseFault, drawn three times as often.
+	versions bool
 }
 
 var seedRanges = []seedRange{
@@ -28,6 +31,7 @@
 	{from: 12000, faults: 19, upstreamFaults: 8, sharesAdmission: true, startsWithLast: true},
 	{from: 16000, faults: 20, upstreamFaults: 8, judgesRetries: true, startsWithLast: true},
 	{from: 20000, faults: 19, upstreamFaults: 8, unframed: true, startsWithLast: true},
+	{from: 24000, faults: 19, upstreamFaults: 8, versions: true, startsWithLast: true},
 }
 
 // rangeOf returns the range of a seed.
@@ -49,5 +53,8 @@
 	if r.unframed {
 		drawn = append(drawn, unframedFault)
 	}
+	if r.versions {
+		drawn = append(drawn, releaseFault, releaseFault, releaseFault)
+	}
 	return drawn
 }
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -48,6 +48,8 @@
 	Instances int
 	// Out takes a line for each fault and for each stall of the soak's own process.
 	Out io.Writer
+	// Streams is set by Run for seeds that judge software versions.
+	Streams StreamCounts
 
 	store       *snipestand.RowStore
 	runners     []*snipestand.Runner
@@ -75,6 +77,8 @@
 	sentTimes map[string][]time.Time
 	// crashTexts are the texts in the bodies of the requests that crash upstreams.
 	crashTexts []string
+	// streams holds the attempts for streams of seeds that judge software versions.
+	streams []streamAttempt
 	// answered counts the requests that were answered in full with status 200.
 	answered int
 }
@@ -83,8 +87,8 @@
 	host = "calls.example"
 	// engineService and plainService are the services of the upstreams.
 	engineService, plainService = "engines", "plain"
-	// engines and plainUpstreams are the numbers of upstreams of the two services.
-	engines, plainUpstreams = 3, 2
+	// engineCount and plainUpstreams are the numbers of upstreams of the two services.
+	engineCount, plainUpstreams = 3, 2
 	// events is the number of events in a streamed answer.
 	events = 6
 	// adapters is the number of adapters that callers request, slots how many of them an
@@ -162,13 +166,14 @@
 		s.cutter.Links = append(s.cutter.Links, snipestand.Link{Listen: loopback, Target: store})
 		s.instances = append(s.instances, &instance{soak: s, name: fmt.Sprint("one", n)})
 	}
-	for n := range engines + plainUpstreams {
+	for n := range s.engines() + plainUpstreams {
 		r := &snipestand.Runner{
 			ID: fmt.Sprint("e", n), Service: engineService, Model: "base", Slots: slots, Faults: &s.faults,
 			LoadDuration: 60 * time.Millisecond, EventInterval: 5 * time.Millisecond, Events: events,
 			LateOrderDelay: lateOrderDelay,
 		}
-		if n >= engines {
+		s.setSoftware(r, n)
+		if n >= s.engines() {
 			r.ID, r.Service, r.Model = fmt.Sprint("p", n), plainService, ""
 			if s.sharesAdmission() {
 				r.SetCapacity(plainSlots, plainQueue, plainTime)
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -208,9 +208,30 @@
 	return s.Put("servers", id, entry)
 }
 
-// softwareVersion returns the version of the runner's software.
+// softwareVersion returns the version of the runner's software. The lock is held.
 func (r *Runner) softwareVersion() string { return cmp.Or(r.Software, "v1") }
 
+// CurrentSoftware returns the version of the software of the runner's current start, and whether the runner
+// serves and does not leave.
+func (r *Runner) CurrentSoftware() (version string, serves bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.Software, !r.draining && !r.crashes.down
+}
+
+// Replace emulates the replacement of the runner by one with other software: it has a new identifier and no
+// adapters, and does not leave. The entry of the runner that it replaces is removed later.
+func (r *Runner) Replace(software string) {
+	r.lock.Lock()
+	if r.crashes.endedEntries == nil {
+		r.crashes.endedEntries = make(map[string]time.Time)
+	}
+	r.crashes.endedEntries[r.id()] = time.Now()
+	r.Software, r.draining = software, false
+	r.lock.Unlock()
+	r.StartAgain()
+}
+
 // adapterNames returns the adapters that the runner holds, each as NAME@VERSION. The lock is held.
 func (r *Runner) adapterNames() []string {
 	all := []string{}
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -96,6 +96,7 @@
 // stream writes the events of an answer, starting after the last event that the request names.
 func (r *Runner) stream(ctx context.Context, w http.ResponseWriter, q *http.Request, f RunnerFault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	software, _ := r.CurrentSoftware()
 	begin, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // 0, the start of the answer, if there is none
 	for n := begin + 1; n <= r.Events; n++ {
 		if n == begin+2 && (f == RunnerTruncates || f == RunnerTruncatesUnframed) {
@@ -105,7 +106,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.TrimSpace(fmt.Sprintf("token %d %s", n, r.Software)))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.TrimSpace(fmt.Sprintf("token %d %s", n, software)))
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-time.After(r.EventInterval):
