--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -109,7 +109,7 @@
 	quotas := snipeproto.NewQuotaServer(&quotaServer{i.issuer})
 	permits := snipeproto.NewAdmissionServer(&admissionServer{i.lender})
 	crashes := snipeproto.NewCrashServer(&crashServer{i})
-	streams := snipeproto.NewStreamServer(&streamServer{&i.streams.Held})
+	streams := snipeproto.NewStreamServer(&streamServer{i.streams})
 	m := http.NewServeMux()
 	m.Handle(streams.PathPrefix(), streams)
 	m.Handle(crashes.PathPrefix(), crashes)
--- a/snipeentry/software.go
+++ b/snipeentry/software.go
@@ -204,7 +204,7 @@
 }
 
 // streamServer serves the messages of other instances about the software versions of streams.
-type streamServer struct{ held *snipesoftware.Origins }
+type streamServer struct{ streams *snipesoftware.Exchange }
 
 // Tell implements snipeproto.Stream.
 func (s *streamServer) Tell(_ context.Context, r *snipeproto.StreamTellRequest) (*snipeproto.StreamTellResponse, error) {
@@ -212,7 +212,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("origins", err.Error())
 	}
-	s.held.Put(origins...)
+	s.streams.Held.Put(origins...)
 	return &snipeproto.StreamTellResponse{}, nil
 }
 
@@ -222,7 +222,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("key", err.Error())
 	}
-	v, answer := s.held.Get(k)
+	v, answer := s.streams.Get(k)
 	return &snipeproto.StreamAskResponse{
 		Known: answer == snipesoftware.Known, Software: string(v), Refused: answer == snipesoftware.Refused,
 	}, nil
--- a/snipesoftware/exchange.go
+++ b/snipesoftware/exchange.go
@@ -69,7 +69,7 @@
 	// Lost is called with the number of origins that no member could be told; nil for none.
 	Lost func(n int)
 
-	// Held holds the origins of this instance's streams and those that others have told.
+	// Held holds the origins that others have told, and those that this instance has told or is to tell.
 	Held Origins
 
 	lock sync.Mutex // guards the fields below
@@ -86,7 +86,7 @@
 	service string
 	version Version
 	endedAt time.Time // zero while it runs
-	told    bool
+	toldAt  time.Time // zero if its origin was not told
 }
 
 // queuedOrigin is an origin that waits to be told, and how many members were tried.
@@ -97,18 +97,21 @@
 
 // Begin records that a stream begins, or is taken up, at this instance. It returns at once.
 func (e *Exchange) Begin(service string, o Origin) {
-	e.Held.Put(o)
 	tells := e.Releases.TellsOrigins(service)
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if e.streams == nil {
 		e.streams = make(map[Key]*stream)
 	}
-	if len(e.streams) < maxStreams {
-		e.streams[o.Key] = &stream{service: service, version: o.Version, told: tells}
+	s := &stream{service: service, version: o.Version}
+	if old := e.streams[o.Key]; old != nil && old.version != o.Version {
+		e.Held.Put(Origin{o.Key, old.version}, o)
 	}
-	if tells {
-		e.queue(o)
+	if tells || len(e.streams) >= maxStreams {
+		e.tellStream(o.Key, s)
+	}
+	if len(e.streams) < maxStreams {
+		e.streams[o.Key] = s
 	}
 }
 
@@ -121,8 +124,19 @@
 	}
 }
 
-// Step tells the origins of the streams of each service whose origins have begun to be told, and
-// forgets streams that ended a while ago. It is to be called several times a second.
+// tellStream has the origin of a stream held here and told to others. The lock is held.
+func (e *Exchange) tellStream(k Key, s *stream) {
+	o := Origin{k, s.version}
+	e.Held.Put(o)
+	s.toldAt = time.Now()
+	for _, m := range e.holders(k) {
+		e.enqueue(m.ID, queuedOrigin{Origin: o})
+	}
+}
+
+// Step tells the origins of the streams of each service whose origins have begun to be told, tells those
+// of streams that go on running again, and forgets streams that ended a while ago. It is to be called
+// several times a second.
 func (e *Exchange) Step() {
 	e.lock.Lock()
 	defer e.lock.Unlock()
@@ -133,23 +147,26 @@
 			delete(e.streams, k)
 			continue
 		}
-		if s.told {
-			continue
-		}
 		if _, known := tells[s.service]; !known {
 			tells[s.service] = e.Releases.TellsOrigins(s.service)
 		}
-		if s.told = tells[s.service]; s.told {
-			e.queue(Origin{k, s.version})
+		if tells[s.service] && now.Sub(s.toldAt) >= retellTime && (s.endedAt.IsZero() || s.toldAt.IsZero()) {
+			e.tellStream(k, s)
 		}
 	}
 }
 
-// queue has an origin told to the members that are to hold it. The lock is held.
-func (e *Exchange) queue(o Origin) {
-	for _, m := range e.holders(o.Key) {
-		e.enqueue(m.ID, queuedOrigin{Origin: o})
+// Get returns what this instance knows of a stream.
+func (e *Exchange) Get(k Key) (Version, Answer) {
+	if v, answer := e.Held.Get(k); answer != Unknown {
+		return v, answer
+	}
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if s := e.streams[k]; s != nil {
+		return s.version, Known
 	}
+	return "", Unknown
 }
 
 // enqueue has an origin told to a member with the next batch. The lock is held.
@@ -277,7 +294,7 @@
 // version of the service, or from other instances. Its errors wrap ErrUnknown, ErrUnanswered or
 // ErrRefused.
 func (e *Exchange) Find(ctx context.Context, service string, k Key) (Version, error) {
-	switch v, answer := e.Held.Get(k); answer {
+	switch v, answer := e.Get(k); answer {
 	case Known:
 		return v, nil
 	case Refused:
--- a/snipesoftware/exchange_test.go
+++ b/snipesoftware/exchange_test.go
@@ -54,7 +54,7 @@
 					<-ctx.Done() // it hangs
 					return "", Unknown, ctx.Err()
 				}
-				v, answer := g.exchanges[member].Held.Get(k)
+				v, answer := g.exchanges[member].Get(k)
 				return v, answer, nil
 			},
 		}
@@ -89,7 +89,7 @@
 func (g *group) holdersOf(k Key) []string {
 	var all []string
 	for id, e := range g.exchanges {
-		if _, answer := e.Held.Get(k); answer == Known {
+		if _, answer := e.Get(k); answer == Known {
 			all = append(all, id)
 		}
 	}
@@ -215,6 +215,27 @@
 	}
 }
 
+// TestLongStream guards against a stream that runs for longer than origins are kept, and cannot be taken up then.
+func TestLongStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(4, rowOf("v1", "v2"))
+		k := keyOf("long")
+		g.exchanges["i0"].Begin(service, Origin{k, "v2"})
+		for range 10 {
+			time.Sleep(originRetention / 3)
+			g.exchanges["i0"].Step()
+		}
+		time.Sleep(2 * batchTime)
+		g.lose("i0")
+		v, err := g.exchanges["i1"].Find(t.Context(), service, k)
+		must.NoError(t, err)
+		must.Eq(t, "v2", v)
+		time.Sleep(originRetention)
+		_, err = g.exchanges["i1"].Find(t.Context(), service, k)
+		must.ErrorIs(t, err, ErrUnanswered)
+	})
+}
+
 // TestOriginsBounded guards against memory that grows with the streams, and against an origin that is kept beyond its
 // time or dropped although it was renewed.
 func TestOriginsBounded(t *testing.T) {
--- a/snipesoftware/snipesoftware.go
+++ b/snipesoftware/snipesoftware.go
@@ -38,7 +38,8 @@
 	// releaseRetention is how long a version stays announced after the last upstream of it is gone:
 	// longer than any stream, with all attempts of its caller.
 	releaseRetention = 10 * time.Minute
-	// originRetention is how long the origin of a stream is kept after the stream was last begun or
-	// taken up.
-	originRetention = 5 * time.Minute
+	// originRetention is how long the origin of a stream is kept after it was last told. While the
+	// stream runs, it is told again every retellTime.
+	originRetention = 2 * time.Minute
+	retellTime      = originRetention / 2
 )
