Owners: an instance that reaches no engine, though others do, releases its engines

Callers saw: adapters that no engine held were refused everywhere while the owner of all engines was cut off from them ("no engine has an owner"), for as long as the cut lasted. Cause: ownership ended with the renewals of an owner only, and an owner that is cut off from engines alone renews. Ruled out: avoiding the owner's engines is right, as it can order nothing. TestDetached: one owner for each engine throughout.

--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -310,6 +310,15 @@
 	return i.controller.Ensure(ctx, engine, a, version, d)
 }
 
+// ensureForPeer does the same for another instance. An instance that asks reaches the engine's service: it
+// would pass its request on otherwise.
+func (i *Instance) ensureForPeer(ctx context.Context, engine string, a snipecatalog.Adapter, version int64, d snipeadapter.Demand) (int64, error) {
+	if u := i.directory.Snapshot().ByID(engine); u != nil {
+		i.detachment.noteReached(u.Service)
+	}
+	return i.ensureOwn(ctx, engine, a, version, d)
+}
+
 // spreadAdapters has more engines load the adapters that are heavily used on the engines that this
 // instance owns and may order. It does not wait for the loads.
 func (i *Instance) spreadAdapters() {
--- a/snipeentry/reach.go
+++ b/snipeentry/reach.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"snipepitch.example/snipepitch/snipedirectory"
@@ -107,9 +108,80 @@
 	return i.directory.Snapshot().ByAddress(address)
 }
 
+// detachTime is how long a service must be unreachable here before what others say about it counts: if its
+// upstreams are down, they have noticed it by then.
+const detachTime = time.Second
+
+// detachment finds out whether this instance cannot reach services that others reach. The zero value is ready
+// to use. It is safe for concurrent use.
+type detachment struct {
+	lock sync.Mutex // guards services
+	// services holds the services that cannot be reached.
+	services map[string]*unreachedService
+}
+
+// unreachedService is since when a service cannot be reached, and whether another instance has shown later that
+// it reaches the service.
+type unreachedService struct {
+	since   time.Time
+	reached bool
+}
+
+// setReachable records that a service can be reached again, or cannot be reached.
+func (d *detachment) setReachable(service string, reachable bool) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if reachable {
+		delete(d.services, service)
+		return
+	}
+	if d.services == nil {
+		d.services = make(map[string]*unreachedService)
+	}
+	d.services[service] = &unreachedService{since: time.Now()}
+}
+
+// noteReached records that another instance reaches a service: it has answered a hop, or asks for a load.
+func (d *detachment) noteReached(service string) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if s := d.services[service]; s != nil && time.Since(s.since) >= detachTime {
+		s.reached = true
+	}
+}
+
+// detachedFrom reports whether a service cannot be reached here although others reach it.
+func (d *detachment) detachedFrom(service string) bool {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	s := d.services[service]
+	return s != nil && s.reached
+}
+
+// detached reports whether this instance reaches no service that runs models, although others reach one: it can
+// order none of the engines that it owns.
+func (i *Instance) detached() bool {
+	c := i.catalog.Catalog()
+	if c == nil {
+		return false
+	}
+	detached := false
+	for name, s := range c.Services {
+		if s.Engine == nil {
+			continue
+		}
+		if !i.reach.Unreachable(name) {
+			return false
+		}
+		detached = detached || i.detachment.detachedFrom(name)
+	}
+	return detached
+}
+
 // reachChanged logs that a service can be reached no more, or again. In the second case its upstreams are no
 // longer suspect, because the failures were not theirs.
 func (i *Instance) reachChanged(c snipereach.Change) {
+	i.detachment.setReachable(c.Service, c.Reachable)
 	event := snipelog.ServiceUnreached
 	if c.Reachable {
 		event = snipelog.ServiceReached
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -130,6 +130,7 @@
 	controller      *snipeadapter.Controller
 	links           *snipelink.Pool
 	reach           *snipereach.Tracker
+	detachment      detachment
 	hopLinks        *snipelink.Pool
 	gateway         *snipegateway.Gateway
 	signals         *snipesignal.Tracker
@@ -266,7 +267,7 @@
 		Table:   snipeowner.Table{List: i.ownershipRows, Write: i.relay.Write},
 		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain, Power: s.Power},
 		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), DivisionSpan: s.RetrySpan.Value(), Clock: bootClock,
-		Operation: i.Operation, RenewalEnded: i.noteRenewal, Log: i.Log,
+		Operation: i.Operation, RenewalEnded: i.noteRenewal, Detached: i.detached, Log: i.Log,
 	}
 	i.buildSoftware()
 	i.buildTables()
@@ -310,7 +311,7 @@
 	i.gateway = &snipegateway.Gateway{
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
 		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Crashes: i.gatewayCrashes(), Software: i.gatewaySoftware(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
-		Hops:   snipegateway.Hops{Unreachable: i.reach.Unreachable, Peers: i.hopPeers, Links: i.hopLinks, Self: s.Name},
+		Hops:   snipegateway.Hops{Unreachable: i.reach.Unreachable, Peers: i.hopPeers, Links: i.hopLinks, Self: s.Name, Reached: i.detachment.noteReached},
 		Budget: i.retryBudgets.budget, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
 		Pressure: i.pressure, SocketBytes: s.socketBytes(),
 		Chooser: &snipegateway.Chooser{
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -29,6 +29,8 @@
 	Links *snipelink.Pool
 	// Self is the name of this instance.
 	Self string
+	// Reached is called when a peer has reached a service; nil if that is not needed.
+	Reached func(service string)
 
 	peers  hopPeers
 	served atomic.Int64
@@ -158,6 +160,9 @@
 	c.noteHopSent()
 	c.noteTried(r.Upstream, r.Software)
 	c.gateway.Hops.peers.noteReached(c.service)
+	if c.gateway.Hops.Reached != nil {
+		c.gateway.Hops.Reached(c.service)
+	}
 }
 
 // hopFailure returns the failure of a peer's attempt.
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -156,6 +156,7 @@
 	OwnershipLost     = define(481, "OwnershipLost", logrus.WarnLevel)
 	OwnershipStale    = define(482, "OwnershipStale", logrus.WarnLevel)
 	OwnershipFresh    = define(483, "OwnershipFresh", logrus.InfoLevel)
+	OwnershipReleased = define(489, "OwnershipReleased", logrus.InfoLevel)
 	OwnershipRowWrong = define(484, "OwnershipRowWrong", logrus.ErrorLevel)
 
 	StoreUnreached     = define(487, "StoreUnreached", logrus.WarnLevel)
--- a/snipeowner/renew.go
+++ b/snipeowner/renew.go
@@ -14,11 +14,13 @@
 )
 
 // renew writes the row of this instance, together with the owner rows of the engines that it takes
-// over or, after Leave, releases. Unless the instance is leaving or on standby, the write succeeds
-// only if the instance still owns all engines in its holdings.
+// over or, after Leave and while it is detached, releases. Unless the instance releases its engines or is on
+// standby, the write succeeds only if the instance still owns all engines in its holdings.
 func (h *Holder) renew(ctx context.Context, standby bool) error {
 	self := h.Self
 	self.Leaving, self.Standby = h.leaving.Load(), standby
+	self.Detached = h.Detached != nil && h.Detached()
+	releases := self.Leaving || self.Detached
 	data, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "encode instance")
@@ -30,11 +32,11 @@
 	var taken []takeover
 	var released []netip.AddrPort
 	switch {
-	case self.Leaving:
+	case releases:
 		h.endOrders()
-		var releases []snipeplatform.Change
-		releases, released = h.planReleases(maxEntries - entryCount(changes))
-		changes = append(changes, releases...)
+		var planned []snipeplatform.Change
+		planned, released = h.planReleases(maxEntries - entryCount(changes))
+		changes = append(changes, planned...)
 	case !standby:
 		changes = append(changes, h.ownershipConditions()...)
 		taken = h.takeovers(maxEntries - entryCount(changes))
@@ -53,7 +55,7 @@
 	h.recordDivisionRenewal(h.renewedAt, sent, standby)
 	h.renewedAt = sent
 	h.instances[self.Peer] = instanceRow{Instance: self, hash: addressHash(self.Peer), version: version, observedAt: sent}
-	if self.Leaving {
+	if releases {
 		h.recordReleases(released)
 		return nil
 	}
@@ -109,7 +111,7 @@
 	return changes
 }
 
-// endOrders permanently ends the right to order. It is called before the write that releases
+// endOrders ends the right to order, until a renewal that releases nothing. It is called before the write that releases
 // engines: the next owner orders as soon as it reads this write, even if this instance never
 // receives the outcome of the write.
 func (h *Holder) endOrders() {
@@ -143,6 +145,8 @@
 	h.orderDeadline = 0
 	for _, engine := range engines {
 		delete(h.holdings, engine)
+		h.lastOwned[engine] = h.Clock()
+		h.Log.Log(snipelog.OwnershipReleased, snipelog.Fields{"Engine": engine})
 	}
 }
 
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -113,6 +113,9 @@
 	// Standby reports that there are enough other owners. The instance owns no engines and
 	// renews its row only every standbyInterval.
 	Standby bool `json:",omitempty"`
+	// Detached reports that the instance cannot reach the engines although others can. It owns no
+	// engines.
+	Detached bool `json:",omitempty"`
 }
 
 // ownership is the document of an owner row.
@@ -165,6 +168,9 @@
 	// DivisionSpan is the longest span over which a limit on all instances together is divided; see
 	// Division.
 	DivisionSpan time.Duration
+	// Detached reports whether this instance cannot reach the engines although others can. It then
+	// releases its engines, and takes none over until it reaches them again. Nil means never.
+	Detached func() bool
 	// RenewalEnded, if not nil, is called after each renewal; ok reports whether the table
 	// answered, also if it rejected the renewal because a row had changed.
 	RenewalEnded func(ok bool)
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -296,3 +296,25 @@
 		})
 	}
 }
+
+// TestDetached guards against engines that keep an owner which cannot reach them, and against two owners of an engine
+// when an instance is detached and comes back again and again.
+func TestDetached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 6, 3, 12)
+		defer s.shutDown()
+		detached := false
+		s.holders[0].Detached = func() bool { return detached }
+		s.runAndCheck(8 * time.Second)
+		must.Eq(t, 12, s.orderable())
+		for range 5 {
+			detached = true
+			s.runAndCheck(6 * time.Second)
+			must.False(t, s.holders[0].Owns())
+			must.Eq(t, 12, s.orderable())
+			detached = false
+			s.runAndCheck(3 * time.Second)
+			must.Eq(t, 12, s.orderable())
+		}
+	})
+}
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -49,11 +49,11 @@
 }
 
 // rivals returns the address hashes of the other instances that could take over an engine: live
-// instances that are neither leaving nor on standby.
+// instances that are neither leaving, on standby nor detached.
 func (h *Holder) rivals() []uint64 {
 	var all []uint64
 	for peer, r := range h.instances {
-		if peer != h.Self.Peer && !r.Leaving && !r.Standby && h.live(r) {
+		if peer != h.Self.Peer && !r.Leaving && !r.Standby && !r.Detached && h.live(r) {
 			all = append(all, r.hash)
 		}
 	}
