Software versions: answers of peers of an earlier release, a bound on questions, cheaper announcements

A peer that does not know software versions may answer a bound request at any: its answer is not passed on. At most 256 questions for origins are in progress, since callers choose how many streams they name.

--- a/snipeentry/software.go
+++ b/snipeentry/software.go
@@ -41,6 +41,20 @@
 	dueSince time.Time
 	nextAt   time.Time
 	busy     bool
+	// versions holds the software versions of the upstreams in snapshot.
+	snapshot *snipedirectory.Snapshot
+	versions map[string][]snipesoftware.Version
+}
+
+// registered returns the software versions of each service's upstreams; see softwareVersions. It counts them
+// anew only if the directory has changed.
+func (a *softwareAnnouncer) registered(s *snipedirectory.Snapshot) map[string][]snipesoftware.Version {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if a.snapshot != s {
+		a.snapshot, a.versions = s, softwareVersions(s)
+	}
+	return a.versions
 }
 
 // starts reports whether a write begins now, given whether rows are due and how long this instance leaves
@@ -111,7 +125,7 @@
 		return
 	}
 	complete := i.tables.directory.Mirror.Age() < maxOwnershipAge
-	due := i.releases.Due(softwareVersions(i.directory.Snapshot()), complete)
+	due := i.releases.Due(i.announcer.registered(i.directory.Snapshot()), complete)
 	if !i.announcer.starts(time.Now(), len(due) > 0, i.softwareDelay()) {
 		return
 	}
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -149,6 +149,9 @@
 		c.countHop("Answered")
 		c.noteHopUpstream(result)
 		c.mayHaveRun++
+		if !c.software.allowsAnswer(result.Software) {
+			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "the peer's upstream runs another software version")
+		}
 		c.framing = answer.Framing()
 		return c.deliver(ctx, "", answer)
 	}
--- a/snipegateway/software.go
+++ b/snipegateway/software.go
@@ -52,6 +52,12 @@
 	}
 }
 
+// allowsAnswer reports whether an answer of an upstream of a version may go to the caller; nil if the version is
+// not known, as from a peer of an earlier release.
+func (r *softwareRule) allowsAnswer(v *snipesoftware.Version) bool {
+	return !r.bound || v != nil && *v == r.version
+}
+
 // filter returns the upstreams that may answer the request.
 func (r *softwareRule) filter(all []*snipedirectory.Upstream) []*snipedirectory.Upstream {
 	refused := func(u *snipedirectory.Upstream) bool { return !r.allows(u) }
--- a/snipesoftware/exchange.go
+++ b/snipesoftware/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,9 @@
 	// maxAsked bounds the instances that are asked for an origin. Views of who is live differ by a few
 	// instances, and an instance that was told is among the first ones in the view of any other.
 	maxAsked = 8
+	// maxAsking bounds the questions of this instance that are in progress. Callers choose how many streams
+	// they name.
+	maxAsking = 256
 	// askTimeout bounds the question for an origin, for which a caller waits.
 	askTimeout = 300 * time.Millisecond
 	// endedTime is how long after its end a stream is told when the origins of its service begin to be
@@ -79,6 +83,8 @@
 	queued      map[string][]queuedOrigin
 	flushing    bool
 	failedUntil map[string]time.Time
+
+	asking atomic.Int64
 }
 
 // stream is a stream of this instance.
@@ -309,6 +315,10 @@
 
 // ask asks the members that may hold an origin, all at once, and returns with the first that does.
 func (e *Exchange) ask(ctx context.Context, k Key) (Version, error) {
+	defer e.asking.Add(-1)
+	if e.asking.Add(1) > maxAsking {
+		return "", ErrUnanswered
+	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	members := rank(k, e.Members())
