--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -68,6 +68,7 @@
 	// backoff is the pause that refusals ask for; zero if the runner does not refuse.
 	backoff time.Duration
 	places  plainPlaces
+	brittle brittleness
 	crashes crashes
 }
 
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -19,6 +19,7 @@
 	}
 	r.recordCrashArrival(q, body)
 	r.echoAttemptID(w, q)
+	r.stateBrittle(w.Header())
 	if r.signal(w.Header(), q) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/snipestand/runnercrash.go
+++ b/snipestand/runnercrash.go
@@ -106,16 +106,29 @@
 		return record != nil
 	}
 	now := time.Now()
-	r.crashes.down = true
 	record.Crashes = append(record.Crashes, now)
+	stop := r.beginCrash(now)
+	r.lock.Unlock()
+	stop()
+	return true
+}
+
+// beginCrash records that the runner is down, and returns the function that ends its process. The lock is
+// held.
+func (r *Runner) beginCrash(now time.Time) (stop func()) {
+	r.crashes.down = true
 	if r.crashes.endedEntries == nil {
 		r.crashes.endedEntries = make(map[string]time.Time)
 	}
 	r.crashes.endedEntries[r.id()] = now
-	stop := r.crashes.stop
-	r.lock.Unlock()
-	stop()
-	return true
+	return r.crashes.stop
+}
+
+// OnCrash sets the function that ends the runner's process in a crash; StartAgain must follow.
+func (r *Runner) OnCrash(stop func()) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.crashes.stop = stop
 }
 
 // StartAgain emulates the start after a crash: the runner has a new identifier and no adapters, and
--- a/snipestand/runnerplaces.go
+++ b/snipestand/runnerplaces.go
@@ -71,6 +71,7 @@
 		slots = p.slots
 	} else {
 		p.refused++
+		r.noteRefusal()
 		h.Set("X-Snipepitch-Not-Executed", "1")
 	}
 	running := min(p.inside, limit)
--- a/snipestand/runnerserver.go
+++ b/snipestand/runnerserver.go
@@ -31,6 +31,7 @@
 // Start begins to serve on an unused port, and sets the runner's address.
 func (s *RunnerServer) Start() error {
 	s.handler, s.address = s.Runner.Handler(), loopback
+	s.Runner.OnCrash(s.restart)
 	if s.CrashText != "" {
 		s.Runner.CrashOn(s.CrashText, s.restart)
 	}
