Software versions: an upstream whose entry changed its version while a request waited is not sent the request

The version that is recorded is that of the entry by which the upstream was chosen; an entry that changed meanwhile would make it wrong. Found by reading.

--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -43,7 +43,7 @@
 	if now := g.Chooser.Directory.Snapshot().ByID(u.ID); now == nil || now.Leaving {
 		// The upstream may have left while the request waited for its adapter to load.
 		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream is leaving")
-	} else if !c.software.allows(now) {
+	} else if now.Software != u.Software || !c.software.allows(now) {
 		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream runs another software version now")
 	}
 	if err := c.checkBeforeSend(); err != nil {
--- a/snipesoftware/exchange.go
+++ b/snipesoftware/exchange.go
@@ -1,6 +1,7 @@
 package snipesoftware
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -220,15 +221,7 @@
 	for _, m := range members {
 		all = append(all, scored{m, sniperoute.Score(key, sniperoute.Hash(m.ID))})
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	ranked := make([]Member, 0, len(all))
 	for _, s := range all {
 		ranked = append(ranked, s.Member)
