--- a/snipeentry/cutlinks_test.go
+++ b/snipeentry/cutlinks_test.go
@@ -24,6 +24,9 @@
 	linksReset
 	// linksLiveOn refuses new connections alone.
 	linksLiveOn
+	// linksPause holds back what is sent in either direction until the mode changes; connections that are opened
+	// meanwhile wait.
+	linksPause
 )
 
 // ackTime is how long bytes may remain without acknowledgement, as for connections of snipelink.
@@ -54,6 +57,10 @@
 		return nil, ctx.Err()
 	case linksReset, linksLiveOn:
 		return nil, syscall.ECONNREFUSED
+	case linksPause:
+		if err := c.awaitEnd(ctx, address); err != nil {
+			return nil, err
+		}
 	default:
 	}
 	conn, err := snipelink.Dialer()(ctx, address)
@@ -70,6 +77,17 @@
 	return k, nil
 }
 
+// pauseCheck is the time between two looks whether a pause has ended.
+const pauseCheck = 5 * time.Millisecond
+
+// awaitEnd waits until no pause holds back what is sent to or from an address, or ctx ends.
+func (c *cutLinks) awaitEnd(ctx context.Context, address netip.AddrPort) error {
+	for c.modeOf(address) == linksPause && ctx.Err() == nil {
+		time.Sleep(pauseCheck)
+	}
+	return ctx.Err()
+}
+
 func (c *cutLinks) modeOf(address netip.AddrPort) cutMode {
 	if c.affects != nil && !c.affects(address) {
 		return linksSound
@@ -124,6 +142,7 @@
 func (k *cutConn) Read(p []byte) (int, error) {
 	for {
 		n, err := k.TCPConn.Read(p)
+		_ = k.links.awaitEnd(context.Background(), k.address)
 		if k.links.modeOf(k.address) != linksHang {
 			return n, err
 		}
@@ -138,6 +157,7 @@
 	if k.links.modeOf(k.address) == linksHang {
 		return len(p), nil
 	}
+	_ = k.links.awaitEnd(context.Background(), k.address)
 	return k.TCPConn.Write(p)
 }
 
