TestStreamsKeepSoftware: kills are counted from the first event of the last stream

A kill was due a time after the first caller began, so that on a busy machine some streams had no event yet, and others were killed earlier than the case says.

--- a/snipeentry/software_test.go
+++ b/snipeentry/software_test.go
@@ -134,13 +134,13 @@
 				c.takeUp(s.instances[(n+1)%3], s.instances[(n+2)%3])
 			})
 		}, false},
-		"InstanceKilled": {3, both, func(s *softwareCluster) streamTally { return s.killWhileReading(1, 900*time.Millisecond) }, false},
-		"KilledSoon":     {3, both, func(s *softwareCluster) streamTally { return s.killWhileReading(1, 250*time.Millisecond) }, false},
-		"TwoOfSixKilled": {6, both, func(s *softwareCluster) streamTally { return s.killWhileReading(2, 600*time.Millisecond) }, false},
+		"InstanceKilled": {3, both, func(s *softwareCluster) streamTally { return s.killWhileReading(1, 700*time.Millisecond) }, false},
+		"KilledSoon":     {3, both, func(s *softwareCluster) streamTally { return s.killWhileReading(1, 150*time.Millisecond) }, false},
+		"TwoOfSixKilled": {6, both, func(s *softwareCluster) streamTally { return s.killWhileReading(2, 150*time.Millisecond) }, false},
 		"StoreSilent": {3, both, func(s *softwareCluster) streamTally {
 			s.store.SetMode(snipestand.StoreSilent)
 			time.Sleep(5 * time.Second)
-			return s.killWhileReading(1, 600*time.Millisecond)
+			return s.killWhileReading(1, 150*time.Millisecond)
 		}, false},
 		"JustStarted": {3, both, func(s *softwareCluster) streamTally {
 			s.startOne(3)
@@ -178,7 +178,7 @@
 		"OneStoreSilent": {3, []string{"v1"}, func(s *softwareCluster) streamTally {
 			s.store.SetMode(snipestand.StoreSilent)
 			time.Sleep(5 * time.Second)
-			return s.killWhileReading(1, 600*time.Millisecond)
+			return s.killWhileReading(1, 150*time.Millisecond)
 		}, false},
 	}
 	for name, tt := range tests {
@@ -190,16 +190,21 @@
 	}
 }
 
-// killWhileReading has callers read at the first instances, kills these after a time, and has the callers take up their
-// streams at the others.
+// killWhileReading has callers read at the first instances, kills these a time after the first event of the last stream
+// was read, and has the callers take up their streams at the others.
 func (s *softwareCluster) killWhileReading(count int, after time.Duration) streamTally {
-	time.AfterFunc(after, func() {
+	var begun sync.WaitGroup
+	begun.Add(softwareStreams)
+	go func() {
+		begun.Wait()
+		time.Sleep(after)
 		for _, i := range s.instances[:count] {
 			i.kill()
 		}
-	})
+	}()
 	others := s.others(count)
 	return s.run(func(n int, c *streamCaller) {
+		c.begun = begun.Done
 		c.readUntil(s.instances[n%count], c.total)
 		time.Sleep(returnPause)
 		c.takeUp(others[n%len(others)], others[(n+1)%len(others)])
--- a/snipeentry/streamcaller_test.go
+++ b/snipeentry/streamcaller_test.go
@@ -30,6 +30,8 @@
 	header []string
 	// total is the number of events of a whole stream.
 	total int
+	// begun is called when the first event was read; nil if that is not needed.
+	begun func()
 
 	first    string // the attempt that brought the first event
 	events   int
@@ -98,6 +100,9 @@
 		c.gap = c.gap || err != nil || n != c.events+1
 		if c.first == "" {
 			c.first, c.software = id, make(map[string]bool)
+			if c.begun != nil {
+				c.begun()
+			}
 		}
 		c.events = n
 		c.software[software] = true
