--- a/snipeentry/software_test.go
+++ b/snipeentry/software_test.go
@@ -136,6 +136,7 @@
 		}, false},
 		"InstanceKilled": {3, both, func(s *softwareCluster) streamTally { return s.killWhileReading(1, 700*time.Millisecond) }, false},
 		"KilledSoon":     {3, both, func(s *softwareCluster) streamTally { return s.killWhileReading(1, 150*time.Millisecond) }, false},
+		"KilledSooner":   {3, both, func(s *softwareCluster) streamTally { return s.killWhileReading(1, 100*time.Millisecond) }, false},
 		"TwoOfSixKilled": {6, both, func(s *softwareCluster) streamTally { return s.killWhileReading(2, 150*time.Millisecond) }, false},
 		"StoreSilent": {3, both, func(s *softwareCluster) streamTally {
 			s.store.SetMode(snipestand.StoreSilent)
