Brittle upstreams in logs, metrics and snipectl explain

Nothing told that an upstream states that it is brittle, since when, or how many requests it refuses: the header was passed on to callers, and refusals showed in single request lines only. ServiceBrittle, BrittleRefusal and ServiceBrittleEnded tell it, with two metrics.

--- a/snipeentry/metrics.go
+++ b/snipeentry/metrics.go
@@ -22,6 +22,7 @@
 	i.meter.Gauge("snipepitch_unreached_services", func() float64 { return float64(i.reach.Count()) })
 	i.meter.Gauge("snipepitch_wrong_entries", func() float64 { return float64(i.invalidEntries.Len()) })
 	i.meter.Gauge("snipepitch_limited_upstreams", func() float64 { return float64(i.signals.CountLimited()) })
+	i.meter.Gauge("snipepitch_brittle_services", func() float64 { return float64(i.brittle.Count()) })
 	i.meter.Gauge("snipepitch_loads_waiting", func() float64 { return float64(i.controller.Waiting()) })
 	i.meter.Gauge("snipepitch_store_load_expected_seconds", func() float64 { return i.controller.ExpectedStoreTime().Seconds() })
 	i.meter.Gauge("snipepitch_instances", func() float64 { return float64(i.instances()) })
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -30,6 +30,21 @@
 // buildSignals creates the tracker of upstreams' signals.
 func (i *Instance) buildSignals() {
 	i.signals = &snipesignal.Tracker{Share: i.limitShare, Changed: i.signalChanged, BackoffStarted: i.logBackoff, Invalid: i.logInvalidSignal}
+	i.brittle = &snipesignal.BrittleTracker{Changed: i.brittleChanged}
+}
+
+// brittleChanged logs and counts that a service has become brittle, or no longer is.
+func (i *Instance) brittleChanged(c snipesignal.BrittleChange) {
+	fields := snipelog.Fields{serviceField: c.Service, "MaxRefusals": c.MaxRefusals, upstreamField: c.Upstream, sourceField: c.Source}
+	if c.Brittle {
+		i.meter.Count(signalCounter("Brittle"))
+		i.Log.Log(snipelog.ServiceBrittle, fields)
+		return
+	}
+	i.meter.Count(signalCounter("NotBrittle"))
+	fields["AfterMilliseconds"] = time.Since(c.Since).Milliseconds()
+	fields["Refusals"], fields["Broken"] = c.Refusals, c.Broken
+	i.Log.Log(snipelog.ServiceBrittleEnded, fields)
 }
 
 // limitShare returns this instance's share of an upstream's limit, which is in requests per second
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -134,6 +134,7 @@
 	hopLinks        *snipelink.Pool
 	gateway         *snipegateway.Gateway
 	signals         *snipesignal.Tracker
+	brittle         *snipesignal.BrittleTracker
 	peers           *peers
 	crashes         *snipequarantine.Exchange
 	crashDetector   *crashDetector
@@ -309,7 +310,7 @@
 func (i *Instance) buildGateway() {
 	s := i.Settings
 	i.gateway = &snipegateway.Gateway{
-		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Protocol: i.Platform.Protocol,
+		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Brittle: i.brittle, Protocol: i.Platform.Protocol,
 		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Crashes: i.gatewayCrashes(), Software: i.gatewaySoftware(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
 		Hops:   snipegateway.Hops{Unreachable: i.reach.Unreachable, Peers: i.hopPeers, Links: i.hopLinks, Self: s.Name, Reached: i.detachment.noteReached},
 		Budget: i.retryBudgets.budget, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -112,6 +112,7 @@
 	c.logNewHeaders(u.ID, answer.Response)
 	if v.signalApplies() {
 		g.Signals.Record(u.ID, c.sentAt, v.Signal)
+		g.Brittle.Record(c.service, u.ID, c.sentAt, v.Signal)
 	}
 	if v.NotRun {
 		return c.handleNotRun(answer, d, v)
@@ -169,6 +170,7 @@
 // recorded for the upstream if ctx has ended, because the end of ctx may have caused it.
 func (c *call) handleNoAnswer(ctx context.Context, id string, err error) error {
 	b := c.gateway.Balancer
+	c.noteBrokenUpstream(ctx, id)
 	if errors.Is(err, snipelink.ErrNotSent) {
 		if ctx.Err() == nil {
 			b.RecordUnreached(id)
@@ -193,6 +195,9 @@
 	c.admission.retryAfter = v.Signal.Backoff
 	c.releasePermit(refusalOutcome(v))
 	id := d.Upstream.ID
+	if !v.Elsewhere && !v.Missing && v.Signal.Backoff == 0 {
+		c.noteRefusedForRoom(id)
+	}
 	switch {
 	case v.Elsewhere:
 		c.gateway.Balancer.RecordReplaced(id)
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -119,6 +119,9 @@
 	if c.digest != nil {
 		fields["Fingerprint"] = c.digest.String()
 	}
+	if b, brittle := c.gateway.Brittle.Get(c.service); brittle {
+		fields["Brittle"], fields["MaxRefusals"] = true, b.MaxRefusals
+	}
 	if c.admission.asked {
 		fields["PermitMilliseconds"], fields["Coordinator"] = c.admission.waited.Milliseconds(), c.admission.coordinator
 	}
--- a/snipegateway/reach_test.go
+++ b/snipegateway/reach_test.go
@@ -21,6 +21,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/sniperetry"
+	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // TestDeadUpstreams guards against requests that fail when many upstreams crash at once: while the
@@ -106,7 +107,7 @@
 	catalog.Adopt(routes)
 	c.Balancer = &snipebalance.Balancer{Open: c.Signals.Open}
 	return &snipegateway.Gateway{
-		Catalog: catalog, Chooser: c, Balancer: c.Balancer, Signals: c.Signals, Log: snipelog.Discard(), Meter: snipemeter.New(),
+		Catalog: catalog, Chooser: c, Balancer: c.Balancer, Signals: c.Signals, Brittle: &snipesignal.BrittleTracker{}, Log: snipelog.Discard(), Meter: snipemeter.New(),
 		Links: &snipelink.Pool{
 			Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 				if dead[to] {
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -50,6 +50,7 @@
 	Balancer *snipebalance.Balancer
 	Links    *snipelink.Pool
 	Signals  *snipesignal.Tracker
+	Brittle  *snipesignal.BrittleTracker
 	Protocol Protocol
 	Quotas   Quotas
 	// Admission grants the permits that some plain services need.
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -145,6 +145,10 @@
 	SignalWrong      = define(332, "SignalWrong", logrus.WarnLevel)
 	UpstreamRests    = define(333, "UpstreamRests", logrus.WarnLevel)
 	UpstreamCrashed  = define(334, "UpstreamCrashed", logrus.WarnLevel)
+	// Services whose upstreams crash when they refuse too many requests.
+	ServiceBrittle      = define(339, "ServiceBrittle", logrus.WarnLevel)
+	ServiceBrittleEnded = define(319, "ServiceBrittleEnded", logrus.InfoLevel)
+	BrittleRefusal      = define(318, "BrittleRefusal", logrus.WarnLevel)
 	// Software versions of upstreams.
 	SoftwareAnnounced    = define(337, "SoftwareAnnounced", logrus.InfoLevel)
 	SoftwareNotAnnounced = define(338, "SoftwareNotAnnounced", logrus.WarnLevel)
--- /dev/null
+++ b/snipesignal/brittle_test.go
@@ -0,0 +1,73 @@
+package snipesignal_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipesignal"
+)
+
+// TestBrittleState guards against a service whose brittleness ends with an answer to a request from before, or
+// with one of an upstream that does not state it yet, and against one that never ends.
+func TestBrittleState(t *testing.T) {
+	type answer struct {
+		// at is when the answer arrives, sent when its request was sent.
+		at, sent time.Duration
+		brittle  bool
+		want     bool
+	}
+	tests := map[string][]answer{
+		"Never":     {{0, 0, false, false}},
+		"Holds":     {{0, 0, true, true}, {2 * second, 500 * time.Millisecond, false, true}},
+		"Ends":      {{0, 0, true, true}, {3 * second, 2 * second, false, false}},
+		"Overtaken": {{2 * second, 0, true, true}, {2100 * time.Millisecond, 1900 * time.Millisecond, false, true}},
+		"Mixed":     {{0, 0, true, true}, {second, second, true, true}, {1500 * time.Millisecond, 1400 * time.Millisecond, false, true}},
+		"Again":     {{0, 0, true, true}, {3 * second, 2 * second, false, false}, {4 * second, 4 * second, true, true}},
+	}
+	for name, answers := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				changes, before := 0, false
+				b := &snipesignal.BrittleTracker{Changed: func(snipesignal.BrittleChange) { changes++ }}
+				begun, wanted := time.Now(), 0
+				for _, a := range answers {
+					time.Sleep(a.at - time.Since(begun))
+					b.Record("s", upstream, begun.Add(a.sent), snipesignal.Signal{Brittle: a.brittle, MaxRefusals: 3})
+					_, got := b.Get("s")
+					must.Eq(t, a.want, got, must.Sprint(a.at))
+					if a.want != before {
+						before = a.want
+						wanted++
+					}
+				}
+				must.Eq(t, wanted, changes)
+			})
+		})
+	}
+}
+
+// TestBrittleCounts guards against refusals and crashes that an operator is not told of when a service's
+// brittleness ends.
+func TestBrittleCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var last snipesignal.BrittleChange
+		b := &snipesignal.BrittleTracker{Changed: func(c snipesignal.BrittleChange) { last = c }}
+		_, brittle := b.RecordRefusal("s")
+		must.False(t, brittle)
+		b.Record("s", upstream, time.Now(), snipesignal.Signal{Brittle: true, MaxRefusals: 3})
+		for range 2 {
+			_, brittle = b.RecordRefusal("s")
+			must.True(t, brittle)
+			b.RecordBroken("s", upstream)
+		}
+		time.Sleep(2 * second)
+		b.Record("s", upstream, time.Now(), snipesignal.Signal{})
+		must.False(t, last.Brittle)
+		must.Eq(t, 2, last.Refusals)
+		must.Eq(t, 1, last.Broken)
+		must.Zero(t, b.Count())
+	})
+}
--- a/snipesignal/snipesignal.go
+++ b/snipesignal/snipesignal.go
@@ -1,5 +1,5 @@
 // Package snipesignal tracks the signals that upstreams send about themselves in their answers (a
-// limit, leaving, a requested backoff), and decides from them which requests may be sent to
+// limit, leaving, a requested backoff, brittleness), and decides from them which requests may be sent to
 // an upstream.
 //
 // Design. An overloaded upstream names how many requests per second it accepts from all instances
@@ -39,6 +39,10 @@
 	Leaving bool
 	// Backoff is the backoff that the upstream asks of the instance that it answers; zero for none.
 	Backoff time.Duration
+	// Brittle reports that the upstream crashes when it refuses more than MaxRefusals requests in a second
+	// for want of room. A BrittleTracker records both.
+	Brittle     bool
+	MaxRefusals int
 	// Invalid describes what could not be parsed, for the log; empty if everything could.
 	Invalid string
 }
@@ -121,6 +125,7 @@
 // The zero Signal means that the upstream named nothing: it ends a limit that was named before
 // sent, and confirms the end of a backoff that is over. It does not end leaving.
 func (b *Tracker) Record(upstream string, sent time.Time, s Signal) {
+	s.Brittle, s.MaxRefusals = false, 0
 	b.lock.Lock()
 	if b.entries[upstream] == nil && s == (Signal{}) {
 		b.lock.Unlock()
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -77,6 +77,10 @@
 		cause.Text += "; instance " + s.End.Instance + " did not reach service " + s.End.Service + " and passed the request on to " + s.End.Peer
 		lines = append(lines, s.withEvents(snipelog.ServiceUnreached.Number, snipelog.HopEnded.Number)...)
 	}
+	if s.End != nil && s.End.Brittle && cause.Kind != None {
+		cause.Text += fmt.Sprintf("; the upstreams of service %s crash when they refuse more than %d requests in a second", s.End.Service, s.End.MaxRefusals)
+		lines = append(lines, s.withEvents(snipelog.ServiceBrittle.Number, snipelog.BrittleRefusal.Number)...)
+	}
 	cause.Text += s.resumptionClause()
 	return cause, append(lines, s.Resumed...)
 }
--- a/snipestory/line.go
+++ b/snipestory/line.go
@@ -74,6 +74,10 @@
 	FirstMilliseconds  int64
 	PauseMilliseconds  int64
 	Milliseconds       int64
+	// Brittle is set if the service was brittle, and MaxRefusals the number of requests that its upstreams can
+	// refuse in a second without a crash.
+	Brittle     bool
+	MaxRefusals int
 
 	// Peer is the instance that the request was passed on to in its last attempt, From the one that passed it
 	// on, in the line of the peer.
