Fields of permits in a function of their own; stand-ins that state no load

The linter bounds the complexity of a function, which the fields of a brittle service exceeded in recordEnd.

--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -119,12 +119,7 @@
 	if c.digest != nil {
 		fields["Fingerprint"] = c.digest.String()
 	}
-	if b, brittle := c.gateway.Brittle.Get(c.service); brittle {
-		fields["Brittle"], fields["MaxRefusals"] = true, b.MaxRefusals
-	}
-	if c.admission.asked {
-		fields["PermitMilliseconds"], fields["Coordinator"] = c.admission.waited.Milliseconds(), c.admission.coordinator
-	}
+	c.logAdmission(fields)
 	if !c.firstAt.IsZero() {
 		fields["FirstMilliseconds"] = c.firstAt.Sub(c.arrived).Milliseconds()
 		fields["PauseMilliseconds"] = c.longestPause.Milliseconds()
@@ -142,6 +137,16 @@
 	c.gateway.Log.Log(event, fields)
 }
 
+// logAdmission adds the fields of permits, and of a brittle service, to the line of the request's end.
+func (c *call) logAdmission(fields snipelog.Fields) {
+	if b, brittle := c.gateway.Brittle.Get(c.service); brittle {
+		fields["Brittle"], fields["MaxRefusals"] = true, b.MaxRefusals
+	}
+	if c.admission.asked {
+		fields["PermitMilliseconds"], fields["Coordinator"] = c.admission.waited.Milliseconds(), c.admission.coordinator
+	}
+}
+
 // observeEnd counts the end of a caller's request in the metrics.
 func (c *call) observeEnd(route, outcome string, took time.Duration) {
 	m := c.gateway.Meter
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -33,8 +33,10 @@
 	LoadDuration  time.Duration
 	EventInterval time.Duration
 	Events        int
-	// Load is the load that the runner states with each answer; three figures if it is empty.
-	Load string
+	// Load is the load that the runner states with each answer; three figures if it is empty. A runner with
+	// HidesLoad states none.
+	Load      string
+	HidesLoad bool
 	// Faults holds the faults of the next requests and orders; several runners may share it. Nil
 	// for none.
 	Faults *RunnerFaults
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -66,7 +66,7 @@
 func (r *Runner) answer(w http.ResponseWriter, q *http.Request, body []byte, f RunnerFault) {
 	h := w.Header()
 	h.Set("X-Snipepitch-Server-Seal", r.ID+".1")
-	if h.Get("X-Snipepitch-Server-Load") == "" {
+	if h.Get("X-Snipepitch-Server-Load") == "" && !r.HidesLoad {
 		h.Set("X-Snipepitch-Server-Load", cmp.Or(r.Load, "1,0,8"))
 	}
 	switch f {
--- a/snipestand/runnerplaces.go
+++ b/snipestand/runnerplaces.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// plainPlaces are the slots and the queue of a plain service. Without slots, any number of requests
+// plainPlaces are the slots and the queue of a runner. Without slots, any number of requests
 // run, and take no time.
 type plainPlaces struct {
 	slots chan struct{}
@@ -18,8 +18,8 @@
 	inside, most, refused int
 }
 
-// SetCapacity limits a plain service to a number of requests that run at once, and of those that
-// wait for a slot. Requests take the given time from now on.
+// SetCapacity limits a runner to a number of requests that run at once, and of those that
+// wait for a slot. Requests take the given time from now on, before their answers begin.
 func (r *Runner) SetCapacity(slots, queue int, took time.Duration) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
@@ -74,6 +74,9 @@
 		r.noteRefusal()
 		h.Set("X-Snipepitch-Not-Executed", "1")
 	}
+	if r.HidesLoad {
+		return slots, p.took, ok
+	}
 	running := min(p.inside, limit)
 	h.Set("X-Snipepitch-Server-Load", fmt.Sprintf("%d,%d,%d,100", running, p.inside-running, limit))
 	return slots, p.took, ok
