Failing test: brittle upstreams, widened to loads, kinds of services and changes of instances

TestBrittleUpstreams had four plain upstreams below one load, before one and before six instances, and judged crashes alone. It now has 21 cases: 0.6, 1.25 and 2.5 times what the upstreams can serve; plain services and engines with adapters; upstreams that state their load and that don't; nine tenths of the requests at one instance; an instance that starts or is killed; upstreams of uneven size; one that leaves; no queue at all. Each case also asks for 0.75 of what can be served.

--- a/snipeentry/brittle_test.go
+++ b/snipeentry/brittle_test.go
@@ -2,96 +2,222 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"snipepitch.example/snipepitch/snipestand"
 )
 
+const (
+	// maxBrittleRefusals is the number of refusals in a second that an upstream of a brittle cluster bears.
+	maxBrittleRefusals = 3
+	// minBrittleServed is the least fraction served, of what is offered or of what the upstreams can serve if
+	// that is less.
+	minBrittleServed = 0.75
+	// brittleTime is how long requests are sent after the upstreams let fewer wait.
+	brittleTime = 6 * time.Second
+	// fullQueue and shortQueue are how many requests upstreams let wait before they are brittle and after.
+	fullQueue, shortQueue = 8, 1
+	// brittleStreamTime is the time that the events of an answer take.
+	brittleStreamTime = 30 * time.Millisecond
+)
+
+// brittleLoad is what TestBrittleUpstreams plays.
+type brittleLoad struct {
+	instances int
+	// offered is the number of requests, as a multiple of what the upstreams can serve.
+	offered float64
+	// engines has requests for adapters of engines sent, in place of those to a plain service.
+	engines bool
+	// hidesLoad is set if the upstreams do not state their load.
+	hidesLoad bool
+	// skewed has nine tenths of the requests sent to the first instance.
+	skewed bool
+	// slots are the slots of each upstream, took the time of a request there; four and 200 ms if empty.
+	slots []int
+	took  []time.Duration
+	// queue is how many requests upstreams let wait while they are brittle.
+	queue int
+	// during is called when a third of brittleTime has passed, with the instances that have started, and
+	// returns those to which requests are sent from then on; nil for no change.
+	during func(s *testCluster, all []*instance) []*instance
+}
+
 // TestBrittleUpstreams guards against upstreams that say that they are brittle and crash again and again, because
-// instances send them more than they have room for.
+// all instances together send them more than they have room for, and against callers that are refused although
+// the upstreams have room.
 func TestBrittleUpstreams(t *testing.T) {
-	const (
-		upstreams = 4
-		// bearable is the number of refusals in a second that an upstream bears.
-		bearable = 3
-		// mostCrashes is the number of crashes of all upstreams that the platform allows in the time in which
-		// they are brittle: two and a tenth of their number.
-		mostCrashes = 2
-		length      = 8 * time.Second
-		perSecond   = 160
-	)
-	for name, instances := range map[string]int{"One": 1, "Six": 6} {
+	startAnother := func(s *testCluster, all []*instance) []*instance {
+		i := s.start("another")
+		eventually(s.t, i.isReady)
+		return append(all, i)
+	}
+	killFirst := func(_ *testCluster, all []*instance) []*instance {
+		all[0].kill()
+		return all[1:]
+	}
+	loseUpstream := func(s *testCluster, all []*instance) []*instance {
+		s.runners["u0"].Drain()
+		return all
+	}
+	tests := map[string]brittleLoad{
+		"One":              {instances: 1, offered: 1.25, queue: shortQueue},
+		"SixBelow":         {instances: 6, offered: 0.6, queue: shortQueue},
+		"Six":              {instances: 6, offered: 1.25, queue: shortQueue},
+		"SixAbove":         {instances: 6, offered: 2.5, queue: shortQueue},
+		"HiddenBelow":      {instances: 6, offered: 0.6, queue: shortQueue, hidesLoad: true},
+		"Hidden":           {instances: 6, offered: 1.25, queue: shortQueue, hidesLoad: true},
+		"HiddenAbove":      {instances: 6, offered: 2.5, queue: shortQueue, hidesLoad: true},
+		"EnginesBelow":     {instances: 6, offered: 0.6, queue: shortQueue, engines: true},
+		"Engines":          {instances: 6, offered: 1.25, queue: shortQueue, engines: true},
+		"EnginesAbove":     {instances: 6, offered: 2.5, queue: shortQueue, engines: true},
+		"EnginesHidden":    {instances: 6, offered: 2.5, queue: shortQueue, engines: true, hidesLoad: true},
+		"Skewed":           {instances: 6, offered: 1.25, queue: shortQueue, skewed: true},
+		"SkewedEngines":    {instances: 6, offered: 1.25, queue: shortQueue, skewed: true, engines: true, hidesLoad: true},
+		"NoQueue":          {instances: 6, offered: 1.25, queue: 0, hidesLoad: true},
+		"Uneven":           {instances: 6, offered: 1.25, queue: shortQueue, hidesLoad: true, slots: []int{2, 4, 4, 8}, took: []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond}},
+		"Started":          {instances: 5, offered: 1.25, queue: shortQueue, hidesLoad: true, during: startAnother},
+		"StartedEngines":   {instances: 5, offered: 1.25, queue: shortQueue, engines: true, during: startAnother},
+		"Killed":           {instances: 6, offered: 1.25, queue: shortQueue, hidesLoad: true, during: killFirst},
+		"KilledEngines":    {instances: 6, offered: 1.25, queue: shortQueue, engines: true, during: killFirst},
+		"UpstreamLeaves":   {instances: 6, offered: 0.9, queue: shortQueue, hidesLoad: true, during: loseUpstream},
+		"SkewedKilledSome": {instances: 6, offered: 2.5, queue: shortQueue, hidesLoad: true, skewed: true, during: killFirst},
+	}
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s, all := startBrittleCluster(t, upstreams, instances)
-			s.sendOften(all, time.Second, perSecond/4)
+			tt.fill()
+			s, all := startBrittleCluster(t, &tt)
+			s.sendBrittle(&tt, all, time.Second)
 			for _, r := range s.runners {
-				r.SetBrittle(bearable)
+				r.SetBrittle(maxBrittleRefusals)
 			}
-			s.sendOften(all, contactTime, perSecond/4)
+			s.sendBrittle(&tt, all, contactTime)
 			for _, r := range s.runners {
-				r.SetQueue(1)
+				r.SetQueue(tt.queue)
 			}
-			got := s.sendOften(all, length, perSecond)
-			crashes := 0
-			for _, r := range s.runners {
-				crashes += r.BrittleCrashes()
+			served, sent := s.sendBrittle(&tt, all, brittleTime/3)
+			if tt.during != nil {
+				all = tt.during(s, all)
 			}
-			t.Log(got.answered, "of", got.sent, "served,", crashes, "crashes")
-			must.LessEq(t, mostCrashes, crashes)
+			more, moreSent := s.sendBrittle(&tt, all, brittleTime*2/3)
+			served, sent = served+more, sent+moreSent
+			s.judgeBrittle(&tt, served, sent)
 		})
 	}
 }
 
-// startBrittleCluster starts plain upstreams of four slots that take 120 ms for a request, and instances.
-func startBrittleCluster(t *testing.T, upstreams, instances int) (*testCluster, []*instance) {
+// fill sets what a load leaves out.
+func (l *brittleLoad) fill() {
+	if l.slots == nil {
+		l.slots = []int{4, 4, 4, 4}
+	}
+	for len(l.took) < len(l.slots) {
+		l.took = append(l.took, 200*time.Millisecond)
+	}
+}
+
+// capacity returns how many requests a second the upstreams can serve.
+func (l *brittleLoad) capacity() float64 {
+	sum := 0.0
+	for n, slots := range l.slots {
+		sum += float64(slots) / l.took[n].Seconds()
+	}
+	return sum
+}
+
+// judgeBrittle checks the crashes, and how many requests of the time in which the upstreams let fewer wait were
+// served. The platform allows two crashes and a tenth of the upstreams' number.
+func (s *testCluster) judgeBrittle(l *brittleLoad, served, sent int) {
+	s.t.Helper()
+	crashes, refused := 0, 0
+	for _, r := range s.runners {
+		crashes += r.BrittleCrashes()
+		_, n := r.Occupancy()
+		refused += n
+	}
+	possible := int(math.Min(float64(sent), l.capacity()*brittleTime.Seconds()))
+	s.t.Log(served, "served of", possible, "possible and", sent, "sent;", refused, "refused by upstreams,", crashes, "crashes")
+	test.LessEq(s.t, 2+len(l.slots)/10, crashes, test.Sprint("crashes"))
+	test.GreaterEq(s.t, int(minBrittleServed*float64(possible)), served, test.Sprint("served"))
+}
+
+// startBrittleCluster starts upstreams and instances, and waits until these serve.
+func startBrittleCluster(t *testing.T, l *brittleLoad) (*testCluster, []*instance) {
 	var runners []*snipestand.Runner
-	for n := range upstreams {
-		runners = append(runners, &snipestand.Runner{ID: fmt.Sprint("p", n), Service: "plain"})
+	for n := range l.slots {
+		r := &snipestand.Runner{ID: fmt.Sprint("u", n), Service: "plain", HidesLoad: l.hidesLoad}
+		if l.engines {
+			r.Service, r.Model = "engines", "base"
+		}
+		runners = append(runners, r)
 	}
-	s := startTestCluster(t, time.Millisecond, runners, func(r *snipestand.Runner) {
+	s := startTestCluster(t, brittleStreamTime/6, runners, func(r *snipestand.Runner) {
 		server := &snipestand.RunnerServer{Runner: r, Downtime: crashDowntime}
 		must.NoError(t, server.Start())
 		t.Cleanup(server.Close)
 	})
 	s.declare(1)
-	for _, r := range runners {
-		r.SetCapacity(4, 8, 120*time.Millisecond)
+	for n, r := range runners {
+		took := l.took[n]
+		if l.engines {
+			took -= brittleStreamTime
+		}
+		r.SetCapacity(l.slots[n], fullQueue, took)
 	}
 	var all []*instance
-	for n := range instances {
+	for n := range l.instances {
 		all = append(all, s.start(fmt.Sprint("i", n)))
 	}
-	for _, i := range all {
+	for n, i := range all {
 		eventually(t, i.isReady)
-		eventually(t, func() bool {
-			a, _ := send(t, i.url, http.MethodPost, "/often/x", "")
-			return a.status == http.StatusOK
-		})
+		eventually(t, func() bool { return s.sendOneBrittle(l, i, n).status == http.StatusOK })
 	}
 	return s, all
 }
 
-// sendOften sends requests that may run more than once to instances in turn, and returns how they were served.
-func (s *testCluster) sendOften(all []*instance, length time.Duration, perSecond int) *served {
-	got := &served{}
+// brittleAdapters is the number of adapters that requests to engines name.
+const brittleAdapters = 6
+
+// sendOneBrittle sends the nth request of a load to an instance.
+func (s *testCluster) sendOneBrittle(l *brittleLoad, i *instance, n int) reply {
+	body := strings.Repeat("x", n%7)
+	if l.engines {
+		a, _ := send(s.t, i.url, http.MethodPost, "/draft/x", body, modelHeader, fmt.Sprint("base/a", n%brittleAdapters))
+		return a
+	}
+	a, _ := send(s.t, i.url, http.MethodPost, "/often/x", body)
+	return a
+}
+
+// sendBrittle sends requests to the instances for a time, and returns how many were served.
+func (s *testCluster) sendBrittle(l *brittleLoad, all []*instance, length time.Duration) (served, sent int) {
 	var lock sync.Mutex
 	var callers sync.WaitGroup
-	for n := range int(length.Seconds() * float64(perSecond)) {
+	pause := time.Duration(float64(time.Second) / (l.offered * l.capacity()))
+	begun := time.Now()
+	for sent = 0; time.Since(begun) < length; sent++ {
+		i := all[sent%len(all)]
+		if l.skewed && sent%10 != 0 {
+			i = all[0]
+		}
 		callers.Go(func() {
-			a, _ := send(s.t, all[n%len(all)].url, http.MethodPost, "/often/x", strings.Repeat("x", n%7))
+			a := s.sendOneBrittle(l, i, sent)
 			lock.Lock()
 			defer lock.Unlock()
-			got.add("/often/x", a)
+			if a.status == http.StatusOK && a.err == nil {
+				served++
+			}
 		})
-		time.Sleep(time.Second / time.Duration(perSecond))
+		time.Sleep(time.Until(begun.Add(time.Duration(sent+1) * pause)))
 	}
 	callers.Wait()
-	return got
+	return served, sent
 }
