--- a/snipeadmission/admission.go
+++ b/snipeadmission/admission.go
@@ -48,6 +48,8 @@
 	ReasonNoUpstream
 	// ReasonFull means that MaxWaiting requests wait.
 	ReasonFull
+	// ReasonBusy means that no permit is free and the request does not wait.
+	ReasonBusy
 )
 
 // String returns the reason as it stands in logs.
@@ -61,6 +63,8 @@
 		return "no upstream available"
 	case ReasonFull:
 		return "queue full"
+	case ReasonBusy:
+		return "no permit free"
 	}
 	return "unknown"
 }
@@ -92,6 +96,8 @@
 	// Excluded holds the IDs of upstreams that have just refused this request. Each is avoided for
 	// the time in which its queue empties.
 	Excluded []string
+	// NoWait has the request refused, with ReasonBusy, in place of waiting.
+	NoWait bool
 }
 
 // Permit allows one request to be sent to one upstream. It ends Lifetime after the grant or the
--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -34,9 +34,13 @@
 	MaxWaiting int
 	// OnDecision, if set, is called for each decision, without the lock.
 	OnDecision func(Decision)
+	// Brittle reports whether the upstreams crash when they refuse more than maxRefusals requests in a second,
+	// so that their slots are lent strictly (see strict.go). It is called as Upstreams is; nil means never.
+	Brittle func() (maxRefusals int, brittle bool)
 
 	lock    sync.Mutex // guards the fields below
 	pool    pool
+	askedAt time.Time // when a permit was last asked for
 	demand  demand
 	queue   snipefair.Queue[*waiter]
 	permits map[uint64]*lease
@@ -58,6 +62,8 @@
 	instance string
 	item     snipefair.Item
 	ends     time.Time
+	// abandoned is set if the caller has left and the upstream may still work on the request.
+	abandoned bool
 	// running is the load of the upstream when the permit was granted, with this one.
 	running int
 }
@@ -119,6 +125,7 @@
 func (c *Coordinator) enter(r Request) (*waiter, *snipefair.Entry[*waiter]) {
 	now := c.begin()
 	defer c.end(now)
+	c.noteAsked(now)
 	w := &waiter{request: r, since: now, decision: make(chan decision, 1)}
 	queued := now
 	if !r.Arrived.IsZero() && r.Arrived.Before(now) {
@@ -141,7 +148,12 @@
 		return w, e
 	}
 	c.grantAll(now)
-	if len(w.decision) == 0 {
+	switch {
+	case len(w.decision) > 0:
+	case r.NoWait:
+		c.queue.Remove(e)
+		w.decision <- decision{err: &RefusedError{Reason: ReasonBusy, RetryAfter: minPause}}
+	default:
 		c.judge(e, now)
 	}
 	return w, e
@@ -166,12 +178,20 @@
 		c.queue.MaxDisplacement = c.MaxDisplacement
 	}
 	if now.Sub(c.pool.refreshedAt) >= refreshInterval {
-		c.pool.refresh(c.Upstreams(), now)
+		c.refreshPool(now)
 		c.pool.updateSpeeds(now)
 	}
 	return now
 }
 
+// refreshPool brings the upstreams, and whether they are lent strictly, up to date.
+func (c *Coordinator) refreshPool(now time.Time) {
+	c.pool.refresh(c.Upstreams(), now)
+	if c.Brittle != nil {
+		c.pool.setStrict(c.Brittle())
+	}
+}
+
 // end sets the timer, releases the lock and reports the decisions.
 func (c *Coordinator) end(now time.Time) {
 	if c.queue.Len() > 0 {
@@ -204,7 +224,11 @@
 	defer c.end(now)
 	c.wakeAt = time.Time{}
 	for id, l := range c.permits {
-		if !now.Before(l.ends) {
+		switch {
+		case now.Before(l.ends):
+		case l.abandoned:
+			c.remove(id, l)
+		default:
 			c.expire(id, l, now)
 		}
 	}
@@ -244,7 +268,7 @@
 	now := c.begin()
 	defer c.end(now)
 	for _, id := range ids {
-		if l := c.permits[id]; l != nil && l.instance == instance {
+		if l := c.permits[id]; l != nil && l.instance == instance && !l.abandoned {
 			l.ends = now.Add(c.Lifetime)
 		}
 	}
@@ -255,7 +279,7 @@
 	now := c.begin()
 	defer c.end(now)
 	l := c.permits[id]
-	if l == nil {
+	if l == nil || l.abandoned {
 		c.stats.Unknown++
 		return
 	}
@@ -263,8 +287,18 @@
 	if r.Load != nil {
 		c.report(u, *r.Load, now)
 	}
-	c.remove(id, l)
+	if r.Outcome != OutcomeCanceled || !c.abandon(l, r.Took, now) {
+		c.remove(id, l)
+	}
 	c.pool.observe(u, r, l.running, now)
+	c.settle(l, r, now)
+	c.grantAll(now)
+}
+
+// settle records what the end of a request shows about its upstream, and takes back the charge of one that did not
+// run.
+func (c *Coordinator) settle(l *lease, r Result, now time.Time) {
+	u := l.upstream
 	switch r.Outcome {
 	case OutcomeServed:
 		u.failures, u.servedAt = 0, now
@@ -277,11 +311,10 @@
 	case OutcomeSuspect, OutcomeUnreachable:
 		// Other instances may be served there, which shows that it is not broken for all: the instance may
 		// be cut off.
-		if now.Sub(u.servedAt) >= firstPause {
+		if !u.soundSince(r, now) {
 			c.decidePause(u, u.pauseAfterFailure(now), now)
 		}
 	}
-	c.grantAll(now)
 }
 
 // decidePause keeps the decision to pause an upstream, if there is one.
@@ -330,7 +363,7 @@
 func (c *Coordinator) Refresh() {
 	now := c.begin()
 	defer c.end(now)
-	c.pool.refresh(c.Upstreams(), now)
+	c.refreshPool(now)
 	c.grantAll(now)
 }
 
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -224,14 +224,24 @@
 	rate, p := max(c.pool.rate(now), c.pool.usualRate(now)), clampPriority(e.Item.Priority)
 	wait := c.wait(ahead, max(rate-c.demand.rate(p, now), 0), now)
 	e.Value.expected = wait
+	if c.pool.strict {
+		most += time.Duration(strictWaitReserve * float64(wait))
+	}
 	switch late := e.Item.Late(now.Add(wait + most)); {
-	case late && c.overloaded(p+1, now):
+	case late && c.refusesLate(e, p+1, now):
 		c.useOrRefuse(e, ReasonLate, now)
 	case c.misses(e, wait, now):
 		c.useOrRefuse(e, ReasonDeadline, now)
 	}
 }
 
+// refusesLate reports whether a request that would miss its target is refused: where the arrivals of the priorities
+// below limit exceed what the upstreams serve. At upstreams that are lent strictly each new one is: nothing waits
+// there, so that the queue here tells at once who would be late.
+func (c *Coordinator) refusesLate(e *snipefair.Entry[*waiter], limit int, now time.Time) bool {
+	return c.pool.strict && now.Sub(e.Item.Queued) < strictNewTime || c.overloaded(limit, now)
+}
+
 // useOrRefuse grants a permit that is free, if the upstream is expected to serve the request before
 // its deadline, and refuses the request otherwise. A slow upstream with a free permit is otherwise
 // left idle for as long as a faster one is expected to end the request sooner, and would not be used
--- a/snipeadmission/pool.go
+++ b/snipeadmission/pool.go
@@ -23,6 +23,11 @@
 type pool struct {
 	list        []*upstream // in the order of their IDs
 	refreshedAt time.Time
+	// strict is set while the upstreams are lent strictly, growth is how fast their bounds grow then, and
+	// closedUntil is when the first permit may be granted (see strict.go).
+	strict      bool
+	growth      time.Duration
+	closedUntil time.Time
 	// mean is the average time of a request over all upstreams, in seconds at the usual pace, for
 	// upstreams without an observation of their own.
 	mean average
@@ -51,6 +56,20 @@
 	slices.SortFunc(p.list, func(a, b *upstream) int { return strings.Compare(a.id, b.id) })
 }
 
+// setStrict records whether the upstreams are lent strictly.
+func (p *pool) setStrict(maxRefusals int, strict bool) {
+	p.strict, p.growth = strict, boundGrowth
+	if maxRefusals <= 1 {
+		p.growth = patientGrowth
+	}
+	for _, u := range p.list {
+		u.isStrict, u.growth = strict, p.growth
+		if !strict {
+			u.strict = strictness{}
+		}
+	}
+}
+
 // find returns an upstream, or nil if it is unknown.
 func (p *pool) find(id string) *upstream {
 	for _, u := range p.list {
@@ -97,7 +116,7 @@
 func (p *pool) rate(now time.Time) float64 {
 	sum := 0.0
 	for _, u := range p.list {
-		if limit := u.limit(now); limit > 0 {
+		if limit := u.lasting(now); limit > 0 {
 			mean, _ := p.service(u, now)
 			sum += min(limit, max(1, float64(u.slots)-u.othersNow(now))) / mean
 		}
@@ -110,7 +129,7 @@
 func (p *pool) usualRate(now time.Time) float64 {
 	sum := 0.0
 	for _, u := range p.list {
-		if limit := u.limit(now); limit > 0 {
+		if limit := u.lasting(now); limit > 0 {
 			sum += min(limit, max(1, float64(u.slots)-u.othersNow(now))) * u.speed
 		}
 	}
@@ -134,6 +153,9 @@
 // free returns the number of permits that may be granted now.
 func (p *pool) free(now time.Time) float64 {
 	sum := 0.0
+	if p.strict && now.Before(p.closedUntil) {
+		return sum
+	}
 	for _, u := range p.list {
 		sum += max(0, u.limit(now)-float64(u.out))
 	}
@@ -175,6 +197,9 @@
 			first, known = u.pausedUntil, true
 		}
 	}
+	if p.strict {
+		first = later(first, p.closedUntil)
+	}
 	return first, known
 }
 
--- /dev/null
+++ b/snipeadmission/strict_test.go
@@ -0,0 +1,171 @@
+package snipeadmission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeadmission"
+)
+
+const second = time.Second
+
+// strict runs a test on the paused clock with a Coordinator that lends one upstream of four slots strictly, and has
+// taken over.
+func strict(t *testing.T, maxRefusals int, test func(t *testing.T, c *testCoordinator)) {
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		c.upstreams[0].Slots = 4
+		c.Brittle = func() (int, bool) { return maxRefusals, true }
+		c.Release(c.take(snipeadmission.Request{Instance: "i"}).ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
+		test(t, c)
+	})
+}
+
+// free returns how many permits are granted at once. They are given back unused.
+func (c *testCoordinator) free() int {
+	var held []snipeadmission.Permit
+	for {
+		p, err := c.Acquire(c.t.Context(), snipeadmission.Request{Instance: "i", NoWait: true})
+		if err != nil {
+			break
+		}
+		held = append(held, p)
+	}
+	for _, p := range held {
+		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
+	}
+	return len(held)
+}
+
+// sleep advances the clock by d in steps, in each of which a permit is asked for, so that the coordinator does not
+// count as one that takes over.
+func (c *testCoordinator) sleep(d time.Duration) {
+	const step = 500 * ms
+	for ; d > step; d -= step {
+		time.Sleep(step)
+		c.free()
+	}
+	time.Sleep(d)
+}
+
+// TestStrictTakeover guards against a coordinator that lends slots which another one has lent before it was asked
+// for the first time, or again after a while.
+func TestStrictTakeover(t *testing.T) {
+	paused(t, func(t *testing.T, c *testCoordinator) {
+		c.Brittle = func() (int, bool) { return 3, true }
+		for range 2 {
+			begun := time.Now()
+			p := c.take(snipeadmission.Request{Instance: "i"})
+			must.Eq(t, 200*ms, time.Since(begun).Round(10*ms))
+			c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeServed})
+			time.Sleep(2 * second)
+		}
+	})
+}
+
+// TestStrictSlots guards against more permits than slots while upstreams are brittle, whatever load they state, and
+// against fewer once they no longer are.
+func TestStrictSlots(t *testing.T) {
+	strict(t, 3, func(t *testing.T, c *testCoordinator) {
+		for range 50 {
+			p := c.take(snipeadmission.Request{Instance: "i"})
+			c.Release(p.ID, snipeadmission.Result{
+				Outcome: snipeadmission.OutcomeServed, Took: 30 * ms, Load: &snipeadmission.Load{Running: 1, Slots: 4},
+			})
+		}
+		must.Eq(t, 4, c.free())
+		c.Brittle = func() (int, bool) { return 0, false }
+		time.Sleep(20 * ms)
+		must.Greater(t, 4, c.free())
+	})
+}
+
+// TestStrictRefusal guards against an upstream that is sent as many requests as before although it has refused one,
+// and against one that gets fewer for good. Where the second refusal in a second is a crash, the bound grows more
+// slowly.
+func TestStrictRefusal(t *testing.T) {
+	tests := map[string]struct {
+		maxRefusals int
+		growth      time.Duration
+	}{
+		"Three": {3, second},
+		"One":   {1, 2 * second},
+		"Zero":  {0, 2 * second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			strict(t, tt.maxRefusals, func(t *testing.T, c *testCoordinator) {
+				held := c.fill(3)
+				c.Release(held[2].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeRefused})
+				must.Zero(t, c.free(), must.Sprint("paused"))
+				for _, p := range held[:2] {
+					c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeServed, Took: 30 * ms})
+				}
+				time.Sleep(100 * ms)
+				must.Eq(t, 2, c.free())
+				c.sleep(tt.growth)
+				must.Eq(t, 3, c.free())
+				c.sleep(tt.growth)
+				must.Eq(t, 4, c.free())
+			})
+		})
+	}
+}
+
+// TestStrictUnpermitted guards against permits for slots that requests without one of this coordinator take, and
+// against slots that such requests take after their end or that of their instance.
+func TestStrictUnpermitted(t *testing.T) {
+	strict(t, 3, func(t *testing.T, c *testCoordinator) {
+		c.ReportUnpermitted("a", map[string]int{"u": 2, "unknown": 7})
+		c.ReportUnpermitted("b", map[string]int{"u": 1})
+		must.Eq(t, 1, c.free())
+		c.ReportUnpermitted("a", map[string]int{"u": 0})
+		must.Eq(t, 3, c.free())
+		c.sleep(second)
+		must.Eq(t, 4, c.free(), must.Sprint("instance b is gone"))
+	})
+}
+
+// TestStrictBroken guards against further requests to an upstream that has just broken an answer, also where others
+// were served a moment before, and against a pause because of a request that broke while later ones were served.
+func TestStrictBroken(t *testing.T) {
+	tests := map[string]struct {
+		took time.Duration
+		free int
+	}{
+		"SentAfterServed":  {1 * ms, 0},
+		"SentBeforeServed": {40 * ms, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			strict(t, 3, func(t *testing.T, c *testCoordinator) {
+				held := c.fill(3)
+				time.Sleep(40 * ms)
+				c.Release(held[0].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeServed, Took: 40 * ms})
+				time.Sleep(2 * ms)
+				c.Release(held[1].ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeSuspect, Took: tt.took})
+				must.Eq(t, tt.free, c.free())
+			})
+		})
+	}
+}
+
+// TestStrictAbandoned guards against the place of a request that an upstream still works on after its caller has
+// left, and against one that stays taken.
+func TestStrictAbandoned(t *testing.T) {
+	strict(t, 3, func(t *testing.T, c *testCoordinator) {
+		for range 20 {
+			p := c.take(snipeadmission.Request{Instance: "i"})
+			time.Sleep(100 * ms)
+			c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeServed, Took: 100 * ms})
+		}
+		p := c.take(snipeadmission.Request{Instance: "i"})
+		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeCanceled, Took: 20 * ms})
+		must.Eq(t, 3, c.free())
+		c.Renew("i", []uint64{p.ID})
+		time.Sleep(300 * ms)
+		must.Eq(t, 4, c.free())
+		must.Zero(t, c.Stats().Expired)
+	})
+}
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -85,6 +85,11 @@
 	failures    int
 	// servedAt is when the coordinator last learned of a request that was served there.
 	servedAt time.Time
+	// isStrict is set while the upstream is lent strictly, growth is how fast its bound grows then, and strict is
+	// what is known for it.
+	isStrict bool
+	growth   time.Duration
+	strict   strictness
 }
 
 // setSlots takes over the slots that Upstreams states, if they have changed.
@@ -172,15 +177,35 @@
 	if u.failures > 0 && now.Before(u.pausedUntil) {
 		return 0
 	}
-	pause := min(firstPause<<min(u.failures, 4), maxPause)
+	pause := min(u.firstPause()<<min(u.failures, 4), maxPause)
 	u.failures++
 	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
 	return pause
 }
 
+// soundSince reports whether a request was served so late that the failure of another one does not show that the
+// upstream is broken.
+func (u *upstream) soundSince(r Result, now time.Time) bool {
+	if u.isStrict && r.Outcome == OutcomeSuspect {
+		return u.servedAt.After(now.Add(-r.Took))
+	}
+	return now.Sub(u.servedAt) < u.firstPause()
+}
+
+// firstPause returns the pause after a first failure.
+func (u *upstream) firstPause() time.Duration {
+	if u.isStrict {
+		return strictPause
+	}
+	return firstPause
+}
+
 // pauseAfterRefusal pauses the upstream until its queue has become shorter: for the time that it
 // named, or else until it has served an eighth of what waits there. Afterwards fewer permits are out.
 func (u *upstream) pauseAfterRefusal(r Result, service time.Duration, now time.Time) time.Duration {
+	if u.isStrict {
+		return u.pauseAfterStrictRefusal(r, service, now)
+	}
 	pause := r.RetryAfter
 	if pause <= 0 {
 		pause = service
@@ -194,13 +219,26 @@
 	return pause
 }
 
+// lasting returns the number of permits that may be out, as far as that is expected to last: requests that run
+// without a permit of this coordinator at an upstream that is lent strictly end, and none follows.
+func (u *upstream) lasting(now time.Time) float64 {
+	if limit := u.limit(now); limit > 0 || !u.isStrict || u.gone || now.Before(u.pausedUntil) {
+		return limit
+	}
+	return max(1, float64(u.strict.places(u.slots, u.growth, now)))
+}
+
 // limit returns the number of permits that may be out.
 func (u *upstream) limit(now time.Time) float64 {
 	switch {
 	case u.gone || now.Before(u.pausedUntil):
 		return 0
-	case u.failures > 0:
+	case u.failures > 0 && !u.isStrict:
 		return 1
+	case u.failures > 0:
+		return min(1, u.strictLimit(now))
+	case u.isStrict:
+		return u.strictLimit(now)
 	}
 	return max(1, float64(u.slots+u.excessNow())-u.othersNow(now))
 }
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -158,10 +158,7 @@
 	if u.Leaving || !b.open(u.ID) {
 		return false
 	}
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	s := b.states[u.ID]
-	return s == nil || s.suspectUntil.IsZero() || !time.Now().Before(s.suspectUntil)
+	return !b.Suspected(u.ID)
 }
 
 // Load returns the estimated weight of all requests in flight at an upstream; zero if nothing is
@@ -247,6 +244,27 @@
 	return 0
 }
 
+// OwnRequests returns the numbers of this instance's requests in flight by upstream.
+func (b *Balancer) OwnRequests() map[string]int {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	all := make(map[string]int)
+	for id, s := range b.states {
+		if s.requests.own > 0 {
+			all[id] = int(s.requests.own)
+		}
+	}
+	return all
+}
+
+// Suspected reports whether an upstream is suspect.
+func (b *Balancer) Suspected(id string) bool {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	s := b.states[id]
+	return s != nil && !s.suspectUntil.IsZero() && time.Now().Before(s.suspectUntil)
+}
+
 // Retain drops the state of all upstreams for which known returns false.
 func (b *Balancer) Retain(known func(id string) bool) {
 	b.lock.Lock()
--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // One instance, the coordinator of a service, lends the slots of the service's upstreams to all
@@ -68,6 +70,12 @@
 	Paced     func(service string) bool
 	Upstreams func(service string) []*snipedirectory.Upstream
 	View      func() *snipeowner.View
+	// Brittle tracks the brittle services, which need permits without a pace and whatever the Share; nil for
+	// none. Engine returns an upstream by its identifier, nil if it is not registered, and InFlight the numbers
+	// of this instance's requests in flight by upstream.
+	Brittle  *snipesignal.BrittleTracker
+	Engine   func(id string) *snipedirectory.Upstream
+	InFlight func() map[string]int
 	// Lender grants the permits of the services that this instance coordinates. Client returns the
 	// client of another instance.
 	Lender *lender
@@ -76,6 +84,10 @@
 	Meter  *snipemeter.Meter
 
 	permits permits
+	full    fullEngines
+	own     ownPermits
+	// reported holds what reportUnpermitted has last reported; it is used by one goroutine.
+	reported map[unpermittedKey]map[string]int
 
 	lock sync.Mutex // guards the fields below
 	// lost holds the coordinators that did not answer, or declined.
@@ -93,10 +105,13 @@
 	pacer  *snipeadmission.Pacer
 }
 
-// applies reports whether requests to a service need permits: it is a plain service with fewer than
+// applies reports whether requests to a service need permits: it is a plain service that is brittle, or one with fewer than
 // Share slots for each live instance, whose upstreams state their pace. Upstreams that are leaving do
 // not count. Without a pace, a coordinator would know too late which upstream is slow now.
 func (a *admission) applies(service string) bool {
+	if _, brittle := a.brittle(service); brittle && validName(service) && a.Plain(service) {
+		return true
+	}
 	if a.Share <= 0 || !validName(service) || !a.Plain(service) || !a.Paced(service) {
 		return false
 	}
@@ -202,7 +217,12 @@
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	answer, err := a.Client(to).Acquire(ctx, encodeAcquire(service, r, asked))
+	m := encodeAcquire(service, r, asked)
+	if b, brittle := a.brittle(service); brittle {
+		update := snipesignal.BrittleUpdate{Service: a.brittleService(service), MaxRefusals: b.MaxRefusals, Age: time.Since(b.StatedAt)}
+		m.Brittle = encodeBrittle([]snipesignal.BrittleUpdate{update})[0]
+	}
+	answer, err := a.Client(to).Acquire(ctx, m)
 	if err != nil {
 		return nil, declined(err)
 	}
@@ -230,6 +250,10 @@
 
 // pace waits until this instance may send a request on its own.
 func (a *admission) pace(ctx context.Context, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
+	if _, brittle := a.brittle(service); brittle {
+		a.notePacing(service)
+		return a.shareAlone(service, r)
+	}
 	pacer := a.notePacing(service)
 	upstream, err := pacer.Acquire(ctx, r)
 	if err != nil {
@@ -291,7 +315,7 @@
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	for name := range a.services {
-		if !a.Plain(name) {
+		if !a.Lender.lends(name) {
 			delete(a.services, name)
 		}
 	}
@@ -306,11 +330,13 @@
 // of this instance's own permits.
 func (i *Instance) buildAdmission() {
 	i.lender = &lender{
-		Plain: i.plain, Upstreams: i.serviceUpstreams, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
+		Plain: i.plain, Upstreams: i.admittedUpstreams, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter, Brittle: i.brittle,
 	}
 	i.admission = &admission{
-		Self: i.Settings.Peers, Share: i.Settings.AdmissionShare, Plain: i.plain, Paced: i.balancer.Paced, Upstreams: i.serviceUpstreams,
+		Self: i.Settings.Peers, Share: i.Settings.AdmissionShare, Plain: i.plain, Paced: i.balancer.Paced, Upstreams: i.admittedUpstreams,
 		View: i.holder.View, Lender: i.lender, Client: i.peers.permits.client, Log: i.Log, Meter: i.meter,
+		Brittle: i.brittle, InFlight: i.balancer.OwnRequests,
+		Engine: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
 	}
 	i.meter.Gauge("snipepitch_admission_permits_out", func() float64 { out, _ := i.lender.stats(); return float64(out) })
 	i.meter.Gauge("snipepitch_admission_waiting", func() float64 { _, waiting := i.lender.stats(); return float64(waiting) })
@@ -318,7 +344,9 @@
 
 // gatewayAdmission returns the functions by which the gateway acquires permits.
 func (i *Instance) gatewayAdmission() snipegateway.Admission {
-	return snipegateway.Admission{Applies: i.admission.applies, Acquire: i.admission.acquire}
+	return snipegateway.Admission{
+		Applies: i.admission.applies, Acquire: i.admission.acquire, AcquireEngine: i.admission.acquireEngine, EngineFull: i.admission.full.has,
+	}
 }
 
 // plain reports whether the current catalog declares a service as one that runs no models.
@@ -327,11 +355,35 @@
 	return c != nil && c.Services[service] != nil && c.Services[service].Engine == nil
 }
 
+// declared reports whether the current catalog declares a service, or whether there is no catalog yet.
+func (i *Instance) declared(service string) bool {
+	c := i.catalog.Catalog()
+	return c == nil || c.Services[service] != nil
+}
+
 // serviceUpstreams returns the known upstreams of a service.
 func (i *Instance) serviceUpstreams(service string) []*snipedirectory.Upstream {
 	return i.directory.Snapshot().Service(service)
 }
 
+// upstreamOpen reports whether an upstream accepts requests now, by its own signals and by the permits that are
+// out for it.
+func (i *Instance) upstreamOpen(id string) bool {
+	return i.signals.Open(id) && !i.admission.full.has(id)
+}
+
+// admittedUpstreams returns the upstreams whose slots are lent under a name: those of a service, or one engine.
+func (i *Instance) admittedUpstreams(name string) []*snipedirectory.Upstream {
+	id, isEngine := strings.CutPrefix(name, enginePrefix)
+	if !isEngine {
+		return i.serviceUpstreams(name)
+	}
+	if u := i.directory.Snapshot().ByID(id); u != nil {
+		return []*snipedirectory.Upstream{u}
+	}
+	return nil
+}
+
 // forgetAdmission drops what shared admission holds for services and instances that are gone.
 func (i *Instance) forgetAdmission() {
 	live := i.holder.View().Live
--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -48,6 +48,9 @@
 	if err != nil {
 		return nil, s.invalid(err)
 	}
+	if b := m.GetBrittle(); b != nil && s.lender.Brittle != nil {
+		s.lender.Brittle.Merge(decodeBrittle([]*snipeproto.BrittleService{b}))
+	}
 	p, err := s.lender.acquire(ctx, m.GetService(), r)
 	var refused *snipeadmission.RefusedError
 	switch {
@@ -79,6 +82,9 @@
 	for _, r := range m.GetRenewals() {
 		s.lender.renew(m.GetInstance(), r.GetService(), r.GetPermits())
 	}
+	for _, r := range m.GetUnpermitted() {
+		s.lender.reportUnpermitted(m.GetInstance(), r.GetService(), decodeCounts(r.GetCounts()))
+	}
 	return &snipeproto.AdmissionReleaseResponse{}, nil
 }
 
@@ -110,7 +116,7 @@
 	m := &snipeproto.AdmissionAcquireRequest{
 		Version: admissionVersion, Instance: r.Instance, Service: service, Workspace: shortened(r.Workspace),
 		Priority:             int32(min(max(r.Priority, 0), maxPriority)),
-		DeadlineMilliseconds: max(boundedMilliseconds(r.Deadline.Sub(now)), 0),
+		DeadlineMilliseconds: max(boundedMilliseconds(r.Deadline.Sub(now)), 0), NoWait: r.NoWait,
 	}
 	if r.Tokens >= 0 && r.Tokens <= math.MaxFloat64 {
 		m.Tokens = r.Tokens
@@ -138,7 +144,7 @@
 	r := snipeadmission.Request{
 		Instance: m.GetInstance(), Workspace: m.GetWorkspace(), Priority: int(m.GetPriority()), Tokens: m.GetTokens(),
 		Deadline: now.Add(milliseconds(m.GetDeadlineMilliseconds())),
-		Excluded: m.GetExcluded(),
+		Excluded: m.GetExcluded(), NoWait: m.GetNoWait(),
 	}
 	if m.GetAgeMilliseconds() > 0 {
 		r.Arrived = now.Add(-milliseconds(m.GetAgeMilliseconds()))
@@ -280,6 +286,9 @@
 	if renewed > 2*maxResults || len(m.GetResults()) > maxResults {
 		return nil, errors.Wrapf(errMessage, "%d results and %d renewals", len(m.GetResults()), renewed)
 	}
+	if err := checkUnpermitted(m.GetUnpermitted()); err != nil {
+		return nil, err
+	}
 	all := make([]snipeadmission.Result, 0, len(m.GetResults()))
 	for _, r := range m.GetResults() {
 		result, err := decodeResult(r)
@@ -291,6 +300,32 @@
 	return all, nil
 }
 
+// checkUnpermitted checks reports of requests without permits.
+func checkUnpermitted(all []*snipeproto.AdmissionUnpermitted) error {
+	counts := 0
+	for _, r := range all {
+		counts += len(r.GetCounts())
+		if !validName(r.GetService()) || counts > maxResults {
+			return errors.Wrapf(errMessage, "%d reports of requests without permits, or one without a service", counts)
+		}
+		for _, n := range r.GetCounts() {
+			if !validName(n.GetUpstream()) || n.GetRequests() < 0 || n.GetRequests() > maxLoadFigure {
+				return errors.Wrapf(errMessage, "%d requests without permits", n.GetRequests())
+			}
+		}
+	}
+	return nil
+}
+
+// decodeCounts returns the numbers of requests without permits by upstream.
+func decodeCounts(all []*snipeproto.AdmissionCount) map[string]int {
+	counts := make(map[string]int, len(all))
+	for _, n := range all {
+		counts[n.GetUpstream()] = int(n.GetRequests())
+	}
+	return counts
+}
+
 // decodeResult returns the result of a message. A load report that makes no sense is left out,
 // because the permit has to end all the same.
 func decodeResult(m *snipeproto.AdmissionResult) (snipeadmission.Result, error) {
--- a/snipeentry/brittle_test.go
+++ b/snipeentry/brittle_test.go
@@ -25,6 +25,13 @@
 	brittleTime = 6 * time.Second
 	// fullQueue and shortQueue are how many requests upstreams let wait before they are brittle and after.
 	fullQueue, shortQueue = 8, 1
+	// brittleDeadline is how long callers wait.
+	brittleDeadline = "1500"
+	// brittleTarget is the latency target of the routes.
+	brittleTarget = 500 * time.Millisecond
+	// promptRefusals is the fraction of the refused callers who are told so within the latency target. Requests
+	// that wait while a coordinator is lost are told later.
+	promptRefusals = 0.8
 	// brittleStreamTime is the time that the events of an answer take.
 	brittleStreamTime = 30 * time.Millisecond
 )
@@ -103,13 +110,12 @@
 			for _, r := range s.runners {
 				r.SetQueue(tt.queue)
 			}
-			served, sent := s.sendBrittle(&tt, all, brittleTime/3)
+			got := s.sendBrittle(&tt, all, brittleTime/3)
 			if tt.during != nil {
 				all = tt.during(s, all)
 			}
-			more, moreSent := s.sendBrittle(&tt, all, brittleTime*2/3)
-			served, sent = served+more, sent+moreSent
-			s.judgeBrittle(&tt, served, sent)
+			got.add(s.sendBrittle(&tt, all, brittleTime*2/3))
+			s.judgeBrittle(&tt, got)
 		})
 	}
 }
@@ -135,7 +141,7 @@
 
 // judgeBrittle checks the crashes, and how many requests of the time in which the upstreams let fewer wait were
 // served. The platform allows two crashes and a tenth of the upstreams' number.
-func (s *testCluster) judgeBrittle(l *brittleLoad, served, sent int) {
+func (s *testCluster) judgeBrittle(l *brittleLoad, got *brittleCounts) {
 	s.t.Helper()
 	crashes, refused := 0, 0
 	for _, r := range s.runners {
@@ -143,10 +149,52 @@
 		_, n := r.Occupancy()
 		refused += n
 	}
-	possible := int(math.Min(float64(sent), l.capacity()*brittleTime.Seconds()))
-	s.t.Log(served, "served of", possible, "possible and", sent, "sent;", refused, "refused by upstreams,", crashes, "crashes")
+	possible := int(math.Min(float64(got.sent), l.capacity()*got.lasted.Seconds()))
+	s.t.Logf(s.t.Name()+": %d served of %d possible and %d sent, %d refused, %d of them promptly; %d refused by upstreams, %d crashes",
+		got.served, possible, got.sent, got.refused, got.prompt, refused, crashes)
 	test.LessEq(s.t, 2+len(l.slots)/10, crashes, test.Sprint("crashes"))
-	test.GreaterEq(s.t, int(minBrittleServed*float64(possible)), served, test.Sprint("served"))
+	test.GreaterEq(s.t, int(minBrittleServed*float64(possible)), got.served, test.Sprint("served"))
+	test.GreaterEq(s.t, int(promptRefusals*float64(got.refused)), got.prompt, test.Sprint("told promptly that they are refused"))
+	test.Eq(s.t, got.refused, got.named, test.Sprint("refused with a time to return"))
+}
+
+// brittleCounts counts requests by how they ended.
+type brittleCounts struct {
+	lock         sync.Mutex // guards the fields below
+	sent, served int
+	// lasted is the time until the last reply.
+	lasted time.Duration
+	// refused counts those answered 503, prompt those of them within the latency target, and named those with a time
+	// to return.
+	refused, prompt, named int
+}
+
+// record counts the reply to a request.
+func (c *brittleCounts) record(a reply, took time.Duration) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	switch {
+	case a.err != nil:
+	case a.status == http.StatusOK:
+		c.served++
+	case a.status == http.StatusServiceUnavailable:
+		c.refused++
+		if took <= brittleTarget {
+			c.prompt++
+		}
+		if a.header.Get("Retry-After") != "" {
+			c.named++
+		}
+	}
+}
+
+func (c *brittleCounts) add(other *brittleCounts) {
+	c.lasted += other.lasted
+	c.sent += other.sent
+	c.served += other.served
+	c.refused += other.refused
+	c.prompt += other.prompt
+	c.named += other.named
 }
 
 // startBrittleCluster starts upstreams and instances, and waits until these serve.
@@ -164,6 +212,7 @@
 		must.NoError(t, server.Start())
 		t.Cleanup(server.Close)
 	})
+	s.target = brittleTarget
 	s.declare(1)
 	for n, r := range runners {
 		took := l.took[n]
@@ -190,34 +239,35 @@
 func (s *testCluster) sendOneBrittle(l *brittleLoad, i *instance, n int) reply {
 	body := strings.Repeat("x", n%7)
 	if l.engines {
-		a, _ := send(s.t, i.url, http.MethodPost, "/draft/x", body, modelHeader, fmt.Sprint("base/a", n%brittleAdapters))
+		a, _ := send(s.t, i.url, http.MethodPost, "/draft/x", body, deadlineHeader, brittleDeadline, modelHeader, fmt.Sprint("base/a", n%brittleAdapters))
 		return a
 	}
-	a, _ := send(s.t, i.url, http.MethodPost, "/often/x", body)
+	a, _ := send(s.t, i.url, http.MethodPost, "/often/x", body, deadlineHeader, brittleDeadline)
 	return a
 }
 
-// sendBrittle sends requests to the instances for a time, and returns how many were served.
-func (s *testCluster) sendBrittle(l *brittleLoad, all []*instance, length time.Duration) (served, sent int) {
-	var lock sync.Mutex
+// sendBrittle sends requests to the instances for a time, and returns how they ended.
+func (s *testCluster) sendBrittle(l *brittleLoad, all []*instance, length time.Duration) *brittleCounts {
+	got := &brittleCounts{}
 	var callers sync.WaitGroup
 	pause := time.Duration(float64(time.Second) / (l.offered * l.capacity()))
 	begun := time.Now()
-	for sent = 0; time.Since(begun) < length; sent++ {
-		i := all[sent%len(all)]
-		if l.skewed && sent%10 != 0 {
+	for n := 0; time.Since(begun) < length; n++ {
+		got.sent++
+		i := all[n%len(all)]
+		if l.skewed && n%10 != 0 {
 			i = all[0]
 		}
 		callers.Go(func() {
-			a := s.sendOneBrittle(l, i, sent)
-			lock.Lock()
-			defer lock.Unlock()
-			if a.status == http.StatusOK && a.err == nil {
-				served++
-			}
+			at := time.Now()
+			a := s.sendOneBrittle(l, i, n)
+			got.record(a, time.Since(at))
 		})
-		time.Sleep(time.Until(begun.Add(time.Duration(sent+1) * pause)))
+		time.Sleep(time.Until(begun.Add(time.Duration(n+1) * pause)))
 	}
 	callers.Wait()
-	return served, sent
+	got.lasted = time.Since(begun)
+	return got
 }
+
+const deadlineHeader = "X-Snipepitch-Deadline-Ms"
--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -36,6 +36,8 @@
 	address netip.AddrPort
 	runners map[string]*snipestand.Runner
 	faults  snipestand.RunnerFaults
+	// target is the latency target that declare gives all routes.
+	target time.Duration
 	// dial opens the connections to upstreams of the next instance that is started; nil means TCP.
 	dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	log  bytes.Buffer
@@ -82,7 +84,7 @@
 // the test ends. start starts an upstream and sets its address. event is the interval between the
 // events of a stream.
 func startTestCluster(t *testing.T, event time.Duration, runners []*snipestand.Runner, start func(r *snipestand.Runner)) *testCluster {
-	s := &testCluster{t: t, store: snipestand.NewRowStore(), runners: map[string]*snipestand.Runner{}}
+	s := &testCluster{t: t, store: snipestand.NewRowStore(), runners: map[string]*snipestand.Runner{}, target: 3 * time.Second}
 	s.address = serve(t, s.store.Handler())
 	for _, r := range runners {
 		r.Slots, r.LoadDuration, r.EventInterval, r.Events = 4, 30*time.Millisecond, event, 6
@@ -119,7 +121,7 @@
 	route := func(name, prefix, kind, service string, extra object) object {
 		r := object{
 			"name": name, "host": host, "prefix": prefix, "routeKind": kind, "service": service,
-			"timeoutMs": 8000, "targetLatencyMs": 3000, "maxAttempts": 2,
+			"timeoutMs": 8000, "targetLatencyMs": s.target.Milliseconds(), "maxAttempts": 2,
 		}
 		for k, v := range extra {
 			r[k] = v
--- a/snipeentry/lender.go
+++ b/snipeentry/lender.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // lender coordinates services: it grants the permits that instances, this one included, ask it for.
@@ -26,8 +28,10 @@
 	Plain     func(service string) bool
 	Upstreams func(service string) []*snipedirectory.Upstream
 	Stopping  func() bool
-	Log       *snipelog.Logger
-	Meter     *snipemeter.Meter
+	// Brittle is as in admission.
+	Brittle *snipesignal.BrittleTracker
+	Log     *snipelog.Logger
+	Meter   *snipemeter.Meter
 
 	lock sync.Mutex // guards the fields below
 	// coordinators holds the services for which permits were asked for here.
@@ -38,10 +42,30 @@
 	directory *snipedirectory.Snapshot
 }
 
-// coordinator returns the coordinator of a plain service, and creates it on the first call. It
-// returns nil if no plain service has this name, or none of its upstreams is known.
+// lends reports whether permits are lent under a name: of a plain service, or of an engine that is registered.
+func (l *lender) lends(name string) bool {
+	return l.Plain(name) || strings.HasPrefix(name, enginePrefix) && len(l.Upstreams(name)) > 0
+}
+
+// isBrittle reports whether the service of a name is brittle, and how many refusals its upstreams bear.
+func (l *lender) isBrittle(name string) (maxRefusals int, ok bool) {
+	if l.Brittle == nil {
+		return 0, false
+	}
+	service := name
+	if strings.HasPrefix(name, enginePrefix) {
+		for _, u := range l.Upstreams(name) {
+			service = u.Service
+		}
+	}
+	b, ok := l.Brittle.Get(service)
+	return b.MaxRefusals, ok
+}
+
+// coordinator returns the coordinator of a plain service or an engine, and creates it on the first call. It
+// returns nil if none has this name, or no upstream is known.
 func (l *lender) coordinator(service string) *snipeadmission.Coordinator {
-	if !l.Plain(service) || len(lendable(l.Upstreams(service))) == 0 {
+	if !l.lends(service) || len(lendable(l.Upstreams(service))) == 0 {
 		return nil
 	}
 	l.lock.Lock()
@@ -56,6 +80,7 @@
 	c := &snipeadmission.Coordinator{
 		Upstreams:  func() []snipeadmission.Upstream { return lendable(l.Upstreams(service)) },
 		OnDecision: lines.record,
+		Brittle:    func() (int, bool) { return l.isBrittle(service) },
 	}
 	l.coordinators[service] = c
 	return c
@@ -119,6 +144,14 @@
 	}
 }
 
+// reportUnpermitted records the requests of an instance without a permit of this one. A coordinator that was not
+// asked for permits yet is created for it.
+func (l *lender) reportUnpermitted(instance, service string, counts map[string]int) {
+	if c := l.coordinator(service); c != nil {
+		c.ReportUnpermitted(instance, counts)
+	}
+}
+
 // refresh makes a change of the directory of upstreams take effect for the requests that wait.
 func (l *lender) refresh(directory *snipedirectory.Snapshot) {
 	l.lock.Lock()
@@ -137,7 +170,7 @@
 // no longer live.
 func (l *lender) forget(live map[netip.AddrPort]snipeowner.Instance) {
 	l.lock.Lock()
-	maps.DeleteFunc(l.coordinators, func(service string, _ *snipeadmission.Coordinator) bool { return !l.Plain(service) })
+	maps.DeleteFunc(l.coordinators, func(service string, _ *snipeadmission.Coordinator) bool { return !l.lends(service) })
 	before := l.live
 	l.live = live
 	l.lock.Unlock()
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -101,7 +101,7 @@
 // peerHandler returns the handler for requests of other instances.
 func (i *Instance) peerHandler() http.Handler {
 	adapters := snipeproto.NewAdapterServer(&peerServer{
-		controller: i.controller, ensure: i.ensureForPeer, replicas: i.gateway.Chooser.Replicas, board: i.board, balancer: i.balancer, signals: i.signals,
+		controller: i.controller, ensure: i.ensureForPeer, replicas: i.gateway.Chooser.Replicas, board: i.board, balancer: i.balancer, signals: i.signals, brittle: i.brittle,
 		ignoredWork: i.countIgnoredWork,
 	})
 	mirrors := snipeproto.NewMirrorServer(&mirrorServer{mirrors: i.mirrors()})
--- a/snipeentry/loads_test.go
+++ b/snipeentry/loads_test.go
@@ -53,7 +53,7 @@
 		own.SetLoad("quiet", 5)
 		own.SetLoad("known", 6)
 		time.Sleep(200 * time.Millisecond)
-		server := &peerServer{balancer: first, signals: &snipesignal.Tracker{}}
+		server := &peerServer{balancer: first, signals: &snipesignal.Tracker{}, brittle: &snipesignal.BrittleTracker{}}
 		answer, err := server.Loads(t.Context(), &snipeproto.AdapterLoadsRequest{})
 		must.NoError(t, err)
 		must.Len(t, 2, answer.GetLoads())
--- a/snipeentry/peers.go
+++ b/snipeentry/peers.go
@@ -31,6 +31,7 @@
 	board    *snipebalance.Board
 	balancer *snipebalance.Balancer
 	signals  *snipesignal.Tracker
+	brittle  *snipesignal.BrittleTracker
 	// ignoredWork is called for each message whose work is ignored; nil means that none is counted.
 	ignoredWork func()
 
--- a/snipeentry/permits.go
+++ b/snipeentry/permits.go
@@ -27,6 +27,7 @@
 	coordinator netip.AddrPort
 	service     string
 	id          uint64
+	upstream    string
 }
 
 // permits holds the permits of this instance's requests, and the results to be sent to coordinators.
@@ -42,7 +43,7 @@
 
 // hold records a permit until its Release is called.
 func (a *admission) hold(coordinator netip.AddrPort, service string, p snipeadmission.Permit) *snipegateway.Permit {
-	h := heldPermit{coordinator, service, p.ID}
+	h := heldPermit{coordinator, service, p.ID, p.Upstream}
 	a.permits.add(h)
 	return &snipegateway.Permit{
 		Upstream: p.Upstream, Coordinator: a.name(coordinator),
@@ -68,6 +69,19 @@
 	delete(p.granted, h)
 }
 
+// held returns the number of permits of a coordinator for an upstream.
+func (p *permits) held(coordinator netip.AddrPort, upstream string) int {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	n := 0
+	for h := range p.granted {
+		if h.coordinator == coordinator && h.upstream == upstream {
+			n++
+		}
+	}
+	return n
+}
+
 // dueForRenewal returns the permits that were granted at least renewAge ago, by coordinator and service.
 func (p *permits) dueForRenewal() map[netip.AddrPort]map[string][]uint64 {
 	before := time.Now().Add(-renewAge)
@@ -137,17 +151,18 @@
 		if results == nil {
 			return
 		}
-		a.sendRelease(context.Background(), to, &snipeproto.AdmissionReleaseRequest{Results: results})
+		// The loss of the coordinator shows when the next permit is asked for, and permits end by themselves.
+		_ = a.sendRelease(context.Background(), to, &snipeproto.AdmissionReleaseRequest{Results: results})
 	}
 }
 
-// sendRelease sends a message to a coordinator. Errors are ignored: the loss of the coordinator
-// shows when the next permit is asked for, and permits end by themselves.
-func (a *admission) sendRelease(ctx context.Context, to netip.AddrPort, r *snipeproto.AdmissionReleaseRequest) {
+// sendRelease sends a message to a coordinator.
+func (a *admission) sendRelease(ctx context.Context, to netip.AddrPort, r *snipeproto.AdmissionReleaseRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	r.Version, r.Instance = admissionVersion, a.Self.String()
-	_, _ = a.Client(to).Release(ctx, r)
+	_, err := a.Client(to).Release(ctx, r)
+	return err
 }
 
 // renew renews the permits of requests that have run for renewAge, by one message to each
@@ -160,6 +175,18 @@
 			}
 			continue
 		}
-		go a.sendRelease(ctx, to, &snipeproto.AdmissionReleaseRequest{Renewals: encodeRenewals(services)})
+		go a.sendRenewal(ctx, to, services)
+	}
+}
+
+// sendRenewal renews permits. A coordinator that does not answer is lost for all of their services: an instance
+// without new requests would not notice it otherwise, nor tell the next one of the requests that still run.
+func (a *admission) sendRenewal(ctx context.Context, to netip.AddrPort, services map[string][]uint64) {
+	err := a.sendRelease(ctx, to, &snipeproto.AdmissionReleaseRequest{Renewals: encodeRenewals(services)})
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	for service := range services {
+		a.noteLost(service, to, false, err)
 	}
 }
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -122,11 +122,11 @@
 // sendSignals sends other instances the signals that this instance received from upstreams and that
 // are due to be sent now, and does not wait for the answers.
 func (i *Instance) sendSignals(ctx context.Context) {
-	updates := i.signals.PendingUpdates()
-	if len(updates) == 0 {
+	updates, brittle := i.signals.PendingUpdates(), i.brittle.PendingUpdates()
+	if len(updates) == 0 && len(brittle) == 0 {
 		return
 	}
-	r := &snipeproto.AdapterSignalRequest{Signals: encodeSignals(updates)}
+	r := &snipeproto.AdapterSignalRequest{Signals: encodeSignals(updates), Brittle: encodeBrittle(brittle)}
 	for _, peer := range i.signalPeers() {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, signalTimeout)
@@ -161,6 +161,7 @@
 // Signal implements snipeproto.Adapter: it merges the signals that another instance received.
 func (s *peerServer) Signal(_ context.Context, r *snipeproto.AdapterSignalRequest) (*snipeproto.AdapterSignalResponse, error) {
 	s.signals.Merge(decodeSignals(r.GetSignals()))
+	s.brittle.Merge(decodeBrittle(r.GetBrittle()))
 	return &snipeproto.AdapterSignalResponse{}, nil
 }
 
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -198,6 +198,7 @@
 			i.applyOwnLoads()
 			i.spreadAdapters()
 			i.sendSignals(ctx)
+			i.admission.reportUnpermitted(ctx)
 			i.stepCrashes(ctx)
 			i.streams.Step()
 			i.announceSoftware(ctx)
@@ -205,9 +206,7 @@
 		})
 	})
 	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, probeInterval, i.reach.Probe) })
-	if i.Settings.AdmissionShare > 0 {
-		i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, renewInterval, i.admission.renew) })
-	}
+	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, renewInterval, i.admission.renew) })
 	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, loadsInterval, i.updateLoads) })
 	i.addTask(ctx, &g, i.runPressure)
 	servers, err := i.listen(ctx, &g)
@@ -254,7 +253,7 @@
 	i.catalog = &snipecatalog.Cache{}
 	i.directory = &snipedirectory.Cache{OnEvent: i.upstreamChanged, LapseGrace: registryRecoveryTime}
 	i.buildSignals()
-	i.balancer = &snipebalance.Balancer{Domain: s.Domain, Suspect: i.logSuspect, Open: i.signals.Open, IgnorePace: s.IgnorePace}
+	i.balancer = &snipebalance.Balancer{Domain: s.Domain, Suspect: i.logSuspect, Open: i.upstreamOpen, IgnorePace: s.IgnorePace}
 	i.board = &snipebalance.Board{}
 	i.residency = &snipeadapter.Residency{}
 	i.buildReach()
--- a/snipeentry/tables.go
+++ b/snipeentry/tables.go
@@ -220,6 +220,7 @@
 	i.residency.Retain(registered)
 	i.balancer.Retain(registered)
 	i.signals.Retain(registered)
+	i.brittle.Retain(i.declared)
 }
 
 // logEntries logs which registry entries cannot be decoded, and which of them can be decoded again
--- a/snipeentry/work_test.go
+++ b/snipeentry/work_test.go
@@ -36,7 +36,7 @@
 			total := owner.board.Totals()[u.ID]
 			gatherer.applyReport(&snipeproto.AdapterReportResponse{Loads: []*snipeproto.EngineLoad{encodeLoad(u.ID, total.Load, total.Work)}})
 			time.Sleep(100 * time.Millisecond)
-			answer, err := (&peerServer{balancer: gatherer.balancer, signals: &snipesignal.Tracker{}}).Loads(t.Context(), nil)
+			answer, err := (&peerServer{balancer: gatherer.balancer, signals: &snipesignal.Tracker{}, brittle: &snipesignal.BrittleTracker{}}).Loads(t.Context(), nil)
 			must.NoError(t, err)
 			must.Len(t, 1, answer.GetLoads())
 			l := answer.GetLoads()[0]
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -22,6 +22,10 @@
 	// Acquire waits for a permit. A refusal is a *DeniedError. If ctx ends first, its error is
 	// returned. Acquire sets the instance of the request.
 	Acquire func(ctx context.Context, service string, r snipeadmission.Request) (*Permit, error)
+	// AcquireEngine is Acquire for one engine of a brittle service. EngineFull reports whether an engine has
+	// just had no free permit. Both are nil if Applies is.
+	AcquireEngine func(ctx context.Context, engine string, r snipeadmission.Request) (*Permit, error)
+	EngineFull    func(engine string) bool
 }
 
 // Permit is the right to send one request to one upstream. It must be released once.
@@ -194,7 +198,7 @@
 		return snipeadmission.OutcomeServed
 	case c.request.Context().Err() != nil, errors.Is(err, snipeerror.ErrCanceled):
 		return snipeadmission.OutcomeCanceled
-	case !c.gateway.Balancer.Usable(u):
+	case c.gateway.Balancer.Suspected(u.ID), c.brittle() && errors.Is(err, snipeerror.ErrUpstreamFailed):
 		return snipeadmission.OutcomeSuspect
 	default:
 		return snipeadmission.OutcomeFailed
@@ -232,10 +236,14 @@
 func (c *call) noteLoad(l *Load) { c.admission.load, c.admission.loadAt = l, time.Now() }
 
 // refusalOutcome returns the outcome of an attempt that the upstream did not run. An address at
-// which another upstream answers counts as unreachable.
+// which another upstream answers counts as unreachable. That an adapter is missing tells nothing about the
+// upstream's room.
 func refusalOutcome(v AnswerState) snipeadmission.Outcome {
-	if v.Elsewhere {
+	switch {
+	case v.Elsewhere:
 		return snipeadmission.OutcomeUnreachable
+	case v.Missing:
+		return snipeadmission.OutcomeUnused
 	}
 	return snipeadmission.OutcomeRefused
 }
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -202,8 +202,8 @@
 	case v.Elsewhere:
 		c.gateway.Balancer.RecordReplaced(id)
 		c.noteReplaced()
-	case v.Signal.Backoff > 0:
-		// The engine has no free slot, but keeps its adapters during its backoff.
+	case v.Signal.Backoff > 0, c.admission.asked && !v.Missing && c.Adapter.Name != "":
+		// The engine has no free slot, but keeps its adapters.
 	case c.Adapter.Name != "":
 		c.gateway.Chooser.Residency.RecordAbsent(id, c.Adapter)
 	default:
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -208,9 +208,12 @@
 	c.setDemand()
 	var choice Choice
 	var err error
-	if c.needsPermit() {
+	switch {
+	case c.needsPermit():
 		choice, err = c.chooseWithPermit(bounded)
-	} else {
+	case c.needsEnginePermit():
+		choice, err = c.chooseEngineWithPermit(bounded)
+	default:
 		choice, err = c.gateway.Chooser.Choose(bounded, c.service, &c.Request, c.allTried(), c.maxLoadWait())
 	}
 	c.waited += choice.Waited
--- a/snipegateway/choose.go
+++ b/snipegateway/choose.go
@@ -68,9 +68,12 @@
 	uses                map[string]*engineUse
 }
 
+// noLoads, in place of the longest wait for an adapter, has only engines chosen that hold it.
+const noLoads time.Duration = -1
+
 // Choose returns an upstream of a service for a request. It excludes the upstreams in tried, where
 // earlier attempts failed, and requests only loads of an adapter that are expected to take at most
-// maxWait. Its errors carry a retry time for the caller.
+// maxWait, and none with noLoads. Its errors carry a retry time for the caller.
 func (c *Chooser) Choose(ctx context.Context, service string, q *Request, tried []string, maxWait time.Duration) (Choice, error) {
 	directory := c.Directory.Snapshot()
 	registered := directory.Service(service)
@@ -138,7 +141,7 @@
 	u := c.pickEngine(all[0].Service, holders, eligible, q)
 	if u != nil && (c.Balancer.Usable(u) || held > 0) {
 		choice := c.newChoice(u, a)
-		if a.Name != "" && c.overloaded(u) {
+		if a.Name != "" && maxWait != noLoads && c.overloaded(u) {
 			if other, ok := c.offload(ctx, all, q, required, tried, u); ok {
 				choice = other
 			}
@@ -146,7 +149,7 @@
 		choice.Holders = held
 		return choice, nil
 	}
-	if a.Name == "" {
+	if a.Name == "" || maxWait == noLoads {
 		return Choice{}, c.refusalError(all, noUpstreamError("no engine holds the model"))
 	}
 	return c.load(ctx, all, q, required, maxWait, untried)
--- a/snipesignal/brittle.go
+++ b/snipesignal/brittle.go
@@ -46,11 +46,26 @@
 	services map[string]*brittleService
 }
 
-// brittleService is a service that is brittle.
+// brittleService is a service that is brittle, or was.
 type brittleService struct {
 	Brittleness
+	brittle bool
 	// broken holds the starts that Broken counts.
 	broken map[string]bool
+	// clearedAt is when the request was sent whose answer ended the state; zero if none has.
+	clearedAt time.Time
+	// received reports whether an upstream stated it to this instance since notifiedAt, which is when the other
+	// instances were last notified, by this one or another.
+	received   bool
+	notifiedAt time.Time
+}
+
+// BrittleUpdate is a brittle service, in the form in which instances exchange it.
+type BrittleUpdate struct {
+	Service     string
+	MaxRefusals int
+	// Age is the time since an upstream stated it.
+	Age time.Duration
 }
 
 // Record records what an answer of a service's upstream states. sent is when its request was sent.
@@ -66,40 +81,97 @@
 func (b *BrittleTracker) record(service string, sent time.Time, s Signal) (BrittleChange, bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
+	if s.Brittle {
+		change, begins := b.state(service, s.MaxRefusals, time.Now())
+		b.services[service].received = true
+		return change, begins
+	}
 	known := b.services[service]
-	switch {
-	case s.Brittle:
-		return b.state(service, s.MaxRefusals, time.Now())
-	case known != nil && sent.After(known.StatedAt.Add(brittleSettleTime)):
-		delete(b.services, service)
-		return BrittleChange{Service: service, Brittleness: known.Brittleness}, true
+	if known == nil || !known.brittle || !sent.After(known.StatedAt.Add(brittleSettleTime)) {
+		return BrittleChange{}, false
 	}
-	return BrittleChange{}, false
+	known.brittle, known.received, known.clearedAt = false, false, sent
+	return BrittleChange{Service: service, Brittleness: known.Brittleness}, true
 }
 
 // state records that a service was stated to be brittle, and returns the change if that is new. The lock is
 // held.
-func (b *BrittleTracker) state(service string, maxRefusals int, statedAt time.Time) (BrittleChange, bool) {
+func (b *BrittleTracker) state(service string, maxRefusals int, statedAt time.Time) (change BrittleChange, begins bool) {
 	if b.services == nil {
 		b.services = make(map[string]*brittleService)
 	}
 	known := b.services[service]
-	if known == nil {
-		known = &brittleService{Brittleness: Brittleness{Since: time.Now()}, broken: make(map[string]bool)}
+	if known == nil || !known.brittle {
+		begins = true
+		known = &brittleService{brittle: true, Brittleness: Brittleness{Since: time.Now()}, broken: make(map[string]bool)}
 		b.services[service] = known
 	}
-	begins := known.StatedAt.IsZero()
 	if statedAt.After(known.StatedAt) {
 		known.MaxRefusals, known.StatedAt = maxRefusals, statedAt
 	}
 	return BrittleChange{Service: service, Brittle: true, Brittleness: known.Brittleness}, begins
 }
 
+// PendingUpdates returns the brittle services to notify the other instances of now, and marks them as sent: those
+// whose upstreams have stated it to this instance, when it is new and every announceInterval.
+func (b *BrittleTracker) PendingUpdates() []BrittleUpdate {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	var all []BrittleUpdate
+	for service, known := range b.services {
+		if !known.received || now.Sub(known.notifiedAt) < announceInterval {
+			continue
+		}
+		known.received, known.notifiedAt = false, now
+		all = append(all, BrittleUpdate{service, known.MaxRefusals, now.Sub(known.StatedAt)})
+	}
+	return all
+}
+
+// CurrentUpdates returns all brittle services, and marks nothing as sent.
+func (b *BrittleTracker) CurrentUpdates() []BrittleUpdate {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	now := time.Now()
+	var all []BrittleUpdate
+	for service, known := range b.services {
+		if known.brittle {
+			all = append(all, BrittleUpdate{service, known.MaxRefusals, now.Sub(known.StatedAt)})
+		}
+	}
+	return all
+}
+
+// Merge merges what another instance knows. What an upstream stated before the state ended here is ignored.
+func (b *BrittleTracker) Merge(all []BrittleUpdate) {
+	for _, u := range all {
+		change, begins := b.merge(u)
+		if begins && b.Changed != nil {
+			change.Source = Instance
+			b.Changed(change)
+		}
+	}
+}
+
+func (b *BrittleTracker) merge(u BrittleUpdate) (BrittleChange, bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	statedAt := time.Now().Add(-max(u.Age, 0))
+	if known := b.services[u.Service]; known != nil && !known.brittle && !statedAt.After(known.clearedAt) {
+		return BrittleChange{}, false
+	}
+	change, begins := b.state(u.Service, u.MaxRefusals, statedAt)
+	// The instance that sent this update has sent it to the other instances too.
+	b.services[u.Service].notifiedAt = time.Now()
+	return change, begins
+}
+
 // Get returns the state of a service, or false if it is not brittle.
 func (b *BrittleTracker) Get(service string) (Brittleness, bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if known := b.services[service]; known != nil {
+	if known := b.services[service]; known != nil && known.brittle {
 		return known.Brittleness, true
 	}
 	return Brittleness{}, false
@@ -111,7 +183,7 @@
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	known := b.services[service]
-	if known == nil {
+	if known == nil || !known.brittle {
 		return 0, false
 	}
 	known.Refusals++
@@ -126,7 +198,7 @@
 func (b *BrittleTracker) RecordBroken(service, upstream string) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	if known := b.services[service]; known != nil && len(known.broken) < maxBroken {
+	if known := b.services[service]; known != nil && known.brittle && len(known.broken) < maxBroken {
 		known.broken[upstream] = true
 		known.Broken = len(known.broken)
 	}
@@ -136,7 +208,13 @@
 func (b *BrittleTracker) Count() int {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	return len(b.services)
+	n := 0
+	for _, known := range b.services {
+		if known.brittle {
+			n++
+		}
+	}
+	return n
 }
 
 // Retain drops the state of the services for which declared returns false.
--- a/snipesignal/brittle_test.go
+++ b/snipesignal/brittle_test.go
@@ -71,3 +71,31 @@
 		must.Zero(t, b.Count())
 	})
 }
+
+// TestBrittleUpdates guards against instances that do not learn of a brittle service from others, that hear of it
+// again and again, or for which an old update makes a service brittle again.
+func TestBrittleUpdates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stated := snipesignal.Signal{Brittle: true, MaxRefusals: 3}
+		told, other := &snipesignal.BrittleTracker{}, &snipesignal.BrittleTracker{}
+		told.Record("s", upstream, time.Now(), stated)
+		updates := told.PendingUpdates()
+		must.Len(t, 1, updates)
+		other.Merge(updates)
+		got, brittle := other.Get("s")
+		must.True(t, brittle)
+		must.Eq(t, 3, got.MaxRefusals)
+		must.SliceEmpty(t, other.PendingUpdates(), must.Sprint("known from another instance"))
+		told.Record("s", upstream, time.Now(), stated)
+		must.SliceEmpty(t, told.PendingUpdates(), must.Sprint("sent a moment ago"))
+		time.Sleep(5 * second)
+		must.Len(t, 1, told.PendingUpdates())
+		old := told.CurrentUpdates()
+		other.Record("s", upstream, time.Now(), snipesignal.Signal{})
+		_, brittle = other.Get("s")
+		must.False(t, brittle)
+		other.Merge(old)
+		_, brittle = other.Get("s")
+		must.False(t, brittle, must.Sprint("stated before it ended"))
+	})
+}
