Failing test: requests with a part of a prompt that crashes engines

TestCrashingPartRefused: six engines that crash when they begin to write an answer on one part of a prompt, 3 to 7 instances, a request with that part each 300 ms, no two alike, beside 40 sound ones a second that share the first part. TestSoundPartsNotBlamed, which passes as nothing counts parts yet, has engines crash for other reasons.

--- /dev/null
+++ b/snipeentry/part_test.go
@@ -0,0 +1,232 @@
+package snipeentry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+const (
+	// crashPart is the part of a prompt that crashes the engines of a part cluster, sharedPart the first part of
+	// nearly all prompts.
+	crashPart, sharedPart = "dead", "aa"
+	// partPause is the time between two requests with crashPart, soundPause that between two sound ones.
+	partPause, soundPause = 300 * time.Millisecond, 25 * time.Millisecond
+	// partTime is how long requests are sent.
+	partTime = 16 * time.Second
+	// partRecovery is the time after the fifth crash from which on sound requests are judged, minPartServed the
+	// fraction of them that must be answered.
+	partRecovery  = 2 * contactTime
+	minPartServed = 0.95
+	// soundSessions is the number of middle parts that sound requests share.
+	soundSessions = 12
+	partsHeader   = "X-Snipepitch-Prompt-Prefix"
+	usageHeader   = "X-Snipepitch-Token-Usage"
+)
+
+// partCluster is a cluster of six engines that crash when they begin to write an answer on crashPart.
+type partCluster struct {
+	*testCluster
+	servers []*snipestand.RunnerServer
+	lock    sync.Mutex // guards instances
+	// instances are those to which requests are sent.
+	instances []*instance
+}
+
+func newPartCluster(t *testing.T, instances int) *partCluster {
+	var runners []*snipestand.Runner
+	for n := range 6 {
+		runners = append(runners, &snipestand.Runner{ID: fmt.Sprint("e", n), Service: "engines", Model: "base"})
+	}
+	c := &partCluster{}
+	c.testCluster = startTestCluster(t, 10*time.Millisecond, runners, func(r *snipestand.Runner) {
+		server := &snipestand.RunnerServer{Runner: r, CrashPart: crashPart, Downtime: crashDowntime}
+		must.NoError(t, server.Start())
+		t.Cleanup(server.Close)
+		c.servers = append(c.servers, server)
+	})
+	c.declare(1)
+	for _, r := range runners {
+		r.SetCapacity(32, 32, 60*time.Millisecond)
+	}
+	for n := range instances {
+		c.instances = append(c.instances, c.start(fmt.Sprint("i", n)))
+	}
+	for _, i := range c.instances {
+		eventually(t, i.isReady)
+		eventually(t, func() bool { return c.sendPrompt(i, "/draft/x", "first", sharedPart).status == http.StatusOK })
+	}
+	waitPeersKnown(t, c.instances)
+	return c
+}
+
+// sendPrompt sends a request whose prompt has the given parts, and one of its own.
+func (c *partCluster) sendPrompt(i *instance, target, body string, parts ...string) reply {
+	var prefix strings.Builder
+	for _, part := range parts {
+		fmt.Fprintf(&prefix, "%s:100,", part)
+	}
+	fmt.Fprintf(&prefix, "%x:50", rand.Uint64())
+	a, _ := send(c.t, i.url, http.MethodPost, target, body, modelHeader, "base", usageHeader, "350,6", partsHeader, prefix.String())
+	return a
+}
+
+// pick returns the instance for the nth request.
+func (c *partCluster) pick(n int) *instance {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.instances[n%len(c.instances)]
+}
+
+func (c *partCluster) setInstances(all []*instance) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.instances = all
+}
+
+// crashes returns the records of crashPart, and the times of its crashes in order.
+func (c *partCluster) crashes() (records []snipestand.CrashRecord, crashes []time.Time) {
+	for _, r := range c.runners {
+		record := r.CrashesOnPart(crashPart)
+		records = append(records, record)
+		crashes = append(crashes, record.Crashes...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	return records, crashes
+}
+
+// sendSound sends sound requests of several kinds for a time. All kinds hold sharedPart.
+func (c *partCluster) sendSound(length time.Duration) *replies {
+	sound := &replies{}
+	var callers sync.WaitGroup
+	for n, begun := 0, time.Now(); time.Since(begun) < length; n++ {
+		callers.Go(func() {
+			at := time.Now()
+			parts := []string{sharedPart}
+			if n%3 != 0 {
+				parts = append(parts, fmt.Sprintf("5e%02x", n%soundSessions))
+			}
+			a := c.sendPrompt(c.pick(n), "/draft/x", fmt.Sprint("sound ", n), parts...)
+			sound.add(timedReply{a, at})
+		})
+		time.Sleep(soundPause)
+	}
+	callers.Wait()
+	return sound
+}
+
+// sendCrashingParts sends requests with crashPart for a time: at first a burst of them, then one each partPause. No two
+// are alike.
+func (c *partCluster) sendCrashingParts(burst int, length time.Duration) {
+	targets := []string{"/draft/x", "/draft/y", "/final/x"}
+	var callers sync.WaitGroup
+	for n, begun := 0, time.Now(); time.Since(begun) < length; n++ {
+		callers.Go(func() {
+			parts := []string{sharedPart, crashPart}
+			if n%2 == 1 {
+				parts = []string{sharedPart, crashPart, fmt.Sprintf("cc%x", n)}
+			}
+			c.sendPrompt(c.pick(n), targets[n%len(targets)], fmt.Sprint("crashing ", n), parts...)
+		})
+		if n >= burst {
+			time.Sleep(partPause)
+		}
+	}
+	callers.Wait()
+}
+
+// TestCrashingPartRefused guards against requests that crash engine after engine because one part of their prompts
+// does, whatever else they hold, and against sound callers that are refused because their prompts share the other
+// parts.
+func TestCrashingPartRefused(t *testing.T) {
+	tests := map[string]struct {
+		instances int
+		burst     int
+		// during is called after the third crash.
+		during func(c *partCluster)
+	}{
+		"Three": {instances: 3},
+		"Seven": {instances: 7},
+		"Burst": {instances: 3, burst: 8},
+		"Killed": {instances: 5, during: func(c *partCluster) {
+			first := c.pick(0)
+			c.setInstances(c.instances[1:])
+			first.kill()
+		}},
+		"Started": {instances: 3, during: func(c *partCluster) {
+			i := c.start("late")
+			eventually(c.t, i.isReady)
+			c.setInstances(append(c.instances[:2:2], i))
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newPartCluster(t, tt.instances)
+			var sound *replies
+			var senders sync.WaitGroup
+			senders.Go(func() { sound = c.sendSound(partTime) })
+			senders.Go(func() { c.sendCrashingParts(tt.burst, partTime) })
+			if tt.during != nil {
+				eventually(t, func() bool { _, crashes := c.crashes(); return len(crashes) >= 3 })
+				tt.during(c)
+			}
+			senders.Wait()
+			records, crashes := c.crashes()
+			must.GreaterEq(t, 3, len(crashes), must.Sprint("the part crashes engines"))
+			last := crashes[min(len(crashes), 5)-1]
+			answered, all := sound.answeredFrom(last.Add(partRecovery))
+			inAll, sent := sound.answeredFrom(time.Time{})
+			t.Logf("%s: %d crashes, %d of %d sound requests answered, %d of %d after the recovery", t.Name(), len(crashes), inAll, sent, answered, all)
+			breaches := snipestand.PartCrashBreaches(records, crashBound, nil)
+			test.SliceEmpty(t, breaches, test.Sprint(breaches))
+			test.GreaterEq(t, int(minPartServed*float64(all)), answered, test.Sprint("sound requests that were answered"))
+			test.Positive(t, all)
+		})
+	}
+}
+
+// TestSoundPartsNotBlamed guards against parts of prompts that are refused because engines crash for other reasons:
+// one after the other, several at once, or all at once.
+func TestSoundPartsNotBlamed(t *testing.T) {
+	tests := map[string]struct {
+		// together is how many engines crash at a time, pause the time between two times.
+		together int
+		pause    time.Duration
+	}{
+		"InTurn": {1, 300 * time.Millisecond},
+		"Half":   {3, 2 * time.Second},
+		"All":    {6, 4 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newPartCluster(t, 3)
+			var sound *replies
+			var senders sync.WaitGroup
+			senders.Go(func() { sound = c.sendSound(partTime) })
+			for n, begun := 0, time.Now(); time.Since(begun) < partTime/2; n += tt.together {
+				for k := range tt.together {
+					c.servers[(n+k)%len(c.servers)].Crash()
+				}
+				time.Sleep(tt.pause)
+			}
+			calm := time.Now().Add(crashDowntime + 2*time.Second)
+			senders.Wait()
+			answered, all := sound.answeredFrom(calm)
+			t.Logf("%s: %d of %d sound requests answered after the crashes", t.Name(), answered, all)
+			test.Eq(t, all, answered)
+			test.False(t, strings.Contains(c.logged(), `"Part":true,"Refused":true`))
+		})
+	}
+}
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -97,6 +97,10 @@
 // stream writes the events of an answer, starting after the last event that the request names.
 func (r *Runner) stream(ctx context.Context, w http.ResponseWriter, q *http.Request, f RunnerFault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.crashOnWriting(q) {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	software, _ := r.CurrentSoftware()
 	begin, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // 0, the start of the answer, if there is none
 	for n := begin + 1; n <= r.Events; n++ {
--- a/snipestand/runnercrash.go
+++ b/snipestand/runnercrash.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 	// records holds a record for each text that crashes the runner if the body of a request that it
 	// begins to run contains it.
 	records map[string]*CrashRecord
+	// parts holds a record for each part of a prompt that crashes the runner when it begins to write an answer
+	// on it. The last part of a prompt crashes none.
+	parts map[string]*CrashRecord
 	// stop ends the process of the runner.
 	stop func()
 	// starts counts the starts after the first one. down is set between a crash and the next start.
@@ -52,16 +56,55 @@
 }
 
 // CrashesOn returns a copy of the record of a text.
-func (r *Runner) CrashesOn(text string) CrashRecord {
+func (r *Runner) CrashesOn(text string) CrashRecord { return r.copyRecord(r.crashes.records, text) }
+
+func (r *Runner) copyRecord(records map[string]*CrashRecord, key string) CrashRecord {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	record := r.crashes.records[text]
+	record := records[key]
 	if record == nil {
 		return CrashRecord{}
 	}
 	return CrashRecord{slices.Clone(record.Arrivals), slices.Clone(record.Crashes)}
 }
 
+// CrashOnPart makes requests with a part of a prompt crash the runner when it begins to write an answer. A crash
+// calls stop, as with CrashOn.
+func (r *Runner) CrashOnPart(part string, stop func()) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.crashes.parts == nil {
+		r.crashes.parts = make(map[string]*CrashRecord)
+	}
+	r.crashes.parts[part], r.crashes.stop = &CrashRecord{}, stop
+}
+
+// CrashesOnPart returns a copy of the record of a part.
+func (r *Runner) CrashesOnPart(part string) CrashRecord { return r.copyRecord(r.crashes.parts, part) }
+
+// partRecord returns the record of the part of a request's prompt that crashes the runner, or nil. The lock is
+// held.
+func (r *Runner) partRecord(q *http.Request) *CrashRecord {
+	if len(r.crashes.parts) == 0 {
+		return nil
+	}
+	parts := strings.Split(q.Header.Get("X-Snipepitch-Prompt-Prefix"), ",")
+	for _, part := range parts[:len(parts)-1] {
+		id, _, _ := strings.Cut(part, ":")
+		if record := r.crashes.parts[id]; record != nil {
+			return record
+		}
+	}
+	return nil
+}
+
+// crashOnWriting is crashIfFatal for a request that the runner begins to answer.
+func (r *Runner) crashOnWriting(q *http.Request) bool {
+	r.lock.Lock()
+	record := r.partRecord(q)
+	return r.crash(record)
+}
+
 // id returns the identifier of the runner's current start. The lock is held.
 func (r *Runner) id() string {
 	if r.crashes.starts == 0 {
@@ -91,8 +134,10 @@
 func (r *Runner) recordCrashArrival(q *http.Request, body []byte) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if record := r.crashRecord(body); record != nil {
-		record.Arrivals = append(record.Arrivals, CrashArrival{q.Header.Get("X-Snipepitch-Attempt-Id"), time.Now()})
+	for _, record := range []*CrashRecord{r.crashRecord(body), r.partRecord(q)} {
+		if record != nil {
+			record.Arrivals = append(record.Arrivals, CrashArrival{q.Header.Get("X-Snipepitch-Attempt-Id"), time.Now()})
+		}
 	}
 }
 
@@ -101,6 +146,12 @@
 func (r *Runner) crashIfFatal(body []byte) bool {
 	r.lock.Lock()
 	record := r.crashRecord(body)
+	return r.crash(record)
+}
+
+// crash ends the runner's process because of a request with the record, if that is not nil, and reports whether the
+// request must not be answered. The lock is held, and released.
+func (r *Runner) crash(record *CrashRecord) bool {
 	if record == nil || r.crashes.down {
 		r.lock.Unlock()
 		return record != nil
@@ -124,6 +175,17 @@
 	return r.crashes.stop
 }
 
+// beginUnexplainedCrash records that the runner is down, and reports whether it was not before.
+func (r *Runner) beginUnexplainedCrash() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if r.crashes.down {
+		return false
+	}
+	r.beginCrash(time.Now())
+	return true
+}
+
 // OnCrash sets the function that ends the runner's process in a crash; StartAgain must follow.
 func (r *Runner) OnCrash(stop func()) {
 	r.lock.Lock()
--- a/snipestand/runnerserver.go
+++ b/snipestand/runnerserver.go
@@ -14,6 +14,8 @@
 	Runner *Runner
 	// CrashText is the text; empty if no request crashes the runner.
 	CrashText string
+	// CrashPart is the part of a prompt on which the runner crashes when it begins to write; empty if none.
+	CrashPart string
 	Downtime  time.Duration
 	// WhileDown is what the runner's address does in the Downtime.
 	WhileDown DownMode
@@ -35,6 +37,9 @@
 	if s.CrashText != "" {
 		s.Runner.CrashOn(s.CrashText, s.restart)
 	}
+	if s.CrashPart != "" {
+		s.Runner.CrashOnPart(s.CrashPart, s.restart)
+	}
 	if err := s.listen(); err != nil {
 		return err
 	}
@@ -92,6 +97,13 @@
 	return s.forwarder.begin(), nil
 }
 
+// Crash crashes the runner for no reason of a request. It does nothing while the runner is down.
+func (s *RunnerServer) Crash() {
+	if s.Runner.beginUnexplainedCrash() {
+		s.restart()
+	}
+}
+
 // restart closes all connections and, without a forwarder, the listener, and serves again after Downtime.
 func (s *RunnerServer) restart() {
 	s.lock.Lock()
