Parts of prompts that crash engines are counted and refused

Cause: crashes are counted by a fingerprint of the whole request, and these requests have nothing in common but the part. Each was refused after it had been at three engines itself; the next one came.

Ruled out: decisions lost with instances that were killed (nothing counted parts); a finer key, as the part with those before it or in its service (more engines end).

Change: a crash also counts against the parts of each request whose answer had not begun. Two coordinators decide about all parts, since only who knows the crashes of all can tell which part explains them: first one that no instance has lately answered, then the one with the most crashes, then the rarest. A part that was answered before needs answers by others while it is watched. Decisions spread, last and are stored as those about requests. A refused part also explains crashes for requests as a whole.

--- a/snipeentry/crash.go
+++ b/snipeentry/crash.go
@@ -28,12 +28,20 @@
 	}
 	i.crashDetector = &crashDetector{
 		Dial: i.recordDials(i.upstreamDialer(0)), Leaving: i.upstreamLeaving, ConfirmTime: i.Settings.CrashTime.Value(), Log: i.Log, Meter: i.meter,
-		Crashed: i.crashes.Crashed,
+		Crashed: i.crashes.Crashed, PartsCrashed: i.crashes.PartsCrashed,
 	}
 	i.quarantineStore = &quarantineStore{
 		Read: i.source(quarantineTable).Read, Write: i.write, Operation: i.Operation, Restore: i.crashes.Restore,
 		Wrong: i.countWrongCrashMessage,
 	}
+	i.meter.Gauge(`snipepitch_quarantined_parts{state="Refused"}`, func() float64 {
+		refused, _ := i.crashes.Parts.Count()
+		return float64(refused)
+	})
+	i.meter.Gauge(`snipepitch_quarantined_parts{state="Watched"}`, func() float64 {
+		_, watched := i.crashes.Parts.Count()
+		return float64(watched)
+	})
 	i.meter.Gauge(`snipepitch_quarantined_fingerprints{state="Refused"}`, func() float64 {
 		refused, _ := i.crashes.Suspects.Count()
 		return float64(refused)
@@ -58,7 +66,7 @@
 func (i *Instance) gatewayCrashes() snipegateway.Crashes {
 	return snipegateway.Crashes{
 		Broke: i.crashDetector.Broke, Replaced: i.crashDetector.Replaced, Waiting: i.crashDetector.Waiting, Lives: i.crashDetector.Lives,
-		Suspects: &i.crashes.Suspects, Answered: i.crashAnswered,
+		Suspects: &i.crashes.Suspects, Answered: i.crashAnswered, Parts: &i.crashes.Parts, PartsAnswered: i.crashes.PartsAnswered,
 		Refused: func() { i.meter.Count("snipepitch_quarantine_refusals_total") },
 	}
 }
@@ -84,7 +92,7 @@
 // decision whose time is over, a coordinator removes the row.
 func (i *Instance) suspectChanged(s snipequarantine.Suspect, source snipequarantine.Source) {
 	fields := snipelog.Fields{
-		fingerprintField: s.Fingerprint.String(), sourceField: source, "Round": s.Round,
+		fingerprintField: s.Fingerprint.String(), "Part": s.Part, sourceField: source, "Round": s.Round,
 		"Crashed": s.Upstreams, "LeftSeconds": int64(s.Left.Seconds()),
 	}
 	stores := source == snipequarantine.SourceOwn || source == snipequarantine.SourceTime && i.crashes.Coordinates(s.Fingerprint)
--- a/snipeentry/crashdetector.go
+++ b/snipeentry/crashdetector.go
@@ -38,7 +38,9 @@
 	upstream    *snipedirectory.Upstream
 	fingerprint snipequarantine.Fingerprint
 	request     string
-	at          time.Time
+	// parts are the parts of its prompt if its answer had not begun; nil otherwise.
+	parts []snipequarantine.Fingerprint
+	at    time.Time
 }
 
 // crashDetector finds out whether the upstream of a broken answer has ended. An answer also breaks off
@@ -62,10 +64,12 @@
 	// Leaving reports whether an upstream is leaving or has left the registry.
 	Leaving func(id string) bool
 	// Crashed is called for each request that was running at an upstream that crashed.
-	Crashed     func(upstream string, f snipequarantine.Fingerprint)
-	ConfirmTime time.Duration
-	Log         *snipelog.Logger
-	Meter       *snipemeter.Meter
+	Crashed func(upstream string, f snipequarantine.Fingerprint)
+	// PartsCrashed is called for each of them with parts of a prompt.
+	PartsCrashed func(upstream string, text snipequarantine.Fingerprint, parts []snipequarantine.Fingerprint)
+	ConfirmTime  time.Duration
+	Log          *snipelog.Logger
+	Meter        *snipemeter.Meter
 
 	// waiting is the number of broken answers that wait for evidence.
 	waiting atomic.Int64
@@ -84,12 +88,13 @@
 	endedAt time.Time // zero while there is no evidence that it has ended
 }
 
-// Broke records a broken answer to a request that was sent at the given time. It does not block.
-func (d *crashDetector) Broke(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string, sentAt time.Time) {
+// Broke records a broken answer to a request that was sent at the given time; parts are those of its prompt if
+// its answer had not begun. It does not block.
+func (d *crashDetector) Broke(u *snipedirectory.Upstream, f snipequarantine.Fingerprint, request string, sentAt time.Time, parts []snipequarantine.Fingerprint) {
 	if d.Leaving(u.ID) {
 		return
 	}
-	b := brokenAnswer{u, f, request, time.Now()}
+	b := brokenAnswer{u, f, request, parts, time.Now()}
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	s := d.upstreams[u.ID]
@@ -238,10 +243,22 @@
 func (d *crashDetector) report(all []brokenAnswer) {
 	for _, b := range all {
 		d.Log.Log(snipelog.RequestBroke, snipelog.Fields{
-			"Request": b.request, upstreamField: b.upstream.ID, fingerprintField: b.fingerprint.String(),
+			"Request": b.request, upstreamField: b.upstream.ID, fingerprintField: b.fingerprint.String(), "Parts": partNames(b.parts),
 		})
 		d.Crashed(b.upstream.ID, b.fingerprint)
+		if len(b.parts) > 0 {
+			d.PartsCrashed(b.upstream.ID, b.fingerprint, b.parts)
+		}
+	}
+}
+
+// partNames returns the fingerprints of parts as they stand in logs.
+func partNames(parts []snipequarantine.Fingerprint) []string {
+	names := make([]string, 0, len(parts))
+	for _, f := range parts {
+		names = append(names, f.String())
 	}
+	return names
 }
 
 // Sweep forgets the upstreams that have not ended within ConfirmTime and replacedTime, and those that ended
--- a/snipeentry/crashdetector_test.go
+++ b/snipeentry/crashdetector_test.go
@@ -74,8 +74,8 @@
 					Log:     snipelog.New(io.Discard, logrus.InfoLevel, "test"), Meter: snipemeter.New(),
 				}
 				u := &snipedirectory.Upstream{ID: "e1", Address: netip.MustParseAddrPort("10.1.0.1:80")}
-				d.Broke(u, snipequarantine.Fingerprint{1}, "r1", time.Now().Add(-time.Second))
-				d.Broke(u, snipequarantine.Fingerprint{2}, "r2", time.Now().Add(-time.Second))
+				d.Broke(u, snipequarantine.Fingerprint{1}, "r1", time.Now().Add(-time.Second), nil)
+				d.Broke(u, snipequarantine.Fingerprint{2}, "r2", time.Now().Add(-time.Second), nil)
 				synctest.Wait()
 				if tt.gone > 0 {
 					time.Sleep(tt.gone)
@@ -114,16 +114,16 @@
 		blamed  bool
 	}{
 		"InFlight": {func(d *crashDetector, u *snipedirectory.Upstream) {
-			d.Broke(u, innocent, "r2", time.Now().Add(-2*time.Second))
+			d.Broke(u, innocent, "r2", time.Now().Add(-2*time.Second), nil)
 		}, true},
-		"SentAfter": {func(d *crashDetector, u *snipedirectory.Upstream) { d.Broke(u, innocent, "r2", time.Now()) }, false},
+		"SentAfter": {func(d *crashDetector, u *snipedirectory.Upstream) { d.Broke(u, innocent, "r2", time.Now(), nil) }, false},
 		"AnsweredSince": {func(d *crashDetector, u *snipedirectory.Upstream) {
-			d.Broke(u, innocent, "r2", time.Now().Add(-2*time.Second))
+			d.Broke(u, innocent, "r2", time.Now().Add(-2*time.Second), nil)
 			d.Answered(innocent)
 		}, false},
 		"UpstreamLived": {func(d *crashDetector, u *snipedirectory.Upstream) {
 			d.Lives(u.ID)
-			d.Broke(u, innocent, "r2", time.Now())
+			d.Broke(u, innocent, "r2", time.Now(), nil)
 		}, true},
 	}
 	for name, tt := range tests {
@@ -141,7 +141,7 @@
 					Log: snipelog.New(io.Discard, logrus.InfoLevel, "test"), Meter: snipemeter.New(),
 				}
 				u := &snipedirectory.Upstream{ID: "e1", Address: netip.MustParseAddrPort("10.1.0.1:80")}
-				d.Broke(u, snipequarantine.Fingerprint{1}, "r1", time.Now().Add(-time.Second))
+				d.Broke(u, snipequarantine.Fingerprint{1}, "r1", time.Now().Add(-time.Second), nil)
 				time.Sleep(time.Second)
 				tt.between(d, u)
 				d.Replaced(u)
--- a/snipeentry/crashwire.go
+++ b/snipeentry/crashwire.go
@@ -15,11 +15,28 @@
 		m.Crashes = append(m.Crashes, &snipeproto.UpstreamCrash{Fingerprint: c.Fingerprint[:], Upstream: c.Upstream, Round: c.Round})
 	}
 	for _, a := range r.Answers {
-		m.Answers = append(m.Answers, &snipeproto.CrashAnswer{Fingerprint: a.Fingerprint[:], Round: a.Round})
+		m.Answers = append(m.Answers, encodeCrashAnswer(a.Fingerprint, a.Round))
+	}
+	for _, c := range r.PartCrashes {
+		p := &snipeproto.PartCrash{Upstream: c.Upstream, Text: c.Text[:]}
+		for _, mark := range c.Parts {
+			p.Parts = append(p.Parts, encodeCrashAnswer(mark.Key, mark.Round))
+		}
+		m.PartCrashes = append(m.PartCrashes, p)
+	}
+	for _, a := range r.PartAnswers {
+		m.PartAnswers = append(m.PartAnswers, encodeCrashAnswer(a.Fingerprint, a.Round))
+	}
+	for _, a := range r.PartsKnown {
+		m.PartsKnown = append(m.PartsKnown, encodeCrashAnswer(a.Fingerprint, a.Round))
 	}
 	return m
 }
 
+func encodeCrashAnswer(f snipequarantine.Fingerprint, round uint64) *snipeproto.CrashAnswer {
+	return &snipeproto.CrashAnswer{Fingerprint: f[:], Round: round}
+}
+
 // decodeCrashReport returns the valid parts of a report and counts the others.
 func (i *Instance) decodeCrashReport(m *snipeproto.CrashReportRequest) snipequarantine.Report {
 	var r snipequarantine.Report
@@ -32,15 +49,45 @@
 		}
 		r.Crashes = append(r.Crashes, d)
 	}
-	for _, a := range m.GetAnswers() {
+	r.Answers = i.decodeCrashAnswers(m.GetAnswers())
+	for _, c := range m.GetPartCrashes() {
+		d, err := i.decodePartCrash(c)
+		if err != nil {
+			i.countWrongCrashMessage()
+			continue
+		}
+		r.PartCrashes = append(r.PartCrashes, d)
+	}
+	r.PartAnswers = i.decodeCrashAnswers(m.GetPartAnswers())
+	r.PartsKnown = i.decodeCrashAnswers(m.GetPartsKnown())
+	return r
+}
+
+// decodeCrashAnswers returns the valid ones of a message and counts the others.
+func (i *Instance) decodeCrashAnswers(all []*snipeproto.CrashAnswer) []snipequarantine.Answer {
+	var decoded []snipequarantine.Answer
+	for _, a := range all {
 		f, err := snipequarantine.FingerprintFrom(a.GetFingerprint())
 		if err != nil || !snipequarantine.ValidRound(a.GetRound()) {
 			i.countWrongCrashMessage()
 			continue
 		}
-		r.Answers = append(r.Answers, snipequarantine.Answer{Fingerprint: f, Round: a.GetRound()})
+		decoded = append(decoded, snipequarantine.Answer{Fingerprint: f, Round: a.GetRound()})
 	}
-	return r
+	return decoded
+}
+
+// decodePartCrash returns a crash of parts. Its errors wrap those of snipequarantine.
+func (i *Instance) decodePartCrash(m *snipeproto.PartCrash) (snipequarantine.PartCrash, error) {
+	text, err := snipequarantine.FingerprintFrom(m.GetText())
+	if err != nil {
+		return snipequarantine.PartCrash{}, err
+	}
+	c := snipequarantine.PartCrash{Upstream: m.GetUpstream(), Text: text}
+	for _, a := range i.decodeCrashAnswers(m.GetParts()) {
+		c.Parts = append(c.Parts, snipequarantine.PartMark{Key: a.Fingerprint, Round: a.Round})
+	}
+	return c, c.Check()
 }
 
 func encodeSuspects(all []snipequarantine.Suspect) []*snipeproto.CrashSuspect {
@@ -48,7 +95,7 @@
 	for _, s := range all {
 		encoded = append(encoded, &snipeproto.CrashSuspect{
 			Fingerprint: s.Fingerprint[:], Round: s.Round, Refused: s.Refused,
-			LeftMilliseconds: s.Left.Milliseconds(), Upstreams: s.Upstreams,
+			LeftMilliseconds: s.Left.Milliseconds(), Upstreams: s.Upstreams, Part: s.Part,
 		})
 	}
 	return encoded
@@ -80,7 +127,7 @@
 		return snipequarantine.Suspect{}, errors.Wrapf(snipequarantine.ErrSuspect, "refused for %d ms", ms)
 	}
 	s := snipequarantine.Suspect{
-		Fingerprint: f, Round: m.GetRound(), Refused: m.GetRefused(),
+		Fingerprint: f, Round: m.GetRound(), Refused: m.GetRefused(), Part: m.GetPart(),
 		Left: time.Duration(max(ms, 0)) * time.Millisecond, Upstreams: m.GetUpstreams(),
 	}
 	return s, s.Check()
--- a/snipeentry/part_test.go
+++ b/snipeentry/part_test.go
@@ -1,6 +1,7 @@
 package snipeentry_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -43,14 +44,14 @@
 	instances []*instance
 }
 
-func newPartCluster(t *testing.T, instances int) *partCluster {
+func newPartCluster(t *testing.T, instances int, downtime time.Duration) *partCluster {
 	var runners []*snipestand.Runner
 	for n := range 6 {
 		runners = append(runners, &snipestand.Runner{ID: fmt.Sprint("e", n), Service: "engines", Model: "base"})
 	}
 	c := &partCluster{}
 	c.testCluster = startTestCluster(t, 10*time.Millisecond, runners, func(r *snipestand.Runner) {
-		server := &snipestand.RunnerServer{Runner: r, CrashPart: crashPart, Downtime: crashDowntime}
+		server := &snipestand.RunnerServer{Runner: r, CrashPart: crashPart, Downtime: downtime}
 		must.NoError(t, server.Start())
 		t.Cleanup(server.Close)
 		c.servers = append(c.servers, server)
@@ -126,17 +127,18 @@
 }
 
 // sendCrashingParts sends requests with crashPart for a time: at first a burst of them, then one each partPause. No two
-// are alike.
-func (c *partCluster) sendCrashingParts(burst int, length time.Duration) {
+// are alike, but that each is sent so often in a row.
+func (c *partCluster) sendCrashingParts(burst, copies int, length time.Duration) {
 	targets := []string{"/draft/x", "/draft/y", "/final/x"}
 	var callers sync.WaitGroup
 	for n, begun := 0, time.Now(); time.Since(begun) < length; n++ {
 		callers.Go(func() {
+			text := n / max(copies, 1)
 			parts := []string{sharedPart, crashPart}
-			if n%2 == 1 {
-				parts = []string{sharedPart, crashPart, fmt.Sprintf("cc%x", n)}
+			if text%2 == 1 {
+				parts = []string{sharedPart, crashPart, fmt.Sprintf("cc%x", text)}
 			}
-			c.sendPrompt(c.pick(n), targets[n%len(targets)], fmt.Sprint("crashing ", n), parts...)
+			c.sendPrompt(c.pick(n), targets[text%len(targets)], fmt.Sprint("crashing ", text), parts...)
 		})
 		if n >= burst {
 			time.Sleep(partPause)
@@ -151,13 +153,23 @@
 func TestCrashingPartRefused(t *testing.T) {
 	tests := map[string]struct {
 		instances int
-		burst     int
+		// burst is how many requests with crashPart are sent at once first. Sound ones are sent for before until then.
+		burst  int
+		before time.Duration
+		// copies is how often each request with crashPart is sent; once if it is zero.
+		copies int
+		// downtime is how long an engine is down after a crash; crashDowntime if it is zero.
+		downtime time.Duration
 		// during is called after the third crash.
 		during func(c *partCluster)
 	}{
 		"Three": {instances: 3},
 		"Seven": {instances: 7},
 		"Burst": {instances: 3, burst: 8},
+		// Each request is refused by its fingerprint before the part is.
+		"SentAgain": {instances: 3, copies: 4},
+		// All engines are down for long before any of the requests that run beside the crashing ones is answered.
+		"AllDown": {instances: 3, burst: 12, before: 11 * time.Second, downtime: 4 * time.Second},
 		"Killed": {instances: 5, during: func(c *partCluster) {
 			first := c.pick(0)
 			c.setInstances(c.instances[1:])
@@ -172,11 +184,12 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newPartCluster(t, tt.instances)
+			c := newPartCluster(t, tt.instances, cmp.Or(tt.downtime, crashDowntime))
+			c.sendSound(tt.before)
 			var sound *replies
 			var senders sync.WaitGroup
 			senders.Go(func() { sound = c.sendSound(partTime) })
-			senders.Go(func() { c.sendCrashingParts(tt.burst, partTime) })
+			senders.Go(func() { c.sendCrashingParts(tt.burst, tt.copies, partTime) })
 			if tt.during != nil {
 				eventually(t, func() bool { _, crashes := c.crashes(); return len(crashes) >= 3 })
 				tt.during(c)
@@ -211,7 +224,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newPartCluster(t, 3)
+			c := newPartCluster(t, 3, crashDowntime)
 			var sound *replies
 			var senders sync.WaitGroup
 			senders.Go(func() { sound = c.sendSound(partTime) })
@@ -226,7 +239,7 @@
 			answered, all := sound.answeredFrom(calm)
 			t.Logf("%s: %d of %d sound requests answered after the crashes", t.Name(), answered, all)
 			test.Eq(t, all, answered)
-			test.False(t, strings.Contains(c.logged(), `"Part":true,"Refused":true`))
+			test.False(t, strings.Contains(c.logged(), `"Name":"FingerprintRefused","Part":true`))
 		})
 	}
 }
--- a/snipeentry/quarantinestore.go
+++ b/snipeentry/quarantinestore.go
@@ -28,6 +28,8 @@
 	// hour, so that a clock that is off by seconds does no harm.
 	RefusedAt time.Time
 	Upstreams []string
+	// Part is set for the fingerprint of a part of prompts.
+	Part bool `json:",omitempty"`
 }
 
 // quarantineStore keeps the refused fingerprints in the store, so that they outlast a stop of all
@@ -60,7 +62,7 @@
 	if q.added == nil {
 		q.added = make(map[snipequarantine.Fingerprint]quarantineRow)
 	}
-	q.added[s.Fingerprint] = quarantineRow{RefusedAt: time.Now(), Upstreams: s.Upstreams}
+	q.added[s.Fingerprint] = quarantineRow{RefusedAt: time.Now(), Upstreams: s.Upstreams, Part: s.Part}
 	delete(q.removed, s.Fingerprint)
 }
 
@@ -157,7 +159,7 @@
 		return snipequarantine.Suspect{}, errors.Wrapf(errRow, "%v", err)
 	}
 	left := min(snipequarantine.SuspectTime-time.Since(row.RefusedAt), snipequarantine.SuspectTime)
-	s := snipequarantine.Suspect{Fingerprint: f, Refused: true, Left: left, Upstreams: row.Upstreams}
+	s := snipequarantine.Suspect{Fingerprint: f, Refused: true, Left: left, Upstreams: row.Upstreams, Part: row.Part}
 	return s, s.Check()
 }
 
--- a/snipeentry/quarantinestore_test.go
+++ b/snipeentry/quarantinestore_test.go
@@ -71,7 +71,7 @@
 		}
 		table.down = true
 		q, _ := start()
-		q.Put(snipequarantine.Suspect{Fingerprint: f, Refused: true, Left: time.Hour, Upstreams: []string{"e1"}})
+		q.Put(snipequarantine.Suspect{Fingerprint: f, Part: true, Refused: true, Left: time.Hour, Upstreams: []string{"e1"}})
 		run(q, 5*time.Second)
 		must.MapEmpty(t, table.rows)
 		table.down = false
@@ -83,6 +83,7 @@
 		run(later, quarantineRetry)
 		must.Len(t, 1, *restored)
 		must.Eq(t, f, (*restored)[0].Fingerprint)
+		must.True(t, (*restored)[0].Part, must.Sprint("otherwise it would be taken for that of a request"))
 		must.Between(t, 59*time.Minute, (*restored)[0].Left, time.Hour)
 		must.Positive(t, wrong)
 
@@ -112,6 +113,21 @@
 	})
 	must.Len(t, 1, report.Crashes)
 	must.Len(t, 1, report.Answers)
+	parts := i.decodeCrashReport(&snipeproto.CrashReportRequest{
+		PartCrashes: []*snipeproto.PartCrash{
+			{Upstream: "e1", Text: good, Parts: []*snipeproto.CrashAnswer{{Fingerprint: good}, nil, {Fingerprint: short}}},
+			nil,
+			{Text: good},
+			{Upstream: "e1", Text: short},
+			{Upstream: "e1", Text: good, Parts: slices.Repeat([]*snipeproto.CrashAnswer{{Fingerprint: good}}, snipequarantine.MaxParts+1)},
+		},
+		PartAnswers: []*snipeproto.CrashAnswer{{Fingerprint: good}, {Fingerprint: short}},
+		PartsKnown:  []*snipeproto.CrashAnswer{{Fingerprint: good}, nil},
+	})
+	must.Len(t, 1, parts.PartCrashes)
+	must.Len(t, 1, parts.PartCrashes[0].Parts)
+	must.Len(t, 1, parts.PartAnswers)
+	must.Len(t, 1, parts.PartsKnown)
 	suspects := i.decodeSuspects([]*snipeproto.CrashSuspect{
 		{Fingerprint: good, Refused: true, LeftMilliseconds: 1000},
 		nil,
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -62,6 +62,7 @@
 	// updated before the use is recorded: a recorded use triggers a report to the engine's owner,
 	// and the report contains the weight of the requests in flight.
 	c.flight, c.events, c.output = g.Balancer.Start(u, g.Chooser.demand(c.service, &c.Request)), 0, noAnswer
+	c.partsProven = false
 	endUse := g.Chooser.Use(u.ID, c.Adapter)
 	defer func() {
 		c.flight.End(c.output)
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -63,6 +63,12 @@
 	// needed.
 	upstream *snipedirectory.Upstream
 	digest   *snipequarantine.Fingerprint
+	// parts are the fingerprints of the parts of the prompt once they were needed, partsProven is set once the
+	// current attempt has shown that they don't crash its upstream.
+	parts       []snipequarantine.Fingerprint
+	partsProven bool
+	// blamedPart is the part for which the request is refused; nil if it is not.
+	blamedPart *snipequarantine.Fingerprint
 	// tried lists the upstreams that were tried. reached counts the upstreams that the request was
 	// sent to, at least in part, and mayHaveRun counts the upstreams that may have run it.
 	tried []string
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -116,9 +116,7 @@
 	if c.framing != "" {
 		fields["Framing"], fields["Leftover"] = c.framing, c.leftover
 	}
-	if c.digest != nil {
-		fields["Fingerprint"] = c.digest.String()
-	}
+	c.logFingerprint(fields)
 	c.logAdmission(fields)
 	if !c.firstAt.IsZero() {
 		fields["FirstMilliseconds"] = c.firstAt.Sub(c.arrived).Milliseconds()
@@ -137,6 +135,17 @@
 	c.gateway.Log.Log(event, fields)
 }
 
+// logFingerprint adds the fingerprint of the request, or of the part of its prompt for which it is refused, to the
+// line of its end.
+func (c *call) logFingerprint(fields snipelog.Fields) {
+	switch {
+	case c.blamedPart != nil:
+		fields["Fingerprint"], fields["Part"] = c.blamedPart.String(), true
+	case c.digest != nil:
+		fields["Fingerprint"] = c.digest.String()
+	}
+}
+
 // logAdmission adds the fields of permits, and of a brittle service, to the line of the request's end.
 func (c *call) logAdmission(fields snipelog.Fields) {
 	if b, brittle := c.gateway.Brittle.Get(c.service); brittle {
--- a/snipegateway/stream.go
+++ b/snipegateway/stream.go
@@ -46,6 +46,9 @@
 			events := pending[:end]
 			summary := snipestream.Summarize(events)
 			c.countEvents(summary.Count)
+			if c.events >= provenEvents {
+				c.notePartsAnswered()
+			}
 			if resuming && summary.Count > 0 {
 				if !c.continuesStream(summary.FirstID) {
 					return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "the stream went on at another event")
--- a/snipequarantine/exchange.go
+++ b/snipequarantine/exchange.go
@@ -71,10 +71,12 @@
 	Changed func(s Suspect, source Source)
 	// SpreadTime is the time from the third crash until all instances refuse the fingerprint.
 	SpreadTime time.Duration
-	// Suspects holds the decisions that this instance knows.
-	Suspects Suspects
+	// Suspects holds the decisions about requests that this instance knows, Parts those about parts of prompts.
+	Suspects, Parts Suspects
 
+	history       PartHistory
 	ledger        Ledger
+	parts         PartLedger
 	announcements announcements
 	initialize    sync.Once
 
@@ -91,7 +93,27 @@
 }
 
 func (e *Exchange) setUp() {
-	e.initialize.Do(func() { e.ledger.ObserveTime = e.SpreadTime / observeDivisor })
+	e.initialize.Do(func() {
+		e.ledger.ObserveTime = e.SpreadTime / observeDivisor
+		e.parts.ObserveTime, e.parts.HistoryCovers = e.ledger.ObserveTime, e.history.Covers
+	})
+}
+
+// suspects returns the decisions about requests or about parts of prompts.
+func (e *Exchange) suspects(part bool) *Suspects {
+	if part {
+		return &e.Parts
+	}
+	return &e.Suspects
+}
+
+// clearLedger removes what this instance has counted for a request or a part of prompts, and reports whether it was
+// watched.
+func (e *Exchange) clearLedger(f Fingerprint, part bool) (watched bool) {
+	if part {
+		return e.parts.Clear(f)
+	}
+	return e.ledger.Clear(f)
 }
 
 // Crashed records that an upstream ended while it ran a request of this instance. Step reports it.
@@ -106,6 +128,11 @@
 	if !e.Suspects.Known(f) {
 		return
 	}
+	e.addAnswer(f, false)
+}
+
+// addAnswer adds evidence of an answer, unless some was added a short time ago.
+func (e *Exchange) addAnswer(f Fingerprint, part bool) {
 	now := time.Now()
 	e.lock.Lock()
 	last, ok := e.answeredAt[f]
@@ -118,7 +145,33 @@
 	}
 	e.answeredAt[f] = now
 	e.lock.Unlock()
-	e.add(&evidence{UpstreamCrash: UpstreamCrash{Fingerprint: f, Round: e.Suspects.round(f)}, answered: true, observedAt: now})
+	round := e.suspects(part).round(f)
+	e.add(&evidence{UpstreamCrash: UpstreamCrash{Fingerprint: f, Round: round}, answered: true, part: part, observedAt: now})
+}
+
+// PartsCrashed records that an upstream ended before it had begun to answer a request of this instance. text is the
+// request's fingerprint, keys are the parts of its prompt. Step reports it.
+func (e *Exchange) PartsCrashed(upstream string, text Fingerprint, keys []Fingerprint) {
+	c := PartCrash{Upstream: upstream, Text: text}
+	for _, key := range keys {
+		c.Parts = append(c.Parts, PartMark{key, e.Parts.round(key)})
+	}
+	e.add(&evidence{part: true, partCrash: c, observedAt: time.Now()})
+}
+
+// PartsAnswered records that an upstream has begun to answer a request which was sent at the given time, and has gone
+// on. Step reports it of the parts that were watched then.
+func (e *Exchange) PartsAnswered(keys []Fingerprint, sentAt time.Time) {
+	e.history.Add(keys)
+	if e.Parts.Empty() {
+		return
+	}
+	e.addAnswer(partsKey, true)
+	for _, key := range keys {
+		if since, ok := e.Parts.knownSince(key); ok && sentAt.After(since) {
+			e.addAnswer(key, true)
+		}
+	}
 }
 
 // add adds evidence, and drops the oldest beyond maxEvidence.
@@ -135,13 +188,11 @@
 // their answers. It is to be called at intervals that are short compared with SpreadTime.
 func (e *Exchange) Step(ctx context.Context) {
 	e.setUp()
-	for _, s := range e.Suspects.expire() {
+	for _, s := range slices.Concat(e.Suspects.expire(), e.Parts.expire()) {
 		e.announcements.remove(s.Fingerprint)
 		e.Changed(s.released(), SourceTime)
 	}
-	for _, s := range e.ledger.Decide() {
-		e.decide(s)
-	}
+	e.decideAll()
 	if e.idle() {
 		return
 	}
@@ -152,6 +203,22 @@
 	}
 }
 
+// noteWatched reports a part that is watched from now on if requests with it were answered here before.
+func (e *Exchange) noteWatched(s Suspect) {
+	if !s.Part || s.Refused || s.Left <= 0 || !e.history.Has(s.Fingerprint) {
+		return
+	}
+	c := UpstreamCrash{Fingerprint: s.Fingerprint, Round: s.Round}
+	e.add(&evidence{UpstreamCrash: c, part: true, known: true, observedAt: time.Now()})
+}
+
+// decideAll decides as a coordinator.
+func (e *Exchange) decideAll() {
+	for _, s := range slices.Concat(e.ledger.Decide(), e.parts.Decide()) {
+		e.decide(s)
+	}
+}
+
 // roundDue reports whether a round of announcements is due, and sets the time of the next one.
 func (e *Exchange) roundDue() bool {
 	now := time.Now()
@@ -174,16 +241,23 @@
 func (e *Exchange) idle() bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	return len(e.evidence) == 0 && e.announcements.empty() && e.Suspects.Empty()
+	return len(e.evidence) == 0 && e.announcements.empty() && e.Suspects.Empty() && e.Parts.Empty()
 }
 
 // decide records and announces a decision of this instance, in the current round if it is no release.
 func (e *Exchange) decide(s Suspect) {
+	suspects := e.suspects(s.Part)
 	if s.Left > 0 {
-		s.Round = e.Suspects.round(s.Fingerprint)
+		s.Round = suspects.round(s.Fingerprint)
+	}
+	changed := suspects.Apply(s)
+	if changed {
+		e.noteWatched(s)
 	}
-	changed := e.Suspects.Apply(s)
 	e.announcements.put(s)
+	if s.Refused && s.Left > 0 {
+		e.explain(s)
+	}
 	e.lock.Lock()
 	e.nextRound = time.Time{}
 	e.lock.Unlock()
@@ -195,7 +269,7 @@
 // takeOver begins to announce the refusals of the fingerprints of which this instance has become a
 // coordinator.
 func (e *Exchange) takeOver() {
-	refused := e.Suspects.listRefused()
+	refused := slices.Concat(e.Suspects.listRefused(), e.Parts.listRefused())
 	if len(refused) == 0 {
 		return
 	}
@@ -232,18 +306,17 @@
 func (e *Exchange) HandleReport(r Report) []Suspect {
 	e.setUp()
 	for _, c := range r.Crashes {
-		e.startRound(c.Fingerprint, c.Round)
+		e.startRound(c.Fingerprint, c.Round, false)
 		if _, refused := e.Suspects.Refused(c.Fingerprint); !refused && c.Round == e.Suspects.round(c.Fingerprint) {
 			e.ledger.Record(c)
 		}
 	}
 	for _, a := range r.Answers {
-		e.startRound(a.Fingerprint, a.Round)
-		e.clear(a.Fingerprint)
-	}
-	for _, s := range e.ledger.Decide() {
-		e.decide(s)
+		e.startRound(a.Fingerprint, a.Round, false)
+		e.clear(a.Fingerprint, false)
 	}
+	e.handleParts(r)
+	e.decideAll()
 	var decisions []Suspect
 	for _, c := range r.Crashes {
 		if s, ok := e.Suspects.get(c.Fingerprint); ok {
@@ -253,39 +326,76 @@
 	return decisions
 }
 
+// handleParts records what an instance has observed of parts of prompts.
+func (e *Exchange) handleParts(r Report) {
+	for _, c := range r.PartCrashes {
+		for _, m := range c.Parts {
+			e.startRound(m.Key, m.Round, true)
+			if _, refused := e.Parts.Refused(m.Key); !refused && m.Round == e.Parts.round(m.Key) {
+				e.parts.Record(m.Key, c)
+			}
+		}
+	}
+	for _, a := range r.PartsKnown {
+		if a.Round == e.Parts.round(a.Fingerprint) {
+			e.parts.NoteKnown(a.Fingerprint)
+		}
+	}
+	for _, a := range r.PartAnswers {
+		if a.Fingerprint == partsKey {
+			e.parts.NoteAnswered()
+			continue
+		}
+		e.startRound(a.Fingerprint, a.Round, true)
+		e.clear(a.Fingerprint, true)
+	}
+}
+
 // startRound records that a round of a fingerprint has begun. If it is a new one, what was counted and decided
 // in earlier rounds is void.
-func (e *Exchange) startRound(f Fingerprint, round uint64) {
-	if round <= e.Suspects.round(f) {
+func (e *Exchange) startRound(f Fingerprint, round uint64, part bool) {
+	suspects := e.suspects(part)
+	if round <= suspects.round(f) {
 		return
 	}
-	e.Suspects.startRound(f, round)
-	e.ledger.Clear(f)
+	suspects.startRound(f, round)
+	e.clearLedger(f, part)
 	e.announcements.remove(f)
 }
 
 // clear releases a fingerprint of which a request was answered.
-func (e *Exchange) clear(f Fingerprint) {
-	watched := e.ledger.Clear(f)
-	s, known := e.Suspects.get(f)
+func (e *Exchange) clear(f Fingerprint, part bool) {
+	watched := e.clearLedger(f, part)
+	s, known := e.suspects(part).get(f)
 	if !known && !watched {
 		return
 	}
-	s.Fingerprint, s.Round, s.Left = f, e.Suspects.round(f)+1, 0
+	s.Fingerprint, s.Part, s.Round, s.Left = f, part, e.suspects(part).round(f)+1, 0
 	e.decide(s)
 }
 
+// explain records the upstreams that a refused suspect has crashed. A request that was at three crashes of a part may be
+// refused before the part is, so that it explains nothing about parts.
+func (e *Exchange) explain(s Suspect) {
+	if !s.Part {
+		e.ledger.Explain(s)
+		return
+	}
+	e.ledger.ExplainUpstreams(s.Upstreams)
+	e.parts.Explain(s)
+}
+
 // HandleAnnouncement records decisions of another instance.
 func (e *Exchange) HandleAnnouncement(decisions []Suspect) {
 	for _, s := range decisions {
-		newRound := s.Round > e.Suspects.round(s.Fingerprint)
+		newRound := s.Round > e.suspects(s.Part).round(s.Fingerprint)
 		e.apply(s, SourceInstance)
 		if newRound {
-			e.ledger.Clear(s.Fingerprint)
+			e.clearLedger(s.Fingerprint, s.Part)
 			e.announcements.remove(s.Fingerprint)
 		}
 		if s.Refused && s.Left > 0 {
-			e.ledger.Explain(s)
+			e.explain(s)
 		}
 	}
 }
@@ -300,11 +410,12 @@
 // Restore records a refusal that was read from the store.
 func (e *Exchange) Restore(s Suspect) {
 	e.apply(s, SourceStore)
-	e.ledger.Explain(s)
+	e.explain(s)
 }
 
 func (e *Exchange) apply(s Suspect, source Source) {
-	if e.Suspects.Apply(s) {
+	if e.suspects(s.Part).Apply(s) {
+		e.noteWatched(s)
 		e.Changed(s, source)
 	}
 }
--- a/snipequarantine/ledger.go
+++ b/snipequarantine/ledger.go
@@ -128,6 +128,13 @@
 	l.explain(s.Upstreams)
 }
 
+// ExplainUpstreams is Explain for the upstreams alone.
+func (l *Ledger) ExplainUpstreams(upstreams []string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.explain(upstreams)
+}
+
 // explain is Explain for the upstreams alone. The lock is held.
 func (l *Ledger) explain(upstreams []string) {
 	now := time.Now()
--- a/snipequarantine/report.go
+++ b/snipequarantine/report.go
@@ -17,6 +17,11 @@
 type Report struct {
 	Crashes []UpstreamCrash
 	Answers []Answer
+	// PartCrashes and PartAnswers are about parts of prompts. PartsKnown are watched parts that were answered before
+	// the crashes.
+	PartCrashes []PartCrash
+	PartAnswers []Answer
+	PartsKnown  []Answer
 }
 
 // Answer reports that a request of a fingerprint was answered.
@@ -29,9 +34,31 @@
 // evidence is an observation of this instance and the members that have received it.
 type evidence struct {
 	UpstreamCrash
-	answered   bool
-	observedAt time.Time
-	receivedBy []string
+	answered bool
+	// part is set if it is about parts of prompts, known if one was answered before the crashes, and partCrash if it
+	// is a crash of some; an answer has the PartKey as its Fingerprint.
+	part, known bool
+	partCrash   PartCrash
+	observedAt  time.Time
+	receivedBy  []string
+}
+
+// target returns the fingerprint whose coordinators receive the evidence.
+func (v *evidence) target() Fingerprint {
+	if v.part {
+		return partsKey
+	}
+	return v.Fingerprint
+}
+
+// expired reports whether the evidence is no longer reported. That any request was answered counts for the moment
+// only.
+func (v *evidence) expired(now time.Time) bool {
+	kept := evidenceTime
+	if v.Fingerprint == partsKey {
+		kept = time.Second
+	}
+	return now.Sub(v.observedAt) >= kept
 }
 
 // sendReports sends each coordinator the evidence that it has not received.
@@ -60,7 +87,7 @@
 	now := time.Now()
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.evidence = slices.DeleteFunc(e.evidence, func(v *evidence) bool { return now.Sub(v.observedAt) >= evidenceTime })
+	e.evidence = slices.DeleteFunc(e.evidence, func(v *evidence) bool { return v.expired(now) })
 	if len(e.evidence) == 0 {
 		return nil
 	}
@@ -68,7 +95,7 @@
 	reachable := slices.DeleteFunc(slices.Clone(e.Candidates()), failed)
 	reports := make(map[string][]*evidence)
 	for _, v := range e.evidence {
-		for _, m := range Coordinators(v.Fingerprint, reachable) {
+		for _, m := range Coordinators(v.target(), reachable) {
 			if !slices.Contains(v.receivedBy, m.ID) && len(reports[m.ID]) < maxMessageEntries {
 				reports[m.ID] = append(reports[m.ID], v)
 			}
@@ -81,9 +108,17 @@
 func newReport(all []*evidence) Report {
 	var r Report
 	for _, v := range all {
-		if v.answered {
-			r.Answers = append(r.Answers, Answer{v.Fingerprint, v.Round})
-		} else {
+		answer := Answer{v.Fingerprint, v.Round}
+		switch {
+		case v.known:
+			r.PartsKnown = append(r.PartsKnown, answer)
+		case v.part && v.answered:
+			r.PartAnswers = append(r.PartAnswers, answer)
+		case v.part:
+			r.PartCrashes = append(r.PartCrashes, v.partCrash)
+		case v.answered:
+			r.Answers = append(r.Answers, answer)
+		default:
 			r.Crashes = append(r.Crashes, v.UpstreamCrash)
 		}
 	}
--- a/snipequarantine/suspect.go
+++ b/snipequarantine/suspect.go
@@ -23,6 +23,8 @@
 // Suspect is the decision of a fingerprint's coordinators for all instances.
 type Suspect struct {
 	Fingerprint Fingerprint
+	// Part is set if Fingerprint is the PartKey of a part of prompts: requests that hold it are watched or refused.
+	Part bool
 	// Round counts the releases of the fingerprint because of an answer. Messages of several
 	// coordinators overtake each other, and a decision of a lower round is ignored.
 	Round uint64
@@ -96,7 +98,7 @@
 // knownSuspect is a Suspect and when it is released.
 type knownSuspect struct {
 	Suspect
-	releasedAt time.Time
+	knownAt, releasedAt time.Time
 }
 
 // Empty reports whether no suspect is known, so that no request needs a fingerprint.
@@ -120,6 +122,14 @@
 	return ok
 }
 
+// knownSince returns since when a fingerprint is watched or refused here, or false if it is not.
+func (s *Suspects) knownSince(f Fingerprint) (time.Time, bool) {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	known, ok := s.all[f]
+	return known.knownAt, ok
+}
+
 // get returns what is known of a fingerprint, with the time that is left.
 func (s *Suspects) get(f Fingerprint) (Suspect, bool) {
 	s.lock.RLock()
@@ -148,7 +158,10 @@
 	case s.all == nil:
 		s.all = make(map[Fingerprint]knownSuspect)
 	}
-	s.all[x.Fingerprint] = knownSuspect{x, now.Add(min(x.Left, SuspectTime))}
+	if !ok {
+		known.knownAt = now
+	}
+	s.all[x.Fingerprint] = knownSuspect{x, known.knownAt, now.Add(min(x.Left, SuspectTime))}
 	return !wasKnown || before.Refused != x.Refused
 }
 
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -185,7 +185,7 @@
 	case contains("holds as many bytes"):
 		return Cause{MemoryFull, "the instance held as many bytes for requests as its memory allows"}, append(s.withEvents(snipelog.RefusedForMemory.Number), *e)
 	case contains("crash upstreams"):
-		return Cause{Quarantined, "requests of fingerprint " + e.Fingerprint + " crash the upstreams that run them and are refused"}, append(s.fingerprintLines(), *e)
+		return Cause{Quarantined, "requests " + e.quarantinedBy() + " crash the upstreams that run them and are refused"}, append(s.fingerprintLines(), *e)
 	case contains("no permit"):
 		return Cause{PermitDenied, fmt.Sprintf("service %s had too little capacity for the request%s: %s",
 			e.Service, e.coordinatedBy(), e.Error)}, append(s.admissionLines(), *e)
@@ -283,12 +283,22 @@
 	return found
 }
 
-// fingerprintLines returns the lines that report crashes by the request, and decisions about its
-// fingerprint.
+// quarantinedBy returns what the requests that are refused have in common.
+func (e *Line) quarantinedBy() string {
+	if e.Part {
+		return "with part " + e.Fingerprint + " of their prompts"
+	}
+	return "of fingerprint " + e.Fingerprint
+}
+
+// fingerprintLines returns the lines that report crashes by the request, or with a part of its prompt, and decisions
+// about its fingerprint or that of the part.
 func (s *Story) fingerprintLines() []Line {
 	lines := s.withEvents(snipelog.RequestBroke.Number, snipelog.FingerprintWatched.Number,
 		snipelog.FingerprintRefused.Number, snipelog.FingerprintReleased.Number)
-	return slices.DeleteFunc(lines, func(l Line) bool { return l.Fingerprint != s.End.Fingerprint })
+	return slices.DeleteFunc(lines, func(l Line) bool {
+		return l.Fingerprint != s.End.Fingerprint && !slices.Contains(l.Parts, s.End.Fingerprint)
+	})
 }
 
 // retries returns the lines that report further attempts of the request.
--- a/snipestory/line.go
+++ b/snipestory/line.go
@@ -65,8 +65,12 @@
 	// answer, and Milliseconds the time from its arrival to its end. In the line of a load of an
 	// adapter, Milliseconds is the duration of the load.
 	WaitedMilliseconds int64
-	// Fingerprint is the same for repeats of a request; empty if the request needed none.
+	// Fingerprint is the same for repeats of a request; empty if the request needed none. With Part it is that of
+	// a part of its prompt.
 	Fingerprint string
+	Part        bool
+	// Parts are the fingerprints of the parts of a prompt, in the line of a request that broke.
+	Parts []string
 	// PermitMilliseconds is the time that the request waited for permits, Coordinator the instance
 	// that decided on the last one.
 	PermitMilliseconds int64
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -130,6 +130,11 @@
 			snipestory.Quarantined,
 			[]string{"FingerprintRefused", "End"},
 		},
+		"QuarantinedPart": {
+			[]string{refusedPrint, refusedOther, end("211", `"Status":503,"Fingerprint":"f1","Part":true,"Error":"quarantined (NotRun): requests with a part of this prompt crash upstreams"`)},
+			snipestory.Quarantined,
+			[]string{"FingerprintRefused", "End"},
+		},
 		"ReaderSlow": {
 			[]string{answerEnded, forced, end("213", `"Status":200,"Error":"canceled by the caller (MayHaveRun): the caller had read nothing for 1500 ms and the instance holds as many bytes as it may"`)},
 			snipestory.ReaderSlow,
