--- a/snipeadmission/strict.go
+++ b/snipeadmission/strict.go
@@ -64,6 +64,10 @@
 
 // report records the requests of an instance.
 func (s *strictness) report(instance string, count int, now time.Time) {
+	if count <= 0 {
+		delete(s.reported, instance)
+		return
+	}
 	if s.reported == nil {
 		s.reported = make(map[string]reportedRequests)
 	}
@@ -109,15 +113,13 @@
 	return min(max(mean+deviation-took, 0), maxAbandonedTime)
 }
 
-// ReportUnpermitted records how many requests of an instance are at each of the given upstreams without a permit
-// of this coordinator. It replaces the instance's last report about each.
+// ReportUnpermitted records how many requests of an instance are at the upstreams without a permit of this
+// coordinator; upstreams that are not counted have none. It replaces the instance's last report.
 func (c *Coordinator) ReportUnpermitted(instance string, counts map[string]int) {
 	now := c.begin()
 	defer c.end(now)
-	for id, n := range counts {
-		if u := c.pool.find(id); u != nil && n >= 0 {
-			u.strict.report(instance, n, now)
-		}
+	for _, u := range c.pool.list {
+		u.strict.report(instance, counts[u.id], now)
 	}
 	c.grantAll(now)
 }
--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -86,8 +86,8 @@
 	permits permits
 	full    fullEngines
 	own     ownPermits
-	// reported holds what reportUnpermitted has last reported; it is used by one goroutine.
-	reported map[unpermittedKey]map[string]int
+	// reported holds what reportUnpermitted has last reported about; it is used by one goroutine.
+	reported map[unpermittedKey]bool
 
 	lock sync.Mutex // guards the fields below
 	// lost holds the coordinators that did not answer, or declined.
@@ -311,6 +311,7 @@
 // forget drops the state of services that are no longer declared, and of lost coordinators that are
 // no longer live.
 func (a *admission) forget() {
+	a.full.sweep()
 	live := a.View().Live
 	a.lock.Lock()
 	defer a.lock.Unlock()
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -8,7 +8,6 @@
 
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipeproto"
-	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipesignal"
 )
 
@@ -48,19 +47,9 @@
 }
 
 // limitShare returns this instance's share of an upstream's limit, which is in requests per second
-// of all instances together. The share depends on this instance's rank among the live instances.
-// The ranking differs between upstreams, but all instances that know the same live instances
-// compute the same ranking for an upstream.
+// of all instances together. The share depends on this instance's rank among the live instances (see rankFor).
 func (i *Instance) limitShare(upstream string, limit float64) snipesignal.Share {
-	key := sniperoute.Hash(upstream)
-	self := i.Settings.Peers
-	own := sniperoute.Score(key, addressKey(self))
-	rank := 0
-	for peer := range i.holder.View().Live {
-		if peer != self && sniperoute.Score(key, addressKey(peer)) > own {
-			rank++
-		}
-	}
+	rank := rankFor(upstream, i.Settings.Peers, i.holder.View().Live)
 	return snipesignal.Divide(limit, i.sharingInstances(), rank)
 }
 
