--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -137,6 +137,8 @@
 type sent struct {
 	id, path, body, key string
 	adapter             int // of requests for an engine
+	// part is the middle part of the prompt, of requests for an engine; a sound one if it is empty.
+	part string
 }
 
 // newRequest returns a request to an instance and records the instance as its sender.
@@ -152,6 +154,9 @@
 		model = fmt.Sprint("base/a", c.adapter)
 	}
 	snipestand.CallerHeader(q.Header, c.id, c.key, requestTimeout, model)
+	if k.stream && s.judgesBrittle() {
+		q.Header.Set("X-Snipepitch-Prompt-Prefix", promptParts(c.id, c.adapter, c.part))
+	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.senders[c.id] = i.name
@@ -236,6 +241,8 @@
 		s.auditOrders(r.ID, r)
 	}
 	s.auditCrashes()
+	s.auditBrittle()
+	s.auditParts()
 	s.auditRetries()
 	s.auditStreams()
 	for id, o := range s.outcomes {
--- a/snipesoak/crash.go
+++ b/snipesoak/crash.go
@@ -40,19 +40,19 @@
 	var all sync.WaitGroup
 	for end := time.Now().Add(d + extraCrashLength); time.Now().Before(end); time.Sleep(crashPause) {
 		i := s.pickInstance(r)
-		all.Go(func() { s.sendCrashing(i, kind, text) })
+		all.Go(func() { s.sendCrashing(i, kind, text, "") })
 	}
 	all.Wait()
 	return kind.prefix
 }
 
-// sendCrashing sends a copy of a request that crashes upstreams. It checks only that the caller is not
+// sendCrashing sends a request that crashes upstreams by its text, or by a part of its prompt. It checks only that the caller is not
 // told that the request was answered: the audit checks the rest.
-func (s *Soak) sendCrashing(i *instance, k requestKind, text string) {
+func (s *Soak) sendCrashing(i *instance, k requestKind, text, part string) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	id := rand.Text()
-	q, err := s.newRequest(ctx, i, k, sent{id: id, path: "crash", body: text, key: key})
+	q, err := s.newRequest(ctx, i, k, sent{id: id, path: "crash", body: text, key: key, part: part})
 	if err != nil {
 		s.breach("the soak itself", "%v", err)
 		return
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -204,6 +204,7 @@
 func disruptStore(s *Soak, r *rand.Rand, d time.Duration) string {
 	modes := []snipestand.StoreMode{snipestand.StoreRefuses, snipestand.StoreSilent, snipestand.StoreLosesAnswers}
 	mode := modes[r.IntN(len(modes))]
+	defer s.disturb(storeName)()
 	s.store.SetMode(mode)
 	time.Sleep(d)
 	s.store.SetMode(snipestand.StoreNormal)
--- a/snipesoak/seeds.go
+++ b/snipesoak/seeds.go
@@ -21,6 +21,8 @@
 	// versions has engines run several software versions, streams last long enough to break off, and callers take
 	// them up. It adds releaseFault, drawn three times as often.
 	versions bool
+	// brittle has upstreams with little room, and prompts. It adds brittleFaults, drawn twice as often.
+	brittle bool
 }
 
 var seedRanges = []seedRange{
@@ -32,6 +34,7 @@
 	{from: 16000, faults: 20, upstreamFaults: 8, judgesRetries: true, startsWithLast: true},
 	{from: 20000, faults: 19, upstreamFaults: 8, unframed: true, startsWithLast: true},
 	{from: 24000, faults: 19, upstreamFaults: 8, versions: true, startsWithLast: true},
+	{from: 28000, faults: 18, upstreamFaults: 8, brittle: true},
 }
 
 // rangeOf returns the range of a seed.
@@ -56,5 +59,8 @@
 	if r.versions {
 		drawn = append(drawn, releaseFault, releaseFault, releaseFault)
 	}
+	if r.brittle {
+		drawn = slices.Concat(drawn, brittleFaults, brittleFaults)
+	}
 	return drawn
 }
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -77,6 +77,11 @@
 	sentTimes map[string][]time.Time
 	// crashTexts are the texts in the bodies of the requests that crash upstreams.
 	crashTexts []string
+	// crashParts are the parts of prompts that crash engines, brittlePeriods the times in which upstreams were brittle;
+	// the locks are held while those of a service are.
+	crashParts                   []string
+	brittlePeriods               []brittlePeriod
+	brittlePlain, brittleEngines sync.Mutex
 	// streams holds the attempts for streams of seeds that judge software versions.
 	streams []streamAttempt
 	// answered counts the requests that were answered in full with status 200.
@@ -179,6 +184,7 @@
 				r.SetCapacity(plainSlots, plainQueue, plainTime)
 			}
 		}
+		s.setRoom(r)
 		address, err := serve(ctx, r.Handler())
 		if err != nil {
 			return err
--- a/snipestand/runnerbrittle.go
+++ b/snipestand/runnerbrittle.go
@@ -11,8 +11,20 @@
 type brittleness struct {
 	// most is the number of refusals in a second that the runner bears; zero if it is not brittle.
 	most     int
-	refusals []time.Time
-	crashes  int
+	refusals []refusal
+	crashes  []BrittleCrash
+}
+
+// refusal is a request that was refused for want of room.
+type refusal struct {
+	id string
+	at time.Time
+}
+
+// BrittleCrash is a crash because of refusals, with the identifiers of the refused requests.
+type BrittleCrash struct {
+	At      time.Time
+	Refused []string
 }
 
 // SetBrittle makes the runner state in all answers that it crashes when it refuses more than most requests in
@@ -34,7 +46,16 @@
 func (r *Runner) BrittleCrashes() int {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	return r.brittle.crashes
+	return len(r.brittle.crashes)
+}
+
+// TakeBrittleCrashes returns the crashes because of refusals, and forgets them.
+func (r *Runner) TakeBrittleCrashes() []BrittleCrash {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	all := r.brittle.crashes
+	r.brittle.crashes = nil
+	return all
 }
 
 // stateBrittle states in an answer that the runner is brittle.
@@ -48,17 +69,21 @@
 
 // noteRefusal records a refusal for want of room, and crashes the runner if there were too many. The lock is
 // held.
-func (r *Runner) noteRefusal() {
+func (r *Runner) noteRefusal(id string) {
 	b := &r.brittle
 	if b.most == 0 || r.crashes.down || r.crashes.stop == nil {
 		return
 	}
 	now := time.Now()
-	b.refusals = append(slices.DeleteFunc(b.refusals, func(t time.Time) bool { return now.Sub(t) >= time.Second }), now)
+	b.refusals = append(slices.DeleteFunc(b.refusals, func(f refusal) bool { return now.Sub(f.at) >= time.Second }), refusal{id, now})
 	if len(b.refusals) <= b.most {
 		return
 	}
-	b.crashes, b.refusals = b.crashes+1, nil
+	c := BrittleCrash{At: now}
+	for _, f := range b.refusals {
+		c.Refused = append(c.Refused, f.id)
+	}
+	b.crashes, b.refusals = append(b.crashes, c), nil
 	stop := r.beginCrash(now)
 	go stop()
 }
--- a/snipestand/runnerplaces.go
+++ b/snipestand/runnerplaces.go
@@ -71,7 +71,7 @@
 		slots = p.slots
 	} else {
 		p.refused++
-		r.noteRefusal()
+		r.noteRefusal(h.Get("X-Snipepitch-Attempt-Id"))
 		h.Set("X-Snipepitch-Not-Executed", "1")
 	}
 	if r.HidesLoad {
