Parts of prompts: watches end, the likeliest parts are watched first, parts are decided on before requests

Read as a newcomer would: a part that was watched for a minute without a further crash kept its place among the 256 that may be watched for an hour, so that after a long series of crashes a crashing part might not be watched any more. Found by reading, not seen. A watch ends after a minute, and the parts with the most crashes go first (TestManyWatchedParts). Each step looks at the parts with two crashes or more only, not at all. A part is decided on before requests as a whole, whose crashes it may explain.

--- a/snipequarantine/exchange.go
+++ b/snipequarantine/exchange.go
@@ -178,9 +178,12 @@
 	}
 }
 
-// decideAll decides as a coordinator.
+// decideAll decides as a coordinator. A part that is refused explains crashes of requests.
 func (e *Exchange) decideAll() {
-	for _, s := range slices.Concat(e.ledger.Decide(), e.parts.Decide()) {
+	for _, s := range e.parts.Decide() {
+		e.decide(s)
+	}
+	for _, s := range e.ledger.Decide() {
 		e.decide(s)
 	}
 }
--- a/snipequarantine/part.go
+++ b/snipequarantine/part.go
@@ -77,6 +77,8 @@
 
 	lock    sync.Mutex // guards the fields below
 	records map[Fingerprint]*partRecord
+	// candidates are the records with watchedFrom crashes or more.
+	candidates map[Fingerprint]*partRecord
 	// explained holds the starts of upstreams whose crash a refused part explains, and since when.
 	explained map[string]time.Time
 }
@@ -106,20 +108,26 @@
 	if r == nil {
 		r = l.add(key)
 	}
-	if now.Sub(r.watchedAt) >= watchTime {
-		r.watchedAt = time.Time{}
-	}
 	r.upstreams[c.Upstream], r.lastAt = true, now
 	r.bearers++
 	if len(r.texts) < maxPartTexts {
 		r.texts[c.Text] = true
 	}
+	if len(r.upstreams) >= watchedFrom {
+		l.candidates[key] = r
+	}
+}
+
+// remove removes the record of a part. The lock is held.
+func (l *PartLedger) remove(key Fingerprint) {
+	delete(l.records, key)
+	delete(l.candidates, key)
 }
 
 // add adds a record. If there are maxPartRecords, it replaces the one with the oldest crash. The lock is held.
 func (l *PartLedger) add(key Fingerprint) *partRecord {
 	if l.records == nil {
-		l.records = make(map[Fingerprint]*partRecord)
+		l.records, l.candidates = make(map[Fingerprint]*partRecord), make(map[Fingerprint]*partRecord)
 	}
 	if len(l.records) >= maxPartRecords {
 		var oldest Fingerprint
@@ -129,8 +137,9 @@
 				oldest, at = f, r.lastAt
 			}
 		}
-		delete(l.records, oldest)
+		l.remove(oldest)
 	}
+	delete(l.candidates, key)
 	r := &partRecord{upstreams: make(map[string]bool), texts: make(map[Fingerprint]bool)}
 	l.records[key] = r
 	return r
@@ -141,7 +150,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	r := l.records[key]
-	delete(l.records, key)
+	l.remove(key)
 	return r != nil && !r.watchedAt.IsZero()
 }
 
@@ -150,7 +159,7 @@
 	now := time.Now()
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	for _, r := range l.records {
+	for _, r := range l.candidates {
 		if !r.watchedAt.IsZero() && r.answeredAt.IsZero() {
 			r.answeredAt = now
 		}
@@ -170,7 +179,7 @@
 func (l *PartLedger) Explain(s Suspect) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	delete(l.records, s.Fingerprint)
+	l.remove(s.Fingerprint)
 	l.explain(s.Upstreams)
 }
 
@@ -193,11 +202,11 @@
 	defer l.lock.Unlock()
 	decided := l.watch(now)
 	for {
-		key, r := l.prime()
+		key, r := l.mostLikely()
 		if r == nil || !l.observed(r, now) {
 			return decided
 		}
-		delete(l.records, key)
+		l.remove(key)
 		l.explain(slices.Collect(maps.Keys(r.upstreams)))
 		decided = append(decided, Suspect{
 			Fingerprint: key, Part: true, Refused: true, Left: SuspectTime, Upstreams: firstUpstreams(r.upstreams),
@@ -205,32 +214,39 @@
 	}
 }
 
-// watch returns the parts that are to be watched from now on. The lock is held.
+// watch returns the parts that are to be watched from now on: those that have just crashed an upstream, the likeliest
+// first. The lock is held.
 func (l *PartLedger) watch(now time.Time) []Suspect {
-	var decided []Suspect
+	var due []Fingerprint
 	watched := 0
-	for _, r := range l.records {
-		if !r.watchedAt.IsZero() {
-			watched++
-		}
-	}
-	for key, r := range l.records {
-		if watched >= maxWatchedParts {
-			break
+	for key, r := range l.candidates {
+		if now.Sub(r.watchedAt) >= watchTime {
+			r.watchedAt = time.Time{}
 		}
-		if r.watchedAt.IsZero() && len(r.upstreams) >= watchedFrom {
+		switch {
+		case !r.watchedAt.IsZero():
 			watched++
-			r.watchedAt, r.answeredAt = now, time.Time{}
-			decided = append(decided, Suspect{Fingerprint: key, Part: true, Left: watchTime, Upstreams: firstUpstreams(r.upstreams)})
+		case now.Sub(r.lastAt) < watchTime:
+			due = append(due, key)
 		}
 	}
+	if len(due) == 0 {
+		return nil
+	}
+	slices.SortFunc(due, func(a, b Fingerprint) int { return l.compare(l.candidates[a], l.candidates[b]) })
+	var decided []Suspect
+	for _, key := range due[:min(len(due), maxWatchedParts-watched)] {
+		r := l.candidates[key]
+		r.watchedAt, r.answeredAt = now, time.Time{}
+		decided = append(decided, Suspect{Fingerprint: key, Part: true, Left: watchTime, Upstreams: firstUpstreams(r.upstreams)})
+	}
 	return decided
 }
 
-// prime returns the part that best explains the crashes that none explains yet, or nil if none has crashed enough
+// mostLikely returns the part that best explains the crashes that none explains yet, or nil if none has crashed enough
 // upstreams. The lock is held.
-func (l *PartLedger) prime() (key Fingerprint, best *partRecord) {
-	for f, r := range l.records {
+func (l *PartLedger) mostLikely() (key Fingerprint, best *partRecord) {
+	for f, r := range l.candidates {
 		if l.unexplained(r) < r.refusedFrom() {
 			continue
 		}
--- a/snipequarantine/part_test.go
+++ b/snipequarantine/part_test.go
@@ -118,6 +118,25 @@
 	}
 }
 
+// TestManyWatchedParts guards against a part that is never watched, and so never refused, because many others were at
+// two crashes, now or a while ago.
+func TestManyWatchedParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &partLedger{}
+		l.ObserveTime = observeTime
+		for n := range 300 {
+			l.crashes(2, fmt.Sprint("sound", n))
+		}
+		l.crashes(4, "p")
+		must.MapContainsKey(t, l.refusedAfter(observeTime), snipequarantine.PartKey("p"))
+		time.Sleep(2 * time.Minute)
+		for n := range 4 {
+			l.crash(fmt.Sprint("v", n), "q")
+		}
+		must.MapContainsKey(t, l.refusedAfter(observeTime), snipequarantine.PartKey("q"))
+	})
+}
+
 // TestPartsWhileNothingAnswers guards against parts that are refused because all upstreams are down, so that no
 // request with them can be answered.
 func TestPartsWhileNothingAnswers(t *testing.T) {
