--- a/snipesoak/brittle.go
+++ b/snipesoak/brittle.go
@@ -150,17 +150,11 @@
 	return fmt.Sprintf("%s:100,%s:50,%s:20", sharedPart, part, id)
 }
 
-// auditParts checks that requests with a part that crashed engines were refused in time, as auditCrashes does. That
-// no other part is refused shows in the requests that each instance serves at last.
+// auditParts checks that requests with a part that crashed engines were refused in time. That no other part is refused
+// shows in the requests that each instance serves at last.
 func (s *Soak) auditParts() {
-	excused := func(a snipestand.CrashArrival) bool { return s.disturbed(s.senders[a.ID], a.At) }
 	for _, part := range s.crashParts {
-		var records []snipestand.CrashRecord
-		for _, u := range s.runners {
-			records = append(records, u.CrashesOnPart(part))
-		}
-		for _, breach := range snipestand.PartCrashBreaches(records, crashTime, excused) {
-			s.breach("a part that crashes engines is refused", "%s: %s", part, breach)
-		}
+		of := func(u *runner) snipestand.CrashRecord { return u.CrashesOnPart(part) }
+		s.auditCrash("a part that crashes engines is refused", part, of, snipestand.PartCrashBreaches)
 	}
 }
--- a/snipesoak/crash.go
+++ b/snipesoak/crash.go
@@ -82,17 +82,26 @@
 	})
 }
 
-// auditCrashes checks that each request that crashed upstreams was refused in time. Requests through
-// an instance that was disturbed less than disturbanceGrace before are excused.
+// crashRule returns the breaches of the bound on requests that crash upstreams.
+type crashRule func(all []snipestand.CrashRecord, bound time.Duration, excused func(a snipestand.CrashArrival) bool) []string
+
+// auditCrashes checks that each request that crashed upstreams was refused in time.
 func (s *Soak) auditCrashes() {
-	excused := func(a snipestand.CrashArrival) bool { return s.disturbed(s.senders[a.ID], a.At) }
 	for _, text := range s.crashTexts {
-		var records []snipestand.CrashRecord
-		for _, r := range s.runners {
-			records = append(records, r.CrashesOn(text))
-		}
-		for _, breach := range snipestand.CrashBreaches(records, crashTime, excused) {
-			s.breach("what crashes upstreams is refused", "%s: %s", text, breach)
-		}
+		of := func(u *runner) snipestand.CrashRecord { return u.CrashesOn(text) }
+		s.auditCrash("what crashes upstreams is refused", text, of, snipestand.CrashBreaches)
+	}
+}
+
+// auditCrash checks the records of a text, or of a part of prompts, by a rule. Requests through an instance that was
+// disturbed less than disturbanceGrace before are excused.
+func (s *Soak) auditCrash(promise, name string, recordOf func(u *runner) snipestand.CrashRecord, rule crashRule) {
+	excused := func(a snipestand.CrashArrival) bool { return s.disturbed(s.senders[a.ID], a.At) }
+	var records []snipestand.CrashRecord
+	for _, u := range s.runners {
+		records = append(records, recordOf(u))
+	}
+	for _, breach := range rule(records, crashTime, excused) {
+		s.breach(promise, "%s: %s", name, breach)
 	}
 }
