TestBrittleUpstreams: half as many requests, each twice as long; a longer limit for a package's tests

Cause: eight cases at a time, of six instances each, sent 800 to 1,600 requests a second in all under the race detector, so that calls for permits took longer than their 350 ms; instances then take their coordinators for lost and keep to their own shares. The ratios of requests to capacity, the bounds and the cases are the same.

--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,10 @@
 check-generated: generate
 	git diff --exit-code -- snipeproto
 
-# The tests that KNOWN-RED.txt lists are passed over, and no others.
+# The tests that KNOWN-RED.txt lists are passed over, and no others. Whole instances in snipeentry take most of Go's
+# limit of ten minutes for a package under the race detector, and more beside load.
 unit:
-	known=$$(./scripts/known-red.sh) && go test -race $${known:+-skip "$$known"} ./...
+	known=$$(./scripts/known-red.sh) && go test -race -timeout 20m $${known:+-skip "$$known"} ./...
 
 # The share of 0.5 tells a broken path from a slow machine: `make demo` asks for
 # 0.9. Breaches fail both.
--- a/snipeentry/brittle_test.go
+++ b/snipeentry/brittle_test.go
@@ -25,10 +25,13 @@
 	brittleTime = 6 * time.Second
 	// fullQueue and shortQueue are how many requests upstreams let wait before they are brittle and after.
 	fullQueue, shortQueue = 8, 1
+	// brittleTook is the time that a request takes. It bounds the processor time of the test: eight cases of six
+	// instances run at a time, under the race detector.
+	brittleTook = 400 * time.Millisecond
 	// brittleDeadline is how long callers wait.
-	brittleDeadline = "1500"
+	brittleDeadline = "3000"
 	// brittleTarget is the latency target of the routes.
-	brittleTarget = 500 * time.Millisecond
+	brittleTarget = time.Second
 	// promptRefusals is the fraction of the refused callers who are told so within the latency target. Requests
 	// that wait while a coordinator is lost are told later.
 	promptRefusals = 0.8
@@ -47,7 +50,7 @@
 	hidesLoad bool
 	// skewed has nine tenths of the requests sent to the first instance.
 	skewed bool
-	// slots are the slots of each upstream, took the time of a request there; four and 200 ms if empty.
+	// slots are the slots of each upstream, took the time of a request there; four and brittleTook if empty.
 	slots []int
 	took  []time.Duration
 	// queue is how many requests upstreams let wait while they are brittle.
@@ -89,7 +92,7 @@
 		"Skewed":           {instances: 6, offered: 1.25, queue: shortQueue, skewed: true},
 		"SkewedEngines":    {instances: 6, offered: 1.25, queue: shortQueue, skewed: true, engines: true, hidesLoad: true},
 		"NoQueue":          {instances: 6, offered: 1.25, queue: 0, hidesLoad: true},
-		"Uneven":           {instances: 6, offered: 1.25, queue: shortQueue, hidesLoad: true, slots: []int{2, 4, 4, 8}, took: []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond}},
+		"Uneven":           {instances: 6, offered: 1.25, queue: shortQueue, hidesLoad: true, slots: []int{2, 4, 4, 8}, took: []time.Duration{brittleTook / 2, brittleTook, brittleTook, 2 * brittleTook}},
 		"Started":          {instances: 5, offered: 1.25, queue: shortQueue, hidesLoad: true, during: startAnother},
 		"StartedEngines":   {instances: 5, offered: 1.25, queue: shortQueue, engines: true, during: startAnother},
 		"Killed":           {instances: 6, offered: 1.25, queue: shortQueue, hidesLoad: true, during: killFirst},
@@ -126,7 +129,7 @@
 		l.slots = []int{4, 4, 4, 4}
 	}
 	for len(l.took) < len(l.slots) {
-		l.took = append(l.took, 200*time.Millisecond)
+		l.took = append(l.took, brittleTook)
 	}
 }
 
