--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -155,7 +155,7 @@
 	}
 	snipestand.CallerHeader(q.Header, c.id, c.key, requestTimeout, model)
 	if k.stream && s.judgesBrittle() {
-		q.Header.Set("X-Snipepitch-Prompt-Prefix", promptParts(c.id, c.adapter, c.part))
+		snipestand.PromptHeader(q.Header, promptParts(c.id, c.adapter, c.part))
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/snipestand/declare.go
+++ b/snipestand/declare.go
@@ -91,3 +91,6 @@
 		h.Set("X-Snipepitch-Model", model)
 	}
 }
+
+// PromptHeader sets the header with which a caller states the parts of a prompt, each as ID:TOKENS, separated by commas.
+func PromptHeader(h http.Header, parts string) { h.Set("X-Snipepitch-Prompt-Prefix", parts) }
