--- /dev/null
+++ b/snipeentry/brittleload_test.go
@@ -0,0 +1,246 @@
+package snipeentry_test
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+const (
+	// maxBrittleRefusals is the number of refusals in a second that an upstream of a brittle cluster bears.
+	maxBrittleRefusals = 3
+	// minBrittleServed is the least fraction served, of what is offered or of what the upstreams can serve if
+	// that is less.
+	minBrittleServed = 0.75
+	// brittleTime is how long requests are sent after the upstreams let fewer wait.
+	brittleTime = 6 * time.Second
+	// fullQueue and shortQueue are how many requests upstreams let wait before they are brittle and after.
+	fullQueue, shortQueue = 8, 1
+	// brittleTook is the time that a request takes. It bounds the processor time of the test: eight cases of six
+	// instances run at a time, under the race detector.
+	brittleTook = 400 * time.Millisecond
+	// brittleDeadline is how long callers wait, brittleTarget the latency target of the routes.
+	brittleDeadline, brittleTarget = 3 * time.Second, time.Second
+	// promptRefusals is the fraction of the refused callers who are told so within the latency target. Requests
+	// that wait while a coordinator is lost are told later.
+	promptRefusals = 0.8
+	// brittleStreamTime is the time that the events of an answer take.
+	brittleStreamTime = 30 * time.Millisecond
+)
+
+// brittleLoad is a load on brittle upstreams.
+type brittleLoad struct {
+	instances int
+	// offered is the number of requests, as a multiple of what the upstreams can serve.
+	offered float64
+	// engines has requests for adapters of engines sent, in place of those to a plain service.
+	engines bool
+	// hidesLoad is set if the upstreams do not state their load.
+	hidesLoad bool
+	// skewed has nine tenths of the requests sent to the first instance.
+	skewed bool
+	// slots are the slots of each upstream, took the time of a request there; four and brittleTook if empty.
+	slots []int
+	took  []time.Duration
+	// spread is how much shorter or longer than took requests are, linger how long upstreams go on with a request
+	// whose caller has left.
+	spread, linger time.Duration
+	// deadline is how long callers wait, target the latency target; brittleDeadline and brittleTarget if zero.
+	deadline, target time.Duration
+	// clump is how many callers come at the same moment; one if zero.
+	clump int
+	// queue is how many requests upstreams let wait while they are brittle.
+	queue int
+	// during is called when a third of brittleTime has passed, with the instances that have started, and
+	// returns those to which requests are sent from then on; nil for no change.
+	during func(s *testCluster, all []*instance) []*instance
+}
+
+// playBrittle plays a load and judges it: the upstreams are brittle from a second on, and let fewer requests wait from
+// the contact time after that.
+func playBrittle(t *testing.T, l *brittleLoad) {
+	l.fill()
+	s, all := startBrittleCluster(t, l)
+	s.sendBrittle(l, all, time.Second)
+	for _, r := range s.runners {
+		r.SetBrittle(maxBrittleRefusals)
+	}
+	s.sendBrittle(l, all, contactTime)
+	for _, r := range s.runners {
+		r.SetQueue(l.queue)
+	}
+	got := s.sendBrittle(l, all, brittleTime/3)
+	if l.during != nil {
+		all = l.during(s, all)
+	}
+	got.add(s.sendBrittle(l, all, brittleTime*2/3))
+	s.judgeBrittle(l, got)
+}
+
+// fill sets what a load leaves out.
+func (l *brittleLoad) fill() {
+	if l.slots == nil {
+		l.slots = []int{4, 4, 4, 4}
+	}
+	for len(l.took) < len(l.slots) {
+		l.took = append(l.took, brittleTook)
+	}
+	l.deadline = cmp.Or(l.deadline, brittleDeadline)
+	l.target = cmp.Or(l.target, brittleTarget)
+	l.clump = max(l.clump, 1)
+}
+
+// capacity returns how many requests a second the upstreams can serve.
+func (l *brittleLoad) capacity() float64 {
+	sum := 0.0
+	for n, slots := range l.slots {
+		sum += float64(slots) / l.took[n].Seconds()
+	}
+	return sum
+}
+
+// judgeBrittle checks the crashes, and how many requests of the time in which the upstreams let fewer wait were
+// served. The platform allows two crashes and a tenth of the upstreams' number.
+func (s *testCluster) judgeBrittle(l *brittleLoad, got *brittleCounts) {
+	s.t.Helper()
+	crashes, refused := 0, 0
+	for _, r := range s.runners {
+		crashes += r.BrittleCrashes()
+		_, n := r.Occupancy()
+		refused += n
+	}
+	possible := int(math.Min(float64(got.sent), l.capacity()*got.lasted.Seconds()))
+	s.t.Logf(s.t.Name()+": %d served of %d possible and %d sent, %d refused, %d of them promptly; %d refused by upstreams, %d crashes",
+		got.served, possible, got.sent, got.refused, got.prompt, refused, crashes)
+	test.LessEq(s.t, 2+len(l.slots)/10, crashes, test.Sprint("crashes"))
+	test.GreaterEq(s.t, int(minBrittleServed*float64(possible)), got.served, test.Sprint("served"))
+	test.GreaterEq(s.t, int(promptRefusals*float64(got.refused)), got.prompt, test.Sprint("told promptly that they are refused"))
+	test.Eq(s.t, got.refused, got.named, test.Sprint("refused with a time to return"))
+}
+
+// brittleCounts counts requests by how they ended.
+type brittleCounts struct {
+	lock         sync.Mutex // guards the fields below
+	sent, served int
+	// lasted is the time until the last reply.
+	lasted time.Duration
+	// refused counts those answered 503, prompt those of them within the latency target, and named those with a time
+	// to return.
+	refused, prompt, named int
+}
+
+// record counts the reply to a request, which is prompt if it took at most the target.
+func (c *brittleCounts) record(a reply, took, target time.Duration) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	switch {
+	case a.err != nil:
+	case a.status == http.StatusOK:
+		c.served++
+	case a.status == http.StatusServiceUnavailable:
+		c.refused++
+		if took <= target {
+			c.prompt++
+		}
+		if a.header.Get("Retry-After") != "" {
+			c.named++
+		}
+	}
+}
+
+func (c *brittleCounts) add(other *brittleCounts) {
+	c.lasted += other.lasted
+	c.sent += other.sent
+	c.served += other.served
+	c.refused += other.refused
+	c.prompt += other.prompt
+	c.named += other.named
+}
+
+// startBrittleCluster starts upstreams and instances, and waits until these serve.
+func startBrittleCluster(t *testing.T, l *brittleLoad) (*testCluster, []*instance) {
+	var runners []*snipestand.Runner
+	for n := range l.slots {
+		r := &snipestand.Runner{ID: fmt.Sprint("u", n), Service: "plain", HidesLoad: l.hidesLoad}
+		if l.engines {
+			r.Service, r.Model = "engines", "base"
+		}
+		runners = append(runners, r)
+	}
+	s := startTestCluster(t, brittleStreamTime/6, runners, func(r *snipestand.Runner) {
+		server := &snipestand.RunnerServer{Runner: r, Downtime: crashDowntime}
+		must.NoError(t, server.Start())
+		t.Cleanup(server.Close)
+	})
+	s.target = l.target
+	s.declare(1)
+	for n, r := range runners {
+		took := l.took[n]
+		if l.engines {
+			took -= brittleStreamTime
+		}
+		r.SetCapacity(l.slots[n], fullQueue, took)
+		r.SetSpread(l.spread, l.linger)
+	}
+	var all []*instance
+	for n := range l.instances {
+		all = append(all, s.start(fmt.Sprint("i", n)))
+	}
+	for n, i := range all {
+		eventually(t, i.isReady)
+		eventually(t, func() bool { return s.sendOneBrittle(l, i, n).status == http.StatusOK })
+	}
+	return s, all
+}
+
+// brittleAdapters is the number of adapters that requests to engines name.
+const brittleAdapters = 6
+
+// sendOneBrittle sends the nth request of a load to an instance.
+func (s *testCluster) sendOneBrittle(l *brittleLoad, i *instance, n int) reply {
+	body, deadline := strings.Repeat("x", n%7), fmt.Sprint(l.deadline.Milliseconds())
+	if l.engines {
+		a, _ := send(s.t, i.url, http.MethodPost, "/draft/x", body, deadlineHeader, deadline, modelHeader, fmt.Sprint("base/a", n%brittleAdapters))
+		return a
+	}
+	a, _ := send(s.t, i.url, http.MethodPost, "/often/x", body, deadlineHeader, deadline)
+	return a
+}
+
+// sendBrittle sends requests to the instances for a time, and returns how they ended.
+func (s *testCluster) sendBrittle(l *brittleLoad, all []*instance, length time.Duration) *brittleCounts {
+	got := &brittleCounts{}
+	var callers sync.WaitGroup
+	pause := time.Duration(float64(time.Second) / (l.offered * l.capacity()))
+	begun := time.Now()
+	for n := 0; time.Since(begun) < length; n++ {
+		got.sent++
+		i := all[n%len(all)]
+		if l.skewed && n%10 != 0 {
+			i = all[0]
+		}
+		callers.Go(func() {
+			at := time.Now()
+			a := s.sendOneBrittle(l, i, n)
+			got.record(a, time.Since(at), l.target)
+		})
+		if (n+1)%l.clump == 0 {
+			time.Sleep(time.Until(begun.Add(time.Duration(n+1) * pause)))
+		}
+	}
+	callers.Wait()
+	got.lasted = time.Since(begun)
+	return got
+}
+
+const deadlineHeader = "X-Snipepitch-Deadline-Ms"
--- a/snipestand/runnerplaces.go
+++ b/snipestand/runnerplaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -13,6 +14,9 @@
 	slots chan struct{}
 	queue int
 	took  time.Duration
+	// spread is how much shorter or longer than took a request may be, linger how long a request stays in its slot
+	// after its caller has left.
+	spread, linger time.Duration
 	// inside is the number of requests that run or wait, most the highest such number, and refused
 	// the number of requests for which there was no room.
 	inside, most, refused int
@@ -26,6 +30,14 @@
 	r.places = plainPlaces{slots: make(chan struct{}, slots), queue: queue, took: took}
 }
 
+// SetSpread makes the times of requests vary evenly by up to spread around that of SetCapacity, and requests whose
+// callers leave go on for up to linger. It is called after SetCapacity.
+func (r *Runner) SetSpread(spread, linger time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.places.spread, r.places.linger = spread, linger
+}
+
 // Occupancy returns the highest number of requests that ran or waited at the same time, and the
 // number of those that were refused because the queue was full, since SetCapacity.
 func (r *Runner) Occupancy() (most, refused int) {
@@ -38,7 +50,7 @@
 // slot back. It returns false, with the header of a refusal, if the queue is full or ctx ends before
 // there is a slot.
 func (r *Runner) occupy(ctx context.Context, h http.Header) (vacate func(), ok bool) {
-	slots, took, ok := r.enter(h)
+	slots, took, linger, ok := r.enter(h)
 	if slots == nil {
 		return func() {}, ok
 	}
@@ -49,21 +61,30 @@
 		h.Set("X-Snipepitch-Not-Executed", "1")
 		return nil, false
 	}
+	ended := time.After(took)
 	select {
-	case <-time.After(took):
+	case <-ended:
 	case <-ctx.Done():
+		select {
+		case <-ended:
+		case <-time.After(linger):
+		}
 	}
 	return func() { <-slots; r.exit() }, true
 }
 
 // enter takes a place and states the load. It returns no slots if there is no limit or no place.
-func (r *Runner) enter(h http.Header) (slots chan struct{}, took time.Duration, ok bool) {
+func (r *Runner) enter(h http.Header) (slots chan struct{}, took, linger time.Duration, ok bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	p := &r.places
 	limit := cap(p.slots)
 	if limit == 0 {
-		return nil, 0, true
+		return nil, 0, 0, true
+	}
+	took = p.took
+	if p.spread > 0 {
+		took += rand.N(2*p.spread) - p.spread
 	}
 	if ok = p.inside < limit+p.queue; ok {
 		p.inside++
@@ -75,11 +96,11 @@
 		h.Set("X-Snipepitch-Not-Executed", "1")
 	}
 	if r.HidesLoad {
-		return slots, p.took, ok
+		return slots, took, p.linger, ok
 	}
 	running := min(p.inside, limit)
 	h.Set("X-Snipepitch-Server-Load", fmt.Sprintf("%d,%d,%d,100", running, p.inside-running, limit))
-	return slots, p.took, ok
+	return slots, took, p.linger, ok
 }
 
 func (r *Runner) exit() {
