--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,9 @@
 	coordinatorPower = 0.5
 )
 
+// callMetric is the histogram of the time that calls for permits of other instances take, by priority (class).
+const callMetric = "snipepitch_admission_call_seconds"
+
 // Log fields of shared admission.
 const (
 	serviceField     = "Service"
@@ -100,9 +104,12 @@
 type admittedService struct {
 	// coordinator is the instance that answered the last call.
 	coordinator netip.AddrPort
-	// pacing is set from the first paced request until a coordinator answers.
-	pacing bool
-	pacer  *snipeadmission.Pacer
+	// pacing is set from the first paced request, at pacingSince, until a coordinator answers. pacedRequests counts
+	// the requests meanwhile.
+	pacing        bool
+	pacingSince   time.Time
+	pacedRequests int
+	pacer         *snipeadmission.Pacer
 }
 
 // applies reports whether requests to a service need permits: it is a plain service that is brittle, or one with fewer than
@@ -223,6 +230,7 @@
 		m.Brittle = encodeBrittle([]snipesignal.BrittleUpdate{update})[0]
 	}
 	answer, err := a.Client(to).Acquire(ctx, m)
+	a.Meter.Observe(callMetric, "none", strconv.Itoa(r.Priority), time.Since(asked))
 	if err != nil {
 		return nil, declined(err)
 	}
@@ -300,7 +308,11 @@
 	a.lock.Lock()
 	s := a.service(service)
 	begins := !s.pacing
+	if begins {
+		s.pacingSince, s.pacedRequests = time.Now(), 0
+	}
 	s.pacing = true
+	s.pacedRequests++
 	a.lock.Unlock()
 	if begins {
 		a.Log.Log(snipelog.PacingBegun, snipelog.Fields{serviceField: service, "Instances": len(a.View().Live)})
--- a/snipeentry/coordinator.go
+++ b/snipeentry/coordinator.go
@@ -109,12 +109,14 @@
 func (a *admission) noteAnswer(service string, from netip.AddrPort) {
 	a.lock.Lock()
 	s := a.service(service)
-	before, paced := s.coordinator, s.pacing
+	before, paced, since, requests := s.coordinator, s.pacing, s.pacingSince, s.pacedRequests
 	s.coordinator, s.pacing = from, false
 	delete(a.lost, from)
 	a.lock.Unlock()
 	if paced {
-		a.Log.Log(snipelog.PacingEnded, snipelog.Fields{serviceField: service, coordinatorField: a.name(from)})
+		a.Log.Log(snipelog.PacingEnded, snipelog.Fields{
+			serviceField: service, coordinatorField: a.name(from), "AfterMilliseconds": time.Since(since).Milliseconds(), "Requests": requests,
+		})
 	}
 	if before != from {
 		a.Log.Log(snipelog.CoordinatorChanged, snipelog.Fields{serviceField: service, coordinatorField: a.name(from)})
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -100,8 +100,8 @@
 	return maps.Clone(r.tokens)
 }
 
-// recordRun records that a request runs.
-func (r *Runner) recordRun(q *http.Request) {
+// statedTokens returns the number of tokens that a request states, of its prompt and its output together.
+func statedTokens(q *http.Request) int {
 	tokens := 0
 	for _, n := range strings.Split(q.Header.Get("X-Snipepitch-Token-Usage"), ",") {
 		size, err := strconv.Atoi(n)
@@ -110,6 +110,12 @@
 		}
 		tokens += size
 	}
+	return tokens
+}
+
+// recordRun records that a request runs.
+func (r *Runner) recordRun(q *http.Request) {
+	tokens := statedTokens(q)
 	workspace := q.Header.Get("X-Snipepitch-Tenant")
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -35,7 +35,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	vacate, ok := r.occupy(q.Context(), w.Header())
+	vacate, ok := r.occupy(q.Context(), w.Header(), statedTokens(q))
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/snipestand/runnerplaces.go
+++ b/snipestand/runnerplaces.go
@@ -17,6 +17,8 @@
 	// spread is how much shorter or longer than took a request may be, linger how long a request stays in its slot
 	// after its caller has left.
 	spread, linger time.Duration
+	// memory is the number of tokens above which a request is refused as if the runner were full; zero for none.
+	memory int
 	// inside is the number of requests that run or wait, most the highest such number, and refused
 	// the number of requests for which there was no room.
 	inside, most, refused int
@@ -38,6 +40,13 @@
 	r.places.spread, r.places.linger = spread, linger
 }
 
+// SetMemory makes the runner refuse requests of more tokens as if it were full. It is called after SetCapacity.
+func (r *Runner) SetMemory(tokens int) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.places.memory = tokens
+}
+
 // Occupancy returns the highest number of requests that ran or waited at the same time, and the
 // number of those that were refused because the queue was full, since SetCapacity.
 func (r *Runner) Occupancy() (most, refused int) {
@@ -46,11 +55,11 @@
 	return r.places.most, r.places.refused
 }
 
-// occupy waits for a slot and then for the time of a request, and returns a function that gives the
+// occupy waits for a slot and then for the time of a request of so many tokens, and returns a function that gives the
 // slot back. It returns false, with the header of a refusal, if the queue is full or ctx ends before
 // there is a slot.
-func (r *Runner) occupy(ctx context.Context, h http.Header) (vacate func(), ok bool) {
-	slots, took, linger, ok := r.enter(h)
+func (r *Runner) occupy(ctx context.Context, h http.Header, tokens int) (vacate func(), ok bool) {
+	slots, took, linger, ok := r.enter(h, tokens)
 	if slots == nil {
 		return func() {}, ok
 	}
@@ -74,7 +83,7 @@
 }
 
 // enter takes a place and states the load. It returns no slots if there is no limit or no place.
-func (r *Runner) enter(h http.Header) (slots chan struct{}, took, linger time.Duration, ok bool) {
+func (r *Runner) enter(h http.Header, tokens int) (slots chan struct{}, took, linger time.Duration, ok bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	p := &r.places
@@ -86,7 +95,8 @@
 	if p.spread > 0 {
 		took += rand.N(2*p.spread) - p.spread
 	}
-	if ok = p.inside < limit+p.queue; ok {
+	tooLarge := p.memory > 0 && tokens > p.memory
+	if ok = p.inside < limit+p.queue && !tooLarge; ok {
 		p.inside++
 		p.most = max(p.most, p.inside)
 		slots = p.slots
