--- a/snipeadmission/admission.go
+++ b/snipeadmission/admission.go
@@ -50,6 +50,14 @@
 	ReasonFull
 	// ReasonBusy means that no permit is free and the request does not wait.
 	ReasonBusy
+	// ReasonNotAsked means that the request does not wait, and that calls for permits are too slow to try several
+	// coordinators.
+	ReasonNotAsked
+	// ReasonNoCoordinator means that no coordinator answers and that this instance holds no permit that comes free
+	// in time.
+	ReasonNoCoordinator
+	// ReasonTooLate means that the permit came too late for the request to be served before its deadline.
+	ReasonTooLate
 )
 
 // String returns the reason as it stands in logs.
@@ -65,6 +73,12 @@
 		return "queue full"
 	case ReasonBusy:
 		return "no permit free"
+	case ReasonNotAsked:
+		return "calls for permits are slow"
+	case ReasonNoCoordinator:
+		return "no coordinator and no permit of this instance free in time"
+	case ReasonTooLate:
+		return "the permit came too late for the deadline"
 	}
 	return "unknown"
 }
@@ -96,16 +110,31 @@
 	// Excluded holds the IDs of upstreams that have just refused this request. Each is avoided for
 	// the time in which its queue empties.
 	Excluded []string
+	// Demand is the rate of requests at the instance, a second, by which the permits that may be used again are
+	// divided.
+	Demand float64
+	// MaxWait is how long the request may wait in one call to another instance; 0 means the usual time.
+	MaxWait time.Duration
 	// NoWait has the request refused, with ReasonBusy, in place of waiting.
 	NoWait bool
 }
 
-// Permit allows one request to be sent to one upstream. It ends Lifetime after the grant or the
+// Permit allows one request at a time to be sent to one upstream. It ends Lifetime after the grant or the
 // last renewal.
 type Permit struct {
 	ID       uint64
 	Upstream string
+	// Lifetime is how long the permit lasts. That of a permit that is lent strictly counts from the moment at which it
+	// was asked for, is not renewed, and covers the time in which the request may be at the upstream.
 	Lifetime time.Duration
+	// Fence is the fencing number of the term in which the permit was lent strictly; zero if it was not.
+	Fence uint64
+	// Reusable is set if the holder may use the permit for several requests, one after the other: it has no more
+	// than its share by demand.
+	Reusable bool
+	// ServiceTime is how long a request is expected to take at the upstream, MaxServiceTime how long nearly all
+	// requests take at most.
+	ServiceTime, MaxServiceTime time.Duration
 }
 
 // Outcome is how a request with a permit ended.
@@ -157,6 +186,7 @@
 	EventRefused
 	EventExpired // the permit ended without a renewal or its instance is gone
 	EventPaused  // no permit is granted for the upstream until the end of Pause
+	EventOpened  // the coordinator knows what is in use and begins to lend strictly
 )
 
 // Decision is a decision of a Coordinator or Pacer with its inputs.
@@ -175,6 +205,11 @@
 	Waiting int
 	// Pause is the time for which no permit is granted for the upstream.
 	Pause time.Duration
+	// Fence is the fencing number of the term, Adopted the number of permits of earlier terms that go on, and
+	// Unknown that of the instances whose permits are not known. They are set for EventOpened, with Waited as
+	// the time since the term began.
+	Fence            uint64
+	Adopted, Unknown int
 	// LoadAge is the age of the load report of the upstream, or of the oldest report of all
 	// upstreams for a refusal; negative if there is none.
 	LoadAge time.Duration
--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -37,10 +37,19 @@
 	// Brittle reports whether the upstreams crash when they refuse more than maxRefusals requests in a second,
 	// so that their slots are lent strictly (see strict.go). It is called as Upstreams is; nil means never.
 	Brittle func() (maxRefusals int, brittle bool)
+	// Term returns the present right of this instance to lend strictly, and false while it has none; nil means that
+	// it always has one. Members returns the instances that may hold permits of earlier terms; nil means none. Both
+	// are called as Upstreams is.
+	Term    func() (Term, bool)
+	Members func() []Member
+	// Linger returns how long requests may still be at the upstreams after their instance's process has ended, as far
+	// as this instance knows before it has observed any; nil or 0 means maxLinger. It is called as Upstreams is.
+	Linger func() time.Duration
 
 	lock    sync.Mutex // guards the fields below
 	pool    pool
-	askedAt time.Time // when a permit was last asked for
+	term    term
+	shares  shares
 	demand  demand
 	queue   snipefair.Queue[*waiter]
 	permits map[uint64]*lease
@@ -61,7 +70,9 @@
 	upstream *upstream
 	instance string
 	item     snipefair.Item
-	ends     time.Time
+	// grantedAt is when the permit was granted, or adopted from an earlier term, and ends when its place is free
+	// without a release.
+	grantedAt, ends time.Time
 	// abandoned is set if the caller has left and the upstream may still work on the request.
 	abandoned bool
 	// running is the load of the upstream when the permit was granted, with this one.
@@ -125,8 +136,8 @@
 func (c *Coordinator) enter(r Request) (*waiter, *snipefair.Entry[*waiter]) {
 	now := c.begin()
 	defer c.end(now)
-	c.noteAsked(now)
 	w := &waiter{request: r, since: now, decision: make(chan decision, 1)}
+	c.shares.note(r.Instance, r.Demand, now)
 	queued := now
 	if !r.Arrived.IsZero() && r.Arrived.Before(now) {
 		queued = r.Arrived
@@ -165,7 +176,7 @@
 	now := time.Now()
 	if c.permits == nil {
 		// IDs start at random, so that those of two coordinators and of one before a restart differ.
-		c.permits, c.lastID = make(map[uint64]*lease), rand.Uint64() //nolint:gosec // not a secret
+		c.permits, c.lastID = make(map[uint64]*lease), rand.Uint64()>>1 //nolint:gosec // not a secret
 		if c.Lifetime <= 0 {
 			c.Lifetime = defaultLifetime
 		}
@@ -181,6 +192,7 @@
 		c.refreshPool(now)
 		c.pool.updateSpeeds(now)
 	}
+	c.refreshTerm(now)
 	return now
 }
 
@@ -255,6 +267,19 @@
 	return Permit{ID: id, Upstream: l.upstream.id, Lifetime: c.Lifetime}
 }
 
+// grantedPermit returns a permit that was granted just now to a request that has waited since a time.
+func (c *Coordinator) grantedPermit(id uint64, l *lease, r Request, since, now time.Time) Permit {
+	p := c.permit(id, l)
+	mean, _ := c.pool.service(l.upstream, now)
+	p.ServiceTime, p.MaxServiceTime = seconds(mean), c.pool.maxService(l.upstream, now)
+	if c.pool.strict {
+		p.Fence, p.Lifetime = c.term.Fence, strictLifetime(r, since)
+		p.Reusable = c.out(r.Instance) <= c.shares.of(r.Instance, c.pool.slots(), now)
+		l.ends = now.Add(p.Lifetime)
+	}
+	return p
+}
+
 // decide keeps a decision for OnDecision.
 func (c *Coordinator) decide(d Decision) {
 	if c.OnDecision != nil {
@@ -263,12 +288,19 @@
 	}
 }
 
+// MayLend reports whether this instance may lend: it has the right to lend strictly where it must.
+func (c *Coordinator) MayLend() bool {
+	now := c.begin()
+	defer c.end(now)
+	return !c.pool.strict || c.term.held
+}
+
 // Renew prolongs the permits with these IDs that the instance holds, by Lifetime from now.
 func (c *Coordinator) Renew(instance string, ids []uint64) {
 	now := c.begin()
 	defer c.end(now)
 	for _, id := range ids {
-		if l := c.permits[id]; l != nil && l.instance == instance && !l.abandoned {
+		if l := c.permits[id]; l != nil && l.instance == instance && !l.abandoned && !c.pool.strict {
 			l.ends = now.Add(c.Lifetime)
 		}
 	}
@@ -290,6 +322,7 @@
 	if r.Outcome != OutcomeCanceled || !c.abandon(l, r.Took, now) {
 		c.remove(id, l)
 	}
+	u.strict.accept(l, r, now)
 	c.pool.observe(u, r, l.running, now)
 	c.settle(l, r, now)
 	c.grantAll(now)
@@ -346,12 +379,13 @@
 	}
 }
 
-// DropInstance ends the permits of an instance that is gone.
+// DropInstance ends the permits of an instance that is gone, except for those that are lent strictly: an instance that
+// seems to be gone may still use them.
 func (c *Coordinator) DropInstance(name string) {
 	now := c.begin()
 	defer c.end(now)
 	for id, l := range c.permits {
-		if l.instance == name {
+		if l.instance == name && !c.pool.strict {
 			c.expire(id, l, now)
 		}
 	}
--- a/snipeadmission/grant.go
+++ b/snipeadmission/grant.go
@@ -136,10 +136,10 @@
 	w := e.Value
 	c.lastID++
 	u.out++
-	l := &lease{upstream: u, instance: w.request.Instance, item: e.Item, ends: now.Add(c.Lifetime), running: int(u.load(now))}
+	l := &lease{upstream: u, instance: w.request.Instance, item: e.Item, grantedAt: now, ends: now.Add(c.Lifetime), running: int(u.load(now))}
 	c.permits[c.lastID] = l
 	c.stats.Granted++
-	p := c.permit(c.lastID, l)
+	p := c.grantedPermit(c.lastID, l, w.request, w.since, now)
 	c.decide(Decision{
 		Event: EventGranted, Request: w.request, Permit: p, Waited: now.Sub(w.since),
 		ExpectedWait: w.expected, LoadAge: u.reportAge(now),
--- a/snipeadmission/pool.go
+++ b/snipeadmission/pool.go
@@ -24,7 +24,7 @@
 	list        []*upstream // in the order of their IDs
 	refreshedAt time.Time
 	// strict is set while the upstreams are lent strictly, growth is how fast their bounds grow then, and
-	// closedUntil is when the first permit may be granted (see strict.go).
+	// closedUntil is when the first permit is expected to be granted, while none may be (see term.go).
 	strict      bool
 	growth      time.Duration
 	closedUntil time.Time
@@ -70,6 +70,17 @@
 	}
 }
 
+// slots returns the slots of all upstreams together.
+func (p *pool) slots() int {
+	sum := 0
+	for _, u := range p.list {
+		if !u.gone {
+			sum += u.slots
+		}
+	}
+	return sum
+}
+
 // find returns an upstream, or nil if it is unknown.
 func (p *pool) find(id string) *upstream {
 	for _, u := range p.list {
@@ -111,6 +122,20 @@
 	return mean * pace, deviation * pace
 }
 
+// minObservations is the number of observations from which on the longest time of a request is known.
+const minObservations = 16
+
+// maxService returns how long nearly all requests take at an upstream; maxLinger at least while too few have been
+// observed.
+func (p *pool) maxService(u *upstream, now time.Time) time.Duration {
+	mean, deviation := p.service(u, now)
+	longest := seconds(max(mean+lingerDeviations*deviation, u.longest*u.paceNow(now)))
+	if u.took.count < minObservations {
+		return max(longest, maxLinger)
+	}
+	return longest
+}
+
 // rate returns the number of requests a second that the available upstreams serve, as far as they
 // are not taken by requests without a permit.
 func (p *pool) rate(now time.Time) float64 {
@@ -153,9 +178,6 @@
 // free returns the number of permits that may be granted now.
 func (p *pool) free(now time.Time) float64 {
 	sum := 0.0
-	if p.strict && now.Before(p.closedUntil) {
-		return sum
-	}
 	for _, u := range p.list {
 		sum += max(0, u.limit(now)-float64(u.out))
 	}
--- a/snipeadmission/strict.go
+++ b/snipeadmission/strict.go
@@ -5,9 +5,10 @@
 )
 
 // Upstreams that crash when they refuse too many requests are lent strictly: no more permits than slots, less the
-// requests that are known to run there without a permit of this coordinator. A refusal shows that there is more
-// there than is known; the permits are then bounded by those that the upstream has accepted, and the bound grows
-// by one each boundGrowth.
+// requests that are known to run there without a permit. Whoever lends, the permits of all instances together are no
+// more than the slots, however late messages and processes are (see term.go). A refusal for want of room shows that
+// something is there that no instance knows; the permits are then bounded by those that the upstream has accepted. The
+// bound grows when requests at the bound are served, and else by one each boundGrowth.
 
 const (
 	// boundGrowth is the time after which the bound on the permits for an upstream that has refused a request
@@ -17,21 +18,33 @@
 	// strictPause is the shortest pause of an upstream that refused a request, and the first one of one that
 	// broke an answer; the latter doubles with each further failure.
 	strictPause = 50 * time.Millisecond
-	// takeoverTime is how long a coordinator that was not asked before grants no strict permits. Instances
-	// report the requests that they have in flight without a permit of it meanwhile.
-	takeoverTime = 200 * time.Millisecond
-	// maxAbandonedTime bounds the time for which the place of a request whose caller has left stays taken. Most
-	// upstreams end such a request at once, others finish it.
-	maxAbandonedTime = 500 * time.Millisecond
+	// maxLinger is the longest time for which an upstream goes on with a request whose caller has left or whose
+	// deadline has passed.
+	maxLinger = 1500 * time.Millisecond
+	// lingerDeviations is the number of mean deviations above the mean within which a request is assumed to have
+	// ended at an upstream that goes on after its caller has left.
+	lingerDeviations = 4
+	// minLifetime is the shortest lifetime of a strict permit. Its holder may use the permit again for as long as a
+	// takeover by another coordinator usually takes. lifetimeReserve is the least time for which it may wait for the
+	// permit, maxLifetime bounds the lifetime.
+	minLifetime, lifetimeReserve, maxLifetime = 8 * time.Second, time.Second, 20 * time.Second
 	// strictWaitReserve is the part of the expected wait by which a new request may wait longer. Without it, the
 	// queue is as long as its requests can wait at most, and each delay has some of them refused after a wait.
 	strictWaitReserve = 0.5
 	// strictNewTime is how long after its arrival a request counts as new.
 	strictNewTime = 100 * time.Millisecond
-	// reportedLifetime is how long a report of requests without permits counts.
-	reportedLifetime = time.Second
 )
 
+// strictLifetime returns the lifetime of a permit for a request that asked for it at a time: it covers the time until
+// the request has surely left the upstream.
+func strictLifetime(r Request, since time.Time) time.Duration {
+	needed := minLifetime
+	if !r.Deadline.IsZero() {
+		needed = max(needed, r.Deadline.Sub(since)+maxLinger+lifetimeReserve)
+	}
+	return min(needed, maxLifetime)
+}
+
 // strictness holds what a strict coordinator knows about an upstream.
 type strictness struct {
 	// bound is the most permits that may be out since the last refusal, at boundedAt. It counts while bounded is
@@ -39,22 +52,25 @@
 	bound     int
 	bounded   bool
 	boundedAt time.Time
-	// reported holds the requests without a permit of this coordinator by instance.
-	reported map[string]reportedRequests
+	// outside holds the requests without a permit that is known here, by instance.
+	outside map[string]outsideRequests
+	// known is the number of places that permits of earlier terms show to be the instances'.
+	known int
 }
 
-// reportedRequests is the number of an instance's requests at an upstream.
-type reportedRequests struct {
+// outsideRequests is the number of an instance's requests without a permit at an upstream.
+type outsideRequests struct {
 	count int
 	at    time.Time
 }
 
-// unpermitted returns the number of requests that instances have reported.
+// unpermitted returns the number of requests without a permit that instances have reported. They have ended
+// maxLifetime later.
 func (s *strictness) unpermitted(now time.Time) int {
 	sum := 0
-	for instance, r := range s.reported {
-		if now.Sub(r.at) >= reportedLifetime {
-			delete(s.reported, instance)
+	for instance, r := range s.outside {
+		if now.Sub(r.at) >= maxLifetime {
+			delete(s.outside, instance)
 			continue
 		}
 		sum += r.count
@@ -62,16 +78,16 @@
 	return sum
 }
 
-// report records the requests of an instance.
+// report records the requests of an instance without a permit that is known here.
 func (s *strictness) report(instance string, count int, now time.Time) {
 	if count <= 0 {
-		delete(s.reported, instance)
+		delete(s.outside, instance)
 		return
 	}
-	if s.reported == nil {
-		s.reported = make(map[string]reportedRequests)
+	if s.outside == nil {
+		s.outside = make(map[string]outsideRequests)
 	}
-	s.reported[instance] = reportedRequests{count, now}
+	s.outside[instance] = outsideRequests{count, now}
 }
 
 // places returns the number of requests, with and without permits, that may be at an upstream with so many slots.
@@ -91,46 +107,39 @@
 	s.bound, s.boundedAt, s.bounded = min(out, s.places(slots, growth, now)), now, true
 }
 
+// accept raises the bound after a request has been served that was sent at the bound: there was room for as many.
+func (s *strictness) accept(l *lease, r Result, now time.Time) {
+	if s.bounded && r.Outcome == OutcomeServed && l.grantedAt.After(s.boundedAt) && l.running >= s.bound {
+		s.bound, s.boundedAt = s.bound+1, now
+	}
+}
+
 // strictLimit returns the number of permits that may be out at an upstream that is lent strictly.
 func (u *upstream) strictLimit(now time.Time) float64 {
 	others := max(float64(u.strict.unpermitted(now)), u.othersNow(now))
-	return max(0, float64(u.strict.places(u.slots, u.growth, now))-others)
+	limit := max(0, float64(u.strict.places(u.slots, u.growth, now))-others)
+	if u.closed {
+		return min(limit, float64(u.strict.known))
+	}
+	return limit
 }
 
-// pauseAfterStrictRefusal bounds the permits for an upstream that has refused a request, and pauses it until one
-// of its requests is expected to have ended.
+// pauseAfterStrictRefusal bounds the permits for an upstream that has refused a request for want of room, and pauses
+// it until one of its requests is expected to have ended. A refusal that names a time is none for want of room.
 func (u *upstream) pauseAfterStrictRefusal(r Result, service time.Duration, now time.Time) time.Duration {
-	u.strict.lower(u.out, u.slots, u.growth, now)
+	if r.RetryAfter <= 0 {
+		u.strict.lower(u.out, u.slots, u.growth, now)
+	}
 	pause := max(r.RetryAfter, service/time.Duration(u.slots), strictPause)
 	pause = min(pause, maxPause)
 	u.pausedUntil = later(u.pausedUntil, now.Add(pause))
 	return pause
 }
 
-// abandonedTime returns how long the place of a request whose caller has left stays taken, after it has run for
-// took.
-func abandonedTime(mean, deviation, took time.Duration) time.Duration {
-	return min(max(mean+deviation-took, 0), maxAbandonedTime)
-}
-
-// ReportUnpermitted records how many requests of an instance are at the upstreams without a permit of this
-// coordinator; upstreams that are not counted have none. It replaces the instance's last report.
-func (c *Coordinator) ReportUnpermitted(instance string, counts map[string]int) {
-	now := c.begin()
-	defer c.end(now)
-	for _, u := range c.pool.list {
-		u.strict.report(instance, counts[u.id], now)
-	}
-	c.grantAll(now)
-}
-
-// noteAsked records that a permit is asked for. If none was for the lifetime of a permit, other coordinators may
-// have lent the slots meanwhile, so that this one first waits for reports of the requests there.
-func (c *Coordinator) noteAsked(now time.Time) {
-	if c.pool.strict && now.Sub(c.askedAt) >= c.Lifetime {
-		c.pool.closedUntil = now.Add(takeoverTime)
-	}
-	c.askedAt = now
+// lingerTime returns how long the place of a request whose caller has left stays taken, after it has run for took.
+// Nearly all requests take maxService at most.
+func lingerTime(maxService, took time.Duration) time.Duration {
+	return min(max(maxService-took, 0), maxLinger)
 }
 
 // abandon keeps the place of a request whose caller has left until its expected end, and reports whether it does.
@@ -138,8 +147,7 @@
 	if !c.pool.strict {
 		return false
 	}
-	mean, deviation := c.pool.service(l.upstream, now)
-	kept := abandonedTime(seconds(mean), seconds(deviation), took)
+	kept := lingerTime(c.pool.maxService(l.upstream, now), took)
 	if kept <= 0 {
 		return false
 	}
--- a/snipeadmission/upstream.go
+++ b/snipeadmission/upstream.go
@@ -11,6 +11,8 @@
 	// meanWeight is the weight of the latest observation in moving averages. Service times vary, so that
 	// a higher weight would follow single requests.
 	meanWeight = 0.05
+	// longestFade is the factor of the longest time with each observation.
+	longestFade = 0.999
 	// forgetAfter is the time without an observation after which the observed time of an upstream
 	// moves towards the mean of all, by half in each further forgetHalf. Otherwise an upstream that
 	// was slow once would get no request that shows that it no longer is.
@@ -67,6 +69,8 @@
 	// latest observation.
 	took       average
 	observedAt time.Time
+	// longest is the longest time of a request at the usual pace in seconds, which fades with each observation.
+	longest float64
 	// excess is the number of permits beyond the slots, of which the whole part counts (see adapt).
 	excess float64
 	// speed is the usual number of requests a second that a slot serves, at speedAt.
@@ -90,6 +94,8 @@
 	isStrict bool
 	growth   time.Duration
 	strict   strictness
+	// closed is set while the coordinator must not lend strictly but the places that are known.
+	closed bool
 }
 
 // setSlots takes over the slots that Upstreams states, if they have changed.
@@ -168,6 +174,7 @@
 		return
 	}
 	u.took.observe(v)
+	u.longest = max(v, u.longest*longestFade)
 	u.observedAt = now
 }
 
--- a/snipebalance/snipebalance.go
+++ b/snipebalance/snipebalance.go
@@ -244,19 +244,6 @@
 	return 0
 }
 
-// OwnRequests returns the numbers of this instance's requests in flight by upstream.
-func (b *Balancer) OwnRequests() map[string]int {
-	b.lock.Lock()
-	defer b.lock.Unlock()
-	all := make(map[string]int)
-	for id, s := range b.states {
-		if s.requests.own > 0 {
-			all[id] = int(s.requests.own)
-		}
-	}
-	return all
-}
-
 // Suspected reports whether an upstream is suspect.
 func (b *Balancer) Suspected(id string) bool {
 	b.lock.Lock()
--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -54,9 +54,6 @@
 	coordinatorField = "Coordinator"
 )
 
-// errStillWaiting is returned by a call for a permit that ended after permitWait.
-var errStillWaiting = errors.New("still waiting for a permit")
-
 // errNotCoordinating is returned by a call for a permit to an instance that is stopping or does not
 // know the service.
 var errNotCoordinating = errors.New("the instance does not coordinate")
@@ -75,11 +72,19 @@
 	Upstreams func(service string) []*snipedirectory.Upstream
 	View      func() *snipeowner.View
 	// Brittle tracks the brittle services, which need permits without a pace and whatever the Share; nil for
-	// none. Engine returns an upstream by its identifier, nil if it is not registered, and InFlight the numbers
-	// of this instance's requests in flight by upstream.
-	Brittle  *snipesignal.BrittleTracker
-	Engine   func(id string) *snipedirectory.Upstream
-	InFlight func() map[string]int
+	// none. Engine returns an upstream by its identifier, nil if it is not registered, and Outside the numbers
+	// of this instance's requests in flight without a strict permit, by upstream.
+	Brittle *snipesignal.BrittleTracker
+	Engine  func(id string) *snipedirectory.Upstream
+	Outside func() map[string]int
+	// Incarnation identifies the start of this process. RequestRead has the ownership rows read again soon.
+	Incarnation string
+	RequestRead func()
+	// CallFailed is called when a call for a strict permit has failed. Ended reports whether a start of an instance is
+	// known to have ended, and Successor returns the instance that then takes an address over.
+	CallFailed func(peer netip.AddrPort, err error)
+	Ended      func(i snipeowner.Instance) bool
+	Successor  func(address, ended netip.AddrPort) (netip.AddrPort, bool)
 	// Lender grants the permits of the services that this instance coordinates. Client returns the
 	// client of another instance.
 	Lender *lender
@@ -89,9 +94,8 @@
 
 	permits permits
 	full    fullEngines
-	own     ownPermits
-	// reported holds what reportUnpermitted has last reported about; it is used by one goroutine.
-	reported map[unpermittedKey]bool
+	keepers keepers
+	claims  claims
 
 	lock sync.Mutex // guards the fields below
 	// lost holds the coordinators that did not answer, or declined.
@@ -139,6 +143,9 @@
 // coordinators are lost, this instance paces its requests on its own.
 func (a *admission) acquire(ctx context.Context, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
 	r.Instance = a.Self.String()
+	if _, brittle := a.brittle(service); brittle {
+		return a.acquireStrict(ctx, service, r)
+	}
 	begun, lost, declined := time.Now(), 0, 0
 	for ctx.Err() == nil && lost < maxLostCalls && declined < maxDeclinedCalls {
 		to, ok := a.coordinator(service)
@@ -151,7 +158,7 @@
 			releaseUnused(permit)
 		case err == nil, errors.Is(err, snipeadmission.ErrRefused):
 			return permit, denied(a.name(to), err)
-		case errors.Is(err, errStillWaiting):
+		case errors.Is(err, snipeadmission.ErrStillWaiting):
 			// The upstreams were avoided for the time in which their queues empty.
 			r.Arrived, r.Excluded = arrivedBy(r, begun), nil
 		case errors.Is(err, errNotCoordinating):
@@ -183,7 +190,7 @@
 }
 
 // ask asks one instance, which may be this one, for a permit, and records whether it answered. It
-// returns errStillWaiting after permitWait, and the error of ctx if that ends first. A call to
+// returns snipeadmission.ErrStillWaiting after permitWait, and the error of ctx if that ends first. A call to
 // another instance then goes on without the request, for permitTimeout at most, so that a lost
 // coordinator is noticed and a permit that is granted meanwhile is given back.
 func (a *admission) ask(ctx context.Context, to netip.AddrPort, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
@@ -222,19 +229,7 @@
 // call asks another instance for a permit. It takes permitTimeout at most.
 func (a *admission) call(ctx context.Context, to netip.AddrPort, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
 	asked := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	m := encodeAcquire(service, r, asked)
-	if b, brittle := a.brittle(service); brittle {
-		update := snipesignal.BrittleUpdate{Service: a.brittleService(service), MaxRefusals: b.MaxRefusals, Age: time.Since(b.StatedAt)}
-		m.Brittle = encodeBrittle([]snipesignal.BrittleUpdate{update})[0]
-	}
-	answer, err := a.Client(to).Acquire(ctx, m)
-	a.Meter.Observe(callMetric, "none", strconv.Itoa(r.Priority), time.Since(asked))
-	if err != nil {
-		return nil, declined(err)
-	}
-	p, err := decodeAcquire(answer)
+	p, _, err := a.callAcquire(ctx, to, service, r, permitTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -242,11 +237,32 @@
 	if time.Since(asked) >= p.Lifetime {
 		// The permit may have ended while this process was stopped.
 		releaseUnused(permit)
-		return nil, errStillWaiting
+		return nil, snipeadmission.ErrStillWaiting
 	}
 	return permit, nil
 }
 
+// callAcquire makes one call for a permit to another instance. took is how long it took without the wait there.
+func (a *admission) callAcquire(ctx context.Context, to netip.AddrPort, service string, r snipeadmission.Request, timeout time.Duration) (p snipeadmission.Permit, took time.Duration, err error) {
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	m := encodeAcquire(service, r, asked)
+	if b, brittle := a.brittle(service); brittle {
+		update := snipesignal.BrittleUpdate{Service: a.brittleService(service), MaxRefusals: b.MaxRefusals, Age: time.Since(b.StatedAt)}
+		m.Brittle = encodeBrittle([]snipesignal.BrittleUpdate{update})[0]
+	}
+	answer, err := a.Client(to).Acquire(ctx, m)
+	took = time.Since(asked)
+	a.Meter.Observe(callMetric, "none", strconv.Itoa(r.Priority), took)
+	if err != nil {
+		return snipeadmission.Permit{}, took, declined(err)
+	}
+	took -= min(max(microseconds(answer.GetWaitedMicroseconds()), 0), took)
+	p, err = decodeAcquire(answer)
+	return p, took, err
+}
+
 // denied returns a refusal with the instance that refused, and any other error as it is.
 func denied(coordinator string, err error) error {
 	var refused *snipeadmission.RefusedError
@@ -258,10 +274,6 @@
 
 // pace waits until this instance may send a request on its own.
 func (a *admission) pace(ctx context.Context, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
-	if _, brittle := a.brittle(service); brittle {
-		a.notePacing(service)
-		return a.shareAlone(service, r)
-	}
 	pacer := a.notePacing(service)
 	upstream, err := pacer.Acquire(ctx, r)
 	if err != nil {
@@ -344,14 +356,18 @@
 func (i *Instance) buildAdmission() {
 	i.lender = &lender{
 		Plain: i.plain, Upstreams: i.admittedUpstreams, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter, Brittle: i.brittle,
+		Right: i.holder.Right, Members: i.permitMembers, CheckOwner: i.checkOwner, Linger: i.lingerTime,
 	}
 	i.admission = &admission{
 		Self: i.Settings.Peers, Share: i.Settings.AdmissionShare, Plain: i.plain, Paced: i.balancer.Paced, Upstreams: i.admittedUpstreams,
 		View: i.holder.View, Lender: i.lender, Client: i.peers.permits.client, Log: i.Log, Meter: i.meter,
-		Brittle: i.brittle, InFlight: i.balancer.OwnRequests,
+		Brittle: i.brittle, Outside: i.outsideRequests, Incarnation: i.Incarnation, RequestRead: i.holder.RequestRead,
+		CallFailed: i.noteCallFailed, Ended: i.ended.has, Successor: i.holder.Successor,
 		Engine: func(id string) *snipedirectory.Upstream { return i.directory.Snapshot().ByID(id) },
 	}
 	i.meter.Gauge("snipepitch_admission_permits_out", func() float64 { out, _ := i.lender.stats(); return float64(out) })
+	i.meter.Gauge("snipepitch_admission_permits_held", func() float64 { held, _ := i.admission.keepers.counts(); return float64(held) })
+	i.meter.Gauge("snipepitch_admission_permits_idle", func() float64 { _, idle := i.admission.keepers.counts(); return float64(idle) })
 	i.meter.Gauge("snipepitch_admission_waiting", func() float64 { _, waiting := i.lender.stats(); return float64(waiting) })
 }
 
@@ -402,4 +418,5 @@
 	live := i.holder.View().Live
 	i.admission.forget()
 	i.lender.forget(live)
+	i.admission.keepers.sweep(i.lender.lends)
 }
--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -39,7 +39,11 @@
 var errMessage = errors.New("invalid message")
 
 // admissionServer serves other instances' requests for permits.
-type admissionServer struct{ lender *lender }
+type admissionServer struct {
+	lender *lender
+	// account answers the questions of coordinators.
+	account func(m *snipeproto.AdmissionAccountRequest) *snipeproto.AdmissionAccountResponse
+}
 
 // Acquire implements snipeproto.Admission. The error code FailedPrecondition means that this
 // instance does not coordinate the service (see lender.acquire).
@@ -51,15 +55,18 @@
 	if b := m.GetBrittle(); b != nil && s.lender.Brittle != nil {
 		s.lender.Brittle.Merge(decodeBrittle([]*snipeproto.BrittleService{b}))
 	}
+	asked := time.Now()
 	p, err := s.lender.acquire(ctx, m.GetService(), r)
+	waited := time.Since(asked).Microseconds()
 	var refused *snipeadmission.RefusedError
 	switch {
 	case errors.As(err, &refused):
 		return &snipeproto.AdmissionAcquireResponse{
 			Refused: true, Reason: int32(refused.Reason), RetryMilliseconds: refused.RetryAfter.Milliseconds(), //nolint:gosec // a small number
+			WaitedMicroseconds: waited,
 		}, nil
-	case errors.Is(err, errStillWaiting):
-		return &snipeproto.AdmissionAcquireResponse{Waiting: true}, nil
+	case errors.Is(err, snipeadmission.ErrStillWaiting):
+		return &snipeproto.AdmissionAcquireResponse{Waiting: true, WaitedMicroseconds: waited}, nil
 	case errors.Is(err, errNotCoordinating):
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	case err != nil:
@@ -67,9 +74,19 @@
 	}
 	return &snipeproto.AdmissionAcquireResponse{
 		Permit: p.ID, Upstream: p.Upstream, LifetimeMilliseconds: p.Lifetime.Milliseconds(),
+		Fence: p.Fence, WaitedMicroseconds: waited, ServiceMicroseconds: p.ServiceTime.Microseconds(),
+		MaxServiceMicroseconds: p.MaxServiceTime.Microseconds(), Reusable: p.Reusable,
 	}, nil
 }
 
+// Account implements snipeproto.Admission.
+func (s *admissionServer) Account(_ context.Context, m *snipeproto.AdmissionAccountRequest) (*snipeproto.AdmissionAccountResponse, error) {
+	if err := checkSender(m.GetVersion(), m.GetInstance()); err != nil {
+		return nil, s.invalid(err)
+	}
+	return s.account(m), nil
+}
+
 // Release implements snipeproto.Admission. A message with any invalid part is refused whole.
 func (s *admissionServer) Release(_ context.Context, m *snipeproto.AdmissionReleaseRequest) (*snipeproto.AdmissionReleaseResponse, error) {
 	results, err := decodeRelease(m)
@@ -82,9 +99,6 @@
 	for _, r := range m.GetRenewals() {
 		s.lender.renew(m.GetInstance(), r.GetService(), r.GetPermits())
 	}
-	for _, r := range m.GetUnpermitted() {
-		s.lender.reportUnpermitted(m.GetInstance(), r.GetService(), decodeCounts(r.GetCounts()))
-	}
 	return &snipeproto.AdmissionReleaseResponse{}, nil
 }
 
@@ -117,6 +131,7 @@
 		Version: admissionVersion, Instance: r.Instance, Service: service, Workspace: shortened(r.Workspace),
 		Priority:             int32(min(max(r.Priority, 0), maxPriority)),
 		DeadlineMilliseconds: max(boundedMilliseconds(r.Deadline.Sub(now)), 0), NoWait: r.NoWait,
+		MaxWaitMilliseconds: boundedMilliseconds(r.MaxWait), Demand: r.Demand,
 	}
 	if r.Tokens >= 0 && r.Tokens <= math.MaxFloat64 {
 		m.Tokens = r.Tokens
@@ -144,7 +159,7 @@
 	r := snipeadmission.Request{
 		Instance: m.GetInstance(), Workspace: m.GetWorkspace(), Priority: int(m.GetPriority()), Tokens: m.GetTokens(),
 		Deadline: now.Add(milliseconds(m.GetDeadlineMilliseconds())),
-		Excluded: m.GetExcluded(), NoWait: m.GetNoWait(),
+		Excluded: m.GetExcluded(), NoWait: m.GetNoWait(), MaxWait: milliseconds(m.GetMaxWaitMilliseconds()), Demand: m.GetDemand(),
 	}
 	if m.GetAgeMilliseconds() > 0 {
 		r.Arrived = now.Add(-milliseconds(m.GetAgeMilliseconds()))
@@ -216,12 +231,18 @@
 	return time.Duration(min(max(ms, -limit), limit)) * time.Millisecond
 }
 
+// microseconds is milliseconds for a time in microseconds.
+func microseconds(us int64) time.Duration {
+	const limit = int64(maxMessageTime / time.Microsecond)
+	return time.Duration(min(max(us, -limit), limit)) * time.Microsecond
+}
+
 // boundedMilliseconds returns a time for a message, bounded by maxMessageTime.
 func boundedMilliseconds(d time.Duration) int64 {
 	return min(max(d, -maxMessageTime), maxMessageTime).Milliseconds()
 }
 
-// decodeAcquire returns the permit of an answer, errStillWaiting, or the refusal. A negative retry
+// decodeAcquire returns the permit of an answer, snipeadmission.ErrStillWaiting, or the refusal. A negative retry
 // time counts as none.
 func decodeAcquire(m *snipeproto.AdmissionAcquireResponse) (snipeadmission.Permit, error) {
 	switch {
@@ -230,7 +251,7 @@
 			Reason: snipeadmission.Reason(m.GetReason()), RetryAfter: max(milliseconds(m.GetRetryMilliseconds()), 0),
 		}
 	case m.GetWaiting():
-		return snipeadmission.Permit{}, errStillWaiting
+		return snipeadmission.Permit{}, snipeadmission.ErrStillWaiting
 	case !validName(m.GetUpstream()):
 		return snipeadmission.Permit{}, errors.Wrap(errMessage, "permit without an upstream")
 	case m.GetLifetimeMilliseconds() <= 0 || milliseconds(m.GetLifetimeMilliseconds()) > maxPermitLifetime:
@@ -238,6 +259,8 @@
 	}
 	return snipeadmission.Permit{
 		ID: m.GetPermit(), Upstream: m.GetUpstream(), Lifetime: milliseconds(m.GetLifetimeMilliseconds()),
+		Fence: m.GetFence(), ServiceTime: max(microseconds(m.GetServiceMicroseconds()), 0),
+		MaxServiceTime: max(microseconds(m.GetMaxServiceMicroseconds()), 0), Reusable: m.GetReusable(),
 	}, nil
 }
 
@@ -286,9 +309,6 @@
 	if renewed > 2*maxResults || len(m.GetResults()) > maxResults {
 		return nil, errors.Wrapf(errMessage, "%d results and %d renewals", len(m.GetResults()), renewed)
 	}
-	if err := checkUnpermitted(m.GetUnpermitted()); err != nil {
-		return nil, err
-	}
 	all := make([]snipeadmission.Result, 0, len(m.GetResults()))
 	for _, r := range m.GetResults() {
 		result, err := decodeResult(r)
@@ -300,32 +320,6 @@
 	return all, nil
 }
 
-// checkUnpermitted checks reports of requests without permits.
-func checkUnpermitted(all []*snipeproto.AdmissionUnpermitted) error {
-	counts := 0
-	for _, r := range all {
-		counts += len(r.GetCounts())
-		if !validName(r.GetService()) || counts > maxResults {
-			return errors.Wrapf(errMessage, "%d reports of requests without permits, or one without a service", counts)
-		}
-		for _, n := range r.GetCounts() {
-			if !validName(n.GetUpstream()) || n.GetRequests() < 0 || n.GetRequests() > maxLoadFigure {
-				return errors.Wrapf(errMessage, "%d requests without permits", n.GetRequests())
-			}
-		}
-	}
-	return nil
-}
-
-// decodeCounts returns the numbers of requests without permits by upstream.
-func decodeCounts(all []*snipeproto.AdmissionCount) map[string]int {
-	counts := make(map[string]int, len(all))
-	for _, n := range all {
-		counts[n.GetUpstream()] = int(n.GetRequests())
-	}
-	return counts
-}
-
 // decodeResult returns the result of a message. A load report that makes no sense is left out,
 // because the permit has to end all the same.
 func decodeResult(m *snipeproto.AdmissionResult) (snipeadmission.Result, error) {
--- a/snipeentry/brittle.go
+++ b/snipeentry/brittle.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"snipepitch.example/snipepitch/snipeadmission"
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipeproto"
@@ -16,7 +18,7 @@
 // Requests to a brittle service need permits, as those of shared admission do: for a plain service from one
 // coordinator of all its upstreams, for engines from one coordinator of each engine, since the adapter decides
 // which engine may answer. A coordinator knows from the messages of the instances that ask it that it lends
-// strictly (see snipeadmission), and from their reports which requests are there without a permit of it.
+// strictly (see snipeadmission), which it may do only as the owner of the engine or the service (see strictlender.go).
 
 // enginePrefix begins the name by which the permits of one engine are asked for.
 const enginePrefix = "engine:"
@@ -46,7 +48,8 @@
 // closed for fullTime, so that the next requests ask for others.
 func (a *admission) acquireEngine(ctx context.Context, engine string, r snipeadmission.Request) (*snipegateway.Permit, error) {
 	permit, err := a.acquire(ctx, enginePrefix+engine, r)
-	if err != nil && r.NoWait && ctx.Err() == nil {
+	var refused *snipeadmission.RefusedError
+	if errors.As(err, &refused) && refused.Reason == snipeadmission.ReasonBusy {
 		a.full.add(engine, time.Now())
 	}
 	return permit, err
--- a/snipeentry/coordinator.go
+++ b/snipeentry/coordinator.go
@@ -49,20 +49,6 @@
 	return netip.AddrPort{}, false
 }
 
-// firstCoordinator returns the first instance that may coordinate a service and is not known to be lost. Unlike
-// coordinator, it tries none again.
-func (a *admission) firstCoordinator(service string) (netip.AddrPort, bool) {
-	candidates := a.coordinators(service)
-	a.lock.Lock()
-	defer a.lock.Unlock()
-	for _, peer := range candidates {
-		if _, lost := a.lost[peer]; !lost {
-			return peer, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
 // coordinators returns the instances that may coordinate a service, best first: the live ones that
 // are neither leaving nor on standby and have at least coordinatorPower of the highest Power, by
 // rendezvous hash.
@@ -98,7 +84,7 @@
 // noteCall records the end of a call for a permit: the instance answered, declined or is lost.
 func (a *admission) noteCall(service string, to netip.AddrPort, err error) {
 	switch {
-	case err == nil, errors.Is(err, snipeadmission.ErrRefused), errors.Is(err, errStillWaiting):
+	case err == nil, errors.Is(err, snipeadmission.ErrRefused), errors.Is(err, snipeadmission.ErrStillWaiting):
 		a.noteAnswer(service, to)
 	default:
 		a.noteLost(service, to, errors.Is(err, errNotCoordinating), err)
--- a/snipeentry/decisionlog.go
+++ b/snipeentry/decisionlog.go
@@ -68,6 +68,9 @@
 	case snipeadmission.EventExpired:
 		fields["Holder"], fields["Upstream"] = n.Request.Instance, n.Permit.Upstream
 		d.Log.Log(snipelog.PermitExpired, fields)
+	case snipeadmission.EventOpened:
+		fields["Fence"], fields["Adopted"], fields["Unknown"], fields["AfterMilliseconds"] = n.Fence, n.Adopted, n.Unknown, n.Waited.Milliseconds()
+		d.Log.Log(snipelog.LendingBegun, fields)
 	case snipeadmission.EventPaused:
 		fields["Upstream"], fields["PauseMilliseconds"] = n.Permit.Upstream, n.Pause.Milliseconds()
 		d.Log.Log(snipelog.UpstreamPaused, fields)
--- a/snipeentry/lender.go
+++ b/snipeentry/lender.go
@@ -30,8 +30,16 @@
 	Stopping  func() bool
 	// Brittle is as in admission.
 	Brittle *snipesignal.BrittleTracker
-	Log     *snipelog.Logger
-	Meter   *snipemeter.Meter
+	// Right returns this instance's right to lend strictly what an address stands for (see strictKey). Members
+	// returns the instances that may hold permits.
+	Right   func(address netip.AddrPort) (snipeowner.Right, bool)
+	Members func() []snipeadmission.Member
+	// CheckOwner finds out whether the owner of an address has ended, so that this instance may take over. Linger returns
+	// how long requests for which something is lent may take, as far as this instance knows.
+	CheckOwner func(address netip.AddrPort)
+	Linger     func(name string) time.Duration
+	Log        *snipelog.Logger
+	Meter      *snipemeter.Meter
 
 	lock sync.Mutex // guards the fields below
 	// coordinators holds the services for which permits were asked for here.
@@ -81,6 +89,9 @@
 		Upstreams:  func() []snipeadmission.Upstream { return lendable(l.Upstreams(service)) },
 		OnDecision: lines.record,
 		Brittle:    func() (int, bool) { return l.isBrittle(service) },
+		Term:       func() (snipeadmission.Term, bool) { return l.term(service) },
+		Members:    l.Members,
+		Linger:     func() time.Duration { return l.Linger(service) },
 	}
 	l.coordinators[service] = c
 	return c
@@ -100,36 +111,54 @@
 	return slices.Collect(maps.Values(l.coordinators))
 }
 
-// acquire waits for a permit, for permitWait at most, and then returns errStillWaiting. If ctx ends,
+// acquire waits for a permit, for permitWait at most, and then returns ErrStillWaiting. If ctx ends,
 // it returns its error. It takes back a permit that was granted when the caller had given up. An
-// instance that is stopping, or does not know the service, returns errNotCoordinating.
+// instance that is stopping, does not know the service, or has no right to lend strictly where it must returns
+// errNotCoordinating.
 func (l *lender) acquire(ctx context.Context, service string, r snipeadmission.Request) (snipeadmission.Permit, error) {
-	if l.Stopping() {
-		return snipeadmission.Permit{}, errNotCoordinating
-	}
 	asked := time.Now()
-	c := l.coordinator(service)
-	if c == nil {
-		return snipeadmission.Permit{}, errors.Wrap(errNotCoordinating, "no upstream of "+service+" is known")
+	c, err := l.lending(service)
+	if err != nil {
+		return snipeadmission.Permit{}, err
+	}
+	wait := permitWait
+	if r.MaxWait > 0 {
+		wait = min(r.MaxWait, strictCallTimeout/2)
 	}
-	bounded, cancel := context.WithTimeout(ctx, permitWait)
+	bounded, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	p, err := c.Acquire(bounded, r)
 	// After permitTimeout, which passes here only if the process was stopped, the caller has given up.
-	givenUp := ctx.Err() != nil || time.Since(asked) >= permitTimeout
+	givenUp := ctx.Err() != nil || time.Since(asked) >= permitTimeout && p.Fence == 0
 	if err == nil && givenUp {
 		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeUnused})
-		err = errStillWaiting
+		err = snipeadmission.ErrStillWaiting
 	}
 	switch {
 	case ctx.Err() != nil:
 		return snipeadmission.Permit{}, ctx.Err()
 	case err != nil && bounded.Err() != nil && !errors.Is(err, snipeadmission.ErrRefused):
-		return snipeadmission.Permit{}, errStillWaiting
+		return snipeadmission.Permit{}, snipeadmission.ErrStillWaiting
 	}
 	return p, err
 }
 
+// lending returns the coordinator of a service if this instance may lend its slots now.
+func (l *lender) lending(service string) (*snipeadmission.Coordinator, error) {
+	if _, strict := l.isBrittle(service); l.Stopping() && !strict {
+		return nil, errNotCoordinating
+	}
+	c := l.coordinator(service)
+	switch {
+	case c == nil:
+		return nil, errors.Wrap(errNotCoordinating, "no upstream of "+service+" is known")
+	case !c.MayLend():
+		l.CheckOwner(l.strictKey(service))
+		return nil, errors.Wrap(errNotCoordinating, "no right to lend "+service)
+	}
+	return c, nil
+}
+
 // release ends a permit of a service.
 func (l *lender) release(service string, id uint64, r snipeadmission.Result) {
 	if c := l.known(service); c != nil {
@@ -144,14 +173,6 @@
 	}
 }
 
-// reportUnpermitted records the requests of an instance without a permit of this one. A coordinator that was not
-// asked for permits yet is created for it.
-func (l *lender) reportUnpermitted(instance, service string, counts map[string]int) {
-	if c := l.coordinator(service); c != nil {
-		c.ReportUnpermitted(instance, counts)
-	}
-}
-
 // refresh makes a change of the directory of upstreams take effect for the requests that wait.
 func (l *lender) refresh(directory *snipedirectory.Snapshot) {
 	l.lock.Lock()
--- a/snipeentry/permits.go
+++ b/snipeentry/permits.go
@@ -69,19 +69,6 @@
 	delete(p.granted, h)
 }
 
-// held returns the number of permits of a coordinator for an upstream.
-func (p *permits) held(coordinator netip.AddrPort, upstream string) int {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	n := 0
-	for h := range p.granted {
-		if h.coordinator == coordinator && h.upstream == upstream {
-			n++
-		}
-	}
-	return n
-}
-
 // dueForRenewal returns the permits that were granted at least renewAge ago, by coordinator and service.
 func (p *permits) dueForRenewal() map[netip.AddrPort]map[string][]uint64 {
 	before := time.Now().Add(-renewAge)
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipeowner"
 	"snipepitch.example/snipepitch/snipeproto"
+	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipesignal"
 )
 
@@ -60,6 +62,20 @@
 	return binary.BigEndian.Uint64(b[:8]) ^ binary.BigEndian.Uint64(b[8:])<<portBits ^ uint64(a.Port())
 }
 
+// rankFor returns the rank of an instance, from 0, among the live ones for an upstream, by rendezvous hash. All
+// instances that know the same live instances compute the same ranking.
+func rankFor(upstream string, self netip.AddrPort, live map[netip.AddrPort]snipeowner.Instance) int {
+	key := sniperoute.Hash(upstream)
+	own := sniperoute.Score(key, addressKey(self))
+	rank := 0
+	for peer := range live {
+		if peer != self && sniperoute.Score(key, addressKey(peer)) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // signalCounter returns the name of the counter of signals of one kind.
 func signalCounter(kind string) string {
 	return `snipepitch_upstream_signals_total{signal="` + kind + `"}`
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -145,10 +145,14 @@
 	account         *snipequota.Account
 	lender          *lender
 	admission       *admission
-	stopState       stopState
-	startupGate     *startupGate
-	pressure        *snipepressure.Budget
-	connections     *connectionLimit // nil for no bound
+	accountCalls    accountCalls
+	ended           endedInstances
+	// startedAt is when Run was called.
+	startedAt   time.Time
+	stopState   stopState
+	startupGate *startupGate
+	pressure    *snipepressure.Budget
+	connections *connectionLimit // nil for no bound
 
 	invalidEntries invalidEntries
 	softwareGauges softwareGauges
@@ -169,6 +173,7 @@
 // Run serves until ctx ends, SIGTERM, SIGINT or Stop stops the instance, or a task fails. It
 // returns the error of the task that ended first, which is nil after a planned stop.
 func (i *Instance) Run(ctx context.Context) error {
+	i.startedAt = time.Now()
 	i.build()
 	i.makeStopSignals()
 	signal.Notify(i.stopSignals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -198,7 +203,7 @@
 			i.applyOwnLoads()
 			i.spreadAdapters()
 			i.sendSignals(ctx)
-			i.admission.reportUnpermitted(ctx)
+			i.askAccounts(ctx)
 			i.stepCrashes(ctx)
 			i.streams.Step()
 			i.announceSoftware(ctx)
@@ -266,8 +271,8 @@
 	i.holder = &snipeowner.Holder{
 		Table:   snipeowner.Table{List: i.ownershipRows, Write: i.relay.Write},
 		Self:    snipeowner.Instance{Name: s.Name, Incarnation: i.Incarnation, Peer: s.Peers, Domain: s.Domain, Power: s.Power},
-		Engines: i.engineAddresses, OrderGap: s.OrderGap.Value(), DivisionSpan: s.RetrySpan.Value(), Clock: bootClock,
-		Operation: i.Operation, RenewalEnded: i.noteRenewal, Detached: i.detached, Log: i.Log,
+		Engines: i.ownedAddresses, OrderGap: s.OrderGap.Value(), DivisionSpan: s.RetrySpan.Value(), Clock: bootClock,
+		Operation: i.Operation, RenewalEnded: i.noteRenewal, Detached: i.detached, Ended: i.ended.has, Log: i.Log,
 	}
 	i.buildSoftware()
 	i.buildTables()
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -34,6 +34,8 @@
 	// Coordinator names the instance that granted the permit; empty if this instance paces its
 	// requests on its own.
 	Coordinator string
+	// Strict is set if the permit is one that is lent strictly.
+	Strict bool
 	// Release gives the permit back. It does not block.
 	Release func(r snipeadmission.Result)
 }
@@ -173,6 +175,9 @@
 // attemptWithPermit makes an attempt and gives back its permit, if it has one, also if the attempt
 // panics.
 func (c *call) attemptWithPermit(ctx context.Context, choice Choice) (err error) {
+	if p := c.admission.permit; p == nil || !p.Strict {
+		defer c.gateway.withoutPermit.enter(choice.Upstream.ID)()
+	}
 	if c.admission.permit == nil {
 		return c.attempt(ctx, choice)
 	}
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -82,6 +82,7 @@
 	inFlight        atomic.Int64
 	workspaceLabels workspaceLabels
 	headers         headerNames
+	withoutPermit   attemptCounter
 }
 
 // InFlight returns the number of requests being served.
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -106,6 +106,7 @@
 	PacingBegun        = define(223, "PacingBegun", logrus.WarnLevel)
 	PacingEnded        = define(224, "PacingEnded", logrus.InfoLevel)
 	UpstreamPaused     = define(225, "UpstreamPaused", logrus.InfoLevel)
+	LendingBegun       = define(227, "LendingBegun", logrus.InfoLevel)
 	MemoryHigh         = define(230, "MemoryHigh", logrus.WarnLevel)
 	MemoryFree         = define(231, "MemoryFree", logrus.InfoLevel)
 	RefusedForMemory   = define(232, "RefusedForMemory", logrus.InfoLevel)
--- a/snipeowner/renew.go
+++ b/snipeowner/renew.go
@@ -54,6 +54,9 @@
 	}
 	h.recordDivisionRenewal(h.renewedAt, sent, standby)
 	h.renewedAt = sent
+	if h.joinedAt.IsZero() {
+		h.joinedAt = time.Now()
+	}
 	h.instances[self.Peer] = instanceRow{Instance: self, hash: addressHash(self.Peer), version: version, observedAt: sent}
 	if releases {
 		h.recordReleases(released)
@@ -159,7 +162,7 @@
 	allowedAt := h.outage.takeoverAllowedAt()
 	for engine, o := range h.holdings {
 		if !o.confirmed {
-			o.confirmed, o.ordersFrom = true, max(o.ordersFrom, allowedAt)
+			o.confirmed, o.ordersFrom, o.since = true, max(o.ordersFrom, allowedAt), max(o.since, allowedAt)
 		}
 		h.holdings[engine] = o
 	}
@@ -168,10 +171,14 @@
 		switch {
 		case t.previous == h.Self.Peer:
 			t.ordersFrom = max(t.ordersFrom, h.outage.ownOrdersFrom(t.ordersFrom))
+			t.since = max(t.since, h.outage.ownOrdersFrom(t.since))
 		case t.previous.IsValid():
 			t.ordersFrom = max(t.ordersFrom, allowedAt)
+			if !t.ended {
+				t.since = max(t.since, allowedAt)
+			}
 		}
-		h.holdings[t.engine] = holding{fence: t.fence, version: version, ordersFrom: t.ordersFrom, confirmed: true}
+		h.holdings[t.engine] = holding{fence: t.fence, version: version, ordersFrom: t.ordersFrom, since: t.since, confirmed: true}
 		h.ownersChanged = true
 		h.owners[t.engine] = ownerRow{version: version, observedAt: sent, ownership: ownership{
 			Peer: h.Self.Peer, Incarnation: h.Self.Incarnation, Fence: t.fence,
--- a/snipeowner/rows.go
+++ b/snipeowner/rows.go
@@ -25,6 +25,9 @@
 	h.outage.recordRead(now, h.rowsAge())
 	h.recordDivisionRead(now, h.rowsAge())
 	h.recordRows(rows, now)
+	if _, known := h.instances[h.Self.Peer]; known && h.joinedAt.IsZero() && h.renewedAt == 0 {
+		h.joinedAt = time.Unix(0, 0)
+	}
 	h.reconcileHoldings()
 	return nil
 }
@@ -115,8 +118,8 @@
 		default:
 			// A write whose outcome was unknown has taken effect. It is unknown how long ago the
 			// previous owner could order, so this instance waits for the full time.
-			ordersFrom := h.orderGapEnd(engine, h.Clock()+orderTime+margin)
-			h.holdings[engine] = holding{fence: row.Fence, version: row.version, ordersFrom: ordersFrom}
+			from := h.Clock() + orderTime + margin
+			h.holdings[engine] = holding{fence: row.Fence, version: row.version, ordersFrom: h.orderGapEnd(engine, from), since: from}
 		}
 	}
 }
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -72,6 +72,9 @@
 	// lapsedRetention is how long after the last change of its row an instance that no longer
 	// renews is listed as lapsed, since it may return. Its row is never deleted.
 	lapsedRetention = 5 * time.Minute
+	// recentTime is how long after the last change of its row an instance is listed as recent: longer than its right
+	// to use what an owner has lent it.
+	recentTime = 30 * time.Second
 	// startPollInterval is the time between two attempts to read the rows until the first one
 	// succeeds, so that an instance that restarts takes its engines back at once.
 	startPollInterval = 20 * time.Millisecond
@@ -171,16 +174,20 @@
 	// Detached reports whether this instance cannot reach the engines although others can. It then
 	// releases its engines, and takes none over until it reaches them again. Nil means never.
 	Detached func() bool
+	// Ended reports whether a start of an instance is known to have ended, although its row does not show it yet. Nil
+	// means never.
+	Ended func(i Instance) bool
 	// RenewalEnded, if not nil, is called after each renewal; ok reports whether the table
 	// answered, also if it rejected the renewal because a row had changed.
 	RenewalEnded func(ok bool)
 	Log          *snipelog.Logger
 
-	readRequestOnce sync.Once // creates readRequested
-	readRequested   chan struct{}
-	view            atomic.Pointer[View]
-	leaving         atomic.Bool
-	outage          outage
+	requestOnce   sync.Once // creates readRequested and stepRequested
+	readRequested chan struct{}
+	stepRequested chan struct{}
+	view          atomic.Pointer[View]
+	leaving       atomic.Bool
+	outage        outage
 
 	lock sync.Mutex // guards the fields below
 	// orderDeadline is when the right of this instance to order ends.
@@ -210,15 +217,17 @@
 	// was sent.
 	renewedAt   time.Duration
 	attemptedAt time.Duration
-	presence    presence
+	// joinedAt is View.JoinedAt.
+	joinedAt time.Time
+	presence presence
 }
 
 // holding is an engine that this instance owns.
 type holding struct {
 	fence   uint64
 	version uint64
-	// ordersFrom is when orders may begin.
-	ordersFrom time.Duration
+	// ordersFrom is when orders may begin. since is when the previous owner's right ended at the latest.
+	ordersFrom, since time.Duration
 	// confirmed reports that a successful renewal included this engine.
 	confirmed bool
 }
@@ -252,6 +261,26 @@
 	return o.fence, true
 }
 
+// Right is the right of this instance to act for what it owns, but for orders: see Fence for these.
+type Right struct {
+	Fence uint64
+	// Since is when the right began. No other instance has had it since.
+	Since time.Time
+}
+
+// Right returns the right of this instance to act for an address that it owns, and false when it does not own it or
+// its lease may have ended. It begins as soon as that of the previous owner has ended, without OrderGap.
+func (h *Holder) Right(address netip.AddrPort) (Right, bool) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	o, ok := h.holdings[address]
+	now := h.Clock()
+	if !ok || !o.confirmed || now >= h.orderDeadline || now < o.since {
+		return Right{}, false
+	}
+	return Right{Fence: o.fence, Since: time.Now().Add(o.since - now)}, true
+}
+
 // Owns reports whether this instance owns any engine, even if it must not order it now.
 func (h *Holder) Owns() bool {
 	h.lock.Lock()
--- a/snipeowner/step.go
+++ b/snipeowner/step.go
@@ -76,11 +76,28 @@
 	}
 }
 
+// RequestStep requests that the next step be made at once. It returns at once.
+func (h *Holder) RequestStep() {
+	select {
+	case h.stepRequests() <- struct{}{}:
+	default: // a step is requested already
+	}
+}
+
 func (h *Holder) readRequests() chan struct{} {
-	h.readRequestOnce.Do(func() { h.readRequested = make(chan struct{}, 1) })
+	h.makeRequests()
 	return h.readRequested
 }
 
+func (h *Holder) stepRequests() chan struct{} {
+	h.makeRequests()
+	return h.stepRequested
+}
+
+func (h *Holder) makeRequests() {
+	h.requestOnce.Do(func() { h.readRequested, h.stepRequested = make(chan struct{}, 1), make(chan struct{}, 1) })
+}
+
 // refresh reads the rows and publishes a new view. It does not renew or take over engines; the
 // next step does.
 func (h *Holder) refresh(ctx context.Context) {
@@ -89,7 +106,7 @@
 	}
 }
 
-// refreshUntil reads the rows at each request until the channel receives a time or ctx ends.
+// refreshUntil reads the rows at each request until the channel receives a time, a step is requested or ctx ends.
 func (h *Holder) refreshUntil(ctx context.Context, end <-chan time.Time) {
 	for {
 		select {
@@ -97,6 +114,8 @@
 			return
 		case <-end:
 			return
+		case <-h.stepRequests():
+			return
 		case <-h.readRequests():
 			h.refresh(ctx)
 		}
--- a/snipeowner/take.go
+++ b/snipeowner/take.go
@@ -13,9 +13,11 @@
 	engine   netip.AddrPort
 	previous netip.AddrPort
 	fence    uint64
-	// ordersFrom is when orders may begin.
-	ordersFrom time.Duration
-	changes    []snipeplatform.Change
+	// ordersFrom is when orders may begin, since when the previous owner's right has ended.
+	ordersFrom, since time.Duration
+	// ended is set if the previous owner's process is known to have ended.
+	ended   bool
+	changes []snipeplatform.Change
 }
 
 // takeovers returns the engines without a live owner for which this instance ranks first among
@@ -53,7 +55,7 @@
 func (h *Holder) rivals() []uint64 {
 	var all []uint64
 	for peer, r := range h.instances {
-		if peer != h.Self.Peer && !r.Leaving && !r.Standby && !r.Detached && h.live(r) {
+		if peer != h.Self.Peer && !r.Leaving && !r.Standby && !r.Detached && h.live(r) && !h.hasEnded(r.Instance) {
 			all = append(all, r.hash)
 		}
 	}
@@ -68,9 +70,12 @@
 		return false
 	}
 	r, exists := h.instances[row.Peer]
-	return exists && r.Incarnation == row.Incarnation && now-r.observedAt < observationTime
+	return exists && r.Incarnation == row.Incarnation && now-r.observedAt < observationTime && !h.hasEnded(r.Instance)
 }
 
+// hasEnded reports whether a start of another instance is known to have ended.
+func (h *Holder) hasEnded(i Instance) bool { return h.Ended != nil && h.Ended(i) }
+
 // ranksFirst reports whether this instance ranks before all rivals for an engine.
 func (h *Holder) ranksFirst(engine netip.AddrPort, rivals []uint64) bool {
 	key := addressHash(engine)
@@ -83,6 +88,23 @@
 	return true
 }
 
+// Successor returns the instance that would take an address over if the given instance had ended, and false if there is
+// none.
+func (h *Holder) Successor(address, ended netip.AddrPort) (netip.AddrPort, bool) {
+	key := addressHash(address)
+	var best netip.AddrPort
+	var highest uint64
+	for peer, i := range h.View().Live {
+		if peer == ended || i.Leaving || i.Standby || i.Detached || h.hasEnded(i) {
+			continue
+		}
+		if s := score(key, addressHash(peer)); !best.IsValid() || s > highest {
+			best, highest = peer, s
+		}
+	}
+	return best, best.IsValid()
+}
+
 // planTakeover returns the takeover of an engine, and false when this instance owns the engine
 // already or its owner may still order it.
 func (h *Holder) planTakeover(engine netip.AddrPort, now time.Duration) (takeover, bool) {
@@ -90,7 +112,7 @@
 	if known && h.ownedBySelf(row.ownership) {
 		return takeover{}, false
 	}
-	t := takeover{engine: engine, previous: row.Peer, fence: row.Fence + 1, ordersFrom: now}
+	t := takeover{engine: engine, previous: row.Peer, fence: row.Fence + 1, ordersFrom: now, since: now}
 	// A struct of plain fields always has a JSON form.
 	data, _ := json.Marshal(ownership{Peer: h.Self.Peer, Incarnation: h.Self.Incarnation, Fence: t.fence})
 	t.changes = []snipeplatform.Change{{Key: ownerKey(engine), Expect: row.version, Data: data}}
@@ -112,11 +134,12 @@
 // planFromOwner completes the takeover of an engine whose owner did not release it, and returns
 // false when the owner may still order it.
 func (h *Holder) planFromOwner(t takeover, row ownerRow, now time.Duration) (takeover, bool) {
-	if now < h.outage.takeoverAllowedAt() || h.outage.renewalUnanswered() {
+	previous, exists := h.instances[row.Peer]
+	t.ended = exists && previous.Incarnation == row.Incarnation && h.hasEnded(previous.Instance)
+	if !t.ended && (now < h.outage.takeoverAllowedAt() || h.outage.renewalUnanswered()) {
 		// The owner may be ordering the engine under a lease extension that this instance granted.
 		return takeover{}, false
 	}
-	previous, exists := h.instances[row.Peer]
 	switch {
 	case !exists || previous.Incarnation != row.Incarnation:
 		// The owner's instance row is missing or belongs to another start: the owner's last
@@ -126,9 +149,11 @@
 			observedAt = max(observedAt, previous.observedAt)
 		}
 		t.ordersFrom = observedAt + orderTime + margin
-	case now-previous.observedAt < observationTime:
+		t.since = max(now, t.ordersFrom)
+	case now-previous.observedAt < observationTime && !t.ended:
 		return takeover{}, false
 	default:
+		// Orders of an owner that has ended may still be on their way.
 		t.ordersFrom = previous.observedAt + orderTime + margin
 		t.changes = append(t.changes, snipeplatform.Change{Key: instanceKey(row.Peer), Expect: previous.version})
 	}
--- a/snipeowner/view.go
+++ b/snipeowner/view.go
@@ -27,6 +27,8 @@
 	// Lapsed holds the addresses of the instances that stopped renewing within the last
 	// lapsedRetention.
 	Lapsed []netip.AddrPort
+	// Recent holds the instances that are not live and whose rows have changed within recentTime.
+	Recent []Instance
 	// Owners maps the addresses of engines to their live owners. OtherOwners holds the addresses of
 	// the owners other than this instance.
 	Owners      map[netip.AddrPort]Owner
@@ -35,6 +37,10 @@
 	// each step and after each successful read between two steps. A step does so also if its read
 	// or its renewal failed, but not while no rows were ever available (ErrNotRead).
 	CreatedAt time.Time
+	// JoinedAt is when this instance learned that its row was in the table: at its first read if an earlier start of it
+	// had written one, otherwise at its first successful renewal. It is far in the past in the first case, since
+	// the other instances have known the row before, and zero before both.
+	JoinedAt time.Time
 	// Division is how this instance takes part in limits on all instances together.
 	Division Division
 }
@@ -51,13 +57,16 @@
 // steps find no change.
 func (h *Holder) publish() {
 	last := h.View()
-	v := &View{Live: make(map[netip.AddrPort]Instance, len(last.Live)), CreatedAt: time.Now(), Division: h.division()}
+	v := &View{Live: make(map[netip.AddrPort]Instance, len(last.Live)), CreatedAt: time.Now(), JoinedAt: h.joinedAt, Division: h.division()}
 	for peer, r := range h.instances {
 		switch {
 		case h.live(r):
 			v.Live[peer] = r.Instance
 		case h.livenessTime()-r.observedAt < lapsedRetention:
 			v.Lapsed = append(v.Lapsed, peer)
+			if h.livenessTime()-r.observedAt < recentTime {
+				v.Recent = append(v.Recent, r.Instance)
+			}
 		}
 	}
 	unchanged := maps.Equal(v.Live, last.Live)
--- a/snipestand/runnerplaces.go
+++ b/snipestand/runnerplaces.go
@@ -93,7 +93,7 @@
 	}
 	took = p.took
 	if p.spread > 0 {
-		took += rand.N(2*p.spread) - p.spread
+		took += rand.N(2*p.spread) - p.spread //nolint:gosec // not a secret
 	}
 	tooLarge := p.memory > 0 && tokens > p.memory
 	if ok = p.inside < limit+p.queue && !tooLarge; ok {
