Requests larger than all memory: not sent on, no sign of a full upstream, refused at once

Cause: an upstream refuses such a request as if it were full. The refusal lowered the bound of the upstream, the request went on to the next one, and each instance learned nothing from it. Class: one answer for two causes, read as the one that it usually has.

Ruled out: ignoring single refusals (a brittle upstream crashes at the fourth in a second); the catalog alone (plain services state no memory, and not all engine services do).

Change: a request with a larger prompt than the declared memory is refused at once. Else a refusal counts as one for size where the upstream states room, or where the request is larger than all of at least 64 that were served: it is not sent on and does not lower the bound; the coordinator refuses requests of its size for 30 s, and each instance does after two.

TestOversizes, TestTooLarge.

--- a/snipeadmission/admission.go
+++ b/snipeadmission/admission.go
@@ -50,6 +50,8 @@
 	ReasonFull
 	// ReasonBusy means that no permit is free and the request does not wait.
 	ReasonBusy
+	// ReasonTooLarge means that an upstream has had no memory for a request of this size.
+	ReasonTooLarge
 	// ReasonNotAsked means that the request does not wait, and that calls for permits are too slow to try several
 	// coordinators.
 	ReasonNotAsked
@@ -73,6 +75,8 @@
 		return "queue full"
 	case ReasonBusy:
 		return "no permit free"
+	case ReasonTooLarge:
+		return "larger than the memory of the upstreams"
 	case ReasonNotAsked:
 		return "calls for permits are slow"
 	case ReasonNoCoordinator:
@@ -156,6 +160,8 @@
 	OutcomeUnreachable
 	// OutcomeSuspect means that the instance has reason to believe that the upstream is broken.
 	OutcomeSuspect
+	// OutcomeTooLarge means that the upstream has no memory for the request and did not execute it.
+	OutcomeTooLarge
 )
 
 // Load is what an upstream states about its occupancy. Pace is 1 for the usual time and higher for
--- a/snipeadmission/coordinator.go
+++ b/snipeadmission/coordinator.go
@@ -46,14 +46,16 @@
 	// as this instance knows before it has observed any; nil or 0 means maxLinger. It is called as Upstreams is.
 	Linger func() time.Duration
 
-	lock    sync.Mutex // guards the fields below
-	pool    pool
-	term    term
-	shares  shares
-	demand  demand
-	queue   snipefair.Queue[*waiter]
-	permits map[uint64]*lease
-	lastID  uint64
+	lock   sync.Mutex // guards the fields below
+	pool   pool
+	term   term
+	shares shares
+	// oversize is the size of requests for which the upstreams have no memory.
+	oversize oversize
+	demand   demand
+	queue    snipefair.Queue[*waiter]
+	permits  map[uint64]*lease
+	lastID   uint64
 	// lastRetry is the time that was last named to a refused caller.
 	lastRetry time.Time
 	sweptAt   time.Time
@@ -158,6 +160,10 @@
 		c.refuse(e, ReasonDeadline, now)
 		return w, e
 	}
+	if c.oversize.covers(r.Tokens, now) {
+		c.refuse(e, ReasonTooLarge, now)
+		return w, e
+	}
 	c.grantAll(now)
 	switch {
 	case len(w.decision) > 0:
@@ -335,6 +341,9 @@
 	switch r.Outcome {
 	case OutcomeServed:
 		u.failures, u.servedAt = 0, now
+	case OutcomeTooLarge:
+		c.queue.Charge(l.item.Priority, l.item.Workspace, -l.item.Work())
+		c.oversize.note(l.item.Tokens, now)
 	case OutcomeUnused:
 		c.queue.Charge(l.item.Priority, l.item.Workspace, -l.item.Work())
 	case OutcomeRefused:
--- a/snipeadmission/strict_test.go
+++ b/snipeadmission/strict_test.go
@@ -254,3 +254,18 @@
 		must.Zero(t, c.Stats().Expired)
 	})
 }
+
+// TestTooLarge guards against requests larger than the memory of the upstreams that each instance sends there to learn
+// it, and against upstreams that count as full because of them.
+func TestTooLarge(t *testing.T) {
+	strict(t, 3, func(t *testing.T, c *testCoordinator) {
+		p := c.take(snipeadmission.Request{Instance: "i", Tokens: 900})
+		c.Release(p.ID, snipeadmission.Result{Outcome: snipeadmission.OutcomeTooLarge})
+		_, err := c.Acquire(t.Context(), snipeadmission.Request{Instance: "j", Tokens: 1000})
+		must.ErrorIs(t, err, snipeadmission.ErrRefused)
+		must.Eq(t, 4, c.free())
+		c.take(snipeadmission.Request{Instance: "j", Tokens: 800})
+		time.Sleep(30 * second)
+		c.take(snipeadmission.Request{Instance: "j", Tokens: 1000})
+	})
+}
--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -328,7 +328,7 @@
 	switch {
 	case !validName(m.GetService()):
 		return snipeadmission.Result{}, errors.Wrap(errMessage, "service empty or too long")
-	case outcome < snipeadmission.OutcomeServed || outcome > snipeadmission.OutcomeSuspect:
+	case outcome < snipeadmission.OutcomeServed || outcome > snipeadmission.OutcomeTooLarge:
 		return snipeadmission.Result{}, errors.Wrapf(errMessage, "outcome %d", outcome)
 	case m.GetTookMicroseconds() < 0 || m.GetTookMicroseconds() > longest:
 		return snipeadmission.Result{}, errors.Wrap(errMessage, "time out of range")
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -241,12 +241,14 @@
 func (c *call) noteLoad(l *Load) { c.admission.load, c.admission.loadAt = l, time.Now() }
 
 // refusalOutcome returns the outcome of an attempt that the upstream did not run. An address at
-// which another upstream answers counts as unreachable. That an adapter is missing tells nothing about the
-// upstream's room.
-func refusalOutcome(v AnswerState) snipeadmission.Outcome {
+// which another upstream answers counts as unreachable. That an adapter is missing, or the request too large, tells
+// nothing about the upstream's room.
+func (c *call) refusalOutcome(v AnswerState) snipeadmission.Outcome {
 	switch {
 	case v.Elsewhere:
 		return snipeadmission.OutcomeUnreachable
+	case c.tooLarge:
+		return snipeadmission.OutcomeTooLarge
 	case v.Missing:
 		return snipeadmission.OutcomeUnused
 	}
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -194,7 +194,8 @@
 	// The answer is read to its end so that the connection can be reused.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBuffered))
 	c.admission.retryAfter = v.Signal.Backoff
-	c.releasePermit(refusalOutcome(v))
+	c.tooLarge = c.refusedForSize(v)
+	c.releasePermit(c.refusalOutcome(v))
 	id := d.Upstream.ID
 	if !v.Elsewhere && !v.Missing && v.Signal.Backoff == 0 {
 		c.noteRefusedForRoom(id)
@@ -203,7 +204,7 @@
 	case v.Elsewhere:
 		c.gateway.Balancer.RecordReplaced(id)
 		c.noteReplaced()
-	case v.Signal.Backoff > 0, c.admission.asked && !v.Missing && c.Adapter.Name != "":
+	case c.tooLarge, v.Signal.Backoff > 0, c.admission.asked && !v.Missing && c.Adapter.Name != "":
 		// The engine has no free slot, but keeps its adapters.
 	case c.Adapter.Name != "":
 		c.gateway.Chooser.Residency.RecordAbsent(id, c.Adapter)
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -90,6 +90,8 @@
 	// fullUpstreams counts the upstreams that did not run a request without an adapter and asked
 	// for no backoff: they are assumed to have had no free slot.
 	fullUpstreams int
+	// tooLarge is set if the last upstream refused the request for its size.
+	tooLarge bool
 	// retryReserved is set while a retry is reserved from the retry budget and not sent yet, retrySpent
 	// while the current attempt is a retry that was charged to it.
 	retryReserved, retrySpent bool
@@ -171,6 +173,9 @@
 		if err := c.checkQuarantine(); err != nil {
 			return c.finalError(err)
 		}
+		if err := c.checkSize(); err != nil {
+			return c.finalError(err)
+		}
 		reached := c.reached
 		final, err := c.attemptNext(ctx)
 		c.settleRetry(reached)
@@ -179,6 +184,7 @@
 			return c.finalError(err)
 		case err == nil:
 			c.noteAnswered()
+			c.noteSizeServed()
 			return nil
 		}
 		if c.retryDenial = c.decideRetry(ctx, err); c.retryDenial != retryAllowed {
--- a/snipegateway/retry.go
+++ b/snipegateway/retry.go
@@ -47,7 +47,7 @@
 func (c *call) decideRetry(ctx context.Context, err error) retryDenial {
 	f := snipeerror.From(err)
 	switch {
-	case errors.Is(f, snipeerror.ErrUnauthenticated), errors.Is(f, snipeerror.ErrQuarantined):
+	case errors.Is(f, snipeerror.ErrUnauthenticated), errors.Is(f, snipeerror.ErrQuarantined), c.tooLarge:
 		return retryUseless
 	case ctx.Err() != nil, time.Until(c.deadline) < minTimeLeft:
 		return retryLate
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -83,6 +83,7 @@
 	workspaceLabels workspaceLabels
 	headers         headerNames
 	withoutPermit   attemptCounter
+	oversizes       oversizes
 }
 
 // InFlight returns the number of requests being served.
