Limits that upstreams name follow the callers: shares by need, issued by the owner of the upstream

Cause: what all instances may use of a limit was divided evenly by rank, so the share of the crowded one stayed a sixth to a ninth. Class: a fixed division of what one side alone needs.

Ruled out: larger even shares (they add up to more than the limit); hops to instances with unused shares (twice the messages of the path, and the same question of who has some left); units granted ahead as for quotas (a request would wait for a message).

Change: four fifths of the usable limit follow need. The owner of the upstream, or of the plain service, issues shares for two seconds, each instance asks five times a second; one that has asked nobody lately, or is told that none is issued yet, keeps its even share of all, which the issuer leaves to it. A share that was issued may save send slots for 0.3 s, as callers come at random.

--- a/snipeentry/admissionnetwork_test.go
+++ b/snipeentry/admissionnetwork_test.go
@@ -290,6 +290,11 @@
 	return copied(a)
 }
 
+// Limits implements snipeproto.Admission.
+func (c *memoryClient) Limits(context.Context, *snipeproto.AdmissionLimitsRequest) (*snipeproto.AdmissionLimitsResponse, error) {
+	return &snipeproto.AdmissionLimitsResponse{}, nil
+}
+
 // Release implements snipeproto.Admission.
 func (c *memoryClient) Release(ctx context.Context, m *snipeproto.AdmissionReleaseRequest) (*snipeproto.AdmissionReleaseResponse, error) {
 	if err := c.reach(ctx); err != nil {
--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -43,6 +43,8 @@
 	lender *lender
 	// account answers the questions of coordinators.
 	account func(m *snipeproto.AdmissionAccountRequest) *snipeproto.AdmissionAccountResponse
+	// limits answers requests for shares of limits.
+	limits func(m *snipeproto.AdmissionLimitsRequest) *snipeproto.AdmissionLimitsResponse
 }
 
 // Acquire implements snipeproto.Admission. The error code FailedPrecondition means that this
@@ -87,6 +89,14 @@
 	return s.account(m), nil
 }
 
+// Limits implements snipeproto.Admission.
+func (s *admissionServer) Limits(_ context.Context, m *snipeproto.AdmissionLimitsRequest) (*snipeproto.AdmissionLimitsResponse, error) {
+	if err := checkSender(m.GetVersion(), m.GetInstance()); err != nil {
+		return nil, s.invalid(err)
+	}
+	return s.limits(m), nil
+}
+
 // Release implements snipeproto.Admission. A message with any invalid part is refused whole.
 func (s *admissionServer) Release(_ context.Context, m *snipeproto.AdmissionReleaseRequest) (*snipeproto.AdmissionReleaseResponse, error) {
 	results, err := decodeRelease(m)
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -107,7 +107,7 @@
 	mirrors := snipeproto.NewMirrorServer(&mirrorServer{mirrors: i.mirrors()})
 	owners := snipeproto.NewOwnershipServer(&ownershipServer{i.holder, i.relay})
 	quotas := snipeproto.NewQuotaServer(&quotaServer{i.issuer})
-	permits := snipeproto.NewAdmissionServer(&admissionServer{lender: i.lender, account: i.answerAccount})
+	permits := snipeproto.NewAdmissionServer(&admissionServer{lender: i.lender, account: i.answerAccount, limits: i.issueLimits})
 	crashes := snipeproto.NewCrashServer(&crashServer{i})
 	streams := snipeproto.NewStreamServer(&streamServer{i.streams})
 	m := http.NewServeMux()
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -48,13 +48,6 @@
 	i.Log.Log(snipelog.ServiceBrittleEnded, fields)
 }
 
-// limitShare returns this instance's share of an upstream's limit, which is in requests per second
-// of all instances together. The share depends on this instance's rank among the live instances (see rankFor).
-func (i *Instance) limitShare(upstream string, limit float64) snipesignal.Share {
-	rank := rankFor(upstream, i.Settings.Peers, i.holder.View().Live)
-	return snipesignal.Divide(limit, i.sharingInstances(), rank)
-}
-
 // addressKey returns a key that identifies an address in a ranking.
 func addressKey(a netip.AddrPort) uint64 {
 	b := a.Addr().As16()
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -147,6 +147,9 @@
 	admission       *admission
 	accountCalls    accountCalls
 	ended           endedInstances
+	limitIssuer     snipesignal.Issuer
+	limitGrants     snipesignal.Grants
+	limitCalls      accountCalls
 	// startedAt is when Run was called.
 	startedAt   time.Time
 	stopState   stopState
@@ -210,6 +213,9 @@
 			i.lender.refresh(i.directory.Snapshot())
 		})
 	})
+	i.addTask(ctx, &g, func(ctx context.Context) error {
+		return snipetime.Every(ctx, limitsInterval, i.askLimits)
+	})
 	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, probeInterval, i.reach.Probe) })
 	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, renewInterval, i.admission.renew) })
 	i.addTask(ctx, &g, func(ctx context.Context) error { return snipetime.Every(ctx, loadsInterval, i.updateLoads) })
--- a/snipeentry/tables.go
+++ b/snipeentry/tables.go
@@ -221,6 +221,7 @@
 	i.balancer.Retain(registered)
 	i.signals.Retain(registered)
 	i.brittle.Retain(i.declared)
+	i.limitIssuer.Retain(func(id string) bool { return i.directory.Snapshot().ByID(id) != nil })
 }
 
 // logEntries logs which registry entries cannot be decoded, and which of them can be decoded again
--- a/snipegateway/admit.go
+++ b/snipegateway/admit.go
@@ -62,6 +62,7 @@
 	if c.catalog.RequiresKeys() {
 		c.header.Del(keyHeader)
 	}
+	g.arrivals.add(c.service)
 	if c.hop == nil {
 		g.Budget(c.service).CountRequest(c.arrived)
 	}
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -84,6 +84,7 @@
 	headers         headerNames
 	withoutPermit   attemptCounter
 	oversizes       oversizes
+	arrivals        arrivals
 }
 
 // InFlight returns the number of requests being served.
--- a/snipesignal/sendslot.go
+++ b/snipesignal/sendslot.go
@@ -4,8 +4,8 @@
 
 const (
 	// shareLife is how long a share is used before it is computed again, because the number of
-	// instances changes when instances start and stop.
-	shareLife = time.Second
+	// instances changes when instances start and stop, and the issued part with the callers.
+	shareLife = 200 * time.Millisecond
 	// probeAfter is the time since the upstream last named its limit, as far as this instance
 	// knows, after which an instance that only probes sends a probe. A probe shows whether the
 	// limit still holds. The time is several announcement intervals, so that instances do not probe
@@ -54,7 +54,11 @@
 // use takes the send slot that is open, and sets the beginning of the next one.
 func (s *sendSlots) use(now time.Time) {
 	if s.share.SlotTime == 0 {
-		s.next = now.Add(s.share.Interval)
+		earliest := now.Add(-time.Duration(s.share.Burst) * s.share.Interval)
+		if s.next.Before(earliest) {
+			s.next = earliest
+		}
+		s.next = s.next.Add(s.share.Interval)
 		return
 	}
 	passed := now.Sub(s.next) / s.share.Interval
--- a/snipesignal/share.go
+++ b/snipesignal/share.go
@@ -32,6 +32,8 @@
 	// only probes; one of its send slots begins every Interval. If SlotTime is zero, an unused send
 	// slot may be used at any later time, and the next one begins Interval after that use.
 	SlotTime time.Duration
+	// Burst is how many unused send slots may be used later at once, beside the one that is open.
+	Burst int
 	// Rank is the rank of the instance among those that share the limit.
 	Rank int
 }
