--- a/snipeentry/brittleshort_test.go
+++ b/snipeentry/brittleshort_test.go
@@ -36,6 +36,9 @@
 		"EnginesTwice": manyEngines(2),
 	}
 	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) { playBrittle(t, &tt) })
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playBrittle(t, &tt)
+		})
 	}
 }
