--- a/snipeadmission/keeper.go
+++ b/snipeadmission/keeper.go
@@ -69,6 +69,8 @@
 	callTime, serviceTime, maxService time.Duration
 	// calls holds when each call in progress has begun.
 	calls map[*keeperWaiter]time.Time
+	// answeredAt is when a call or a question of the coordinator last arrived.
+	answeredAt time.Time
 	// lost is set from a call that no coordinator answered until one does. askAt is when the next call may begin.
 	lost  bool
 	askAt time.Time
@@ -276,11 +278,12 @@
 // lateAfter returns the duration from which on a call is late.
 func (k *Keeper) lateAfter() time.Duration { return k.maxWait() + lateCalls*k.callTime + lateReserve }
 
-// noteLateCalls takes a coordinator for lost as soon as a call is late. The call goes on.
+// noteLateCalls takes a coordinator for lost as soon as a call is late and none that began later was answered. The call
+// goes on.
 func (k *Keeper) noteLateCalls(now time.Time) {
 	limit := k.lateAfter()
 	for _, begun := range k.calls {
-		if now.Sub(begun) >= limit {
+		if now.Sub(begun) >= limit && k.answeredAt.Before(begun) {
 			k.noteLost(now)
 			return
 		}
@@ -386,7 +389,7 @@
 		k.callTime = took
 	}
 	k.callTime += time.Duration(callWeight * float64(took-k.callTime))
-	k.lost, k.askAt = false, time.Time{}
+	k.lost, k.askAt, k.answeredAt = false, time.Time{}, time.Now()
 }
 
 // isVoid reports whether a permit that arrives now was lent before a question that was answered.
@@ -557,7 +560,7 @@
 		k.question.LastID, k.question.Share = max(k.question.LastID, q.LastID), q.Share
 	}
 	now := time.Now()
-	k.lost, k.askAt = false, time.Time{}
+	k.lost, k.askAt, k.answeredAt = false, time.Time{}, now
 	all := make([]HeldPermit, 0, len(k.held))
 	for _, p := range k.held {
 		left := p.ends().Sub(now)
