--- a/snipeadmission/admission.go
+++ b/snipeadmission/admission.go
@@ -4,8 +4,11 @@
 // permit for each request, send the request to the upstream that the permit names, and release the
 // permit with the result. An instance that reaches no coordinator paces its requests by a Pacer.
 //
+// Upstreams that must not refuse requests are lent strictly: only by the instance that has the right to, which first asks
+// all instances what they hold (see term.go). There each instance gets its permits through a Keeper.
+//
 // The package does no I/O and keeps no state that must last: a Coordinator that starts again learns
-// what runs at the upstreams from the load reports in the results.
+// what runs at the upstreams from the load reports in the results, or from the accounts of the instances.
 package snipeadmission
 
 import (
--- a/snipeentry/lender.go
+++ b/snipeentry/lender.go
@@ -21,7 +21,7 @@
 
 // lender coordinates services: it grants the permits that instances, this one included, ask it for.
 // It grants them even if another instance should coordinate by this instance's own view, since
-// views may differ for a while. Exported fields are set before the first call. It is safe for
+// views may differ for a while; strict permits only as the owner (see strictlender.go). Exported fields are set before the first call. It is safe for
 // concurrent use.
 type lender struct {
 	// Plain and Upstreams are as in admission. Stopping reports whether a planned stop has begun.
--- a/snipeentry/strictkeeper.go
+++ b/snipeentry/strictkeeper.go
@@ -130,7 +130,8 @@
 			},
 			Return: func(p snipeadmission.Permit, r snipeadmission.Result) {
 				if to, ok := a.strictCoordinator(name); ok {
-					a.release(heldPermit{to, name, p.ID, p.Upstream}, r)
+					// A Coordinator calls Keepers while it holds its lock, and this is called with that of the Keeper.
+					go a.release(heldPermit{to, name, p.ID, p.Upstream}, r)
 				}
 			},
 		}
--- a/snipegateway/oversize.go
+++ b/snipegateway/oversize.go
@@ -111,10 +111,10 @@
 // noteSizeServed records that the request's size was no reason to refuse it.
 func (c *call) noteSizeServed() { c.gateway.oversizes.noteServed(c.service, c.tokens()) }
 
-// refusedForSize reports whether an upstream refused the request for its size: by its own word it had room, or the
-// request is larger than all that were served.
+// refusedForSize reports whether a brittle upstream refused the request for its size: by its own word it had room, or the
+// request is larger than all that were served. Other upstreams bear refusals.
 func (c *call) refusedForSize(v AnswerState) bool {
-	if v.Elsewhere || v.Missing || v.Signal.Backoff > 0 {
+	if v.Elsewhere || v.Missing || v.Signal.Backoff > 0 || !c.brittle() {
 		return false
 	}
 	larger := c.gateway.oversizes.noteRefused(c.service, c.tokens())
--- a/snipeowner/snipeowner.go
+++ b/snipeowner/snipeowner.go
@@ -1,5 +1,9 @@
 // Package snipeowner decides which instance may give orders to an engine.
 //
+// Besides engines, instances own whatever else needs one that decides for all, under addresses that stand for it; where
+// this package says engine, it means these too. Such an owner gives no orders, so that its right begins earlier (see
+// Holder.Right).
+//
 // Design. Every instance sends calls directly to the engines; only orders (loads and
 // evictions) require a single author at a time. Each instance renews one row in the table.
 // The address of each engine has an owner row, which names the instance that may order the
