--- a/snipegateway/arrivals.go
+++ b/snipegateway/arrivals.go
@@ -7,7 +7,7 @@
 )
 
 // arrivalTime is the time constant of the rates of arriving requests.
-const arrivalTime = 400 * time.Millisecond
+const arrivalTime = time.Second
 
 // arrivals holds the rates of arriving requests by service. It is safe for concurrent use.
 type arrivals struct {
