--- a/snipeowner/simulation_test.go
+++ b/snipeowner/simulation_test.go
@@ -254,6 +254,8 @@
 	lock sync.Mutex // guards the fields below
 	// holderByPeer maps addresses to the running holders, for requests between instances.
 	holderByPeer map[netip.AddrPort]*snipeowner.Holder
+	// ended holds the starts of instances that are known to have ended.
+	ended map[string]bool
 	// unreachable holds the instances that do not answer requests of other instances.
 	unreachable map[netip.AddrPort]bool
 }
@@ -407,7 +409,8 @@
 			operations++
 			return fmt.Sprint(n, began.UnixNano(), operations)
 		},
-		Log: snipelog.Discard(),
+		Ended: s.hasEnded,
+		Log:   snipelog.Discard(),
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
 	s.holders[n], s.stops[n] = h, cancel
@@ -418,6 +421,29 @@
 	s.running.Go(func() { _ = h.RunExtendLease(ctx) })
 }
 
+// end stops an instance for good and lets all others know at once.
+func (s *simulation) end(n int) {
+	s.links[n].setFaults(true, 0)
+	s.stops[n]()
+	s.lock.Lock()
+	if s.ended == nil {
+		s.ended = make(map[string]bool)
+	}
+	s.ended[s.holders[n].Self.Incarnation] = true
+	s.lock.Unlock()
+	for other, h := range s.holders {
+		if other != n {
+			h.RequestStep()
+		}
+	}
+}
+
+func (s *simulation) hasEnded(i snipeowner.Instance) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.ended[i.Incarnation]
+}
+
 // shutDown stops all instances and waits for late writes.
 func (s *simulation) shutDown() {
 	for _, stop := range s.stops {
--- a/snipeowner/snipeowner_test.go
+++ b/snipeowner/snipeowner_test.go
@@ -167,6 +167,40 @@
 	})
 }
 
+// TestTakeoverFromEnded guards against an owner that is known to have ended and keeps what it owned until its lease ends,
+// and against orders of the next owner before that, while those of the ended one may still be on their way.
+func TestTakeoverFromEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 6, 3, 12)
+		defer s.shutDown()
+		s.runAndCheck(8 * time.Second)
+		var owned []netip.AddrPort
+		for _, e := range s.engines {
+			if _, ok := s.holders[1].Fence(e); ok {
+				owned = append(owned, e)
+			}
+		}
+		must.SliceNotEmpty(t, owned)
+		s.end(1)
+		s.runAndCheck(time.Second)
+		for _, e := range owned {
+			rights, orders := 0, 0
+			for _, n := range []int{0, 2} {
+				if _, ok := s.holders[n].Right(e); ok {
+					rights++
+				}
+				if _, ok := s.holders[n].Fence(e); ok {
+					orders++
+				}
+			}
+			must.Eq(t, 1, rights)
+			must.Zero(t, orders)
+		}
+		s.runAndCheck(5 * time.Second)
+		must.Eq(t, 12, s.orderable())
+	})
+}
+
 // TestOwnerLeaves checks that all engines may be ordered again four seconds after the begin of the
 // planned stop of an instance.
 func TestOwnerLeaves(t *testing.T) {
