--- a/snipesignal/grants_test.go
+++ b/snipesignal/grants_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,9 +24,9 @@
 type needRun struct {
 	random *rand.Rand
 	grants []snipesignal.Grants
-	busy   []bool
+	busy   []atomic.Bool
 	// issuer has the right to issue in the term with this fence, since then. crowded has nearly all callers.
-	issuer  *snipesignal.Issuer
+	issuer  atomic.Pointer[snipesignal.Issuer]
 	fence   uint64
 	since   time.Time
 	crowded int
@@ -37,7 +38,8 @@
 	case 0:
 		r.crowded = r.random.IntN(len(r.grants))
 	case 1:
-		r.issuer, r.fence, r.since = &snipesignal.Issuer{}, r.fence+1, time.Now()
+		r.issuer.Store(&snipesignal.Issuer{})
+		r.fence, r.since = r.fence+1, time.Now()
 	}
 }
 
@@ -46,19 +48,19 @@
 
 // ask has an instance ask for a share.
 func (r *needRun) ask(n int) {
-	r.busy[n] = true
+	r.busy[n].Store(true)
 	there, back, lost, asked := r.delay(), r.delay(), r.random.IntN(20) == 0, time.Now()
 	held, _ := r.grants[n].PerSecond("u")
 	ask := snipesignal.Ask{Upstream: "u", Limit: sumLimit, Need: 0.3, Held: held}
 	if n == r.crowded {
 		ask.Need = sumLimit
 	}
-	to, fence, since := r.issuer, r.fence, r.since
+	to, fence, since := r.issuer.Load(), r.fence, r.since
 	r.grants[n].Promise("u")
 	go func() {
-		defer func() { r.busy[n] = false }()
+		defer r.busy[n].Store(false)
 		time.Sleep(there)
-		if to != r.issuer {
+		if to != r.issuer.Load() {
 			return // its right has ended
 		}
 		g, ok := to.Issue(fmt.Sprint(n), ask, fence, since, len(r.grants))
@@ -99,14 +101,15 @@
 
 func playNeed(t *testing.T, instances int, seed uint64) {
 	r := &needRun{
-		random: rand.New(rand.NewPCG(seed, 58)), grants: make([]snipesignal.Grants, instances), busy: make([]bool, instances),
-		issuer: &snipesignal.Issuer{}, fence: 1, since: time.Now(),
+		random: rand.New(rand.NewPCG(seed, 58)), grants: make([]snipesignal.Grants, instances), busy: make([]atomic.Bool, instances),
+		fence: 1, since: time.Now(),
 	}
+	r.issuer.Store(&snipesignal.Issuer{})
 	most := 0.0
 	for range sumSteps {
 		r.disturb()
 		for n := range instances {
-			if !r.busy[n] && r.random.IntN(10) == 0 {
+			if !r.busy[n].Load() && r.random.IntN(10) == 0 {
 				r.ask(n)
 			}
 		}
