--- a/review/rig/parts.go
+++ b/review/rig/parts.go
@@ -80,7 +80,7 @@
 	for n := range engineCount {
 		e := &snipestand.RunnerServer{
 			Runner: &snipestand.Runner{
-				ID: fmt.Sprintf("e%d", n), Service: engineSvc, Model: engineModel, Slots: 18, Zone: "regina", Events: 6,
+				ID: fmt.Sprintf("e%d", n), Service: engineSvc, Model: engineModel, Slots: 18, Zone: zoneName, Events: 6,
 				EventInterval: 5 * time.Millisecond, LoadDuration: 250 * time.Millisecond, Faults: &snipestand.RunnerFaults{},
 			},
 			Downtime: downtime,
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -41,7 +41,7 @@
 
 // addUpstream starts a runner, which registers itself.
 func (w *world) addUpstream(u *upstream) error {
-	u.w, u.born, u.zone = w, time.Now().UnixMilli(), "regina"
+	u.w, u.born, u.zone = w, time.Now().UnixMilli(), zoneName
 	var err error
 	if u.address == "" {
 		if u.address, err = w.serve(u); err != nil {
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -20,6 +20,7 @@
 
 const (
 	loopback = "127.0.0.1:0"
+	zoneName = "regina"
 	host     = "review.example"
 	// heartbeat is the time between two writes of an upstream's entry.
 	heartbeat = 1200 * time.Millisecond
@@ -177,7 +178,7 @@
 		}
 	}
 	data, err := json.MarshalIndent(map[string]any{
-		"Name": i.name, "Domain": "regina", "Callers": i.callers, "Ready": i.ready, "Peers": i.peers, "Metrics": i.metrics,
+		"Name": i.name, "Domain": zoneName, "Callers": i.callers, "Ready": i.ready, "Peers": i.peers, "Metrics": i.metrics,
 		"Seeds": seeds, "Table": w.address, "OrderGap": "3000ms", "RetryShare": 0.2, "RetrySlack": 58, "RetrySpan": "10s",
 		"StopTimeout": "8s", "DrainTime": "2000ms", "ApplyTime": "2000ms", "CrashTime": "3000ms", "Power": 0.4,
 		"MemoryBytes": memoryBytes, "AdmissionShare": 1, "LogLevel": "info",
