--- a/review/rig/flood.go
+++ b/review/rig/flood.go
@@ -26,6 +26,11 @@
 	longestSpill = 500_000_000
 	// channels is the number of kept channels with requests to the sound service, slowWork what such a request takes.
 	channels, slowWork = 8, 400 * time.Millisecond
+	// faultyRunners is the number of runners of the other service, one of which is faulty. It spoils one answer, after
+	// soundAnswers sound ones.
+	faultyRunners, soundAnswers = 3, 24
+	// floodRequests is the number of requests to that service at most.
+	floodRequests = 200
 	// floodDeadline is what the caller of a request to the faulty runner waits, as the stream kinds of the sheet.
 	floodDeadline = 5 * time.Second
 	// lostAllowed is how many requests the rule allows to be lost.
@@ -41,10 +46,11 @@
 	slow     *upstream
 	lost     atomic.Int64
 	answered atomic.Int64
+	killed   atomic.Bool
 	end      chan struct{}
 }
 
-// flood has a faulty runner answer with bytes that are not a response: a long line. Rule: no more than three requests
+// flood has one of three runners answer once with bytes that are not a response: a long line. Rule: no more than three requests
 // of kept channels that were passed on to a sound runner end with a closed channel.
 func flood(w *world) ([]string, error) {
 	f := &floodPlay{w: w, end: make(chan struct{})}
@@ -61,14 +67,16 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		w.send(f.i, "GET", "/orders/17", "request-to-the-faulty-runner", floodDeadline)
+		for n := 0; n < floodRequests && !f.killed.Load(); n++ {
+			w.send(f.i, "GET", "/orders/17", fmt.Sprintf("request-%d", n), floodDeadline)
+		}
 	}()
-	most, killed := f.watch(done)
+	most := f.watch(done)
 	time.Sleep(500 * time.Millisecond)
 	close(f.end)
 	callers.Wait()
 	w.record("most memory of %s: %d bytes; ended for it: %v; kept channels: %d answered, %d closed without an answer",
-		f.i.name, most, killed, f.answered.Load(), f.lost.Load())
+		f.i.name, most, f.killed.Load(), f.answered.Load(), f.lost.Load())
 	var breaches []string
 	if f.lost.Load() > lostAllowed {
 		breaches = append(breaches, fmt.Sprintf("LOST: %d requests of kept channels that a sound runner ran ended without an answer", f.lost.Load()))
@@ -92,12 +100,15 @@
 	}); err != nil {
 		return err
 	}
-	faulty := &upstream{id: "i-faulty", service: plain}
+	all := []*upstream{}
+	for n := range faultyRunners {
+		all = append(all, &upstream{id: fmt.Sprintf("i-%d", n), service: plain})
+	}
 	if w.trouble {
-		faulty.answer = spill
+		all[0].answer = spillOnce()
 	}
 	f.slow = &upstream{id: "i-sound", service: sound, work: slowWork}
-	for _, u := range []*upstream{faulty, f.slow} {
+	for _, u := range append(all, f.slow) {
 		if err := w.addUpstream(u); err != nil {
 			return err
 		}
@@ -106,17 +117,16 @@
 }
 
 // watch ends the process when it holds more memory than it may, as the platform does.
-func (f *floodPlay) watch(done <-chan struct{}) (most int64, killed bool) {
+func (f *floodPlay) watch(done <-chan struct{}) (most int64) {
 	for {
 		select {
 		case <-done:
-			return most, killed
+			return most
 		case <-time.After(10 * time.Millisecond):
 		}
 		resident := residentBytes(f.i.command.Process.Pid)
 		most = max(most, resident)
-		if !killed && resident > memoryBytes {
-			killed = true
+		if resident > memoryBytes && !f.killed.Swap(true) {
 			f.w.record("the platform ends %s: %d bytes of memory, allowed are %d", f.i.name, resident, memoryBytes)
 			_ = f.i.command.Process.Kill()
 		}
@@ -169,6 +179,14 @@
 	return err
 }
 
+// spillOnce returns the answers of a runner that spoils one, after soundAnswers sound ones.
+func spillOnce() func(u *upstream, rw http.ResponseWriter, r *http.Request) bool {
+	var n atomic.Int64
+	return func(u *upstream, rw http.ResponseWriter, r *http.Request) bool {
+		return n.Add(1) == soundAnswers+1 && spill(u, rw, r)
+	}
+}
+
 // spill writes bytes that are not a response, at the speed of the link.
 func spill(u *upstream, rw http.ResponseWriter, r *http.Request) bool {
 	if r.Header.Get(attemptID) == "" {
