--- a/review/rig/lateload.go
+++ b/review/rig/lateload.go
@@ -30,7 +30,7 @@
 	number int
 }
 
-// latePlay has an engine leave the orders to load an adapter unanswered, start again under its name, and carry them out
+// latePlay has an engine leave one order to load an adapter unanswered, start again under its name, and carry it out
 // then; the processes of all machines are killed at the same moment. Rule: no engine is ordered to load more adapters than it has places.
 func latePlay(w *world) ([]string, error) {
 	d := &lateDay{w: w, engine: &snipestand.Runner{
@@ -44,8 +44,8 @@
 		return nil, err
 	}
 	if w.trouble {
-		d.engine.Faults.Set(snipestand.RunnerLateOrders, 100)
-		w.record("the engine leaves orders unanswered, and carries them out %v later", lateTime)
+		d.engine.Faults.Set(snipestand.RunnerLateOrders, 1)
+		w.record("the engine leaves the next order unanswered, and carries it out %v later", lateTime)
 	}
 	go d.ask("a4", 400*time.Millisecond)
 	time.Sleep(800 * time.Millisecond)
