All parts of a prompt are counted at a crash, not the first sixteen

Cause: partKeys took the first sixteen parts of a prompt, to report them at a crash and to look for a refused one.

Ruled out: that the part is counted and others are likelier (it is in no record; but see fillers below), that it is refused and requests are not checked for it.

Change: all parts are counted.

--- a/snipeentry/crashdetector.go
+++ b/snipeentry/crashdetector.go
@@ -23,6 +23,10 @@
 	// maxBroken bounds the broken answers of one upstream that wait for evidence. An upstream accepts
 	// a few hundred requests at once from all instances together.
 	maxBroken = 512
+	// maxBrokenParts bounds the parts of prompts of all of them; of further ones the parts are not counted.
+	maxBrokenParts = 131072
+	// maxLoggedParts bounds the parts of a prompt that a line of the log names.
+	maxLoggedParts = 16
 	// endedRetention is how long an upstream is remembered as ended. Broken answers are noticed within
 	// seconds of the end.
 	endedRetention = time.Minute
@@ -76,6 +80,8 @@
 
 	lock      sync.Mutex // guards the fields below
 	upstreams map[string]*brokenUpstream
+	// parts is the number of parts of prompts that the broken answers hold which wait for evidence.
+	parts int
 }
 
 // brokenUpstream is one start of an upstream of which an answer has broken off.
@@ -115,8 +121,7 @@
 		go d.report([]brokenAnswer{b})
 		return
 	case len(s.broken) < maxBroken:
-		s.broken = append(s.broken, b)
-		d.waiting.Add(1)
+		d.wait(s, b)
 	}
 	if !s.dialing {
 		s.dialing = true
@@ -124,6 +129,17 @@
 	}
 }
 
+// wait adds a broken answer to those of an upstream that wait for evidence. The lock is held.
+func (d *crashDetector) wait(s *brokenUpstream, b brokenAnswer) {
+	if d.parts+len(b.parts) > maxBrokenParts {
+		b.parts = nil
+		d.Meter.Count("snipepitch_broken_prompts_left_out_total")
+	}
+	s.broken = append(s.broken, b)
+	d.waiting.Add(1)
+	d.parts += len(b.parts)
+}
+
 // dial records that the upstream has ended if its address refuses a connection or closes it at once.
 func (d *crashDetector) dial(u *snipedirectory.Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -177,9 +193,14 @@
 
 // drop removes broken answers of an upstream. The lock is held.
 func (d *crashDetector) drop(s *brokenUpstream, which func(b brokenAnswer) bool) {
-	before := len(s.broken)
-	s.broken = slices.DeleteFunc(s.broken, which)
-	d.waiting.Add(int64(len(s.broken) - before))
+	s.broken = slices.DeleteFunc(s.broken, func(b brokenAnswer) bool {
+		if !which(b) {
+			return false
+		}
+		d.waiting.Add(-1)
+		d.parts -= len(b.parts)
+		return true
+	})
 }
 
 // Gone records that the registry no longer lists a start of an upstream.
@@ -225,9 +246,8 @@
 	}
 	s.endedAt = now
 	d.drop(s, func(b brokenAnswer) bool { return now.Sub(b.at) > within })
-	broken := s.broken
-	d.waiting.Add(-int64(len(broken)))
-	s.broken = nil
+	broken := slices.Clone(s.broken)
+	d.drop(s, func(brokenAnswer) bool { return true })
 	d.lock.Unlock()
 	if len(broken) == 0 {
 		return
@@ -243,7 +263,8 @@
 func (d *crashDetector) report(all []brokenAnswer) {
 	for _, b := range all {
 		d.Log.Log(snipelog.RequestBroke, snipelog.Fields{
-			"Request": b.request, upstreamField: b.upstream.ID, fingerprintField: b.fingerprint.String(), "Parts": partNames(b.parts),
+			"Request": b.request, upstreamField: b.upstream.ID, fingerprintField: b.fingerprint.String(),
+			"Parts": partNames(b.parts), "PartCount": len(b.parts),
 		})
 		d.Crashed(b.upstream.ID, b.fingerprint)
 		if len(b.parts) > 0 {
@@ -252,8 +273,9 @@
 	}
 }
 
-// partNames returns the fingerprints of parts as they stand in logs.
+// partNames returns the fingerprints of the last parts as they stand in logs.
 func partNames(parts []snipequarantine.Fingerprint) []string {
+	parts = parts[max(len(parts)-maxLoggedParts, 0):]
 	names := make([]string, 0, len(parts))
 	for _, f := range parts {
 		names = append(names, f.String())
--- a/snipeentry/crashwire.go
+++ b/snipeentry/crashwire.go
@@ -17,13 +17,7 @@
 	for _, a := range r.Answers {
 		m.Answers = append(m.Answers, encodeCrashAnswer(a.Fingerprint, a.Round))
 	}
-	for _, c := range r.PartCrashes {
-		p := &snipeproto.PartCrash{Upstream: c.Upstream, Text: c.Text[:]}
-		for _, mark := range c.Parts {
-			p.Parts = append(p.Parts, encodeCrashAnswer(mark.Key, mark.Round))
-		}
-		m.PartCrashes = append(m.PartCrashes, p)
-	}
+	m.PartCrashes, m.PartTable = encodePartCrashes(r.PartCrashes)
 	for _, a := range r.PartAnswers {
 		m.PartAnswers = append(m.PartAnswers, encodeCrashAnswer(a.Fingerprint, a.Round))
 	}
@@ -50,13 +44,10 @@
 		r.Crashes = append(r.Crashes, d)
 	}
 	r.Answers = i.decodeCrashAnswers(m.GetAnswers())
-	for _, c := range m.GetPartCrashes() {
-		d, err := i.decodePartCrash(c)
-		if err != nil {
-			i.countWrongCrashMessage()
-			continue
-		}
-		r.PartCrashes = append(r.PartCrashes, d)
+	var wrong int
+	r.PartCrashes, wrong = decodePartCrashes(m.GetPartCrashes(), m.GetPartTable())
+	for range wrong {
+		i.countWrongCrashMessage()
 	}
 	r.PartAnswers = i.decodeCrashAnswers(m.GetPartAnswers())
 	r.PartsKnown = i.decodeCrashAnswers(m.GetPartsKnown())
@@ -77,19 +68,6 @@
 	return decoded
 }
 
-// decodePartCrash returns a crash of parts. Its errors wrap those of snipequarantine.
-func (i *Instance) decodePartCrash(m *snipeproto.PartCrash) (snipequarantine.PartCrash, error) {
-	text, err := snipequarantine.FingerprintFrom(m.GetText())
-	if err != nil {
-		return snipequarantine.PartCrash{}, err
-	}
-	c := snipequarantine.PartCrash{Upstream: m.GetUpstream(), Text: text}
-	for _, a := range i.decodeCrashAnswers(m.GetParts()) {
-		c.Parts = append(c.Parts, snipequarantine.PartMark{Key: a.Fingerprint, Round: a.Round})
-	}
-	return c, c.Check()
-}
-
 func encodeSuspects(all []snipequarantine.Suspect) []*snipeproto.CrashSuspect {
 	encoded := make([]*snipeproto.CrashSuspect, 0, len(all))
 	for _, s := range all {
--- a/snipeentry/part_test.go
+++ b/snipeentry/part_test.go
@@ -243,3 +243,82 @@
 		})
 	}
 }
+
+const (
+	// manyPartsTime is how long requests with many parts are sent, manyPartsPause the time between two sound ones.
+	manyPartsTime, manyPartsPause = 14 * time.Second, 50 * time.Millisecond
+	// historyWait is how long sound requests are sent first, so that the instances know the parts that are answered.
+	historyWait = 11 * time.Second
+)
+
+// sendLong sends requests for a time whose prompts have the given shared parts: sound ones and, if crashing is not nil,
+// others, whose parts crashing returns.
+func (c *partCluster) sendLong(length time.Duration, shared []string, crashing func(n int) []string) *replies {
+	sound := &replies{}
+	var callers sync.WaitGroup
+	nextCrashing := time.Now()
+	for n, begun := 0, time.Now(); time.Since(begun) < length; n++ {
+		if crashing != nil && time.Now().After(nextCrashing) {
+			nextCrashing = nextCrashing.Add(partPause)
+			callers.Go(func() { c.sendPrompt(c.pick(n), "/draft/x", fmt.Sprint("crashing ", n), crashing(n)...) })
+		}
+		callers.Go(func() {
+			at := time.Now()
+			sound.add(timedReply{c.sendPrompt(c.pick(n), "/draft/x", fmt.Sprint("sound ", n), shared...), at})
+		})
+		time.Sleep(manyPartsPause)
+	}
+	callers.Wait()
+	return sound
+}
+
+// TestCrashingPartAnywhere guards against a part that goes on crashing engines because so many others stand before it in
+// the prompt, or beside it, and against sound callers who share all these.
+func TestCrashingPartAnywhere(t *testing.T) {
+	tests := map[string]struct {
+		// position is the place of crashPart among the parts that all prompts share, which are so many.
+		position, shared int
+		// fillers is how many parts of its own each request with crashPart has before it.
+		fillers int
+		// cold is set if engines crash from the beginning on, before any instance knows the parts that are answered.
+		cold bool
+	}{
+		"First":    {position: 0, shared: 20},
+		"16th":     {position: 15, shared: 20},
+		"17th":     {position: 16, shared: 20},
+		"60th":     {position: 59, shared: 60},
+		"1000th":   {position: 998, shared: 998},
+		"Cold":     {position: 400, shared: 800, cold: true},
+		"Fillers":  {position: 30, shared: 40, fillers: 500},
+		"FillCold": {position: 30, shared: 40, fillers: 500, cold: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newPartCluster(t, 3, crashDowntime)
+			shared := make([]string, tt.shared)
+			for n := range shared {
+				shared[n] = fmt.Sprintf("5ba%05x", n)
+			}
+			if !tt.cold {
+				c.sendLong(historyWait, shared, nil)
+			}
+			sound := c.sendLong(manyPartsTime, shared, func(n int) []string {
+				parts := slices.Clone(shared[:tt.position])
+				for k := range tt.fillers {
+					parts = append(parts, fmt.Sprintf("f%x-%x", n, k))
+				}
+				return append(append(parts, crashPart), shared[tt.position:]...)
+			})
+			records, crashes := c.crashes()
+			must.GreaterEq(t, 3, len(crashes), must.Sprint("the part crashes engines"))
+			last := crashes[min(len(crashes), 5)-1]
+			answered, all := sound.answeredFrom(last.Add(partRecovery))
+			t.Logf("%s: %d crashes, %d of %d sound requests answered after the recovery", t.Name(), len(crashes), answered, all)
+			breaches := snipestand.PartCrashBreaches(records, crashBound, nil)
+			test.SliceEmpty(t, breaches, test.Sprint(breaches))
+			test.GreaterEq(t, int(minPartServed*float64(all)), answered, test.Sprint("sound requests that were answered"))
+			test.Positive(t, all)
+		})
+	}
+}
--- a/snipeentry/quarantinestore_test.go
+++ b/snipeentry/quarantinestore_test.go
@@ -115,12 +115,16 @@
 	must.Len(t, 1, report.Answers)
 	parts := i.decodeCrashReport(&snipeproto.CrashReportRequest{
 		PartCrashes: []*snipeproto.PartCrash{
-			{Upstream: "e1", Text: good, Parts: []*snipeproto.CrashAnswer{{Fingerprint: good}, nil, {Fingerprint: short}}},
+			{Upstream: "e1", Text: good, Runs: []uint32{0, 1}},
 			nil,
 			{Text: good},
 			{Upstream: "e1", Text: short},
-			{Upstream: "e1", Text: good, Parts: slices.Repeat([]*snipeproto.CrashAnswer{{Fingerprint: good}}, snipequarantine.MaxParts+1)},
+			{Upstream: "e1", Text: good, Runs: []uint32{0, 1, 0}},
+			{Upstream: "e1", Text: good, Runs: []uint32{0, 3}},
+			{Upstream: "e1", Text: good, Runs: []uint32{1 << 31, 1 << 31}},
+			{Upstream: "e1", Text: good, Runs: slices.Repeat([]uint32{0, 1}, snipequarantine.MaxParts+1)},
 		},
+		PartTable:   &snipeproto.PartTable{Fingerprints: append(good, good...), Known: []byte{1}},
 		PartAnswers: []*snipeproto.CrashAnswer{{Fingerprint: good}, {Fingerprint: short}},
 		PartsKnown:  []*snipeproto.CrashAnswer{{Fingerprint: good}, nil},
 	})
--- a/snipegateway/crash.go
+++ b/snipegateway/crash.go
@@ -44,9 +44,8 @@
 // They are computed at the first call, since few requests need them.
 func (c *call) partKeys() []snipequarantine.Fingerprint {
 	if c.parts == nil && len(c.Parts) > 1 {
-		for _, part := range c.Parts[:min(len(c.Parts)-1, snipequarantine.MaxParts)] {
-			c.parts = append(c.parts, snipequarantine.PartKey(part.ID))
-		}
+		n := min(len(c.Parts)-1, snipequarantine.MaxParts)
+		c.parts = c.gateway.partKeys.Of(n, func(n int) string { return c.Parts[n].ID })
 	}
 	return c.parts
 }
@@ -57,12 +56,7 @@
 	if parts == nil || parts.Empty() {
 		return key, 0, false
 	}
-	for _, key := range c.partKeys() {
-		if left, refused := parts.Refused(key); refused {
-			return key, left, true
-		}
-	}
-	return key, 0, false
+	return parts.FirstRefused(c.partKeys())
 }
 
 // notePartsAnswered reports, once for each attempt, that the upstream goes on after the beginning of its answer.
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -39,6 +39,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipepressure"
+	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperetry"
 	"snipepitch.example/snipepitch/snipesignal"
 )
@@ -85,6 +86,7 @@
 	withoutPermit   attemptCounter
 	oversizes       oversizes
 	tooLarge        snipelog.Limiter
+	partKeys        snipequarantine.PartKeys
 	arrivals        arrivals
 }
 
--- a/snipequarantine/exchangeparts.go
+++ b/snipequarantine/exchangeparts.go
@@ -1,6 +1,7 @@
 package snipequarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,11 +10,30 @@
 // PartsCrashed records that an upstream ended before it had begun to answer a request of this instance. text is the
 // request's fingerprint, keys are the parts of its prompt. Step reports it.
 func (e *Exchange) PartsCrashed(upstream string, text Fingerprint, keys []Fingerprint) {
-	c := PartCrash{Upstream: upstream, Text: text}
-	for _, key := range keys {
-		c.Parts = append(c.Parts, PartMark{key, e.Parts.round(key)})
-	}
+	c := PartCrash{Upstream: upstream, Text: text, Parts: e.Parts.marks(keys)}
+	e.history.MarkKnown(c.Parts)
 	e.add(&evidence{part: true, partCrash: c, observedAt: time.Now()})
+	e.boundParts()
+}
+
+// boundParts drops observations until those that are kept have maxKeptParts parts at most: first those that both
+// coordinators have received, which serve only others that become coordinators, then the oldest.
+func (e *Exchange) boundParts() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	over := -maxKeptParts
+	for _, v := range e.evidence {
+		over += len(v.partCrash.Parts)
+	}
+	for _, enough := range []int{maxCoordinators, 0} {
+		e.evidence = slices.DeleteFunc(e.evidence, func(v *evidence) bool {
+			drop := over > 0 && len(v.partCrash.Parts) > 0 && len(v.receivedBy) >= enough
+			if drop {
+				over -= len(v.partCrash.Parts)
+			}
+			return drop
+		})
+	}
 }
 
 // PartsAnswered records that an upstream has begun to answer a request which was sent at the given time, and has gone
@@ -24,10 +44,8 @@
 		return
 	}
 	e.addAnswer(partsKey, true)
-	for _, key := range keys {
-		if since, ok := e.Parts.knownSince(key); ok && sentAt.After(since) {
-			e.addAnswer(key, true)
-		}
+	for _, key := range e.Parts.knownBefore(keys, sentAt) {
+		e.addAnswer(key, true)
 	}
 }
 
@@ -47,6 +65,9 @@
 			e.startRound(m.Key, m.Round, true)
 			if _, refused := e.Parts.Refused(m.Key); !refused && m.Round == e.Parts.round(m.Key) {
 				e.parts.Record(m.Key, c)
+				if m.Known {
+					e.parts.NoteKnown(m.Key)
+				}
 			}
 		}
 	}
--- a/snipequarantine/parthistory.go
+++ b/snipequarantine/parthistory.go
@@ -12,7 +12,7 @@
 	// one that is at four crashes within seconds comes about once a second.
 	coveredTime = 10 * time.Second
 	// maxHistory bounds the parts of each half of a PartHistory.
-	maxHistory = 4096
+	maxHistory = 32768
 )
 
 // PartHistory remembers the parts of prompts that upstreams have lately answered requests with. The zero value is
@@ -20,12 +20,18 @@
 type PartHistory struct {
 	lock sync.Mutex // guards the fields below
 	// recent holds the parts since turnedAt, earlier those of the time before.
-	recent, earlier map[Fingerprint]bool
+	recent, earlier historyHalf
 	turnedAt        time.Time
 	// begunAt is when the first part was added.
 	begunAt time.Time
 }
 
+// historyHalf holds the parts of some time; full is set if there were more than maxHistory.
+type historyHalf struct {
+	parts map[Fingerprint]bool
+	full  bool
+}
+
 // Add records the parts of a request that was answered. Parts beyond maxHistory are not remembered.
 func (h *PartHistory) Add(keys []Fingerprint) {
 	now := time.Now()
@@ -36,25 +42,40 @@
 	}
 	h.turn(now)
 	for _, key := range keys {
-		if len(h.recent) < maxHistory {
-			h.recent[key] = true
+		switch {
+		case h.recent.parts[key]:
+		case len(h.recent.parts) >= maxHistory:
+			h.recent.full = true
+		default:
+			h.recent.parts[key] = true
 		}
 	}
 }
 
 // turn makes the recent half the earlier one if it is older than historyTime. The lock is held.
 func (h *PartHistory) turn(now time.Time) {
-	if h.recent != nil && now.Sub(h.turnedAt) < historyTime {
+	if h.recent.parts != nil && now.Sub(h.turnedAt) < historyTime {
 		return
 	}
-	h.earlier, h.recent, h.turnedAt = h.recent, make(map[Fingerprint]bool), now
+	h.earlier, h.recent, h.turnedAt = h.recent, historyHalf{parts: make(map[Fingerprint]bool)}, now
 }
 
 // Has reports whether a request with a part was answered lately.
 func (h *PartHistory) Has(key Fingerprint) bool {
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	return h.recent[key] || h.earlier[key]
+	return h.has(key)
+}
+
+func (h *PartHistory) has(key Fingerprint) bool { return h.recent.parts[key] || h.earlier.parts[key] }
+
+// MarkKnown sets PartMark.Known of the parts with which a request was answered lately.
+func (h *PartHistory) MarkKnown(parts []PartMark) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	for n := range parts {
+		parts[n].Known = h.has(parts[n].Key)
+	}
 }
 
 // Covers reports whether the history is so long, and so recent, that a part which requests often hold would be in it.
@@ -62,5 +83,6 @@
 	now := time.Now()
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	return !h.begunAt.IsZero() && now.Sub(h.begunAt) >= coveredTime && now.Sub(h.turnedAt) < 2*historyTime
+	complete := !h.recent.full && !h.earlier.full
+	return complete && !h.begunAt.IsZero() && now.Sub(h.begunAt) >= coveredTime && now.Sub(h.turnedAt) < 2*historyTime
 }
--- a/snipequarantine/report.go
+++ b/snipequarantine/report.go
@@ -93,11 +93,13 @@
 	}
 	failed := func(m Member) bool { return now.Before(e.failedUntil[m.ID]) }
 	reachable := slices.DeleteFunc(slices.Clone(e.Candidates()), failed)
-	reports := make(map[string][]*evidence)
+	reports, parts := make(map[string][]*evidence), make(map[string]int)
 	for _, v := range e.evidence {
 		for _, m := range Coordinators(v.target(), reachable) {
-			if !slices.Contains(v.receivedBy, m.ID) && len(reports[m.ID]) < maxMessageEntries {
+			full := len(reports[m.ID]) >= maxMessageEntries || parts[m.ID] > 0 && parts[m.ID]+len(v.partCrash.Parts) > MaxReportParts
+			if !full && !slices.Contains(v.receivedBy, m.ID) {
 				reports[m.ID] = append(reports[m.ID], v)
+				parts[m.ID] += len(v.partCrash.Parts)
 			}
 		}
 	}
--- a/snipequarantine/snipequarantine.go
+++ b/snipequarantine/snipequarantine.go
@@ -189,7 +189,10 @@
 	return Member{ID: id, Domain: domain, Hash: sniperoute.Hash(id)}
 }
 
-// Coordinators returns the coordinators of a fingerprint, at most two: the member that
+// maxCoordinators is the number of coordinators of a fingerprint where there are so many members.
+const maxCoordinators = 2
+
+// Coordinators returns the coordinators of a fingerprint, at most maxCoordinators: the member that
 // ranks first, and the highest-ranking member of another failure domain. Without
 // another failure domain the second is the member that ranks second. It returns nil if
 // there are no members.
--- a/snipequarantine/suspect.go
+++ b/snipequarantine/suspect.go
@@ -122,12 +122,45 @@
 	return ok
 }
 
-// knownSince returns since when a fingerprint is watched or refused here, or false if it is not.
-func (s *Suspects) knownSince(f Fingerprint) (time.Time, bool) {
+// FirstRefused returns the first of several fingerprints whose requests are refused and the time until its release, and
+// false if there is none.
+func (s *Suspects) FirstRefused(all []Fingerprint) (f Fingerprint, left time.Duration, refused bool) {
 	s.lock.RLock()
 	defer s.lock.RUnlock()
-	known, ok := s.all[f]
-	return known.knownAt, ok
+	for _, f := range all {
+		known, ok := s.all[f]
+		if !ok || !known.Refused {
+			continue
+		}
+		if left := time.Until(known.releasedAt); left > 0 {
+			return f, left, true
+		}
+	}
+	return f, 0, false
+}
+
+// knownBefore returns those of several fingerprints that were watched or refused here before the given time.
+func (s *Suspects) knownBefore(all []Fingerprint, at time.Time) []Fingerprint {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	var found []Fingerprint
+	for _, f := range all {
+		if known, ok := s.all[f]; ok && at.After(known.knownAt) {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+// marks returns fingerprints of parts with their current rounds.
+func (s *Suspects) marks(all []Fingerprint) []PartMark {
+	marks := make([]PartMark, len(all))
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	for n, f := range all {
+		marks[n] = PartMark{Key: f, Round: s.released[f].round}
+	}
+	return marks
 }
 
 // get returns what is known of a fingerprint, with the time that is left.
