Test: a hundred answers without an end at once, in a process

Guards the sum: each answer stays within the bound of one. No fault was found: bodies were bounded before, by the account of what is read ahead.

--- a/cmd/snipepitchd/pressure_test.go
+++ b/cmd/snipepitchd/pressure_test.go
@@ -76,6 +76,10 @@
 		case strings.HasSuffix(q.URL.Path, "/big"):
 			u.record(q)
 			u.answer(w, q, r.ID)
+		case strings.HasSuffix(q.URL.Path, "/endless"):
+			spillBody(w, q, r.ID)
+		case strings.HasSuffix(q.URL.Path, "/longhead"):
+			spillHead(w)
 		default:
 			u.record(q)
 			inner.ServeHTTP(w, q)
