A target that begins with two slashes reaches the upstream as it was sent

Cause: the target goes to net/http as an opaque URL, and URL.RequestURI puts the scheme before one that begins with two slashes. Evidence: TestTargets sends 14 targets to a listener that records the first line; the seven with two slashes or more fail with the change taken out, all others arrive as they were sent.

Ruled out: the parsing at arrival (the route is found), the preparation of the header (it changes headers alone). A hop carries the target as bytes; its peer's attempt is written by the same code.

Change: snipelink writes such a target itself.

--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -183,7 +183,7 @@
 		// Growth by doubling would hold up to three times the body.
 		b.Grow(len(body) + maxHeaderSize)
 	}
-	if err := r.Write(b); err != nil {
+	if err := writeRequest(b, r); err != nil {
 		return 0, err
 	}
 	return c.conn.Write(b.Bytes())
