Versions of an adapter are stored by time, not by number

Cause: the last eight announcements were stored; a request must use the newest that has been known for 1.5 s, and where more than eight come within that time none of those stored is old enough, so that none was required. Evidence: TestRequiredInQuickSuccession fails before at 176, 20 and 1 ms and holds at 500 ms and 3 s.

Ruled out: announcements that arrive late or in another order; the test calls the catalog alone.

Change: announcements are stored for ten seconds after a newer one; of three within 50 ms the one in the middle is dropped.

--- a/snipecatalog/snipecatalog.go
+++ b/snipecatalog/snipecatalog.go
@@ -230,9 +230,14 @@
 	}
 }
 
-// maxVersions limits the versions that are stored for one adapter: only those announced in the
-// last few seconds matter.
-const maxVersions = 8
+const (
+	// versionTime is how long an announced version of an adapter is stored after a newer one was announced. It bounds the
+	// grace of Required.
+	versionTime = 10 * time.Second
+	// versionSpacing bounds the number of versions in that time: of three that are announced within it, the one in the middle
+	// is dropped, so that Required returns a newer version so much later at most.
+	versionSpacing = 50 * time.Millisecond
+)
 
 // Announce records a version of an adapter and reports whether it is higher than all versions
 // announced before.
@@ -246,9 +251,13 @@
 	if k.versions == nil {
 		k.versions = make(map[Adapter][]Announced)
 	}
-	known = append(known, Announced{Version: version, Learned: time.Now()})
-	if len(known) > maxVersions {
-		known = known[len(known)-maxVersions:]
+	now := time.Now()
+	if n := len(known); n > 1 && now.Sub(known[n-2].Learned) < versionSpacing {
+		known = known[:n-1]
+	}
+	known = append(known, Announced{Version: version, Learned: now})
+	for len(known) > 1 && now.Sub(known[1].Learned) >= versionTime {
+		known = known[1:]
 	}
 	k.versions[a] = known
 	return true
@@ -267,7 +276,7 @@
 }
 
 // Required returns the lowest version of an adapter that a new request may use: the newest one
-// that has been known for at least grace; 0 if there is none.
+// that has been known for at least grace, which is versionTime at most; 0 if there is none.
 func (k *Cache) Required(a Adapter, grace time.Duration) int64 {
 	k.lock.RLock()
 	defer k.lock.RUnlock()
--- a/snipecatalog/snipecatalog_test.go
+++ b/snipecatalog/snipecatalog_test.go
@@ -94,3 +94,28 @@
 		must.Eq(t, map[snipecatalog.Adapter]int64{a: 3}, k.Announcements())
 	})
 }
+
+// TestRequiredInQuickSuccession guards against versions that are announced so fast that none is required, or an old one:
+// only the last eight were stored, of which none had been known for the grace.
+func TestRequiredInQuickSuccession(t *testing.T) {
+	const grace, spacing = 1500 * time.Millisecond, 50 * time.Millisecond
+	for name, pause := range map[string]time.Duration{
+		"Seconds": 3 * time.Second, "Half": 500 * time.Millisecond, "Days": 176 * time.Millisecond, "Fast": 20 * time.Millisecond, "Fastest": time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := &snipecatalog.Cache{}
+				a := snipecatalog.Adapter{Model: "base", Name: "a1"}
+				for n := range 1 + int(20*time.Second/pause) {
+					must.True(t, k.Announce(a, int64(n+1)))
+					// The version that was announced the grace ago, or a little earlier.
+					due := max(0, n+1-int((grace+pause-1)/pause))
+					required := int(k.Required(a, grace))
+					must.LessEq(t, due, required)
+					must.GreaterEq(t, due-int((2*spacing+pause-1)/pause), required)
+					time.Sleep(pause)
+				}
+			})
+		})
+	}
+}
