The end of brittleness is told to all instances

Cause: the beginning of the state is told, its end was learned by each instance from an answer of its own. One that asks strictly gets permits without a fencing number from a coordinator that has ended the state, its keeper takes each for void, and without a permit there is no answer that ends it.

Ruled out: a coordinator that lends strictly and has no places (its permits have no fencing number), missing rights or accounts (asked for in strict lending only).

Change: whoever receives an answer that ends the state tells the others, again each five seconds for twelve; a coordinator tells whoever still asks strictly. Of a statement and an end the later one counts on both sides. A permit that was not lent strictly is given back, and its request goes on without strictness.

--- a/snipeadmission/keeper.go
+++ b/snipeadmission/keeper.go
@@ -367,6 +367,9 @@
 	if err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrStillWaiting) {
 		k.noteCall(took)
 	}
+	if err == nil {
+		err = k.refuseNotStrict(p)
+	}
 	void := err == nil && k.isVoid(p)
 	if waits && (void || errors.Is(err, ErrStillWaiting)) {
 		k.calls[w] = now
@@ -392,6 +395,17 @@
 	k.lost, k.askAt, k.answeredAt = false, time.Time{}, time.Now()
 }
 
+// refuseNotStrict gives a permit back that was not lent strictly, and returns a refusal of its request: the coordinator knows
+// that strictness is no longer needed, or does not know that it is. Before a coordinator has asked for an account, such a
+// permit is used.
+func (k *Keeper) refuseNotStrict(p Permit) error {
+	if p.Fence > 0 || k.question.Fence == 0 {
+		return nil
+	}
+	k.Return(p, Result{Outcome: OutcomeUnused})
+	return &RefusedError{Reason: ReasonBusy, RetryAfter: minPause}
+}
+
 // isVoid reports whether a permit that arrives now was lent before a question that was answered.
 func (k *Keeper) isVoid(p Permit) bool {
 	return p.Fence < k.question.Fence || p.Fence == k.question.Fence && p.ID <= k.question.LastID
--- a/snipeentry/admission.go
+++ b/snipeentry/admission.go
@@ -120,7 +120,7 @@
 // Share slots for each live instance, whose upstreams state their pace. Upstreams that are leaving do
 // not count. Without a pace, a coordinator would know too late which upstream is slow now.
 func (a *admission) applies(service string) bool {
-	if _, brittle := a.brittle(service); brittle && validName(service) && a.Plain(service) {
+	if a.brittle(service) && validName(service) && a.Plain(service) {
 		return true
 	}
 	if a.Share <= 0 || !validName(service) || !a.Plain(service) || !a.Paced(service) {
@@ -138,14 +138,24 @@
 	return slots > 0
 }
 
-// acquire returns a permit for a request: from the coordinator of the service, or from the next
-// instance by hash if that does not answer. After maxLostCalls lost calls, or while as many
-// coordinators are lost, this instance paces its requests on its own.
+// acquire returns a permit for a request: a strict one if the service is brittle.
 func (a *admission) acquire(ctx context.Context, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
 	r.Instance = a.Self.String()
-	if _, brittle := a.brittle(service); brittle {
-		return a.acquireStrict(ctx, service, r)
+	if !a.brittle(service) {
+		return a.acquireShared(ctx, service, r)
 	}
+	permit, err := a.acquireStrict(ctx, service, r)
+	if err == nil || a.brittle(service) || ctx.Err() != nil {
+		return permit, err
+	}
+	// The upstreams have ceased to be brittle meanwhile.
+	return a.acquireShared(ctx, service, r)
+}
+
+// acquireShared returns a permit for a request: from the coordinator of the service, or from the next
+// instance by hash if that does not answer. After maxLostCalls lost calls, or while as many
+// coordinators are lost, this instance paces its requests on its own.
+func (a *admission) acquireShared(ctx context.Context, service string, r snipeadmission.Request) (*snipegateway.Permit, error) {
 	begun, lost, declined := time.Now(), 0, 0
 	for ctx.Err() == nil && lost < maxLostCalls && declined < maxDeclinedCalls {
 		to, ok := a.coordinator(service)
@@ -248,9 +258,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	m := encodeAcquire(service, r, asked)
-	if b, brittle := a.brittle(service); brittle {
-		update := snipesignal.BrittleUpdate{Service: a.brittleService(service), MaxRefusals: b.MaxRefusals, Age: time.Since(b.StatedAt)}
-		m.Brittle = encodeBrittle([]snipesignal.BrittleUpdate{update})[0]
+	if u, known := a.brittleUpdate(service); known && !u.Ended {
+		m.Brittle = encodeBrittleService(u)
 	}
 	answer, err := a.Client(to).Acquire(ctx, m)
 	took = time.Since(asked)
@@ -258,6 +267,9 @@
 	if err != nil {
 		return snipeadmission.Permit{}, took, declined(err)
 	}
+	if a.Brittle != nil {
+		mergeBrittle(a.Brittle, nil, answer.GetBrittleEnded())
+	}
 	took -= min(max(microseconds(answer.GetWaitedMicroseconds()), 0), took)
 	p, err = decodeAcquire(answer)
 	return p, took, err
--- a/snipeentry/admissionwire.go
+++ b/snipeentry/admissionwire.go
@@ -54,11 +54,21 @@
 	if err != nil {
 		return nil, s.invalid(err)
 	}
-	if b := m.GetBrittle(); b != nil && s.lender.Brittle != nil {
-		s.lender.Brittle.Merge(decodeBrittle([]*snipeproto.BrittleService{b}))
+	brittle := m.GetBrittle()
+	if brittle != nil && s.lender.Brittle != nil {
+		mergeBrittle(s.lender.Brittle, brittle, nil)
 	}
+	answer, err := s.acquire(ctx, m.GetService(), r)
+	if brittle != nil && err == nil {
+		answer.BrittleEnded = s.lender.brittleEnd(brittle.GetService())
+	}
+	return answer, err
+}
+
+// acquire is Acquire for a decoded message.
+func (s *admissionServer) acquire(ctx context.Context, service string, r snipeadmission.Request) (*snipeproto.AdmissionAcquireResponse, error) {
 	asked := time.Now()
-	p, err := s.lender.acquire(ctx, m.GetService(), r)
+	p, err := s.lender.acquire(ctx, service, r)
 	waited := time.Since(asked).Microseconds()
 	var refused *snipeadmission.RefusedError
 	switch {
--- a/snipeentry/brittle.go
+++ b/snipeentry/brittle.go
@@ -37,17 +37,29 @@
 }
 
 // brittle reports whether the service of a name is brittle.
-func (a *admission) brittle(name string) (snipesignal.Brittleness, bool) {
+func (a *admission) brittle(name string) bool {
+	u, known := a.brittleUpdate(name)
+	return known && !u.Ended
+}
+
+// brittleUpdate returns what this instance knows of the brittleness of a name's service, and false if it knows nothing.
+func (a *admission) brittleUpdate(name string) (snipesignal.BrittleUpdate, bool) {
 	if a.Brittle == nil {
-		return snipesignal.Brittleness{}, false
+		return snipesignal.BrittleUpdate{}, false
 	}
-	return a.Brittle.Get(a.brittleService(name))
+	return a.Brittle.Update(a.brittleService(name))
 }
 
 // acquireEngine returns a permit for a request to an engine of a brittle service. An engine that has none free is
 // closed for fullTime, so that the next requests ask for others.
 func (a *admission) acquireEngine(ctx context.Context, engine string, r snipeadmission.Request) (*snipegateway.Permit, error) {
-	permit, err := a.acquire(ctx, enginePrefix+engine, r)
+	name := enginePrefix + engine
+	r.Instance = a.Self.String()
+	permit, err := a.acquireStrict(ctx, name, r)
+	if err != nil && !a.brittle(name) && ctx.Err() == nil {
+		// The engines have ceased to be brittle meanwhile, so that no permit is needed.
+		return &snipegateway.Permit{Upstream: engine, Release: func(snipeadmission.Result) {}}, nil
+	}
 	var refused *snipeadmission.RefusedError
 	if errors.As(err, &refused) && refused.Reason == snipeadmission.ReasonBusy {
 		a.full.add(engine, time.Now())
@@ -93,21 +105,26 @@
 	maps.DeleteFunc(f.until, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
-// encodeBrittle returns the messages for brittle services.
-func encodeBrittle(all []snipesignal.BrittleUpdate) []*snipeproto.BrittleService {
-	encoded := make([]*snipeproto.BrittleService, 0, len(all))
+// encodeBrittle returns the messages for services that are brittle, and for those that no longer are.
+func encodeBrittle(all []snipesignal.BrittleUpdate) (brittle []*snipeproto.BrittleService, ended []*snipeproto.BrittleEnd) {
 	for _, u := range all {
-		encoded = append(encoded, &snipeproto.BrittleService{
-			Service: u.Service, MaxRefusals: int64(u.MaxRefusals), AgeMilliseconds: u.Age.Milliseconds(),
-		})
+		if u.Ended {
+			ended = append(ended, &snipeproto.BrittleEnd{Service: u.Service, AgeMilliseconds: u.Age.Milliseconds()})
+			continue
+		}
+		brittle = append(brittle, encodeBrittleService(u))
 	}
-	return encoded
+	return brittle, ended
 }
 
-// decodeBrittle returns the brittle services of a message. Those that make no sense are left out.
-func decodeBrittle(all []*snipeproto.BrittleService) []snipesignal.BrittleUpdate {
-	decoded := make([]snipesignal.BrittleUpdate, 0, len(all))
-	for _, m := range all {
+func encodeBrittleService(u snipesignal.BrittleUpdate) *snipeproto.BrittleService {
+	return &snipeproto.BrittleService{Service: u.Service, MaxRefusals: int64(u.MaxRefusals), AgeMilliseconds: u.Age.Milliseconds()}
+}
+
+// decodeBrittle returns the updates of messages. Those that make no sense are left out.
+func decodeBrittle(brittle []*snipeproto.BrittleService, ended []*snipeproto.BrittleEnd) []snipesignal.BrittleUpdate {
+	decoded := make([]snipesignal.BrittleUpdate, 0, len(brittle)+len(ended))
+	for _, m := range brittle {
 		n, age := m.GetMaxRefusals(), m.GetAgeMilliseconds()
 		if !validName(m.GetService()) || n < 0 || n > maxLoadFigure || age < 0 || outOfRange(age) {
 			continue
@@ -116,5 +133,15 @@
 			Service: m.GetService(), MaxRefusals: int(n), Age: milliseconds(age),
 		})
 	}
+	for _, m := range ended {
+		if age := m.GetAgeMilliseconds(); validName(m.GetService()) && age >= 0 && !outOfRange(age) {
+			decoded = append(decoded, snipesignal.BrittleUpdate{Service: m.GetService(), Ended: true, Age: milliseconds(age)})
+		}
+	}
 	return decoded
 }
+
+// mergeBrittle merges what another instance knows of one service; either message may be nil.
+func mergeBrittle(b *snipesignal.BrittleTracker, brittle *snipeproto.BrittleService, ended *snipeproto.BrittleEnd) {
+	b.Merge(decodeBrittle([]*snipeproto.BrittleService{brittle}, []*snipeproto.BrittleEnd{ended}))
+}
--- a/snipeentry/brittle_internal_test.go
+++ b/snipeentry/brittle_internal_test.go
@@ -23,7 +23,25 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			must.Eq(t, tt.want, len(decodeBrittle([]*snipeproto.BrittleService{tt.m})) == 1)
+			must.Eq(t, tt.want, len(decodeBrittle([]*snipeproto.BrittleService{tt.m}, nil)) == 1)
+		})
+	}
+}
+
+// TestWrongBrittleEnd guards against ends of brittleness that are taken from messages without sense.
+func TestWrongBrittleEnd(t *testing.T) {
+	tests := map[string]struct {
+		m    *snipeproto.BrittleEnd
+		want bool
+	}{
+		"Valid":     {&snipeproto.BrittleEnd{Service: "s", AgeMilliseconds: 20}, true},
+		"NoService": {&snipeproto.BrittleEnd{AgeMilliseconds: 20}, false},
+		"Future":    {&snipeproto.BrittleEnd{Service: "s", AgeMilliseconds: -1}, false},
+		"Nil":       {nil, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, tt.want, len(decodeBrittle(nil, []*snipeproto.BrittleEnd{tt.m})) == 1)
 		})
 	}
 }
--- a/snipeentry/lender.go
+++ b/snipeentry/lender.go
@@ -16,6 +16,7 @@
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeowner"
+	"snipepitch.example/snipepitch/snipeproto"
 	"snipepitch.example/snipepitch/snipesignal"
 )
 
@@ -70,6 +71,18 @@
 	return b.MaxRefusals, ok
 }
 
+// brittleEnd returns the message that a service is no longer brittle; nil if it is, or never was as far as is known.
+func (l *lender) brittleEnd(service string) *snipeproto.BrittleEnd {
+	if l.Brittle == nil {
+		return nil
+	}
+	if u, ok := l.Brittle.Update(service); ok && u.Ended {
+		_, ended := encodeBrittle([]snipesignal.BrittleUpdate{u})
+		return ended[0]
+	}
+	return nil
+}
+
 // coordinator returns the coordinator of a plain service or an engine, and creates it on the first call. It
 // returns nil if none has this name, or no upstream is known.
 func (l *lender) coordinator(service string) *snipeadmission.Coordinator {
--- a/snipeentry/loads.go
+++ b/snipeentry/loads.go
@@ -93,7 +93,7 @@
 	}
 	i.balancer.MergeLoads(all)
 	i.signals.Merge(decodeSignals(answer.GetSignals()))
-	i.brittle.Merge(decodeBrittle(answer.GetBrittle()))
+	i.brittle.Merge(decodeBrittle(answer.GetBrittle(), answer.GetBrittleEnded()))
 }
 
 // loadsReaderRank returns the rank, from 0, of the instance to ask for loads: loadsFailures, which
@@ -132,9 +132,8 @@
 // Loads implements snipeproto.Adapter. It returns the loads above zero, the recent paces and the
 // signals of upstreams that this instance knows, with their ages.
 func (s *peerServer) Loads(context.Context, *snipeproto.AdapterLoadsRequest) (*snipeproto.AdapterLoadsResponse, error) {
-	answer := &snipeproto.AdapterLoadsResponse{
-		Signals: encodeSignals(s.signals.CurrentUpdates()), Brittle: encodeBrittle(s.brittle.CurrentUpdates()),
-	}
+	answer := &snipeproto.AdapterLoadsResponse{Signals: encodeSignals(s.signals.CurrentUpdates())}
+	answer.Brittle, answer.BrittleEnded = encodeBrittle(s.brittle.CurrentUpdates())
 	for _, t := range s.balancer.LoadReports() {
 		l := encodeLoad(t.ID, t.Load, t.Work)
 		l.AgeMilliseconds = t.Age.Milliseconds()
--- a/snipeentry/signal.go
+++ b/snipeentry/signal.go
@@ -124,7 +124,8 @@
 	if len(updates) == 0 && len(brittle) == 0 {
 		return
 	}
-	r := &snipeproto.AdapterSignalRequest{Signals: encodeSignals(updates), Brittle: encodeBrittle(brittle)}
+	r := &snipeproto.AdapterSignalRequest{Signals: encodeSignals(updates)}
+	r.Brittle, r.BrittleEnded = encodeBrittle(brittle)
 	for _, peer := range i.signalPeers() {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, signalTimeout)
@@ -159,7 +160,7 @@
 // Signal implements snipeproto.Adapter: it merges the signals that another instance received.
 func (s *peerServer) Signal(_ context.Context, r *snipeproto.AdapterSignalRequest) (*snipeproto.AdapterSignalResponse, error) {
 	s.signals.Merge(decodeSignals(r.GetSignals()))
-	s.brittle.Merge(decodeBrittle(r.GetBrittle()))
+	s.brittle.Merge(decodeBrittle(r.GetBrittle(), r.GetBrittleEnded()))
 	return &snipeproto.AdapterSignalResponse{}, nil
 }
 
--- a/snipeentry/strictkeeper.go
+++ b/snipeentry/strictkeeper.go
@@ -248,7 +248,7 @@
 			answer.Accounts = append(answer.Accounts, &snipeproto.AdmissionAccount{Superseded: true})
 			continue
 		}
-		a.Brittle.Merge(decodeBrittle([]*snipeproto.BrittleService{q.GetBrittle()}))
+		mergeBrittle(a.Brittle, q.GetBrittle(), nil)
 		answer.Accounts = append(answer.Accounts, a.accountOf(q, from, outside))
 	}
 	return answer
--- a/snipeentry/strictlender.go
+++ b/snipeentry/strictlender.go
@@ -14,7 +14,6 @@
 	"snipepitch.example/snipepitch/snipeadmission"
 	"snipepitch.example/snipepitch/snipeproto"
 	"snipepitch.example/snipepitch/sniperoute"
-	"snipepitch.example/snipepitch/snipesignal"
 )
 
 // The instance that lends the slots of an engine strictly is the owner of the engine's address: owners exclude each
@@ -199,9 +198,8 @@
 // encodeQuestion returns the message for a question.
 func (i *Instance) encodeQuestion(q accountQuestion) *snipeproto.AdmissionQuestion {
 	m := &snipeproto.AdmissionQuestion{Service: q.name, Fence: q.question.Fence, LastPermit: q.question.LastID, Share: boundedFigure(q.question.Share)}
-	service := i.admission.brittleService(q.name)
-	if b, brittle := i.brittle.Get(service); brittle {
-		m.Brittle = encodeBrittle([]snipesignal.BrittleUpdate{{Service: service, MaxRefusals: b.MaxRefusals, Age: time.Since(b.StatedAt)}})[0]
+	if u, known := i.admission.brittleUpdate(q.name); known && !u.Ended {
+		m.Brittle = encodeBrittleService(u)
 	}
 	return m
 }
--- a/snipesignal/brittle.go
+++ b/snipesignal/brittle.go
@@ -11,6 +11,10 @@
 // state it at slightly different times.
 const brittleSettleTime = time.Second
 
+// brittleEndLife is how long the end of the state is announced. It covers messages that are lost, and instances that were
+// cut off for some seconds.
+const brittleEndLife = 12 * time.Second
+
 // Brittleness is the state of a service whose upstreams crash when they refuse too many requests for want of
 // room.
 type Brittleness struct {
@@ -52,19 +56,25 @@
 	brittle bool
 	// broken holds the starts that Broken counts.
 	broken map[string]bool
-	// clearedAt is when the request was sent whose answer ended the state; zero if none has.
-	clearedAt time.Time
+	// clearedAt is when the request was sent whose answer ended the state; zero if none has. endedAt is when this instance
+	// learned of it.
+	clearedAt, endedAt time.Time
+	// announcesEnd is set if an answer to this instance ended the state, until another instance has announced the end.
+	announcesEnd bool
 	// received reports whether an upstream stated it to this instance since notifiedAt, which is when the other
 	// instances were last notified, by this one or another.
 	received   bool
 	notifiedAt time.Time
 }
 
-// BrittleUpdate is a brittle service, in the form in which instances exchange it.
+// BrittleUpdate is a service that is brittle or was, in the form in which instances exchange it.
 type BrittleUpdate struct {
 	Service     string
 	MaxRefusals int
-	// Age is the time since an upstream stated it.
+	// Ended is set if the service is no longer brittle.
+	Ended bool
+	// Age is the time since an upstream stated that it is brittle or, if it has ended, since the request was sent whose
+	// answer showed so.
 	Age time.Duration
 }
 
@@ -90,8 +100,15 @@
 	if known == nil || !known.brittle || !sent.After(known.StatedAt.Add(brittleSettleTime)) {
 		return BrittleChange{}, false
 	}
-	known.brittle, known.received, known.clearedAt = false, false, sent
-	return BrittleChange{Service: service, Brittleness: known.Brittleness}, true
+	known.announcesEnd = true
+	return b.end(service, known, sent), true
+}
+
+// end ends the state of a service. The lock is held.
+func (b *BrittleTracker) end(service string, known *brittleService, clearedAt time.Time) BrittleChange {
+	known.brittle, known.received = false, false
+	known.clearedAt, known.endedAt, known.notifiedAt = clearedAt, time.Now(), time.Time{}
+	return BrittleChange{Service: service, Brittleness: known.Brittleness}
 }
 
 // state records that a service was stated to be brittle, and returns the change if that is new. The lock is
@@ -112,42 +129,68 @@
 	return BrittleChange{Service: service, Brittle: true, Brittleness: known.Brittleness}, begins
 }
 
-// PendingUpdates returns the brittle services to notify the other instances of now, and marks them as sent: those
-// whose upstreams have stated it to this instance, when it is new and every announceInterval.
+// PendingUpdates returns the updates to notify the other instances of now, and marks them as sent: of services that
+// upstreams have stated to this instance to be brittle, when it is new and every announceInterval, and of those that their
+// answers to this instance have shown no longer to be, as often, for brittleEndLife.
 func (b *BrittleTracker) PendingUpdates() []BrittleUpdate {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	now := time.Now()
 	var all []BrittleUpdate
 	for service, known := range b.services {
-		if !known.received || now.Sub(known.notifiedAt) < announceInterval {
+		news := known.received || known.announcesEnd && known.justEnded(now)
+		if !news || now.Sub(known.notifiedAt) < announceInterval {
 			continue
 		}
 		known.received, known.notifiedAt = false, now
-		all = append(all, BrittleUpdate{service, known.MaxRefusals, now.Sub(known.StatedAt)})
+		all = append(all, known.update(service, now))
 	}
 	return all
 }
 
-// CurrentUpdates returns all brittle services, and marks nothing as sent.
+// CurrentUpdates returns the updates of all services that are brittle or have just ceased to be, and marks nothing as sent.
 func (b *BrittleTracker) CurrentUpdates() []BrittleUpdate {
 	b.lock.Lock()
 	defer b.lock.Unlock()
 	now := time.Now()
 	var all []BrittleUpdate
 	for service, known := range b.services {
-		if known.brittle {
-			all = append(all, BrittleUpdate{service, known.MaxRefusals, now.Sub(known.StatedAt)})
+		if known.brittle || known.justEnded(now) {
+			all = append(all, known.update(service, now))
 		}
 	}
 	return all
 }
 
-// Merge merges what another instance knows. What an upstream stated before the state ended here is ignored.
+// Update returns the update of one service, or false if it never was brittle.
+func (b *BrittleTracker) Update(service string) (BrittleUpdate, bool) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	known := b.services[service]
+	if known == nil {
+		return BrittleUpdate{}, false
+	}
+	return known.update(service, time.Now()), true
+}
+
+// justEnded reports whether this instance has learned lately that the service is no longer brittle.
+func (s *brittleService) justEnded(now time.Time) bool {
+	return !s.brittle && now.Sub(s.endedAt) < brittleEndLife
+}
+
+func (s *brittleService) update(service string, now time.Time) BrittleUpdate {
+	if !s.brittle {
+		return BrittleUpdate{Service: service, Ended: true, Age: now.Sub(s.clearedAt)}
+	}
+	return BrittleUpdate{Service: service, MaxRefusals: s.MaxRefusals, Age: now.Sub(s.StatedAt)}
+}
+
+// Merge merges what another instance knows. Of a statement and an end, the later one counts, so that two instances that
+// exchange what they know agree.
 func (b *BrittleTracker) Merge(all []BrittleUpdate) {
 	for _, u := range all {
-		change, begins := b.merge(u)
-		if begins && b.Changed != nil {
+		change, changed := b.merge(u)
+		if changed && b.Changed != nil {
 			change.Source = Instance
 			b.Changed(change)
 		}
@@ -157,16 +200,32 @@
 func (b *BrittleTracker) merge(u BrittleUpdate) (BrittleChange, bool) {
 	b.lock.Lock()
 	defer b.lock.Unlock()
-	statedAt := time.Now().Add(-max(u.Age, 0))
-	if known := b.services[u.Service]; known != nil && !known.brittle && !statedAt.After(known.clearedAt) {
+	at := time.Now().Add(-max(u.Age, 0))
+	known := b.services[u.Service]
+	if u.Ended {
+		return b.mergeEnd(u.Service, known, at)
+	}
+	if known != nil && !known.brittle && !at.After(known.clearedAt) {
 		return BrittleChange{}, false
 	}
-	change, begins := b.state(u.Service, u.MaxRefusals, statedAt)
+	change, begins := b.state(u.Service, u.MaxRefusals, at)
 	// The instance that sent this update has sent it to the other instances too.
 	b.services[u.Service].notifiedAt = time.Now()
 	return change, begins
 }
 
+// mergeEnd merges that a service is no longer brittle since a time. The lock is held.
+func (b *BrittleTracker) mergeEnd(service string, known *brittleService, clearedAt time.Time) (BrittleChange, bool) {
+	if known == nil || !clearedAt.After(known.StatedAt) {
+		return BrittleChange{}, false
+	}
+	known.announcesEnd = false
+	if !known.brittle {
+		return BrittleChange{}, false
+	}
+	return b.end(service, known, clearedAt), true
+}
+
 // Get returns the state of a service, or false if it is not brittle.
 func (b *BrittleTracker) Get(service string) (Brittleness, bool) {
 	b.lock.Lock()
--- a/snipesignal/brittle_test.go
+++ b/snipesignal/brittle_test.go
@@ -99,3 +99,47 @@
 		must.False(t, brittle, must.Sprint("stated before it ended"))
 	})
 }
+
+// TestBrittleEndTold guards against instances that take a service for brittle for good, because only others have received
+// an answer that ends the state, and against two instances that never agree.
+func TestBrittleEndTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		brittle := snipesignal.Signal{Brittle: true, MaxRefusals: 3}
+		changes := map[snipesignal.Source]int{}
+		learns := &snipesignal.BrittleTracker{}
+		told := &snipesignal.BrittleTracker{Changed: func(c snipesignal.BrittleChange) { changes[c.Source]++ }}
+		learns.Record("s", upstream, time.Now(), brittle)
+		told.Record("s", upstream, time.Now(), brittle)
+		told.Merge(learns.PendingUpdates())
+		time.Sleep(3 * second)
+		learns.Record("s", upstream, time.Now(), snipesignal.Signal{})
+
+		ends := learns.PendingUpdates()
+		must.Len(t, 1, ends)
+		must.True(t, ends[0].Ended)
+		must.SliceEmpty(t, learns.PendingUpdates(), must.Sprint("sent once"))
+		told.Merge(ends)
+		_, is := told.Get("s")
+		must.False(t, is)
+		must.Eq(t, map[snipesignal.Source]int{snipesignal.Answer: 1, snipesignal.Instance: 1}, changes)
+		must.SliceEmpty(t, told.PendingUpdates(), must.Sprint("one that was told tells nobody"))
+
+		// The end is announced again, for a time.
+		time.Sleep(6 * second)
+		must.Len(t, 1, learns.PendingUpdates())
+		time.Sleep(20 * second)
+		must.SliceEmpty(t, learns.PendingUpdates())
+		must.SliceEmpty(t, learns.CurrentUpdates())
+
+		// A later statement counts, and the end of before does not end it, whoever has learned of which.
+		told.Record("s", upstream, time.Now(), brittle)
+		u, known := learns.Update("s")
+		must.True(t, known)
+		told.Merge([]snipesignal.BrittleUpdate{u})
+		_, is = told.Get("s")
+		must.True(t, is)
+		learns.Merge(told.CurrentUpdates())
+		_, is = learns.Get("s")
+		must.True(t, is)
+	})
+}
