Heads of answers are counted once

No limit was exceeded by it. Found by reading the diff; the tests of the package pass before and after.

--- a/snipelink/head.go
+++ b/snipelink/head.go
@@ -92,7 +92,7 @@
 	if size > r.bound {
 		return errors.Wrapf(ErrTooLarge, "header after %d bytes", r.bytes)
 	}
-	more := size - max(r.counted, FreeHeadBytes)
+	more := size - FreeHeadBytes - r.counted
 	if more <= 0 || r.account == nil {
 		return nil
 	}
