Adapters that an engine without a base model does not list take slots

Callers of its adapters lose it each time that it crashes for that.

Cause: engines list adapters by base model, so that one without a base model lists none. After a restart it had accepted four loads that were ordered for the start before, whose order counts matched; the owner read 4 orders and no adapters, loaded the base model and then filled all slots.

Ruled out: late loads (all four were answered), a stale report (the count of orders in it matched the next order).

Change: each order that an engine without a base model has accepted counts as a slot, until a report lists a base model. The engine is read again for it, not sooner than half a second after its base model has loaded, since reports are older than that.

--- a/snipeadapter/controller.go
+++ b/snipeadapter/controller.go
@@ -120,12 +120,14 @@
 	lastAnswered bool
 
 	lock sync.Mutex // guards the fields below
-	// readAt is when the engine was last read.
+	// readAt is when the engine was last read, or has loaded a base model since.
 	readAt time.Time
 	// models are the base models that the engine holds; nil until the engine was read.
 	models map[string]bool
 	held   map[snipecatalog.Adapter]*heldAdapter
 	loads  map[snipecatalog.Adapter]*load
+	// unlisted is the number of slots that adapters may take which the last report does not list.
+	unlisted int
 	// inFlightReports holds, for each instance that has requests in flight on the engine, its last
 	// report of their adapters.
 	inFlightReports map[string]inFlightReport
--- a/snipeadapter/controller_test.go
+++ b/snipeadapter/controller_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,7 +30,8 @@
 )
 
 // fakeEngine executes orders as engines do: each order states the number of orders before it, loads
-// take time, and a load beyond the number of slots crashes the engine.
+// take time, and a load beyond the number of slots crashes the engine. While it has no base model, it
+// accepts orders for adapters and lists none.
 type fakeEngine struct {
 	lock     sync.Mutex
 	rand     *rand.Rand
@@ -95,7 +97,7 @@
 	if target == 0 {
 		target = max(f.newest[o.Adapter], 1)
 	}
-	if held && version == target {
+	if held && version == target || f.holdsModel(o) {
 		return snipeadapter.Holds
 	}
 	if f.loading[o.Adapter] == target {
@@ -104,24 +106,45 @@
 	f.orders++
 	f.loading[o.Adapter] = target
 	f.loads++
-	f.crashed = f.crashed || len(f.held)+len(f.loading) > slots
+	f.crashed = f.crashed || f.slotsTaken() > slots
 	delay := cmp.Or(f.storeTime, storeLoadTime)
 	if f.inMemory[o.Adapter] {
 		delay = reloadTime
 	}
 	start := f.start
-	time.AfterFunc(delay, func() {
-		f.lock.Lock()
-		defer f.lock.Unlock()
-		if f.start != start {
-			return
-		}
-		delete(f.loading, o.Adapter)
-		f.held[o.Adapter], f.inMemory[o.Adapter] = target, true
-	})
+	time.AfterFunc(delay, func() { f.finishLoad(o.Adapter, target, start) })
 	return snipeadapter.Taken
 }
 
+// finishLoad ends a load, unless the engine has started again since it began.
+func (f *fakeEngine) finishLoad(a snipecatalog.Adapter, version, start int64) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.start != start {
+		return
+	}
+	delete(f.loading, a)
+	if a.Name == "" {
+		f.models = append(f.models, a.Model)
+		return
+	}
+	f.held[a], f.inMemory[a] = version, true
+}
+
+// holdsModel reports whether an order names a base model that the engine holds. The lock is held.
+func (f *fakeEngine) holdsModel(o snipeadapter.Order) bool {
+	return o.Adapter.Name == "" && slices.Contains(f.models, o.Adapter.Model)
+}
+
+// slotsTaken returns how many slots the adapters take that are held or loading. The lock is held.
+func (f *fakeEngine) slotsTaken() int {
+	taken := len(f.held) + len(f.loading)
+	if f.loading[snipecatalog.Adapter{Model: model}] != 0 {
+		taken-- // the base model takes none
+	}
+	return taken
+}
+
 // announce makes a version the newest.
 func (f *fakeEngine) announce(a snipecatalog.Adapter, version int64) {
 	f.lock.Lock()
@@ -175,19 +198,27 @@
 func (f *fakeEngine) publish(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.lock.Lock()
-		r := snipeadapter.Report{Start: f.start, Orders: f.orders, Models: append([]string(nil), f.models...)}
-		for a, v := range f.held {
-			r.Resident = append(r.Resident, snipedirectory.Resident{Adapter: a, Version: v})
-		}
-		for a, v := range f.loading {
-			r.Loading = append(r.Loading, snipedirectory.Resident{Adapter: a, Version: v})
-		}
-		f.report = r
+		f.report = f.currentReport()
 		f.lock.Unlock()
 		time.Sleep(reportLag)
 	}
 }
 
+// currentReport returns the engine's state. Adapters are listed by base model. The lock is held.
+func (f *fakeEngine) currentReport() snipeadapter.Report {
+	r := snipeadapter.Report{Start: f.start, Orders: f.orders, Models: append([]string(nil), f.models...)}
+	if len(f.models) == 0 {
+		return r
+	}
+	for a, v := range f.held {
+		r.Resident = append(r.Resident, snipedirectory.Resident{Adapter: a, Version: v})
+	}
+	for a, v := range f.loading {
+		r.Loading = append(r.Loading, snipedirectory.Resident{Adapter: a, Version: v})
+	}
+	return r
+}
+
 func adapter(n int) snipecatalog.Adapter {
 	return snipecatalog.Adapter{Model: model, Name: fmt.Sprint("a", n)}
 }
--- a/snipeadapter/evict.go
+++ b/snipeadapter/evict.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// foreignLoadAge is how long after a read of the engine that showed an adapter as loading the read
-	// is repeated. Shorter: the adapter may still be loading, since two loads take this long, and a read
+	// foreignLoadAge is how long after a read of the engine that showed an adapter as loading, or not all
+	// adapters, the read is repeated. Shorter: the adapter may still be loading, since two loads take this long, and a read
 	// costs as much as an order. Longer: the adapter cannot be evicted for longer.
 	foreignLoadAge = 500 * time.Millisecond
 	// missedUses limits the rate assumed for an adapter that is idle for time t to missedUses/t:
@@ -52,14 +52,18 @@
 
 // foreignLoadsDue reports whether the engine must be read again, because loads that were in
 // progress when it was last read should be complete by now and this controller does not wait for
-// them: loads of the previous owner, or loads that this controller has abandoned. Until the engine
-// is read again their adapters take slots and cannot be evicted.
+// them: loads of the previous owner, or loads that this controller has abandoned. The same holds for
+// orders whose adapters the report did not list. Until the engine is read again these take slots and
+// cannot be evicted.
 func (e *engine) foreignLoadsDue() bool {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if time.Since(e.readAt) < foreignLoadAge {
 		return false
 	}
+	if e.unlisted > 0 {
+		return true
+	}
 	for a, h := range e.held {
 		if (h.loading || h.replacing) && !e.activeLoads[a] {
 			return true
@@ -111,10 +115,10 @@
 	return a, true
 }
 
-// slotsTaken returns how many slots are taken: a new version that is loading takes a slot beside
-// the version that it replaces. The lock is held.
+// slotsTaken returns how many slots are taken, those of unlisted adapters included: a new version
+// that is loading takes a slot beside the version that it replaces. The lock is held.
 func (e *engine) slotsTaken() int {
-	taken := len(e.held)
+	taken := len(e.held) + e.unlisted
 	for _, h := range e.held {
 		if h.replacing {
 			taken++
--- a/snipeadapter/load.go
+++ b/snipeadapter/load.go
@@ -263,6 +263,8 @@
 func (e *engine) recordLoaded(l *load) {
 	if l.adapter.Name == "" {
 		e.models[l.adapter.Model] = true
+		// Reports do not show the model yet, nor the adapters that it lists.
+		e.readAt = time.Now()
 		return
 	}
 	h := &heldAdapter{version: l.version}
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -187,12 +187,13 @@
 	}
 	e.accepted, e.fence, e.lastAnswered = r.Orders, fence, false
 	e.stateKnown.Store(true)
+	unlisted := r.unlistedOrders()
 	e.controller.Log.Log(snipelog.EngineRead, e.logFields(snipelog.Fields{
-		"Orders": r.Orders, "Resident": len(r.Resident), "Coming": len(r.Loading), "Fence": fence,
+		"Orders": r.Orders, "Resident": len(r.Resident), "Coming": len(r.Loading), "Unlisted": unlisted, "Fence": fence,
 	}))
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	e.readAt = time.Now()
+	e.readAt, e.unlisted = time.Now(), unlisted
 	e.models = make(map[string]bool, len(r.Models))
 	for _, m := range r.Models {
 		e.models[m] = true
--- a/snipeadapter/restart_test.go
+++ b/snipeadapter/restart_test.go
@@ -228,3 +228,27 @@
 		must.Eq(t, slots, e.count())
 	})
 }
+
+// TestUnlistedAdapters guards against filling an engine beyond its slots that has accepted loads for
+// its previous start and holds no base model, so that its report does not list what they loaded.
+func TestUnlistedAdapters(t *testing.T) {
+	for name, before := range map[string]int{"One": 1, "Some": 4, "All": slots} {
+		t.Run(name, func(t *testing.T) {
+			runSimulation(t, 6, func(t *testing.T, e *fakeEngine, c *snipeadapter.Controller, _ *bool) {
+				e.setModels(nil)
+				for n := range before {
+					e.execute(snipeadapter.Order{Action: snipeadapter.Load, Adapter: adapter(n), Expect: uint64(n)})
+				}
+				time.Sleep(2 * reportLag)
+				c.Model = func(*snipedirectory.Upstream) string { return model }
+				c.ReadEngine(t.Context(), c.Upstream("e1"))
+				time.Sleep(time.Second)
+				for n := range 2 * slots {
+					_, err := c.Ensure(t.Context(), "e1", adapter(100+n), 0, within(longWait))
+					must.NoError(t, err)
+				}
+				must.False(t, e.exceededSlots())
+			})
+		})
+	}
+}
--- a/snipeadapter/slotwait.go
+++ b/snipeadapter/slotwait.go
@@ -12,11 +12,11 @@
 // expectedSlotWait returns how long a load that would start after a time is expected to wait for a
 // slot then. The wait is zero if more slots are free now or evictable then than the loads ahead of it
 // need: the given number of queued ones, and those that have started but do not take a slot yet. It
-// is zero also while the engine's state is unknown or the engine is not in the directory. The lock is
-// held.
+// is zero also while the engine's state is unknown, the last report did not list all adapters, or the
+// engine is not in the directory. The lock is held.
 func (e *engine) expectedSlotWait(ahead int, start time.Duration) time.Duration {
 	u := e.controller.Upstream(e.id)
-	if u == nil || !e.stateKnown.Load() {
+	if u == nil || !e.stateKnown.Load() || e.unlisted > 0 {
 		return 0
 	}
 	slots := e.controller.Slots(u)
--- a/snipeadapter/snipeadapter.go
+++ b/snipeadapter/snipeadapter.go
@@ -26,6 +26,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -124,6 +125,17 @@
 	Loading []snipedirectory.Resident
 }
 
+// unlistedOrders returns how many accepted orders may have loaded adapters that the report does not
+// list. Engines list adapters by base model, so one that holds no base model lists none. It may have
+// loaded some: an order for the previous start reaches the next one, which accepts it if its order
+// count matches.
+func (r *Report) unlistedOrders() int {
+	if len(r.Models) > 0 {
+		return 0
+	}
+	return int(min(r.Orders, math.MaxInt32))
+}
+
 // Engine holds the functions through which the controller calls engines.
 type Engine struct {
 	Order  func(ctx context.Context, u *snipedirectory.Upstream, o Order) (Reply, error)
