Engines that may have started again before the registry was read keep a slot free

Cause: a slot stays free for such loads where the directory knew the earlier start. An instance that starts later sees the entry for the first time, and one that had removed the earlier start, since its entry had lapsed or could not be read, took the next for the first of its name.

Ruled out: a load later than the 15 s for which a slot is kept; a newer version that takes the slot.

Change: a start counts as a restart also if it is less than 30 s old and the registry was first read less than 30 s before it, or if another start of its name was removed within 30 s.

--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -51,8 +51,9 @@
 	// Start is the start time that the upstream reports, in milliseconds; 0 if it reports
 	// none.
 	Start int64
-	// Restarted reports whether an earlier start of the same name was known when this start
-	// appeared. The Cache sets it.
+	// Restarted reports whether an earlier start of the same name was known within the last
+	// startRetention when this start appeared, or may have ended before the Cache first read the
+	// registry. The Cache sets it.
 	Restarted bool
 	Service   string
 	Address   netip.AddrPort
@@ -164,6 +165,7 @@
 	current atomic.Pointer[Snapshot]
 
 	lock       sync.Mutex           // guards the fields below
+	firstRead  time.Time            // when the first change was applied
 	byName     map[string]*Upstream // the known upstreams
 	lastOutage time.Time            // when RegistryLost was last called
 	lapsed     map[string]time.Time // when missing entries are removed, by name
@@ -173,6 +175,8 @@
 	// endedStarts holds, by name, the starts that are over although the registry still
 	// lists them.
 	endedStarts map[string]string
+	// removed holds, by name, the starts that were removed last.
+	removed map[string]removedStart
 }
 
 // Event is a change of an upstream's state.
@@ -201,6 +205,9 @@
 func (k *Cache) Apply(c Change) {
 	k.lock.Lock()
 	defer k.lock.Unlock()
+	if k.firstRead.IsZero() {
+		k.firstRead = time.Now()
+	}
 	b := k.nextSnapshot()
 	removed := slices.Clone(c.Removed)
 	if c.Whole {
@@ -302,16 +309,16 @@
 	if _, ok := k.announcedLeaving[u.ID]; ok {
 		u.Leaving = true
 	}
-	_, u.Restarted = k.endedStarts[u.Name]
 	delete(k.endedStarts, u.Name)
 	delete(k.lapsed, u.Name)
 	old := k.byName[u.Name]
 	if old != nil && (old.ID != u.ID || old.Software != u.Software) {
 		k.remove(b, u.Name)
-		u.Restarted, old = true, nil
+		old = nil
 	}
 	k.byName[u.Name] = u
 	if old == nil {
+		u.Restarted = k.restarted(u)
 		u.RankKey = sniperoute.Hash(u.Address.String())
 		b.put(u)
 		k.notify(u, Appeared)
@@ -360,6 +367,7 @@
 	}
 	delete(k.byName, name)
 	b.remove(u)
+	k.recordRemoved(u)
 	k.notify(u, Gone)
 }
 
--- a/snipedirectory/snipedirectory_test.go
+++ b/snipedirectory/snipedirectory_test.go
@@ -138,6 +138,57 @@
 	}
 }
 
+// TestEarlierStarts guards against taking a start for the first one of its name because the earlier
+// one was registered before the registry was read, or was removed before this one appeared.
+func TestEarlierStarts(t *testing.T) {
+	type step struct {
+		pause  time.Duration
+		change func(start int64) snipedirectory.Change
+	}
+	show := func(age time.Duration) step {
+		return step{change: func(now int64) snipedirectory.Change {
+			u := started("a", now-age.Milliseconds())
+			u.Start = now - age.Milliseconds()
+			return changed(u)
+		}}
+	}
+	remove := step{change: func(int64) snipedirectory.Change { return snipedirectory.Change{Removed: []string{"a"}} }}
+	empty := step{change: func(int64) snipedirectory.Change { return snipedirectory.Change{} }}
+	after := func(pause time.Duration, s step) step {
+		s.pause = pause
+		return s
+	}
+	tests := map[string]struct {
+		steps     []step
+		restarted bool
+	}{
+		"RecentAtFirst":    {[]step{show(10 * time.Second)}, true},
+		"AheadAtFirst":     {[]step{show(-10 * time.Second)}, true},
+		"OldAtFirst":       {[]step{show(time.Minute)}, false},
+		"SoonAfterFirst":   {[]step{empty, after(10*time.Second, show(time.Second))}, true},
+		"LongAfterFirst":   {[]step{empty, after(time.Minute, show(time.Second))}, false},
+		"RemovedAndNext":   {[]step{show(time.Minute), after(time.Minute, remove), after(10*time.Second, show(0))}, true},
+		"RemovedLongAgo":   {[]step{show(time.Minute), remove, after(time.Minute, show(0))}, false},
+		"RemovedAndBack":   {[]step{show(time.Minute), remove, after(10*time.Second, show(70*time.Second))}, false},
+		"RestartedAndBack": {[]step{show(time.Minute), after(time.Minute, show(0)), remove, after(10*time.Second, show(10*time.Second))}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := &snipedirectory.Cache{}
+				for _, s := range tt.steps {
+					time.Sleep(s.pause)
+					k.Apply(s.change(time.Now().UnixMilli()))
+				}
+				for u := range k.Snapshot().All() {
+					must.Eq(t, tt.restarted, u.Restarted)
+				}
+				must.Eq(t, 1, k.Snapshot().Len())
+			})
+		})
+	}
+}
+
 // TestUndecodableDuringOutage guards against the use of an upstream whose entry cannot be decoded while
 // entries that lapsed during an outage of the registry are kept.
 func TestUndecodableDuringOutage(t *testing.T) {
