Upstreams whose grace has ended are removed between reads of the registry

Cause: an entry that is found missing within 2.5 s after the registry was lost is kept until these have passed, which was checked when the registry was read; reads are up to 1.3 s apart.

Ruled out: a copy of the registry that is too old (the removal is read 0.5 s after it was written), a grace that is too long.

Change: the grace is checked each 80 ms. While the registry is lost again, upstreams stay until the next read, as before. What the directory does with missing entries moves to a file of its own.

--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -168,7 +168,7 @@
 	firstRead  time.Time            // when the first change was applied
 	byName     map[string]*Upstream // the known upstreams
 	lastOutage time.Time            // when RegistryLost was last called
-	lapsed     map[string]time.Time // when missing entries are removed, by name
+	lapsed     map[string]lapse     // the missing entries whose upstreams are kept, by name
 	// announcedLeaving holds the starts that have announced that they are leaving, and when
 	// that was recorded.
 	announcedLeaving map[string]time.Time
@@ -192,14 +192,6 @@
 // Snapshot returns the newest snapshot; nil before the registry has been read.
 func (k *Cache) Snapshot() *Snapshot { return k.current.Load() }
 
-// RegistryLost records that the registry could not be read. For an entry that is found missing
-// later, LapseGrace is counted from the last such call.
-func (k *Cache) RegistryLost() {
-	k.lock.Lock()
-	defer k.lock.Unlock()
-	k.lastOutage = time.Now()
-}
-
 // Apply applies a change, removes the upstreams whose LapseGrace has passed, and publishes the
 // resulting snapshot. It modifies and keeps the upstreams in c.
 func (k *Cache) Apply(c Change) {
@@ -337,27 +329,6 @@
 	}
 }
 
-// removeOrLapse handles an upstream whose entry is gone. It forgets a start recorded by MarkEnded.
-// It removes the upstream, unless RegistryLost was called less than k.LapseGrace ago: entries lapse
-// during an outage of the registry, and live upstreams write them again. Such an upstream is kept
-// until k.LapseGrace has passed since that call; later calls do not prolong this. The lock is held.
-func (k *Cache) removeOrLapse(b *builder, name string) {
-	delete(k.endedStarts, name)
-	if k.byName[name] == nil {
-		return
-	}
-	if k.lastOutage.IsZero() || time.Since(k.lastOutage) >= k.LapseGrace {
-		k.remove(b, name)
-		return
-	}
-	if k.lapsed == nil {
-		k.lapsed = make(map[string]time.Time)
-	}
-	if _, ok := k.lapsed[name]; !ok {
-		k.lapsed[name] = k.lastOutage.Add(k.LapseGrace)
-	}
-}
-
 // remove removes an upstream and reports it as gone. An unknown name is ignored. The lock is held.
 func (k *Cache) remove(b *builder, name string) {
 	delete(k.lapsed, name)
@@ -371,16 +342,6 @@
 	k.notify(u, Gone)
 }
 
-// removeExpired removes the upstreams whose lapsed entries did not come back in time. The lock
-// is held.
-func (k *Cache) removeExpired(b *builder) {
-	for name, deadline := range k.lapsed {
-		if !time.Now().Before(deadline) {
-			k.remove(b, name)
-		}
-	}
-}
-
 func (k *Cache) notify(u *Upstream, e Event) {
 	if k.OnEvent != nil {
 		k.OnEvent(u, e)
--- a/snipedirectory/snipedirectory_test.go
+++ b/snipedirectory/snipedirectory_test.go
@@ -65,6 +65,36 @@
 	})
 }
 
+// TestExpiryBetweenReads guards against requests to an upstream that has left because its lapsed
+// entry is found expired by the next read of the registry only, a second later. While the registry is
+// lost again, the upstream is kept.
+func TestExpiryBetweenReads(t *testing.T) {
+	const grace = 2 * time.Second
+	for name, lostAgain := range map[string]bool{"Read": false, "LostAgain": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := &snipedirectory.Cache{LapseGrace: grace}
+				k.RemoveExpired()
+				k.Apply(whole(entry("stays", false), entry("gone", false)))
+				k.RegistryLost()
+				time.Sleep(time.Second)
+				k.Apply(whole(entry("stays", false)))
+				if time.Sleep(500 * time.Millisecond); lostAgain {
+					k.RegistryLost()
+				}
+				k.RemoveExpired()
+				must.Eq(t, 2, k.Snapshot().Len())
+				time.Sleep(500 * time.Millisecond)
+				k.RemoveExpired()
+				must.NotNil(t, k.Snapshot().ByID("stays"))
+				must.Eq(t, lostAgain, k.Snapshot().ByID("gone") != nil)
+				k.Apply(whole(entry("stays", false)))
+				must.Eq(t, 1, k.Snapshot().Len())
+			})
+		})
+	}
+}
+
 // started returns the entry of one start of an upstream.
 func started(name string, start int64) *snipedirectory.Upstream {
 	u := entry(name, false)
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -202,6 +202,7 @@
 	i.addTask(ctx, &g, func(ctx context.Context) error {
 		return snipetime.Every(ctx, reportInterval, func(ctx context.Context) {
 			i.stalls.beat(time.Now())
+			i.directory.RemoveExpired()
 			i.reportUses(ctx)
 			i.applyOwnLoads()
 			i.spreadAdapters()
