A status that promises that nothing has run does not reach callers of a request that may have run

Callers saw: a request that must run once, answered 503 (or 429, 408) by an upstream that had begun to work on it. Callers repeat a request after these statuses, so it ran twice.

Cause: deliver passed the status of an upstream's signed answer on as it was. That the request has not run is stated by another header, which was looked at before; without it the status is the upstream's own and proves nothing.

Ruled out: the instance's own errors; what may have run is answered 502 or 504 there.

Change: for routes that may not be repeated, such an answer becomes 502 without the upstream's signature. The event AnswerDiscarded tells the reason.

--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -128,14 +128,31 @@
 		g.Balancer.RecordUnanswered(u.ID)
 		// A forwarder answers so in the place of an upstream that has ended.
 		c.noteBroken(ctx)
-		g.Log.Log(snipelog.AnswerDiscarded, snipelog.Fields{requestField: c.ID, "Upstream": u.ID, "Status": answer.StatusCode})
-		return snipeerror.New(snipeerror.ErrMismatch, snipeerror.MayHaveRun, "the upstream's answer has no receipt")
+		return c.discardAnswer(u.ID, answer.StatusCode, snipeerror.ErrMismatch, "the upstream's answer has no receipt")
 	}
 	c.noteLives()
 	c.framing = answer.Framing()
 	return c.deliver(ctx, u.ID, answer)
 }
 
+// discardAnswer logs that an answer does not go to the caller, and returns the attempt's error.
+func (c *call) discardAnswer(id string, status int, kind error, reason string) error {
+	c.gateway.Log.Log(snipelog.AnswerDiscarded, snipelog.Fields{
+		requestField: c.ID, "Upstream": id, "Status": status, "Reason": reason,
+	})
+	return snipeerror.New(kind, snipeerror.MayHaveRun, reason)
+}
+
+// promisesNotRun reports whether callers take a status for the promise that the request has not run, and repeat it even if
+// it must run only once.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // logNewHeaders logs the names of headers that no earlier answer had.
 func (c *call) logNewHeaders(id string, answer *http.Response) {
 	for name := range answer.Header {
@@ -249,6 +266,10 @@
 		}
 		c.endFlight() // the time that the caller takes to read is not the upstream's
 	}
+	if !c.route.MayRepeat() && promisesNotRun(answer.StatusCode) {
+		reason := "the upstream's status promises what it does not state: " + strconv.Itoa(answer.StatusCode)
+		return c.discardAnswer(id, answer.StatusCode, snipeerror.ErrUpstreamFailed, reason)
+	}
 	w := &bufferedAnswer{status: answer.StatusCode, header: endToEnd(answer.Header), body: body, framing: answer.Framing()}
 	if !complete {
 		return c.writeUnbuffered(ctx, id, w, answer)
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -55,6 +55,7 @@
 	// not loading it either.
 	modelAbsent, modelNotOrdered bool
 	runCounts                    map[string]int // by identifier of the request
+	runs                         []Run
 	// tokens counts the tokens of the requests that ran, workspaces these requests, both by
 	// workspace. keyCount counts the requests that carried a caller's key.
 	tokens      map[string]int
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -42,6 +42,7 @@
 	}
 	defer vacate()
 	r.recordRun(q)
+	defer r.beginRun(q)()
 	if r.crashIfFatal(body) {
 		panic(http.ErrAbortHandler)
 	}
@@ -75,6 +76,9 @@
 	case RunnerErrors:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case RunnerBusyErrors:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case RunnerWrongID:
 		h.Set("X-Snipepitch-Attempt-Id", "another")
 	case RunnerUnsigned:
--- a/snipestand/runnerfault.go
+++ b/snipestand/runnerfault.go
@@ -25,6 +25,9 @@
 	RunnerUnframed
 	// RunnerTruncatesUnframed does the same, but closes the connection of a stream inside an event.
 	RunnerTruncatesUnframed
+	// RunnerBusyErrors runs the request and answers 503 with the runner's signature, as a service does whose own
+	// work fails for want of room.
+	RunnerBusyErrors
 	// RunnerLosesOrders executes orders and closes the connection without an answer.
 	RunnerLosesOrders
 	// RunnerLateOrders closes the connection without an answer and executes the order after the
