A stream is not resumed while its earlier upstream may still work on it

Callers saw: nothing; engines worked on one stream twice, beyond the 400 ms that the rule allows.

Cause: an instance resumed a stream elsewhere after any end of the connection. Where the kernel has ended it because the upstream's network was silent (keepalive, user timeout), the reset is lost as well, and the upstream goes on until its own kernel sends again, a second after it can be reached.

Change: snipelink tells such an end by ErrSilent. The instance breaks the answer off, and the caller may take it up. By a hop the peer, which alone knows, refuses to resume the stream until its deadline.

--- /dev/null
+++ b/snipeentry/silentstream_test.go
@@ -0,0 +1,173 @@
+package snipeentry_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"snipepitch.example/snipepitch/snipeentry"
+	"snipepitch.example/snipepitch/snipelink"
+	"snipepitch.example/snipepitch/snipestand"
+)
+
+// silentCluster is an instance and two engines, of which the first can be made silent.
+type silentCluster struct {
+	*testCluster
+	silence snipestand.Silence
+	one     *instance
+}
+
+// silencedEvents is the number of events of a stream, which lasts five seconds.
+const silencedEvents = 50
+
+func startSilentCluster(t *testing.T) *silentCluster {
+	s := &silentCluster{}
+	runners := []*snipestand.Runner{
+		{ID: "e1", Service: "engines", Model: "base"}, {ID: "e2", Service: "engines", Model: "base"}, {ID: "p1", Service: "plain"},
+	}
+	s.testCluster = startTestCluster(t, 100*time.Millisecond, runners, func(r *snipestand.Runner) {
+		if r.ID == "e1" {
+			r.Address = s.serveSilenced(t, r.Handler())
+			return
+		}
+		r.Address = serve(t, r.Handler()).String()
+	})
+	for _, r := range runners {
+		r.Events = silencedEvents
+	}
+	s.dial = s.silence.Dialer(netip.MustParseAddrPort(s.runners["e1"].Address), snipelink.Dialer())
+	s.declare(1)
+	s.one = s.start("one")
+	waitServing(t, s.one)
+	waitRetrySlack(t, []*instance{s.one})
+	return s
+}
+
+// askCutInstance has callers ask another instance, which reaches no upstream.
+func (s *silentCluster) askCutInstance() {
+	s.dial = func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	s.one = s.start("asked", func(settings *snipeentry.Settings) { settings.Seeds = []netip.AddrPort{s.one.Settings.Peers} })
+	waitServing(s.t, s.one)
+	waitRetrySlack(s.t, []*instance{s.one})
+}
+
+func (s *silentCluster) serveSilenced(t *testing.T, h http.Handler) string {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must.NoError(t, err)
+	silenced, err := s.silence.Listener(l)
+	must.NoError(t, err)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(silenced) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// engineRun is a run of a request at one of the engines.
+type engineRun struct {
+	engine string
+	snipestand.Run
+}
+
+// runsOf returns the runs of a request at the engines, in the order of their beginning.
+func (s *testCluster) runsOf(id string) []engineRun {
+	var all []engineRun
+	for name, r := range s.runners {
+		for _, run := range r.Runs() {
+			if run.Request == id {
+				all = append(all, engineRun{name, run})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b engineRun) int { return a.Begun.Compare(b.Begun) })
+	return all
+}
+
+// handoverTime is how long an engine may still work on a stream that goes on at another one.
+const handoverTime = 400 * time.Millisecond
+
+// checkHandovers checks that no stream went on at an engine while an earlier one still worked on it, after handoverTime.
+func (s *testCluster) checkHandovers(id string) {
+	s.t.Helper()
+	runs := s.runsOf(id)
+	for n, later := range runs {
+		for _, earlier := range runs[:n] {
+			late := later.Begun.Add(handoverTime)
+			if later.After > 0 && (earlier.Ended.IsZero() || earlier.Ended.After(late)) {
+				s.t.Errorf("%s goes on at %s after event %d while %s still works on it: %v", id, later.engine, later.After, earlier.engine, runs)
+			}
+		}
+	}
+}
+
+// readSilenced has streams read from the instance, makes the first engine silent in the middle of them, and returns the
+// replies by the identifiers of the requests when all runs have ended.
+func (s *silentCluster) readSilenced(silence time.Duration) map[string]reply {
+	var lock sync.Mutex
+	replies := map[string]reply{}
+	var all sync.WaitGroup
+	for range silencedStreams {
+		all.Go(func() {
+			a, id := send(s.t, s.one.url, http.MethodPost, "/draft/x", "text", modelHeader, "base")
+			lock.Lock()
+			defer lock.Unlock()
+			replies[id] = a
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
+	s.silence.Set(true)
+	time.Sleep(silence)
+	s.silence.Set(false)
+	all.Wait()
+	ended := func(r engineRun) bool { return !r.Ended.IsZero() }
+	for id := range replies {
+		eventually(s.t, func() bool { return !slices.ContainsFunc(s.runsOf(id), func(r engineRun) bool { return !ended(r) }) })
+	}
+	return replies
+}
+
+const silencedStreams = 12
+
+// TestSilentStreamRunsOnce guards against a stream that goes on at another engine while the first one, which was silent
+// and has not learned that its connection has ended, still works on it.
+func TestSilentStreamRunsOnce(t *testing.T) {
+	tests := map[string]struct {
+		silence time.Duration
+		// byHop is set if the instance that the callers ask reaches no upstream.
+		byHop bool
+	}{
+		"Short":      {2100 * time.Millisecond, false},
+		"Longer":     {2300 * time.Millisecond, false},
+		"Long":       {4 * time.Second, false},
+		"ShortByHop": {2100 * time.Millisecond, true},
+		"LongByHop":  {4 * time.Second, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSilentCluster(t)
+			if tt.byHop {
+				s.askCutInstance()
+			}
+			whole := 0
+			for id, a := range s.readSilenced(tt.silence) {
+				s.checkHandovers(id)
+				must.Eq(t, http.StatusOK, a.status)
+				if events := strings.Count(a.body, "id:"); a.err == nil {
+					must.Eq(t, silencedEvents, events, must.Sprint("a stream that broke off looks whole"))
+					whole++
+				}
+			}
+			must.GreaterEq(t, silencedStreams/6, whole, must.Sprint("streams of the other engine"))
+		})
+	}
+}
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -79,6 +79,8 @@
 	streamSoftware streamSoftware
 	reached        int
 	mayHaveRun     int
+	// mayStillRun is set if the upstream of an attempt that has ended may still work on the request.
+	mayStillRun bool
 	// hop is set if another instance passes the request on, peer is the instance that it was passed on to in
 	// its last attempt.
 	hop  *hopRequest
@@ -176,6 +178,9 @@
 		if err := c.checkSize(); err != nil {
 			return c.finalError(err)
 		}
+		if err := c.checkSilentRuns(); err != nil {
+			return c.finalError(err)
+		}
 		reached := c.reached
 		final, err := c.attemptNext(ctx)
 		c.settleRetry(reached)
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -110,6 +110,7 @@
 	c.noteTooLarge(err)
 	c.countHop("Broken")
 	c.noteHopSent()
+	c.noteSilence(err)
 	c.mayHaveRun++
 	return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, "hop: "+err.Error())
 }
--- a/snipegateway/retry.go
+++ b/snipegateway/retry.go
@@ -35,6 +35,8 @@
 	// retryUnsafe stands for a request that may have run, or whose answer has begun, and that must not
 	// be repeated.
 	retryUnsafe retryDenial = "Unsafe"
+	// retryStillRuns stands for a stream that the upstream of an earlier attempt may still work on.
+	retryStillRuns retryDenial = "StillRuns"
 	// retryBudgetUsed stands for the retry budget of the service.
 	retryBudgetUsed retryDenial = "Budget"
 	// retryAtSender stands for a request that came by a hop: its sender decides about another attempt.
@@ -55,6 +57,8 @@
 		return retryAtSender
 	case c.reached >= maxSends, len(c.tried) >= maxTries:
 		return retryAttemptsUsed
+	case c.answerStarted && c.mayStillRun:
+		return retryStillRuns
 	case c.mustNotRepeat(f):
 		return retryUnsafe
 	case c.mayHaveRun >= c.route.MaxAttempts:
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -88,6 +88,7 @@
 	tooLarge        snipelog.Limiter
 	partKeys        snipequarantine.PartKeys
 	arrivals        arrivals
+	silentRuns      silentRuns
 }
 
 // InFlight returns the number of requests being served.
--- a/snipelink/dial.go
+++ b/snipelink/dial.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -68,6 +69,12 @@
 	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size)
 }
 
+// endedBySilence reports whether an error of a connection means that the kernel has ended it because nothing arrived from
+// the other end, which may not know of it then.
+func endedBySilence(err error) bool {
+	return errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH) || errors.Is(err, unix.ENETUNREACH)
+}
+
 // isIdle reports whether a connection is open and has no bytes to read. A connection
 // whose type gives no access to a socket counts as idle.
 func isIdle(conn net.Conn) bool {
--- a/snipelink/head.go
+++ b/snipelink/head.go
@@ -141,7 +141,7 @@
 }
 
 // headError is the error of Send for a head that was not read to its end. It is ErrBroken, and also its reason if that is
-// ErrTooLarge or ErrNoRoom.
+// ErrTooLarge or ErrNoRoom, or ErrSilent if the upstream was.
 type headError struct{ reason error }
 
 // maxErrorText bounds the text of an error, which may quote the upstream.
@@ -158,5 +158,8 @@
 	if errors.Is(e.reason, ErrTooLarge) || errors.Is(e.reason, ErrNoRoom) {
 		return []error{ErrBroken, e.reason}
 	}
+	if endedBySilence(e.reason) {
+		return []error{ErrBroken, ErrSilent}
+	}
 	return []error{ErrBroken}
 }
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -46,6 +46,10 @@
 	ErrBroken = errors.New("no answer to the request")
 	// ErrForeign means that the received answer belongs to another request.
 	ErrForeign = errors.New("answer to another request")
+	// ErrSilent means that the kernel has ended the connection because nothing arrived from the upstream. The upstream
+	// may not have learned of the end, and may go on with the request. It comes with ErrBroken, and is also an error of
+	// Answer.Read.
+	ErrSilent = errors.New("the upstream was silent")
 )
 
 // Pool manages connections to upstreams. Exported fields are set before the first
@@ -224,6 +228,9 @@
 	if errors.Is(err, io.EOF) {
 		a.complete = true
 	}
+	if endedBySilence(err) {
+		err = errors.Wrap(ErrSilent, err.Error())
+	}
 	return n, err
 }
 
