The soak counts runs over all attempts and looks for streams that two engines work on

What was missing: the audit left out requests without an answer, its callers never repeated a request, runs had no end, and no fault of the soak let a kernel's timeout end a connection.

Change: callers repeat what must run once where a promise or an unread connection allows it; runs are counted by the caller's request; an engine that works on a stream 0.4 s after it went on elsewhere is a breach.

--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -56,6 +56,8 @@
 // outcome is what a caller has observed of a request.
 type outcome struct {
 	kind requestKind
+	// order identifies the request that the attempt was made for.
+	order string
 	// unknownKey is set if the request was sent with wrongKey.
 	unknownKey bool
 	status     int
@@ -87,33 +89,37 @@
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: retryCallers, DisableCompression: true}}
 
-// send sends a request, checks its answer and reports whether it was served, that is answered in
-// full with status 200. A request without an answer leaves no outcome for the audit.
-func (s *Soak) send(ctx context.Context, i *instance, k requestKind, r *random.Rand, unknownKey bool) bool {
+// newID returns a new identifier of a request.
+func newID() string { return rand.Text() }
+
+// sendAttempt makes an attempt, with an identifier, for a request. It reports whether it was served, and whether its caller
+// may make another attempt. An attempt without an answer leaves no outcome for the audit.
+func (s *Soak) sendAttempt(ctx context.Context, i *instance, o order, id string, r *random.Rand, unknownKey bool) (served, again bool) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	id := rand.Text()
-	adapter := 0
+	k, adapter, callerKey := o.kind, 0, key
 	if k.stream {
 		adapter = r.IntN(s.adapterCount())
 	}
-	callerKey := key
 	if unknownKey {
 		callerKey = wrongKey
 	}
-	q, err := s.newRequest(ctx, i, k, sent{id: id, path: id, body: "order " + id, key: callerKey, adapter: adapter})
+	q, err := s.newRequest(ctx, i, k, sent{id: id, path: o.id, body: "order " + o.id, key: callerKey, adapter: adapter})
 	if err != nil {
 		s.breach("the soak itself", "%v", err)
-		return false
+		return false, false
 	}
+	s.lock.Lock()
+	s.orders[id] = o
+	s.lock.Unlock()
 	answer, err := s.do(q, k)
 	if err != nil {
-		return false
+		return false, mayRepeat(nil, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(answer.Body)
-	s.checkAnswer(id, outcome{kind: k, unknownKey: unknownKey}, answer, string(data), err)
-	return err == nil && answer.StatusCode == http.StatusOK
+	s.checkAnswer(id, outcome{kind: k, unknownKey: unknownKey, order: o.id}, answer, string(data), err)
+	return err == nil && answer.StatusCode == http.StatusOK, mayRepeat(answer, nil)
 }
 
 // refusedPause is how long a caller waits after an instance has refused its connection.
@@ -169,7 +175,7 @@
 	o.status = answer.StatusCode
 	switch answer.StatusCode {
 	case http.StatusOK:
-		s.checkBody(id, o.kind, answer, body, readErr)
+		s.checkBody(id, o, answer, body, readErr)
 	case http.StatusUnauthorized:
 		if !o.unknownKey {
 			s.breach("declared keys are known", "%s: %s", id, body)
@@ -193,8 +199,9 @@
 
 // checkBody checks the body of an answer with status 200. If the body could not be read to its
 // end, what was read must be the beginning of the right answer.
-func (s *Soak) checkBody(id string, k requestKind, answer *http.Response, body string, readErr error) {
-	want := "POST " + k.prefix + id + " order " + id
+func (s *Soak) checkBody(id string, o outcome, answer *http.Response, body string, readErr error) {
+	k := o.kind
+	want := "POST " + k.prefix + o.order + " order " + o.order
 	if k.stream {
 		want, body = s.streamBody(), withoutSoftware(body)
 	}
@@ -244,6 +251,7 @@
 	s.auditBrittle()
 	s.auditParts()
 	s.auditRetries()
+	s.auditRuns()
 	s.auditStreams()
 	for id, o := range s.outcomes {
 		if o.unknownKey && ran[id] > 0 {
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -214,6 +214,7 @@
 var upstreamFaults = []snipestand.RunnerFault{
 	snipestand.RunnerErrors, snipestand.RunnerRefuses, snipestand.RunnerResets, snipestand.RunnerTruncates,
 	snipestand.RunnerWrongID, snipestand.RunnerUnsigned, snipestand.RunnerLosesOrders, snipestand.RunnerLateOrders,
+	snipestand.RunnerBusyErrors,
 }
 
 // disruptUpstreams makes the upstreams fail requests or orders for d, but no more than a random number.
--- a/snipesoak/seeds.go
+++ b/snipesoak/seeds.go
@@ -23,8 +23,14 @@
 	versions bool
 	// brittle has upstreams with little room, and prompts. It adds brittleFaults, drawn twice as often.
 	brittle bool
+	// silent adds silenceFault, drawn silenceWeight times as often, and streams that last longer than a silence. One of the upstreams'
+	// faults is a failure of a request that has run, by a status that promises the opposite.
+	silent bool
 }
 
+// silenceWeight makes about a third of the faults silences, of which only some fall into a resumable stream.
+const silenceWeight = 9
+
 var seedRanges = []seedRange{
 	{from: 0, faults: 12, upstreamFaults: 7},
 	{from: 1000, faults: 14, upstreamFaults: 8},
@@ -35,6 +41,7 @@
 	{from: 20000, faults: 19, upstreamFaults: 8, unframed: true, startsWithLast: true},
 	{from: 24000, faults: 19, upstreamFaults: 8, versions: true, startsWithLast: true},
 	{from: 28000, faults: 18, upstreamFaults: 8, brittle: true},
+	{from: 32000, faults: 18, upstreamFaults: 9, silent: true, startsWithLast: true},
 }
 
 // rangeOf returns the range of a seed.
@@ -59,6 +66,9 @@
 	if r.versions {
 		drawn = append(drawn, releaseFault, releaseFault, releaseFault)
 	}
+	if r.silent {
+		drawn = append(drawn, slices.Repeat([]fault{silenceFault}, silenceWeight)...)
+	}
 	if r.brittle {
 		drawn = slices.Concat(drawn, brittleFaults, brittleFaults)
 	}
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -66,6 +66,7 @@
 	lock     sync.Mutex // guards the fields below
 	breaches []Breach
 	outcomes map[string]outcome // answered requests by identifier
+	orders   map[string]order   // the requests of attempts, by the identifiers of these
 	// resumed holds the times at which frozen instances were resumed, by their names.
 	resumed map[string][]time.Time
 	// senders holds the name of the instance that forwards a request to upstreams, by the
@@ -123,7 +124,8 @@
 // full with status 200. An error means that the soak could not be set up, or that not
 // every instance served every kind of request before the first fault.
 func (s *Soak) Run(ctx context.Context) ([]Breach, int, error) {
-	s.outcomes, s.resumed, s.links = map[string]outcome{}, map[string][]time.Time{}, map[string]netip.AddrPort{}
+	s.outcomes, s.orders = map[string]outcome{}, map[string]order{}
+	s.resumed, s.links = map[string][]time.Time{}, map[string]netip.AddrPort{}
 	s.senders, s.disturbances, s.sentTimes = map[string]string{}, map[string][]disturbance{}, map[string][]time.Time{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/snipesoak/stream.go
+++ b/snipesoak/stream.go
@@ -65,10 +65,14 @@
 
 // streamEvents returns the number of events of a stream.
 func (s *Soak) streamEvents() int {
-	if s.judgesVersions() {
+	switch {
+	case s.judgesVersions():
 		return versionedEvents
+	case s.silencesUpstreams():
+		return silentEvents
+	default:
+		return events
 	}
-	return events
 }
 
 // setSoftware sets the software version and the streams of the n-th upstream.
@@ -77,6 +81,9 @@
 		r.Software = softwareVersions[n/2%2]
 		r.Events, r.EventInterval = versionedEvents, versionedInterval
 	}
+	if s.silencesUpstreams() {
+		r.Events, r.EventInterval = silentEvents, silentInterval
+	}
 }
 
 // softwareSuffix is the software version in the data of an event.
--- a/snipestand/cutter.go
+++ b/snipestand/cutter.go
@@ -29,6 +29,10 @@
 	CutStale CutMode = "stale"
 	// CutRefuse closes all connections and new ones as soon as they are accepted.
 	CutRefuse CutMode = "refuse"
+	// CutSilent drops all packets of open connections and new ones, so that the dialing side's kernel gets no
+	// acknowledgement and may end its connections. When the mode ends, connections that are still open on this side send
+	// again only after half of the time for which they were silent, as TCP does.
+	CutSilent CutMode = "silent"
 	// CutDown closes the listener and all connections, as the end of the process at the target does.
 	CutDown CutMode = "down"
 )
@@ -59,15 +63,20 @@
 type linkState struct {
 	link     Link
 	listener net.Listener // closed if the mode is CutDown
-	mode     CutMode
-	changed  chan struct{} // closed and replaced at each change of mode or staleness
-	open     map[*cutConnection]bool
+	silence  Silence
+	// silentSince is when the mode became CutSilent.
+	silentSince time.Time
+	mode        CutMode
+	changed     chan struct{} // closed and replaced at each change of mode or staleness
+	open        map[*cutConnection]bool
 }
 
-// cutConnection is one connection through the cutter. A stale one no longer forwards anything.
+// cutConnection is one connection through the cutter. A stale one no longer forwards anything, and nothing is forwarded
+// before quietUntil.
 type cutConnection struct {
 	client, server net.Conn
 	stale          bool
+	quietUntil     time.Time
 }
 
 func (c *cutConnection) close() {
@@ -87,13 +96,26 @@
 		}
 		l.Listen = listener.Addr().(*net.TCPAddr).AddrPort()
 		c.Links[n] = l
-		s := &linkState{link: l, listener: listener, mode: CutNone, changed: make(chan struct{}), open: map[*cutConnection]bool{}}
+		s := &linkState{link: l, mode: CutNone, changed: make(chan struct{}), open: map[*cutConnection]bool{}}
 		c.state[l.Listen] = s
-		go c.accept(listener, s)
+		if err := c.serve(listener, s); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// serve accepts the connections of a link in the background.
+func (c *Cutter) serve(l *net.TCPListener, s *linkState) error {
+	listener, err := s.silence.Listener(l)
+	if err != nil {
+		return errors.Wrapf(err, "link %s", s.link.Listen)
+	}
+	s.listener = listener
+	go c.accept(listener, s)
+	return nil
+}
+
 // Handler returns the cutter's control route, POST /Cut.
 func (c *Cutter) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -142,8 +164,9 @@
 			return err
 		}
 	}
+	s.setSilent(mode == CutSilent)
 	switch mode {
-	case CutNone, CutBoth, CutForward, CutBack:
+	case CutNone, CutBoth, CutForward, CutBack, CutSilent:
 	case CutDown:
 		_ = s.listener.Close()
 		s.closeAll()
@@ -156,6 +179,22 @@
 	return nil
 }
 
+// setSilent begins or ends a silence. The lock is held.
+func (s *linkState) setSilent(on bool) {
+	if on == (s.mode == CutSilent) {
+		return
+	}
+	s.silence.Set(on)
+	if on {
+		s.silentSince = time.Now()
+		return
+	}
+	now := time.Now()
+	for k := range s.open {
+		k.quietUntil = now.Add(now.Sub(s.silentSince) / 2)
+	}
+}
+
 // closeAll closes all connections of a link. The lock is held.
 func (s *linkState) closeAll() {
 	for k := range s.open {
@@ -169,9 +208,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "link %s", s.link.Listen)
 	}
-	s.listener = listener
-	go c.accept(listener, s)
-	return nil
+	return c.serve(listener, s)
 }
 
 // accept serves the connections of a link until its listener is closed.
@@ -238,14 +275,17 @@
 func (c *Cutter) waitUncut(s *linkState, k *cutConnection, direction CutMode) bool {
 	for {
 		c.lock.Lock()
-		mode, stale, changed := s.mode, k.stale, s.changed
+		mode, stale, quiet, changed := s.mode, k.stale, time.Until(k.quietUntil), s.changed
 		c.lock.Unlock()
-		if stale {
+		switch {
+		case stale:
 			return false
-		}
-		if mode != CutBoth && mode != direction {
+		case mode == CutBoth, mode == CutSilent, mode == direction:
+			<-changed
+		case quiet > 0:
+			time.Sleep(quiet)
+		default:
 			return true
 		}
-		<-changed
 	}
 }
