An upstream whose network is silent for a second or so keeps its streams

Callers saw: streams of a sound upstream that broke off, or went on elsewhere, after 1.4 s of silence and more.

Cause: with a user timeout of 1.5 s the kernel fails a connection at the second tick of its probes, 2 s after the last byte, if the only probe so far was lost, although the network has worked again since.

Ruled out: a shorter interval, which the kernel takes in whole seconds.

--- a/snipelink/dial.go
+++ b/snipelink/dial.go
@@ -16,12 +16,14 @@
 // ackTimeout, the upstream is gone, or a device on the path has lost the state of the
 // connection.
 const (
-	// ackTimeout is how long sent bytes may remain unacknowledged.
-	ackTimeout = 1500 * time.Millisecond
+	// ackTimeout is how long sent bytes may remain unacknowledged. It also decides how many probes must remain
+	// unanswered: a connection fails at the first one that is due later than ackTimeout. More than two intervals, so that an
+	// upstream whose network is silent for a second or so keeps its streams.
+	ackTimeout = 2500 * time.Millisecond
 	// keepAliveIdle is the time without traffic after which a connection is probed,
 	// keepAliveInterval the time between two probes, and keepAliveCount the number of
 	// unanswered probes after which the connection fails. An idle connection to a dead
-	// upstream is detected within three seconds.
+	// upstream is detected after three seconds.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
