--- a/snipeentry/software_test.go
+++ b/snipeentry/software_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,7 +75,7 @@
 	s.t.Helper()
 	for _, i := range instances {
 		eventually(s.t, func() bool {
-			got := s.run(func(_ int, c *streamCaller) { c.readUntil(i, 10) })
+			got := s.read(func(_ int, c *streamCaller) { c.readUntil(i, 10) })
 			return len(got.began) == len(versions)
 		})
 	}
@@ -84,8 +85,8 @@
 	return &streamCaller{t: s.t, target: "/draft/x", header: []string{modelHeader, "base"}, total: streamEvents}
 }
 
-// run runs callers side by side, each with its number.
-func (s *softwareCluster) run(each func(n int, c *streamCaller)) streamTally {
+// read runs callers side by side, each with its number.
+func (s *softwareCluster) read(each func(n int, c *streamCaller)) streamTally {
 	callers := make([]*streamCaller, softwareStreams)
 	var all sync.WaitGroup
 	for n := range callers {
@@ -129,7 +130,7 @@
 		refused bool
 	}{
 		"CallerLeaves": {3, both, func(s *softwareCluster) streamTally {
-			return s.run(func(n int, c *streamCaller) {
+			return s.read(func(n int, c *streamCaller) {
 				c.readUntil(s.instances[n%3], 10)
 				c.takeUp(s.instances[(n+1)%3], s.instances[(n+2)%3])
 			})
@@ -146,14 +147,14 @@
 		"JustStarted": {3, both, func(s *softwareCluster) streamTally {
 			s.startOne(3)
 			eventually(s.t, s.instances[3].isReady)
-			return s.run(func(n int, c *streamCaller) {
+			return s.read(func(n int, c *streamCaller) {
 				c.readUntil(s.instances[n%3], 10)
 				c.takeUp(s.instances[3])
 			})
 		}, false},
 		"ResumedHere": {3, both, func(s *softwareCluster) streamTally {
 			time.AfterFunc(700*time.Millisecond, func() { s.breakStreams("v1-0") })
-			return s.run(func(n int, c *streamCaller) {
+			return s.read(func(n int, c *streamCaller) {
 				c.readUntil(s.instances[n%3], c.total)
 				c.takeUp(s.instances[(n+1)%3])
 			})
@@ -161,21 +162,21 @@
 		"ByHop": {3, both, func(s *softwareCluster) streamTally {
 			s.cut(1, linksReset)
 			time.Sleep(contactTime)
-			return s.run(func(n int, c *streamCaller) {
+			return s.read(func(n int, c *streamCaller) {
 				c.readUntil(s.instances[n%3], 10)
 				c.takeUp(s.instances[(n+1)%3])
 			})
 		}, false},
 		"VersionGone": {3, both, func(s *softwareCluster) streamTally {
-			return s.run(func(n int, c *streamCaller) {
+			return s.read(func(n int, c *streamCaller) {
 				c.readUntil(s.instances[n%3], 20)
 				s.leave("v1-0", "v1-1")
 				time.Sleep(2 * time.Second)
 				c.takeUp(s.instances[(n+1)%3])
 			})
 		}, true},
-		"AllKilled":    {3, both, (*softwareCluster).restartWhileReading, true},
-		"OneAllKilled": {3, []string{"v1"}, (*softwareCluster).restartWhileReading, false},
+		"AllKilled":    {3, both, func(s *softwareCluster) streamTally { return s.restartWhileReading(func() {}) }, true},
+		"OneAllKilled": {3, []string{"v1"}, func(s *softwareCluster) streamTally { return s.restartWhileReading(func() {}) }, false},
 		"OneStoreSilent": {3, []string{"v1"}, func(s *softwareCluster) streamTally {
 			s.store.SetMode(snipestand.StoreSilent)
 			time.Sleep(5 * time.Second)
@@ -204,7 +205,7 @@
 		}
 	}()
 	others := s.others(count)
-	return s.run(func(n int, c *streamCaller) {
+	return s.read(func(n int, c *streamCaller) {
 		c.begun = begun.Done
 		c.readUntil(s.instances[n%count], c.total)
 		time.Sleep(returnPause)
@@ -213,18 +214,23 @@
 }
 
 // restartWhileReading has callers read, kills all instances and starts them again, and has the callers take up
-// their streams.
-func (s *softwareCluster) restartWhileReading() streamTally {
+// their streams. whileDown is called while no instance runs.
+func (s *softwareCluster) restartWhileReading(whileDown func()) streamTally {
 	restarted := make(chan struct{})
+	old := slices.Clone(s.instances)
 	time.AfterFunc(900*time.Millisecond, func() {
 		defer close(restarted)
-		for n, i := range s.instances {
+		for _, i := range old {
+			i.kill()
+			s.t.Log("killed:", <-i.ended)
+		}
+		whileDown()
+		for n, i := range old {
 			s.dial = s.links[n].dial
-			s.instances[n] = s.restart(i)
+			s.instances[n] = s.run(i.Settings, nil)
 		}
 	})
-	old := append([]*instance(nil), s.instances...)
-	return s.run(func(n int, c *streamCaller) {
+	return s.read(func(n int, c *streamCaller) {
 		c.readUntil(old[n%3], c.total)
 		<-restarted
 		eventually(s.t, s.instances[(n+1)%3].isReady)
@@ -247,6 +253,50 @@
 	}
 }
 
+// TestTakenUpAfterKill guards against streams whose text is joined from two software versions, because all instances were
+// killed and those that start do not know at which version a stream began.
+func TestTakenUpAfterKill(t *testing.T) {
+	oldLeaves := func(s *softwareCluster) { s.leave("v1-0", "v1-1") }
+	oldGone := func(s *softwareCluster) {
+		for _, id := range []string{"v1-0", "v1-1"} {
+			s.runners[id].Replace("v2")
+		}
+	}
+	tests := map[string]struct {
+		versions []string
+		// before and whileDown are called before streams begin, and while no instance runs.
+		before, whileDown func(s *softwareCluster)
+	}{
+		"OldLeft":       {[]string{"v1", "v2"}, func(s *softwareCluster) { oldLeaves(s); time.Sleep(time.Second) }, nil},
+		"OldLeaves":     {[]string{"v1", "v2"}, nil, oldLeaves},
+		"OldGone":       {[]string{"v1", "v2"}, nil, oldGone},
+		"NewJoins":      {[]string{"v1"}, nil, func(s *softwareCluster) { s.runners["v1-1"].Replace("v2") }},
+		"OneToOther":    {[]string{"v1"}, nil, oldGone},
+		"StoreSilent":   {[]string{"v1", "v2"}, nil, func(s *softwareCluster) { s.silenceStore(2 * time.Second) }},
+		"GoneInSilence": {[]string{"v1", "v2"}, nil, func(s *softwareCluster) { oldGone(s); s.silenceStore(2 * time.Second) }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSoftwareCluster(t, 3, tt.versions...)
+			if tt.before != nil {
+				tt.before(s)
+			}
+			checkTally(t, s.restartWhileReading(func() {
+				if tt.whileDown != nil {
+					tt.whileDown(s)
+				}
+			}), false)
+		})
+	}
+}
+
+// silenceStore makes the store silent for a while from now on.
+func (s *softwareCluster) silenceStore(d time.Duration) {
+	s.store.SetMode(snipestand.StoreSilent)
+	time.AfterFunc(d, func() { s.store.SetMode(snipestand.StoreNormal) })
+}
+
 // TestTakenUpByOthers guards against a stream that somebody else takes up, and against an answer from which more can be
 // learned than from one to nonsense.
 func TestTakenUpByOthers(t *testing.T) {
