--- a/snipeentry/software.go
+++ b/snipeentry/software.go
@@ -108,9 +108,10 @@
 		if !ok || r.Removed || r.Unchanged {
 			continue
 		}
-		var row snipesoftware.Row
-		if err := json.Unmarshal(r.Value, &row); err != nil {
+		row, err := snipesoftware.DecodeRow(r.Value)
+		if err != nil {
 			i.Log.Error(snipelog.OwnershipRowWrong, err, snipelog.Fields{"Row": r.Key})
+			i.releases.ApplyUnreadable(service, r.Version)
 			continue
 		}
 		i.releases.Apply(service, row, r.Version)
--- a/snipesoftware/releases.go
+++ b/snipesoftware/releases.go
@@ -23,6 +23,8 @@
 	row Row
 	// position is the version of the row in the store; 0 if there is none.
 	position uint64
+	// unreadable is set if the row in the store cannot be decoded, so that it is to be written anew.
+	unreadable bool
 	// usableFrom is from when on streams may begin at a version of the row.
 	usableFrom map[Version]time.Time
 	// Until soleUntil, by the Clock, all streams of the service have begun at sole.
@@ -32,11 +34,32 @@
 	absentSince map[Version]time.Time
 }
 
+// unknownVersion takes the place of versions that a row may have listed before it became unreadable: while it is announced,
+// no other version is the sole one. No upstream can register it.
+const unknownVersion Version = "\x00unknown"
+
 // Apply records the row of a service as it was read, or written, at a position of the store. Older
 // rows are ignored.
 func (r *Releases) Apply(service string, row Row, position uint64) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
+	r.apply(service, row, position, false)
+}
+
+// ApplyUnreadable records that the row of a service cannot be decoded at a position. What was known of the service stays
+// announced, and what is not known may have been.
+func (r *Releases) ApplyUnreadable(service string, position uint64) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	row := slices.Clone(r.service(service).row)
+	if !row.has(unknownVersion) {
+		row = append(row, Release{Version: unknownVersion, Settled: true})
+	}
+	r.apply(service, row, position, true)
+}
+
+// apply records a row. The lock is held.
+func (r *Releases) apply(service string, row Row, position uint64, unreadable bool) {
 	s := r.service(service)
 	if position <= s.position {
 		return
@@ -52,7 +75,7 @@
 			usable[e.Version] = old
 		}
 	}
-	s.row, s.position, s.usableFrom = row, position, usable
+	s.row, s.position, s.usableFrom, s.unreadable = row, position, usable, unreadable
 	if r.changed != nil {
 		close(r.changed)
 		r.changed = nil
@@ -78,7 +101,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	for _, s := range r.services {
-		if len(s.row) != 1 {
+		if len(s.row) != 1 || s.row[0].Version == unknownVersion {
 			continue
 		}
 		if until := r.Clock() + freshness - time.Since(at); until > s.soleUntil || s.sole != s.row[0].Version {
@@ -199,12 +222,12 @@
 		c.Row = append(c.Row, e)
 	}
 	for _, v := range registered {
-		if !s.row.has(v) && len(c.Row) < maxReleases {
+		if !s.row.has(v) && v != unknownVersion && len(c.Row) < maxReleases {
 			c.Row = append(c.Row, Release{Version: v, Settled: len(c.Row) == 0})
 			c.Added = append(c.Added, v)
 		}
 	}
-	return c, len(c.Row) > 0 && (settles || len(c.Added) > 0 || len(c.Dropped) > 0)
+	return c, len(c.Row) > 0 && (s.unreadable || settles || len(c.Added) > 0 || len(c.Dropped) > 0)
 }
 
 // expired reports whether a version is to be dropped: no upstream of it was registered for
--- a/snipesoftware/releases_test.go
+++ b/snipesoftware/releases_test.go
@@ -1,7 +1,6 @@
 package snipesoftware
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -140,12 +139,13 @@
 		"Twice":    {`[{"Version":"v1"},{"Version":"v1"}]`, false},
 		"Instance": {`{"Peer":"10.0.0.1:1"}`, false},
 		"Text":     {`"v1"`, false},
+		"Null":     {`null`, false},
+		"None":     {``, false},
 		"TooMany":  {string(long[:len(long)-1]) + "]", false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			var r Row
-			err := json.Unmarshal([]byte(tt.data), &r)
+			_, err := DecodeRow([]byte(tt.data))
 			must.Eq(t, tt.ok, err == nil, must.Sprint(err))
 		})
 	}
@@ -249,3 +249,41 @@
 		}
 	}
 }
+
+// TestUnreadableRow guards against a row that another writer has spoiled: versions that are forgotten, one that counts as the
+// sole one although others may have been announced, and a row that stays spoiled.
+func TestUnreadableRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known, started := newReleases(), newReleases()
+		known.Apply(service, rowOf("v1"), 1)
+		time.Sleep(useDelay)
+		registered := map[string][]Version{service: {"v1"}}
+		for _, r := range []*Releases{known, started} {
+			r.ApplyUnreadable(service, 2)
+			r.Confirm(time.Now())
+		}
+		must.True(t, known.MayBegin(service, "v1"))
+		must.False(t, started.MayBegin(service, "v1"))
+		due := known.Due(registered, true)
+		must.Len(t, 1, due)
+		must.Eq(t, uint64(2), due[0].Position)
+		must.Len(t, 1, started.Due(registered, true))
+		for _, r := range []*Releases{known, started} {
+			r.Apply(service, due[0].Row, 3)
+			r.Confirm(time.Now())
+			must.SliceEmpty(t, r.Due(registered, true))
+			must.True(t, r.MayBegin(service, "v1"))
+			v, sole := r.Sole(service)
+			must.False(t, sole && r == started, must.Sprint(v))
+		}
+		time.Sleep(freshness)
+		known.Confirm(time.Now())
+		_, sole := known.Sole(service)
+		must.False(t, sole)
+		time.Sleep(releaseRetention)
+		due = known.Due(registered, true)
+		must.Len(t, 1, due)
+		must.Eq(t, rowOf("v1")[0].Version, due[0].Row[0].Version)
+		must.Len(t, 1, due[0].Row)
+	})
+}
--- a/snipesoftware/row.go
+++ b/snipesoftware/row.go
@@ -24,23 +24,22 @@
 // Row holds the releases of a service in the order of their announcement.
 type Row []Release
 
-// UnmarshalJSON implements json.Unmarshaler. Its errors wrap ErrRow.
-func (r *Row) UnmarshalJSON(data []byte) error {
-	var all []Release
-	if err := json.Unmarshal(data, &all); err != nil {
-		return errors.Wrapf(ErrRow, "%v", err)
+// DecodeRow decodes and checks a row. Its errors wrap ErrRow.
+func DecodeRow(data []byte) (Row, error) {
+	var r Row
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, errors.Wrapf(ErrRow, "%v", err)
 	}
-	*r = all
-	return r.check()
+	return r, r.check()
 }
 
 // check returns an error if the row has no release, too many, or one twice.
-func (r *Row) check() error {
-	if len(*r) == 0 || len(*r) > maxReleases {
-		return errors.Wrapf(ErrRow, "%d releases", len(*r))
+func (r Row) check() error {
+	if len(r) == 0 || len(r) > maxReleases {
+		return errors.Wrapf(ErrRow, "%d releases", len(r))
 	}
-	for n, e := range *r {
-		if slices.ContainsFunc((*r)[:n], func(other Release) bool { return other.Version == e.Version }) {
+	for n, e := range r {
+		if slices.ContainsFunc(r[:n], func(other Release) bool { return other.Version == e.Version }) {
 			return errors.Wrapf(ErrRow, "version %q twice", e.Version)
 		}
 	}
--- a/snipestand/rowstore.go
+++ b/snipestand/rowstore.go
@@ -102,6 +102,15 @@
 	return nil
 }
 
+// PutBytes writes a row as another writer may, with any bytes as its value.
+func (s *RowStore) PutBytes(table, part, key string, value []byte) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.version++
+	s.set(rowName{Table: table, Part: part, Key: key}, value)
+	s.wake()
+}
+
 // Rows returns the number of rows of a table, without the removed ones.
 func (s *RowStore) Rows(table string) int {
 	s.lock.Lock()
