--- a/snipesoak/seeds.go
+++ b/snipesoak/seeds.go
@@ -26,11 +26,16 @@
 	// silent adds silenceFault, drawn silenceWeight times as often, and streams that last longer than a silence. One of the upstreams'
 	// faults is a failure of a request that has run, by a status that promises the opposite.
 	silent bool
+	// outOfStep adds outOfStepFault, drawn outOfStepWeight times as often.
+	outOfStep bool
 }
 
 // silenceWeight makes about a third of the faults silences, of which only some fall into a resumable stream.
 const silenceWeight = 9
 
+// outOfStepWeight makes about a third of the faults of these seeds ones of instances out of step.
+const outOfStepWeight = 8
+
 var seedRanges = []seedRange{
 	{from: 0, faults: 12, upstreamFaults: 7},
 	{from: 1000, faults: 14, upstreamFaults: 8},
@@ -42,6 +47,7 @@
 	{from: 24000, faults: 19, upstreamFaults: 8, versions: true, startsWithLast: true},
 	{from: 28000, faults: 18, upstreamFaults: 8, brittle: true},
 	{from: 32000, faults: 18, upstreamFaults: 9, silent: true, startsWithLast: true},
+	{from: 36000, faults: 14, upstreamFaults: 9, versions: true, outOfStep: true, startsWithLast: true},
 }
 
 // rangeOf returns the range of a seed.
@@ -69,6 +75,9 @@
 	if r.silent {
 		drawn = append(drawn, slices.Repeat([]fault{silenceFault}, silenceWeight)...)
 	}
+	if r.outOfStep {
+		drawn = append(drawn, slices.Repeat([]fault{outOfStepFault}, outOfStepWeight)...)
+	}
 	if r.brittle {
 		drawn = slices.Concat(drawn, brittleFaults, brittleFaults)
 	}
--- a/snipesoak/stream.go
+++ b/snipesoak/stream.go
@@ -97,6 +97,11 @@
 
 func releaseSoftware(s *Soak, r *random.Rand, _ time.Duration) string {
 	n := r.IntN(s.engines())
+	return s.release(n, softwareVersions[r.IntN(len(softwareVersions))])
+}
+
+// release replaces the n-th engine by one with the given software, after it has left.
+func (s *Soak) release(n int, software string) string {
 	u, link := s.runners[n], s.cutter.Links[s.Instances+n].Listen
 	defer s.disturb(u.ID)()
 	u.Drain()
@@ -104,7 +109,6 @@
 	if err := s.cutter.Cut(link, snipestand.CutDown); err != nil {
 		s.breach("the soak itself", "release: %v", err)
 	}
-	software := softwareVersions[r.IntN(len(softwareVersions))]
 	u.Replace(software)
 	for s.cutter.Cut(link, snipestand.CutNone) != nil {
 		time.Sleep(mendInterval)
