Upstreams whose entries lapsed in an outage are kept from the registry's return on

Callers saw: refusals right after an outage of the store of more than 2.5 s in which entries of upstreams lapsed, until these had written them again.

Ruled out: outages of less than 3.6 s, in which no entry lapses.

Change: it is counted from the first page that is read again, and is 2 s instead of 2.5 s, so that an instance that was cut off alone has given up what has left when 3 s have passed.

--- a/snipedirectory/lapse.go
+++ b/snipedirectory/lapse.go
@@ -6,13 +6,17 @@
 type lapse struct{ found, deadline time.Time }
 
 // RegistryLost records that the registry could not be read. For an entry that is found missing
-// later, LapseGrace is counted from the last such call.
+// later, LapseGrace is counted from the last such call, or from the call of RegistryRestored that followed.
 func (k *Cache) RegistryLost() {
 	k.lock.Lock()
 	defer k.lock.Unlock()
 	k.lastOutage = time.Now()
 }
 
+// RegistryRestored records that the registry was read again, before that read is applied: upstreams can only now write
+// the entries again that lapsed meanwhile.
+func (k *Cache) RegistryRestored() { k.RegistryLost() }
+
 // RemoveExpired removes the upstreams whose LapseGrace has passed, as Apply does: reads of the
 // registry may be further apart than LapseGrace allows. If RegistryLost was called since an entry
 // was found missing, its upstream stays until the next read, which may show the entry again.
--- a/snipedirectory/snipedirectory.go
+++ b/snipedirectory/snipedirectory.go
@@ -159,7 +159,7 @@
 	OnEvent func(u *Upstream, e Event)
 	// LapseGrace is how long missing entries are kept, because entries lapse while an outage of
 	// the registry keeps the upstreams from renewing them. It is counted from the last call of
-	// RegistryLost before the entry was found missing.
+	// RegistryLost or RegistryRestored before the entry was found missing.
 	LapseGrace time.Duration
 
 	current atomic.Pointer[Snapshot]
--- a/snipedirectory/snipedirectory_test.go
+++ b/snipedirectory/snipedirectory_test.go
@@ -303,3 +303,23 @@
 		})
 	}
 }
+
+// TestLapsedInLongOutage guards against upstreams that are given up as soon as a long outage of the registry ends, although
+// they can write their entries only then.
+func TestLapsedInLongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &snipedirectory.Cache{LapseGrace: 2 * time.Second}
+		k.Apply(whole(entry("back", false), entry("gone", false)))
+		k.RegistryLost()
+		time.Sleep(10 * time.Second)
+		k.RegistryRestored()
+		k.Apply(whole())
+		must.Eq(t, 2, k.Snapshot().Len())
+		time.Sleep(time.Second)
+		k.Apply(whole(entry("back", false)))
+		time.Sleep(time.Second)
+		k.RemoveExpired()
+		must.NotNil(t, k.Snapshot().ByID("back"))
+		must.Nil(t, k.Snapshot().ByID("gone"))
+	})
+}
--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -47,6 +47,9 @@
 	judgedFrom int
 	log        bytes.Buffer
 	lock       sync.Mutex // guards log
+	entryLock  sync.Mutex // guards withheld, and is held while entries are written
+	// withheld is set while upstreams write no entries.
+	withheld bool
 }
 
 // Write implements io.Writer for the instances' logs.
@@ -107,11 +110,7 @@
 // writeHeartbeats writes the registry entries of all upstreams twice a second.
 func (s *testCluster) writeHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, r := range s.runners {
-			if err := r.SendHeartbeat(s.store); err != nil {
-				s.t.Error(err)
-			}
-		}
+		s.writeEntries()
 		select {
 		case <-ctx.Done():
 		case <-time.After(500 * time.Millisecond):
@@ -119,6 +118,32 @@
 	}
 }
 
+// writeEntries writes the registry entries of all upstreams, unless these are withheld.
+func (s *testCluster) writeEntries() {
+	s.entryLock.Lock()
+	defer s.entryLock.Unlock()
+	for _, r := range s.runners {
+		if s.withheld {
+			break
+		}
+		if err := r.SendHeartbeat(s.store); err != nil {
+			s.t.Error(err)
+		}
+	}
+}
+
+// withholdEntries removes the registry entries of all upstreams, and lets none be written until it is called with false.
+func (s *testCluster) withholdEntries(on bool) {
+	s.entryLock.Lock()
+	defer s.entryLock.Unlock()
+	for _, r := range s.runners {
+		if on && !s.withheld {
+			must.NoError(s.t, s.store.Put("servers", r.CurrentID(), nil))
+		}
+	}
+	s.withheld = on
+}
+
 type object = map[string]any
 
 // declare writes the operators' catalog, with the given workspaces.
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -69,8 +69,9 @@
 	reportInterval = 80 * time.Millisecond
 	// registryRecoveryTime is how long, after an outage of the registry, upstreams whose entries
 	// expired during the outage are kept, so that the upstreams have time to write the entries
-	// again.
-	registryRecoveryTime = 2500 * time.Millisecond
+	// again. An instance that was cut off alone may be late to notice its end, and must give up upstreams that
+	// have left within three seconds.
+	registryRecoveryTime = 2 * time.Second
 )
 
 // Platform connects the instance to its environment: callers, engines and the store.
--- a/snipeentry/tables.go
+++ b/snipeentry/tables.go
@@ -136,6 +136,7 @@
 	}
 	t.directory.StoreRestored = func() {
 		i.Log.Log(snipelog.DirectoryFresh, snipelog.Fields{"Upstreams": i.directory.Snapshot().Len()})
+		i.directory.RegistryRestored()
 	}
 
 	t.ownership = i.follower(snipeowner.Partition, ownershipInterval, directoryWait, ownershipCopyAges)
