--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -56,8 +56,8 @@
 // outcome is what a caller has observed of a request.
 type outcome struct {
 	kind requestKind
-	// order identifies the request that the attempt was made for.
-	order string
+	// request identifies the request that the attempt was made for.
+	request string
 	// unknownKey is set if the request was sent with wrongKey.
 	unknownKey bool
 	status     int
@@ -94,23 +94,23 @@
 
 // sendAttempt makes an attempt, with an identifier, for a request. It reports whether it was served, and whether its caller
 // may make another attempt. An attempt without an answer leaves no outcome for the audit.
-func (s *Soak) sendAttempt(ctx context.Context, i *instance, o order, id string, r *random.Rand, unknownKey bool) (served, again bool) {
+func (s *Soak) sendAttempt(ctx context.Context, i *instance, c callerRequest, id string, r *random.Rand, unknownKey bool) (served, again bool) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	k, adapter, callerKey := o.kind, 0, key
+	k, adapter, callerKey := c.kind, 0, key
 	if k.stream {
 		adapter = r.IntN(s.adapterCount())
 	}
 	if unknownKey {
 		callerKey = wrongKey
 	}
-	q, err := s.newRequest(ctx, i, k, sent{id: id, path: o.id, body: "order " + o.id, key: callerKey, adapter: adapter})
+	q, err := s.newRequest(ctx, i, k, sent{id: id, path: c.id, body: "order " + c.id, key: callerKey, adapter: adapter})
 	if err != nil {
 		s.breach("the soak itself", "%v", err)
 		return false, false
 	}
 	s.lock.Lock()
-	s.orders[id] = o
+	s.requests[id] = c
 	s.lock.Unlock()
 	answer, err := s.do(q, k)
 	if err != nil {
@@ -118,7 +118,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(answer.Body)
-	s.checkAnswer(id, outcome{kind: k, unknownKey: unknownKey, order: o.id}, answer, string(data), err)
+	s.checkAnswer(id, outcome{kind: k, unknownKey: unknownKey, request: c.id}, answer, string(data), err)
 	return err == nil && answer.StatusCode == http.StatusOK, mayRepeat(answer, nil)
 }
 
@@ -201,7 +201,7 @@
 // end, what was read must be the beginning of the right answer.
 func (s *Soak) checkBody(id string, o outcome, answer *http.Response, body string, readErr error) {
 	k := o.kind
-	want := "POST " + k.prefix + o.order + " order " + o.order
+	want := "POST " + k.prefix + o.request + " order " + o.request
 	if k.stream {
 		want, body = s.streamBody(), withoutSoftware(body)
 	}
--- a/snipesoak/once.go
+++ b/snipesoak/once.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// orderAttempts bounds the attempts of a caller for one request that must run once.
-	orderAttempts = 3
+	// maxCallerAttempts bounds the attempts of a caller for one request that must run once.
+	maxCallerAttempts = 3
 	// handoverTime is how long an engine may still work on a stream that goes on at another one.
 	handoverTime = 400 * time.Millisecond
 	// minSilence is the least length of a silence, of which the kernel's timeouts notice the longer ones.
@@ -47,8 +47,8 @@
 
 func (s *Soak) silencesUpstreams() bool { return rangeOf(s.Seed).silent }
 
-// order is a request of a caller, for which it may make several attempts.
-type order struct {
+// callerRequest is a request of a caller, for which it may make several attempts.
+type callerRequest struct {
 	id   string
 	kind requestKind
 }
@@ -66,11 +66,11 @@
 // send sends a request, checks its answer and reports whether it was served, that is answered in full with status 200. A
 // request that must run once is repeated at other instances while its caller may do so.
 func (s *Soak) send(ctx context.Context, i *instance, k requestKind, r *random.Rand, unknownKey bool) bool {
-	o := order{id: newID(), kind: k}
-	served, again := s.sendAttempt(ctx, i, o, o.id, r, unknownKey)
-	for n := 1; n < orderAttempts && again && k.once && !unknownKey && ctx.Err() == nil; n++ {
-		i = s.instances[r.IntN(len(s.instances))]
-		served, again = s.sendAttempt(ctx, i, o, newID(), r, unknownKey)
+	q := callerRequest{id: newID(), kind: k}
+	served, again := s.sendAttempt(ctx, i, q, q.id, r, unknownKey)
+	for n := 1; n < maxCallerAttempts && again && k.once && !unknownKey && ctx.Err() == nil; n++ {
+		targets := *s.targets.Load()
+		served, again = s.sendAttempt(ctx, targets[r.IntN(len(targets))], q, newID(), r, unknownKey)
 	}
 	return served
 }
@@ -78,19 +78,19 @@
 // auditRuns checks that each request that must run once did so at most, over all attempts of its caller and whether it was
 // answered or not, and that no stream went on at an engine while an earlier one still worked on it.
 func (s *Soak) auditRuns() {
-	ran := make(map[order]int)
+	ran := make(map[callerRequest]int)
 	runs := make(map[string][]snipestand.Run)
 	for _, r := range s.runners {
 		for _, run := range r.Runs() {
 			runs[run.Request] = append(runs[run.Request], run)
-			if o, known := s.orders[run.Request]; known {
-				ran[o]++
+			if q, known := s.requests[run.Request]; known {
+				ran[q]++
 			}
 		}
 	}
-	for o, n := range ran {
-		if o.kind.once && n > 1 {
-			s.breach("at most once", "%s %s ran %d times over its attempts", o.kind, o.id, n)
+	for q, n := range ran {
+		if q.kind.once && n > 1 {
+			s.breach("at most once", "%s %s ran %d times over its attempts", q.kind, q.id, n)
 		}
 	}
 	for id, all := range runs {
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -65,8 +65,8 @@
 
 	lock     sync.Mutex // guards the fields below
 	breaches []Breach
-	outcomes map[string]outcome // answered requests by identifier
-	orders   map[string]order   // the requests of attempts, by the identifiers of these
+	outcomes map[string]outcome       // answered requests by identifier
+	requests map[string]callerRequest // the requests of attempts, by the identifiers of these
 	// resumed holds the times at which frozen instances were resumed, by their names.
 	resumed map[string][]time.Time
 	// senders holds the name of the instance that forwards a request to upstreams, by the
@@ -124,7 +124,7 @@
 // full with status 200. An error means that the soak could not be set up, or that not
 // every instance served every kind of request before the first fault.
 func (s *Soak) Run(ctx context.Context) ([]Breach, int, error) {
-	s.outcomes, s.orders = map[string]outcome{}, map[string]order{}
+	s.outcomes, s.requests = map[string]outcome{}, map[string]callerRequest{}
 	s.resumed, s.links = map[string][]time.Time{}, map[string]netip.AddrPort{}
 	s.senders, s.disturbances, s.sentTimes = map[string]string{}, map[string][]disturbance{}, map[string][]time.Time{}
 	ctx, cancel := context.WithCancel(ctx)
@@ -290,7 +290,7 @@
 	random := rand.New(rand.NewPCG(s.Seed, 0)) //nolint:gosec // the same calls for the same seed
 	for _, i := range s.instances {
 		for _, kind := range requestKinds {
-			for !s.send(ctx, i, kind, random, false) {
+			for !s.servesOne(ctx, i, kind, random) {
 				if ctx.Err() != nil {
 					return errors.Errorf("%s does not serve %s; %s", i.name, kind.prefix, s.stalls)
 				}
@@ -301,5 +301,12 @@
 	return nil
 }
 
+// servesOne reports whether an instance serves a request.
+func (s *Soak) servesOne(ctx context.Context, i *instance, k requestKind, r *rand.Rand) bool {
+	q := callerRequest{id: newID(), kind: k}
+	served, _ := s.sendAttempt(ctx, i, q, q.id, r, false)
+	return served
+}
+
 // logPath returns the path of an instance's log.
 func (s *Soak) logPath(name string) string { return filepath.Join(s.Folder, name+".log") }
