--- a/snipequarantine/ledger.go
+++ b/snipequarantine/ledger.go
@@ -1,7 +1,6 @@
 package snipequarantine
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
@@ -44,9 +43,8 @@
 	records map[Fingerprint]*crashRecord
 	// candidates are the records with watchedFrom crashes or more.
 	candidates map[Fingerprint]*crashRecord
-	// explained holds the starts of upstreams at which a refused fingerprint was running when they
-	// ended, and when it was refused.
-	explained map[string]time.Time
+	// explained holds the starts of upstreams at which a refused fingerprint was running when they ended.
+	explained explainedCrashes
 }
 
 // crashRecord holds the starts of upstreams that ended while they ran one fingerprint.
@@ -125,26 +123,14 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.remove(s.Fingerprint)
-	l.explain(s.Upstreams)
+	l.explained.add(s.Upstreams)
 }
 
 // ExplainUpstreams is Explain for the upstreams alone.
 func (l *Ledger) ExplainUpstreams(upstreams []string) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
-	l.explain(upstreams)
-}
-
-// explain is Explain for the upstreams alone. The lock is held.
-func (l *Ledger) explain(upstreams []string) {
-	now := time.Now()
-	if l.explained == nil {
-		l.explained = make(map[string]time.Time)
-	}
-	maps.DeleteFunc(l.explained, func(_ string, at time.Time) bool { return now.Sub(at) >= SuspectTime })
-	for _, u := range upstreams {
-		l.explained[u] = now
-	}
+	l.explained.add(upstreams)
 }
 
 // Decide returns the fingerprints that are to be watched or refused from now on.
@@ -161,7 +147,7 @@
 		case now.Sub(r.watchedAt) >= l.ObserveTime && l.convicts(r):
 			l.remove(f)
 			s := Suspect{Fingerprint: f, Refused: true, Left: SuspectTime, Upstreams: firstUpstreams(r.upstreams)}
-			l.explain(s.Upstreams)
+			l.explained.add(s.Upstreams)
 			decided = append(decided, s)
 		}
 	}
@@ -174,7 +160,7 @@
 		return len(r.upstreams) > refusedFrom
 	}
 	for u := range r.upstreams {
-		if _, ok := l.explained[u]; !ok {
+		if !l.explained.has(u) {
 			return true
 		}
 	}
--- a/snipequarantine/partledger.go
+++ b/snipequarantine/partledger.go
@@ -50,8 +50,8 @@
 	// number is that of the record that was added last, sweptAt when records of long ago were last looked for.
 	number  uint64
 	sweptAt time.Time
-	// explained holds the starts of upstreams whose crash a refused part explains, and since when.
-	explained map[string]time.Time
+	// explained holds the starts of upstreams whose crash a refused part explains.
+	explained explainedCrashes
 }
 
 // Record counts a crash of one part.
@@ -175,19 +175,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.remove(s.Fingerprint)
-	l.explain(s.Upstreams)
-}
-
-// explain is Explain for the upstreams alone. The lock is held.
-func (l *PartLedger) explain(upstreams []string) {
-	now := time.Now()
-	if l.explained == nil {
-		l.explained = make(map[string]time.Time)
-	}
-	maps.DeleteFunc(l.explained, func(_ string, at time.Time) bool { return now.Sub(at) >= SuspectTime })
-	for _, u := range upstreams {
-		l.explained[u] = now
-	}
+	l.explained.add(s.Upstreams)
 }
 
 // Decide returns the parts that are to be watched or refused from now on.
@@ -202,7 +190,7 @@
 			return decided
 		}
 		l.remove(p.key)
-		l.explain(p.upstreams)
+		l.explained.add(p.upstreams)
 		decided = append(decided, Suspect{
 			Fingerprint: p.key, Part: true, Refused: true, Left: SuspectTime, Upstreams: p.firstUpstreams(),
 		})
@@ -289,7 +277,7 @@
 func (l *PartLedger) unexplained(r *partRecord) int {
 	n := 0
 	for _, u := range r.upstreams {
-		if _, ok := l.explained[u]; !ok {
+		if !l.explained.has(u) {
 			n++
 		}
 	}
