Streams go on after a kill of all instances while two software versions serve

Cause: which version began a stream was known to three instances, all of which were killed. By design: not guessed.

Ruled out: guessing from what serves; a row for each stream (6,000 writes a second).

Change: while a service has several versions, each instance keeps the origins of its streams in a row of its own in the store, written each half second at most and a hundred times a second by all together. It is read when nobody who is asked knows a stream, as rarely. With one version nothing is written.

TestStored*, FuzzStoredStreams, TestOddRows with the new table.

--- a/snipeentry/oddrow_test.go
+++ b/snipeentry/oddrow_test.go
@@ -37,6 +37,7 @@
 	"op":         {"version/%s", "odd/%s"},
 	"ownership":  {"odd/%s", "software/%s", "engine/%s", "instance/%s", "engine/127.0.0.1:9%s"},
 	"quarantine": {"%s", "0123456789abcdef%s"},
+	"streams":    {"%s", "127.0.0.1:9/%s"},
 }
 
 // TestOddRows guards against rows of another writer that end a process, keep it from following a table, or hide other rows:
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -162,6 +162,7 @@
 	softwareGauges softwareGauges
 	releases       *snipesoftware.Releases
 	streams        *snipesoftware.Exchange
+	storedStreams  *snipesoftware.Stored
 	announcer      softwareAnnouncer
 	// ownershipUnreadable is set while the ownership rows, from which other instances are
 	// discovered, cannot be read.
@@ -211,6 +212,7 @@
 			i.askAccounts(ctx)
 			i.stepCrashes(ctx)
 			i.streams.Step()
+			i.storedStreams.Step(ctx)
 			i.announceSoftware(ctx)
 			i.lender.refresh(i.directory.Snapshot())
 		})
@@ -283,6 +285,7 @@
 		Operation: i.Operation, RenewalEnded: i.noteRenewal, Detached: i.detached, Ended: i.ended.has, Log: i.Log,
 	}
 	i.buildSoftware()
+	i.buildStoredStreams()
 	i.buildTables()
 	i.holder.RequestExtension, i.holder.RowsAge = i.requestExtension, i.tables.ownership.Mirror.Age
 	i.registerGauges()
--- a/snipeentry/software_test.go
+++ b/snipeentry/software_test.go
@@ -175,7 +175,7 @@
 				c.takeUp(s.instances[(n+1)%3])
 			})
 		}, true},
-		"AllKilled":    {3, both, func(s *softwareCluster) streamTally { return s.restartWhileReading(func() {}) }, true},
+		"AllKilled":    {3, both, func(s *softwareCluster) streamTally { return s.restartWhileReading(func() {}) }, false},
 		"OneAllKilled": {3, []string{"v1"}, func(s *softwareCluster) streamTally { return s.restartWhileReading(func() {}) }, false},
 		"OneStoreSilent": {3, []string{"v1"}, func(s *softwareCluster) streamTally {
 			s.store.SetMode(snipestand.StoreSilent)
@@ -264,16 +264,18 @@
 	}
 	tests := map[string]struct {
 		versions []string
+		// serves lists the versions that serve when the streams are taken up.
+		serves []string
 		// before and whileDown are called before streams begin, and while no instance runs.
 		before, whileDown func(s *softwareCluster)
 	}{
-		"OldLeft":       {[]string{"v1", "v2"}, func(s *softwareCluster) { oldLeaves(s); time.Sleep(time.Second) }, nil},
-		"OldLeaves":     {[]string{"v1", "v2"}, nil, oldLeaves},
-		"OldGone":       {[]string{"v1", "v2"}, nil, oldGone},
-		"NewJoins":      {[]string{"v1"}, nil, func(s *softwareCluster) { s.runners["v1-1"].Replace("v2") }},
-		"OneToOther":    {[]string{"v1"}, nil, oldGone},
-		"StoreSilent":   {[]string{"v1", "v2"}, nil, func(s *softwareCluster) { s.silenceStore(2 * time.Second) }},
-		"GoneInSilence": {[]string{"v1", "v2"}, nil, func(s *softwareCluster) { oldGone(s); s.silenceStore(2 * time.Second) }},
+		"OldLeft":       {[]string{"v1", "v2"}, []string{"v2"}, func(s *softwareCluster) { oldLeaves(s); time.Sleep(time.Second) }, nil},
+		"OldLeaves":     {[]string{"v1", "v2"}, []string{"v2"}, nil, oldLeaves},
+		"OldGone":       {[]string{"v1", "v2"}, []string{"v2"}, nil, oldGone},
+		"NewJoins":      {[]string{"v1"}, []string{"v1"}, nil, func(s *softwareCluster) { s.runners["v1-1"].Replace("v2") }},
+		"OneToOther":    {[]string{"v1"}, nil, nil, oldGone},
+		"StoreSilent":   {[]string{"v1", "v2"}, []string{"v1", "v2"}, nil, func(s *softwareCluster) { s.silenceStore(2 * time.Second) }},
+		"GoneInSilence": {[]string{"v1", "v2"}, []string{"v2"}, nil, func(s *softwareCluster) { oldGone(s); s.silenceStore(2 * time.Second) }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -282,11 +284,17 @@
 			if tt.before != nil {
 				tt.before(s)
 			}
-			checkTally(t, s.restartWhileReading(func() {
+			got := s.restartWhileReading(func() {
 				if tt.whileDown != nil {
 					tt.whileDown(s)
 				}
-			}), false)
+			})
+			checkTally(t, got, false)
+			goOn := 0
+			for _, v := range tt.serves {
+				goOn += got.began[v]
+			}
+			must.GreaterEq(t, takenUpShare*float64(goOn), float64(got.whole), must.Sprint("streams whose version serves"))
 		})
 	}
 }
--- a/snipesoftware/exchange.go
+++ b/snipesoftware/exchange.go
@@ -71,6 +71,9 @@
 	Tell func(ctx context.Context, member string, origins []Origin) error
 	// Ask asks a member for the version of a stream.
 	Ask func(ctx context.Context, member string, k Key) (Version, Answer, error)
+	// Stored returns what the store tells of a stream that nobody who was asked knows; nil if nothing is stored. An error
+	// means that the store could not be asked.
+	Stored func(ctx context.Context, k Key) (Version, Answer, error)
 	// Lost is called with the number of origins that no member could be told; nil for none.
 	Lost func(n int)
 
@@ -80,6 +83,8 @@
 	lock sync.Mutex // guards the fields below
 	// streams holds the streams of this instance that run or have just ended.
 	streams map[Key]*stream
+	// begun counts the streams that have begun here.
+	begun uint64
 	// queued holds the origins that wait to be told, by member.
 	queued      map[string][]queuedOrigin
 	flushing    bool
@@ -110,6 +115,7 @@
 	if e.streams == nil {
 		e.streams = make(map[Key]*stream)
 	}
+	e.begun++
 	s := &stream{service: service, version: o.Version}
 	if old := e.streams[o.Key]; old != nil && old.version != o.Version {
 		e.Held.Put(Origin{o.Key, old.version}, o)
@@ -290,7 +296,7 @@
 }
 
 // Find returns the version at which a stream began: from what this instance holds, from the sole
-// version of the service, or from other instances. Its errors wrap ErrUnknown, ErrUnanswered or
+// version of the service, from other instances, or from the store. Its errors wrap ErrUnknown, ErrUnanswered or
 // ErrRefused.
 func (e *Exchange) Find(ctx context.Context, service string, k Key) (Version, error) {
 	switch v, answer := e.Get(k); answer {
@@ -303,7 +309,43 @@
 	if v, ok := e.Releases.Sole(service); ok {
 		return v, nil
 	}
-	return e.ask(ctx, k)
+	v, err := e.ask(ctx, k)
+	if err == nil || errors.Is(err, ErrRefused) || e.Stored == nil {
+		return v, err
+	}
+	stored, answer, storeErr := e.Stored(ctx, k)
+	switch {
+	case storeErr != nil:
+		return "", ErrUnanswered
+	case answer == Known:
+		return stored, nil
+	case answer == Refused:
+		return "", ErrRefused
+	}
+	return "", err
+}
+
+// severalOrigins returns the origins of the streams of this instance that run or have just ended, of services with several
+// versions, and the number of streams that have begun so far. Those that run come first.
+func (e *Exchange) severalOrigins(most int) (origins []Origin, begun uint64) {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	several := make(map[string]bool)
+	var ended []Origin
+	for k, s := range e.streams {
+		if _, known := several[s.service]; !known {
+			several[s.service] = e.Releases.Several(s.service)
+		}
+		switch {
+		case !several[s.service]:
+		case s.endedAt.IsZero():
+			origins = append(origins, Origin{k, s.version})
+		default:
+			ended = append(ended, Origin{k, s.version})
+		}
+	}
+	origins = append(origins, ended...)
+	return origins[:min(len(origins), most)], e.begun
 }
 
 // ask asks the members that may hold an origin, all at once, and returns with the first that does.
--- a/snipesoftware/releases.go
+++ b/snipesoftware/releases.go
@@ -143,6 +143,14 @@
 	return s == nil || len(s.row) != 1 || s.soleUntil-r.Clock() < freshness-tellAge
 }
 
+// Several reports whether several versions of a service are announced.
+func (r *Releases) Several(service string) bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	s := r.services[service]
+	return s != nil && len(s.row) > 1
+}
+
 // Announced returns the versions of a service that are announced, in the order of their
 // announcement.
 func (r *Releases) Announced(service string) []Version {
