--- a/snipesoftware/exchange.go
+++ b/snipesoftware/exchange.go
@@ -330,6 +330,9 @@
 func (e *Exchange) severalOrigins(most int) (origins []Origin, begun uint64) {
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	if !e.Releases.anySeveral() {
+		return nil, e.begun
+	}
 	several := make(map[string]bool)
 	var ended []Origin
 	for k, s := range e.streams {
--- a/snipesoftware/releases.go
+++ b/snipesoftware/releases.go
@@ -151,6 +151,18 @@
 	return s != nil && len(s.row) > 1
 }
 
+// anySeveral reports whether several versions of any service are announced.
+func (r *Releases) anySeveral() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for _, s := range r.services {
+		if len(s.row) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Announced returns the versions of a service that are announced, in the order of their
 // announcement.
 func (r *Releases) Announced(service string) []Version {
