--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
@@ -40,11 +41,8 @@
 	g := c.gateway
 	c.upstream = u
 	c.noteTried(u.ID, &u.Software)
-	if now := g.Chooser.Directory.Snapshot().ByID(u.ID); now == nil || now.Leaving {
-		// The upstream may have left while the request waited for its adapter to load.
-		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream is leaving")
-	} else if now.Software != u.Software || !c.software.allows(now) {
-		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream runs another software version now")
+	if err := c.checkUpstream(u); err != nil {
+		return err
 	}
 	if err := c.checkBeforeSend(); err != nil {
 		return err
@@ -87,6 +85,19 @@
 	return c.handleAnswer(ctx, d, answer)
 }
 
+// checkUpstream returns an error if the upstream has left, or changed its software, since it was chosen: the request may have
+// waited for its adapter to load.
+func (c *call) checkUpstream(u *snipedirectory.Upstream) error {
+	now := c.gateway.Chooser.Directory.Snapshot().ByID(u.ID)
+	switch {
+	case now == nil || now.Leaving:
+		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream is leaving")
+	case now.Software != u.Software || !c.software.allows(now):
+		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), "the upstream runs another software version now")
+	}
+	return nil
+}
+
 // message returns what is sent for an attempt.
 func (c *call) message(r *http.Request) snipelink.Message {
 	return snipelink.Message{Request: r, Body: c.body, Allowed: c.spendRetry, Account: &c.pressure.Account}
