A wait that an owner has named is forgotten when the load would be accepted again

Cause: a named wait counts as known for 100 ms. It holds when the load would be accepted, and if that has passed, the time to return is negative; the refusal then has none, although the owner would accept the load.

Change: such a wait is not known any more, and the owner is asked.

TestBusyWaitPassed fails before.

--- a/snipegateway/busywait.go
+++ b/snipegateway/busywait.go
@@ -62,7 +62,7 @@
 
 // known returns the refusal to expect for a request of a priority that waits for at most maxWait, or
 // nil if none is known. A wait that was named to a more urgent request applies too, but not one that
-// was named to a less urgent one.
+// was named to a less urgent one, and none after the load would have been accepted.
 func (b *busyWaits) known(engine string, priority int, maxWait time.Duration) *snipeadapter.BusyError {
 	b.lock.Lock()
 	defer b.lock.Unlock()
@@ -70,7 +70,7 @@
 	var longest *snipeadapter.BusyError
 	for p := range min(max(priority, 0), snipeadapter.MaxPriority) + 1 {
 		w, ok := b.waits[busyKey{engine, p}]
-		if !ok || now.Sub(w.at) > busyWaitTTL || w.ready.Sub(now) <= maxWait {
+		if !ok || now.Sub(w.at) > busyWaitTTL || !now.Before(w.retry) || w.ready.Sub(now) <= maxWait {
 			continue
 		}
 		if e := (&snipeadapter.BusyError{Wait: w.ready.Sub(now), RetryAfter: w.retry.Sub(now), Age: now.Sub(w.at)}); longest == nil || e.Wait > longest.Wait {
