An upstream that was silent is made to drop the requests that went on elsewhere

Callers saw: a resumable stream that was passed on and had no event yet ran at two engines at once after a silence of the first one's network. Cause: the kernel's timeout ends the connection here and its reset is lost in the silence; an engine that has nothing to send never learns of the end. Only streams whose answer had begun were held back. Ruled out: to never send such requests again (dead upstreams are served elsewhere today); linear retransmission (a reset is never repeated). Change: the connection is opened again from the same port until the upstream answers. An upstream that still holds the earlier one acknowledges it, and the kernel resets it. Requests wait 0.5 s for that before another upstream gets them. Streams that a silent peer may still pass on are not sent again unless the peer is known to have lost the connection. A write that ended by a timeout counts as silence.

--- a/snipeentry/silentstream_test.go
+++ b/snipeentry/silentstream_test.go
@@ -19,23 +19,31 @@
 	"snipepitch.example/snipepitch/snipestand"
 )
 
-// silentCluster is an instance and two engines, of which the first can be made silent.
+// silentCluster is an instance, two engines and two plain upstreams, of which one can be made silent.
 type silentCluster struct {
 	*testCluster
 	silence snipestand.Silence
 	one     *instance
 }
 
-// silencedEvents is the number of events of a stream, which lasts five seconds.
-const silencedEvents = 50
+const (
+	// silencedEvents is the number of events of a stream, which lasts five seconds.
+	silencedEvents = 50
+	// workedEvents is the number of events of a stream that begins after a time of work.
+	workedEvents = 3
+)
 
-func startSilentCluster(t *testing.T) *silentCluster {
+// startSilentCluster starts a silentCluster whose upstream of the given name can be made silent and works on a request for a
+// time before it answers.
+func startSilentCluster(t *testing.T, silenced string, work time.Duration) *silentCluster {
 	s := &silentCluster{}
 	runners := []*snipestand.Runner{
-		{ID: "e1", Service: "engines", Model: "base"}, {ID: "e2", Service: "engines", Model: "base"}, {ID: "p1", Service: "plain"},
+		{ID: "e1", Service: "engines", Model: "base"}, {ID: "e2", Service: "engines", Model: "base"},
+		{ID: "p1", Service: "plain"}, {ID: "p2", Service: "plain"},
 	}
 	s.testCluster = startTestCluster(t, 100*time.Millisecond, runners, func(r *snipestand.Runner) {
-		if r.ID == "e1" {
+		if r.ID == silenced {
+			r.WorkDuration = work
 			r.Address = s.serveSilenced(t, r.Handler())
 			return
 		}
@@ -43,8 +51,11 @@
 	})
 	for _, r := range runners {
 		r.Events = silencedEvents
+		if work > 0 {
+			r.Events = workedEvents
+		}
 	}
-	s.dial = s.silence.Dialer(netip.MustParseAddrPort(s.runners["e1"].Address), snipelink.Dialer())
+	s.dial = s.silence.Dialer(netip.MustParseAddrPort(s.runners[silenced].Address), snipelink.Dialer())
 	s.declare(1)
 	s.one = s.start("one")
 	waitServing(t, s.one)
@@ -111,12 +122,18 @@
 // readSilenced has streams read from the instance, makes the first engine silent in the middle of them, and returns the
 // replies by the identifiers of the requests when all runs have ended.
 func (s *silentCluster) readSilenced(silence time.Duration) map[string]reply {
+	replies, _ := s.sendSilenced("/draft/x", silence, modelHeader, "base")
+	return replies
+}
+
+// sendSilenced is readSilenced for any requests. It also returns when the first engine could be reached again.
+func (s *silentCluster) sendSilenced(target string, silence time.Duration, header ...string) (map[string]reply, time.Time) {
 	var lock sync.Mutex
 	replies := map[string]reply{}
 	var all sync.WaitGroup
 	for range silencedStreams {
 		all.Go(func() {
-			a, id := send(s.t, s.one.url, http.MethodPost, "/draft/x", "text", modelHeader, "base")
+			a, id := send(s.t, s.one.url, http.MethodPost, target, "text", header...)
 			lock.Lock()
 			defer lock.Unlock()
 			replies[id] = a
@@ -127,12 +144,13 @@
 	s.silence.Set(true)
 	time.Sleep(silence)
 	s.silence.Set(false)
+	reachable := time.Now()
 	all.Wait()
 	ended := func(r engineRun) bool { return !r.Ended.IsZero() }
 	for id := range replies {
 		eventually(s.t, func() bool { return !slices.ContainsFunc(s.runsOf(id), func(r engineRun) bool { return !ended(r) }) })
 	}
-	return replies
+	return replies, reachable
 }
 
 const silencedStreams = 12
@@ -155,7 +173,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := startSilentCluster(t)
+			s := startSilentCluster(t, "e1", 0)
 			if tt.byHop {
 				s.askCutInstance()
 			}
@@ -179,7 +197,7 @@
 	for _, silence := range []time.Duration{1200 * time.Millisecond, 1500 * time.Millisecond, 1800 * time.Millisecond} {
 		t.Run(silence.String(), func(t *testing.T) {
 			t.Parallel()
-			s := startSilentCluster(t)
+			s := startSilentCluster(t, "e1", 0)
 			for id, a := range s.readSilenced(silence) {
 				must.NoError(t, a.err)
 				must.Eq(t, silencedEvents, strings.Count(a.body, "id:"))
@@ -188,3 +206,60 @@
 		})
 	}
 }
+
+// checkRunsEnd checks that no earlier run of a request lasts longer than handoverTime beside a later one once its engine can be
+// reached again.
+func (s *silentCluster) checkRunsEnd(id string, reachable time.Time) {
+	s.t.Helper()
+	runs := s.runsOf(id)
+	for n, later := range runs {
+		from := later.Begun
+		if reachable.After(from) {
+			from = reachable
+		}
+		for _, earlier := range runs[:n] {
+			if beside := earlier.Ended.Sub(from); beside > handoverTime {
+				s.t.Errorf("%s runs at %s while %s, which can be reached, works on for %v", id, later.engine, earlier.engine, beside)
+			}
+		}
+	}
+}
+
+// TestSilentRunIsEnded guards against a request that is sent to another upstream before its answer has begun, while the first
+// upstream, which was silent and has not learned that its connection has ended, works on when it can be reached again.
+func TestSilentRunIsEnded(t *testing.T) {
+	tests := map[string]struct {
+		silence time.Duration
+		plain   bool
+		// byHop is set if the instance that the callers ask reaches no upstream.
+		byHop bool
+	}{
+		"Short":      {2700 * time.Millisecond, false, false},
+		"Longer":     {3100 * time.Millisecond, false, false},
+		"Long":       {3500 * time.Millisecond, false, false},
+		"ByHop":      {3100 * time.Millisecond, false, true},
+		"PlainShort": {2700 * time.Millisecond, true, false},
+		"PlainLong":  {3500 * time.Millisecond, true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			silenced, target, header := "e1", "/draft/x", []string{modelHeader, "base"}
+			if tt.plain {
+				silenced, target, header = "p1", "/often/x", nil
+			}
+			s := startSilentCluster(t, silenced, 5500*time.Millisecond)
+			if tt.byHop {
+				s.askCutInstance()
+			}
+			replies, reachable := s.sendSilenced(target, tt.silence, header...)
+			again := 0
+			for id, a := range replies {
+				s.checkRunsEnd(id, reachable)
+				must.Eq(t, http.StatusOK, a.status)
+				again += len(s.runsOf(id)) - 1
+			}
+			must.Positive(t, again, must.Sprint("requests that were sent again"))
+		})
+	}
+}
--- a/snipegateway/answerend.go
+++ b/snipegateway/answerend.go
@@ -47,7 +47,7 @@
 // the upstream if ctx has ended, because the end of ctx may have caused it.
 func (c *call) brokenOff(ctx context.Context, id string, why error) error {
 	c.noteTooLarge(why)
-	c.noteSilence(why)
+	c.noteSilence(ctx, why)
 	if ctx.Err() != nil {
 		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.MayHaveRun, why.Error())
 	}
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -195,7 +195,7 @@
 		return snipeerror.New(snipeerror.ErrNoUpstream, c.outcome(), err.Error())
 	}
 	c.mayHaveRun++
-	c.noteSilence(err)
+	c.noteSilence(ctx, err)
 	if ctx.Err() != nil {
 		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.MayHaveRun, err.Error())
 	}
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -79,8 +79,9 @@
 	streamSoftware streamSoftware
 	reached        int
 	mayHaveRun     int
-	// mayStillRun is set if the upstream of an attempt that has ended may still work on the request.
-	mayStillRun bool
+	// mayStillRun is set if the upstream, or the peer, of an attempt was silent, and may still work on the request. reset is
+	// set if it has lost the connection since.
+	mayStillRun, reset bool
 	// hop is set if another instance passes the request on, peer is the instance that it was passed on to in
 	// its last attempt.
 	hop  *hopRequest
@@ -197,7 +198,7 @@
 		}
 		c.gateway.Log.Log(snipelog.RequestSentAgain, snipelog.Fields{
 			requestField: c.ID, "Route": c.route.Name, "After": err.Error(), "Tried": c.tried, "Ran": c.mayHaveRun,
-			"LeftMilliseconds": time.Until(c.deadline).Milliseconds(),
+			"LeftMilliseconds": time.Until(c.deadline).Milliseconds(), "Silent": c.mayStillRun, "Reset": c.reset,
 		})
 	}
 }
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -99,18 +99,18 @@
 		}
 		return errDeclined
 	case err != nil:
-		return c.brokenHop(err)
+		return c.brokenHop(ctx, err)
 	}
 	defer answer.Close()
 	return c.handleHopAnswer(ctx, peer, answer)
 }
 
 // brokenHop records a hop whose peer may have sent the request on, and returns its error.
-func (c *call) brokenHop(err error) error {
+func (c *call) brokenHop(ctx context.Context, err error) error {
 	c.noteTooLarge(err)
 	c.countHop("Broken")
 	c.noteHopSent()
-	c.noteSilence(err)
+	c.noteSilence(ctx, err)
 	c.mayHaveRun++
 	return snipeerror.New(snipeerror.ErrUpstreamFailed, snipeerror.MayHaveRun, "hop: "+err.Error())
 }
@@ -143,7 +143,7 @@
 func (c *call) handleHopAnswer(ctx context.Context, peer netip.AddrPort, answer *snipelink.Answer) error {
 	var result hopResult
 	if err := decodeHop(answer.Header, &result); err != nil {
-		return c.brokenHop(err)
+		return c.brokenHop(ctx, err)
 	}
 	answer.Header.Del(hopHeader)
 	answer.Header.Del(hopIDHeader)
@@ -157,7 +157,7 @@
 		c.framing = answer.Framing()
 		return c.deliver(ctx, "", answer)
 	}
-	return c.hopFailure(peer, result, answer)
+	return c.hopFailure(ctx, peer, result, answer)
 }
 
 // noteHopUpstream records the upstream that a peer has sent the request to.
@@ -171,7 +171,7 @@
 }
 
 // hopFailure returns the failure of a peer's attempt.
-func (c *call) hopFailure(peer netip.AddrPort, result hopResult, answer *snipelink.Answer) error {
+func (c *call) hopFailure(ctx context.Context, peer netip.AddrPort, result hopResult, answer *snipelink.Answer) error {
 	if result.Declined {
 		c.countHop("Declined")
 		if result.Unreachable {
@@ -183,11 +183,11 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxHopFailure))
 	if err != nil {
-		return c.brokenHop(err)
+		return c.brokenHop(ctx, err)
 	}
 	failure, err := snipeerror.Decode(body)
 	if err != nil {
-		return c.brokenHop(err)
+		return c.brokenHop(ctx, err)
 	}
 	c.countHop("Failed")
 	if result.Upstream != "" {
--- a/snipegateway/retry.go
+++ b/snipegateway/retry.go
@@ -57,7 +57,7 @@
 		return retryAtSender
 	case c.reached >= maxSends, len(c.tried) >= maxTries:
 		return retryAttemptsUsed
-	case c.answerStarted && c.mayStillRun:
+	case c.stillRuns():
 		return retryStillRuns
 	case c.mustNotRepeat(f):
 		return retryUnsafe
--- a/snipegateway/silentrun.go
+++ b/snipegateway/silentrun.go
@@ -1,6 +1,7 @@
 package snipegateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -53,15 +54,31 @@
 	return now.Before(s.until[id]) || now.Before(s.unknownUntil)
 }
 
-// noteSilence records that an attempt, which ended with err, may still run if its upstream was silent.
-func (c *call) noteSilence(err error) {
+// resetWait is how long a request waits until an upstream that was silent has lost its connection, before it is sent to another
+// upstream. A silence that has just ended passes meanwhile; an upstream that is dead is not waited for.
+const resetWait = 500 * time.Millisecond
+
+// noteSilence records that an attempt, which ended with err, may still run if its upstream was silent. A request that may be
+// sent again waits until the upstream is known to have lost the connection, for resetWait at most.
+func (c *call) noteSilence(ctx context.Context, err error) {
 	if !errors.Is(err, snipelink.ErrSilent) {
 		return
 	}
-	c.mayStillRun = true
 	if c.hop != nil {
 		c.gateway.silentRuns.add(c.ID, c.deadline)
 	}
+	c.mayStillRun = true
+	c.reset = c.route.MayRepeat() && !c.answerStarted && snipelink.WaitReset(ctx, err, resetWait)
+}
+
+// stillRuns reports whether the upstream of the last attempt may still work on the request, so that no other upstream may go on
+// with it. A stream that has begun is left to its caller. Before that, the upstream is made to end its work as soon as it can be
+// reached; one that only a peer reaches is not.
+func (c *call) stillRuns() bool {
+	if !c.mayStillRun {
+		return false
+	}
+	return c.answerStarted || c.peer.IsValid() && c.route.Resumable && !c.reset
 }
 
 // checkSilentRuns refuses a stream that another instance resumes here while the upstream of an earlier attempt, which
--- a/snipelink/dial.go
+++ b/snipelink/dial.go
@@ -62,6 +62,38 @@
 	}
 }
 
+// dialFrom opens a connection from a port that an earlier connection to the same address had. Other connections may use it too,
+// or have used it.
+func dialFrom(ctx context.Context, local, remote netip.AddrPort) (net.Conn, error) {
+	d := &net.Dialer{
+		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local.Addr(), 0)),
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			if err := raw.Control(func(fd uintptr) { optionErr = setLocalPort(int(fd), local.Port()) }); err != nil {
+				return err
+			}
+			return optionErr
+		},
+	}
+	conn, err := d.DialContext(ctx, "tcp", remote.String())
+	if !errors.Is(err, unix.ENOPROTOOPT) {
+		return conn, err
+	}
+	// A kernel before Linux 6.3. The port is refused while any other connection has it.
+	bound := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(local)}
+	return bound.DialContext(ctx, "tcp", remote.String())
+}
+
+// setLocalPort has the kernel connect a socket from the given port. Unlike a bind to the port, this shares it with connections
+// to other addresses.
+func setLocalPort(fd int, port uint16) error {
+	if err := unix.SetsockoptInt(fd, unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1); err != nil {
+		return err
+	}
+	const highShift = 16 // the option's value holds the last port of the range in its upper half
+	return unix.SetsockoptInt(fd, unix.IPPROTO_IP, unix.IP_LOCAL_PORT_RANGE, int(port)<<highShift|int(port))
+}
+
 // SetBuffers sets the size of a socket's kernel buffers for both directions. The connections that a
 // listening socket accepts have its sizes.
 func SetBuffers(fd, size int) error {
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -72,6 +72,8 @@
 	// HeadBound bounds the memory for the head of an answer in bytes; zero means DefaultHeadBound.
 	HeadBound int64
 
+	resets resets
+
 	lock sync.Mutex // guards idle
 	idle map[netip.AddrPort][]*connection
 }
@@ -91,6 +93,7 @@
 	pool       *Pool
 	connection *connection
 	stop       func() bool // detaches the connection from the context of Send
+	deadline   time.Time   // of the context of Send; zero if it has none
 	// complete reports whether the body was read to its end.
 	complete bool
 }
@@ -130,6 +133,7 @@
 		}
 	}
 	a := &Answer{pool: p, connection: c}
+	a.deadline, _ = ctx.Deadline()
 	a.stop = context.AfterFunc(ctx, func() {
 		// Interrupts the read or write in progress. The connection is closed after
 		// that, in discard or Close.
@@ -140,18 +144,31 @@
 		if n == 0 {
 			return nil, sent, errors.Wrapf(ErrNotSent, "write: %v", err)
 		}
-		return nil, sent, errors.Wrapf(ErrBroken, "write: %v", err)
+		return nil, sent, a.checkSilence(err, errors.Wrapf(ErrBroken, "write: %v", err))
 	}
 	c.head.begin(p.headBound(), m.Account)
 	err = a.readHead(m.Request)
 	c.head.end(err == nil)
 	if err != nil {
 		a.discard()
-		return nil, sent, err
+		return nil, sent, a.checkSilence(err, err)
 	}
 	return a, sent, nil
 }
 
+// checkSilence returns err, which is ErrSilent if the kernel has ended the connection because the upstream was silent, as cause
+// tells. The upstream is then made to reset the connection.
+func (a *Answer) checkSilence(cause, err error) error {
+	if !endedBySilence(cause) && !errors.Is(cause, ErrSilent) {
+		return err
+	}
+	until := a.deadline
+	if until.IsZero() {
+		until = time.Now().Add(maxResetTime)
+	}
+	return &silenceError{reason: err, reset: a.pool.resets.begin(a.connection.conn, a.connection.address, until)}
+}
+
 func (p *Pool) headBound() int64 {
 	if p.HeadBound > 0 {
 		return p.HeadBound
@@ -228,10 +245,7 @@
 	if errors.Is(err, io.EOF) {
 		a.complete = true
 	}
-	if endedBySilence(err) {
-		err = errors.Wrap(ErrSilent, err.Error())
-	}
-	return n, err
+	return n, a.checkSilence(err, err)
 }
 
 // Close returns the connection to the pool if the body was read to its end, the context
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -33,6 +33,8 @@
 	LoadDuration  time.Duration
 	EventInterval time.Duration
 	Events        int
+	// WorkDuration is the time that the runner works on a request before it begins to answer.
+	WorkDuration time.Duration
 	// Load is the load that the runner states with each answer; three figures if it is empty. A runner with
 	// HidesLoad states none.
 	Load      string
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -46,9 +46,25 @@
 	if r.crashIfFatal(body) {
 		panic(http.ErrAbortHandler)
 	}
+	if !r.work(q.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	r.answer(w, q, body, f)
 }
 
+// work takes WorkDuration, and reports false if the caller leaves meanwhile.
+func (r *Runner) work(ctx context.Context) bool {
+	if r.WorkDuration == 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(r.WorkDuration):
+		return true
+	}
+}
+
 // holds reports whether the runner holds the adapter or base model that a request names, the
 // adapter in the version that the request expects.
 func (r *Runner) holds(q *http.Request) bool {
