A planned stop refuses what it cannot answer, and answers what is left

Callers saw: requests that a stopping instance took late were passed on and cut without an answer as the process ended, among them requests that must run once. Cause: whatever came on an accepted connection was served, however late its body and however long its work; the end of the wait ended the process. Ruled out: to decide by the deadline alone, which exceeds the grace for routes that take a second. Change: snipestop, used by both doors. A request that is not expected to be answered before the end of the stop (longest answer of its route lately, else the latency target) is refused as not run, before each send and while it waits or its body comes; what is in flight 0.5 s before StopTimeout gets 503, 504 or its broken end. A body that does not arrive by the deadline is answered too: net/http had ended its context, which was taken for a caller that has left.

--- a/snipecaller/fuzz_test.go
+++ b/snipecaller/fuzz_test.go
@@ -12,6 +12,7 @@
 
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
+	"snipepitch.example/snipepitch/snipestop"
 )
 
 // FuzzCall guards against requests that pass the checks with invalid fields:
@@ -35,7 +36,7 @@
 			r.Header.Set(name, v)
 		}
 		s := newServer(nil)
-		c, err := s.parse(httptest.NewRecorder(), r, "id-1")
+		c, err := s.parse(httptest.NewRecorder(), r, "id-1", &snipestop.Watch{})
 		if err != nil {
 			decoded, err := snipeerror.Decode(snipeerror.From(err).Encode("id-1"))
 			must.NoError(t, err)
--- a/snipecaller/snipecaller.go
+++ b/snipecaller/snipecaller.go
@@ -24,6 +24,7 @@
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipemeter"
+	"snipepitch.example/snipepitch/snipestop"
 	"snipepitch.example/snipepitch/snipetree"
 	"snipepitch.example/snipepitch/snipeupstream"
 )
@@ -72,9 +73,13 @@
 	// Meter records metrics, Log events.
 	Meter *snipemeter.Meter
 	Log   *snipelog.Logger
+	// Ending is the end of a planned stop: calls that are not expected to be answered before it are refused, and those in
+	// flight get a final answer.
+	Ending snipestop.Stop
 
-	stopping atomic.Bool
-	inFlight atomic.Int64
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+	durations snipestop.Durations
 }
 
 // Stop makes the server refuse new calls with ErrStopping. Calls in flight go on.
@@ -102,13 +107,22 @@
 	start := time.Now()
 	id := s.NewID()
 	w.Header().Set(RequestIDHeader, id)
-	c, err := s.parse(w, r, id)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	watch := &snipestop.Watch{Cancel: cancel}
+	s.Ending.Enter(watch)
+	defer s.Ending.Leave(watch)
+	c, err := s.parse(w, r, id, watch)
 	if err != nil {
-		s.refuse(w, id, err)
+		s.refuse(w, id, stoppedError(ctx, err))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
-	defer cancel()
+	watch.SetTimes(c.Deadline, s.durations.Longest(durationKind(c)))
+	if s.Ending.TooLate(watch) {
+		s.refuse(w, id, stoppingError())
+		return
+	}
+	watch.SetSent(true)
 	controller := http.NewResponseController(w)
 	// A caller that reads nothing must not keep the call open without bound.
 	// Only connections in tests do not support deadlines.
@@ -120,18 +134,45 @@
 		return
 	}
 	defer release()
-	out := &reply{response: w, controller: controller, call: c}
+	s.serve(ctx, c, &reply{response: w, controller: controller, call: c}, start)
+}
+
+// serve serves an admitted call, which arrived at start.
+func (s *Server) serve(ctx context.Context, c *snipecall.Call, out *reply, start time.Time) {
+	bounded, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
 	out.firstChunk = func() { s.observe(snipemeter.FirstChunk, c, start) }
-	err = s.Serve(ctx, c, out.chunk)
+	err := s.Serve(bounded, c, out.chunk)
 	s.observe(snipemeter.CallDuration, c, start)
-	if err != nil {
-		f := snipeerror.From(err)
-		// The failure is sent before it is counted and logged, so that the
-		// caller receives it at once.
-		out.fail(f, id)
-		s.countFailure(f)
-		s.Log.Error(failureEvent(f), f, snipelog.Fields{"Call": id, "Team": c.Team, "Class": c.Class.String()})
+	if err == nil {
+		s.durations.Record(durationKind(c), time.Since(start))
+		return
+	}
+	f := snipeerror.From(stoppedError(ctx, err))
+	// The failure is sent before it is counted and logged, so that the
+	// caller receives it at once.
+	out.fail(f, c.ID)
+	s.countFailure(f)
+	s.Log.Error(failureEvent(f), f, snipelog.Fields{"Call": c.ID, "Team": c.Team, "Class": c.Class.String()})
+}
+
+// durationKind returns the kind of a call for the estimate of how long it takes.
+func durationKind(c *snipecall.Call) string { return c.Class.String() + " " + c.Service }
+
+// stoppingError returns the refusal of a call that another instance can serve.
+func stoppingError() *snipeerror.CallError {
+	return snipeerror.New(snipeerror.ErrStopping, snipeerror.NotRun, "use another instance").After(notReadyRetryAfter)
+}
+
+// stoppedError returns the error of a call that failed with err: another one if the end of a planned stop has ended it.
+func stoppedError(ctx context.Context, err error) error {
+	if !errors.Is(context.Cause(ctx), snipestop.ErrStopped) {
+		return err
+	}
+	if snipeerror.From(err).Outcome == snipeerror.NotRun {
+		return stoppingError()
 	}
+	return snipeerror.New(snipeerror.ErrDeadline, snipeerror.MayHaveRun, snipestop.ErrStopped.Error())
 }
 
 // failureEvent returns the log event of a failure.
@@ -181,9 +222,9 @@
 const notReadyRetryAfter = time.Second
 
 // parse authenticates the caller and reads the call.
-func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string) (*snipecall.Call, error) {
+func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string, watch *snipestop.Watch) (*snipecall.Call, error) {
 	if s.stopping.Load() {
-		return nil, snipeerror.New(snipeerror.ErrStopping, snipeerror.NotRun, "use another instance").After(notReadyRetryAfter)
+		return nil, stoppingError()
 	}
 	if headerSize(r) > s.MaxHeader {
 		return nil, refused(snipeerror.ErrHeaderTooLarge, "header above "+strconv.Itoa(s.MaxHeader)+" bytes")
@@ -205,7 +246,7 @@
 	if err = readHeaders(c, r, tree); err != nil {
 		return nil, err
 	}
-	if c.Body, err = s.readBody(w, r); err != nil {
+	if c.Body, err = s.readBody(w, r, watch); err != nil {
 		return nil, err
 	}
 	if strings.HasPrefix(c.Path, servicesPrefix) {
@@ -215,11 +256,10 @@
 }
 
 // readBody reads the body of a request, bounded by MaxBody and BodyTimeout.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	// net/http clears this deadline once the body has been read, when it starts
-	// to detect that the caller disconnects.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.BodyTimeout))
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, watch *snipestop.Watch) ([]byte, error) {
+	watch.BeginBody(http.NewResponseController(w), time.Now().Add(s.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody))
+	watch.EndBody(err == nil)
 	if err != nil {
 		return nil, bodyError(err)
 	}
--- a/snipeentry/silentstream_test.go
+++ b/snipeentry/silentstream_test.go
@@ -43,7 +43,7 @@
 	}
 	s.testCluster = startTestCluster(t, 100*time.Millisecond, runners, func(r *snipestand.Runner) {
 		if r.ID == silenced {
-			r.WorkDuration = work
+			r.SetWork(work)
 			r.Address = s.serveSilenced(t, r.Handler())
 			return
 		}
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -328,7 +328,7 @@
 		Catalog: i.catalog, Balancer: i.balancer, Links: i.links, Signals: i.signals, Brittle: i.brittle, Protocol: i.Platform.Protocol,
 		Quotas: i.gatewayQuotas(), Admission: i.gatewayAdmission(), Crashes: i.gatewayCrashes(), Software: i.gatewaySoftware(), Outdated: i.catalogOutdated, WaitForStart: i.startupGate.wait,
 		Hops:   snipegateway.Hops{Unreachable: i.reach.Unreachable, Peers: i.hopPeers, Links: i.hopLinks, Self: s.Name, Reached: i.detachment.noteReached},
-		Budget: i.retryBudgets.budget, Stopping: i.stopState.stopping, Log: i.Log, Meter: i.meter,
+		Budget: i.retryBudgets.budget, Log: i.Log, Meter: i.meter,
 		Pressure: i.pressure, SocketBytes: s.socketBytes(),
 		Chooser: &snipegateway.Chooser{
 			Directory: i.directory, Balancer: i.balancer, Residency: i.residency, Signals: i.signals, Versions: i.catalog,
--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"reflect"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,6 +22,8 @@
 	// stopReserve is the part of the stop timeout that is kept for ending the process, after the
 	// wait for requests in flight.
 	stopReserve = 500 * time.Millisecond
+	// finalAnswerTime is the part of stopReserve in which the requests that were still in flight are answered.
+	finalAnswerTime = 300 * time.Millisecond
 )
 
 // stopState records whether a planned stop has begun.
@@ -39,7 +42,7 @@
 //
 // In a planned stop, readiness ends and the release of the owned engines begins at once,
 // connections are accepted for stopAcceptTime, and requests in flight may run until stopReserve
-// before the end of the stop timeout. The servers are shut down one after the other: until its
+// before the end of the stop timeout, when they get a final answer. The servers are shut down one after the other: until its
 // callers' requests have ended, the instance answers other instances, because in an outage of the
 // store an owner's lease extension may need this instance's grant.
 func (i *Instance) waitStop(ctx context.Context, servers []*http.Server) error {
@@ -58,13 +61,20 @@
 	i.Log.Log(snipelog.Stopping, snipelog.Fields{"InFlight": i.gateway.InFlight()})
 	i.stopState.begun.Store(true)
 	i.holder.Leave()
-	limit, cancel := context.WithTimeout(ctx, i.Settings.StopTimeout.Value()-stopReserve)
+	end := time.Now().Add(i.Settings.StopTimeout.Value() - stopReserve)
+	limit, cancel := context.WithDeadline(ctx, end.Add(finalAnswerTime))
 	defer cancel()
+	i.gateway.Stop.Begin(end)
+	var requests sync.WaitGroup
+	requests.Go(func() { i.gateway.Stop.Run(limit) })
 	snipetime.Sleep(limit, stopAcceptTime)
 	for _, s := range servers {
-		// Requests still in flight when limit expires are cut off when the process ends.
+		// What is still in flight when limit expires, such as an answer that its caller does not read, is cut off when the
+		// process ends.
 		_ = s.Shutdown(limit)
 	}
+	cancel()
+	requests.Wait()
 	if n := i.gateway.InFlight(); n > 0 {
 		i.Log.Log(snipelog.StopForced, snipelog.Fields{"InFlight": n})
 	}
--- a/snipegateway/admission.go
+++ b/snipegateway/admission.go
@@ -201,7 +201,7 @@
 		return snipeadmission.OutcomeUnused
 	case err == nil:
 		return snipeadmission.OutcomeServed
-	case c.request.Context().Err() != nil, errors.Is(err, snipeerror.ErrCanceled):
+	case c.callerLeft(), errors.Is(err, snipeerror.ErrCanceled):
 		return snipeadmission.OutcomeCanceled
 	case c.gateway.Balancer.Suspected(u.ID), c.brittle() && errors.Is(err, snipeerror.ErrUpstreamFailed):
 		return snipeadmission.OutcomeSuspect
--- a/snipegateway/admit.go
+++ b/snipegateway/admit.go
@@ -1,8 +1,11 @@
 package snipegateway
 
 import (
+	"cmp"
+	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -23,12 +26,12 @@
 
 // admit finds the request's route and workspace, charges the workspace's quota and reads the body.
 // It counts an admitted request for the service's retry budget.
-func (c *call) admit() error {
+func (c *call) admit(ctx context.Context) error {
 	g := c.gateway
-	if g.Stopping() {
+	if g.Stop.Begun() {
 		c.writer.Header().Set("Connection", "close")
 	}
-	if err := c.resolveRoute(); err != nil {
+	if err := c.resolveRoute(ctx); err != nil {
 		return err
 	}
 	if err := c.identify(); err != nil {
@@ -40,6 +43,7 @@
 		c.Adapter = snipecatalog.Adapter{}
 	}
 	c.deadline = c.arrived.Add(c.timeout())
+	c.stop.SetTimes(c.deadline, cmp.Or(g.durations.Longest(c.route.Name), c.route.Target))
 	c.lastEvent = c.LastEvent
 	if c.hop != nil {
 		c.lastEvent, c.excluded = string(c.hop.LastEvent), c.hop.Tried
@@ -47,14 +51,14 @@
 	if err := c.openAccount(); err != nil {
 		return err
 	}
-	if err := c.chargeQuota(); err != nil {
+	if err := c.chargeQuota(ctx); err != nil {
 		return err
 	}
 	if err := c.readBody(); err != nil {
 		c.returnQuota()
 		return err
 	}
-	if err := c.setSoftwareRule(c.request.Context()); err != nil {
+	if err := c.setSoftwareRule(ctx); err != nil {
 		c.returnQuota()
 		return err
 	}
@@ -78,19 +82,19 @@
 }
 
 // chargeQuota charges the request to its workspace's quota, unless the instance that the caller asked did so.
-func (c *call) chargeQuota() error {
+func (c *call) chargeQuota(ctx context.Context) error {
 	if c.hop != nil {
 		return nil
 	}
-	return c.takeQuota(c.request.Context())
+	return c.takeQuota(ctx)
 }
 
 // resolveRoute decodes the caller's header and finds the route in the current catalog. It blocks
 // for a short time if no routes or no upstreams are known yet.
-func (c *call) resolveRoute() error {
+func (c *call) resolveRoute(ctx context.Context) error {
 	g := c.gateway
 	if g.Catalog.Catalog() == nil || g.Chooser.Directory.Snapshot() == nil {
-		g.WaitForStart(c.request.Context())
+		g.WaitForStart(ctx)
 	}
 	c.catalog = g.Catalog.Catalog()
 	if c.catalog == nil {
@@ -148,20 +152,23 @@
 		return nil
 	}
 	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.deadline)
+	c.stop.BeginBody(control, c.deadline)
 	body := io.Reader(c.request.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(c.writer, c.request.Body, limit)
 	}
 	var err error
 	c.body, err = c.readAllBody(body)
-	_ = control.SetReadDeadline(time.Time{})
+	c.stop.EndBody(err == nil)
 	var exceeded *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoRoom):
 		return c.refuseForMemory(c.pressure.Refusal(int64(bodyCopies * len(c.body))))
 	case errors.As(err, &exceeded):
 		return tooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.bodyLate = true
+		return snipeerror.New(snipeerror.ErrDeadline, snipeerror.NotRun, "the body did not arrive in time").After(startRetryAfter)
 	case err != nil:
 		return snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, "the body cannot be read")
 	}
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -67,6 +67,8 @@
 		endUse()
 	}()
 	c.sentAt = time.Now()
+	c.stop.SetSent(true)
+	defer c.stop.SetSent(false)
 	answer, _, err := g.Links.Send(ctx, u.Address, c.message(c.upstreamRequest(d)))
 	if errors.Is(err, errBudgetUsed) {
 		returnSlot()
@@ -108,6 +110,9 @@
 	if time.Until(c.deadline) < minTimeLeft && len(c.tried) > 1 {
 		return snipeerror.New(snipeerror.ErrDeadline, c.outcome(), "no time left")
 	}
+	if c.gateway.Stop.TooLate(&c.stop) {
+		return c.stopError()
+	}
 	if err := c.recheckKey(); err != nil {
 		return err
 	}
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipedirectory"
@@ -17,6 +19,7 @@
 	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperoute"
 	"snipepitch.example/snipepitch/snipesoftware"
+	"snipepitch.example/snipepitch/snipestop"
 )
 
 const (
@@ -46,7 +49,9 @@
 	arrived time.Time
 
 	Request
-	body     []byte
+	body []byte
+	// bodyLate is set if the body did not arrive in time.
+	bodyLate bool
 	header   http.Header
 	catalog  *snipecatalog.Catalog
 	route    *snipecatalog.Route
@@ -139,35 +144,54 @@
 	fallback *bufferedAnswer
 	// pressure is what the request holds of the instance's memory.
 	pressure pressure
+	stop     snipestop.Watch
 }
 
 // run serves the request and records its end.
 func (c *call) run() {
 	defer c.pressure.Close()
-	err := c.admit()
+	ctx, cancel := context.WithCancelCause(c.request.Context())
+	defer cancel(nil)
+	c.stop.Cancel = cancel
+	c.gateway.Stop.Enter(&c.stop)
+	defer c.gateway.Stop.Leave(&c.stop)
+	err := c.admit(ctx)
 	c.declined = err != nil
 	if err == nil {
-		ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline.Add(answerSlack))
-		defer cancel()
-		c.pressure.cancel = cancel
-		if err = c.serve(ctx); err == nil {
-			err = c.finishAnswer()
-		}
-		c.returnQuota()
+		err = c.serveAdmitted(ctx)
 	}
 	c.endStreamSoftware()
-	err = c.endedError(err)
-	if err != nil && c.request.Context().Err() == nil && !c.answerStarted {
+	if err = c.endedError(err); err != nil && errors.Is(context.Cause(ctx), snipestop.ErrStopped) {
+		err = c.stopError()
+	}
+	if err != nil && !c.callerLeft() && !c.answerStarted {
 		c.writeError(snipeerror.From(err))
 	}
 	c.recordEnd(err)
-	if err != nil && (c.answerStarted || c.request.Context().Err() != nil) {
+	if err != nil && (c.answerStarted || c.callerLeft()) {
 		// Aborts the connection without completing the answer, so that the caller can detect that
 		// the answer is incomplete.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// callerLeft reports whether the caller has disconnected. net/http also ends the context of a request whose body did not arrive
+// in time.
+func (c *call) callerLeft() bool { return c.request.Context().Err() != nil && !c.bodyLate }
+
+// serveAdmitted serves a request that was admitted, until its deadline.
+func (c *call) serveAdmitted(ctx context.Context) error {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerSlack))
+	defer cancel()
+	defer c.returnQuota()
+	c.pressure.cancel = cancel
+	if err := c.serve(ctx); err != nil {
+		return err
+	}
+	c.gateway.durations.Record(c.route.Name, time.Since(c.sentAt))
+	return c.finishAnswer()
+}
+
 // serve tries upstreams until one has answered or no further attempt is allowed. It releases a retry that
 // was reserved and not sent.
 func (c *call) serve(ctx context.Context) error {
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -175,7 +175,7 @@
 // endEvent returns the event and the outcome of the request's end.
 func (c *call) endEvent(err error) (event snipelog.Event, outcome string) {
 	switch {
-	case c.request.Context().Err() != nil && !c.pressure.Ended():
+	case c.callerLeft() && !c.pressure.Ended():
 		return snipelog.RequestAbandoned, "Abandoned"
 	case err != nil && snipeerror.From(err).Outcome == snipeerror.NotRun:
 		return snipelog.RequestRefused, "Refused"
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -89,6 +89,8 @@
 func (c *call) sendHop(ctx context.Context, peer netip.AddrPort) error {
 	h := &c.gateway.Hops
 	c.peer, c.sentAt = peer, time.Now()
+	c.stop.SetSent(true)
+	defer c.stop.SetSent(false)
 	answer, _, err := h.Links.Send(ctx, peer, c.message(c.hopMessage(peer)))
 	switch {
 	case errors.Is(err, errBudgetUsed):
--- a/snipegateway/hop_test.go
+++ b/snipegateway/hop_test.go
@@ -248,7 +248,7 @@
 		"Newer": {func(_, helper *snipegateway.Gateway) { helper.Catalog.Catalog().Version = 9 }, http.StatusOK},
 		"Older": {func(entry, _ *snipegateway.Gateway) { entry.Catalog.Catalog().Version = 9 }, http.StatusServiceUnavailable},
 		"Stopping": {
-			func(_, helper *snipegateway.Gateway) { helper.Stopping = func() bool { return true } },
+			func(_, helper *snipegateway.Gateway) { helper.Stop.Begin(time.Now().Add(time.Minute)) },
 			http.StatusServiceUnavailable,
 		},
 	}
--- a/snipegateway/hopserver.go
+++ b/snipegateway/hopserver.go
@@ -28,7 +28,7 @@
 	w.Header().Set(hopIDHeader, r.Header.Get(hopIDHeader))
 	c := &call{gateway: g, writer: w, request: message.request(r), arrived: time.Now().Add(-message.elapsed()), hop: &message}
 	defer g.Hops.served.Add(-1)
-	if g.Hops.served.Add(1) > maxServedHops || g.Stopping() {
+	if g.Hops.served.Add(1) > maxServedHops || g.Stop.Begun() {
 		refusal := snipeerror.New(snipeerror.ErrOverloaded, snipeerror.NotRun, "this instance serves no hops now")
 		c.ID, c.declined = r.Header.Get(hopIDHeader), true
 		c.writeError(refusal)
--- a/snipegateway/reach_test.go
+++ b/snipegateway/reach_test.go
@@ -128,7 +128,6 @@
 			Sign: func(http.Header, string) {},
 		},
 		Budget:   func(string) *sniperetry.Window { return budget },
-		Stopping: func() bool { return false },
 		Outdated: func() bool { return false }, WaitForStart: func(context.Context) {},
 	}, received
 }
--- a/snipegateway/snipegateway.go
+++ b/snipegateway/snipegateway.go
@@ -42,6 +42,7 @@
 	"snipepitch.example/snipepitch/snipequarantine"
 	"snipepitch.example/snipepitch/sniperetry"
 	"snipepitch.example/snipepitch/snipesignal"
+	"snipepitch.example/snipepitch/snipestop"
 )
 
 // Gateway serves requests. Exported fields are set before the first request.
@@ -70,9 +71,8 @@
 	Hops Hops
 	// Budget returns the budget that limits the retries of all requests to a service.
 	Budget func(service string) *sniperetry.Window
-	// Stopping reports whether a planned stop has begun; connections are then closed after their
-	// current request.
-	Stopping func() bool
+	// Stop is the planned stop. Once it has begun, connections are closed after their current request.
+	Stop snipestop.Stop
 	// Pressure bounds the bytes that are held for all requests; nil for no bound.
 	Pressure *snipepressure.Budget
 	// SocketBytes is what the kernel may hold for a request at most beside Go's memory.
@@ -89,6 +89,7 @@
 	partKeys        snipequarantine.PartKeys
 	arrivals        arrivals
 	silentRuns      silentRuns
+	durations       snipestop.Durations
 }
 
 // InFlight returns the number of requests being served.
--- a/snipeinstance/stop.go
+++ b/snipeinstance/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,9 @@
 	ErrStopTimeout = errors.New("calls were cut at the end of StopTimeout")
 )
 
+// finalAnswerTime is the time before the end of StopTimeout in which the calls that are still in flight are answered.
+const finalAnswerTime = 500 * time.Millisecond
+
 // phase is the phase of the instance's life: starting, ready, stopping. The phase never goes back,
 // so readiness stays off once a stop has begun.
 type phase struct{ value atomic.Int32 }
@@ -65,6 +69,9 @@
 	// unready turns readiness off, leave announces the stop and starts the release of the engines,
 	// refuse refuses new calls.
 	unready, leave, refuse func()
+	// end ends the calls that are still in flight at a time shortly before the limit. It returns when it has, or when ctx
+	// ends.
+	end func(ctx context.Context, at time.Time)
 	// calls returns the number of calls in flight, owned the number of engines still owned.
 	calls, owned func() int
 	log          *snipelog.Logger
@@ -77,6 +84,12 @@
 	s.log.Log(snipelog.Stopping, nil)
 	s.unready()
 	s.leave()
+	ending, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	end := time.Now().Add(s.limit - finalAnswerTime)
+	running.Go(func() { s.end(ending, end) })
 	limit := time.NewTimer(s.limit)
 	defer limit.Stop()
 	noticed := time.NewTimer(s.notice)
@@ -139,7 +152,11 @@
 		signals: i.signals, unready: i.phase.stop, leave: i.leave, refuse: i.callers.Stop,
 		calls: func() int { return int(i.callers.InFlight()) + i.peers.InFlight() },
 		owned: func() int { return len(i.holder.Owned()) },
-		log:   i.Log,
+		end: func(ctx context.Context, at time.Time) {
+			i.callers.Ending.Begin(at)
+			i.callers.Ending.Run(ctx)
+		},
+		log: i.Log,
 	}
 	err := s.run(ctx)
 	if !errors.Is(err, ErrForced) {
--- a/snipeinstance/stop_test.go
+++ b/snipeinstance/stop_test.go
@@ -62,6 +62,7 @@
 						left = time.Since(start)
 					},
 					refuse: func() { refused = time.Since(start) },
+					end:    func(ctx context.Context, _ time.Time) { <-ctx.Done() },
 					calls:  until(c.calls), owned: until(c.owned), log: snipelog.Discard(),
 				}
 				must.ErrorIs(t, s.run(t.Context()), c.err)
@@ -115,7 +116,7 @@
 	var none atomic.Int64
 	s := &stop{
 		notice: time.Hour, limit: time.Hour, unready: func() {}, leave: func() {}, refuse: func() {},
-		calls: func() int { return int(none.Load()) }, owned: func() int { return 0 }, log: snipelog.Discard(),
+		end: func(ctx context.Context, _ time.Time) { <-ctx.Done() }, calls: func() int { return int(none.Load()) }, owned: func() int { return 0 }, log: snipelog.Discard(),
 	}
 	must.NoError(t, s.run(ctx))
 }
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -33,8 +33,6 @@
 	LoadDuration  time.Duration
 	EventInterval time.Duration
 	Events        int
-	// WorkDuration is the time that the runner works on a request before it begins to answer.
-	WorkDuration time.Duration
 	// Load is the load that the runner states with each answer; three figures if it is empty. A runner with
 	// HidesLoad states none.
 	Load      string
@@ -46,6 +44,7 @@
 	LateOrderDelay time.Duration
 
 	lock         sync.Mutex       // guards the fields below
+	work         time.Duration    // for a request, before its answer begins
 	held         map[string]int64 // versions of the adapters that it holds
 	loading      map[string]int64 // versions of the adapters that it is loading
 	newest       map[string]int64 // newest versions of adapters
@@ -177,6 +176,13 @@
 	clear(r.loading)
 }
 
+// SetWork sets how long the runner works on a request before it begins to answer.
+func (r *Runner) SetWork(d time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.work = d
+}
+
 // SetInvalidEntry makes the runner's registry entry invalid, or valid again.
 func (r *Runner) SetInvalidEntry(on bool) {
 	r.lock.Lock()
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -46,21 +46,24 @@
 	if r.crashIfFatal(body) {
 		panic(http.ErrAbortHandler)
 	}
-	if !r.work(q.Context()) {
+	if !r.workOn(q) {
 		panic(http.ErrAbortHandler)
 	}
 	r.answer(w, q, body, f)
 }
 
-// work takes WorkDuration, and reports false if the caller leaves meanwhile.
-func (r *Runner) work(ctx context.Context) bool {
-	if r.WorkDuration == 0 {
+// workOn works on a request for the time that was set, and reports false if the caller leaves meanwhile.
+func (r *Runner) workOn(q *http.Request) bool {
+	r.lock.Lock()
+	work := r.work
+	r.lock.Unlock()
+	if work == 0 {
 		return true
 	}
 	select {
-	case <-ctx.Done():
+	case <-q.Context().Done():
 		return false
-	case <-time.After(r.WorkDuration):
+	case <-time.After(work):
 		return true
 	}
 }
--- a/snipestory/cause.go
+++ b/snipestory/cause.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipestop"
 )
 
 // Kind identifies a kind of cause.
@@ -178,6 +179,8 @@
 		return c, append(s.lifecycleLines(), *e)
 	}
 	switch {
+	case contains(snipestop.ErrStopped.Error()):
+		return s.explainStopped()
 	case contains("no routes are known"):
 		return Cause{RoutesUnknown, "the instance had not read any routes yet"}, append(s.lifecycleLines(), *e)
 	case contains("no route for this host"):
@@ -255,6 +258,8 @@
 	failures := s.upstreamFailures(failureWindow)
 	stops := s.withEvents(snipelog.StopForced.Number)
 	switch {
+	case strings.Contains(e.Error, snipestop.ErrStopped.Error()):
+		return s.explainStopped()
 	case strings.Contains(e.Error, "crash upstreams"):
 		return Cause{Quarantined, "the request crashed an upstream, and requests of its fingerprint " + e.Fingerprint + " are refused"}, append(s.fingerprintLines(), *e)
 	case strings.Contains(e.Error, "had read nothing"):
@@ -272,6 +277,15 @@
 	}
 }
 
+// explainStopped explains the end of a request by a planned stop.
+func (s *Story) explainStopped() (Cause, []Line) {
+	text := "a planned stop of the instance ended before the request did"
+	if s.End.Event == snipelog.RequestRefused.Number {
+		text = "a planned stop of the instance left too little time for the request"
+	}
+	return Cause{StopCut, text}, append(s.withEvents(snipelog.Stopping.Number), *s.End)
+}
+
 // withEvents returns the lines that have one of the events.
 func (s *Story) withEvents(events ...int) []Line {
 	var found []Line
--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -23,6 +23,7 @@
 	retried       = `{"time":"2026-03-01T10:00:01.200Z","Instance":"i1","Event":212,"Name":"RequestSentAgain","Request":"q1","After":"x","Tried":["u1"],"Ran":1}`
 	gone          = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u1"}`
 	goneOther     = `{"time":"2026-03-01T10:00:04.000Z","Instance":"i1","Event":322,"Name":"UpstreamGone","Upstream":"u2"}`
+	stopping      = `{"time":"2026-03-01T10:00:01.500Z","Instance":"i1","Event":102,"Name":"Stopping"}`
 	forced        = `{"time":"2026-03-01T10:00:01.900Z","Instance":"i1","Event":104,"Name":"StopForced"}`
 	stale         = `{"time":"2026-03-01T10:00:00.100Z","Instance":"i1","Event":482,"Name":"OwnershipStale","Error":"down"}`
 	started       = `{"time":"2026-03-01T10:00:01.000Z","Instance":"i1","Event":100,"Name":"Started"}`
@@ -226,6 +227,8 @@
 		"Broke":   {[]string{goneOther, end("213", `"Error":"answer incomplete","Tried":["u1"]`)}, snipestory.UpstreamBroke, nil},
 		"Foreign": {[]string{end("213", `"Error":"the answer has no receipt","Tried":["u1"]`)}, snipestory.UpstreamUnsure, nil},
 		"Stop":    {[]string{forced, end("213", `"Error":"answer incomplete","Tried":["u1"]`)}, snipestory.StopCut, []string{"StopForced", "End"}},
+		"StopEnds":    {[]string{stopping, end("213", `"Error":"deadline exceeded (MayHaveRun): the instance stops","Tried":["u1"]`)}, snipestory.StopCut, []string{"Stopping", "End"}},
+		"StopRefuses": {[]string{stopping, end("211", `"Error":"instance stopping (NotRun): the instance stops"`)}, snipestory.StopCut, []string{"Stopping", "End"}},
 		"LateForAdapter": {
 			[]string{present, end("210", `"FirstMilliseconds":720,"WaitedMilliseconds":650,"Adapter":"a5"`)},
 			snipestory.AdapterWait,
