--- a/snipestory/snipestory_test.go
+++ b/snipestory/snipestory_test.go
@@ -224,9 +224,9 @@
 			snipestory.UpstreamLost,
 			[]string{"RequestSentAgain", "UpstreamGone", "End"},
 		},
-		"Broke":   {[]string{goneOther, end("213", `"Error":"answer incomplete","Tried":["u1"]`)}, snipestory.UpstreamBroke, nil},
-		"Foreign": {[]string{end("213", `"Error":"the answer has no receipt","Tried":["u1"]`)}, snipestory.UpstreamUnsure, nil},
-		"Stop":    {[]string{forced, end("213", `"Error":"answer incomplete","Tried":["u1"]`)}, snipestory.StopCut, []string{"StopForced", "End"}},
+		"Broke":       {[]string{goneOther, end("213", `"Error":"answer incomplete","Tried":["u1"]`)}, snipestory.UpstreamBroke, nil},
+		"Foreign":     {[]string{end("213", `"Error":"the answer has no receipt","Tried":["u1"]`)}, snipestory.UpstreamUnsure, nil},
+		"Stop":        {[]string{forced, end("213", `"Error":"answer incomplete","Tried":["u1"]`)}, snipestory.StopCut, []string{"StopForced", "End"}},
 		"StopEnds":    {[]string{stopping, end("213", `"Error":"deadline exceeded (MayHaveRun): the instance stops","Tried":["u1"]`)}, snipestory.StopCut, []string{"Stopping", "End"}},
 		"StopRefuses": {[]string{stopping, end("211", `"Error":"instance stopping (NotRun): the instance stops"`)}, snipestory.StopCut, []string{"Stopping", "End"}},
 		"LateForAdapter": {
