One answer is read ahead up to a part of the bound of all requests

Callers of others saw: while one answer did not end and its caller read slowly or not at all, theirs were not read ahead any more; the process grew by 40 to 46 MB for one such answer and 55 to 78 MB for five (of 144 MB). Cause: an answer was read ahead as long as all requests together were below three quarters of their bound. Ruled out: kernel buffers (16 to 32 KiB each); buffers of blocks that are used again, which keep what TestReadAheadReleases wants released, and saved little. Change: a 32nd part of the bound for one answer, 1 MiB at least. The first megabyte of a long answer is dropped once it is written. Before and after, TestEndlessBodies (five at once): 38 MB and 8 to 19 MB held, grown by 60 to 78 MB and 24 to 29 MB; six of seven cases failed before.

--- a/cmd/snipepitchd/pressure_test.go
+++ b/cmd/snipepitchd/pressure_test.go
@@ -77,7 +77,13 @@
 			u.record(q)
 			u.answer(w, q, r.ID)
 		case strings.HasSuffix(q.URL.Path, "/endless"):
-			spillBody(w, q, r.ID)
+			spillBody(w, q, r.ID, "", strings.Repeat("x", 64<<10))
+		case strings.HasSuffix(q.URL.Path, "/endless-length"):
+			spillBody(w, q, r.ID, "Content-Length: 99999999999\r\n", strings.Repeat("x", 64<<10))
+		case strings.HasSuffix(q.URL.Path, "/endless-chunks"):
+			spillBody(w, q, r.ID, "Transfer-Encoding: chunked\r\n", "10000\r\n"+strings.Repeat("x", 64<<10)+"\r\n")
+		case strings.HasSuffix(q.URL.Path, "/endless-events"):
+			spillBody(w, q, r.ID, "Content-Type: text/event-stream\r\n", strings.Repeat("data: x\n\n", 8<<10))
 		case strings.HasSuffix(q.URL.Path, "/longhead"):
 			spillHead(w)
 		default:
@@ -245,19 +251,25 @@
 	return kilobytes << 10
 }
 
-// checkMetrics checks that operators see the pressure, by workspace.
-func (p *process) checkMetrics(t *testing.T) {
+// readMetrics returns the metrics of the process.
+func (p *process) readMetrics(t *testing.T) string {
 	a, err := http.Get("http://" + p.metrics + "/metrics")
 	must.NoError(t, err)
 	defer func() { _ = a.Body.Close() }()
 	text, err := io.ReadAll(a.Body)
 	must.NoError(t, err)
+	return string(text)
+}
+
+// checkMetrics checks that operators see the pressure, by workspace.
+func (p *process) checkMetrics(t *testing.T) {
+	text := p.readMetrics(t)
 	for _, name := range []string{
 		`snipepitch_held_bytes{workspace="slow"}`, `snipepitch_held_bytes{workspace="reader"}`, "snipepitch_held_bytes_bound 51840000",
 		`snipepitch_memory_refusals_total{workspace="slow"}`, `snipepitch_answers_ended_total{workspace="slow",reason="Pressure"}`,
 		"snipepitch_caller_connections", "snipepitch_connections_refused_total",
 	} {
-		must.StrContains(t, string(text), name)
+		must.StrContains(t, text, name)
 	}
 }
 
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -323,6 +323,7 @@
 	if err := c.write(w.body, false); err != nil {
 		return snipeerror.New(snipeerror.ErrCanceled, snipeerror.MayHaveRun, err.Error())
 	}
+	w.body = nil // otherwise it would remain in memory until the end of the answer
 	to := &callWriter{call: c}
 	_, err := io.Copy(to, body)
 	if to.err != nil {
--- a/snipegateway/delivery.go
+++ b/snipegateway/delivery.go
@@ -104,7 +104,7 @@
 	if d.answer == nil || d.ahead != nil {
 		return
 	}
-	d.ahead = newReadAhead(d.answer, &d.call.pressure.Account)
+	d.ahead = newReadAhead(d.answer, &d.call.pressure.Account, d.call.gateway.Pressure.Bound)
 	go d.ahead.run()
 }
 
--- a/snipegateway/delivery_internal_test.go
+++ b/snipegateway/delivery_internal_test.go
@@ -24,7 +24,7 @@
 	must.True(t, other.Grow(otherBlocks*blockSize))
 	must.NoError(t, b.Open(&account, "own", 0))
 	t.Cleanup(account.Close)
-	r := newReadAhead(answer, &account)
+	r := newReadAhead(answer, &account, b.Bound)
 	go r.run()
 	return r, b
 }
--- a/snipegateway/readahead.go
+++ b/snipegateway/readahead.go
@@ -8,8 +8,13 @@
 	"snipepitch.example/snipepitch/snipepressure"
 )
 
-// blockSize is the size of the blocks in which bytes that were read ahead are held and counted.
-const blockSize = 8 << 10
+const (
+	// blockSize is the size of the blocks in which bytes that were read ahead are held and counted.
+	blockSize = 8 << 10
+	// aheadDivisor is the part of the bound of all requests that may be read ahead of one answer: some answers without an
+	// end leave room for others. A buffered answer's size is always allowed.
+	aheadDivisor = 32
+)
 
 // readAhead holds bytes of an answer that the caller has not taken yet.
 type readAhead struct {
@@ -18,7 +23,8 @@
 	quit    chan struct{} // closed to end run
 	done    chan struct{} // closed when run has ended
 	more    chan struct{} // holds a value if there may be something new to read
-	emptied chan struct{} // holds a value if the only block may have become empty
+	freed   chan struct{} // holds a value if a block may have become empty
+	most    int           // number of blocks that may be held
 
 	lock   sync.Mutex // guards the fields below
 	blocks [][]byte   // each has the capacity blockSize; only the last one is not full
@@ -26,11 +32,12 @@
 	err    error      // the error after all blocks
 }
 
-func newReadAhead(answer io.Reader, a *snipepressure.Account) *readAhead {
+// newReadAhead returns the reader of an answer where the bytes of all requests have the given bound.
+func newReadAhead(answer io.Reader, a *snipepressure.Account, bound int64) *readAhead {
 	return &readAhead{
-		answer: answer, account: a,
+		answer: answer, account: a, most: int(max(bound/aheadDivisor, maxBuffered) / blockSize),
 		quit: make(chan struct{}), done: make(chan struct{}), more: make(chan struct{}, 1),
-		emptied: make(chan struct{}, 1),
+		freed: make(chan struct{}, 1),
 	}
 }
 
@@ -63,21 +70,21 @@
 		switch {
 		case free != nil:
 			return free, true
-		case grow(blockSize):
+		case grow != nil && grow(blockSize):
 			r.addBlock()
 			continue
 		}
 		select {
 		case <-r.quit:
 			return nil, false
-		case <-r.emptied:
+		case <-r.freed:
 		case <-time.After(roomInterval):
 		}
 	}
 }
 
 // freeSpace returns the free part of the last block, or, if there is none, the function that counts
-// another block. The first block is not one that is read ahead: without it, a caller that reads again
+// another block; nil if there must not be another one. The first block is not one that is read ahead: without it, a caller that reads again
 // would receive nothing while nothing may be read ahead.
 func (r *readAhead) freeSpace() (free []byte, grow func(int64) bool) {
 	r.lock.Lock()
@@ -88,6 +95,9 @@
 	if last := r.blocks[len(r.blocks)-1]; len(last) < blockSize {
 		return last[len(last):blockSize], nil
 	}
+	if len(r.blocks) >= r.most {
+		return nil, nil
+	}
 	return nil, r.account.GrowAhead
 }
 
@@ -144,12 +154,13 @@
 	r.taken = 0
 	if len(r.blocks) == 1 {
 		r.blocks[0] = r.blocks[0][:0]
-		signal(r.emptied)
+		signal(r.freed)
 		return
 	}
 	r.blocks[0] = nil // otherwise it would remain in memory with the rest of the slice
 	r.blocks = r.blocks[1:]
 	r.account.Release(blockSize)
+	signal(r.freed)
 }
 
 // stop ends run, whose read must have been interrupted, and releases all blocks.
