An answer without a length or chunks gets none at the other door either

Callers of a plain service behind the callers' API saw: an answer that ended with its connection, and was cut off in its body, arrived with a length, as a whole one. Cause: the answer was held whole and framed anew. Ruled out: to refuse such answers, which plain services may give. Change: Chunk.Unframed, over hops and in stored answers too; the caller's answer ends with its connection.

--- a/snipecall/snipecall.go
+++ b/snipecall/snipecall.go
@@ -188,6 +188,9 @@
 	Status int
 	// ContentType is the content type of an answer that is not streamed.
 	ContentType string
+	// Unframed is set for an answer that is not streamed if it ended with its connection, without a length or chunks: nothing
+	// shows then that it is whole.
+	Unframed bool
 	// Data is the payload. It is valid only during the call of the Sink.
 	Data []byte
 	// Last marks the chunk that completes the answer.
--- a/snipecaller/reply.go
+++ b/snipecaller/reply.go
@@ -91,6 +91,10 @@
 	if c.ContentType != "" {
 		h.Set("Content-Type", c.ContentType)
 	}
+	if c.Unframed {
+		// net/http then frames the answer by the end of the connection, which proves no more than the upstream's did.
+		h.Set("Transfer-Encoding", "identity")
+	}
 	o.response.WriteHeader(c.Status)
 }
 
--- a/snipeclaim/attempt.go
+++ b/snipeclaim/attempt.go
@@ -73,7 +73,7 @@
 	return func(k snipecall.Chunk) error {
 		a.size += len(k.Data)
 		if a.size <= MaxKept {
-			a.kept = append(a.kept, part{k.Status, k.ContentType, append([]byte(nil), k.Data...), k.Last})
+			a.kept = append(a.kept, part{k.Status, k.ContentType, k.Unframed, append([]byte(nil), k.Data...), k.Last})
 		} else {
 			a.kept = nil
 		}
--- a/snipeclaim/snipeclaim.go
+++ b/snipeclaim/snipeclaim.go
@@ -92,6 +92,7 @@
 type part struct {
 	Status      int    `json:",omitempty"`
 	ContentType string `json:",omitempty"`
+	Unframed    bool   `json:",omitempty"`
 	Data        []byte
 	Last        bool `json:",omitempty"`
 }
@@ -320,7 +321,7 @@
 // replay sends a stored answer to sink.
 func replay(answer []part, sink snipecall.Sink) error {
 	for n, p := range answer {
-		k := snipecall.Chunk{Status: p.Status, ContentType: p.ContentType, Data: p.Data, Last: p.Last}
+		k := snipecall.Chunk{Status: p.Status, ContentType: p.ContentType, Unframed: p.Unframed, Data: p.Data, Last: p.Last}
 		k.Sequence = uint64(n) + 1
 		if err := sink(k); err != nil {
 			return err
--- a/snipepeer/session.go
+++ b/snipepeer/session.go
@@ -179,7 +179,7 @@
 // sendChunk is the call's sink: it sends a chunk of a stream, or a whole answer, as one event.
 func (s *session) sendChunk(c snipecall.Chunk) error {
 	if c.ContentType != "" || c.Status != 0 {
-		data, err := json.Marshal(wholePayload{Status: c.Status, ContentType: c.ContentType, Data: c.Data})
+		data, err := json.Marshal(wholePayload{Status: c.Status, ContentType: c.ContentType, Unframed: c.Unframed, Data: c.Data})
 		if err != nil {
 			return errors.Wrap(err, "encode whole answer")
 		}
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -80,6 +80,7 @@
 type wholePayload struct {
 	Status      int
 	ContentType string
+	Unframed    bool `json:",omitempty"`
 	Data        []byte
 }
 
@@ -328,7 +329,7 @@
 		}
 		h.ended = true
 		return h.sink(snipecall.Chunk{
-			Sequence: 1, Status: w.Status, ContentType: w.ContentType, Data: w.Data, Last: true,
+			Sequence: 1, Status: w.Status, ContentType: w.ContentType, Unframed: w.Unframed, Data: w.Data, Last: true,
 		})
 	case eventFailure:
 		f, err := snipeerror.Decode(e.Data)
--- a/snipeupstream/service.go
+++ b/snipeupstream/service.go
@@ -89,10 +89,15 @@
 	x.Finish()
 	return sink(snipecall.Chunk{
 		Sequence: 1, Status: x.Response.StatusCode, ContentType: x.Response.Header.Get("Content-Type"),
-		Data: body, Last: true,
+		Unframed: isUnframed(x.Response), Data: body, Last: true,
 	})
 }
 
+// isUnframed reports whether the body of a response ends with its connection.
+func isUnframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 // sendError returns the error of a request without a response. The call counts as
 // not run only if it cannot have been sent.
 func (s *Service) sendError(ctx context.Context, x *Exchange, err error) error {
