--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -43,8 +43,8 @@
 // In a planned stop, readiness ends and the release of the owned engines begins at once,
 // connections are accepted for stopAcceptTime, and requests in flight may run until stopReserve
 // before the end of the stop timeout, when they get a final answer. The servers are shut down one
-// after the other: until its callers' requests have ended, the instance answers other instances, because in an outage of the
-// store an owner's lease extension may need this instance's grant.
+// after the other: until its callers' requests have ended, the instance answers other instances,
+// because in an outage of the store an owner's lease extension may need this instance's grant.
 func (i *Instance) waitStop(ctx context.Context, servers []*http.Server) error {
 	for {
 		select {
--- a/snipeinstance/stop.go
+++ b/snipeinstance/stop.go
@@ -88,7 +88,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	end := time.Now().Add(s.limit - finalAnswerTime)
+	end := time.Now().Add(s.limit - min(finalAnswerTime, s.limit/2))
 	running.Go(func() { s.end(ending, end) })
 	limit := time.NewTimer(s.limit)
 	defer limit.Stop()
--- a/snipelink/dial.go
+++ b/snipelink/dial.go
@@ -76,12 +76,19 @@
 		},
 	}
 	conn, err := d.DialContext(ctx, "tcp", remote.String())
-	if !errors.Is(err, unix.ENOPROTOOPT) {
-		return conn, err
+	if errors.Is(err, unix.ENOPROTOOPT) {
+		// A kernel before Linux 6.3. The port is refused while any other connection has it.
+		bound := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(local)}
+		conn, err = bound.DialContext(ctx, "tcp", remote.String())
 	}
-	// A kernel before Linux 6.3. The port is refused while any other connection has it.
-	bound := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(local)}
-	return bound.DialContext(ctx, "tcp", remote.String())
+	if err != nil {
+		return nil, err
+	}
+	if got, ok := conn.LocalAddr().(*net.TCPAddr); !ok || got.AddrPort() != local {
+		_ = conn.Close()
+		return nil, errors.Errorf("connected from %v instead of %v", conn.LocalAddr(), local)
+	}
+	return conn, nil
 }
 
 // setLocalPort has the kernel connect a socket from the given port. Unlike a bind to the port, this shares it with connections
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -17,6 +17,8 @@
 //     connection. The connection is checked again before it is reused: bytes that
 //     have arrived since belong to no request.
 //   - An answer that does not belong to the request is never returned.
+//   - A connection that the kernel has ended because the upstream was silent is reset there as soon as the upstream can be
+//     reached (silence.go): it would not learn of the end otherwise.
 //   - The head of an answer takes a bounded amount of memory, whatever the upstream sends (head.go).
 package snipelink
 
