A connection carries no request twice, and answers too many are skipped

What callers saw: a request that must run once ran twice, after a promise that it had not run. Or it lost its answer, because the connection ended.

Cause: an upstream may send a refusal twice, the second time ahead of the next answer. It bears the identifier of the request. A request that was refused could come to the same connection again: permits avoid the upstream for a few ms only, entries of upstreams that are gone may name the address of one that lives, and the pool gives out the connection that was added last. The copy was then taken for the answer to the second attempt. Class: a state of one moment is taken for the state of another.

Ruled out: a list of tried upstreams or addresses in the request. A hop, or a caller that uses an identifier again, knows nothing of it. A new connection after each refusal: connections are dear to upstreams. To believe no refusal on a connection that was reused: callers would be told that their request may have run.

Change: a connection remembers digests of the requests that it has carried, 256 at most, and is not given out for one of them. An answer to one of them is read to its end and skipped; any other foreign answer ends the connection as before. IsAnswerTo becomes Identifier, since both sides have it in one header. Logs: AnswerSkipped, and Reused in RequestSentAgain.

The tests' requests had one identifier for all; now the next request on a connection has another one, and the stand-in answers with it. What they check is the same. TestConnectionCarriesSomeRequests holds the bound.

--- a/cmd/snipepitchd/entry.go
+++ b/cmd/snipepitchd/entry.go
@@ -79,7 +79,7 @@
 	store.Open()
 	engines := &platform.Engines{Links: &snipelink.Pool{
 		Dial: dial, DialTimeout: orderDialTimeout, IdleTimeout: orderIdleTimeout, MaxIdle: maxIdleOrderConns,
-		IsAnswerTo: platform.AcceptAnyAnswer, KeepAlive: platform.KeepAlive, HeadBound: platform.EngineHeadBound,
+		KeepAlive: platform.KeepAlive, HeadBound: platform.EngineHeadBound,
 	}}
 	i := &snipeentry.Instance{
 		Settings: s, Incarnation: rand.Text(), Operation: rand.Text,
@@ -88,7 +88,7 @@
 		Platform: snipeentry.Platform{
 			Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
 			Source: store.Source, Write: store.WriteRows, Engine: engines.Engine(),
-			IsAnswerTo: platform.IsAnswerTo, KeepAlive: platform.KeepAlive,
+			Identifier: platform.Identifier, KeepAlive: platform.KeepAlive,
 			DeclaredTable: platform.DeclaredTable, DecodeDeclared: platform.DecodeDeclared,
 			UpstreamTable: platform.UpstreamTable, DecodeUpstreams: platform.DecodeUpstreams,
 			SameUpstream: platform.SameUpstream,
--- a/snipeentry/reach.go
+++ b/snipeentry/reach.go
@@ -59,7 +59,7 @@
 func (i *Instance) buildHops() {
 	i.hopLinks = &snipelink.Pool{
 		Dial: snipelink.Dialer(), DialTimeout: dialTimeout, IdleTimeout: hopIdleTime, MaxIdle: maxIdleConnections,
-		IsAnswerTo: snipegateway.IsHopAnswer, KeepAlive: func(*http.Response) time.Duration { return 0 },
+		Identifier: snipegateway.HopIdentifier, KeepAlive: func(*http.Response) time.Duration { return 0 },
 		HeadBound: snipelink.DefaultHeadBound + hopHeadBytes,
 	}
 }
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -83,8 +83,8 @@
 	ReadyPath string
 	// Engine sends orders to engines and reads their state.
 	Engine snipeadapter.Engine
-	// IsAnswerTo and KeepAlive interpret answers of upstreams; see snipelink.Pool.
-	IsAnswerTo func(r *http.Request, a *http.Response) bool
+	// Identifier and KeepAlive interpret requests to upstreams and their answers; see snipelink.Pool.
+	Identifier func(h http.Header) string
 	KeepAlive  func(a *http.Response) time.Duration
 	// Source returns the reader of a table of the store. Write changes rows; see snipeowner.Table.
 	Source func(table string) snipemirror.Source
@@ -275,7 +275,7 @@
 	i.buildHops()
 	i.links = &snipelink.Pool{
 		Dial: i.recordDials(i.upstreamDialer(s.socketBuffer())), DialTimeout: dialTimeout, IdleTimeout: idleConnectionTime, MaxIdle: maxIdleConnections,
-		IsAnswerTo: i.Platform.IsAnswerTo, KeepAlive: i.Platform.KeepAlive,
+		Identifier: i.Platform.Identifier, KeepAlive: i.Platform.KeepAlive,
 	}
 	i.buildRelay()
 	i.holder = &snipeowner.Holder{
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -69,7 +69,8 @@
 	c.sentAt = time.Now()
 	c.stop.SetSent(true)
 	defer c.stop.SetSent(false)
-	answer, _, err := g.Links.Send(ctx, u.Address, c.message(c.upstreamRequest(d)))
+	answer, sent, err := g.Links.Send(ctx, u.Address, c.message(c.upstreamRequest(d)))
+	c.noteConnection(u.ID, sent)
 	if errors.Is(err, errBudgetUsed) {
 		returnSlot()
 		return snipeerror.New(snipeerror.ErrOverloaded, c.outcome(), err.Error())
@@ -87,6 +88,16 @@
 	return c.handleAnswer(ctx, d, answer)
 }
 
+// noteConnection records which kind of connection the request was sent on, and the answers to earlier requests that came there.
+func (c *call) noteConnection(upstream string, sent snipelink.Sent) {
+	c.reused = sent.Reused
+	if sent.Skipped == 0 {
+		return
+	}
+	c.gateway.Meter.Add("snipepitch_skipped_answers_total{service="+strconv.Quote(c.service)+"}", sent.Skipped)
+	c.gateway.Log.Log(snipelog.AnswerSkipped, snipelog.Fields{requestField: c.ID, "Upstream": upstream, "Answers": sent.Skipped})
+}
+
 // checkUpstream returns an error if the upstream has left, or changed its software, since it was chosen: the request may have
 // waited for its adapter to load.
 func (c *call) checkUpstream(u *snipedirectory.Upstream) error {
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -84,6 +84,8 @@
 	streamSoftware streamSoftware
 	reached        int
 	mayHaveRun     int
+	// reused is set if the connection of the last attempt had served a request before.
+	reused bool
 	// mayStillRun is set if the upstream, or the peer, of an attempt was silent, and may still work on the request. reset is
 	// set if it has lost the connection since.
 	mayStillRun, reset bool
@@ -222,7 +224,7 @@
 		}
 		c.gateway.Log.Log(snipelog.RequestSentAgain, snipelog.Fields{
 			requestField: c.ID, "Route": c.route.Name, "After": err.Error(), "Tried": c.tried, "Ran": c.mayHaveRun,
-			"LeftMilliseconds": time.Until(c.deadline).Milliseconds(), "Silent": c.mayStillRun, "Reset": c.reset,
+			"LeftMilliseconds": time.Until(c.deadline).Milliseconds(), "Silent": c.mayStillRun, "Reset": c.reset, "Reused": c.reused,
 		})
 	}
 }
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -25,7 +25,7 @@
 	Unreachable func(service string) bool
 	// Peers returns the addresses of the other instances that may be asked.
 	Peers func() []netip.AddrPort
-	// Links holds the connections to peers. Its IsAnswerTo is IsHopAnswer.
+	// Links holds the connections to peers. Its Identifier is HopIdentifier.
 	Links *snipelink.Pool
 	// Self is the name of this instance.
 	Self string
--- a/snipegateway/hopmessage.go
+++ b/snipegateway/hopmessage.go
@@ -91,7 +91,5 @@
 	return nil
 }
 
-// IsHopAnswer reports whether a is the answer to the hop r; see snipelink.Pool.
-func IsHopAnswer(r *http.Request, a *http.Response) bool {
-	return a.Header.Get(hopIDHeader) == r.Header.Get(hopIDHeader)
-}
+// HopIdentifier returns the identifier of a hop, or that of the hop to which an answer belongs; see snipelink.Pool.
+func HopIdentifier(h http.Header) string { return h.Get(hopIDHeader) }
--- a/snipelink/framing.go
+++ b/snipelink/framing.go
@@ -17,11 +17,13 @@
 )
 
 // Framing returns how the end of the answer's body is found.
-func (a *Answer) Framing() Framing {
+func (a *Answer) Framing() Framing { return framing(a.Response) }
+
+func framing(r *http.Response) Framing {
 	switch {
-	case len(a.TransferEncoding) > 0:
+	case len(r.TransferEncoding) > 0:
 		return FramedByChunks
-	case a.ContentLength >= 0 || a.Body == http.NoBody:
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
 		return FramedByLength
 	}
 	return FramedByClose
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -16,7 +16,9 @@
 //     no bytes are left to read and the answer did not announce the end of the
 //     connection. The connection is checked again before it is reused: bytes that
 //     have arrived since belong to no request.
-//   - An answer that does not belong to the request is never returned.
+//   - An answer that does not belong to the request is never returned. One to an earlier request of the connection is
+//     skipped (carried.go).
+//   - A connection carries no request twice: an answer bears the same identifier for each attempt of a request.
 //   - A connection that the kernel has ended because the upstream was silent is reset there as soon as the upstream can be
 //     reached (silence.go): it would not learn of the end otherwise.
 //   - The head of an answer takes a bounded amount of memory, whatever the upstream sends (head.go).
@@ -31,6 +33,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,8 +69,9 @@
 	IdleTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections to one upstream.
 	MaxIdle int
-	// IsAnswerTo reports whether an answer belongs to the request.
-	IsAnswerTo func(request *http.Request, answer *http.Response) bool
+	// Identifier returns the identifier of a request, or that of the request to which an answer belongs, from its header.
+	// Nil where messages have none: an answer then belongs to the last request of its connection.
+	Identifier func(h http.Header) string
 	// KeepAlive returns how long the upstream keeps an idle connection, as the answer
 	// announces; zero when it does not.
 	KeepAlive func(answer *http.Response) time.Duration
@@ -87,6 +91,7 @@
 	reader  *bufio.Reader // reads from head
 	address netip.AddrPort
 	expires time.Time // the connection is not reused after this time
+	carried carried
 }
 
 // Answer is the answer to one request. The caller must call Close.
@@ -98,12 +103,18 @@
 	deadline   time.Time   // of the context of Send; zero if it has none
 	// complete reports whether the body was read to its end.
 	complete bool
+	// skipped counts the answers to earlier requests of the connection that came before this one. last is set if one of
+	// them announced the end of the connection.
+	skipped int
+	last    bool
 }
 
 // Sent describes how a request was sent.
 type Sent struct {
 	// Reused reports whether the connection had served a request before.
 	Reused bool
+	// Skipped is the number of answers that were skipped because they belong to earlier requests of the connection.
+	Skipped int
 }
 
 // Message is a request to send.
@@ -123,7 +134,8 @@
 // Send sends a request and reads the head of its answer. The context bounds the exchange until Close is called.
 // Errors are ErrNotSent, ErrBroken or ErrForeign, or that of m.Allowed.
 func (p *Pool) Send(ctx context.Context, address netip.AddrPort, m Message) (*Answer, Sent, error) {
-	c, reused, err := p.take(ctx, address, m.Fresh)
+	id, identified := p.digest(m.Request)
+	c, reused, err := p.take(ctx, address, m.Fresh, id)
 	sent := Sent{Reused: reused}
 	if err != nil {
 		return nil, sent, errors.Wrapf(ErrNotSent, "connect: %v", err)
@@ -141,6 +153,9 @@
 		// that, in discard or Close.
 		_ = c.conn.SetDeadline(time.Unix(1, 0))
 	})
+	if identified {
+		c.carried.add(id, m.Request.Method)
+	}
 	if n, err := c.write(m.Request, m.Body); err != nil {
 		a.discard()
 		if n == 0 {
@@ -151,6 +166,7 @@
 	c.head.begin(p.headBound(), m.Account)
 	err = a.readHead(m.Request)
 	c.head.end(err == nil)
+	sent.Skipped = a.skipped
 	if err != nil {
 		a.discard()
 		return nil, sent, a.checkSilence(err, err)
@@ -213,7 +229,7 @@
 }
 
 // maxResponses bounds the number of responses that are read for one request: the
-// informational (1xx) ones and the final one.
+// informational (1xx) ones, those to earlier requests and the final one.
 const maxResponses = 4
 
 // readHead reads the status line and the header of the final answer.
@@ -229,8 +245,11 @@
 		if answer.StatusCode < http.StatusOK {
 			continue
 		}
-		if !a.pool.IsAnswerTo(r, answer) {
-			return errors.Wrapf(ErrForeign, "status %d", answer.StatusCode)
+		if !a.pool.isAnswerTo(r, answer) {
+			if err := a.skip(answer); err != nil {
+				return err
+			}
+			continue
 		}
 		if err := a.connection.head.countFields(len(answer.Header)); err != nil {
 			return &headError{err}
@@ -238,7 +257,7 @@
 		a.Response = answer
 		return nil
 	}
-	return errors.Wrap(ErrBroken, "too many interim answers")
+	return errors.Wrap(ErrBroken, "too many answers")
 }
 
 // Read reads the answer's body.
@@ -254,7 +273,7 @@
 // of Send has not ended, the answer allows reuse and no bytes are left to read.
 // Otherwise Close closes the connection, which ends the request at the upstream.
 func (a *Answer) Close() {
-	if !a.stop() || !a.complete || a.Response.Close || a.connection.reader.Buffered() > 0 {
+	if !a.stop() || !a.complete || a.last || a.Response.Close || a.connection.carried.full() || a.connection.reader.Buffered() > 0 {
 		_ = a.connection.conn.Close()
 		return
 	}
@@ -275,11 +294,11 @@
 	_ = a.connection.conn.Close()
 }
 
-// take returns a connection that can be reused, or a new one if there is none or
+// take returns a connection that can be reused for a request, or a new one if there is none or
 // fresh is set. It closes the idle connections that it finds expired or closed.
-func (p *Pool) take(ctx context.Context, address netip.AddrPort, fresh bool) (c *connection, reused bool, err error) {
+func (p *Pool) take(ctx context.Context, address netip.AddrPort, fresh bool, request digest) (c *connection, reused bool, err error) {
 	for !fresh {
-		c := p.pop(address)
+		c := p.pop(address, request)
 		if c == nil {
 			break
 		}
@@ -298,18 +317,19 @@
 	return &connection{conn: conn, head: head, reader: bufio.NewReader(head), address: address}, false, nil
 }
 
-// pop removes and returns the connection that was added to the pool last; nil when there
-// is none.
-func (p *Pool) pop(address netip.AddrPort) *connection {
+// pop removes and returns the connection that was added to the pool last, of those that have not carried the request; nil
+// when there is none.
+func (p *Pool) pop(address netip.AddrPort, request digest) *connection {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	all := p.idle[address]
-	if len(all) == 0 {
-		return nil
+	for n, c := range slices.Backward(all) {
+		if !c.carried.has(request) {
+			p.idle[address] = slices.Delete(all, n, n+1)
+			return c
+		}
 	}
-	c := all[len(all)-1]
-	p.idle[address] = all[:len(all)-1]
-	return c
+	return nil
 }
 
 // put adds an idle connection. If the upstream has MaxIdle of them already, the one that
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -94,6 +94,7 @@
 	RequestSentAgain = define(212, "RequestSentAgain", logrus.InfoLevel)
 	RequestFailed    = define(213, "RequestFailed", logrus.WarnLevel)
 	RequestAbandoned = define(214, "RequestAbandoned", logrus.InfoLevel)
+	AnswerSkipped    = define(240, "AnswerSkipped", logrus.WarnLevel)
 	AnswerDiscarded  = define(215, "AnswerDiscarded", logrus.WarnLevel)
 	QuotaUnreached   = define(216, "QuotaUnreached", logrus.WarnLevel)
 	QuotaReached     = define(217, "QuotaReached", logrus.InfoLevel)
