A hop tells the key by which its request is checked again

What callers saw: 401 for a key that was valid, at an instance that had served by the same version of the catalog before. Callers don't come back after 401.

Cause: before each attempt a request's key is looked up again if the catalog has changed since its admission. A hop had no key, only the name of its workspace, and an empty digest belongs to no workspace: each change of the catalog while a request waited at a peer (for its adapter, mostly) ended it with "the key was taken away". Class: a value that is missing is compared like one that differs. The same look denied requests whose key had moved to another workspace, whose workspace was renamed, or when the last workspace was removed.

Ruled out: to check the name of the workspace at the peer: a key that is taken away would still run there. To check at the sender alone: the peer may know the newer version, and sends the request later.

Change: a hop carries the digest of its key; the peer looks it up by its newest catalog at admission and before the send. A key that is gone ends the request with 401 as before; one that belongs to another workspace, 503 with Retry-After. An earlier release's hop has no digest and is checked by name. Logs: CheckedCatalog, the version of the second look.

--- a/snipecatalog/workspace.go
+++ b/snipecatalog/workspace.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"slices"
 
@@ -16,6 +17,20 @@
 // constant-time comparison.
 type KeyDigest [sha256.Size]byte
 
+// MarshalText implements encoding.TextMarshaler by hexadecimal digits.
+func (d KeyDigest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. Its errors wrap ErrWorkspace.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(d) {
+		return errors.Wrapf(ErrWorkspace, "digest of a key with %d digits", len(text))
+	}
+	if _, err := hex.Decode(d[:], text); err != nil {
+		return errors.Wrapf(ErrWorkspace, "digest of a key: %v", err)
+	}
+	return nil
+}
+
 // DigestKey returns the digest of a key.
 func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -57,12 +57,14 @@
 	route    *snipecatalog.Route
 	service  string
 	deadline time.Time
-	// key and workspace identify the request's workspace. cost is what the request counts against
+	// key and workspace identify the request's workspace; nil if they are not known. checkedVersion is the version of the newer
+	// catalog by which the key was checked again, zero if it was not. cost is what the request counts against
 	// the workspace's quota, and units is how much of that was taken from the quota.
-	key       snipecatalog.KeyDigest
-	workspace *snipecatalog.Workspace
-	cost      float64
-	units     float64
+	key            *snipecatalog.KeyDigest
+	workspace      *snipecatalog.Workspace
+	checkedVersion int64
+	cost           float64
+	units          float64
 
 	// upstream is the upstream of the last attempt, digest the fingerprint of the request once it was
 	// needed.
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -100,6 +100,9 @@
 		fields["Busy"], fields["Holders"] = roundHundredths(c.busy), c.holders
 		c.addExpectation(fields)
 	}
+	if c.checkedVersion > 0 {
+		fields["CheckedCatalog"] = c.checkedVersion
+	}
 	if c.retryDenial != retryAllowed {
 		fields["NotSentAgain"] = c.retryDenial
 	}
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -127,11 +127,15 @@
 func (c *call) hopMessage(peer netip.AddrPort) *http.Request {
 	header := c.header.Clone()
 	header.Set(hopIDHeader, c.ID)
-	header.Set(hopHeader, encodeHop(&hopRequest{
+	message := hopRequest{
 		From: c.gateway.Hops.Self, Method: c.request.Method, Target: []byte(c.request.RequestURI), Host: []byte(c.request.Host),
 		ElapsedMilliseconds: time.Since(c.arrived).Milliseconds(), Catalog: c.catalog.Version,
-		Workspace: c.workspaceName(), LastEvent: []byte(c.lastEvent), Software: c.boundSoftware(), Tried: c.tried,
-	}))
+		LastEvent: []byte(c.lastEvent), Software: c.boundSoftware(), Tried: c.tried,
+	}
+	if c.workspace != nil {
+		message.Workspace, message.Key = c.workspace.Name, c.key
+	}
+	header.Set(hopHeader, encodeHop(&message))
 	if len(header.Values("User-Agent")) == 0 {
 		header.Set("User-Agent", "") // otherwise net/http sends its own name
 	}
--- a/snipegateway/hopmessage.go
+++ b/snipegateway/hopmessage.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipecatalog"
 	"snipepitch.example/snipepitch/snipesoftware"
 )
 
@@ -33,9 +34,10 @@
 	// ElapsedMilliseconds is the time since the request arrived.
 	ElapsedMilliseconds int64
 	// Catalog is the version of the catalog by which the request was admitted, and Workspace the name of the
-	// workspace of its key; empty if it has none.
+	// workspace of its key; empty if it has none. Key is the digest of the key; nil from a peer of an earlier release.
 	Catalog   int64
-	Workspace string `json:",omitempty"`
+	Workspace string                  `json:",omitempty"`
+	Key       *snipecatalog.KeyDigest `json:",omitempty"`
 	// LastEvent is the event after which a stream is resumed.
 	LastEvent []byte `json:",omitempty"`
 	// Software is the software version at which the stream began; nil if it has not begun.
--- a/snipegateway/hopserver.go
+++ b/snipegateway/hopserver.go
@@ -49,17 +49,20 @@
 }
 
 // admitHop checks whether this instance can serve a request that was admitted by its sender, and finds its
-// workspace. A request that was admitted by a newer catalog is refused.
+// workspace. A request that was admitted by a newer catalog is refused, and so is one whose key no longer belongs to its workspace.
 func (c *call) admitHop() error {
 	if c.catalog.Version < c.hop.Catalog {
 		return snipeerror.New(snipeerror.ErrUnavailable, snipeerror.NotRun, "this instance has an older catalog").After(startRetryAfter)
 	}
-	if c.hop.Workspace == "" {
+	if c.hop.Workspace == "" || !c.catalog.RequiresKeys() {
 		return nil
 	}
-	if c.workspace = c.catalog.WorkspaceNamed(c.hop.Workspace); c.workspace == nil {
-		return snipeerror.New(snipeerror.ErrUnauthenticated, snipeerror.NotRun, "the workspace was taken away")
+	c.key = c.hop.Key
+	owner := c.ownerOfKey(c.catalog, c.hop.Workspace)
+	if owner == nil || owner.Name != c.hop.Workspace {
+		return c.keyChangedError()
 	}
+	c.workspace = owner
 	return nil
 }
 
--- a/snipegateway/retry.go
+++ b/snipegateway/retry.go
@@ -49,7 +49,7 @@
 func (c *call) decideRetry(ctx context.Context, err error) retryDenial {
 	f := snipeerror.From(err)
 	switch {
-	case errors.Is(f, snipeerror.ErrUnauthenticated), errors.Is(f, snipeerror.ErrQuarantined), c.tooLarge, c.gateway.Stop.TooLate(&c.stop):
+	case errors.Is(f, snipeerror.ErrUnauthenticated), errors.Is(f, snipeerror.ErrUnavailable), errors.Is(f, snipeerror.ErrQuarantined), c.tooLarge, c.gateway.Stop.TooLate(&c.stop):
 		return retryUseless
 	case ctx.Err() != nil, time.Until(c.deadline) < minTimeLeft:
 		return retryLate
--- a/snipegateway/workspace.go
+++ b/snipegateway/workspace.go
@@ -34,8 +34,9 @@
 	}
 	key, ok := snipecall.BearerKey(c.request.Header)
 	if ok {
-		c.key = snipecatalog.DigestKey(key)
-		c.workspace = c.catalog.Workspace(c.key)
+		digest := snipecatalog.DigestKey(key)
+		c.key = &digest
+		c.workspace = c.catalog.Workspace(digest)
 	}
 	switch {
 	case c.workspace != nil || c.route.Public:
@@ -64,19 +65,38 @@
 	return snipeerror.New(snipeerror.ErrUnavailable, c.outcome(), "what operators declare may have changed since it was read").After(startRetryAfter)
 }
 
-// recheckKey returns an error if the key no longer belongs to the request's workspace. It is called
-// before each attempt, because the key may have been revoked while the request waited or since the
-// previous attempt.
+// recheckKey returns an error if the request may no longer run for its workspace. It is called before each attempt, because
+// the catalog may have changed while the request waited or since the previous attempt.
 func (c *call) recheckKey() error {
 	now := c.gateway.Catalog.Catalog()
-	if c.workspace == nil || now == c.catalog {
+	if c.workspace == nil || now == c.catalog || !now.RequiresKeys() {
 		return nil
 	}
-	w := now.Workspace(c.key)
-	if w == nil || w.Name != c.workspace.Name {
+	c.checkedVersion = now.Version
+	owner := c.ownerOfKey(now, c.workspace.Name)
+	switch {
+	case owner != nil && owner.Name == c.workspace.Name:
+		return nil
+	case owner == nil && !c.route.Public:
 		return c.unauthenticated("the key was taken away")
+	default:
+		return c.keyChangedError()
 	}
-	return nil
+}
+
+// ownerOfKey returns the workspace of the request's key in a catalog; nil if there is none. A peer of an earlier release does not
+// tell the key, but the name of the workspace that had it.
+func (c *call) ownerOfKey(catalog *snipecatalog.Catalog, name string) *snipecatalog.Workspace {
+	if c.key == nil {
+		return catalog.WorkspaceNamed(name)
+	}
+	return catalog.Workspace(*c.key)
+}
+
+// keyChangedError returns the error for a request whose key belongs to another workspace than when it was admitted. The caller
+// may send it again, for that one.
+func (c *call) keyChangedError() error {
+	return snipeerror.New(snipeerror.ErrUnavailable, c.outcome(), "the key belongs to another workspace now").After(startRetryAfter)
 }
 
 // hasQuota reports whether the request counts against a quota.
