--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"log"
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"syscall"
 	"time"
 
@@ -40,21 +38,6 @@
 	maxPeerHeaderBytes = 3 * maxHeaderBytes
 )
 
-// connectionLog is a writer for the error log of an http.Server. It logs each line, the error of
-// one connection, together with the name of the listener.
-type connectionLog struct {
-	logger   *snipelog.Logger
-	listener string
-}
-
-// Write implements io.Writer. It never fails.
-func (c *connectionLog) Write(line []byte) (int, error) {
-	c.logger.Log(snipelog.ConnectionFailed, snipelog.Fields{
-		"Listener": c.listener, "Error": strings.TrimSpace(string(line)),
-	})
-	return len(line), nil
-}
-
 // listen opens the four listeners and adds their servers to g. It returns the servers whose
 // requests a planned stop waits for, in the order of their shutdown: the callers' server, then the
 // server for other instances.
@@ -77,7 +60,7 @@
 	for _, l := range listeners {
 		s := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: log.New(&connectionLog{i.Log, l.name}, "", 0), ConnContext: snipegateway.WithConnection,
+			ErrorLog: i.Log.ServerErrors(l.name), ConnContext: snipegateway.WithConnection,
 		}
 		listener, err := i.open(ctx, l.address)
 		if err != nil {
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -95,7 +95,7 @@
 		return
 	}
 	c.gateway.Meter.Add("snipepitch_skipped_answers_total{service="+strconv.Quote(c.service)+"}", sent.Skipped)
-	c.gateway.Log.Log(snipelog.AnswerSkipped, snipelog.Fields{requestField: c.ID, "Upstream": upstream, "Answers": sent.Skipped})
+	c.gateway.Log.Log(snipelog.AnswerSkipped, snipelog.Fields{requestField: c.ID, upstreamField: upstream, "Answers": sent.Skipped})
 }
 
 // checkUpstream returns an error if the upstream has left, or changed its software, since it was chosen: the request may have
@@ -167,7 +167,7 @@
 	for name := range answer.Header {
 		if c.gateway.headers.add(name) {
 			c.gateway.Log.Log(snipelog.HeaderAppeared, snipelog.Fields{
-				requestField: c.ID, "Upstream": id, "Header": name, "Status": answer.StatusCode,
+				requestField: c.ID, upstreamField: id, "Header": name, "Status": answer.StatusCode,
 			})
 		}
 	}
--- a/snipegateway/brittle.go
+++ b/snipegateway/brittle.go
@@ -88,7 +88,7 @@
 	}
 	b, _ := g.Brittle.Get(c.service)
 	g.Log.Log(snipelog.BrittleRefusal, snipelog.Fields{
-		requestField: c.ID, "Upstream": upstream, "Service": c.service, "MaxRefusals": b.MaxRefusals, "Refusals": refusals,
+		requestField: c.ID, upstreamField: upstream, "Service": c.service, "MaxRefusals": b.MaxRefusals, "Refusals": refusals,
 		"Coordinator": c.admission.coordinator, "PermitMilliseconds": c.admission.waited.Milliseconds(),
 	})
 }
--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -38,8 +38,11 @@
 // noAnswer is the output of an attempt without a whole answer.
 const noAnswer = -1
 
-// requestField is the log field with a request's identifier.
-const requestField = "Request"
+// Log fields: a request's identifier, and that of an upstream.
+const (
+	requestField  = "Request"
+	upstreamField = "Upstream"
+)
 
 // call is the state of one request.
 type call struct {
--- a/snipegateway/promise.go
+++ b/snipegateway/promise.go
@@ -26,7 +26,7 @@
 // discardAnswer logs that an answer does not go to the caller, and returns the attempt's error.
 func (c *call) discardAnswer(id string, status int, kind error, reason string) error {
 	c.gateway.Log.Log(snipelog.AnswerDiscarded, snipelog.Fields{
-		requestField: c.ID, "Upstream": id, "Status": status, "Reason": reason,
+		requestField: c.ID, upstreamField: id, "Status": status, "Reason": reason,
 	})
 	return snipeerror.New(kind, snipeerror.MayHaveRun, reason)
 }
--- a/snipegateway/toolarge.go
+++ b/snipegateway/toolarge.go
@@ -49,7 +49,7 @@
 	if c.peer.IsValid() {
 		fields["Peer"] = c.peer
 	} else {
-		fields["Upstream"] = c.upstream.ID
+		fields[upstreamField] = c.upstream.ID
 	}
 	c.gateway.RecordTooLarge(part, err, fields)
 }
--- a/snipeinstance/listen.go
+++ b/snipeinstance/listen.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
-	"log"
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -44,20 +42,6 @@
 	log         *snipelog.Logger
 }
 
-// connectionLog logs the errors that net/http reports about single connections.
-type connectionLog struct {
-	logger   *snipelog.Logger
-	listener string
-}
-
-// Write implements io.Writer.
-func (c *connectionLog) Write(line []byte) (int, error) {
-	c.logger.Log(snipelog.ConnectionFailed, snipelog.Fields{
-		"Listener": c.listener, "Error": strings.TrimSpace(string(line)),
-	})
-	return len(line), nil
-}
-
 // boundedListener counts its open connections and those that serve a request (active). It closes a
 // new connection at once if more than limit/refusalDivisor+1 connections over the limit are open.
 type boundedListener struct {
@@ -169,7 +153,7 @@
 	s.http = &http.Server{
 		Handler: refuseOverLimit(l.handler), ConnContext: markOverLimit, ConnState: trackState, MaxHeaderBytes: 2 * maxHeader,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
-		ErrorLog: log.New(&connectionLog{logger: l.log, listener: l.name}, "", 0),
+		ErrorLog: l.log.ServerErrors(l.name),
 	}
 	return s
 }
--- a/snipelink/head_test.go
+++ b/snipelink/head_test.go
@@ -101,7 +101,7 @@
 		t.Run(name, func(t *testing.T) {
 			u := newSpillingUpstream(t, tt.begin, tt.next, maxSpill)
 			begun := time.Now()
-			_, _, err := exchange(t, newPool(), u.address)
+			_, err := exchange(t, newPool(), u.address)
 			must.ErrorIs(t, err, snipelink.ErrBroken)
 			must.Less(t, 5*time.Second, time.Since(begun))
 			must.Less(t, 1000, len(err.Error()))
@@ -176,7 +176,7 @@
 			reply := interim + "HTTP/1.1 200 OK\r\nId: 1\r\n" + fields + "Content-Length: 2\r\n\r\nok"
 			u := newUpstream(t, reply, reply)
 			p := newPool()
-			body, _, err := exchange(t, p, u.address)
+			body, err := exchange(t, p, u.address)
 			must.NoError(t, err)
 			must.EqOp(t, "ok", body)
 			_, reused, err := exchangeNext(t, p, u.address)
@@ -207,7 +207,7 @@
 		closed <- err
 	}()
 	p := newPool()
-	_, _, err = exchange(t, p, netip.MustParseAddrPort(l.Addr().String()))
+	_, err = exchange(t, p, netip.MustParseAddrPort(l.Addr().String()))
 	must.NoError(t, err)
 	close(spill)
 	must.Wait(t, waitFor(func() bool {
@@ -226,7 +226,7 @@
 func TestCutHead(t *testing.T) {
 	for _, cut := range []string{"HTTP/1.1 200 OK\r\nId: 1\r\n ", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2", "HTTP/1.1 200 OK\r\nId: 1\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\n\t \t"} {
 		u := newUpstream(t, cut)
-		_, _, err := exchange(t, newPool(), u.address)
+		_, err := exchange(t, newPool(), u.address)
 		must.ErrorIs(t, err, snipelink.ErrBroken)
 	}
 }
--- a/snipelink/snipelink_test.go
+++ b/snipelink/snipelink_test.go
@@ -85,15 +85,15 @@
 	}
 }
 
-// exchange sends one request, and returns the answer's body and whether the
-// connection was reused.
-func exchange(t *testing.T, p *snipelink.Pool, address netip.AddrPort) (body string, reused bool, err error) {
+// exchange sends one request, and returns the answer's body.
+func exchange(t *testing.T, p *snipelink.Pool, address netip.AddrPort) (body string, err error) {
 	t.Helper()
-	body, sent, err := exchangeAs(t, p, address, "1")
-	return body, sent.Reused, err
+	body, _, err = exchangeAs(t, p, address, "1")
+	return body, err
 }
 
-// exchangeNext is exchange for another request, which may use the same connection.
+// exchangeNext sends another request, which may use the same connection, and returns the answer's body and whether the
+// connection was reused.
 func exchangeNext(t *testing.T, p *snipelink.Pool, address netip.AddrPort) (body string, reused bool, err error) {
 	t.Helper()
 	body, sent, err := exchangeAs(t, p, address, "next")
@@ -146,7 +146,7 @@
 				u = newUpstream(t, tt.reply, tt.reply)
 			}
 			p := newPool()
-			body, _, err := exchange(t, p, u.address)
+			body, err := exchange(t, p, u.address)
 			switch {
 			case tt.want != nil:
 				must.ErrorIs(t, err, tt.want)
@@ -169,7 +169,7 @@
 func TestNoRetryOnReusedConnection(t *testing.T) {
 	u := newUpstream(t, goodAnswer, "")
 	p := newPool()
-	_, _, err := exchange(t, p, u.address)
+	_, err := exchange(t, p, u.address)
 	must.NoError(t, err)
 	_, reused, err := exchangeNext(t, p, u.address)
 	must.True(t, reused)
@@ -210,7 +210,7 @@
 	}()
 	p := newPool()
 	address := netip.MustParseAddrPort(l.Addr().String())
-	_, _, err = exchange(t, p, address)
+	_, err = exchange(t, p, address)
 	must.NoError(t, err)
 	<-late
 	body, reused, err := exchangeNext(t, p, address)
@@ -225,7 +225,7 @@
 	must.NoError(t, err)
 	address := netip.MustParseAddrPort(l.Addr().String())
 	must.NoError(t, l.Close())
-	_, _, err = exchange(t, newPool(), address)
+	_, err = exchange(t, newPool(), address)
 	must.ErrorIs(t, err, snipelink.ErrNotSent)
 }
 
@@ -270,7 +270,7 @@
 			u := newUpstream(t, goodAnswer, goodAnswer)
 			p := newPool()
 			p.IdleTimeout = 0
-			_, _, err := exchange(t, p, u.address)
+			_, err := exchange(t, p, u.address)
 			must.NoError(t, err)
 			end(p, u)
 			_, reused, err := exchangeNext(t, p, u.address)
