An answer to an earlier request is skipped only if it comes at once

Its bytes counted as a part of the head that was due: a copy of 1.5 MB, or of 10,240 lines, ended the request as too large, and 200 KB of a copy stayed in the request's account until its end.

Now the rest of a copy has 0.1 s and 1 MiB and is counted nowhere; its memory is that of one buffer.

--- a/snipelink/carried.go
+++ b/snipelink/carried.go
@@ -1,10 +1,12 @@
 package snipelink
 
 import (
+	"context"
 	"hash/maphash"
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -55,18 +57,46 @@
 	return p.Identifier == nil || p.Identifier(answer.Header) == p.Identifier(r.Header)
 }
 
+const (
+	// skipTime bounds the wait for the rest of an answer to an earlier request, during which the answer that is due waits too.
+	skipTime = 100 * time.Millisecond
+	// maxSkippedBytes bounds the body of such an answer.
+	maxSkippedBytes = 1 << 20
+)
+
 // skip reads an answer to its end that belongs to an earlier request of the connection. It returns ErrForeign if it belongs to
-// none, or if its end cannot be found.
-func (a *Answer) skip(answer *http.Response) error {
+// none, or if its end cannot be found, and ErrBroken if it does not end in time.
+func (a *Answer) skip(ctx context.Context, answer *http.Response) error {
 	c := a.connection
+	foreign := errors.Wrapf(ErrForeign, "status %d", answer.StatusCode)
 	earlier := c.carried.has(digestOf(a.pool.Identifier(answer.Header)))
 	if !earlier || c.carried.withoutBody || framing(answer) == FramedByClose {
-		return errors.Wrapf(ErrForeign, "status %d", answer.StatusCode)
+		return foreign
 	}
-	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+	// What is skipped is not held, and is no part of the head that is due.
+	account := c.head.account
+	c.head.end(false)
+	n, err := a.discardBody(ctx, answer.Body)
+	c.head.begin(a.pool.headBound(), account)
+	switch {
+	case err != nil:
 		return &headError{err}
+	case n > maxSkippedBytes:
+		return foreign
 	}
 	a.skipped++
-	a.last = a.last || answer.Close
+	a.closing = a.closing || answer.Close
 	return nil
 }
+
+// discardBody reads a body for skipTime at most, and not much more of it than maxSkippedBytes.
+func (a *Answer) discardBody(ctx context.Context, body io.Reader) (int64, error) {
+	conn := a.connection.conn
+	_ = conn.SetReadDeadline(time.Now().Add(skipTime))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	_ = conn.SetReadDeadline(time.Time{})
+	if ctx.Err() != nil {
+		a.Interrupt() // the end of ctx may have done so before the deadline was removed
+	}
+	return n, err
+}
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -103,10 +103,10 @@
 	deadline   time.Time   // of the context of Send; zero if it has none
 	// complete reports whether the body was read to its end.
 	complete bool
-	// skipped counts the answers to earlier requests of the connection that came before this one. last is set if one of
+	// skipped counts the answers to earlier requests of the connection that came before this one. closing is set if one of
 	// them announced the end of the connection.
 	skipped int
-	last    bool
+	closing bool
 }
 
 // Sent describes how a request was sent.
@@ -164,7 +164,7 @@
 		return nil, sent, a.checkSilence(err, errors.Wrapf(ErrBroken, "write: %v", err))
 	}
 	c.head.begin(p.headBound(), m.Account)
-	err = a.readHead(m.Request)
+	err = a.readHead(ctx, m.Request)
 	c.head.end(err == nil)
 	sent.Skipped = a.skipped
 	if err != nil {
@@ -233,7 +233,7 @@
 const maxResponses = 4
 
 // readHead reads the status line and the header of the final answer.
-func (a *Answer) readHead(r *http.Request) error {
+func (a *Answer) readHead(ctx context.Context, r *http.Request) error {
 	for range maxResponses {
 		if err := checkStatusLine(a.connection.reader); err != nil {
 			return &headError{err}
@@ -246,7 +246,7 @@
 			continue
 		}
 		if !a.pool.isAnswerTo(r, answer) {
-			if err := a.skip(answer); err != nil {
+			if err := a.skip(ctx, answer); err != nil {
 				return err
 			}
 			continue
@@ -273,7 +273,7 @@
 // of Send has not ended, the answer allows reuse and no bytes are left to read.
 // Otherwise Close closes the connection, which ends the request at the upstream.
 func (a *Answer) Close() {
-	if !a.stop() || !a.complete || a.last || a.Response.Close || a.connection.carried.full() || a.connection.reader.Buffered() > 0 {
+	if !a.stop() || !a.complete || a.closing || a.Response.Close || a.connection.carried.full() || a.connection.reader.Buffered() > 0 {
 		_ = a.connection.conn.Close()
 		return
 	}
