A peer's 401 is passed on only if this instance finds the same

A peer of an earlier release still denies each request that waits while the catalog changes, for as long as an upgrade takes; an earlier release's hop has no digest of its key, and a new peer denied it where its workspace was renamed; a peer whose catalog is outdated denied by it; and a request of a public route was refused because its key was gone.

Now a peer's denial is judged by this instance's newest catalog, and is 503 with Retry-After where that has the key; a key is denied only where its digest is known and the catalog is not outdated, and a public route's request goes on without its workspace. All answers with 401 ask for a key.

--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -58,6 +58,9 @@
 	}
 	c.setHopResult(false)
 	h.Set("Content-Type", "application/json")
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if f.RetryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -100,6 +103,9 @@
 		fields["Busy"], fields["Holders"] = roundHundredths(c.busy), c.holders
 		c.addExpectation(fields)
 	}
+	if err != nil && c.reached > 0 {
+		fields["Reused"] = c.reused
+	}
 	if c.checkedVersion > 0 {
 		fields["CheckedCatalog"] = c.checkedVersion
 	}
--- a/snipegateway/hop.go
+++ b/snipegateway/hop.go
@@ -202,6 +202,9 @@
 	if failure.Outcome == snipeerror.MayHaveRun {
 		c.mayHaveRun++
 	}
+	if errors.Is(failure, snipeerror.ErrUnauthenticated) {
+		return c.judgeDenial()
+	}
 	return failure
 }
 
--- a/snipegateway/workspace.go
+++ b/snipegateway/workspace.go
@@ -44,14 +44,15 @@
 	case !ok:
 		return c.unauthenticated("no key")
 	default:
-		return c.orOutdated(c.unauthenticated("no workspace has this key"))
+		return c.unknownKey("no workspace has this key")
 	}
 }
 
-// unauthenticated returns the refusal of a request without a valid key, and sets the answer's
-// header that asks for a key.
+// unknownKey returns the refusal of a request whose key belongs to no workspace, as far as this instance knows.
+func (c *call) unknownKey(reason string) error { return c.orOutdated(c.unauthenticated(reason)) }
+
+// unauthenticated returns the refusal of a request without a valid key.
 func (c *call) unauthenticated(reason string) error {
-	c.writer.Header().Set("WWW-Authenticate", "Bearer")
 	return snipeerror.New(snipeerror.ErrUnauthenticated, c.outcome(), reason)
 }
 
@@ -77,13 +78,32 @@
 	switch {
 	case owner != nil && owner.Name == c.workspace.Name:
 		return nil
-	case owner == nil && !c.route.Public:
-		return c.unauthenticated("the key was taken away")
+	case owner == nil && c.route.Public:
+		c.leaveWorkspace()
+		return nil
+	case owner == nil && c.key != nil:
+		return c.unknownKey("the key was taken away")
 	default:
 		return c.keyChangedError()
 	}
 }
 
+// leaveWorkspace has a request of a public route, whose key was taken away, go on without a workspace.
+func (c *call) leaveWorkspace() {
+	c.returnQuota()
+	c.workspace, c.units = nil, 0
+}
+
+// judgeDenial returns the error for a request that a peer has denied because of its key. It is passed on only if this instance
+// comes to the same conclusion: a peer of an earlier release compares no keys.
+func (c *call) judgeDenial() error {
+	now := c.gateway.Catalog.Catalog()
+	if c.workspace != nil && now.RequiresKeys() && c.ownerOfKey(now, c.workspace.Name) == nil {
+		return c.unknownKey("the key was taken away")
+	}
+	return c.keyChangedError()
+}
+
 // ownerOfKey returns the workspace of the request's key in a catalog; nil if there is none. A peer of an earlier release does not
 // tell the key, but the name of the workspace that had it.
 func (c *call) ownerOfKey(catalog *snipecatalog.Catalog, name string) *snipecatalog.Workspace {
@@ -93,10 +113,10 @@
 	return catalog.Workspace(*c.key)
 }
 
-// keyChangedError returns the error for a request whose key belongs to another workspace than when it was admitted. The caller
-// may send it again, for that one.
+// keyChangedError returns the error for a request whose key may no longer belong to the workspace for which it was admitted. The
+// caller may send it again, for the one that has the key now.
 func (c *call) keyChangedError() error {
-	return snipeerror.New(snipeerror.ErrUnavailable, c.outcome(), "the key belongs to another workspace now").After(startRetryAfter)
+	return snipeerror.New(snipeerror.ErrUnavailable, c.outcome(), "the workspace of the key has changed").After(startRetryAfter)
 }
 
 // hasQuota reports whether the request counts against a quota.
