--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -1,9 +1,7 @@
 package snipegateway
 
 import (
-	"math"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -85,58 +83,15 @@
 // disconnected counts as abandoned, whatever err is.
 func (c *call) recordEnd(err error) {
 	event, outcome := c.endEvent(err)
-	if c.hop != nil {
-		event = snipelog.HopEnded
-	}
 	took := time.Since(c.arrived)
-	fields := snipelog.Fields{
-		requestField: c.ID, "Outcome": outcome, "Status": c.status, "Milliseconds": took.Milliseconds(),
-		"Tried": slices.Clone(c.tried), "Ran": c.mayHaveRun,
-	}
-	name := "none"
-	if c.route != nil {
-		name = c.route.Name
-		fields["Route"], fields["Service"], fields["Catalog"] = name, c.service, c.catalog.Version
-		fields["DirectoryAge"] = c.directoryAge().Milliseconds()
-		fields["TargetMilliseconds"] = c.route.Target.Milliseconds()
-		fields["PauseTargetMilliseconds"] = c.route.MaxGap.Milliseconds()
-		fields["Busy"], fields["Holders"] = roundHundredths(c.busy), c.holders
-		c.addExpectation(fields)
-	}
-	if err != nil && c.reached > 0 {
-		fields["Reused"] = c.reused
-	}
-	if c.checkedVersion > 0 {
-		fields["CheckedCatalog"] = c.checkedVersion
-	}
-	if c.retryDenial != retryAllowed {
-		fields["NotSentAgain"] = c.retryDenial
-	}
-	if c.workspace != nil {
-		fields["Workspace"], fields["Asked"], fields["Units"] = c.workspace.Name, c.cost, c.units
-	}
-	if c.Adapter.Model != "" {
-		fields["Adapter"], fields["Version"] = c.Adapter.Name, c.version
-		fields["WaitedMilliseconds"] = c.waited.Milliseconds()
-		fields["PromptTokens"], fields["OutputTokens"] = c.PromptTokens, c.OutputTokens
-	}
-	c.logHop(fields)
-	c.logSoftware(fields)
-	if c.framing != "" {
-		fields["Framing"], fields["Leftover"] = c.framing, c.leftover
-	}
-	c.logFingerprint(fields)
-	c.logAdmission(fields)
-	if !c.firstAt.IsZero() {
-		fields["FirstMilliseconds"] = c.firstAt.Sub(c.arrived).Milliseconds()
-		fields["PauseMilliseconds"] = c.longestPause.Milliseconds()
-	}
 	c.countRefusedStream(err)
 	if c.hop != nil {
+		event = snipelog.HopEnded
 		c.countServedHop(outcome)
 	} else {
-		c.observeEnd(name, outcome, took)
+		c.observeEnd(outcome, took)
 	}
+	fields := c.endFields(err, outcome, took)
 	if err != nil {
 		c.gateway.Log.Error(event, err, fields)
 		return
@@ -144,30 +99,13 @@
 	c.gateway.Log.Log(event, fields)
 }
 
-// logFingerprint adds the fingerprint of the request, or of the part of its prompt for which it is refused, to the
-// line of its end.
-func (c *call) logFingerprint(fields snipelog.Fields) {
-	switch {
-	case c.blamedPart != nil:
-		fields["Fingerprint"], fields["Part"] = c.blamedPart.String(), true
-	case c.digest != nil:
-		fields["Fingerprint"] = c.digest.String()
-	}
-}
-
-// logAdmission adds the fields of permits, and of a brittle service, to the line of the request's end.
-func (c *call) logAdmission(fields snipelog.Fields) {
-	if b, brittle := c.gateway.Brittle.Get(c.service); brittle {
-		fields["Brittle"], fields["MaxRefusals"] = true, b.MaxRefusals
-	}
-	if c.admission.asked {
-		fields["PermitMilliseconds"], fields["Coordinator"] = c.admission.waited.Milliseconds(), c.admission.coordinator
-	}
-}
-
 // observeEnd counts the end of a caller's request in the metrics.
-func (c *call) observeEnd(route, outcome string, took time.Duration) {
+func (c *call) observeEnd(outcome string, took time.Duration) {
 	m := c.gateway.Meter
+	route := "none"
+	if c.route != nil {
+		route = c.route.Name
+	}
 	if !c.firstAt.IsZero() {
 		m.Observe(snipemeter.FirstChunk, route, outcome, c.firstAt.Sub(c.arrived))
 	}
@@ -193,14 +131,3 @@
 	}
 	return snipelog.RequestEnded, "Answered"
 }
-
-func roundHundredths(x float64) float64 { return math.Round(100*x) / 100 }
-
-// directoryAge returns the time since the directory of upstreams was read; zero if it never was.
-func (c *call) directoryAge() time.Duration {
-	s := c.gateway.Chooser.Directory.Snapshot()
-	if s == nil {
-		return 0
-	}
-	return time.Since(s.Read)
-}
