A copied answer of an engine is not believed, and loads keep their slots

What was harmed: an engine may answer an order or a report twice. Its answers bear no identifier, so the copy was taken for the answer to the next call. A load counted as taken or as complete that was not; its poll then began it without a free slot, and a new version that was loading lost its slot in the count (LIMIT: an engine that is ordered beyond its slots crashes). Any JSON object, and null, counted as the report of an empty engine.

Cause: the state of one moment is taken for that of another. The count of orders that each order states ends most of it, but not where the count is right and the slots are not.

Ruled out: an identifier of our own. A connection for each call, or for each kind: new connections are priced. A report is not compared with those before: an older one has an older count, with which no order is taken.

Change: bytes after an answer on a connection that has carried other calls make the answer doubtful. They are looked for right after it, and before the next call on the connection, which is then not sent. A doubtful order is not repeated; the engine is read once its report shows the outcome. Slots of loads that are waited for are kept when the engine is read.

--- a/snipeadapter/evict.go
+++ b/snipeadapter/evict.go
@@ -82,7 +82,9 @@
 		if !snipetime.Sleep(ctx, pollInterval) {
 			return ctx.Err()
 		}
-		if reply, err = e.send(ctx, u, &order); reply == Unanswered {
+		if reply, err = e.send(ctx, u, &order); errors.Is(err, ErrDoubtful) {
+			e.forgetState(ctx)
+		} else if reply == Unanswered {
 			reply = Taken // poll again
 		}
 	}
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -62,12 +62,13 @@
 }
 
 // sendUntilAnswered sends one order until the engine answers, maxRepeats is reached or ctx ends, and
-// records the reply. After a conflict or without an answer the engine's state has to be read again.
+// records the reply. After a conflict or without an answer the engine's state has to be read again. An order whose answer is
+// doubtful is not repeated: the state by which a slot was free may be wrong.
 func (e *engine) sendUntilAnswered(ctx context.Context, u *snipedirectory.Upstream, o *Order) (Reply, error) {
 	reply, err := e.send(ctx, u, o)
 	unanswered := false
 	for range maxRepeats {
-		if reply != Unanswered || ctx.Err() != nil {
+		if reply != Unanswered || errors.Is(err, ErrDoubtful) || ctx.Err() != nil {
 			break
 		}
 		unanswered = true
@@ -134,14 +135,19 @@
 		e.controller.Log.Log(snipelog.OrderGiven, fields)
 	case Conflict, Unanswered:
 		e.controller.Log.Log(snipelog.OrderUnknown, fields)
-		e.stateKnown.Store(false)
-		// The result is ignored: the caller checks the context itself.
-		snipetime.Sleep(ctx, maxReportAge)
+		e.forgetState(ctx)
 	default:
 		e.controller.Log.Log(snipelog.OrderRefused, fields)
 	}
 }
 
+// forgetState has the engine read before the next order, not before a report shows what the engine has accepted so far.
+func (e *engine) forgetState(ctx context.Context) {
+	e.stateKnown.Store(false)
+	// The result is ignored: the caller checks the context itself.
+	snipetime.Sleep(ctx, maxReportAge)
+}
+
 // recordAccepted records the slot that an accepted load takes: that of a new adapter, or the second
 // slot of an adapter whose older version is replaced. Other orders change no record.
 func (e *engine) recordAccepted(o *Order) {
@@ -150,7 +156,8 @@
 	}
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	if h := e.held[o.Adapter]; h != nil && !h.loading {
+	if h := e.held[o.Adapter]; h != nil && (!h.loading || h.version != o.Version) {
+		// A load of another version may be complete by now.
 		h.replacing = true
 		return
 	}
@@ -174,9 +181,12 @@
 // statistics of the adapters that remain. If the report states another start than the directory
 // entry, readState calls EngineRestarted and returns ErrRestarted. The caller holds orderLock.
 func (e *engine) readState(ctx context.Context, u *snipedirectory.Upstream, fence uint64) error {
-	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	r, err := e.controller.Engine.Report(bounded, u)
+	r, err := e.readReport(ctx, u)
+	if errors.Is(err, ErrDoubtful) {
+		// The connection with the answer too many is closed. The answer in doubt may be that to the last order.
+		e.forgetState(ctx)
+		r, err = e.readReport(ctx, u)
+	}
 	if err != nil {
 		return errors.Wrap(err, "read engine")
 	}
@@ -210,9 +220,34 @@
 		}
 		e.addHeld(held, old, true)
 	}
+	e.keepActive(old)
 	return nil
 }
 
+// keepActive keeps the slots of loads that wait for the engine to hold their adapter. A report does not show a new version
+// that waits for the requests of the version before. It does not show either a load whose acceptance was that of another
+// order, which its next poll begins. The lock is held.
+func (e *engine) keepActive(old map[snipecatalog.Adapter]*heldAdapter) {
+	for a, before := range old {
+		if !e.activeLoads[a] || !before.loading && !before.replacing {
+			continue
+		}
+		switch h := e.held[a]; {
+		case h == nil:
+			e.held[a] = before
+		case before.replacing, h.version != before.version:
+			h.replacing = true
+		}
+	}
+}
+
+// readReport reads the engine's report.
+func (e *engine) readReport(ctx context.Context, u *snipedirectory.Upstream) (Report, error) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return e.controller.Engine.Report(bounded, u)
+}
+
 // addHeld adds an adapter of a report to the state, with its use statistics in old. The lock is
 // held.
 func (e *engine) addHeld(held snipedirectory.Resident, old map[snipecatalog.Adapter]*heldAdapter, loading bool) {
@@ -280,7 +315,8 @@
 }
 
 // poll repeats an order to query its progress: an engine that holds the adapter replies with Holds,
-// and an engine that is loading it does not count the repeat as a new order.
+// and an engine that is loading it does not count the repeat as a new order. It begins the load if the answer that
+// said that it was accepted was that to another order; its slot is kept free (keepActive).
 func (e *engine) poll(ctx context.Context, o Order) (Reply, error) {
 	if err := e.orderLock.acquire(ctx); err != nil {
 		return Unanswered, err
@@ -297,6 +333,9 @@
 	switch {
 	case reply == Conflict:
 		e.stateKnown.Store(false)
+	case errors.Is(err, ErrDoubtful):
+		e.forgetState(ctx)
+		return reply, errors.Wrapf(ErrNoAnswer, "%v", err)
 	case reply == Elsewhere, reply == Outdated, reply == Refused:
 		return reply, errors.Wrap(ErrRefused, reply.String())
 	case err != nil:
--- a/snipeadapter/snipeadapter.go
+++ b/snipeadapter/snipeadapter.go
@@ -53,6 +53,9 @@
 	ErrRestarted = errors.New("engine started again")
 	// ErrNoAnswer reports that the order got no answer and may have been accepted.
 	ErrNoAnswer = errors.New("no answer to the order")
+	// ErrDoubtful reports that the answer to this call or to the call before it may have been a copy of the answer to an
+	// earlier one, so that the engine must be read.
+	ErrDoubtful = errors.New("answer may be a copy of an earlier one")
 )
 
 // Action is the kind of an order.
--- a/snipelink/dial.go
+++ b/snipelink/dial.go
@@ -116,23 +116,40 @@
 	return errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH) || errors.Is(err, unix.ENETUNREACH)
 }
 
-// isIdle reports whether a connection is open and has no bytes to read. A connection
-// whose type gives no access to a socket counts as idle.
-func isIdle(conn net.Conn) bool {
+// connState is what can be told of a connection without reading from it.
+type connState uint8
+
+// The states of a connection: it is open and has no bytes to read, it has some, or it has ended without any.
+const (
+	connIdle connState = iota
+	connSurplus
+	connEnded
+)
+
+// stateOf returns the state of a connection. One whose type gives no access to a socket counts as idle.
+func stateOf(conn net.Conn) connState {
 	s, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return connIdle
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return connEnded
 	}
-	open := false
+	state := connEnded
 	err = raw.Read(func(fd uintptr) bool {
 		var buffer [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN
+		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN:
+			state = connIdle
+		case err == nil && n > 0:
+			state = connSurplus
+		}
 		return true
 	})
-	return err == nil && open
+	if err != nil {
+		return connEnded
+	}
+	return state
 }
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -55,6 +55,10 @@
 	// may not have learned of the end, and may go on with the request. It comes with ErrBroken, and is also an error of
 	// Answer.Read.
 	ErrSilent = errors.New("the upstream was silent")
+	// ErrSurplus means that bytes follow an answer that may have been a copy of one before it, on a connection of a Pool
+	// without Identifier. From Send it comes with ErrNotSent and is said of the last answer of an idle connection, which is
+	// closed; from Answer.CheckSurplus it is said of this answer.
+	ErrSurplus = errors.New("an answer too many")
 )
 
 // Pool manages connections to upstreams. Exported fields are set before the first
@@ -70,7 +74,8 @@
 	// MaxIdle is the maximum number of idle connections to one upstream.
 	MaxIdle int
 	// Identifier returns the identifier of a request, or that of the request to which an answer belongs, from its header.
-	// Nil where messages have none: an answer then belongs to the last request of its connection.
+	// Nil where messages have none: an answer then belongs to the last request of its connection, unless bytes follow it
+	// (ErrSurplus).
 	Identifier func(h http.Header) string
 	// KeepAlive returns how long the upstream keeps an idle connection, as the answer
 	// announces; zero when it does not.
@@ -92,6 +97,8 @@
 	address netip.AddrPort
 	expires time.Time // the connection is not reused after this time
 	carried carried
+	// requests counts the requests that the connection has carried.
+	requests int
 }
 
 // Answer is the answer to one request. The caller must call Close.
@@ -137,6 +144,9 @@
 	id, identified := p.digest(m.Request)
 	c, reused, err := p.take(ctx, address, m.Fresh, id)
 	sent := Sent{Reused: reused}
+	if errors.Is(err, ErrSurplus) {
+		return nil, sent, &surplusError{}
+	}
 	if err != nil {
 		return nil, sent, errors.Wrapf(ErrNotSent, "connect: %v", err)
 	}
@@ -153,6 +163,7 @@
 		// that, in discard or Close.
 		_ = c.conn.SetDeadline(time.Unix(1, 0))
 	})
+	c.requests++
 	if identified {
 		c.carried.add(id, m.Request.Method)
 	}
@@ -260,6 +271,28 @@
 	return errors.Wrap(ErrBroken, "too many answers")
 }
 
+// mayBeCopy reports whether the last answer of a connection may be a copy of an earlier one. The first answer is none.
+func (p *Pool) mayBeCopy(c *connection) bool { return p.Identifier == nil && c.requests > 1 }
+
+// CheckSurplus returns ErrSurplus if bytes follow the answer, whose body was read to its end, and it may be a copy of an
+// earlier one. If they arrive later, Send returns the error for the next request.
+func (a *Answer) CheckSurplus() error {
+	c := a.connection
+	if a.pool.mayBeCopy(c) && (c.reader.Buffered() > 0 || stateOf(c.conn) == connSurplus) {
+		return ErrSurplus
+	}
+	return nil
+}
+
+// surplusError is the error of Send for a connection whose last answer may belong to an earlier request.
+type surplusError struct{}
+
+// Error implements error.
+func (*surplusError) Error() string { return ErrSurplus.Error() + ": " + ErrNotSent.Error() }
+
+// Unwrap returns the errors that it is.
+func (*surplusError) Unwrap() []error { return []error{ErrNotSent, ErrSurplus} }
+
 // Read reads the answer's body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
@@ -295,17 +328,21 @@
 }
 
 // take returns a connection that can be reused for a request, or a new one if there is none or
-// fresh is set. It closes the idle connections that it finds expired or closed.
+// fresh is set. It closes the idle connections that it finds expired or closed. ErrSurplus means that it has found bytes on one.
 func (p *Pool) take(ctx context.Context, address netip.AddrPort, fresh bool, request digest) (c *connection, reused bool, err error) {
 	for !fresh {
 		c := p.pop(address, request)
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && isIdle(c.conn) {
+		state := stateOf(c.conn)
+		if state == connIdle && time.Now().Before(c.expires) {
 			return c, true, nil
 		}
 		_ = c.conn.Close()
+		if state == connSurplus && p.mayBeCopy(c) {
+			return nil, false, ErrSurplus
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
 	defer cancel()
@@ -369,7 +406,7 @@
 	for address, all := range p.idle {
 		kept := all[:0]
 		for _, c := range all {
-			if now.Before(c.expires) && isIdle(c.conn) {
+			if now.Before(c.expires) && stateOf(c.conn) == connIdle {
 				kept = append(kept, c)
 				continue
 			}
