The answer to another call is no caller's answer at the callers' API

What callers saw: the answer to another call, if an upstream sent that one twice and the copy came where the next answer on a kept connection was due.

Cause: calls carry X-Request-Id, but nothing compared what upstreams echo. Calls that may be repeated share kept connections of net/http.

Ruled out: an answer with any other identifier is foreign. Upstreams may set identifiers of their own there, and would then serve no call. A new connection for each call is what calls that must run once have already.

Change: a connection remembers the identifiers of its last sixteen calls. An answer that bears one of them, and not that of the call, ends the connection, and the call is sent on a new one.

--- a/snipeupstream/answer.go
+++ b/snipeupstream/answer.go
@@ -52,18 +52,12 @@
 // run sends the first request and resumes the answer up to maxResumes times
 // after its connection breaks.
 func (a *answer) run(ctx context.Context, first requestMaker) error {
-	client := a.engine.Pooled
-	if !a.call.Idempotent {
-		client = a.engine.Fresh
-	}
-	err := a.connect(ctx, client, first)
+	err := a.begin(ctx, first)
 	for n := 0; n < maxResumes && errors.Is(err, errBroken) && a.id != ""; n++ {
 		if ctx.Err() != nil {
 			break
 		}
-		if a.engine.Log != nil {
-			a.engine.Log.Error(snipelog.CallResumed, err, snipelog.Fields{"Call": a.call.ID, "Upstream": a.engine.Name})
-		}
+		a.logResumed(err)
 		err = a.connect(ctx, a.engine.Fresh, a.resume)
 	}
 	if err == nil {
@@ -75,6 +69,27 @@
 	return err
 }
 
+// begin sends the first request, a second time if its connection brought the answer to an earlier call.
+func (a *answer) begin(ctx context.Context, first requestMaker) error {
+	client := a.engine.Pooled
+	if !a.call.Idempotent {
+		client = a.engine.Fresh
+	}
+	err := a.connect(ctx, client, first)
+	if !errors.Is(err, errForeign) {
+		return err
+	}
+	// Only a connection that has carried another call brings its answer, and so only calls that may be repeated get here.
+	a.logResumed(err)
+	return a.connect(ctx, a.engine.Fresh, first)
+}
+
+func (a *answer) logResumed(err error) {
+	if a.engine.Log != nil {
+		a.engine.Log.Error(snipelog.CallResumed, err, snipelog.Fields{"Call": a.call.ID, "Upstream": a.engine.Name})
+	}
+}
+
 // incompleteError returns the error of an answer that cannot be resumed.
 func (a *answer) incompleteError(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
@@ -107,6 +122,10 @@
 	if err != nil {
 		return a.sendError(ctx, x.MaybeSent, err)
 	}
+	if x.Foreign {
+		x.Close()
+		return errors.Wrap(errForeign, a.engine.Name)
+	}
 	if x.Response.StatusCode != http.StatusOK {
 		defer x.Finish()
 		return a.statusError(x.Response)
--- a/snipeupstream/clients.go
+++ b/snipeupstream/clients.go
@@ -37,7 +37,7 @@
 
 func transport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         remember(dial),
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
--- a/snipeupstream/exchange.go
+++ b/snipeupstream/exchange.go
@@ -27,6 +27,8 @@
 	MaybeSent bool
 	// Reused reports that the connection had been used before.
 	Reused bool
+	// Foreign reports that the response bears the identifier of an earlier call of the connection, to which it belongs.
+	Foreign bool
 
 	cancel        context.CancelFunc
 	detachContext func() bool // stops the request's context from ending the exchange
@@ -66,9 +68,15 @@
 		x.silenceTimer.Stop()
 	}
 	var maybeSent, reused atomic.Bool
+	var memory atomic.Pointer[memoryConn]
+	id := r.Header.Get(requestHeader)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		maybeSent.Store(true)
 		reused.Store(i.Reused)
+		if c, ok := i.Conn.(*memoryConn); ok && id != "" {
+			c.add(id)
+			memory.Store(c)
+		}
 		if l.ReusedOnly && !i.Reused {
 			x.silenceTimer.Stop()
 		}
@@ -79,8 +87,10 @@
 	if err != nil {
 		x.release()
 		cancel()
+		return x, err
 	}
-	return x, err
+	x.Foreign = memory.Load().isForeign(id, x.Response)
+	return x, nil
 }
 
 // RestartTimer bounds the silence from now on to progress; zero or less leaves
--- a/snipeupstream/service.go
+++ b/snipeupstream/service.go
@@ -35,7 +35,7 @@
 
 // Call executes c and passes the whole answer, whatever its status, to sink as
 // one chunk. A call that may be repeated is sent a second time, on a new connection, if a
-// reused connection was silent for Progress before the answer's header. Errors are
+// reused connection was silent for Progress before the answer's header, or brought the answer to an earlier call. Errors are
 // CallErrors, except an error of sink.
 func (s *Service) Call(ctx context.Context, c *snipecall.Call, sink snipecall.Sink) error {
 	if !c.Idempotent {
@@ -50,7 +50,7 @@
 		return sink(k)
 	}
 	err := s.send(ctx, c, s.Pooled, s.Progress, tracked)
-	if !errors.Is(err, errSilent) || delivered {
+	if !errors.Is(err, errSilent) && !errors.Is(err, errForeign) || delivered {
 		return err
 	}
 	return s.send(ctx, c, s.Fresh, 0, sink)
@@ -67,7 +67,7 @@
 	if err != nil {
 		return snipeerror.New(snipeerror.ErrBadRequest, snipeerror.NotRun, err.Error())
 	}
-	r.Header.Set("X-Request-Id", c.ID)
+	r.Header.Set(requestHeader, c.ID)
 	if c.ContentType != "" {
 		r.Header.Set("Content-Type", c.ContentType)
 	}
@@ -78,6 +78,10 @@
 	if err != nil {
 		return s.sendError(ctx, x, err)
 	}
+	if x.Foreign {
+		x.Close()
+		return errors.Wrap(errForeign, s.Name)
+	}
 	body, err := s.read(x)
 	if err != nil {
 		x.Close()
--- a/snipeupstream/snipeupstream.go
+++ b/snipeupstream/snipeupstream.go
@@ -179,7 +179,7 @@
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url(c.Path), bytes.NewReader(body))
 		if err == nil {
 			r.Header.Set("Content-Type", "application/json")
-			r.Header.Set("X-Request-Id", c.ID)
+			r.Header.Set(requestHeader, c.ID)
 		}
 		return r, err
 	})
