--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -66,7 +66,9 @@
 }
 
 func serve(t *testing.T, h http.Handler) netip.AddrPort {
-	server := httptest.NewServer(h)
+	server := httptest.NewUnstartedServer(h)
+	server.Config.ConnContext = snipestand.ConnContext
+	server.Start()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
--- a/snipestand/runner.go
+++ b/snipestand/runner.go
@@ -74,6 +74,9 @@
 	places  plainPlaces
 	brittle brittleness
 	crashes crashes
+	// copies are the answers that are sent twice, copied is the number of those that were.
+	copies AnswerCopies
+	copied int
 }
 
 // RunCounts returns the number of times that each request ran, by the identifier of the request.
@@ -278,25 +281,33 @@
 	r.startedAt = time.Now().UnixMilli()
 	r.lock.Unlock()
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		id := r.CurrentID()
-		if want := q.Header.Get("X-Snipepitch-Expect-Instance"); want != "" && want != id {
-			w.Header().Set("X-Snipepitch-Instance-Id", id)
-			r.echoAttemptID(w, q)
-			w.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
-		// An http.ServeMux would clean paths, and services must receive them unchanged.
-		switch q.URL.Path {
-		case "/api/order":
-			r.order(w, q)
-		case "/api/report":
-			r.report(w, q)
-		default:
-			r.serve(w, q)
-		}
+		r.sendCopy(q)
+		answer := &copyingWriter{ResponseWriter: w}
+		r.handle(answer, q)
+		r.keepCopy(answer, q)
 	})
 }
 
+// handle answers a call.
+func (r *Runner) handle(w http.ResponseWriter, q *http.Request) {
+	id := r.CurrentID()
+	if want := q.Header.Get("X-Snipepitch-Expect-Instance"); want != "" && want != id {
+		w.Header().Set("X-Snipepitch-Instance-Id", id)
+		r.echoAttemptID(w, q)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	// An http.ServeMux would clean paths, and services must receive them unchanged.
+	switch q.URL.Path {
+	case "/api/order":
+		r.order(w, q)
+	case "/api/report":
+		r.report(w, q)
+	default:
+		r.serve(w, q)
+	}
+}
+
 // echoAttemptID copies the attempt's identifier to the answer.
 func (r *Runner) echoAttemptID(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set("X-Snipepitch-Attempt-Id", q.Header.Get("X-Snipepitch-Attempt-Id"))
--- a/snipestand/runnerserver.go
+++ b/snipestand/runnerserver.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Minute, ConnContext: ConnContext}
 	s.server = server
 	go func() { _ = server.Serve(l) }()
 	return nil
