--- a/snipeentry/answercopies_test.go
+++ b/snipeentry/answercopies_test.go
@@ -162,7 +162,7 @@
 	var all []onceAttempt
 	kind := onceRequests[n%len(onceRequests)]
 	for len(all) < copyAttempts {
-		i := instances[rand.IntN(len(instances))] //nolint:gosec // not a secret
+		i := instances[rand.IntN(len(instances))]
 		a, id := send(s.t, i.url, http.MethodPost, kind.target, "text", kind.header...)
 		all = append(all, onceAttempt{id, a})
 		if a.err != nil || !slices.Contains(promises, a.status) {
