--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -38,6 +38,8 @@
 	faults  snipestand.RunnerFaults
 	// target is the latency target that declare gives all routes.
 	target time.Duration
+	// addedRoutes are the prefixes of further routes of plain upstreams that declare writes.
+	addedRoutes []string
 	// dial opens the connections to upstreams of the next instance that is started; nil means TCP.
 	dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// peerDelay delays the messages between the next instance that is started and others, in each direction; nil for
@@ -162,15 +164,18 @@
 		}
 		return r
 	}
+	routes := []object{
+		route("once", "/once/", "non_idempotent", "plain", nil),
+		route("often", "/often/", "idempotent", "plain", nil),
+		route("draft", "/draft/", "streaming", "engines", object{"resumable": true}),
+		route("final", "/final/", "streaming", "engines", nil),
+		route("open", "/open/", "idempotent", "plain", object{"public": true}),
+	}
+	for _, prefix := range s.addedRoutes {
+		routes = append(routes, route(prefix, prefix, "idempotent", "plain", nil))
+	}
 	must.NoError(s.t, s.store.Put("op", "config", object{
-		"version": version,
-		"routes": []object{
-			route("once", "/once/", "non_idempotent", "plain", nil),
-			route("often", "/often/", "idempotent", "plain", nil),
-			route("draft", "/draft/", "streaming", "engines", object{"resumable": true}),
-			route("final", "/final/", "streaming", "engines", nil),
-			route("open", "/open/", "idempotent", "plain", object{"public": true}),
-		},
+		"version": version, "routes": routes,
 		"tenants": workspaces,
 		"services": []object{
 			{"name": "plain", "healthPath": "/healthz"},
