--- a/snipeentry/config_test.go
+++ b/snipeentry/config_test.go
@@ -102,28 +102,35 @@
 	return confirmed, served
 }
 
+// wrong reports whether an answer to a request with what a version has added is that of a version older than floor: it is denied
+// although each version from floor on has the key and the route, or has run although none has. The lock is held.
+func (j *configJudge) wrong(version, floor int, a reply, ran bool) bool {
+	allowed := version == 0 || floor >= version && j.declared < version+keptVersions
+	return allowed && denied(a) || ran && takenAway(version, floor)
+}
+
+// denied reports whether an answer ends its caller's tries for good.
+func denied(a reply) bool {
+	return a.status == http.StatusUnauthorized || a.status == http.StatusForbidden || a.status == http.StatusNotFound
+}
+
+// takenAway reports whether no version from floor on has what a version has added.
+func takenAway(version, floor int) bool { return version > 0 && floor >= version+keptVersions }
+
 // judge judges the answer of an instance to a request with what a version has added. The floors are those of the time at which
 // it was sent.
 func (j *configJudge) judge(instance, version, confirmed, served int, a reply, ran bool) {
 	j.lock.Lock()
 	defer j.lock.Unlock()
-	denied := a.status == http.StatusUnauthorized || a.status == http.StatusForbidden || a.status == http.StatusNotFound
-	// Each version from the floor to the newest one at the end of the request has, or lacks, the key and the route.
-	has := func(floor int) bool { return floor >= version && j.declared < version+keptVersions }
-	lacks := func(floor int) bool { return version > 0 && floor >= version+keptVersions }
-	if version == 0 {
-		has = func(int) bool { return true }
-	}
-	wrong := func(floor int) bool { return denied && has(floor) || ran && lacks(floor) }
 	j.judged++
-	if lacks(confirmed) {
+	if takenAway(version, confirmed) {
 		j.takenAway++
 	}
 	what := fmt.Sprintf("instance %d version %d floors %d %d newest %d status %d ran %v %s", instance, version, confirmed, served, j.declared, a.status, ran, a.body)
-	if wrong(confirmed) {
+	if j.wrong(version, confirmed, a, ran) {
 		j.late = append(j.late, what)
 	}
-	if wrong(served) {
+	if j.wrong(version, served, a, ran) {
 		j.back = append(j.back, what)
 	}
 	if a.status == http.StatusOK && version > 0 {
