What an instance may not know yet it does not deny while the store is silent

What callers saw: while the store was silent, 401 for keys that had been confirmed seconds before, in place of 503; callers don't come back after 401.

Cause: 401 and 404 turned into 503 only when the copy of the declarations was older than ApplyTime, however soon the instance could have known that its reads fail.

No read more, nothing waits.

Weighed and not taken: Confirmed in place of Age (in calm it is up to two waits old, so the bound would be looser); shorter reads (priced); holding requests until the next read (ties callers up). What a silence of the store hides in its first second looks like calm and is still denied.

TestKeyWhileStoreLost fails before the change in both cases and passes.

--- a/snipeentry/keys_test.go
+++ b/snipeentry/keys_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"snipepitch.example/snipepitch/snipeentry"
+	"snipepitch.example/snipepitch/snipejson"
 	"snipepitch.example/snipepitch/snipestand"
 )
 
@@ -170,6 +172,39 @@
 	eventually(t, func() bool { return status(t, one, "key-2") == http.StatusUnauthorized })
 }
 
+// TestKeyWhileStoreLost guards against an instance that denies a key although it has just found that the store does not answer, or
+// its copy of the catalog is older than it gets while the store answers: the key may have been added since.
+func TestKeyWhileStoreLost(t *testing.T) {
+	tests := map[string]struct {
+		mode  snipestand.StoreMode
+		known func(s *testCluster) // waits until the instance can know of the loss
+	}{
+		"Refuses": {snipestand.StoreRefuses, func(s *testCluster) {
+			eventually(t, func() bool { return strings.Contains(s.logged(), `"Name":"CatalogStale"`) })
+		}},
+		// A read that began before the loss may still be answered after the second for which it waits, and the next one fails
+		// after two more.
+		"Silent": {snipestand.StoreSilent, func(*testCluster) { time.Sleep(2500 * time.Millisecond) }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCluster(t, time.Millisecond)
+			s.declare(1, workspace("north", "key-1"))
+			one := s.start("one", func(x *snipeentry.Settings) { x.ApplyTime = snipejson.Duration(5 * time.Second) })
+			eventually(t, func() bool { return status(t, one, "key-1") == http.StatusOK })
+			must.Eq(t, http.StatusUnauthorized, status(t, one, "key-2"))
+			s.store.SetMode(tt.mode)
+			tt.known(s)
+			s.declare(2, workspace("north", "key-1", "key-2"))
+			must.Eq(t, http.StatusServiceUnavailable, status(t, one, "key-2"))
+			must.Eq(t, http.StatusOK, status(t, one, "key-1"))
+			s.store.SetMode(snipestand.StoreNormal)
+			eventually(t, func() bool { return status(t, one, "key-2") == http.StatusOK })
+			must.Eq(t, http.StatusUnauthorized, status(t, one, "key-3"))
+		})
+	}
+}
+
 // TestHostileKeys guards against malformed Authorization headers whose requests run on an upstream
 // or whose keys are logged, with ten thousand requests without a valid key.
 func TestHostileKeys(t *testing.T) {
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -167,6 +167,8 @@
 	// ownershipUnreadable is set while the ownership rows, from which other instances are
 	// discovered, cannot be read.
 	ownershipUnreadable atomic.Bool
+	// catalogUnreadable is set while the operators' declarations cannot be read.
+	catalogUnreadable atomic.Bool
 	// lastEviction is the number of the last eviction from an own engine that applyOwnLoads has
 	// processed.
 	lastEviction uint64
@@ -348,10 +350,13 @@
 	return time.Duration(t.Nano())
 }
 
-// catalogOutdated reports whether a newer catalog may be in force elsewhere: the copy of the
-// declarations is older than ApplyTime.
+// catalogOutdated reports whether a newer catalog may be in force elsewhere: the last read of the
+// declarations has failed, or the copy is older than it gets while the store answers. All copies
+// are renewed by each read of the store, which changes the position, so that those that come from
+// another instance get no older than the ones that come from the store.
 func (i *Instance) catalogOutdated() bool {
-	return i.tables.catalog.Mirror.Age() > i.Settings.ApplyTime.Value()
+	return i.catalogUnreadable.Load() ||
+		i.tables.catalog.Mirror.Age() > min(tableCopyAges.Direct, i.Settings.ApplyTime.Value())
 }
 
 // instances returns the number of live instances, this one included once it has read its own
