A request without a key is not denied either while the catalog may be outdated

What callers saw: 401 for a request without a key while the store was lost, though operators had let its route be public, or removed all workspaces, since. Found by reading every place that denies.

Cause: the key that nobody has was held back while the catalog may be outdated, the missing key was not.

Change: 503 with Retry-After for it too, without the header that asks for a key. In calm nothing changes.

TestKeyWhileStoreLost, extended, fails in both cases before, and passes.

--- a/snipeentry/keys_test.go
+++ b/snipeentry/keys_test.go
@@ -198,6 +198,10 @@
 			s.declare(2, workspace("north", "key-1", "key-2"))
 			must.Eq(t, http.StatusServiceUnavailable, status(t, one, "key-2"))
 			must.Eq(t, http.StatusOK, status(t, one, "key-1"))
+			// A newer version may need no key.
+			a, _ := send(t, one.url, http.MethodPost, "/once/x", "")
+			must.Eq(t, http.StatusServiceUnavailable, a.status)
+			must.Eq(t, "", a.header.Get("WWW-Authenticate"))
 			s.store.SetMode(snipestand.StoreNormal)
 			eventually(t, func() bool { return status(t, one, "key-2") == http.StatusOK })
 			must.Eq(t, http.StatusUnauthorized, status(t, one, "key-3"))
--- a/snipegateway/workspace.go
+++ b/snipegateway/workspace.go
@@ -25,6 +25,9 @@
 // keyHeader holds the caller's key. Where keys are declared, it is not sent to upstreams.
 const keyHeader = "Authorization"
 
+// authenticateHeader asks the caller for a key.
+const authenticateHeader = "WWW-Authenticate"
+
 // identifyWorkspace finds the workspace of the request's key. It refuses a request without the key
 // of a workspace unless the route is public. If the catalog declares no keys, there is no
 // workspace.
@@ -42,7 +45,7 @@
 	case c.workspace != nil || c.route.Public:
 		return nil
 	case !ok:
-		return c.unauthenticated("no key")
+		return c.orOutdated(c.unauthenticated("no key"))
 	default:
 		return c.orOutdated(c.unauthenticated("no workspace has this key"))
 	}
@@ -51,17 +54,18 @@
 // unauthenticated returns the refusal of a request without a valid key, and sets the answer's
 // header that asks for a key.
 func (c *call) unauthenticated(reason string) error {
-	c.writer.Header().Set("WWW-Authenticate", "Bearer")
+	c.writer.Header().Set(authenticateHeader, "Bearer")
 	return snipeerror.New(snipeerror.ErrUnauthenticated, c.outcome(), reason)
 }
 
-// orOutdated returns err, the refusal of an unknown route or key. If this instance may have missed
-// a newer catalog, it instead returns an error that asks the caller to retry, because the newer
-// catalog may contain the route or key.
+// orOutdated returns err, the refusal of an unknown route or key, or of a request without a key. If
+// this instance may have missed a newer catalog, it instead returns an error that asks the caller to
+// retry, because the newer catalog may contain the route or key, or need no key.
 func (c *call) orOutdated(err error) error {
 	if !c.gateway.Outdated() {
 		return err
 	}
+	c.writer.Header().Del(authenticateHeader)
 	return snipeerror.New(snipeerror.ErrUnavailable, c.outcome(), "what operators declare may have changed since it was read").After(startRetryAfter)
 }
 
