--- a/snipegateway/workspace.go
+++ b/snipegateway/workspace.go
@@ -42,13 +42,13 @@
 	case c.workspace != nil || c.route.Public:
 		return nil
 	case !ok:
-		return c.unauthenticated("no key")
+		return c.unknownKey("no key")
 	default:
 		return c.unknownKey("no workspace has this key")
 	}
 }
 
-// unknownKey returns the refusal of a request whose key belongs to no workspace, as far as this instance knows.
+// unknownKey returns the refusal of a request that has no key of a workspace, as far as this instance knows.
 func (c *call) unknownKey(reason string) error { return c.orOutdated(c.unauthenticated(reason)) }
 
 // unauthenticated returns the refusal of a request without a valid key.
@@ -56,9 +56,9 @@
 	return snipeerror.New(snipeerror.ErrUnauthenticated, c.outcome(), reason)
 }
 
-// orOutdated returns err, the refusal of an unknown route or key. If this instance may have missed
-// a newer catalog, it instead returns an error that asks the caller to retry, because the newer
-// catalog may contain the route or key.
+// orOutdated returns err, the refusal of an unknown route or key, or of a request without a key. If
+// this instance may have missed a newer catalog, it instead returns an error that asks the caller to
+// retry, because the newer catalog may contain the route or key, or need no key.
 func (c *call) orOutdated(err error) error {
 	if !c.gateway.Outdated() {
 		return err
