A stop that interrupts a body at its end is not taken for a caller that left

What callers could see: a request that a planned stop ends just as the last byte of its body has been read gets no answer; its connection is closed.

Cause: from the end of a body on net/http reads the connection to watch its caller. The stop sets the read deadline to the past until EndBody; the watching read then fails, net/http ends the request's context, and callerLeft took that for a caller that has left.

The other door writes its refusal whatever the context says.

Change: Watch.Interrupted, which callerLeft asks.

--- a/snipegateway/call.go
+++ b/snipegateway/call.go
@@ -180,8 +180,10 @@
 }
 
 // callerLeft reports whether the caller has disconnected. net/http also ends the context of a request whose body did not arrive
-// in time.
-func (c *call) callerLeft() bool { return c.request.Context().Err() != nil && !c.bodyLate }
+// in time, or whose read a stop has interrupted.
+func (c *call) callerLeft() bool {
+	return c.request.Context().Err() != nil && !c.bodyLate && !c.stop.Interrupted()
+}
 
 // serveAdmitted serves a request that was admitted, until its deadline.
 func (c *call) serveAdmitted(ctx context.Context) error {
--- a/snipestop/watch.go
+++ b/snipestop/watch.go
@@ -20,8 +20,10 @@
 	// sent is set while an upstream, or a peer, may work on the request.
 	sent bool
 	// body is set while the request's body is read.
-	body    *http.ResponseController
-	stopped bool
+	body *http.ResponseController
+	// interrupted is set if the stop has interrupted the read of the body.
+	interrupted bool
+	stopped     bool
 }
 
 // SetTimes records the deadline of the request and how long it is expected to take at most; zero if that is not known.
@@ -64,10 +66,20 @@
 	w.stopped = true
 	w.Cancel(ErrStopped)
 	if w.body != nil {
+		w.interrupted = true
 		_ = w.body.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// Interrupted reports whether the stop has interrupted the read of the body. net/http then ends the context of the request as
+// if its caller had left, also if the read has just reached the end of the body: from there on it waits for the caller's next
+// bytes, under the same deadline.
+func (w *Watch) Interrupted() bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.interrupted
+}
+
 // BeginBody sets the deadline for reading the body, which the stop may bring forward until EndBody.
 func (w *Watch) BeginBody(body *http.ResponseController, deadline time.Time) {
 	w.lock.Lock()
