Soak: answers too many, and operators who change what callers may do

Change: seeds from 40000 on, with shared admission. Upstreams send copies of refusals and successes ahead of the next answer of the connection, while they refuse attempts and entries of upstreams that are gone name their addresses. Operators add keys, workspaces and routes every 0.15 to 0.6 s and take them away. Denials are judged by version, instance and start of the instance: from the confirmation + 2 s, and from its service by that version + 250 ms; runs by what was taken away, 2 s after the confirmation. Instances that were frozen, killed, stopped or cut off the store are excused, and all while the store was disturbed. Engines work before the first event on odd seeds.

A check was wrong, and is replaced: "a refusal tells when to come back" took an upstream's own 503, which it gives after it has run a request that may be repeated, for a refusal.

Single processes are not cut off from upstreams: they reach one address, and a cutter that closes what it has accepted is no evidence for the instance that it is cut off.

--- a/cmd/snipesoak/main.go
+++ b/cmd/snipesoak/main.go
@@ -77,6 +77,9 @@
 		fmt.Printf("seed %d: BROKEN %s: %s\n", seed, b.Promise, b.Detail)
 	}
 	fmt.Printf("seed %d: %d answered, %d broken\n", seed, answered, len(breaches))
+	if g := s.Grants; g.Declared > 0 {
+		fmt.Printf("seed %d: %d grants, used %d times while declared, denied %d, of these %d late at disturbed instances\n", seed, g.Declared, g.Used, g.Denied, g.Excused)
+	}
 	if s.Streams.Tried > 0 {
 		fmt.Printf("seed %d: streams %+v\n", seed, s.Streams)
 	}
--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -7,6 +7,7 @@
 	"io"
 	random "math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -58,11 +59,15 @@
 	kind requestKind
 	// request identifies the request that the attempt was made for.
 	request string
+	// granted is set if the request used a grant, which may be taken away.
+	granted bool
 	// unknownKey is set if the request was sent with wrongKey.
 	unknownKey bool
 	status     int
 	// refused is set if the answer states that the request has not run.
 	refused bool
+	// upstreamFailed is set if the answer bears the signature of an upstream, as of one that failed the request itself.
+	upstreamFailed bool
 }
 
 // requestTimeout is how long a caller waits for an answer, and the deadline that it states.
@@ -80,7 +85,7 @@
 			s.readStream(ctx, i, r)
 			continue
 		}
-		s.send(ctx, i, k, r, r.IntN(wrongKeyOneIn) == 0)
+		s.send(ctx, i, k, r, r.IntN(wrongKeyOneIn) == 0, s.drawGrant(r))
 		if s.judgesRetries() {
 			time.Sleep(retryPause)
 		}
@@ -101,6 +106,9 @@
 	if k.stream {
 		adapter = r.IntN(s.adapterCount())
 	}
+	if c.grant != nil {
+		callerKey = c.grant.key
+	}
 	if unknownKey {
 		callerKey = wrongKey
 	}
@@ -112,13 +120,18 @@
 	s.lock.Lock()
 	s.requests[id] = c
 	s.lock.Unlock()
+	var u *use
+	if !unknownKey {
+		u = s.beginUse(i, c.grant, id)
+	}
 	answer, err := s.do(q, k)
 	if err != nil {
 		return false, mayRepeat(nil, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	data, err := io.ReadAll(answer.Body)
-	s.checkAnswer(id, outcome{kind: k, unknownKey: unknownKey, request: c.id}, answer, string(data), err)
+	s.endUse(u, answer.StatusCode, err == nil)
+	s.checkAnswer(id, outcome{kind: k, unknownKey: unknownKey, request: c.id, granted: c.grant != nil}, answer, string(data), err)
 	return err == nil && answer.StatusCode == http.StatusOK, mayRepeat(answer, nil)
 }
 
@@ -173,19 +186,18 @@
 // body.
 func (s *Soak) checkAnswer(id string, o outcome, answer *http.Response, body string, readErr error) {
 	o.status = answer.StatusCode
-	switch answer.StatusCode {
-	case http.StatusOK:
+	switch {
+	case o.granted && denied(answer.StatusCode):
+		// auditGrants checks whether it was allowed.
+	case answer.StatusCode == http.StatusOK:
 		s.checkBody(id, o, answer, body, readErr)
-	case http.StatusUnauthorized:
+	case answer.StatusCode == http.StatusUnauthorized:
 		if !o.unknownKey {
 			s.breach("declared keys are known", "%s: %s", id, body)
 		}
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest:
-		o.refused = true
-		if answer.Header.Get("Retry-After") == "" {
-			s.breach("a refusal tells when to come back", "%s: %s", id, body)
-		}
-	case http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError:
+	case slices.Contains(refusals, answer.StatusCode):
+		s.checkRefusal(id, &o, answer.Header, body)
+	case slices.Contains(failures, answer.StatusCode):
 	default:
 		s.breach("proper requests are not denied", "%s: status %d: %s", id, answer.StatusCode, body)
 	}
@@ -197,6 +209,22 @@
 	}
 }
 
+// checkRefusal checks an answer with the status of a refusal. A request that may be repeated may get the failure of an upstream
+// that has run it, with this upstream's signature.
+func (s *Soak) checkRefusal(id string, o *outcome, h http.Header, body string) {
+	o.refused = true
+	o.upstreamFailed = !o.kind.once && h.Get("X-Snipepitch-Server-Seal") != ""
+	if h.Get("Retry-After") == "" && !o.upstreamFailed {
+		s.breach("a refusal tells when to come back", "%s: %s", id, body)
+	}
+}
+
+// refusals are the statuses of refusals, failures those of requests that may have run.
+var (
+	refusals = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest}
+	failures = []int{http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError}
+)
+
 // checkBody checks the body of an answer with status 200. If the body could not be read to its
 // end, what was read must be the beginning of the right answer.
 func (s *Soak) checkBody(id string, o outcome, answer *http.Response, body string, readErr error) {
@@ -253,6 +281,12 @@
 	s.auditRetries()
 	s.auditRuns()
 	s.auditStreams()
+	s.auditGrants()
+	s.auditOutcomes(ran)
+}
+
+// auditOutcomes checks what callers were told against the number of runs of their requests.
+func (s *Soak) auditOutcomes(ran map[string]int) {
 	for id, o := range s.outcomes {
 		if o.unknownKey && ran[id] > 0 {
 			s.breach("nothing runs without a key", "%s %s ran", o.kind, id)
@@ -260,6 +294,9 @@
 		if o.kind.once && ran[id] > 1 {
 			s.breach("at most once", "%s %s ran %d times", o.kind, id, ran[id])
 		}
+		if o.upstreamFailed && ran[id] == 0 {
+			s.breach("only an upstream's failure bears its signature", "%s %s: status %d", o.kind, id, o.status)
+		}
 		if o.refused && o.kind.once && ran[id] > 0 {
 			s.breach("told not run, was not run", "%s %s: status %d", o.kind, id, o.status)
 		}
@@ -274,7 +311,7 @@
 		s.breach("keys stay here", "%s: %d requests with a key", r.ID, keys)
 	}
 	for name, n := range runs {
-		if name != workspace {
+		if name != workspace && !slices.ContainsFunc(s.grants, func(g *grant) bool { return g.workspace == name }) {
 			s.breach("what runs is a workspace's", "%s: %d requests of %q", r.ID, n, name)
 		}
 	}
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -36,6 +36,8 @@
 	process *os.Process
 	// ended is closed when the process has ended.
 	ended chan struct{}
+	// starts counts the starts of the process.
+	starts int
 }
 
 // The ports of instances lie below the ephemeral range, because the system could give a port in
@@ -123,9 +125,17 @@
 	i.lock.Lock()
 	defer i.lock.Unlock()
 	i.process, i.ended = c.Process, ended
+	i.starts++
 	return nil
 }
 
+// boot returns the number of the current start of the process.
+func (i *instance) boot() int {
+	i.lock.Lock()
+	defer i.lock.Unlock()
+	return i.starts
+}
+
 // signal sends a signal to the process if it has been started.
 func (i *instance) signal(s syscall.Signal) {
 	i.lock.Lock()
--- a/snipesoak/once.go
+++ b/snipesoak/once.go
@@ -51,6 +51,8 @@
 type callerRequest struct {
 	id   string
 	kind requestKind
+	// grant is what the request uses of what operators add and take away; nil for none.
+	grant *grant
 }
 
 // mayRepeat reports whether a caller may repeat a request that must run once after an answer, or an error without one: it
@@ -65,8 +67,11 @@
 
 // send sends a request, checks its answer and reports whether it was served, that is answered in full with status 200. A
 // request that must run once is repeated at other instances while its caller may do so.
-func (s *Soak) send(ctx context.Context, i *instance, k requestKind, r *random.Rand, unknownKey bool) bool {
-	q := callerRequest{id: newID(), kind: k}
+func (s *Soak) send(ctx context.Context, i *instance, k requestKind, r *random.Rand, unknownKey bool, g *grant) bool {
+	q := callerRequest{id: newID(), kind: k, grant: g}
+	if g != nil && g.prefix != "" {
+		q.kind, k = g.kind, g.kind
+	}
 	served, again := s.sendAttempt(ctx, i, q, q.id, r, unknownKey)
 	for n := 1; n < maxCallerAttempts && again && k.once && !unknownKey && ctx.Err() == nil; n++ {
 		targets := *s.targets.Load()
--- a/snipesoak/seeds.go
+++ b/snipesoak/seeds.go
@@ -28,6 +28,9 @@
 	silent bool
 	// outOfStep adds outOfStepFault, drawn outOfStepWeight times as often.
 	outOfStep bool
+	// grants has operators add keys, workspaces and routes and take them away. It adds copiesFault, drawn copiesWeight times as
+	// often.
+	grants bool
 }
 
 // silenceWeight makes about a third of the faults silences, of which only some fall into a resumable stream.
@@ -36,6 +39,9 @@
 // outOfStepWeight makes about a third of the faults of these seeds ones of instances out of step.
 const outOfStepWeight = 8
 
+// copiesWeight makes a fifth of the faults of these seeds answers too many.
+const copiesWeight = 4
+
 var seedRanges = []seedRange{
 	{from: 0, faults: 12, upstreamFaults: 7},
 	{from: 1000, faults: 14, upstreamFaults: 8},
@@ -48,6 +54,7 @@
 	{from: 28000, faults: 18, upstreamFaults: 8, brittle: true},
 	{from: 32000, faults: 18, upstreamFaults: 9, silent: true, startsWithLast: true},
 	{from: 36000, faults: 14, upstreamFaults: 9, versions: true, outOfStep: true, startsWithLast: true},
+	{from: 40000, faults: 18, upstreamFaults: 9, sharesAdmission: true, grants: true, startsWithLast: true},
 }
 
 // rangeOf returns the range of a seed.
@@ -78,6 +85,9 @@
 	if r.outOfStep {
 		drawn = append(drawn, slices.Repeat([]fault{outOfStepFault}, outOfStepWeight)...)
 	}
+	if r.grants {
+		drawn = append(drawn, slices.Repeat([]fault{copiesFault}, copiesWeight)...)
+	}
 	if r.brittle {
 		drawn = slices.Concat(drawn, brittleFaults, brittleFaults)
 	}
--- a/snipesoak/seeds_test.go
+++ b/snipesoak/seeds_test.go
@@ -26,6 +26,7 @@
 		"Seventh":     {20000, 20, 8, "answers end with their connection", true, false, false},
 		"Eighth":      {24000, 22, 8, "a release", true, false, false},
 		"Ninth":       {28000, 22, 8, "a part of a prompt crashes engines", false, false, false},
+		"Twelfth":     {40000, 22, 9, "answers too many", true, true, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -50,6 +50,8 @@
 	Out io.Writer
 	// Streams is set by Run for seeds that judge software versions.
 	Streams StreamCounts
+	// Grants is set by Run for seeds whose operators add grants and take them away.
+	Grants GrantCounts
 
 	store       *snipestand.RowStore
 	runners     []*snipestand.Runner
@@ -85,6 +87,9 @@
 	brittlePlain, brittleEngines sync.Mutex
 	// streams holds the attempts for streams of seeds that judge software versions.
 	streams []streamAttempt
+	// grants are what operators have added to the catalog, uses the attempts that use them.
+	grants []*grant
+	uses   []*use
 	// answered counts the requests that were answered in full with status 200.
 	answered int
 }
@@ -146,6 +151,9 @@
 	for n := range s.callers() {
 		s.callerLoops.Go(func() { s.runCaller(calling, n) })
 	}
+	if s.changesGrants() {
+		s.callerLoops.Go(func() { s.changeGrants(calling) })
+	}
 	s.injectFaults(ctx)
 	if err := s.awaitRecovery(ctx); err != nil {
 		s.breach("served again after the last fault", "%v", err)
@@ -187,6 +195,7 @@
 			}
 		}
 		s.setRoom(r)
+		s.setWork(r)
 		address, err := serve(ctx, r.Handler())
 		if err != nil {
 			return err
@@ -236,7 +245,7 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, ConnContext: snipestand.ConnContext}
 	go func() { _ = server.Serve(l) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return netip.ParseAddrPort(l.Addr().String())
@@ -260,13 +269,8 @@
 // declare writes the next version of the operators' catalog.
 func (s *Soak) declare() error {
 	s.version++
-	route := func(prefix, kind, service string, resumable bool) snipestand.DeclaredRoute {
-		return snipestand.DeclaredRoute{
-			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Service: service,
-			Timeout: 5000, Target: 1000, MaxAttempts: 2, Resumable: resumable,
-		}
-	}
-	return s.store.Declare(snipestand.Declared{
+	route := declaredRoute
+	d := snipestand.Declared{
 		Version: s.version,
 		Routes: []snipestand.DeclaredRoute{
 			route("/once/", snipestand.RouteNonIdempotent, plainService, false), route("/often/", snipestand.RouteIdempotent, plainService, false),
@@ -280,7 +284,16 @@
 		},
 		Workspaces: []snipestand.DeclaredWorkspace{{Name: workspace, Keys: []string{key}}},
 		Limits:     snipestand.DeclaredLimits{BodyBytes: maxBody},
-	})
+	}
+	s.declareGrants(&d)
+	return s.store.Declare(d)
+}
+
+func declaredRoute(prefix, kind, service string, resumable bool) snipestand.DeclaredRoute {
+	return snipestand.DeclaredRoute{
+		Name: prefix, Host: host, Prefix: prefix, Kind: kind, Service: service,
+		Timeout: 5000, Target: 1000, MaxAttempts: 2, Resumable: resumable,
+	}
 }
 
 // awaitRecovery waits until each instance serves each kind of request.
