--- a/snipeadapter/evict.go
+++ b/snipeadapter/evict.go
@@ -83,7 +83,7 @@
 			return ctx.Err()
 		}
 		if reply, err = e.send(ctx, u, &order); errors.Is(err, ErrDoubtful) {
-			e.forgetState(ctx)
+			e.recordReply(ctx, &order, Unanswered, err)
 		} else if reply == Unanswered {
 			reply = Taken // poll again
 		}
--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -184,6 +184,7 @@
 	r, err := e.readReport(ctx, u)
 	if errors.Is(err, ErrDoubtful) {
 		// The connection with the answer too many is closed. The answer in doubt may be that to the last order.
+		e.controller.Log.Error(snipelog.EngineUnread, err, e.logFields(nil))
 		e.forgetState(ctx)
 		r, err = e.readReport(ctx, u)
 	}
@@ -334,7 +335,7 @@
 	case reply == Conflict:
 		e.stateKnown.Store(false)
 	case errors.Is(err, ErrDoubtful):
-		e.forgetState(ctx)
+		e.recordReply(ctx, &o, Unanswered, err)
 		return reply, errors.Wrapf(ErrNoAnswer, "%v", err)
 	case reply == Elsewhere, reply == Outdated, reply == Refused:
 		return reply, errors.Wrap(ErrRefused, reply.String())
