--- a/snipeadapter/order.go
+++ b/snipeadapter/order.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// forgetState has the engine read before the next order, not before a report shows what the engine has accepted so far.
+// forgetState has the engine read before the next order, and waits until its report shows every order accepted so far.
 func (e *engine) forgetState(ctx context.Context) {
 	e.stateKnown.Store(false)
 	// The result is ignored: the caller checks the context itself.
@@ -157,7 +157,8 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	if h := e.held[o.Adapter]; h != nil && (!h.loading || h.version != o.Version) {
-		// A load of another version may be complete by now.
+		// The record may be older than the state of the engine: the version before may be complete, so that the new one
+		// takes a second slot.
 		h.replacing = true
 		return
 	}
@@ -225,9 +226,9 @@
 	return nil
 }
 
-// keepActive keeps the slots of loads that wait for the engine to hold their adapter. A report does not show a new version
-// that waits for the requests of the version before. It does not show either a load whose acceptance was that of another
-// order, which its next poll begins. The lock is held.
+// keepActive keeps counting the slots of accepted loads that the report does not show: a new version that waits for the
+// requests of the one before, and a load that the engine has not accepted because the reply was a copy (its next poll starts
+// it). The lock is held.
 func (e *engine) keepActive(old map[snipecatalog.Adapter]*heldAdapter) {
 	for a, before := range old {
 		if !e.activeLoads[a] || !before.loading && !before.replacing {
@@ -235,9 +236,13 @@
 		}
 		switch h := e.held[a]; {
 		case h == nil:
-			e.held[a] = before
-		case before.replacing, h.version != before.version:
-			h.replacing = true
+			kept := *before
+			kept.loading, kept.replacing = true, false
+			e.held[a] = &kept
+		case before.replacing:
+			h.replacing = h.version == before.version // otherwise the new version has taken the slot of the old one
+		default:
+			h.replacing = h.version != before.version
 		}
 	}
 }
