Soak: the stand-in tells whether an answer is signed

What was wrong: the soak named a header of the platform, which only platform/ and the stand-ins of its outside systems may.

Cause: the check that replaced "a refusal tells when to come back" read the header itself. Ruled out: an import of platform/ by the soak, which judges from outside.

Change: snipestand.Signed, and one constant for the header there. The check is the same; TestRefusalsJudged and the packages' other tests pass before and after. No product code changes.

--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -213,7 +213,7 @@
 // that has run it, with this upstream's signature.
 func (s *Soak) checkRefusal(id string, o *outcome, h http.Header, body string) {
 	o.refused = true
-	o.upstreamFailed = !o.kind.once && h.Get("X-Snipepitch-Server-Seal") != ""
+	o.upstreamFailed = !o.kind.once && snipestand.Signed(h)
 	if h.Get("Retry-After") == "" && !o.upstreamFailed {
 		s.breach("a refusal tells when to come back", "%s: %s", id, body)
 	}
--- a/snipestand/declare.go
+++ b/snipestand/declare.go
@@ -92,5 +92,11 @@
 	}
 }
 
+// Signed reports whether an answer bears the signature of an upstream.
+func Signed(h http.Header) bool { return h.Get(signatureHeader) != "" }
+
+// signatureHeader carries the signature of an upstream.
+const signatureHeader = "X-Snipepitch-Server-Seal"
+
 // PromptHeader sets the header with which a caller states the parts of a prompt, each as ID:TOKENS, separated by commas.
 func PromptHeader(h http.Header, parts string) { h.Set("X-Snipepitch-Prompt-Prefix", parts) }
--- a/snipestand/runneranswer.go
+++ b/snipestand/runneranswer.go
@@ -85,7 +85,7 @@
 // answer answers a request that has run.
 func (r *Runner) answer(w http.ResponseWriter, q *http.Request, body []byte, f RunnerFault) {
 	h := w.Header()
-	h.Set("X-Snipepitch-Server-Seal", r.ID+".1")
+	h.Set(signatureHeader, r.ID+".1")
 	if h.Get("X-Snipepitch-Server-Load") == "" && !r.HidesLoad {
 		h.Set("X-Snipepitch-Server-Load", cmp.Or(r.Load, "1,0,8"))
 	}
@@ -101,7 +101,7 @@
 	case RunnerWrongID:
 		h.Set("X-Snipepitch-Attempt-Id", "another")
 	case RunnerUnsigned:
-		h.Del("X-Snipepitch-Server-Seal")
+		h.Del(signatureHeader)
 	case RunnerUnframed, RunnerTruncatesUnframed:
 		frameByClose(h)
 	}
