Tests of CONFIG share what they judge by; plain words in the soak

Read as a newcomer: two judges of denials had their own list of statuses and their own slack, the longest test had its cluster's start in it, and the soak named a process's start by a word of the platform's pages. One list, one slack, a function for the start, and start in place of boot.

No check changes: the same statuses, the same 250 ms.

--- a/snipeentry/config_test.go
+++ b/snipeentry/config_test.go
@@ -68,7 +68,7 @@
 }
 
 const (
-	// configTime is how long versions are declared at least, maxConfigTime at most if a slow machine has sent too little.
+	// configTime is how long versions are declared at least, maxConfigTime at most if too little was sent by then.
 	configTime, maxConfigTime = 8 * time.Second, time.Minute
 	// minConfigJudged, minConfigTakenAway and minConfigRelayed are the requests below which a case shows nothing: all of them, those with a key
 	// that was taken away, and those that the instance that is cut off has passed on.
@@ -122,12 +122,12 @@
 // although each version from floor on has the key and the route, or has run although none has. The lock is held.
 func (j *configJudge) wrong(version, floor int, a reply, ran bool) bool {
 	allowed := version == 0 || floor >= version && j.declared < version+keptVersions
-	return allowed && denied(a) || ran && takenAway(version, floor)
+	return allowed && denied(a.status) || ran && takenAway(version, floor)
 }
 
-// denied reports whether an answer ends its caller's tries for good.
-func denied(a reply) bool {
-	return a.status == http.StatusUnauthorized || a.status == http.StatusForbidden || a.status == http.StatusNotFound
+// denied reports whether the status of an answer ends its caller's tries for good.
+func denied(status int) bool {
+	return status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound
 }
 
 // takenAway reports whether no version from floor on has what a version has added.
@@ -200,6 +200,27 @@
 	}
 }
 
+// startConfigCluster starts three instances that serve by the first version, of which the loads of adapters take a while.
+func startConfigCluster(t *testing.T) (*cutCluster, *configJudge) {
+	s := &cutCluster{testCluster: newTestCluster(t, time.Millisecond)}
+	j := newConfigJudge(s.testCluster, 3)
+	j.change()
+	for n := range 3 {
+		s.addInstance(fmt.Sprint("i", n))
+	}
+	for _, i := range s.instances {
+		eventually(t, func() bool { return status(t, i, "key-0") == http.StatusOK })
+	}
+	eventually(t, func() bool {
+		a, _ := send(t, s.instances[0].url, http.MethodPost, "/draft/x", "", modelHeader, "base/a1", "Authorization", "Bearer key-0")
+		return a.status == http.StatusOK
+	})
+	for _, r := range s.runners {
+		r.LoadDuration = 400 * time.Millisecond
+	}
+	return s, j
+}
+
 // TestConfigInForce guards against instances that deny requests although the version that allows them was confirmed long ago, or
 // although they have served by it, and against keys and routes that live on after they were taken away: while operators change the
 // configuration all the time, requests wait for adapters and are passed on between instances.
@@ -217,22 +238,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := &cutCluster{testCluster: newTestCluster(t, time.Millisecond)}
-			j := newConfigJudge(s.testCluster, 3)
-			j.change()
-			for n := range 3 {
-				s.addInstance(fmt.Sprint("i", n))
-			}
-			for _, i := range s.instances {
-				eventually(t, func() bool { return status(t, i, "key-0") == http.StatusOK })
-			}
-			eventually(t, func() bool {
-				a, _ := send(t, s.instances[0].url, http.MethodPost, "/draft/x", "", modelHeader, "base/a1", "Authorization", "Bearer key-0")
-				return a.status == http.StatusOK
-			})
-			for _, r := range s.runners {
-				r.LoadDuration = 400 * time.Millisecond
-			}
+			s, j := startConfigCluster(t)
 			var done atomic.Bool
 			var all sync.WaitGroup
 			for n, i := range s.instances {
--- a/snipeentry/keysathops_test.go
+++ b/snipeentry/keysathops_test.go
@@ -32,11 +32,7 @@
 	uses      []keyUse
 }
 
-const (
-	keysLength, keyGap, keyUseGap = 5 * time.Second, 250 * time.Millisecond, 12 * time.Millisecond
-	// keyRollbackTime is how long after an instance has served by a version it may still deny what that allows.
-	keyRollbackTime = 250 * time.Millisecond
-)
+const keysLength, keyGap, keyUseGap = 5 * time.Second, 250 * time.Millisecond, 12 * time.Millisecond
 
 // TestKeysAddedAtHops guards against requests that are denied for a key that was confirmed, or by which the same instance has
 // served before, while operators add keys, requests wait for their adapters and some instances reach no upstream.
@@ -108,15 +104,15 @@
 // confirmation, and of those that were denied after their instance had served by the same version or a newer one.
 func (s *addedKeys) judge() (served, late, back int) {
 	for _, u := range s.uses {
-		switch u.status {
-		case http.StatusOK:
+		switch {
+		case u.status == http.StatusOK:
 			served++
-		case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		case denied(u.status):
 			if u.sent.Sub(s.confirmed[u.version]) > snipeentry.DefaultMaxStaleness {
 				late++
 			}
 			if slices.ContainsFunc(s.uses, func(v keyUse) bool {
-				return v.status == http.StatusOK && v.instance == u.instance && v.version >= u.version && u.sent.Sub(v.ended) > keyRollbackTime
+				return v.status == http.StatusOK && v.instance == u.instance && v.version >= u.version && u.sent.Sub(v.ended) > servedSlack
 			}) {
 				back++
 			}
--- a/snipesoak/instance.go
+++ b/snipesoak/instance.go
@@ -129,8 +129,8 @@
 	return nil
 }
 
-// boot returns the number of the current start of the process.
-func (i *instance) boot() int {
+// currentStart returns the number of the current start of the process.
+func (i *instance) currentStart() int {
 	i.lock.Lock()
 	defer i.lock.Unlock()
 	return i.starts
--- a/snipesoak/operator.go
+++ b/snipesoak/operator.go
@@ -47,7 +47,7 @@
 	id       string
 	grant    *grant
 	instance string
-	boot     int // of the instance
+	start    int // of the instance
 	sent     time.Time
 	// status is that of an answer, ended when it had been read; zero without one.
 	status int
@@ -163,7 +163,7 @@
 	if g == nil {
 		return nil
 	}
-	u := &use{id: id, grant: g, instance: i.name, boot: i.boot(), sent: time.Now()}
+	u := &use{id: id, grant: g, instance: i.name, start: i.currentStart(), sent: time.Now()}
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	s.uses = append(s.uses, u)
@@ -234,9 +234,9 @@
 }
 
 // process names the start of the instance that was asked.
-func (u *use) process() string { return fmt.Sprint(u.instance, " ", u.boot) }
+func (u *use) process() string { return fmt.Sprint(u.instance, " ", u.start) }
 
-// servedVersions returns the uses that were served, by instance and boot.
+// servedVersions returns the uses that were served, by instance and start.
 func (s *Soak) servedVersions() map[string][]*use {
 	served := make(map[string][]*use)
 	for _, u := range s.uses {
--- a/snipesoak/operator_test.go
+++ b/snipesoak/operator_test.go
@@ -35,7 +35,7 @@
 			{grant: older, sent: at(0.1), ended: at(0.2), status: 200, whole: true}, {grant: added, sent: at(0.5), ended: at(0.6), status: 401},
 		}},
 		"OtherBoot": {uses: []*use{
-			{grant: added, sent: at(0.1), ended: at(0.2), status: 200, whole: true, boot: 1}, {grant: added, sent: at(0.5), ended: at(0.6), status: 401, boot: 2},
+			{grant: added, sent: at(0.1), ended: at(0.2), status: 200, whole: true, start: 1}, {grant: added, sent: at(0.5), ended: at(0.6), status: 401, start: 2},
 		}},
 	}
 	for name, tt := range tests {
