Copies of each status of a refusal are tested on a connection

TestCopiedRefusal has a case each for 503, 429, 408 and 421, for the same request again and for another one after it.

--- a/snipelink/carried_test.go
+++ b/snipelink/carried_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -21,20 +22,31 @@
 // TestCopiedRefusal guards against a request that is sent again on the connection on which it was refused: a copy of the
 // refusal would be taken for the answer to the second attempt, which runs.
 func TestCopiedRefusal(t *testing.T) {
-	u := newUpstream(t, refusal, copied+goodAnswer)
-	p := newPool()
-	for range 2 {
-		body, sent, err := exchangeAs(t, p, u.address, "first")
-		must.NoError(t, err)
-		must.Eq(t, "full", body)
-		must.False(t, sent.Reused)
+	for name, status := range map[string]int{
+		"Unavailable": http.StatusServiceUnavailable, "TooManyRequests": http.StatusTooManyRequests,
+		"RequestTimeout": http.StatusRequestTimeout, "Misdirected": http.StatusMisdirectedRequest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			withStatus := func(reply string) string {
+				return strings.ReplaceAll(reply, "503 Service Unavailable", strconv.Itoa(status)+" No")
+			}
+			u := newUpstream(t, withStatus(refusal), withStatus(copied)+goodAnswer)
+			p := newPool()
+			for range 2 {
+				body, sent, err := exchangeAs(t, p, u.address, "first")
+				must.NoError(t, err)
+				must.Eq(t, "full", body)
+				must.False(t, sent.Reused)
+			}
+			must.Eq(t, 2, u.accepted.Load())
+			// The connections are kept for other requests.
+			body, sent, err := exchangeAs(t, p, u.address, "next")
+			must.NoError(t, err)
+			must.Eq(t, "ok", body)
+			must.Eq(t, snipelink.Sent{Reused: true, Skipped: 1}, sent)
+		})
 	}
-	must.Eq(t, 2, u.accepted.Load())
-	// The connections are kept for other requests.
-	body, sent, err := exchangeAs(t, p, u.address, "next")
-	must.NoError(t, err)
-	must.Eq(t, "ok", body)
-	must.Eq(t, snipelink.Sent{Reused: true, Skipped: 1}, sent)
 }
 
 // TestAnswersTooMany guards against a request that loses its answer because an answer to an earlier request precedes it, and
