review: the cases as an opponent reads them

The settings file changes before its SIGHUP, and only requests sent up to configApplyMs after it are judged. A caller that takes a stream up states what is left of its time.

--- a/review/stand2/platform.go
+++ b/review/stand2/platform.go
@@ -39,7 +39,8 @@
 type machine struct {
 	name, settings         string
 	callers, ready         string
-	lock                   sync.Mutex // guards the fields below
+	fields                 map[string]any // of the settings
+	lock                   sync.Mutex     // guards the fields below
 	process                *os.Process
 	startedAt              time.Time
 	stopped                bool
@@ -149,16 +150,13 @@
 		own := all[addresses*k:]
 		m := &machine{name: "frontend-" + strconv.Itoa(k+1), callers: own[0], ready: own[1]}
 		m.settings = filepath.Join(f.folder, m.name+".json")
-		data, err := json.Marshal(map[string]any{
+		m.fields = map[string]any{
 			"Name": m.name, "Domain": "zone-" + strconv.Itoa(k+1), "Callers": own[0], "Ready": own[1], "Peers": own[2], "Metrics": own[3],
 			"Seeds": []string{all[2]}, "Table": f.table, "OrderGap": "3000ms", "RetryShare": 0.2, "RetrySlack": 58, "RetrySpan": "10s",
 			"StopTimeout": "8s", "DrainTime": "2000ms", "ApplyTime": "2000ms", "CrashTime": "3000ms", "Power": power,
 			"MemoryBytes": memoryMegabytes * 1_000_000, "AdmissionShare": 1, "LogLevel": "info",
-		})
-		if err != nil {
-			return err
 		}
-		if err := os.WriteFile(m.settings, data, 0o600); err != nil {
+		if err := m.writeSettings(); err != nil {
 			return err
 		}
 		f.machines = append(f.machines, m)
@@ -170,6 +168,15 @@
 	return f.waitReady()
 }
 
+// writeSettings writes the settings file.
+func (m *machine) writeSettings() error {
+	data, err := json.Marshal(m.fields)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(m.settings, data, 0o600)
+}
+
 func (f *platform) waitReady() error {
 	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if len(f.ready()) == len(f.machines) {
@@ -233,14 +240,14 @@
 		}
 		m.lock.Unlock()
 		if over {
-			f.record.note("%s: the process has %d MB in memory, the machine %d MB: it is killed", m.name, megabytes, memoryMegabytes)
+			f.record.note("%s: the process has %d MiB in memory, the machine %d: it is killed", m.name, megabytes, memoryMegabytes)
 			_ = p.Kill()
 			return
 		}
 	}
 }
 
-// resident returns the resident memory of a process in megabytes; 0 if it has ended.
+// resident returns the resident memory of a process in MiB, which is the larger reading of the limit; 0 if it has ended.
 func resident(pid int) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
@@ -252,7 +259,7 @@
 			if err != nil {
 				return 0
 			}
-			return kilobytes * 1024 / 1_000_000
+			return kilobytes / 1024
 		}
 	}
 	return 0
--- a/review/stand2/readers.go
+++ b/review/stand2/readers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -77,7 +78,7 @@
 	return lost > 0, nil
 }
 
-// readersRound plays one round and returns all requests that were sent after the SIGHUP.
+// readersRound plays one round and returns the requests that were sent up to applyTime after the SIGHUP.
 func (f *platform) readersRound(round int) []*orderRequest {
 	m := f.machines[0]
 	begun := make(chan struct{})
@@ -109,15 +110,20 @@
 	}
 	time.Sleep(2 * time.Second) // all have a connection that has carried a request
 	m.lock.Lock()
-	f.record.note("round %d: SIGHUP", round)
+	m.fields["RetrySlack"] = 58 - round%2
+	if err := m.writeSettings(); err != nil {
+		f.record.note("%v", err)
+	}
+	f.record.note("round %d: the settings have changed, SIGHUP", round)
 	_ = m.process.Signal(syscall.SIGHUP)
 	m.lock.Unlock()
+	changed := time.Now()
 	end := time.After(roundTime)
 	close(begun)
 	all.Wait()
 	<-end
 	close(over)
-	return requests
+	return slices.DeleteFunc(requests, func(r *orderRequest) bool { return r.sent.Sub(changed) > applyTime })
 }
 
 // callUsually sends short requests one after another, which other callers do.
--- a/review/stand2/resumes.go
+++ b/review/stand2/resumes.go
@@ -25,7 +25,7 @@
 	// resumePause is how long after its end a caller takes a stream up: the machines are in touch by then. Callers abandon a stream
 	// after a gap of four times the objective, which is 4 s. New streams are compared that are sent in newTime after a kill.
 	resumePause, newTime = 3900 * time.Millisecond, 6 * time.Second
-	// matchWait is the deadline of the callers.
+	// matchWait is the deadline of the callers, over both attempts.
 	matchWait = 5 * time.Second
 	// leastStreams is the number of streams from which on the rule holds.
 	leastStreams = 12
@@ -121,7 +121,7 @@
 			continue
 		}
 		m := in[rand.IntN(len(in))] //nolint:gosec // no secret
-		s := &takenStream{first: fmt.Sprintf("%04x%06x", n, k)}
+		s := &takenStream{first: fmt.Sprintf("%04x%06x", n, k), begun: time.Now()}
 		touch := m.inTouch()
 		s.read(m.callers, s.first)
 		c.noteNew(touch, s.events > 0)
@@ -177,6 +177,7 @@
 // takenStream is a stream of a caller, over all its attempts.
 type takenStream struct {
 	first    string
+	begun    time.Time // when the first attempt was sent
 	events   int
 	software string
 	mixed    bool
@@ -191,9 +192,9 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(matchWait))
+	_ = c.SetDeadline(s.begun.Add(matchWait))
 	head := fmt.Sprintf("POST /ledger-match/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Snipepitch-Deadline-Ms: %d\r\nX-Snipepitch-Model: %s/%s\r\n"+
-		"X-Snipepitch-Token-Usage: 9190,50\r\nContent-Length: 5\r\n", hostName, attemptID, id, matchWait.Milliseconds(), modelName, adapterName)
+		"X-Snipepitch-Token-Usage: 9190,50\r\nContent-Length: 5\r\n", hostName, attemptID, id, time.Until(s.begun.Add(matchWait)).Milliseconds(), modelName, adapterName)
 	if s.events > 0 {
 		head += fmt.Sprintf("%s: %d\r\nResumes: %s\r\n", lastEvent, s.events, s.first)
 	}
