--- a/review/stand2/headers.go
+++ b/review/stand2/headers.go
@@ -93,7 +93,7 @@
 			}
 		}
 		m.lock.Lock()
-		c.record.note("%s: killed for its memory %d times, most memory %d MB; %d requests on kept connections without an answer, %d of them passed on",
+		c.record.note("%s: killed for its memory %d times, most memory %d MiB; %d requests on kept connections without an answer, %d of them passed on",
 			m.name, m.overMemory, m.mostMemory, len(c.lost[m.name]), passedOn)
 		m.lock.Unlock()
 		broken = broken || passedOn > maxLost
