Logs and metrics tell in which state a connection was closed

Nothing told who closed a connection, in which state it was, and whether a request of it was under way: an answer that could not be written looked like a caller that had left, or like an answer that was delivered.

Changed: snipeconn tracks the connections of callers and of other instances by their bytes: unused, idle, some of a request read, answering. RequestUnanswered (241) is logged where this instance closes one with a request and without an answer; ListenerDrained (112) tells what a stop has left; snipepitch_connections_closed_total counts closes by state and by who left first. No decision changes: net/http closes idle connections as before.

Ruled out: the hook of net/http alone, since to it a connection is idle until a whole head has been read, which is the first hypothesis itself.

--- a/snipeentry/drain.go
+++ b/snipeentry/drain.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"snipepitch.example/snipepitch/snipeconn"
+	"snipepitch.example/snipepitch/snipelog"
 	"snipepitch.example/snipepitch/snipetime"
 )
 
@@ -18,26 +20,23 @@
 // one that arrived before.
 type drainingServer struct {
 	*http.Server
-	listener net.Listener
-	open     atomic.Int64 // connections
+	name        string
+	listener    net.Listener
+	connections *snipeconn.Tracker
 }
 
-// newDrainingServer returns a server that serves a listener. It is called before the server serves.
-func newDrainingServer(s *http.Server, l net.Listener) *drainingServer {
-	d := &drainingServer{Server: s, listener: l}
+// newDrainingServer returns a server that serves a listener, by its field. It is called before the server serves. Closed is
+// called when the server closes a connection.
+func newDrainingServer(name string, s *http.Server, l net.Listener, closed func(snipeconn.Closing)) *drainingServer {
+	connections := &snipeconn.Tracker{Closed: closed}
 	next := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			d.open.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			d.open.Add(-1)
-		}
+		connections.StateChanged(c, state)
 		if next != nil {
 			next(c, state)
 		}
 	}
-	return d
+	return &drainingServer{Server: s, name: name, listener: connections.Listener(l), connections: connections}
 }
 
 // drain accepts no more connections, closes those that are idle, and serves the others until they are closed after their
@@ -50,8 +49,36 @@
 		d.SetKeepAlivesEnabled(false) // closes idle connections each time
 		// Before the first look too: a connection counts a moment after it was accepted.
 		snipetime.Sleep(ctx, drainInterval)
-		if d.open.Load() == 0 {
+		if d.connections.Open() == 0 {
+			return
+		}
+	}
+}
+
+// connectionClosed returns the function that counts the connections that a listener's server closes. It logs those that are
+// closed with a request and without an answer.
+func (i *Instance) connectionClosed(listener string) func(snipeconn.Closing) {
+	type kind struct {
+		state snipeconn.State
+		left  bool
+	}
+	counters := map[kind]string{}
+	for s := snipeconn.Unused; s <= snipeconn.Answering; s++ {
+		for _, left := range []bool{false, true} {
+			counters[kind{s, left}] = fmt.Sprintf("snipepitch_connections_closed_total{listener=%q,state=%q,left=\"%t\"}", listener, s, left)
+		}
+	}
+	return func(c snipeconn.Closing) {
+		i.meter.Count(counters[kind{c.State, c.Left}])
+		if !c.Unanswered() {
+			return
+		}
+		suppressed, ok := i.unanswered.Admit(time.Now())
+		if !ok {
 			return
 		}
+		i.Log.Log(snipelog.RequestUnanswered, snipelog.Fields{
+			"Listener": listener, "Stopping": i.stopState.stopping(), "QuietMilliseconds": c.Quiet.Milliseconds(), "Suppressed": suppressed,
+		})
 	}
 }
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -74,7 +74,9 @@
 			s.MaxHeaderBytes = maxPeerHeaderBytes
 		}
 		if l.name == callersName || l.name == peersName {
-			servers = append(servers, newDrainingServer(s, listener))
+			d := newDrainingServer(l.name, s, listener, i.connectionClosed(l.name))
+			listener = d.listener
+			servers = append(servers, d)
 		}
 		i.serve(g, s, listener)
 	}
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -157,6 +157,8 @@
 	startupGate *startupGate
 	pressure    *snipepressure.Budget
 	connections *connectionLimit // nil for no bound
+	// unanswered limits the log lines about connections that were closed with a request and without an answer.
+	unanswered snipelog.Limiter
 
 	invalidEntries invalidEntries
 	softwareGauges softwareGauges
--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -60,8 +60,9 @@
 	}
 	i.Log.Log(snipelog.Stopping, snipelog.Fields{"InFlight": i.gateway.InFlight()})
 	i.stopState.begun.Store(true)
+	began := time.Now()
 	i.holder.Leave()
-	end := time.Now().Add(i.Settings.StopTimeout.Value() - stopReserve)
+	end := began.Add(i.Settings.StopTimeout.Value() - stopReserve)
 	limit, cancel := context.WithDeadline(ctx, end.Add(finalAnswerTime))
 	defer cancel()
 	i.gateway.Stop.Begin(end)
@@ -73,6 +74,9 @@
 		// process ends.
 		s.drain(limit, end)
 		_ = s.Shutdown(limit)
+		i.Log.Log(snipelog.ListenerDrained, snipelog.Fields{
+			"Listener": s.name, "Milliseconds": time.Since(began).Milliseconds(), "Open": s.connections.Open(),
+		})
 	}
 	cancel()
 	requests.Wait()
--- a/snipegateway/pressure.go
+++ b/snipegateway/pressure.go
@@ -47,6 +47,9 @@
 // http.Server.ConnContext. It lets the gateway see how much the caller has read, and reset the connection of
 // an answer that is not whole.
 func WithConnection(ctx context.Context, conn net.Conn) context.Context {
+	if w, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = w.NetConn()
+	}
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
--- a/snipelog/events.go
+++ b/snipelog/events.go
@@ -17,6 +17,7 @@
 	ConnectionFailed   = define(109, "ConnectionFailed", logrus.DebugLevel)
 	SettingsReloaded   = define(110, "SettingsReloaded", logrus.InfoLevel)
 	SettingsRefused    = define(111, "SettingsRefused", logrus.ErrorLevel)
+	ListenerDrained    = define(112, "ListenerDrained", logrus.InfoLevel)
 )
 
 // Events of calls, 200 to 299.
@@ -115,6 +116,7 @@
 	AnswerEnded        = define(233, "AnswerEnded", logrus.WarnLevel)
 	ConnectionsFull    = define(234, "ConnectionsFull", logrus.WarnLevel)
 	RequestBroke       = define(235, "RequestBroke", logrus.WarnLevel)
+	RequestUnanswered  = define(241, "RequestUnanswered", logrus.WarnLevel)
 
 	FingerprintWatched  = define(236, "FingerprintWatched", logrus.WarnLevel)
 	FingerprintRefused  = define(237, "FingerprintRefused", logrus.WarnLevel)
