--- a/snipeentry/cluster_test.go
+++ b/snipeentry/cluster_test.go
@@ -45,6 +45,8 @@
 	// peerDelay delays the messages between the next instance that is started and others, in each direction; nil for
 	// no delay.
 	peerDelay *messageDelay
+	// slowReads delays what the next instance that is started learns of callers' bytes; nil for no delay.
+	slowReads *slowReads
 	// judgedFrom is the length of the log at the beginning of the time that a test judges.
 	judgedFrom int
 	log        bytes.Buffer
@@ -222,6 +224,9 @@
 	if s.peerDelay != nil {
 		listeners[settings.Peers] = delayListener(s.t, listeners[settings.Peers], s.peerDelay)
 	}
+	if s.slowReads != nil {
+		listeners[settings.Callers] = slowListener{listeners[settings.Callers], s.slowReads}
+	}
 	return s.run(settings, func(_ context.Context, a netip.AddrPort) (net.Listener, error) { return listeners[a], nil })
 }
 
