Connections are closed as idle only while nothing of a request has arrived on them

Cause: a state that was read is acted on after it has changed. The drain of a stopping instance called SetKeepAlivesEnabled(false) every 20 ms, and net/http then closes what is idle to it: each connection that was used before and whose next head has not been read whole and noted. What a process with a small part of a processor reads at that moment is served all the same, and its answer can't be written. Shutdown, 0.5 s before the end of the grace, dropped each request whose head was read after it had begun; answers that ended while keep-alives were off closed their connection whatever had arrived there. The bound on callers' connections set a deadline in the past, which cut heads that come in pieces.

Changed: the goroutine that reads a connection decides (snipeconn). To close an idle connection its read deadline is set; the reader wakes, looks whether a byte has arrived since, and reads on if so. Nothing else reads, so the look and the close can't be apart. Drain and connectionLimit both use it; http.Server.Shutdown and SetKeepAlivesEnabled are no longer called. Connections are idle for 200 ms before they are closed, so that a caller that was just answered can send. Answers that began before the signal say Connection: close too.

Ruled out: closing idle connections only at the end of the grace (callers then don't learn to leave); a look at unread bytes before the close from another goroutine (the read may fall between).

Tests: TestRequestAtEviction named the hook of net/http at which a connection counted as idle with a request read; it no longer does, so the same moment is now held in the read itself, which is earlier. TestUnreadRequest goes by the tracker; both are as strict. TestDrain, TestEndOldest and TestLateRead are new.

--- a/snipeconn/conn.go
+++ b/snipeconn/conn.go
@@ -4,11 +4,17 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
+// lateHeadTime is the time for the rest of a request's head whose first bytes had arrived, but were not read, when a deadline
+// passed, as when the process was stopped for a while.
+const lateHeadTime = time.Second
+
 // Conn is a connection of a server with a Tracker. It is safe for concurrent use as net.Conn is.
 type Conn struct {
 	net.Conn
@@ -18,6 +24,11 @@
 	state State
 	// changed is when the state changed last, or bytes of a request arrived.
 	changed time.Time
+	// deadline is the read deadline that the server has set last, and deadlines how many it has set since the state changed.
+	deadline  time.Time
+	deadlines int
+	// ending is set while the read deadline is that of End, in place of the server's.
+	ending bool
 	// left is set if the other side has closed the connection, or it has failed.
 	left   bool
 	closed bool
@@ -43,31 +54,107 @@
 // NetConn returns the connection that is tracked.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// State returns what the connection is used for.
+func (c *Conn) State() State {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.state
+}
+
+// End lets the connection be closed once it has been idle, or unused, for minIdle, unless a request arrives before. It reports
+// false, and does nothing, if one has arrived.
+func (c *Conn) End(minIdle time.Duration) bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.closed || !c.awaitsRequest() || hasUnread(c.Conn) {
+		return false
+	}
+	c.ending = true
+	// An error means that the connection is closed.
+	_ = c.Conn.SetReadDeadline(c.changed.Add(minIdle))
+	return true
+}
+
+// idleSince returns since when the connection has been idle, or unused; false if it has a request, is to be closed already, or
+// became idle after latest.
+func (c *Conn) idleSince(latest time.Time) (time.Time, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	ok := !c.closed && !c.ending && c.awaitsRequest() && !c.changed.After(latest) && !hasUnread(c.Conn)
+	return c.changed, ok
+}
+
+// awaitsRequest reports whether nothing of a request has arrived since the last one was answered. The lock is held.
+func (c *Conn) awaitsRequest() bool { return c.state == Unused || c.state == Idle }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.noteRead(n, err)
-	return n, err
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.noteRead(n, err) {
+			return n, err
+		}
+	}
 }
 
-// noteRead records the outcome of a read.
-func (c *Conn) noteRead(n int, err error) {
+// noteRead records the outcome of a read. It reports whether to read again: a deadline has passed while the connection was idle,
+// but something has arrived meanwhile.
+func (c *Conn) noteRead(n int, err error) (again bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if n > 0 {
-		c.noteArrived()
-	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && !late && !errors.Is(err, net.ErrClosed) {
 		c.left = true
 	}
+	again = n == 0 && late && c.awaitsRequest() && hasUnread(c.Conn)
+	if n > 0 || again {
+		c.noteArrived()
+	}
+	return again
 }
 
-// noteArrived records that some of a request has arrived. The lock is held.
+// noteArrived records that some of a request has arrived. The read deadline is the server's again; if that has passed, the rest
+// has lateHeadTime. The lock is held.
 func (c *Conn) noteArrived() {
-	c.changed = time.Now()
-	if c.state == Unused || c.state == Idle {
-		c.state = Unanswered
+	now := time.Now()
+	c.changed = now
+	if !c.awaitsRequest() {
+		return
+	}
+	c.state = Unanswered
+	passed := !c.deadline.IsZero() && !c.deadline.After(now)
+	if !c.ending && !passed {
+		return
+	}
+	c.ending = false
+	if passed {
+		c.deadline = now.Add(lateHeadTime)
 	}
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.deadline = t
+	if c.deadlines++; c.deadlines > 1 && c.state == Idle {
+		// net/http sets a deadline for the time that the connection may be idle, and then one for the head of the request. Some of
+		// it may have arrived with the request before, so that no read tells.
+		c.noteArrived()
+	}
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
 }
 
 // setArrived records that some of a request has arrived.
@@ -99,7 +186,7 @@
 func (c *Conn) setIdle() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.state, c.changed = Idle, time.Now()
+	c.state, c.changed, c.deadlines = Idle, time.Now(), 0
 }
 
 // CloseWrite closes the side of the connection that the server writes; net/http does so before it closes a connection on
@@ -129,3 +216,22 @@
 	c.closed = true
 	return Closing{State: c.state, Left: c.left, Quiet: time.Since(c.changed)}, first
 }
+
+// hasUnread reports whether bytes have arrived on a connection that have not been read.
+func hasUnread(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	// Control, unlike Read, does not wait for the read in progress.
+	_ = raw.Control(func(fd uintptr) {
+		var buffer [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0
+}
--- a/snipeconn/snipeconn.go
+++ b/snipeconn/snipeconn.go
@@ -1,13 +1,19 @@
-// Package snipeconn tells what the connections of an HTTP/1 server are used for at the moment.
+// Package snipeconn tells what the connections of an HTTP/1 server are used for at the moment, and closes them only while they
+// are idle.
 //
-// The server itself (net/http) counts a connection as idle until the whole head of its next request has been read. A Tracker
-// counts it as idle only until the first byte of the request has been read.
+// The server itself (net/http) counts a connection as idle until the whole head of its next request has been read, and closes
+// idle ones at a shutdown whatever has arrived on them. Here a connection is idle only until the first byte of the request has
+// been read. To close it, the goroutine that waits for this byte is woken, and looks whether anything has arrived: as this
+// goroutine alone reads, nothing can be read between the look and the close.
 package snipeconn
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 )
 
 // State is what a connection is used for.
@@ -36,8 +42,10 @@
 	// Closed is called when the server closes a connection; nil for no call. It is set before the server serves.
 	Closed func(Closing)
 
-	lock  sync.Mutex // guards conns
-	conns map[*Conn]struct{}
+	lock     sync.Mutex // guards the fields below
+	conns    map[*Conn]struct{}
+	draining bool
+	minIdle  time.Duration
 }
 
 // Listener returns a listener whose connections are tracked.
@@ -54,6 +62,9 @@
 	switch s {
 	case http.StateIdle:
 		tracked.setIdle()
+		if draining, minIdle := t.isDraining(); draining {
+			tracked.End(minIdle)
+		}
 	case http.StateActive:
 		// Of a pipelined request nothing is read here: it arrived with the one before.
 		tracked.setArrived()
@@ -67,6 +78,59 @@
 	return len(t.conns)
 }
 
+// EndOldest ends the connection that has been idle, or unused, for longest, and for minIdle at least. It reports false if there
+// is none.
+func (t *Tracker) EndOldest(minIdle time.Duration) bool {
+	for {
+		c := t.oldestIdle(time.Now().Add(-minIdle))
+		if c == nil {
+			return false
+		}
+		if c.End(minIdle) {
+			return true
+		}
+		// A request has arrived on it meanwhile.
+	}
+}
+
+// oldestIdle returns the connection that has been idle, or unused, for longest, since the given time at least; nil if there is
+// none.
+func (t *Tracker) oldestIdle(latest time.Time) *Conn {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	var oldest *Conn
+	for c := range t.conns {
+		if since, ok := c.idleSince(latest); ok {
+			oldest, latest = c, since
+		}
+	}
+	return oldest
+}
+
+// Drain lets the connections that were used before be closed as soon as they have been idle for minIdle, those that are idle now
+// and those that become idle later. Those that were not used yet stay open for their first request.
+func (t *Tracker) Drain(minIdle time.Duration) {
+	for _, c := range t.startDraining(minIdle) {
+		if c.State() == Idle {
+			c.End(minIdle)
+		}
+	}
+}
+
+// startDraining returns the connections that are open when draining begins.
+func (t *Tracker) startDraining(minIdle time.Duration) []*Conn {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.draining, t.minIdle = true, minIdle
+	return slices.Collect(maps.Keys(t.conns))
+}
+
+func (t *Tracker) isDraining() (draining bool, minIdle time.Duration) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.draining, t.minIdle
+}
+
 func (t *Tracker) add(c *Conn) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
--- a/snipeconn/snipeconn_test.go
+++ b/snipeconn/snipeconn_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -121,3 +122,104 @@
 		})
 	}
 }
+
+// minIdle is the least time that connections of the tests are idle before they are closed.
+const minIdle = 200 * time.Millisecond
+
+// TestDrain guards against closing a connection as idle though some of a request has arrived, and against one that stays open.
+func TestDrain(t *testing.T) {
+	half := len(request("/")) / 2
+	first, rest := request("/")[:half], request("/")[half:]
+	tests := map[string]struct {
+		// before are the bytes that are sent before the drain, answered is how many requests of them are answered.
+		before   string
+		answered int
+		// after are the pieces that are sent after it, each of them wait later.
+		after []string
+		wait  time.Duration
+		// answers is the number of answers after that.
+		answers int
+	}{
+		"Unused":         {"", 0, []string{request("/")}, 2 * minIdle, 1},
+		"Used":           {request("/"), 1, nil, 0, 0},
+		"UsedInTime":     {request("/"), 1, []string{request("/")}, minIdle / 2, 1},
+		"PieceBefore":    {request("/") + first, 1, []string{rest}, 2 * minIdle, 1},
+		"PieceInTime":    {request("/"), 1, []string{first, rest}, 3 * minIdle / 4, 1},
+		"Pipelined":      {request("/") + request("/") + first, 2, []string{rest}, 2 * minIdle, 1},
+		"FirstInPieces":  {first, 0, []string{rest}, 2 * minIdle, 1},
+		"HandledSeveral": {request("/") + request("/"), 2, nil, 0, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serve(t)
+			c := s.dial(t)
+			c.send(t, tt.before)
+			for range tt.answered {
+				must.Eq(t, http.StatusOK, c.answer(t))
+			}
+			for s.tracker.Open() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			s.tracker.Drain(minIdle)
+			for _, piece := range tt.after {
+				time.Sleep(tt.wait)
+				c.send(t, piece)
+			}
+			for range tt.answers {
+				must.Eq(t, http.StatusOK, c.answer(t))
+			}
+			_, err := c.reader.ReadByte()
+			must.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
+
+// TestEndOldest guards against closing a connection that was used more lately than another one, one that has just connected, and one
+// with a request.
+func TestEndOldest(t *testing.T) {
+	s := serve(t)
+	busy, used, unused := s.dial(t), s.dial(t), s.dial(t)
+	busy.send(t, request("/wait"))
+	for s.tracker.Open() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	must.False(t, s.tracker.EndOldest(minIdle))
+	time.Sleep(2 * minIdle)
+	used.send(t, request("/"))
+	must.Eq(t, http.StatusOK, used.answer(t))
+	must.True(t, s.tracker.EndOldest(minIdle))
+	_, err := unused.reader.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	must.False(t, s.tracker.EndOldest(minIdle))
+	time.Sleep(2 * minIdle)
+	must.True(t, s.tracker.EndOldest(minIdle))
+	_, err = used.reader.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	must.False(t, s.tracker.EndOldest(minIdle))
+	must.Eq(t, 1, s.tracker.Open())
+}
+
+// TestLateRead guards against giving up a request that has arrived before the deadline of a connection, and was not read until after
+// it, because the process was stopped for a while.
+func TestLateRead(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = inner.Close() })
+	sender, err := net.Dial("tcp", inner.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = sender.Close() })
+	c, err := (&snipeconn.Tracker{}).Listener(inner).Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(sender, "GET")
+	must.NoError(t, err)
+	time.Sleep(100 * time.Millisecond) // until it has arrived
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	buffer := make([]byte, 8)
+	n, err := c.Read(buffer)
+	must.NoError(t, err)
+	must.Eq(t, "GET", string(buffer[:n]))
+	_, err = c.Read(buffer)
+	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
--- a/snipeentry/build.go
+++ b/snipeentry/build.go
@@ -4,6 +4,7 @@
 	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipeconn"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelink"
@@ -44,6 +45,7 @@
 	i.peers = newPeers(peerTransport(i.meter))
 	i.buildQuotas()
 	i.buildCrashes()
+	i.callers = &snipeconn.Tracker{Closed: i.connectionClosed(callersName)}
 	i.buildPressure()
 	i.buildAdmission()
 	i.retryBudgets = &retryBudgets{
--- a/snipeentry/connections_test.go
+++ b/snipeentry/connections_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"snipepitch.example/snipepitch/snipeconn"
 	"snipepitch.example/snipepitch/snipegateway"
 )
 
@@ -52,17 +53,18 @@
 // request, and against a refusal whose request runs or that names no time to return.
 func TestConnectionLimit(t *testing.T) {
 	refused := &atomic.Int32{}
-	limit := &connectionLimit{most: 2, refused: func(int, bool) { refused.Add(1) }}
+	connections := &snipeconn.Tracker{}
+	limit := &connectionLimit{most: 2, connections: connections, refused: func(int, bool) { refused.Add(1) }}
 	runs := &atomic.Int32{}
 	release := make(chan struct{})
-	server := &http.Server{ConnState: limit.stateChanged, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ConnState: connections.StateChanged, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		if r.URL.Path == "/wait" {
 			<-release
 		}
 	})}
 	inner := listenLocal(t)
-	serveLimited(t, server, limit.listener(inner))
+	serveLimited(t, server, connections.Listener(limit.listener(inner)))
 	request := func(path string) *bufio.Reader {
 		conn := dialLocal(t, inner)
 		send(t, conn, path)
@@ -83,13 +85,13 @@
 	must.Eq(t, http.StatusServiceUnavailable, a.StatusCode)
 	must.Eq(t, "1.000", a.Header.Get("Retry-After"))
 	must.Eq(t, 1, refused.Load())
-	must.Eq(t, 2, limit.count())
+	must.Eq(t, 2, connections.Open())
 	must.Eq(t, 3, runs.Load())
 	close(release)
 	must.Eq(t, http.StatusOK, answer(t, busy).StatusCode)
 	must.Eq(t, http.StatusOK, answer(t, third).StatusCode)
 	must.NoError(t, server.Close())
-	for limit.count() > 0 {
+	for connections.Open() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -97,17 +99,11 @@
 // TestRequestAtEviction guards against closing a connection whose request was read just as the
 // connection was chosen to be closed for a new one: the request runs, and its answer must arrive.
 func TestRequestAtEviction(t *testing.T) {
-	limit := &connectionLimit{most: 1, refused: func(int, bool) {}}
+	connections := &snipeconn.Tracker{}
+	limit := &connectionLimit{most: 1, connections: connections, refused: func(int, bool) {}}
 	read, accepted := make(chan struct{}), make(chan struct{})
-	first := &atomic.Bool{}
 	server := &http.Server{
-		ConnState: func(c net.Conn, s http.ConnState) {
-			if s == http.StateActive && first.CompareAndSwap(false, true) {
-				close(read)
-				<-accepted
-			}
-			limit.stateChanged(c, s)
-		},
+		ConnState: connections.StateChanged,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(10 * time.Millisecond)
 			if r.Context().Err() != nil {
@@ -117,7 +113,8 @@
 	}
 	inner := listenLocal(t)
 	conn := dialLocal(t, inner)
-	serveLimited(t, server, &notifyingListener{limit.listener(inner), 2, accepted})
+	held := &heldListener{Listener: inner, read: read, accepted: accepted}
+	serveLimited(t, server, &notifyingListener{connections.Listener(limit.listener(held)), 2, accepted})
 	time.Sleep(2 * minIdleTime)
 	send(t, conn, "/")
 	<-read
@@ -125,26 +122,59 @@
 	must.Eq(t, http.StatusOK, answer(t, bufio.NewReader(conn)).StatusCode)
 }
 
+// heldListener holds what is read first on its first connection until accepted is closed. It closes read when it has been read.
+type heldListener struct {
+	net.Listener
+	read, accepted chan struct{}
+	first          atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil || !l.first.CompareAndSwap(false, true) {
+		return c, err
+	}
+	return &heldConn{TCPConn: c.(*net.TCPConn), listener: l}, nil
+}
+
+// heldConn is the first connection of a heldListener.
+type heldConn struct {
+	*net.TCPConn
+	listener *heldListener
+	held     atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.held.CompareAndSwap(false, true) {
+		close(c.listener.read)
+		<-c.listener.accepted
+	}
+	return n, err
+}
+
 // TestUnreadRequest guards against closing a connection whose request has arrived, but was not read
 // because the process had been stopped.
 func TestUnreadRequest(t *testing.T) {
 	inner := listenLocal(t)
 	caller := dialLocal(t, inner)
-	conn, err := inner.Accept()
+	connections := &snipeconn.Tracker{}
+	limit := &connectionLimit{most: 1, connections: connections}
+	must.True(t, limit.admit())
+	conn, err := connections.Listener(inner).Accept()
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	limit := &connectionLimit{most: 1}
-	must.True(t, limit.add())
-	limit.stateChanged(conn, http.StateNew)
 	time.Sleep(minIdleTime)
 	send(t, caller, "/")
-	for !hasUnread(conn) {
-		time.Sleep(time.Millisecond)
-	}
-	must.False(t, limit.add())
+	time.Sleep(100 * time.Millisecond) // until the request has arrived
+	must.False(t, limit.admit())
 	_, err = http.ReadRequest(bufio.NewReader(conn))
 	must.NoError(t, err)
-	must.True(t, limit.add())
+	connections.StateChanged(conn, http.StateIdle)
+	time.Sleep(minIdleTime)
+	must.True(t, limit.admit())
 }
 
 // notifyingListener closes accepted when it has accepted the given number of connections.
--- a/snipeentry/drain.go
+++ b/snipeentry/drain.go
@@ -15,9 +15,8 @@
 // drainInterval is the time between two looks at the open connections of a server that is drained.
 const drainInterval = 20 * time.Millisecond
 
-// drainingServer is a server whose accepted connections are drained before it is shut down. From the beginning of
-// http.Server.Shutdown on, net/http closes a connection without an answer if it reads the head of a request there, also of
-// one that arrived before.
+// drainingServer is a server whose accepted connections are drained before it is closed. http.Server.Shutdown and
+// SetKeepAlivesEnabled are not used: they close a connection also while the head of its next request is being read.
 type drainingServer struct {
 	*http.Server
 	name        string
@@ -25,33 +24,21 @@
 	connections *snipeconn.Tracker
 }
 
-// newDrainingServer returns a server that serves a listener, by its field. It is called before the server serves. Closed is
-// called when the server closes a connection.
-func newDrainingServer(name string, s *http.Server, l net.Listener, closed func(snipeconn.Closing)) *drainingServer {
-	connections := &snipeconn.Tracker{Closed: closed}
-	next := s.ConnState
-	s.ConnState = func(c net.Conn, state http.ConnState) {
-		connections.StateChanged(c, state)
-		if next != nil {
-			next(c, state)
-		}
-	}
-	return &drainingServer{Server: s, name: name, listener: connections.Listener(l), connections: connections}
+// newDrainingServer returns a server whose field listener serves the given connections of inner. It is called before the server
+// serves.
+func newDrainingServer(name string, s *http.Server, inner net.Listener, connections *snipeconn.Tracker) *drainingServer {
+	s.ConnState = connections.StateChanged
+	return &drainingServer{Server: s, name: name, listener: connections.Listener(inner), connections: connections}
 }
 
 // drain accepts no more connections, closes those that are idle, and serves the others until they are closed after their
-// requests, until the given time, or until ctx ends. A connection that was used before is idle until the head of its next
-// request has been read.
-func (d *drainingServer) drain(ctx context.Context, until time.Time) {
+// requests, or until ctx ends.
+func (d *drainingServer) drain(ctx context.Context) {
 	// An error means that it is closed.
 	_ = d.listener.Close()
-	for ctx.Err() == nil && time.Now().Before(until) {
-		d.SetKeepAlivesEnabled(false) // closes idle connections each time
-		// Before the first look too: a connection counts a moment after it was accepted.
+	d.connections.Drain(minIdleTime)
+	for ctx.Err() == nil && d.connections.Open() > 0 {
 		snipetime.Sleep(ctx, drainInterval)
-		if d.connections.Open() == 0 {
-			return
-		}
 	}
 }
 
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
+	"snipepitch.example/snipepitch/snipeconn"
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
@@ -66,17 +67,16 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen %s", l.name)
 		}
-		if l.name == callersName {
-			i.limitCallers(s)
-			listener = i.connections.listener(listener)
-		}
-		if l.name == peersName {
+		switch l.name {
+		case callersName:
+			d := newDrainingServer(l.name, s, i.connections.listener(listener), i.callers)
+			listener, servers = d.listener, append(servers, d)
+		case peersName:
 			s.MaxHeaderBytes = maxPeerHeaderBytes
-		}
-		if l.name == callersName || l.name == peersName {
-			d := newDrainingServer(l.name, s, listener, i.connectionClosed(l.name))
-			listener = d.listener
-			servers = append(servers, d)
+			s.Handler = i.closeWhenStopping(s.Handler)
+			connections := &snipeconn.Tracker{Closed: i.connectionClosed(l.name)}
+			d := newDrainingServer(l.name, s, listener, connections)
+			listener, servers = d.listener, append(servers, d)
 		}
 		i.serve(g, s, listener)
 	}
@@ -109,6 +109,16 @@
 	return all
 }
 
+// closeWhenStopping adds "Connection: close" to answers once a stop has begun, so that other instances leave early.
+func (i *Instance) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.stopState.stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // open opens a listener with Listen, or a TCP listener if Listen is nil.
 func (i *Instance) open(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
 	if i.Listen != nil {
--- a/snipeentry/pressure.go
+++ b/snipeentry/pressure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"snipepitch.example/snipepitch/snipegateway"
@@ -89,10 +88,10 @@
 		},
 	}
 	if i.pressure.Active() {
-		i.connections = &connectionLimit{most: i.Settings.maxConnections(), refused: i.connectionsRefused}
+		i.connections = &connectionLimit{most: i.Settings.maxConnections(), connections: i.callers, refused: i.connectionsRefused}
 		i.meter.Add(connectionsRefusedCounter, 0) // shown from the start
 		i.meter.Gauge("snipepitch_held_bytes_bound", func() float64 { return float64(i.pressure.Bound) })
-		i.meter.Gauge("snipepitch_caller_connections", func() float64 { return float64(i.connections.count()) })
+		i.meter.Gauge("snipepitch_caller_connections", func() float64 { return float64(i.callers.Open()) })
 	}
 }
 
@@ -108,11 +107,3 @@
 		i.Log.Log(snipelog.ConnectionsFull, snipelog.Fields{"Open": open, "Bound": i.Settings.maxConnections()})
 	}
 }
-
-// limitCallers prepares the callers' server for the bound on connections.
-func (i *Instance) limitCallers(s *http.Server) {
-	if i.connections == nil {
-		return
-	}
-	s.ConnState = i.connections.stateChanged
-}
--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -31,6 +31,7 @@
 	"snipepitch.example/snipepitch/snipeadapter"
 	"snipepitch.example/snipepitch/snipebalance"
 	"snipepitch.example/snipepitch/snipecatalog"
+	"snipepitch.example/snipepitch/snipeconn"
 	"snipepitch.example/snipepitch/snipedirectory"
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelink"
@@ -156,7 +157,8 @@
 	stopState   stopState
 	startupGate *startupGate
 	pressure    *snipepressure.Budget
-	connections *connectionLimit // nil for no bound
+	callers     *snipeconn.Tracker // the connections of callers
+	connections *connectionLimit   // nil for no bound
 	// unanswered limits the log lines about connections that were closed with a request and without an answer.
 	unanswered snipelog.Limiter
 
--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -42,7 +42,7 @@
 // In a planned stop, readiness ends and the release of the owned engines begins at once, and
 // connections are accepted for stopAcceptTime. Requests in flight, and those whose heads arrive later on
 // connections that were accepted, may run until stopReserve before the end of the stop timeout; then they
-// get a final answer. The servers are drained and shut down one after the other: until its callers'
+// get a final answer. The servers are drained one after the other: until its callers'
 // requests have ended, the instance answers other instances, because in an outage of the store an owner's
 // lease extension may need this instance's grant.
 func (i *Instance) waitStop(ctx context.Context, servers []*drainingServer) error {
@@ -72,8 +72,7 @@
 	for _, s := range servers {
 		// What is still in flight when limit expires, such as an answer that its caller does not read, is cut off when the
 		// process ends.
-		s.drain(limit, end)
-		_ = s.Shutdown(limit)
+		s.drain(limit)
 		i.Log.Log(snipelog.ListenerDrained, snipelog.Fields{
 			"Listener": s.name, "Milliseconds": time.Since(began).Milliseconds(), "Open": s.connections.Open(),
 		})
--- a/snipegateway/admit.go
+++ b/snipegateway/admit.go
@@ -28,9 +28,6 @@
 // It counts an admitted request for the service's retry budget.
 func (c *call) admit(ctx context.Context) error {
 	g := c.gateway
-	if g.Stop.Begun() {
-		c.writer.Header().Set("Connection", "close")
-	}
 	if err := c.resolveRoute(ctx); err != nil {
 		return err
 	}
--- a/snipegateway/attempt.go
+++ b/snipegateway/attempt.go
@@ -354,5 +354,6 @@
 		out[name] = values
 	}
 	c.setHopResult(true)
+	c.closeWhenStopping()
 	c.answerStarted, c.status, c.firstAt = true, status, time.Now()
 }
--- a/snipegateway/end.go
+++ b/snipegateway/end.go
@@ -55,6 +55,7 @@
 		c.gateway.Protocol.Sign(h, c.ID)
 	}
 	c.setHopResult(false)
+	c.closeWhenStopping()
 	h.Set("Content-Type", "application/json")
 	if status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
@@ -68,6 +69,13 @@
 	_, _ = c.writer.Write(f.Encode(c.ID))
 }
 
+// closeWhenStopping tells the caller, in the header of the answer, that the connection ends with it once a planned stop has begun.
+func (c *call) closeWhenStopping() {
+	if c.gateway.Stop.Begun() {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
+
 // statusMayHaveRun returns the status for a request that may have run, which must not be a status
 // that implies that it has not.
 func statusMayHaveRun(status int) int {
