--- a/snipeconn/conn.go
+++ b/snipeconn/conn.go
@@ -15,6 +15,9 @@
 // passed, as when the process was stopped for a while.
 const lateHeadTime = time.Second
 
+// lookAhead is the size of the reads, in bytes, by which net/http watches for the end of a connection while a handler runs.
+const lookAhead = 1
+
 // Conn is a connection of a server with a Tracker. It is safe for concurrent use as net.Conn is.
 type Conn struct {
 	net.Conn
@@ -24,6 +27,10 @@
 	state State
 	// changed is when the state changed last, or bytes of a request arrived.
 	changed time.Time
+	// ahead is set if some of the next request has been read before the answer was complete.
+	ahead bool
+	// used is set once the server has read a request.
+	used bool
 	// deadline is the read deadline that the server has set last, and deadlines how many it has set since the state changed.
 	deadline  time.Time
 	deadlines int
@@ -61,6 +68,13 @@
 	return c.state
 }
 
+// pending reports whether the connection was used for a request, or some of one has arrived.
+func (c *Conn) pending() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.used || c.state == Unanswered
+}
+
 // End lets the connection be closed once it has been idle, or unused, for minIdle, unless a request arrives before. It reports
 // false, and does nothing, if one has arrived.
 func (c *Conn) End(minIdle time.Duration) bool {
@@ -91,15 +105,15 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if !c.noteRead(n, err) {
+		if !c.noteRead(n, err, len(p) == lookAhead) {
 			return n, err
 		}
 	}
 }
 
 // noteRead records the outcome of a read. It reports whether to read again: a deadline has passed while the connection was idle,
-// but something has arrived meanwhile.
-func (c *Conn) noteRead(n int, err error) (again bool) {
+// but something has arrived meanwhile. Ahead is set if what was read belongs to the next request.
+func (c *Conn) noteRead(n int, err error, ahead bool) (again bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	late := errors.Is(err, os.ErrDeadlineExceeded)
@@ -107,6 +121,9 @@
 		c.left = true
 	}
 	again = n == 0 && late && c.awaitsRequest() && hasUnread(c.Conn)
+	if n > 0 && ahead && !c.awaitsRequest() {
+		c.ahead = true
+	}
 	if n > 0 || again {
 		c.noteArrived()
 	}
@@ -157,10 +174,11 @@
 	return c.SetReadDeadline(t)
 }
 
-// setArrived records that some of a request has arrived.
+// setArrived records that the server has read a request.
 func (c *Conn) setArrived() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
+	c.used = true
 	c.noteArrived()
 }
 
@@ -187,6 +205,10 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.state, c.changed, c.deadlines = Idle, time.Now(), 0
+	if c.ahead {
+		c.ahead = false
+		c.noteArrived()
+	}
 }
 
 // CloseWrite closes the side of the connection that the server writes; net/http does so before it closes a connection on
@@ -219,6 +241,9 @@
 
 // hasUnread reports whether bytes have arrived on a connection that have not been read.
 func hasUnread(c net.Conn) bool {
+	for w, ok := c.(wrapper); ok; w, ok = c.(wrapper) {
+		c = w.NetConn()
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/snipeconn/snipeconn.go
+++ b/snipeconn/snipeconn.go
@@ -53,10 +53,10 @@
 	return &listener{Listener: inner, tracker: t}
 }
 
-// StateChanged implements http.Server.ConnState.
+// StateChanged implements http.Server.ConnState. The connection is one of Listener, or uses one, as a *tls.Conn does.
 func (t *Tracker) StateChanged(c net.Conn, s http.ConnState) {
-	tracked, ok := c.(*Conn)
-	if !ok {
+	tracked := unwrap(c)
+	if tracked == nil {
 		return
 	}
 	switch s {
@@ -78,6 +78,19 @@
 	return len(t.conns)
 }
 
+// Pending returns the number of open connections that were used for a request, or on which some of one has arrived.
+func (t *Tracker) Pending() int {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	n := 0
+	for c := range t.conns {
+		if c.pending() {
+			n++
+		}
+	}
+	return n
+}
+
 // EndOldest ends the connection that has been idle, or unused, for longest, and for minIdle at least. It reports false if there
 // is none.
 func (t *Tracker) EndOldest(minIdle time.Duration) bool {
@@ -149,6 +162,23 @@
 	}
 }
 
+// wrapper is a connection that uses another one.
+type wrapper interface{ NetConn() net.Conn }
+
+// unwrap returns the tracked connection that c is or uses; nil if there is none.
+func unwrap(c net.Conn) *Conn {
+	for {
+		if tracked, ok := c.(*Conn); ok {
+			return tracked
+		}
+		w, ok := c.(wrapper)
+		if !ok {
+			return nil
+		}
+		c = w.NetConn()
+	}
+}
+
 // listener is a listener with a Tracker.
 type listener struct {
 	net.Listener
--- a/snipeconn/snipeconn_test.go
+++ b/snipeconn/snipeconn_test.go
@@ -197,6 +197,9 @@
 	_, err = used.reader.ReadByte()
 	must.ErrorIs(t, err, io.EOF)
 	must.False(t, s.tracker.EndOldest(minIdle))
+	for s.tracker.Open() > 1 { // counted until the close is complete
+		time.Sleep(time.Millisecond)
+	}
 	must.Eq(t, 1, s.tracker.Open())
 }
 
--- a/snipeinstance/listen.go
+++ b/snipeinstance/listen.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 
 	"snipepitch.example/snipepitch/snipecert"
+	"snipepitch.example/snipepitch/snipeconn"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
 )
@@ -42,13 +43,12 @@
 	log         *snipelog.Logger
 }
 
-// boundedListener counts its open connections and those that serve a request (active). It closes a
-// new connection at once if more than limit/refusalDivisor+1 connections over the limit are open.
+// boundedListener counts its open connections. It closes a new connection at once if more than
+// limit/refusalDivisor+1 connections over the limit are open.
 type boundedListener struct {
 	net.Listener
-	limit  int64
-	open   atomic.Int64
-	active atomic.Int64
+	limit int64
+	open  atomic.Int64
 }
 
 // boundedConn is a connection that its listener counts until it is closed.
@@ -57,7 +57,6 @@
 	overLimit bool
 	listener  *boundedListener
 	closed    atomic.Bool
-	active    atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -77,26 +76,17 @@
 	}
 }
 
+// NetConn returns the connection that is counted.
+func (c *boundedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *boundedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.listener.open.Add(-1)
-		c.setActive(false)
 	}
 	return c.Conn.Close()
 }
 
-func (c *boundedConn) setActive(active bool) {
-	if !c.active.CompareAndSwap(!active, active) {
-		return
-	}
-	if active {
-		c.listener.active.Add(1)
-	} else {
-		c.listener.active.Add(-1)
-	}
-}
-
 // unwrapConn returns the counted connection that c is or that TLS on c uses, and false if there is
 // none.
 func unwrapConn(c net.Conn) (*boundedConn, bool) {
@@ -107,13 +97,6 @@
 	return b, ok
 }
 
-// trackState is the server's ConnState callback; it records which connections are active.
-func trackState(c net.Conn, state http.ConnState) {
-	if b, ok := unwrapConn(c); ok {
-		b.setActive(state == http.StateActive)
-	}
-}
-
 // overLimitKey is the context key that marks a connection over the limit.
 type overLimitKey struct{}
 
@@ -137,21 +120,23 @@
 }
 
 // server is the HTTP server of one listener. The field listener is the one that it serves, with TLS
-// if there is a certificate; connections counts the connections below it.
+// if there is a certificate; connections are the connections below it.
 type server struct {
 	http        *http.Server
 	listener    net.Listener
-	connections *boundedListener
+	connections *snipeconn.Tracker
+	// draining is set from the beginning of a planned stop.
+	draining atomic.Bool
 }
 
 func newServer(l listener, n net.Listener) *server {
-	s := &server{connections: &boundedListener{Listener: n, limit: int64(l.connections)}}
-	s.listener = s.connections
+	s := &server{connections: &snipeconn.Tracker{}}
+	s.listener = &boundedListener{Listener: s.connections.Listener(n), limit: int64(l.connections)}
 	if l.certificate != nil {
-		s.listener = tls.NewListener(s.connections, l.certificate.Server())
+		s.listener = tls.NewListener(s.listener, l.certificate.Server())
 	}
 	s.http = &http.Server{
-		Handler: refuseOverLimit(l.handler), ConnContext: markOverLimit, ConnState: trackState, MaxHeaderBytes: 2 * maxHeader,
+		Handler: refuseOverLimit(l.handler), ConnContext: markOverLimit, ConnState: s.connections.StateChanged, MaxHeaderBytes: 2 * maxHeader,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keepAliveTimeout,
 		ErrorLog: l.log.ServerErrors(l.name),
 	}
@@ -176,7 +161,7 @@
 	s := newServer(l, i.meter.Traffic(l.name).Listener(n))
 	g.Add(func() error {
 		err := s.http.Serve(s.listener)
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		i.Log.Error(snipelog.ListenerFailed, err, snipelog.Fields{"Listener": l.name})
@@ -186,21 +171,23 @@
 }
 
 // shutdown closes the server. A forced stop closes it at once. Otherwise shutdown waits up to
-// shutdownTimeout for active connections: a call counts as ended before the last bytes of its
-// answer are written. Unlike http.Server.Shutdown, it does not wait for connections that have not
-// sent a request yet.
+// shutdownTimeout for the connections that were used, or on which a request is arriving: a call counts as
+// ended before the last bytes of its answer are written. Connections without a request are not waited for.
 func (s *server) shutdown(cause error) {
 	if !errors.Is(cause, ErrForced) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		go func() {
-			defer cancel()
-			for ctx.Err() == nil && s.connections.active.Load() > 0 {
-				time.Sleep(stopPoll)
-			}
-		}()
-		// Connections that are still active after the timeout are closed below.
-		_ = s.http.Shutdown(ctx)
+		s.drain()
 	}
 	_ = s.http.Close()
 }
+
+// drain accepts no more connections and closes those that are idle. It returns when none is left that was used for a request, or
+// after shutdownTimeout.
+func (s *server) drain() {
+	s.draining.Store(true)
+	// An error means that it is closed.
+	_ = s.listener.Close()
+	s.connections.Drain(0)
+	for end := time.Now().Add(shutdownTimeout); s.connections.Pending() > 0 && time.Now().Before(end); {
+		time.Sleep(stopPoll)
+	}
+}
--- a/snipeinstance/listen_test.go
+++ b/snipeinstance/listen_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +137,62 @@
 		n.Cut()
 	})
 }
+
+// TestShutdownAnswersWhatIsRead guards against a stop that closes a kept connection as idle while the next request is being read
+// on it: its caller got no answer.
+func TestShutdownAnswersWhatIsRead(t *testing.T) {
+	for name, held := range map[string]time.Duration{"AtOnce": 0, "Late": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &snipestand.Network{}
+				reads := &heldReads{}
+				s := newServer(listener{connections: 2, log: snipelog.Discard(), handler: http.NotFoundHandler()}, heldListener{n.Listen(testAddress), reads})
+				go func() { _ = s.http.Serve(s.listener) }()
+				conn, err := n.Dial(t.Context(), "tcp", testAddress.String())
+				must.NoError(t, err)
+				status, _ := get(t, conn)
+				must.Eq(t, http.StatusNotFound, status)
+				reads.delay.Store(int64(held))
+				answered := make(chan int, 1)
+				go func() {
+					status, _ := get(t, conn)
+					answered <- status
+				}()
+				synctest.Wait()
+				s.shutdown(nil)
+				must.Eq(t, http.StatusNotFound, <-answered)
+				n.Cut()
+			})
+		})
+	}
+}
+
+// heldReads delays what a server learns of the bytes that it reads.
+type heldReads struct{ delay atomic.Int64 }
+
+// heldListener is a listener whose connections are read late.
+type heldListener struct {
+	net.Listener
+	reads *heldReads
+}
+
+// Accept implements net.Listener.
+func (l heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return heldConn{c, l.reads}, err
+}
+
+// heldConn is a connection that is read late.
+type heldConn struct {
+	net.Conn
+	reads *heldReads
+}
+
+// Read implements net.Conn.
+func (c heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		time.Sleep(time.Duration(c.reads.delay.Load()))
+	}
+	return n, err
+}
--- a/snipemeter/traffic.go
+++ b/snipemeter/traffic.go
@@ -60,6 +60,9 @@
 	traffic *Traffic
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
