A drain counts connections only when no more are accepted

What callers could see: a connection that was accepted just as a planned stop closed the listener was not counted yet when the drain looked whether any is left; the process could end with its request unanswered.

Changed: the drain waits for the end of http.Server.Serve, which returns when no more connections are accepted, and then looks.

--- a/snipeentry/drain.go
+++ b/snipeentry/drain.go
@@ -22,13 +22,21 @@
 	name        string
 	listener    net.Listener
 	connections *snipeconn.Tracker
+	// served is closed when no more connections are accepted.
+	served chan struct{}
 }
 
 // newDrainingServer returns a server whose field listener serves the given connections of inner. It is called before the server
 // serves.
 func newDrainingServer(name string, s *http.Server, inner net.Listener, connections *snipeconn.Tracker) *drainingServer {
 	s.ConnState = connections.StateChanged
-	return &drainingServer{Server: s, name: name, listener: connections.Listener(inner), connections: connections}
+	return &drainingServer{Server: s, name: name, listener: connections.Listener(inner), connections: connections, served: make(chan struct{})}
+}
+
+// serve serves the server's listener until that is closed. It is called once.
+func (d *drainingServer) serve() error {
+	defer close(d.served)
+	return d.Serve(d.listener)
 }
 
 // drain accepts no more connections, closes those that are idle, and serves the others until they are closed after their
@@ -36,6 +44,10 @@
 func (d *drainingServer) drain(ctx context.Context) {
 	// An error means that it is closed.
 	_ = d.listener.Close()
+	select {
+	case <-d.served:
+	case <-ctx.Done():
+	}
 	d.connections.Drain(minIdleTime)
 	for ctx.Err() == nil && d.connections.Open() > 0 {
 		snipetime.Sleep(ctx, drainInterval)
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -70,15 +70,17 @@
 		switch l.name {
 		case callersName:
 			d := newDrainingServer(l.name, s, i.connections.listener(listener), i.callers)
-			listener, servers = d.listener, append(servers, d)
+			servers = append(servers, d)
+			i.addServer(g, s, d.serve)
 		case peersName:
 			s.MaxHeaderBytes = maxPeerHeaderBytes
 			s.Handler = i.closeWhenStopping(s.Handler)
-			connections := &snipeconn.Tracker{Closed: i.connectionClosed(l.name)}
-			d := newDrainingServer(l.name, s, listener, connections)
-			listener, servers = d.listener, append(servers, d)
+			d := newDrainingServer(l.name, s, listener, &snipeconn.Tracker{Closed: i.connectionClosed(l.name)})
+			servers = append(servers, d)
+			i.addServer(g, s, d.serve)
+		default:
+			i.addServer(g, s, func() error { return s.Serve(listener) })
 		}
-		i.serve(g, s, listener)
 	}
 	return servers, nil
 }
@@ -137,13 +139,13 @@
 	return config.Listen(ctx, "tcp", address.String())
 }
 
-// serve adds a server to g as a task. The end of any task ends the group, so the task of a server
-// that a planned stop has shut down blocks until the group ends. If the server fails, serve logs
+// addServer adds a server to g as a task, which runs serve. The end of any task ends the group, so the task of a server
+// that a planned stop has drained blocks until the group ends. If the server fails, the task logs
 // the error and the group ends with it.
-func (i *Instance) serve(g *run.Group, s *http.Server, l net.Listener) {
+func (i *Instance) addServer(g *run.Group, s *http.Server, serve func() error) {
 	done := make(chan struct{})
 	g.Add(func() error {
-		err := s.Serve(l)
+		err := serve()
 		if errors.Is(err, http.ErrServerClosed) || i.stopState.stopping() && errors.Is(err, net.ErrClosed) {
 			<-done
 			return nil
--- a/snipeinstance/listen.go
+++ b/snipeinstance/listen.go
@@ -125,12 +125,13 @@
 	http        *http.Server
 	listener    net.Listener
 	connections *snipeconn.Tracker
-	// draining is set from the beginning of a planned stop.
+	// draining is set from the beginning of a planned stop, and served is closed when no more connections are accepted.
 	draining atomic.Bool
+	served   chan struct{}
 }
 
 func newServer(l listener, n net.Listener) *server {
-	s := &server{connections: &snipeconn.Tracker{}}
+	s := &server{connections: &snipeconn.Tracker{}, served: make(chan struct{})}
 	s.listener = &boundedListener{Listener: s.connections.Listener(n), limit: int64(l.connections)}
 	if l.certificate != nil {
 		s.listener = tls.NewListener(s.listener, l.certificate.Server())
@@ -160,8 +161,8 @@
 	}
 	s := newServer(l, i.meter.Traffic(l.name).Listener(n))
 	g.Add(func() error {
-		err := s.http.Serve(s.listener)
-		if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
+		err := s.serve()
+		if err == nil {
 			return nil
 		}
 		i.Log.Error(snipelog.ListenerFailed, err, snipelog.Fields{"Listener": l.name})
@@ -170,6 +171,16 @@
 	return nil
 }
 
+// serve serves the server's listener. It returns nil once the server has been closed or is drained. It is called once.
+func (s *server) serve() error {
+	defer close(s.served)
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 // shutdown closes the server. A forced stop closes it at once. Otherwise shutdown waits up to
 // shutdownTimeout for the connections that were used, or on which a request is arriving: a call counts as
 // ended before the last bytes of its answer are written. Connections without a request are not waited for.
@@ -186,6 +197,7 @@
 	s.draining.Store(true)
 	// An error means that it is closed.
 	_ = s.listener.Close()
+	<-s.served
 	s.connections.Drain(0)
 	for end := time.Now().Add(shutdownTimeout); s.connections.Pending() > 0 && time.Now().Before(end); {
 		time.Sleep(stopPoll)
--- a/snipeinstance/listen_test.go
+++ b/snipeinstance/listen_test.go
@@ -24,7 +24,7 @@
 func startServer(n *snipestand.Network, l listener) *server {
 	l.log = snipelog.Discard()
 	s := newServer(l, n.Listen(testAddress))
-	go func() { _ = s.http.Serve(s.listener) }()
+	go func() { _ = s.serve() }()
 	return s
 }
 
@@ -147,7 +147,7 @@
 				n := &snipestand.Network{}
 				reads := &heldReads{}
 				s := newServer(listener{connections: 2, log: snipelog.Discard(), handler: http.NotFoundHandler()}, heldListener{n.Listen(testAddress), reads})
-				go func() { _ = s.http.Serve(s.listener) }()
+				go func() { _ = s.serve() }()
 				conn, err := n.Dial(t.Context(), "tcp", testAddress.String())
 				must.NoError(t, err)
 				status, _ := get(t, conn)
