An answer whose caller reads is never ended for the bytes of others

Cause: at the bound the grace of a blocked answer was zero, and an answer is blocked as soon as one write takes 100 ms. makeRoom was called for a new request, and for a body that grows, before it was known whether their bytes would fit; those of an ended answer are free only when its request has ended. Growth that had fitted was also counted twice in the search for room.

Changed: nothing is ended for a new request or a body that is refused; both get 503 with a time at once. The grace is a second at any level, and the progress of the chosen caller is read once more before its answer is ended.

Ruled out: a shorter grace at the bound (100 ms without a read say nothing about a caller); letting the newcomer wait for room.

--- a/snipegateway/pressure.go
+++ b/snipegateway/pressure.go
@@ -162,7 +162,7 @@
 		_, err := io.ReadFull(body, data)
 		return data, err
 	default:
-		return readCounted(body, minReadSize, func(bytes int64) bool { return a.Grow(bodyCopies * bytes) },
+		return readCounted(body, minReadSize, func(bytes int64) bool { return a.GrowBody(bodyCopies * bytes) },
 			func(bytes int64) { a.Release(bodyCopies * bytes) })
 	}
 }
--- a/snipepressure/choose.go
+++ b/snipepressure/choose.go
@@ -86,17 +86,24 @@
 func (b *Budget) readProgress(now time.Time) {
 	b.progressAt = now
 	for a := range b.blocked {
-		if a.ended.Load() || a.Progress == nil {
-			continue
-		}
-		if p := a.Progress(); p != a.lastProgress {
-			a.lastProgress, a.unreadSince = p, now
+		if !a.ended.Load() {
+			a.noteProgress(now)
 		}
 	}
 }
 
-// makeRoom ends blocked answers until the given bytes would fit below a mark. Up to the bound, only
-// answers that were unread for HighGrace are ended.
+// noteProgress notes whether the caller has read since the last reading. The lock is held.
+func (a *Account) noteProgress(now time.Time) {
+	if a.Progress == nil {
+		return
+	}
+	if p := a.Progress(); p != a.lastProgress {
+		a.lastProgress, a.unreadSince = p, now
+	}
+}
+
+// makeRoom ends answers that were unread for HighGrace until the given bytes would fit below a mark, or
+// none is left.
 func (b *Budget) makeRoom(bytes, mark int64) {
 	now := time.Now()
 	b.lock.Lock()
@@ -107,27 +114,26 @@
 	if now.Sub(b.progressAt) > maxProgressAge {
 		b.readProgress(now)
 	}
-	for held := b.held.Load() + bytes; held-b.ending > mark; {
-		grace := HighGrace
-		if held-b.ending > b.Bound {
-			grace = 0
-		}
-		a := b.choose(now, grace)
+	for b.held.Load()+bytes-b.ending > mark {
+		a := b.choose(now)
 		if a == nil {
 			b.nextScan = now.Add(scanInterval)
 			return
 		}
-		b.end(a, now, false)
+		// The last reading may be older than what the caller has read.
+		if a.noteProgress(now); now.Sub(a.unreadSince) >= HighGrace {
+			b.end(a, now, false)
+		}
 	}
 }
 
 // choose returns the blocked account to end: of the workspace that holds most among those with an
-// account that is unread for at least grace, the one that is unread for longest. It returns nil if
+// account that is unread for HighGrace, the one that is unread for longest. It returns nil if
 // there is none. The lock is held.
-func (b *Budget) choose(now time.Time, grace time.Duration) *Account {
+func (b *Budget) choose(now time.Time) *Account {
 	var chosen *Account
 	for a := range b.blocked {
-		if a.ended.Load() || now.Sub(a.unreadSince) < grace {
+		if a.ended.Load() || now.Sub(a.unreadSince) < HighGrace {
 			continue
 		}
 		if chosen == nil || a.before(chosen) {
--- a/snipepressure/snipepressure.go
+++ b/snipepressure/snipepressure.go
@@ -13,12 +13,13 @@
 //     and no new request would be admitted.
 //   - Above 7/8, the share mark, a new request is refused if its workspace holds more than an equal
 //     part. The rest is for workspaces that hold less, and for what cannot be done otherwise.
-//   - What does not fit into the bound is refused, and any blocked answer may be ended for it.
+//   - What does not fit into the bound is refused. Nothing is ended for a new request that is refused: it
+//     has not run, and its caller is told when to come back, but an answer that is ended has run.
 //
 // Invariants:
 //
 //   - The sum of all accounts never exceeds the bound.
-//   - Only an answer whose write is blocked is ended. The answer is one of the workspace that holds
+//   - Only an answer whose write is blocked and of which nothing was read for HighGrace is ended. The answer is one of the workspace that holds
 //     most among those that have a blocked answer, and among its answers the one that has been
 //     unread for longest.
 //   - An account that is refused holds nothing.
@@ -37,8 +38,7 @@
 var ErrFull = errors.New("the instance holds as many bytes as it may")
 
 const (
-	// HighGrace is how long an answer has been unread when it is ended between the high mark and
-	// the bound. Upstreams cut off an answer that is unread for some seconds, so waiting longer would
+	// HighGrace is how long an answer has been unread when it is ended above the high mark. Upstreams cut off an answer that is unread for some seconds, so waiting longer would
 	// not save it.
 	HighGrace = time.Second
 	// highMark and shareMark are fractions of the bound.
@@ -205,14 +205,13 @@
 		return nil
 	}
 	t := b.tally(workspace)
-	if b.held.Load()+bytes > b.share() {
-		if err := b.openPressed(t, bytes); err != nil {
-			return err
-		}
+	if b.held.Load()+bytes > b.share() && t.held.Load()+bytes > b.equalPart() {
+		return b.refuse(t, bytes)
 	}
 	if !b.add(t, bytes, b.Bound) {
 		return b.refuse(t, bytes)
 	}
+	b.makeRoomAbove(b.share())
 	t.open.Add(1)
 	a.budget, a.tally = b, t
 	a.held.Store(bytes)
@@ -229,14 +228,11 @@
 	return true
 }
 
-// openPressed ends blocked answers for a new request, and decides whether the request may take some
-// of what is left above the share mark.
-func (b *Budget) openPressed(t *tally, bytes int64) error {
-	b.makeRoom(bytes, b.share())
-	if t.held.Load()+bytes <= b.equalPart() {
-		return nil
+// makeRoomAbove ends unread answers if the sum exceeds a mark.
+func (b *Budget) makeRoomAbove(mark int64) {
+	if b.held.Load() > mark {
+		b.makeRoom(0, mark)
 	}
-	return b.refuse(t, bytes)
 }
 
 // equalPart returns the share mark divided by the number of workspaces with open accounts.
@@ -267,32 +263,52 @@
 	}
 }
 
-// Grow adds bytes to the account and reports whether they fit into the bound. If they do not, blocked
-// answers may have been ended, so that a later call may succeed.
+// GrowBody adds bytes of a request that was not sent to an upstream yet, and reports whether they fit into
+// the bound. If they do not, the request is refused, and nothing is ended for it.
+func (a *Account) GrowBody(bytes int64) bool {
+	fits := a.add(bytes, 1)
+	if fits && a.budget != nil {
+		a.budget.makeRoomAbove(a.budget.share())
+	}
+	return fits
+}
+
+// Grow adds bytes of an answer to the account and reports whether they fit into the bound. If they do
+// not, answers that were unread for HighGrace may have been ended, so that a later call may succeed.
 func (a *Account) Grow(bytes int64) bool { return a.growTo(bytes, shareMark, 1) }
 
 // GrowAhead adds bytes that are read ahead of the caller, and reports whether they fit below the high
 // mark. If they do not, answers that were unread for HighGrace may have been ended.
 func (a *Account) GrowAhead(bytes int64) bool { return a.growTo(bytes, highMark, highMark) }
 
-// growTo adds bytes if the sum does not exceed the fraction most of the bound. It ends blocked answers
-// if the sum exceeds the fraction mark.
+// growTo adds bytes of an answer if the sum does not exceed the fraction most of the bound. It ends unread
+// answers if the sum exceeds the fraction mark, or would.
 func (a *Account) growTo(bytes int64, mark, most float64) bool {
+	fits := a.add(bytes, most)
 	b := a.budget
-	if b == nil {
-		return true
+	if b == nil || a.ended.Load() {
+		return fits
 	}
-	if a.ended.Load() {
+	at := int64(mark * float64(b.Bound))
+	if !fits {
+		b.makeRoom(bytes, at)
 		return false
 	}
-	fits := b.add(a.tally, bytes, int64(most*float64(b.Bound)))
-	if fits {
-		a.held.Add(bytes)
+	b.makeRoomAbove(at)
+	return true
+}
+
+// add adds bytes if the sum does not exceed the fraction most of the bound, and the request was not ended.
+func (a *Account) add(bytes int64, most float64) bool {
+	b := a.budget
+	if b == nil {
+		return true
 	}
-	if at := int64(mark * float64(b.Bound)); !fits || b.held.Load() > at {
-		b.makeRoom(bytes, at)
+	if a.ended.Load() || !b.add(a.tally, bytes, int64(most*float64(b.Bound))) {
+		return false
 	}
-	return fits
+	a.held.Add(bytes)
+	return true
 }
 
 // Release removes bytes from the account.
