A part of an answer that is reset while the request is still written is no whole answer

Cause: net/http reads and writes a connection in two goroutines, and the kernel reports a reset once. If the write learns of it, the read finds the end of the stream, as after an orderly close, and a body that ends with its connection looks complete. At entry instances it can't happen: snipelink writes all of a request before it reads, and a failed write ends the attempt.

Changed: snipeanswer.Dial: where a connection ends in order while a write is under way, or after one has failed, the read returns an error. The write counts from before its system call, so no such end slips between. A call then has an incomplete answer and may have run; a write is one of unknown outcome.

Ruled out: the hook WroteRequest of net/http (it comes before the last 4 KB are flushed); refusing answers without a length (allowed, and whole where the connection is closed in order).

--- /dev/null
+++ b/snipeanswer/snipeanswer.go
@@ -0,0 +1,56 @@
+// Package snipeanswer tells answers of HTTP from what another process sends in their place: a body without a length that was
+// cut off while the request was still being written. Clients of net/http, which takes it for whole, use its Dial; snipelink writes
+// all of a request before it reads.
+package snipeanswer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// DialFunc opens a connection; see net.Dialer.DialContext.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a DialFunc whose connections do not end in order while a request is being written.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+}
+
+// conn is a connection that one goroutine may read while another one still writes, as net/http does.
+//
+// The kernel reports a reset once. If the write learns of it, the read finds the end of the stream, as after an orderly close,
+// and a body that ends with its connection looks complete.
+type conn struct {
+	net.Conn
+	// unwritten counts the writes that are under way or have failed.
+	unwritten atomic.Int32
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.unwritten.Add(1)
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		c.unwritten.Add(-1)
+	}
+	return n, err
+}
+
+// Read implements net.Conn. The end of the stream is an error unless all writes so far have succeeded.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && c.unwritten.Load() > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
