--- a/snipesoftware/stored.go
+++ b/snipesoftware/stored.go
@@ -11,7 +11,7 @@
 
 const (
 	// minStoreInterval is the least time between two writes of an instance's row. Streams that began less than that before
-	// all instances are killed are lost. With half a second, seven in ten of the streams that last a quarter of a second were.
+	// all instances are killed are lost.
 	minStoreInterval = 100 * time.Millisecond
 	// storeIntervalPerInstance keeps the writes of all instances together at a hundred a second.
 	storeIntervalPerInstance = 10 * time.Millisecond
