The soak asks on kept connections around planned stops, and misses no answer to what was passed on

The soak did not see it: its callers began anew after a close, and an exchange without an answer left nothing for the audit.

Cause of the gap: no check looked at requests without an answer, and no caller sent on a used connection within the milliseconds of the close.

Changed: on every seed, a request that ran at an upstream and got no byte of an answer, though its caller had not left, is a breach, unless its instance was killed, frozen or cut off the store; a planned stop excuses nothing. One that reached no upstream may have crossed the close, and is counted in the faults' log alone. RequestUnanswered (241) of an instance in a planned stop is a breach as well. Seeds from 44000 on stop instances beside a catalog of 1,404 routes that is written again each 0.15 s, with 60 connections that were opened before, starve the process around the end of the accepting time by SIGSTOP and SIGCONT, and send whole requests and such in two pieces, on used and on unused connections.

Not tried, since pauses of the process suffice: GOMAXPROCS=1 and busy neighbours of our own.

--- a/snipesoak/caller.go
+++ b/snipesoak/caller.go
@@ -124,7 +124,7 @@
 	if !unknownKey {
 		u = s.beginUse(i, c.grant, id)
 	}
-	answer, err := s.do(q, k)
+	answer, err := s.do(q, k, id)
 	if err != nil {
 		return false, mayRepeat(nil, err)
 	}
@@ -138,8 +138,8 @@
 // refusedPause is how long a caller waits after an instance has refused its connection.
 const refusedPause = 20 * time.Millisecond
 
-// do sends a request and records when, unless the instance accepts no connection.
-func (s *Soak) do(q *http.Request, k requestKind) (*http.Response, error) {
+// do sends a request with an identifier and records when, and if it got no answer, unless the instance accepts no connection.
+func (s *Soak) do(q *http.Request, k requestKind, id string) (*http.Response, error) {
 	at := time.Now()
 	answer, err := client.Do(q)
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -148,6 +148,9 @@
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
+	if err != nil {
+		s.noteUnanswered(unanswered{id: id, instance: s.senders[id], sent: at, err: err})
+	}
 	s.sentTimes[k.service()] = append(s.sentTimes[k.service()], at)
 	return answer, err
 }
@@ -282,6 +285,7 @@
 	s.auditRuns()
 	s.auditStreams()
 	s.auditGrants()
+	s.auditUnanswered(ran)
 	s.auditOutcomes(ran)
 }
 
--- a/snipesoak/crash.go
+++ b/snipesoak/crash.go
@@ -57,7 +57,7 @@
 		s.breach("the soak itself", "%v", err)
 		return
 	}
-	answer, err := s.do(q, k)
+	answer, err := s.do(q, k, id)
 	if err != nil {
 		return
 	}
--- a/snipesoak/faults.go
+++ b/snipesoak/faults.go
@@ -138,7 +138,7 @@
 	i := s.pickInstance(r)
 	i.faultLock.Lock()
 	defer i.faultLock.Unlock()
-	defer s.disturb(i.name)()
+	defer s.disturbAsPlanned(i.name)()
 	i.signal(syscall.SIGTERM)
 	i.wait()
 	s.restart(i)
--- a/snipesoak/operator_test.go
+++ b/snipesoak/operator_test.go
@@ -40,7 +40,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := &Soak{uses: tt.uses, disturbances: map[string][]disturbance{tt.disturbed: {{at(-1), at(0.1)}}}}
+			s := &Soak{uses: tt.uses, disturbances: map[string][]disturbance{tt.disturbed: {{begin: at(-1), end: at(0.1)}}}}
 			for _, u := range s.uses {
 				u.instance = "one"
 			}
--- a/snipesoak/seeds.go
+++ b/snipesoak/seeds.go
@@ -31,6 +31,8 @@
 	// grants has operators add keys, workspaces and routes and take them away. It adds copiesFault, drawn copiesWeight times as
 	// often.
 	grants bool
+	// asksInStops adds askedStopFault, drawn askedStopWeight times as often, and a long catalog that is written again and again.
+	asksInStops bool
 }
 
 // silenceWeight makes about a third of the faults silences, of which only some fall into a resumable stream.
@@ -42,6 +44,9 @@
 // copiesWeight makes a fifth of the faults of these seeds answers too many.
 const copiesWeight = 4
 
+// askedStopWeight makes two fifths of the faults of these seeds stops with requests on kept connections.
+const askedStopWeight = 12
+
 var seedRanges = []seedRange{
 	{from: 0, faults: 12, upstreamFaults: 7},
 	{from: 1000, faults: 14, upstreamFaults: 8},
@@ -55,6 +60,7 @@
 	{from: 32000, faults: 18, upstreamFaults: 9, silent: true, startsWithLast: true},
 	{from: 36000, faults: 14, upstreamFaults: 9, versions: true, outOfStep: true, startsWithLast: true},
 	{from: 40000, faults: 18, upstreamFaults: 9, sharesAdmission: true, grants: true, startsWithLast: true},
+	{from: 44000, faults: 18, upstreamFaults: 8, asksInStops: true, startsWithLast: true},
 }
 
 // rangeOf returns the range of a seed.
@@ -88,6 +94,9 @@
 	if r.grants {
 		drawn = append(drawn, slices.Repeat([]fault{copiesFault}, copiesWeight)...)
 	}
+	if r.asksInStops {
+		drawn = append(drawn, slices.Repeat([]fault{askedStopFault}, askedStopWeight)...)
+	}
 	if r.brittle {
 		drawn = slices.Concat(drawn, brittleFaults, brittleFaults)
 	}
--- a/snipesoak/seeds_test.go
+++ b/snipesoak/seeds_test.go
@@ -27,6 +27,7 @@
 		"Eighth":      {24000, 22, 8, "a release", true, false, false},
 		"Ninth":       {28000, 22, 8, "a part of a prompt crashes engines", false, false, false},
 		"Twelfth":     {40000, 22, 9, "answers too many", true, true, false},
+		"Thirteenth":  {44000, 30, 8, "a stop with requests on kept connections", true, false, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/snipesoak/signal.go
+++ b/snipesoak/signal.go
@@ -53,6 +53,8 @@
 // which an upstream was cut off.
 type disturbance struct {
 	begin, end time.Time
+	// planned is set for a planned stop.
+	planned bool
 }
 
 // disturbanceGrace is how long after a disturbance the audit of signals still ignores requests:
@@ -61,12 +63,17 @@
 
 // disturb begins a disturbance of an instance or an upstream. The returned function ends and
 // records the disturbance; until then disturbed does not report it.
-func (s *Soak) disturb(name string) (end func()) {
+func (s *Soak) disturb(name string) (end func()) { return s.beginDisturbance(name, false) }
+
+// disturbAsPlanned is disturb for a planned stop.
+func (s *Soak) disturbAsPlanned(name string) (end func()) { return s.beginDisturbance(name, true) }
+
+func (s *Soak) beginDisturbance(name string, planned bool) (end func()) {
 	begin := time.Now()
 	return func() {
 		s.lock.Lock()
 		defer s.lock.Unlock()
-		s.disturbances[name] = append(s.disturbances[name], disturbance{begin, time.Now()})
+		s.disturbances[name] = append(s.disturbances[name], disturbance{begin, time.Now(), planned})
 	}
 }
 
--- a/snipesoak/snipesoak.go
+++ b/snipesoak/snipesoak.go
@@ -90,6 +90,8 @@
 	// grants are what operators have added to the catalog, uses the attempts that use them.
 	grants []*grant
 	uses   []*use
+	// unanswered are the requests that got no answer, though their callers had not left.
+	unanswered []unanswered
 	// answered counts the requests that were answered in full with status 200.
 	answered int
 }
@@ -154,6 +156,9 @@
 	if s.changesGrants() {
 		s.callerLoops.Go(func() { s.changeGrants(calling) })
 	}
+	if s.asksInStops() {
+		s.callerLoops.Go(func() { s.rewriteCatalog(calling) })
+	}
 	s.injectFaults(ctx)
 	if err := s.awaitRecovery(ctx); err != nil {
 		s.breach("served again after the last fault", "%v", err)
@@ -286,6 +291,7 @@
 		Limits:     snipestand.DeclaredLimits{BodyBytes: maxBody},
 	}
 	s.declareGrants(&d)
+	s.padCatalog(&d)
 	return s.store.Declare(d)
 }
 
--- a/snipesoak/stream.go
+++ b/snipesoak/stream.go
@@ -177,7 +177,7 @@
 		q.Header.Set("Last-Event-Id", strconv.Itoa(h.events))
 		q.Header.Set("Resumes", h.first)
 	}
-	answer, err := s.do(q, requestKind{prefix: "/draft/", stream: true})
+	answer, err := s.do(q, requestKind{prefix: "/draft/", stream: true}, id)
 	if err != nil {
 		return false
 	}
