The heads of callers' requests are counted while they are read and with their requests

Cause: a request counted 60 KiB whatever its head was. Such a head takes 238 KB as net/http holds it and 230 KB in each of two copies (measured alone), and net/http reads it whole before a handler can count or refuse it.

Changed: HeadBytes counts a head beyond 16 KiB of memory by its bytes and lines, with its request (openAccount). Usual heads need no room.

--- a/snipeentry/connections.go
+++ b/snipeentry/connections.go
@@ -81,23 +81,26 @@
 func (l *connectionLimit) refuse(c net.Conn) {
 	now, open := time.Now(), l.connections.Open()
 	l.lock.Lock()
-	linger, first := l.lingering < maxLingering, !now.Before(l.nextLog)
-	if linger {
-		l.lingering++
-	}
+	first := !now.Before(l.nextLog)
 	if first {
 		l.nextLog = now.Add(refusalLogInterval)
 	}
 	l.lock.Unlock()
 	l.refused(open, first)
+	l.answerRefusal(c, refusalText)
+}
+
+// answerRefusal answers a connection on which no whole request was read, and closes it.
+func (l *connectionLimit) answerRefusal(c net.Conn, text string) {
 	t, isTCP := c.(*net.TCPConn)
-	if !linger || !isTCP {
+	if !isTCP || !l.beginLinger() {
 		_ = c.Close()
 		return
 	}
 	_ = t.SetReadBuffer(lingerBuffer)
-	// The empty send buffer takes the whole answer, so the write does not block.
-	_, _ = t.Write([]byte(refusalText))
+	// The send buffer is empty, but for a caller that has not read its answer before, and takes the whole answer.
+	_ = t.SetWriteDeadline(time.Now().Add(lingerTime))
+	_, _ = t.Write([]byte(text))
 	_ = t.CloseWrite()
 	time.AfterFunc(lingerTime, func() {
 		_ = t.Close()
@@ -106,3 +109,14 @@
 		l.lock.Unlock()
 	})
 }
+
+// beginLinger counts a refused connection that stays half open; false if there are too many.
+func (l *connectionLimit) beginLinger() bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.lingering >= maxLingering {
+		return false
+	}
+	l.lingering++
+	return true
+}
--- a/snipeentry/connections_test.go
+++ b/snipeentry/connections_test.go
@@ -194,9 +194,10 @@
 }
 
 // TestShares guards against parts of the memory that are together more than the memory: Go's limit, the
-// kernel buffers of all requests that the bound admits, and the program's text.
+// kernel buffers of all requests that the bound admits, and the program's text; and against parts of Go's limit that leave less
+// than a fifth of the memory for tables and garbage.
 func TestShares(t *testing.T) {
-	const goShare, textBytes = 0.7, 10 << 20
+	const goShare, textBytes, maxHeldShare = 0.7, 10 << 20, 0.5
 	tests := map[string]struct {
 		memory int64
 		socket int
@@ -208,11 +209,13 @@
 			if tt.memory == 0 {
 				must.Eq(t, 0, s.pressureBound())
 				must.Eq(t, 0, s.maxConnections())
+				must.Eq(t, 0, s.headsBound())
 				return
 			}
 			requests := s.pressureBound() / (snipegateway.RequestBytes + s.socketBytes())
 			must.Less(t, tt.memory, int64(goShare*float64(tt.memory))+requests*s.socketBytes()+textBytes)
 			must.Greater(t, int(requests), s.maxConnections())
+			must.LessEq(t, int64(maxHeldShare*float64(tt.memory)), s.pressureBound()+s.headsBound()+int64(connectionShare*float64(tt.memory)))
 		})
 	}
 }
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -15,6 +15,7 @@
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipepressure"
 	"snipepitch.example/snipepitch/snipeproto"
 )
 
@@ -69,7 +70,11 @@
 		}
 		switch l.name {
 		case callersName:
-			d := newDrainingServer(l.name, s, i.connections.listener(listener), i.callers)
+			heads := &headLimit{
+				budget: &snipepressure.Budget{Bound: i.Settings.headsBound()}, answer: i.connections.answerRefusal, refused: i.headRefused,
+			}
+			d := newDrainingServer(l.name, s, heads.listener(i.connections.listener(listener)), i.callers)
+			s.ConnState = trackHeads(s.ConnState)
 			listener, servers = d.listener, append(servers, d)
 		case peersName:
 			s.MaxHeaderBytes = maxPeerHeaderBytes
--- a/snipeentry/pressure.go
+++ b/snipeentry/pressure.go
@@ -19,6 +19,9 @@
 	pressureShare = 0.36
 	// connectionShare is the part for connections of callers that have no request.
 	connectionShare = 0.06
+	// headShare is the part for heads of requests that are being read. A head is read within milliseconds, so that few are
+	// at once.
+	headShare = 0.04
 	// idleConnectionBytes is what a connection without a request holds: the goroutine and two buffers of
 	// net/http, and the kernel's state of a socket.
 	idleConnectionBytes = 20 << 10
@@ -57,6 +60,9 @@
 // pressureBound returns the bytes that may be held for all requests; 0 for no bound.
 func (s Settings) pressureBound() int64 { return int64(pressureShare * float64(s.MemoryBytes)) }
 
+// headsBound returns the bytes that may be held for heads that are being read; 0 for no bound.
+func (s Settings) headsBound() int64 { return int64(headShare * float64(s.MemoryBytes)) }
+
 // maxConnections returns how many connections of callers are accepted: those of all requests that the
 // bound admits, and some without a request; 0 for no bound.
 func (s Settings) maxConnections() int {
@@ -90,6 +96,7 @@
 	if i.pressure.Active() {
 		i.connections = &connectionLimit{most: i.Settings.maxConnections(), connections: i.callers, refused: i.connectionsRefused}
 		i.meter.Add(connectionsRefusedCounter, 0) // shown from the start
+		i.meter.Add(headsRefusedCounter, 0)
 		i.meter.Gauge("snipepitch_held_bytes_bound", func() float64 { return float64(i.pressure.Bound) })
 		i.meter.Gauge("snipepitch_caller_connections", func() float64 { return float64(i.callers.Open()) })
 	}
--- a/snipegateway/pressure.go
+++ b/snipegateway/pressure.go
@@ -24,8 +24,20 @@
 	// bodyCopies is how often a body is in memory while it is sent to an upstream: once for another
 	// attempt, and once in the message that snipelink writes.
 	bodyCopies = 2
+	// headCopies is how often a request's head is in memory: in the header that was read, that of the request and that of an
+	// attempt. fieldBytes is what a line of some bytes takes beside them in all copies: 320 bytes in maps and slices, and
+	// what these leave while they grow.
+	headCopies = 3
+	fieldBytes = 400
+	// freeHeadBytes of a head are part of RequestBytes. Usual heads have some tens of lines and one or two kilobytes.
+	freeHeadBytes = 16 << 10
 )
 
+// HeadBytes returns what a request's head takes beyond RequestBytes.
+func HeadBytes(bytes, lines int64) int64 {
+	return max(0, headCopies*bytes+fieldBytes*lines-freeHeadBytes)
+}
+
 // errNoRoom is returned if the instance must not hold more bytes.
 var errNoRoom = errors.New("no room")
 
@@ -47,7 +59,11 @@
 // http.Server.ConnContext. It lets the gateway see how much the caller has read, and reset the connection of
 // an answer that is not whole.
 func WithConnection(ctx context.Context, conn net.Conn) context.Context {
-	if w, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	for {
+		w, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		conn = w.NetConn()
 	}
 	return context.WithValue(ctx, connectionKey{}, conn)
@@ -60,7 +76,7 @@
 	if !b.Active() {
 		return nil
 	}
-	bytes := int64(RequestBytes) + c.gateway.SocketBytes
+	bytes := RequestBytes + c.headBytes() + c.gateway.SocketBytes
 	if n := c.request.ContentLength; n > 0 && (c.catalog.Limits.BodyBytes <= 0 || n <= c.catalog.Limits.BodyBytes) {
 		if n > b.Bound/(2*bodyCopies) {
 			return snipeerror.New(snipeerror.ErrTooLarge, snipeerror.NotRun, "the body is too large for this instance")
@@ -75,6 +91,18 @@
 	return nil
 }
 
+// headBytes returns what the request's head takes beyond RequestBytes.
+func (c *call) headBytes() int64 {
+	bytes, lines := len(c.request.RequestURI), 1
+	for name, values := range c.request.Header {
+		lines += len(values)
+		for _, v := range values {
+			bytes += len(name) + len(v)
+		}
+	}
+	return HeadBytes(int64(bytes), int64(lines))
+}
+
 // refuseForMemory returns the refusal of a request that does not fit, and logs its inputs.
 func (c *call) refuseForMemory(f *snipepressure.FullError) error {
 	g := c.gateway
--- a/snipegateway/pressure_test.go
+++ b/snipegateway/pressure_test.go
@@ -75,6 +75,40 @@
 	}
 }
 
+// TestHeadCounted guards against a request whose head has many short lines that counts like a usual one, and against usual heads
+// that count more than before.
+func TestHeadCounted(t *testing.T) {
+	tests := map[string]struct {
+		lines int
+		held  int64 // by another workspace
+		want  int
+	}{
+		"Fits":       {2000, 0, http.StatusOK},
+		"NoRoom":     {2000, 200_000, http.StatusServiceUnavailable},
+		"Usual":      {30, 900_000, http.StatusOK},
+		"UsualFully": {30, 950_000, http.StatusServiceUnavailable},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, upstream := newGateway(t, newChooser(&fakeOwners{}, 1), nil, nil)
+			g.Pressure = &snipepressure.Budget{Bound: 1_000_000}
+			var other snipepressure.Account
+			must.NoError(t, g.Pressure.Open(&other, "other", 0))
+			must.True(t, other.Grow(tt.held))
+			r := httptest.NewRequest(http.MethodPost, "/x/", http.NoBody)
+			r.Host = "calls.example"
+			for n := range tt.lines {
+				r.Header.Set(fmt.Sprintf("T%x", n), "1")
+			}
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, r)
+			must.Eq(t, tt.want, w.Code, must.Sprint(w.Body))
+			must.Eq(t, tt.want == http.StatusOK, upstream.Load() == 1)
+			must.Eq(t, tt.held, g.Pressure.Held())
+		})
+	}
+}
+
 // countedReader counts the bytes that are read.
 type countedReader struct {
 	inner io.Reader
