--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -15,6 +15,7 @@
 	"snipepitch.example/snipepitch/snipegateway"
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipelog"
+	"snipepitch.example/snipepitch/snipepressure"
 	"snipepitch.example/snipepitch/snipeproto"
 )
 
@@ -69,13 +70,11 @@
 		}
 		switch l.name {
 		case callersName:
-			d := newDrainingServer(l.name, s, i.connections.listener(listener), i.callers)
+			d := i.callersServer(s, listener)
 			servers = append(servers, d)
 			i.addServer(g, s, d.serve)
 		case peersName:
-			s.MaxHeaderBytes = maxPeerHeaderBytes
-			s.Handler = i.closeWhenStopping(s.Handler)
-			d := newDrainingServer(l.name, s, listener, &snipeconn.Tracker{Closed: i.connectionClosed(l.name)})
+			d := i.peersServer(s, listener)
 			servers = append(servers, d)
 			i.addServer(g, s, d.serve)
 		default:
@@ -85,6 +84,23 @@
 	return servers, nil
 }
 
+// callersServer returns the server for callers, whose connections and heads of requests are bounded.
+func (i *Instance) callersServer(s *http.Server, l net.Listener) *drainingServer {
+	heads := &headLimit{
+		budget: &snipepressure.Budget{Bound: i.Settings.headsBound()}, answer: i.connections.answerRefusal, refused: i.headRefused,
+	}
+	d := newDrainingServer(callersName, s, heads.listener(i.connections.listener(l)), i.callers)
+	s.ConnState = trackHeads(s.ConnState)
+	return d
+}
+
+// peersServer returns the server for other instances.
+func (i *Instance) peersServer(s *http.Server, l net.Listener) *drainingServer {
+	s.MaxHeaderBytes = maxPeerHeaderBytes
+	s.Handler = i.closeWhenStopping(s.Handler)
+	return newDrainingServer(peersName, s, l, &snipeconn.Tracker{Closed: i.connectionClosed(peersName)})
+}
+
 // peerHandler returns the handler for requests of other instances.
 func (i *Instance) peerHandler() http.Handler {
 	adapters := snipeproto.NewAdapterServer(&peerServer{
