A part of an answer that is reset while the request is still written is no whole answer

Cause: net/http reads and writes a connection in two goroutines, and the kernel reports a reset once. If the write learns of it, the read finds the end of the stream, as after an orderly close, and a body that ends with its connection looks complete. At entry instances it can't happen: snipelink writes all of a request before it reads, and a failed write ends the attempt.

Evidence: TestResetWhileWriting has the write learn of the reset first, and failed each time.

Changed: snipeanswer.Dial: where a connection ends in order, the read waits for a write that is under way, and returns an error if one has failed. Used by all clients of net/http that send bodies: snipeupstream (upstreams, other instances of the callers' API), platform.Store, the table service, messages of entry instances. A call then has an incomplete answer and may have run; a write is one of unknown outcome.

A failed try: an error also while a write was only under way.

Ruled out: the hook WroteRequest of net/http (it comes before the last 4 KB are flushed); refusing answers without a length (allowed, and whole where the connection is closed in order).

--- a/snipeentry/peerclient.go
+++ b/snipeentry/peerclient.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"snipepitch.example/snipepitch/snipeanswer"
 	"snipepitch.example/snipepitch/snipebound"
 	"snipepitch.example/snipepitch/snipelink"
 	"snipepitch.example/snipepitch/snipemeter"
@@ -41,7 +42,7 @@
 func peerTransport(m *snipemeter.Meter) http.RoundTripper {
 	dial := snipelink.Dialer()
 	return &countedTransport{meter: m, RoundTripper: &http.Transport{
-		DialContext: m.Traffic("peers").Dialer(func(ctx context.Context, _, address string) (net.Conn, error) {
+		DialContext: snipeanswer.Dial(m.Traffic("peers").Dialer(func(ctx context.Context, _, address string) (net.Conn, error) {
 			to, err := netip.ParseAddrPort(address)
 			if err != nil {
 				return nil, err
@@ -49,7 +50,7 @@
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
 			return dial(ctx, to)
-		}),
+		})),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
--- a/snipeplatform/dynamo.go
+++ b/snipeplatform/dynamo.go
@@ -13,6 +13,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipeanswer"
 	"snipepitch.example/snipepitch/snipebound"
 )
 
@@ -55,15 +56,21 @@
 		Credentials:  aws.CredentialsProviderFunc(d.credentials),
 		// Callers decide about retries. A retry by the library could hide that the outcome of an
 		// earlier attempt is unknown.
-		Retryer: aws.NopRetryer{},
-		HTTPClient: &http.Client{Timeout: d.Timeout, Transport: &snipebound.Transport{
-			RoundTripper: &http.Transport{DialContext: d.Dial, MaxResponseHeaderBytes: snipebound.HeaderBytes}, Bound: maxAnswer,
-		}},
+		Retryer:    aws.NopRetryer{},
+		HTTPClient: &http.Client{Timeout: d.Timeout, Transport: &snipebound.Transport{RoundTripper: d.transport(), Bound: maxAnswer}},
 	})
 	t := &dynamoTable{client: client, table: d.Table}
 	return Table{Get: t.get, List: t.list, Write: t.write}
 }
 
+func (d Dynamo) transport() http.RoundTripper {
+	dial := d.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &http.Transport{DialContext: snipeanswer.Dial(dial), MaxResponseHeaderBytes: snipebound.HeaderBytes}
+}
+
 func (d Dynamo) credentials(context.Context) (aws.Credentials, error) {
 	return aws.Credentials{AccessKeyID: d.AccessKey, SecretAccessKey: d.SecretKey}, nil
 }
--- a/snipeupstream/clients.go
+++ b/snipeupstream/clients.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"snipepitch.example/snipepitch/snipeanswer"
 	"snipepitch.example/snipepitch/snipebound"
 	"snipepitch.example/snipepitch/snipemeter"
 )
@@ -37,7 +38,7 @@
 
 func transport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         remember(dial),
+		DialContext:         remember(snipeanswer.Dial(dial)),
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
