An answer whose status is none of HTTP is no answer

At entry instances, directly and by a hop, 600 and 999 reached callers as they were; 000 to 099 counted as interim answers, so that the bytes after them were read as the answer. At the callers' API 600 and 999 were answers too, and 000 became a stream with the status 200, since a chunk without a status is one of a stream.

Other clients: an order of an entry instance was refused by a 400 that followed a 000, and a report that followed one was used; orders answered 600 or 999 were unanswered, as they should be, and such reports unused. At the callers' API an order counted as not carried out, and a refusal with the body of another instance's was believed. A write to the store counted as not done, and a conflict or a refusal in the body of an answer of the table service, or a failure in that of another instance, was believed.

Cause: net/http accepts any three digits, and nothing looked whether they are a status.

Changed: snipeanswer.CheckStatus takes 200 to 599 for a final answer (RFC 9110, section 15). snipelink checks each head, snipeanswer.Transport the answers to all clients of net/http that send orders, calls, writes or messages. The failure is that of bytes that are no answer: the request may have run, and is not sent again if it must run once. Interim answers keep their meaning; 101, for which nobody asks, stays one at snipelink and is refused at the other clients, where it was an answer.

Ruled out: a check at each reader of a status (there are a dozen, and the next one would be forgotten).

--- a/snipeanswer/snipeanswer.go
+++ b/snipeanswer/snipeanswer.go
@@ -1,17 +1,60 @@
-// Package snipeanswer tells answers of HTTP from what another process sends in their place: a body without a length that was
-// cut off while the request was still being written. Clients of net/http, which takes it for whole, use its Dial; snipelink writes
-// all of a request before it reads.
+// Package snipeanswer tells answers of HTTP from what another process sends in their place: a status that is none, and a body
+// without a length that was cut off while the request was still being written. Clients of net/http, which pass both for
+// answers, use its Transport and its Dial; snipelink, which writes all of a request before it reads, needs CheckStatus alone.
 package snipeanswer
 
 import (
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 
 	"github.com/go-faster/errors"
 )
 
+// ErrStatus means that the status of a final answer is none of HTTP, so that the answer says nothing: the request may have run.
+var ErrStatus = errors.New("no status of an answer")
+
+// maxStatus is the largest status of HTTP (RFC 9110, section 15).
+const maxStatus = 599
+
+// CheckStatus returns an error that wraps ErrStatus unless the status is one of a final answer.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return errors.Wrapf(ErrStatus, "%03d", status)
+	}
+	return nil
+}
+
+// IsInterim reports whether the status is that of an interim answer, which another one follows.
+func IsInterim(status int) bool { return status >= http.StatusContinue && status < http.StatusOK }
+
+// Transport fails where its RoundTripper returns an answer whose status is none of a final answer.
+type Transport struct {
+	http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	a, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(a.StatusCode); err != nil {
+		_ = a.Body.Close() // the connection is closed with it, or has no bytes left
+		return nil, err
+	}
+	return a, nil
+}
+
+// CloseIdleConnections closes the idle connections of the RoundTripper; http.Client calls it.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // DialFunc opens a connection; see net.Dialer.DialContext.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/snipeentry/peeranswer_test.go
+++ b/snipeentry/peeranswer_test.go
@@ -1,12 +1,15 @@
 package snipeentry
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
+	"github.com/twitchtv/twirp"
 
 	"snipepitch.example/snipepitch/snipemeter"
 	"snipepitch.example/snipepitch/snipeproto"
@@ -40,3 +43,21 @@
 		}
 	}
 }
+
+// TestPeerStatusOutOfRange guards against what another instance says with a status that is none of HTTP: it may be no instance.
+func TestPeerStatusOutOfRange(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			const body = `{"code":"failed_precondition","msg":"full"}`
+			address := servePeer(t, snipestand.RawAnswer{
+				Text: fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body),
+			})
+			p := newPeers(peerTransport(snipemeter.New()))
+			_, err := p.adapters.client(address).Ensure(t.Context(), &snipeproto.AdapterEnsureRequest{Model: "a"})
+			must.Error(t, err)
+			var failure twirp.Error
+			must.True(t, errors.As(err, &failure))
+			must.NotEq(t, twirp.FailedPrecondition, failure.Code())
+		})
+	}
+}
--- a/snipeentry/peerclient.go
+++ b/snipeentry/peerclient.go
@@ -41,7 +41,7 @@
 // peerTransport returns the transport of requests to other instances, which counts calls and traffic.
 func peerTransport(m *snipemeter.Meter) http.RoundTripper {
 	dial := snipelink.Dialer()
-	return &countedTransport{meter: m, RoundTripper: &http.Transport{
+	return &countedTransport{meter: m, RoundTripper: &snipeanswer.Transport{RoundTripper: &http.Transport{
 		DialContext: snipeanswer.Dial(m.Traffic("peers").Dialer(func(ctx context.Context, _, address string) (net.Conn, error) {
 			to, err := netip.ParseAddrPort(address)
 			if err != nil {
@@ -56,5 +56,5 @@
 		IdleConnTimeout:     time.Minute,
 
 		MaxResponseHeaderBytes: snipebound.HeaderBytes,
-	}}
+	}}}
 }
--- a/snipelink/snipelink.go
+++ b/snipelink/snipelink.go
@@ -38,6 +38,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipeanswer"
 	"snipepitch.example/snipepitch/snipepressure"
 )
 
@@ -252,9 +253,12 @@
 		if err := cmp.Or(a.connection.head.err, err); err != nil {
 			return &headError{err}
 		}
-		if answer.StatusCode < http.StatusOK {
+		if snipeanswer.IsInterim(answer.StatusCode) {
 			continue
 		}
+		if err := snipeanswer.CheckStatus(answer.StatusCode); err != nil {
+			return &headError{err}
+		}
 		if !a.pool.isAnswerTo(r, answer) {
 			if err := a.skip(ctx, answer); err != nil {
 				return err
--- a/snipepeer/snipepeer.go
+++ b/snipepeer/snipepeer.go
@@ -29,6 +29,7 @@
 
 	"github.com/go-faster/errors"
 
+	"snipepitch.example/snipepitch/snipeanswer"
 	"snipepitch.example/snipepitch/snipecall"
 	"snipepitch.example/snipepitch/snipeerror"
 	"snipepitch.example/snipepitch/snipelog"
@@ -62,7 +63,6 @@
 	maxResumes    = 3
 	resumePause   = 50 * time.Millisecond
 	cancelTimeout = 2 * time.Second
-	maxStatus     = 599
 	// maxHopEvent bounds one event in bytes: the largest is an answer that is not
 	// streamed, in base64.
 	maxHopEvent = 2 * snipeupstream.MaxAnswer
@@ -324,7 +324,7 @@
 		if err := json.Unmarshal(e.Data, &w); err != nil {
 			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "whole answer: "+err.Error())
 		}
-		if e.ID != 1 || w.Status < http.StatusOK || w.Status > maxStatus {
+		if e.ID != 1 || snipeanswer.CheckStatus(w.Status) != nil {
 			return snipeerror.New(snipeerror.ErrIncomplete, snipeerror.MayHaveRun, "whole answer in place or status")
 		}
 		h.ended = true
--- a/snipeplatform/dynamo.go
+++ b/snipeplatform/dynamo.go
@@ -68,7 +68,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &http.Transport{DialContext: snipeanswer.Dial(dial), MaxResponseHeaderBytes: snipebound.HeaderBytes}
+	return &snipeanswer.Transport{RoundTripper: &http.Transport{
+		DialContext: snipeanswer.Dial(dial), MaxResponseHeaderBytes: snipebound.HeaderBytes,
+	}}
 }
 
 func (d Dynamo) credentials(context.Context) (aws.Credentials, error) {
--- a/snipeplatform/rawanswer_test.go
+++ b/snipeplatform/rawanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -42,3 +43,24 @@
 		}
 	}
 }
+
+// TestTableStatusOutOfRange guards against a write whose outcome is taken from an answer with a status that is none of HTTP.
+func TestTableStatusOutOfRange(t *testing.T) {
+	bodies := map[string]string{
+		"Conflict": `{"__type": "a#TransactionCanceledException", "CancellationReasons": [{"Code": "ConditionalCheckFailed"}]}`,
+		"Refused":  `{"__type": "a#ThrottlingException"}`,
+		"Done":     `{}`,
+	}
+	for name, body := range bodies {
+		for _, status := range []string{"000", "099", "600", "999"} {
+			t.Run(name+status, func(t *testing.T) {
+				table := openRawTable(t, snipestand.RawAnswer{Text: fmt.Sprintf(
+					"HTTP/1.1 %s X\r\nContent-Type: application/x-amz-json-1.0\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)})
+				change := snipeplatform.Change{Key: rowKey, Data: []byte("{}")}
+				must.ErrorIs(t, table.Write(t.Context(), "operation", []snipeplatform.Change{change}), snipeplatform.ErrUnknown)
+				_, err := table.Get(t.Context(), rowKey)
+				must.ErrorIs(t, err, snipeplatform.ErrUnavailable)
+			})
+		}
+	}
+}
--- a/snipeupstream/clients.go
+++ b/snipeupstream/clients.go
@@ -50,7 +50,7 @@
 
 func newClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
+		Transport:     &snipeanswer.Transport{RoundTripper: t},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
