Connections with a piece of a head end in time

Cause: from the first byte of a request on a connection is no longer idle, and what bounded it until its head was complete was the deadline of an idle connection, which net/http replaces after four bytes. At the bound nothing but idle connections gave way. A byte that net/http reads ahead was told by the size of the read alone, which a line longer than its buffer has too.

Changed: Tracker.HeadTime bounds a head from its first byte on. At the bound, if none is idle, the connection whose head has waited longest for more, a second at least, is closed. Bytes count as read ahead only while a request is handled. A deadline that passes in the middle of a head is no end either if more has arrived.

--- a/snipeconn/conn.go
+++ b/snipeconn/conn.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// lateHeadTime is the time for the rest of a request's head whose first bytes had arrived, but were not read, when a deadline
-// passed, as when the process was stopped for a while.
+// lateHeadTime is the time for the rest of a request's head of which some had arrived, but was not read, when a deadline passed. A
+// head of which nothing more arrives for so long may be given up for another connection.
 const lateHeadTime = time.Second
 
 // lookAhead is the size of the reads, in bytes, by which net/http watches for the end of a connection while a handler runs.
@@ -29,8 +29,8 @@
 	changed time.Time
 	// ahead is set if some of the next request has been read before the answer was complete.
 	ahead bool
-	// used is set once the server has read a request.
-	used bool
+	// used is set once the server has read a request, handling from the end of a request's head to that of its answer.
+	used, handling bool
 	// deadline is the read deadline that the server has set last, and deadlines how many it has set since the state changed.
 	deadline  time.Time
 	deadlines int
@@ -80,12 +80,31 @@
 func (c *Conn) End(minIdle time.Duration) bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if c.closed || !c.awaitsRequest() || hasUnread(c.Conn) {
+	if !c.awaitsRequest() {
+		return false
+	}
+	return c.endAt(c.changed.Add(minIdle))
+}
+
+// endStalled lets the connection be closed unless more of the head of its request has arrived. It reports false, and does nothing,
+// if the head is complete or more has arrived.
+func (c *Conn) endStalled() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if !c.inHead() {
+		return false
+	}
+	return c.endAt(c.changed)
+}
+
+// endAt sets the read deadline of a connection that is to be closed, and reports false if something has arrived. The lock is held.
+func (c *Conn) endAt(t time.Time) bool {
+	if c.closed || hasUnread(c.Conn) {
 		return false
 	}
 	c.ending = true
 	// An error means that the connection is closed.
-	_ = c.Conn.SetReadDeadline(c.changed.Add(minIdle))
+	_ = c.Conn.SetReadDeadline(t)
 	return true
 }
 
@@ -94,10 +113,25 @@
 func (c *Conn) idleSince(latest time.Time) (time.Time, bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	ok := !c.closed && !c.ending && c.awaitsRequest() && !c.changed.After(latest) && !hasUnread(c.Conn)
-	return c.changed, ok
+	return c.changed, c.awaitsRequest() && c.isQuiet(latest)
 }
 
+// stalledSince returns since when nothing more of the head of a request has arrived; false if there is no such head, the
+// connection is to be closed already, or something has arrived after latest.
+func (c *Conn) stalledSince(latest time.Time) (time.Time, bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.changed, c.inHead() && c.isQuiet(latest)
+}
+
+// isQuiet reports whether nothing has changed since latest and the connection is not to be closed already. The lock is held.
+func (c *Conn) isQuiet(latest time.Time) bool {
+	return !c.closed && !c.ending && !c.changed.After(latest) && !hasUnread(c.Conn)
+}
+
+// inHead reports whether some of the head of a request has arrived, and not all of it. The lock is held.
+func (c *Conn) inHead() bool { return c.state == Unanswered && !c.handling }
+
 // awaitsRequest reports whether nothing of a request has arrived since the last one was answered. The lock is held.
 func (c *Conn) awaitsRequest() bool { return c.state == Unused || c.state == Idle }
 
@@ -111,8 +145,8 @@
 	}
 }
 
-// noteRead records the outcome of a read. It reports whether to read again: a deadline has passed while the connection was idle,
-// but something has arrived meanwhile. Ahead is set if what was read belongs to the next request.
+// noteRead records the outcome of a read. It reports whether to read again: a deadline has passed before the head of a request was
+// complete, but something has arrived meanwhile. Ahead is set if what was read belongs to the next request.
 func (c *Conn) noteRead(n int, err error, ahead bool) (again bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -120,34 +154,49 @@
 	if err != nil && !late && !errors.Is(err, net.ErrClosed) {
 		c.left = true
 	}
-	again = n == 0 && late && c.awaitsRequest() && hasUnread(c.Conn)
-	if n > 0 && ahead && !c.awaitsRequest() {
+	again = n == 0 && late && !c.handling && hasUnread(c.Conn)
+	if n > 0 && ahead && c.handling {
 		c.ahead = true
 	}
 	if n > 0 || again {
-		c.noteArrived()
+		c.noteArrived(again)
 	}
 	return again
 }
 
-// noteArrived records that some of a request has arrived. The read deadline is the server's again; if that has passed, the rest
-// has lateHeadTime. The lock is held.
-func (c *Conn) noteArrived() {
+// noteArrived records that some of a request has arrived. From the first of it on, the read deadline is that of its head. Late is
+// set if the deadline has passed. The lock is held.
+func (c *Conn) noteArrived(late bool) {
 	now := time.Now()
 	c.changed = now
-	if !c.awaitsRequest() {
-		return
+	begins := c.awaitsRequest()
+	if begins {
+		c.state = Unanswered
 	}
-	c.state = Unanswered
-	passed := !c.deadline.IsZero() && !c.deadline.After(now)
-	if !c.ending && !passed {
+	if !late && !c.ending && (!begins || c.handling) {
 		return
 	}
 	c.ending = false
-	if passed {
-		c.deadline = now.Add(lateHeadTime)
+	deadline := c.deadline
+	if !c.handling {
+		deadline = c.headDeadline(now)
+	}
+	// An error means that the connection is closed.
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// headDeadline returns the deadline of a head of which some has arrived. It is the server's, which sets that of an idle connection
+// until it has seen four bytes. If it has passed, as when the process was stopped for a while, the rest has lateHeadTime. The lock is
+// held.
+func (c *Conn) headDeadline(now time.Time) time.Time {
+	deadline := c.deadline
+	if h := c.tracker.HeadTime; h > 0 && (deadline.IsZero() || deadline.After(now.Add(h))) {
+		deadline = now.Add(h)
+	}
+	if !deadline.IsZero() && !deadline.After(now) {
+		deadline = now.Add(lateHeadTime)
 	}
-	_ = c.Conn.SetReadDeadline(c.deadline)
+	return deadline
 }
 
 // SetReadDeadline implements net.Conn.
@@ -158,7 +207,7 @@
 	if c.deadlines++; c.deadlines > 1 && c.state == Idle {
 		// net/http sets a deadline for the time that the connection may be idle, and then one for the head of the request. Some of
 		// it may have arrived with the request before, so that no read tells.
-		c.noteArrived()
+		c.noteArrived(false)
 	}
 	if c.ending {
 		return nil
@@ -174,12 +223,12 @@
 	return c.SetReadDeadline(t)
 }
 
-// setArrived records that the server has read a request.
+// setArrived records that the server has read the head of a request.
 func (c *Conn) setArrived() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.used = true
-	c.noteArrived()
+	c.used, c.handling = true, true
+	c.noteArrived(false)
 }
 
 // Write implements net.Conn.
@@ -204,10 +253,10 @@
 func (c *Conn) setIdle() {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	c.state, c.changed, c.deadlines = Idle, time.Now(), 0
+	c.state, c.changed, c.deadlines, c.handling = Idle, time.Now(), 0, false
 	if c.ahead {
 		c.ahead = false
-		c.noteArrived()
+		c.noteArrived(false)
 	}
 }
 
--- a/snipeconn/snipeconn.go
+++ b/snipeconn/snipeconn.go
@@ -41,6 +41,9 @@
 type Tracker struct {
 	// Closed is called when the server closes a connection; nil for no call. It is set before the server serves.
 	Closed func(Closing)
+	// HeadTime bounds the time from the first byte of a request to the end of its head. It is that of the server; zero means no
+	// bound.
+	HeadTime time.Duration
 
 	lock     sync.Mutex // guards the fields below
 	conns    map[*Conn]struct{}
@@ -78,7 +81,8 @@
 	return len(t.conns)
 }
 
-// Pending returns the number of open connections that were used for a request, or on which some of one has arrived.
+// Pending returns the number of open connections that were used for a request, or on which some of one has arrived. Below TLS it
+// counts a connection only from the end of the first head on.
 func (t *Tracker) Pending() int {
 	t.lock.Lock()
 	defer t.lock.Unlock()
@@ -91,30 +95,38 @@
 	return n
 }
 
-// EndOldest ends the connection that has been idle, or unused, for longest, and for minIdle at least. It reports false if there
-// is none.
+// EndOldest ends the connection that has been idle, or unused, for longest, and for minIdle at least. If there is none, it ends the
+// one with part of a head that has waited for the rest for longest, and for a second at least. It reports false if there is
+// neither.
 func (t *Tracker) EndOldest(minIdle time.Duration) bool {
+	now := time.Now()
+	end := func(c *Conn) bool { return c.End(minIdle) }
+	return t.endOldest(now.Add(-minIdle), (*Conn).idleSince, end) ||
+		t.endOldest(now.Add(-lateHeadTime), (*Conn).stalledSince, (*Conn).endStalled)
+}
+
+// endOldest ends the connection for which since returns the earliest time, latest at most. It reports false if there is none.
+func (t *Tracker) endOldest(latest time.Time, since func(*Conn, time.Time) (time.Time, bool), end func(*Conn) bool) bool {
 	for {
-		c := t.oldestIdle(time.Now().Add(-minIdle))
+		c := t.oldest(latest, since)
 		if c == nil {
 			return false
 		}
-		if c.End(minIdle) {
+		if end(c) {
 			return true
 		}
-		// A request has arrived on it meanwhile.
+		// Something has arrived on it meanwhile.
 	}
 }
 
-// oldestIdle returns the connection that has been idle, or unused, for longest, since the given time at least; nil if there is
-// none.
-func (t *Tracker) oldestIdle(latest time.Time) *Conn {
+// oldest returns the connection for which since returns the earliest time, latest at most; nil if there is none.
+func (t *Tracker) oldest(latest time.Time, since func(*Conn, time.Time) (time.Time, bool)) *Conn {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	var oldest *Conn
 	for c := range t.conns {
-		if since, ok := c.idleSince(latest); ok {
-			oldest, latest = c, since
+		if at, ok := since(c, latest); ok {
+			oldest, latest = c, at
 		}
 	}
 	return oldest
--- a/snipeconn/snipeconn_test.go
+++ b/snipeconn/snipeconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,15 +23,18 @@
 	closings chan snipeconn.Closing
 }
 
+// headTime is the time for the head of a request.
+const headTime = 2 * time.Second
+
 // serve starts a server, whose answers to /wait are held until the test ends.
 func serve(t *testing.T) *testServer {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	closings := make(chan snipeconn.Closing, 8)
-	tracker := &snipeconn.Tracker{Closed: func(c snipeconn.Closing) { closings <- c }}
+	tracker := &snipeconn.Tracker{HeadTime: headTime, Closed: func(c snipeconn.Closing) { closings <- c }}
 	held := make(chan struct{})
 	s := &http.Server{
-		ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, ConnState: tracker.StateChanged,
+		ReadHeaderTimeout: headTime, IdleTimeout: time.Minute, ConnState: tracker.StateChanged,
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/wait" {
 				<-held
@@ -223,6 +227,74 @@
 	n, err := c.Read(buffer)
 	must.NoError(t, err)
 	must.Eq(t, "GET", string(buffer[:n]))
+	_, err = io.WriteString(sender, " / HT")
+	must.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	n, err = c.Read(buffer)
+	must.NoError(t, err)
+	must.Eq(t, " / HT", string(buffer[:n]))
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
 	_, err = c.Read(buffer)
 	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// TestStalledHeads guards against heads that are never completed and hold the places of callers, and against giving up one of which
+// more arrives, or a request that is being handled.
+func TestStalledHeads(t *testing.T) {
+	s := serve(t)
+	handled, stalled, going := s.dial(t), s.dial(t), s.dial(t)
+	handled.send(t, request("/wait"))
+	stalled.send(t, "GET / HT")
+	for s.tracker.Open() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	text := request("/")
+	for n := range 12 { // 1.2 s
+		going.send(t, text[n:n+1])
+		must.False(t, n < 8 && s.tracker.EndOldest(minIdle), must.Sprint("within a second"))
+		time.Sleep(100 * time.Millisecond)
+	}
+	must.True(t, s.tracker.EndOldest(minIdle))
+	_, err := io.Copy(io.Discard, stalled.reader)
+	must.NoError(t, err)
+	must.False(t, s.tracker.EndOldest(minIdle))
+	going.send(t, text[12:])
+	must.Eq(t, http.StatusOK, going.answer(t))
+}
+
+// TestUnusedPlaces guards against a connection that stays open in a drain though its caller asks for nothing more: after a piece of a
+// head, and after a head with a line that is longer than the server's buffer.
+func TestUnusedPlaces(t *testing.T) {
+	const bufferSize = 4096 // of net/http
+	long := "GET / HTTP/1.1\r\nHost: x\r\nLong: " + strings.Repeat("x", 3*bufferSize/2) + "\r\n\r\n"
+	line := strings.Index(long, "Long")
+	tests := map[string]struct {
+		// pieces are sent one after the other, and then after is once they are answered.
+		pieces []string
+		after  string
+	}{
+		"OneByte":  {[]string{request("/")}, "G"},
+		"NewLine":  {[]string{request("/")}, "\r\n"},
+		"LongLine": {[]string{long[:line], long[line : line+bufferSize-1], long[line+bufferSize-1:]}, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serve(t)
+			c := s.dial(t)
+			for _, piece := range tt.pieces {
+				c.send(t, piece)
+				time.Sleep(100 * time.Millisecond)
+			}
+			must.Eq(t, http.StatusOK, c.answer(t))
+			c.send(t, tt.after)
+			time.Sleep(100 * time.Millisecond) // until the server has read it
+			s.tracker.Drain(minIdle)
+			begun := time.Now()
+			_, err := io.Copy(io.Discard, c.reader)
+			must.NoError(t, err)
+			must.Less(t, 2*headTime, time.Since(begun))
+		})
+	}
+}
--- a/snipeentry/build.go
+++ b/snipeentry/build.go
@@ -45,7 +45,7 @@
 	i.peers = newPeers(peerTransport(i.meter))
 	i.buildQuotas()
 	i.buildCrashes()
-	i.callers = &snipeconn.Tracker{Closed: i.connectionClosed(callersName)}
+	i.callers = &snipeconn.Tracker{Closed: i.connectionClosed(callersName), HeadTime: headerTimeout}
 	i.buildPressure()
 	i.buildAdmission()
 	i.retryBudgets = &retryBudgets{
--- a/snipeentry/connections_test.go
+++ b/snipeentry/connections_test.go
@@ -96,6 +96,29 @@
 	}
 }
 
+// TestHalfHeadsAtBound guards against connections with half of a head that hold all places, so that whole requests are refused.
+func TestHalfHeadsAtBound(t *testing.T) {
+	const most = 20
+	connections := &snipeconn.Tracker{HeadTime: headerTimeout}
+	limit := &connectionLimit{most: most, connections: connections, refused: func(int, bool) {}}
+	server := &http.Server{ConnState: connections.StateChanged, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	inner := listenLocal(t)
+	serveLimited(t, server, connections.Listener(limit.listener(inner)))
+	for range most {
+		_, err := io.WriteString(dialLocal(t, inner), "POST / HT")
+		must.NoError(t, err)
+	}
+	for connections.Open() < most {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for range most / 2 {
+		conn := dialLocal(t, inner)
+		send(t, conn, "/")
+		must.Eq(t, http.StatusOK, answer(t, bufio.NewReader(conn)).StatusCode)
+	}
+}
+
 // TestRequestAtEviction guards against closing a connection whose request was read just as the
 // connection was chosen to be closed for a new one: the request runs, and its answer must arrive.
 func TestRequestAtEviction(t *testing.T) {
--- a/snipeentry/listen.go
+++ b/snipeentry/listen.go
@@ -98,7 +98,7 @@
 func (i *Instance) peersServer(s *http.Server, l net.Listener) *drainingServer {
 	s.MaxHeaderBytes = maxPeerHeaderBytes
 	s.Handler = i.closeWhenStopping(s.Handler)
-	return newDrainingServer(peersName, s, l, &snipeconn.Tracker{Closed: i.connectionClosed(peersName)})
+	return newDrainingServer(peersName, s, l, &snipeconn.Tracker{Closed: i.connectionClosed(peersName), HeadTime: headerTimeout})
 }
 
 // peerHandler returns the handler for requests of other instances.
--- a/snipeinstance/listen.go
+++ b/snipeinstance/listen.go
@@ -131,7 +131,7 @@
 }
 
 func newServer(l listener, n net.Listener) *server {
-	s := &server{connections: &snipeconn.Tracker{}, served: make(chan struct{})}
+	s := &server{connections: &snipeconn.Tracker{HeadTime: readHeaderTimeout}, served: make(chan struct{})}
 	s.listener = &boundedListener{Listener: s.connections.Listener(n), limit: int64(l.connections)}
 	if l.certificate != nil {
 		s.listener = tls.NewListener(s.listener, l.certificate.Server())
