Signals to reload neither drop nor delay one to stop

What callers could see: beside a series of SIGHUP a planned stop did not begin; the process counted as ready until it was killed, with all that it served.

Cause: SIGTERM and SIGHUP waited in one channel of four, and the goroutine that receives them also reads the settings. signal.Notify drops what does not fit. The end of the stop was counted from after the reload and a log line.

Changed: two channels of one signal each, since a second signal of a kind asks for nothing new; reloads run in a task of their own; the stop counts from when its signal was received.

Ruled out: a longer channel (any length can be filled).

--- a/snipeentry/snipeentry.go
+++ b/snipeentry/snipeentry.go
@@ -18,11 +18,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
-	"os/signal"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -120,7 +116,6 @@
 	// Listen opens a listener at an address; nil means TCP.
 	Listen func(ctx context.Context, address netip.AddrPort) (net.Listener, error)
 
-	stopSignalsOnce sync.Once // makes stopSignals
 	meter           *snipemeter.Meter
 	catalog         *snipecatalog.Cache
 	directory       *snipedirectory.Cache
@@ -177,8 +172,8 @@
 	// processed.
 	lastEviction uint64
 
-	tables      tables
-	stopSignals chan os.Signal // the signals for waitStop
+	tables         tables
+	processSignals processSignals
 }
 
 // Run serves until ctx ends, SIGTERM, SIGINT or Stop stops the instance, or a task fails. It
@@ -186,9 +181,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	i.startedAt = time.Now()
 	i.build()
-	i.makeStopSignals()
-	signal.Notify(i.stopSignals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(i.stopSignals)
+	defer i.processSignals.notify()()
 	var g run.Group
 	for _, f := range i.tables.all() {
 		i.addTask(ctx, &g, f.Run)
@@ -236,31 +229,13 @@
 		return err
 	}
 	i.addTask(ctx, &g, func(ctx context.Context) error { return i.waitStop(ctx, servers) })
+	i.addTask(ctx, &g, i.runReloads)
 	i.Log.Log(snipelog.Started, snipelog.Fields{callersName: i.Settings.Callers, "Incarnation": i.Incarnation})
 	err = g.Run()
 	i.Log.Log(snipelog.Stopped, nil)
 	return err
 }
 
-// maxSignals bounds the signals that wait to be handled by waitStop. Further signals are dropped.
-const maxSignals = 4
-
-// makeStopSignals creates the channel stopSignals on the first call, so that Stop can be called
-// before Run.
-func (i *Instance) makeStopSignals() {
-	i.stopSignalsOnce.Do(func() { i.stopSignals = make(chan os.Signal, maxSignals) })
-}
-
-// Stop begins a planned stop, as SIGTERM does, and does not wait for its end. It does nothing if
-// maxSignals signals already wait to be handled.
-func (i *Instance) Stop() {
-	i.makeStopSignals()
-	select {
-	case i.stopSignals <- syscall.SIGTERM:
-	default: // maxSignals signals are pending
-	}
-}
-
 // addTask adds a background task to g. The task's context ends when any task of g has ended.
 func (i *Instance) addTask(ctx context.Context, g *run.Group, f func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/snipeentry/stop.go
+++ b/snipeentry/stop.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"reflect"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"snipepitch.example/snipepitch/snipelog"
@@ -37,7 +35,7 @@
 }
 
 // waitStop blocks until a signal to stop arrives, carries out a planned stop, and returns nil; it
-// returns nil without a stop when ctx ends. SIGHUP does not stop the instance but calls reload.
+// returns nil without a stop when ctx ends.
 //
 // In a planned stop, readiness ends and the release of the owned engines begins at once, and
 // connections are accepted for stopAcceptTime. Requests in flight, and those whose heads arrive later on
@@ -46,21 +44,14 @@
 // requests have ended, the instance answers other instances, because in an outage of the store an owner's
 // lease extension may need this instance's grant.
 func (i *Instance) waitStop(ctx context.Context, servers []*drainingServer) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case s := <-i.stopSignals:
-			if s == syscall.SIGHUP {
-				i.reload()
-				continue
-			}
-		}
-		break
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-i.processSignals.stops:
 	}
+	began := time.Now()
 	i.Log.Log(snipelog.Stopping, snipelog.Fields{"InFlight": i.gateway.InFlight()})
 	i.stopState.begun.Store(true)
-	began := time.Now()
 	i.holder.Leave()
 	end := began.Add(i.Settings.StopTimeout.Value() - stopReserve)
 	limit, cancel := context.WithDeadline(ctx, end.Add(finalAnswerTime))
@@ -84,15 +75,3 @@
 	}
 	return nil
 }
-
-// reload reads and checks the settings file, and logs an error or whether the settings differ from
-// those in force. It does not apply the settings: a change comes into force when the process
-// restarts.
-func (i *Instance) reload() {
-	s, err := i.Reload()
-	if err != nil {
-		i.Log.Error(snipelog.SettingsRefused, err, nil)
-		return
-	}
-	i.Log.Log(snipelog.SettingsReloaded, snipelog.Fields{"Changed": !reflect.DeepEqual(s, i.Settings)})
-}
