--- a/snipeconn/snipeconn.go
+++ b/snipeconn/snipeconn.go
@@ -1,5 +1,5 @@
 // Package snipeconn tells what the connections of an HTTP/1 server are used for at the moment, and closes them only while they
-// are idle.
+// are idle. At a bound on their number it also closes those whose callers leave the head of a request unfinished.
 //
 // The server itself (net/http) counts a connection as idle until the whole head of its next request has been read, and closes
 // idle ones at a shutdown whatever has arrived on them. Here a connection is idle only until the first byte of the request has
--- a/snipeentry/drain.go
+++ b/snipeentry/drain.go
@@ -26,8 +26,7 @@
 	served chan struct{}
 }
 
-// newDrainingServer returns a server whose field listener serves the given connections of inner. It is called before the server
-// serves.
+// newDrainingServer returns a server for the connections of inner, which it tracks in connections.
 func newDrainingServer(name string, s *http.Server, inner net.Listener, connections *snipeconn.Tracker) *drainingServer {
 	s.ConnState = connections.StateChanged
 	return &drainingServer{Server: s, name: name, listener: connections.Listener(inner), connections: connections, served: make(chan struct{})}
--- a/snipepressure/snipepressure.go
+++ b/snipepressure/snipepressure.go
@@ -19,9 +19,9 @@
 // Invariants:
 //
 //   - The sum of all accounts never exceeds the bound.
-//   - Only an answer whose write is blocked and of which nothing was read for HighGrace is ended. The answer is one of the workspace that holds
-//     most among those that have a blocked answer, and among its answers the one that has been
-//     unread for longest.
+//   - Only an answer whose write is blocked and of which nothing was read for HighGrace is ended. The
+//     answer is one of the workspace that holds most among those that have such an answer, and among its
+//     answers the one that has been unread for longest.
 //   - An account that is refused holds nothing.
 //   - A Budget whose Bound is zero, and a nil Budget, count nothing and refuse nothing.
 package snipepressure
@@ -38,8 +38,8 @@
 var ErrFull = errors.New("the instance holds as many bytes as it may")
 
 const (
-	// HighGrace is how long an answer has been unread when it is ended above the high mark. Upstreams cut off an answer that is unread for some seconds, so waiting longer would
-	// not save it.
+	// HighGrace is how long an answer has been unread when it is ended above the high mark. Upstreams cut
+	// off an answer that is unread for some seconds, so waiting longer would not save it.
 	HighGrace = time.Second
 	// highMark and shareMark are fractions of the bound.
 	highMark  = 0.75
--- a/snipesoftware/stored.go
+++ b/snipesoftware/stored.go
@@ -258,9 +258,8 @@
 	return expired
 }
 
-// Find returns what the rows tell of a stream. They are read at most once in readInterval, or
-// in the interval of writes if that is longer. An error means that they could not
-// be read.
+// Find returns what the rows tell of a stream. They are read at most once in readInterval, or in the interval of writes if that is
+// longer. An error means that they could not be read.
 func (s *Stored) Find(ctx context.Context, k Key) (Version, Answer, error) {
 	s.reading.Lock()
 	defer s.reading.Unlock()
